--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,17 @@
+// Command drill hosts gateway instances on the simulator's wire: frames in on standard input, replies out.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"clovergap/internal/wire"
+)
+
+func main() {
+	host := &wire.Host{}
+	if err := host.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,1153 @@
+// Package control decides for one gateway: which txns pass, to which backend, and what its peers are told.
+//
+// How it is called: the host sets the clock with Now, tells what happened by the input calls (ListChanged,
+// TxnTaken, SubmissionEnded, ClientLeft, ProbeEnded, PeerSaid, Woken), which only update what is known, and
+// then pulls decisions with Next, one by one, until there is none. The interface (ids, Txn, Listing, Decision,
+// Settings) is in types.go, the peer messages in peer.go, the due queue in due.go; docs/design.md tells why.
+package control
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sort"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// Tuned values. Shares are of 1.
+const (
+	period      = 20 * ms   // periodic work
+	mailUse     = 0.7       // of what a peer takes in
+	leastPack   = 15 * ms   // packing delay at the least
+	viewLife    = 1000 * ms // a snapshot older than this is stale
+	resendAfter = 150 * ms  // an unacknowledged delta goes again
+	reporterFor = 2 * time.Second
+	idleAfter   = 10 * time.Second
+	askWait     = 150 * ms // longest wait for a snapshot
+	unitWait    = 0.3      // of the SLA time: longest wait for units or an open slot
+	smooth      = 0.1      // weight of a new sample
+	crowd       = 1.25     // a backend with this times the mean load, and one more, has enough
+	firstTry    = 0.55     // of the time left to the SLA time: limit of a submission that may be repeated
+	retryGain   = 0.2      // further submissions earned by a txn
+	retryMost   = 30.0
+	failShare   = 0.35 // of failing submissions sets a backend aside
+	failSeen    = 4.0
+	slowAside   = 4.0 // times the fleet's median answer time sets a backend aside
+	silence     = 4.0 // times the usual answer time without any answer sets a backend aside
+	silenceMin  = 200 * ms
+	fullPause   = 150 * ms
+	asideMost   = 0.5 // share of the backends that may be aside for being slow or failing
+	asideFirst  = 500 * ms
+	asideLast   = 8 * time.Second
+	goodProbes  = 2
+	ramp        = 4 * time.Second // after its return a backend is passed over by chance
+	coldUse     = 0.5             // of the cold budget
+	probeEvery  = 1 * time.Second // where only probes report load
+	travel      = 40 * ms         // margin for the way to a backend
+)
+
+// Door is the decision module of one gateway.
+type Door struct {
+	now, born, lastWork time.Duration
+	rng                 *rand.Rand
+	me                  GatewayID
+	gateways            int
+	hall                HallID
+	products            []product
+	plans               []plan
+	probes, tells       bool
+	cancel, advice      bool
+	adviceMost          time.Duration
+	submissions         int
+	byProbe             bool
+	fields              []string
+	warmBy, fallWindow  time.Duration
+	coldFrom, fallTimes float64
+	mostUnits           float64
+	pack                time.Duration
+
+	txns     map[TxnID]*txn
+	due      dueQueue
+	todo     []*txn
+	line     []*txn // waiting for units, a view, a slot or a backend
+	recheck  bool
+	ready    []Decision
+	backends map[BackendID]*backend
+	list     []*backend // in order of id
+	accounts map[CustomerID]*account
+	order    []*account
+	peers    []*peer
+	epoch    uint32
+	typical  map[int]float64 // usual answer time by product and units, in seconds
+	retries  float64
+	wakeAt   time.Duration
+	tick     time.Duration
+	badMail  int
+	version  uint64
+	strange  int
+}
+
+// New starts an instance: nothing is known but the settings.
+func New(seed int64, s Settings, now time.Duration) (*Door, error) {
+	p := &picker{s: s}
+	d := &Door{now: now, born: now, lastWork: now, rng: rand.New(rand.NewSource(seed)),
+		me: GatewayID(p.count("me", 1<<20)), gateways: p.count("gateways", 1<<20),
+		hall: HallID(p.count("hall", 1<<16)), probes: p.yes("limits.probes"), tells: p.yes("limits.peers"),
+		cancel: p.yes("limits.cancel"), advice: p.yes("limits.advice"),
+		adviceMost: p.span("limits.longest_advice"), submissions: p.count("limits.max_submissions", 1<<16),
+		byProbe: p.text("report.how") == "probe", warmBy: p.span("rules.warm_by"),
+		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
+		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
+		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{}, accounts: map[CustomerID]*account{},
+		typical: map[int]float64{}, retries: retryMost / 3}
+	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
+	for i := 0; i < p.count("products.count", 255); i++ {
+		at := fmt.Sprintf("products.%d.", i)
+		d.products = append(d.products, product{slaTime: p.span(at + "sla_time"), kind: p.text(at + "effect"),
+			scope: p.text(at + "repeat_scope"), window: p.span(at + "repeat_window"),
+			value: p.number(at + "value"), late: p.number(at + "late_value")})
+	}
+	for i := 0; i < p.count("plans.count", 1<<16); i++ {
+		at := fmt.Sprintf("plans.%d.", i)
+		d.plans = append(d.plans, plan{rate: p.number(at + "rate"), burst: p.number(at + "burst"),
+			price: p.number(at + "price"), overValue: p.number(at + "over_value"),
+			overCost: p.number(at + "over_cost"), openCap: p.count(at+"open_cap", 1<<20),
+			ceilRate: p.number(at + "ceiling_rate"), ceilBurst: p.number(at + "ceiling_burst")})
+	}
+	mail := p.number("quota.mail_per_s")
+	d.epoch = d.rng.Uint32()
+	for i := 0; i < d.gateways; i++ {
+		d.peers = append(d.peers, &peer{id: GatewayID(i), answer: map[CustomerID]bool{}, heard: now})
+	}
+	d.pack = max(leastPack, time.Duration(float64(time.Second)*float64(d.gateways-1)/max(mail*mailUse, 1)))
+	return d, p.err
+}
+
+// ---- Inputs: what is known
+
+// Now sets the clock.
+func (d *Door) Now(now time.Duration) { d.now = max(d.now, now) }
+
+// ListChanged takes news of the backends; a whole list replaces the old one.
+func (d *Door) ListChanged(whole bool, list []Listing) {
+	if whole {
+		for _, b := range d.list {
+			b.State = Gone
+		}
+	}
+	for _, l := range list {
+		b := d.backends[l.ID]
+		if b == nil {
+			b = &backend{Listing: l, slow: 1, coldAt: d.now}
+			d.backends[l.ID] = b
+			d.list = append(d.list, b)
+			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
+		}
+		if l.Started > b.Started { // a new process: what was known of the old one is void
+			*b = backend{Listing: l, slow: 1, coldAt: d.now, out: b.out}
+		}
+		b.Listing = l
+	}
+	d.recheck = true
+}
+
+// TxnTaken takes a client's txn in.
+func (d *Door) TxnTaken(x Txn) {
+	if d.txns[x.ID] != nil {
+		return
+	}
+	t := &txn{Txn: x, arrived: d.now}
+	if x.Product < 0 || int(x.Product) >= len(d.products) || x.Plan < 0 || int(x.Plan) >= len(d.plans) {
+		d.strange++ // a kind the settings don't name: declined by decide
+		t.slaAt = d.now
+	} else {
+		t.slaAt = min(d.now+d.products[x.Product].slaTime, x.Expiry)
+	}
+	d.txns[x.ID] = t
+	d.due.add(x.Expiry-2*ms, x.ID) // rule 1: every expiry is watched
+	d.todo = append(d.todo, t)
+}
+
+// SubmissionEnded takes the one outcome of a submission.
+func (d *Door) SubmissionEnded(id TxnID, nr int, at BackendID, e Ending, over bool, took time.Duration,
+	load []float64) {
+	t, b := d.txns[id], d.backends[at]
+	if b != nil {
+		d.learn(t, b, e, took, load)
+	}
+	if t == nil || nr != t.nr-1 || t.outAt == nil {
+		return
+	}
+	t.outAt.out--
+	t.outAt = nil
+	if a := d.accounts[t.Customer]; a != nil && a.out > 0 {
+		a.out--
+		d.outChanged(a)
+	}
+	if !e.neverRan() && !t.mayHaveRun {
+		t.mayHaveRun, t.firstRan = true, t.sent
+		if b != nil {
+			t.ranHall, t.ranPod = b.Hall, b.Pod
+		}
+	}
+	d.recheck = true
+	if over || t.ended {
+		d.forget(t)
+		return
+	}
+	d.todo = append(d.todo, t)
+}
+
+// ClientLeft: nobody waits for this txn any more.
+func (d *Door) ClientLeft(id TxnID) {
+	if t := d.txns[id]; t != nil {
+		d.forget(t)
+	}
+}
+
+// ProbeEnded takes the answer to a probe.
+func (d *Door) ProbeEnded(at BackendID, good bool, took time.Duration, load []float64) {
+	b := d.backends[at]
+	if b == nil {
+		return
+	}
+	b.probing = false
+	d.readLoad(b, load)
+	if !good {
+		b.probes = 0
+		b.fails += smooth * (1 - b.fails)
+		return
+	}
+	b.probes++
+}
+
+// Woken: a wake-up asked for has come.
+func (d *Door) Woken(uint64) {}
+
+// PeerSaid takes a peer message. What does not decode is dropped and counted.
+func (d *Door) PeerSaid(from GatewayID, payload []byte) {
+	m, err := decodeMessage(payload)
+	if err != nil || from < 0 || int(from) >= len(d.peers) || from == d.me {
+		d.badMail++
+		return
+	}
+	p := d.peers[from]
+	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
+		return
+	}
+	p.heard = d.now
+	if m.seq > 0 {
+		d.takeDelta(p, m)
+	}
+	if m.ackEpoch == d.epoch {
+		d.takeSnapshot(p, m)
+	}
+}
+
+// newLife notes that a peer has started again; a message of a life that is over is refused.
+// What was reported to the old life is dropped: the new bucket starts empty, which stands for all use before.
+func (d *Door) newLife(p *peer, epoch uint32) bool {
+	for _, e := range p.retired {
+		if e == epoch {
+			return false
+		}
+	}
+	if p.epoch != 0 {
+		p.retired = append(p.retired, p.epoch)
+		p.retired = p.retired[max(0, len(p.retired)-8):]
+		for _, f := range p.flight {
+			for _, l := range f.lines {
+				if a := d.accounts[l.customer]; a != nil {
+					a.unacked -= l.units
+				}
+			}
+		}
+		p.flight = nil
+		for _, a := range d.order {
+			if a.owner == p.id {
+				a.known, a.asked = false, 0
+			}
+		}
+	}
+	p.epoch, p.high, p.mask, p.version = epoch, 0, 0, 0
+	return true
+}
+
+// takeDelta applies a delta once and marks its accounts for an answer.
+func (d *Door) takeDelta(p *peer, m *message) {
+	fresh := false
+	switch gap := int64(m.seq) - int64(p.high); {
+	case gap > 0:
+		p.mask = p.mask<<min(uint64(gap), 64) | 1
+		p.high, fresh = m.seq, true
+	case gap > -64 && p.mask>>uint64(-gap)&1 == 0:
+		p.mask |= 1 << uint64(-gap)
+		fresh = true
+	}
+	p.ackDue = true
+	for _, l := range m.deltas {
+		if int(l.plan) >= len(d.plans) {
+			d.badMail++
+			continue
+		}
+		a := d.account(l.customer, l.plan)
+		if a.owner != d.me && a.inSet {
+			continue
+		}
+		a.owner = d.me
+		d.refill(a)
+		r := a.reports[p.id]
+		if r == nil {
+			r = &report{}
+			a.reports[p.id] = r
+		}
+		if r.at = d.now; m.seq == p.high {
+			r.out = l.out
+		}
+		if fresh {
+			d.draw(a, l.units)
+		}
+		d.answer(p, a.id)
+	}
+	d.recheck = true
+}
+
+// takeSnapshot settles acknowledged deltas, then takes the owner's figures if they are not older than held.
+func (d *Door) takeSnapshot(p *peer, m *message) {
+	kept := p.flight[:0]
+	for _, f := range p.flight {
+		gap := int64(m.ackHigh) - int64(f.seq)
+		if gap < 0 || gap < 64 && m.ackMask>>uint64(gap)&1 == 0 {
+			kept = append(kept, f)
+			continue
+		}
+		for _, l := range f.lines {
+			if a := d.accounts[l.customer]; a != nil {
+				a.unacked -= l.units
+				a.level -= l.units
+			}
+		}
+	}
+	p.flight = kept
+	for _, l := range m.snaps {
+		a := d.accounts[l.customer]
+		if a == nil || a.owner != p.id || m.version < a.version && a.known {
+			continue
+		}
+		a.level, a.levelAt, a.known, a.version = l.left, d.now, true, m.version
+		a.sharers, a.outElse, a.asked = max(l.sharers, 1), l.outElse, 0
+	}
+	d.recheck = true
+}
+
+// learn updates what is known of a backend by an outcome.
+func (d *Door) learn(t *txn, b *backend, e Ending, took time.Duration, load []float64) {
+	answered := e == Settled || e == Errored || e == Full
+	if answered {
+		b.owed, b.oweSince = 0, 0
+		if b.out > 1 {
+			b.owed, b.oweSince = b.out-1, d.now
+		}
+		d.readLoad(b, load)
+	}
+	if e == Settled && t != nil {
+		kind := d.sort(t)
+		usual, ok := d.typical[kind]
+		if !ok {
+			usual = took.Seconds()
+		}
+		ratio := took.Seconds() / max(usual, 0.0005)
+		d.typical[kind] = usual + smooth/2*(min(took.Seconds(), 5*usual)-usual)
+		b.slow += smooth * (min(ratio, 20) - b.slow)
+	}
+	bad := 0.0
+	switch e {
+	case Errored, Unreachable, Broken:
+		bad = 1
+	case TimedOut:
+		bad = 1
+		if t != nil && d.now-t.sent < 3*d.usual(t) {
+			bad = 0
+		}
+	case Full:
+		b.fullUntil = d.now + fullPause
+		return
+	case CalledOff, NotSent:
+		return
+	}
+	b.seen = b.seen*(1-smooth) + 1
+	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
+}
+
+// readLoad takes a load report: what others keep at the backend.
+func (d *Door) readLoad(b *backend, load []float64) {
+	held, ok := 0.0, false
+	rate, service := -1.0, -1.0
+	for i, v := range load {
+		if i >= len(d.fields) || v < 0 || v > 1e6 {
+			break
+		}
+		switch d.fields[i] {
+		case "inflight":
+			held, ok = v, true
+		case "queue":
+			if !ok {
+				held = max(held, v)
+			}
+		case "per_s":
+			rate = v
+		case "service_ms":
+			service = v / 1000
+		}
+	}
+	if !ok && rate >= 0 && service >= 0 {
+		held += rate * service
+		ok = true
+	}
+	if ok {
+		b.others += 0.5 * (max(0, held-float64(b.out)) - b.others)
+	}
+}
+
+// sort names the kind of work of a txn: work goes by product and units.
+func (d *Door) sort(t *txn) int { return int(t.Product)*64 + int(min(max(t.Units, 0), 63)) }
+
+// usual is the usual answer time of such a txn.
+func (d *Door) usual(t *txn) time.Duration {
+	if s, ok := d.typical[d.sort(t)]; ok {
+		return time.Duration(s * float64(time.Second))
+	}
+	return d.products[t.Product].slaTime / 8
+}
+
+// ---- Decisions
+
+// Next gives the next thing to do now, or false when there is none.
+func (d *Door) Next() (Decision, bool) {
+	for {
+		if len(d.ready) > 0 {
+			x := d.ready[0]
+			d.ready = d.ready[1:]
+			return x, true
+		}
+		if len(d.todo) > 0 {
+			t := d.todo[0]
+			d.todo = d.todo[1:]
+			d.decide(t)
+			continue
+		}
+		if id, ok := d.due.take(d.now); ok {
+			if t := d.txns[id]; t != nil {
+				d.expire(t)
+			}
+			continue
+		}
+		if d.now-d.lastWork >= period {
+			d.lastWork = d.now
+			d.sweep()
+			continue
+		}
+		if d.recheck {
+			d.recheck = false
+			if len(d.line) > 0 {
+				d.todo, d.line = append(d.todo, d.line...), nil
+				for _, t := range d.todo {
+					t.waits = false
+				}
+				continue
+			}
+		}
+		if d.mail() {
+			continue
+		}
+		return d.wake()
+	}
+}
+
+// wake asks for the one periodic timer and, if something is due before it, for that time.
+func (d *Door) wake() (Decision, bool) {
+	next := d.lastWork + period
+	if at, ok := d.due.next(); ok {
+		next = min(next, at)
+	}
+	next = max(next, d.now+ms)
+	if d.wakeAt > d.now && d.wakeAt <= next {
+		return Decision{}, false
+	}
+	d.wakeAt = next
+	return Decision{Verb: Wake, Limit: d.wakeAt - d.now}, true
+}
+
+// decide settles what happens to a txn that has no submission out.
+func (d *Door) decide(t *txn) {
+	if t.ended || t.outAt != nil || t.waits {
+		return
+	}
+	if int(t.Product) >= len(d.products) || int(t.Plan) >= len(d.plans) || t.Product < 0 || t.Plan < 0 {
+		d.end(t, 0)
+		return
+	}
+	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1) || d.now+d.usual(t)/2 >= t.slaAt {
+		d.end(t, d.adviceMost)
+		return
+	}
+	if t.nr > 0 && t.mayHaveRun && !d.repeatable(t) {
+		d.end(t, 0)
+		return
+	}
+	a := d.account(t.Customer, t.Plan)
+	d.place(a, t)
+	a.used = d.now
+	if !t.drawn {
+		switch verdict, until := d.covered(a, t); verdict {
+		case wait:
+			d.hold(t, until)
+			return
+		case beyond:
+			d.end(t, until)
+			return
+		}
+	}
+	b := d.pick(t)
+	if b == nil {
+		d.hold(t, t.slaAt-d.usual(t))
+		return
+	}
+	d.submit(t, a, b)
+}
+
+// hold puts a txn in the waiting line until a time at which it is given up.
+func (d *Door) hold(t *txn, until time.Duration) {
+	if until <= d.now {
+		d.end(t, 0)
+		return
+	}
+	t.waits = true
+	if t.giveUp == 0 {
+		t.giveUp = until
+		d.due.add(until, t.ID)
+	}
+	d.line = append(d.line, t)
+}
+
+// expire gives up a txn whose due time has come.
+func (d *Door) expire(t *txn) {
+	if d.now < t.Expiry-2*ms && (t.outAt != nil || !t.waits || d.now < t.giveUp) {
+		return
+	}
+	d.end(t, 0)
+}
+
+// end is the one place where a txn gets its final answer (rules 1 and 2), at once.
+// A decline promises that a repeat is safe: only if nothing ran, or the product bears repeats everywhere.
+func (d *Door) end(t *txn, advice time.Duration) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	safe := !t.mayHaveRun && t.outAt == nil
+	if int(t.Product) < len(d.products) {
+		p := d.products[t.Product]
+		safe = safe || p.kind == "inquiry-like" || p.kind == "referenced" && p.scope == "all"
+	}
+	x := Decision{Verb: Void, Txn: t.ID}
+	if safe {
+		x.Verb = Decline
+		if d.advice {
+			x.Limit = max(0, min(advice, d.adviceMost))
+		}
+	}
+	d.ready = append(d.ready, x)
+	if t.outAt != nil {
+		if d.cancel {
+			d.ready = append(d.ready, Decision{Verb: Recall, Txn: t.ID, Nr: t.nr - 1})
+		}
+		return // its outcome still comes
+	}
+	d.forget(t)
+}
+
+func (d *Door) forget(t *txn) {
+	t.ended = true
+	if t.outAt != nil { // the outcome is still to come and counts for the backend
+		return
+	}
+	delete(d.txns, t.ID)
+}
+
+// repeatable tells whether a txn that may have run may go out again now (rule 2).
+func (d *Door) repeatable(t *txn) bool {
+	switch p := d.products[t.Product]; p.kind {
+	case "inquiry-like":
+		return true
+	case "referenced":
+		return d.now+travel < t.firstRan+p.window
+	}
+	return false
+}
+
+// ---- Quota
+
+type verdict int
+
+const (
+	pass verdict = iota
+	wait
+	beyond
+)
+
+// account finds or makes the account of a customer.
+func (d *Door) account(id CustomerID, pl PlanID) *account {
+	a := d.accounts[id]
+	if a == nil {
+		a = &account{id: id, plan: &d.plans[pl], planID: pl, owner: d.me, sharers: 1, used: d.now,
+			reports: map[GatewayID]*report{}}
+		a.level, a.levelAt = d.sinceBirth(a), d.now
+		a.part, a.partAt = 0, d.born
+		d.accounts[id] = a
+		d.order = append(d.order, a)
+	}
+	return a
+}
+
+// sinceBirth is what a bucket that was empty when this gateway started holds by now.
+func (d *Door) sinceBirth(a *account) float64 {
+	return min(a.plan.burst, a.plan.rate*(d.now-d.born).Seconds())
+}
+
+// place works out the owner: rendezvous hashing over the customer's set, the same at every gateway.
+func (d *Door) place(a *account, t *txn) {
+	if a.inSet {
+		return
+	}
+	a.inSet = true
+	a.width = min(max(t.SetWidth, 1), d.gateways)
+	a.sharers = a.width
+	best := uint64(0)
+	for i := 0; i < a.width; i++ {
+		g := GatewayID((int(t.SetFirst) + i) % d.gateways)
+		if g < 0 {
+			g = 0
+		}
+		a.listened = a.listened || g == d.me
+		if h := mix(uint64(a.id)*0x9e3779b97f4a7c15 + uint64(g)); h >= best {
+			best, a.owner = h, g
+		}
+	}
+	if a.owner != d.me {
+		a.level, a.known = 0, false
+	}
+}
+
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// refill brings an owned bucket up to now.
+func (d *Door) refill(a *account) {
+	a.level = min(a.plan.burst, a.level+a.plan.rate*(d.now-a.levelAt).Seconds())
+	a.levelAt = d.now
+}
+
+// draw takes units from an owned bucket; what is not there was beyond the quota and takes nothing.
+func (d *Door) draw(a *account, units float64) {
+	a.level = max(0, a.level-units)
+	if a.level >= 1 {
+		a.spent = false
+	} else if !a.spent { // exhaustion is told to recent reporters at once
+		a.spent = true
+		for _, p := range d.peers {
+			if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
+				d.answer(p, a.id)
+			}
+		}
+	}
+}
+
+// share is the floored split cap: the burst divided by the recent reporters, one txn's units at least.
+func (a *account) share(units float64) float64 {
+	return max(a.plan.burst/float64(max(a.sharers, 1)), units)
+}
+
+// covered tells whether the quota covers a txn now, may cover it soon, or does not.
+func (d *Door) covered(a *account, t *txn) (verdict, time.Duration) {
+	sla := d.products[t.Product].slaTime
+	last := t.arrived + time.Duration(unitWait*float64(sla))
+	if ok, until := d.underCeiling(a, t); !ok {
+		if until < last {
+			return wait, last
+		}
+		return beyond, until - d.now
+	}
+	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
+		if d.now < last {
+			return wait, last
+		}
+		return beyond, 0
+	}
+	if a.plan.rate <= 0 {
+		return pass, 0
+	}
+	if a.owner == d.me {
+		d.refill(a)
+		if a.level >= t.Units {
+			return pass, 0
+		}
+		due := time.Duration((t.Units - a.level) / a.plan.rate * float64(time.Second))
+		if d.now+due < last {
+			return wait, last
+		}
+		return beyond, due
+	}
+	return d.byView(a, t)
+}
+
+// byView decides for a customer that another gateway owns.
+func (d *Door) byView(a *account, t *txn) (verdict, time.Duration) {
+	share := a.share(t.Units)
+	pending := a.unacked + a.unsent
+	fresh := a.known && d.now-a.levelAt < viewLife
+	if fresh && a.level-pending >= t.Units && pending+t.Units <= share {
+		return pass, 0
+	}
+	if !fresh {
+		d.ask(a)
+		// While the owner is silent the allowance grows at this gateway's part of the rate.
+		if a.asked > 0 && d.now-a.asked > askWait {
+			share += a.plan.rate / float64(max(a.width, 1)) * (d.now - a.asked).Seconds()
+		}
+		if pending+t.Units <= share {
+			return pass, 0
+		}
+	}
+	if !fresh || d.now-a.levelAt > 2*d.pack || pending+t.Units > share {
+		if d.now < t.arrived+askWait {
+			d.ask(a)
+			return wait, t.arrived + askWait
+		}
+	}
+	return beyond, time.Duration((t.Units - max(0, a.level-pending)) / a.plan.rate * float64(time.Second))
+}
+
+// ask makes the account part of the next delta, with nought if need be.
+func (d *Door) ask(a *account) {
+	if a.asked == 0 {
+		a.asked = d.now
+	}
+	d.mark(a)
+}
+
+func (d *Door) mark(a *account) {
+	if !a.dirty && a.owner != d.me {
+		a.dirty = true
+		p := d.peers[a.owner]
+		p.dirty = append(p.dirty, a)
+	}
+}
+
+func (d *Door) outChanged(a *account) {
+	if a.plan.openCap > 0 {
+		d.mark(a)
+	}
+}
+
+// outElse is how many submissions other gateways have out for a customer, as far as told.
+func (d *Door) outElse(a *account) int {
+	if a.owner != d.me {
+		return a.outElse
+	}
+	n := 0
+	for _, p := range d.peers {
+		if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
+			n += r.out
+		}
+	}
+	return n
+}
+
+// underCeiling keeps rule 5: this gateway's part of the ceiling starts empty in each life and refills at
+// its part of the rate, so that all parts together never pass the whole, whoever restarts.
+func (d *Door) underCeiling(a *account, t *txn) (bool, time.Duration) {
+	if a.plan.ceilRate <= 0 {
+		return true, 0
+	}
+	if !a.listened {
+		return false, d.now + time.Second
+	}
+	w := float64(a.width)
+	a.part = min(a.plan.ceilBurst/w, a.part+a.plan.ceilRate/w*(d.now-a.partAt).Seconds())
+	a.partAt = d.now
+	if a.part >= t.Units {
+		return true, 0
+	}
+	return false, d.now + time.Duration((t.Units-a.part)*w/a.plan.ceilRate*float64(time.Second))
+}
+
+// ---- Choice of backend
+
+// share of its capacity that a backend surely has by now.
+func (d *Door) warmth(b *backend) float64 {
+	if b.Started <= 0 || d.warmBy <= 0 || d.now-b.Started >= d.warmBy {
+		return 1
+	}
+	age := max(0, float64(d.now-b.Started)/float64(d.warmBy))
+	return d.coldFrom + (1-d.coldFrom)*age
+}
+
+// load is what a backend holds, counted in usual txns of a warm backend.
+func (d *Door) load(b *backend, median float64) float64 {
+	return (float64(b.out) + b.others) * max(b.slow/median, 0.5) / d.warmth(b)
+}
+
+// silent tells that a backend owes answers for longer than such txns take.
+func (d *Door) silent(b *backend, t *txn) bool {
+	return b.owed >= 2 && d.now-b.oweSince > max(silenceMin, time.Duration(silence*float64(d.usual(t))))
+}
+
+// allowed keeps rules 2, 3 and 4 for every send.
+func (d *Door) allowed(b *backend, t *txn) bool {
+	if b.State != Ready {
+		return false
+	}
+	if t.mayHaveRun {
+		p := d.products[t.Product]
+		if !d.repeatable(t) || p.kind == "referenced" &&
+			(p.scope == "hall" && b.Hall != t.ranHall || p.scope == "pod" && b.Pod != t.ranPod) {
+			return false
+		}
+	}
+	return d.warmth(b) >= 1 || d.coldTokens(b) >= 1
+}
+
+// coldTokens is the budget of sends to a cold backend: in each fall window, this gateway's own send rate to a
+// warm backend times the cold one's capacity share. All gateways doing so stay under what a warm one bears.
+func (d *Door) coldTokens(b *backend) float64 {
+	rate, n := 0.0, 0.0
+	for _, w := range d.list {
+		if w.State == Ready && d.warmth(w) >= 1 && !w.aside {
+			rate += d.rateOf(w)
+			n++
+		}
+	}
+	if n > 0 {
+		rate /= n
+	}
+	floor := coldUse / float64(d.gateways) / d.slowest()
+	rate = d.warmth(b) * max(rate, floor) * d.fallTimes * coldUse
+	b.cold = min(max(1, rate*d.fallWindow.Seconds()/2), b.cold+rate*(d.now-b.coldAt).Seconds())
+	b.coldAt = d.now
+	return b.cold
+}
+
+// slowest is the longest usual answer time, in seconds.
+func (d *Door) slowest() float64 {
+	s := 0.0
+	for p := range d.products {
+		s = max(s, d.products[p].slaTime.Seconds()/8)
+	}
+	return max(s, 0.001)
+}
+
+// rateOf is the smoothed rate of sends to a backend.
+func (d *Door) rateOf(b *backend) float64 {
+	return b.sentRate * math.Exp(-(d.now-b.sentAt).Seconds()/3)
+}
+
+// rank is the customer's fixed order of the backends.
+func (d *Door) rank(c CustomerID) []*backend {
+	type ranked struct {
+		h uint64
+		b *backend
+	}
+	r := make([]ranked, 0, len(d.list))
+	for _, b := range d.list {
+		if b.State == Ready {
+			r = append(r, ranked{mix(uint64(c)*0x9e3779b97f4a7c15 ^ mix(uint64(b.ID))), b})
+		}
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].h > r[j].h })
+	out := make([]*backend, len(r))
+	for i := range r {
+		out[i] = r[i].b
+	}
+	return out
+}
+
+// pick takes the first backend in the customer's ranking that does not have enough: its own hall first.
+func (d *Door) pick(t *txn) *backend {
+	median := d.median()
+	var can []*backend
+	ranked := d.rank(t.Customer)
+	mean := 0.0
+	for _, b := range ranked {
+		if b.aside || b == t.last || b.fullUntil > d.now || d.silent(b, t) || !d.allowed(b, t) {
+			continue
+		}
+		if w := d.warmth(b) * d.rampShare(b); w < 1 && d.rng.Float64() > w {
+			continue // a fresh one is passed over by chance
+		}
+		can = append(can, b)
+		mean += d.load(b, median)
+	}
+	if len(can) == 0 {
+		return d.anyOf(ranked, t)
+	}
+	enough := crowd*mean/float64(len(can)) + 1
+	for _, own := range []bool{true, false} {
+		for _, b := range can {
+			if (!own || b.Hall == d.hall) && d.load(b, median)+1 <= enough {
+				return b
+			}
+		}
+	}
+	best := can[0]
+	for _, b := range can {
+		if d.load(b, median) < d.load(best, median) {
+			best = b
+		}
+	}
+	return best
+}
+
+// anyOf: when none is good, the least loaded that the rules allow.
+func (d *Door) anyOf(ranked []*backend, t *txn) *backend {
+	var best *backend
+	for _, b := range ranked {
+		if d.allowed(b, t) && (best == nil || b.fails+float64(b.out) < best.fails+float64(best.out)) {
+			best = b
+		}
+	}
+	return best
+}
+
+func (d *Door) rampShare(b *backend) float64 {
+	if b.rampFrom == 0 || d.now-b.rampFrom > ramp {
+		return 1
+	}
+	return 0.2 + 0.8*float64(d.now-b.rampFrom)/float64(ramp)
+}
+
+// median answer time of the backends against the usual: when all are slow alike, none is at fault.
+func (d *Door) median() float64 {
+	var s []float64
+	for _, b := range d.list {
+		if b.State == Ready && !b.aside {
+			s = append(s, b.slow)
+		}
+	}
+	if len(s) == 0 {
+		return 1
+	}
+	sort.Float64s(s)
+	return max(s[len(s)/2], 0.1)
+}
+
+// submit is the one gate that every send passes; every rule is asked again here.
+func (d *Door) submit(t *txn, a *account, b *backend) {
+	if t.ended || t.outAt != nil || t.nr >= d.submissions || d.now >= t.Expiry-2*ms || !d.allowed(b, t) {
+		d.end(t, 0)
+		return
+	}
+	if t.nr == 0 {
+		d.spend(a, t)
+		d.retries = min(retryMost, d.retries+retryGain)
+	} else {
+		d.retries--
+	}
+	if d.warmth(b) < 1 {
+		b.cold--
+	}
+	b.sentRate, b.sentAt = d.rateOf(b)+1.0/3, d.now
+	if b.owed == 0 {
+		b.oweSince = d.now
+	}
+	b.owed++
+	b.out++
+	a.out++
+	d.outChanged(a)
+	t.nr++
+	t.outAt, t.last, t.sent = b, b, d.now
+	x := Decision{Verb: Submit, Txn: t.ID, Backend: b.ID}
+	p := d.products[t.Product]
+	if p.kind != "once-only" && t.nr < d.submissions {
+		limit := time.Duration(firstTry * float64(t.slaAt-d.now))
+		if limit > 2*d.usual(t) && t.nr == 1 {
+			x.Limit = limit
+		}
+	}
+	d.ready = append(d.ready, x)
+}
+
+// spend draws a txn's units at its first submission: from the bucket, the view and the ceiling's part.
+func (d *Door) spend(a *account, t *txn) {
+	t.drawn = true
+	if a.plan.ceilRate > 0 {
+		a.part -= t.Units
+	}
+	if a.plan.rate <= 0 {
+		return
+	}
+	if a.owner == d.me {
+		d.refill(a)
+		d.draw(a, t.Units)
+		return
+	}
+	a.unsent += t.Units
+	d.mark(a)
+}
+
+// ---- Periodic work
+
+// sweep looks after backends and drops what is idle.
+func (d *Door) sweep() {
+	d.recheck = true
+	median, ready, aside := d.median(), 0, 0
+	for _, b := range d.list {
+		if b.State == Ready {
+			ready++
+			if b.aside {
+				aside++
+			}
+		}
+	}
+	for _, b := range d.list {
+		if b.State != Ready {
+			continue
+		}
+		if b.aside {
+			if d.lookAgain(b) {
+				aside--
+			}
+		} else if float64(aside+1) <= asideMost*float64(ready) && (b.seen >= 2 && b.fails > failShare ||
+			b.slow > slowAside*median || b.owed >= 3 && d.now-b.oweSince > time.Second) {
+			b.aside, b.probes = true, 0
+			b.backoff = min(max(asideFirst, 2*b.backoff), asideLast)
+			b.nextProbe = d.now + b.backoff
+			aside++
+		}
+		if d.byProbe && !b.aside && !b.probing && d.now >= b.nextProbe {
+			b.probing, b.nextProbe = true, d.now+probeEvery
+			d.ready = append(d.ready, Decision{Verb: Probe, Backend: b.ID})
+		}
+	}
+	if d.now-d.tick < time.Second {
+		return
+	}
+	d.tick = d.now
+	kept := d.order[:0]
+	for _, a := range d.order {
+		full := a.plan.rate <= 0 || a.plan.burst <= a.plan.rate*idleAfter.Seconds()
+		if d.now-a.used > idleAfter && full && !a.dirty && a.out == 0 && a.unacked <= 0 {
+			delete(d.accounts, a.id)
+			continue
+		}
+		kept = append(kept, a)
+	}
+	d.order = kept
+}
+
+// lookAgain probes a backend that is aside and lets it return, warming, after good answers.
+func (d *Door) lookAgain(b *backend) bool {
+	if !d.probes {
+		if d.now < b.nextProbe {
+			return false
+		}
+	} else if b.probes < goodProbes || d.now < b.nextProbe-b.backoff+asideFirst {
+		if !b.probing && d.now >= b.nextProbe {
+			b.probing, b.nextProbe = true, d.now+asideFirst
+			d.ready = append(d.ready, Decision{Verb: Probe, Backend: b.ID})
+		}
+		return false
+	}
+	b.aside, b.rampFrom = false, d.now
+	b.slow, b.fails, b.seen, b.owed = 1, 0, 0, 0
+	return true
+}
+
+// ---- Peer messages
+
+func (d *Door) answer(p *peer, id CustomerID) {
+	p.ackDue = true
+	if !p.answer[id] {
+		p.answer[id] = true
+		p.answers = append(p.answers, id)
+	}
+}
+
+// mail sends what is due to a peer: one packed message, deltas and answers together.
+func (d *Door) mail() bool {
+	if !d.tells {
+		return false
+	}
+	for _, p := range d.peers {
+		if p.id == d.me || d.now-p.lastSent < d.pack && p.lastSent > 0 {
+			continue
+		}
+		m := &message{epoch: d.epoch, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
+		room := messageRoom - headRoom
+		if len(p.flight) > 0 && d.now-p.flight[0].at > resendAfter { // again under its sequence
+			f := p.flight[0]
+			f.at = d.now
+			p.flight = append(p.flight[1:], f)
+			m.seq, m.deltas = f.seq, f.lines
+			room -= len(f.lines) * deltaRoom
+		} else if len(p.dirty) > 0 {
+			d.packDeltas(p, m, &room)
+		}
+		if m.seq == 0 && !p.ackDue {
+			continue
+		}
+		d.packAnswers(p, m, room)
+		p.ackDue = len(p.answers) > 0
+		p.lastSent = d.now
+		d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
+		return true
+	}
+	return false
+}
+
+// packDeltas moves unreported use into a new parcel, oldest first, so that none starves.
+func (d *Door) packDeltas(p *peer, m *message, room *int) {
+	p.seq++
+	m.seq = p.seq
+	for len(p.dirty) > 0 && *room >= deltaRoom {
+		a := p.dirty[0]
+		p.dirty = p.dirty[1:]
+		a.dirty = false
+		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out})
+		a.unacked += a.unsent
+		a.unsent = 0
+		*room -= deltaRoom
+	}
+	p.flight = append(p.flight, &parcel{m.seq, d.now, m.deltas})
+}
+
+func (d *Door) packAnswers(p *peer, m *message, room int) {
+	d.version++
+	m.version = d.version
+	for len(p.answers) > 0 && room >= snapRoom {
+		a := d.accounts[p.answers[0]]
+		delete(p.answer, p.answers[0])
+		p.answers = p.answers[1:]
+		if a == nil || a.owner != d.me {
+			continue
+		}
+		d.refill(a)
+		sharers, out := 1, a.out
+		for _, q := range d.peers {
+			if r := a.reports[q.id]; r != nil && d.now-r.at < reporterFor {
+				sharers++
+				if q != p {
+					out += r.out
+				}
+			}
+		}
+		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers, out})
+		room -= snapRoom
+	}
+}
--- /dev/null
+++ b/control/peer.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+)
+
+// One peer message packs a sequenced delta (for accounts the receiver owns) and a snapshot
+// (for accounts the sender owns, with the acknowledgement). Numbers are varints, units are sixteenths.
+
+const messageRoom = 256
+
+type deltaLine struct {
+	customer CustomerID
+	plan     PlanID
+	units    float64
+	out      int
+}
+
+type snapLine struct {
+	customer CustomerID
+	left     float64
+	sharers  int
+	outElse  int
+}
+
+type message struct {
+	epoch    uint32
+	seq      uint64 // 0: no delta
+	deltas   []deltaLine
+	version  uint64
+	ackEpoch uint32 // life of the receiver that is acknowledged
+	ackHigh  uint64
+	ackMask  uint64
+	snaps    []snapLine
+}
+
+const (
+	headRoom  = 1 + 4 + 10 + 1 + 10 + 4 + 10 + 10 + 1
+	deltaRoom = 5 + 2 + 3 + 2
+	snapRoom  = 5 + 3 + 1 + 2
+)
+
+func sixteenths(units float64) uint64 {
+	if units <= 0 || math.IsNaN(units) {
+		return 0
+	}
+	return uint64(math.Min(units*16, 1<<20))
+}
+
+func (m *message) encode() []byte {
+	b := make([]byte, 0, messageRoom)
+	b = append(b, 1)
+	b = binary.LittleEndian.AppendUint32(b, m.epoch)
+	b = binary.AppendUvarint(b, m.seq)
+	b = append(b, byte(len(m.deltas)))
+	for _, l := range m.deltas {
+		b = binary.AppendUvarint(b, uint64(l.customer))
+		b = binary.AppendUvarint(b, uint64(l.plan))
+		b = binary.AppendUvarint(b, sixteenths(l.units))
+		b = binary.AppendUvarint(b, uint64(l.out))
+	}
+	b = binary.AppendUvarint(b, m.version)
+	b = binary.LittleEndian.AppendUint32(b, m.ackEpoch)
+	b = binary.AppendUvarint(b, m.ackHigh)
+	b = binary.AppendUvarint(b, m.ackMask)
+	b = append(b, byte(len(m.snaps)))
+	for _, l := range m.snaps {
+		b = binary.AppendUvarint(b, uint64(l.customer))
+		b = binary.AppendUvarint(b, sixteenths(l.left))
+		b = append(b, byte(l.sharers))
+		b = binary.AppendUvarint(b, uint64(l.outElse))
+	}
+	return b
+}
+
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) varint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.bad = true
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) fixed() uint32 {
+	if len(r.b) < 4 {
+		r.bad = true
+		return 0
+	}
+	v := binary.LittleEndian.Uint32(r.b)
+	r.b = r.b[4:]
+	return v
+}
+
+func (r *reader) octet() int {
+	if len(r.b) < 1 {
+		r.bad = true
+		return 0
+	}
+	v := r.b[0]
+	r.b = r.b[1:]
+	return int(v)
+}
+
+func decodeMessage(b []byte) (*message, error) {
+	r := &reader{b: b}
+	if r.octet() != 1 {
+		return nil, errors.New("unknown form")
+	}
+	m := &message{epoch: r.fixed(), seq: r.varint()}
+	for n := r.octet(); n > 0 && !r.bad; n-- {
+		m.deltas = append(m.deltas, deltaLine{CustomerID(r.varint()), PlanID(r.varint() & 0xffff),
+			float64(r.varint()&0xffffff) / 16, int(r.varint() & 0xffff)})
+	}
+	m.version, m.ackEpoch, m.ackHigh, m.ackMask = r.varint(), r.fixed(), r.varint(), r.varint()
+	for n := r.octet(); n > 0 && !r.bad; n-- {
+		m.snaps = append(m.snaps, snapLine{CustomerID(r.varint()), float64(r.varint()&0xffffff) / 16,
+			r.octet(), int(r.varint() & 0xffff)})
+	}
+	if r.bad || len(r.b) != 0 {
+		return nil, errors.New("cut short or too long")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/control/types.go
@@ -0,0 +1,263 @@
+package control
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Each kind of id is a type of its own.
+type (
+	TxnID      uint32
+	BackendID  uint64
+	CustomerID uint64
+	GatewayID  int
+	ProductID  int
+	PlanID     int
+	HallID     int
+	PodID      int
+)
+
+// Ending is how a submission ended.
+type Ending int
+
+const (
+	Settled Ending = iota
+	Errored
+	Full        // turned away unseen
+	TimedOut    // no answer in time
+	Unreachable // no connection made
+	Broken      // connection lost on the way
+	CalledOff
+	NotSent
+)
+
+// neverRan tells whether an ending proves that the submission did not run.
+func (e Ending) neverRan() bool { return e == Full || e == Unreachable || e == NotSent }
+
+// BackendState is what the list says of a backend.
+type BackendState int
+
+const (
+	Gone BackendState = iota
+	Ready
+	Draining
+)
+
+// Listing is one line of the backend list.
+type Listing struct {
+	ID      BackendID
+	Hall    HallID
+	Pod     PodID
+	State   BackendState
+	Size    float64
+	Started time.Duration // 0: long ago
+}
+
+// Txn is what a client brings.
+type Txn struct {
+	ID       TxnID
+	Customer CustomerID
+	Product  ProductID
+	Plan     PlanID
+	Units    float64
+	Expiry   time.Duration // a time of the clock
+	SetFirst GatewayID     // first gateway of the customer's set
+	SetWidth int
+	Repeat   bool
+}
+
+// Verb is what a decision asks of the host.
+type Verb int
+
+const (
+	Submit  Verb = iota // pass Txn to Backend, give up after Limit (0: at expiry)
+	Decline             // end Txn; the client may safely come again, best after Limit
+	Void                // end Txn; it may have run
+	Recall              // call off submission Nr of Txn
+	Probe               // check Backend
+	Tell                // send Payload to Peer
+	Wake                // call Woken after Limit
+	Note                // a line for the log, in Text
+)
+
+// Decision is one thing to do now.
+type Decision struct {
+	Verb    Verb
+	Txn     TxnID
+	Nr      int
+	Backend BackendID
+	Limit   time.Duration
+	Peer    GatewayID
+	Payload []byte
+	Text    string
+	Token   uint64
+}
+
+// Settings are names and values as the host has them.
+type Settings map[string]string
+
+// picker reads settings and keeps the first complaint.
+type picker struct {
+	s   Settings
+	err error
+}
+
+func (p *picker) complain(name, why string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s: %s", name, why)
+	}
+}
+
+func (p *picker) text(name string) string {
+	v, ok := p.s[name]
+	if !ok {
+		p.complain(name, "missing")
+	}
+	return v
+}
+
+func (p *picker) number(name string) float64 {
+	v, err := strconv.ParseFloat(p.text(name), 64)
+	if err != nil {
+		p.complain(name, "not a number")
+	}
+	return v
+}
+
+func (p *picker) count(name string, most int) int {
+	v, err := strconv.Atoi(p.text(name))
+	if err != nil || v < 0 || v > most {
+		p.complain(name, "not a whole number in range")
+		return 0
+	}
+	return v
+}
+
+func (p *picker) span(name string) time.Duration {
+	return time.Duration(p.number(name) * float64(time.Microsecond))
+}
+
+func (p *picker) yes(name string) bool { return p.text(name) == "true" }
+
+func (p *picker) list(name string) []string {
+	if p.s[name] == "" {
+		return nil
+	}
+	return strings.Split(p.s[name], ",")
+}
+
+// product, plan: a kind of txn and a kind of customer, as the settings have them.
+type product struct {
+	slaTime, window time.Duration
+	value, late     float64
+	kind, scope     string
+}
+
+type plan struct {
+	rate, burst, price, overValue, overCost float64
+	openCap                                 int
+	ceilRate, ceilBurst                     float64
+}
+
+// txn is one that this gateway holds.
+type txn struct {
+	Txn
+	arrived, slaAt time.Duration
+	waits          bool // in the waiting line
+	giveUp         time.Duration
+	drawn          bool // units taken
+	over           bool // let in beyond the quota
+	ended          bool
+	called         bool // recalled after its end
+	nr             int  // submissions so far
+	outAt          *backend
+	sent           time.Duration
+	mayHaveRun     bool
+	firstRan       time.Duration // send of the first submission that may have run
+	ranHall        HallID
+	ranPod         PodID
+	last           *backend
+}
+
+// backend is what is known of one.
+type backend struct {
+	Listing
+	out       int
+	others    float64 // what other gateways keep there, by reports
+	slow      float64 // answer time against the usual, smoothed
+	fails     float64 // share of failing submissions, smoothed
+	seen      float64 // weight of what fails was made of
+	oweSince  time.Duration
+	owed      int // sends since the last answer
+	fullUntil time.Duration
+	aside     bool
+	probes    int // good probes in a row while aside
+	probing   bool
+	nextProbe time.Duration
+	backoff   time.Duration
+	rampFrom  time.Duration
+	cold      float64 // tokens of the cold budget
+	coldAt    time.Duration
+	sentRate  float64
+	sentAt    time.Duration
+}
+
+// account is one customer here: the bucket if this gateway owns it, the view if not.
+type account struct {
+	id       CustomerID
+	plan     *plan
+	planID   PlanID
+	owner    GatewayID
+	width    int
+	inSet    bool
+	used     time.Duration
+	out      int // submissions out from here
+	waiting  int
+	level    float64 // owner: remaining; other: the snapshot's remaining
+	levelAt  time.Duration
+	known    bool // a snapshot has come
+	version  uint64
+	reports  map[GatewayID]*report
+	spent    bool // exhaustion told
+	unsent   float64
+	unacked  float64
+	dirty    bool
+	asked    time.Duration // oldest ask without an answer
+	sharers  int
+	outElse  int
+	part     float64 // ceiling's part left
+	partAt   time.Duration
+	listened bool
+}
+
+type report struct {
+	at  time.Duration
+	out int
+}
+
+// peer is another gateway.
+type peer struct {
+	id       GatewayID
+	epoch    uint32 // its present life
+	retired  []uint32
+	high     uint64 // sequences of its deltas that are applied
+	mask     uint64
+	seq      uint64 // sequence of the last delta sent to it
+	flight   []*parcel
+	dirty    []*account
+	answers  []CustomerID
+	answer   map[CustomerID]bool
+	ackDue   bool
+	version  uint64
+	lastSent time.Duration
+	heard    time.Duration
+}
+
+// parcel is a delta message that waits for its acknowledgement.
+type parcel struct {
+	seq   uint64
+	at    time.Duration
+	lines []deltaLine
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,364 @@
+// Package wire reads and writes the drill's frames and puts the wire's names into our words.
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"time"
+
+	"clovergap/control"
+)
+
+const longest = 1 << 28 // bytes of a frame; more is a broken stream
+
+// Codes of records that come in.
+const (
+	inStart, inList, inTxn, inOpened, inEnded, inGone = 1000, 1010, 1020, 1030, 1040, 1050
+	inWoken, inProbed, inPeer, inStop, inCount, inFor = 1060, 1070, 1080, 1090, 1100, 1110
+)
+
+// Codes of records that go out.
+const (
+	outSubmit, outDecline, outVoid, outRecall, outWake = 1000, 1010, 1020, 1030, 1040
+	outProbe, outTell, outNote, outCrash, outBy        = 1050, 1070, 1080, 1090, 1130
+)
+
+var endings = map[byte]control.Ending{0: control.Settled, 5: control.Errored, 11: control.Full,
+	110: control.TimedOut, 111: control.Unreachable, 104: control.Broken,
+	125: control.CalledOff, 114: control.NotSent}
+
+// names maps the wire's setting names, part by part, to ours.
+var names = map[string]string{"requestClasses": "products", "objective": "sla_time", "giveUp": "expiry",
+	"dedupScope": "repeat_scope", "window": "repeat_window", "worth": "value", "lateWorth": "late_value",
+	"refill": "rate", "peakUnits": "burst", "hardBurst": "ceiling_burst", "ceilingRate": "ceiling_rate",
+	"ceilingSlack": "ceiling_slack", "atOnce": "open_cap", "excessCost": "over_cost",
+	"beyondEarns": "over_value", "valueFactor": "price", "balancers": "gateways", "dcs": "halls",
+	"zone": "hall", "extra": "quota", "mailPerS": "mail_per_s", "mostUnits": "most_units",
+	"ceilings": "limits", "maxAttempts": "max_submissions", "mayProbe": "probes", "retryAfter": "advice",
+	"maxRetryAfter": "longest_advice", "cold": "warm_by", "coldFrom": "cold_from", "fall": "fall_window",
+	"fallMultiple": "fall_multiple", "fields": "fields", "crossZone": "cross_hall"}
+
+// values maps the wire's setting values to ours.
+var values = map[string]string{"idempotent": "inquiry-like", "deduplicated": "referenced",
+	"at_most_once": "once-only", "concurrent": "inflight", "depth": "queue", "mean_ms": "service_ms",
+	"tps": "per_s", "zone": "hall", "cell": "pod"}
+
+func rename(words, sep string, table map[string]string) string {
+	parts := strings.Split(words, sep)
+	for i, p := range parts {
+		if ours, ok := table[p]; ok {
+			parts[i] = ours
+		}
+	}
+	return strings.Join(parts, sep)
+}
+
+func settings(env string) control.Settings {
+	s := control.Settings{}
+	for _, line := range strings.Split(env, "\n") {
+		name, value, ok := strings.Cut(line, "=")
+		if ok {
+			s[rename(name, ".", names)] = rename(strings.TrimSpace(value), ",", values)
+		}
+	}
+	return s
+}
+
+// cursor walks through the bytes of one frame.
+type cursor struct {
+	b    []byte
+	at   int
+	code int
+	err  error
+}
+
+func (c *cursor) take(n int) []byte {
+	if c.err == nil && (n < 0 || len(c.b)-c.at < n) {
+		c.err = fmt.Errorf("record %d cut short at byte %d", c.code, c.at)
+	}
+	if c.err != nil {
+		return make([]byte, max(0, min(n, 8)))
+	}
+	c.at += n
+	return c.b[c.at-n : c.at]
+}
+
+func (c *cursor) u8() byte    { return c.take(1)[0] }
+func (c *cursor) u16() uint16 { return binary.LittleEndian.Uint16(c.take(2)) }
+func (c *cursor) u32() uint32 { return binary.LittleEndian.Uint32(c.take(4)) }
+func (c *cursor) u64() uint64 { return binary.LittleEndian.Uint64(c.take(8)) }
+func (c *cursor) f32() float64 {
+	v := float64(math.Float32frombits(c.u32()))
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0
+	}
+	return v
+}
+func (c *cursor) span() time.Duration { return micros(c.u64()) }
+func (c *cursor) backend() control.BackendID {
+	a := c.take(6)
+	return control.BackendID(binary.BigEndian.Uint32(a))<<16 |
+		control.BackendID(binary.LittleEndian.Uint16(a[4:]))
+}
+func (c *cursor) load() []float64 {
+	n := int(c.u8())
+	var v []float64
+	for ; n > 0 && c.err == nil; n-- {
+		v = append(v, c.f32())
+	}
+	return v
+}
+
+func micros(v uint64) time.Duration {
+	return time.Duration(min(v, math.MaxInt64/1000)) * time.Microsecond
+}
+
+// Host runs the instances of one process, each as if alone.
+type Host struct {
+	doors map[uint16]*control.Door
+	heard map[uint16]bool
+	order []uint16
+	out   []byte
+	by    int
+}
+
+// Serve answers frames until the input ends.
+func (h *Host) Serve(in io.Reader, out io.Writer) error {
+	h.doors = map[uint16]*control.Door{}
+	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
+	for {
+		var head [16]byte
+		if _, err := io.ReadFull(r, head[:]); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return errors.New("frame header cut short")
+		}
+		size := binary.LittleEndian.Uint32(head[:])
+		if size > longest {
+			return fmt.Errorf("frame header at byte 0: length %d is too long", size)
+		}
+		body := make([]byte, size)
+		if n, err := io.ReadFull(r, body); err != nil {
+			return fmt.Errorf("frame body cut short at byte %d of %d", n, size)
+		}
+		if err := h.batch(micros(binary.LittleEndian.Uint64(head[4:])), body); err != nil {
+			return err
+		}
+		var reply [8]byte
+		binary.LittleEndian.PutUint32(reply[:], uint32(len(h.out)))
+		copy(reply[4:], head[12:])
+		w.Write(reply[:])
+		w.Write(h.out)
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("writing the reply: %w", err)
+		}
+	}
+}
+
+func (h *Host) batch(now time.Duration, body []byte) error {
+	h.out, h.by, h.order, h.heard = h.out[:0], -1, h.order[:0], map[uint16]bool{}
+	c := &cursor{b: body}
+	who, named := uint16(0), false
+	for c.at < len(body) {
+		start := c.at
+		c.code = 0
+		c.code = int(c.u16())
+		size := int(c.u32())
+		if c.err == nil && size > len(body)-c.at {
+			c.err = fmt.Errorf("record %d at byte %d says %d bytes, %d are left",
+				c.code, start, size, len(body)-c.at)
+		}
+		if c.err != nil {
+			return c.err
+		}
+		end := c.at + size
+		f := &cursor{b: body[:end], at: c.at, code: c.code}
+		if c.code == inFor {
+			who, named = f.u16(), true
+		} else if !named {
+			return fmt.Errorf("record %d at byte %d comes before any instance is named", c.code, start)
+		} else {
+			h.take(now, who, f)
+		}
+		if f.err != nil {
+			return f.err
+		}
+		if f.at != end && known(c.code) {
+			return fmt.Errorf("record %d at byte %d has %d bytes too many", c.code, start, end-f.at)
+		}
+		c.at = end
+	}
+	for _, who := range h.order {
+		h.pull(who)
+	}
+	return nil
+}
+
+func known(code int) bool { return code >= inStart && code <= inFor && code%10 == 0 }
+
+// guard turns a panic of the module into the wire's crash report.
+func (h *Host) guard(who uint16) {
+	if cause := recover(); cause != nil {
+		h.crash(who, fmt.Sprint(cause))
+	}
+}
+
+func (h *Host) crash(who uint16, cause string) {
+	delete(h.doors, who)
+	h.say(who, outCrash, text(cause))
+}
+
+// take decodes one record into a call.
+func (h *Host) take(now time.Duration, who uint16, f *cursor) {
+	call := h.decode(f, who, now)
+	if f.err != nil || call == nil {
+		return
+	}
+	if !h.heard[who] {
+		h.heard[who] = true
+		h.order = append(h.order, who)
+	}
+	defer h.guard(who)
+	if d := h.doors[who]; d != nil {
+		d.Now(now)
+		call(d)
+	}
+}
+
+func (h *Host) decode(f *cursor, who uint16, now time.Duration) func(d *control.Door) {
+	switch f.code {
+	case inStart:
+		seed := int64(f.u64())
+		env := string(f.take(int(f.u32())))
+		if f.err != nil {
+			return nil
+		}
+		d, err := control.New(seed, settings(env), now)
+		if err != nil {
+			h.crash(who, err.Error())
+			return nil
+		}
+		h.doors[who] = d
+		return func(*control.Door) {}
+	case inStop:
+		delete(h.doors, who)
+	case inList:
+		how := f.u8()
+		f.u64()
+		n := int(f.u32())
+		var list []control.Listing
+		for ; n > 0 && f.err == nil; n-- {
+			l := control.Listing{ID: f.backend(), Hall: control.HallID(f.u8())}
+			f.u8()
+			l.Pod = control.PodID(f.u16())
+			l.State = control.BackendState(f.u8())
+			l.Size, l.Started = f.f32(), f.span()
+			list = append(list, l)
+		}
+		if how == 0 {
+			return nil
+		}
+		return func(d *control.Door) { d.ListChanged(how != 2, list) }
+	case inTxn:
+		t := control.Txn{ID: control.TxnID(f.u32()), Expiry: f.span()}
+		t.SetWidth, t.Units = int(f.f32()), f.f32()
+		t.Product = control.ProductID(f.u8())
+		t.Repeat = f.u8()&2 != 0
+		t.Plan = control.PlanID(f.u32())
+		t.SetFirst, t.Customer = control.GatewayID(f.f32()), control.CustomerID(f.u64())
+		return func(d *control.Door) { d.TxnTaken(t) }
+	case inOpened:
+		f.take(16)
+	case inEnded:
+		id, nr, over := control.TxnID(f.u32()), int(f.u16()), f.u8() != 0
+		f.u16()
+		took := micros(uint64(f.u32()))
+		f.u16()
+		ending, ok := endings[f.u8()]
+		if !ok {
+			ending = control.Broken
+		}
+		b, load := f.backend(), f.load()
+		return func(d *control.Door) { d.SubmissionEnded(id, nr, b, ending, over, took, load) }
+	case inGone:
+		id := control.TxnID(f.u32())
+		return func(d *control.Door) { d.ClientLeft(id) }
+	case inWoken:
+		token := f.u64()
+		return func(d *control.Door) { d.Woken(token) }
+	case inProbed:
+		took := micros(uint64(f.u32()))
+		good := f.u8() == 0
+		b, load := f.backend(), f.load()
+		return func(d *control.Door) { d.ProbeEnded(b, good, took, load) }
+	case inPeer:
+		from := control.GatewayID(f.u32())
+		payload := f.take(int(f.u16()))
+		return func(d *control.Door) { d.PeerSaid(from, payload) }
+	case inCount:
+		f.take(17)
+	}
+	return nil
+}
+
+// pull encodes the decisions of an instance until there is none left.
+func (h *Host) pull(who uint16) {
+	defer h.guard(who)
+	d := h.doors[who]
+	if d == nil {
+		return
+	}
+	for {
+		x, ok := d.Next()
+		if !ok {
+			return
+		}
+		h.encode(who, x)
+	}
+}
+
+func (h *Host) encode(who uint16, x control.Decision) {
+	le := binary.LittleEndian
+	id := le.AppendUint32(nil, uint32(x.Txn))
+	at := binary.BigEndian.AppendUint32(nil, uint32(x.Backend>>16))
+	at = le.AppendUint16(at, uint16(x.Backend))
+	span := uint32(min(max(x.Limit.Microseconds(), 0), math.MaxUint32))
+	switch x.Verb {
+	case control.Submit:
+		h.say(who, outSubmit, le.AppendUint32(append(id, at...), span))
+	case control.Decline:
+		h.say(who, outDecline, le.AppendUint32(id, span))
+	case control.Void:
+		h.say(who, outVoid, id)
+	case control.Recall:
+		h.say(who, outRecall, le.AppendUint16(id, uint16(x.Nr)))
+	case control.Probe:
+		h.say(who, outProbe, at)
+	case control.Tell:
+		to := le.AppendUint32(nil, uint32(x.Peer))
+		h.say(who, outTell, append(to, text(string(x.Payload))...))
+	case control.Wake:
+		h.say(who, outWake, le.AppendUint64(le.AppendUint32(nil, span), x.Token))
+	case control.Note:
+		h.say(who, outNote, text(x.Text))
+	}
+}
+
+func text(s string) []byte {
+	s = s[:min(len(s), math.MaxUint16)]
+	return append(binary.LittleEndian.AppendUint16(nil, uint16(len(s))), s...)
+}
+
+func (h *Host) say(who uint16, code uint16, fields []byte) {
+	le := binary.LittleEndian
+	if h.by != int(who) {
+		h.by = int(who)
+		h.out = le.AppendUint16(le.AppendUint32(le.AppendUint16(h.out, outBy), 2), who)
+	}
+	h.out = append(le.AppendUint32(le.AppendUint16(h.out, code), uint32(len(fields))), fields...)
+}
