--- a/control/control.go
+++ b/control/control.go
@@ -45,7 +45,15 @@
 	ramp        = 4 * time.Second // after its return a backend is passed over by chance
 	coldUse     = 0.5             // of the cold budget
 	probeEvery  = 1 * time.Second // where only probes report load
-	travel      = 40 * ms         // margin for the way to a backend
+	roomFirst   = 3.0             // submissions out at a usual backend, to begin with
+	roomLeast   = 0.3
+	roomMost    = 40.0
+	lateShare   = 0.5  // of the SLA time: an answer later than that is a sign of crowding
+	roomUp      = 0.03 // a prompt answer adds this
+	roomDown    = 0.1  // a late one takes this share
+	pressFor    = 300 * ms
+	backWait    = 0.35    // of the SLA time: longest wait for a backend
+	travel      = 40 * ms // margin for the way to a backend
 )
 
 // Door is the decision module of one gateway.
@@ -85,6 +93,9 @@
 	wakeAt   time.Duration
 	tick     time.Duration
 	badMail  int
+	room     float64 // submissions out at a usual backend, at most
+	cutAt    time.Duration
+	pressed  time.Duration // when room last ran out
 	version  uint64
 	strange  int
 }
@@ -101,7 +112,7 @@
 		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
 		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
 		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{}, accounts: map[CustomerID]*account{},
-		typical: map[int]float64{}, retries: retryMost / 3}
+		typical: map[int]float64{}, retries: retryMost / 3, room: roomFirst, pressed: -pressFor}
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
 	for i := 0; i < p.count("products.count", 255); i++ {
 		at := fmt.Sprintf("products.%d.", i)
@@ -352,6 +363,7 @@
 		}
 		d.readLoad(b, load)
 	}
+	d.adjustRoom(t, e)
 	if e == Settled && t != nil {
 		kind := d.sort(t)
 		usual, ok := d.typical[kind]
@@ -381,6 +393,26 @@
 	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
 }
 
+// adjustRoom learns how much this gateway may have out: late answers and full backends take room away,
+// prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends alike;
+// it may hurt when a product's work is by itself near its SLA time.
+func (d *Door) adjustRoom(t *txn, e Ending) {
+	if t == nil || t.outAt == nil || e != Settled && e != Full && e != TimedOut {
+		return
+	}
+	if e == Settled && d.now-t.sent < time.Duration(lateShare*float64(d.products[t.Product].slaTime)) {
+		if d.isPressed() {
+			d.room = min(roomMost, d.room+roomUp)
+		}
+		return
+	}
+	if t.sent > d.cutAt {
+		d.room, d.cutAt = max(roomLeast, d.room*(1-roomDown)), d.now
+	}
+}
+
+func (d *Door) isPressed() bool { return d.now-d.pressed < pressFor }
+
 // readLoad takes a load report: what others keep at the backend.
 func (d *Door) readLoad(b *backend, load []float64) {
 	held, ok := 0.0, false
@@ -416,10 +448,11 @@
 
 // usual is the usual answer time of such a txn.
 func (d *Door) usual(t *txn) time.Duration {
+	most := d.products[t.Product].slaTime / 4
 	if s, ok := d.typical[d.sort(t)]; ok {
-		return time.Duration(s * float64(time.Second))
+		return min(most, time.Duration(s*float64(time.Second)))
 	}
-	return d.products[t.Product].slaTime / 8
+	return most / 2
 }
 
 // ---- Decisions
@@ -489,7 +522,7 @@
 		d.end(t, 0)
 		return
 	}
-	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1) || d.now+d.usual(t)/2 >= t.slaAt {
+	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1 || d.isPressed() && t.mayHaveRun) || d.now+d.usual(t)/2 >= t.slaAt {
 		d.end(t, d.adviceMost)
 		return
 	}
@@ -512,7 +545,8 @@
 	}
 	b := d.pick(t)
 	if b == nil {
-		d.hold(t, t.slaAt-d.usual(t))
+		d.pressed = d.now
+		d.hold(t, t.arrived+time.Duration(backWait*float64(d.products[t.Product].slaTime)))
 		return
 	}
 	d.submit(t, a, b)
@@ -883,20 +917,29 @@
 	median := d.median()
 	var can []*backend
 	ranked := d.rank(t.Customer)
-	mean := 0.0
+	mean, out, roomAll, some := 0.0, 0.0, 0.0, false
 	for _, b := range ranked {
 		if b.aside || b == t.last || b.fullUntil > d.now || d.silent(b, t) || !d.allowed(b, t) {
 			continue
 		}
-		if w := d.warmth(b) * d.rampShare(b); w < 1 && d.rng.Float64() > w {
+		w := d.warmth(b) * d.rampShare(b)
+		room := d.room * w * min(1, median/max(b.slow, 0.1))
+		out, roomAll, some = out+float64(b.out), roomAll+room, true
+		if w < 1 && d.rng.Float64() > w {
 			continue // a fresh one is passed over by chance
 		}
+		if float64(b.out+1) > max(1, 1.5*room) {
+			continue
+		}
 		can = append(can, b)
 		mean += d.load(b, median)
 	}
-	if len(can) == 0 {
+	if !some {
 		return d.anyOf(ranked, t)
 	}
+	if len(can) == 0 || out+1 > max(1, roomAll) {
+		return nil // all have enough
+	}
 	enough := crowd*mean/float64(len(can)) + 1
 	for _, own := range []bool{true, false} {
 		for _, b := range can {
@@ -918,7 +961,7 @@
 func (d *Door) anyOf(ranked []*backend, t *txn) *backend {
 	var best *backend
 	for _, b := range ranked {
-		if d.allowed(b, t) && (best == nil || b.fails+float64(b.out) < best.fails+float64(best.out)) {
+		if d.allowed(b, t) && float64(b.out+1) <= max(1, d.room) && (best == nil || b.fails+float64(b.out) < best.fails+float64(best.out)) {
 			best = b
 		}
 	}
@@ -974,10 +1017,10 @@
 	t.outAt, t.last, t.sent = b, b, d.now
 	x := Decision{Verb: Submit, Txn: t.ID, Backend: b.ID}
 	p := d.products[t.Product]
-	if p.kind != "once-only" && t.nr < d.submissions {
-		limit := time.Duration(firstTry * float64(t.slaAt-d.now))
-		if limit > 2*d.usual(t) && t.nr == 1 {
-			x.Limit = limit
+	if p.kind != "once-only" {
+		x.Limit = t.slaAt - d.now - 4*ms // an answer past the SLA time is hardly worth the work
+		if t.nr == 1 && !d.isPressed() && 2*d.usual(t) < time.Duration(firstTry*float64(x.Limit)) {
+			x.Limit = time.Duration(firstTry * float64(x.Limit))
 		}
 	}
 	d.ready = append(d.ready, x)
