--- a/control/control.go
+++ b/control/control.go
@@ -30,6 +30,7 @@
 	smooth      = 0.1      // weight of a new sample
 	crowd       = 1.25     // a backend with this times the mean load, and one more, has enough
 	firstTry    = 0.55     // of the time left to the SLA time: limit of a submission that may be repeated
+	firstTimes  = 4        // and such a limit is set only above this times the usual answer time
 	retryGain   = 0.2      // further submissions earned by a txn
 	retryMost   = 30.0
 	failShare   = 0.35 // of failing submissions sets a backend aside
@@ -48,7 +49,8 @@
 	roomFirst   = 3.0             // submissions out at a usual backend, to begin with
 	roomLeast   = 0.3
 	roomMost    = 40.0
-	lateShare   = 0.5  // of the SLA time: an answer later than that is a sign of crowding
+	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
+	lateMost    = 0.9
 	roomUp      = 0.03 // a prompt answer adds this
 	roomDown    = 0.1  // a late one takes this share
 	pressFor    = 300 * ms
@@ -400,7 +402,9 @@
 	if t == nil || t.outAt == nil || e != Settled && e != Full && e != TimedOut {
 		return
 	}
-	if e == Settled && d.now-t.sent < time.Duration(lateShare*float64(d.products[t.Product].slaTime)) {
+	sla := float64(d.products[t.Product].slaTime)
+	late := time.Duration(min(lateShare*sla+float64(d.usual(t)), lateMost*sla))
+	if e == Settled && d.now-t.sent < late {
 		if d.isPressed() {
 			d.room = min(roomMost, d.room+roomUp)
 		}
@@ -448,11 +452,10 @@
 
 // usual is the usual answer time of such a txn.
 func (d *Door) usual(t *txn) time.Duration {
-	most := d.products[t.Product].slaTime / 4
 	if s, ok := d.typical[d.sort(t)]; ok {
-		return min(most, time.Duration(s*float64(time.Second)))
+		return time.Duration(s * float64(time.Second))
 	}
-	return most / 2
+	return d.products[t.Product].slaTime / 8
 }
 
 // ---- Decisions
@@ -522,7 +525,8 @@
 		d.end(t, 0)
 		return
 	}
-	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1 || d.isPressed() && t.mayHaveRun) || d.now+d.usual(t)/2 >= t.slaAt {
+	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1 || d.isPressed() && t.mayHaveRun) ||
+		d.now+min(d.usual(t), d.products[t.Product].slaTime/4)/2 >= t.slaAt {
 		d.end(t, d.adviceMost)
 		return
 	}
@@ -1019,7 +1023,7 @@
 	p := d.products[t.Product]
 	if p.kind != "once-only" {
 		x.Limit = t.slaAt - d.now - 4*ms // an answer past the SLA time is hardly worth the work
-		if t.nr == 1 && !d.isPressed() && 2*d.usual(t) < time.Duration(firstTry*float64(x.Limit)) {
+		if t.nr == 1 && !d.isPressed() && firstTimes*d.usual(t) < time.Duration(firstTry*float64(x.Limit)) {
 			x.Limit = time.Duration(firstTry * float64(x.Limit))
 		}
 	}
