--- a/control/control.go
+++ b/control/control.go
@@ -51,8 +51,8 @@
 	roomMost    = 40.0
 	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
-	roomUp      = 0.03 // a prompt answer adds this
-	roomDown    = 0.1  // a late one takes this share
+	roomUp      = 0.002 // share that a prompt answer adds
+	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
 	pressFor    = 300 * ms
 	backWait    = 0.35    // of the SLA time: longest wait for a backend
 	travel      = 40 * ms // margin for the way to a backend
@@ -95,8 +95,7 @@
 	wakeAt   time.Duration
 	tick     time.Duration
 	badMail  int
-	room     float64 // submissions out at a usual backend, at most
-	cutAt    time.Duration
+	room     float64       // submissions out at a usual backend, at most
 	pressed  time.Duration // when room last ran out
 	version  uint64
 	strange  int
@@ -373,7 +372,11 @@
 			usual = took.Seconds()
 		}
 		ratio := took.Seconds() / max(usual, 0.0005)
-		d.typical[kind] = usual + smooth/2*(min(took.Seconds(), 5*usual)-usual)
+		step := smooth / 2 * (min(took.Seconds(), 5*usual) - usual)
+		if step > 0 && d.isPressed() {
+			step = 0 // under pressure answers hold waiting, which is no part of the usual time
+		}
+		d.typical[kind] = usual + step
 		b.slow += smooth * (min(ratio, 20) - b.slow)
 	}
 	bad := 0.0
@@ -406,13 +409,11 @@
 	late := time.Duration(min(lateShare*sla+float64(d.usual(t)), lateMost*sla))
 	if e == Settled && d.now-t.sent < late {
 		if d.isPressed() {
-			d.room = min(roomMost, d.room+roomUp)
+			d.room = min(roomMost, d.room*(1+roomUp))
 		}
 		return
 	}
-	if t.sent > d.cutAt {
-		d.room, d.cutAt = max(roomLeast, d.room*(1-roomDown)), d.now
-	}
+	d.room = max(roomLeast, d.room*(1-roomDown))
 }
 
 func (d *Door) isPressed() bool { return d.now-d.pressed < pressFor }
