--- a/control/control.go
+++ b/control/control.go
@@ -7,7 +7,6 @@
 package control
 
 import (
-	"fmt"
 	"math"
 	"math/rand"
 	"sort"
@@ -58,49 +57,6 @@
 	travel      = 40 * ms // margin for the way to a backend
 )
 
-// Door is the decision module of one gateway.
-type Door struct {
-	now, born, lastWork time.Duration
-	rng                 *rand.Rand
-	me                  GatewayID
-	gateways            int
-	hall                HallID
-	products            []product
-	plans               []plan
-	probes, tells       bool
-	cancel, advice      bool
-	adviceMost          time.Duration
-	submissions         int
-	byProbe             bool
-	fields              []string
-	warmBy, fallWindow  time.Duration
-	coldFrom, fallTimes float64
-	mostUnits           float64
-	pack                time.Duration
-
-	txns     map[TxnID]*txn
-	due      dueQueue
-	todo     []*txn
-	line     []*txn // waiting for units, a view, a slot or a backend
-	recheck  bool
-	ready    []Decision
-	backends map[BackendID]*backend
-	list     []*backend // in order of id
-	accounts map[CustomerID]*account
-	order    []*account
-	peers    []*peer
-	epoch    uint32
-	typical  map[int]float64 // usual answer time by product and units, in seconds
-	retries  float64
-	wakeAt   time.Duration
-	tick     time.Duration
-	badMail  int
-	room     float64       // submissions out at a usual backend, at most
-	pressed  time.Duration // when room last ran out
-	version  uint64
-	strange  int
-}
-
 // New starts an instance: nothing is known but the settings.
 func New(seed int64, s Settings, now time.Duration) (*Door, error) {
 	p := &picker{s: s}
@@ -115,23 +71,11 @@
 		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{}, accounts: map[CustomerID]*account{},
 		typical: map[int]float64{}, retries: retryMost / 3, room: roomFirst, pressed: -pressFor}
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
-	for i := 0; i < p.count("products.count", 255); i++ {
-		at := fmt.Sprintf("products.%d.", i)
-		d.products = append(d.products, product{slaTime: p.span(at + "sla_time"), kind: p.text(at + "effect"),
-			scope: p.text(at + "repeat_scope"), window: p.span(at + "repeat_window"),
-			value: p.number(at + "value"), late: p.number(at + "late_value")})
-	}
-	for i := 0; i < p.count("plans.count", 1<<16); i++ {
-		at := fmt.Sprintf("plans.%d.", i)
-		d.plans = append(d.plans, plan{rate: p.number(at + "rate"), burst: p.number(at + "burst"),
-			price: p.number(at + "price"), overValue: p.number(at + "over_value"),
-			overCost: p.number(at + "over_cost"), openCap: p.count(at+"open_cap", 1<<20),
-			ceilRate: p.number(at + "ceiling_rate"), ceilBurst: p.number(at + "ceiling_burst")})
-	}
+	d.products, d.plans = p.products(), p.plans()
 	mail := p.number("quota.mail_per_s")
 	d.epoch = d.rng.Uint32()
 	for i := 0; i < d.gateways; i++ {
-		d.peers = append(d.peers, &peer{id: GatewayID(i), answer: map[CustomerID]bool{}, heard: now})
+		d.peers = append(d.peers, &peer{id: GatewayID(i), answer: map[CustomerID]bool{}})
 	}
 	d.pack = max(leastPack, time.Duration(float64(time.Second)*float64(d.gateways-1)/max(mail*mailUse, 1)))
 	return d, p.err
@@ -142,29 +86,6 @@
 // Now sets the clock.
 func (d *Door) Now(now time.Duration) { d.now = max(d.now, now) }
 
-// ListChanged takes news of the backends; a whole list replaces the old one.
-func (d *Door) ListChanged(whole bool, list []Listing) {
-	if whole {
-		for _, b := range d.list {
-			b.State = Gone
-		}
-	}
-	for _, l := range list {
-		b := d.backends[l.ID]
-		if b == nil {
-			b = &backend{Listing: l, slow: 1, coldAt: d.now}
-			d.backends[l.ID] = b
-			d.list = append(d.list, b)
-			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
-		}
-		if l.Started > b.Started { // a new process: what was known of the old one is void
-			*b = backend{Listing: l, slow: 1, coldAt: d.now, out: b.out}
-		}
-		b.Listing = l
-	}
-	d.recheck = true
-}
-
 // TxnTaken takes a client's txn in.
 func (d *Door) TxnTaken(x Txn) {
 	if d.txns[x.ID] != nil {
@@ -212,13 +133,6 @@
 	d.todo = append(d.todo, t)
 }
 
-// ClientLeft: nobody waits for this txn any more.
-func (d *Door) ClientLeft(id TxnID) {
-	if t := d.txns[id]; t != nil {
-		d.forget(t)
-	}
-}
-
 // ProbeEnded takes the answer to a probe.
 func (d *Door) ProbeEnded(at BackendID, good bool, took time.Duration, load []float64) {
 	b := d.backends[at]
@@ -249,7 +163,6 @@
 	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
 		return
 	}
-	p.heard = d.now
 	if m.seq > 0 {
 		d.takeDelta(p, m)
 	}
@@ -261,14 +174,10 @@
 // newLife notes that a peer has started again; a message of a life that is over is refused.
 // What was reported to the old life is dropped: the new bucket starts empty, which stands for all use before.
 func (d *Door) newLife(p *peer, epoch uint32) bool {
-	for _, e := range p.retired {
-		if e == epoch {
-			return false
-		}
+	if p.over(epoch) {
+		return false
 	}
 	if p.epoch != 0 {
-		p.retired = append(p.retired, p.epoch)
-		p.retired = p.retired[max(0, len(p.retired)-8):]
 		for _, f := range p.flight {
 			for _, l := range f.lines {
 				if a := d.accounts[l.customer]; a != nil {
@@ -283,21 +192,13 @@
 			}
 		}
 	}
-	p.epoch, p.high, p.mask, p.version = epoch, 0, 0, 0
+	p.begin(epoch)
 	return true
 }
 
 // takeDelta applies a delta once and marks its accounts for an answer.
 func (d *Door) takeDelta(p *peer, m *message) {
-	fresh := false
-	switch gap := int64(m.seq) - int64(p.high); {
-	case gap > 0:
-		p.mask = p.mask<<min(uint64(gap), 64) | 1
-		p.high, fresh = m.seq, true
-	case gap > -64 && p.mask>>uint64(-gap)&1 == 0:
-		p.mask |= 1 << uint64(-gap)
-		fresh = true
-	}
+	fresh := p.first(m.seq)
 	p.ackDue = true
 	for _, l := range m.deltas {
 		if int(l.plan) >= len(d.plans) {
@@ -321,7 +222,7 @@
 		if fresh {
 			d.draw(a, l.units)
 		}
-		d.answer(p, a.id)
+		p.owe(a.id)
 	}
 	d.recheck = true
 }
@@ -330,8 +231,7 @@
 func (d *Door) takeSnapshot(p *peer, m *message) {
 	kept := p.flight[:0]
 	for _, f := range p.flight {
-		gap := int64(m.ackHigh) - int64(f.seq)
-		if gap < 0 || gap < 64 && m.ackMask>>uint64(gap)&1 == 0 {
+		if !m.acknowledges(f.seq) {
 			kept = append(kept, f)
 			continue
 		}
@@ -420,29 +320,7 @@
 
 // readLoad takes a load report: what others keep at the backend.
 func (d *Door) readLoad(b *backend, load []float64) {
-	held, ok := 0.0, false
-	rate, service := -1.0, -1.0
-	for i, v := range load {
-		if i >= len(d.fields) || v < 0 || v > 1e6 {
-			break
-		}
-		switch d.fields[i] {
-		case "inflight":
-			held, ok = v, true
-		case "queue":
-			if !ok {
-				held = max(held, v)
-			}
-		case "per_s":
-			rate = v
-		case "service_ms":
-			service = v / 1000
-		}
-	}
-	if !ok && rate >= 0 && service >= 0 {
-		held += rate * service
-		ok = true
-	}
+	held, ok := heldBy(d.fields, load)
 	if ok {
 		b.others += 0.5 * (max(0, held-float64(b.out)) - b.others)
 	}
@@ -608,14 +486,6 @@
 	d.forget(t)
 }
 
-func (d *Door) forget(t *txn) {
-	t.ended = true
-	if t.outAt != nil { // the outcome is still to come and counts for the backend
-		return
-	}
-	delete(d.txns, t.ID)
-}
-
 // repeatable tells whether a txn that may have run may go out again now (rule 2).
 func (d *Door) repeatable(t *txn) bool {
 	switch p := d.products[t.Product]; p.kind {
@@ -629,28 +499,6 @@
 
 // ---- Quota
 
-type verdict int
-
-const (
-	pass verdict = iota
-	wait
-	beyond
-)
-
-// account finds or makes the account of a customer.
-func (d *Door) account(id CustomerID, pl PlanID) *account {
-	a := d.accounts[id]
-	if a == nil {
-		a = &account{id: id, plan: &d.plans[pl], planID: pl, owner: d.me, sharers: 1, used: d.now,
-			reports: map[GatewayID]*report{}}
-		a.level, a.levelAt = d.sinceBirth(a), d.now
-		a.part, a.partAt = 0, d.born
-		d.accounts[id] = a
-		d.order = append(d.order, a)
-	}
-	return a
-}
-
 // sinceBirth is what a bucket that was empty when this gateway started holds by now.
 func (d *Door) sinceBirth(a *account) float64 {
 	return min(a.plan.burst, a.plan.rate*(d.now-d.born).Seconds())
@@ -664,29 +512,14 @@
 	a.inSet = true
 	a.width = min(max(t.SetWidth, 1), d.gateways)
 	a.sharers = a.width
-	best := uint64(0)
-	for i := 0; i < a.width; i++ {
-		g := GatewayID((int(t.SetFirst) + i) % d.gateways)
-		if g < 0 {
-			g = 0
-		}
-		a.listened = a.listened || g == d.me
-		if h := mix(uint64(a.id)*0x9e3779b97f4a7c15 + uint64(g)); h >= best {
-			best, a.owner = h, g
-		}
-	}
+	first := GatewayID(max(int(t.SetFirst), 0))
+	a.owner = ownerOf(a.id, first, a.width, d.gateways)
+	a.listened = (int(d.me-first)%d.gateways+d.gateways)%d.gateways < a.width
 	if a.owner != d.me {
 		a.level, a.known = 0, false
 	}
 }
 
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // refill brings an owned bucket up to now.
 func (d *Door) refill(a *account) {
 	a.level = min(a.plan.burst, a.level+a.plan.rate*(d.now-a.levelAt).Seconds())
@@ -702,7 +535,7 @@
 		a.spent = true
 		for _, p := range d.peers {
 			if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
-				d.answer(p, a.id)
+				p.owe(a.id)
 			}
 		}
 	}
@@ -781,34 +614,6 @@
 	d.mark(a)
 }
 
-func (d *Door) mark(a *account) {
-	if !a.dirty && a.owner != d.me {
-		a.dirty = true
-		p := d.peers[a.owner]
-		p.dirty = append(p.dirty, a)
-	}
-}
-
-func (d *Door) outChanged(a *account) {
-	if a.plan.openCap > 0 {
-		d.mark(a)
-	}
-}
-
-// outElse is how many submissions other gateways have out for a customer, as far as told.
-func (d *Door) outElse(a *account) int {
-	if a.owner != d.me {
-		return a.outElse
-	}
-	n := 0
-	for _, p := range d.peers {
-		if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
-			n += r.out
-		}
-	}
-	return n
-}
-
 // underCeiling keeps rule 5: this gateway's part of the ceiling starts empty in each life and refills at
 // its part of the rate, so that all parts together never pass the whole, whoever restarts.
 func (d *Door) underCeiling(a *account, t *txn) (bool, time.Duration) {
@@ -897,31 +702,11 @@
 	return b.sentRate * math.Exp(-(d.now-b.sentAt).Seconds()/3)
 }
 
-// rank is the customer's fixed order of the backends.
-func (d *Door) rank(c CustomerID) []*backend {
-	type ranked struct {
-		h uint64
-		b *backend
-	}
-	r := make([]ranked, 0, len(d.list))
-	for _, b := range d.list {
-		if b.State == Ready {
-			r = append(r, ranked{mix(uint64(c)*0x9e3779b97f4a7c15 ^ mix(uint64(b.ID))), b})
-		}
-	}
-	sort.Slice(r, func(i, j int) bool { return r[i].h > r[j].h })
-	out := make([]*backend, len(r))
-	for i := range r {
-		out[i] = r[i].b
-	}
-	return out
-}
-
 // pick takes the first backend in the customer's ranking that does not have enough: its own hall first.
 func (d *Door) pick(t *txn) *backend {
 	median := d.median()
 	var can []*backend
-	ranked := d.rank(t.Customer)
+	ranked := rank(t.Customer, d.list)
 	mean, out, roomAll, some := 0.0, 0.0, 0.0, false
 	for _, b := range ranked {
 		if b.aside || b == t.last || b.fullUntil > d.now || d.silent(b, t) || !d.allowed(b, t) {
@@ -988,11 +773,7 @@
 			s = append(s, b.slow)
 		}
 	}
-	if len(s) == 0 {
-		return 1
-	}
-	sort.Float64s(s)
-	return max(s[len(s)/2], 0.1)
+	return max(middle(s), 0.1)
 }
 
 // submit is the one gate that every send passes; every rule is asked again here.
@@ -1119,14 +900,6 @@
 
 // ---- Peer messages
 
-func (d *Door) answer(p *peer, id CustomerID) {
-	p.ackDue = true
-	if !p.answer[id] {
-		p.answer[id] = true
-		p.answers = append(p.answers, id)
-	}
-}
-
 // mail sends what is due to a peer: one packed message, deltas and answers together.
 func (d *Door) mail() bool {
 	if !d.tells {
@@ -1174,28 +947,3 @@
 	}
 	p.flight = append(p.flight, &parcel{m.seq, d.now, m.deltas})
 }
-
-func (d *Door) packAnswers(p *peer, m *message, room int) {
-	d.version++
-	m.version = d.version
-	for len(p.answers) > 0 && room >= snapRoom {
-		a := d.accounts[p.answers[0]]
-		delete(p.answer, p.answers[0])
-		p.answers = p.answers[1:]
-		if a == nil || a.owner != d.me {
-			continue
-		}
-		d.refill(a)
-		sharers, out := 1, a.out
-		for _, q := range d.peers {
-			if r := a.reports[q.id]; r != nil && d.now-r.at < reporterFor {
-				sharers++
-				if q != p {
-					out += r.out
-				}
-			}
-		}
-		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers, out})
-		room -= snapRoom
-	}
-}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,306 @@
+package control
+
+import (
+	"fmt"
+	"time"
+)
+
+func Example_endings() {
+	s := warm()
+	c := ownedBy(0)
+	for id, e := range []Ending{Settled, Errored, Full, TimedOut, Unreachable, Broken} {
+		fmt.Println("#", id, "inquiry-like, then ending", e)
+		s.txn(TxnID(id), c, 0, 0)
+		s.ended(TxnID(id), e)
+		if s.d.txns[TxnID(id)] != nil {
+			s.ended(TxnID(id), e)
+		}
+		if s.d.txns[TxnID(id)] != nil {
+			s.ended(TxnID(id), e)
+		}
+		s.d.ClientLeft(TxnID(id)) // an id no longer held is passed over
+		s.pull()
+	}
+	// Output:
+	// # 0 inquiry-like, then ending 0
+	// 10000 submit 0 to 1, 272
+	// # 1 inquiry-like, then ending 1
+	// 10000 submit 1 to 1, 272
+	// 10000 submit 1 to 3, 496
+	// 10000 submit 1 to 1, 496
+	// 10000 decline 1, 2000
+	// # 2 inquiry-like, then ending 2
+	// 10000 submit 2 to 1, 272
+	// 10000 submit 2 to 3, 496
+	// 10000 submit 2 to 2, 496
+	// 10000 decline 2, 2000
+	// # 3 inquiry-like, then ending 3
+	// 10000 submit 3 to 2, 272
+	// 10000 submit 3 to 1, 496
+	// 10000 submit 3 to 1, 496
+	// 10000 decline 3, 2000
+	// # 4 inquiry-like, then ending 4
+	// 10000 submit 4 to 1, 272
+	// 10000 submit 4 to 1, 496
+	// 10000 submit 4 to 1, 496
+	// 10000 decline 4, 2000
+	// # 5 inquiry-like, then ending 5
+	// 10000 submit 5 to 1, 272
+	// 10000 submit 5 to 1, 496
+	// 10000 submit 5 to 1, 496
+	// 10000 decline 5, 2000
+}
+
+func Example_expiry() {
+	s := warm()
+	s.txn(1, ownedBy(0), 2, 0)
+	s.at(11997)
+	s.at(11998)
+	s.d.SubmissionEnded(1, 0, 1, TimedOut, false, 0, nil) // its own outcome comes after the answer
+	s.at(12100)
+	fmt.Println(len(s.d.txns), "held")
+	// Output:
+	// 10000 submit 1 to 1
+	// 11998 void 1
+	// 11998 recall 1/0
+	// 0 held
+}
+
+func Example_onceOnly() {
+	s := warm()
+	fmt.Println("# proved not to have run: again elsewhere, then declined")
+	s.txn(1, ownedBy(0), 2, 0)
+	s.ended(1, Unreachable)
+	s.ended(1, Full)
+	s.ended(1, Full)
+	fmt.Println("# may have run: voided at once")
+	s.txn(2, ownedBy(0), 2, 0)
+	s.ended(2, Errored)
+	// Output:
+	// # proved not to have run: again elsewhere, then declined
+	// 10000 submit 1 to 1
+	// 10000 submit 1 to 3
+	// 10000 submit 1 to 1
+	// 10000 decline 1, 2000
+	// # may have run: voided at once
+	// 10000 submit 2 to 2
+	// 10000 void 2
+}
+
+func Example_referenced() {
+	s := warm()
+	fmt.Println("# repeats stay in the pod of the first that may have run")
+	s.txn(1, ownedBy(0), 1, 0)
+	s.ended(1, Broken)
+	s.ended(1, Broken)
+	fmt.Println("# and inside the window: with the time over it is voided")
+	s.txn(2, ownedBy(0), 1, 0)
+	s.d.products[1].window = 0
+	s.ended(2, Broken)
+	fmt.Println("# where all backends know repeats, it may be declined")
+	s.txn(3, ownedBy(0), 3, 0)
+	s.ended(3, Broken)
+	s.ended(3, Broken)
+	s.ended(3, Broken)
+	// Output:
+	// # repeats stay in the pod of the first that may have run
+	// 10000 submit 1 to 1, 272
+	// 10000 submit 1 to 2, 496
+	// 10000 submit 1 to 1, 496
+	// # and inside the window: with the time over it is voided
+	// 10000 submit 2 to 3, 272
+	// 10000 void 2
+	// # where all backends know repeats, it may be declined
+	// 10000 submit 3 to 3, 272
+	// 10000 submit 3 to 2, 496
+	// 10000 submit 3 to 3, 496
+	// 10000 decline 3, 2000
+}
+
+func Example_draining() {
+	s := warm()
+	s.list(false, Listing{ID: 1, State: Draining}, Listing{ID: 2, State: Gone})
+	for id := TxnID(1); id < 5; id++ {
+		s.txn(id, ownedBy(0)+CustomerID(id), 0, 0)
+	}
+	s.list(true) // an empty list: nothing is ready
+	s.txn(9, ownedBy(0), 0, 0)
+	s.at(10200)
+	// Output:
+	// 10000 submit 1 to 3, 272
+	// 10000 submit 2 to 3, 272
+	// 10000 submit 3 to 3, 272
+	// 10200 decline 4
+	// 10200 decline 9
+}
+
+// sends counts what goes to a backend while txns of one product come every 10 ms for a span.
+func (s *scene) sends(id BackendID, from, to int) (n int) {
+	for at := from; at < to; at += 10 {
+		s.d.Now(ms * time.Duration(at))
+		s.d.TxnTaken(Txn{ID: TxnID(at), Customer: CustomerID(at), SetWidth: 3, Units: 1, Expiry: s.d.now + time.Second})
+		for x, ok := s.d.Next(); ok; x, ok = s.d.Next() {
+			if x.Verb == Submit && x.Backend == id {
+				n++
+			}
+			if x.Verb == Submit {
+				s.d.SubmissionEnded(x.Txn, 0, x.Backend, Settled, true, 10*ms, nil)
+			}
+		}
+	}
+	return n
+}
+
+func Example_coldBudget() {
+	s := warm()
+	s.list(false, Listing{ID: 1, State: Ready, Started: 9900 * ms})
+	fmt.Println("beside warm ones, second by second:")
+	for at := 10000; at < 14000; at += 1000 {
+		fmt.Println(" cold", s.sends(1, at, at+1000))
+	}
+	s = newScene(settings(0), 0)
+	s.at(20000)
+	s.list(true, Listing{ID: 1, State: Ready, Started: 19900 * ms})
+	fmt.Println("alone, with nothing warm to judge by:")
+	for at := 20000; at < 23000; at += 1000 {
+		fmt.Println(" cold", s.sends(1, at, at+1000))
+	}
+	// Output:
+	// beside warm ones, second by second:
+	//  cold 1
+	//  cold 6
+	//  cold 10
+	//  cold 12
+	// alone, with nothing warm to judge by:
+	//  cold 0
+	//  cold 1
+	//  cold 1
+}
+
+func Example_ceilingAcrossRestart() {
+	s := newScene(settings(0), 0)
+	s.quiet = true
+	s.list(true, Listing{ID: 1, State: Ready}, Listing{ID: 2, State: Ready})
+	s.at(10000)
+	c := ownedBy(0)
+	fmt.Println("# a third of the ceiling, then nothing but its refill")
+	for id := TxnID(1); id <= 16; id++ {
+		s.txn(id, c, 0, 1)
+	}
+	s = newScene(settings(0), 10000)
+	s.quiet = true
+	s.list(true, Listing{ID: 1, State: Ready}, Listing{ID: 2, State: Ready})
+	fmt.Println("# the next life starts with an empty part")
+	s.txn(1, c, 0, 1)
+	s.at(10200)
+	// Output:
+	// # a third of the ceiling, then nothing but its refill
+	// 10000 submit 1 to 1, 272
+	// 10000 submit 2 to 2, 272
+	// 10000 submit 3 to 1, 272
+	// 10000 submit 4 to 2, 272
+	// 10000 submit 5 to 1, 272
+	// 10000 submit 6 to 1, 272
+	// # the next life starts with an empty part
+	// 10000 decline 1, 150
+}
+
+func Example_ownerRestart() {
+	s := newScene(settings(0), 5000)
+	s.list(true, Listing{ID: 1, State: Ready})
+	fmt.Println("# an owner's bucket starts empty and refills at the rate: a txn waits for its unit")
+	s.txn(1, ownedBy(0), 0, 0)
+	s.at(5100)
+	s.at(5120)
+	fmt.Println("# a message of the peer's old life is refused after its new one is known")
+	c := ownedBy(0)
+	s.hear(1, &message{epoch: 7, seq: 5, deltas: []deltaLine{{c, 0, 0, 0}}})
+	s.at(5200)
+	s.hear(1, &message{epoch: 8, seq: 1, deltas: []deltaLine{{c, 0, 0, 0}}})
+	s.at(5300)
+	s.hear(1, &message{epoch: 7, seq: 6, deltas: []deltaLine{{c, 0, 9, 0}}})
+	s.at(5400)
+	// Output:
+	// # an owner's bucket starts empty and refills at the rate: a txn waits for its unit
+	//  5100 submit 1 to 1, 396
+	// # a message of the peer's old life is refused after its new one is known
+	//  5120 tell 1: snapshot left 0.1875 sharers 2 ack 5
+	//  5200 tell 1: snapshot left 1 sharers 2 ack 1
+}
+
+func Example_deltas() {
+	s := newScene(settings(0), 0)
+	s.at(10000)
+	c := ownedBy(0)
+	first := &message{epoch: 7, seq: 1, deltas: []deltaLine{{c, 0, 3, 0}}}
+	second := &message{epoch: 7, seq: 2, deltas: []deltaLine{{c, 0, 5, 0}}}
+	fmt.Println("# out of order and twice, each applied once")
+	s.hear(1, second)
+	s.d.lastWork = 20 * time.Second // no refill of the trace by periodic work
+	s.at(10100)
+	s.hear(1, first)
+	s.at(10200)
+	s.hear(1, second)
+	s.at(10300)
+	fmt.Println("# what does not decode is dropped and counted")
+	s.d.PeerSaid(1, []byte{1, 2, 3})
+	fmt.Println(s.d.badMail)
+	// Output:
+	// # out of order and twice, each applied once
+	// 10000 tell 1: snapshot left 15 sharers 2 ack 2
+	// 10100 tell 1: snapshot left 13 sharers 2 ack 2
+	// 10200 tell 1: snapshot left 14 sharers 2 ack 2
+	// # what does not decode is dropped and counted
+	// 1
+}
+
+func Example_views() {
+	s := warm()
+	s.quiet = false
+	c := ownedBy(1)
+	fmt.Println("# new: one txn after the other from the allowance, asking the owner")
+	for id := TxnID(1); id < 9; id++ {
+		s.txn(id, c, 0, 0)
+	}
+	s.at(10050)
+	fmt.Println("# lost: the delta goes again under its sequence")
+	s.at(10200)
+	fmt.Println("# the snapshot acknowledges all of it: two units are left")
+	snap := func(version uint64, left float64) *message {
+		return &message{epoch: 9, version: version, ackEpoch: s.d.epoch, ackHigh: 2, ackMask: 3,
+			snaps: []snapLine{{c, left, 1, 0}}}
+	}
+	s.hear(1, snap(5, 2))
+	s.txn(11, c, 0, 0)
+	fmt.Println("# an older snapshot that comes late brings nothing back")
+	s.hear(1, snap(4, 20))
+	s.txn(12, c, 0, 0)
+	s.txn(13, c, 0, 0)
+	s.at(10500)
+	fmt.Println("# stale: the allowance alone, and it asks afresh")
+	s.at(11900)
+	s.txn(14, c, 0, 0)
+	// Output:
+	// # new: one txn after the other from the allowance, asking the owner
+	// 10000 submit 1 to 2, 272
+	// 10000 tell 1: delta 1 used 1
+	// 10000 submit 2 to 3, 272
+	// 10000 submit 3 to 1, 272
+	// 10000 submit 4 to 2, 272
+	// 10000 submit 5 to 3, 272
+	// 10000 submit 6 to 2, 272
+	// 10050 tell 1: delta 2 used 5
+	// # lost: the delta goes again under its sequence
+	// 10200 decline 7
+	// 10200 decline 8
+	// 10200 tell 1: delta 1 used 1
+	// # the snapshot acknowledges all of it: two units are left
+	// 10200 submit 11 to 3, 272
+	// # an older snapshot that comes late brings nothing back
+	// 10200 submit 12 to 1, 272
+	// 10200 decline 13, 100
+	// 10500 tell 1: delta 3 used 2
+	// # stale: the allowance alone, and it asks afresh
+	// 11900 tell 1: delta 3 used 2
+	// 11900 submit 14 to 1, 272
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"math"
+	"slices"
 )
 
 // One peer message packs a sequenced delta (for accounts the receiver owns) and a snapshot
@@ -130,3 +131,44 @@
 	}
 	return m, nil
 }
+
+// over tells whether an epoch is of a life that has ended.
+func (p *peer) over(epoch uint32) bool { return slices.Contains(p.retired, epoch) }
+
+// begin starts the peer's next life.
+func (p *peer) begin(epoch uint32) {
+	if p.epoch != 0 {
+		p.retired = append(p.retired, p.epoch)
+		p.retired = p.retired[max(0, len(p.retired)-8):]
+	}
+	p.epoch, p.high, p.mask = epoch, 0, 0
+}
+
+// first tells whether a sequence comes for the first time, and notes it.
+func (p *peer) first(seq uint64) bool {
+	if seq > p.high {
+		p.mask = p.mask<<min(seq-p.high, 64) | 1
+		p.high = seq
+		return true
+	}
+	back := p.high - seq
+	if back >= 64 || p.mask>>back&1 == 1 {
+		return false
+	}
+	p.mask |= 1 << back
+	return true
+}
+
+// acknowledges tells whether the message says that the sequence was applied.
+func (m *message) acknowledges(seq uint64) bool {
+	return m.ackHigh >= seq && (m.ackHigh-seq >= 64 || m.ackMask>>(m.ackHigh-seq)&1 == 1)
+}
+
+// owe queues an account for the next snapshot to the peer.
+func (p *peer) owe(id CustomerID) {
+	p.ackDue = true
+	if !p.answer[id] {
+		p.answer[id] = true
+		p.answers = append(p.answers, id)
+	}
+}
--- /dev/null
+++ b/control/scene_test.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"fmt"
+	"time"
+)
+
+// A scene drives one gateway and prints its decisions. Times are in milliseconds.
+type scene struct {
+	d     *Door
+	mails []*message
+	quiet bool // print no mail
+}
+
+// Products of a scene: 0 inquiry-like, 1 referenced in its pod, 2 once-only, 3 referenced everywhere.
+// Plans: 0 ten units a second and burst 20; 1 the same with a ceiling of 20 a second and 40 at once.
+func settings(me int) Settings {
+	s := Settings{"me": fmt.Sprint(me), "gateways": "3", "hall": "0", "limits.probes": "true",
+		"limits.peers": "true", "limits.cancel": "true", "limits.advice": "true",
+		"limits.longest_advice": "2000000", "limits.max_submissions": "3", "report.how": "answers",
+		"report.fields": "inflight", "rules.warm_by": "10000000", "rules.fall_window": "1000000",
+		"rules.cold_from": "0.2", "rules.fall_multiple": "2", "quota.most_units": "4",
+		"quota.mail_per_s": "100", "products.count": "4", "plans.count": "2"}
+	for i, kind := range []string{"inquiry-like all", "referenced pod", "once-only all", "referenced all"} {
+		at := fmt.Sprintf("products.%d.", i)
+		var effect, scope string
+		fmt.Sscan(kind, &effect, &scope)
+		s[at+"effect"], s[at+"repeat_scope"], s[at+"sla_time"] = effect, scope, "500000"
+		s[at+"repeat_window"], s[at+"value"], s[at+"late_value"] = "1000000", "1", "0"
+	}
+	for i, ceil := range []string{"0", "20"} {
+		at := fmt.Sprintf("plans.%d.", i)
+		s[at+"rate"], s[at+"burst"], s[at+"price"], s[at+"over_value"] = "10", "20", "1", "0"
+		s[at+"over_cost"], s[at+"open_cap"], s[at+"ceiling_rate"] = "1", "0", ceil
+		s[at+"ceiling_burst"] = ceil[:1] + "0"
+	}
+	return s
+}
+
+func newScene(s Settings, at int) *scene {
+	d, err := New(1, s, ms*time.Duration(at))
+	if err != nil {
+		fmt.Println(err)
+	}
+	return &scene{d: d}
+}
+
+// warm gives a scene at 10 s with three warm backends: 1 and 2 in pod 0, 3 in pod 1.
+func warm() *scene {
+	s := newScene(settings(0), 0)
+	s.list(true, Listing{ID: 1, State: Ready}, Listing{ID: 2, State: Ready}, Listing{ID: 3, Pod: 1, State: Ready})
+	s.quiet = true
+	s.at(10000)
+	return s
+}
+
+// at moves the clock and prints what is decided by then.
+func (s *scene) at(t int) {
+	s.d.Now(ms * time.Duration(t))
+	s.pull()
+}
+
+func (s *scene) list(whole bool, l ...Listing) { s.d.ListChanged(whole, l) }
+
+// txn takes a txn of one unit in, from the customer, with two seconds until its expiry.
+func (s *scene) txn(id TxnID, c CustomerID, p ProductID, pl PlanID) {
+	s.d.TxnTaken(Txn{ID: id, Customer: c, Product: p, Plan: pl, Units: 1, SetWidth: 3,
+		Expiry: s.d.now + 2*time.Second})
+	s.pull()
+}
+
+// ended ends the present submission of a txn.
+func (s *scene) ended(id TxnID, e Ending) {
+	t := s.d.txns[id]
+	s.d.SubmissionEnded(id, t.nr-1, t.outAt.ID, e, e == Settled, s.d.now-t.sent, nil)
+	s.pull()
+}
+
+// ownedBy finds a customer of the whole set that the gateway owns.
+func ownedBy(g GatewayID) CustomerID {
+	d, _ := New(1, settings(0), 0)
+	for c := CustomerID(1); ; c++ {
+		a := d.account(c, 0)
+		if d.place(a, &txn{Txn: Txn{SetWidth: 3}}); a.owner == g {
+			return c
+		}
+	}
+}
+
+// hear delivers a message from a peer.
+func (s *scene) hear(from GatewayID, m *message) {
+	s.d.PeerSaid(from, m.encode())
+	s.pull()
+}
+
+func (s *scene) pull() {
+	for {
+		x, ok := s.d.Next()
+		if !ok {
+			return
+		}
+		fmt.Print(s.line(x))
+	}
+}
+
+func (s *scene) line(x Decision) string {
+	t := fmt.Sprintf("%5d ", s.d.now.Milliseconds())
+	limit := ""
+	if x.Limit > 0 {
+		limit = fmt.Sprintf(", %d", x.Limit.Milliseconds())
+	}
+	switch x.Verb {
+	case Submit:
+		return fmt.Sprintf("%ssubmit %d to %d%s\n", t, x.Txn, x.Backend, limit)
+	case Decline:
+		return fmt.Sprintf("%sdecline %d%s\n", t, x.Txn, limit)
+	case Void:
+		return fmt.Sprintf("%svoid %d\n", t, x.Txn)
+	case Recall:
+		return fmt.Sprintf("%srecall %d/%d\n", t, x.Txn, x.Nr)
+	case Probe:
+		return fmt.Sprintf("%sprobe %d\n", t, x.Backend)
+	case Tell:
+		m, err := decodeMessage(x.Payload)
+		if err != nil {
+			return t + err.Error() + "\n"
+		}
+		s.mails = append(s.mails, m)
+		if s.quiet {
+			return ""
+		}
+		text := fmt.Sprintf("%stell %d:", t, x.Peer)
+		for _, l := range m.deltas {
+			text += fmt.Sprintf(" delta %d used %g", m.seq, l.units)
+		}
+		for _, l := range m.snaps {
+			text += fmt.Sprintf(" snapshot left %g sharers %d ack %d", l.left, l.sharers, m.ackHigh)
+		}
+		return text + "\n"
+	}
+	return ""
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"sort"
+)
+
+// Bookkeeping without decisions: lists, ids held, accounts and the packing of answers.
+
+// ListChanged takes news of the backends; a whole list replaces the old one.
+func (d *Door) ListChanged(whole bool, list []Listing) {
+	if whole {
+		for _, b := range d.list {
+			b.State = Gone
+		}
+	}
+	for _, l := range list {
+		b := d.backends[l.ID]
+		if b == nil {
+			b = &backend{Listing: l, slow: 1, coldAt: d.now}
+			d.backends[l.ID] = b
+			d.list = append(d.list, b)
+			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
+		}
+		if l.Started > b.Started { // a new process: what was known of the old one is void
+			*b = backend{Listing: l, slow: 1, coldAt: d.now, out: b.out}
+		}
+		b.Listing = l
+	}
+	d.recheck = true
+}
+
+// ClientLeft: nobody waits for this txn any more.
+func (d *Door) ClientLeft(id TxnID) {
+	if t := d.txns[id]; t != nil {
+		d.forget(t)
+	}
+}
+
+func (d *Door) forget(t *txn) {
+	t.ended = true
+	if t.outAt != nil { // the outcome is still to come and counts for the backend
+		return
+	}
+	delete(d.txns, t.ID)
+}
+
+// account finds or makes the account of a customer.
+func (d *Door) account(id CustomerID, pl PlanID) *account {
+	a := d.accounts[id]
+	if a == nil {
+		a = &account{id: id, plan: &d.plans[pl], planID: pl, owner: d.me, sharers: 1, used: d.now,
+			reports: map[GatewayID]*report{}}
+		a.level, a.levelAt = d.sinceBirth(a), d.now
+		a.part, a.partAt = 0, d.born
+		d.accounts[id] = a
+		d.order = append(d.order, a)
+	}
+	return a
+}
+
+func (d *Door) mark(a *account) {
+	if !a.dirty && a.owner != d.me {
+		a.dirty = true
+		p := d.peers[a.owner]
+		p.dirty = append(p.dirty, a)
+	}
+}
+
+func (d *Door) outChanged(a *account) {
+	if a.plan.openCap > 0 {
+		d.mark(a)
+	}
+}
+
+// reporters counts the gateways that reported lately, and their submissions out, but for one of them.
+func (d *Door) reporters(a *account, but *peer) (n, out int) {
+	for _, p := range d.peers {
+		if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
+			n++
+			if p != but {
+				out += r.out
+			}
+		}
+	}
+	return n, out
+}
+
+// outElse is how many submissions other gateways have out for a customer, as far as told.
+func (d *Door) outElse(a *account) int {
+	if a.owner == d.me {
+		_, out := d.reporters(a, nil)
+		return out
+	}
+	return a.outElse
+}
+
+func (d *Door) packAnswers(p *peer, m *message, room int) {
+	d.version++
+	m.version = d.version
+	for len(p.answers) > 0 && room >= snapRoom {
+		a := d.accounts[p.answers[0]]
+		delete(p.answer, p.answers[0])
+		p.answers = p.answers[1:]
+		if a == nil || a.owner != d.me {
+			continue
+		}
+		d.refill(a)
+		sharers, out := d.reporters(a, p)
+		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers + 1, out + a.out})
+		room -= snapRoom
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -250,9 +252,7 @@
 	answers  []CustomerID
 	answer   map[CustomerID]bool
 	ackDue   bool
-	version  uint64
 	lastSent time.Duration
-	heard    time.Duration
 }
 
 // parcel is a delta message that waits for its acknowledgement.
@@ -261,3 +261,140 @@
 	at    time.Duration
 	lines []deltaLine
 }
+
+func (p *picker) products() (all []product) {
+	for i := 0; i < p.count("products.count", 255); i++ {
+		at := fmt.Sprintf("products.%d.", i)
+		all = append(all, product{slaTime: p.span(at + "sla_time"), kind: p.text(at + "effect"),
+			scope: p.text(at + "repeat_scope"), window: p.span(at + "repeat_window"),
+			value: p.number(at + "value"), late: p.number(at + "late_value")})
+	}
+	return all
+}
+
+func (p *picker) plans() (all []plan) {
+	for i := 0; i < p.count("plans.count", 1<<16); i++ {
+		at := fmt.Sprintf("plans.%d.", i)
+		all = append(all, plan{rate: p.number(at + "rate"), burst: p.number(at + "burst"),
+			price: p.number(at + "price"), overValue: p.number(at + "over_value"),
+			overCost: p.number(at + "over_cost"), openCap: p.count(at+"open_cap", 1<<20),
+			ceilRate: p.number(at + "ceiling_rate"), ceilBurst: p.number(at + "ceiling_burst")})
+	}
+	return all
+}
+
+// Door is the decision module of one gateway.
+type Door struct {
+	now, born, lastWork time.Duration
+	rng                 *rand.Rand
+	me                  GatewayID
+	gateways            int
+	hall                HallID
+	products            []product
+	plans               []plan
+	probes, tells       bool
+	cancel, advice      bool
+	adviceMost          time.Duration
+	submissions         int
+	byProbe             bool
+	fields              []string
+	warmBy, fallWindow  time.Duration
+	coldFrom, fallTimes float64
+	mostUnits           float64
+	pack                time.Duration
+
+	txns     map[TxnID]*txn
+	due      dueQueue
+	todo     []*txn
+	line     []*txn // waiting for units, a view, a slot or a backend
+	recheck  bool
+	ready    []Decision
+	backends map[BackendID]*backend
+	list     []*backend // in order of id
+	accounts map[CustomerID]*account
+	order    []*account
+	peers    []*peer
+	epoch    uint32
+	typical  map[int]float64 // usual answer time by product and units, in seconds
+	retries  float64
+	wakeAt   time.Duration
+	tick     time.Duration
+	badMail  int
+	room     float64       // submissions out at a usual backend, at most
+	pressed  time.Duration // when room last ran out
+	version  uint64
+	strange  int
+}
+
+// verdict is what the quota says of a txn.
+type verdict int
+
+const (
+	pass verdict = iota
+	wait
+	beyond
+)
+
+// mix is a hash of one word; ownership and rankings go by it.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank is the customer's fixed order of the ready backends.
+func rank(c CustomerID, list []*backend) []*backend {
+	type ranked struct {
+		h uint64
+		b *backend
+	}
+	r := make([]ranked, 0, len(list))
+	for _, b := range list {
+		if b.State == Ready {
+			r = append(r, ranked{mix(uint64(c)*0x9e3779b97f4a7c15 ^ mix(uint64(b.ID))), b})
+		}
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].h > r[j].h })
+	out := make([]*backend, len(r))
+	for i := range r {
+		out[i] = r[i].b
+	}
+	return out
+}
+
+// ownerOf is the gateway of the set with the highest hash for the customer: the same at every gateway.
+func ownerOf(c CustomerID, first GatewayID, width, gateways int) (owner GatewayID) {
+	best := uint64(0)
+	for i := 0; i < width; i++ {
+		g := GatewayID((int(first) + i) % gateways)
+		if h := mix(uint64(c)*0x9e3779b97f4a7c15 + uint64(g)); h >= best {
+			best, owner = h, g
+		}
+	}
+	return owner
+}
+
+// heldBy reads from a load report how many txns a backend holds: in hand, or waiting and in service.
+func heldBy(fields []string, load []float64) (held float64, ok bool) {
+	v := map[string]float64{}
+	for i, f := range fields {
+		if i < len(load) && load[i] >= 0 && load[i] < 1e6 {
+			v[f] = load[i]
+		}
+	}
+	if held, ok = v["inflight"]; ok {
+		return held, true
+	}
+	rate, ok := v["per_s"]
+	return v["queue"] + rate*v["service_ms"]/1000, ok
+}
+
+// middle is the median of some figures, 1 if there are none.
+func middle(s []float64) float64 {
+	if len(s) == 0 {
+		return 1
+	}
+	sort.Float64s(s)
+	return s[len(s)/2]
+}
