--- a/control/control.go
+++ b/control/control.go
@@ -2,14 +2,14 @@
 //
 // How it is called: the host sets the clock with Now, tells what happened by the input calls (ListChanged,
 // TxnTaken, SubmissionEnded, ClientLeft, ProbeEnded, PeerSaid, Woken), which only update what is known, and
-// then pulls decisions with Next, one by one, until there is none. The interface (ids, Txn, Listing, Decision,
-// Settings) is in types.go, the peer messages in peer.go, the due queue in due.go; docs/design.md tells why.
+// then pulls decisions with Next, one by one, until there is none. The interface (ids, Txn, Listing,
+// Decision, Settings) is in types.go, bookkeeping in state.go, the peer messages in peer.go, the due queue in
+// due.go; docs/design.md tells why.
 package control
 
 import (
 	"math"
 	"math/rand"
-	"sort"
 	"time"
 )
 
@@ -299,8 +299,8 @@
 }
 
 // adjustRoom learns how much this gateway may have out: late answers and full backends take room away,
-// prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends alike;
-// it may hurt when a product's work is by itself near its SLA time.
+// prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends
+// alike; it may hurt when a product's work is by itself near its SLA time.
 func (d *Door) adjustRoom(t *txn, e Ending) {
 	if t == nil || t.outAt == nil || e != Settled && e != Full && e != TimedOut {
 		return
@@ -751,7 +751,8 @@
 func (d *Door) anyOf(ranked []*backend, t *txn) *backend {
 	var best *backend
 	for _, b := range ranked {
-		if d.allowed(b, t) && float64(b.out+1) <= max(1, d.room) && (best == nil || b.fails+float64(b.out) < best.fails+float64(best.out)) {
+		if d.allowed(b, t) && float64(b.out+1) <= max(1, d.room) &&
+			(best == nil || b.fails+float64(b.out) < best.fails+float64(best.out)) {
 			best = b
 		}
 	}
