--- a/control/control.go
+++ b/control/control.go
@@ -125,7 +125,7 @@
 			t.ranHall, t.ranPod = b.Hall, b.Pod
 		}
 	}
-	d.recheck = true
+	d.recheck, d.noRoom = true, false
 	if over || t.ended {
 		d.forget(t)
 		return
@@ -426,7 +426,10 @@
 			return
 		}
 	}
-	b := d.pick(t)
+	var b *backend
+	if !d.noRoom || t.mayHaveRun {
+		b = d.pick(t)
+	}
 	if b == nil {
 		d.pressed = d.now
 		d.hold(t, t.arrived+time.Duration(backWait*float64(d.products[t.Product].slaTime)))
@@ -644,8 +647,32 @@
 }
 
 // load is what a backend holds, counted in usual txns of a warm backend.
-func (d *Door) load(b *backend, median float64) float64 {
-	return (float64(b.out) + b.others) * max(b.slow/median, 0.5) / d.warmth(b)
+func (d *Door) load(b *backend) float64 {
+	return (float64(b.out) + b.others) * max(b.slow/d.median, 0.5) / b.warm
+}
+
+// survey brings up to now what every choice goes by, once for all choices of an instant.
+func (d *Door) survey() {
+	if d.surveyed == d.now && len(d.open) > 0 {
+		return
+	}
+	d.surveyed, d.open = d.now, d.open[:0]
+	rate, n, slow := 0.0, 0.0, d.slows[:0]
+	for _, b := range d.list {
+		if b.State != Ready {
+			continue
+		}
+		b.warm = d.warmth(b)
+		d.open = append(d.open, b)
+		if !b.aside {
+			slow = append(slow, b.slow)
+			if b.warm >= 1 {
+				rate, n = rate+d.rateOf(b), n+1
+			}
+		}
+	}
+	// The median answer time against the usual: when all are slow alike, none is at fault.
+	d.slows, d.median, d.warmRate = slow, max(middle(slow), 0.1), rate/max(n, 1)
 }
 
 // silent tells that a backend owes answers for longer than such txns take.
@@ -665,24 +692,14 @@
 			return false
 		}
 	}
-	return d.warmth(b) >= 1 || d.coldTokens(b) >= 1
+	return b.warm >= 1 || d.coldTokens(b) >= 1
 }
 
 // coldTokens is the budget of sends to a cold backend: in each fall window, this gateway's own send rate to a
 // warm backend times the cold one's capacity share. All gateways doing so stay under what a warm one bears.
 func (d *Door) coldTokens(b *backend) float64 {
-	rate, n := 0.0, 0.0
-	for _, w := range d.list {
-		if w.State == Ready && d.warmth(w) >= 1 && !w.aside {
-			rate += d.rateOf(w)
-			n++
-		}
-	}
-	if n > 0 {
-		rate /= n
-	}
 	floor := coldUse / float64(d.gateways) / d.slowest()
-	rate = d.warmth(b) * max(rate, floor) * d.fallTimes * coldUse
+	rate := b.warm * max(d.warmRate, floor) * d.fallTimes * coldUse
 	b.cold = min(max(1, rate*d.fallWindow.Seconds()/2), b.cold+rate*(d.now-b.coldAt).Seconds())
 	b.coldAt = d.now
 	return b.cold
@@ -704,53 +721,60 @@
 
 // pick takes the first backend in the customer's ranking that does not have enough: its own hall first.
 func (d *Door) pick(t *txn) *backend {
-	median := d.median()
-	var can []*backend
-	ranked := rank(t.Customer, d.list)
+	d.survey()
+	can := d.can[:0]
 	mean, out, roomAll, some := 0.0, 0.0, 0.0, false
-	for _, b := range ranked {
+	for _, b := range d.open {
 		if b.aside || b == t.last || b.fullUntil > d.now || d.silent(b, t) || !d.allowed(b, t) {
 			continue
 		}
-		w := d.warmth(b) * d.rampShare(b)
-		room := d.room * w * min(1, median/max(b.slow, 0.1))
+		w := b.warm * d.rampShare(b)
+		room := d.room * w * min(1, d.median/max(b.slow, 0.1))
 		out, roomAll, some = out+float64(b.out), roomAll+room, true
-		if w < 1 && d.rng.Float64() > w {
-			continue // a fresh one is passed over by chance
-		}
-		if float64(b.out+1) > max(1, 1.5*room) {
-			continue
+		if w < 1 && d.rng.Float64() > w || float64(b.out+1) > max(1, 1.5*room) {
+			continue // a fresh one is passed over by chance; a full one has enough
 		}
 		can = append(can, b)
-		mean += d.load(b, median)
+		mean += d.load(b)
 	}
+	d.can = can
 	if !some {
-		return d.anyOf(ranked, t)
+		return d.anyOf(t)
 	}
 	if len(can) == 0 || out+1 > max(1, roomAll) {
+		d.noRoom = d.noRoom || !t.mayHaveRun
 		return nil // all have enough
 	}
 	enough := crowd*mean/float64(len(can)) + 1
-	for _, own := range []bool{true, false} {
-		for _, b := range can {
-			if (!own || b.Hall == d.hall) && d.load(b, median)+1 <= enough {
-				return b
-			}
-		}
-	}
-	best := can[0]
+	var own, any, least *backend
+	var ownHash, anyHash uint64
 	for _, b := range can {
-		if d.load(b, median) < d.load(best, median) {
-			best = b
+		if least == nil || d.load(b) < d.load(least) {
+			least = b
+		}
+		if d.load(b)+1 > enough {
+			continue
+		}
+		h := mix(uint64(t.Customer)*0x9e3779b97f4a7c15 ^ b.hash)
+		if b.Hall == d.hall && h >= ownHash {
+			own, ownHash = b, h
+		}
+		if h >= anyHash {
+			any, anyHash = b, h
 		}
 	}
-	return best
+	if own != nil {
+		return own
+	}
+	if any != nil {
+		return any
+	}
+	return least
 }
 
-// anyOf: when none is good, the least loaded that the rules allow.
-func (d *Door) anyOf(ranked []*backend, t *txn) *backend {
-	var best *backend
-	for _, b := range ranked {
+// anyOf: when none is good, the least failing and loaded that the rules allow.
+func (d *Door) anyOf(t *txn) (best *backend) {
+	for _, b := range d.open {
 		if d.allowed(b, t) && float64(b.out+1) <= max(1, d.room) &&
 			(best == nil || b.fails+float64(b.out) < best.fails+float64(best.out)) {
 			best = b
@@ -766,17 +790,6 @@
 	return 0.2 + 0.8*float64(d.now-b.rampFrom)/float64(ramp)
 }
 
-// median answer time of the backends against the usual: when all are slow alike, none is at fault.
-func (d *Door) median() float64 {
-	var s []float64
-	for _, b := range d.list {
-		if b.State == Ready && !b.aside {
-			s = append(s, b.slow)
-		}
-	}
-	return max(middle(s), 0.1)
-}
-
 // submit is the one gate that every send passes; every rule is asked again here.
 func (d *Door) submit(t *txn, a *account, b *backend) {
 	if t.ended || t.outAt != nil || t.nr >= d.submissions || d.now >= t.Expiry-2*ms || !d.allowed(b, t) {
@@ -789,7 +802,7 @@
 	} else {
 		d.retries--
 	}
-	if d.warmth(b) < 1 {
+	if b.warm < 1 {
 		b.cold--
 	}
 	b.sentRate, b.sentAt = d.rateOf(b)+1.0/3, d.now
@@ -835,8 +848,9 @@
 
 // sweep looks after backends and drops what is idle.
 func (d *Door) sweep() {
-	d.recheck = true
-	median, ready, aside := d.median(), 0, 0
+	d.recheck, d.noRoom = true, false
+	d.survey()
+	ready, aside := 0, 0
 	for _, b := range d.list {
 		if b.State == Ready {
 			ready++
@@ -854,7 +868,7 @@
 				aside--
 			}
 		} else if float64(aside+1) <= asideMost*float64(ready) && (b.seen >= 2 && b.fails > failShare ||
-			b.slow > slowAside*median || b.owed >= 3 && d.now-b.oweSince > time.Second) {
+			b.slow > slowAside*d.median || b.owed >= 3 && d.now-b.oweSince > time.Second) {
 			b.aside, b.probes = true, 0
 			b.backoff = min(max(asideFirst, 2*b.backoff), asideLast)
 			b.nextProbe = d.now + b.backoff
--- a/control/state.go
+++ b/control/state.go
@@ -16,17 +16,17 @@
 	for _, l := range list {
 		b := d.backends[l.ID]
 		if b == nil {
-			b = &backend{Listing: l, slow: 1, coldAt: d.now}
+			b = &backend{Listing: l, hash: mix(uint64(l.ID)), slow: 1, coldAt: d.now}
 			d.backends[l.ID] = b
 			d.list = append(d.list, b)
 			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
 		}
 		if l.Started > b.Started { // a new process: what was known of the old one is void
-			*b = backend{Listing: l, slow: 1, coldAt: d.now, out: b.out}
+			*b = backend{Listing: l, hash: b.hash, slow: 1, coldAt: d.now, out: b.out}
 		}
 		b.Listing = l
 	}
-	d.recheck = true
+	d.recheck, d.noRoom, d.open = true, false, d.open[:0]
 }
 
 // ClientLeft: nobody waits for this txn any more.
--- a/control/types.go
+++ b/control/types.go
@@ -186,6 +186,8 @@
 // backend is what is known of one.
 type backend struct {
 	Listing
+	hash      uint64  // for rankings
+	warm      float64 // share of its capacity that it surely has
 	out       int
 	others    float64 // what other gateways keep there, by reports
 	slow      float64 // answer time against the usual, smoothed
@@ -324,6 +326,13 @@
 	pressed  time.Duration // when room last ran out
 	version  uint64
 	strange  int
+	surveyed time.Duration
+	open     []*backend // ready ones
+	can      []*backend
+	slows    []float64
+	median   float64
+	warmRate float64 // sends a second to a warm backend
+	noRoom   bool
 }
 
 // verdict is what the quota says of a txn.
@@ -343,26 +352,6 @@
 	return x ^ x>>31
 }
 
-// rank is the customer's fixed order of the ready backends.
-func rank(c CustomerID, list []*backend) []*backend {
-	type ranked struct {
-		h uint64
-		b *backend
-	}
-	r := make([]ranked, 0, len(list))
-	for _, b := range list {
-		if b.State == Ready {
-			r = append(r, ranked{mix(uint64(c)*0x9e3779b97f4a7c15 ^ mix(uint64(b.ID))), b})
-		}
-	}
-	sort.Slice(r, func(i, j int) bool { return r[i].h > r[j].h })
-	out := make([]*backend, len(r))
-	for i := range r {
-		out[i] = r[i].b
-	}
-	return out
-}
-
 // ownerOf is the gateway of the set with the highest hash for the customer: the same at every gateway.
 func ownerOf(c CustomerID, first GatewayID, width, gateways int) (owner GatewayID) {
 	best := uint64(0)
