--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 package control
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"time"
@@ -44,6 +45,7 @@
 	goodProbes  = 2
 	ramp        = 4 * time.Second // after its return a backend is passed over by chance
 	coldUse     = 0.5             // of the cold budget
+	noteEvery   = 5 * time.Second
 	probeEvery  = 1 * time.Second // where only probes report load
 	roomFirst   = 3.0             // submissions out at a usual backend, to begin with
 	roomLeast   = 0.3
@@ -406,6 +408,7 @@
 	}
 	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1 || d.isPressed() && t.mayHaveRun) ||
 		d.now+min(d.usual(t), d.products[t.Product].slaTime/4)/2 >= t.slaAt {
+		t.why = lackTime
 		d.end(t, d.adviceMost)
 		return
 	}
@@ -426,6 +429,7 @@
 			return
 		}
 	}
+	t.why = lackBackend
 	var b *backend
 	if !d.noRoom || t.mayHaveRun {
 		b = d.pick(t)
@@ -467,6 +471,7 @@
 		return
 	}
 	t.ended = true
+	d.gaveUp[t.why]++
 	safe := !t.mayHaveRun && t.outAt == nil
 	if int(t.Product) < len(d.products) {
 		p := d.products[t.Product]
@@ -554,12 +559,14 @@
 	sla := d.products[t.Product].slaTime
 	last := t.arrived + time.Duration(unitWait*float64(sla))
 	if ok, until := d.underCeiling(a, t); !ok {
+		t.why = lackCeiling
 		if until < last {
 			return wait, last
 		}
 		return beyond, until - d.now
 	}
 	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
+		t.why = lackSlot
 		if d.now < last {
 			return wait, last
 		}
@@ -573,6 +580,7 @@
 		if a.level >= t.Units {
 			return pass, 0
 		}
+		t.why = lackUnits
 		due := time.Duration((t.Units - a.level) / a.plan.rate * float64(time.Second))
 		if d.now+due < last {
 			return wait, last
@@ -584,6 +592,7 @@
 
 // byView decides for a customer that another gateway owns.
 func (d *Door) byView(a *account, t *txn) (verdict, time.Duration) {
+	t.why = lackView
 	share := a.share(t.Units)
 	pending := a.unacked + a.unsent
 	fresh := a.known && d.now-a.levelAt < viewLife
@@ -879,6 +888,13 @@
 			d.ready = append(d.ready, Decision{Verb: Probe, Backend: b.ID})
 		}
 	}
+	if d.now-d.noted >= noteEvery {
+		d.noted = d.now
+		d.ready = append(d.ready, Decision{Verb: Note, Text: fmt.Sprintf("given up for want of%s; room %.1f, "+
+			"%d of %d backends aside, %d txns wait, %d bad messages", d.gaveUp.text(), d.room, aside, ready,
+			len(d.line), d.badMail)})
+		d.gaveUp = tally{}
+	}
 	if d.now-d.tick < time.Second {
 		return
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -172,6 +172,7 @@
 	drawn          bool // units taken
 	over           bool // let in beyond the quota
 	ended          bool
+	why            lack // what it last lacked
 	called         bool // recalled after its end
 	nr             int  // submissions so far
 	outAt          *backend
@@ -326,6 +327,8 @@
 	pressed  time.Duration // when room last ran out
 	version  uint64
 	strange  int
+	gaveUp   tally
+	noted    time.Duration
 	surveyed time.Duration
 	open     []*backend // ready ones
 	can      []*backend
@@ -387,3 +390,26 @@
 	sort.Float64s(s)
 	return s[len(s)/2]
 }
+
+// lack is what a txn had too little of, for the log.
+type lack int
+
+const (
+	lackTime lack = iota
+	lackUnits
+	lackView
+	lackSlot
+	lackCeiling
+	lackBackend
+	lacks
+)
+
+// tally counts txns given up by what they lacked.
+type tally [lacks]int
+
+func (n tally) text() (s string) {
+	for i, name := range []string{"time", "units", "a view", "slots", "ceiling", "backends"} {
+		s += fmt.Sprintf(" %s %d", name, n[i])
+	}
+	return s
+}
