--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	lateMost    = 0.9
 	roomUp      = 0.002 // share that a prompt answer adds
 	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
+	useLeast    = 0.6   // share of the room in use that makes late answers count
 	pressFor    = 300 * ms
 	backWait    = 0.35    // of the SLA time: longest wait for a backend
 	travel      = 40 * ms // margin for the way to a backend
@@ -173,89 +174,6 @@
 	}
 }
 
-// newLife notes that a peer has started again; a message of a life that is over is refused.
-// What was reported to the old life is dropped: the new bucket starts empty, which stands for all use before.
-func (d *Door) newLife(p *peer, epoch uint32) bool {
-	if p.over(epoch) {
-		return false
-	}
-	if p.epoch != 0 {
-		for _, f := range p.flight {
-			for _, l := range f.lines {
-				if a := d.accounts[l.customer]; a != nil {
-					a.unacked -= l.units
-				}
-			}
-		}
-		p.flight = nil
-		for _, a := range d.order {
-			if a.owner == p.id {
-				a.known, a.asked = false, 0
-			}
-		}
-	}
-	p.begin(epoch)
-	return true
-}
-
-// takeDelta applies a delta once and marks its accounts for an answer.
-func (d *Door) takeDelta(p *peer, m *message) {
-	fresh := p.first(m.seq)
-	p.ackDue = true
-	for _, l := range m.deltas {
-		if int(l.plan) >= len(d.plans) {
-			d.badMail++
-			continue
-		}
-		a := d.account(l.customer, l.plan)
-		if a.owner != d.me && a.inSet {
-			continue
-		}
-		a.owner = d.me
-		d.refill(a)
-		r := a.reports[p.id]
-		if r == nil {
-			r = &report{}
-			a.reports[p.id] = r
-		}
-		if r.at = d.now; m.seq == p.high {
-			r.out = l.out
-		}
-		if fresh {
-			d.draw(a, l.units)
-		}
-		p.owe(a.id)
-	}
-	d.recheck = true
-}
-
-// takeSnapshot settles acknowledged deltas, then takes the owner's figures if they are not older than held.
-func (d *Door) takeSnapshot(p *peer, m *message) {
-	kept := p.flight[:0]
-	for _, f := range p.flight {
-		if !m.acknowledges(f.seq) {
-			kept = append(kept, f)
-			continue
-		}
-		for _, l := range f.lines {
-			if a := d.accounts[l.customer]; a != nil {
-				a.unacked -= l.units
-				a.level -= l.units
-			}
-		}
-	}
-	p.flight = kept
-	for _, l := range m.snaps {
-		a := d.accounts[l.customer]
-		if a == nil || a.owner != p.id || m.version < a.version && a.known {
-			continue
-		}
-		a.level, a.levelAt, a.known, a.version = l.left, d.now, true, m.version
-		a.sharers, a.outElse, a.asked = max(l.sharers, 1), l.outElse, 0
-	}
-	d.recheck = true
-}
-
 // learn updates what is known of a backend by an outcome.
 func (d *Door) learn(t *txn, b *backend, e Ending, took time.Duration, load []float64) {
 	answered := e == Settled || e == Errored || e == Full
@@ -315,7 +233,9 @@
 		}
 		return
 	}
-	d.room = max(roomLeast, d.room*(1-roomDown))
+	if d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
+		d.room = max(roomLeast, d.room*(1-roomDown))
+	}
 }
 
 func (d *Door) isPressed() bool { return d.now-d.pressed < pressFor }
@@ -747,6 +667,7 @@
 		mean += d.load(b)
 	}
 	d.can = can
+	d.use = out / max(roomAll, 1)
 	if !some {
 		return d.anyOf(t)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -110,3 +110,86 @@
 		room -= snapRoom
 	}
 }
+
+// newLife notes that a peer has started again; a message of a life that is over is refused.
+// What was reported to the old life is dropped: the new bucket starts empty, which stands for all use before.
+func (d *Door) newLife(p *peer, epoch uint32) bool {
+	if p.over(epoch) {
+		return false
+	}
+	if p.epoch != 0 {
+		for _, f := range p.flight {
+			for _, l := range f.lines {
+				if a := d.accounts[l.customer]; a != nil {
+					a.unacked -= l.units
+				}
+			}
+		}
+		p.flight = nil
+		for _, a := range d.order {
+			if a.owner == p.id {
+				a.known, a.asked = false, 0
+			}
+		}
+	}
+	p.begin(epoch)
+	return true
+}
+
+// takeDelta applies a delta once and marks its accounts for an answer.
+func (d *Door) takeDelta(p *peer, m *message) {
+	fresh := p.first(m.seq)
+	p.ackDue = true
+	for _, l := range m.deltas {
+		if int(l.plan) >= len(d.plans) {
+			d.badMail++
+			continue
+		}
+		a := d.account(l.customer, l.plan)
+		if a.owner != d.me && a.inSet {
+			continue
+		}
+		a.owner = d.me
+		d.refill(a)
+		r := a.reports[p.id]
+		if r == nil {
+			r = &report{}
+			a.reports[p.id] = r
+		}
+		if r.at = d.now; m.seq == p.high {
+			r.out = l.out
+		}
+		if fresh {
+			d.draw(a, l.units)
+		}
+		p.owe(a.id)
+	}
+	d.recheck = true
+}
+
+// takeSnapshot settles acknowledged deltas, then takes the owner's figures if they are not older than held.
+func (d *Door) takeSnapshot(p *peer, m *message) {
+	kept := p.flight[:0]
+	for _, f := range p.flight {
+		if !m.acknowledges(f.seq) {
+			kept = append(kept, f)
+			continue
+		}
+		for _, l := range f.lines {
+			if a := d.accounts[l.customer]; a != nil {
+				a.unacked -= l.units
+				a.level -= l.units
+			}
+		}
+	}
+	p.flight = kept
+	for _, l := range m.snaps {
+		a := d.accounts[l.customer]
+		if a == nil || a.owner != p.id || m.version < a.version && a.known {
+			continue
+		}
+		a.level, a.levelAt, a.known, a.version = l.left, d.now, true, m.version
+		a.sharers, a.outElse, a.asked = max(l.sharers, 1), l.outElse, 0
+	}
+	d.recheck = true
+}
--- a/control/types.go
+++ b/control/types.go
@@ -336,6 +336,7 @@
 	median   float64
 	warmRate float64 // sends a second to a warm backend
 	noRoom   bool
+	use      float64 // share of the room in use
 }
 
 // verdict is what the quota says of a txn.
