--- a/control/control.go
+++ b/control/control.go
@@ -487,6 +487,9 @@
 	}
 	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
 		t.why = lackSlot
+		if a.owner != d.me && d.now-a.levelAt > 2*d.pack {
+			d.ask(a) // what others had out is long ended, but nobody tells a gateway that keeps still
+		}
 		if d.now < last {
 			return wait, last
 		}
