--- a/control/control.go
+++ b/control/control.go
@@ -56,7 +56,11 @@
 	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
 	useLeast    = 0.6   // share of the room in use that makes late answers count
 	pressFor    = 300 * ms
-	backWait    = 0.35    // of the SLA time: longest wait for a backend
+	backWait    = 0.35 // of the SLA time: longest wait for a backend
+	partKeep    = 0.5  // share of its part of a ceiling that a gateway keeps, the rest goes to the owner
+	partIdle    = 0.8  // a part fuller than this share is idle
+	partAsk     = 0.25
+	partGive    = 0.8
 	travel      = 40 * ms // margin for the way to a backend
 )
 
@@ -558,13 +562,52 @@
 	if !a.listened {
 		return false, d.now + time.Second
 	}
-	w := float64(a.width)
-	a.part = min(a.plan.ceilBurst/w, a.part+a.plan.ceilRate/w*(d.now-a.partAt).Seconds())
-	a.partAt = d.now
-	if a.part >= t.Units {
+	if d.partNow(a) >= t.Units {
 		return true, 0
 	}
-	return false, d.now + time.Duration((t.Units-a.part)*w/a.plan.ceilRate*float64(time.Second))
+	if a.owner != d.me && d.now-a.levelAt > 2*d.pack {
+		a.want = max(t.Units, partAsk*a.partCap())
+		d.ask(a)
+		return false, d.now
+	}
+	need := (t.Units - a.part) * float64(a.width) / a.plan.ceilRate
+	return false, d.now + time.Duration(need*float64(time.Second))
+}
+
+// partNow brings this gateway's part of a ceiling up to now.
+func (d *Door) partNow(a *account) float64 {
+	fill := a.plan.ceilRate / float64(a.width) * (d.now - a.partAt).Seconds()
+	a.part, a.partAt = min(a.partCap(), a.part+fill), d.now
+	return a.part
+}
+
+// move takes off what leaves this part in a message: a lost message merely loses it, and each is applied at
+// most once, in the life it was meant for. A gift goes to the owner, a want (below nought) asks it for some.
+func (d *Door) move(a *account) float64 {
+	if a.plan.ceilRate <= 0 || !a.listened {
+		return 0
+	}
+	if want := a.want; want > 0 {
+		a.want = 0
+		return -want
+	}
+	gift := math.Floor(16*(d.partNow(a)-max(partKeep*a.partCap(), 2*d.mostUnits))) / 16
+	if gift < 1 {
+		return 0
+	}
+	a.part -= gift
+	return gift
+}
+
+// grant gives from the owner's part what a gateway asked for.
+func (d *Door) grant(a *account, r *report) float64 {
+	if r == nil || r.want <= 0 || !a.listened {
+		return 0
+	}
+	g := math.Floor(16*min(r.want, partGive*d.partNow(a))) / 16
+	r.want = 0
+	a.part -= g
+	return g
 }
 
 // ---- Choice of backend
@@ -831,6 +874,9 @@
 			continue
 		}
 		kept = append(kept, a)
+		if a.plan.ceilRate > 0 && a.listened && d.partNow(a) > partIdle*a.partCap() {
+			d.mark(a) // an idle part goes to the owner, who gives it to those that ask
+		}
 	}
 	d.order = kept
 }
@@ -895,7 +941,7 @@
 		a := p.dirty[0]
 		p.dirty = p.dirty[1:]
 		a.dirty = false
-		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out})
+		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out, d.move(a)})
 		a.unacked += a.unsent
 		a.unsent = 0
 		*room -= deltaRoom
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -214,11 +214,11 @@
 	s.at(5120)
 	fmt.Println("# a message of the peer's old life is refused after its new one is known")
 	c := ownedBy(0)
-	s.hear(1, &message{epoch: 7, seq: 5, deltas: []deltaLine{{c, 0, 0, 0}}})
+	s.hear(1, &message{epoch: 7, seq: 5, deltas: []deltaLine{{c, 0, 0, 0, 0}}})
 	s.at(5200)
-	s.hear(1, &message{epoch: 8, seq: 1, deltas: []deltaLine{{c, 0, 0, 0}}})
+	s.hear(1, &message{epoch: 8, seq: 1, deltas: []deltaLine{{c, 0, 0, 0, 0}}})
 	s.at(5300)
-	s.hear(1, &message{epoch: 7, seq: 6, deltas: []deltaLine{{c, 0, 9, 0}}})
+	s.hear(1, &message{epoch: 7, seq: 6, deltas: []deltaLine{{c, 0, 9, 0, 0}}})
 	s.at(5400)
 	// Output:
 	// # an owner's bucket starts empty and refills at the rate: a txn waits for its unit
@@ -232,8 +232,8 @@
 	s := newScene(settings(0), 0)
 	s.at(10000)
 	c := ownedBy(0)
-	first := &message{epoch: 7, seq: 1, deltas: []deltaLine{{c, 0, 3, 0}}}
-	second := &message{epoch: 7, seq: 2, deltas: []deltaLine{{c, 0, 5, 0}}}
+	first := &message{epoch: 7, seq: 1, deltas: []deltaLine{{c, 0, 3, 0, 0}}}
+	second := &message{epoch: 7, seq: 2, deltas: []deltaLine{{c, 0, 5, 0, 0}}}
 	fmt.Println("# out of order and twice, each applied once")
 	s.hear(1, second)
 	s.d.lastWork = 20 * time.Second // no refill of the trace by periodic work
@@ -268,7 +268,7 @@
 	fmt.Println("# the snapshot acknowledges all of it: two units are left")
 	snap := func(version uint64, left float64) *message {
 		return &message{epoch: 9, version: version, ackEpoch: s.d.epoch, ackHigh: 2, ackMask: 3,
-			snaps: []snapLine{{c, left, 1, 0}}}
+			snaps: []snapLine{{c, left, 1, 0, 0}}}
 	}
 	s.hear(1, snap(5, 2))
 	s.txn(11, c, 0, 0)
--- a/control/peer.go
+++ b/control/peer.go
@@ -17,6 +17,7 @@
 	plan     PlanID
 	units    float64
 	out      int
+	part     float64 // of the ceiling: given, or below nought asked for
 }
 
 type snapLine struct {
@@ -24,6 +25,7 @@
 	left     float64
 	sharers  int
 	outElse  int
+	grant    float64 // of the ceiling
 }
 
 type message struct {
@@ -39,8 +41,8 @@
 
 const (
 	headRoom  = 1 + 4 + 10 + 1 + 10 + 4 + 10 + 10 + 1
-	deltaRoom = 5 + 2 + 3 + 2
-	snapRoom  = 5 + 3 + 1 + 2
+	deltaRoom = 5 + 2 + 3 + 2 + 3
+	snapRoom  = 5 + 3 + 1 + 2 + 3
 )
 
 func sixteenths(units float64) uint64 {
@@ -61,6 +63,7 @@
 		b = binary.AppendUvarint(b, uint64(l.plan))
 		b = binary.AppendUvarint(b, sixteenths(l.units))
 		b = binary.AppendUvarint(b, uint64(l.out))
+		b = binary.AppendVarint(b, int64(max(min(l.part*16, 1<<20), -1<<20)))
 	}
 	b = binary.AppendUvarint(b, m.version)
 	b = binary.LittleEndian.AppendUint32(b, m.ackEpoch)
@@ -72,6 +75,7 @@
 		b = binary.AppendUvarint(b, sixteenths(l.left))
 		b = append(b, byte(l.sharers))
 		b = binary.AppendUvarint(b, uint64(l.outElse))
+		b = binary.AppendUvarint(b, sixteenths(l.grant))
 	}
 	return b
 }
@@ -91,6 +95,17 @@
 	return v
 }
 
+// signed reads sixteenths that may be below nought.
+func (r *reader) signed() float64 {
+	v, n := binary.Varint(r.b)
+	if n <= 0 || v > 1<<20 || v < -1<<20 {
+		r.bad = true
+		return 0
+	}
+	r.b = r.b[n:]
+	return float64(v) / 16
+}
+
 func (r *reader) fixed() uint32 {
 	if len(r.b) < 4 {
 		r.bad = true
@@ -119,12 +134,12 @@
 	m := &message{epoch: r.fixed(), seq: r.varint()}
 	for n := r.octet(); n > 0 && !r.bad; n-- {
 		m.deltas = append(m.deltas, deltaLine{CustomerID(r.varint()), PlanID(r.varint() & 0xffff),
-			float64(r.varint()&0xffffff) / 16, int(r.varint() & 0xffff)})
+			float64(r.varint()&0xffffff) / 16, int(r.varint() & 0xffff), r.signed()})
 	}
 	m.version, m.ackEpoch, m.ackHigh, m.ackMask = r.varint(), r.fixed(), r.varint(), r.varint()
 	for n := r.octet(); n > 0 && !r.bad; n-- {
 		m.snaps = append(m.snaps, snapLine{CustomerID(r.varint()), float64(r.varint()&0xffffff) / 16,
-			r.octet(), int(r.varint() & 0xffff)})
+			r.octet(), int(r.varint() & 0xffff), float64(r.varint()&0xffffff) / 16})
 	}
 	if r.bad || len(r.b) != 0 {
 		return nil, errors.New("cut short or too long")
--- a/control/state.go
+++ b/control/state.go
@@ -106,7 +106,7 @@
 		}
 		d.refill(a)
 		sharers, out := d.reporters(a, p)
-		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers + 1, out + a.out})
+		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers + 1, out + a.out, d.grant(a, a.reports[p.id])})
 		room -= snapRoom
 	}
 }
@@ -162,6 +162,10 @@
 		if fresh {
 			d.draw(a, l.units)
 		}
+		if fresh && m.ackEpoch == d.epoch && a.inSet && a.plan.ceilRate > 0 {
+			a.part = min(a.partCap(), d.partNow(a)+max(l.part, 0))
+			r.want = max(-l.part, 0)
+		}
 		p.owe(a.id)
 	}
 	d.recheck = true
@@ -183,8 +187,13 @@
 		}
 	}
 	p.flight = kept
+	once := m.version > p.granted
+	p.granted = max(p.granted, m.version)
 	for _, l := range m.snaps {
 		a := d.accounts[l.customer]
+		if once && a != nil && a.owner == p.id && a.plan.ceilRate > 0 && a.listened {
+			a.part = min(a.partCap(), d.partNow(a)+l.grant)
+		}
 		if a == nil || a.owner != p.id || m.version < a.version && a.known {
 			continue
 		}
--- a/control/types.go
+++ b/control/types.go
@@ -235,13 +235,18 @@
 	part     float64 // ceiling's part left
 	partAt   time.Duration
 	listened bool
+	want     float64 // of the ceiling, to ask the owner for
 }
 
 type report struct {
-	at  time.Duration
-	out int
+	at   time.Duration
+	out  int
+	want float64 // of the ceiling
 }
 
+// partCap is what a gateway's part of the ceiling holds at most.
+func (a *account) partCap() float64 { return a.plan.ceilBurst / float64(max(a.width, 1)) }
+
 // peer is another gateway.
 type peer struct {
 	id       GatewayID
@@ -256,6 +261,7 @@
 	answer   map[CustomerID]bool
 	ackDue   bool
 	lastSent time.Duration
+	granted  uint64 // version of the last message whose grants were taken
 }
 
 // parcel is a delta message that waits for its acknowledgement.
