--- a/control/control.go
+++ b/control/control.go
@@ -23,9 +23,11 @@
 	leastPack   = 15 * ms   // packing delay at the least
 	viewLife    = 1000 * ms // a snapshot older than this is stale
 	resendAfter = 150 * ms  // an unacknowledged delta goes again
+	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	reporterFor = 2 * time.Second
 	idleAfter   = 10 * time.Second
-	askWait     = 150 * ms // longest wait for a snapshot
+	askWait     = 100 * ms // and two packing delays: longest wait for a snapshot
+	viewWait    = 0.4      // of the SLA time at most
 	unitWait    = 0.3      // of the SLA time: longest wait for units or an open slot
 	smooth      = 0.1      // weight of a new sample
 	crowd       = 1.25     // a backend with this times the mean load, and one more, has enough
@@ -167,6 +169,7 @@
 		return
 	}
 	p := d.peers[from]
+	p.heard = d.now
 	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
 		return
 	}
@@ -529,22 +532,28 @@
 	if !fresh {
 		d.ask(a)
 		// While the owner is silent the allowance grows at this gateway's part of the rate.
-		if a.asked > 0 && d.now-a.asked > askWait {
+		if a.asked > 0 && d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn() {
 			share += a.plan.rate / float64(max(a.width, 1)) * (d.now - a.asked).Seconds()
 		}
 		if pending+t.Units <= share {
 			return pass, 0
 		}
 	}
-	if !fresh || d.now-a.levelAt > 2*d.pack || pending+t.Units > share {
-		if d.now < t.arrived+askWait {
+	age := d.now - a.levelAt
+	mayBe := a.level + a.plan.rate*age.Seconds() - pending // if no other spent since
+	if !fresh || age > 2*d.pack && mayBe >= t.Units || pending+t.Units > share {
+		until := t.arrived + min(d.answerIn(), time.Duration(viewWait*float64(d.products[t.Product].slaTime)))
+		if d.now < until {
 			d.ask(a)
-			return wait, t.arrived + askWait
+			return wait, until
 		}
 	}
 	return beyond, time.Duration((t.Units - max(0, a.level-pending)) / a.plan.rate * float64(time.Second))
 }
 
+// answerIn is the time within which a peer that is well answers.
+func (d *Door) answerIn() time.Duration { return askWait + 2*d.pack }
+
 // ask makes the account part of the next delta, with nought if need be.
 func (d *Door) ask(a *account) {
 	if a.asked == 0 {
@@ -911,20 +920,18 @@
 			continue
 		}
 		m := &message{epoch: d.epoch, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
-		room := messageRoom - headRoom
 		if len(p.flight) > 0 && d.now-p.flight[0].at > resendAfter { // again under its sequence
 			f := p.flight[0]
 			f.at = d.now
 			p.flight = append(p.flight[1:], f)
 			m.seq, m.deltas = f.seq, f.lines
-			room -= len(f.lines) * deltaRoom
 		} else if len(p.dirty) > 0 {
-			d.packDeltas(p, m, &room)
+			d.packDeltas(p, m)
 		}
 		if m.seq == 0 && !p.ackDue {
 			continue
 		}
-		d.packAnswers(p, m, room)
+		d.packAnswers(p, m)
 		p.ackDue = len(p.answers) > 0
 		p.lastSent = d.now
 		d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
@@ -934,17 +941,17 @@
 }
 
 // packDeltas moves unreported use into a new parcel, oldest first, so that none starves.
-func (d *Door) packDeltas(p *peer, m *message, room *int) {
+func (d *Door) packDeltas(p *peer, m *message) {
 	p.seq++
 	m.seq = p.seq
-	for len(p.dirty) > 0 && *room >= deltaRoom {
+	for room := m.room() * deltaPart / 8; len(p.dirty) > 0 && room >= deltaMost; {
 		a := p.dirty[0]
 		p.dirty = p.dirty[1:]
 		a.dirty = false
 		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out, d.move(a)})
 		a.unacked += a.unsent
 		a.unsent = 0
-		*room -= deltaRoom
+		room -= len(m.deltas[len(m.deltas)-1].append(nil))
 	}
 	p.flight = append(p.flight, &parcel{m.seq, d.now, m.deltas})
 }
--- a/control/peer.go
+++ b/control/peer.go
@@ -39,12 +39,6 @@
 	snaps    []snapLine
 }
 
-const (
-	headRoom  = 1 + 4 + 10 + 1 + 10 + 4 + 10 + 10 + 1
-	deltaRoom = 5 + 2 + 3 + 2 + 3
-	snapRoom  = 5 + 3 + 1 + 2 + 3
-)
-
 func sixteenths(units float64) uint64 {
 	if units <= 0 || math.IsNaN(units) {
 		return 0
@@ -52,6 +46,28 @@
 	return uint64(math.Min(units*16, 1<<20))
 }
 
+func (l deltaLine) append(b []byte) []byte {
+	b = binary.AppendUvarint(b, uint64(l.customer))
+	b = binary.AppendUvarint(b, uint64(l.plan))
+	b = binary.AppendUvarint(b, sixteenths(l.units))
+	b = binary.AppendUvarint(b, uint64(l.out))
+	return binary.AppendVarint(b, int64(max(min(l.part*16, 1<<20), -1<<20)))
+}
+
+func (l snapLine) append(b []byte) []byte {
+	b = binary.AppendUvarint(b, uint64(l.customer))
+	b = binary.AppendUvarint(b, sixteenths(l.left))
+	b = append(b, byte(l.sharers))
+	b = binary.AppendUvarint(b, uint64(l.outElse))
+	return binary.AppendUvarint(b, sixteenths(l.grant))
+}
+
+// longest lines: a line fits for sure while this much room is left.
+const deltaMost, snapMost = 5 + 3 + 4 + 3 + 4, 5 + 4 + 1 + 3 + 4
+
+// room is what is left of a message.
+func (m *message) room() int { return messageRoom - len(m.encode()) }
+
 func (m *message) encode() []byte {
 	b := make([]byte, 0, messageRoom)
 	b = append(b, 1)
@@ -59,23 +75,15 @@
 	b = binary.AppendUvarint(b, m.seq)
 	b = append(b, byte(len(m.deltas)))
 	for _, l := range m.deltas {
-		b = binary.AppendUvarint(b, uint64(l.customer))
-		b = binary.AppendUvarint(b, uint64(l.plan))
-		b = binary.AppendUvarint(b, sixteenths(l.units))
-		b = binary.AppendUvarint(b, uint64(l.out))
-		b = binary.AppendVarint(b, int64(max(min(l.part*16, 1<<20), -1<<20)))
+		b = l.append(b)
 	}
 	b = binary.AppendUvarint(b, m.version)
 	b = binary.LittleEndian.AppendUint32(b, m.ackEpoch)
 	b = binary.AppendUvarint(b, m.ackHigh)
-	b = binary.AppendUvarint(b, m.ackMask)
+	b = binary.LittleEndian.AppendUint32(b, uint32(m.ackMask))
 	b = append(b, byte(len(m.snaps)))
 	for _, l := range m.snaps {
-		b = binary.AppendUvarint(b, uint64(l.customer))
-		b = binary.AppendUvarint(b, sixteenths(l.left))
-		b = append(b, byte(l.sharers))
-		b = binary.AppendUvarint(b, uint64(l.outElse))
-		b = binary.AppendUvarint(b, sixteenths(l.grant))
+		b = l.append(b)
 	}
 	return b
 }
@@ -136,7 +144,7 @@
 		m.deltas = append(m.deltas, deltaLine{CustomerID(r.varint()), PlanID(r.varint() & 0xffff),
 			float64(r.varint()&0xffffff) / 16, int(r.varint() & 0xffff), r.signed()})
 	}
-	m.version, m.ackEpoch, m.ackHigh, m.ackMask = r.varint(), r.fixed(), r.varint(), r.varint()
+	m.version, m.ackEpoch, m.ackHigh, m.ackMask = r.varint(), r.fixed(), r.varint(), uint64(r.fixed())
 	for n := r.octet(); n > 0 && !r.bad; n-- {
 		m.snaps = append(m.snaps, snapLine{CustomerID(r.varint()), float64(r.varint()&0xffffff) / 16,
 			r.octet(), int(r.varint() & 0xffff), float64(r.varint()&0xffffff) / 16})
@@ -176,7 +184,7 @@
 
 // acknowledges tells whether the message says that the sequence was applied.
 func (m *message) acknowledges(seq uint64) bool {
-	return m.ackHigh >= seq && (m.ackHigh-seq >= 64 || m.ackMask>>(m.ackHigh-seq)&1 == 1)
+	return m.ackHigh >= seq && (m.ackHigh-seq >= 32 || m.ackMask>>(m.ackHigh-seq)&1 == 1)
 }
 
 // owe queues an account for the next snapshot to the peer.
--- a/control/state.go
+++ b/control/state.go
@@ -94,10 +94,10 @@
 	return a.outElse
 }
 
-func (d *Door) packAnswers(p *peer, m *message, room int) {
+func (d *Door) packAnswers(p *peer, m *message) {
 	d.version++
 	m.version = d.version
-	for len(p.answers) > 0 && room >= snapRoom {
+	for room := m.room(); len(p.answers) > 0 && room >= snapMost; {
 		a := d.accounts[p.answers[0]]
 		delete(p.answer, p.answers[0])
 		p.answers = p.answers[1:]
@@ -107,7 +107,7 @@
 		d.refill(a)
 		sharers, out := d.reporters(a, p)
 		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers + 1, out + a.out, d.grant(a, a.reports[p.id])})
-		room -= snapRoom
+		room -= len(m.snaps[len(m.snaps)-1].append(nil))
 	}
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -261,6 +261,7 @@
 	answer   map[CustomerID]bool
 	ackDue   bool
 	lastSent time.Duration
+	heard    time.Duration
 	granted  uint64 // version of the last message whose grants were taken
 }
 
