--- a/control/control.go
+++ b/control/control.go
@@ -40,7 +40,8 @@
 	slowAside   = 4.0 // times the fleet's median answer time sets a backend aside
 	silence     = 4.0 // times the usual answer time without any answer sets a backend aside
 	silenceMin  = 200 * ms
-	fullPause   = 150 * ms
+	fullPause   = 100 * ms // doubled each time in a row
+	fullMost    = 5
 	asideMost   = 0.5 // share of the backends that may be aside for being slow or failing
 	asideFirst  = 500 * ms
 	asideLast   = 8 * time.Second
@@ -216,8 +217,13 @@
 			bad = 0
 		}
 	case Full:
-		b.fullUntil = d.now + fullPause
+		// A full backend is left alone for twice as long each time in a row. It says nothing of the others:
+		// were it to take room from all, one that is always full would starve the fleet.
+		b.fullUntil = d.now + fullPause<<min(b.fulls, fullMost)
+		b.fulls++
 		return
+	case Settled:
+		b.fulls = 0
 	case CalledOff, NotSent:
 		return
 	}
@@ -225,11 +231,11 @@
 	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
 }
 
-// adjustRoom learns how much this gateway may have out: late answers and full backends take room away,
+// adjustRoom learns how much this gateway may have out: late answers take room away,
 // prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends
 // alike; it may hurt when a product's work is by itself near its SLA time.
 func (d *Door) adjustRoom(t *txn, e Ending) {
-	if t == nil || t.outAt == nil || e != Settled && e != Full && e != TimedOut {
+	if t == nil || t.outAt == nil || e != Settled && e != TimedOut {
 		return
 	}
 	sla := float64(d.products[t.Product].slaTime)
--- a/control/types.go
+++ b/control/types.go
@@ -197,6 +197,7 @@
 	oweSince  time.Duration
 	owed      int // sends since the last answer
 	fullUntil time.Duration
+	fulls     int // full answers in a row
 	aside     bool
 	probes    int // good probes in a row while aside
 	probing   bool
