--- a/control/control.go
+++ b/control/control.go
@@ -367,12 +367,13 @@
 	if !d.noRoom || t.mayHaveRun {
 		b = d.pick(t)
 	}
+	if t.Repeat && t.nr == 0 && (b == nil || d.isPressed()) {
+		// What room there is belongs to first tries: a repeat is late by now, or soon.
+		d.end(t, d.adviceMost)
+		return
+	}
 	if b == nil {
 		d.pressed = d.now
-		if t.Repeat { // what room there is belongs to first tries: a repeat is late by now, or soon
-			d.end(t, d.adviceMost)
-			return
-		}
 		d.hold(t, t.arrived+time.Duration(backWait*float64(d.products[t.Product].slaTime)))
 		return
 	}
