--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,7 @@
 	roomUp      = 0.002 // share that a prompt answer adds
 	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
 	useLeast    = 0.6   // share of the room in use that makes late answers count
+	oddSlow     = 1.7   // times the median: such a backend's lateness is its own
 	pressFor    = 300 * ms
 	backWait    = 0.35 // of the SLA time: longest wait for a backend
 	partKeep    = 0.5  // share of its part of a ceiling that a gateway keeps, the rest goes to the owner
@@ -192,7 +193,7 @@
 		}
 		d.readLoad(b, load)
 	}
-	d.adjustRoom(t, e)
+	d.adjustRoom(t, b, e)
 	if e == Settled && t != nil {
 		kind := d.sort(t)
 		usual, ok := d.typical[kind]
@@ -234,7 +235,7 @@
 // adjustRoom learns how much this gateway may have out: late answers take room away,
 // prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends
 // alike; it may hurt when a product's work is by itself near its SLA time.
-func (d *Door) adjustRoom(t *txn, e Ending) {
+func (d *Door) adjustRoom(t *txn, b *backend, e Ending) {
 	if t == nil || t.outAt == nil || e != Settled && e != TimedOut {
 		return
 	}
@@ -246,6 +247,9 @@
 		}
 		return
 	}
+	if b.warm < 1 || b.slow > oddSlow*d.median || e == TimedOut && d.silent(b, t) {
+		return // one backend's trouble: its own room is smaller by that, the fleet's is not
+	}
 	if d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
 		d.room = max(roomLeast, d.room*(1-roomDown))
 	}
