--- a/control/control.go
+++ b/control/control.go
@@ -59,6 +59,8 @@
 	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
 	useLeast    = 0.6   // share of the room in use that makes late answers count
 	oddSlow     = 1.7   // times the median: such a backend's lateness is its own
+	useSpare    = 0.25  // of the room in use: under that, what pays beyond its quota may go on
+	spareAfter  = 3 * time.Second
 	pressFor    = 300 * ms
 	backWait    = 0.35 // of the SLA time: longest wait for a backend
 	partKeep    = 0.5  // share of its part of a ceiling that a gateway keeps, the rest goes to the owner
@@ -362,8 +364,11 @@
 			d.hold(t, until)
 			return
 		case beyond:
-			d.end(t, until)
-			return
+			if !d.spare(a, t) {
+				d.end(t, until)
+				return
+			}
+			t.over = true
 		}
 	}
 	t.why = lackBackend
@@ -384,6 +389,14 @@
 	d.submit(t, a, b)
 }
 
+// spare tells whether a txn beyond its quota may go on: an exception for plans that pay for it and are not
+// charged, only while the backends clearly have room and nothing inside a quota lacked any lately.
+func (d *Door) spare(a *account, t *txn) bool {
+	p := a.plan
+	return p.overValue > 0 && p.overCost <= 0 && p.openCap == 0 && p.ceilRate <= 0 && !t.Repeat &&
+		d.use < useSpare && d.now-d.pressed > spareAfter
+}
+
 // hold puts a txn in the waiting line until a time at which it is given up.
 func (d *Door) hold(t *txn, until time.Duration) {
 	if until <= d.now {
@@ -797,7 +810,9 @@
 		return
 	}
 	if t.nr == 0 {
-		d.spend(a, t)
+		if !t.over {
+			d.spend(a, t)
+		}
 		d.retries = min(retryMost, d.retries+retryGain)
 	} else {
 		d.retries--
