--- a/control/control.go
+++ b/control/control.go
@@ -59,7 +59,7 @@
 	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
 	useLeast    = 0.6   // share of the room in use that makes late answers count
 	oddSlow     = 1.7   // times the median: such a backend's lateness is its own
-	useSpare    = 0.25  // of the room in use: under that, what pays beyond its quota may go on
+	useSpare    = 0.4   // of the room in use: under that, what pays beyond its quota may go on
 	spareAfter  = 3 * time.Second
 	pressFor    = 300 * ms
 	backWait    = 0.35 // of the SLA time: longest wait for a backend
@@ -270,14 +270,6 @@
 // sort names the kind of work of a txn: work goes by product and units.
 func (d *Door) sort(t *txn) int { return int(t.Product)*64 + int(min(max(t.Units, 0), 63)) }
 
-// usual is the usual answer time of such a txn.
-func (d *Door) usual(t *txn) time.Duration {
-	if s, ok := d.typical[d.sort(t)]; ok {
-		return time.Duration(s * float64(time.Second))
-	}
-	return d.products[t.Product].slaTime / 8
-}
-
 // ---- Decisions
 
 // Next gives the next thing to do now, or false when there is none.
@@ -358,7 +350,7 @@
 	a := d.account(t.Customer, t.Plan)
 	d.place(a, t)
 	a.used = d.now
-	if !t.drawn {
+	if !t.drawn && !t.over {
 		switch verdict, until := d.covered(a, t); verdict {
 		case wait:
 			d.hold(t, until)
@@ -413,6 +405,12 @@
 
 // expire gives up a txn whose due time has come.
 func (d *Door) expire(t *txn) {
+	if a := d.accounts[t.Customer]; t.waits && a != nil && d.now < t.Expiry-2*ms && d.now >= t.giveUp &&
+		(t.why == lackUnits || t.why == lackView) && d.spare(a, t) {
+		t.waits, t.over = false, true
+		d.todo = append(d.todo, t)
+		return
+	}
 	if d.now < t.Expiry-2*ms && (t.outAt != nil || !t.waits || d.now < t.giveUp) {
 		return
 	}
@@ -462,33 +460,6 @@
 
 // ---- Quota
 
-// sinceBirth is what a bucket that was empty when this gateway started holds by now.
-func (d *Door) sinceBirth(a *account) float64 {
-	return min(a.plan.burst, a.plan.rate*(d.now-d.born).Seconds())
-}
-
-// place works out the owner: rendezvous hashing over the customer's set, the same at every gateway.
-func (d *Door) place(a *account, t *txn) {
-	if a.inSet {
-		return
-	}
-	a.inSet = true
-	a.width = min(max(t.SetWidth, 1), d.gateways)
-	a.sharers = a.width
-	first := GatewayID(max(int(t.SetFirst), 0))
-	a.owner = ownerOf(a.id, first, a.width, d.gateways)
-	a.listened = (int(d.me-first)%d.gateways+d.gateways)%d.gateways < a.width
-	if a.owner != d.me {
-		a.level, a.known = 0, false
-	}
-}
-
-// refill brings an owned bucket up to now.
-func (d *Door) refill(a *account) {
-	a.level = min(a.plan.burst, a.level+a.plan.rate*(d.now-a.levelAt).Seconds())
-	a.levelAt = d.now
-}
-
 // draw takes units from an owned bucket; what is not there was beyond the quota and takes nothing.
 func (d *Door) draw(a *account, units float64) {
 	a.level = max(0, a.level-units)
@@ -582,14 +553,6 @@
 // answerIn is the time within which a peer that is well answers.
 func (d *Door) answerIn() time.Duration { return askWait + 2*d.pack }
 
-// ask makes the account part of the next delta, with nought if need be.
-func (d *Door) ask(a *account) {
-	if a.asked == 0 {
-		a.asked = d.now
-	}
-	d.mark(a)
-}
-
 // underCeiling keeps rule 5: this gateway's part of the ceiling starts empty in each life and refills at
 // its part of the rate, so that all parts together never pass the whole, whoever restarts.
 func (d *Door) underCeiling(a *account, t *txn) (bool, time.Duration) {
@@ -611,13 +574,6 @@
 	return false, d.now + time.Duration(need*float64(time.Second))
 }
 
-// partNow brings this gateway's part of a ceiling up to now.
-func (d *Door) partNow(a *account) float64 {
-	fill := a.plan.ceilRate / float64(a.width) * (d.now - a.partAt).Seconds()
-	a.part, a.partAt = min(a.partCap(), a.part+fill), d.now
-	return a.part
-}
-
 // move takes off what leaves this part in a message: a lost message merely loses it, and each is applied at
 // most once, in the life it was meant for. A gift goes to the owner, a want (below nought) asks it for some.
 func (d *Door) move(a *account) float64 {
--- a/control/state.go
+++ b/control/state.go
@@ -202,3 +202,53 @@
 	}
 	d.recheck = true
 }
+
+// place works out the owner: rendezvous hashing over the customer's set, the same at every gateway.
+func (d *Door) place(a *account, t *txn) {
+	if a.inSet {
+		return
+	}
+	a.inSet = true
+	a.width = min(max(t.SetWidth, 1), d.gateways)
+	a.sharers = a.width
+	first := GatewayID(max(int(t.SetFirst), 0))
+	a.owner = ownerOf(a.id, first, a.width, d.gateways)
+	a.listened = (int(d.me-first)%d.gateways+d.gateways)%d.gateways < a.width
+	if a.owner != d.me {
+		a.level, a.known = 0, false
+	}
+}
+
+// partNow brings this gateway's part of a ceiling up to now.
+func (d *Door) partNow(a *account) float64 {
+	fill := a.plan.ceilRate / float64(a.width) * (d.now - a.partAt).Seconds()
+	a.part, a.partAt = min(a.partCap(), a.part+fill), d.now
+	return a.part
+}
+
+// refill brings an owned bucket up to now.
+func (d *Door) refill(a *account) {
+	a.level = min(a.plan.burst, a.level+a.plan.rate*(d.now-a.levelAt).Seconds())
+	a.levelAt = d.now
+}
+
+// sinceBirth is what a bucket that was empty when this gateway started holds by now.
+func (d *Door) sinceBirth(a *account) float64 {
+	return min(a.plan.burst, a.plan.rate*(d.now-d.born).Seconds())
+}
+
+// ask makes the account part of the next delta, with nought if need be.
+func (d *Door) ask(a *account) {
+	if a.asked == 0 {
+		a.asked = d.now
+	}
+	d.mark(a)
+}
+
+// usual is the usual answer time of such a txn.
+func (d *Door) usual(t *txn) time.Duration {
+	if s, ok := d.typical[d.sort(t)]; ok {
+		return time.Duration(s * float64(time.Second))
+	}
+	return d.products[t.Product].slaTime / 8
+}
