--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,7 @@
 	askWait     = 100 * ms // and two packing delays: longest wait for a snapshot
 	viewWait    = 0.4      // of the SLA time at most
 	unitWait    = 0.3      // of the SLA time: longest wait for units or an open slot
+	unknownPart = 8        // of the SLA time: a txn's usual time until one is known
 	smooth      = 0.1      // weight of a new sample
 	crowd       = 1.25     // a backend with this times the mean load, and one more, has enough
 	firstTry    = 0.55     // of the time left to the SLA time: limit of a submission that may be repeated
@@ -677,7 +678,7 @@
 func (d *Door) slowest() float64 {
 	s := 0.0
 	for p := range d.products {
-		s = max(s, d.products[p].slaTime.Seconds()/8)
+		s = max(s, d.products[p].slaTime.Seconds()/unknownPart)
 	}
 	return max(s, 0.001)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 )
 
 // Bookkeeping without decisions: lists, ids held, accounts and the packing of answers.
@@ -250,5 +251,5 @@
 	if s, ok := d.typical[d.sort(t)]; ok {
 		return time.Duration(s * float64(time.Second))
 	}
-	return d.products[t.Product].slaTime / 8
+	return d.products[t.Product].slaTime / unknownPart
 }
