--- a/control/control.go
+++ b/control/control.go
@@ -37,9 +37,9 @@
 	retryGain   = 0.2      // further submissions earned by a txn
 	retryMost   = 30.0
 	failShare   = 0.35 // of failing submissions sets a backend aside
-	failSeen    = 4.0
-	slowAside   = 4.0 // times the fleet's median answer time sets a backend aside
-	silence     = 4.0 // times the usual answer time without any answer sets a backend aside
+	failOdd     = 2.0  // and more than this times the share everywhere
+	slowAside   = 4.0  // times the fleet's median answer time sets a backend aside
+	silence     = 4.0  // times the usual answer time without any answer sets a backend aside
 	silenceMin  = 200 * ms
 	fullPause   = 100 * ms // doubled each time in a row
 	fullMost    = 5
@@ -212,8 +212,9 @@
 		b.slow += smooth * (min(ratio, 20) - b.slow)
 	}
 	bad := 0.0
+	d.judge(t, b, e)
 	switch e {
-	case Errored, Unreachable, Broken:
+	case Unreachable, Broken:
 		bad = 1
 	case TimedOut:
 		bad = 1
@@ -235,6 +236,29 @@
 	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
 }
 
+// judge learns whether a backend fails one product: it is then passed over for that product alone, twice as
+// long each time, and tried again by that product's own txns. When the product fails everywhere alike, no
+// backend is at fault. Covers fast errors of whole backends as well as a broken function of one.
+func (d *Door) judge(t *txn, b *backend, e Ending) {
+	if t == nil || e != Settled && e != Errored {
+		return
+	}
+	bad := 0.0
+	if e == Errored {
+		bad = 1
+	}
+	f, all := b.failing(t.Product), d.everywhere.failing(t.Product)
+	f.seen = min(f.seen+1, 1/smooth)
+	f.share += (bad - f.share) / f.seen
+	all.share += smooth / 5 * (bad - all.share)
+	if f.share > failShare && f.seen >= 2 && f.share > failOdd*all.share {
+		f.pause = min(max(asideFirst, 2*f.pause), asideLast)
+		f.until, f.share = d.now+f.pause, failShare/2
+	} else if f.share < failShare/4 {
+		f.pause = 0
+	}
+}
+
 // adjustRoom learns how much this gateway may have out: late answers take room away,
 // prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends
 // alike; it may hurt when a product's work is by itself near its SLA time.
@@ -694,7 +718,8 @@
 	can := d.can[:0]
 	mean, out, roomAll, some := 0.0, 0.0, 0.0, false
 	for _, b := range d.open {
-		if b.aside || b == t.last || b.fullUntil > d.now || d.silent(b, t) || !d.allowed(b, t) {
+		if b.aside || b == t.last || b.fullUntil > d.now || b.failing(t.Product).until > d.now ||
+			d.silent(b, t) || !d.allowed(b, t) {
 			continue
 		}
 		w := b.warm * d.rampShare(b)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -27,27 +27,27 @@
 	// # 1 inquiry-like, then ending 1
 	// 10000 submit 1 to 1, 272
 	// 10000 submit 1 to 3, 496
-	// 10000 submit 1 to 1, 496
+	// 10000 submit 1 to 2, 496
 	// 10000 decline 1, 2000
 	// # 2 inquiry-like, then ending 2
-	// 10000 submit 2 to 1, 272
-	// 10000 submit 2 to 3, 496
+	// 10000 submit 2 to 3, 272
 	// 10000 submit 2 to 2, 496
+	// 10000 submit 2 to 1, 496
 	// 10000 decline 2, 2000
 	// # 3 inquiry-like, then ending 3
-	// 10000 submit 3 to 2, 272
-	// 10000 submit 3 to 1, 496
-	// 10000 submit 3 to 1, 496
+	// 10000 submit 3 to 1, 272
+	// 10000 submit 3 to 2, 496
+	// 10000 submit 3 to 3, 496
 	// 10000 decline 3, 2000
 	// # 4 inquiry-like, then ending 4
 	// 10000 submit 4 to 1, 272
-	// 10000 submit 4 to 1, 496
-	// 10000 submit 4 to 1, 496
+	// 10000 submit 4 to 2, 496
+	// 10000 submit 4 to 3, 496
 	// 10000 decline 4, 2000
 	// # 5 inquiry-like, then ending 5
 	// 10000 submit 5 to 1, 272
 	// 10000 submit 5 to 1, 496
-	// 10000 submit 5 to 1, 496
+	// 10000 submit 5 to 2, 496
 	// 10000 decline 5, 2000
 }
 
@@ -304,3 +304,151 @@
 	// 11900 tell 1: delta 3 used 2
 	// 11900 submit 14 to 1, 272
 }
+
+func Example_oneProductFails() {
+	s := warm()
+	c := ownedBy(0)
+	fmt.Println("# product 0 fails at one backend: passed over for it, still taken for product 3")
+	first := BackendID(0)
+	for id := TxnID(1); id < 13; id++ {
+		p := ProductID(id % 2 * 3)
+		s.d.TxnTaken(Txn{ID: id, Customer: c, Product: p, Units: 1, SetWidth: 3, Expiry: s.d.now + time.Second})
+		x, _ := s.d.Next()
+		for s.d.txns[id] != nil && x.Verb == Submit {
+			e := Settled
+			if p == 0 && (first == 0 || x.Backend == first) {
+				first, e = x.Backend, Errored
+			}
+			fmt.Printf("product %d at %d: %v\n", p, x.Backend, map[Ending]string{Settled: "settled", Errored: "error"}[e])
+			t := s.d.txns[id]
+			s.d.SubmissionEnded(id, t.nr-1, x.Backend, e, e == Settled, 10*ms, nil)
+			x, _ = s.d.Next()
+		}
+	}
+	// Output:
+	// # product 0 fails at one backend: passed over for it, still taken for product 3
+	// product 3 at 1: settled
+	// product 0 at 1: error
+	// product 0 at 3: settled
+	// product 3 at 1: settled
+	// product 0 at 1: error
+	// product 0 at 3: settled
+	// product 3 at 1: settled
+	// product 0 at 3: settled
+	// product 3 at 1: settled
+	// product 0 at 3: settled
+	// product 3 at 1: settled
+	// product 0 at 3: settled
+	// product 3 at 1: settled
+	// product 0 at 3: settled
+}
+
+func Example_fullBackend() {
+	s := warm()
+	room := s.d.room
+	for id := TxnID(1); id < 40; id++ {
+		s.d.TxnTaken(Txn{ID: id, Customer: ownedBy(0), Units: 1, SetWidth: 3, Expiry: s.d.now + time.Second})
+		for x, ok := s.d.Next(); ok; x, ok = s.d.Next() {
+			if x.Verb == Submit {
+				s.d.SubmissionEnded(x.Txn, s.d.txns[x.Txn].nr-1, x.Backend, Full, false, ms, nil)
+			}
+		}
+		s.d.Now(s.d.now + 10*ms)
+	}
+	fmt.Println("room as before:", s.d.room == room, "- pause of backend 1 grew:", s.d.backends[1].fulls > 1)
+	// Output:
+	// room as before: true - pause of backend 1 grew: true
+}
+
+func Example_repeatsGiveWay() {
+	s := warm()
+	s.d.room = 0.4
+	take := func(id TxnID, repeat bool) {
+		s.d.TxnTaken(Txn{ID: id, Customer: CustomerID(id), Repeat: repeat, Units: 1, SetWidth: 1,
+			Expiry: s.d.now + time.Second})
+		s.pull()
+	}
+	fmt.Println("# room for one: the first try waits, the repeat is declined at once with advice")
+	take(1, false)
+	take(2, false)
+	take(3, true)
+	s.at(10100)
+	s.ended(1, Settled)
+	s.at(10500)
+	// Output:
+	// # room for one: the first try waits, the repeat is declined at once with advice
+	// 10000 submit 1 to 3, 272
+	// 10000 decline 3, 2000
+	// 10100 submit 2 to 2, 396
+}
+
+func Example_beyondQuotaThatPays() {
+	s := warm()
+	s.d.plans[0].overValue, s.d.plans[0].overCost = 0.3, 0
+	c := ownedBy(0)
+	a := s.d.account(c, 0)
+	a.level, a.levelAt = 0, s.d.now
+	a.plan.rate = 1
+	fmt.Println("# no units, room to spare, nothing charged: goes on, and takes no units")
+	s.txn(1, c, 0, 0)
+	fmt.Println("# something lacked room lately: declined, with advice when units are due")
+	s.d.pressed = s.d.now
+	s.txn(2, c, 0, 0)
+	// Output:
+	// # no units, room to spare, nothing charged: goes on, and takes no units
+	// 10000 submit 1 to 1, 272
+	// # something lacked room lately: declined, with advice when units are due
+	// 10000 decline 2, 1000
+}
+
+func Example_partsMove() {
+	s := newScene(settings(0), 0)
+	s.at(10000)
+	c := ownedBy(1)
+	a := s.d.account(c, 1)
+	s.d.place(a, &txn{Txn: Txn{SetWidth: 3}})
+	fmt.Println("# an idle part goes to the owner, once for each time it is taken off")
+	s.at(11000)
+	fmt.Printf("left %.1f of %.1f\n", a.part, a.partCap())
+	fmt.Println("# a grant comes once, whatever is repeated, and no more than the part holds")
+	a.part = 0
+	m := &message{epoch: 9, version: 3, ackEpoch: s.d.epoch, snaps: []snapLine{{c, 5, 1, 0, 4}}}
+	s.hear(1, m)
+	s.hear(1, m)
+	fmt.Printf("%.1f\n", a.part)
+	m.version, m.snaps[0].grant = 4, 900
+	s.hear(1, m)
+	fmt.Printf("%.1f\n", a.part)
+	fmt.Println("# a grant for an earlier life is lost")
+	a.part, m.version, m.ackEpoch = 0, 5, 77
+	s.hear(1, m)
+	fmt.Printf("%.1f\n", a.part)
+	// Output:
+	// # an idle part goes to the owner, once for each time it is taken off
+	// 11000 tell 1: delta 1 used 0
+	// left 3.4 of 6.7
+	// # a grant comes once, whatever is repeated, and no more than the part holds
+	// 4.0
+	// 6.7
+	// # a grant for an earlier life is lost
+	// 0.0
+}
+
+func Example_silentOwner() {
+	s := warm()
+	c := ownedBy(1)
+	fmt.Println("# the allowance is spent, then grows at a third of the rate while the owner is not heard")
+	for id := TxnID(1); id < 200; id++ {
+		s.d.TxnTaken(Txn{ID: id, Customer: c, Units: 1, SetWidth: 3, Expiry: s.d.now + 2*time.Second})
+		for x, ok := s.d.Next(); ok; x, ok = s.d.Next() {
+			if x.Verb == Submit {
+				fmt.Printf("%d ", s.d.now.Milliseconds())
+				s.d.SubmissionEnded(x.Txn, 0, x.Backend, Settled, true, 10*ms, nil)
+			}
+		}
+		s.d.Now(s.d.now + 10*ms)
+	}
+	// Output:
+	// # the allowance is spent, then grows at a third of the rate while the owner is not heard
+	// 10000 10010 10020 10030 10040 10050 10160 10400 10700 11000 11300 11600 11900
+}
--- a/control/types.go
+++ b/control/types.go
@@ -197,6 +197,7 @@
 	oweSince  time.Duration
 	owed      int // sends since the last answer
 	fullUntil time.Duration
+	fail      map[ProductID]*failing
 	fulls     int // full answers in a row
 	aside     bool
 	probes    int // good probes in a row while aside
@@ -210,6 +211,22 @@
 	sentAt    time.Duration
 }
 
+// failing is how a backend does with one product.
+type failing struct {
+	share, seen  float64
+	until, pause time.Duration // passed over
+}
+
+func (b *backend) failing(p ProductID) *failing {
+	if b.fail == nil {
+		b.fail = map[ProductID]*failing{}
+	}
+	if b.fail[p] == nil {
+		b.fail[p] = &failing{}
+	}
+	return b.fail[p]
+}
+
 // account is one customer here: the bucket if this gateway owns it, the view if not.
 type account struct {
 	id       CustomerID
@@ -314,37 +331,38 @@
 	mostUnits           float64
 	pack                time.Duration
 
-	txns     map[TxnID]*txn
-	due      dueQueue
-	todo     []*txn
-	line     []*txn // waiting for units, a view, a slot or a backend
-	recheck  bool
-	ready    []Decision
-	backends map[BackendID]*backend
-	list     []*backend // in order of id
-	accounts map[CustomerID]*account
-	order    []*account
-	peers    []*peer
-	epoch    uint32
-	typical  map[int]float64 // usual answer time by product and units, in seconds
-	retries  float64
-	wakeAt   time.Duration
-	tick     time.Duration
-	badMail  int
-	room     float64       // submissions out at a usual backend, at most
-	pressed  time.Duration // when room last ran out
-	version  uint64
-	strange  int
-	gaveUp   tally
-	noted    time.Duration
-	surveyed time.Duration
-	open     []*backend // ready ones
-	can      []*backend
-	slows    []float64
-	median   float64
-	warmRate float64 // sends a second to a warm backend
-	noRoom   bool
-	use      float64 // share of the room in use
+	txns       map[TxnID]*txn
+	due        dueQueue
+	todo       []*txn
+	line       []*txn // waiting for units, a view, a slot or a backend
+	recheck    bool
+	ready      []Decision
+	backends   map[BackendID]*backend
+	list       []*backend // in order of id
+	accounts   map[CustomerID]*account
+	order      []*account
+	peers      []*peer
+	epoch      uint32
+	typical    map[int]float64 // usual answer time by product and units, in seconds
+	retries    float64
+	wakeAt     time.Duration
+	tick       time.Duration
+	badMail    int
+	room       float64       // submissions out at a usual backend, at most
+	pressed    time.Duration // when room last ran out
+	version    uint64
+	strange    int
+	gaveUp     tally
+	noted      time.Duration
+	surveyed   time.Duration
+	open       []*backend // ready ones
+	can        []*backend
+	slows      []float64
+	median     float64
+	warmRate   float64 // sends a second to a warm backend
+	noRoom     bool
+	everywhere backend // failing shares of the fleet
+	use        float64 // share of the room in use
 }
 
 // verdict is what the quota says of a txn.
