--- a/control/control.go
+++ b/control/control.go
@@ -51,8 +51,8 @@
 	coldUse     = 0.5             // of the cold budget
 	noteEvery   = 5 * time.Second
 	probeEvery  = 1 * time.Second // where only probes report load
-	roomFirst   = 3.0             // submissions out at a usual backend, to begin with
-	roomLeast   = 0.3
+	roomFirst   = 8.0             // submissions out at a usual backend to begin with, from all gateways
+	roomLeast   = 1.0             // from all gateways
 	roomMost    = 40.0
 	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
@@ -83,10 +83,11 @@
 		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
 		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
 		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{}, accounts: map[CustomerID]*account{},
-		typical: map[int]float64{}, retries: retryMost / 3, room: roomFirst, pressed: -pressFor}
+		typical: map[int]float64{}, retries: retryMost / 3, pressed: -pressFor}
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
 	d.products, d.plans = p.products(), p.plans()
 	mail := p.number("quota.mail_per_s")
+	d.room = roomFirst / float64(max(d.gateways, 1))
 	d.epoch = d.rng.Uint32()
 	for i := 0; i < d.gateways; i++ {
 		d.peers = append(d.peers, &peer{id: GatewayID(i), answer: map[CustomerID]bool{}})
@@ -278,7 +279,7 @@
 		return // one backend's trouble: its own room is smaller by that, the fleet's is not
 	}
 	if d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
-		d.room = max(roomLeast, d.room*(1-roomDown))
+		d.room = max(roomLeast/float64(d.gateways), d.room*(1-roomDown))
 	}
 }
 
--- a/control/scene_test.go
+++ b/control/scene_test.go
@@ -49,7 +49,7 @@
 func warm() *scene {
 	s := newScene(settings(0), 0)
 	s.list(true, Listing{ID: 1, State: Ready}, Listing{ID: 2, State: Ready}, Listing{ID: 3, Pod: 1, State: Ready})
-	s.quiet = true
+	s.quiet, s.d.room = true, 3
 	s.at(10000)
 	return s
 }
