--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"sort"
 	"time"
 )
 
@@ -306,6 +307,18 @@
 			d.ready = d.ready[1:]
 			return x, true
 		}
+		if d.recheck {
+			d.recheck = false
+			if len(d.line) > 0 {
+				for _, t := range d.line {
+					t.waits = false
+				}
+				d.todo, d.line = append(d.line, d.todo...), nil
+				if d.isPressed() { // what is worth most for the time it takes goes first, the older before
+					sort.SliceStable(d.todo, func(i, j int) bool { return d.worth(d.todo[i]) > d.worth(d.todo[j]) })
+				}
+			}
+		}
 		if len(d.todo) > 0 {
 			t := d.todo[0]
 			d.todo = d.todo[1:]
@@ -323,16 +336,6 @@
 			d.sweep()
 			continue
 		}
-		if d.recheck {
-			d.recheck = false
-			if len(d.line) > 0 {
-				d.todo, d.line = append(d.todo, d.line...), nil
-				for _, t := range d.todo {
-					t.waits = false
-				}
-				continue
-			}
-		}
 		if d.mail() {
 			continue
 		}
@@ -407,6 +410,14 @@
 	d.submit(t, a, b)
 }
 
+// worth is a txn's value for the time it takes. Plans count alike: none is let go for its price.
+func (d *Door) worth(t *txn) float64 {
+	if int(t.Product) >= len(d.products) {
+		return 0
+	}
+	return d.products[t.Product].value * max(t.Units, 1) / max(d.usual(t).Seconds(), 0.001)
+}
+
 // spare tells whether a txn beyond its quota may go on: an exception for plans that pay for it and are not
 // charged, only while the backends clearly have room and nothing inside a quota lacked any lately.
 func (d *Door) spare(a *account, t *txn) bool {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -182,6 +182,7 @@
 	s.quiet = true
 	s.list(true, Listing{ID: 1, State: Ready}, Listing{ID: 2, State: Ready})
 	s.at(10000)
+	s.d.room = 100
 	c := ownedBy(0)
 	fmt.Println("# a third of the ceiling, then nothing but its refill")
 	for id := TxnID(1); id <= 16; id++ {
@@ -452,3 +453,19 @@
 	// # the allowance is spent, then grows at a third of the rate while the owner is not heard
 	// 10000 10010 10020 10030 10040 10050 10160 10400 10700 11000 11300 11600 11900
 }
+
+func Example_worthUnderPressure() {
+	s := warm()
+	s.d.room, s.d.products[2].value = 0.4, 5
+	c := ownedBy(0)
+	fmt.Println("# no room: of two that wait, what is worth most for its time goes first")
+	for id, p := range []ProductID{0, 0, 2} {
+		s.txn(TxnID(id), c, p, 0)
+	}
+	s.at(10100)
+	s.ended(0, Settled)
+	// Output:
+	// # no room: of two that wait, what is worth most for its time goes first
+	// 10000 submit 0 to 1, 272
+	// 10100 submit 2 to 1
+}
