--- a/control/control.go
+++ b/control/control.go
@@ -561,21 +561,25 @@
 	t.why = lackView
 	share := a.share(t.Units)
 	pending := a.unacked + a.unsent
-	fresh := a.known && d.now-a.levelAt < viewLife
+	age := d.now - a.levelAt
+	fresh := a.known && age < viewLife
 	if fresh && a.level-pending >= t.Units && pending+t.Units <= share {
 		return pass, 0
 	}
 	if !fresh {
 		d.ask(a)
 		// While the owner is silent the allowance grows at this gateway's part of the rate.
-		if a.asked > 0 && d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn() {
+		silent := d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn()
+		if silent {
 			share += a.plan.rate / float64(max(a.width, 1)) * (d.now - a.asked).Seconds()
 		}
-		if pending+t.Units <= share {
+		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
+		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
+		left := a.level + a.plan.rate*age.Seconds()/float64(max(a.sharers, 1)) - pending
+		if pending+t.Units <= share && (silent || !a.known || left >= t.Units) {
 			return pass, 0
 		}
 	}
-	age := d.now - a.levelAt
 	mayBe := a.level + a.plan.rate*age.Seconds() - pending // if no other spent since
 	if !fresh || age > 2*d.pack && mayBe >= t.Units || pending+t.Units > share {
 		until := t.arrived + min(d.answerIn(), time.Duration(viewWait*float64(d.products[t.Product].slaTime)))
