--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	viewLife    = 1000 * ms // a snapshot older than this is stale
 	resendAfter = 150 * ms  // an unacknowledged delta goes again
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
+	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	reporterFor = 2 * time.Second
 	idleAfter   = 10 * time.Second
 	askWait     = 100 * ms // and two packing delays: longest wait for a snapshot
@@ -514,7 +515,11 @@
 
 // share is the floored split cap: the burst divided by the recent reporters, one txn's units at least.
 func (a *account) share(units float64) float64 {
-	return max(a.plan.burst/float64(max(a.sharers, 1)), units)
+	most := a.plan.burst
+	if a.known {
+		most = min(most, shareOf*max(a.level, 0))
+	}
+	return max(most/float64(max(a.sharers, 1)), units)
 }
 
 // covered tells whether the quota covers a txn now, may cover it soon, or does not.
