--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	resendAfter = 150 * ms  // an unacknowledged delta goes again
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
+	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
 	reporterFor = 2 * time.Second
 	idleAfter   = 10 * time.Second
 	askWait     = 100 * ms // and two packing delays: longest wait for a snapshot
@@ -560,10 +561,11 @@
 	}
 	if !fresh {
 		d.ask(a)
-		// While the owner is silent the allowance grows at this gateway's part of the rate.
+		// While the owner is silent the allowance grows at the rate, shared by the gateways of the set that are
+		// heard: the survivors of a lost hall then serve the whole quota between them.
 		silent := d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn()
 		if silent {
-			share += a.plan.rate / float64(max(a.width, 1)) * (d.now - a.asked).Seconds()
+			share += a.plan.rate / float64(d.heard(a)) * (d.now - a.asked).Seconds()
 		}
 		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
 		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
--- a/control/state.go
+++ b/control/state.go
@@ -212,7 +212,8 @@
 	a.inSet = true
 	a.width = min(max(t.SetWidth, 1), d.gateways)
 	a.sharers = a.width
-	first := GatewayID(max(int(t.SetFirst), 0))
+	first := GatewayID(max(int(t.SetFirst), 0) % d.gateways)
+	a.first = first
 	a.owner = ownerOf(a.id, first, a.width, d.gateways)
 	a.listened = (int(d.me-first)%d.gateways+d.gateways)%d.gateways < a.width
 	if a.owner != d.me {
@@ -283,3 +284,15 @@
 	d.wakeAt = next
 	return Decision{Verb: Wake, Limit: d.wakeAt - d.now}, true
 }
+
+// heard counts the gateways of a customer's set that were heard lately, this one among them.
+func (d *Door) heard(a *account) int {
+	n := 1
+	for i := 0; i < a.width; i++ {
+		g := GatewayID((int(a.first) + i) % d.gateways)
+		if p := d.peers[g]; g != d.me && p.heard > 0 && d.now-p.heard < heardFor {
+			n++
+		}
+	}
+	return n
+}
--- a/control/types.go
+++ b/control/types.go
@@ -233,6 +233,7 @@
 	plan     *plan
 	planID   PlanID
 	owner    GatewayID
+	first    GatewayID // of the set
 	width    int
 	inSet    bool
 	used     time.Duration
