--- a/control/control.go
+++ b/control/control.go
@@ -91,8 +91,11 @@
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
 	d.products, d.plans = p.products(), p.plans()
 	mail := p.number("quota.mail_per_s")
+	if d.gateways < 1 || int(d.me) >= d.gateways {
+		p.complain("me", "must be under the number of gateways, which is one at the least")
+	}
 	d.room = roomFirst / float64(max(d.gateways, 1))
-	d.epoch = d.rng.Uint32()
+	d.epoch = d.rng.Uint32() | 1 // nought stands for none
 	for i := 0; i < d.gateways; i++ {
 		d.peers = append(d.peers, &peer{id: GatewayID(i), answer: map[CustomerID]bool{}})
 	}
@@ -110,6 +113,7 @@
 	if d.txns[x.ID] != nil {
 		return
 	}
+	x.Units = max(x.Units, 0)
 	t := &txn{Txn: x, arrived: d.now}
 	if x.Product < 0 || int(x.Product) >= len(d.products) || x.Plan < 0 || int(x.Plan) >= len(d.plans) {
 		d.strange++ // a kind the settings don't name: declined by decide
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -490,3 +490,34 @@
 	// 10800 product 2 passes it over: true
 	// 10800 product 0 passes it over: false
 }
+
+func Example_oddInputs() {
+	s := warm()
+	take := func(x Txn) {
+		s.d.TxnTaken(x)
+		s.pull()
+	}
+	now := s.d.now
+	fmt.Println("# expiry over, product and plan that the settings don't name, odd sets, no units")
+	take(Txn{ID: 1, Units: 1, Expiry: now - time.Second})
+	take(Txn{ID: 2, Product: 9, Expiry: now + time.Second})
+	take(Txn{ID: 3, Plan: -4, Expiry: now + time.Second})
+	take(Txn{ID: 4, Customer: ownedBy(0), SetWidth: -3, SetFirst: -9, Expiry: now + time.Second})
+	take(Txn{ID: 5, Customer: 77, SetWidth: 1 << 40, SetFirst: 1 << 40, Units: -5, Expiry: now + time.Second})
+	s.d.SubmissionEnded(99, 0, 1, Settled, true, 0, nil)
+	s.d.SubmissionEnded(4, 7, 55, Settled, true, 0, []float64{1, 2, 3, 4})
+	s.d.ProbeEnded(55, true, 0, nil)
+	s.d.PeerSaid(99, nil)
+	s.d.PeerSaid(0, []byte("from myself"))
+	s.pull()
+	_, err := New(1, Settings{}, 0)
+	fmt.Println(err)
+	// Output:
+	// # expiry over, product and plan that the settings don't name, odd sets, no units
+	// 10000 decline 1, 2000
+	// 10000 decline 2
+	// 10000 decline 3
+	// 10000 submit 4 to 1, 272
+	// 10000 submit 5 to 2, 272
+	// setting me: missing
+}
