--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,7 @@
 	idleAfter   = 10 * time.Second
 	askWait     = 100 * ms // and two packing delays: longest wait for a snapshot
 	viewWait    = 0.4      // of the SLA time at most
+	repeatLeave = 0.25     // of the burst: what a repeat must leave
 	unitWait    = 0.3      // of the SLA time: longest wait for units or an open slot
 	unknownPart = 8        // of the SLA time: a txn's usual time until one is known
 	smooth      = 0.1      // weight of a new sample
@@ -540,12 +541,12 @@
 	}
 	if a.owner == d.me {
 		d.refill(a)
-		if a.level >= t.Units {
+		if a.level >= d.need(a, t) {
 			return pass, 0
 		}
 		t.why = lackUnits
 		due := time.Duration((t.Units - a.level) / a.plan.rate * float64(time.Second))
-		if d.now+due < last {
+		if d.now+due < last && !t.Repeat {
 			return wait, last
 		}
 		return beyond, due
@@ -553,6 +554,15 @@
 	return d.byView(a, t)
 }
 
+// need is what must be left for a txn: a client's repeat, which mostly comes late, leaves a low bucket to
+// first tries.
+func (d *Door) need(a *account, t *txn) float64 {
+	if t.Repeat {
+		return t.Units + repeatLeave*a.plan.burst
+	}
+	return t.Units
+}
+
 // byView decides for a customer that another gateway owns.
 func (d *Door) byView(a *account, t *txn) (verdict, time.Duration) {
 	t.why = lackView
@@ -560,7 +570,7 @@
 	pending := a.unacked + a.unsent
 	age := d.now - a.levelAt
 	fresh := a.known && age < viewLife
-	if fresh && a.level-pending >= t.Units && pending+t.Units <= share {
+	if fresh && a.level-pending >= d.need(a, t) && pending+t.Units <= share {
 		return pass, 0
 	}
 	if !fresh {
@@ -574,14 +584,14 @@
 		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
 		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
 		left := a.level + a.plan.rate*age.Seconds()/float64(max(a.sharers, 1)) - pending
-		if pending+t.Units <= share && (silent || !a.known || left >= t.Units) {
+		if pending+t.Units <= share && (silent || !a.known || left >= d.need(a, t)) {
 			return pass, 0
 		}
 	}
 	mayBe := a.level + a.plan.rate*age.Seconds() - pending // if no other spent since
 	if !fresh || age > 2*d.pack && mayBe >= t.Units || pending+t.Units > share {
 		until := t.arrived + min(d.answerIn(), time.Duration(viewWait*float64(d.products[t.Product].slaTime)))
-		if d.now < until {
+		if d.now < until && !t.Repeat {
 			d.ask(a)
 			return wait, until
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -521,3 +521,18 @@
 	// 10000 submit 5 to 2, 272
 	// setting me: missing
 }
+
+func Example_repeatsLeaveALowBucket() {
+	s := warm()
+	c := ownedBy(0)
+	a := s.d.account(c, 0)
+	fmt.Println("# four units of twenty left: not for a repeat, at once, but for a first try")
+	a.level, a.levelAt = 4, s.d.now
+	s.d.TxnTaken(Txn{ID: 1, Customer: c, Repeat: true, Units: 1, SetWidth: 3, Expiry: s.d.now + time.Second})
+	s.pull()
+	s.txn(2, c, 0, 0)
+	// Output:
+	// # four units of twenty left: not for a repeat, at once, but for a first try
+	// 10000 decline 1
+	// 10000 submit 2 to 1, 272
+}
