--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,7 @@
 	retryMost   = 30.0
 	failShare   = 0.35 // of failing submissions sets a backend aside
 	failOdd     = 2.0  // and more than this times the share everywhere
+	failAgain   = 0.95 // of failShare, after a pause: one more failure, and it is passed over again
 	slowAside   = 4.0  // times the fleet's median answer time sets a backend aside
 	silence     = 4.0  // times the usual answer time without any answer sets a backend aside
 	silenceMin  = 200 * ms
@@ -263,7 +264,7 @@
 	all.share += smooth / 5 * (bad - all.share)
 	if f.share > failShare && f.seen >= 2 && f.share > failOdd*all.share {
 		f.pause = min(max(asideFirst, 2*f.pause), asideLast)
-		f.until, f.share = d.now+f.pause, failShare/2
+		f.until, f.share = d.now+f.pause, failAgain*failShare
 	} else if f.share < failShare/4 {
 		f.pause = 0
 	}
