--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	asideLast   = 8 * time.Second
 	goodProbes  = 2
 	ramp        = 4 * time.Second // after its return a backend is passed over by chance
+	rateOver    = 3.0             // seconds over which the rate of sends to a backend is smoothed
 	coldUse     = 0.5             // of the cold budget
 	noteEvery   = 5 * time.Second
 	probeEvery  = 1 * time.Second // where only probes report load
@@ -158,45 +159,9 @@
 	d.todo = append(d.todo, t)
 }
 
-// ProbeEnded takes the answer to a probe.
-func (d *Door) ProbeEnded(at BackendID, good bool, took time.Duration, load []float64) {
-	b := d.backends[at]
-	if b == nil {
-		return
-	}
-	b.probing = false
-	d.readLoad(b, load)
-	if !good {
-		b.probes = 0
-		b.fails += smooth * (1 - b.fails)
-		return
-	}
-	b.probes++
-}
-
 // Woken: a wake-up asked for has come.
 func (d *Door) Woken(uint64) {}
 
-// PeerSaid takes a peer message. What does not decode is dropped and counted.
-func (d *Door) PeerSaid(from GatewayID, payload []byte) {
-	m, err := decodeMessage(payload)
-	if err != nil || from < 0 || int(from) >= len(d.peers) || from == d.me {
-		d.badMail++
-		return
-	}
-	p := d.peers[from]
-	p.heard = d.now
-	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
-		return
-	}
-	if m.seq > 0 {
-		d.takeDelta(p, m)
-	}
-	if m.ackEpoch == d.epoch {
-		d.takeSnapshot(p, m)
-	}
-}
-
 // learn updates what is known of a backend by an outcome.
 func (d *Door) learn(t *txn, b *backend, e Ending, took time.Duration, load []float64) {
 	answered := e == Settled || e == Errored || e == Full
@@ -270,6 +235,19 @@
 	}
 }
 
+// fails tells whether a backend is passed over for a txn. A once-only txn can't go again after an error, so
+// it keeps away while any product fails there, and leaves it to the others to find out.
+func (d *Door) fails(b *backend, t *txn) bool {
+	if d.products[t.Product].kind == "once-only" {
+		for p, f := range b.fail {
+			if p != t.Product && (f.until > d.now || f.share > failShare/2) {
+				return true
+			}
+		}
+	}
+	return b.failing(t.Product).until > d.now
+}
+
 // adjustRoom learns how much this gateway may have out: late answers take room away,
 // prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends
 // alike; it may hurt when a product's work is by itself near its SLA time.
@@ -738,7 +716,7 @@
 
 // rateOf is the smoothed rate of sends to a backend.
 func (d *Door) rateOf(b *backend) float64 {
-	return b.sentRate * math.Exp(-(d.now-b.sentAt).Seconds()/3)
+	return b.sentRate * math.Exp(-(d.now-b.sentAt).Seconds()/rateOver)
 }
 
 // pick takes the first backend in the customer's ranking that does not have enough: its own hall first.
@@ -747,7 +725,7 @@
 	can := d.can[:0]
 	mean, out, roomAll, some := 0.0, 0.0, 0.0, false
 	for _, b := range d.open {
-		if b.aside || b == t.last || b.fullUntil > d.now || b.failing(t.Product).until > d.now ||
+		if b.aside || b == t.last || b.fullUntil > d.now || d.fails(b, t) ||
 			d.silent(b, t) || !d.allowed(b, t) {
 			continue
 		}
@@ -831,7 +809,7 @@
 	if b.warm < 1 {
 		b.cold--
 	}
-	b.sentRate, b.sentAt = d.rateOf(b)+1.0/3, d.now
+	b.sentRate, b.sentAt = d.rateOf(b)+1/rateOver, d.now
 	if b.owed == 0 {
 		b.oweSince = d.now
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -296,3 +296,39 @@
 	}
 	return n
 }
+
+// ProbeEnded takes the answer to a probe.
+func (d *Door) ProbeEnded(at BackendID, good bool, took time.Duration, load []float64) {
+	b := d.backends[at]
+	if b == nil {
+		return
+	}
+	b.probing = false
+	d.readLoad(b, load)
+	if !good {
+		b.probes = 0
+		b.fails += smooth * (1 - b.fails)
+		return
+	}
+	b.probes++
+}
+
+// PeerSaid takes a peer message. What does not decode is dropped and counted.
+func (d *Door) PeerSaid(from GatewayID, payload []byte) {
+	m, err := decodeMessage(payload)
+	if err != nil || from < 0 || int(from) >= len(d.peers) || from == d.me {
+		d.badMail++
+		return
+	}
+	p := d.peers[from]
+	p.heard = d.now
+	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
+		return
+	}
+	if m.seq > 0 {
+		d.takeDelta(p, m)
+	}
+	if m.ackEpoch == d.epoch {
+		d.takeSnapshot(p, m)
+	}
+}
