--- a/control/control.go
+++ b/control/control.go
@@ -47,6 +47,7 @@
 	silence     = 4.0  // times the usual answer time without any answer sets a backend aside
 	silenceMin  = 200 * ms
 	trialEvery  = 700 * ms // a silent backend gets one inquiry-like txn
+	silentAside = time.Second
 	fullPause   = 100 * ms // doubled each time in a row
 	fullMost    = 5
 	asideMost   = 0.5 // share of the backends that may be aside for being slow or failing
@@ -871,8 +872,11 @@
 			if d.lookAgain(b) {
 				aside--
 			}
-		} else if float64(aside+1) <= asideMost*float64(ready) && (b.seen >= 2 && b.fails > failShare ||
-			b.slow > slowAside*d.median || b.owed >= 3 && d.now-b.oweSince > time.Second) {
+		} else if unheard := b.owed >= 2 && d.now-b.oweSince > silentAside; unheard ||
+			float64(aside+1) <= asideMost*float64(ready) &&
+				(b.seen >= 2 && b.fails > failShare || b.slow > slowAside*d.median) {
+			// One that owes answers is passed over anyhow, so there is no bound on how many of these are set
+			// aside: only from there a way leads back, by probes or trial, whatever products come.
 			b.aside, b.probes = true, 0
 			b.backoff = min(max(asideFirst, 2*b.backoff), asideLast)
 			b.nextProbe = d.now + b.backoff
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -303,7 +303,7 @@
 	// 10500 tell 1: delta 3 used 2
 	// # stale: the allowance alone, and it asks afresh
 	// 11900 tell 1: delta 3 used 2
-	// 11900 submit 14 to 3, 272
+	// 11900 submit 14 to 1, 272
 }
 
 func Example_oneProductFails() {
@@ -536,3 +536,31 @@
 	// 10000 decline 1
 	// 10000 submit 2 to 1, 272
 }
+
+func Example_silentBackendsAreSetAside() {
+	s := warm()
+	for _, b := range s.d.list {
+		b.owed, b.oweSince, b.sentAt = 2, s.d.now, s.d.now
+	}
+	fmt.Println("# none has answered for a second: all are set aside and probed")
+	s.at(11100)
+	s.at(11700)
+	for _, b := range s.d.list {
+		s.d.ProbeEnded(b.ID, true, ms, nil)
+	}
+	s.at(12300)
+	for _, b := range s.d.list {
+		s.d.ProbeEnded(b.ID, true, ms, nil)
+	}
+	s.at(12800)
+	fmt.Println("back:", !s.d.list[0].aside)
+	// Output:
+	// # none has answered for a second: all are set aside and probed
+	// 11700 probe 1
+	// 11700 probe 2
+	// 11700 probe 3
+	// 12300 probe 1
+	// 12300 probe 2
+	// 12300 probe 3
+	// back: true
+}
