--- a/control/control.go
+++ b/control/control.go
@@ -47,7 +47,7 @@
 	silence     = 4.0  // times the usual answer time without any answer sets a backend aside
 	silenceMin  = 200 * ms
 	trialEvery  = 700 * ms // a silent backend gets one inquiry-like txn
-	silentAside = time.Second
+	silentAside = 1600 * ms
 	fullPause   = 100 * ms // doubled each time in a row
 	fullMost    = 5
 	asideMost   = 0.5 // share of the backends that may be aside for being slow or failing
