--- a/control/control.go
+++ b/control/control.go
@@ -65,7 +65,7 @@
 	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
 	roomUp      = 0.002 // share that a prompt answer adds
-	roomDown    = 0.015 // share that a late one takes; both settle where one in eight is late
+	roomDown    = 0.025 // share that a late one takes; both settle where one in thirteen is late
 	useLeast    = 0.6   // share of the room in use that makes late answers count
 	oddSlow     = 1.7   // times the median: such a backend's lateness is its own
 	useSpare    = 0.4   // of the room in use: under that, what pays beyond its quota may go on
@@ -264,7 +264,8 @@
 		}
 		return
 	}
-	if b.warm < 1 || b.slow > oddSlow*d.median || e == TimedOut && d.silent(b, t) {
+	if b.warm < 1 || b.slow > oddSlow*d.median || e == TimedOut && b.oweSince <= t.sent {
+		// A time-out at a backend that has answered nothing since is silence, not crowding.
 		return // one backend's trouble: its own room is smaller by that, the fleet's is not
 	}
 	if d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -564,3 +564,20 @@
 	// 12900 probe 3
 	// back: true
 }
+
+func Example_roomAndSilence() {
+	s := warm()
+	s.txn(1, ownedBy(0), 0, 0)
+	b, before := s.d.txns[1].outAt, s.d.room
+	s.d.use = 1
+	s.d.Now(s.d.now + 400*ms)
+	s.d.adjustRoom(s.d.txns[1], b, TimedOut)
+	fmt.Println("time-out at a backend that has answered nothing since: room as before:", s.d.room == before)
+	b.oweSince = s.d.now
+	s.d.adjustRoom(s.d.txns[1], b, TimedOut)
+	fmt.Println("it answered others meanwhile: room taken away:", s.d.room < before)
+	// Output:
+	// 10000 submit 1 to 1, 272
+	// time-out at a backend that has answered nothing since: room as before: true
+	// it answered others meanwhile: room taken away: true
+}
