--- a/control/control.go
+++ b/control/control.go
@@ -694,7 +694,15 @@
 			return false
 		}
 	}
-	return b.warm >= 1 || d.coldTokens(b) >= 1
+	return b.warm >= 1 || d.coldTokens(b) >= min(d.weight(t), 1)
+}
+
+// weight is a txn's work against the mean of those sent: a cold backend's budget is one of work.
+func (d *Door) weight(t *txn) float64 {
+	if d.work <= 0 {
+		return 1
+	}
+	return d.usual(t).Seconds() / d.work
 }
 
 // coldTokens is the budget of sends to a cold backend: in each fall window, this gateway's own send rate to a
@@ -809,8 +817,12 @@
 		d.retries--
 	}
 	if b.warm < 1 {
-		b.cold--
+		b.cold -= d.weight(t) // may go below nought: a big txn is paid off before the next
+	}
+	if d.work <= 0 {
+		d.work = d.usual(t).Seconds()
 	}
+	d.work += smooth / 5 * (d.usual(t).Seconds() - d.work)
 	b.sentRate, b.sentAt = d.rateOf(b)+1/rateOver, d.now
 	if b.owed == 0 {
 		b.oweSince = d.now
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -167,14 +167,14 @@
 	}
 	// Output:
 	// beside warm ones, second by second:
-	//  cold 1
-	//  cold 6
-	//  cold 10
-	//  cold 12
+	//  cold 3
+	//  cold 8
+	//  cold 11
+	//  cold 13
 	// alone, with nothing warm to judge by:
 	//  cold 0
-	//  cold 1
-	//  cold 1
+	//  cold 3
+	//  cold 6
 }
 
 func Example_ceilingAcrossRestart() {
--- a/control/types.go
+++ b/control/types.go
@@ -362,6 +362,7 @@
 	median     float64
 	warmRate   float64 // sends a second to a warm backend
 	noRoom     bool
+	work       float64 // mean usual time of the txns sent, in seconds
 	everywhere backend // failing shares of the fleet
 	use        float64 // share of the room in use
 }
