--- a/control/control_test.go
+++ b/control/control_test.go
@@ -213,7 +213,7 @@
 	s.txn(1, ownedBy(0), 0, 0)
 	s.at(5100)
 	s.at(5120)
-	fmt.Println("# a message of the peer's old life is refused after its new one is known")
+	fmt.Println("# a message of the peer's old life is dropped after its new one is known")
 	c := ownedBy(0)
 	s.hear(1, &message{epoch: 7, seq: 5, deltas: []deltaLine{{c, 0, 0, 0, 0}}})
 	s.at(5200)
@@ -224,7 +224,7 @@
 	// Output:
 	// # an owner's bucket starts empty and refills at the rate: a txn waits for its unit
 	//  5100 submit 1 to 1, 396
-	// # a message of the peer's old life is refused after its new one is known
+	// # a message of the peer's old life is dropped after its new one is known
 	//  5120 tell 1: snapshot left 0.1875 sharers 2 ack 5
 	//  5200 tell 1: snapshot left 1 sharers 2 ack 1
 }
--- a/control/state.go
+++ b/control/state.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// newLife notes that a peer has started again; a message of a life that is over is refused.
+// newLife notes that a peer has started again; a message of a life that is over is dropped.
 // What was reported to the old life is dropped: the new bucket starts empty, which stands for all use before.
 func (d *Door) newLife(p *peer, epoch uint32) bool {
 	if p.over(epoch) {
