Peers tell how often to write to them; tight views ask first; less walking

And the packing delay assumed that every gateway writes to every other: 4 to 11 s, so every view was stale and every gateway spent an allowance; with a hundred gateways in a set these add up to many times the bucket.

Now: peers with something due are on a list, the survey and the judging of backends go by short periods, reports are a slice. Each gateway tells in its messages how often it can be written to, from what comes in and from how many. A customer whose floors together exceed what is left (tight) is asked about before the floor is spent; no answer in time means the floor after all. A delta names the customer's set, so that an owner that sees none of its txns knows the ceiling's parts. Numbers out of range are dropped; the count of reporters no longer wraps at 256.

Also covers: a hot customer's owner drowning in messages; exhaustion told to reporters that know already. May hurt where peer messages are slow against the SLA time: a tight txn waits for a round trip.

--- a/control/control.go
+++ b/control/control.go
@@ -19,9 +19,10 @@
 
 // Tuned values. Shares are of 1.
 const (
-	period      = 20 * ms   // periodic work
+	period      = 20 * ms   // periodic work while something waits
+	lookEvery   = 100 * ms  // and while nothing does
 	mailUse     = 0.7       // of what a peer takes in
-	leastPack   = 15 * ms   // packing delay at the least
+	leastGap    = 10 * ms   // packing delay at the least
 	viewLife    = 1000 * ms // a snapshot older than this is stale
 	resendAfter = 150 * ms  // an unacknowledged delta goes again
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
@@ -29,16 +30,18 @@
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
 	reporterFor = 2 * time.Second
 	idleAfter   = 10 * time.Second
-	askWait     = 100 * ms // and two packing delays: longest wait for a snapshot
-	viewWait    = 0.4      // of the SLA time at most
-	repeatLeave = 0.25     // of the burst: what a repeat must leave
-	unitWait    = 0.3      // of the SLA time: longest wait for units or an open slot
-	unknownPart = 8        // of the SLA time: a txn's usual time until one is known
-	smooth      = 0.1      // weight of a new sample
-	crowd       = 1.25     // a backend with this times the mean load, and one more, has enough
-	firstTry    = 0.55     // of the time left to the SLA time: limit of a submission that may be repeated
-	firstTimes  = 4        // and such a limit is set only above this times the usual answer time
-	retryGain   = 0.2      // further submissions earned by a txn
+	askWait     = 100 * ms // and both packing delays: longest wait for a snapshot
+	gapMost     = 2 * time.Second
+	gapFall     = 0.5
+	viewWait    = 0.4  // of the SLA time at most
+	repeatLeave = 0.25 // of the burst: what a repeat must leave
+	unitWait    = 0.3  // of the SLA time: longest wait for units or an open slot
+	unknownPart = 8    // of the SLA time: a txn's usual time until one is known
+	smooth      = 0.1  // weight of a new sample
+	crowd       = 1.25 // a backend with this times the mean load, and one more, has enough
+	firstTry    = 0.55 // of the time left to the SLA time: limit of a submission that may be repeated
+	firstTimes  = 4    // and such a limit is set only above this times the usual answer time
+	retryGain   = 0.2  // further submissions earned by a txn
 	retryMost   = 30.0
 	failShare   = 0.35 // of failing submissions sets a backend aside
 	failOdd     = 2.0  // and more than this times the share everywhere
@@ -94,16 +97,16 @@
 		typical: map[int]float64{}, retries: retryMost / 3, pressed: -pressFor}
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
 	d.products, d.plans = p.products(), p.plans()
-	mail := p.number("quota.mail_per_s")
+	d.everywhere = make([]failing, len(d.products))
 	if d.gateways < 1 || int(d.me) >= d.gateways {
 		p.complain("me", "must be under the number of gateways, which is one at the least")
 	}
 	d.room = roomFirst / float64(max(d.gateways, 1))
 	d.epoch = d.rng.Uint32() | 1 // nought stands for none
 	for i := 0; i < d.gateways; i++ {
-		d.peers = append(d.peers, &peer{id: GatewayID(i), answer: map[CustomerID]bool{}})
+		d.peers = append(d.peers, &peer{id: GatewayID(i), gap: leastGap})
 	}
-	d.pack = max(leastPack, time.Duration(float64(time.Second)*float64(d.gateways-1)/max(mail*mailUse, 1)))
+	d.gap, d.mailMost = leastGap, max(1, mailUse*p.number("quota.mail_per_s"))
 	return d, p.err
 }
 
@@ -224,7 +227,7 @@
 	if e == Errored {
 		bad = 1
 	}
-	f, all := b.failing(t.Product), d.everywhere.failing(t.Product)
+	f, all := &b.fail[t.Product], &d.everywhere[t.Product]
 	f.seen = min(f.seen+1, 1/smooth)
 	f.share += (bad - f.share) / f.seen
 	all.share += smooth / 5 * (bad - all.share)
@@ -241,12 +244,12 @@
 func (d *Door) fails(b *backend, t *txn) bool {
 	if d.products[t.Product].kind == "once-only" {
 		for p, f := range b.fail {
-			if p != t.Product && (f.until > d.now || f.share > failShare/2) {
+			if ProductID(p) != t.Product && (f.until > d.now || f.share > failShare/2) {
 				return true
 			}
 		}
 	}
-	return b.failing(t.Product).until > d.now
+	return b.fail[t.Product].until > d.now
 }
 
 // adjustRoom learns how much this gateway may have out: late answers take room away,
@@ -320,7 +323,7 @@
 			}
 			continue
 		}
-		if d.now-d.lastWork >= period {
+		if d.now-d.lastWork >= d.pace() {
 			d.lastWork = d.now
 			d.sweep()
 			continue
@@ -352,7 +355,7 @@
 		return
 	}
 	a := d.account(t.Customer, t.Plan)
-	d.place(a, t)
+	d.place(a, t.SetFirst, t.SetWidth)
 	a.used = d.now
 	if !t.drawn && !t.over {
 		switch verdict, until := d.covered(a, t); verdict {
@@ -408,7 +411,7 @@
 		return
 	}
 	t.waits = true
-	if t.giveUp == 0 {
+	if t.giveUp < until {
 		t.giveUp = until
 		d.due.add(until, t.ID)
 	}
@@ -417,9 +420,8 @@
 
 // expire gives up a txn whose due time has come.
 func (d *Door) expire(t *txn) {
-	if a := d.accounts[t.Customer]; t.waits && a != nil && d.now < t.Expiry-2*ms && d.now >= t.giveUp &&
-		(t.why == lackUnits || t.why == lackView) && d.spare(a, t) {
-		t.waits, t.over = false, true
+	if t.waits && d.now < t.Expiry-2*ms && d.now >= t.giveUp && (t.why == lackUnits || t.why == lackView) {
+		t.waits = false // decided a last time: without an answer of the owner it may have the allowance
 		d.todo = append(d.todo, t)
 		return
 	}
@@ -479,9 +481,9 @@
 		a.spent = false
 	} else if !a.spent { // exhaustion is told to recent reporters at once
 		a.spent = true
-		for _, p := range d.peers {
-			if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
-				p.owe(a.id)
+		for _, r := range a.reports {
+			if d.now-r.at < reporterFor && r.left >= 1 {
+				d.owe(d.peers[r.from], a.id)
 			}
 		}
 	}
@@ -509,7 +511,7 @@
 	}
 	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
 		t.why = lackSlot
-		if a.owner != d.me && d.now-a.levelAt > 2*d.pack {
+		if a.owner != d.me && d.now-a.levelAt > d.answerIn(a) {
 			d.ask(a) // what others had out is long ended, but nobody tells a gateway that keeps still
 		}
 		if d.now < last {
@@ -550,7 +552,18 @@
 	share := a.share(t.Units)
 	pending := a.unacked + a.unsent
 	age := d.now - a.levelAt
-	fresh := a.known && age < viewLife
+	until := t.arrived + min(d.answerIn(a), time.Duration(viewWait*float64(d.products[t.Product].slaTime)))
+	most, life := a.plan.burst, viewLife
+	if a.known {
+		most = min(most, max(a.level, 0))
+	}
+	// Where one such txn for each gateway is more than is left, a view is good only for the txns that wait for
+	// it: with a set of a hundred gateways each would else spend its allowance on a used-up bucket.
+	tight := t.Units*float64(a.sharers) > most
+	if tight {
+		life = d.answerIn(a)
+	}
+	fresh := a.known && age < life
 	if fresh && a.level-pending >= d.need(a, t) && pending+t.Units <= share {
 		return pass, 0
 	}
@@ -558,30 +571,31 @@
 		d.ask(a)
 		// While the owner is silent the allowance grows at the rate, shared by the gateways of the set that are
 		// heard: the survivors of a lost hall then serve the whole quota between them.
-		silent := d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn()
+		silent := d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn(a)
 		if silent {
 			share += a.plan.rate / float64(d.heard(a)) * (d.now - a.asked).Seconds()
 		}
 		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
 		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
 		left := a.level + a.plan.rate*age.Seconds()/float64(max(a.sharers, 1)) - pending
-		if pending+t.Units <= share && (silent || !a.known || left >= d.need(a, t)) {
+		enough := !a.known || left >= d.need(a, t)
+		// Asked in good time and not answered: the allowance is there for that.
+		unanswered := d.now >= until && a.asked > 0 && a.asked < until && !t.Repeat
+		if pending+t.Units <= share && (silent || !tight && enough || unanswered && enough) {
 			return pass, 0
 		}
 	}
 	mayBe := a.level + a.plan.rate*age.Seconds() - pending // if no other spent since
-	if !fresh || age > 2*d.pack && mayBe >= t.Units || pending+t.Units > share {
-		until := t.arrived + min(d.answerIn(), time.Duration(viewWait*float64(d.products[t.Product].slaTime)))
-		if d.now < until && !t.Repeat {
-			d.ask(a)
-			return wait, until
-		}
+	if (!fresh || age > d.answerIn(a) && mayBe >= t.Units || pending+t.Units > share) && d.now < until && !t.Repeat {
+		d.ask(a)
+		a.wanted = max(a.wanted, t.Units)
+		return wait, until
 	}
 	return beyond, time.Duration((t.Units - max(0, a.level-pending)) / a.plan.rate * float64(time.Second))
 }
 
-// answerIn is the time within which a peer that is well answers.
-func (d *Door) answerIn() time.Duration { return askWait + 2*d.pack }
+// answerIn is the time within which an owner that is well answers.
+func (d *Door) answerIn(a *account) time.Duration { return askWait + d.gap + d.peers[a.owner].gap }
 
 // underCeiling keeps rule 5: this gateway's part of the ceiling starts empty in each life and refills at
 // its part of the rate, so that all parts together never pass the whole, whoever restarts.
@@ -595,7 +609,7 @@
 	if d.partNow(a) >= t.Units {
 		return true, 0
 	}
-	if a.owner != d.me && d.now-a.levelAt > 2*d.pack {
+	if a.owner != d.me && d.now-a.levelAt > d.answerIn(a) {
 		a.want = max(t.Units, partAsk*a.partCap())
 		d.ask(a)
 		return false, d.now
@@ -649,9 +663,9 @@
 	return (float64(b.out) + b.others) * max(b.slow/d.median, 0.5) / b.warm
 }
 
-// survey brings up to now what every choice goes by, once for all choices of an instant.
+// survey brings up to now what every choice goes by, once for all choices of a short while.
 func (d *Door) survey() {
-	if d.surveyed == d.now && len(d.open) > 0 {
+	if d.now-d.surveyed < period && len(d.open) > 0 {
 		return
 	}
 	d.surveyed, d.open = d.now, d.open[:0]
@@ -746,7 +760,8 @@
 			continue // a fresh one is passed over by chance; a full one has enough
 		}
 		can = append(can, b)
-		mean += d.load(b)
+		b.load = d.load(b)
+		mean += b.load
 	}
 	d.can = can
 	d.use = out / max(roomAll, 1)
@@ -761,10 +776,10 @@
 	var own, any, least *backend
 	var ownHash, anyHash uint64
 	for _, b := range can {
-		if least == nil || d.load(b) < d.load(least) {
+		if least == nil || b.load < least.load {
 			least = b
 		}
-		if d.load(b)+1 > enough {
+		if b.load+1 > enough {
 			continue
 		}
 		h := mix(uint64(t.Customer)*0x9e3779b97f4a7c15 ^ b.hash)
@@ -864,9 +879,29 @@
 
 // ---- Periodic work
 
-// sweep looks after backends and drops what is idle.
+// pace is the time from one periodic work to the next.
+func (d *Door) pace() time.Duration {
+	if len(d.line) > 0 || len(d.posted) > 0 {
+		return period
+	}
+	return lookEvery
+}
+
+// sweep is all work that comes by the clock.
 func (d *Door) sweep() {
 	d.recheck, d.noRoom = true, false
+	if d.now-d.looked >= lookEvery {
+		d.looked = d.now
+		d.lookAround()
+	}
+	if d.now-d.tick >= time.Second {
+		d.clearUp()
+		d.tick = d.now
+	}
+}
+
+// lookAround judges the backends.
+func (d *Door) lookAround() {
 	d.survey()
 	ready, aside := 0, 0
 	for _, b := range d.list {
@@ -907,10 +942,18 @@
 			len(d.line), d.badMail)})
 		d.gaveUp = tally{}
 	}
-	if d.now-d.tick < time.Second {
-		return
-	}
-	d.tick = d.now
+}
+
+// clearUp drops what is idle and works out how often peers may write.
+func (d *Door) clearUp() {
+	// The gap between messages to here follows what comes in: a customer whose many gateways all write to
+	// its owner is told of less often, all others at once.
+	in := float64(d.mailIn) / (d.now - d.tick).Seconds()
+	d.gap = min(max(leastGap, time.Duration(float64(d.gap)*max(in/d.mailMost, gapFall))), gapMost)
+	if in > d.mailMost {
+		d.gap = max(d.gap, time.Duration(float64(d.writers)/d.mailMost*float64(time.Second)))
+	}
+	d.mailIn, d.writers = 0, 0
 	kept := d.order[:0]
 	for _, a := range d.order {
 		full := a.plan.rate <= 0 || a.plan.burst <= a.plan.rate*idleAfter.Seconds()
@@ -951,12 +994,19 @@
 	if !d.tells {
 		return false
 	}
-	for _, p := range d.peers {
-		if p.id == d.me || d.now-p.lastSent < d.pack && p.lastSent > 0 {
+	posted := d.posted
+	d.posted = d.posted[:0]
+	for i, p := range posted {
+		p.posted = len(p.dirty) > 0 || p.ackDue || len(p.flight) > 0
+		if !p.posted {
+			continue
+		}
+		d.posted = append(d.posted, p)
+		if d.now-p.lastSent < p.gap && p.lastSent > 0 {
 			continue
 		}
-		m := &message{epoch: d.epoch, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
-		if len(p.flight) > 0 && d.now-p.flight[0].at > resendAfter { // again under its sequence
+		m := &message{epoch: d.epoch, gap: d.gap, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
+		if len(p.flight) > 0 && d.now-p.flight[0].at > resendAfter+p.gap { // again under its sequence
 			f := p.flight[0]
 			f.at = d.now
 			p.flight = append(p.flight[1:], f)
@@ -971,6 +1021,7 @@
 		p.ackDue = len(p.answers) > 0
 		p.lastSent = d.now
 		d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
+		d.posted = append(d.posted, posted[i+1:]...)
 		return true
 	}
 	return false
--- a/control/peer.go
+++ b/control/peer.go
@@ -5,12 +5,13 @@
 	"errors"
 	"math"
 	"slices"
+	"time"
 )
 
 // One peer message packs a sequenced delta (for accounts the receiver owns) and a snapshot
 // (for accounts the sender owns, with the acknowledgement). Numbers are varints, units are sixteenths.
 
-const messageRoom = 256
+const messageRoom, mostSeq = 256, 1 << 62
 
 type deltaLine struct {
 	customer CustomerID
@@ -18,6 +19,9 @@
 	units    float64
 	out      int
 	part     float64 // of the ceiling: given, or below nought asked for
+	first    GatewayID
+	wanted   float64 // units that wait for an answer
+	width    int     // the customer's set, so that an owner knows it before it sees a txn of its own
 }
 
 type snapLine struct {
@@ -30,7 +34,8 @@
 
 type message struct {
 	epoch    uint32
-	seq      uint64 // 0: no delta
+	gap      time.Duration // the least time between messages that the sender wishes to get
+	seq      uint64        // 0: no delta
 	deltas   []deltaLine
 	version  uint64
 	ackEpoch uint32 // life of the receiver that is acknowledged
@@ -51,27 +56,31 @@
 	b = binary.AppendUvarint(b, uint64(l.plan))
 	b = binary.AppendUvarint(b, sixteenths(l.units))
 	b = binary.AppendUvarint(b, uint64(l.out))
-	return binary.AppendVarint(b, int64(max(min(l.part*16, 1<<20), -1<<20)))
+	b = binary.AppendVarint(b, int64(max(min(l.part*16, 1<<20), -1<<20)))
+	b = binary.AppendUvarint(b, uint64(l.first))
+	b = binary.AppendUvarint(b, sixteenths(l.wanted))
+	return binary.AppendUvarint(b, uint64(l.width))
 }
 
 func (l snapLine) append(b []byte) []byte {
 	b = binary.AppendUvarint(b, uint64(l.customer))
 	b = binary.AppendUvarint(b, sixteenths(l.left))
-	b = append(b, byte(l.sharers))
+	b = binary.AppendUvarint(b, uint64(l.sharers))
 	b = binary.AppendUvarint(b, uint64(l.outElse))
 	return binary.AppendUvarint(b, sixteenths(l.grant))
 }
 
 // longest lines: a line fits for sure while this much room is left.
-const deltaMost, snapMost = 5 + 3 + 4 + 3 + 4, 5 + 4 + 1 + 3 + 4
+const deltaMost, snapMost = 5 + 3 + 4 + 3 + 4 + 3 + 4 + 3, 5 + 4 + 3 + 3 + 4
 
 // room is what is left of a message.
 func (m *message) room() int { return messageRoom - len(m.encode()) }
 
 func (m *message) encode() []byte {
 	b := make([]byte, 0, messageRoom)
-	b = append(b, 1)
+	b = append(b, 2)
 	b = binary.LittleEndian.AppendUint32(b, m.epoch)
+	b = binary.AppendUvarint(b, uint64(m.gap.Milliseconds()))
 	b = binary.AppendUvarint(b, m.seq)
 	b = append(b, byte(len(m.deltas)))
 	for _, l := range m.deltas {
@@ -93,9 +102,10 @@
 	bad bool
 }
 
-func (r *reader) varint() uint64 {
+// upTo reads a number that must not be over a bound.
+func (r *reader) upTo(most uint64) uint64 {
 	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
+	if n <= 0 || v > most {
 		r.bad = true
 		return 0
 	}
@@ -103,6 +113,9 @@
 	return v
 }
 
+// units reads sixteenths.
+func (r *reader) units() float64 { return float64(r.upTo(1<<20)) / 16 }
+
 // signed reads sixteenths that may be below nought.
 func (r *reader) signed() float64 {
 	v, n := binary.Varint(r.b)
@@ -136,18 +149,18 @@
 
 func decodeMessage(b []byte) (*message, error) {
 	r := &reader{b: b}
-	if r.octet() != 1 {
+	if r.octet() != 2 {
 		return nil, errors.New("unknown form")
 	}
-	m := &message{epoch: r.fixed(), seq: r.varint()}
+	m := &message{epoch: r.fixed(), gap: time.Duration(r.upTo(1<<14)) * time.Millisecond, seq: r.upTo(mostSeq)}
 	for n := r.octet(); n > 0 && !r.bad; n-- {
-		m.deltas = append(m.deltas, deltaLine{CustomerID(r.varint()), PlanID(r.varint() & 0xffff),
-			float64(r.varint()&0xffffff) / 16, int(r.varint() & 0xffff), r.signed()})
+		m.deltas = append(m.deltas, deltaLine{CustomerID(r.upTo(1 << 34)), PlanID(r.upTo(1 << 16)), r.units(),
+			int(r.upTo(1 << 20)), r.signed(), GatewayID(r.upTo(1 << 20)), r.units(), int(r.upTo(1 << 20))})
 	}
-	m.version, m.ackEpoch, m.ackHigh, m.ackMask = r.varint(), r.fixed(), r.varint(), uint64(r.fixed())
+	m.version, m.ackEpoch, m.ackHigh, m.ackMask = r.upTo(mostSeq), r.fixed(), r.upTo(mostSeq), uint64(r.fixed())
 	for n := r.octet(); n > 0 && !r.bad; n-- {
-		m.snaps = append(m.snaps, snapLine{CustomerID(r.varint()), float64(r.varint()&0xffffff) / 16,
-			r.octet(), int(r.varint() & 0xffff), float64(r.varint()&0xffffff) / 16})
+		m.snaps = append(m.snaps, snapLine{CustomerID(r.upTo(1 << 34)), r.units(),
+			int(r.upTo(1 << 20)), int(r.upTo(1 << 20)), r.units()})
 	}
 	if r.bad || len(r.b) != 0 {
 		return nil, errors.New("cut short or too long")
@@ -188,8 +201,12 @@
 }
 
 // owe queues an account for the next snapshot to the peer.
-func (p *peer) owe(id CustomerID) {
+func (d *Door) owe(p *peer, id CustomerID) {
 	p.ackDue = true
+	d.post(p)
+	if p.answer == nil {
+		p.answer = map[CustomerID]bool{}
+	}
 	if !p.answer[id] {
 		p.answer[id] = true
 		p.answers = append(p.answers, id)
--- a/control/state.go
+++ b/control/state.go
@@ -17,13 +17,14 @@
 	for _, l := range list {
 		b := d.backends[l.ID]
 		if b == nil {
-			b = &backend{Listing: l, hash: mix(uint64(l.ID)), slow: 1, coldAt: d.now}
+			b = &backend{Listing: l, hash: mix(uint64(l.ID)), slow: 1, coldAt: d.now, fail: make([]failing, len(d.products))}
 			d.backends[l.ID] = b
 			d.list = append(d.list, b)
 			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
 		}
 		if l.Started > b.Started { // a new process: what was known of the old one is void
-			*b = backend{Listing: l, hash: b.hash, slow: 1, coldAt: d.now, out: b.out}
+			*b = backend{Listing: l, hash: b.hash, slow: 1, coldAt: d.now, out: b.out,
+				fail: make([]failing, len(d.products))}
 		}
 		b.Listing = l
 	}
@@ -49,8 +50,7 @@
 func (d *Door) account(id CustomerID, pl PlanID) *account {
 	a := d.accounts[id]
 	if a == nil {
-		a = &account{id: id, plan: &d.plans[pl], planID: pl, owner: d.me, sharers: 1, used: d.now,
-			reports: map[GatewayID]*report{}}
+		a = &account{id: id, plan: &d.plans[pl], planID: pl, owner: d.me, sharers: 1, used: d.now}
 		a.level, a.levelAt = d.sinceBirth(a), d.now
 		a.part, a.partAt = 0, d.born
 		d.accounts[id] = a
@@ -64,6 +64,15 @@
 		a.dirty = true
 		p := d.peers[a.owner]
 		p.dirty = append(p.dirty, a)
+		d.post(p)
+	}
+}
+
+// post notes that something is due to a peer.
+func (d *Door) post(p *peer) {
+	if !p.posted {
+		p.posted = true
+		d.posted = append(d.posted, p)
 	}
 }
 
@@ -73,23 +82,40 @@
 	}
 }
 
-// reporters counts the gateways that reported lately, and their submissions out, but for one of them.
-func (d *Door) reporters(a *account, but *peer) (n, out int) {
-	for _, p := range d.peers {
-		if r := a.reports[p.id]; r != nil && d.now-r.at < reporterFor {
+// reporters counts the gateways that reported lately, and, but for one of them, their submissions out and
+// the units they have just been told of.
+func (d *Door) reporters(a *account, but *peer) (n, out int, told float64) {
+	for _, r := range a.reports {
+		if d.now-r.at < reporterFor {
 			n++
-			if p != but {
-				out += r.out
+			if but != nil && r.from == but.id {
+				continue
 			}
+			out += r.out
+			if d.now-r.told < d.answerIn(a) {
+				told += r.units
+			}
+		}
+	}
+	return n, out, told
+}
+
+// report finds or makes what a gateway reported of a customer.
+func (a *account) report(from GatewayID) *report {
+	for _, r := range a.reports {
+		if r.from == from {
+			return r
 		}
 	}
-	return n, out
+	r := &report{from: from, at: -reporterFor}
+	a.reports = append(a.reports, r)
+	return r
 }
 
 // outElse is how many submissions other gateways have out for a customer, as far as told.
 func (d *Door) outElse(a *account) int {
 	if a.owner == d.me {
-		_, out := d.reporters(a, nil)
+		_, out, _ := d.reporters(a, nil)
 		return out
 	}
 	return a.outElse
@@ -106,8 +132,12 @@
 			continue
 		}
 		d.refill(a)
-		sharers, out := d.reporters(a, p)
-		m.snaps = append(m.snaps, snapLine{a.id, a.level, sharers + 1, out + a.out, d.grant(a, a.reports[p.id])})
+		sharers, out, told := d.reporters(a, p)
+		r := a.report(p.id)
+		left := max(0, a.level-told)
+		r.units, r.told, r.left = min(left, r.wanted), d.now, left
+		r.wanted = 0
+		m.snaps = append(m.snaps, snapLine{a.id, left, sharers + 1, out + a.out, d.grant(a, r)})
 		room -= len(m.snaps[len(m.snaps)-1].append(nil))
 	}
 }
@@ -141,33 +171,32 @@
 func (d *Door) takeDelta(p *peer, m *message) {
 	fresh := p.first(m.seq)
 	p.ackDue = true
+	d.post(p)
 	for _, l := range m.deltas {
 		if int(l.plan) >= len(d.plans) {
 			d.badMail++
 			continue
 		}
 		a := d.account(l.customer, l.plan)
-		if a.owner != d.me && a.inSet {
+		d.place(a, l.first, l.width)
+		if a.owner != d.me {
+			d.badMail++
 			continue
 		}
-		a.owner = d.me
 		d.refill(a)
-		r := a.reports[p.id]
-		if r == nil {
-			r = &report{}
-			a.reports[p.id] = r
-		}
+		r := a.report(p.id)
 		if r.at = d.now; m.seq == p.high {
-			r.out = l.out
+			r.out, r.wanted = l.out, l.wanted
 		}
+		r.units = max(0, r.units-l.units)
 		if fresh {
 			d.draw(a, l.units)
 		}
-		if fresh && m.ackEpoch == d.epoch && a.inSet && a.plan.ceilRate > 0 {
+		if fresh && m.ackEpoch == d.epoch && a.listened && a.plan.ceilRate > 0 {
 			a.part = min(a.partCap(), d.partNow(a)+max(l.part, 0))
 			r.want = max(-l.part, 0)
 		}
-		p.owe(a.id)
+		d.owe(p, a.id)
 	}
 	d.recheck = true
 }
@@ -205,14 +234,14 @@
 }
 
 // place works out the owner: rendezvous hashing over the customer's set, the same at every gateway.
-func (d *Door) place(a *account, t *txn) {
+func (d *Door) place(a *account, setFirst GatewayID, width int) {
 	if a.inSet {
 		return
 	}
 	a.inSet = true
-	a.width = min(max(t.SetWidth, 1), d.gateways)
+	a.width = min(max(width, 1), d.gateways)
 	a.sharers = a.width
-	first := GatewayID(max(int(t.SetFirst), 0) % d.gateways)
+	first := GatewayID(max(int(setFirst), 0) % d.gateways)
 	a.first = first
 	a.owner = ownerOf(a.id, first, a.width, d.gateways)
 	a.listened = (int(d.me-first)%d.gateways+d.gateways)%d.gateways < a.width
@@ -239,10 +268,12 @@
 	return min(a.plan.burst, a.plan.rate*(d.now-d.born).Seconds())
 }
 
-// ask makes the account part of the next delta, with nought if need be.
+// ask makes the account part of the next delta, with nought if need be, unless a question is on its way.
 func (d *Door) ask(a *account) {
 	if a.asked == 0 {
 		a.asked = d.now
+	} else if d.now-a.packed < d.answerIn(a) {
+		return
 	}
 	d.mark(a)
 }
@@ -263,9 +294,9 @@
 		a := p.dirty[0]
 		p.dirty = p.dirty[1:]
 		a.dirty = false
-		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out, d.move(a)})
+		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out, d.move(a), a.first, a.wanted, a.width})
 		a.unacked += a.unsent
-		a.unsent = 0
+		a.unsent, a.wanted, a.packed = 0, 0, d.now
 		room -= len(m.deltas[len(m.deltas)-1].append(nil))
 	}
 	p.flight = append(p.flight, &parcel{m.seq, d.now, m.deltas})
@@ -273,7 +304,7 @@
 
 // wake asks for the one periodic timer and, if something is due before it, for that time.
 func (d *Door) wake() (Decision, bool) {
-	next := d.lastWork + period
+	next := d.lastWork + d.pace()
 	if at, ok := d.due.next(); ok {
 		next = min(next, at)
 	}
@@ -321,7 +352,11 @@
 		return
 	}
 	p := d.peers[from]
-	p.heard = d.now
+	d.mailIn++
+	if p.heard <= d.tick {
+		d.writers++
+	}
+	p.heard, p.gap = d.now, max(m.gap, leastGap)
 	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
 		return
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -197,8 +197,9 @@
 	oweSince  time.Duration
 	owed      int // sends since the last answer
 	fullUntil time.Duration
-	fail      map[ProductID]*failing
-	fulls     int // full answers in a row
+	fail      []failing // by product
+	load      float64   // at the last choice
+	fulls     int       // full answers in a row
 	aside     bool
 	probes    int // good probes in a row while aside
 	probing   bool
@@ -217,16 +218,6 @@
 	until, pause time.Duration // passed over
 }
 
-func (b *backend) failing(p ProductID) *failing {
-	if b.fail == nil {
-		b.fail = map[ProductID]*failing{}
-	}
-	if b.fail[p] == nil {
-		b.fail[p] = &failing{}
-	}
-	return b.fail[p]
-}
-
 // account is one customer here: the bucket if this gateway owns it, the view if not.
 type account struct {
 	id       CustomerID
@@ -243,11 +234,12 @@
 	levelAt  time.Duration
 	known    bool // a snapshot has come
 	version  uint64
-	reports  map[GatewayID]*report
+	reports  []*report
 	spent    bool // exhaustion told
 	unsent   float64
 	unacked  float64
 	dirty    bool
+	packed   time.Duration // last part of a delta
 	asked    time.Duration // oldest ask without an answer
 	sharers  int
 	outElse  int
@@ -255,12 +247,18 @@
 	partAt   time.Duration
 	listened bool
 	want     float64 // of the ceiling, to ask the owner for
+	wanted   float64 // units that a txn waits for
 }
 
 type report struct {
-	at   time.Duration
-	out  int
-	want float64 // of the ceiling
+	from   GatewayID
+	left   float64 // told last
+	at     time.Duration
+	out    int
+	want   float64 // of the ceiling
+	wanted float64 // units that a txn waits for
+	units  float64 // told that it may spend them, and not yet reported
+	told   time.Duration
 }
 
 // partCap is what a gateway's part of the ceiling holds at most.
@@ -279,6 +277,8 @@
 	answers  []CustomerID
 	answer   map[CustomerID]bool
 	ackDue   bool
+	posted   bool          // among those with something due
+	gap      time.Duration // between messages to it, as it wishes
 	lastSent time.Duration
 	heard    time.Duration
 	granted  uint64 // version of the last message whose grants were taken
@@ -330,7 +330,10 @@
 	warmBy, fallWindow  time.Duration
 	coldFrom, fallTimes float64
 	mostUnits           float64
-	pack                time.Duration
+	gap                 time.Duration // between messages to here, as peers are told
+	mailMost            float64       // messages a second taken in at most
+	mailIn              int           // messages since the last tick
+	writers             int           // and the peers they came from
 
 	txns       map[TxnID]*txn
 	due        dueQueue
@@ -343,6 +346,7 @@
 	accounts   map[CustomerID]*account
 	order      []*account
 	peers      []*peer
+	posted     []*peer // with something due
 	epoch      uint32
 	typical    map[int]float64 // usual answer time by product and units, in seconds
 	retries    float64
@@ -362,8 +366,9 @@
 	median     float64
 	warmRate   float64 // sends a second to a warm backend
 	noRoom     bool
-	work       float64 // mean usual time of the txns sent, in seconds
-	everywhere backend // failing shares of the fleet
+	work       float64   // mean usual time of the txns sent, in seconds
+	everywhere []failing // failing shares of the fleet
+	looked     time.Duration
 	use        float64 // share of the room in use
 }
 
