Load probes are paid for by txns, a fifth of one each

Cause: where only probes report load, each gateway probed each backend once a second: with 260 gateways and 90 backends that is several probes a txn. May hurt where traffic is thin: load is then known late.

--- a/control/control.go
+++ b/control/control.go
@@ -62,8 +62,10 @@
 	coldUse     = 0.5             // of the cold budget
 	noteEvery   = 5 * time.Second
 	probeEvery  = 1 * time.Second // where only probes report load
-	roomFirst   = 8.0             // submissions out at a usual backend to begin with, from all gateways
-	roomLeast   = 1.0             // from all gateways
+	probeGain   = 0.2             // such probes earned by a txn
+	probeMost   = 10.0
+	roomFirst   = 8.0 // submissions out at a usual backend to begin with, from all gateways
+	roomLeast   = 1.0 // from all gateways
 	roomMost    = 40.0
 	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
@@ -828,6 +830,7 @@
 			d.spend(a, t)
 		}
 		d.retries = min(retryMost, d.retries+retryGain)
+		d.probeRight = min(probeMost, d.probeRight+probeGain)
 	} else {
 		d.retries--
 	}
@@ -904,6 +907,7 @@
 func (d *Door) lookAround() {
 	d.survey()
 	ready, aside := 0, 0
+	var turn *backend // whose load is asked next
 	for _, b := range d.list {
 		if b.State == Ready {
 			ready++
@@ -930,11 +934,16 @@
 			b.nextProbe = d.now + b.backoff
 			aside++
 		}
-		if d.byProbe && !b.aside && !b.probing && d.now >= b.nextProbe {
-			b.probing, b.nextProbe = true, d.now+probeEvery
-			d.ready = append(d.ready, Decision{Verb: Probe, Backend: b.ID})
+		if d.byProbe && !b.aside && !b.probing && d.now >= b.nextProbe &&
+			(turn == nil || b.nextProbe < turn.nextProbe) {
+			turn = b
 		}
 	}
+	if turn != nil && d.probeRight >= 1 { // each txn pays for a part of one: many gateways ask no more than few
+		d.probeRight--
+		turn.probing, turn.nextProbe = true, d.now+probeEvery
+		d.ready = append(d.ready, Decision{Verb: Probe, Backend: turn.ID})
+	}
 	if d.now-d.noted >= noteEvery {
 		d.noted = d.now
 		d.ready = append(d.ready, Decision{Verb: Note, Text: fmt.Sprintf("given up for want of%s; room %.1f, "+
--- a/control/types.go
+++ b/control/types.go
@@ -350,6 +350,7 @@
 	epoch      uint32
 	typical    map[int]float64 // usual answer time by product and units, in seconds
 	retries    float64
+	probeRight float64 // probes that may go out to learn of load
 	wakeAt     time.Duration
 	tick       time.Duration
 	badMail    int
