A gateway that stood still blames nobody and drops what is too late

Now a jump of the clock beyond the periodic work is held against nobody; txns that came meanwhile are taken as spread evenly over it, and those that are too late are declined at once. Deltas without an answer go again twice as late each time.

--- a/control/control.go
+++ b/control/control.go
@@ -21,10 +21,12 @@
 const (
 	period      = 20 * ms   // periodic work while something waits
 	lookEvery   = 100 * ms  // and while nothing does
+	stallLeast  = 250 * ms  // without a turn: this gateway stood still
 	mailUse     = 0.7       // of what a peer takes in
 	leastGap    = 10 * ms   // packing delay at the least
 	viewLife    = 1000 * ms // a snapshot older than this is stale
-	resendAfter = 150 * ms  // an unacknowledged delta goes again
+	resendAfter = 120 * ms  // an unacknowledged delta goes again, twice as late each time
+	resendMost  = 3
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
@@ -115,7 +117,30 @@
 // ---- Inputs: what is known
 
 // Now sets the clock.
-func (d *Door) Now(now time.Duration) { d.now = max(d.now, now) }
+func (d *Door) Now(now time.Duration) {
+	// A gateway that stood still for longer than its periodic work allows finds time-outs, silence and old views
+	// of its own making: they are held against nobody. What came meanwhile has waited already, see catchUp.
+	if d.now > d.born && now-d.now > stallLeast {
+		d.stallFrom, d.stallTo = d.now, now
+		for _, b := range d.list {
+			b.oweSince = now
+		}
+	}
+	d.now = max(d.now, now)
+}
+
+// catchUp spreads the txns that came while this gateway stood still over that time: those whose SLA time is
+// over by then are declined at once and take no units.
+func (d *Door) catchUp() {
+	n := len(d.todo)
+	for i, t := range d.todo {
+		if p := int(t.Product); t.arrived == d.now && t.nr == 0 && p >= 0 && p < len(d.products) {
+			waited := time.Duration(float64(d.stallTo-d.stallFrom) * (float64(n-i) - 0.5) / float64(n))
+			t.slaAt = min(t.slaAt, d.now-waited+d.products[p].slaTime)
+		}
+	}
+	d.stallFrom = d.stallTo
+}
 
 // TxnTaken takes a client's txn in.
 func (d *Door) TxnTaken(x Txn) {
@@ -178,6 +203,9 @@
 		}
 		d.readLoad(b, load)
 	}
+	if t != nil && t.sent < d.stallTo && (e == Settled || e == TimedOut) {
+		return // how long it took is this gateway's own doing
+	}
 	d.adjustRoom(t, b, e)
 	if e == Settled && t != nil {
 		kind := d.sort(t)
@@ -295,6 +323,9 @@
 
 // Next gives the next thing to do now, or false when there is none.
 func (d *Door) Next() (Decision, bool) {
+	if d.stallFrom < d.stallTo {
+		d.catchUp()
+	}
 	for {
 		if len(d.ready) > 0 {
 			x := d.ready[0]
@@ -573,7 +604,7 @@
 		d.ask(a)
 		// While the owner is silent the allowance grows at the rate, shared by the gateways of the set that are
 		// heard: the survivors of a lost hall then serve the whole quota between them.
-		silent := d.now-max(a.asked, d.peers[a.owner].heard) > d.answerIn(a)
+		silent := d.now-max(a.asked, d.peers[a.owner].heard, d.stallTo) > d.answerIn(a)
 		if silent {
 			share += a.plan.rate / float64(d.heard(a)) * (d.now - a.asked).Seconds()
 		}
@@ -1015,9 +1046,9 @@
 			continue
 		}
 		m := &message{epoch: d.epoch, gap: d.gap, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
-		if len(p.flight) > 0 && d.now-p.flight[0].at > resendAfter+p.gap { // again under its sequence
+		if len(p.flight) > 0 && d.now-p.flight[0].at > (resendAfter+p.gap)<<p.flight[0].tries { // again under its sequence
 			f := p.flight[0]
-			f.at = d.now
+			f.at, f.tries = d.now, min(f.tries+1, resendMost)
 			p.flight = append(p.flight[1:], f)
 			m.seq, m.deltas = f.seq, f.lines
 		} else if len(p.dirty) > 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -299,7 +299,7 @@
 		a.unsent, a.wanted, a.packed = 0, 0, d.now
 		room -= len(m.deltas[len(m.deltas)-1].append(nil))
 	}
-	p.flight = append(p.flight, &parcel{m.seq, d.now, m.deltas})
+	p.flight = append(p.flight, &parcel{seq: m.seq, at: d.now, lines: m.deltas})
 }
 
 // wake asks for the one periodic timer and, if something is due before it, for that time.
--- a/control/types.go
+++ b/control/types.go
@@ -288,6 +288,7 @@
 type parcel struct {
 	seq   uint64
 	at    time.Duration
+	tries int
 	lines []deltaLine
 }
 
@@ -353,6 +354,8 @@
 	probeRight float64 // probes that may go out to learn of load
 	wakeAt     time.Duration
 	tick       time.Duration
+	stallFrom  time.Duration // when this gateway stood still last
+	stallTo    time.Duration
 	badMail    int
 	room       float64       // submissions out at a usual backend, at most
 	pressed    time.Duration // when room last ran out
