Cold budgets start at a random share of one send

Cause: with hundreds of gateways each one's rate to a backend is a send in 20 s; a budget that starts empty gives a cold backend nothing until it is warm, and a rolling deploy leaves the fleet to the few warm ones. Starting anywhere between nothing and one send the gateways together keep the budget's rate from the first second; never more than one send each is saved up. Covers deploys, preempted backends, a hall that comes back.

--- a/control/control.go
+++ b/control/control.go
@@ -757,6 +757,9 @@
 func (d *Door) coldTokens(b *backend) float64 {
 	floor := coldUse / float64(d.gateways) / d.slowest()
 	rate := b.warm * max(d.warmRate, floor) * d.fallTimes * coldUse
+	if b.coldAt == 0 { // many gateways start anywhere between two sends: together they keep the rate from the first
+		b.cold, b.coldAt = d.rng.Float64(), d.now
+	}
 	b.cold = min(max(1, rate*d.fallWindow.Seconds()/2), b.cold+rate*(d.now-b.coldAt).Seconds())
 	b.coldAt = d.now
 	return b.cold
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -167,14 +167,14 @@
 	}
 	// Output:
 	// beside warm ones, second by second:
-	//  cold 3
-	//  cold 8
-	//  cold 10
-	//  cold 16
+	//  cold 7
+	//  cold 7
+	//  cold 9
+	//  cold 15
 	// alone, with nothing warm to judge by:
-	//  cold 0
-	//  cold 3
-	//  cold 6
+	//  cold 4
+	//  cold 5
+	//  cold 5
 }
 
 func Example_ceilingAcrossRestart() {
--- a/control/state.go
+++ b/control/state.go
@@ -17,13 +17,13 @@
 	for _, l := range list {
 		b := d.backends[l.ID]
 		if b == nil {
-			b = &backend{Listing: l, hash: mix(uint64(l.ID)), slow: 1, coldAt: d.now, fail: make([]failing, len(d.products))}
+			b = &backend{Listing: l, hash: mix(uint64(l.ID)), slow: 1, fail: make([]failing, len(d.products))}
 			d.backends[l.ID] = b
 			d.list = append(d.list, b)
 			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
 		}
 		if l.Started > b.Started { // a new process: what was known of the old one is void
-			*b = backend{Listing: l, hash: b.hash, slow: 1, coldAt: d.now, out: b.out,
+			*b = backend{Listing: l, hash: b.hash, slow: 1, out: b.out,
 				fail: make([]failing, len(d.products))}
 		}
 		b.Listing = l
