Repeats wait for a view as first tries do

A repeat at a gateway without a fresh view of a wide set's customer was declined at once with most of the quota unused.

--- a/control/control.go
+++ b/control/control.go
@@ -542,21 +542,15 @@
 		}
 		return beyond, until - d.now
 	}
-	if a.plan.openCap > 0 {
-		// What others have out changes within an answer's time, and nobody tells a gateway that keeps still.
-		old, taken := a.owner != d.me && d.now-a.levelAt > d.answerIn(a), a.out+d.outElse(a) >= a.plan.openCap
-		if old {
-			d.ask(a)
-			a.wanted = max(a.wanted, t.Units)
+	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
+		t.why = lackSlot
+		if a.owner != d.me && d.now-a.levelAt > d.answerIn(a) {
+			d.ask(a) // what others had out is long ended, but nobody tells a gateway that keeps still
 		}
-		if (old || taken) && d.now < last {
-			t.why = lackSlot
+		if d.now < last {
 			return wait, last
 		}
-		if taken {
-			t.why = lackSlot
-			return beyond, 0
-		}
+		return beyond, 0
 	}
 	if a.plan.rate <= 0 {
 		return pass, 0
@@ -603,7 +597,6 @@
 		life = d.answerIn(a)
 	}
 	fresh := a.known && age < life
-	mayBe := a.level + a.plan.rate*age.Seconds() - pending // if no other spent since
 	if fresh && a.level-pending >= d.need(a, t) && pending+t.Units <= share {
 		return pass, 0
 	}
@@ -618,12 +611,14 @@
 		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
 		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
 		left := a.level + a.plan.rate*age.Seconds()/float64(max(a.sharers, 1)) - pending
+		enough := !a.known || left >= d.need(a, t)
 		// Asked in good time and not answered: the allowance is there for that.
-		unanswered := d.now >= until && a.asked > 0 && a.asked < until && (!a.known || mayBe >= t.Units)
-		if pending+t.Units <= share && (silent || !tight && (!a.known || left >= d.need(a, t)) || unanswered) {
+		unanswered := d.now >= until && a.asked > 0 && a.asked < until && !t.Repeat
+		if pending+t.Units <= share && (silent || !tight && enough || unanswered && enough) {
 			return pass, 0
 		}
 	}
+	mayBe := a.level + a.plan.rate*age.Seconds() - pending // if no other spent since
 	if (!fresh || age > d.answerIn(a) && mayBe >= t.Units || pending+t.Units > share) && d.now < until {
 		d.ask(a)
 		a.wanted = max(a.wanted, t.Units)
--- a/control/state.go
+++ b/control/state.go
@@ -94,9 +94,6 @@
 			out += r.out
 			if d.now-r.told < d.answerIn(a) {
 				told += r.units
-				if r.units > 0 {
-					out++
-				}
 			}
 		}
 	}
@@ -139,9 +136,6 @@
 		r := a.report(p.id)
 		left := max(0, a.level-told)
 		r.units, r.told, r.left = min(left, r.wanted), d.now, left
-		if a.plan.openCap > 0 && out+a.out >= a.plan.openCap {
-			r.units = 0 // no slot: it will not spend them
-		}
 		r.wanted = 0
 		m.snaps = append(m.snaps, snapLine{a.id, left, sharers + 1, out + a.out, d.grant(a, r)})
 		room -= len(m.snaps[len(m.snaps)-1].append(nil))
