A silent owner's rate is shared by its recent reporters, not by those heard

In a wide set a gateway hears few of the others, so each took a large part of a silent owner's rate.

--- a/control/control.go
+++ b/control/control.go
@@ -602,11 +602,11 @@
 	}
 	if !fresh {
 		d.ask(a)
-		// While the owner is silent the allowance grows at the rate, shared by the gateways of the set that are
-		// heard: the survivors of a lost hall then serve the whole quota between them.
+		// While the owner is silent the allowance grows at the rate, shared by the recent reporters but for those
+		// found lost: the survivors of a lost hall then serve the whole quota between them.
 		silent := d.now-max(a.asked, d.peers[a.owner].heard, d.stallTo) > d.answerIn(a)
 		if silent {
-			share += a.plan.rate / float64(d.heard(a)) * (d.now - a.asked).Seconds()
+			share += a.plan.rate / float64(d.survivors(a)) * (d.now - a.asked).Seconds()
 		}
 		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
 		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
@@ -627,6 +627,19 @@
 	return beyond, time.Duration((t.Units - max(0, a.level-pending)) / a.plan.rate * float64(time.Second))
 }
 
+// survivors counts the gateways that share a silent owner's rate. One that was written to and has not been
+// heard since is lost; of the others a wide set's gateways hear little, and that is no sign.
+func (d *Door) survivors(a *account) int {
+	n := a.sharers
+	for i := 0; i < a.width; i++ {
+		p := d.peers[(int(a.first)+i)%d.gateways]
+		if len(p.flight) > 0 && d.now-max(p.since, p.heard, d.stallTo) > heardFor {
+			n--
+		}
+	}
+	return max(n, 1)
+}
+
 // answerIn is the time within which an owner that is well answers.
 func (d *Door) answerIn(a *account) time.Duration { return askWait + d.gap + d.peers[a.owner].gap }
 
--- a/control/state.go
+++ b/control/state.go
@@ -299,6 +299,9 @@
 		a.unsent, a.wanted, a.packed = 0, 0, d.now
 		room -= len(m.deltas[len(m.deltas)-1].append(nil))
 	}
+	if len(p.flight) == 0 {
+		p.since = d.now
+	}
 	p.flight = append(p.flight, &parcel{seq: m.seq, at: d.now, lines: m.deltas})
 }
 
@@ -316,18 +319,6 @@
 	return Decision{Verb: Wake, Limit: d.wakeAt - d.now}, true
 }
 
-// heard counts the gateways of a customer's set that were heard lately, this one among them.
-func (d *Door) heard(a *account) int {
-	n := 1
-	for i := 0; i < a.width; i++ {
-		g := GatewayID((int(a.first) + i) % d.gateways)
-		if p := d.peers[g]; g != d.me && p.heard > 0 && d.now-p.heard < heardFor {
-			n++
-		}
-	}
-	return n
-}
-
 // ProbeEnded takes the answer to a probe.
 func (d *Door) ProbeEnded(at BackendID, good bool, took time.Duration, load []float64) {
 	b := d.backends[at]
--- a/control/types.go
+++ b/control/types.go
@@ -273,6 +273,7 @@
 	mask     uint64
 	seq      uint64 // sequence of the last delta sent to it
 	flight   []*parcel
+	since    time.Duration // it owes an acknowledgement
 	dirty    []*account
 	answers  []CustomerID
 	answer   map[CustomerID]bool
