--- a/control/state.go
+++ b/control/state.go
@@ -94,6 +94,9 @@
 			out += r.out
 			if d.now-r.told < d.answerIn(a) {
 				told += r.units
+				if r.units > 0 {
+					out++
+				}
 			}
 		}
 	}
@@ -135,8 +138,7 @@
 		sharers, out, told := d.reporters(a, p)
 		r := a.report(p.id)
 		left := max(0, a.level-told)
-		r.units, r.told, r.left = min(left, r.wanted), d.now, left
-		r.wanted = 0
+		d.promise(a, r, left, out+a.out)
 		m.snaps = append(m.snaps, snapLine{a.id, left, sharers + 1, out + a.out, d.grant(a, r)})
 		room -= len(m.snaps[len(m.snaps)-1].append(nil))
 	}
@@ -186,7 +188,12 @@
 		d.refill(a)
 		r := a.report(p.id)
 		if r.at = d.now; m.seq == p.high {
-			r.out, r.wanted = l.out, l.wanted
+			if l.out < r.out {
+				d.freed(a)
+			}
+			if r.out = l.out; l.wanted > 0 {
+				r.wanted, r.waiting = l.wanted, 0
+			}
 		}
 		r.units = max(0, r.units-l.units)
 		if fresh {
