--- a/control/control.go
+++ b/control/control.go
@@ -35,16 +35,15 @@
 	askWait     = 100 * ms // and both packing delays: longest wait for a snapshot
 	gapMost     = 2 * time.Second
 	gapFall     = 0.5
-	slotWait    = 100 * ms // a gateway that found no slot is told of a free one for this long
-	viewWait    = 0.4      // of the SLA time at most
-	repeatLeave = 0.25     // of the burst: what a repeat must leave
-	unitWait    = 0.3      // of the SLA time: longest wait for units or an open slot
-	unknownPart = 8        // of the SLA time: a txn's usual time until one is known
-	smooth      = 0.1      // weight of a new sample
-	crowd       = 1.25     // a backend with this times the mean load, and one more, has enough
-	firstTry    = 0.55     // of the time left to the SLA time: limit of a submission that may be repeated
-	firstTimes  = 4        // and such a limit is set only above this times the usual answer time
-	retryGain   = 0.2      // further submissions earned by a txn
+	viewWait    = 0.4  // of the SLA time at most
+	repeatLeave = 0.25 // of the burst: what a repeat must leave
+	unitWait    = 0.3  // of the SLA time: longest wait for units or an open slot
+	unknownPart = 8    // of the SLA time: a txn's usual time until one is known
+	smooth      = 0.1  // weight of a new sample
+	crowd       = 1.25 // a backend with this times the mean load, and one more, has enough
+	firstTry    = 0.55 // of the time left to the SLA time: limit of a submission that may be repeated
+	firstTimes  = 4    // and such a limit is set only above this times the usual answer time
+	retryGain   = 0.2  // further submissions earned by a txn
 	retryMost   = 30.0
 	failShare   = 0.35 // of failing submissions sets a backend aside
 	failOdd     = 2.0  // and more than this times the share everywhere
@@ -176,7 +175,6 @@
 	if a := d.accounts[t.Customer]; a != nil && a.out > 0 {
 		a.out--
 		d.outChanged(a)
-		d.freed(a)
 	}
 	if !e.neverRan() && !t.mayHaveRun {
 		t.mayHaveRun, t.firstRan = true, t.sent
@@ -544,19 +542,15 @@
 		}
 		return beyond, until - d.now
 	}
-	if a.plan.openCap > 0 {
-		// What others have out changes within an answer's time, and nobody tells a gateway that keeps still.
-		old, taken := a.owner != d.me && d.now-a.levelAt > d.answerIn(a), a.out+d.outElse(a) >= a.plan.openCap
-		if old && taken {
-			d.ask(a)
-			a.wanted = max(a.wanted, t.Units)
+	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
+		t.why = lackSlot
+		if a.owner != d.me && d.now-a.levelAt > d.answerIn(a) {
+			d.ask(a) // what others had out is long ended, but nobody tells a gateway that keeps still
 		}
-		if taken {
-			if t.why = lackSlot; d.now < last {
-				return wait, last
-			}
-			return beyond, 0
+		if d.now < last {
+			return wait, last
 		}
+		return beyond, 0
 	}
 	if a.plan.rate <= 0 {
 		return pass, 0
@@ -576,35 +570,6 @@
 	return d.byView(a, t)
 }
 
-// freed tells the gateway that asked last for a slot of one that has come free: others may have given up. Asking again and
-// again would find most of them taken.
-func (d *Door) freed(a *account) {
-	var first *report
-	for _, r := range a.reports {
-		if r.waiting > 0 && d.now-r.waiting < slotWait && (first == nil || r.waiting > first.waiting) {
-			first = r
-		}
-	}
-	if first != nil {
-		d.owe(d.peers[first.from], a.id)
-	}
-}
-
-// promise notes what a gateway may take to be its own by the answer it gets: units, and a slot if there is one.
-func (d *Door) promise(a *account, r *report, left float64, out int) {
-	r.told, r.left, r.units = d.now, left, 0
-	if a.plan.openCap > 0 && out >= a.plan.openCap {
-		if r.wanted > 0 && r.waiting == 0 {
-			r.waiting = d.now
-		}
-		return
-	}
-	if left >= r.wanted {
-		r.units = r.wanted
-	}
-	r.wanted, r.waiting = 0, 0
-}
-
 // need is what must be left for a txn: a client's repeat, which mostly comes late, leaves a low bucket to
 // first tries.
 func (d *Door) need(a *account, t *txn) float64 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -293,14 +293,14 @@
 	// 10050 tell 1: delta 2 used 5
 	// # lost: the delta goes again under its sequence
 	// 10150 submit 7 to 3, 346
-	// 10150 submit 8 to 1, 346
+	// 10150 decline 8, 100
 	// 10150 tell 1: delta 1 used 1
 	// 10200 tell 1: delta 2 used 5
 	// # the snapshot acknowledges the first two: four units are left, two of them used since
-	// 10200 submit 11 to 2, 272
+	// 10200 submit 11 to 1, 272
 	// # an older snapshot that comes late brings nothing back
-	// 10200 submit 12 to 3, 272
-	// 10200 decline 13, 100
+	// 10200 submit 12 to 2, 272
+	// 10200 submit 13 to 3, 272
 	// 10250 tell 1: delta 3 used 4
 	// 10400 tell 1: delta 3 used 4
 	// # stale: the allowance alone, and it asks afresh
@@ -455,7 +455,7 @@
 	}
 	// Output:
 	// # the allowance is spent, then grows at the rate while no gateway is heard
-	// 10000 10010 10020 10030 10040 10050 10130 10140 10240 10340 10440 10540 10640 10740 10840 10940 11040 11140 11240 11340 11440 11540 11640 11740 11840 11940
+	// 10000 10010 10020 10030 10040 10050 10130 10400 10700 11000 11300 11510 11510 11510 11670 11870
 }
 
 func Example_worthUnderPressure() {
--- a/control/state.go
+++ b/control/state.go
@@ -94,9 +94,6 @@
 			out += r.out
 			if d.now-r.told < d.answerIn(a) {
 				told += r.units
-				if r.units > 0 {
-					out++
-				}
 			}
 		}
 	}
@@ -138,7 +135,11 @@
 		sharers, out, told := d.reporters(a, p)
 		r := a.report(p.id)
 		left := max(0, a.level-told)
-		d.promise(a, r, left, out+a.out)
+		r.units, r.told, r.left = 0, d.now, left
+		if left >= r.wanted {
+			r.units = r.wanted
+		}
+		r.wanted = 0
 		m.snaps = append(m.snaps, snapLine{a.id, left, sharers + 1, out + a.out, d.grant(a, r)})
 		room -= len(m.snaps[len(m.snaps)-1].append(nil))
 	}
@@ -188,12 +189,7 @@
 		d.refill(a)
 		r := a.report(p.id)
 		if r.at = d.now; m.seq == p.high {
-			if l.out < r.out {
-				d.freed(a)
-			}
-			if r.out = l.out; l.wanted > 0 {
-				r.wanted, r.waiting = l.wanted, 0
-			}
+			r.out, r.wanted = l.out, l.wanted
 		}
 		r.units = max(0, r.units-l.units)
 		if fresh {
--- a/control/types.go
+++ b/control/types.go
@@ -251,15 +251,14 @@
 }
 
 type report struct {
-	from    GatewayID
-	left    float64 // told last
-	at      time.Duration
-	out     int
-	want    float64 // of the ceiling
-	wanted  float64 // units that a txn waits for
-	units   float64 // told that it may spend them, and not yet reported
-	told    time.Duration
-	waiting time.Duration // for a slot, since
+	from   GatewayID
+	left   float64 // told last
+	at     time.Duration
+	out    int
+	want   float64 // of the ceiling
+	wanted float64 // units that a txn waits for
+	units  float64 // told that it may spend them, and not yet reported
+	told   time.Duration
 }
 
 // partCap is what a gateway's part of the ceiling holds at most.
