Peers tell each other how their last submissions went

Messages that go anyway now carry the last five outcomes; each weighs as one of the gateway's own. Covers slow, failing and lost backends; a peer that is itself slow may mislead, bounded as all setting aside is.

--- a/control/control.go
+++ b/control/control.go
@@ -40,6 +40,7 @@
 	unitWait    = 0.3  // of the SLA time: longest wait for units or an open slot
 	unknownPart = 8    // of the SLA time: a txn's usual time until one is known
 	smooth      = 0.1  // weight of a new sample
+	sightsTold  = 5    // last answers told to a peer
 	crowd       = 1.25 // a backend with this times the mean load, and one more, has enough
 	firstTry    = 0.55 // of the time left to the SLA time: limit of a submission that may be repeated
 	firstTimes  = 4    // and such a limit is set only above this times the usual answer time
@@ -47,6 +48,7 @@
 	retryMost   = 30.0
 	failShare   = 0.35 // of failing submissions sets a backend aside
 	failOdd     = 2.0  // and more than this times the share everywhere
+	failSeen    = 5.0  // answers that such a share is made of
 	failAgain   = 0.95 // of failShare, after a pause: one more failure, and it is passed over again
 	slowAside   = 4.0  // times the fleet's median answer time sets a backend aside
 	silence     = 4.0  // times the usual answer time without any answer sets a backend aside
@@ -97,7 +99,8 @@
 		byProbe: p.text("report.how") == "probe", warmBy: p.span("rules.warm_by"),
 		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
 		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
-		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{}, accounts: map[CustomerID]*account{},
+		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{},
+		byHash: map[uint64]*backend{}, accounts: map[CustomerID]*account{},
 		typical: map[int]float64{}, retries: retryMost / 3, pressed: -pressFor}
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
 	d.products, d.plans = p.products(), p.plans()
@@ -207,29 +210,18 @@
 		return // how long it took is this gateway's own doing
 	}
 	d.adjustRoom(t, b, e)
-	if e == Settled && t != nil {
-		kind := d.sort(t)
-		usual, ok := d.typical[kind]
-		if !ok {
-			usual = took.Seconds()
-		}
-		ratio := took.Seconds() / max(usual, 0.0005)
-		step := smooth / 2 * (min(took.Seconds(), 5*usual) - usual)
-		if step > 0 && d.isPressed() {
-			step = 0 // under pressure answers hold waiting, which is no part of the usual time
-		}
-		d.typical[kind] = usual + step
-		b.slow += smooth * (min(ratio, 20) - b.slow)
+	if t == nil {
+		return
 	}
-	bad := 0.0
-	d.judge(t, b, e)
+	s := sight{hash: b.hash & sightMask, product: t.Product}
 	switch e {
 	case Unreachable, Broken:
-		bad = 1
+		s.ratio = sightLost
+	case Errored:
+		s.ratio = sightFailed
 	case TimedOut:
-		bad = 1
-		if t != nil && d.now-t.sent < 3*d.usual(t) {
-			bad = 0
+		if s.ratio = float64(d.now-t.sent) / float64(d.usual(t)); s.ratio >= 3 {
+			d.reckon(b, 1)
 		}
 	case Full:
 		// A full backend is left alone for twice as long each time in a row. It says nothing of the others:
@@ -239,9 +231,51 @@
 		return
 	case Settled:
 		b.fulls = 0
+		s.ratio = d.timed(t, took)
 	case CalledOff, NotSent:
 		return
 	}
+	d.observe(b, s)
+	d.sights = append(d.sights, s) // told to peers with messages that go anyway
+	d.sights = d.sights[max(0, len(d.sights)-sightsTold):]
+	d.sightNr++
+}
+
+// timed learns the usual answer time and gives an answer's time against it.
+func (d *Door) timed(t *txn, took time.Duration) float64 {
+	kind := d.sort(t)
+	usual, ok := d.typical[kind]
+	if !ok {
+		usual = took.Seconds()
+	}
+	step := smooth / 2 * (min(took.Seconds(), 5*usual) - usual)
+	if step > 0 && d.isPressed() {
+		step = 0 // under pressure answers hold waiting, which is no part of the usual time
+	}
+	d.typical[kind] = usual + step
+	return min(took.Seconds()/max(usual, 0.0005), 20)
+}
+
+// observe takes how one submission went at a backend, from here or from a peer. Among hundreds of gateways each
+// sees any one backend every ten seconds or so, too seldom to find the slow, failing and dead ones alone. A
+// peer's word weighs as one answer: it can't open a backend, and what is passed over by it is bounded and
+// tried again like all else. Covers slow, failing and lost backends; a peer that is itself slow may mislead.
+func (d *Door) observe(b *backend, s sight) {
+	switch s.ratio {
+	case sightLost:
+		d.reckon(b, 1)
+		return
+	case sightFailed:
+		d.judge(s.product, b, 1)
+	default:
+		d.judge(s.product, b, 0)
+		b.slow += smooth * (s.ratio - b.slow)
+	}
+	d.reckon(b, 0)
+}
+
+// reckon counts a submission as lost or not.
+func (d *Door) reckon(b *backend, bad float64) {
 	b.seen = b.seen*(1-smooth) + 1
 	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
 }
@@ -249,19 +283,16 @@
 // judge learns whether a backend fails one product: it is then passed over for that product alone, twice as
 // long each time, and tried again by that product's own txns. When the product fails everywhere alike, no
 // backend is at fault. Covers fast errors of whole backends as well as a broken function of one.
-func (d *Door) judge(t *txn, b *backend, e Ending) {
-	if t == nil || e != Settled && e != Errored {
-		return
-	}
-	bad := 0.0
-	if e == Errored {
-		bad = 1
-	}
-	f, all := &b.fail[t.Product], &d.everywhere[t.Product]
-	f.seen = min(f.seen+1, 1/smooth)
+func (d *Door) judge(p ProductID, b *backend, bad float64) {
+	f, all := &b.fail[p], &d.everywhere[p]
+	f.seen = min(f.seen+1, failSeen)
 	f.share += (bad - f.share) / f.seen
 	all.share += smooth / 5 * (bad - all.share)
-	if f.share > failShare && f.seen >= 2 && f.share > failOdd*all.share {
+	if f.until > d.now {
+		if bad > 0 {
+			f.until = d.now + f.pause // others still find it failing
+		}
+	} else if f.share > failShare && f.seen >= 2 && f.share > failOdd*all.share {
 		f.pause = min(max(asideFirst, 2*f.pause), asideLast)
 		f.until, f.share = d.now+f.pause, failAgain*failShare
 	} else if f.share < failShare/4 {
@@ -1074,6 +1105,9 @@
 			continue
 		}
 		d.packAnswers(p, m)
+		if fresh := min(d.sightNr-p.sightNr, len(d.sights)); m.room() >= fresh*sightSize {
+			m.sights, p.sightNr = d.sights[len(d.sights)-fresh:], d.sightNr
+		}
 		p.ackDue = len(p.answers) > 0
 		p.lastSent = d.now
 		d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -36,8 +36,8 @@
 	// 10000 decline 2, 2000
 	// # 3 inquiry-like, then ending 3
 	// 10000 submit 3 to 1, 272
-	// 10000 submit 3 to 2, 496
-	// 10000 submit 3 to 3, 496
+	// 10000 submit 3 to 1, 496
+	// 10000 submit 3 to 1, 496
 	// 10000 decline 3, 2000
 	// # 4 inquiry-like, then ending 4
 	// 10000 submit 4 to 1, 272
@@ -47,7 +47,7 @@
 	// # 5 inquiry-like, then ending 5
 	// 10000 submit 5 to 1, 272
 	// 10000 submit 5 to 1, 496
-	// 10000 submit 5 to 2, 496
+	// 10000 submit 5 to 1, 496
 	// 10000 decline 5, 2000
 }
 
--- a/control/peer.go
+++ b/control/peer.go
@@ -42,6 +42,7 @@
 	ackHigh  uint64
 	ackMask  uint64
 	snaps    []snapLine
+	sights   []sight
 }
 
 func sixteenths(units float64) uint64 {
@@ -94,9 +95,29 @@
 	for _, l := range m.snaps {
 		b = l.append(b)
 	}
+	b = append(b, byte(len(m.sights)))
+	for _, s := range m.sights {
+		b = append(b, byte(s.hash), byte(s.hash>>8), byte(s.hash>>16), byte(s.product), byte(int(s.ratio*8)))
+		if s.ratio < 0 {
+			b[len(b)-1] = byte(int(256 + s.ratio))
+		}
+	}
 	return b
 }
 
+const sightMask, sightSize = 1<<24 - 1, 5
+
+// sight reads one; eighths up to 253, and the marks above.
+func (r *reader) sight() sight {
+	s := sight{hash: uint64(r.octet()) | uint64(r.octet())<<8 | uint64(r.octet())<<16, product: ProductID(r.octet())}
+	if v := r.octet(); v < 254 {
+		s.ratio = float64(v) / 8
+	} else {
+		s.ratio = float64(v - 256)
+	}
+	return s
+}
+
 type reader struct {
 	b   []byte
 	bad bool
@@ -162,6 +183,9 @@
 		m.snaps = append(m.snaps, snapLine{CustomerID(r.upTo(1 << 34)), r.units(),
 			int(r.upTo(1 << 20)), int(r.upTo(1 << 20)), r.units()})
 	}
+	for n := r.octet(); n > 0 && !r.bad; n-- {
+		m.sights = append(m.sights, r.sight())
+	}
 	if r.bad || len(r.b) != 0 {
 		return nil, errors.New("cut short or too long")
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -20,6 +20,7 @@
 			b = &backend{Listing: l, hash: mix(uint64(l.ID)), slow: 1, fail: make([]failing, len(d.products))}
 			d.backends[l.ID] = b
 			d.list = append(d.list, b)
+			d.byHash[b.hash&sightMask] = b
 			sort.Slice(d.list, func(i, j int) bool { return d.list[i].ID < d.list[j].ID })
 		}
 		if l.Started > b.Started { // a new process: what was known of the old one is void
@@ -360,4 +361,9 @@
 	if m.ackEpoch == d.epoch {
 		d.takeSnapshot(p, m)
 	}
+	for _, s := range m.sights {
+		if b := d.byHash[s.hash]; b != nil && int(s.product) < len(d.products) {
+			d.observe(b, s)
+		}
+	}
 }
--- a/control/types.go
+++ b/control/types.go
@@ -212,6 +212,15 @@
 	sentAt    time.Duration
 }
 
+// sight is how a submission went at a backend: its time against the usual, or one of the two marks.
+type sight struct {
+	hash    uint64 // the lower part of the backend's
+	product ProductID
+	ratio   float64
+}
+
+const sightLost, sightFailed = -1, -2
+
 // failing is how a backend does with one product.
 type failing struct {
 	share, seen  float64
@@ -273,6 +282,7 @@
 	mask     uint64
 	seq      uint64 // sequence of the last delta sent to it
 	flight   []*parcel
+	sightNr  int           // the last one told
 	since    time.Duration // it owes an acknowledgement
 	dirty    []*account
 	answers  []CustomerID
@@ -374,6 +384,9 @@
 	work       float64   // mean usual time of the txns sent, in seconds
 	everywhere []failing // failing shares of the fleet
 	looked     time.Duration
+	sights     []sight // how the last submissions went
+	sightNr    int
+	byHash     map[uint64]*backend
 	use        float64 // share of the room in use
 }
 
