Room is learned from peers' answers too

A gateway with four answers a second learned its room a hundred times slower than one of three gateways did. The outcomes that peers tell of now say whether the answer was prompt or late, and count as its own.

--- a/control/control.go
+++ b/control/control.go
@@ -209,11 +209,11 @@
 	if t != nil && t.sent < d.stallTo && (e == Settled || e == TimedOut) {
 		return // how long it took is this gateway's own doing
 	}
-	d.adjustRoom(t, b, e)
 	if t == nil {
 		return
 	}
-	s := sight{hash: b.hash & sightMask, product: t.Product}
+	s := sight{hash: b.hash & sightMask, product: t.Product, crowd: d.crowding(t, b, e)}
+	d.adjustRoom(s.crowd)
 	switch e {
 	case Unreachable, Broken:
 		s.ratio = sightLost
@@ -313,26 +313,31 @@
 	return b.fail[t.Product].until > d.now
 }
 
-// adjustRoom learns how much this gateway may have out: late answers take room away,
-// prompt ones give it back while it is in use. It holds against overload, a slow fleet and lost backends
-// alike; it may hurt when a product's work is by itself near its SLA time.
-func (d *Door) adjustRoom(t *txn, b *backend, e Ending) {
-	if t == nil || t.outAt == nil || e != Settled && e != TimedOut {
-		return
+// crowding tells whether an answer says that the fleet is crowded, that it is not, or neither.
+func (d *Door) crowding(t *txn, b *backend, e Ending) crowding {
+	if t.outAt == nil || e != Settled && e != TimedOut {
+		return unclear
 	}
 	sla := float64(d.products[t.Product].slaTime)
 	late := time.Duration(min(lateShare*sla+float64(d.usual(t)), lateMost*sla))
 	if e == Settled && d.now-t.sent < late {
-		if d.isPressed() {
-			d.room = min(roomMost, d.room*(1+roomUp))
-		}
-		return
+		return prompt
 	}
 	if b.warm < 1 || b.slow > oddSlow*d.median || e == TimedOut && b.oweSince <= t.sent {
 		// A time-out at a backend that has answered nothing since is silence, not crowding.
-		return // one backend's trouble: its own room is smaller by that, the fleet's is not
+		return unclear // one backend's trouble: its own room is smaller by that, the fleet's is not
 	}
-	if d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
+	return crowded
+}
+
+// adjustRoom learns how much this gateway may have out, by its own answers and those that peers tell of: late
+// ones take room away, prompt ones give it back while it is in use. It holds against overload, a slow fleet and
+// lost backends alike; it may hurt when a product's work is by itself near its SLA time.
+func (d *Door) adjustRoom(c crowding) {
+	if c == prompt && d.isPressed() {
+		d.room = min(roomMost, d.room*(1+roomUp))
+	}
+	if c == crowded && d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
 		d.room = max(roomLeast/float64(d.gateways), d.room*(1-roomDown))
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -577,10 +577,10 @@
 	s.d.use = 1
 	s.d.Now(s.d.now + 200*ms)
 	s.d.Now(s.d.now + 200*ms)
-	s.d.adjustRoom(s.d.txns[1], b, TimedOut)
+	s.d.adjustRoom(s.d.crowding(s.d.txns[1], b, TimedOut))
 	fmt.Println("time-out at a backend that has answered nothing since: room as before:", s.d.room == before)
 	b.oweSince = s.d.now
-	s.d.adjustRoom(s.d.txns[1], b, TimedOut)
+	s.d.adjustRoom(s.d.crowding(s.d.txns[1], b, TimedOut))
 	fmt.Println("it answered others meanwhile: room taken away:", s.d.room < before)
 	// Output:
 	// 10000 submit 1 to 1, 272
--- a/control/peer.go
+++ b/control/peer.go
@@ -97,7 +97,7 @@
 	}
 	b = append(b, byte(len(m.sights)))
 	for _, s := range m.sights {
-		b = append(b, byte(s.hash), byte(s.hash>>8), byte(s.hash>>16), byte(s.product), byte(int(s.ratio*8)))
+		b = append(b, byte(s.hash), byte(s.hash>>8), byte(s.hash>>16), byte(s.product)<<2|byte(s.crowd), byte(int(s.ratio*8)))
 		if s.ratio < 0 {
 			b[len(b)-1] = byte(int(256 + s.ratio))
 		}
@@ -109,8 +109,10 @@
 
 // sight reads one; eighths up to 253, and the marks above.
 func (r *reader) sight() sight {
-	s := sight{hash: uint64(r.octet()) | uint64(r.octet())<<8 | uint64(r.octet())<<16, product: ProductID(r.octet())}
-	if v := r.octet(); v < 254 {
+	s := sight{hash: uint64(r.octet()) | uint64(r.octet())<<8 | uint64(r.octet())<<16}
+	v := r.octet()
+	s.product, s.crowd = ProductID(v>>2), crowding(v&3)
+	if v = r.octet(); v < 254 {
 		s.ratio = float64(v) / 8
 	} else {
 		s.ratio = float64(v - 256)
--- a/control/state.go
+++ b/control/state.go
@@ -364,6 +364,7 @@
 	for _, s := range m.sights {
 		if b := d.byHash[s.hash]; b != nil && int(s.product) < len(d.products) {
 			d.observe(b, s)
+			d.adjustRoom(s.crowd)
 		}
 	}
 }
--- a/control/types.go
+++ b/control/types.go
@@ -217,8 +217,18 @@
 	hash    uint64 // the lower part of the backend's
 	product ProductID
 	ratio   float64
+	crowd   crowding
 }
 
+// crowding is what an answer says of the fleet.
+type crowding int
+
+const (
+	unclear crowding = iota
+	prompt
+	crowded
+)
+
 const sightLost, sightFailed = -1, -2
 
 // failing is how a backend does with one product.
