--- a/control/control.go
+++ b/control/control.go
@@ -69,6 +69,7 @@
 	probeGain   = 0.2             // such probes earned by a txn
 	probeMost   = 10.0
 	roomFirst   = 8.0 // submissions out at a usual backend to begin with, from all gateways
+	spread      = 1.0 // times the root of the room: txns come unevenly, the more so the fewer
 	roomLeast   = 1.0 // from all gateways
 	roomMost    = 40.0
 	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
@@ -853,7 +854,7 @@
 	if !some {
 		return d.anyOf(t)
 	}
-	if len(can) == 0 || out+1 > max(1, roomAll) {
+	if len(can) == 0 || out+1 > max(1, roomAll+spread*math.Sqrt(roomAll)) {
 		d.noRoom = d.noRoom || !t.mayHaveRun
 		return nil // all have enough
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -130,7 +130,7 @@
 	// 10000 submit 1 to 3, 272
 	// 10000 submit 2 to 3, 272
 	// 10000 submit 3 to 3, 272
-	// 10200 decline 4
+	// 10000 submit 4 to 3, 272
 	// 10200 decline 9
 }
 
@@ -383,8 +383,8 @@
 	// Output:
 	// # room for one: the first try waits, the repeat is declined at once with advice
 	// 10000 submit 1 to 3, 272
+	// 10000 submit 2 to 2, 272
 	// 10000 decline 3, 2000
-	// 10100 submit 2 to 2, 396
 }
 
 func Example_beyondQuotaThatPays() {
@@ -471,6 +471,7 @@
 	// Output:
 	// # no room: of two that wait, what is worth most for its time goes first
 	// 10000 submit 0 to 1, 272
+	// 10000 submit 1 to 3, 272
 	// 10100 submit 2 to 1
 }
 
