The cold budget lapses, and goes by what warm backends settle

Three causes: budgets that start at a random share let small txns pass at once at most gateways; sends saved up by a hundred gateways came together; and the budget went by sends to warm backends, which are more than they can do when most are cold. Now a send needs a whole one in the budget, what is not used in half the window lapses, an open one goes first in the ranking (own hall), and what warm ones settle is the measure. Covers deploys, preempted and lost backends.

--- a/control/control.go
+++ b/control/control.go
@@ -8,9 +8,7 @@
 package control
 
 import (
-	"fmt"
 	"math"
-	"math/rand"
 	"sort"
 	"time"
 )
@@ -46,8 +44,6 @@
 	firstTimes  = 4    // and such a limit is set only above this times the usual answer time
 	retryGain   = 0.2  // further submissions earned by a txn
 	retryMost   = 30.0
-	failShare   = 0.35 // of failing submissions sets a backend aside
-	failOdd     = 2.0  // and more than this times the share everywhere
 	failSeen    = 5.0  // answers that such a share is made of
 	failAgain   = 0.95 // of failShare, after a pause: one more failure, and it is passed over again
 	slowAside   = 4.0  // times the fleet's median answer time sets a backend aside
@@ -55,24 +51,14 @@
 	silenceMin  = 200 * ms
 	trialEvery  = 700 * ms // a silent backend gets one inquiry-like txn
 	silentAside = 1600 * ms
-	fullPause   = 100 * ms // doubled each time in a row
-	fullMost    = 5
 	asideMost   = 0.5 // share of the backends that may be aside for being slow or failing
-	asideFirst  = 500 * ms
-	asideLast   = 8 * time.Second
 	goodProbes  = 2
 	ramp        = 4 * time.Second // after its return a backend is passed over by chance
 	rateOver    = 3.0             // seconds over which the rate of sends to a backend is smoothed
 	coldUse     = 0.5             // of the cold budget
-	noteEvery   = 5 * time.Second
-	probeEvery  = 1 * time.Second // where only probes report load
-	probeGain   = 0.2             // such probes earned by a txn
-	probeMost   = 10.0
-	roomFirst   = 8.0 // submissions out at a usual backend to begin with, from all gateways
-	spread      = 1.0 // times the root of the room: txns come unevenly, the more so the fewer
-	roomLeast   = 1.0 // from all gateways
-	roomMost    = 40.0
-	lateShare   = 0.4 // of the SLA time: an answer later than that is a sign of crowding
+	roomFirst   = 8.0             // submissions out at a usual backend to begin with, from all gateways
+	spread      = 1.0             // times the root of the room: txns come unevenly, the more so the fewer
+	lateShare   = 0.4             // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
 	roomUp      = 0.002 // share that a prompt answer adds
 	roomDown    = 0.025 // share that a late one takes; both settle where one in thirteen is late
@@ -81,40 +67,25 @@
 	useSpare    = 0.4   // of the room in use: under that, what pays beyond its quota may go on
 	spareAfter  = 3 * time.Second
 	pressFor    = 300 * ms
-	backWait    = 0.35 // of the SLA time: longest wait for a backend
-	partKeep    = 0.5  // share of its part of a ceiling that a gateway keeps, the rest goes to the owner
-	partIdle    = 0.8  // a part fuller than this share is idle
-	partAsk     = 0.25
-	partGive    = 0.8
+	backWait    = 0.35    // of the SLA time: longest wait for a backend
+	partKeep    = 0.5     // share of its part of a ceiling that a gateway keeps, the rest goes to the owner
+	partIdle    = 0.8     // a part fuller than this share is idle
 	travel      = 40 * ms // margin for the way to a backend
+
+	failShare, failOdd    = 0.35, 2.0   // of failing submissions, and this times the share everywhere
+	fullPause, fullMost   = 100 * ms, 5 // doubled each time in a row
+	asideFirst, asideLast = 500 * ms, 8 * time.Second
+	probeEvery, noteEvery = 1 * time.Second, 5 * time.Second // probes: where only they report load
+	probeGain, probeMost  = 0.2, 10.0                        // such probes earned by a txn
+	roomLeast, roomMost   = 1.0, 40.0                        // the least from all gateways
+	partAsk, partGive     = 0.25, 0.8                        // of a part: asked for at a time, given at most
 )
 
 // New starts an instance: nothing is known but the settings.
 func New(seed int64, s Settings, now time.Duration) (*Door, error) {
-	p := &picker{s: s}
-	d := &Door{now: now, born: now, lastWork: now, rng: rand.New(rand.NewSource(seed)),
-		me: GatewayID(p.count("me", 1<<20)), gateways: p.count("gateways", 1<<20),
-		hall: HallID(p.count("hall", 1<<16)), probes: p.yes("limits.probes"), tells: p.yes("limits.peers"),
-		cancel: p.yes("limits.cancel"), advice: p.yes("limits.advice"),
-		adviceMost: p.span("limits.longest_advice"), submissions: p.count("limits.max_submissions", 1<<16),
-		byProbe: p.text("report.how") == "probe", warmBy: p.span("rules.warm_by"),
-		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
-		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
-		txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{},
-		byHash: map[uint64]*backend{}, accounts: map[CustomerID]*account{},
-		typical: map[int]float64{}, retries: retryMost / 3, pressed: -pressFor}
-	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
-	d.products, d.plans = p.products(), p.plans()
-	d.everywhere = make([]failing, len(d.products))
-	if d.gateways < 1 || int(d.me) >= d.gateways {
-		p.complain("me", "must be under the number of gateways, which is one at the least")
-	}
-	d.room = roomFirst / float64(max(d.gateways, 1))
-	d.epoch = d.rng.Uint32() | 1 // nought stands for none
-	for i := 0; i < d.gateways; i++ {
-		d.peers = append(d.peers, &peer{id: GatewayID(i), gap: leastGap})
-	}
-	d.gap, d.mailMost = leastGap, max(1, mailUse*p.number("quota.mail_per_s"))
+	d, p := newDoor(seed, s, now)
+	d.retries, d.pressed, d.room = retryMost/3, -pressFor, roomFirst/float64(max(d.gateways, 1))
+	d.gap, d.mailMost = leastGap, max(1, mailUse*d.mailMost)
 	return d, p.err
 }
 
@@ -138,65 +109,14 @@
 func (d *Door) catchUp() {
 	n := len(d.todo)
 	for i, t := range d.todo {
-		if p := int(t.Product); t.arrived == d.now && t.nr == 0 && p >= 0 && p < len(d.products) {
+		if t.arrived == d.now && t.nr == 0 {
 			waited := time.Duration(float64(d.stallTo-d.stallFrom) * (float64(n-i) - 0.5) / float64(n))
-			t.slaAt = min(t.slaAt, d.now-waited+d.products[p].slaTime)
+			t.slaAt = min(t.slaAt, d.now-waited+d.products[t.Product].slaTime)
 		}
 	}
 	d.stallFrom = d.stallTo
 }
 
-// TxnTaken takes a client's txn in.
-func (d *Door) TxnTaken(x Txn) {
-	if d.txns[x.ID] != nil {
-		return
-	}
-	x.Units = max(x.Units, 0)
-	t := &txn{Txn: x, arrived: d.now}
-	if x.Product < 0 || int(x.Product) >= len(d.products) || x.Plan < 0 || int(x.Plan) >= len(d.plans) {
-		d.strange++ // a kind the settings don't name: declined by decide
-		t.slaAt = d.now
-	} else {
-		t.slaAt = min(d.now+d.products[x.Product].slaTime, x.Expiry)
-	}
-	d.txns[x.ID] = t
-	d.due.add(x.Expiry-2*ms, x.ID) // rule 1: every expiry is watched
-	d.todo = append(d.todo, t)
-}
-
-// SubmissionEnded takes the one outcome of a submission.
-func (d *Door) SubmissionEnded(id TxnID, nr int, at BackendID, e Ending, over bool, took time.Duration,
-	load []float64) {
-	t, b := d.txns[id], d.backends[at]
-	if b != nil {
-		d.learn(t, b, e, took, load)
-	}
-	if t == nil || nr != t.nr-1 || t.outAt == nil {
-		return
-	}
-	t.outAt.out--
-	t.outAt = nil
-	if a := d.accounts[t.Customer]; a != nil && a.out > 0 {
-		a.out--
-		d.outChanged(a)
-	}
-	if !e.neverRan() && !t.mayHaveRun {
-		t.mayHaveRun, t.firstRan = true, t.sent
-		if b != nil {
-			t.ranHall, t.ranPod = b.Hall, b.Pod
-		}
-	}
-	d.recheck, d.noRoom = true, false
-	if over || t.ended {
-		d.forget(t)
-		return
-	}
-	d.todo = append(d.todo, t)
-}
-
-// Woken: a wake-up asked for has come.
-func (d *Door) Woken(uint64) {}
-
 // learn updates what is known of a backend by an outcome.
 func (d *Door) learn(t *txn, b *backend, e Ending, took time.Duration, load []float64) {
 	answered := e == Settled || e == Errored || e == Full
@@ -233,6 +153,7 @@
 	case Settled:
 		b.fulls = 0
 		s.ratio = d.timed(t, took)
+		b.doneRate, b.doneAt = d.rateOf(b)+1/rateOver, d.now
 	case CalledOff, NotSent:
 		return
 	}
@@ -257,10 +178,10 @@
 	return min(took.Seconds()/max(usual, 0.0005), 20)
 }
 
-// observe takes how one submission went at a backend, from here or from a peer. Among hundreds of gateways each
-// sees any one backend every ten seconds or so, too seldom to find the slow, failing and dead ones alone. A
-// peer's word weighs as one answer: it can't open a backend, and what is passed over by it is bounded and
-// tried again like all else. Covers slow, failing and lost backends; a peer that is itself slow may mislead.
+// observe takes how one submission went at a backend, from here or from a peer. Among hundreds of gateways
+// each sees any one backend every ten seconds or so, too seldom to find slow, failing and dead ones alone.
+// A peer's word weighs as one answer: it can't open a backend, and what is passed over by it is bounded and
+// tried again like all else. Covers slow, failing and lost backends; a slow peer may mislead.
 func (d *Door) observe(b *backend, s sight) {
 	switch s.ratio {
 	case sightLost:
@@ -332,8 +253,8 @@
 }
 
 // adjustRoom learns how much this gateway may have out, by its own answers and those that peers tell of: late
-// ones take room away, prompt ones give it back while it is in use. It holds against overload, a slow fleet and
-// lost backends alike; it may hurt when a product's work is by itself near its SLA time.
+// ones take room away, prompt ones give it back while it is in use. It holds against overload, a slow fleet
+// and lost backends alike; it may hurt when a product's work is by itself near its SLA time.
 func (d *Door) adjustRoom(c crowding) {
 	if c == prompt && d.isPressed() {
 		d.room = min(roomMost, d.room*(1+roomUp))
@@ -345,17 +266,6 @@
 
 func (d *Door) isPressed() bool { return d.now-d.pressed < pressFor }
 
-// readLoad takes a load report: what others keep at the backend.
-func (d *Door) readLoad(b *backend, load []float64) {
-	held, ok := heldBy(d.fields, load)
-	if ok {
-		b.others += 0.5 * (max(0, held-float64(b.out)) - b.others)
-	}
-}
-
-// sort names the kind of work of a txn: work goes by product and units.
-func (d *Door) sort(t *txn) int { return int(t.Product)*64 + int(min(max(t.Units, 0), 63)) }
-
 // ---- Decisions
 
 // Next gives the next thing to do now, or false when there is none.
@@ -410,10 +320,6 @@
 	if t.ended || t.outAt != nil || t.waits {
 		return
 	}
-	if int(t.Product) >= len(d.products) || int(t.Plan) >= len(d.plans) || t.Product < 0 || t.Plan < 0 {
-		d.end(t, 0)
-		return
-	}
 	if t.nr > 0 && (t.nr >= d.submissions || d.retries < 1 || d.isPressed() && t.mayHaveRun) ||
 		d.now+min(d.usual(t), d.products[t.Product].slaTime/4)/2 >= t.slaAt {
 		t.why = lackTime
@@ -460,9 +366,6 @@
 
 // worth is a txn's value for the time it takes. Plans count alike: none is let go for its price.
 func (d *Door) worth(t *txn) float64 {
-	if int(t.Product) >= len(d.products) {
-		return 0
-	}
 	return d.products[t.Product].value * max(t.Units, 1) / max(d.usual(t).Seconds(), 0.001)
 }
 
@@ -509,13 +412,10 @@
 	}
 	t.ended = true
 	d.gaveUp[t.why]++
-	safe := !t.mayHaveRun && t.outAt == nil
-	if int(t.Product) < len(d.products) {
-		p := d.products[t.Product]
-		safe = safe || p.kind == "inquiry-like" || p.kind == "referenced" && p.scope == "all"
-	}
+	p := d.products[t.Product]
+	again := p.kind == "inquiry-like" || p.kind == "referenced" && p.scope == "all"
 	x := Decision{Verb: Void, Txn: t.ID}
-	if safe {
+	if again || !t.mayHaveRun && t.outAt == nil {
 		x.Verb = Decline
 		if d.advice {
 			x.Limit = max(0, min(advice, d.adviceMost))
@@ -773,10 +673,9 @@
 // silent tells that a backend owes answers for longer than such txns take. Now and then an inquiry-like txn
 // tries it all the same: else one that owes too little to be set aside would never be heard again.
 func (d *Door) silent(b *backend, t *txn) bool {
-	if b.owed >= 2 && d.now-b.sentAt > trialEvery && d.products[t.Product].kind == "inquiry-like" {
-		return false
-	}
-	return b.owed >= 2 && d.now-b.oweSince > max(silenceMin, time.Duration(silence*float64(d.usual(t))))
+	trial := d.now-b.sentAt > trialEvery && d.products[t.Product].kind == "inquiry-like"
+	most := max(silenceMin, time.Duration(silence*float64(d.usual(t))))
+	return b.owed >= 2 && !trial && d.now-b.oweSince > most
 }
 
 // allowed keeps rules 2, 3 and 4 for every send.
@@ -791,7 +690,7 @@
 			return false
 		}
 	}
-	return b.warm >= 1 || d.coldTokens(b) >= min(d.weight(t), 1)
+	return b.warm >= 1 || d.coldTokens(b) >= 1
 }
 
 // weight is a txn's work against the mean of those sent: a cold backend's budget is one of work.
@@ -807,26 +706,22 @@
 func (d *Door) coldTokens(b *backend) float64 {
 	floor := coldUse / float64(d.gateways) / d.slowest()
 	rate := b.warm * max(d.warmRate, floor) * d.fallTimes * coldUse
-	if b.coldAt == 0 { // many gateways start anywhere between two sends: together they keep the rate from the first
+	if b.coldAt == 0 { // starts anywhere between two sends: many gateways together keep the rate at once
 		b.cold, b.coldAt = d.rng.Float64(), d.now
 	}
-	b.cold = min(max(1, rate*d.fallWindow.Seconds()/2), b.cold+rate*(d.now-b.coldAt).Seconds())
-	b.coldAt = d.now
-	return b.cold
-}
-
-// slowest is the longest usual answer time, in seconds.
-func (d *Door) slowest() float64 {
-	s := 0.0
-	for p := range d.products {
-		s = max(s, d.products[p].slaTime.Seconds()/unknownPart)
+	b.cold, b.coldAt = b.cold+rate*(d.now-b.coldAt).Seconds(), d.now
+	most := rate * d.fallWindow.Seconds() / 2
+	if b.lapses = most < 1; !b.lapses {
+		b.cold = min(b.cold, most)
+	} else if b.cold > 1+most { // not used in time: what hundreds of gateways save up could come at once
+		b.cold -= math.Floor(b.cold - most)
 	}
-	return max(s, 0.001)
+	return b.cold
 }
 
-// rateOf is the smoothed rate of sends to a backend.
+// rateOf is the smoothed rate of what a backend settles: sends may be more than it can do.
 func (d *Door) rateOf(b *backend) float64 {
-	return b.sentRate * math.Exp(-(d.now-b.sentAt).Seconds()/rateOver)
+	return b.doneRate * math.Exp(-(d.now-b.doneAt).Seconds()/rateOver)
 }
 
 // pick takes the first backend in the customer's ranking that does not have enough: its own hall first.
@@ -859,8 +754,8 @@
 		return nil // all have enough
 	}
 	enough := crowd*mean/float64(len(can)) + 1
-	var own, any, least *backend
-	var ownHash, anyHash uint64
+	var first, least *backend
+	var highest uint64
 	for _, b := range can {
 		if least == nil || b.load < least.load {
 			least = b
@@ -868,21 +763,21 @@
 		if b.load+1 > enough {
 			continue
 		}
-		h := mix(uint64(t.Customer)*0x9e3779b97f4a7c15 ^ b.hash)
-		if b.Hall == d.hall && h >= ownHash {
-			own, ownHash = b, h
+		h := mix(uint64(t.Customer)*0x9e3779b97f4a7c15^b.hash) >> 2
+		if b.Hall == d.hall { // crossing halls has a price
+			h |= 1 << 63
+			if b.warm < 1 && b.lapses { // one send, and only now: it would be lost on a lower rank
+				h |= 1 << 62
+			}
 		}
-		if h >= anyHash {
-			any, anyHash = b, h
+		if h >= highest {
+			first, highest = b, h
 		}
 	}
-	if own != nil {
-		return own
+	if first == nil {
+		return least
 	}
-	if any != nil {
-		return any
-	}
-	return least
+	return first
 }
 
 // anyOf: when none is good, the least failing and loaded that the rules allow.
@@ -925,7 +820,7 @@
 		d.work = d.usual(t).Seconds()
 	}
 	d.work += smooth / 5 * (d.usual(t).Seconds() - d.work)
-	b.sentRate, b.sentAt = d.rateOf(b)+1/rateOver, d.now
+	b.sentAt = d.now
 	if b.owed == 0 {
 		b.oweSince = d.now
 	}
@@ -990,26 +885,20 @@
 // lookAround judges the backends.
 func (d *Door) lookAround() {
 	d.survey()
-	ready, aside := 0, 0
+	aside := 0
 	var turn *backend // whose load is asked next
-	for _, b := range d.list {
-		if b.State == Ready {
-			ready++
-			if b.aside {
-				aside++
-			}
+	for _, b := range d.open {
+		if b.aside {
+			aside++
 		}
 	}
-	for _, b := range d.list {
-		if b.State != Ready {
-			continue
-		}
+	for _, b := range d.open {
 		if b.aside {
 			if d.lookAgain(b) {
 				aside--
 			}
 		} else if unheard := b.owed >= 2 && d.now-b.oweSince > silentAside; unheard ||
-			float64(aside+1) <= asideMost*float64(ready) &&
+			float64(aside+1) <= asideMost*float64(len(d.open)) &&
 				(b.seen >= 2 && b.fails > failShare || b.slow > slowAside*d.median) {
 			// One that owes answers is passed over anyhow, so there is no bound on how many of these are set
 			// aside: only from there a way leads back, by probes or trial, whatever products come.
@@ -1029,11 +918,7 @@
 		d.ready = append(d.ready, Decision{Verb: Probe, Backend: turn.ID})
 	}
 	if d.now-d.noted >= noteEvery {
-		d.noted = d.now
-		d.ready = append(d.ready, Decision{Verb: Note, Text: fmt.Sprintf("given up for want of%s; room %.1f, "+
-			"%d of %d backends aside, %d txns wait, %d bad messages", d.gaveUp.text(), d.room, aside, ready,
-			len(d.line), d.badMail)})
-		d.gaveUp = tally{}
+		d.note(aside)
 	}
 }
 
@@ -1095,12 +980,12 @@
 			continue
 		}
 		d.posted = append(d.posted, p)
-		if d.now-p.lastSent < p.gap && p.lastSent > 0 {
+		if d.now-p.lastSent < max(p.gap, leastGap) && p.lastSent > 0 {
 			continue
 		}
 		m := &message{epoch: d.epoch, gap: d.gap, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
-		if len(p.flight) > 0 && d.now-p.flight[0].at > (resendAfter+p.gap)<<p.flight[0].tries { // again under its sequence
-			f := p.flight[0]
+		if len(p.flight) > 0 && d.now-p.flight[0].at > (resendAfter+p.gap)<<p.flight[0].tries {
+			f := p.flight[0] // again under its sequence
 			f.at, f.tries = d.now, min(f.tries+1, resendMost)
 			p.flight = append(p.flight[1:], f)
 			m.seq, m.deltas = f.seq, f.lines
@@ -1110,13 +995,7 @@
 		if m.seq == 0 && !p.ackDue {
 			continue
 		}
-		d.packAnswers(p, m)
-		if fresh := min(d.sightNr-p.sightNr, len(d.sights)); m.room() >= fresh*sightSize {
-			m.sights, p.sightNr = d.sights[len(d.sights)-fresh:], d.sightNr
-		}
-		p.ackDue = len(p.answers) > 0
-		p.lastSent = d.now
-		d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
+		d.seal(p, m)
 		d.posted = append(d.posted, posted[i+1:]...)
 		return true
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -167,14 +167,14 @@
 	}
 	// Output:
 	// beside warm ones, second by second:
-	//  cold 7
-	//  cold 7
-	//  cold 9
-	//  cold 15
-	// alone, with nothing warm to judge by:
 	//  cold 4
-	//  cold 5
-	//  cold 5
+	//  cold 8
+	//  cold 10
+	//  cold 12
+	// alone, with nothing warm to judge by:
+	//  cold 1
+	//  cold 3
+	//  cold 7
 }
 
 func Example_ceilingAcrossRestart() {
@@ -304,8 +304,8 @@
 	// 10250 tell 1: delta 3 used 4
 	// 10400 tell 1: delta 3 used 4
 	// # stale: the allowance alone, and it asks afresh
-	// 10700 tell 1: delta 3 used 4
-	// 11250 tell 1: delta 3 used 4
+	// 10650 tell 1: delta 3 used 4
+	// 11150 tell 1: delta 3 used 4
 	// 11900 submit 14 to 1, 272
 	// 11900 tell 1: delta 4 used 1
 }
@@ -455,7 +455,7 @@
 	}
 	// Output:
 	// # the allowance is spent, then grows at the rate while no gateway is heard
-	// 10000 10010 10020 10030 10040 10050 10130 10400 10700 11000 11300 11510 11510 11510 11670 11870
+	// 10000 10010 10020 10030 10040 10050 10120 10400 10700 11000 11300 11510 11510 11510 11670 11870
 }
 
 func Example_worthUnderPressure() {
@@ -521,8 +521,8 @@
 	// Output:
 	// # expiry over, product and plan that the settings don't name, odd sets, no units
 	// 10000 decline 1, 2000
-	// 10000 decline 2
-	// 10000 decline 3
+	// 10000 decline 2, 2000
+	// 10000 decline 3, 2000
 	// 10000 submit 4 to 1, 272
 	// 10000 submit 5 to 2, 272
 	// setting me: missing
@@ -636,9 +636,8 @@
 	// 12000 decline 1
 	// 12000 recall 1/0
 	// 13000 tell 1: delta 4 used 0
-	// 13050 tell 1: delta 3 used 0
 	// 13140 submit 3 to 1, 356
-	// 13140 tell 1: delta 4 used 0
+	// 13140 tell 1: delta 5 used 1
 	// # an owner tells one asker of the units it has just told another of only once
 	// 13690 probe 1
 	// 14000 tell 1: snapshot left 1 sharers 2 ack 1
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sort"
 	"time"
 )
@@ -351,7 +352,7 @@
 	if p.heard <= d.tick {
 		d.writers++
 	}
-	p.heard, p.gap = d.now, max(m.gap, leastGap)
+	p.heard, p.gap = d.now, m.gap
 	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
 		return
 	}
@@ -368,3 +369,92 @@
 		}
 	}
 }
+
+// TxnTaken takes a client's txn in.
+func (d *Door) TxnTaken(x Txn) {
+	if d.txns[x.ID] != nil {
+		return
+	}
+	x.Units = max(x.Units, 0)
+	t := &txn{Txn: x, arrived: d.now}
+	if x.Product < 0 || int(x.Product) >= len(d.products) || x.Plan < 0 || int(x.Plan) >= len(d.plans) {
+		t.Product, t.Plan, t.slaAt = 0, 0, d.now // a kind that the settings don't name: declined for want of time
+	} else {
+		t.slaAt = min(d.now+d.products[x.Product].slaTime, x.Expiry)
+	}
+	d.txns[x.ID] = t
+	d.due.add(x.Expiry-2*ms, x.ID) // rule 1: every expiry is watched
+	d.todo = append(d.todo, t)
+}
+
+// SubmissionEnded takes the one outcome of a submission.
+func (d *Door) SubmissionEnded(id TxnID, nr int, at BackendID, e Ending, over bool, took time.Duration,
+	load []float64) {
+	t, b := d.txns[id], d.backends[at]
+	if b != nil {
+		d.learn(t, b, e, took, load)
+	}
+	if t == nil || nr != t.nr-1 || t.outAt == nil {
+		return
+	}
+	t.outAt.out--
+	t.outAt = nil
+	if a := d.accounts[t.Customer]; a != nil && a.out > 0 {
+		a.out--
+		d.outChanged(a)
+	}
+	if !e.neverRan() && !t.mayHaveRun {
+		t.mayHaveRun, t.firstRan = true, t.sent
+		if b != nil {
+			t.ranHall, t.ranPod = b.Hall, b.Pod
+		}
+	}
+	d.recheck, d.noRoom = true, false
+	if over || t.ended {
+		d.forget(t)
+		return
+	}
+	d.todo = append(d.todo, t)
+}
+
+// Woken: a wake-up asked for has come.
+func (d *Door) Woken(uint64) {}
+
+// readLoad takes a load report: what others keep at the backend.
+func (d *Door) readLoad(b *backend, load []float64) {
+	held, ok := heldBy(d.fields, load)
+	if ok {
+		b.others += 0.5 * (max(0, held-float64(b.out)) - b.others)
+	}
+}
+
+// sort names the kind of work of a txn: work goes by product and units.
+func (d *Door) sort(t *txn) int { return int(t.Product)*64 + int(min(max(t.Units, 0), 63)) }
+
+// note writes the line for the log.
+func (d *Door) note(aside int) {
+	d.ready = append(d.ready, Decision{Verb: Note, Text: fmt.Sprintf("given up for want of%s; room %.2f, "+
+		"%d of %d backends aside, %d txns wait, %d bad messages", d.gaveUp.text(), d.room, aside, len(d.open),
+		len(d.line), d.badMail)})
+	d.gaveUp, d.noted = tally{}, d.now
+}
+
+// slowest is the longest usual answer time, in seconds.
+func (d *Door) slowest() float64 {
+	s := 0.0
+	for p := range d.products {
+		s = max(s, d.products[p].slaTime.Seconds()/unknownPart)
+	}
+	return max(s, 0.001)
+}
+
+// seal adds to a message what goes along anyway, answers and sights, and hands it out.
+func (d *Door) seal(p *peer, m *message) {
+	d.packAnswers(p, m)
+	if fresh := min(d.sightNr-p.sightNr, len(d.sights)); m.room() >= fresh*sightSize {
+		m.sights, p.sightNr = d.sights[len(d.sights)-fresh:], d.sightNr
+	}
+	p.ackDue = len(p.answers) > 0
+	p.lastSent = d.now
+	d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
+}
--- a/control/types.go
+++ b/control/types.go
@@ -208,7 +208,9 @@
 	rampFrom  time.Duration
 	cold      float64 // tokens of the cold budget
 	coldAt    time.Duration
-	sentRate  float64
+	lapses    bool // the cold budget is under one send in its window
+	doneRate  float64
+	doneAt    time.Duration
 	sentAt    time.Duration
 }
 
@@ -381,7 +383,6 @@
 	room       float64       // submissions out at a usual backend, at most
 	pressed    time.Duration // when room last ran out
 	version    uint64
-	strange    int
 	gaveUp     tally
 	noted      time.Duration
 	surveyed   time.Duration
@@ -475,3 +476,32 @@
 	}
 	return s
 }
+
+// newDoor makes an instance that knows its settings and nothing else.
+func newDoor(seed int64, s Settings, now time.Duration) (*Door, *picker) {
+	p := &picker{s: s}
+	d := &Door{now: now, born: now, lastWork: now, rng: rand.New(rand.NewSource(seed)),
+		me: GatewayID(p.count("me", 1<<20)), gateways: p.count("gateways", 1<<20),
+		hall: HallID(p.count("hall", 1<<16)), probes: p.yes("limits.probes"), tells: p.yes("limits.peers"),
+		cancel: p.yes("limits.cancel"), advice: p.yes("limits.advice"),
+		adviceMost: p.span("limits.longest_advice"), submissions: p.count("limits.max_submissions", 1<<16),
+		byProbe: p.text("report.how") == "probe", warmBy: p.span("rules.warm_by"),
+		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
+		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
+		mailMost: p.number("quota.mail_per_s"), txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{},
+		byHash: map[uint64]*backend{}, accounts: map[CustomerID]*account{}, typical: map[int]float64{}}
+	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
+	d.products, d.plans = p.products(), p.plans()
+	if len(d.products) == 0 || len(d.plans) == 0 {
+		p.complain("products.count and plans.count", "must be one at the least")
+	}
+	d.everywhere = make([]failing, len(d.products))
+	if d.gateways < 1 || int(d.me) >= d.gateways {
+		p.complain("me", "must be under the number of gateways, which is one at the least")
+	}
+	d.epoch = d.rng.Uint32() | 1 // nought stands for none
+	for i := 0; i < d.gateways; i++ {
+		d.peers = append(d.peers, &peer{id: GatewayID(i)})
+	}
+	return d, p
+}
