A fleet that is all new starts its buckets full

Messages now tell how long the sender has been up; an owner that hears of several gateways of its own age and of none older knows that nobody can have spent before. One older gateway, and buckets start empty. Ceilings still start empty in each life. Learning of usual times went to the bookkeeping file, its values stay here.

--- a/control/control.go
+++ b/control/control.go
@@ -23,8 +23,6 @@
 	mailUse     = 0.7       // of what a peer takes in
 	leastGap    = 10 * ms   // packing delay at the least
 	viewLife    = 1000 * ms // a snapshot older than this is stale
-	resendAfter = 120 * ms  // an unacknowledged delta goes again, twice as late each time
-	resendMost  = 3
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
@@ -44,12 +42,12 @@
 	firstTimes  = 4    // and such a limit is set only above this times the usual answer time
 	retryGain   = 0.2  // further submissions earned by a txn
 	retryMost   = 30.0
-	failSeen    = 5.0  // answers that such a share is made of
-	failAgain   = 0.95 // of failShare, after a pause: one more failure, and it is passed over again
-	slowAside   = 4.0  // times the fleet's median answer time sets a backend aside
-	silence     = 4.0  // times the usual answer time without any answer sets a backend aside
-	silenceMin  = 200 * ms
-	trialEvery  = 700 * ms // a silent backend gets one inquiry-like txn
+	youth       = 2 * time.Second // gateways of one age started within this
+	youngMany   = 3               // of these heard, and none older
+	failSeen    = 5.0             // answers that such a share is made of
+	failAgain   = 0.95            // of failShare, after a pause: one more failure, and it is passed over again
+	slowAside   = 4.0             // times the fleet's median answer time sets a backend aside
+	trialEvery  = 700 * ms        // a silent backend gets one inquiry-like txn
 	silentAside = 1600 * ms
 	asideMost   = 0.5 // share of the backends that may be aside for being slow or failing
 	goodProbes  = 2
@@ -60,11 +58,9 @@
 	spread      = 1.0             // times the root of the room: txns come unevenly, the more so the fewer
 	lateShare   = 0.4             // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
-	roomUp      = 0.002 // share that a prompt answer adds
-	roomDown    = 0.025 // share that a late one takes; both settle where one in thirteen is late
-	useLeast    = 0.6   // share of the room in use that makes late answers count
-	oddSlow     = 1.7   // times the median: such a backend's lateness is its own
-	useSpare    = 0.4   // of the room in use: under that, what pays beyond its quota may go on
+	useLeast    = 0.6 // share of the room in use that makes late answers count
+	oddSlow     = 1.7 // times the median: such a backend's lateness is its own
+	useSpare    = 0.4 // of the room in use: under that, what pays beyond its quota may go on
 	spareAfter  = 3 * time.Second
 	pressFor    = 300 * ms
 	backWait    = 0.35    // of the SLA time: longest wait for a backend
@@ -72,13 +68,17 @@
 	partIdle    = 0.8     // a part fuller than this share is idle
 	travel      = 40 * ms // margin for the way to a backend
 
-	failShare, failOdd    = 0.35, 2.0   // of failing submissions, and this times the share everywhere
-	fullPause, fullMost   = 100 * ms, 5 // doubled each time in a row
-	asideFirst, asideLast = 500 * ms, 8 * time.Second
-	probeEvery, noteEvery = 1 * time.Second, 5 * time.Second // probes: where only they report load
-	probeGain, probeMost  = 0.2, 10.0                        // such probes earned by a txn
-	roomLeast, roomMost   = 1.0, 40.0                        // the least from all gateways
-	partAsk, partGive     = 0.25, 0.8                        // of a part: asked for at a time, given at most
+	resendAfter, resendMost = 120 * ms, 3   // an unacknowledged delta goes again, twice as late each time
+	silence, silenceMin     = 4.0, 200 * ms // times the usual answer time without any answer passes over
+	roomUp, roomDown        = 0.002, 0.025  // shares by a prompt and a late answer
+	longTimes, ratioMost    = 5.0, 20.0     // times the usual: an answer counts as no more
+	failShare, failOdd      = 0.35, 2.0     // of failing submissions, and this times the share everywhere
+	fullPause, fullMost     = 100 * ms, 5   // doubled each time in a row
+	asideFirst, asideLast   = 500 * ms, 8 * time.Second
+	probeEvery, noteEvery   = 1 * time.Second, 5 * time.Second // probes: where only they report load
+	probeGain, probeMost    = 0.2, 10.0                        // such probes earned by a txn
+	roomLeast, roomMost     = 1.0, 40.0                        // the least from all gateways
+	partAsk, partGive       = 0.25, 0.8                        // of a part: asked for at a time, given at most
 )
 
 // New starts an instance: nothing is known but the settings.
@@ -163,21 +163,6 @@
 	d.sightNr++
 }
 
-// timed learns the usual answer time and gives an answer's time against it.
-func (d *Door) timed(t *txn, took time.Duration) float64 {
-	kind := d.sort(t)
-	usual, ok := d.typical[kind]
-	if !ok {
-		usual = took.Seconds()
-	}
-	step := smooth / 2 * (min(took.Seconds(), 5*usual) - usual)
-	if step > 0 && d.isPressed() {
-		step = 0 // under pressure answers hold waiting, which is no part of the usual time
-	}
-	d.typical[kind] = usual + step
-	return min(took.Seconds()/max(usual, 0.0005), 20)
-}
-
 // observe takes how one submission went at a backend, from here or from a peer. Among hundreds of gateways
 // each sees any one backend every ten seconds or so, too seldom to find slow, failing and dead ones alone.
 // A peer's word weighs as one answer: it can't open a backend, and what is passed over by it is bounded and
@@ -196,12 +181,6 @@
 	d.reckon(b, 0)
 }
 
-// reckon counts a submission as lost or not.
-func (d *Door) reckon(b *backend, bad float64) {
-	b.seen = b.seen*(1-smooth) + 1
-	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
-}
-
 // judge learns whether a backend fails one product: it is then passed over for that product alone, twice as
 // long each time, and tried again by that product's own txns. When the product fails everywhere alike, no
 // backend is at fault. Covers fast errors of whole backends as well as a broken function of one.
@@ -459,6 +438,25 @@
 	}
 }
 
+// meet learns whether the fleet is as young as this gateway: then nobody can have spent before, and buckets
+// are full. One older gateway is enough to know better: this one has restarted, its buckets start empty.
+func (d *Door) meet(p *peer, age time.Duration) {
+	if age > d.now-d.born+youth {
+		d.elders++
+	} else if p.heard == 0 {
+		d.young++
+	}
+	if d.elders > 0 || d.allNew || d.young < min(youngMany, d.gateways-1) || d.now-d.born > youth {
+		return
+	}
+	for _, a := range d.order {
+		if a.owner == d.me {
+			a.level += a.plan.burst - d.sinceBirth(a) // capped at the next refill
+		}
+	}
+	d.allNew = true
+}
+
 // share is the floored split cap: the burst divided by the recent reporters, one txn's units at least.
 func (a *account) share(units float64) float64 {
 	most := a.plan.burst
@@ -719,11 +717,6 @@
 	return b.cold
 }
 
-// rateOf is the smoothed rate of what a backend settles: sends may be more than it can do.
-func (d *Door) rateOf(b *backend) float64 {
-	return b.doneRate * math.Exp(-(d.now-b.doneAt).Seconds()/rateOver)
-}
-
 // pick takes the first backend in the customer's ranking that does not have enough: its own hall first.
 func (d *Door) pick(t *txn) *backend {
 	d.survey()
@@ -969,9 +962,6 @@
 
 // mail sends what is due to a peer: one packed message, deltas and answers together.
 func (d *Door) mail() bool {
-	if !d.tells {
-		return false
-	}
 	posted := d.posted
 	d.posted = d.posted[:0]
 	for i, p := range posted {
@@ -983,7 +973,8 @@
 		if d.now-p.lastSent < max(p.gap, leastGap) && p.lastSent > 0 {
 			continue
 		}
-		m := &message{epoch: d.epoch, gap: d.gap, ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
+		m := &message{epoch: d.epoch, gap: d.gap, age: d.now - d.born,
+			ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
 		if len(p.flight) > 0 && d.now-p.flight[0].at > (resendAfter+p.gap)<<p.flight[0].tries {
 			f := p.flight[0] // again under its sequence
 			f.at, f.tries = d.now, min(f.tries+1, resendMost)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -693,3 +693,32 @@
 	// 12000 submit 9 to 3, 371
 	// held against the backend: 0 - silent for 0s
 }
+
+func Example_newFleet() {
+	c := ownedBy(0)
+	for _, age := range []time.Duration{0, 60 * time.Second} {
+		s := newScene(settings(0), 5000)
+		for g := GatewayID(1); g < 3; g++ {
+			s.d.PeerSaid(g, (&message{epoch: 7, age: age, seq: 1}).encode())
+		}
+		fmt.Println("peers up for", age, "- a bucket starts with", s.d.account(c, 0).level)
+	}
+	// Output:
+	// peers up for 0s - a bucket starts with 20
+	// peers up for 1m0s - a bucket starts with 0
+}
+
+func Example_sights() {
+	s := warm()
+	b := s.d.backends[2]
+	m := &message{epoch: 7}
+	for i := 0; i < 4; i++ {
+		m.sights = append(m.sights, sight{hash: b.hash & sightMask, ratio: sightFailed}, sight{hash: 5, ratio: 9})
+	}
+	s.hear(1, m)
+	fmt.Println("told of failures: passed over for that product", b.fail[0].until > s.d.now, "and no other", b.fail[1].until > s.d.now)
+	fmt.Println("a backend that its own list does not name stays unknown:", len(s.d.backends))
+	// Output:
+	// told of failures: passed over for that product true and no other false
+	// a backend that its own list does not name stays unknown: 3
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -35,6 +35,7 @@
 type message struct {
 	epoch    uint32
 	gap      time.Duration // the least time between messages that the sender wishes to get
+	age      time.Duration // of the sender, whole seconds
 	seq      uint64        // 0: no delta
 	deltas   []deltaLine
 	version  uint64
@@ -82,6 +83,7 @@
 	b = append(b, 2)
 	b = binary.LittleEndian.AppendUint32(b, m.epoch)
 	b = binary.AppendUvarint(b, uint64(m.gap.Milliseconds()))
+	b = append(b, byte(min(m.age/time.Second, 255)))
 	b = binary.AppendUvarint(b, m.seq)
 	b = append(b, byte(len(m.deltas)))
 	for _, l := range m.deltas {
@@ -175,7 +177,8 @@
 	if r.octet() != 2 {
 		return nil, errors.New("unknown form")
 	}
-	m := &message{epoch: r.fixed(), gap: time.Duration(r.upTo(1<<14)) * time.Millisecond, seq: r.upTo(mostSeq)}
+	m := &message{epoch: r.fixed(), gap: time.Duration(r.upTo(1<<14)) * time.Millisecond,
+		age: time.Duration(r.octet()) * time.Second, seq: r.upTo(mostSeq)}
 	for n := r.octet(); n > 0 && !r.bad; n-- {
 		m.deltas = append(m.deltas, deltaLine{CustomerID(r.upTo(1 << 34)), PlanID(r.upTo(1 << 16)), r.units(),
 			int(r.upTo(1 << 20)), r.signed(), GatewayID(r.upTo(1 << 20)), r.units(), int(r.upTo(1 << 20))})
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 )
@@ -72,7 +73,7 @@
 
 // post notes that something is due to a peer.
 func (d *Door) post(p *peer) {
-	if !p.posted {
+	if !p.posted && d.tells {
 		p.posted = true
 		d.posted = append(d.posted, p)
 	}
@@ -270,6 +271,9 @@
 
 // sinceBirth is what a bucket that was empty when this gateway started holds by now.
 func (d *Door) sinceBirth(a *account) float64 {
+	if d.allNew && d.elders == 0 {
+		return a.plan.burst
+	}
 	return min(a.plan.burst, a.plan.rate*(d.now-d.born).Seconds())
 }
 
@@ -352,6 +356,7 @@
 	if p.heard <= d.tick {
 		d.writers++
 	}
+	d.meet(p, m.age)
 	p.heard, p.gap = d.now, m.gap
 	if m.epoch != p.epoch && !d.newLife(p, m.epoch) {
 		return
@@ -458,3 +463,29 @@
 	p.lastSent = d.now
 	d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
 }
+
+// timed learns the usual answer time and gives an answer's time against it.
+func (d *Door) timed(t *txn, took time.Duration) float64 {
+	kind := d.sort(t)
+	usual, ok := d.typical[kind]
+	if !ok {
+		usual = took.Seconds()
+	}
+	step := smooth / 2 * (min(took.Seconds(), longTimes*usual) - usual)
+	if step > 0 && d.isPressed() {
+		step = 0 // under pressure answers hold waiting, which is no part of the usual time
+	}
+	d.typical[kind] = usual + step
+	return min(took.Seconds()/max(usual, 0.0005), ratioMost)
+}
+
+// reckon counts a submission as lost or not.
+func (d *Door) reckon(b *backend, bad float64) {
+	b.seen = b.seen*(1-smooth) + 1
+	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
+}
+
+// rateOf is the smoothed rate of what a backend settles: sends may be more than it can do.
+func (d *Door) rateOf(b *backend) float64 {
+	return b.doneRate * math.Exp(-(d.now-b.doneAt).Seconds()/rateOver)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -395,6 +395,9 @@
 	work       float64   // mean usual time of the txns sent, in seconds
 	everywhere []failing // failing shares of the fleet
 	looked     time.Duration
+	elders     int     // heard of
+	young      int     // started about when this gateway did
+	allNew     bool    // the whole fleet
 	sights     []sight // how the last submissions went
 	sightNr    int
 	byHash     map[uint64]*backend
