--- a/control/control.go
+++ b/control/control.go
@@ -54,7 +54,7 @@
 	ramp        = 4 * time.Second // after its return a backend is passed over by chance
 	rateOver    = 3.0             // seconds over which the rate of sends to a backend is smoothed
 	coldUse     = 0.5             // of the cold budget
-	roomFirst   = 8.0             // submissions out at a usual backend to begin with, from all gateways
+	roomFirst   = 4.0             // submissions out at a usual backend to begin with, from all gateways
 	spread      = 1.0             // times the root of the room: txns come unevenly, the more so the fewer
 	lateShare   = 0.4             // of the SLA time: an answer later than that is a sign of crowding
 	lateMost    = 0.9
