--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -4,11 +4,13 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"clovergap/internal/wire"
 )
 
 func main() {
+	debug.SetGCPercent(400) // many instances in one process, each with little that lives long
 	host := &wire.Host{}
 	if err := host.Serve(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "drill:", err)
--- a/control/control.go
+++ b/control/control.go
@@ -56,24 +56,22 @@
 	coldUse     = 0.5             // of the cold budget
 	roomFirst   = 4.0             // submissions out at a usual backend to begin with, from all gateways
 	spread      = 1.0             // times the root of the room: txns come unevenly, the more so the fewer
-	lateShare   = 0.4             // of the SLA time: an answer later than that is a sign of crowding
-	lateMost    = 0.9
-	useLeast    = 0.6 // share of the room in use that makes late answers count
-	oddSlow     = 1.7 // times the median: such a backend's lateness is its own
-	useSpare    = 0.4 // of the room in use: under that, what pays beyond its quota may go on
-	spareAfter  = 3 * time.Second
+	useLeast    = 0.6             // share of the room in use that makes late answers count
+	oddCap      = 1.3             // times the median: no place for txns whose plan caps what is open
+	oddSlow     = 1.7             // times the median: such a backend's lateness is its own
 	pressFor    = 300 * ms
 	backWait    = 0.35    // of the SLA time: longest wait for a backend
-	partKeep    = 0.5     // share of its part of a ceiling that a gateway keeps, the rest goes to the owner
-	partIdle    = 0.8     // a part fuller than this share is idle
 	travel      = 40 * ms // margin for the way to a backend
 
-	resendAfter, resendMost = 120 * ms, 3   // an unacknowledged delta goes again, twice as late each time
-	silence, silenceMin     = 4.0, 200 * ms // times the usual answer time without any answer passes over
-	roomUp, roomDown        = 0.002, 0.025  // shares by a prompt and a late answer
-	longTimes, ratioMost    = 5.0, 20.0     // times the usual: an answer counts as no more
-	failShare, failOdd      = 0.35, 2.0     // of failing submissions, and this times the share everywhere
-	fullPause, fullMost     = 100 * ms, 5   // doubled each time in a row
+	resendAfter, resendMost = 120 * ms, 3          // an unacknowledged delta goes again, twice as late each time
+	silence, silenceMin     = 4.0, 200 * ms        // times the usual answer time without any answer passes over
+	roomUp, roomDown        = 0.002, 0.025         // shares by a prompt and a late answer
+	longTimes, ratioMost    = 5.0, 20.0            // times the usual: an answer counts as no more
+	lateShare, lateMost     = 0.4, 0.9             // of the SLA time: an answer later than that is a sign of crowding
+	useSpare, spareAfter    = 0.4, 3 * time.Second // use of room, and calm, at which what pays may go on
+	partKeep, partIdle      = 0.5, 0.8             // share of its part of a ceiling that is kept; a fuller one is idle
+	failShare, failOdd      = 0.35, 2.0            // of failing submissions, and this times the share everywhere
+	fullPause, fullMost     = 100 * ms, 5          // doubled each time in a row
 	asideFirst, asideLast   = 500 * ms, 8 * time.Second
 	probeEvery, noteEvery   = 1 * time.Second, 5 * time.Second // probes: where only they report load
 	probeGain, probeMost    = 0.2, 10.0                        // such probes earned by a txn
@@ -153,7 +151,7 @@
 	case Settled:
 		b.fulls = 0
 		s.ratio = d.timed(t, took)
-		b.doneRate, b.doneAt = d.rateOf(b)+1/rateOver, d.now
+		d.settles(b)
 	case CalledOff, NotSent:
 		return
 	}
@@ -646,11 +644,11 @@
 
 // survey brings up to now what every choice goes by, once for all choices of a short while.
 func (d *Door) survey() {
-	if d.now-d.surveyed < period && len(d.open) > 0 {
+	if d.now-d.surveyed < lookEvery && len(d.open) > 0 {
 		return
 	}
 	d.surveyed, d.open = d.now, d.open[:0]
-	rate, n, slow := 0.0, 0.0, d.slows[:0]
+	n, slow := 0.0, d.slows[:0]
 	for _, b := range d.list {
 		if b.State != Ready {
 			continue
@@ -660,20 +658,23 @@
 		if !b.aside {
 			slow = append(slow, b.slow)
 			if b.warm >= 1 {
-				rate, n = rate+d.rateOf(b), n+1
+				n++
 			}
 		}
 	}
 	// The median answer time against the usual: when all are slow alike, none is at fault.
-	d.slows, d.median, d.warmRate = slow, max(middle(slow), 0.1), rate/max(n, 1)
+	d.slows, d.median, d.warmRate = slow, max(middle(slow), 0.1), d.doneNow()/max(n, 1)
 }
 
 // silent tells that a backend owes answers for longer than such txns take. Now and then an inquiry-like txn
 // tries it all the same: else one that owes too little to be set aside would never be heard again.
 func (d *Door) silent(b *backend, t *txn) bool {
+	if b.owed < 2 {
+		return false
+	}
 	trial := d.now-b.sentAt > trialEvery && d.products[t.Product].kind == "inquiry-like"
 	most := max(silenceMin, time.Duration(silence*float64(d.usual(t))))
-	return b.owed >= 2 && !trial && d.now-b.oweSince > most
+	return !trial && d.now-b.oweSince > most
 }
 
 // allowed keeps rules 2, 3 and 4 for every send.
@@ -722,9 +723,10 @@
 	d.survey()
 	can := d.can[:0]
 	mean, out, roomAll, some := 0.0, 0.0, 0.0, false
+	capped := d.plans[t.Plan].openCap > 0 // a slot is scarce: it is not kept long at a slow one
 	for _, b := range d.open {
 		if b.aside || b == t.last || b.fullUntil > d.now || d.fails(b, t) ||
-			d.silent(b, t) || !d.allowed(b, t) {
+			d.silent(b, t) || !d.allowed(b, t) || capped && b.slow > oddCap*d.median {
 			continue
 		}
 		w := b.warm * d.rampShare(b)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -169,12 +169,12 @@
 	// beside warm ones, second by second:
 	//  cold 4
 	//  cold 8
-	//  cold 10
-	//  cold 12
+	//  cold 9
+	//  cold 13
 	// alone, with nothing warm to judge by:
 	//  cold 1
 	//  cold 3
-	//  cold 7
+	//  cold 6
 }
 
 func Example_ceilingAcrossRestart() {
--- a/control/state.go
+++ b/control/state.go
@@ -485,7 +485,14 @@
 	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
 }
 
-// rateOf is the smoothed rate of what a backend settles: sends may be more than it can do.
-func (d *Door) rateOf(b *backend) float64 {
-	return b.doneRate * math.Exp(-(d.now-b.doneAt).Seconds()/rateOver)
+// settles counts what warm backends settle: sends may be more than they can do.
+func (d *Door) settles(b *backend) {
+	if b.warm >= 1 {
+		d.doneRate, d.doneAt = d.doneNow()+1/rateOver, d.now
+	}
+}
+
+// doneNow is its smoothed rate.
+func (d *Door) doneNow() float64 {
+	return d.doneRate * math.Exp(-(d.now-d.doneAt).Seconds()/rateOver)
 }
--- a/control/types.go
+++ b/control/types.go
@@ -209,8 +209,6 @@
 	cold      float64 // tokens of the cold budget
 	coldAt    time.Duration
 	lapses    bool // the cold budget is under one send in its window
-	doneRate  float64
-	doneAt    time.Duration
 	sentAt    time.Duration
 }
 
@@ -395,6 +393,8 @@
 	work       float64   // mean usual time of the txns sent, in seconds
 	everywhere []failing // failing shares of the fleet
 	looked     time.Duration
+	doneRate   float64 // settled a second at warm backends, smoothed
+	doneAt     time.Duration
 	elders     int     // heard of
 	young      int     // started about when this gateway did
 	allNew     bool    // the whole fleet
