Probes of backends aside are paid for by txns too; a peer's answer there counts as one

Probes now all draw on what txns earn and a trickle, those aside first; a peer's prompt answer at a backend that is aside counts as a good probe. May hurt where many backends come back at once to gateways without txns.

--- a/control/control.go
+++ b/control/control.go
@@ -57,6 +57,7 @@
 	roomFirst   = 4.0             // submissions out at a usual backend to begin with, from all gateways
 	spread      = 1.0             // times the root of the room: txns come unevenly, the more so the fewer
 	useLeast    = 0.6             // share of the room in use that makes late answers count
+	probeIdle   = 0.05            // of a probe, each look around
 	oddCap      = 1.3             // times the median: no place for txns whose plan caps what is open
 	oddSlow     = 1.7             // times the median: such a backend's lateness is its own
 	pressFor    = 300 * ms
@@ -73,16 +74,17 @@
 	failShare, failOdd      = 0.35, 2.0            // of failing submissions, and this times the share everywhere
 	fullPause, fullMost     = 100 * ms, 5          // doubled each time in a row
 	asideFirst, asideLast   = 500 * ms, 8 * time.Second
-	probeEvery, noteEvery   = 1 * time.Second, 5 * time.Second // probes: where only they report load
-	probeGain, probeMost    = 0.2, 10.0                        // such probes earned by a txn
-	roomLeast, roomMost     = 1.0, 40.0                        // the least from all gateways
-	partAsk, partGive       = 0.25, 0.8                        // of a part: asked for at a time, given at most
+	noteEvery               = 5 * time.Second
+	probeGain, probeMost    = 0.2, 10.0 // such probes earned by a txn
+	roomLeast, roomMost     = 1.0, 40.0 // the least from all gateways
+	partAsk, partGive       = 0.25, 0.8 // of a part: asked for at a time, given at most
 )
 
 // New starts an instance: nothing is known but the settings.
 func New(seed int64, s Settings, now time.Duration) (*Door, error) {
 	d, p := newDoor(seed, s, now)
 	d.retries, d.pressed, d.room = retryMost/3, -pressFor, roomFirst/float64(max(d.gateways, 1))
+	d.probeRight = probeMost
 	d.gap, d.mailMost = leastGap, max(1, mailUse*d.mailMost)
 	return d, p.err
 }
@@ -174,6 +176,9 @@
 		d.judge(s.product, b, 1)
 	default:
 		d.judge(s.product, b, 0)
+		if b.aside && s.ratio < slowAside {
+			b.probes++ // a peer's txn was answered there: as good as a probe
+		}
 		b.slow += smooth * (s.ratio - b.slow)
 	}
 	d.reckon(b, 0)
@@ -902,14 +907,15 @@
 			b.nextProbe = d.now + b.backoff
 			aside++
 		}
-		if d.byProbe && !b.aside && !b.probing && d.now >= b.nextProbe &&
-			(turn == nil || b.nextProbe < turn.nextProbe) {
+		if (d.byProbe || b.aside && d.probes) && !b.probing && d.now >= b.nextProbe && (turn == nil ||
+			b.aside && !turn.aside || b.aside == turn.aside && b.nextProbe < turn.nextProbe) {
 			turn = b
 		}
 	}
-	if turn != nil && d.probeRight >= 1 { // each txn pays for a part of one: many gateways ask no more than few
+	d.probeRight = min(probeMost, d.probeRight+probeIdle)
+	if turn != nil && d.probeRight >= 1 { // txns pay for most probes: many gateways ask no more than few
 		d.probeRight--
-		turn.probing, turn.nextProbe = true, d.now+probeEvery
+		turn.probing, turn.nextProbe = true, d.now+asideFirst
 		d.ready = append(d.ready, Decision{Verb: Probe, Backend: turn.ID})
 	}
 	if d.now-d.noted >= noteEvery {
@@ -944,15 +950,8 @@
 
 // lookAgain probes a backend that is aside and lets it return, warming, after good answers.
 func (d *Door) lookAgain(b *backend) bool {
-	if !d.probes {
-		if d.now < b.nextProbe {
-			return false
-		}
-	} else if b.probes < goodProbes || d.now < b.nextProbe-b.backoff+asideFirst {
-		if !b.probing && d.now >= b.nextProbe {
-			b.probing, b.nextProbe = true, d.now+asideFirst
-			d.ready = append(d.ready, Decision{Verb: Probe, Backend: b.ID})
-		}
+	if !d.probes && d.now < b.nextProbe ||
+		d.probes && (b.probes < goodProbes || d.now < b.nextProbe-b.backoff+asideFirst) {
 		return false
 	}
 	b.aside, b.rampFrom = false, d.now
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -563,11 +563,10 @@
 	// Output:
 	// # none has answered for a while: all are set aside and probed
 	// 12200 probe 1
-	// 12200 probe 2
-	// 12200 probe 3
+	// 12300 probe 2
+	// 12400 probe 3
 	// 12700 probe 1
-	// 12700 probe 2
-	// 12700 probe 3
+	// 12800 probe 2
 	// back: true
 }
 
