--- a/control/control.go
+++ b/control/control.go
@@ -68,9 +68,9 @@
 	silence, silenceMin     = 4.0, 200 * ms        // times the usual answer time without any answer passes over
 	roomUp, roomDown        = 0.002, 0.025         // shares by a prompt and a late answer
 	longTimes, ratioMost    = 5.0, 20.0            // times the usual: an answer counts as no more
-	lateShare, lateMost     = 0.4, 0.9             // of the SLA time: an answer later than that is a sign of crowding
+	lateShare, lateMost     = 0.4, 0.9             // of the SLA time: a later answer is a sign of crowding
 	useSpare, spareAfter    = 0.4, 3 * time.Second // use of room, and calm, at which what pays may go on
-	partKeep, partIdle      = 0.5, 0.8             // share of its part of a ceiling that is kept; a fuller one is idle
+	partKeep, partIdle      = 0.5, 0.8             // of a part of a ceiling: what is kept; fuller is idle
 	failShare, failOdd      = 0.35, 2.0            // of failing submissions, and this times the share everywhere
 	fullPause, fullMost     = 100 * ms, 5          // doubled each time in a row
 	asideFirst, asideLast   = 500 * ms, 8 * time.Second
