A time-out after three usual times counts as lost, here and at peers

Since sights came in, a time-out was told as a slow answer and counted as not lost, which took back what it had set aside. Covers silent, hung and cut-off backends.

--- a/control/control.go
+++ b/control/control.go
@@ -142,7 +142,7 @@
 		s.ratio = sightFailed
 	case TimedOut:
 		if s.ratio = float64(d.now-t.sent) / float64(d.usual(t)); s.ratio >= 3 {
-			d.reckon(b, 1)
+			s.ratio = sightLost
 		}
 	case Full:
 		// A full backend is left alone for twice as long each time in a row. It says nothing of the others:
@@ -899,7 +899,7 @@
 			}
 		} else if unheard := b.owed >= 2 && d.now-b.oweSince > silentAside; unheard ||
 			float64(aside+1) <= asideMost*float64(len(d.open)) &&
-				(b.seen >= 2 && b.fails > failShare || b.slow > slowAside*d.median) {
+				(b.seen >= 2 && b.fails > failShare && b.fails > failOdd*d.lost || b.slow > slowAside*d.median) {
 			// One that owes answers is passed over anyhow, so there is no bound on how many of these are set
 			// aside: only from there a way leads back, by probes or trial, whatever products come.
 			b.aside, b.probes = true, 0
--- a/control/state.go
+++ b/control/state.go
@@ -483,6 +483,7 @@
 func (d *Door) reckon(b *backend, bad float64) {
 	b.seen = b.seen*(1-smooth) + 1
 	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
+	d.lost += smooth / 5 * (bad - d.lost)
 }
 
 // settles counts what warm backends settle: sends may be more than they can do.
