--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,7 @@
 	spread      = 1.0             // times the root of the room: txns come unevenly, the more so the fewer
 	useLeast    = 0.6             // share of the room in use that makes late answers count
 	probeIdle   = 0.05            // of a probe, each look around
+	roomStart   = 0.01            // instead of roomUp until room was taken away once: the first room is a guess
 	oddCap      = 1.3             // times the median: no place for txns whose plan caps what is open
 	oddSlow     = 1.7             // times the median: such a backend's lateness is its own
 	pressFor    = 300 * ms
@@ -84,7 +85,7 @@
 func New(seed int64, s Settings, now time.Duration) (*Door, error) {
 	d, p := newDoor(seed, s, now)
 	d.retries, d.pressed, d.room = retryMost/3, -pressFor, roomFirst/float64(max(d.gateways, 1))
-	d.probeRight = probeMost
+	d.probeRight, d.roomUp = probeMost, roomStart
 	d.gap, d.mailMost = leastGap, max(1, mailUse*d.mailMost)
 	return d, p.err
 }
@@ -239,10 +240,10 @@
 // and lost backends alike; it may hurt when a product's work is by itself near its SLA time.
 func (d *Door) adjustRoom(c crowding) {
 	if c == prompt && d.isPressed() {
-		d.room = min(roomMost, d.room*(1+roomUp))
+		d.room = min(roomMost, d.room*(1+d.roomUp))
 	}
 	if c == crowded && d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
-		d.room = max(roomLeast/float64(d.gateways), d.room*(1-roomDown))
+		d.room, d.roomUp = max(roomLeast/float64(d.gateways), d.room*(1-roomDown)), roomUp
 	}
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -393,6 +393,7 @@
 	work       float64   // mean usual time of the txns sent, in seconds
 	everywhere []failing // failing shares of the fleet
 	looked     time.Duration
+	roomUp     float64 // share that a prompt answer adds to the room
 	lost       float64 // share of submissions, everywhere
 	doneRate   float64 // settled a second at warm backends, smoothed
 	doneAt     time.Duration
