--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,7 @@
 	gapMost     = 2 * time.Second
 	gapFall     = 0.5
 	viewWait    = 0.4  // of the SLA time at most
-	repeatLeave = 0.8  // of the burst: what a repeat must leave
+	repeatLeave = 0.5  // of the burst: what a repeat must leave
 	unitWait    = 0.3  // of the SLA time: longest wait for units or an open slot
 	unknownPart = 8    // of the SLA time: a txn's usual time until one is known
 	smooth      = 0.1  // weight of a new sample
