--- a/control/control_test.go
+++ b/control/control_test.go
@@ -721,3 +721,18 @@
 	// told of failures: passed over for that product true and no other false
 	// a backend that its own list does not name stays unknown: 3
 }
+
+func Example_wrongSetFromAPeer() {
+	s := warm()
+	c := ownedBy(0)
+	s.hear(1, &message{epoch: 7, seq: 1, deltas: []deltaLine{{c, 1, 0, 0, 0, 0, 0, 1}}})
+	a := s.d.accounts[c]
+	fmt.Println("a peer says the set is this gateway alone:", a.width, "part", s.d.partNow(a) > 0)
+	s.d.TxnTaken(Txn{ID: 1, Customer: c, Plan: 1, Units: 1, SetWidth: 3, Expiry: s.d.now + time.Second})
+	s.pull()
+	fmt.Println("a txn says three: width", a.width, "part", a.part)
+	// Output:
+	// a peer says the set is this gateway alone: 1 part true
+	// 10000 decline 1, 150
+	// a txn says three: width 3 part 0
+}
--- a/control/state.go
+++ b/control/state.go
@@ -184,7 +184,9 @@
 			continue
 		}
 		a := d.account(l.customer, l.plan)
-		d.place(a, l.first, l.width)
+		if !a.inSet { // a txn's own word goes before a peer's
+			d.place(a, l.first, l.width)
+		}
 		if a.owner != d.me {
 			d.badMail++
 			continue
@@ -241,14 +243,15 @@
 
 // place works out the owner: rendezvous hashing over the customer's set, the same at every gateway.
 func (d *Door) place(a *account, setFirst GatewayID, width int) {
-	if a.inSet {
+	width = min(max(width, 1), d.gateways)
+	first := GatewayID(max(int(setFirst), 0) % d.gateways)
+	if a.inSet && a.first == first && a.width == width {
 		return
 	}
-	a.inSet = true
-	a.width = min(max(width, 1), d.gateways)
-	a.sharers = a.width
-	first := GatewayID(max(int(setFirst), 0) % d.gateways)
-	a.first = first
+	if a.inSet { // a peer had told another set: what this one had of a ceiling by it is void
+		a.part, a.partAt = 0, d.now
+	}
+	a.inSet, a.first, a.width, a.sharers = true, first, width, width
 	a.owner = ownerOf(a.id, first, a.width, d.gateways)
 	a.listened = (int(d.me-first)%d.gateways+d.gateways)%d.gateways < a.width
 	if a.owner != d.me {
--- a/control/types.go
+++ b/control/types.go
@@ -173,7 +173,6 @@
 	over           bool // let in beyond the quota
 	ended          bool
 	why            lack // what it last lacked
-	called         bool // recalled after its end
 	nr             int  // submissions so far
 	outAt          *backend
 	sent           time.Duration
@@ -247,8 +246,7 @@
 	width    int
 	inSet    bool
 	used     time.Duration
-	out      int // submissions out from here
-	waiting  int
+	out      int     // submissions out from here
 	level    float64 // owner: remaining; other: the snapshot's remaining
 	levelAt  time.Duration
 	known    bool // a snapshot has come
