--- /dev/null
+++ b/cmd/clovergap/serve.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio/logging"
+	"go.uber.org/zap"
+
+	"clovergap/control"
+	"clovergap/internal/check"
+	"clovergap/internal/config"
+	"clovergap/internal/discovery"
+	"clovergap/internal/dispatch"
+	"clovergap/internal/gate"
+	"clovergap/internal/http1"
+	"clovergap/internal/intake"
+	"clovergap/internal/link"
+	"clovergap/internal/peers"
+)
+
+// Life of a front door that is told to end: clients still come for a while, then connections close between
+// txns; what is held is answered by its expiry.
+const (
+	comingFor = 500 * time.Millisecond
+	quietFor  = 800 * time.Millisecond
+	endMost   = 3500 * time.Millisecond
+	lookEvery = 20 * time.Millisecond
+)
+
+// front is one front door with its stages.
+type front struct {
+	e        *link.Engine
+	gate     *gate.Gate
+	intake   *intake.Intake
+	dispatch *dispatch.Dispatch
+	peers    *peers.Peers
+	log      *zap.Logger
+}
+
+// clock gives the gate the engine's time; the module's next due time is an entry among all others.
+type clock struct {
+	*link.Engine
+	due link.Alarm
+}
+
+func (c *clock) Wake(at time.Duration) { c.At(at, c.due, 0) }
+
+// quiet is for a site without peers.
+type quiet struct{}
+
+func (quiet) Tell(control.GatewayID, []byte) {}
+
+func serve(path string) error {
+	c, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := logger()
+	if err != nil {
+		return err
+	}
+	logging.SetLogger(pollerLog{log.Sugar()})
+	limits(c)
+	f, err := build(c, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for s := range signals {
+		if s == syscall.SIGUSR1 {
+			f.tell("counters")
+			continue
+		}
+		f.end()
+		f.tell("ended")
+		return nil
+	}
+	return nil
+}
+
+// limits fits the runtime to what the configuration grants. One core is all there is; a second processor of
+// the runtime lets due times and datagrams go on while the poller sits in its system call.
+func limits(c *config.Config) {
+	runtime.GOMAXPROCS(max(2, int(math.Ceil(c.Cores))))
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	debug.SetGCPercent(400)
+}
+
+func logger() (*zap.Logger, error) {
+	z := zap.NewProductionConfig()
+	z.OutputPaths, z.ErrorOutputPaths = []string{"stderr"}, []string{"stderr"}
+	z.Sampling, z.DisableCaller, z.DisableStacktrace = nil, true, true
+	return z.Build()
+}
+
+// build puts the stages together and starts them.
+func build(c *config.Config, log *zap.Logger) (*front, error) {
+	f := &front{log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw)}
+	door, err := control.New(c.Seed, c.Settings, f.e.Now())
+	if err != nil {
+		return nil, err
+	}
+	known, err := discovery.Read(c.Known, c.Halls, f.e.AtUnix)
+	if err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	k := &clock{Engine: f.e}
+	f.gate = gate.New(door, k, min(c.MostHeld, c.Sockets), f.e.Count, log)
+	k.due = f.gate
+	clients := f.e.Room() / 2
+	f.dispatch = dispatch.New(f.e, f.gate, c.Fields, c.ConnIdle, c.DialLimit, func() bool { return f.intake.Evict() })
+	f.intake = intake.New(f.e, f.gate, c.Products, c.Plans, max(len(c.Peers), 1), clients,
+		func() bool { return f.dispatch.Evict(nil) })
+	var tell gate.Teller = quiet{}
+	if len(c.Peers) > 0 {
+		if f.peers, err = peers.Open(f.e, c.PeerListen, c.Peers, c.Me, f.gate.Heard); err != nil {
+			return nil, err
+		}
+		tell = f.peers
+	}
+	f.gate.Through(f.dispatch, tell)
+	f.e.Accepted(f.intake.Accept)
+	f.e.Settled(f.gate.Pull)
+	f.e.Short(func() {
+		if !f.dispatch.Evict(nil) {
+			f.intake.Evict()
+		}
+	})
+	f.e.Turn(func() { f.listed(known) })
+	if err := f.e.Start(); err != nil {
+		return nil, err
+	}
+	if f.peers != nil {
+		f.peers.Start()
+	}
+	watch := discovery.NewWatch(f.e, c.Discovery, c.Halls, f.listed, log)
+	f.e.Turn(watch.Start)
+	log.Info("serves", zap.String("name", c.Name), zap.String("listen", c.Listen), zap.Bool("debug", check.Debug))
+	return f, nil
+}
+
+// listed takes a list to those who go by it.
+func (f *front) listed(l discovery.List) {
+	list := make([]control.Listing, 0, len(l.Entries))
+	for _, e := range l.Entries {
+		list = append(list, e.Listing)
+		if e.State == control.Gone {
+			f.dispatch.Gone(e.ID)
+		} else {
+			f.dispatch.At(e.ID, e.Addr)
+		}
+	}
+	f.gate.Listed(l.Whole, list)
+}
+
+// end goes on for a moment, then closes connections between txns, and ends when all that was taken is answered.
+func (f *front) end() {
+	f.log.Info("ends")
+	began := time.Now()
+	time.Sleep(comingFor)
+	for over := false; !over && time.Since(began) < endMost; time.Sleep(lookEvery) {
+		f.e.Turn(func() {
+			f.intake.Drain()
+			over = f.gate.Held() == 0 && f.intake.Clients() == 0 && time.Since(began) > quietFor
+		})
+	}
+}
+
+// tell prints the counters.
+func (f *front) tell(title string) {
+	f.e.Turn(func() {
+		f.log.Info(title, zap.String("counters", f.e.Count.Text()), zap.Uint64("must holds broken", check.Broken()),
+			zap.Int("txns held", f.gate.Held()), zap.Int("clients", f.intake.Clients()),
+			zap.Int("connections", f.e.Open()))
+	})
+}
+
+// pollerLog takes the poller's own lines into the log.
+type pollerLog struct{ *zap.SugaredLogger }
+
+func (l pollerLog) Debug(string, ...any)          {}
+func (l pollerLog) Info(string, ...any)           {}
+func (l pollerLog) Warn(format string, v ...any)  { l.Warnf(format, v...) }
+func (l pollerLog) Error(format string, v ...any) { l.Errorf(format, v...) }
--- a/control/control.go
+++ b/control/control.go
@@ -4,7 +4,7 @@
 // TxnTaken, SubmissionEnded, ClientLeft, ProbeEnded, PeerSaid, Woken), which only update what is known, and
 // then pulls decisions with Next, one by one, until there is none. The interface (ids, Txn, Listing,
 // Decision, Settings) is in types.go, bookkeeping in state.go, the peer messages in peer.go, the due queue in
-// due.go; docs/design.md tells why.
+// internal/due; docs/design.md tells why.
 package control
 
 import (
@@ -280,7 +280,7 @@
 			d.decide(t)
 			continue
 		}
-		if id, ok := d.due.take(d.now); ok {
+		if id, ok := d.due.Take(d.now); ok {
 			if t := d.txns[id]; t != nil {
 				d.expire(t)
 			}
@@ -369,7 +369,7 @@
 	t.waits = true
 	if t.giveUp < until {
 		t.giveUp = until
-		d.due.add(until, t.ID)
+		d.due.Add(until, t.ID)
 	}
 	d.line = append(d.line, t)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -320,7 +320,7 @@
 // wake asks for the one periodic timer and, if something is due before it, for that time.
 func (d *Door) wake() (Decision, bool) {
 	next := d.lastWork + d.pace()
-	if at, ok := d.due.next(); ok {
+	if at, ok := d.due.Next(); ok {
 		next = min(next, at)
 	}
 	next = max(next, d.now+ms)
@@ -391,7 +391,7 @@
 		t.slaAt = min(d.now+d.products[x.Product].slaTime, x.Expiry)
 	}
 	d.txns[x.ID] = t
-	d.due.add(x.Expiry-2*ms, x.ID) // rule 1: every expiry is watched
+	d.due.Add(x.Expiry-2*ms, x.ID) // rule 1: every expiry is watched
 	d.todo = append(d.todo, t)
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"clovergap/internal/due"
 )
 
 // Each kind of id is a type of its own.
@@ -356,7 +358,7 @@
 	writers             int           // and the peers they came from
 
 	txns       map[TxnID]*txn
-	due        dueQueue
+	due        due.Queue[TxnID]
 	todo       []*txn
 	line       []*txn // waiting for units, a view, a slot or a backend
 	recheck    bool
--- /dev/null
+++ b/internal/answer/answer.go
@@ -0,0 +1,52 @@
+// Package answer words the one answer that a client gets.
+package answer
+
+import (
+	"time"
+
+	"clovergap/internal/http1"
+)
+
+// Settle passes a backend's body on, unchanged.
+func Settle(b, body, kind []byte, last bool) []byte {
+	b = http1.AppendStatus(b, 200)
+	if len(kind) > 0 {
+		b = http1.AppendHeader(b, "Content-Type", kind)
+	}
+	return append(end(b, len(body), last), body...)
+}
+
+// Decline says that coming again is harmless, best after some time (0: none is advised).
+func Decline(b []byte, after time.Duration, last bool) []byte {
+	b = http1.AppendStatus(b, 429)
+	if after > 0 {
+		b = http1.AppendSeconds(b, "Retry-After", after)
+	}
+	return end(b, 0, last)
+}
+
+// Void makes no such promise: it may have run.
+func Void(b []byte, last bool) []byte { return end(http1.AppendStatus(b, 502), 0, last) }
+
+// Bad tells in one line what is wrong with a request.
+func Bad(b []byte, status int, line string, last bool) []byte {
+	b = http1.AppendStatus(b, status)
+	if status == 405 {
+		b = append(b, "Allow: GET, POST\r\n"...)
+	}
+	b = append(b, "Content-Type: text/plain\r\n"...)
+	return append(append(end(b, len(line)+1, last), line...), '\n')
+}
+
+// Up tells that the front door takes txns.
+func Up(b []byte, last bool) []byte {
+	return append(end(http1.AppendStatus(b, 200), 3, last), "up\n"...)
+}
+
+func end(b []byte, length int, last bool) []byte {
+	b = http1.AppendNumber(b, "Content-Length", length)
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/internal/check/debug.go
@@ -0,0 +1,8 @@
+//go:build debug
+
+package check
+
+// Debug tells which build this is.
+const Debug = true
+
+func fail(what string) { panic("must hold: " + what) }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,151 @@
+// Package config reads what a front door is told at its start.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"clovergap/control"
+)
+
+// Config is what a front door is told.
+type Config struct {
+	Name       string
+	Listen     string
+	Discovery  string
+	PeerListen string
+	Peers      []netip.AddrPort // in the order of the gateways' numbers, its own included
+	Me         int
+	Seed       int64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int
+	Known      json.RawMessage // the list of backends as last known
+	Settings   control.Settings
+	Halls      []string
+	Products   []string
+	Plans      []string
+	Fields     []string // of load reports, in the protocol's words
+	ConnIdle   time.Duration
+	DialLimit  time.Duration
+	MostHeld   int
+}
+
+// form is the file's.
+type form struct {
+	Name, Listen, Discovery, Seed string
+	PeerListen                    string `json:"peer_listen"`
+	Peers                         []string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// facts are the settings that the protocol needs by their own names.
+type facts struct {
+	Dcs            []string
+	RequestClasses []struct{ Name string }
+	Plans          []struct{ Name string }
+	Report         struct{ Fields []string }
+}
+
+// Load reads a file and complains in one line.
+func Load(path string) (*Config, error) {
+	if path == "" {
+		return nil, fmt.Errorf("no configuration: set NODE_CONFIG or --config")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration.
+func Parse(text []byte) (*Config, error) {
+	var f form
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, PeerListen: f.PeerListen,
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
+	seed, err := strconv.ParseUint(strings.TrimPrefix(f.Seed, "0x"), 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: not a hexadecimal number")
+	}
+	c.Seed = int64(seed)
+	for name, at := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(at); err != nil {
+			return nil, fmt.Errorf("%s: not an address with a port: %q", name, at)
+		}
+	}
+	if c.MemoryMB < 16 || c.Sockets < 64 {
+		return nil, fmt.Errorf("limits: memory_mb is 16 at the least, sockets 64")
+	}
+	if c.Settings, err = Nested(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var known facts
+	if err := json.Unmarshal(f.Settings, &known); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Halls, c.Fields = known.Dcs, known.Report.Fields
+	for _, p := range known.RequestClasses {
+		c.Products = append(c.Products, p.Name)
+	}
+	for _, p := range known.Plans {
+		c.Plans = append(c.Plans, p.Name)
+	}
+	for _, n := range []struct {
+		name string
+		to   *int
+	}{{"me", &c.Me}, {"limits.most_held", &c.MostHeld}} {
+		if *n.to, err = strconv.Atoi(c.Settings[n.name]); err != nil {
+			return nil, fmt.Errorf("setting %s: not a whole number", n.name)
+		}
+	}
+	for _, n := range []struct {
+		name string
+		to   *time.Duration
+	}{{"limits.conn_idle", &c.ConnIdle}, {"limits.dial_timeout", &c.DialLimit}} {
+		us, err := strconv.ParseFloat(c.Settings[n.name], 64)
+		if err != nil || us <= 0 {
+			return nil, fmt.Errorf("setting %s: not a time in microseconds", n.name)
+		}
+		*n.to = time.Duration(us) * time.Microsecond
+	}
+	if c.Settings["limits.peers"] == "true" {
+		return c, c.peers(f.Peers)
+	}
+	return c, nil
+}
+
+func (c *Config) peers(all []string) error {
+	if _, err := netip.ParseAddrPort(c.PeerListen); err != nil {
+		return fmt.Errorf("peer_listen: not an address with a port: %q", c.PeerListen)
+	}
+	for _, at := range all {
+		a, err := netip.ParseAddrPort(at)
+		if err != nil {
+			return fmt.Errorf("peers: not an address with a port: %q", at)
+		}
+		c.Peers = append(c.Peers, a)
+	}
+	if want := c.Settings["gateways"]; want != strconv.Itoa(len(c.Peers)) {
+		return fmt.Errorf("peers: %d addresses for %s front doors", len(c.Peers), want)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,82 @@
+// Package counters counts what a front door takes in, sends and answers.
+package counters
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ID names one counter.
+type ID int
+
+const (
+	ClientsOpened ID = iota
+	ClientsClosed
+	ClientsEvicted
+	TxnsTaken
+	TxnsLeft
+	Settled
+	Declined
+	Voided
+	Unheard // answers whose client had left
+	BadRequest
+	BadPlan
+	BadProduct
+	BadQuota
+	BadFraming
+	TooLarge
+	HeadTooLarge
+	NoSuchPath
+	NoSuchMethod
+	TooMany
+	Ups
+	Submissions
+	Reused
+	Dials
+	DialsFailed
+	EndSettled
+	EndErrored
+	EndFull
+	EndTimedOut
+	EndUnreachable
+	EndBroken
+	EndCalledOff
+	EndNotSent
+	BadAnswer
+	BackendsEvicted
+	ListsTaken
+	ListsBad
+	WatchesLost
+	MailSent
+	MailTaken
+	MailBad
+	MailUnsent
+	AcceptErrors
+	Turns
+	all
+)
+
+var names = [all]string{"clients opened", "clients closed", "clients evicted", "txns taken", "txns left",
+	"settled", "declined", "voided", "answers unheard", "bad requests", "unknown plans", "unknown products",
+	"bad quotas", "bad framing", "bodies too large", "heads too large", "unknown paths", "unknown methods",
+	"too many held", "ups", "submissions", "connections reused", "dials", "dials failed", "ended settled",
+	"ended errored", "ended full", "ended timed out", "ended unreachable", "ended broken", "ended called off",
+	"ended not sent", "bad answers", "backend connections evicted", "lists taken", "lists bad", "watches lost",
+	"mails sent", "mails taken", "mails bad", "mails unsent", "accept errors", "turns"}
+
+// Set is one front door's counters. One owner at a time counts.
+type Set [all]uint64
+
+// Add counts one.
+func (s *Set) Add(id ID) { s[id]++ }
+
+// Text lists all that are not nought.
+func (s *Set) Text() string {
+	var b strings.Builder
+	for id, n := range s {
+		if n > 0 {
+			fmt.Fprintf(&b, "%s %d, ", names[id], n)
+		}
+	}
+	return strings.TrimSuffix(b.String(), ", ")
+}
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,83 @@
+// Package discovery keeps the list of backends: the one that the configuration gives, then what a watch tells.
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"time"
+
+	"clovergap/control"
+)
+
+// Entry is one backend and where it listens.
+type Entry struct {
+	control.Listing
+	Addr string
+}
+
+// List is one answer of discovery.
+type List struct {
+	Rev     uint64
+	Whole   bool
+	Entries []Entry
+}
+
+type form struct {
+	Rev     *uint64
+	All     bool
+	Targets []struct {
+		UID      string
+		Endpoint string
+		AZ       string
+		PodGroup int `json:"pod_group"`
+		State    string
+		Hint     float64 `json:"capacity_hint"`
+		BootMS   int64   `json:"boot_ms"`
+	}
+}
+
+var states = map[string]control.BackendState{"Ready": control.Ready, "Terminating": control.Draining,
+	"Gone": control.Gone}
+
+// Read takes discovery's form apart. clock puts a Unix time on the front door's clock.
+func Read(text []byte, halls []string, clock func(time.Time) time.Duration) (List, error) {
+	var f form
+	if err := json.Unmarshal(text, &f); err != nil {
+		return List{}, err
+	}
+	if f.Rev == nil {
+		return List{}, errors.New("no rev")
+	}
+	l := List{Rev: *f.Rev, Whole: f.All}
+	for _, t := range f.Targets {
+		state, known := states[t.State]
+		if t.UID == "" || !known {
+			return List{}, fmt.Errorf("target %q in state %q", t.UID, t.State)
+		}
+		if _, err := netip.ParseAddrPort(t.Endpoint); err != nil && state != control.Gone {
+			return List{}, fmt.Errorf("target %q at %q", t.UID, t.Endpoint)
+		}
+		e := Entry{Addr: t.Endpoint, Listing: control.Listing{ID: id(t.UID), Hall: -1, Pod: control.PodID(t.PodGroup),
+			State: state, Size: t.Hint}}
+		for i, h := range halls {
+			if h == t.AZ {
+				e.Hall = control.HallID(i)
+			}
+		}
+		if t.BootMS > 0 {
+			e.Started = clock(time.UnixMilli(t.BootMS))
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return l, nil
+}
+
+// id is the same at every front door, as a uid is.
+func id(uid string) control.BackendID {
+	h := fnv.New64a()
+	h.Write([]byte(uid))
+	return control.BackendID(h.Sum64())
+}
--- /dev/null
+++ b/internal/discovery/watch.go
@@ -0,0 +1,145 @@
+package discovery
+
+import (
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"clovergap/internal/counters"
+	"clovergap/internal/http1"
+	"clovergap/internal/link"
+)
+
+// How long a watch waits, and what is added until its silence counts as a lost watch.
+const (
+	waitFor    = 10 * time.Second
+	overdue    = 3 * time.Second
+	dialLimit  = time.Second
+	againFirst = 50 * time.Millisecond // doubled after each failure in a row
+	againMost  = 2 * time.Second
+)
+
+// Watch asks discovery without end: for the whole list first, then for what has changed since.
+type Watch struct {
+	e      *link.Engine
+	addr   string
+	halls  []string
+	listed func(List)
+	log    *zap.Logger
+	l      *link.Link
+	r      http1.Reader
+	rev    uint64
+	known  bool   // a list has come since the start
+	call   uint32 // number of the present call; a due time of an earlier one is passed over
+	fails  int
+}
+
+// NewWatch makes one; listed is told of each answer.
+func NewWatch(e *link.Engine, addr string, halls []string, listed func(List), log *zap.Logger) *Watch {
+	return &Watch{e: e, addr: addr, halls: halls, listed: listed, log: log, r: http1.Responses()}
+}
+
+// Start begins to watch.
+func (w *Watch) Start() { w.dial() }
+
+func (w *Watch) dial() {
+	w.call++
+	w.r.Reset()
+	w.l = w.e.Dial(w.addr, dialLimit, w.up)
+	w.l.Own(w)
+	w.e.At(w.e.Now()+dialLimit, w, w.call)
+}
+
+func (w *Watch) up(ok bool) {
+	if !ok {
+		w.again()
+		return
+	}
+	w.ask()
+}
+
+// ask sends the next call, at once after the last answer: then the watch goes on without a gap.
+func (w *Watch) ask() {
+	w.call++
+	b := []byte("GET /discovery/hosts")
+	if w.known {
+		b = append(b, "?after="...)
+		b = strconv.AppendUint(b, w.rev, 10)
+		b = append(b, "&wait_ms="...)
+		b = strconv.AppendInt(b, int64(waitFor/time.Millisecond), 10)
+	}
+	b = append(b, " HTTP/1.1\r\nHost: discovery\r\n\r\n"...)
+	w.e.At(w.e.Now()+waitFor+overdue, w, w.call)
+	w.l.Send(b)
+}
+
+// Due: a call was not answered in time, or it is time to try again.
+func (w *Watch) Due(call uint32) {
+	if call != w.call {
+		return
+	}
+	if w.l != nil {
+		w.l.Close()
+		w.again()
+		return
+	}
+	w.dial()
+}
+
+// again tries later; the last list stands.
+func (w *Watch) again() {
+	w.l = nil
+	w.call++
+	w.e.Count.Add(counters.WatchesLost)
+	w.e.At(w.e.Now()+min(againFirst<<min(w.fails, 10), againMost), w, w.call)
+	w.fails++
+}
+
+// Sent and Closed are the connection's.
+func (w *Watch) Sent() {}
+
+// Closed: the agent ended the connection.
+func (w *Watch) Closed() { w.again() }
+
+// Data reads an answer.
+func (w *Watch) Data() {
+	for w.l != nil && w.l.In.Len() > 0 {
+		b := w.l.In.Linear()
+		size, whole, err := w.r.Read(b)
+		if !whole && err == nil && w.l.In.Room() > 0 {
+			return
+		}
+		if err != nil || !whole || w.r.Status() != 200 {
+			w.bad("an answer that can't be read")
+			return
+		}
+		list, err := Read(w.r.Body(b), w.halls, w.e.AtUnix)
+		if err != nil {
+			w.bad(err.Error())
+			return
+		}
+		closes := w.r.Closes
+		w.l.In.Drop(size)
+		w.r.Reset()
+		w.fails = 0
+		w.rev, w.known = list.Rev, true
+		w.e.Count.Add(counters.ListsTaken)
+		w.listed(list)
+		if closes {
+			w.l.Close()
+			w.l = nil
+			w.dial()
+			return
+		}
+		w.ask()
+	}
+}
+
+// bad: the last list stands.
+func (w *Watch) bad(why string) {
+	w.e.Count.Add(counters.ListsBad)
+	w.log.Warn("discovery", zap.String("bad", why))
+	w.l.Close()
+	w.again()
+}
--- /dev/null
+++ b/internal/dispatch/conn.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/counters"
+	"clovergap/internal/http1"
+	"clovergap/internal/link"
+	"clovergap/internal/slots"
+)
+
+// conn is a connection to a backend; it carries one submission at a time.
+type conn struct {
+	d       *Dispatch
+	b       *backend
+	l       *link.Link
+	r       http1.Reader
+	sub     slots.Ref // 0: idle
+	dialing bool
+	idleAt  time.Duration
+}
+
+// reuse takes the idle connection used last, and closes those that are not fit to be used again.
+func (d *Dispatch) reuse(b *backend) *conn {
+	for len(b.idle) > 0 {
+		c := b.idle[len(b.idle)-1]
+		b.idle = b.idle[:len(b.idle)-1]
+		if d.e.Now()-c.idleAt < d.idleMost && c.l.Clean() {
+			return c
+		}
+		c.close()
+	}
+	return nil
+}
+
+// dial opens a connection for a submission, or ends it when none may be opened.
+func (d *Dispatch) dial(b *backend, ref slots.Ref, s *submission) bool {
+	if d.e.Room() <= 0 && !d.Evict(b) && !d.makeRoom() {
+		d.end(ref, s, control.Unreachable)
+		return false
+	}
+	c := &conn{d: d, b: b, r: http1.Responses(), sub: ref, dialing: true}
+	c.l = d.e.Dial(b.addr, d.dialLimit, c.up)
+	c.l.Own(c)
+	s.conn = c
+	b.open++
+	return true
+}
+
+func (c *conn) up(ok bool) {
+	c.dialing = false
+	s := c.d.subs.Get(c.sub)
+	if s == nil {
+		c.close()
+		return
+	}
+	if !ok {
+		c.d.end(c.sub, s, control.Unreachable)
+		return
+	}
+	c.carry(c.sub, s)
+}
+
+// carry writes a submission.
+func (c *conn) carry(ref slots.Ref, s *submission) {
+	c.sub, s.conn = ref, c
+	c.d.scratch = s.message.AppendTo(c.d.scratch[:0], s.until-c.d.e.Now())
+	if len(c.d.scratch) == 0 { // its client has gone before anything was written
+		c.d.end(ref, s, control.NotSent)
+		return
+	}
+	c.l.Send(c.d.scratch)
+}
+
+// Sent: the last byte is in the socket.
+func (c *conn) Sent() {
+	if s := c.d.subs.Get(c.sub); s != nil && s.conn == c {
+		s.written = true
+	}
+}
+
+// Closed: a connection that ends before the request's last byte is written never ran it.
+func (c *conn) Closed() {
+	ref := c.sub
+	c.sub = 0
+	c.drop()
+	s := c.d.subs.Get(ref)
+	if s == nil || s.conn != c {
+		return
+	}
+	s.conn = nil
+	if s.written {
+		c.d.end(ref, s, control.Broken)
+	} else {
+		c.d.end(ref, s, control.Unreachable)
+	}
+}
+
+func (c *conn) close() {
+	c.l.Close()
+	c.drop()
+}
+
+// drop forgets the connection.
+func (c *conn) drop() {
+	for i, o := range c.b.idle {
+		if o == c {
+			c.b.idle = append(c.b.idle[:i], c.b.idle[i+1:]...)
+			break
+		}
+	}
+	c.b.open--
+}
+
+// Data reads an answer.
+func (c *conn) Data() {
+	ref := c.sub
+	s := c.d.subs.Get(ref)
+	if s == nil || s.conn != c { // bytes that nobody asked for
+		c.d.e.Count.Add(counters.BadAnswer)
+		c.sub = 0
+		c.close()
+		return
+	}
+	for {
+		b := c.l.In.Linear()
+		size, whole, err := c.r.Read(b)
+		if err != nil {
+			c.bad(ref, s)
+			return
+		}
+		if !whole {
+			if c.l.In.Room() == 0 {
+				c.bad(ref, s)
+			}
+			return
+		}
+		if c.r.Status() >= 200 {
+			c.answered(ref, s, b, size)
+			return
+		}
+		c.l.In.Drop(size) // an interim answer
+		c.r.Reset()
+	}
+}
+
+// bad: an answer that can't be read ends as a broken connection does, it may have run.
+func (c *conn) bad(ref slots.Ref, s *submission) {
+	c.d.e.Count.Add(counters.BadAnswer)
+	c.d.end(ref, s, control.Broken)
+}
+
+// closeIdle closes the idle connections to a backend.
+func (d *Dispatch) closeIdle(b *backend) {
+	for len(b.idle) > 0 {
+		b.idle[0].close()
+	}
+}
+
+// Evict closes the connection that has been idle longest, wherever it leads but to one backend.
+func (d *Dispatch) Evict(but *backend) bool {
+	var oldest *conn
+	for _, b := range d.backends {
+		if b != but && len(b.idle) > 0 && (oldest == nil || b.idle[0].idleAt < oldest.idleAt) {
+			oldest = b.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	d.e.Count.Add(counters.BackendsEvicted)
+	oldest.close()
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,176 @@
+// Package dispatch carries submissions to backends over connections that are kept. It chooses nothing: which
+// backend, how long and whether again is the module's word.
+package dispatch
+
+import (
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/counters"
+	"clovergap/internal/gate"
+	"clovergap/internal/link"
+	"clovergap/internal/slots"
+)
+
+// Gate is told how each submission ended.
+type Gate interface {
+	Ended(txn slots.Ref, nr int, at control.BackendID, o gate.Outcome)
+	Probed(at control.BackendID, good bool, took time.Duration, load []float64)
+}
+
+// backend is where one is and the idle connections to it, the last used at the end.
+type backend struct {
+	id   control.BackendID
+	addr string
+	idle []*conn
+	open int
+}
+
+// submission is one that is out, or about to be.
+type submission struct {
+	txn     slots.Ref
+	nr      int
+	backend *backend
+	message gate.Message
+	conn    *conn
+	began   time.Duration
+	until   time.Duration
+	written bool // its last byte is in the socket: from then on it may have run
+}
+
+// Dispatch carries submissions.
+type Dispatch struct {
+	e         *link.Engine
+	gate      Gate
+	backends  map[control.BackendID]*backend
+	subs      *slots.Table[submission]
+	byTxn     map[slots.Ref]slots.Ref
+	fields    []string
+	idleMost  time.Duration
+	dialLimit time.Duration
+	scratch   []byte
+	load      []float64
+	dials     dialAlarm
+	limits    limitAlarm
+	makeRoom  func() bool
+}
+
+// idleShare of the time after which a backend closes an idle connection: an older one is not used again, since
+// what is written to it then may be lost.
+const idleShare = 0.8
+
+// New makes one. makeRoom gives back a descriptor that another stage does not need.
+func New(e *link.Engine, g Gate, fields []string, idle, dial time.Duration, makeRoom func() bool) *Dispatch {
+	d := &Dispatch{e: e, gate: g, backends: map[control.BackendID]*backend{}, fields: fields,
+		subs: slots.New[submission](1 << 16), byTxn: map[slots.Ref]slots.Ref{},
+		idleMost: time.Duration(idleShare * float64(idle)), dialLimit: dial, makeRoom: makeRoom,
+		load: make([]float64, len(fields))}
+	d.dials.d, d.limits.d = d, d
+	return d
+}
+
+// At says where a backend is. Connections to where it was before are not used again.
+func (d *Dispatch) At(id control.BackendID, addr string) {
+	b := d.backends[id]
+	if b == nil {
+		d.backends[id] = &backend{id: id, addr: addr}
+		return
+	}
+	if b.addr != addr {
+		b.addr = addr
+		d.closeIdle(b)
+	}
+}
+
+// Gone: nothing new goes to a backend; its idle connections are closed.
+func (d *Dispatch) Gone(id control.BackendID) {
+	if b := d.backends[id]; b != nil {
+		d.closeIdle(b)
+	}
+}
+
+// Submit sends a txn on. However it ends, Ended hears of it once.
+func (d *Dispatch) Submit(txn slots.Ref, nr int, m gate.Message, to control.BackendID, limit time.Duration) {
+	b := d.backends[to]
+	ref, s, ok := d.subs.Add()
+	if b == nil || !ok {
+		if ok {
+			d.subs.Drop(ref)
+		}
+		d.gate.Ended(txn, nr, to, gate.Outcome{Ending: control.NotSent})
+		return
+	}
+	now := d.e.Now()
+	*s = submission{txn: txn, nr: nr, backend: b, message: m, began: now, until: now + limit}
+	d.byTxn[txn] = ref
+	if c := d.reuse(b); c != nil {
+		d.e.Count.Add(counters.Reused)
+		d.e.At(s.until, &d.limits, uint32(ref))
+		c.carry(ref, s)
+		return
+	}
+	if d.dial(b, ref, s) {
+		if dialUntil := now + d.dialLimit; dialUntil < s.until {
+			d.e.At(dialUntil, &d.dials, uint32(ref))
+		}
+		d.e.At(s.until, &d.limits, uint32(ref))
+	}
+}
+
+// Recall calls a submission off: its connection ends.
+func (d *Dispatch) Recall(txn slots.Ref, nr int) {
+	ref := d.byTxn[txn]
+	if s := d.subs.Get(ref); s != nil && s.nr == nr {
+		if s.written {
+			d.end(ref, s, control.CalledOff)
+		} else {
+			d.end(ref, s, control.NotSent)
+		}
+	}
+}
+
+// Probe is not called where probes are not allowed; where they are, no word of how they look has come yet.
+func (d *Dispatch) Probe(at control.BackendID) { d.gate.Probed(at, false, 0, nil) }
+
+// end gives a submission up: its connection is closed before anything else goes out for the txn.
+func (d *Dispatch) end(ref slots.Ref, s *submission, e control.Ending) {
+	if c := s.conn; c != nil {
+		c.sub = 0
+		c.close()
+	}
+	d.tell(ref, s, gate.Outcome{Ending: e})
+}
+
+// tell hands the one outcome of a submission on.
+func (d *Dispatch) tell(ref slots.Ref, s *submission, o gate.Outcome) {
+	x := *s
+	*s = submission{}
+	d.subs.Drop(ref)
+	delete(d.byTxn, x.txn)
+	o.Took = d.e.Now() - x.began
+	d.gate.Ended(x.txn, x.nr, x.backend.id, o)
+}
+
+// limitAlarm and dialAlarm are told when a submission's time, or that of its dial, is up.
+type limitAlarm struct{ d *Dispatch }
+type dialAlarm struct{ d *Dispatch }
+
+func (a *limitAlarm) Due(ref uint32) {
+	s := a.d.subs.Get(slots.Ref(ref))
+	if s == nil {
+		return
+	}
+	if s.written {
+		a.d.end(slots.Ref(ref), s, control.TimedOut)
+	} else {
+		a.d.end(slots.Ref(ref), s, control.Unreachable)
+	}
+}
+
+func (a *dialAlarm) Due(ref uint32) {
+	s := a.d.subs.Get(slots.Ref(ref))
+	if s != nil && s.conn != nil && s.conn.dialing {
+		a.d.e.Count.Add(counters.DialsFailed)
+		a.d.end(slots.Ref(ref), s, control.Unreachable)
+	}
+}
--- /dev/null
+++ b/internal/http1/http1.go
@@ -0,0 +1,291 @@
+// Package http1 reads and writes HTTP/1.1 messages, both ends, incrementally: a Reader is shown all bytes that
+// are there, from the first of a message on, each time more have come. It keeps offsets, never bytes.
+package http1
+
+import (
+	"bytes"
+	"errors"
+)
+
+// What may be wrong with a message. Framing is in doubt after each of them.
+var (
+	ErrMalformed = errors.New("malformed message")
+	ErrFraming   = errors.New("doubtful framing")
+	ErrHead      = errors.New("head too large")
+	ErrBody      = errors.New("body too large")
+)
+
+// Bounds of a message.
+const (
+	MostHead    = 8 << 10
+	MostBody    = 64 << 10
+	mostHeaders = 64
+	// MostRaw holds any message that is taken: chunked ones with a fair overhead.
+	MostRaw = MostHead + MostBody + 16<<10
+)
+
+// span is a stretch of the message's bytes.
+type span struct{ from, to int }
+
+func (s span) of(b []byte) []byte { return b[s.from:s.to] }
+
+type header struct{ name, value span }
+
+// Reader reads one message at a time.
+type Reader struct {
+	response bool
+	// of the present message
+	state    int
+	seen     int // bytes searched for the head's end
+	first    [3]span
+	minor    byte
+	headers  []header
+	status   int
+	chunked  bool
+	length   int
+	body     span
+	at       int // end of what is read of a chunked message
+	chunk    int // bytes left of the present chunk
+	inChunk  bool
+	trailing bool
+	Closes   bool // the sender ends the connection after this message
+}
+
+const (
+	inHead = iota
+	inBody
+	done
+)
+
+// Requests, Responses make a reader of that kind.
+func Requests() Reader  { return Reader{response: false} }
+func Responses() Reader { return Reader{response: true} }
+
+// Reset makes ready for the next message.
+func (r *Reader) Reset() {
+	*r = Reader{response: r.response, headers: r.headers[:0]}
+}
+
+// Begun tells whether any of a message has been looked at.
+func (r *Reader) Begun() bool { return r.state != inHead || r.seen > 0 }
+
+// Read looks at all bytes from the message's first on. It tells how many bytes the message takes, once whole.
+// A chunked body is put together in place.
+func (r *Reader) Read(b []byte) (size int, whole bool, err error) {
+	if r.state == inHead {
+		end, err := r.head(b)
+		if err != nil || end == 0 {
+			return 0, false, err
+		}
+		r.body = span{end, end}
+		r.at, r.state = end, inBody
+	}
+	if r.state == inBody {
+		if !r.chunked {
+			if len(b) < r.body.from+r.length {
+				return 0, false, nil
+			}
+			r.body.to = r.body.from + r.length
+			r.at = r.body.to
+		} else if whole, err := r.chunks(b); !whole || err != nil {
+			return 0, false, err
+		}
+		r.state = done
+	}
+	return r.at, true, nil
+}
+
+// head parses the head once it is whole and gives its length.
+func (r *Reader) head(b []byte) (int, error) {
+	lead := 0
+	for !r.response && lead+1 < len(b) && b[lead] == '\r' && b[lead+1] == '\n' {
+		lead += 2 // empty lines before a request are passed over
+	}
+	from := max(lead, r.seen-3)
+	i := bytes.Index(b[min(from, len(b)):], []byte("\r\n\r\n"))
+	if i < 0 {
+		if r.seen = len(b); r.seen > MostHead {
+			return 0, ErrHead
+		}
+		return 0, nil
+	}
+	end := from + i + 4
+	if end > MostHead {
+		return 0, ErrHead
+	}
+	line := lead + bytes.Index(b[lead:end], []byte("\r\n"))
+	if r.response {
+		if !r.statusLine(b, span{lead, line}) {
+			return 0, ErrMalformed
+		}
+	} else if !r.requestLine(b, span{lead, line}) {
+		return 0, ErrMalformed
+	}
+	for at := line + 2; at < end-2; {
+		to := at + bytes.Index(b[at:end], []byte("\r\n"))
+		if !r.header(b, span{at, to}) {
+			return 0, ErrMalformed
+		}
+		at = to + 2
+	}
+	return end, r.framing(b)
+}
+
+func (r *Reader) version(v []byte) bool {
+	if len(v) != 8 || string(v[:7]) != "HTTP/1." || v[7] != '1' && v[7] != '0' {
+		return false
+	}
+	r.minor = v[7] - '0'
+	return true
+}
+
+func (r *Reader) requestLine(b []byte, l span) bool {
+	line := l.of(b)
+	i, j := bytes.IndexByte(line, ' '), bytes.LastIndexByte(line, ' ')
+	if i <= 0 || j <= i+1 || !r.version(line[j+1:]) || !isToken(line[:i]) {
+		return false
+	}
+	for _, c := range line[i+1 : j] {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	r.first[0], r.first[1] = span{l.from, l.from + i}, span{l.from + i + 1, l.from + j}
+	return true
+}
+
+func (r *Reader) statusLine(b []byte, l span) bool {
+	line := l.of(b)
+	if len(line) < 12 || !r.version(line[:8]) || line[8] != ' ' || len(line) > 12 && line[12] != ' ' {
+		return false
+	}
+	status, ok := Number(line[9:12], 999)
+	r.status = status
+	return ok && status >= 100
+}
+
+func (r *Reader) header(b []byte, l span) bool {
+	line := l.of(b)
+	i := bytes.IndexByte(line, ':')
+	if i <= 0 || !isToken(line[:i]) || len(r.headers) == mostHeaders {
+		return false
+	}
+	h := header{span{l.from, l.from + i}, span{l.from + i + 1, l.to}}
+	for h.value.from < h.value.to && isBlank(b[h.value.from]) {
+		h.value.from++
+	}
+	for h.value.to > h.value.from && isBlank(b[h.value.to-1]) {
+		h.value.to--
+	}
+	for _, c := range h.value.of(b) {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	r.headers = append(r.headers, h)
+	return true
+}
+
+// framing finds where the message ends: by one length, or by chunks, never by both.
+func (r *Reader) framing(b []byte) error {
+	lengths, closes, keeps := -1, false, false
+	for _, h := range r.headers {
+		value := h.value.of(b)
+		switch name := h.name.of(b); {
+		case Same(name, "content-length"):
+			n, ok := Number(value, 1<<40)
+			if !ok || lengths >= 0 && lengths != n {
+				return ErrFraming
+			}
+			lengths = n
+		case Same(name, "transfer-encoding"):
+			if r.chunked || !Same(value, "chunked") {
+				return ErrFraming
+			}
+			r.chunked = true
+		case Same(name, "connection"):
+			closes, keeps = closes || has(value, "close"), keeps || has(value, "keep-alive")
+		}
+	}
+	if r.chunked && (lengths >= 0 || r.minor == 0) {
+		return ErrFraming
+	}
+	r.Closes = closes || r.minor == 0 && !keeps
+	none := r.response && (r.status < 200 || r.status == 204 || r.status == 304)
+	if none {
+		r.chunked, lengths = false, 0
+	}
+	if r.response && !r.chunked && lengths < 0 {
+		return ErrFraming // ended by the connection's end: a cut answer could not be told from a whole one
+	}
+	if lengths > MostBody {
+		return ErrBody
+	}
+	r.length = max(lengths, 0)
+	return nil
+}
+
+// chunks puts a chunked body together, as far as it has come.
+func (r *Reader) chunks(b []byte) (bool, error) {
+	for {
+		if r.inChunk {
+			n := min(r.chunk, len(b)-r.at)
+			copy(b[r.body.to:], b[r.at:r.at+n])
+			r.at, r.body.to, r.chunk = r.at+n, r.body.to+n, r.chunk-n
+			if r.chunk > 0 || len(b) < r.at+2 {
+				return false, nil
+			}
+			if b[r.at] != '\r' || b[r.at+1] != '\n' {
+				return false, ErrFraming
+			}
+			r.at, r.inChunk = r.at+2, false
+		}
+		i := bytes.Index(b[r.at:], []byte("\r\n"))
+		if i < 0 {
+			if len(b)-r.at > 1024 {
+				return false, ErrFraming
+			}
+			return false, nil
+		}
+		line := b[r.at : r.at+i]
+		if r.trailing {
+			if r.at += i + 2; i == 0 {
+				return true, nil
+			}
+			continue
+		}
+		if j := bytes.IndexByte(line, ';'); j >= 0 {
+			line = line[:j]
+		}
+		n, ok := hex(bytes.TrimRight(line, " \t"))
+		if !ok {
+			return false, ErrFraming
+		}
+		if r.body.to-r.body.from+n > MostBody {
+			return false, ErrBody
+		}
+		r.at += i + 2
+		r.trailing, r.inChunk, r.chunk = n == 0, n > 0, n
+	}
+}
+
+// Status is a response's status.
+func (r *Reader) Status() int { return r.status }
+
+// Method, Target, Body and Get give parts of a message that is whole; b is what Read was shown.
+func (r *Reader) Method(b []byte) []byte { return r.first[0].of(b) }
+func (r *Reader) Target(b []byte) []byte { return r.first[1].of(b) }
+func (r *Reader) Body(b []byte) []byte   { return r.body.of(b) }
+
+// Get gives a header's value; many tells that it came more than once. name is in lower case.
+func (r *Reader) Get(b []byte, name string) (value []byte, many bool) {
+	for _, h := range r.headers {
+		if h.name.to-h.name.from == len(name) && Same(h.name.of(b), name) {
+			if value != nil {
+				return value, true
+			}
+			value = h.value.of(b)
+		}
+	}
+	return value, false
+}
--- /dev/null
+++ b/internal/http1/words.go
@@ -0,0 +1,131 @@
+package http1
+
+import (
+	"strconv"
+	"time"
+)
+
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case c == '-', c == '_', c == '.', c == '!', c == '#', c == '$', c == '%', c == '&', c == '\'', c == '*',
+			c == '+', c == '^', c == '`', c == '|', c == '~':
+		default:
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// Same compares without regard to case; word is in lower case.
+func Same(b []byte, word string) bool {
+	if len(b) != len(word) {
+		return false
+	}
+	for i, c := range b {
+		if c >= 'A' && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		if c != word[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// has tells whether a list split by commas has a word.
+func has(list []byte, word string) bool {
+	for len(list) > 0 {
+		i := 0
+		for i < len(list) && list[i] != ',' {
+			i++
+		}
+		one := list[:i]
+		for len(one) > 0 && isBlank(one[0]) {
+			one = one[1:]
+		}
+		for len(one) > 0 && isBlank(one[len(one)-1]) {
+			one = one[:len(one)-1]
+		}
+		if Same(one, word) {
+			return true
+		}
+		list = list[min(i+1, len(list)):]
+	}
+	return false
+}
+
+// Number reads a whole number of digits alone, up to a bound.
+func Number(b []byte, most int) (int, bool) {
+	n := 0
+	for _, c := range b {
+		if c < '0' || c > '9' || n > most {
+			return 0, false
+		}
+		n = n*10 + int(c-'0')
+	}
+	return n, len(b) > 0 && n <= most
+}
+
+func hex(b []byte) (int, bool) {
+	n := 0
+	for _, c := range b {
+		d, ok := Digit(c)
+		if !ok || n > MostBody {
+			return 0, false
+		}
+		n = n<<4 | d
+	}
+	return n, len(b) > 0
+}
+
+// Digit reads one hexadecimal digit.
+func Digit(c byte) (int, bool) {
+	switch {
+	case c >= '0' && c <= '9':
+		return int(c - '0'), true
+	case c >= 'a' && c <= 'f':
+		return int(c-'a') + 10, true
+	case c >= 'A' && c <= 'F':
+		return int(c-'A') + 10, true
+	}
+	return 0, false
+}
+
+// AppendHeader adds a header line.
+func AppendHeader(b []byte, name string, value []byte) []byte {
+	b = append(append(b, name...), ": "...)
+	return append(append(b, value...), '\r', '\n')
+}
+
+// AppendNumber adds a header line with a whole number.
+func AppendNumber(b []byte, name string, n int) []byte {
+	b = append(append(b, name...), ": "...)
+	return append(strconv.AppendInt(b, int64(n), 10), '\r', '\n')
+}
+
+// AppendSeconds adds a header line with decimal seconds, to the millisecond, rounded up.
+func AppendSeconds(b []byte, name string, d time.Duration) []byte {
+	ms := (d + time.Millisecond - 1) / time.Millisecond
+	b = append(append(b, name...), ": "...)
+	b = strconv.AppendInt(b, int64(ms/1000), 10)
+	if ms %= 1000; ms > 0 {
+		b = append(b, '.', byte('0'+ms/100), byte('0'+ms/10%10), byte('0'+ms%10))
+	}
+	return append(b, '\r', '\n')
+}
+
+// AppendStatus begins a response.
+func AppendStatus(b []byte, status int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(b, ' '), reasons[status]...)
+	return append(b, '\r', '\n')
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	502: "Bad Gateway", 503: "Service Unavailable"}
--- /dev/null
+++ b/internal/intake/txn.go
@@ -0,0 +1,197 @@
+package intake
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/answer"
+	"clovergap/internal/counters"
+	"clovergap/internal/http1"
+	"clovergap/internal/slots"
+)
+
+// take makes a txn of a whole message, or answers it right here.
+func (c *client) take() {
+	b := c.l.In.Linear()
+	method, target := c.r.Method(b), c.r.Target(b)
+	path, _, _ := bytes.Cut(target, []byte("?"))
+	switch {
+	case string(path) == "/up":
+		if string(method) != "GET" {
+			c.refuse(405, counters.NoSuchMethod, "GET only")
+			return
+		}
+		c.in.e.Count.Add(counters.Ups)
+		c.finish(answer.Up(c.in.scratch[:0], c.last))
+		return
+	case string(path) != "/api":
+		c.refuse(404, counters.NoSuchPath, "no such path")
+		return
+	case string(method) != "GET" && string(method) != "POST":
+		c.refuse(405, counters.NoSuchMethod, "GET or POST")
+		return
+	}
+	x, why, line := c.in.read(&c.r, b)
+	if line != "" {
+		c.refuse(400, why, line)
+		return
+	}
+	ref, ok := c.in.gate.Take(x, c.in, c.me)
+	if !ok {
+		c.finish(answer.Decline(c.in.scratch[:0], 0, c.last))
+		return
+	}
+	c.txn = ref
+}
+
+// read makes a txn of a message's headers, or says in one line what is wrong with them.
+func (in *Intake) read(r *http1.Reader, b []byte) (x control.Txn, why counters.ID, line string) {
+	one := func(name string) []byte {
+		v, many := r.Get(b, name)
+		if (many || len(v) == 0) && line == "" {
+			line = name + ": one is needed"
+		}
+		return v
+	}
+	why = counters.BadRequest
+	if id := one("req-id"); len(id) > 64 {
+		line = "req-id: too long"
+	}
+	kind, plan, wait := one("req-kind"), one("x-plan"), one("req-deadline")
+	cookie, quota := one("cookie"), one("x-quota")
+	if line != "" {
+		return
+	}
+	span, ok := waits(wait)
+	if !ok {
+		return x, why, "req-deadline: a number and m or u"
+	}
+	x.Expiry = in.e.Now() + span
+	if x.Customer, ok = customer(cookie); !ok {
+		return x, why, "cookie: key is 16 hexadecimal digits below 2^33"
+	}
+	if x.Product, ok = in.products[string(kind)]; !ok {
+		return x, counters.BadProduct, "req-kind: unknown"
+	}
+	if x.Plan, ok = in.plans[string(plan)]; !ok {
+		return x, counters.BadPlan, "x-plan: unknown"
+	}
+	if !in.quota(&x, quota) {
+		return x, counters.BadQuota, "x-quota: units, spread and first"
+	}
+	if v, _ := r.Get(b, "req-retry"); len(v) > 0 {
+		if x.Repeat = string(v) == "1"; !x.Repeat && string(v) != "0" {
+			return x, why, "req-retry: 1"
+		}
+	}
+	return x, why, ""
+}
+
+// waits reads a number followed by its unit.
+func waits(v []byte) (time.Duration, bool) {
+	unit := time.Duration(0)
+	switch v[len(v)-1] {
+	case 'm':
+		unit = time.Millisecond
+	case 'u':
+		unit = time.Microsecond
+	}
+	n, ok := http1.Number(v[:len(v)-1], int(time.Hour/time.Microsecond))
+	return min(time.Duration(n)*unit, time.Hour), ok && unit > 0 && n > 0
+}
+
+// customer reads the cookie that names one.
+func customer(cookie []byte) (control.CustomerID, bool) {
+	found, id := false, 0
+	for len(cookie) > 0 {
+		var one []byte
+		one, cookie, _ = bytes.Cut(cookie, []byte(";"))
+		key, ok := bytes.CutPrefix(bytes.TrimSpace(one), []byte("key="))
+		if !ok {
+			continue
+		}
+		if found || len(key) != 16 {
+			return 0, false
+		}
+		for _, digit := range key {
+			d, ok := http1.Digit(digit)
+			if !ok || id >= 1<<33 {
+				return 0, false
+			}
+			id = id<<4 | d
+		}
+		found = true
+	}
+	return control.CustomerID(id), found && id < 1<<33
+}
+
+// quota reads what a txn weighs and which front doors its customer has.
+func (in *Intake) quota(x *control.Txn, v []byte) bool {
+	seen := 0
+	for len(v) > 0 {
+		var one []byte
+		one, v, _ = bytes.Cut(v, []byte(","))
+		name, figure, ok := bytes.Cut(bytes.TrimSpace(one), []byte("="))
+		if !ok {
+			return false
+		}
+		switch string(name) {
+		case "units":
+			f, err := strconv.ParseFloat(string(figure), 64)
+			if err != nil || !(f >= 0 && f <= 1e6) || seen&1 != 0 {
+				return false
+			}
+			x.Units = f
+			seen |= 1
+		case "spread", "first":
+			n, ok := http1.Number(figure, in.gateways)
+			if !ok {
+				return false
+			}
+			if string(name) == "spread" && n >= 1 && seen&2 == 0 {
+				x.SetWidth = n
+				seen |= 2
+			} else if string(name) == "first" && n < in.gateways && seen&4 == 0 {
+				x.SetFirst = control.GatewayID(n)
+				seen |= 4
+			} else {
+				return false
+			}
+		}
+	}
+	return seen == 7
+}
+
+// AppendTo writes the request that goes on to a backend: method, target, body, id and key as they came.
+func (in *Intake) AppendTo(b []byte, who, txn slots.Ref, wait time.Duration) []byte {
+	c := in.clients.Get(who)
+	if c == nil || c.txn != txn || c.l.IsClosed() {
+		return b
+	}
+	m := c.l.In.Linear()
+	b = append(append(b, c.r.Method(m)...), ' ')
+	b = append(append(b, c.r.Target(m)...), " HTTP/1.1\r\n"...)
+	host, _ := c.r.Get(m, "host")
+	b = http1.AppendHeader(b, "Host", host)
+	id, _ := c.r.Get(m, "req-id")
+	b = http1.AppendHeader(b, "Req-Id", id)
+	if kind, _ := c.r.Get(m, "req-kind"); len(kind) > 0 {
+		b = http1.AppendHeader(b, "Req-Kind", kind)
+	}
+	if key, _ := c.r.Get(m, "idempotency-key"); len(key) > 0 {
+		b = http1.AppendHeader(b, "Idempotency-Key", key)
+	}
+	if form, _ := c.r.Get(m, "content-type"); len(form) > 0 {
+		b = http1.AppendHeader(b, "Content-Type", form)
+	}
+	b = append(b, "Req-Deadline: "...)
+	b = strconv.AppendInt(b, max(int64(wait/time.Microsecond), 1), 10)
+	b = append(b, "u\r\n"...)
+	body := c.r.Body(m)
+	if len(body) > 0 || string(c.r.Method(m)) == "POST" {
+		b = http1.AppendNumber(b, "Content-Length", len(body))
+	}
+	return append(append(b, "\r\n"...), body...)
+}
--- /dev/null
+++ b/internal/link/engine.go
@@ -0,0 +1,139 @@
+// Package link puts the poller's connections behind rings and gives the front door its one owner at a time:
+// whatever happens (bytes, a dial, a due time, a signal) takes its turn under one lock.
+package link
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"clovergap/internal/check"
+	"clovergap/internal/counters"
+	"clovergap/internal/due"
+)
+
+// Alarm is told when a due time of its own has come.
+type Alarm interface{ Due(ref uint32) }
+
+type alarm struct {
+	to  Alarm
+	ref uint32
+}
+
+// Engine runs the poller, the clock and the turns.
+type Engine struct {
+	mu      sync.Mutex
+	poll    *nbio.Engine
+	born    time.Time
+	now     time.Duration
+	dues    due.Queue[alarm]
+	timer   *time.Timer
+	armed   time.Duration // 0: not
+	settled func()        // end of each turn: decisions are pulled
+	accept  func(*Link)
+	short   func() // descriptors ran out
+	open    int    // connections, dials among them
+	most    int
+	bound   int
+	inTurn  bool
+	Count   *counters.Set
+}
+
+// before is what the clock shows at the start: a backend may have started before this front door did.
+const before = time.Hour
+
+// New makes an engine for at most so many descriptors, some of which are the program's own; a ring holds at
+// most bound bytes.
+func New(listen string, descriptors, bound int) *Engine {
+	e := &Engine{born: time.Now(), now: before, most: descriptors - ownFiles, bound: bound,
+		Count: &counters.Set{}, settled: func() {}, accept: func(l *Link) { l.Close() }, short: func() {}}
+	e.timer = time.AfterFunc(time.Hour, e.ring)
+	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
+	conf := nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
+		ReadBufferSize: 4 << 10, MaxWriteBufferSize: 2 * bound,
+		Listen: func(network, addr string) (net.Listener, error) {
+			return (&net.ListenConfig{KeepAlive: -1}).Listen(noContext, network, addr)
+		}}
+	if listen != "" {
+		conf.Addrs = []string{listen}
+	}
+	e.poll = nbio.NewEngine(conf)
+	e.poll.OnOpen(e.opened)
+	e.poll.OnRead(e.readable)
+	e.poll.OnClose(e.gone)
+	e.poll.OnWrittenSize(written)
+	e.poll.OnAcceptError(func(error) {
+		e.Turn(func() { e.Count.Add(counters.AcceptErrors); e.short() })
+		time.Sleep(10 * time.Millisecond) // the acceptor would spin
+	})
+	return e
+}
+
+// Accepted says who takes new clients, Settled who pulls decisions at the end of a turn, Short who gives
+// descriptors back when they run out.
+func (e *Engine) Accepted(f func(*Link)) { e.accept = f }
+func (e *Engine) Settled(f func())       { e.settled = f }
+func (e *Engine) Short(f func())         { e.short = f }
+
+// Start begins to listen.
+func (e *Engine) Start() error { return e.poll.Start() }
+
+// Stop ends listening and all connections.
+func (e *Engine) Stop() { e.poll.Stop() }
+
+// Turn runs something as the one owner and pulls decisions after it.
+func (e *Engine) Turn(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	check.That(!e.inTurn, "one owner at a time")
+	e.inTurn = true
+	e.Count.Add(counters.Turns)
+	e.tick()
+	f()
+	e.settled()
+	e.arm()
+	e.inTurn = false
+}
+
+func (e *Engine) tick() { e.now = max(e.now, before+time.Since(e.born)) }
+
+// Now is the clock of this turn.
+func (e *Engine) Now() time.Duration { return e.now }
+
+// AtUnix puts a Unix time on this clock; nought stands for what lies before it.
+func (e *Engine) AtUnix(at time.Time) time.Duration {
+	return max(0, before+at.Round(0).Sub(e.born.Round(0)))
+}
+
+// At asks to be told at a time.
+func (e *Engine) At(at time.Duration, to Alarm, ref uint32) { e.dues.Add(at, alarm{to, ref}) }
+
+// ring takes what is due.
+func (e *Engine) ring() {
+	e.Turn(func() {
+		e.armed = 0
+		for {
+			a, ok := e.dues.Take(e.now)
+			if !ok {
+				return
+			}
+			a.to.Due(a.ref)
+		}
+	})
+}
+
+// arm sets the one timer to the earliest due time.
+func (e *Engine) arm() {
+	if at, ok := e.dues.Next(); ok && (e.armed == 0 || at < e.armed) {
+		e.armed = at
+		e.timer.Reset(max(at-e.now, 0))
+	}
+}
+
+// Room tells how many more connections may be opened.
+func (e *Engine) Room() int { return e.most - e.open }
+
+// Open counts connections, dials among them.
+func (e *Engine) Open() int { return e.open }
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,238 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/lesismal/nbio"
+
+	"clovergap/internal/check"
+	"clovergap/internal/ring"
+)
+
+var noContext = context.Background()
+
+const (
+	ownFiles = 24 // listener, pollers, datagrams, standard files and some to spare
+
+	leastRing = 1 << 10
+	chunk     = 64 << 10 // handed to the poller at once
+)
+
+// Owner is told what happens on its connection.
+type Owner interface {
+	Data()   // bytes were added to In
+	Sent()   // all bytes given to Send are written to the socket
+	Closed() // by the other side, or by an error; never by Close
+}
+
+// Link is a connection: a ring a direction.
+type Link struct {
+	e     *Engine
+	c     *nbio.Conn
+	owner Owner
+	In    ring.Ring
+	out   ring.Ring
+
+	handed  atomic.Int64 // bytes given to the poller
+	written atomic.Int64 // of these, written to the socket
+	waits   atomic.Bool  // some are not yet
+	closed  bool
+	closing bool               // once all is written
+	more    bool               // the ring was full: bytes may wait in the socket
+	cancel  context.CancelFunc // of a dial
+}
+
+func (e *Engine) newLink() *Link {
+	return &Link{e: e, In: ring.New(leastRing, e.bound), out: ring.New(leastRing, 2*e.bound)}
+}
+
+// Own says who is told of this connection.
+func (l *Link) Own(o Owner) { l.owner = o }
+
+func (e *Engine) opened(c *nbio.Conn) {
+	if c.Session() != nil {
+		return // one that was dialed
+	}
+	e.Turn(func() {
+		l := e.newLink()
+		l.c = c
+		c.SetSession(l)
+		e.open++
+		e.accept(l)
+	})
+}
+
+func (e *Engine) readable(c *nbio.Conn) {
+	l, _ := c.Session().(*Link)
+	if l == nil {
+		return
+	}
+	e.Turn(func() { l.read() })
+}
+
+// read takes all that is there, so that what follows from it is decided once.
+func (l *Link) read() {
+	for got := false; !l.closed; {
+		free := l.In.Free()
+		if l.more = free == nil; l.more { // the ring's bound: the rest waits in the socket
+			if got && l.owner != nil {
+				l.owner.Data()
+			}
+			return
+		}
+		n, err := l.c.Read(free)
+		if n > 0 {
+			l.In.Took(n)
+			got = true
+			if n == len(free) {
+				continue
+			}
+			err = syscall.EAGAIN // edge: what comes later is told again
+		}
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if got && l.owner != nil {
+			l.owner.Data()
+		}
+		if n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) {
+			l.lost()
+		}
+		return
+	}
+}
+
+// Resume reads on after bytes were dropped from a full ring.
+func (l *Link) Resume() {
+	if l.more && !l.closed {
+		l.read()
+	}
+}
+
+// Send puts bytes behind those that wait. It tells whether they are taken; too many close the connection.
+func (l *Link) Send(p []byte) bool {
+	if l.closed || l.closing {
+		return false
+	}
+	if !l.out.Append(p) {
+		l.lost()
+		return false
+	}
+	l.pump()
+	return !l.closed
+}
+
+// pump hands bytes to the poller, a chunk at a time, so that its own queue never holds more than one.
+func (l *Link) pump() {
+	l.waits.Store(false)
+	for !l.closed && l.out.Len() > 0 && l.written.Load() == l.handed.Load() {
+		head := l.out.Head()
+		head = head[:min(len(head), chunk)]
+		l.handed.Add(int64(len(head)))
+		n, err := l.c.Write(head)
+		if err != nil || n < 0 {
+			l.lost()
+			return
+		}
+		l.out.Drop(len(head))
+	}
+	if l.closed {
+		return
+	}
+	if l.written.Load() != l.handed.Load() {
+		if l.waits.Store(true); l.written.Load() != l.handed.Load() {
+			return
+		}
+		if !l.waits.CompareAndSwap(true, false) {
+			return // told by written
+		}
+		l.pump()
+		return
+	}
+	if l.closing {
+		l.Close()
+	} else if l.owner != nil {
+		l.owner.Sent()
+	}
+}
+
+// written counts what the poller wrote to the socket. It is called under the connection's own lock, so a turn
+// for what comes next is taken apart from it.
+func written(c *nbio.Conn, _ []byte, n int) {
+	l, _ := c.Session().(*Link)
+	if l == nil {
+		return
+	}
+	if l.written.Add(int64(n)) == l.handed.Load() && l.waits.CompareAndSwap(true, false) {
+		go l.e.Turn(l.pump)
+	}
+}
+
+// Unwritten counts bytes given to Send that are not yet written to the socket: nought means the last byte is.
+func (l *Link) Unwritten() int { return l.out.Len() + int(l.handed.Load()-l.written.Load()) }
+
+// Clean tells whether an idle connection may carry a request: open, with nothing come unasked.
+func (l *Link) Clean() bool {
+	if l.closed || l.closing || l.c == nil || l.In.Len() > 0 || l.Unwritten() > 0 {
+		return false
+	}
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(l.c.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// IsClosed tells whether it is over.
+func (l *Link) IsClosed() bool { return l.closed || l.closing }
+
+// Close ends the connection at once; its owner hears nothing more.
+func (l *Link) Close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.In, l.out = ring.Ring{}, ring.Ring{}
+	if l.cancel != nil {
+		l.cancel()
+	}
+	if l.c != nil {
+		l.c.Close()
+	}
+}
+
+// CloseSent ends the connection when all that was given to Send is written.
+func (l *Link) CloseSent() {
+	if l.closed {
+		return
+	}
+	if l.closing = true; l.Unwritten() == 0 {
+		l.Close()
+	}
+}
+
+// lost: the other side or an error ended it.
+func (l *Link) lost() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	if l.c != nil {
+		l.c.Close()
+	}
+	if l.owner != nil {
+		l.owner.Closed()
+	}
+	l.In, l.out = ring.Ring{}, ring.Ring{}
+}
+
+func (e *Engine) gone(c *nbio.Conn, _ error) {
+	e.Turn(func() {
+		e.open--
+		check.That(e.open >= 0, "no more connections close than were opened")
+		if l, _ := c.Session().(*Link); l != nil {
+			l.lost()
+		}
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,10 +8,10 @@
 	"fmt"
 	"io"
 	"math"
-	"strings"
 	"time"
 
 	"clovergap/control"
+	"clovergap/internal/config"
 )
 
 const longest = 1 << 28 // bytes of a frame; more is a broken stream
@@ -32,43 +32,6 @@
 	110: control.TimedOut, 111: control.Unreachable, 104: control.Broken,
 	125: control.CalledOff, 114: control.NotSent}
 
-// names maps the wire's setting names, part by part, to ours.
-var names = map[string]string{"requestClasses": "products", "objective": "sla_time", "giveUp": "expiry",
-	"dedupScope": "repeat_scope", "window": "repeat_window", "worth": "value", "lateWorth": "late_value",
-	"refill": "rate", "peakUnits": "burst", "hardBurst": "ceiling_burst", "ceilingRate": "ceiling_rate",
-	"ceilingSlack": "ceiling_slack", "atOnce": "open_cap", "excessCost": "over_cost",
-	"beyondEarns": "over_value", "valueFactor": "price", "balancers": "gateways", "dcs": "halls",
-	"zone": "hall", "extra": "quota", "mailPerS": "mail_per_s", "mostUnits": "most_units",
-	"ceilings": "limits", "maxAttempts": "max_submissions", "mayProbe": "probes", "retryAfter": "advice",
-	"maxRetryAfter": "longest_advice", "cold": "warm_by", "coldFrom": "cold_from", "fall": "fall_window",
-	"fallMultiple": "fall_multiple", "fields": "fields", "crossZone": "cross_hall"}
-
-// values maps the wire's setting values to ours.
-var values = map[string]string{"idempotent": "inquiry-like", "deduplicated": "referenced",
-	"at_most_once": "once-only", "concurrent": "inflight", "depth": "queue", "mean_ms": "service_ms",
-	"tps": "per_s", "zone": "hall", "cell": "pod"}
-
-func rename(words, sep string, table map[string]string) string {
-	parts := strings.Split(words, sep)
-	for i, p := range parts {
-		if ours, ok := table[p]; ok {
-			parts[i] = ours
-		}
-	}
-	return strings.Join(parts, sep)
-}
-
-func settings(env string) control.Settings {
-	s := control.Settings{}
-	for _, line := range strings.Split(env, "\n") {
-		name, value, ok := strings.Cut(line, "=")
-		if ok {
-			s[rename(name, ".", names)] = rename(strings.TrimSpace(value), ",", values)
-		}
-	}
-	return s
-}
-
 // cursor walks through the bytes of one frame.
 type cursor struct {
 	b    []byte
@@ -238,7 +201,7 @@
 		if f.err != nil {
 			return nil
 		}
-		d, err := control.New(seed, settings(env), now)
+		d, err := control.New(seed, config.Lines(env), now)
 		if err != nil {
 			h.crash(who, err.Error())
 			return nil
