--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -121,7 +121,7 @@
 		func() bool { return f.dispatch.Evict(nil) })
 	var tell gate.Teller = quiet{}
 	if len(c.Peers) > 0 {
-		if f.peers, err = peers.Open(f.e, c.PeerListen, c.Peers, c.Me, f.gate.Heard); err != nil {
+		if f.peers, err = peers.New(f.e, c.PeerListen, c.Peers, c.Me, f.gate.Heard); err != nil {
 			return nil, err
 		}
 		tell = f.peers
@@ -139,7 +139,10 @@
 		return nil, err
 	}
 	if f.peers != nil {
-		f.peers.Start()
+		f.e.Turn(func() { err = f.peers.Start() })
+		if err != nil {
+			return nil, err
+		}
 	}
 	watch := discovery.NewWatch(f.e, c.Discovery, c.Halls, f.listed, log)
 	f.e.Turn(watch.Start)
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -32,7 +33,7 @@
 	born    time.Time
 	now     time.Duration
 	dues    due.Queue[alarm]
-	timer   *time.Timer
+	timer   int           // its descriptor
 	armed   time.Duration // 0: not
 	settled func()        // end of each turn: decisions are pulled
 	accept  func(*Link)
@@ -52,7 +53,6 @@
 func New(listen string, descriptors, bound int) *Engine {
 	e := &Engine{born: time.Now(), now: before, most: descriptors - ownFiles, bound: bound,
 		Count: &counters.Set{}, settled: func() {}, accept: func(l *Link) { l.Close() }, short: func() {}}
-	e.timer = time.AfterFunc(time.Hour, e.ring)
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
 	conf := nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
 		ReadBufferSize: 4 << 10, MaxWriteBufferSize: 2 * bound,
@@ -81,7 +81,12 @@
 func (e *Engine) Short(f func())         { e.short = f }
 
 // Start begins to listen.
-func (e *Engine) Start() error { return e.poll.Start() }
+func (e *Engine) Start() (err error) {
+	if err = e.poll.Start(); err == nil {
+		e.Turn(func() { err = e.newTimer() })
+	}
+	return err
+}
 
 // Stop ends listening and all connections.
 func (e *Engine) Stop() { e.poll.Stop() }
@@ -115,22 +120,22 @@
 
 // ring takes what is due.
 func (e *Engine) ring() {
-	e.Turn(func() {
-		e.armed = 0
-		for {
-			a, ok := e.dues.Take(e.now)
-			if !ok {
-				return
-			}
-			a.to.Due(a.ref)
+	var times [8]byte
+	syscall.Read(e.timer, times[:])
+	e.armed = 0
+	for {
+		a, ok := e.dues.Take(e.now)
+		if !ok {
+			return
 		}
-	})
+		a.to.Due(a.ref)
+	}
 }
 
 // arm sets the one timer to the earliest due time that is still of interest: most submissions have long ended
 // by their limit, and a turn for nothing costs as much as one for a txn.
 func (e *Engine) arm() {
-	for {
+	for e.timer > 0 {
 		a, ok := e.dues.Peek()
 		if !ok {
 			return
@@ -142,7 +147,7 @@
 		}
 		if at != e.armed {
 			e.armed = at
-			e.timer.Reset(max(at-e.now, 0))
+			e.setTimer(at - e.now)
 		}
 		return
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -66,11 +66,12 @@
 }
 
 func (e *Engine) readable(c *nbio.Conn) {
-	l, _ := c.Session().(*Link)
-	if l == nil {
-		return
+	switch s := c.Session().(type) {
+	case *Link:
+		e.Turn(s.read)
+	case *watched:
+		e.Turn(s.readable)
 	}
-	e.Turn(func() { l.read() })
 }
 
 // read takes all that is there, so that what follows from it is decided once.
--- /dev/null
+++ b/internal/link/watch.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
+
+	"clovergap/internal/check"
+)
+
+// watched is a descriptor that is no connection, yet hangs on the poller: datagrams and the timer. Waiting for
+// them in goroutines of their own cost more CPU than all reads and writes of txns together.
+type watched struct {
+	fd       int
+	readable func() // in a turn; it takes all that has come
+}
+
+// bare lends a descriptor to the poller, which asks for a connection of the standard library, keeps a copy of
+// its descriptor and closes it.
+type bare struct {
+	net.Conn
+	fd int
+}
+
+func (b bare) SyscallConn() (syscall.RawConn, error) { return lent{b.fd}, nil }
+func (b bare) LocalAddr() net.Addr                   { return nil }
+func (b bare) RemoteAddr() net.Addr                  { return nil }
+func (b bare) Close() error                          { return syscall.Close(b.fd) }
+
+type lent struct{ fd int }
+
+func (l lent) Control(f func(uintptr)) error  { f(uintptr(l.fd)); return nil }
+func (l lent) Read(func(uintptr) bool) error  { return syscall.EINVAL }
+func (l lent) Write(func(uintptr) bool) error { return syscall.EINVAL }
+
+// Watch hangs a descriptor on the poller, which is given away by it, and gives the one to use from now on.
+func (e *Engine) Watch(fd int, readable func()) (int, error) {
+	c, err := nbio.NBConn(bare{fd: fd})
+	if err != nil {
+		return 0, err
+	}
+	c.SetSession(&watched{c.Hash(), readable})
+	e.open++ // as any other that the poller tells of when it ends
+	if _, err := e.poll.AddConn(c); err != nil {
+		return 0, err
+	}
+	return c.Hash(), nil
+}
+
+// newTimer makes the one timer, and hangs it on the poller.
+func (e *Engine) newTimer() (err error) {
+	fd, err := unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC)
+	if err != nil {
+		return err
+	}
+	e.timer, err = e.Watch(fd, e.ring)
+	return err
+}
+
+// setTimer says when the poller wakes by itself.
+func (e *Engine) setTimer(in time.Duration) {
+	spec := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(max(in, 1)))}
+	err := unix.TimerfdSettime(e.timer, 0, &spec, nil)
+	check.That(err == nil, "the timer can be set")
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -2,9 +2,9 @@
 package peers
 
 import (
-	"errors"
 	"net"
 	"net/netip"
+	"syscall"
 
 	"clovergap/control"
 	"clovergap/internal/counters"
@@ -16,47 +16,74 @@
 
 // Peers is this front door's socket and where the others are.
 type Peers struct {
-	e     *link.Engine
-	conn  *net.UDPConn
-	addrs []netip.AddrPort
-	ids   map[netip.AddrPort]control.GatewayID
-	heard func(control.GatewayID, []byte)
+	e      *link.Engine
+	fd     int
+	listen netip.AddrPort
+	addrs  []syscall.Sockaddr
+	ids    map[netip.AddrPort]control.GatewayID
+	heard  func(control.GatewayID, []byte)
+	buf    [2048]byte
 }
 
-// Open listens; heard is told of what comes.
-func Open(e *link.Engine, listen string, addrs []netip.AddrPort, me int,
+// New makes one for the addresses in the order of the front doors' numbers; heard is told of what comes.
+func New(e *link.Engine, listen string, addrs []netip.AddrPort, me int,
 	heard func(control.GatewayID, []byte)) (*Peers, error) {
-	p := &Peers{e: e, addrs: addrs, ids: map[netip.AddrPort]control.GatewayID{}, heard: heard}
+	p := &Peers{e: e, fd: -1, ids: map[netip.AddrPort]control.GatewayID{}, heard: heard}
 	for i, a := range addrs {
 		if i != me {
 			p.ids[a] = control.GatewayID(i)
 		}
+		p.addrs = append(p.addrs, sockaddr(a))
 	}
-	at, err := net.ResolveUDPAddr("udp", listen)
-	if err != nil {
-		return nil, err
-	}
-	p.conn, err = net.ListenUDP("udp", at)
+	var err error
+	p.listen, err = netip.ParseAddrPort(listen)
 	return p, err
 }
 
-// Start begins to listen.
-func (p *Peers) Start() { go p.read() }
+func sockaddr(a netip.AddrPort) syscall.Sockaddr {
+	if a.Addr().Is4() {
+		return &syscall.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
+	}
+	return &syscall.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+}
 
-// Close ends it.
-func (p *Peers) Close() { p.conn.Close() }
+// Start listens, on the poller as all else.
+func (p *Peers) Start() error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.listen))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	fd := -1
+	if e := raw.Control(func(x uintptr) { fd, err = syscall.Dup(int(x)) }); e != nil || err != nil {
+		return err
+	}
+	p.fd, err = p.e.Watch(fd, p.read)
+	return err
+}
 
+// read takes all that has come.
 func (p *Peers) read() {
-	b := make([]byte, 2048)
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(b)
+		n, from, err := syscall.Recvfrom(p.fd, p.buf[:], syscall.MSG_DONTWAIT)
+		if err == syscall.ECONNREFUSED || err == syscall.EINTR {
+			continue // a datagram of ours came back: its receiver is down
+		}
 		if err != nil {
-			if n == 0 && isClosed(err) {
-				return
-			}
-			continue // a datagram of ours came back; nothing is lost by it
+			return
+		}
+		var at netip.AddrPort
+		switch a := from.(type) {
+		case *syscall.SockaddrInet4:
+			at = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+		case *syscall.SockaddrInet6:
+			at = netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port))
 		}
-		p.e.Turn(func() { p.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b[:n]) })
+		p.take(at, p.buf[:n])
 	}
 }
 
@@ -73,15 +100,10 @@
 
 // Tell sends a message; one that can't be sent is lost as any may be.
 func (p *Peers) Tell(peer control.GatewayID, payload []byte) {
-	if int(peer) >= len(p.addrs) || len(payload) > longest {
-		p.e.Count.Add(counters.MailUnsent)
-		return
-	}
-	if _, err := p.conn.WriteToUDPAddrPort(payload, p.addrs[peer]); err != nil {
+	if int(peer) >= len(p.addrs) || len(payload) > longest || p.fd < 0 ||
+		syscall.Sendto(p.fd, payload, syscall.MSG_DONTWAIT, p.addrs[peer]) != nil {
 		p.e.Count.Add(counters.MailUnsent)
 		return
 	}
 	p.e.Count.Add(counters.MailSent)
 }
-
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
