--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -153,13 +153,14 @@
 // listed takes a list to those who go by it.
 func (f *front) listed(l discovery.List) {
 	list := make([]control.Listing, 0, len(l.Entries))
+	listed := map[control.BackendID]bool{}
 	for _, e := range l.Entries {
 		list = append(list, e.Listing)
-		if e.State == control.Gone {
-			f.dispatch.Gone(e.ID)
-		} else {
-			f.dispatch.At(e.ID, e.Addr)
-		}
+		listed[e.ID] = true
+		f.dispatch.At(e.ID, e.Addr, e.State == control.Ready)
+	}
+	if l.Whole {
+		f.dispatch.Only(listed)
 	}
 	f.gate.Listed(l.Whole, list)
 }
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -30,8 +30,8 @@
 		o.Body = c.r.Body(b)
 		o.Kind, _ = c.r.Get(b, "content-type")
 	}
-	keep := !c.r.Closes && s.written && len(b) == size
-	c.sub, s.conn = 0, nil
+	keep := !c.r.Closes && s.mayRun() && len(b) == size
+	c.sub, c.carries, s.conn = 0, false, nil
 	c.d.tell(ref, s, o)
 	if !keep || c.l.IsClosed() {
 		c.close()
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -18,6 +18,7 @@
 	r       http1.Reader
 	sub     slots.Ref // 0: idle
 	dialing bool
+	carries bool // the present submission was given to the link
 	idleAt  time.Duration
 }
 
@@ -44,7 +45,6 @@
 	c.l = d.e.Dial(b.addr, d.dialLimit, c.up)
 	c.l.Own(c)
 	s.conn = c
-	b.open++
 	return true
 }
 
@@ -70,31 +70,26 @@
 		c.d.end(ref, s, control.NotSent)
 		return
 	}
+	c.carries = true
 	c.l.Send(c.d.scratch)
 }
 
-// Sent: the last byte is in the socket.
-func (c *conn) Sent() {
-	if s := c.d.subs.Get(c.sub); s != nil && s.conn == c {
-		s.written = true
-	}
-}
+// Sent: the last byte is in the socket; mayRun asks for that when it counts.
+func (c *conn) Sent() {}
 
 // Closed: a connection that ends before the request's last byte is written never ran it.
 func (c *conn) Closed() {
-	ref := c.sub
-	c.sub = 0
 	c.drop()
-	s := c.d.subs.Get(ref)
+	s := c.d.subs.Get(c.sub)
 	if s == nil || s.conn != c {
 		return
 	}
-	s.conn = nil
-	if s.written {
-		c.d.end(ref, s, control.Broken)
-	} else {
-		c.d.end(ref, s, control.Unreachable)
+	e := control.Unreachable
+	if s.mayRun() {
+		e = control.Broken
 	}
+	s.conn = nil
+	c.d.end(c.sub, s, e)
 }
 
 func (c *conn) close() {
@@ -110,7 +105,6 @@
 			break
 		}
 	}
-	c.b.open--
 }
 
 // Data reads an answer.
@@ -151,13 +145,6 @@
 	c.d.end(ref, s, control.Broken)
 }
 
-// closeIdle closes the idle connections to a backend.
-func (d *Dispatch) closeIdle(b *backend) {
-	for len(b.idle) > 0 {
-		b.idle[0].close()
-	}
-}
-
 // Evict closes the connection that has been idle longest, wherever it leads but to one backend.
 func (d *Dispatch) Evict(but *backend) bool {
 	var oldest *conn
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,10 +20,10 @@
 
 // backend is where one is and the idle connections to it, the last used at the end.
 type backend struct {
-	id   control.BackendID
-	addr string
-	idle []*conn
-	open int
+	id    control.BackendID
+	addr  string
+	ready bool // takes new ones
+	idle  []*conn
 }
 
 // submission is one that is out, or about to be.
@@ -35,7 +35,12 @@
 	conn    *conn
 	began   time.Duration
 	until   time.Duration
-	written bool // its last byte is in the socket: from then on it may have run
+}
+
+// mayRun tells whether its last byte is in the socket: from then on it may have run. Only what the poller has
+// written counts, not what it has taken into its queue.
+func (s *submission) mayRun() bool {
+	return s.conn != nil && s.conn.carries && s.conn.l.Unwritten() == 0
 }
 
 // Dispatch carries submissions.
@@ -69,31 +74,50 @@
 	return d
 }
 
-// At says where a backend is. Connections to where it was before are not used again.
-func (d *Dispatch) At(id control.BackendID, addr string) {
+// At says where a backend is and whether it takes anything new. Connections to where it was before are not used
+// again; what is still being connected to one that drains or is gone ends here, never sent.
+func (d *Dispatch) At(id control.BackendID, addr string, ready bool) {
 	b := d.backends[id]
 	if b == nil {
-		d.backends[id] = &backend{id: id, addr: addr}
+		d.backends[id] = &backend{id: id, addr: addr, ready: ready}
 		return
 	}
-	if b.addr != addr {
+	moved := ready && b.addr != addr
+	if moved {
 		b.addr = addr
-		d.closeIdle(b)
+	}
+	if b.ready = ready; moved || !ready {
+		d.leave(b)
 	}
 }
 
-// Gone: nothing new goes to a backend; its idle connections are closed.
-func (d *Dispatch) Gone(id control.BackendID) {
-	if b := d.backends[id]; b != nil {
-		d.closeIdle(b)
+// Only says which backends there are, where the whole list is known.
+func (d *Dispatch) Only(listed map[control.BackendID]bool) {
+	for id, b := range d.backends {
+		if !listed[id] && b.ready {
+			b.ready = false
+			d.leave(b)
+		}
 	}
 }
 
+// leave closes idle connections and ends what is still being connected.
+func (d *Dispatch) leave(b *backend) {
+	for len(b.idle) > 0 {
+		b.idle[0].close()
+	}
+	d.subs.Each(func(ref slots.Ref, s *submission) {
+		if s.backend == b && s.conn != nil && s.conn.dialing {
+			d.end(ref, s, control.NotSent)
+		}
+	})
+}
+
 // Submit sends a txn on. However it ends, Ended hears of it once.
 func (d *Dispatch) Submit(txn slots.Ref, nr int, m gate.Message, to control.BackendID, limit time.Duration) {
 	b := d.backends[to]
 	ref, s, ok := d.subs.Add()
-	if b == nil || !ok {
+	if b == nil || !b.ready || !ok { // the rule on drains holds here too, whatever asks
 		if ok {
 			d.subs.Drop(ref)
 		}
@@ -121,7 +145,7 @@
 func (d *Dispatch) Recall(txn slots.Ref, nr int) {
 	ref := d.byTxn[txn]
 	if s := d.subs.Get(ref); s != nil && s.nr == nr {
-		if s.written {
+		if s.mayRun() {
 			d.end(ref, s, control.CalledOff)
 		} else {
 			d.end(ref, s, control.NotSent)
@@ -162,7 +186,7 @@
 	if s == nil {
 		return
 	}
-	if s.written {
+	if s.mayRun() {
 		a.d.end(slots.Ref(ref), s, control.TimedOut)
 	} else {
 		a.d.end(slots.Ref(ref), s, control.Unreachable)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -95,15 +95,52 @@
 
 // client is one connection of a client; it has one txn at a time.
 type client struct {
-	in     *Intake
-	me     slots.Ref
-	l      *link.Link
-	r      http1.Reader
-	txn    slots.Ref // 0: none is held
-	busy   bool
-	size   int // bytes of the present message
-	last   bool
-	idleAt time.Duration
+	in      *Intake
+	me      slots.Ref
+	l       *link.Link
+	r       http1.Reader
+	txn     slots.Ref // 0: none is held
+	busy    bool
+	size    int // bytes of the present message
+	last    bool
+	idleAt  time.Duration
+	nr      uint32 // of the message
+	reading bool
+	stuck   bool   // a due time watches
+	seen    uint32 // the message that it watches
+}
+
+// stuckAfter ends a connection whose next message has begun and does not become whole, or whose answer is not
+// read: it would keep its memory and its descriptor for good.
+const stuckAfter = 10 * time.Second
+
+// watch asks to look at a message, or an answer, that is not whole yet.
+func (c *client) watch() {
+	if !c.stuck {
+		c.stuck, c.seen = true, c.nr
+		c.in.e.At(c.in.e.Now()+stuckAfter, c.in, uint32(c.me))
+	}
+}
+
+// Live and Due are the engine's: a connection that was watched.
+func (in *Intake) Live(who uint32) bool { return in.clients.Get(slots.Ref(who)) != nil }
+
+// Due: a message that was not whole has had its time.
+func (in *Intake) Due(who uint32) {
+	c := in.clients.Get(slots.Ref(who))
+	if c == nil {
+		return
+	}
+	c.stuck = false
+	if c.busy || c.idle() {
+		return
+	}
+	if c.nr == c.seen {
+		in.e.Count.Add(counters.ClientsStuck)
+		c.close()
+		return
+	}
+	c.watch()
 }
 
 // idle: between txns, with nothing of the next come yet.
@@ -135,12 +172,23 @@
 func (c *client) Sent() {
 	if c.in.draining && c.idle() {
 		c.close()
+		return
 	}
+	c.Data() // what has waited behind an answer
 }
 
 // Data reads on while no txn is held: a client has one at a time, in order.
 func (c *client) Data() {
+	if c.reading {
+		return // the loop below goes on by itself
+	}
+	c.reading = true
+	defer func() { c.reading = false }()
 	for !c.busy && !c.l.IsClosed() && c.l.In.Len() > 0 {
+		if c.l.Unwritten() > 0 { // one answer at a time
+			c.watch()
+			return
+		}
 		size, whole, err := c.r.Read(c.l.In.Linear())
 		if err != nil {
 			c.doubtful(err)
@@ -150,6 +198,7 @@
 			if c.l.In.Room() == 0 {
 				c.doubtful(http1.ErrBody)
 			}
+			c.watch()
 			return
 		}
 		c.busy, c.size, c.last = true, size, c.r.Closes || c.in.draining
@@ -188,13 +237,16 @@
 	}
 	c.l.In.Drop(min(c.size, c.l.In.Len()))
 	c.r.Reset()
-	c.size, c.idleAt = 0, c.in.e.Now()
+	c.size, c.idleAt, c.nr = 0, c.in.e.Now(), c.nr+1
 	c.l.Send(b)
 	if c.last && !c.l.IsClosed() {
 		c.l.CloseSent()
 		c.drop()
 		return
 	}
+	if c.l.Unwritten() > 0 {
+		c.watch()
+	}
 	c.l.Resume()
 	c.Data()
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 
@@ -41,6 +42,7 @@
 	waits   atomic.Bool  // some are not yet
 	closed  bool
 	closing bool               // once all is written
+	linger  bool               // all is written and the end told; what still comes is dropped
 	more    bool               // the ring was full: bytes may wait in the socket
 	cancel  context.CancelFunc // of a dial
 }
@@ -86,6 +88,9 @@
 		}
 		n, err := l.c.Read(free)
 		if n > 0 {
+			if l.linger {
+				continue
+			}
 			l.In.Took(n)
 			got = true
 			if n == len(free) {
@@ -154,7 +159,7 @@
 		return
 	}
 	if l.closing {
-		l.Close()
+		l.last()
 	} else if l.owner != nil {
 		l.owner.Sent()
 	}
@@ -208,11 +213,36 @@
 	if l.closed {
 		return
 	}
-	if l.closing = true; l.Unwritten() == 0 {
-		l.Close()
+	l.closing, l.owner = true, nil // whoever had it may belong to another connection by then
+	if l.Unwritten() == 0 {
+		l.last()
+		return
 	}
+	l.e.At(l.e.now+unreadFor, l, 0)
 }
 
+// lingerFor is how long the other side may take to end its side, unreadFor to read a last answer.
+const lingerFor, unreadFor = time.Second, 10 * time.Second
+
+// last ends the sending, and the connection when the other side has ended too or after a while: a close with
+// bytes unread would reset the connection, and the last answer might be lost with it.
+func (l *Link) last() {
+	if l.linger {
+		return
+	}
+	l.linger, l.owner, l.more = true, nil, false
+	syscall.Shutdown(l.c.Hash(), syscall.SHUT_WR)
+	l.In.Drop(l.In.Len())
+	l.e.At(l.e.now+lingerFor, l, 0)
+	l.read()
+}
+
+// Live and Due end what lingers.
+func (l *Link) Live(uint32) bool { return !l.closed }
+
+// Due: the other side has had its time.
+func (l *Link) Due(uint32) { l.Close() }
+
 // lost: the other side or an error ended it.
 func (l *Link) lost() {
 	if l.closed {
@@ -229,7 +259,7 @@
 }
 
 func (e *Engine) gone(c *nbio.Conn, _ error) {
-	e.Turn(func() {
+	go e.Turn(func() { // apart: the poller would swallow a panic here
 		e.open--
 		check.That(e.open >= 0, "no more connections close than were opened")
 		if l, _ := c.Session().(*Link); l != nil {
