--- /dev/null
+++ b/cmd/clovergap/serve_test.go
@@ -0,0 +1,689 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"clovergap/internal/config"
+	"clovergap/internal/counters"
+)
+
+// patience bounds every wait of these tests; none of them depends on how long anything takes within it.
+const patience = 20 * time.Second
+
+// stage is a front door with stand-ins for all that it speaks with.
+type stage struct {
+	f        *front
+	agent    *agent
+	backends []*backend
+	peer     *net.UDPConn
+}
+
+type object = map[string]any
+
+// settings has products read (inquiry-like), pay (once-only) and bid (referenced), one plan, three gateways. The
+// SLA time is long where nothing is to time out, however slow the machine.
+func settings(submissions, slaSeconds int) object {
+	product := func(name, effect string) object {
+		return object{"name": name, "effect": effect, "dedupScope": "all", "objective": slaSeconds * 1000000, "giveUp": 60000000,
+			"window": 1000000, "worth": 1.0, "lateWorth": 0.0, "stream": false}
+	}
+	return object{"balancers": 3, "me": 0, "zone": 0, "dcs": []string{"hall-a"},
+		"report": object{"how": "answers", "fields": []string{"concurrent", "mean_ms"}},
+		"ceilings": object{"peers": true, "mayProbe": false, "cancel": true, "retryAfter": true,
+			"maxRetryAfter": 2000000, "maxAttempts": submissions, "connIdle": 30000000, "dialTimeout": 250000,
+			"mostHeld": 1000},
+		"extra": object{"mostUnits": 4, "mailPerS": 100.0},
+		"rules": object{"cold": 1000000, "coldFrom": 0.2, "fall": 1000000, "fallMultiple": 2.0},
+		"requestClasses": []object{product("read", "idempotent"), product("pay", "at_most_once"),
+			product("bid", "deduplicated")},
+		"plans": []object{{"name": "team", "refill": 1000.0, "peakUnits": 4000.0, "valueFactor": 1.0,
+			"beyondEarns": 0.0, "excessCost": 1.0, "atOnce": 0, "ceilingRate": 0.0, "hardBurst": 0.0}}}
+}
+
+// target is a line of the list.
+func target(n int, addr, state string) object {
+	return object{"uid": fmt.Sprintf("s-%d", n), "endpoint": addr, "az": "hall-a", "model": "m", "pod_group": 0,
+		"state": state, "capacity_hint": 1.0, "boot_ms": 0}
+}
+
+// open starts a front door before so many backends, of which each does as told for its next request.
+func open(backends, sockets int, s object) *stage {
+	st := &stage{agent: newAgent()}
+	var list []object
+	for i := 0; i < backends; i++ {
+		b := newBackend()
+		st.backends = append(st.backends, b)
+		list = append(list, target(i, b.l.Addr().String(), "Ready"))
+	}
+	st.peer, _ = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	peer := st.peer.LocalAddr().String()
+	c := object{"name": "n0", "listen": "127.0.0.1:0", "discovery": st.agent.l.Addr().String(),
+		"seed": "8c1f30d27a5be964", "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+		"peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:1", peer, "127.0.0.1:2"},
+		"known": object{"rev": 1, "all": true, "targets": list}, "settings": s}
+	text, _ := json.Marshal(c)
+	conf, err := config.Parse(text)
+	if err != nil {
+		fmt.Println(err)
+		return nil
+	}
+	st.f, err = build(conf, zap.NewNop())
+	if err != nil {
+		fmt.Println(err)
+	}
+	return st
+}
+
+func (st *stage) close() {
+	st.f.e.Stop()
+	st.agent.l.Close()
+	st.peer.Close()
+	for _, b := range st.backends {
+		b.l.Close()
+	}
+}
+
+// count reads one counter.
+func (st *stage) count(id counters.ID) (n uint64) {
+	st.f.e.Turn(func() { n = st.f.e.Count[id] })
+	return n
+}
+
+// until waits for something to hold.
+func (st *stage) until(what string, holds func() bool) {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	fmt.Println("never:", what)
+}
+
+// counted waits for a counter to reach a number.
+func (st *stage) counted(id counters.ID, n uint64) {
+	st.until(fmt.Sprint("counter ", id, " at ", n), func() bool { return st.count(id) >= n })
+}
+
+// backend is a stand-in: it takes requests one by one and answers as the test says.
+type backend struct {
+	l    net.Listener
+	came chan *call
+}
+
+// call is a request that has arrived whole at a backend.
+type call struct {
+	head, body string
+	c          net.Conn
+}
+
+func newBackend() *backend {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	b := &backend{l: l, came: make(chan *call, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					head, body, err := message(r)
+					if err != nil {
+						return
+					}
+					b.came <- &call{head, body, c}
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+// next waits for a request.
+func (b *backend) next() *call {
+	select {
+	case x := <-b.came:
+		return x
+	case <-time.After(patience):
+		return &call{head: "no request came\r\n"}
+	}
+}
+
+func (x *call) answer(text string) { io.WriteString(x.c, text) }
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nSrv-Load: concurrent=1,mean_ms=3\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// message reads one message with a Content-Length or none.
+func message(r *bufio.Reader) (head, body string, err error) {
+	length := 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return head, "", err
+		}
+		if line == "\r\n" {
+			break
+		}
+		head += line
+		if name, value, _ := strings.Cut(line, ": "); name == "Content-Length" {
+			fmt.Sscan(value, &length)
+		}
+	}
+	b := make([]byte, length)
+	_, err = io.ReadFull(r, b)
+	return head, string(b), err
+}
+
+// agent is discovery's: it hands over each call and answers what the test says.
+type agent struct {
+	l    net.Listener
+	came chan *call
+}
+
+func newAgent() *agent { b := newBackend(); return &agent{b.l, b.came} }
+
+// call waits for a call and prints its target.
+func (a *agent) call() *call {
+	x := (&backend{a.l, a.came}).next()
+	line, _, _ := strings.Cut(x.head, "\r\n")
+	fmt.Println("asked:", strings.TrimSuffix(strings.TrimPrefix(line, "GET "), " HTTP/1.1"))
+	return x
+}
+
+func (x *call) list(rev int, all bool, targets ...object) {
+	if targets == nil {
+		targets = []object{}
+	}
+	b, _ := json.Marshal(object{"rev": rev, "all": all, "targets": targets})
+	x.answer(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b))
+}
+
+// client is one connection of a client.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (st *stage) client() *client {
+	c, err := net.Dial("tcp", st.f.e.Addr())
+	if err != nil {
+		fmt.Println(err)
+		return nil
+	}
+	c.SetDeadline(time.Now().Add(2 * patience))
+	return &client{c, bufio.NewReader(c)}
+}
+
+// heads of a txn.
+func txn(id, kind string) string {
+	method, more := "GET", ""
+	if kind != "read" {
+		method, more = "POST", "Idempotency-Key: k-"+id+"\r\n"
+	}
+	return method + " /api?lot=7 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind +
+		"\r\nX-Plan: team\r\nCookie: a=b; key=00000000b4d65521\r\nReq-Deadline: 60000m\r\n" + more +
+		"X-Quota: units=1,spread=1,first=0\r\n"
+}
+
+func (c *client) send(text string) { io.WriteString(c, text) }
+
+// show prints an answer, without what a proxy is free to choose.
+func (c *client) show() {
+	head, body, err := message(c.r)
+	if err != nil {
+		fmt.Println("connection ended")
+		return
+	}
+	if len(body) > 60 {
+		body = fmt.Sprintf("%d bytes %q...", len(body), body[:8])
+	}
+	line, rest, _ := strings.Cut(head, "\r\n")
+	fmt.Print(line)
+	for _, l := range strings.Split(rest, "\r\n") {
+		if strings.HasPrefix(l, "Retry-After") || strings.HasPrefix(l, "Connection") {
+			fmt.Print(", ", l)
+		}
+	}
+	if body != "" {
+		fmt.Print(" ", strings.TrimSpace(body))
+	}
+	fmt.Println()
+}
+
+// lines prints what of a request must pass unchanged.
+func (x *call) lines() {
+	var kept []string
+	for i, l := range strings.Split(strings.TrimSpace(x.head), "\r\n") {
+		if i == 0 || strings.HasPrefix(l, "Req-Id") || strings.HasPrefix(l, "Idempotency-Key") {
+			kept = append(kept, l)
+		}
+	}
+	sort.Strings(kept[1:])
+	fmt.Printf("backend: %s %q\n", strings.Join(kept, ", "), x.body)
+}
+
+func Example_settled() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	c := st.client()
+	fmt.Println("# up, then a txn in pieces, and two more behind it at once")
+	c.send("GET /up HTTP/1.1\r\n\r\n")
+	c.show()
+	for _, piece := range []string{"GE", "T /api?lot=7 HT", strings.TrimPrefix(txn("a1", "read"), "GET /api?lot=7 HT"), "\r", "\n"} {
+		c.send(piece)
+		time.Sleep(2 * time.Millisecond)
+	}
+	x := st.backends[0].next()
+	x.lines()
+	c.send(txn("a2", "bid") + "Content-Length: 5\r\n\r\nhello" +
+		txn("a3", "bid") + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: u\r\n\r\n")
+	for _, body := range []string{"first", "second", "third"} {
+		x.answer(ok(body))
+		c.show()
+		if body != "third" {
+			x = st.backends[0].next()
+			x.lines()
+		}
+	}
+	fmt.Println("dials", st.count(counters.Dials)-1, "reused", st.count(counters.Reused))
+	fmt.Println("# the client wants the connection closed")
+	c.send(txn("a4", "read") + "Connection: close\r\n\r\n")
+	st.backends[0].next().answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	c.show()
+	c.show()
+	// Output:
+	// # up, then a txn in pieces, and two more behind it at once
+	// HTTP/1.1 200 OK up
+	// backend: GET /api?lot=7 HTTP/1.1, Req-Id: a1 ""
+	// HTTP/1.1 200 OK first
+	// backend: POST /api?lot=7 HTTP/1.1, Idempotency-Key: k-a2, Req-Id: a2 "hello"
+	// HTTP/1.1 200 OK second
+	// backend: POST /api?lot=7 HTTP/1.1, Idempotency-Key: k-a3, Req-Id: a3 "hello"
+	// HTTP/1.1 200 OK third
+	// dials 1 reused 2
+	// # the client wants the connection closed
+	// HTTP/1.1 200 OK, Connection: close abc
+	// connection ended
+}
+
+// A once-only txn shows what is proved: it is declined only where the submission never ran, else voided.
+func Example_endings() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	b := st.backends[0]
+	try := func(what string, answer func(*call)) {
+		var before counters.Set
+		st.f.e.Turn(func() { before = *st.f.e.Count })
+		c := st.client()
+		defer c.Close()
+		c.send(txn("b", "pay") + "\r\n")
+		if answer != nil {
+			answer(b.next())
+		}
+		fmt.Print(what, ": ")
+		c.show()
+		var after counters.Set
+		st.f.e.Turn(func() { after = *st.f.e.Count })
+		for id := counters.EndSettled; id <= counters.BadAnswer; id++ {
+			for ; before[id] < after[id]; before[id]++ {
+				fmt.Println("  ", counters.Name(id))
+			}
+		}
+	}
+	says := func(text string) func(*call) { return func(x *call) { x.answer(text) } }
+	try("500", says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
+	try("503 turned away", says("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"))
+	try("503 without a word", says("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"))
+	try("no answer's form", says("HELLO\r\n\r\n"))
+	try("no length", says("HTTP/1.1 200 OK\r\n\r\nsome"))
+	try("cut", func(x *call) { x.answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome"); x.c.Close() })
+	try("ended", func(x *call) { x.c.Close() })
+	try("reset", func(x *call) { x.c.(*net.TCPConn).SetLinger(0); x.c.Close() })
+	try("two lengths", says("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"))
+	try("interim, then stray bytes", says("HTTP/1.1 100 Continue\r\n\r\n"+ok("done")+"more"))
+	try("settled", says(ok("done")))
+	b.l.Close()
+	st.f.e.Turn(func() { st.f.dispatch.Evict(nil) }) // the kept connection, so that a new one is needed
+	try("refused", nil)
+	// Output:
+	// 500: HTTP/1.1 502 Bad Gateway
+	//    ended errored
+	// 503 turned away: HTTP/1.1 429 Too Many Requests, Retry-After: 2
+	//    ended full
+	// 503 without a word: HTTP/1.1 502 Bad Gateway
+	//    ended errored
+	// no answer's form: HTTP/1.1 502 Bad Gateway
+	//    ended broken
+	//    bad answers
+	// no length: HTTP/1.1 502 Bad Gateway
+	//    ended broken
+	//    bad answers
+	// cut: HTTP/1.1 502 Bad Gateway
+	//    ended broken
+	// ended: HTTP/1.1 502 Bad Gateway
+	//    ended broken
+	// reset: HTTP/1.1 502 Bad Gateway
+	//    ended broken
+	// two lengths: HTTP/1.1 502 Bad Gateway
+	//    ended broken
+	//    bad answers
+	// interim, then stray bytes: HTTP/1.1 200 OK done
+	//    ended settled
+	// settled: HTTP/1.1 200 OK done
+	//    ended settled
+	// refused: HTTP/1.1 429 Too Many Requests, Retry-After: 2
+	//    ended unreachable
+}
+
+// A backend that never answers costs the submission's limit; its connection is closed before the next goes out.
+func Example_silence() {
+	st := open(2, 1024, settings(3, 4))
+	defer st.close()
+	c := st.client()
+	c.send(txn("s", "read") + "\r\n")
+	var first, second *call
+	select {
+	case first = <-st.backends[0].came:
+		second = st.backends[1].next()
+	case first = <-st.backends[1].came:
+		second = st.backends[0].next()
+	}
+	first.c.SetReadDeadline(time.Now().Add(patience))
+	n, err := first.c.Read(make([]byte, 1))
+	fmt.Println("the first connection:", n, err)
+	second.answer(ok("late but whole"))
+	c.show()
+	fmt.Println("timed out", st.count(counters.EndTimedOut))
+	// Output:
+	// the first connection: 0 EOF
+	// HTTP/1.1 200 OK late but whole
+	// timed out 1
+}
+
+func Example_badInput() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	good := txn("c", "read")
+	swap := func(old, new string) string { return strings.Replace(good, old, new, 1) + "\r\n" }
+	for _, text := range []string{"NONSENSE\r\n\r\n", "GET /api HTTP/2.0\r\n\r\n", "GET /api HTTP/1.1\r\nA b: c\r\n\r\n",
+		good + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", good + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+		good + "Content-Length: -1\r\n\r\n", good + "Transfer-Encoding: gzip\r\n\r\n",
+		good + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", good + "Content-Length: 65537\r\n\r\n",
+		good + "Transfer-Encoding: chunked\r\n\r\n10001\r\n", good + "X: " + strings.Repeat("x", 9000) + "\r\n\r\n",
+		swap("/api", "/other"), swap("GET", "DELETE"), swap("Req-Id: c", "Req-Id: "), swap("Req-Id: c", "Req-Id: c\r\nReq-Id: d"),
+		swap("read", "write"), swap("team", "crew"), swap("b4d65521", "b4d6552"), swap("00000000b4d65521", "0000000200000000"),
+		swap("00000000b4d65521", "00000000B4d6552g"), swap("60000m", "60000"), swap("60000m", "-1m"), swap("60000m", "0m"),
+		swap("units=1", "units=nan"), swap("spread=1", "spread=4"), swap("first=0", "first=3"), swap(",first=0", ""),
+		swap("X-Quota", "X-Quote"), strings.Replace(txn("c", "bid"), "Idempotency-Key", "Key", 1) + "\r\n"} {
+		c := st.client()
+		c.send(text)
+		c.show()
+		c.Close()
+	}
+	fmt.Println("txns", st.count(counters.TxnsTaken), "dials", st.count(counters.Dials)-1) // but the one to discovery
+	// Output:
+	// HTTP/1.1 400 Bad Request, Connection: close malformed request
+	// HTTP/1.1 400 Bad Request, Connection: close malformed request
+	// HTTP/1.1 400 Bad Request, Connection: close malformed request
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 413 Content Too Large, Connection: close body too large
+	// HTTP/1.1 413 Content Too Large, Connection: close body too large
+	// HTTP/1.1 431 Request Header Fields Too Large, Connection: close head too large
+	// HTTP/1.1 404 Not Found no such path
+	// HTTP/1.1 405 Method Not Allowed GET or POST
+	// HTTP/1.1 400 Bad Request req-id: one is needed
+	// HTTP/1.1 400 Bad Request req-id: one is needed
+	// HTTP/1.1 400 Bad Request req-kind: unknown
+	// HTTP/1.1 400 Bad Request x-plan: unknown
+	// HTTP/1.1 400 Bad Request cookie: key is 16 hexadecimal digits below 2^33
+	// HTTP/1.1 400 Bad Request cookie: key is 16 hexadecimal digits below 2^33
+	// HTTP/1.1 400 Bad Request cookie: key is 16 hexadecimal digits below 2^33
+	// HTTP/1.1 400 Bad Request req-deadline: a number and m or u
+	// HTTP/1.1 400 Bad Request req-deadline: a number and m or u
+	// HTTP/1.1 400 Bad Request req-deadline: a number and m or u
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
+	// HTTP/1.1 400 Bad Request x-quota: one is needed
+	// HTTP/1.1 400 Bad Request idempotency-key: one is needed
+	// txns 0 dials 0
+}
+
+// Bodies at their bound, both ways, with a client that reads late: one ring a direction holds them.
+func Example_largest() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	c := st.client()
+	body := strings.Repeat("q", 64<<10)
+	go c.send(txn("l", "bid") + "Content-Length: 65536\r\n\r\n" + body)
+	x := st.backends[0].next()
+	fmt.Println("backend:", len(x.body), x.body == body)
+	x.answer(ok(strings.Repeat("a", 64<<10)))
+	st.counted(counters.Settled, 1)
+	c.show()
+	fmt.Println("# one byte more is no answer that can be read")
+	c.send(txn("m", "pay") + "\r\n")
+	x = st.backends[0].next()
+	go x.answer(ok(strings.Repeat("a", 64<<10+1)))
+	c.show()
+	// Output:
+	// backend: 65536 true
+	// HTTP/1.1 200 OK 65536 bytes "aaaaaaaa"...
+	// # one byte more is no answer that can be read
+	// HTTP/1.1 502 Bad Gateway
+}
+
+// A client that leaves while its txn is out is passed to the module; what is out still ends.
+func Example_leaving() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	c := st.client()
+	c.send(txn("g", "read") + "\r\n")
+	x := st.backends[0].next()
+	c.Close()
+	st.counted(counters.TxnsLeft, 1)
+	x.answer(ok("for nobody"))
+	st.counted(counters.EndSettled, 1)
+	st.until("nothing is held", func() (none bool) {
+		st.f.e.Turn(func() { none = st.f.gate.Held() == 0 && st.f.intake.Clients() == 0 })
+		return none
+	})
+	fmt.Println("settled", st.count(counters.Settled), "clients closed", st.count(counters.ClientsClosed))
+	// Output:
+	// settled 0 clients closed 1
+}
+
+func Example_discovery() {
+	st := open(1, 1024, settings(1, 4))
+	defer st.close()
+	other := newBackend()
+	defer other.l.Close()
+	was := func() string { return st.backends[0].l.Addr().String() }
+	try := func(b *backend) {
+		c := st.client()
+		defer c.Close()
+		c.send(txn("d", "read") + "\r\n")
+		if b != nil {
+			b.next().answer(ok("served"))
+		}
+		c.show()
+	}
+	x := st.agent.call()
+	try(st.backends[0])
+	x.list(41, true, target(0, was(), "Ready"))
+	fmt.Println("# one drains, another comes")
+	x = st.agent.call()
+	x.list(42, false, target(0, was(), "Terminating"), target(1, other.l.Addr().String(), "Ready"))
+	x = st.agent.call()
+	try(other)
+	fmt.Println("# what can't be read changes nothing, and is asked again")
+	x.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{rev}")
+	x = st.agent.call()
+	try(other)
+	fmt.Println("# the agent dies; then a whole list without the other")
+	x.c.Close()
+	x = st.agent.call()
+	x.list(50, true, target(0, was(), "Ready"))
+	x = st.agent.call()
+	try(st.backends[0])
+	x.list(51, false, target(0, was(), "Gone"))
+	st.agent.call()
+	try(nil)
+	fmt.Println("lists", st.count(counters.ListsTaken), "bad", st.count(counters.ListsBad))
+	// Output:
+	// asked: /discovery/hosts
+	// HTTP/1.1 200 OK served
+	// # one drains, another comes
+	// asked: /discovery/hosts?after=41&wait_ms=10000
+	// asked: /discovery/hosts?after=42&wait_ms=10000
+	// HTTP/1.1 200 OK served
+	// # what can't be read changes nothing, and is asked again
+	// asked: /discovery/hosts?after=42&wait_ms=10000
+	// HTTP/1.1 200 OK served
+	// # the agent dies; then a whole list without the other
+	// asked: /discovery/hosts?after=42&wait_ms=10000
+	// asked: /discovery/hosts?after=50&wait_ms=10000
+	// HTTP/1.1 200 OK served
+	// asked: /discovery/hosts?after=51&wait_ms=10000
+	// HTTP/1.1 429 Too Many Requests
+	// lists 4 bad 1
+}
+
+func Example_peers() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	to := st.f.peers.Addr()
+	stranger, _ := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(to))
+	defer stranger.Close()
+	stranger.Write([]byte("from nobody"))
+	st.counted(counters.MailBad, 1)
+	st.peer.WriteToUDPAddrPort([]byte("no message"), to)
+	st.counted(counters.MailTaken, 1)
+	st.peer.WriteToUDPAddrPort(make([]byte, 257), to)
+	st.counted(counters.MailBad, 2)
+	fmt.Println("# a txn of a customer that the peer owns makes a message to it")
+	c := st.client()
+	c.send(strings.Replace(txn("p", "read"), "spread=1,first=0", "spread=1,first=1", 1) + "\r\n")
+	st.peer.SetReadDeadline(time.Now().Add(patience))
+	n, from, err := st.peer.ReadFromUDPAddrPort(make([]byte, 300))
+	fmt.Println(n > 0 && n <= 256, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) == to, err)
+	// Output:
+	// # a txn of a customer that the peer owns makes a message to it
+	// true true <nil>
+}
+
+// With few descriptors the client idle longest goes first, and one with a txn stays.
+func Example_descriptors() {
+	st := open(1, 64, settings(1, 20))
+	defer st.close()
+	busy := st.client()
+	busy.send(txn("h", "read") + "\r\n")
+	x := st.backends[0].next()
+	first := st.client()
+	first.send("GET /up HTTP/1.1\r\n\r\n")
+	first.show()
+	var more []*client
+	for i := 0; i < 30; i++ {
+		c := st.client()
+		defer c.Close()
+		c.send("GET /up HTTP/1.1\r\n\r\n")
+		message(c.r)
+		more = append(more, c)
+	}
+	first.show()
+	x.answer(ok("still here"))
+	busy.show()
+	more[29].send("GET /up HTTP/1.1\r\n\r\n")
+	more[29].show()
+	st.f.e.Turn(func() { fmt.Println("connections within bounds:", st.f.e.Room() >= 0) })
+	// Output:
+	// HTTP/1.1 200 OK up
+	// connection ended
+	// HTTP/1.1 200 OK still here
+	// HTTP/1.1 200 OK up
+	// connections within bounds: true
+}
+
+// Told to end, it goes on for a moment, answers what it has taken and closes connections between txns.
+func Example_ending() {
+	st := open(1, 1024, settings(1, 20))
+	busy, idle := st.client(), st.client()
+	idle.send("GET /up HTTP/1.1\r\n\r\n")
+	idle.show()
+	busy.send(txn("e", "pay") + "\r\n")
+	x := st.backends[0].next()
+	ended := make(chan bool)
+	go func() { st.f.end(); close(ended) }()
+	idle.show()
+	select {
+	case <-ended:
+		fmt.Println("ended with a txn held")
+	default:
+	}
+	x.answer(ok("in time"))
+	busy.show()
+	busy.show()
+	<-ended
+	fmt.Println("held", st.f.gate.Held())
+	st.close()
+	// Output:
+	// HTTP/1.1 200 OK up
+	// connection ended
+	// HTTP/1.1 200 OK, Connection: close in time
+	// connection ended
+	// held 0
+}
+
+func Example_commands() {
+	was := os.Stderr
+	os.Stderr, _ = os.Open(os.DevNull)
+	defer func() { os.Stderr = was }()
+	os.Unsetenv("NODE_CONFIG")
+	for _, args := range [][]string{{}, {"help"}, {"fly"}, {"serve", "--colour"}, {"check", "more"}, {"serve"},
+		{"check", "--config", "/nowhere.json"}} {
+		fmt.Println(args, run(args))
+	}
+	fmt.Println("# an address in use")
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer l.Close()
+	text, _ := json.Marshal(object{"listen": l.Addr().String(), "discovery": "127.0.0.1:1", "seed": "1",
+		"limits":      object{"memory_mb": 192, "sockets": 1024},
+		"peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"},
+		"known": object{"rev": 1, "all": true, "targets": []object{}}, "settings": settings(1, 20)})
+	conf, err := config.Parse(text)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	_, err = build(conf, zap.NewNop())
+	fmt.Println(strings.Contains(err.Error(), syscall.EADDRINUSE.Error()))
+	// Output:
+	// [] 2
+	// [help] 0
+	// [fly] 2
+	// [serve --colour] 2
+	// [check more] 2
+	// [serve] 1
+	// [check --config /nowhere.json] 1
+	// # an address in use
+	// true
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,7 +28,7 @@
 	Known      json.RawMessage // the list of backends as last known
 	Settings   control.Settings
 	Halls      []string
-	Products   []string
+	Products   []Product
 	Plans      []string
 	Fields     []string // of load reports, in the protocol's words
 	ConnIdle   time.Duration
@@ -36,6 +36,12 @@
 	MostHeld   int
 }
 
+// Product is what intake needs to know of one.
+type Product struct {
+	Name  string
+	Keyed bool
+}
+
 // form is the file's.
 type form struct {
 	Name, Listen, Discovery, Seed string
@@ -53,7 +59,7 @@
 // facts are the settings that the protocol needs by their own names.
 type facts struct {
 	Dcs            []string
-	RequestClasses []struct{ Name string }
+	RequestClasses []struct{ Name, Effect string }
 	Plans          []struct{ Name string }
 	Report         struct{ Fields []string }
 }
@@ -104,7 +110,7 @@
 	}
 	c.Halls, c.Fields = known.Dcs, known.Report.Fields
 	for _, p := range known.RequestClasses {
-		c.Products = append(c.Products, p.Name)
+		c.Products = append(c.Products, Product{p.Name, values[p.Effect] == "referenced"})
 	}
 	for _, p := range known.Plans {
 		c.Plans = append(c.Plans, p.Name)
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -81,3 +81,6 @@
 	}
 	return strings.TrimSuffix(b.String(), ", ")
 }
+
+// Name is a counter's.
+func Name(id ID) string { return names[id] }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 
 	"clovergap/control"
 	"clovergap/internal/answer"
+	"clovergap/internal/config"
 	"clovergap/internal/counters"
 	"clovergap/internal/gate"
 	"clovergap/internal/http1"
@@ -25,6 +26,7 @@
 	gate     Gate
 	clients  *slots.Table[client]
 	products map[string]control.ProductID
+	keyed    []bool // by product: it carries a key
 	plans    map[string]control.PlanID
 	gateways int
 	most     int // clients at a time
@@ -35,11 +37,12 @@
 
 // New makes one that holds at most so many clients. makeRoom gives back a descriptor that another stage does
 // not need.
-func New(e *link.Engine, g Gate, products, plans []string, gateways, most int, makeRoom func() bool) *Intake {
+func New(e *link.Engine, g Gate, products []config.Product, plans []string, gateways, most int, makeRoom func() bool) *Intake {
 	in := &Intake{e: e, gate: g, clients: slots.New[client](most), products: map[string]control.ProductID{},
 		plans: map[string]control.PlanID{}, gateways: gateways, most: most, makeRoom: makeRoom}
 	for i, p := range products {
-		in.products[p] = control.ProductID(i)
+		in.products[p.Name] = control.ProductID(i)
+		in.keyed = append(in.keyed, p.Keyed)
 	}
 	for i, p := range plans {
 		in.plans[p] = control.PlanID(i)
--- a/internal/intake/txn.go
+++ b/internal/intake/txn.go
@@ -75,6 +75,11 @@
 	if x.Product, ok = in.products[string(kind)]; !ok {
 		return x, counters.BadProduct, "req-kind: unknown"
 	}
+	if in.keyed[x.Product] {
+		if one("idempotency-key"); line != "" { // without it a repeat could not be told from a new one
+			return
+		}
+	}
 	if x.Plan, ok = in.plans[string(plan)]; !ok {
 		return x, counters.BadPlan, "x-plan: unknown"
 	}
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -32,6 +32,9 @@
 // dialEnded hands a connection that came up to the poller.
 func (e *Engine) dialEnded(l *Link, conn net.Conn, err error, dialed func(ok bool)) {
 	var c *nbio.Conn
+	if e.stopped {
+		l.closed = true
+	}
 	if err == nil && !l.closed {
 		if c, err = nbio.NBConn(conn); err == nil {
 			l.c = c
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -42,6 +42,7 @@
 	most    int
 	bound   int
 	inTurn  bool
+	stopped bool
 	Count   *counters.Set
 }
 
@@ -88,8 +89,11 @@
 	return err
 }
 
-// Stop ends listening and all connections.
-func (e *Engine) Stop() { e.poll.Stop() }
+// Stop ends listening and all connections. The poller waits for those that it knows, so none may come up later.
+func (e *Engine) Stop() {
+	e.Turn(func() { e.stopped = true })
+	e.poll.Stop()
+}
 
 // Turn runs something as the one owner and pulls decisions after it.
 func (e *Engine) Turn(f func()) {
@@ -158,3 +162,6 @@
 
 // Open counts connections, dials among them.
 func (e *Engine) Open() int { return e.open }
+
+// Addr is where clients connect.
+func (e *Engine) Addr() string { return e.poll.Addrs[0] }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -72,7 +72,7 @@
 	case *Link:
 		e.Turn(s.read)
 	case *watched:
-		e.Turn(s.readable)
+		e.Turn(func() { s.readable() })
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -76,14 +76,7 @@
 		if err != nil {
 			return
 		}
-		var at netip.AddrPort
-		switch a := from.(type) {
-		case *syscall.SockaddrInet4:
-			at = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
-		case *syscall.SockaddrInet6:
-			at = netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port))
-		}
-		p.take(at, p.buf[:n])
+		p.take(addrPort(from), p.buf[:n])
 	}
 }
 
@@ -107,3 +100,19 @@
 	}
 	p.e.Count.Add(counters.MailSent)
 }
+
+// Addr is where datagrams come in.
+func (p *Peers) Addr() netip.AddrPort {
+	a, _ := syscall.Getsockname(p.fd)
+	return addrPort(a)
+}
+
+func addrPort(a syscall.Sockaddr) netip.AddrPort {
+	switch a := a.(type) {
+	case *syscall.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+	case *syscall.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port))
+	}
+	return netip.AddrPort{}
+}
