--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,42 @@
+package ring
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+)
+
+func Example() {
+	rng := rand.New(rand.NewSource(7))
+	r, model, next, most := New(8, 100), []byte{}, byte(0), 0
+	for i := 0; i < 20000; i++ {
+		p := make([]byte, rng.Intn(30))
+		for j := range p {
+			p[j], next = next, next+1
+		}
+		switch rng.Intn(3) {
+		case 0:
+			if fits := len(model)+len(p) <= 100; r.Append(p) != fits {
+				fmt.Println("a bound not kept")
+			} else if fits {
+				model = append(model, p...)
+			}
+		case 1:
+			n := copy(r.Free(), p)
+			r.Took(n)
+			model = append(model, p[:n]...)
+		default:
+			n := min(len(p), len(model))
+			r.Drop(n)
+			model = model[n:]
+		}
+		most = max(most, r.Len())
+		if rng.Intn(2) == 0 && !bytes.Equal(r.Linear(), model) || r.Len() != len(model) || r.Room() != 100-len(model) {
+			fmt.Println("not what was put in, at step", i)
+			return
+		}
+	}
+	fmt.Println("most held", most)
+	// Output:
+	// most held 100
+}
