--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/lesismal/nbio/logging"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"clovergap/control"
 	"clovergap/internal/check"
@@ -62,10 +63,8 @@
 	if err != nil {
 		return err
 	}
-	log, err := logger()
-	if err != nil {
-		return err
-	}
+	log, flush := logger()
+	defer flush()
 	logging.SetLogger(pollerLog{log.Sugar()})
 	limits(c)
 	f, err := build(c, log)
@@ -90,15 +89,21 @@
 // the runtime lets due times and datagrams go on while the poller sits in its system call.
 func limits(c *config.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 5)
 	debug.SetGCPercent(400)
 }
 
-func logger() (*zap.Logger, error) {
-	z := zap.NewProductionConfig()
-	z.OutputPaths, z.ErrorOutputPaths = []string{"stderr"}, []string{"stderr"}
-	z.Sampling, z.DisableCaller, z.DisableStacktrace = nil, true, true
-	return z.Build()
+// clientsAt bounds clients: half of the descriptors, since each txn may need one to a backend as well, and no
+// more than memory bears with a body of 64 KiB under way for each, in and out.
+func clientsAt(c *config.Config, room int) int { return max(1, min(room/2, c.MemoryMB*clientsPerMB)) }
+
+const clientsPerMB = 2
+
+// logger writes to standard error by way of a buffer: a reader that stalls holds up no txn.
+func logger() (*zap.Logger, func()) {
+	out := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), FlushInterval: time.Second}
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
+	return log, func() { out.Stop() }
 }
 
 // build puts the stages together and starts them.
@@ -115,7 +120,7 @@
 	k := &clock{Engine: f.e}
 	f.gate = gate.New(door, k, min(c.MostHeld, c.Sockets), f.e.Count, log)
 	k.due = f.gate
-	clients := f.e.Room() / 2
+	clients := clientsAt(c, f.e.Room())
 	f.dispatch = dispatch.New(f.e, f.gate, c.Fields, c.ConnIdle, c.DialLimit, func() bool { return f.intake.Evict() })
 	f.intake = intake.New(f.e, f.gate, c.Products, c.Plans, max(len(c.Peers), 1), clients,
 		func() bool { return f.dispatch.Evict(nil) })
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -71,7 +71,7 @@
 func (in *Intake) Evict() bool {
 	var oldest *client
 	in.clients.Each(func(_ slots.Ref, c *client) {
-		if c.idle() && (oldest == nil || c.idleAt < oldest.idleAt) {
+		if c.idle() && (oldest == nil || c.idleAt < oldest.idleAt) && c.l.Clean() {
 			oldest = c
 		}
 	})
@@ -87,7 +87,7 @@
 func (in *Intake) Drain() {
 	in.draining = true
 	in.clients.Each(func(_ slots.Ref, c *client) {
-		if c.idle() {
+		if c.idle() && c.l.Clean() {
 			c.close()
 		}
 	})
@@ -146,7 +146,8 @@
 	c.watch()
 }
 
-// idle: between txns, with nothing of the next come yet.
+// idle: between txns, with nothing of the next read yet. Where the connection is to be closed, Clean asks the
+// socket as well: a txn that waits there unread would be lost with it.
 func (c *client) idle() bool { return !c.busy && c.l.In.Len() == 0 && c.l.Unwritten() == 0 }
 
 func (c *client) close() {
@@ -173,10 +174,6 @@
 
 // Sent: an answer is written.
 func (c *client) Sent() {
-	if c.in.draining && c.idle() {
-		c.close()
-		return
-	}
 	c.Data() // what has waited behind an answer
 }
 
