What is learned from answers, with its tuned values, moves into the module

The usual answer time, the share of lost submissions and the weight of a load report were worked out in the state file, by tuned values of its own.

--- a/control/control.go
+++ b/control/control.go
@@ -1,10 +1,9 @@
 // Package control decides for one gateway: which txns pass, to which backend, and what its peers are told.
 //
-// How it is called: the host sets the clock with Now, tells what happened by the input calls (ListChanged,
-// TxnTaken, SubmissionEnded, ClientLeft, ProbeEnded, PeerSaid, Woken), which only update what is known, and
-// then pulls decisions with Next, one by one, until there is none. The interface (ids, Txn, Listing,
-// Decision, Settings) is in types.go, bookkeeping in state.go, the peer messages in peer.go, the due queue in
-// internal/due; docs/design.md tells why.
+// How it is called: the host sets the clock with Now, tells what happened by the input calls (TxnTaken,
+// SubmissionEnded and so on), which only update what is known, and then pulls decisions with Next one by one
+// until there is none. The interface (ids, Txn, Listing, Decision, Settings) is in types.go, bookkeeping in
+// state.go, the peer messages in peer.go, the due queue in internal/due; docs/design.md tells why.
 package control
 
 import (
@@ -36,6 +35,7 @@
 	unitWait    = 0.3  // of the SLA time: longest wait for units or an open slot
 	unknownPart = 8    // of the SLA time: a txn's usual time until one is known
 	smooth      = 0.1  // weight of a new sample
+	smoothLoad  = 0.5  // and of a load report
 	sightsTold  = 5    // last answers told to a peer
 	crowd       = 1.25 // a backend with this times the mean load, and one more, has enough
 	firstTry    = 0.55 // of the time left to the SLA time: limit of a submission that may be repeated
@@ -128,12 +128,9 @@
 		}
 		d.readLoad(b, load)
 	}
-	if t != nil && t.sent < d.stallTo && (e == Settled || e == TimedOut) {
+	if t == nil || t.sent < d.stallTo && (e == Settled || e == TimedOut) {
 		return // how long it took is this gateway's own doing
 	}
-	if t == nil {
-		return
-	}
 	s := sight{hash: b.hash & sightMask, product: t.Product, crowd: d.crowding(t, b, e)}
 	d.adjustRoom(s.crowd)
 	switch e {
@@ -164,6 +161,36 @@
 	d.sightNr++
 }
 
+// timed learns the usual answer time and gives an answer's time against it.
+func (d *Door) timed(t *txn, took time.Duration) float64 {
+	kind := d.sort(t)
+	usual, ok := d.typical[kind]
+	if !ok {
+		usual = took.Seconds()
+	}
+	step := smooth / 2 * (min(took.Seconds(), longTimes*usual) - usual)
+	if step > 0 && d.isPressed() {
+		step = 0 // under pressure answers hold waiting, which is no part of the usual time
+	}
+	d.typical[kind] = usual + step
+	return min(took.Seconds()/max(usual, 0.0005), ratioMost)
+}
+
+// reckon counts a submission as lost or not.
+func (d *Door) reckon(b *backend, bad float64) {
+	b.seen = b.seen*(1-smooth) + 1
+	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
+	d.lost += smooth / 5 * (bad - d.lost)
+}
+
+// readLoad takes a load report: what others keep at the backend.
+func (d *Door) readLoad(b *backend, load []float64) {
+	held, ok := heldBy(d.fields, load)
+	if ok {
+		b.others += smoothLoad * (max(0, held-float64(b.out)) - b.others)
+	}
+}
+
 // observe takes how one submission went at a backend, from here or from a peer. Among hundreds of gateways
 // each sees any one backend every ten seconds or so, too seldom to find slow, failing and dead ones alone.
 // A peer's word weighs as one answer: it can't open a backend, and what is passed over by it is bounded and
@@ -698,14 +725,6 @@
 	return b.warm >= 1 || d.coldTokens(b) >= 1
 }
 
-// weight is a txn's work against the mean of those sent: a cold backend's budget is one of work.
-func (d *Door) weight(t *txn) float64 {
-	if d.work <= 0 {
-		return 1
-	}
-	return d.usual(t).Seconds() / d.work
-}
-
 // coldTokens is the budget of sends to a cold backend: in each fall window, this gateway's own send rate to a
 // warm backend times the cold one's capacity share. All gateways doing so stay under what a warm one bears.
 func (d *Door) coldTokens(b *backend) float64 {
@@ -842,24 +861,6 @@
 	d.ready = append(d.ready, x)
 }
 
-// spend draws a txn's units at its first submission: from the bucket, the view and the ceiling's part.
-func (d *Door) spend(a *account, t *txn) {
-	t.drawn = true
-	if a.plan.ceilRate > 0 {
-		a.part -= t.Units
-	}
-	if a.plan.rate <= 0 {
-		return
-	}
-	if a.owner == d.me {
-		d.refill(a)
-		d.draw(a, t.Units)
-		return
-	}
-	a.unsent += t.Units
-	d.mark(a)
-}
-
 // ---- Periodic work
 
 // pace is the time from one periodic work to the next.
--- a/control/state.go
+++ b/control/state.go
@@ -428,14 +428,6 @@
 // Woken: a wake-up asked for has come.
 func (d *Door) Woken(uint64) {}
 
-// readLoad takes a load report: what others keep at the backend.
-func (d *Door) readLoad(b *backend, load []float64) {
-	held, ok := heldBy(d.fields, load)
-	if ok {
-		b.others += 0.5 * (max(0, held-float64(b.out)) - b.others)
-	}
-}
-
 // sort names the kind of work of a txn: work goes by product and units.
 func (d *Door) sort(t *txn) int { return int(t.Product)*64 + int(min(max(t.Units, 0), 63)) }
 
@@ -467,28 +459,6 @@
 	d.ready = append(d.ready, Decision{Verb: Tell, Peer: p.id, Payload: m.encode()})
 }
 
-// timed learns the usual answer time and gives an answer's time against it.
-func (d *Door) timed(t *txn, took time.Duration) float64 {
-	kind := d.sort(t)
-	usual, ok := d.typical[kind]
-	if !ok {
-		usual = took.Seconds()
-	}
-	step := smooth / 2 * (min(took.Seconds(), longTimes*usual) - usual)
-	if step > 0 && d.isPressed() {
-		step = 0 // under pressure answers hold waiting, which is no part of the usual time
-	}
-	d.typical[kind] = usual + step
-	return min(took.Seconds()/max(usual, 0.0005), ratioMost)
-}
-
-// reckon counts a submission as lost or not.
-func (d *Door) reckon(b *backend, bad float64) {
-	b.seen = b.seen*(1-smooth) + 1
-	b.fails += max(smooth, 1/b.seen) * (bad - b.fails)
-	d.lost += smooth / 5 * (bad - d.lost)
-}
-
 // settles counts what warm backends settle: sends may be more than they can do.
 func (d *Door) settles(b *backend) {
 	if b.warm >= 1 {
@@ -500,3 +470,29 @@
 func (d *Door) doneNow() float64 {
 	return d.doneRate * math.Exp(-(d.now-d.doneAt).Seconds()/rateOver)
 }
+
+// spend draws a txn's units at its first submission: from the bucket, the view and the ceiling's part.
+func (d *Door) spend(a *account, t *txn) {
+	t.drawn = true
+	if a.plan.ceilRate > 0 {
+		a.part -= t.Units
+	}
+	if a.plan.rate <= 0 {
+		return
+	}
+	if a.owner == d.me {
+		d.refill(a)
+		d.draw(a, t.Units)
+		return
+	}
+	a.unsent += t.Units
+	d.mark(a)
+}
+
+// weight is a txn's work against the mean of those sent: a cold backend's budget is one of work.
+func (d *Door) weight(t *txn) float64 {
+	if d.work <= 0 {
+		return 1
+	}
+	return d.usual(t).Seconds() / d.work
+}
