--- a/control/state.go
+++ b/control/state.go
@@ -320,10 +320,6 @@
 // wake asks for the one periodic timer and, if something is due before it, for that time.
 func (d *Door) wake() (Decision, bool) {
 	next := d.lastWork + d.pace()
-	for id, ok := d.due.Peek(); ok && d.txns[id] == nil; id, ok = d.due.Peek() {
-		at, _ := d.due.Next() // most txns have long ended by their expiry: no turn for these
-		d.due.Take(at)
-	}
 	if at, ok := d.due.Next(); ok {
 		next = min(next, at)
 	}
