What lay in the socket while the front door stood still has waited already

Expiry counts from when the client sent; after a pause the front door read txns as new and would have answered them past it. A due time long past tells how long it stood still; what is read right after has that much less time. Test: without the change one submission goes out, with it none. Covers paused processes, starved cores and long collector pauses; it may decline a txn that came at the very end of a standstill and still had time. Also: nothing is written after its limit when a dial comes up late, and stand-ins listen on 127.0.0.2, where a dial astray to 0.0.0.0 fails.

--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -129,7 +129,7 @@
 }
 
 func newBackend() *backend {
-	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	l, _ := net.Listen("tcp", "127.0.0.2:0") // a dial that goes astray, to 0.0.0.0, would still reach 127.0.0.1
 	b := &backend{l: l, came: make(chan *call, 100)}
 	go func() {
 		for {
@@ -414,6 +414,25 @@
 	// timed out 1
 }
 
+// A txn that lay in the socket while the front door stood still has waited already: its expiry is over.
+func Example_standstill() {
+	st := open(1, 1024, settings(1, 1))
+	defer st.close()
+	c := st.client()
+	c.send("GET /up HTTP/1.1\r\n\r\n")
+	c.show()
+	st.f.e.Turn(func() {
+		c.send(strings.Replace(txn("w", "read"), "60000m", "500m", 1) + "\r\n")
+		time.Sleep(900 * time.Millisecond)
+	})
+	c.show()
+	fmt.Println("submissions", st.count(counters.Submissions))
+	// Output:
+	// HTTP/1.1 200 OK up
+	// HTTP/1.1 429 Too Many Requests, Retry-After: 2
+	// submissions 0
+}
+
 func Example_badInput() {
 	st := open(1, 1024, settings(1, 20))
 	defer st.close()
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clovergap/control"
+	"clovergap/internal/check"
 	"clovergap/internal/counters"
 	"clovergap/internal/http1"
 	"clovergap/internal/link"
@@ -65,8 +66,10 @@
 // carry writes a submission.
 func (c *conn) carry(ref slots.Ref, s *submission) {
 	c.sub, s.conn = ref, c
-	c.d.scratch = s.message.AppendTo(c.d.scratch[:0], s.until-c.d.e.Now())
-	if len(c.d.scratch) == 0 { // its client has gone before anything was written
+	check.That(s.backend.ready, "nothing is sent to one that drains or is gone")
+	left := s.until - c.d.e.Now()
+	c.d.scratch = s.message.AppendTo(c.d.scratch[:0], left)
+	if len(c.d.scratch) == 0 || left <= 0 { // its client has gone, or its time, before anything was written
 		c.d.end(ref, s, control.NotSent)
 		return
 	}
--- a/internal/intake/txn.go
+++ b/internal/intake/txn.go
@@ -68,7 +68,9 @@
 	if !ok {
 		return x, why, "req-deadline: a number and m or u"
 	}
-	x.Expiry = in.e.Now() + span
+	// The client counts from when it sent. After a standstill the txn may have lain unread for all of it: taken as
+	// new, it would be answered past its expiry.
+	x.Expiry = in.e.Now() + max(span-in.e.Waited(), 0)
 	if x.Customer, ok = customer(cookie); !ok {
 		return x, why, "cookie: key is 16 hexadecimal digits below 2^33"
 	}
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -43,6 +43,8 @@
 	bound   int
 	inTurn  bool
 	stopped bool
+	stood   time.Duration // how long this front door last stood still
+	stoodAt time.Duration
 	Count   *counters.Set
 }
 
@@ -109,7 +111,25 @@
 	e.inTurn = false
 }
 
-func (e *Engine) tick() { e.now = max(e.now, before+time.Since(e.born)) }
+// tick brings the clock up to now. A due time long past says that this front door stood still: it was paused, or
+// got no CPU.
+func (e *Engine) tick() {
+	e.now = max(e.now, before+time.Since(e.born))
+	if at, ok := e.dues.Next(); ok && e.now-at > stoodLeast {
+		e.stood, e.stoodAt = e.now-at, e.now
+	}
+}
+
+// stoodLeast is more than the system's usual lateness; what is read within it after a standstill may have waited.
+const stoodLeast = 20 * time.Millisecond
+
+// Waited is how long bytes that are read now may have lain in the socket, at the most that can be known.
+func (e *Engine) Waited() time.Duration {
+	if e.stood > 0 && e.now-e.stoodAt <= stoodLeast {
+		return e.stood
+	}
+	return 0
+}
 
 // Now is the clock of this turn.
 func (e *Engine) Now() time.Duration { return e.now }
