--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -27,7 +28,8 @@
 )
 
 // Life of a front door that is told to end: clients still come for a while, then connections close between
-// txns; what is held is answered by its expiry.
+// txns, then new ones are refused: a front that has not noticed would else send txns up to the last moment.
+// What is held is answered by its expiry.
 const (
 	comingFor = 500 * time.Millisecond
 	quietFor  = 800 * time.Millisecond
@@ -178,7 +180,10 @@
 	for over := false; !over && time.Since(began) < endMost; time.Sleep(lookEvery) {
 		f.e.Turn(func() {
 			f.intake.Drain()
-			over = f.gate.Held() == 0 && f.intake.Clients() == 0 && time.Since(began) > quietFor
+			if time.Since(began) > quietFor {
+				f.e.Deafen()
+				over = f.gate.Held() == 0 && f.intake.Clients() == 0
+			}
 		})
 	}
 }
@@ -195,7 +200,11 @@
 // pollerLog takes the poller's own lines into the log.
 type pollerLog struct{ *zap.SugaredLogger }
 
-func (l pollerLog) Debug(string, ...any)          {}
-func (l pollerLog) Info(string, ...any)           {}
-func (l pollerLog) Warn(format string, v ...any)  { l.Warnf(format, v...) }
-func (l pollerLog) Error(format string, v ...any) { l.Errorf(format, v...) }
+func (l pollerLog) Debug(string, ...any)         {}
+func (l pollerLog) Info(string, ...any)          {}
+func (l pollerLog) Warn(format string, v ...any) { l.Warnf(format, v...) }
+func (l pollerLog) Error(format string, v ...any) {
+	if !strings.Contains(format, "Accept failed") { // counted, and told without end by the acceptor
+		l.Errorf(format, v...)
+	}
+}
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -672,14 +673,15 @@
 	busy.show()
 	busy.show()
 	<-ended
-	fmt.Println("held", st.f.gate.Held())
+	_, err := net.Dial("tcp", st.f.e.Addr())
+	fmt.Println("held", st.f.gate.Held(), "new ones refused:", errors.Is(err, syscall.ECONNREFUSED))
 	st.close()
 	// Output:
 	// HTTP/1.1 200 OK up
 	// connection ended
 	// HTTP/1.1 200 OK, Connection: close in time
 	// connection ended
-	// held 0
+	// held 0 new ones refused: true
 }
 
 func Example_commands() {
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -28,24 +28,26 @@
 
 // Engine runs the poller, the clock and the turns.
 type Engine struct {
-	mu      sync.Mutex
-	poll    *nbio.Engine
-	born    time.Time
-	now     time.Duration
-	dues    due.Queue[alarm]
-	timer   int           // its descriptor
-	armed   time.Duration // 0: not
-	settled func()        // end of each turn: decisions are pulled
-	accept  func(*Link)
-	short   func() // descriptors ran out
-	open    int    // connections, dials among them
-	most    int
-	bound   int
-	inTurn  bool
-	stopped bool
-	stood   time.Duration // how long this front door last stood still
-	stoodAt time.Duration
-	Count   *counters.Set
+	mu       sync.Mutex
+	poll     *nbio.Engine
+	listener net.Listener
+	born     time.Time
+	now      time.Duration
+	dues     due.Queue[alarm]
+	timer    int           // its descriptor
+	armed    time.Duration // 0: not
+	settled  func()        // end of each turn: decisions are pulled
+	accept   func(*Link)
+	short    func() // descriptors ran out
+	open     int    // connections, dials among them
+	most     int
+	bound    int
+	inTurn   bool
+	deaf     bool // no new connections are taken
+	stopped  bool
+	stood    time.Duration // how long this front door last stood still
+	stoodAt  time.Duration
+	Count    *counters.Set
 }
 
 // before is what the clock shows at the start: a backend may have started before this front door did.
@@ -59,8 +61,10 @@
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
 	conf := nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
 		ReadBufferSize: 4 << 10, MaxWriteBufferSize: 2 * bound,
-		Listen: func(network, addr string) (net.Listener, error) {
-			return (&net.ListenConfig{KeepAlive: -1}).Listen(noContext, network, addr)
+		Listen: func(network, addr string) (ln net.Listener, err error) {
+			ln, err = (&net.ListenConfig{KeepAlive: -1}).Listen(noContext, network, addr)
+			e.listener = ln
+			return ln, err
 		}}
 	if listen != "" {
 		conf.Addrs = []string{listen}
@@ -71,7 +75,12 @@
 	e.poll.OnClose(e.gone)
 	e.poll.OnWrittenSize(written)
 	e.poll.OnAcceptError(func(error) {
-		e.Turn(func() { e.Count.Add(counters.AcceptErrors); e.short() })
+		e.Turn(func() {
+			if !e.deaf {
+				e.Count.Add(counters.AcceptErrors)
+				e.short()
+			}
+		})
 		time.Sleep(10 * time.Millisecond) // the acceptor would spin
 	})
 	return e
@@ -97,6 +106,14 @@
 	e.poll.Stop()
 }
 
+// Deafen takes no new connections from now on: they are refused.
+func (e *Engine) Deafen() {
+	if !e.deaf {
+		e.deaf = true
+		e.listener.Close()
+	}
+}
+
 // Turn runs something as the one owner and pulls decisions after it.
 func (e *Engine) Turn(f func()) {
 	e.mu.Lock()
