--- a/cmd/clovergap/main.go
+++ b/cmd/clovergap/main.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/pflag"
 
 	"clovergap/control"
 	"clovergap/internal/check"
 	"clovergap/internal/config"
+	"clovergap/internal/discovery"
 )
 
 // version is set by the build where it knows better.
@@ -85,7 +87,11 @@
 	if _, err := control.New(c.Seed, c.Settings, 0); err != nil {
 		return err
 	}
-	fmt.Printf("%s: front door %d of %s, %d products, %d plans, listens on %s\n", path, c.Me,
-		c.Settings["gateways"], len(c.Products), len(c.Plans), c.Listen)
+	known, err := discovery.Read(c.Known, c.Halls, func(time.Time) time.Duration { return 0 })
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	fmt.Printf("%s: front door %d of %s, %d products, %d plans, %d backends known, listens on %s\n", path,
+		c.Me, c.Settings["gateways"], len(c.Products), len(c.Plans), len(known.Entries), c.Listen)
 	return nil
 }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -14,6 +14,7 @@
 // conn is a connection to a backend; it carries one submission at a time.
 type conn struct {
 	d       *Dispatch
+	me      slots.Ref
 	b       *backend
 	l       *link.Link
 	r       http1.Reader
@@ -42,7 +43,12 @@
 		d.end(ref, s, control.Unreachable)
 		return false
 	}
-	c := &conn{d: d, b: b, r: http1.Responses(), sub: ref, dialing: true}
+	me, c, ok := d.conns.Add()
+	if !ok {
+		d.end(ref, s, control.Unreachable)
+		return false
+	}
+	*c = conn{d: d, me: me, b: b, r: http1.Responses(), sub: ref, dialing: true}
 	c.l = d.e.Dial(b.addr, d.dialLimit, c.up)
 	c.l.Own(c)
 	s.conn = c
@@ -100,14 +106,16 @@
 	c.drop()
 }
 
-// drop forgets the connection.
+// drop forgets the connection; its slot may be another's from the next dial on.
 func (c *conn) drop() {
+	check.That(c.d.conns.Get(c.me) == c, "a connection is dropped once")
 	for i, o := range c.b.idle {
 		if o == c {
 			c.b.idle = append(c.b.idle[:i], c.b.idle[i+1:]...)
 			break
 		}
 	}
+	c.d.conns.Drop(c.me)
 }
 
 // Data reads an answer.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -49,6 +49,7 @@
 	gate      Gate
 	backends  map[control.BackendID]*backend
 	subs      *slots.Table[submission]
+	conns     *slots.Table[conn]
 	byTxn     map[slots.Ref]slots.Ref
 	fields    []string
 	idleMost  time.Duration
@@ -67,7 +68,7 @@
 // New makes one. makeRoom gives back a descriptor that another stage does not need.
 func New(e *link.Engine, g Gate, fields []string, idle, dial time.Duration, makeRoom func() bool) *Dispatch {
 	d := &Dispatch{e: e, gate: g, backends: map[control.BackendID]*backend{}, fields: fields,
-		subs: slots.New[submission](1 << 16), byTxn: map[slots.Ref]slots.Ref{},
+		subs: slots.New[submission](1 << 16), conns: slots.New[conn](1 << 16), byTxn: map[slots.Ref]slots.Ref{},
 		idleMost: time.Duration(idleShare * float64(idle)), dialLimit: dial, makeRoom: makeRoom,
 		load: make([]float64, len(fields))}
 	d.dials.d, d.limits.d = d, d
