--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -58,7 +58,8 @@
 	all
 )
 
-var names = [all]string{"clients opened", "clients closed", "clients evicted", "clients stuck", "clients refused", "txns taken", "txns left",
+var names = [all]string{"clients opened", "clients closed", "clients evicted", "clients stuck",
+	"clients refused", "txns taken", "txns left",
 	"settled", "declined", "voided", "answers unheard", "bad requests", "unknown plans", "unknown products",
 	"bad quotas", "bad framing", "bodies too large", "heads too large", "unknown paths", "unknown methods",
 	"too many held", "ups", "submissions", "connections reused", "dials", "dials failed", "ended settled",
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -86,7 +86,7 @@
 // Sent: the last byte is in the socket; mayRun asks for that when it counts.
 func (c *conn) Sent() {}
 
-// Closed: a connection that ends before the request's last byte is written never ran it.
+// Closed: a connection that ends before a submission's last byte is written never ran it.
 func (c *conn) Closed() {
 	c.drop()
 	s := c.d.subs.Get(c.sub)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -207,23 +207,23 @@
 	}
 }
 
-// doubtful refuses a message whose end can't be told, and with it all that follows.
+// doubtful rejects a message whose end can't be told, and with it all that follows.
 func (c *client) doubtful(err error) {
 	c.last = true
 	switch err {
 	case http1.ErrHead:
-		c.refuse(431, counters.HeadTooLarge, "head too large")
+		c.reject(431, counters.HeadTooLarge, "head too large")
 	case http1.ErrBody:
-		c.refuse(413, counters.TooLarge, "body too large")
+		c.reject(413, counters.TooLarge, "body too large")
 	case http1.ErrFraming:
-		c.refuse(400, counters.BadFraming, "doubtful framing")
+		c.reject(400, counters.BadFraming, "doubtful framing")
 	default:
-		c.refuse(400, counters.BadRequest, "malformed request")
+		c.reject(400, counters.BadRequest, "malformed request")
 	}
 }
 
-// refuse answers what never becomes a txn.
-func (c *client) refuse(status int, why counters.ID, line string) {
+// reject answers what never becomes a txn.
+func (c *client) reject(status int, why counters.ID, line string) {
 	c.in.e.Count.Add(why)
 	c.finish(answer.Bad(c.in.scratch[:0], status, line, c.last))
 }
--- a/internal/intake/txn.go
+++ b/internal/intake/txn.go
@@ -20,22 +20,22 @@
 	switch {
 	case string(path) == "/up":
 		if string(method) != "GET" {
-			c.refuse(405, counters.NoSuchMethod, "GET only")
+			c.reject(405, counters.NoSuchMethod, "GET only")
 			return
 		}
 		c.in.e.Count.Add(counters.Ups)
 		c.finish(answer.Up(c.in.scratch[:0], c.last))
 		return
 	case string(path) != "/api":
-		c.refuse(404, counters.NoSuchPath, "no such path")
+		c.reject(404, counters.NoSuchPath, "no such path")
 		return
 	case string(method) != "GET" && string(method) != "POST":
-		c.refuse(405, counters.NoSuchMethod, "GET or POST")
+		c.reject(405, counters.NoSuchMethod, "GET or POST")
 		return
 	}
 	x, why, line := c.in.read(&c.r, b)
 	if line != "" {
-		c.refuse(400, why, line)
+		c.reject(400, why, line)
 		return
 	}
 	ref, ok := c.in.gate.Take(x, c.in, c.me)
@@ -171,7 +171,7 @@
 	return seen == 7
 }
 
-// AppendTo writes the request that goes on to a backend: method, target, body, id and key as they came.
+// AppendTo writes what goes on to a backend: method, target, body, id and key as they came.
 func (in *Intake) AppendTo(b []byte, who, txn slots.Ref, wait time.Duration) []byte {
 	c := in.clients.Get(who)
 	if c == nil || c.txn != txn || c.l.IsClosed() {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -180,7 +180,7 @@
 // Unwritten counts bytes given to Send that are not yet written to the socket: nought means the last byte is.
 func (l *Link) Unwritten() int { return l.out.Len() + int(l.handed.Load()-l.written.Load()) }
 
-// Clean tells whether an idle connection may carry a request: open, with nothing come unasked.
+// Clean tells whether an idle connection may carry a submission: open, with nothing come unasked.
 func (l *Link) Clean() bool {
 	if l.closed || l.closing || l.c == nil || l.In.Len() > 0 || l.Unwritten() > 0 {
 		return false
