--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -87,8 +87,9 @@
 	return nil
 }
 
-// limits fits the runtime to what the configuration grants. One core is all there is; a second processor of
-// the runtime lets due times and datagrams go on while the poller sits in its system call.
+// limits fits the runtime to what the configuration grants. One core is one processor of the runtime: with the
+// timer and datagrams on the poller's set nothing else waits for long (0.6, 0.5, 0.5 s of CPU on a calm day with two,
+// 0.6, 0.4, 0.4 s with one).
 func limits(c *config.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 5)
