SIGHUP reads the configuration again and moves discovery under load

Cause: cmd/clovergap/serve.go asked for SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP's default ended the process; and the watch of discovery knew one address for life.

Change: SIGHUP loads and checks the file; what is wrong with it is logged in one line and nothing changes. Discovery is watched at the new address beside the old one until the new one has told a whole list, so an address where nobody answers costs no change of the list. Peers' addresses move too; listen, limits and settings that differ are named and wait for a restart. Signals are asked for before the front door is built. The counter's address is not read: it is never called.

Ruled out: keeping the old watch alone (its agent closes after 1.5 s and takes no new connection, so changes would be told late); asking the new address only for what is newer (its versions need not follow the old one's).

A test by stand-ins covers three wrong files, another front door's file, the handover and the signal.

--- a/cmd/clovergap/main.go
+++ b/cmd/clovergap/main.go
@@ -6,14 +6,11 @@
 	"fmt"
 	"os"
 	"runtime/debug"
-	"time"
 
 	"github.com/spf13/pflag"
 
-	"clovergap/control"
 	"clovergap/internal/check"
 	"clovergap/internal/config"
-	"clovergap/internal/discovery"
 )
 
 // version is set by the build where it knows better.
@@ -25,7 +22,8 @@
   clovergap check [--config FILE]    read a configuration and tell what is wrong with it
   clovergap version                  tell the version
 
-The configuration is NODE_CONFIG where no file is named. SIGUSR1 prints the counters, SIGTERM ends in order.
+The configuration is NODE_CONFIG where no file is named. SIGHUP reads it again, SIGUSR1
+prints the counters, SIGTERM ends in order.
 `
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -84,12 +82,9 @@
 	if err != nil {
 		return err
 	}
-	if _, err := control.New(c.Seed, c.Settings, 0); err != nil {
-		return err
-	}
-	known, err := discovery.Read(c.Known, c.Halls, func(time.Time) time.Duration { return 0 })
+	known, err := usable(c)
 	if err != nil {
-		return fmt.Errorf("known: %w", err)
+		return err
 	}
 	fmt.Printf("%s: front door %d of %s, %d products, %d plans, %d backends known, listens on %s\n", path,
 		c.Me, c.Settings["gateways"], len(c.Products), len(c.Plans), len(known.Entries), c.Listen)
--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -18,6 +19,7 @@
 	"clovergap/control"
 	"clovergap/internal/check"
 	"clovergap/internal/config"
+	"clovergap/internal/counters"
 	"clovergap/internal/discovery"
 	"clovergap/internal/dispatch"
 	"clovergap/internal/gate"
@@ -44,6 +46,9 @@
 	intake   *intake.Intake
 	dispatch *dispatch.Dispatch
 	peers    *peers.Peers
+	watch    *discovery.Watch // of the list that counts
+	next     *discovery.Watch // at the address that a new configuration names, until it answers
+	conf     *config.Config
 	log      *zap.Logger
 }
 
@@ -69,16 +74,20 @@
 	defer flush()
 	logging.SetLogger(pollerLog{log.Sugar()})
 	limits(c)
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	f, err := build(c, log)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	for s := range signals {
-		if s == syscall.SIGUSR1 {
+		switch s {
+		case syscall.SIGUSR1:
 			f.tell("counters")
 			continue
+		case syscall.SIGHUP:
+			f.reload(path)
+			continue
 		}
 		f.end()
 		f.tell("ended")
@@ -111,7 +120,7 @@
 
 // build puts the stages together and starts them.
 func build(c *config.Config, log *zap.Logger) (*front, error) {
-	f := &front{log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw)}
+	f := &front{conf: c, log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw)}
 	door, err := control.New(c.Seed, c.Settings, f.e.Now())
 	if err != nil {
 		return nil, err
@@ -152,12 +161,77 @@
 			return nil, err
 		}
 	}
-	watch := discovery.NewWatch(f.e, c.Discovery, c.Halls, f.listed, log)
-	f.e.Turn(watch.Start)
+	f.e.Turn(func() {
+		f.watch = discovery.NewWatch(f.e, c.Discovery, c.Halls, f.listed, log)
+		f.watch.Start()
+	})
 	log.Info("serves", zap.String("name", c.Name), zap.String("listen", c.Listen), zap.Bool("debug", check.Debug))
 	return f, nil
 }
 
+// reload reads the configuration again, under load. A file that can't be read or is wrong changes nothing. What can
+// move while txns are held moves, the rest is named and waits for a restart.
+func (f *front) reload(path string) {
+	c, err := config.Load(path)
+	if err == nil {
+		_, err = usable(c)
+	}
+	if err == nil && (c.Me != f.conf.Me || len(c.Peers) != len(f.conf.Peers)) {
+		err = errors.New("another front door's, or another number of them")
+	}
+	if err != nil {
+		f.e.Turn(func() { f.e.Count.Add(counters.ReloadsBad) })
+		f.log.Error("configuration not taken, the old one stands", zap.Error(err))
+		return
+	}
+	f.e.Turn(func() {
+		f.e.Count.Add(counters.Reloads)
+		f.move(c.Discovery, c.Halls)
+		if f.peers != nil {
+			f.peers.Move(c.Peers, c.Me)
+		}
+	})
+	f.log.Info("configuration taken", zap.String("discovery", c.Discovery),
+		zap.Strings("waits for a restart", f.conf.Fixed(c)))
+}
+
+// move watches discovery at another address as well. The old watch goes on until the new one has told a whole list: an
+// address where nobody answers costs no change of the list.
+func (f *front) move(addr string, halls []string) {
+	if f.next != nil && f.next.Addr() == addr {
+		return
+	}
+	if f.next != nil {
+		f.next.Stop()
+		f.next = nil
+	}
+	if addr == f.watch.Addr() {
+		return
+	}
+	var w *discovery.Watch
+	w = discovery.NewWatch(f.e, addr, halls, func(l discovery.List) {
+		if w == f.next {
+			f.watch.Stop()
+			f.watch, f.next = w, nil
+		}
+		f.listed(l)
+	}, f.log)
+	f.next = w
+	w.Start()
+}
+
+// usable tells what is wrong with a configuration that reads well, and which backends it knows.
+func usable(c *config.Config) (discovery.List, error) {
+	if _, err := control.New(c.Seed, c.Settings, 0); err != nil {
+		return discovery.List{}, err
+	}
+	known, err := discovery.Read(c.Known, c.Halls, func(time.Time) time.Duration { return 0 })
+	if err != nil {
+		return known, fmt.Errorf("known: %w", err)
+	}
+	return known, nil
+}
+
 // listed takes a list to those who go by it.
 func (f *front) listed(l discovery.List) {
 	list := make([]control.Listing, 0, len(l.Entries))
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"sort"
 	"strings"
 	"syscall"
@@ -61,6 +62,21 @@
 
 // open starts a front door before so many backends, of which each does as told for its next request.
 func open(backends, sockets int, s object) *stage {
+	st, text := lay(backends, sockets, s)
+	conf, err := config.Parse(text)
+	if err != nil {
+		fmt.Println(err)
+		return nil
+	}
+	st.f, err = build(conf, zap.NewNop())
+	if err != nil {
+		fmt.Println(err)
+	}
+	return st
+}
+
+// lay makes the stand-ins and the configuration that names them.
+func lay(backends, sockets int, s object) (*stage, []byte) {
 	st := &stage{agent: newAgent()}
 	var list []object
 	for i := 0; i < backends; i++ {
@@ -75,16 +91,7 @@
 		"peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:1", peer, "127.0.0.1:2"},
 		"known": object{"rev": 1, "all": true, "targets": list}, "settings": s}
 	text, _ := json.Marshal(c)
-	conf, err := config.Parse(text)
-	if err != nil {
-		fmt.Println(err)
-		return nil
-	}
-	st.f, err = build(conf, zap.NewNop())
-	if err != nil {
-		fmt.Println(err)
-	}
-	return st
+	return st, text
 }
 
 func (st *stage) close() {
@@ -684,6 +691,66 @@
 	// held 0 new ones refused: true
 }
 
+// A new configuration under way moves discovery; one that is wrong changes nothing; SIGHUP asks for it.
+func Example_reload() {
+	was, now := os.Stderr, newAgent()
+	os.Stderr, _ = os.Open(os.DevNull)
+	defer func() { os.Stderr = was }()
+	path := filepath.Join(os.TempDir(), fmt.Sprint("clovergap-test-", os.Getpid()))
+	defer os.Remove(path)
+	st, text := lay(1, 1024, settings(1, 20))
+	conf, _ := config.Parse(text)
+	st.f, _ = build(conf, zap.NewNop())
+	old, listed := st.agent.l.Addr().String(), target(0, st.backends[0].l.Addr().String(), "Ready")
+	write := func(old, new string) {
+		os.WriteFile(path, []byte(strings.Replace(string(text), old, new, 1)), 0o600)
+	}
+	x := st.agent.call()
+	x.list(41, true, listed)
+	x = st.agent.call()
+	for _, wrong := range [][2]string{{"{", ""}, {`"cold":1000000`, `"cold":"x"`}, {old, "nowhere"}, {`"me":0`, `"me":1`}} {
+		write(wrong[0], wrong[1])
+		st.f.reload(path)
+	}
+	fmt.Println("bad", st.count(counters.ReloadsBad), "good", st.count(counters.Reloads))
+	fmt.Println("# the old watch goes on until the new one is told")
+	write(old, now.l.Addr().String())
+	st.f.reload(path)
+	y := now.call()
+	x.list(42, false)
+	x = st.agent.call()
+	y.list(43, true, listed)
+	now.call()
+	x.c.SetReadDeadline(time.Now().Add(patience))
+	_, err := x.c.Read(make([]byte, 1))
+	fmt.Println("the old watch:", err)
+	st.close()
+	fmt.Println("# by signal")
+	st, text = lay(1, 1024, settings(1, 20))
+	write("{", "{")
+	ended := make(chan error)
+	go func() { ended <- serve(path) }()
+	st.agent.call()
+	write(st.agent.l.Addr().String(), now.l.Addr().String())
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	now.call()
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	fmt.Println("ended:", <-ended)
+	// Output:
+	// asked: /discovery/hosts
+	// asked: /discovery/hosts?after=41&wait_ms=10000
+	// bad 4 good 0
+	// # the old watch goes on until the new one is told
+	// asked: /discovery/hosts
+	// asked: /discovery/hosts?after=42&wait_ms=10000
+	// asked: /discovery/hosts?after=43&wait_ms=10000
+	// the old watch: EOF
+	// # by signal
+	// asked: /discovery/hosts
+	// asked: /discovery/hosts
+	// ended: <nil>
+}
+
 func Example_commands() {
 	was := os.Stderr
 	os.Stderr, _ = os.Open(os.DevNull)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"strconv"
@@ -139,6 +140,21 @@
 	return c, nil
 }
 
+// Fixed names what another configuration has otherwise and only a restart can change.
+func (c *Config) Fixed(other *Config) (names []string) {
+	for _, x := range []struct {
+		name string
+		same bool
+	}{{"listen", c.Listen == other.Listen}, {"peer_listen", c.PeerListen == other.PeerListen},
+		{"limits", c.Cores == other.Cores && c.MemoryMB == other.MemoryMB && c.Sockets == other.Sockets},
+		{"settings", maps.Equal(c.Settings, other.Settings)}} {
+		if !x.same {
+			names = append(names, x.name)
+		}
+	}
+	return names
+}
+
 func (c *Config) peers(all []string) error {
 	if _, err := netip.ParseAddrPort(c.PeerListen); err != nil {
 		return fmt.Errorf("peer_listen: not an address with a port: %q", c.PeerListen)
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -46,6 +46,8 @@
 	EndNotSent
 	BadAnswer
 	BackendsEvicted
+	Reloads
+	ReloadsBad
 	ListsTaken
 	ListsBad
 	WatchesLost
@@ -64,7 +66,8 @@
 	"bad quotas", "bad framing", "bodies too large", "heads too large", "unknown paths", "unknown methods",
 	"too many held", "ups", "submissions", "connections reused", "dials", "dials failed", "ended settled",
 	"ended errored", "ended full", "ended timed out", "ended unreachable", "ended broken", "ended called off",
-	"ended not sent", "bad answers", "backend connections evicted", "lists taken", "lists bad", "watches lost",
+	"ended not sent", "bad answers", "backend connections evicted", "configurations taken",
+	"configurations bad", "lists taken", "lists bad", "watches lost",
 	"mails sent", "mails taken", "mails bad", "mails unsent", "accept errors", "turns"}
 
 // Set is one front door's counters. One owner at a time counts.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -43,6 +43,18 @@
 // Start begins to watch.
 func (w *Watch) Start() { w.dial() }
 
+// Stop ends it; nothing is told of any more.
+func (w *Watch) Stop() {
+	w.call++
+	if w.l != nil {
+		w.l.Close()
+		w.l = nil
+	}
+}
+
+// Addr is where it asks.
+func (w *Watch) Addr() string { return w.addr }
+
 func (w *Watch) dial() {
 	w.call++
 	w.r.Reset()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,16 +28,22 @@
 // New makes one for the addresses in the order of the front doors' numbers; heard is told of what comes.
 func New(e *link.Engine, listen string, addrs []netip.AddrPort, me int,
 	heard func(control.GatewayID, []byte)) (*Peers, error) {
-	p := &Peers{e: e, fd: -1, ids: map[netip.AddrPort]control.GatewayID{}, heard: heard}
+	p := &Peers{e: e, fd: -1, heard: heard}
+	p.Move(addrs, me)
+	var err error
+	p.listen, err = netip.ParseAddrPort(listen)
+	return p, err
+}
+
+// Move says where the others are from now on.
+func (p *Peers) Move(addrs []netip.AddrPort, me int) {
+	p.ids, p.addrs = map[netip.AddrPort]control.GatewayID{}, nil
 	for i, a := range addrs {
 		if i != me {
 			p.ids[a] = control.GatewayID(i)
 		}
 		p.addrs = append(p.addrs, sockaddr(a))
 	}
-	var err error
-	p.listen, err = netip.ParseAddrPort(listen)
-	return p, err
 }
 
 func sockaddr(a netip.AddrPort) syscall.Sockaddr {
