Bad clients get an error or a close in time, and take no room from the usual ones

Now one look at all clients four times a second closes what had its time: 2 s for a message, 5 s for an answer or between messages. - a full house let go the client idle longest, thus usual ones, and kept strangers that had never brought a message (intake.Evict). Strangers go first now. - clients were bounded by two a megabyte: 64 at 32 MB, under the third of 256 descriptors that usual ones may hold. Now by descriptors alone; what rings of incoming bytes may grow to is one sum, a quarter of the memory. - noise was read up to its bound or a time limit (http1.head looked for the end of the head first). Lines are now checked as they come. Bytes behind a message that begin no message show a wrong length: 400, nothing passed on. Two lengths are doubtful even if alike. - units up to a million and none at all passed (txn.quota); now up to the settings' largest. A method that the class does not have, or a body on a GET, is rejected: a backend's rejection would count against that backend. - two open txns could bear the same id; the second now gets 400, the open one goes on. - after a last answer the program read whatever still came for a second, 60 MB too; now 64 KiB. A usual client slower than these bounds loses a connection, not a txn: the socket is asked for unread bytes first.

--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -105,11 +105,9 @@
 	debug.SetGCPercent(400)
 }
 
-// clientsAt bounds clients: half of the descriptors, since each txn may need one to a backend as well, and no
-// more than memory bears with a body of 64 KiB under way for each, in and out.
-func clientsAt(c *config.Config, room int) int { return max(1, min(room/2, c.MemoryMB*clientsPerMB)) }
-
-const clientsPerMB = 2
+// clientShare of the descriptors are clients' at most, since each txn may need one to a backend as well. ringShare of
+// the memory holds what comes in; what one connection has under way for certain is small.
+const clientShare, ringShare = 2, 4
 
 // logger writes to standard error by way of a buffer: a reader that stalls holds up no txn.
 func logger() (*zap.Logger, func()) {
@@ -120,7 +118,7 @@
 
 // build puts the stages together and starts them.
 func build(c *config.Config, log *zap.Logger) (*front, error) {
-	f := &front{conf: c, log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw)}
+	f := &front{conf: c, log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw, c.MemoryMB<<20/ringShare)}
 	door, err := control.New(c.Seed, c.Settings, f.e.Now())
 	if err != nil {
 		return nil, err
@@ -132,10 +130,9 @@
 	k := &clock{Engine: f.e}
 	f.gate = gate.New(door, k, min(c.MostHeld, c.Sockets), f.e.Count, log)
 	k.due = f.gate
-	clients := clientsAt(c, f.e.Room())
+	clients := max(1, f.e.Room()/clientShare)
 	f.dispatch = dispatch.New(f.e, f.gate, c.Fields, c.ConnIdle, c.DialLimit, func() bool { return f.intake.Evict() })
-	f.intake = intake.New(f.e, f.gate, c.Products, c.Plans, max(len(c.Peers), 1), clients,
-		func() bool { return f.dispatch.Evict(nil) })
+	f.intake = intake.New(f.e, f.gate, c, clients, func() bool { return f.dispatch.Evict(nil) })
 	var tell gate.Teller = quiet{}
 	if len(c.Peers) > 0 {
 		if f.peers, err = peers.New(f.e, c.PeerListen, c.Peers, c.Me, f.gate.Heard); err != nil {
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -448,13 +448,15 @@
 	swap := func(old, new string) string { return strings.Replace(good, old, new, 1) + "\r\n" }
 	for _, text := range []string{"NONSENSE\r\n\r\n", "GET /api HTTP/2.0\r\n\r\n", "GET /api HTTP/1.1\r\nA b: c\r\n\r\n",
 		good + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", good + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+		good + "Content-Length: 2\r\n\r\nabcdef", txn("c", "bid") + "Content-Length: 2\r\n\r\nabc def",
 		good + "Content-Length: -1\r\n\r\n", good + "Transfer-Encoding: gzip\r\n\r\n",
 		good + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", good + "Content-Length: 65537\r\n\r\n",
 		good + "Transfer-Encoding: chunked\r\n\r\n10001\r\n", good + "X: " + strings.Repeat("x", 9000) + "\r\n\r\n",
 		swap("/api", "/other"), swap("GET", "DELETE"), swap("Req-Id: c", "Req-Id: "), swap("Req-Id: c", "Req-Id: c\r\nReq-Id: d"),
 		swap("read", "write"), swap("team", "crew"), swap("b4d65521", "b4d6552"), swap("00000000b4d65521", "0000000200000000"),
 		swap("00000000b4d65521", "00000000B4d6552g"), swap("60000m", "60000"), swap("60000m", "-1m"), swap("60000m", "0m"),
-		swap("units=1", "units=nan"), swap("spread=1", "spread=4"), swap("first=0", "first=3"), swap(",first=0", ""),
+		swap("GET", "POST"), good + "Content-Length: 1\r\n\r\na", swap("units=1", "units=nan"), swap("units=1", "units=0"),
+		swap("units=1", "units=5"), swap("units=1", "units=-1"), swap("spread=1", "spread=4"), swap("first=0", "first=3"), swap(",first=0", ""),
 		swap("X-Quota", "X-Quote"), strings.Replace(txn("c", "bid"), "Idempotency-Key", "Key", 1) + "\r\n"} {
 		c := st.client()
 		c.send(text)
@@ -471,6 +473,8 @@
 	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
 	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
 	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
+	// HTTP/1.1 400 Bad Request, Connection: close doubtful framing
 	// HTTP/1.1 413 Content Too Large, Connection: close body too large
 	// HTTP/1.1 413 Content Too Large, Connection: close body too large
 	// HTTP/1.1 431 Request Header Fields Too Large, Connection: close head too large
@@ -486,6 +490,11 @@
 	// HTTP/1.1 400 Bad Request req-deadline: a number and m or u
 	// HTTP/1.1 400 Bad Request req-deadline: a number and m or u
 	// HTTP/1.1 400 Bad Request req-deadline: a number and m or u
+	// HTTP/1.1 400 Bad Request req-kind: not by this method
+	// HTTP/1.1 400 Bad Request req-kind: not by this method
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
+	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
 	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
 	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
 	// HTTP/1.1 400 Bad Request x-quota: units, spread and first
@@ -495,6 +504,43 @@
 	// txns 0 dials 0
 }
 
+// Clients that do nothing, or begin something and go no further, are let go in time; an id that is open elsewhere gets
+// an error and the open one goes on.
+func Example_rude() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	busy, silent, half, once, long := st.client(), st.client(), st.client(), st.client(), st.client()
+	half.send("GET /api HTT")
+	long.send(txn("b", "bid") + "Content-Length: 60000000\r\n\r\nsome")
+	once.send("GET /up HTTP/1.1\r\n\r\n")
+	once.show()
+	busy.send(txn("r", "bid") + "\r\n")
+	x := st.backends[0].next()
+	again := st.client()
+	again.send(txn("r", "bid") + "\r\n")
+	again.show()
+	long.show()
+	for _, c := range []*client{silent, half, once} {
+		c.show()
+	}
+	fmt.Println("stuck", st.count(counters.ClientsStuck), "idle", st.count(counters.ClientsIdle) >= 2)
+	x.answer(ok("the open one"))
+	busy.show()
+	busy.send(txn("r", "bid") + "\r\n")
+	st.backends[0].next().answer(ok("free again"))
+	busy.show()
+	// Output:
+	// HTTP/1.1 200 OK up
+	// HTTP/1.1 400 Bad Request req-id: of a request that is still open
+	// HTTP/1.1 413 Content Too Large, Connection: close body too large
+	// connection ended
+	// connection ended
+	// connection ended
+	// stuck 1 idle true
+	// HTTP/1.1 200 OK the open one
+	// HTTP/1.1 200 OK free again
+}
+
 // Bodies at their bound, both ways, with a client that reads late: one ring a direction holds them.
 func Example_largest() {
 	st := open(1, 1024, settings(1, 20))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,12 +35,14 @@
 	ConnIdle   time.Duration
 	DialLimit  time.Duration
 	MostHeld   int
+	MostUnits  float64 // of a txn
 }
 
 // Product is what intake needs to know of one.
 type Product struct {
 	Name  string
-	Keyed bool
+	Keyed bool // carries a key
+	Safe  bool // may run again
 }
 
 // form is the file's.
@@ -111,7 +113,7 @@
 	}
 	c.Halls, c.Fields = known.Dcs, known.Report.Fields
 	for _, p := range known.RequestClasses {
-		c.Products = append(c.Products, Product{p.Name, values[p.Effect] == "referenced"})
+		c.Products = append(c.Products, Product{p.Name, values[p.Effect] == "referenced", values[p.Effect] == "inquiry-like"})
 	}
 	for _, p := range known.Plans {
 		c.Plans = append(c.Plans, p.Name)
@@ -134,6 +136,9 @@
 		}
 		*n.to = time.Duration(us) * time.Microsecond
 	}
+	if c.MostUnits, err = strconv.ParseFloat(c.Settings["quota.most_units"], 64); err != nil || !(c.MostUnits > 0) {
+		return nil, fmt.Errorf("setting quota.most_units: not a number over 0")
+	}
 	if c.Settings["limits.peers"] == "true" {
 		return c, c.peers(f.Peers)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,7 +11,7 @@
  "known":{},"settings":{"balancers":2,"me":1,"dcs":["a","b c"],"report":{"how":"answers","fields":["tps","concurrent"]},
  "ceilings":{"peers":true,"connIdle":30000000,"dialTimeout":250000,"mostHeld":20},
  "requestClasses":[{"name":"r","effect":"idempotent"},{"name":"k","effect":"deduplicated"}],
- "plans":[{"name":"p","refill":0.5}]}}`
+ "extra":{"mostUnits":2},"plans":[{"name":"p","refill":0.5}]}}`
 
 func Example() {
 	c, err := Parse([]byte(file))
@@ -25,7 +25,7 @@
 	fmt.Println("# the drill's lines go through the same tables")
 	fmt.Println(Lines("requestClasses.0.effect=idempotent\nplans.0.refill=0.5\nrubbish"))
 	// Output:
-	// <nil> -72057594037927935 1 [127.0.0.1:1 127.0.0.1:2] 30s 250ms [{r false} {k true}] [p] [a b c] [tps concurrent]
+	// <nil> -72057594037927935 1 [127.0.0.1:1 127.0.0.1:2] 30s 250ms [{r false true} {k true false}] [p] [a b c] [tps concurrent]
 	// gateways=2
 	// halls=a,b_c
 	// limits.conn_idle=30000000
@@ -41,6 +41,7 @@
 	// products.1.effect=referenced
 	// products.1.name=k
 	// products.count=2
+	// quota.most_units=2
 	// report.fields=per_s,inflight
 	// report.how=answers
 	// # the drill's lines go through the same tables
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -14,6 +14,7 @@
 	ClientsClosed
 	ClientsEvicted
 	ClientsStuck
+	ClientsIdle
 	ClientsRefused
 	TxnsTaken
 	TxnsLeft
@@ -25,9 +26,11 @@
 	BadPlan
 	BadProduct
 	BadQuota
+	BadID
 	BadFraming
 	TooLarge
 	HeadTooLarge
+	NoMemory
 	NoSuchPath
 	NoSuchMethod
 	TooMany
@@ -61,9 +64,10 @@
 )
 
 var names = [all]string{"clients opened", "clients closed", "clients evicted", "clients stuck",
-	"clients refused", "txns taken", "txns left",
+	"clients idle", "clients refused", "txns taken", "txns left",
 	"settled", "declined", "voided", "answers unheard", "bad requests", "unknown plans", "unknown products",
-	"bad quotas", "bad framing", "bodies too large", "heads too large", "unknown paths", "unknown methods",
+	"bad quotas", "ids of open txns", "bad framing", "bodies too large", "heads too large",
+	"without memory", "unknown paths", "unknown methods",
 	"too many held", "ups", "submissions", "connections reused", "dials", "dials failed", "ended settled",
 	"ended errored", "ended full", "ended timed out", "ended unreachable", "ended broken", "ended called off",
 	"ended not sent", "bad answers", "backend connections evicted", "configurations taken",
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -20,6 +20,7 @@
 	MostHead    = 8 << 10
 	MostBody    = 64 << 10
 	mostHeaders = 64
+	mostMethod  = 16
 	// MostRaw holds any message that is taken: chunked ones with a fair overhead.
 	MostRaw = MostHead + MostBody + 16<<10
 )
@@ -36,7 +37,9 @@
 	response bool
 	// of the present message
 	state    int
-	seen     int // bytes searched for the head's end
+	seen     int  // bytes searched for a line's end
+	line     int  // where the present line of the head begins
+	started  bool // the first line is read
 	first    [3]span
 	minor    byte
 	headers  []header
@@ -66,9 +69,6 @@
 	*r = Reader{response: r.response, headers: r.headers[:0]}
 }
 
-// Begun tells whether any of a message has been looked at.
-func (r *Reader) Begun() bool { return r.state != inHead || r.seen > 0 }
-
 // Read looks at all bytes from the message's first on. It tells how many bytes the message takes, once whole.
 // A chunked body is put together in place.
 func (r *Reader) Read(b []byte) (size int, whole bool, err error) {
@@ -95,40 +95,77 @@
 	return r.at, true, nil
 }
 
-// head parses the head once it is whole and gives its length.
+// head parses the head line by line as it comes and gives its length once whole. What can't become a message is
+// told at the first bytes that show it: noise without an end would else hold its connection, and what waits for an
+// answer on it, until a time limit. Covers noise, binary data and bare line feeds; a sender so slow that a line comes
+// in pieces is not hurt.
 func (r *Reader) head(b []byte) (int, error) {
-	lead := 0
-	for !r.response && lead+1 < len(b) && b[lead] == '\r' && b[lead+1] == '\n' {
-		lead += 2 // empty lines before a request are passed over
-	}
-	from := max(lead, r.seen-3)
-	i := bytes.Index(b[min(from, len(b)):], []byte("\r\n\r\n"))
-	if i < 0 {
-		if r.seen = len(b); r.seen > MostHead {
+	for {
+		i := bytes.IndexByte(b[r.seen:], '\n')
+		if i < 0 {
+			r.seen = len(b)
+			if !r.begins(b[r.line:]) {
+				return 0, ErrMalformed
+			}
+			if r.seen > MostHead {
+				return 0, ErrHead
+			}
+			return 0, nil
+		}
+		end := r.seen + i + 1
+		if end > MostHead {
 			return 0, ErrHead
 		}
-		return 0, nil
-	}
-	end := from + i + 4
-	if end > MostHead {
-		return 0, ErrHead
-	}
-	line := lead + bytes.Index(b[lead:end], []byte("\r\n"))
-	if r.response {
-		if !r.statusLine(b, span{lead, line}) {
+		l := span{r.line, end - 2}
+		if l.to < l.from || b[l.to] != '\r' {
 			return 0, ErrMalformed
 		}
-	} else if !r.requestLine(b, span{lead, line}) {
-		return 0, ErrMalformed
-	}
-	for at := line + 2; at < end-2; {
-		to := at + bytes.Index(b[at:end], []byte("\r\n"))
-		if !r.header(b, span{at, to}) {
+		r.seen, r.line = end, end
+		switch {
+		case l.from == l.to && r.started:
+			return end, r.framing(b)
+		case l.from == l.to && !r.response: // empty lines before a request are passed over
+		case !r.started:
+			if r.response && !r.statusLine(b, l) || !r.response && !r.requestLine(b, l) {
+				return 0, ErrMalformed
+			}
+			r.started = true
+		case len(r.headers) == mostHeaders:
+			return 0, ErrHead
+		case !r.header(b, l):
 			return 0, ErrMalformed
 		}
-		at = to + 2
 	}
-	return end, r.framing(b)
+}
+
+// begins tells whether the bytes of a line that is not whole may still become one.
+func (r *Reader) begins(line []byte) bool {
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	switch i := bytes.IndexByte(line, ' '); {
+	case r.started:
+	case r.response:
+		const form = "HTTP/1."
+		n := min(len(line), len(form))
+		if string(line[:n]) != form[:n] {
+			return false
+		}
+	case i >= 0:
+		return i <= mostMethod && isToken(line[:i]) && clean(line)
+	case len(line) > 0:
+		return len(line) <= mostMethod && isToken(line)
+	}
+	return clean(line)
+}
+
+// MayBegin tells whether a request to this front door may begin with such bytes.
+func MayBegin(b []byte) bool {
+	b = bytes.TrimLeft(b, "\r\n")
+	for _, form := range []string{"GET /", "POST /"} {
+		if n := min(len(b), len(form)); string(b[:n]) == form[:n] {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Reader) version(v []byte) bool {
@@ -142,7 +179,7 @@
 func (r *Reader) requestLine(b []byte, l span) bool {
 	line := l.of(b)
 	i, j := bytes.IndexByte(line, ' '), bytes.LastIndexByte(line, ' ')
-	if i <= 0 || j <= i+1 || !r.version(line[j+1:]) || !isToken(line[:i]) {
+	if i <= 0 || i > mostMethod || j <= i+1 || !r.version(line[j+1:]) || !isToken(line[:i]) {
 		return false
 	}
 	for _, c := range line[i+1 : j] {
@@ -167,7 +204,7 @@
 func (r *Reader) header(b []byte, l span) bool {
 	line := l.of(b)
 	i := bytes.IndexByte(line, ':')
-	if i <= 0 || !isToken(line[:i]) || len(r.headers) == mostHeaders {
+	if i <= 0 || !isToken(line[:i]) {
 		return false
 	}
 	h := header{span{l.from, l.from + i}, span{l.from + i + 1, l.to}}
@@ -177,10 +214,8 @@
 	for h.value.to > h.value.from && isBlank(b[h.value.to-1]) {
 		h.value.to--
 	}
-	for _, c := range h.value.of(b) {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
+	if !clean(h.value.of(b)) {
+		return false
 	}
 	r.headers = append(r.headers, h)
 	return true
@@ -194,7 +229,7 @@
 		switch name := h.name.of(b); {
 		case Same(name, "content-length"):
 			n, ok := Number(value, 1<<40)
-			if !ok || lengths >= 0 && lengths != n {
+			if !ok || lengths >= 0 { // two readers could take two of them differently, be they alike
 				return ErrFraming
 			}
 			lengths = n
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -38,6 +39,12 @@
 	"GET /a HTTP/1.1\r\na: b\x00\r\n\r\n",
 	"GET  HTTP/1.1\r\n\r\n",
 	"G T /a HTTP/1.1\r\n\r\n",
+	// what can't become a message is told before its end has come
+	"\x16\x03\x01\x02",
+	"nomethodisaslongasthis",
+	"GET /a HTTP/1.1\nHost: x",
+	"GET /a HTTP/1.1\r\nHost: x\x00",
+	"GET /a HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", 65),
 }
 
 func Example_requests() {
@@ -54,7 +61,7 @@
 	// GET /a?b=c 0 "" closes false, 0 left
 	// GET / 0 "" closes true, 0 left
 	// POST /a 0 "abc" closes true, 3 left
-	// POST /a 0 "abc" closes false, 0 left
+	// doubtful framing
 	// POST /a 0 "abc0123456789" closes false, 1 left
 	// doubtful framing
 	// doubtful framing
@@ -64,6 +71,11 @@
 	// malformed message
 	// malformed message
 	// malformed message
+	// malformed message
+	// malformed message
+	// malformed message
+	// malformed message
+	// head too large
 	// # a reader is used again
 	// GET /a?b=c 0 "" closes false, 0 left
 }
@@ -77,6 +89,9 @@
 		"HTTP/1.1 20 OK\r\n\r\n",
 		"HTTP/1.1 200OK\r\n\r\n",
 		"SSH-2.0-x\r\n\r\n",
+		"noise",
+		"HTTP/1.1 200 OK\r\nno header\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
 	} {
 		r := Responses()
 		fmt.Println(pieces(&r, text, 3))
@@ -89,6 +104,9 @@
 	// malformed message
 	// malformed message
 	// malformed message
+	// malformed message
+	// malformed message
+	// body too large
 }
 
 func Example_seconds() {
@@ -111,6 +129,9 @@
 		one, many := Requests(), Requests()
 		whole := pieces(&one, text, max(len(text), 1))
 		cut := pieces(&many, text, max(step, 1))
+		if cut == ErrMalformed.Error() && whole == ErrHead.Error() {
+			return // in pieces it shows before the bound is reached
+		}
 		if whole != cut {
 			t.Fatalf("at once %s, in pieces %s", whole, cut)
 		}
@@ -119,6 +140,8 @@
 
 func FuzzResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("\x00noise\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r := Responses()
 		b := bytes.Clone(text)
--- a/internal/http1/words.go
+++ b/internal/http1/words.go
@@ -20,6 +20,16 @@
 	return len(b) > 0
 }
 
+// clean tells that there are no control characters but blanks.
+func clean(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 // Same compares without regard to case; word is in lower case.
 func Same(b []byte, word string) bool {
 	if len(b) != len(word) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,10 +26,12 @@
 	gate     Gate
 	clients  *slots.Table[client]
 	products map[string]control.ProductID
-	keyed    []bool // by product: it carries a key
+	kinds    []config.Product
 	plans    map[string]control.PlanID
+	open     map[string]slots.Ref // ids of txns that are held, and by which client
 	gateways int
-	most     int // clients at a time
+	units    float64 // of a txn, at most
+	most     int     // clients at a time
 	makeRoom func() bool
 	draining bool
 	scratch  []byte
@@ -37,23 +39,25 @@
 
 // New makes one that holds at most so many clients. makeRoom gives back a descriptor that another stage does
 // not need.
-func New(e *link.Engine, g Gate, products []config.Product, plans []string, gateways, most int, makeRoom func() bool) *Intake {
+func New(e *link.Engine, g Gate, c *config.Config, most int, makeRoom func() bool) *Intake {
 	in := &Intake{e: e, gate: g, clients: slots.New[client](most), products: map[string]control.ProductID{},
-		plans: map[string]control.PlanID{}, gateways: gateways, most: most, makeRoom: makeRoom}
-	for i, p := range products {
+		plans: map[string]control.PlanID{}, open: map[string]slots.Ref{}, gateways: max(len(c.Peers), 1),
+		units: c.MostUnits, most: most, makeRoom: makeRoom}
+	for i, p := range c.Products {
 		in.products[p.Name] = control.ProductID(i)
-		in.keyed = append(in.keyed, p.Keyed)
+		in.kinds = append(in.kinds, p)
 	}
-	for i, p := range plans {
+	for i, p := range c.Plans {
 		in.plans[p] = control.PlanID(i)
 	}
+	e.At(e.Now()+sweepEvery, in, 0)
 	return in
 }
 
-// Accept takes a new connection. When as many as may be are open, the one idle longest goes.
+// Accept takes a new connection. When as many as may be are open, one that does nothing goes.
 func (in *Intake) Accept(l *link.Link) {
 	in.e.Count.Add(counters.ClientsOpened)
-	if in.clients.Held() >= in.most && !in.Evict() || in.e.Room() < 0 && !in.makeRoom() && !in.Evict() {
+	if in.clients.Held() >= in.most && !in.Evict() || in.e.Room() < 0 && !in.Evict() && !in.makeRoom() {
 		l.CloseSoon()
 		in.e.Count.Add(counters.ClientsRefused)
 		return
@@ -64,23 +68,31 @@
 		in.e.Count.Add(counters.ClientsRefused)
 		return
 	}
-	*c = client{in: in, l: l, me: ref, r: http1.Requests(), idleAt: in.e.Now()}
+	*c = client{in: in, l: l, me: ref, r: http1.Requests(), since: in.e.Now()}
 	l.Own(c)
 }
 
-// Evict closes the client that has been idle longest.
+// Evict closes the connection that is worth least: one that never brought a whole message and had a moment for it,
+// before the one idle longest. One that has a txn, or may have one unread, stays.
 func (in *Intake) Evict() bool {
-	var oldest *client
+	var least *client
+	strange := func(c *client) bool { return c.nr == 0 && in.e.Now()-c.since > moment }
 	in.clients.Each(func(_ slots.Ref, c *client) {
-		if c.idle() && (oldest == nil || c.idleAt < oldest.idleAt) && c.l.Clean() {
-			oldest = c
+		if c.busy || !strange(c) && !c.idle() {
+			return
+		}
+		if least != nil && (strange(least) && !strange(c) || strange(least) == strange(c) && least.since <= c.since) {
+			return
+		}
+		if c.l.In.Len() > 0 || c.l.Clean() {
+			least = c
 		}
 	})
-	if oldest == nil {
+	if least == nil {
 		return false
 	}
 	in.e.Count.Add(counters.ClientsEvicted)
-	oldest.close()
+	least.close()
 	return true
 }
 
@@ -107,44 +119,50 @@
 	busy    bool
 	size    int // bytes of the present message
 	last    bool
-	idleAt  time.Duration
-	nr      uint32 // of the message
+	since   time.Duration // connected, or the last answer, or the first bytes of a message
+	nr      uint32        // of the message
+	begun   bool          // some of the present message has come
 	reading bool
-	stuck   bool   // a due time watches
-	seen    uint32 // the message that it watches
+	id      string // of the txn that is held
 }
 
-// stuckAfter ends a connection whose next message has begun and does not become whole, or whose answer is not
-// read: it would keep its memory and its descriptor for good.
-const stuckAfter = 10 * time.Second
-
-// watch asks to look at a message, or an answer, that is not whole yet.
-func (c *client) watch() {
-	if !c.stuck {
-		c.stuck, c.seen = true, c.nr
-		c.in.e.At(c.in.e.Now()+stuckAfter, c.in, uint32(c.me))
-	}
-}
+// Bounds on clients that do nothing. They meet whatever keeps a descriptor and memory for nothing: silent ones, heads
+// and bodies that do not end, answers that are not read, clients that asked once and stay. A usual client that is
+// slower than these loses nothing but its connection.
+const (
+	sweepEvery = 250 * time.Millisecond
+	moment     = 100 * time.Millisecond // a client that connects has something to say by then
+	wholeIn    = 2 * time.Second        // a message, from its first byte, or from the connection's start
+	readIn     = 5 * time.Second        // an answer
+	idleMost   = 5 * time.Second        // between messages
+)
 
-// Live and Due are the engine's: a connection that was watched.
-func (in *Intake) Live(who uint32) bool { return in.clients.Get(slots.Ref(who)) != nil }
+// Live and Due are the engine's: it is time to look at all clients.
+func (in *Intake) Live(uint32) bool { return true }
 
-// Due: a message that was not whole has had its time.
-func (in *Intake) Due(who uint32) {
-	c := in.clients.Get(slots.Ref(who))
-	if c == nil {
-		return
-	}
-	c.stuck = false
-	if c.busy || c.idle() {
-		return
-	}
-	if c.nr == c.seen {
-		in.e.Count.Add(counters.ClientsStuck)
+// Due closes connections that have had their time.
+func (in *Intake) Due(uint32) {
+	in.e.At(in.e.Now()+sweepEvery, in, 0)
+	in.clients.Each(func(_ slots.Ref, c *client) {
+		most := wholeIn
+		switch {
+		case c.busy:
+			return
+		case c.l.Unwritten() > 0:
+			most = readIn
+		case !c.begun && c.nr > 0:
+			most = idleMost
+		}
+		if in.e.Now()-c.since < most || !c.begun && c.l.Unwritten() == 0 && !c.l.Clean() {
+			return
+		}
+		if c.idle() {
+			in.e.Count.Add(counters.ClientsIdle)
+		} else {
+			in.e.Count.Add(counters.ClientsStuck)
+		}
 		c.close()
-		return
-	}
-	c.watch()
+	})
 }
 
 // idle: between txns, with nothing of the next read yet. Where the connection is to be closed, Clean asks the
@@ -157,12 +175,21 @@
 }
 
 func (c *client) drop() {
+	c.release()
 	if c.in.clients.Get(c.me) == c {
 		c.in.e.Count.Add(counters.ClientsClosed)
 		c.in.clients.Drop(c.me)
 	}
 }
 
+// release gives a txn's id free.
+func (c *client) release() {
+	if c.id != "" {
+		delete(c.in.open, c.id)
+		c.id = ""
+	}
+}
+
 // Closed: the client has gone away.
 func (c *client) Closed() {
 	txn := c.txn
@@ -187,9 +214,11 @@
 	defer func() { c.reading = false }()
 	for !c.busy && !c.l.IsClosed() && c.l.In.Len() > 0 {
 		if c.l.Unwritten() > 0 { // one answer at a time
-			c.watch()
 			return
 		}
+		if !c.begun {
+			c.begun, c.since = true, c.in.e.Now()
+		}
 		size, whole, err := c.r.Read(c.l.In.Linear())
 		if err != nil {
 			c.doubtful(err)
@@ -198,8 +227,10 @@
 		if !whole {
 			if c.l.In.Room() == 0 {
 				c.doubtful(http1.ErrBody)
+			} else if c.l.Full() {
+				c.last = true
+				c.reject(503, counters.NoMemory, "no memory for it now")
 			}
-			c.watch()
 			return
 		}
 		c.busy, c.size, c.last = true, size, c.r.Closes || c.in.draining
@@ -231,23 +262,21 @@
 // finish writes an answer and makes ready for the next message.
 func (c *client) finish(b []byte) {
 	c.in.scratch = b
-	c.txn, c.busy = 0, false
+	c.release()
+	c.txn, c.busy, c.begun = 0, false, false
 	if c.l.IsClosed() {
 		c.in.e.Count.Add(counters.Unheard)
 		return
 	}
 	c.l.In.Drop(min(c.size, c.l.In.Len()))
 	c.r.Reset()
-	c.size, c.idleAt, c.nr = 0, c.in.e.Now(), c.nr+1
+	c.size, c.since, c.nr = 0, c.in.e.Now(), c.nr+1
 	c.l.Send(b)
 	if c.last && !c.l.IsClosed() {
 		c.l.CloseSent()
 		c.drop()
 		return
 	}
-	if c.l.Unwritten() > 0 {
-		c.watch()
-	}
 	c.l.Resume()
 	c.Data()
 }
--- a/internal/intake/txn.go
+++ b/internal/intake/txn.go
@@ -33,17 +33,29 @@
 		c.reject(405, counters.NoSuchMethod, "GET or POST")
 		return
 	}
+	// Bytes behind a message that no message begins with show that its length was wrong: what went on would not be
+	// what the client meant.
+	if rest := b[c.size:]; len(rest) > 0 && !http1.MayBegin(rest) {
+		c.doubtful(http1.ErrFraming)
+		return
+	}
 	x, why, line := c.in.read(&c.r, b)
 	if line != "" {
 		c.reject(400, why, line)
 		return
 	}
+	id, _ := c.r.Get(b, "req-id")
+	if _, held := c.in.open[string(id)]; held {
+		c.reject(400, counters.BadID, "req-id: of a request that is still open")
+		return
+	}
 	ref, ok := c.in.gate.Take(x, c.in, c.me)
 	if !ok {
 		c.finish(answer.Decline(c.in.scratch[:0], 0, c.last))
 		return
 	}
-	c.txn = ref
+	c.txn, c.id = ref, string(id)
+	c.in.open[c.id] = c.me
 }
 
 // read makes a txn of a message's headers, or says in one line what is wrong with them.
@@ -77,11 +89,15 @@
 	if x.Product, ok = in.products[string(kind)]; !ok {
 		return x, counters.BadProduct, "req-kind: unknown"
 	}
-	if in.keyed[x.Product] {
+	if in.kinds[x.Product].Keyed {
 		if one("idempotency-key"); line != "" { // without it a repeat could not be told from a new one
 			return
 		}
 	}
+	// The class decides the method: what backends would reject takes no units and counts against none of them.
+	if get := string(r.Method(b)) == "GET"; get != in.kinds[x.Product].Safe || get && len(r.Body(b)) > 0 {
+		return x, why, "req-kind: not by this method"
+	}
 	if x.Plan, ok = in.plans[string(plan)]; !ok {
 		return x, counters.BadPlan, "x-plan: unknown"
 	}
@@ -147,7 +163,7 @@
 		switch string(name) {
 		case "units":
 			f, err := strconv.ParseFloat(string(figure), 64)
-			if err != nil || !(f >= 0 && f <= 1e6) || seen&1 != 0 {
+			if err != nil || !(f > 0 && f <= in.units) || seen&1 != 0 {
 				return false
 			}
 			x.Units = f
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -42,6 +42,7 @@
 	open     int    // connections, dials among them
 	most     int
 	bound    int
+	spare    int // bytes that all rings of what comes in may still grow by
 	inTurn   bool
 	deaf     bool // no new connections are taken
 	stopped  bool
@@ -54,9 +55,9 @@
 const before = time.Hour
 
 // New makes an engine for at most so many descriptors, some of which are the program's own; a ring holds at
-// most bound bytes.
-func New(listen string, descriptors, bound int) *Engine {
-	e := &Engine{born: time.Now(), now: before, most: descriptors - ownFiles, bound: bound,
+// most bound bytes, and all that hold what comes in no more than spare beyond their least.
+func New(listen string, descriptors, bound, spare int) *Engine {
+	e := &Engine{born: time.Now(), now: before, most: descriptors - ownFiles, bound: bound, spare: spare,
 		Count: &counters.Set{}, settled: func() {}, accept: (*Link).CloseSoon, short: func() {}}
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
 	conf := nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -43,12 +43,13 @@
 	closed  bool
 	closing bool               // once all is written
 	linger  bool               // all is written and the end told; what still comes is dropped
+	dropped int                // bytes, while it lingers
 	more    bool               // the ring was full: bytes may wait in the socket
 	cancel  context.CancelFunc // of a dial
 }
 
 func (e *Engine) newLink() *Link {
-	return &Link{e: e, In: ring.New(leastRing, e.bound), out: ring.New(leastRing, 2*e.bound)}
+	return &Link{e: e, In: ring.New(leastRing, e.bound, &e.spare), out: ring.New(leastRing, 2*e.bound, nil)}
 }
 
 // Own says who is told of this connection.
@@ -78,7 +79,7 @@
 
 // read takes all that is there, so that what follows from it is decided once.
 func (l *Link) read() {
-	for got := false; !l.closed; {
+	for got := false; !l.closed && l.dropped < dropMost; {
 		free := l.In.Free()
 		if l.more = free == nil; l.more { // the ring's bound: the rest waits in the socket
 			if got && l.owner != nil {
@@ -89,6 +90,7 @@
 		n, err := l.c.Read(free)
 		if n > 0 {
 			if l.linger {
+				l.dropped += n
 				continue
 			}
 			l.In.Took(n)
@@ -111,6 +113,9 @@
 	}
 }
 
+// Full tells that no more can be read until some is dropped: the ring's own bound, or that of all of them.
+func (l *Link) Full() bool { return l.more }
+
 // Resume reads on after bytes were dropped from a full ring.
 func (l *Link) Resume() {
 	if l.more && !l.closed {
@@ -199,7 +204,8 @@
 		return
 	}
 	l.closed = true
-	l.In, l.out = ring.Ring{}, ring.Ring{}
+	l.In.Release()
+	l.out.Release()
 	if l.cancel != nil {
 		l.cancel()
 	}
@@ -227,8 +233,14 @@
 
 const refuseIn = 50 * time.Millisecond
 
-// lingerFor is how long the other side may take to end its side, unreadFor to read a last answer.
-const lingerFor, unreadFor = time.Second, 10 * time.Second
+// lingerFor is how long the other side may take to end its side, unreadFor to read a last answer. What it still sends
+// is read up to dropMost: whoever sends without end fills its own window, not this program's time. With few descriptors
+// left none is kept for the sake of a last line: that side gets less time.
+const (
+	lingerFor, unreadFor = time.Second, 10 * time.Second
+	lingerShort          = 100 * time.Millisecond
+	dropMost             = 64 << 10
+)
 
 // last ends the sending, and the connection when the other side has ended too or after a while: a close with
 // bytes unread would reset the connection, and the last answer might be lost with it.
@@ -239,7 +251,11 @@
 	l.linger, l.owner, l.more = true, nil, false
 	syscall.Shutdown(l.c.Hash(), syscall.SHUT_WR)
 	l.In.Drop(l.In.Len())
-	l.e.At(l.e.now+lingerFor, l, 0)
+	wait := lingerFor
+	if l.e.Room() < l.e.most/4 {
+		wait = lingerShort
+	}
+	l.e.At(l.e.now+wait, l, 0)
 	l.read()
 }
 
@@ -261,7 +277,8 @@
 	if l.owner != nil {
 		l.owner.Closed()
 	}
-	l.In, l.out = ring.Ring{}, ring.Ring{}
+	l.In.Release()
+	l.out.Release()
 }
 
 func (e *Engine) gone(c *nbio.Conn, _ error) {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -8,10 +8,11 @@
 	from, n int
 	least   int
 	most    int
+	spare   *int // bytes that all rings of a kind may still grow by, beyond their least; nil: no such bound
 }
 
 // New makes an empty ring; its memory comes with the first bytes.
-func New(least, most int) Ring { return Ring{least: least, most: most} }
+func New(least, most int, spare *int) Ring { return Ring{least: least, most: most, spare: spare} }
 
 // Len is how many bytes it holds, Room how many more it may take.
 func (r *Ring) Len() int  { return r.n }
@@ -63,7 +64,7 @@
 	if r.n == 0 {
 		r.from = 0
 		if len(r.buf) > r.least {
-			r.buf = nil
+			r.Release()
 		}
 	} else if r.from >= len(r.buf) {
 		r.from -= len(r.buf)
@@ -78,10 +79,25 @@
 	for size < need {
 		size *= 2
 	}
-	r.move(min(size, max(r.most, r.least)))
+	size = min(size, max(r.most, r.least))
+	if more := size - max(len(r.buf), r.least); r.spare != nil && more > 0 {
+		if more > *r.spare {
+			return false
+		}
+		*r.spare -= more
+	}
+	r.move(size)
 	return true
 }
 
+// Release forgets all bytes and gives the memory back.
+func (r *Ring) Release() {
+	if r.spare != nil {
+		*r.spare += max(0, len(r.buf)-r.least)
+	}
+	r.buf, r.from, r.n = nil, 0, 0
+}
+
 func (r *Ring) move(size int) {
 	buf := make([]byte, size)
 	k := copy(buf, r.Head())
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -8,7 +8,7 @@
 
 func Example() {
 	rng := rand.New(rand.NewSource(7))
-	r, model, next, most := New(8, 100), []byte{}, byte(0), 0
+	r, model, next, most := New(8, 100, nil), []byte{}, byte(0), 0
 	for i := 0; i < 20000; i++ {
 		p := make([]byte, rng.Intn(30))
 		for j := range p {
@@ -37,6 +37,17 @@
 		}
 	}
 	fmt.Println("most held", most)
+	spare := 130
+	a, b := New(8, 200, &spare), New(8, 200, &spare)
+	fmt.Println("two that share what they may grow by:", a.Append(make([]byte, 60)), b.Append(make([]byte, 8)),
+		b.Append(make([]byte, 60)), spare)
+	a.Drop(60)
+	fmt.Println("given back:", b.Append(make([]byte, 60)), spare)
+	b.Release()
+	fmt.Println(spare)
 	// Output:
 	// most held 100
+	// two that share what they may grow by: true true false 74
+	// given back: true 10
+	// 130
 }
