A connection to a backend rests for 10 ms after an answer before it is used again

Seen in dispatch.reuse: a connection was used again in the same turn as its answer. What a backend sends right behind an answer (a second copy, noise) could then come after the next submission was written and be taken for its answer: a client would be served what belongs to another. Checked by a stand-in: two txns on one connection, the first answer twice; without the rest the second client gets the first's body in every run.

Change: an idle connection is passed over for 10 ms after its answer; what came meanwhile closes it, as before. An answer that can grow no more memory is broken. Ruled out: comparing bodies (nothing in an answer names its request).

--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -322,7 +322,7 @@
 	// HTTP/1.1 200 OK second
 	// backend: POST /api?lot=7 HTTP/1.1, Idempotency-Key: k-a3, Req-Id: a3 "hello"
 	// HTTP/1.1 200 OK third
-	// dials 1 reused 2
+	// dials 3 reused 0
 	// # the client wants the connection closed
 	// HTTP/1.1 200 OK, Connection: close abc
 	// connection ended
@@ -541,6 +541,60 @@
 	// HTTP/1.1 200 OK free again
 }
 
+// A spoilt answer ends its submission as soon as it shows, not when its time is up; what comes behind a good one is
+// never taken for the next one's answer.
+func Example_spoilt() {
+	st := open(2, 1024, settings(3, 20))
+	defer st.close()
+	c := st.client()
+	either := func() *call {
+		select {
+		case x := <-st.backends[0].came:
+			return x
+		case x := <-st.backends[1].came:
+			return x
+		case <-time.After(patience):
+			return &call{head: "no request came\r\n", c: c}
+		}
+	}
+	for i, noise := range []string{"noise, and no end", "HTTP/1.1 200 OK\r\nno header\r\n", "HTTP/1.1 200 OK\r\n" +
+		"Content-Length: 3000000000\r\n\r\nand on", "HTTP/1.1 200 OK\r\nx: " + strings.Repeat("x", 9000)} {
+		c.send(txn(fmt.Sprint("n", i), "read") + "\r\n")
+		either().answer(noise)
+		either().answer(ok("whole"))
+		c.show()
+	}
+	fmt.Println("broken", st.count(counters.EndBroken), "bad", st.count(counters.BadAnswer))
+	fmt.Println("# two at once, the first answer comes twice")
+	st = open(1, 1024, settings(1, 20))
+	defer st.close()
+	c = st.client()
+	var x, y *call
+	for i := 0; i < 100 && (y == nil || x.c == y.c); i++ { // a machine that is slow lets the first connection rest
+		c.send(txn(fmt.Sprint("t", i), "read") + "\r\n" + txn(fmt.Sprint("u", i), "read") + "\r\n")
+		if y != nil {
+			y.answer(ok("second"))
+			message(c.r)
+		}
+		x = st.backends[0].next()
+		x.answer(ok("first"))
+		message(c.r)
+		y = st.backends[0].next()
+	}
+	x.answer(ok("first"))
+	st.counted(counters.BadAnswer, 1)
+	y.answer(ok("second"))
+	c.show()
+	// Output:
+	// HTTP/1.1 200 OK whole
+	// HTTP/1.1 200 OK whole
+	// HTTP/1.1 200 OK whole
+	// HTTP/1.1 200 OK whole
+	// broken 4 bad 4
+	// # two at once, the first answer comes twice
+	// HTTP/1.1 200 OK second
+}
+
 // Bodies at their bound, both ways, with a client that reads late: one ring a direction holds them.
 func Example_largest() {
 	st := open(1, 1024, settings(1, 20))
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -24,11 +24,14 @@
 	idleAt  time.Duration
 }
 
-// reuse takes the idle connection used last, and closes those that are not fit to be used again.
+// reuse takes the idle connection used last that has rested, and closes those that are not fit to be used again.
 func (d *Dispatch) reuse(b *backend) *conn {
-	for len(b.idle) > 0 {
-		c := b.idle[len(b.idle)-1]
-		b.idle = b.idle[:len(b.idle)-1]
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		c := b.idle[i]
+		if d.e.Now()-c.idleAt < rest {
+			continue
+		}
+		b.idle = append(b.idle[:i], b.idle[i+1:]...)
 		if d.e.Now()-c.idleAt < d.idleMost && c.l.Clean() {
 			return c
 		}
@@ -37,6 +40,10 @@
 	return nil
 }
 
+// rest is how long a connection stays idle after an answer: what a backend sends behind one, a second copy or noise,
+// shows itself by then. Come later, it would be taken for the next answer. It costs a connection more now and then.
+const rest = 10 * time.Millisecond
+
 // dial opens a connection for a submission, or ends it when none may be opened.
 func (d *Dispatch) dial(b *backend, ref slots.Ref, s *submission) bool {
 	if d.e.Room() <= 0 && !d.Evict(b) && !d.makeRoom() {
@@ -136,7 +143,7 @@
 			return
 		}
 		if !whole {
-			if c.l.In.Room() == 0 {
+			if c.l.Full() {
 				c.bad(ref, s)
 			}
 			return
