What is gone is forgotten: backends at once, customers when their bucket is full

Seen: dispatch kept an entry for every backend id ever listed, and the module one in its list, map and hashes (ListChanged); each survey walks them. A customer whose plan refills in more than ten seconds was never dropped (clearUp asked for burst <= rate * 10 s), and one whose owner only hears of it from peers was dropped after ten seconds in full use and made anew with a full bucket (a.used is set by own txns alone).

Change: a backend that is gone leaves the books when the list says so; what is out there keeps its own hold of it. A customer goes when idle for ten seconds and its bucket, where this gateway owns it, is full again: nothing is lost then. A new id at a departed backend's address shares nothing with it. Tests: 500 ids one after another leave 3; a bucket that peers use stays at 0 where it came back at 5 before; an idle customer is forgotten.

--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -265,7 +265,7 @@
 	f.e.Turn(func() {
 		f.log.Info(title, zap.String("counters", f.e.Count.Text()), zap.Uint64("must holds broken", check.Broken()),
 			zap.Int("txns held", f.gate.Held()), zap.Int("clients", f.intake.Clients()),
-			zap.Int("connections", f.e.Open()))
+			zap.Int("connections", f.e.Open()), zap.Int("backends", f.dispatch.Backends()))
 	})
 }
 
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -595,6 +595,23 @@
 	// HTTP/1.1 200 OK second
 }
 
+// Backends that come and go leave nothing behind.
+func Example_comeAndGo() {
+	st := open(1, 1024, settings(1, 20))
+	defer st.close()
+	x, was := st.agent.call(), st.backends[0].l.Addr().String()
+	x.list(1, true, target(0, was, "Ready"))
+	for i := 1; i <= 100; i++ { // always new ids, at the address of the one before
+		(&backend{st.agent.l, st.agent.came}).next().list(1+i, false, target(i-1, "", "Gone"), target(i, was, "Ready"))
+	}
+	st.agent.call()
+	st.f.e.Turn(func() { fmt.Println("backends", st.f.dispatch.Backends()) })
+	// Output:
+	// asked: /discovery/hosts
+	// asked: /discovery/hosts?after=101&wait_ms=10000
+	// backends 1
+}
+
 // Bodies at their bound, both ways, with a client that reads late: one ring a direction holds them.
 func Example_largest() {
 	st := open(1, 1024, settings(1, 20))
--- a/control/control.go
+++ b/control/control.go
@@ -937,7 +937,7 @@
 	d.mailIn, d.writers = 0, 0
 	kept := d.order[:0]
 	for _, a := range d.order {
-		full := a.plan.rate <= 0 || a.plan.burst <= a.plan.rate*idleAfter.Seconds()
+		full := a.owner != d.me || a.level+a.plan.rate*(d.now-a.levelAt).Seconds() >= a.plan.burst
 		if d.now-a.used > idleAfter && full && !a.dirty && a.out == 0 && a.unacked <= 0 {
 			delete(d.accounts, a.id)
 			continue
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -736,3 +736,32 @@
 	// 10000 decline 1, 150
 	// a txn says three: width 3 part 0
 }
+
+// What is gone is forgotten: backends at once, an owned customer when its bucket is full again, and not before.
+func Example_forgetting() {
+	s := warm()
+	mine, other := ownedBy(0), ownedBy(1)
+	for i := 4; i < 500; i++ {
+		s.list(false, Listing{ID: BackendID(i - 1)}, Listing{ID: BackendID(i), State: Ready})
+	}
+	fmt.Println("backends", len(s.d.list), len(s.d.backends), len(s.d.byHash))
+	s.d.plans[0].rate = 2
+	s.txn(1, mine, 0, 0)
+	s.ended(1, Settled)
+	s.txn(2, other, 0, 0)
+	s.ended(2, Settled)
+	for i := 1; i <= 3; i++ { // a peer goes on using what is quiet here
+		s.at(10000 + 4000*i)
+		s.hear(1, &message{epoch: 7, ackEpoch: s.d.epoch, ackHigh: 9, ackMask: 1<<32 - 1, seq: uint64(i),
+			deltas: []deltaLine{{customer: mine, units: 15, width: 3}}})
+	}
+	fmt.Printf("left %.0f, customers %d\n", s.d.accounts[mine].level, len(s.d.order))
+	s.at(40000)
+	fmt.Println("customers", len(s.d.order), len(s.d.accounts))
+	// Output:
+	// backends 3 3 3
+	// 10000 submit 1 to 1, 272
+	// 10000 submit 2 to 2, 272
+	// left 0, customers 1
+	// customers 0 0
+}
--- a/control/state.go
+++ b/control/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -31,6 +32,13 @@
 		}
 		b.Listing = l
 	}
+	d.list = slices.DeleteFunc(d.list, func(b *backend) bool { // what is out there keeps its own hold of it
+		if b.State == Gone {
+			delete(d.backends, b.ID)
+			delete(d.byHash, b.hash&sightMask)
+		}
+		return b.State == Gone
+	})
 	d.recheck, d.noRoom, d.open = true, false, d.open[:0]
 }
 
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -30,10 +30,10 @@
 		o.Body = c.r.Body(b)
 		o.Kind, _ = c.r.Get(b, "content-type")
 	}
-	keep := !c.r.Closes && s.mayRun() && len(b) == size
+	keep := !c.r.Closes && s.mayRun() && len(b) == size && c.b.ready // else nobody would find it again
 	c.sub, c.carries, s.conn = 0, false, nil
 	c.d.tell(ref, s, o)
-	if !keep || c.l.IsClosed() {
+	if !keep || !c.b.ready || c.l.IsClosed() {
 		c.close()
 		return
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,11 +76,14 @@
 }
 
 // At says where a backend is and whether it takes anything new. Connections to where it was before are not used
-// again; what is still being connected to one that drains or is gone ends here, never sent.
+// again; what is still being connected to one that drains or is gone ends here, never sent. One that takes nothing new is
+// forgotten: what is out there keeps its own hold of it.
 func (d *Dispatch) At(id control.BackendID, addr string, ready bool) {
 	b := d.backends[id]
 	if b == nil {
-		d.backends[id] = &backend{id: id, addr: addr, ready: ready}
+		if ready {
+			d.backends[id] = &backend{id: id, addr: addr, ready: true}
+		}
 		return
 	}
 	moved := ready && b.addr != addr
@@ -90,14 +93,19 @@
 	if b.ready = ready; moved || !ready {
 		d.leave(b)
 	}
+	if !ready {
+		delete(d.backends, id)
+	}
 }
 
+// Backends counts those that take something new.
+func (d *Dispatch) Backends() int { return len(d.backends) }
+
 // Only says which backends there are, where the whole list is known.
 func (d *Dispatch) Only(listed map[control.BackendID]bool) {
 	for id, b := range d.backends {
-		if !listed[id] && b.ready {
-			b.ready = false
-			d.leave(b)
+		if !listed[id] {
+			d.At(id, b.addr, false)
 		}
 	}
 }
