Answers that stall are spoilt after 100 ms; load reports age and must be possible

Change: the module tells with each submission how long an answer that has begun may take (wholeIn); past it the submission is broken. A report above what all gateways together may have out is not taken; a report counts ever less until it is four seconds old (reportFor). A listing with another start closes idle connections. What comes in is shown to its parser every 8 KiB, so that a 60 MB body is refused before it has filled the ring. May hurt: a backend behind a network so slow that 64 KiB take over 100 ms.

--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -236,7 +236,7 @@
 	for _, e := range l.Entries {
 		list = append(list, e.Listing)
 		listed[e.ID] = true
-		f.dispatch.At(e.ID, e.Addr, e.State == control.Ready)
+		f.dispatch.At(e.ID, e.Addr, e.Started, e.State == control.Ready)
 	}
 	if l.Whole {
 		f.dispatch.Only(listed)
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -558,7 +558,8 @@
 		}
 	}
 	for i, noise := range []string{"noise, and no end", "HTTP/1.1 200 OK\r\nno header\r\n", "HTTP/1.1 200 OK\r\n" +
-		"Content-Length: 3000000000\r\n\r\nand on", "HTTP/1.1 200 OK\r\nx: " + strings.Repeat("x", 9000)} {
+		"Content-Length: 3000000000\r\n\r\nand on", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nX: and no end", "HTTP/1.1 200 OK\r\nx: " + strings.Repeat("x", 9000)} {
 		c.send(txn(fmt.Sprint("n", i), "read") + "\r\n")
 		either().answer(noise)
 		either().answer(ok("whole"))
@@ -590,7 +591,9 @@
 	// HTTP/1.1 200 OK whole
 	// HTTP/1.1 200 OK whole
 	// HTTP/1.1 200 OK whole
-	// broken 4 bad 4
+	// HTTP/1.1 200 OK whole
+	// HTTP/1.1 200 OK whole
+	// broken 6 bad 6
 	// # two at once, the first answer comes twice
 	// HTTP/1.1 200 OK second
 }
@@ -604,12 +607,27 @@
 	for i := 1; i <= 100; i++ { // always new ids, at the address of the one before
 		(&backend{st.agent.l, st.agent.came}).next().list(1+i, false, target(i-1, "", "Gone"), target(i, was, "Ready"))
 	}
-	st.agent.call()
+	x = st.agent.call()
 	st.f.e.Turn(func() { fmt.Println("backends", st.f.dispatch.Backends()) })
+	fmt.Println("# a new process at the same address: the old one's connection is not kept")
+	c := st.client()
+	c.send(txn("o", "read") + "\r\n")
+	y := st.backends[0].next()
+	y.answer(ok("old"))
+	c.show()
+	again := target(100, was, "Ready")
+	again["boot_ms"] = time.Now().UnixMilli()
+	x.list(200, false, again)
+	y.c.SetReadDeadline(time.Now().Add(patience))
+	_, err := y.c.Read(make([]byte, 1))
+	fmt.Println(err)
 	// Output:
 	// asked: /discovery/hosts
 	// asked: /discovery/hosts?after=101&wait_ms=10000
 	// backends 1
+	// # a new process at the same address: the old one's connection is not kept
+	// HTTP/1.1 200 OK old
+	// EOF
 }
 
 // Bodies at their bound, both ways, with a client that reads late: one ring a direction holds them.
--- a/control/control.go
+++ b/control/control.go
@@ -76,9 +76,10 @@
 	fullPause, fullMost     = 100 * ms, 5          // doubled each time in a row
 	asideFirst, asideLast   = 500 * ms, 8 * time.Second
 	noteEvery               = 5 * time.Second
-	probeGain, probeMost    = 0.2, 10.0 // such probes earned by a txn
-	roomLeast, roomMost     = 1.0, 40.0 // the least from all gateways
-	partAsk, partGive       = 0.25, 0.8 // of a part: asked for at a time, given at most
+	probeGain, probeMost    = 0.2, 10.0                 // such probes earned by a txn
+	wholeIn, reportFor      = 100 * ms, 4 * time.Second // of an answer that has begun; a load report's life
+	roomLeast, roomMost     = 1.0, 40.0                 // the least from all gateways
+	partAsk, partGive       = 0.25, 0.8                 // of a part: asked for at a time, given at most
 )
 
 // New starts an instance: nothing is known but the settings.
@@ -183,11 +184,10 @@
 	d.lost += smooth / 5 * (bad - d.lost)
 }
 
-// readLoad takes a load report: what others keep at the backend.
+// readLoad takes a load report: what others keep there. More than all gateways may have out can't be true.
 func (d *Door) readLoad(b *backend, load []float64) {
-	held, ok := heldBy(d.fields, load)
-	if ok {
-		b.others += smoothLoad * (max(0, held-float64(b.out)) - b.others)
+	if held, ok := heldBy(d.fields, load); ok && held <= roomMost*float64(d.gateways) {
+		b.others, b.told = b.others+smoothLoad*(max(0, held-float64(b.out))-b.others), d.now
 	}
 }
 
@@ -672,7 +672,8 @@
 
 // load is what a backend holds, counted in usual txns of a warm backend.
 func (d *Door) load(b *backend) float64 {
-	return (float64(b.out) + b.others) * max(b.slow/d.median, 0.5) / b.warm
+	others := b.others * max(0, 1-float64(d.now-b.told)/float64(reportFor)) // an old report says ever less
+	return (float64(b.out) + others) * max(b.slow/d.median, 0.5) / b.warm
 }
 
 // survey brings up to now what every choice goes by, once for all choices of a short while.
@@ -850,7 +851,7 @@
 	d.outChanged(a)
 	t.nr++
 	t.outAt, t.last, t.sent = b, b, d.now
-	x := Decision{Verb: Submit, Txn: t.ID, Backend: b.ID}
+	x := Decision{Verb: Submit, Txn: t.ID, Backend: b.ID, Whole: wholeIn}
 	p := d.products[t.Product]
 	if p.kind != "once-only" {
 		x.Limit = t.slaAt - d.now - 4*ms // an answer past the SLA time is hardly worth the work
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -765,3 +765,28 @@
 	// left 0, customers 1
 	// customers 0 0
 }
+
+// A load report that can't be true is not taken, and an old one counts ever less: a backend that told of a crowd
+// once, and is therefore not chosen, would else never tell of anything again.
+func Example_reports() {
+	s := warm()
+	b := s.d.backends[1]
+	tell := func(held float64) {
+		s.d.SubmissionEnded(0, 0, 1, Settled, true, 0, []float64{held})
+		fmt.Printf("told %g: load %.1f\n", held, s.d.load(b))
+	}
+	s.d.survey()
+	tell(1e5)
+	tell(20)
+	for t := 11000; t <= 14000; t += 1000 {
+		s.at(t)
+		fmt.Printf("%d: load %.1f\n", t, s.d.load(b))
+	}
+	// Output:
+	// told 100000: load 0.0
+	// told 20: load 10.0
+	// 11000: load 7.5
+	// 12000: load 5.0
+	// 13000: load 2.5
+	// 14000: load 0.0
+}
--- a/control/types.go
+++ b/control/types.go
@@ -93,6 +93,7 @@
 	Nr      int
 	Backend BackendID
 	Limit   time.Duration
+	Whole   time.Duration // an answer that has begun and is not whole by then is spoilt
 	Peer    GatewayID
 	Payload []byte
 	Text    string
@@ -191,10 +192,11 @@
 	hash      uint64  // for rankings
 	warm      float64 // share of its capacity that it surely has
 	out       int
-	others    float64 // what other gateways keep there, by reports
-	slow      float64 // answer time against the usual, smoothed
-	fails     float64 // share of failing submissions, smoothed
-	seen      float64 // weight of what fails was made of
+	others    float64       // what other gateways keep there, by reports
+	told      time.Duration // by the last one
+	slow      float64       // answer time against the usual, smoothed
+	fails     float64       // share of failing submissions, smoothed
+	seen      float64       // weight of what fails was made of
 	oweSince  time.Duration
 	owed      int // sends since the last answer
 	fullUntil time.Duration
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -139,12 +139,15 @@
 		b := c.l.In.Linear()
 		size, whole, err := c.r.Read(b)
 		if err != nil {
-			c.bad(ref, s)
+			c.d.spoilt(ref, s)
 			return
 		}
 		if !whole {
 			if c.l.Full() {
-				c.bad(ref, s)
+				c.d.spoilt(ref, s)
+			} else if len(b) > 0 && !s.partly && s.whole > 0 {
+				s.partly = true
+				c.d.e.At(c.d.e.Now()+s.whole, &c.d.parts, uint32(ref))
 			}
 			return
 		}
@@ -157,10 +160,10 @@
 	}
 }
 
-// bad: an answer that can't be read ends as a broken connection does, it may have run.
-func (c *conn) bad(ref slots.Ref, s *submission) {
-	c.d.e.Count.Add(counters.BadAnswer)
-	c.d.end(ref, s, control.Broken)
+// spoilt: an answer that can't be read ends as a broken connection does, it may have run.
+func (d *Dispatch) spoilt(ref slots.Ref, s *submission) {
+	d.e.Count.Add(counters.BadAnswer)
+	d.end(ref, s, control.Broken)
 }
 
 // Evict closes the connection that has been idle longest, wherever it leads but to one backend.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,10 +20,11 @@
 
 // backend is where one is and the idle connections to it, the last used at the end.
 type backend struct {
-	id    control.BackendID
-	addr  string
-	ready bool // takes new ones
-	idle  []*conn
+	id      control.BackendID
+	addr    string
+	started time.Duration
+	ready   bool // takes new ones
+	idle    []*conn
 }
 
 // submission is one that is out, or about to be.
@@ -35,6 +36,8 @@
 	conn    *conn
 	began   time.Duration
 	until   time.Duration
+	whole   time.Duration // for an answer, from its first bytes
+	partly  bool          // some of it has come
 }
 
 // mayRun tells whether its last byte is in the socket: from then on it may have run. Only what the poller has
@@ -58,6 +61,7 @@
 	load      []float64
 	dials     dialAlarm
 	limits    limitAlarm
+	parts     partAlarm
 	makeRoom  func() bool
 }
 
@@ -71,24 +75,25 @@
 		subs: slots.New[submission](1 << 16), conns: slots.New[conn](1 << 16), byTxn: map[slots.Ref]slots.Ref{},
 		idleMost: time.Duration(idleShare * float64(idle)), dialLimit: dial, makeRoom: makeRoom,
 		load: make([]float64, len(fields))}
-	d.dials.d, d.limits.d = d, d
+	d.dials.d, d.limits.d, d.parts.d = d, d, d
 	return d
 }
 
-// At says where a backend is and whether it takes anything new. Connections to where it was before are not used
-// again; what is still being connected to one that drains or is gone ends here, never sent. One that takes nothing new is
-// forgotten: what is out there keeps its own hold of it.
-func (d *Dispatch) At(id control.BackendID, addr string, ready bool) {
+// At says where a backend is, since when, and whether it takes anything new. Connections to where it was before, or to
+// the process before, are not used again: where a machine vanished they are open and silent. What is still being
+// connected to one that drains or is gone ends here, never sent. One that takes nothing new is forgotten: what is out
+// there keeps its own hold of it.
+func (d *Dispatch) At(id control.BackendID, addr string, started time.Duration, ready bool) {
 	b := d.backends[id]
 	if b == nil {
 		if ready {
-			d.backends[id] = &backend{id: id, addr: addr, ready: true}
+			d.backends[id] = &backend{id: id, addr: addr, started: started, ready: true}
 		}
 		return
 	}
-	moved := ready && b.addr != addr
+	moved := ready && (b.addr != addr || b.started != started)
 	if moved {
-		b.addr = addr
+		b.addr, b.started = addr, started
 	}
 	if b.ready = ready; moved || !ready {
 		d.leave(b)
@@ -105,7 +110,7 @@
 func (d *Dispatch) Only(listed map[control.BackendID]bool) {
 	for id, b := range d.backends {
 		if !listed[id] {
-			d.At(id, b.addr, false)
+			d.At(id, b.addr, b.started, false)
 		}
 	}
 }
@@ -123,7 +128,7 @@
 }
 
 // Submit sends a txn on. However it ends, Ended hears of it once.
-func (d *Dispatch) Submit(txn slots.Ref, nr int, m gate.Message, to control.BackendID, limit time.Duration) {
+func (d *Dispatch) Submit(txn slots.Ref, nr int, m gate.Message, to control.BackendID, limit, whole time.Duration) {
 	b := d.backends[to]
 	ref, s, ok := d.subs.Add()
 	if b == nil || !b.ready || !ok { // the rule on drains holds here too, whatever asks
@@ -134,7 +139,7 @@
 		return
 	}
 	now := d.e.Now()
-	*s = submission{txn: txn, nr: nr, backend: b, message: m, began: now, until: now + limit}
+	*s = submission{txn: txn, nr: nr, backend: b, message: m, began: now, until: now + limit, whole: whole}
 	d.byTxn[txn] = ref
 	if c := d.reuse(b); c != nil {
 		d.e.Count.Add(counters.Reused)
@@ -184,9 +189,20 @@
 	d.gate.Ended(x.txn, x.nr, x.backend.id, o)
 }
 
-// limitAlarm and dialAlarm are told when a submission's time, or that of its dial, is up.
+// limitAlarm and dialAlarm are told when a submission's time, or that of its dial, is up; partAlarm when an answer has
+// begun long ago and is not whole: a length that promises more than comes, a head that trickles. What waits for it would
+// else wait for its limit. A backend whose network is that slow is hurt.
 type limitAlarm struct{ d *Dispatch }
 type dialAlarm struct{ d *Dispatch }
+type partAlarm struct{ d *Dispatch }
+
+func (a *partAlarm) Live(ref uint32) bool { return a.d.subs.Get(slots.Ref(ref)) != nil }
+
+func (a *partAlarm) Due(ref uint32) {
+	if s := a.d.subs.Get(slots.Ref(ref)); s != nil {
+		a.d.spoilt(slots.Ref(ref), s)
+	}
+}
 
 func (a *limitAlarm) Live(ref uint32) bool { return a.d.subs.Get(slots.Ref(ref)) != nil }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -35,7 +35,7 @@
 
 // Sender carries submissions and tells Ended, exactly once, how each went.
 type Sender interface {
-	Submit(txn slots.Ref, nr int, m Message, to control.BackendID, limit time.Duration)
+	Submit(txn slots.Ref, nr int, m Message, to control.BackendID, limit, whole time.Duration)
 	Recall(txn slots.Ref, nr int)
 	Probe(at control.BackendID)
 }
@@ -203,7 +203,7 @@
 		if x.Limit > 0 {
 			limit = min(limit, x.Limit)
 		}
-		g.send.Submit(ref, nr, Message{t.front, t.who, ref}, x.Backend, limit)
+		g.send.Submit(ref, nr, Message{t.front, t.who, ref}, x.Backend, limit, x.Whole)
 	case control.Decline, control.Void:
 		t := g.txns.Get(ref)
 		check.That(t != nil && !t.answered, "a txn is answered once")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -77,8 +77,12 @@
 	}
 }
 
+// showEvery is how much is read at a time before its owner sees it.
+const showEvery = 8 << 10
+
 // read takes all that is there, so that what follows from it is decided once.
 func (l *Link) read() {
+	shown := 0
 	for got := false; !l.closed && l.dropped < dropMost; {
 		free := l.In.Free()
 		if l.more = free == nil; l.more { // the ring's bound: the rest waits in the socket
@@ -94,7 +98,10 @@
 				continue
 			}
 			l.In.Took(n)
-			got = true
+			if got = true; l.In.Len()-shown >= showEvery && l.owner != nil {
+				l.owner.Data() // a message that can't be taken is found out before it has filled the ring
+				shown = l.In.Len()
+			}
 			if n == len(free) {
 				continue
 			}
