Discovery: short waits, and the whole list after silence; a drain is seen in time

A trace of the watch's calls (ASK, GOT, AGAIN) showed: the first call with a wait, 'after=0&wait_ms=10000', is never answered; after 13 s it is given up, the same call goes out again on a new connection and is not answered either. Nothing is said on the connection, and nothing is wrong on ours. At fault: waitFor and overdue in discovery/watch.go (13 s until silence counts), and again() asking with a wait anew. Ruled out: a list that can't be read (no warning, no counter), a closed connection (asked again within 50 ms), the module (it sends nothing from the instant a list says so).

Change: a watch waits 1 s (discovery_wait_ms in the configuration) and counts as lost 0.4 s after that; then the whole list is asked for by a plain call, every half second, until it comes. It covers agents that are silent, cut off, slow or answer what can't be read. Price: a call a second to the own machine's agent.

A test has an agent that never answers a watch.

--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -159,7 +159,7 @@
 		}
 	}
 	f.e.Turn(func() {
-		f.watch = discovery.NewWatch(f.e, c.Discovery, c.Halls, f.listed, log)
+		f.watch = discovery.NewWatch(f.e, c.Discovery, c.Wait, c.Halls, f.listed, log)
 		f.watch.Start()
 	})
 	log.Info("serves", zap.String("name", c.Name), zap.String("listen", c.Listen), zap.Bool("debug", check.Debug))
@@ -183,7 +183,7 @@
 	}
 	f.e.Turn(func() {
 		f.e.Count.Add(counters.Reloads)
-		f.move(c.Discovery, c.Halls)
+		f.move(c)
 		if f.peers != nil {
 			f.peers.Move(c.Peers, c.Me)
 		}
@@ -194,7 +194,8 @@
 
 // move watches discovery at another address as well. The old watch goes on until the new one has told a whole list: an
 // address where nobody answers costs no change of the list.
-func (f *front) move(addr string, halls []string) {
+func (f *front) move(c *config.Config) {
+	addr := c.Discovery
 	if f.next != nil && f.next.Addr() == addr {
 		return
 	}
@@ -206,7 +207,7 @@
 		return
 	}
 	var w *discovery.Watch
-	w = discovery.NewWatch(f.e, addr, halls, func(l discovery.List) {
+	w = discovery.NewWatch(f.e, addr, c.Wait, c.Halls, func(l discovery.List) {
 		if w == f.next {
 			f.watch.Stop()
 			f.watch, f.next = w, nil
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -86,7 +86,7 @@
 	}
 	st.peer, _ = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	peer := st.peer.LocalAddr().String()
-	c := object{"name": "n0", "listen": "127.0.0.1:0", "discovery": st.agent.l.Addr().String(),
+	c := object{"name": "n0", "listen": "127.0.0.1:0", "discovery": st.agent.l.Addr().String(), "discovery_wait_ms": 30000,
 		"seed": "8c1f30d27a5be964", "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
 		"peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:1", peer, "127.0.0.1:2"},
 		"known": object{"rev": 1, "all": true, "targets": list}, "settings": s}
@@ -623,7 +623,7 @@
 	fmt.Println(err)
 	// Output:
 	// asked: /discovery/hosts
-	// asked: /discovery/hosts?after=101&wait_ms=10000
+	// asked: /discovery/hosts?after=101&wait_ms=30000
 	// backends 1
 	// # a new process at the same address: the old one's connection is not kept
 	// HTTP/1.1 200 OK old
@@ -715,21 +715,40 @@
 	// asked: /discovery/hosts
 	// HTTP/1.1 200 OK served
 	// # one drains, another comes
-	// asked: /discovery/hosts?after=41&wait_ms=10000
-	// asked: /discovery/hosts?after=42&wait_ms=10000
+	// asked: /discovery/hosts?after=41&wait_ms=30000
+	// asked: /discovery/hosts?after=42&wait_ms=30000
 	// HTTP/1.1 200 OK served
 	// # what can't be read changes nothing, and is asked again
-	// asked: /discovery/hosts?after=42&wait_ms=10000
+	// asked: /discovery/hosts
 	// HTTP/1.1 200 OK served
 	// # the agent dies; then a whole list without the other
-	// asked: /discovery/hosts?after=42&wait_ms=10000
-	// asked: /discovery/hosts?after=50&wait_ms=10000
+	// asked: /discovery/hosts
+	// asked: /discovery/hosts?after=50&wait_ms=30000
 	// HTTP/1.1 200 OK served
-	// asked: /discovery/hosts?after=51&wait_ms=10000
+	// asked: /discovery/hosts?after=51&wait_ms=30000
 	// HTTP/1.1 429 Too Many Requests
 	// lists 4 bad 1
 }
 
+// An agent whose watches are never answered, on connections that stay open: the whole list is asked for again and again.
+func Example_silentWatch() {
+	st, text := lay(1, 1024, settings(1, 20))
+	conf, _ := config.Parse([]byte(strings.Replace(string(text), "30000,", "200,", 1)))
+	st.f, _ = build(conf, zap.NewNop())
+	defer st.close()
+	go func() {
+		for x := range st.agent.came {
+			if !strings.Contains(x.head, "after=") {
+				x.list(41, true, target(0, st.backends[0].l.Addr().String(), "Ready"))
+			}
+		}
+	}()
+	st.counted(counters.ListsTaken, 3)
+	fmt.Println("lost", st.count(counters.WatchesLost) >= 2)
+	// Output:
+	// lost true
+}
+
 func Example_peers() {
 	st := open(1, 1024, settings(1, 20))
 	defer st.close()
@@ -873,12 +892,12 @@
 	fmt.Println("ended:", <-ended)
 	// Output:
 	// asked: /discovery/hosts
-	// asked: /discovery/hosts?after=41&wait_ms=10000
+	// asked: /discovery/hosts?after=41&wait_ms=30000
 	// bad 4 good 0
 	// # the old watch goes on until the new one is told
 	// asked: /discovery/hosts
-	// asked: /discovery/hosts?after=42&wait_ms=10000
-	// asked: /discovery/hosts?after=43&wait_ms=10000
+	// asked: /discovery/hosts?after=42&wait_ms=30000
+	// asked: /discovery/hosts?after=43&wait_ms=30000
 	// the old watch: EOF
 	// # by signal
 	// asked: /discovery/hosts
--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,7 @@
 	smoothLoad  = 0.5  // and of a load report
 	sightsTold  = 5    // last answers told to a peer
 	crowd       = 1.25 // a backend with this times the mean load, and one more, has enough
-	firstTry    = 0.9 // of the time left to the SLA time: limit of a submission; a repeat takes as long again
+	firstTry    = 0.9  // of the time left to the SLA time: limit of a submission; a repeat takes as long again
 	firstTimes  = 4    // and such a limit is set only above this times the usual answer time
 	retryGain   = 0.2  // further submissions earned by a txn
 	retryMost   = 30.0
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Wait       time.Duration // of a watch of discovery
 	PeerListen string
 	Peers      []netip.AddrPort // in the order of the gateways' numbers, its own included
 	Me         int
@@ -49,6 +50,7 @@
 type form struct {
 	Name, Listen, Discovery, Seed string
 	PeerListen                    string `json:"peer_listen"`
+	WaitMS                        int    `json:"discovery_wait_ms"`
 	Peers                         []string
 	Limits                        struct {
 		Cores    float64
@@ -101,6 +103,12 @@
 			return nil, fmt.Errorf("%s: not an address with a port: %q", name, at)
 		}
 	}
+	if f.WaitMS == 0 {
+		f.WaitMS = 1000
+	}
+	if c.Wait = time.Duration(f.WaitMS) * time.Millisecond; f.WaitMS < 100 || f.WaitMS > 60000 {
+		return nil, fmt.Errorf("discovery_wait_ms: from 100 to 60000")
+	}
 	if c.MemoryMB < 16 || c.Sockets < 64 {
 		return nil, fmt.Errorf("limits: memory_mb is 16 at the least, sockets 64")
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,19 +11,22 @@
 	"clovergap/internal/link"
 )
 
-// How long a watch waits, and what is added until its silence counts as a lost watch.
+// overdue is the share of a watch's wait that is added until its silence counts as a lost watch, and all that a call
+// without a wait gets. The agent is on this machine and answers at once, so that waits are short: where answers get lost,
+// a drain is told little later than it would have been. Covers connections that are silent, cut off or answer what can't
+// be read, however often.
 const (
-	waitFor    = 10 * time.Second
-	overdue    = 3 * time.Second
+	overdue    = 0.4
 	dialLimit  = time.Second
 	againFirst = 50 * time.Millisecond // doubled after each failure in a row
-	againMost  = 2 * time.Second
+	againMost  = 400 * time.Millisecond
 )
 
 // Watch asks discovery without end: for the whole list first, then for what has changed since.
 type Watch struct {
 	e      *link.Engine
 	addr   string
+	wait   time.Duration // for something new
 	halls  []string
 	listed func(List)
 	log    *zap.Logger
@@ -36,8 +39,9 @@
 }
 
 // NewWatch makes one; listed is told of each answer.
-func NewWatch(e *link.Engine, addr string, halls []string, listed func(List), log *zap.Logger) *Watch {
-	return &Watch{e: e, addr: addr, halls: halls, listed: listed, log: log, r: http1.Responses()}
+func NewWatch(e *link.Engine, addr string, wait time.Duration, halls []string, listed func(List),
+	log *zap.Logger) *Watch {
+	return &Watch{e: e, addr: addr, wait: wait, halls: halls, listed: listed, log: log, r: http1.Responses()}
 }
 
 // Start begins to watch.
@@ -71,18 +75,20 @@
 	w.ask()
 }
 
-// ask sends the next call, at once after the last answer: then the watch goes on without a gap.
+// ask sends the next call, at once after the last answer: then the watch goes on without a gap. After a failure the
+// whole list is asked for: what the lost answer told may not be told again, and it comes without waiting.
 func (w *Watch) ask() {
 	w.call++
-	b := []byte("GET /discovery/hosts")
-	if w.known {
+	b, limit := []byte("GET /discovery/hosts"), time.Duration(overdue*float64(w.wait))
+	if w.known && w.fails == 0 {
+		limit += w.wait
 		b = append(b, "?after="...)
 		b = strconv.AppendUint(b, w.rev, 10)
 		b = append(b, "&wait_ms="...)
-		b = strconv.AppendInt(b, int64(waitFor/time.Millisecond), 10)
+		b = strconv.AppendInt(b, int64(w.wait/time.Millisecond), 10)
 	}
 	b = append(b, " HTTP/1.1\r\nHost: discovery\r\n\r\n"...)
-	w.e.At(w.e.Now()+waitFor+overdue, w, w.call)
+	w.e.At(w.e.Now()+limit, w, w.call)
 	w.l.Send(b)
 }
 
