Answers end their connection while more than half of the clients' places are taken

So the tries were turned away before they came.

Checked by a trace of each client connection's end: 64 a second at each front door bring one message, are answered after 0 to 130 ms, then say nothing for 1 to 2 s and are closed by the client; all 180 places are taken all the time (the rest by connections that never say anything). Usual clients may hold a third of the descriptors, 128: 64 a second for 2 s each is just that. At fault: client.Data, which kept every connection however full the house was. Ruled out: quotas, room at backends, evictions (the evicted are those that said nothing), CPU (0.05 of 0.15).

Change: while more than half of the clients' places are taken, answers say Connection: close. It covers clients that ask once and stay, and pools larger than the house. It hurts clients that would ask again at once: a connection each.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -72,6 +72,10 @@
 	l.Own(c)
 }
 
+// crowded: more connections are open than idle ones are worth. Answers then end theirs: clients that ask once and stay
+// would else fill the house, and what the usual ones may hold, until they are let go.
+func (in *Intake) crowded() bool { return 2*in.clients.Held() > in.most }
+
 // Evict closes the connection that is worth least: one that never brought a whole message and had a moment for it,
 // before the one idle longest. One that has a txn, or may have one unread, stays.
 func (in *Intake) Evict() bool {
@@ -233,7 +237,7 @@
 			}
 			return
 		}
-		c.busy, c.size, c.last = true, size, c.r.Closes || c.in.draining
+		c.busy, c.size, c.last = true, size, c.r.Closes || c.in.draining || c.in.crowded()
 		c.take()
 	}
 }
@@ -288,7 +292,7 @@
 		in.e.Count.Add(counters.Unheard)
 		return nil
 	}
-	c.last = c.last || in.draining
+	c.last = c.last || in.draining || in.crowded()
 	return c
 }
 
