Tests keep hold of their clients: one collected in the midst of a test closed its connection

Seen: under the race detector the test on few descriptors failed now and then ('refused 0', answers without a close). Clients that nothing refers to any more are closed when memory is collected, and their txns with them.

--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -786,6 +786,7 @@
 	var silent []*client
 	for i := 0; i < 17; i++ {
 		silent = append(silent, st.client())
+		defer silent[i].Close()
 	}
 	st.counted(counters.ClientsOpened, 19)
 	asks := st.client()
@@ -794,7 +795,9 @@
 	asks.show()
 	fmt.Println("# those that do nothing give way to those that ask, one with a txn stays")
 	for i := uint64(2); i <= 20; i++ {
-		st.client().send(txn(fmt.Sprint("t", i), "read") + "\r\n")
+		c := st.client()
+		defer c.Close()
+		c.send(txn(fmt.Sprint("t", i), "read") + "\r\n")
 		st.counted(counters.TxnsTaken, i)
 	}
 	first.show()
@@ -803,7 +806,9 @@
 	busy.show()
 	busy.show()
 	fmt.Println("# with a txn on each, one more is let go after a moment")
-	st.client().send(txn("u", "read") + "\r\n")
+	full := st.client()
+	defer full.Close()
+	full.send(txn("u", "read") + "\r\n")
 	st.counted(counters.TxnsTaken, 21)
 	last := st.client()
 	last.show()
