Repeats count from their first try; coverage is kept during a wait; a pool for ceilings

Change: dates() finds a repeat's time left; kept units; two questions before silence; room is taken only where something lacked it; half of a ceiling is the owner's pool, granted by need.

--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,7 @@
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
 	reporterFor = 2 * time.Second
 	idleAfter   = 10 * time.Second
+	askTries    = 2        // a question or its answer may get lost: an owner is silent after so many
 	askWait     = 100 * ms // and both packing delays: longest wait for a snapshot
 	gapMost     = 2 * time.Second
 	gapFall     = 0.5
@@ -71,7 +72,7 @@
 	longTimes, ratioMost    = 5.0, 20.0            // times the usual: an answer counts as no more
 	lateShare, lateMost     = 0.4, 0.9             // of the SLA time: a later answer is a sign of crowding
 	useSpare, spareAfter    = 0.4, 3 * time.Second // use of room, and calm, at which what pays may go on
-	partKeep, partIdle      = 0.5, 0.8             // of a part of a ceiling: what is kept; fuller is idle
+	partEven                = 0.5                  // of a ceiling: split evenly; the rest is the owner's pool
 	failShare, failOdd      = 0.35, 2.0            // of failing submissions, and this times the share everywhere
 	fullPause, fullMost     = 100 * ms, 5          // doubled each time in a row
 	asideFirst, asideLast   = 500 * ms, 8 * time.Second
@@ -79,7 +80,6 @@
 	probeGain, probeMost    = 0.2, 10.0                 // such probes earned by a txn
 	wholeIn, reportFor      = 100 * ms, 4 * time.Second // of an answer that has begun; a load report's life
 	roomLeast, roomMost     = 1.0, 40.0                 // the least from all gateways
-	partAsk, partGive       = 0.25, 0.8                 // of a part: asked for at a time, given at most
 )
 
 // New starts an instance: nothing is known but the settings.
@@ -106,6 +106,25 @@
 	d.now = max(d.now, now)
 }
 
+// dates works out when a txn's SLA time is over. Clients count it from their first try, and their patience: a
+// try's expiry is what is left of it, unless a try may take less, as first tries show. A repeat with time
+// left is as good as a first try; one of which nothing is known, or that still earns something when late, is
+// late: it leaves low buckets and scarce room to the others.
+func (d *Door) dates(t *txn) {
+	p := &d.products[t.Product]
+	left := t.Expiry - d.now
+	t.slaAt = min(d.now+p.slaTime, t.Expiry)
+	if !t.Repeat {
+		p.tryFor = min(max(p.tryFor, left), p.patience)
+		return
+	}
+	gone := p.patience - left
+	t.late = p.tryFor <= 0 || left >= p.tryFor-travel && gone > travel || gone >= p.slaTime && p.late > 0
+	if !t.late && gone > 0 {
+		t.slaAt = min(t.slaAt, d.now+p.slaTime-gone)
+	}
+}
+
 // catchUp spreads the txns that came while this gateway stood still over that time: those whose SLA time is
 // over by then are declined at once and take no units.
 func (d *Door) catchUp() {
@@ -269,7 +288,9 @@
 	if c == prompt && d.isPressed() {
 		d.room = min(roomMost, d.room*(1+d.roomUp))
 	}
-	if c == crowded && d.use >= useLeast { // with room to spare the lateness is not of this gateway's making
+	// With room to spare the lateness is not of this gateway's making; and an exponential work time has late
+	// answers of its own, which would wear the room down while nothing wears it up.
+	if c == crowded && d.use >= useLeast && d.isPressed() {
 		d.room, d.roomUp = max(roomLeast/float64(d.gateways), d.room*(1-roomDown)), roomUp
 	}
 }
@@ -343,7 +364,7 @@
 	a := d.account(t.Customer, t.Plan)
 	d.place(a, t.SetFirst, t.SetWidth)
 	a.used = d.now
-	if !t.drawn && !t.over {
+	if !t.drawn && !t.over && !t.kept {
 		switch verdict, until := d.covered(a, t); verdict {
 		case wait:
 			d.hold(t, until)
@@ -361,13 +382,17 @@
 	if !d.noRoom || t.mayHaveRun {
 		b = d.pick(t)
 	}
-	if t.Repeat && t.nr == 0 && (b == nil || d.isPressed()) {
+	if t.late && t.nr == 0 && (b == nil || d.isPressed()) {
 		// What room there is belongs to first tries: a repeat is late by now, or soon.
 		d.end(t, d.adviceMost)
 		return
 	}
 	if b == nil {
 		d.pressed = d.now
+		if !t.drawn && !t.over && !t.kept {
+			// What covers it is kept for it: a view that ages while it waits for a backend would decline it.
+			t.kept, a.kept, a.keeps = true, a.kept+t.Units, a.keeps+1
+		}
 		d.hold(t, t.arrived+time.Duration(backWait*float64(d.products[t.Product].slaTime)))
 		return
 	}
@@ -383,7 +408,7 @@
 // charged, only while the backends clearly have room and nothing inside a quota lacked any lately.
 func (d *Door) spare(a *account, t *txn) bool {
 	p := a.plan
-	return p.overValue > 0 && p.overCost <= 0 && p.openCap == 0 && p.ceilRate <= 0 && !t.Repeat &&
+	return p.overValue > 0 && p.overCost <= 0 && p.openCap == 0 && p.ceilRate <= 0 && !t.late &&
 		d.use < useSpare && d.now-d.pressed > spareAfter
 }
 
@@ -508,7 +533,7 @@
 		}
 		return beyond, until - d.now
 	}
-	if a.plan.openCap > 0 && a.out+d.outElse(a) >= a.plan.openCap {
+	if a.plan.openCap > 0 && a.out+a.keeps+d.outElse(a) >= a.plan.openCap {
 		t.why = lackSlot
 		if a.owner != d.me && d.now-a.levelAt > d.answerIn(a) {
 			d.ask(a) // what others had out is long ended, but nobody tells a gateway that keeps still
@@ -523,12 +548,12 @@
 	}
 	if a.owner == d.me {
 		d.refill(a)
-		if a.level >= d.need(a, t) {
+		if a.level-a.kept >= d.need(a, t) {
 			return pass, 0
 		}
 		t.why = lackUnits
-		due := time.Duration((t.Units - a.level) / a.plan.rate * float64(time.Second))
-		if d.now+due < last && !t.Repeat {
+		due := time.Duration((d.need(a, t) - a.level) / a.plan.rate * float64(time.Second))
+		if d.now+due < last && !t.late {
 			return wait, last
 		}
 		return beyond, due
@@ -539,7 +564,7 @@
 // need is what must be left for a txn: a client's repeat, which mostly comes late, leaves a low bucket to
 // first tries.
 func (d *Door) need(a *account, t *txn) float64 {
-	if t.Repeat {
+	if t.late {
 		return t.Units + repeatLeave*a.plan.burst
 	}
 	return t.Units
@@ -549,9 +574,10 @@
 func (d *Door) byView(a *account, t *txn) (verdict, time.Duration) {
 	t.why = lackView
 	share := a.share(t.Units)
-	pending := a.unacked + a.unsent
+	pending := a.unacked + a.unsent + a.kept
 	age := d.now - a.levelAt
-	until := t.arrived + min(d.answerIn(a), time.Duration(viewWait*float64(d.products[t.Product].slaTime)))
+	sla := float64(d.products[t.Product].slaTime)
+	until := t.arrived + min(askTries*d.answerIn(a), time.Duration(viewWait*sla))
 	most, life := a.plan.burst, viewLife
 	if a.known {
 		most = min(most, max(a.level, 0))
@@ -570,7 +596,7 @@
 		d.ask(a)
 		// While the owner is silent the allowance grows at the rate, shared by the recent reporters but for those
 		// found lost: the survivors of a lost hall then serve the whole quota between them.
-		silent := d.now-max(a.asked, d.peers[a.owner].heard, d.stallTo) > d.answerIn(a)
+		silent := d.now-max(a.asked, d.peers[a.owner].heard, d.stallTo) > askTries*d.answerIn(a)
 		if silent {
 			share += a.plan.rate / float64(d.survivors(a)) * (d.now - a.asked).Seconds()
 		}
@@ -579,7 +605,7 @@
 		left := a.level + a.plan.rate*age.Seconds()/float64(max(a.sharers, 1)) - pending
 		enough := !a.known || left >= d.need(a, t)
 		// Asked in good time and not answered: the allowance is there for that.
-		unanswered := d.now >= until && a.asked > 0 && a.asked < until && !t.Repeat
+		unanswered := d.now >= until && a.asked > 0 && a.asked < until && !t.late
 		if pending+t.Units <= share && (silent || !tight && enough || unanswered && enough) {
 			return pass, 0
 		}
@@ -590,7 +616,7 @@
 		a.wanted = max(a.wanted, t.Units)
 		return wait, until
 	}
-	return beyond, time.Duration((t.Units - max(0, a.level-pending)) / a.plan.rate * float64(time.Second))
+	return beyond, time.Duration((d.need(a, t) - max(0, a.level-pending)) / a.plan.rate * float64(time.Second))
 }
 
 // survivors counts the gateways that share a silent owner's rate. One that was written to and has not been
@@ -609,8 +635,9 @@
 // answerIn is the time within which an owner that is well answers.
 func (d *Door) answerIn(a *account) time.Duration { return askWait + d.gap + d.peers[a.owner].gap }
 
-// underCeiling keeps rule 5: this gateway's part of the ceiling starts empty in each life and refills at
-// its part of the rate, so that all parts together never pass the whole, whoever restarts.
+// underCeiling keeps rule 5. A share of the ceiling is split evenly over the set's gateways, so that each has
+// some when cut off; the rest is the owner's pool, for those to ask whose customers come unevenly. Parts and
+// pool start empty in each life, and their rates and stores add up to the whole, whoever restarts.
 func (d *Door) underCeiling(a *account, t *txn) (bool, time.Duration) {
 	if a.plan.ceilRate <= 0 {
 		return true, 0
@@ -618,42 +645,40 @@
 	if !a.listened {
 		return false, d.now + time.Second
 	}
-	if d.partNow(a) >= t.Units {
+	need := t.Units + a.kept - d.partNow(a)
+	if need <= 0 {
 		return true, 0
 	}
-	if a.owner != d.me && d.now-a.levelAt > d.answerIn(a) {
-		a.want = max(t.Units, partAsk*a.partCap())
+	if a.owner != d.me {
+		a.want = min(max(a.want, need), d.partCap(a))
 		d.ask(a)
 		return false, d.now
 	}
-	need := (t.Units - a.part) * float64(a.width) / a.plan.ceilRate
-	return false, d.now + time.Duration(need*float64(time.Second))
+	return false, d.now + time.Duration(need/(a.plan.ceilRate*d.partOf(a))*float64(time.Second))
 }
 
-// move takes off what leaves this part in a message: a lost message merely loses it, and each is applied at
-// most once, in the life it was meant for. A gift goes to the owner, a want (below nought) asks it for some.
-func (d *Door) move(a *account) float64 {
-	if a.plan.ceilRate <= 0 || !a.listened {
-		return 0
-	}
-	if want := a.want; want > 0 {
-		a.want = 0
-		return -want
-	}
-	gift := math.Floor(16*(d.partNow(a)-max(partKeep*a.partCap(), 2*d.mostUnits))) / 16
-	if gift < 1 {
-		return 0
+// partOf is the share of a ceiling that is this gateway's.
+func (d *Door) partOf(a *account) float64 {
+	part := partEven / float64(max(a.width, 1))
+	if a.owner == d.me {
+		part += 1 - partEven
 	}
-	a.part -= gift
-	return gift
+	return part
 }
 
-// grant gives from the owner's part what a gateway asked for.
+// move tells the owner what this gateway lacks of a ceiling.
+func (d *Door) move(a *account) (want float64) {
+	want, a.want = a.want, 0
+	return -want
+}
+
+// grant gives from the owner's pool. It is taken off before it is sent, applied at most once and only in the
+// life it was meant for: a lost message merely loses it.
 func (d *Door) grant(a *account, r *report) float64 {
-	if r == nil || r.want <= 0 || !a.listened {
+	if r.want <= 0 || !a.listened || a.plan.ceilRate <= 0 {
 		return 0
 	}
-	g := math.Floor(16*min(r.want, partGive*d.partNow(a))) / 16
+	g := math.Floor(16*min(r.want, max(0, d.partNow(a)-a.kept))) / 16
 	r.want = 0
 	a.part -= g
 	return g
@@ -826,6 +851,7 @@
 		return
 	}
 	if t.nr == 0 {
+		d.unkeep(t)
 		if !t.over {
 			d.spend(a, t)
 		}
@@ -938,15 +964,13 @@
 	d.mailIn, d.writers = 0, 0
 	kept := d.order[:0]
 	for _, a := range d.order {
-		full := a.owner != d.me || a.level+a.plan.rate*(d.now-a.levelAt).Seconds() >= a.plan.burst
-		if d.now-a.used > idleAfter && full && !a.dirty && a.out == 0 && a.unacked <= 0 {
+		full := a.owner != d.me || a.level+a.plan.rate*(d.now-a.levelAt).Seconds() >= a.plan.burst &&
+			(a.plan.ceilRate <= 0 || d.partNow(a) >= d.partCap(a))
+		if d.now-a.used > idleAfter && full && !a.dirty && a.out == 0 && a.keeps == 0 && a.unacked <= 0 {
 			delete(d.accounts, a.id)
 			continue
 		}
 		kept = append(kept, a)
-		if a.plan.ceilRate > 0 && a.listened && d.partNow(a) > partIdle*a.partCap() {
-			d.mark(a) // an idle part goes to the owner, who gives it to those that ask
-		}
 	}
 	d.order = kept
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -184,7 +184,7 @@
 	s.at(10000)
 	s.d.room = 100
 	c := ownedBy(0)
-	fmt.Println("# a third of the ceiling, then nothing but its refill")
+	fmt.Println("# the owner's pool and its part, two thirds of the ceiling, then nothing but their refill")
 	for id := TxnID(1); id <= 16; id++ {
 		s.txn(id, c, 0, 1)
 	}
@@ -195,15 +195,22 @@
 	s.txn(1, c, 0, 1)
 	s.at(10200)
 	// Output:
-	// # a third of the ceiling, then nothing but its refill
+	// # the owner's pool and its part, two thirds of the ceiling, then nothing but their refill
 	// 10000 submit 1 to 1, 446
 	// 10000 submit 2 to 2, 446
 	// 10000 submit 3 to 1, 446
 	// 10000 submit 4 to 2, 446
 	// 10000 submit 5 to 1, 446
 	// 10000 submit 6 to 1, 446
+	// 10000 submit 7 to 2, 446
+	// 10000 submit 8 to 1, 446
+	// 10000 submit 9 to 1, 446
+	// 10000 submit 10 to 2, 446
+	// 10000 submit 11 to 1, 446
+	// 10000 submit 12 to 2, 446
+	// 10000 submit 13 to 1, 446
 	// # the next life starts with an empty part
-	// 10000 decline 1, 150
+	// 10100 submit 1 to 1, 356
 }
 
 func Example_ownerRestart() {
@@ -292,20 +299,20 @@
 	// 10000 submit 6 to 2, 446
 	// 10050 tell 1: delta 2 used 5
 	// # lost: the delta goes again under its sequence
-	// 10150 submit 7 to 3, 311
-	// 10150 decline 8, 100
 	// 10150 tell 1: delta 1 used 1
+	// 10200 decline 7, 100
+	// 10200 decline 8, 100
 	// 10200 tell 1: delta 2 used 5
 	// # the snapshot acknowledges the first two: four units are left, two of them used since
-	// 10200 submit 11 to 1, 446
+	// 10200 submit 11 to 3, 446
 	// # an older snapshot that comes late brings nothing back
-	// 10200 submit 12 to 2, 446
-	// 10200 submit 13 to 3, 446
-	// 10250 tell 1: delta 3 used 4
-	// 10400 tell 1: delta 3 used 4
+	// 10200 submit 12 to 1, 446
+	// 10200 submit 13 to 2, 446
+	// 10250 tell 1: delta 3 used 3
+	// 10400 tell 1: delta 3 used 3
 	// # stale: the allowance alone, and it asks afresh
-	// 10650 tell 1: delta 3 used 4
-	// 11150 tell 1: delta 3 used 4
+	// 10650 tell 1: delta 3 used 3
+	// 11150 tell 1: delta 3 used 3
 	// 11900 submit 14 to 1, 446
 	// 11900 tell 1: delta 4 used 1
 }
@@ -406,37 +413,106 @@
 	// 10000 decline 2, 1000
 }
 
-func Example_partsMove() {
+func Example_ceilingPool() {
 	s := newScene(settings(0), 0)
+	s.list(true, Listing{ID: 1, State: Ready})
 	s.at(10000)
+	s.d.room = 3
 	c := ownedBy(1)
 	a := s.d.account(c, 1)
 	s.d.place(a, 0, 3)
-	fmt.Println("# an idle part goes to the owner, once for each time it is taken off")
-	s.at(11000)
-	fmt.Printf("left %.1f of %.1f\n", a.part, a.partCap())
-	fmt.Println("# a grant comes once, whatever is repeated, and no more than the part holds")
-	a.part = 0
-	m := &message{epoch: 9, version: 3, ackEpoch: s.d.epoch, snaps: []snapLine{{c, 5, 1, 0, 4}}}
+	s.d.partNow(a)
+	fmt.Println("# a part without a unit: the owner is asked for what is lacking, and its grant lets the txn go")
+	a.part, s.quiet = 0.25, true
+	s.txn(1, c, 0, 1)
+	fmt.Printf("asks for %.2f\n", -s.mails[len(s.mails)-1].deltas[0].part)
+	m := &message{epoch: 9, version: 3, ackEpoch: s.d.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 5, 1, 0, 0.75}}}
 	s.hear(1, m)
+	fmt.Println("# a grant comes once, whatever is repeated, and no more than the part holds")
+	a.part, m.version, m.snaps[0].grant = 0, 4, 900
 	s.hear(1, m)
-	fmt.Printf("%.1f\n", a.part)
-	m.version, m.snaps[0].grant = 4, 900
+	fmt.Printf("%.1f of %.1f\n", a.part, s.d.partCap(a))
+	a.part = 0
 	s.hear(1, m)
-	fmt.Printf("%.1f\n", a.part)
 	fmt.Println("# a grant for an earlier life is lost")
-	a.part, m.version, m.ackEpoch = 0, 5, 77
+	m.version, m.ackEpoch = 5, 77
 	s.hear(1, m)
 	fmt.Printf("%.1f\n", a.part)
+	fmt.Println("# all parts and the pool are the whole ceiling; an owner gives no more than its pool")
+	own := s.d.account(ownedBy(0), 1)
+	s.d.place(own, 0, 3)
+	fmt.Printf("%.1f and twice %.1f of %.1f\n", s.d.partCap(own), s.d.partCap(a), a.plan.ceilBurst)
+	own.part, own.partAt = 2, s.d.now
+	s.hear(2, &message{epoch: 9, seq: 1, ackEpoch: s.d.epoch, deltas: []deltaLine{{own.id, 1, 0, 0, -3, 0, 0, 3}}})
+	fmt.Printf("gives %.1f, keeps %.1f\n", s.mails[len(s.mails)-1].snaps[0].grant, own.part)
 	// Output:
-	// # an idle part goes to the owner, once for each time it is taken off
-	// 11000 tell 1: delta 1 used 0
-	// left 3.4 of 6.7
+	// # a part without a unit: the owner is asked for what is lacking, and its grant lets the txn go
+	// asks for 0.75
+	// 10000 submit 1 to 1, 446
 	// # a grant comes once, whatever is repeated, and no more than the part holds
-	// 4.0
-	// 6.7
+	// 3.3 of 3.3
 	// # a grant for an earlier life is lost
 	// 0.0
+	// # all parts and the pool are the whole ceiling; an owner gives no more than its pool
+	// 13.3 and twice 3.3 of 20.0
+	// gives 2.0, keeps 0.0
+}
+
+// The view is good for 150 ms, the wait for a backend is longer: what covered the txn must still do so.
+func Example_keptWhileWaiting() {
+	s := newScene(settings(0), 0)
+	s.list(true, Listing{ID: 1, State: Ready})
+	s.at(10000)
+	c := ownedBy(1)
+	s.d.plans[0].burst = 2 // tight: a view is good for an answer's time only
+	s.d.room = 0.3
+	s.txn(1, ownedBy(0), 0, 0)
+	s.quiet = true
+	s.txn(2, c, 0, 0)
+	s.hear(1, &message{epoch: 9, version: 1, ackEpoch: s.d.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 2, 2, 0, 0}}})
+	a := s.d.accounts[c]
+	fmt.Println("kept:", a.kept, "- what others may spend of the view is less by that")
+	s.at(10170)
+	s.ended(1, Settled)
+	s.at(10180)
+	fmt.Println("kept:", a.kept)
+	// Output:
+	// 10000 submit 1 to 1, 446
+	// kept: 1 - what others may spend of the view is less by that
+	// 10170 submit 2 to 1, 326
+	// kept: 0
+}
+
+// A client's patience counts from its first try, so a repeat's expiry tells how long ago that was.
+func Example_repeatInTime() {
+	s := warm()
+	c := ownedBy(0)
+	a := s.d.account(c, 0)
+	again := func(id TxnID, left time.Duration) {
+		a.level, a.levelAt = 5, s.d.now // of 20: under what a late repeat must leave
+		s.d.TxnTaken(Txn{ID: id, Customer: c, Repeat: true, Units: 1, SetWidth: 3, Expiry: s.d.now + left})
+		s.pull()
+	}
+	fmt.Println("# no first try was seen: it may be late and leaves the low bucket alone")
+	again(1, 1900*ms)
+	s.txn(2, ownedBy(0), 0, 0)
+	fmt.Println("# 100 ms gone: like a first try, with that much less time")
+	again(3, 1900*ms)
+	fmt.Println("# 600 ms gone, the SLA time is over: declined at once")
+	again(4, 1400*ms)
+	fmt.Println("# late answers still earn something: it is a late repeat again")
+	s.d.products[0].late = 0.2
+	again(5, 1400*ms)
+	// Output:
+	// # no first try was seen: it may be late and leaves the low bucket alone
+	// 10000 decline 1, 600
+	// 10000 submit 2 to 1, 446
+	// # 100 ms gone: like a first try, with that much less time
+	// 10000 submit 3 to 3, 356
+	// # 600 ms gone, the SLA time is over: declined at once
+	// 10000 decline 4, 2000
+	// # late answers still earn something: it is a late repeat again
+	// 10000 decline 5, 600
 }
 
 func Example_silentOwner() {
@@ -455,7 +531,7 @@
 	}
 	// Output:
 	// # the allowance is spent, then grows at the rate while no gateway is heard
-	// 10000 10010 10020 10030 10040 10050 10120 10400 10700 11000 11300 11510 11510 11510 11670 11870
+	// 10000 10010 10020 10030 10040 10050 10230 10400 10700 11000 11300 11510 11510 11510 11670 11870
 }
 
 func Example_worthUnderPressure() {
@@ -539,7 +615,7 @@
 	s.txn(2, c, 0, 0)
 	// Output:
 	// # four units of twenty left: not for a repeat, at once, but for a first try
-	// 10000 decline 1
+	// 10000 decline 1, 700
 	// 10000 submit 2 to 1, 446
 }
 
@@ -577,15 +653,20 @@
 	s.d.use = 1
 	s.d.Now(s.d.now + 200*ms)
 	s.d.Now(s.d.now + 200*ms)
+	s.d.pressed = s.d.now
 	s.d.adjustRoom(s.d.crowding(s.d.txns[1], b, TimedOut))
 	fmt.Println("time-out at a backend that has answered nothing since: room as before:", s.d.room == before)
 	b.oweSince = s.d.now
 	s.d.adjustRoom(s.d.crowding(s.d.txns[1], b, TimedOut))
 	fmt.Println("it answered others meanwhile: room taken away:", s.d.room < before)
+	before, s.d.pressed = s.d.room, s.d.now-pressFor
+	s.d.adjustRoom(s.d.crowding(s.d.txns[1], b, TimedOut))
+	fmt.Println("nothing lacked room lately: late answers are the work's own, room as before:", s.d.room == before)
 	// Output:
 	// 10000 submit 1 to 1, 446
 	// time-out at a backend that has answered nothing since: room as before: true
 	// it answered others meanwhile: room taken away: true
+	// nothing lacked room lately: late answers are the work's own, room as before: true
 }
 
 func Example_wideSets() {
@@ -635,12 +716,11 @@
 	// 12000 decline 1
 	// 12000 recall 1/0
 	// 13000 tell 1: delta 4 used 0
-	// 13140 submit 3 to 1, 320
-	// 13140 tell 1: delta 5 used 1
+	// 13140 tell 1: delta 5 used 0
 	// # an owner tells one asker of the units it has just told another of only once
-	// 13690 probe 1
-	// 14000 tell 1: snapshot left 1 sharers 2 ack 1
-	// 14000 tell 2: snapshot left 0 sharers 3 ack 1
+	// 13240 submit 3 to 1, 256
+	// 13790 probe 1
+	// 14000 tell 2: snapshot left 1 sharers 3 ack 1
 }
 
 func Example_messages() {
@@ -733,7 +813,6 @@
 	fmt.Println("a txn says three: width", a.width, "part", a.part)
 	// Output:
 	// a peer says the set is this gateway alone: 1 part true
-	// 10000 decline 1, 150
 	// a txn says three: width 3 part 0
 }
 
--- a/control/scene_test.go
+++ b/control/scene_test.go
@@ -27,6 +27,7 @@
 		fmt.Sscan(kind, &effect, &scope)
 		s[at+"effect"], s[at+"repeat_scope"], s[at+"sla_time"] = effect, scope, "500000"
 		s[at+"repeat_window"], s[at+"value"], s[at+"late_value"] = "1000000", "1", "0"
+		s[at+"expiry"] = "2000000"
 	}
 	for i, ceil := range []string{"0", "20"} {
 		at := fmt.Sprintf("plans.%d.", i)
--- a/control/state.go
+++ b/control/state.go
@@ -51,12 +51,21 @@
 
 func (d *Door) forget(t *txn) {
 	t.ended = true
+	d.unkeep(t)
 	if t.outAt != nil { // the outcome is still to come and counts for the backend
 		return
 	}
 	delete(d.txns, t.ID)
 }
 
+// unkeep lets go of the units kept for a txn.
+func (d *Door) unkeep(t *txn) {
+	if a := d.accounts[t.Customer]; t.kept && a != nil {
+		a.kept, a.keeps = max(0, a.kept-t.Units), a.keeps-1
+	}
+	t.kept = false
+}
+
 // account finds or makes the account of a customer.
 func (d *Door) account(id CustomerID, pl PlanID) *account {
 	a := d.accounts[id]
@@ -145,7 +154,7 @@
 		d.refill(a)
 		sharers, out, told := d.reporters(a, p)
 		r := a.report(p.id)
-		left := max(0, a.level-told)
+		left := max(0, a.level-told-a.kept)
 		r.units, r.told, r.left = 0, d.now, left
 		if left >= r.wanted {
 			r.units = r.wanted
@@ -209,7 +218,6 @@
 			d.draw(a, l.units)
 		}
 		if fresh && m.ackEpoch == d.epoch && a.listened && a.plan.ceilRate > 0 {
-			a.part = min(a.partCap(), d.partNow(a)+max(l.part, 0))
 			r.want = max(-l.part, 0)
 		}
 		d.owe(p, a.id)
@@ -238,7 +246,7 @@
 	for _, l := range m.snaps {
 		a := d.accounts[l.customer]
 		if once && a != nil && a.owner == p.id && a.plan.ceilRate > 0 && a.listened {
-			a.part = min(a.partCap(), d.partNow(a)+l.grant)
+			a.part = min(d.partCap(a), d.partNow(a)+l.grant)
 		}
 		if a == nil || a.owner != p.id || m.version < a.version && a.known {
 			continue
@@ -269,11 +277,14 @@
 
 // partNow brings this gateway's part of a ceiling up to now.
 func (d *Door) partNow(a *account) float64 {
-	fill := a.plan.ceilRate / float64(a.width) * (d.now - a.partAt).Seconds()
-	a.part, a.partAt = min(a.partCap(), a.part+fill), d.now
+	fill := a.plan.ceilRate * d.partOf(a) * (d.now - a.partAt).Seconds()
+	a.part, a.partAt = min(d.partCap(a), a.part+fill), d.now
 	return a.part
 }
 
+// partCap is what it holds at most.
+func (d *Door) partCap(a *account) float64 { return a.plan.ceilBurst * d.partOf(a) }
+
 // refill brings an owned bucket up to now.
 func (d *Door) refill(a *account) {
 	a.level = min(a.plan.burst, a.level+a.plan.rate*(d.now-a.levelAt).Seconds())
@@ -396,7 +407,7 @@
 	if x.Product < 0 || int(x.Product) >= len(d.products) || x.Plan < 0 || int(x.Plan) >= len(d.plans) {
 		t.Product, t.Plan, t.slaAt = 0, 0, d.now // a kind that the settings don't name: declined for want of time
 	} else {
-		t.slaAt = min(d.now+d.products[x.Product].slaTime, x.Expiry)
+		d.dates(t)
 	}
 	d.txns[x.ID] = t
 	d.due.Add(x.Expiry-2*ms, x.ID) // rule 1: every expiry is watched
--- a/control/types.go
+++ b/control/types.go
@@ -156,6 +156,8 @@
 // product, plan: a kind of txn and a kind of customer, as the settings have them.
 type product struct {
 	slaTime, window time.Duration
+	patience        time.Duration // how long a client waits in all, over all its tries
+	tryFor          time.Duration // and how long in one, as first tries show
 	value, late     float64
 	kind, scope     string
 }
@@ -174,6 +176,8 @@
 	giveUp         time.Duration
 	drawn          bool // units taken
 	over           bool // let in beyond the quota
+	late           bool // a repeat whose SLA time is over, or may be
+	kept           bool // its units are kept while it waits for a backend
 	ended          bool
 	why            lack // what it last lacked
 	nr             int  // submissions so far
@@ -251,6 +255,8 @@
 	inSet    bool
 	used     time.Duration
 	out      int     // submissions out from here
+	kept     float64 // units of txns that are covered and wait for a backend
+	keeps    int     // and how many these are
 	level    float64 // owner: remaining; other: the snapshot's remaining
 	levelAt  time.Duration
 	known    bool // a snapshot has come
@@ -282,9 +288,6 @@
 	told   time.Duration
 }
 
-// partCap is what a gateway's part of the ceiling holds at most.
-func (a *account) partCap() float64 { return a.plan.ceilBurst / float64(max(a.width, 1)) }
-
 // peer is another gateway.
 type peer struct {
 	id       GatewayID
@@ -320,7 +323,7 @@
 		at := fmt.Sprintf("products.%d.", i)
 		all = append(all, product{slaTime: p.span(at + "sla_time"), kind: p.text(at + "effect"),
 			scope: p.text(at + "repeat_scope"), window: p.span(at + "repeat_window"),
-			value: p.number(at + "value"), late: p.number(at + "late_value")})
+			value: p.number(at + "value"), late: p.number(at + "late_value"), patience: p.span(at + "expiry")})
 	}
 	return all
 }
