Emulator: real modules behind the gate in simulated time, five rules judged from full sight

Need: every later subsystem has to be caused to fail and measured without the operators' kit; until now there were stand-ins in one test file and no means to run an experiment. The module names what a declined txn lacked, the gate counts it.

--- a/control/control.go
+++ b/control/control.go
@@ -449,7 +449,7 @@
 	d.gaveUp[t.why]++
 	p := d.products[t.Product]
 	again := p.kind == "inquiry-like" || p.kind == "referenced" && p.scope == "all"
-	x := Decision{Verb: Void, Txn: t.ID}
+	x := Decision{Verb: Void, Txn: t.ID, Why: t.why}
 	if again || !t.mayHaveRun && t.outAt == nil {
 		x.Verb = Decline
 		if d.advice {
@@ -659,11 +659,12 @@
 
 // partOf is the share of a ceiling that is this gateway's.
 func (d *Door) partOf(a *account) float64 {
-	part := partEven / float64(max(a.width, 1))
+	width := float64(max(a.width, 1))
+	even := min(1, max(partEven, d.mostUnits*width/max(a.plan.ceilBurst, 1))) // the largest txn fits into a part
 	if a.owner == d.me {
-		part += 1 - partEven
+		return even/width + 1 - even
 	}
-	return part
+	return even / width
 }
 
 // move tells the owner what this gateway lacks of a ceiling.
@@ -678,8 +679,10 @@
 	if r.want <= 0 || !a.listened || a.plan.ceilRate <= 0 {
 		return 0
 	}
-	g := math.Floor(16*min(r.want, max(0, d.partNow(a)-a.kept))) / 16
-	r.want = 0
+	g := math.Ceil(16*r.want) / 16
+	if r.want = 0; g > d.partNow(a)-a.kept {
+		return 0 // a fragment lets nobody go
+	}
 	a.part -= g
 	return g
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -443,8 +443,16 @@
 	s.d.place(own, 0, 3)
 	fmt.Printf("%.1f and twice %.1f of %.1f\n", s.d.partCap(own), s.d.partCap(a), a.plan.ceilBurst)
 	own.part, own.partAt = 2, s.d.now
-	s.hear(2, &message{epoch: 9, seq: 1, ackEpoch: s.d.epoch, deltas: []deltaLine{{own.id, 1, 0, 0, -3, 0, 0, 3}}})
-	fmt.Printf("gives %.1f, keeps %.1f\n", s.mails[len(s.mails)-1].snaps[0].grant, own.part)
+	for seq, want := range []float64{3, 1.5} {
+		s.hear(2, &message{epoch: 9, seq: uint64(seq) + 1, ackEpoch: s.d.epoch,
+			deltas: []deltaLine{{own.id, 1, 0, 0, -want, 0, 0, 3}}})
+		s.at(int(s.d.now.Milliseconds()) + 50)
+		grant := 0.0
+		for _, l := range s.mails[len(s.mails)-1].snaps {
+			grant = l.grant
+		}
+		fmt.Printf("asked for %.1f it gives %.1f\n", want, grant)
+	}
 	// Output:
 	// # a part without a unit: the owner is asked for what is lacking, and its grant lets the txn go
 	// asks for 0.75
@@ -455,7 +463,8 @@
 	// 0.0
 	// # all parts and the pool are the whole ceiling; an owner gives no more than its pool
 	// 13.3 and twice 3.3 of 20.0
-	// gives 2.0, keeps 0.0
+	// asked for 3.0 it gives 0.0
+	// asked for 1.5 it gives 1.5
 }
 
 // The view is good for 150 ms, the wait for a backend is longer: what covered the txn must still do so.
--- a/control/types.go
+++ b/control/types.go
@@ -97,6 +97,7 @@
 	Peer    GatewayID
 	Payload []byte
 	Text    string
+	Why     Lack // of Decline and Void: what was lacking
 	Token   uint64
 }
 
@@ -179,7 +180,7 @@
 	late           bool // a repeat whose SLA time is over, or may be
 	kept           bool // its units are kept while it waits for a backend
 	ended          bool
-	why            lack // what it last lacked
+	why            Lack // what it last lacked
 	nr             int  // submissions so far
 	outAt          *backend
 	sent           time.Duration
@@ -464,11 +465,11 @@
 	return s[len(s)/2]
 }
 
-// lack is what a txn had too little of, for the log.
-type lack int
+// Lack is what a txn had too little of.
+type Lack int
 
 const (
-	lackTime lack = iota
+	lackTime Lack = iota
 	lackUnits
 	lackView
 	lackSlot
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -21,6 +21,12 @@
 	Settled
 	Declined
 	Voided
+	GaveUpTime // for want of time, and so on, in the order of the module's reasons
+	GaveUpUnits
+	GaveUpView
+	GaveUpSlots
+	GaveUpCeiling
+	GaveUpBackends
 	Unheard // answers whose client had left
 	BadRequest
 	BadPlan
@@ -65,7 +71,8 @@
 
 var names = [all]string{"clients opened", "clients closed", "clients evicted", "clients stuck",
 	"clients idle", "clients refused", "txns taken", "txns left",
-	"settled", "declined", "voided", "answers unheard", "bad requests", "unknown plans", "unknown products",
+	"settled", "declined", "voided", "gave up: time", "gave up: units", "gave up: view", "gave up: slots",
+	"gave up: ceiling", "gave up: backends", "answers unheard", "bad requests", "unknown plans", "unknown products",
 	"bad quotas", "ids of open txns", "bad framing", "bodies too large", "heads too large",
 	"without memory", "unknown paths", "unknown methods",
 	"too many held", "ups", "submissions", "connections reused", "dials", "dials failed", "ended settled",
--- /dev/null
+++ b/internal/emulator/door.go
@@ -0,0 +1,365 @@
+package emulator
+
+import (
+	"encoding/binary"
+	"time"
+
+	"go.uber.org/zap"
+
+	"clovergap/control"
+	"clovergap/internal/counters"
+	"clovergap/internal/gate"
+	"clovergap/internal/slots"
+)
+
+// decider is what decides at a front door: the gate with the module behind it, or a mark to compare with.
+type decider interface {
+	Take(x control.Txn, front gate.Front, who slots.Ref) (slots.Ref, bool)
+	Left(ref slots.Ref)
+	Ended(ref slots.Ref, nr int, at control.BackendID, o gate.Outcome)
+	Listed(whole bool, list []control.Listing)
+	Heard(from control.GatewayID, payload []byte)
+	Live(nr uint32) bool
+	Due(nr uint32)
+	Pull()
+}
+
+// held is a connection that rests.
+type held struct{ since time.Duration }
+
+// door is one front door's machine: its process, its connections, what discovery told it.
+type door struct {
+	w       *world
+	nr      int
+	hall    int
+	life    int
+	up      bool
+	stalled bool
+	backlog []func()
+	brain   decider
+	count   *counters.Set
+	idle    map[*backend][]held
+	subs    map[*submission]bool
+	told    map[control.BackendID]time.Duration // since when it knows a backend as draining or gone
+}
+
+func newDoor(w *world, nr, hall int) *door { return &door{w: w, nr: nr, hall: hall} }
+
+// module is the real thing: the gate and the module.
+func module(d *door) decider {
+	w := d.w
+	seed := int64(w.s.Seed)<<20 ^ int64(d.nr)<<8 ^ int64(d.life)
+	m, err := control.New(seed, settings(w.s, d.nr, d.hall), w.now)
+	if err != nil {
+		panic(err) // probed before the run
+	}
+	g := gate.New(m, d, 1<<16, d.count, zap.NewNop())
+	g.Through(d, d)
+	return g
+}
+
+// start begins a life, with the list as discovery has it.
+func (d *door) start() {
+	d.life++
+	d.up, d.stalled, d.backlog = true, false, nil
+	d.count = &counters.Set{}
+	d.idle, d.subs, d.told = map[*backend][]held{}, map[*submission]bool{}, map[control.BackendID]time.Duration{}
+	d.brain = d.w.make(d)
+	var list []control.Listing
+	for _, b := range d.w.backends {
+		if b.state != control.Gone {
+			list = append(list, b.listing())
+		}
+	}
+	d.turn(func() { d.brain.Listed(true, list) })
+}
+
+// kill ends the process at once: what it holds is left to its clients.
+func (d *door) kill() {
+	if !d.up {
+		return
+	}
+	d.w.res.add(d.count)
+	d.up = false
+	var mine []*submission
+	for s := range d.subs {
+		mine = append(mine, s)
+	}
+	sortSubs(mine)
+	for _, s := range mine {
+		s := s
+		s.over = true
+		d.w.after(d.w.hop(d.hall, s.to.hall), func() { s.to.drop(s) })
+	}
+	for b, idle := range d.idle {
+		b.open -= len(idle)
+	}
+	d.w.clients.lost(d)
+	d.w.judge.killed(d)
+}
+
+// turn is one owner's: inputs, then decisions until there is none.
+func (d *door) turn(do func()) {
+	if !d.up {
+		return
+	}
+	if d.stalled {
+		d.backlog = append(d.backlog, do)
+		return
+	}
+	do()
+	d.brain.Pull()
+}
+
+// stall lets the process stand still for a while: what comes meanwhile waits.
+func (d *door) stall(long time.Duration) {
+	if !d.up || d.stalled {
+		return
+	}
+	life := d.life
+	d.stalled = true
+	d.w.judge.stalled(d, d.w.now+long)
+	d.w.after(long, func() {
+		if d.life != life || !d.up {
+			return
+		}
+		d.stalled = false
+		backlog := d.backlog
+		d.backlog = nil
+		d.turn(func() {
+			for _, do := range backlog {
+				do()
+			}
+		})
+	})
+}
+
+func (d *door) listed(list []control.Listing) {
+	d.turn(func() {
+		for _, l := range list {
+			if l.State == control.Ready {
+				delete(d.told, l.ID)
+			} else if _, ok := d.told[l.ID]; !ok {
+				d.told[l.ID] = d.w.now
+			}
+		}
+		d.brain.Listed(false, list)
+	})
+}
+
+// ---- what the gate asks of its host
+
+// Now is the clock.
+func (d *door) Now() time.Duration { return d.w.now }
+
+// Wake hangs the module's due time on the clock.
+func (d *door) Wake(at time.Duration, nr uint32) {
+	life := d.life
+	d.w.at(at, func() {
+		if d.life == life && d.up && (d.stalled || d.brain.Live(nr)) {
+			d.turn(func() {
+				if d.brain.Live(nr) {
+					d.brain.Due(nr)
+				}
+			})
+		}
+	})
+}
+
+// Tell sends a datagram: late, lost, or cut off.
+func (d *door) Tell(peer control.GatewayID, payload []byte) {
+	w := d.w
+	w.res.messages++
+	w.judge.said(d, payload)
+	if int(peer) < 0 || int(peer) >= len(w.doors) || w.net.Float64() < w.s.Peers.Loss || w.strikes(w.lossBy) {
+		return
+	}
+	to := w.doors[peer]
+	if w.apart(d.hall, to.hall) {
+		return
+	}
+	w.after(w.between(w.s.Peers.Delay), func() {
+		to.turn(func() { to.brain.Heard(control.GatewayID(d.nr), payload) })
+	})
+}
+
+// AppendTo gives the number of the try: the emulated wire needs no more.
+func (d *door) AppendTo(b []byte, who, _ slots.Ref, _ time.Duration) []byte {
+	return binary.LittleEndian.AppendUint32(b, uint32(who))
+}
+
+// Settle, Decline and Void are the final answers.
+func (d *door) Settle(who, _ slots.Ref, body, _ []byte) {
+	d.w.clients.answer(d, who, control.Settled, 0, body)
+}
+
+// Decline: trying again is harmless.
+func (d *door) Decline(who, _ slots.Ref, after time.Duration) {
+	d.w.clients.answer(d, who, control.Full, after, nil)
+}
+
+// Void makes no such promise.
+func (d *door) Void(who, _ slots.Ref) { d.w.clients.answer(d, who, control.Errored, 0, nil) }
+
+// Probe is not allowed on this site; as dispatch does, it is answered as failed.
+func (d *door) Probe(control.BackendID) {}
+
+// Recall gives a submission up.
+func (d *door) Recall(ref slots.Ref, nr int) {
+	for s := range d.subs {
+		if s.ref == ref && s.nr == nr && !s.over {
+			s.finish(control.CalledOff)
+			return
+		}
+	}
+}
+
+// submission is one try at a backend.
+type submission struct {
+	d     *door
+	life  int
+	ref   slots.Ref
+	nr    int
+	try   *try
+	to    *backend
+	sent  time.Duration // handed to the network
+	whole bool          // its last byte is written
+	ran   bool
+	fails bool
+	over  bool // its end is known at the door
+	job   *job
+}
+
+// Submit sends a txn to a backend, over a connection that rests or a new one.
+func (d *door) Submit(ref slots.Ref, nr int, m gate.Message, at control.BackendID, limit, _ time.Duration) {
+	d.submit(ref, nr, d.w.clients.tries[binary.LittleEndian.Uint32(m.AppendTo(nil, limit))], d.w.byID[at], limit)
+}
+
+func (d *door) submit(ref slots.Ref, nr int, t *try, b *backend, limit time.Duration) {
+	w := d.w
+	s := &submission{d: d, life: d.life, ref: ref, nr: nr, try: t, to: b, sent: w.now}
+	d.subs[s] = true
+	w.res.submissions++
+	if b.hall != d.hall {
+		w.res.crossed++
+	}
+	w.judge.sent(s)
+	w.after(max(limit, 0), func() { s.finish(control.TimedOut) })
+	way := w.hop(d.hall, b.hall)
+	if idle := d.idle[b]; len(idle) > 0 {
+		d.idle[b] = idle[:len(idle)-1]
+		if w.now-idle[len(idle)-1].since < w.s.Backends.ConnIdle.D() {
+			s.write(way)
+			return
+		}
+		b.open--
+	}
+	w.res.handshakes++
+	if !b.reachable(d) {
+		w.after(w.s.Backends.DialLimit.D(), func() { s.finish(control.Unreachable) })
+		return
+	}
+	if b.dead {
+		w.after(2*way, func() { s.finish(control.Unreachable) })
+		return
+	}
+	b.open++
+	w.after(time.Duration(2*w.s.Backends.RoundTrips)*way+w.s.Backends.Handshake.D(), func() { s.write(way) })
+}
+
+// write puts the last byte on the wire.
+func (s *submission) write(way time.Duration) {
+	if s.over {
+		return
+	}
+	w := s.d.w
+	if s.to.dead && w.s.Policy != "" {
+		w.after(way, func() { s.finish(control.Unreachable) })
+		return
+	}
+	s.whole = true
+	w.after(way, func() {
+		switch {
+		case s.over || s.life != s.d.life:
+		case s.to.dead:
+			w.after(way, func() { s.finish(control.Broken) })
+		case !s.to.reachable(s.d): // nothing comes back
+		default:
+			s.to.take(s)
+			if w.strikes(w.resetBy) {
+				w.after(way, func() { s.finish(control.Broken) })
+			}
+		}
+	})
+}
+
+// reply is the backend's answer on its way back.
+func (s *submission) reply(e control.Ending) {
+	w := s.d.w
+	if !s.to.reachable(s.d) || w.strikes(w.lostBy) {
+		return
+	}
+	load := s.to.held()
+	w.after(w.hop(s.d.hall, s.to.hall), func() { s.end(e, load) })
+}
+
+// finish ends a submission at the door: what it gave up, the backend hears of.
+func (s *submission) finish(e control.Ending) {
+	if s.over || s.life != s.d.life || !s.d.up {
+		return
+	}
+	if !s.whole && (e == control.TimedOut || e == control.CalledOff) {
+		e = control.NotSent
+	}
+	b := s.to
+	if s.whole {
+		b.open--
+		s.d.w.after(s.d.w.hop(s.d.hall, b.hall), func() { b.drop(s) })
+	}
+	s.end(e, nil)
+}
+
+// end tells the gate how a submission went.
+func (s *submission) end(e control.Ending, load []float64) {
+	d := s.d
+	if s.over || s.life != d.life || !d.up {
+		return
+	}
+	d.turn(func() {
+		if s.over || s.life != d.life {
+			return
+		}
+		s.over = true
+		delete(d.subs, s)
+		if e == control.Settled || e == control.Errored || e == control.Full {
+			d.idle[s.to] = append(d.idle[s.to], held{d.w.now})
+		}
+		d.w.judge.ended(s, e)
+		o := gate.Outcome{Ending: e, Took: d.w.now - s.sent, Load: load}
+		if e == control.Settled {
+			o.Body = binary.LittleEndian.AppendUint32(nil, uint32(s.try.nr))
+		}
+		d.brain.Ended(s.ref, s.nr, s.to.id, o)
+	})
+}
+
+// broken: the backend's process has ended.
+func (d *door) broken(b *backend) {
+	if n := len(d.idle[b]); n > 0 {
+		b.open -= n
+		delete(d.idle, b)
+	}
+	var mine []*submission
+	for s := range d.subs {
+		if s.to == b && s.whole {
+			mine = append(mine, s)
+		}
+	}
+	sortSubs(mine)
+	for _, s := range mine {
+		s := s
+		if b.reachable(d) {
+			d.w.after(d.w.hop(d.hall, b.hall), func() { s.end(control.Broken, nil) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,222 @@
+package emulator
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"clovergap/control"
+	"clovergap/internal/gate"
+	"clovergap/internal/slots"
+	"clovergap/internal/spec"
+)
+
+// day is a small fleet with the given faults.
+func day(seconds float64, faults ...spec.Fault) *spec.Spec {
+	s := spec.Default()
+	s.For = spec.Span(seconds * 1e9)
+	s.Doors.Count, s.Backends.Count = 6, 8
+	s.Rules.WarmBy = spec.Span(4 * time.Second)
+	s.Faults = faults
+	return &s
+}
+
+func at(sec float64) spec.Span { return spec.Span(sec * 1e9) }
+
+// rogue breaks one rule on purpose; in all else it is the seeing mark, which keeps them.
+type rogue struct {
+	*simple
+	kind string
+}
+
+func (r *rogue) Take(x control.Txn, f gate.Front, who slots.Ref) (slots.Ref, bool) {
+	if r.kind == "drop" && who%97 == 0 {
+		r.next++
+		return r.next, true // and never a word of it
+	}
+	return r.simple.Take(x, f, who)
+}
+
+func (r *rogue) Ended(ref slots.Ref, nr int, at control.BackendID, o gate.Outcome) {
+	t := r.txns[ref]
+	if r.kind == "resend" && t != nil && o.Ending == control.Errored && r.d.w.s.Products[t.x.Product].Effect == "once-only" {
+		t.out = false
+		r.send(ref, t)
+		return
+	}
+	r.simple.Ended(ref, nr, at, o)
+}
+
+func (r *rogue) Listed(whole bool, list []control.Listing) {
+	if r.kind == "drain" && !whole {
+		list = slices.DeleteFunc(slices.Clone(list), func(l control.Listing) bool { return l.State != control.Ready })
+	}
+	r.simple.Listed(whole, list)
+}
+
+func (r *rogue) choice(t *try) *backend {
+	w := r.d.w
+	switch r.kind {
+	case "drain":
+		for id := range r.d.told {
+			if b := w.byID[id]; b.state == control.Draining {
+				return b
+			}
+		}
+	case "cold":
+		for _, b := range w.backends {
+			if !b.dead && b.warmth() < 1 && r.state[b.id] == control.Ready {
+				return b
+			}
+		}
+	case "ceiling":
+		if w.s.Plans[t.req.c.plan].Ceiling > 0 {
+			for _, b := range w.backends {
+				if !b.dead && b.warmth() == 1 && b.state == control.Ready {
+					return b
+				}
+			}
+		}
+	}
+	return r.pick(t)
+}
+
+// Each rule broken on purpose must be found, and no other named beside it.
+func TestJudgeFindsEachBrokenRule(t *testing.T) {
+	release := spec.Fault{Kind: "release", At: at(2), For: at(4), Share: 0.4, Waves: 2}
+	for _, c := range []struct {
+		kind string
+		rule Rule
+		s    *spec.Spec
+	}{
+		{"drop", RuleLost, day(5)},
+		{"resend", RuleTwice, day(8, spec.Fault{Kind: "failing", At: at(1), For: at(6), Share: 0.5, By: 0.5})},
+		{"drain", RuleDrain, day(10, release)},
+		{"cold", RuleCold, day(10, release)},
+		{"ceiling", RuleCeiling, day(8, spec.Fault{Kind: "burst", At: at(1), For: at(6), By: 6})},
+		{"none", 0, day(10, release, spec.Fault{Kind: "burst", At: at(1), For: at(6), By: 3})},
+	} {
+		if c.kind == "resend" { // the seeing mark itself keeps away from what fails
+			c.s.Backends.ErrorRate = 0.05
+			c.s.Faults = nil
+		}
+		r, err := play(c.s, func(d *door) decider {
+			x := &rogue{simple: newSimple(d, true), kind: c.kind}
+			x.choose = x.choice
+			return x
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Broken {
+			if b.Rule != c.rule {
+				t.Errorf("%s: %s", c.kind, b)
+			}
+			if b.At <= 0 || b.Door < 0 || b.Door >= c.s.Doors.Count || b.Txn == 0 {
+				t.Errorf("%s: no place named: %s", c.kind, b)
+			}
+		}
+		if found := r.RulesBroken > 0; found != (c.rule != 0) {
+			t.Errorf("%s: rules broken %d", c.kind, r.RulesBroken)
+		}
+	}
+}
+
+// The same seed gives the same bytes; another one another day.
+func TestSameSeedSameBytes(t *testing.T) {
+	s := day(6, spec.Fault{Kind: "hall-loss", At: at(1), For: at(2), Hall: "a", Share: 1},
+		spec.Fault{Kind: "peer-loss", At: at(1.5), For: at(3), Share: 0.5},
+		spec.Fault{Kind: "door-stall", At: at(2), For: at(1), Share: 0.5})
+	text := func() string {
+		r, err := Run(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := json.Marshal(r)
+		return string(b)
+	}
+	first := text()
+	for i := 0; i < 3; i++ {
+		if text() != first {
+			t.Fatal("another result from the same seed")
+		}
+	}
+	s.Seed++
+	if text() == first {
+		t.Fatal("the same result from another seed")
+	}
+}
+
+// A calm day lies near the upper mark, and the marks are apart where it matters.
+func TestMarks(t *testing.T) {
+	s := day(12, spec.Fault{Kind: "burst", At: at(3), For: at(6), By: 2.2},
+		spec.Fault{Kind: "slow", At: at(4), For: at(6), Share: 0.25, By: 6})
+	r, err := Marked(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.High-r.Low < 0.2 || r.Place < 0.2 || r.Place > 1.02 || r.RulesBroken > 0 {
+		t.Errorf("high %.3f low %.3f score %.3f place %.3f, rules broken %d", r.High, r.Low, r.Score, r.Place, r.RulesBroken)
+	}
+	sum := 0
+	for _, n := range r.Reasons {
+		sum += n
+	}
+	if sum < r.Declined*9/10 || math.IsNaN(r.Place) {
+		t.Errorf("%d reasons for %d declines", sum, r.Declined)
+	}
+}
+
+// The module keeps the five rules whatever faults come, overlapping as they may.
+func TestRulesUnderRandomFaults(t *testing.T) {
+	flag.Set("rapid.checks", "60") // a few seconds; more by hand
+	kinds := spec.Kinds()
+	slices.Sort(kinds)
+	rapid.Check(t, func(t *rapid.T) {
+		s := day(6)
+		s.Seed = rapid.Uint64Range(1, 1<<40).Draw(t, "seed")
+		s.Doors.Count = rapid.IntRange(1, 12).Draw(t, "doors")
+		s.Backends.Count = rapid.IntRange(2, 12).Draw(t, "backends")
+		s.Clients.Load = rapid.Float64Range(0.1, 1.2).Draw(t, "load")
+		s.Clients.TryShare = rapid.Float64Range(0.4, 1).Draw(t, "try")
+		for i := rapid.IntRange(0, 5).Draw(t, "faults"); i > 0; i-- {
+			f := spec.Fault{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Share: rapid.Float64Range(0.05, 0.8).Draw(t, "share"),
+				By: rapid.Float64Range(0.2, 4).Draw(t, "by"), Hall: rapid.SampledFrom(s.Halls.Names).Draw(t, "hall"),
+				Waves: rapid.IntRange(1, 4).Draw(t, "waves")}
+			begin := rapid.Float64Range(0, 5).Draw(t, "at")
+			f.At, f.For = at(begin), at(rapid.Float64Range(0.1, 5.9-begin).Draw(t, "for"))
+			s.Faults = append(s.Faults, f)
+		}
+		r, err := Run(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Broken {
+			t.Errorf("%s", b)
+		}
+	})
+}
+
+// What a run prints, kept for people to read.
+func Example() {
+	s := day(8, spec.Fault{Kind: "hall-loss", At: at(2), For: at(2), Hall: "b"})
+	r, err := Marked(s)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("rules broken:", r.RulesBroken, "- backends pushed over:", r.Fallen)
+	fmt.Println("between the marks:", r.Low < r.Score && r.Score <= r.High)
+	fmt.Println(strings.Join(r.Notes, ", "))
+	// Output:
+	// rules broken: 0 - backends pushed over: 0
+	// between the marks: true
+	// 2.0s hall-loss begins, 4.0s hall-loss ends
+}
--- /dev/null
+++ b/internal/emulator/policies.go
@@ -0,0 +1,189 @@
+package emulator
+
+import (
+	"math"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/gate"
+	"clovergap/internal/slots"
+)
+
+// Two marks stand beside the module. The seeing one knows every bucket, every backend's load and every fault at
+// once: an upper mark that no front door can reach. The plain one lets all in, to any backend of its list: a
+// lower one.
+
+// seeingLate is the share of the time left to the SLA time that a backend's load may stand for.
+const seeingLate = 0.5
+
+// simple is a decider without quotas, views or peers.
+type simple struct {
+	d      *door
+	seeing bool
+	txns   map[slots.Ref]*simpleTxn
+	next   slots.Ref
+	ready  []control.BackendID
+	state  map[control.BackendID]control.BackendState
+	choose func(*try) *backend
+}
+
+type simpleTxn struct {
+	x    control.Txn
+	who  slots.Ref
+	nr   int
+	out  bool
+	ran  bool
+	over bool
+}
+
+func seeing(d *door) decider { return newSimple(d, true) }
+func plain(d *door) decider  { return newSimple(d, false) }
+
+func newSimple(d *door, sees bool) *simple {
+	p := &simple{d: d, seeing: sees, txns: map[slots.Ref]*simpleTxn{}, state: map[control.BackendID]control.BackendState{}}
+	p.choose = p.pick
+	return p
+}
+
+func (p *simple) Take(x control.Txn, _ gate.Front, who slots.Ref) (slots.Ref, bool) {
+	p.next++
+	t := &simpleTxn{x: x, who: who}
+	p.txns[p.next] = t
+	ref := p.next
+	life := p.d.life
+	p.d.w.at(x.Expiry-2*time.Millisecond, func() {
+		if !t.over && p.d.up && p.d.life == life {
+			p.d.turn(func() { p.end(ref, t) })
+		}
+	})
+	p.send(ref, t)
+	return ref, true
+}
+
+// end gives a txn up.
+func (p *simple) end(ref slots.Ref, t *simpleTxn) {
+	if t.over {
+		return
+	}
+	t.over = true
+	product := p.d.w.s.Products[t.x.Product]
+	safe := product.Effect == "inquiry-like" || product.Effect == "referenced" && product.Scope == "all"
+	if safe || !t.ran && !t.out {
+		p.d.Decline(t.who, ref, 0)
+	} else {
+		p.d.Void(t.who, ref)
+	}
+}
+
+// send sends a txn on, or gives it up.
+func (p *simple) send(ref slots.Ref, t *simpleTxn) {
+	w := p.d.w
+	tr := w.clients.tries[uint32(t.who)]
+	if tr == nil || t.over {
+		return
+	}
+	to := p.choose(tr)
+	if to == nil {
+		p.end(ref, t)
+		return
+	}
+	nr := t.nr
+	t.nr, t.out = t.nr+1, true
+	p.d.submit(ref, nr, tr, to, t.x.Expiry-w.now-3*time.Millisecond)
+}
+
+func (p *simple) pick(t *try) *backend {
+	w := p.d.w
+	if !p.seeing {
+		if len(p.ready) == 0 {
+			return nil
+		}
+		return w.byID[p.ready[w.net.IntN(len(p.ready))]]
+	}
+	book, plan := w.judge.book(t.req.c), w.s.Plans[t.req.c.plan]
+	if book.quota.now(w.now) < 1 || plan.OpenCap > 0 && book.open >= plan.OpenCap ||
+		plan.Ceiling > 0 && book.ceiling.now(w.now) < 1 {
+		return nil
+	}
+	var best *backend
+	least := math.Inf(1)
+	for _, b := range w.backends {
+		if b.dead || b.state != control.Ready || b.warmth() < 1 || !b.reachable(p.d) || b.failing > 0 {
+			continue
+		}
+		if _, told := p.d.told[b.id]; told || p.state[b.id] != control.Ready {
+			continue
+		}
+		load := float64(len(b.active)+len(b.waiting)+1) / b.capacity()
+		if b.hall != p.d.hall {
+			load *= 1.02
+		}
+		if load < least {
+			best, least = b, load
+		}
+	}
+	// What would be late takes the place of what would not.
+	if product := w.s.Products[t.req.product]; least*t.req.mean > seeingLate*(product.SLA.D()-(w.now-t.req.at)).Seconds() {
+		return nil
+	}
+	return best
+}
+
+func (p *simple) Left(ref slots.Ref) {
+	if t := p.txns[ref]; t != nil {
+		t.over = true
+	}
+}
+
+func (p *simple) Ended(ref slots.Ref, _ int, _ control.BackendID, o gate.Outcome) {
+	t := p.txns[ref]
+	if t == nil {
+		return
+	}
+	t.out = false
+	switch o.Ending {
+	case control.Settled:
+		if !t.over {
+			t.over = true
+			p.d.Settle(t.who, ref, o.Body, nil)
+		}
+	case control.Full, control.Unreachable, control.NotSent:
+		if p.seeing && t.nr < p.d.w.s.Limits.Submissions && !t.over {
+			p.send(ref, t)
+			return
+		}
+		p.end(ref, t)
+	default:
+		t.ran = true
+		p.end(ref, t)
+	}
+	if t.over {
+		delete(p.txns, ref)
+	}
+}
+
+func (p *simple) Listed(whole bool, list []control.Listing) {
+	if whole {
+		clear(p.state)
+		p.ready = p.ready[:0]
+	}
+	for _, l := range list {
+		if _, ok := p.state[l.ID]; !ok && l.State == control.Ready {
+			p.ready = append(p.ready, l.ID)
+		}
+		p.state[l.ID] = l.State
+		if l.State != control.Ready {
+			for i, id := range p.ready {
+				if id == l.ID {
+					p.ready = append(p.ready[:i], p.ready[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+func (p *simple) Heard(control.GatewayID, []byte) {}
+func (p *simple) Live(uint32) bool                { return false }
+func (p *simple) Due(uint32)                      {}
+func (p *simple) Pull()                           {}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,211 @@
+// Package emulator plays a fleet of front doors in simulated time: each is the real decision module behind the
+// real gate, before modelled backends, halls, discovery, datagrams and clients. The same seed gives the same
+// result to the byte, on any machine. The five rules are judged from the model's own full sight.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/spec"
+)
+
+// origin is the clock at the start: nought stands for "long ago" in the module's lists.
+const origin = time.Hour
+
+// after the last client comes the world goes on until all is answered.
+const tail = 200 * time.Millisecond
+
+// event is something due.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return x
+}
+
+// world is one run.
+type world struct {
+	s        *spec.Spec
+	now, end time.Duration
+	q        queue
+	seq      uint64
+	events   uint64
+	net      *rand.Rand // of everything that travels and fails; arrivals have a source of their own
+	doors    []*door
+	backends []*backend
+	all      []*backend // those that were replaced too
+	byID     map[control.BackendID]*backend
+	clients  *clients
+	judge    *judge
+	res      *recorder
+	make     func(*door) decider
+	cutHall  map[int]int // halls cut off, by how many faults
+	lossBy   []float64   // of datagrams, by faults under way
+	resetBy  []float64   // of submissions
+	lostBy   []float64   // of answers
+	lateBy   int         // faults that hold lists back
+	nextUID  int
+}
+
+// maker makes what decides at a front door.
+type maker func(*door) decider
+
+func newWorld(s *spec.Spec, m maker) (*world, error) {
+	w := &world{s: s, now: origin, end: origin + s.For.D(), make: m, byID: map[control.BackendID]*backend{},
+		cutHall: map[int]int{}, net: rand.New(rand.NewPCG(s.Seed, 0x6e6574))}
+	w.judge = newJudge(w)
+	w.res = newRecorder(w)
+	for i := 0; i < s.Backends.Count; i++ {
+		w.addBackend(i%len(s.Halls.Names), i%s.Backends.Pods, 0)
+	}
+	for i := 0; i < s.Doors.Count; i++ {
+		w.doors = append(w.doors, newDoor(w, i, i%len(s.Halls.Names)))
+	}
+	w.clients = newClients(w)
+	for _, d := range w.doors {
+		d := d
+		w.at(w.now-s.Doors.Spread[1].D()+w.between(s.Doors.Spread), func() { d.start() })
+	}
+	if err := w.probe(); err != nil {
+		return nil, err
+	}
+	w.plan()
+	w.clients.begin()
+	return w, nil
+}
+
+// probe makes one module to find bad settings before the run.
+func (w *world) probe() error {
+	if w.s.Policy != "module" {
+		return nil
+	}
+	_, err := control.New(1, settings(w.s, 0, 0), origin)
+	return err
+}
+
+// at hangs something on the clock; what is past is due now.
+func (w *world) at(t time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{t, w.seq, do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+// run plays until nothing that counts is left.
+func (w *world) run() {
+	last := w.end + w.longest() + tail
+	for len(w.q) > 0 {
+		e := heap.Pop(&w.q).(event)
+		if e.at > last {
+			break
+		}
+		w.now = max(w.now, e.at)
+		w.events++
+		e.do()
+	}
+	w.now = last
+	w.judge.finish()
+}
+
+// longest is the longest expiry.
+func (w *world) longest() (most time.Duration) {
+	for _, p := range w.s.Products {
+		most = max(most, p.Expiry.D())
+	}
+	return most
+}
+
+// between draws a span.
+func (w *world) between(r spec.Range) time.Duration {
+	return r[0].D() + time.Duration(w.net.Float64()*float64(r[1]-r[0]))
+}
+
+// hop is the way between two halls, one way.
+func (w *world) hop(a, b int) time.Duration {
+	if a == b {
+		return w.between(w.s.Halls.Same)
+	}
+	return w.between(w.s.Halls.Cross)
+}
+
+// apart tells whether no word gets from one hall to the other now.
+func (w *world) apart(a, b int) bool { return a != b && (w.cutHall[a] > 0 || w.cutHall[b] > 0) }
+
+// strikes draws whether any of some faults under way hits.
+func (w *world) strikes(shares []float64) bool {
+	for _, s := range shares {
+		if w.net.Float64() < s {
+			return true
+		}
+	}
+	return false
+}
+
+// settings are the module's, as the platform would give them to one front door.
+func settings(s *spec.Spec, me, hall int) control.Settings {
+	micros := func(d spec.Span) string { return fmt.Sprint(d.D().Microseconds()) }
+	g := control.Settings{"me": fmt.Sprint(me), "gateways": fmt.Sprint(s.Doors.Count), "hall": fmt.Sprint(hall),
+		"limits.probes": "false", "limits.peers": "true", "limits.cancel": fmt.Sprint(s.Limits.Cancel),
+		"limits.advice": fmt.Sprint(s.Limits.Advice), "limits.longest_advice": micros(s.Limits.LongestAdvice),
+		"limits.max_submissions": fmt.Sprint(s.Limits.Submissions), "report.how": "answers", "report.fields": "inflight",
+		"rules.warm_by": micros(s.Rules.WarmBy), "rules.fall_window": micros(s.Rules.FallWindow),
+		"rules.cold_from": fmt.Sprint(s.Rules.ColdFrom), "rules.fall_multiple": fmt.Sprint(s.Rules.FallMultiple),
+		"quota.most_units": "1", "quota.mail_per_s": fmt.Sprint(s.Peers.PerSec),
+		"products.count": fmt.Sprint(len(s.Products)), "plans.count": fmt.Sprint(len(s.Plans))}
+	for i, p := range s.Products {
+		at := fmt.Sprintf("products.%d.", i)
+		g[at+"sla_time"], g[at+"expiry"], g[at+"effect"] = micros(p.SLA), micros(p.Expiry), p.Effect
+		g[at+"repeat_scope"], g[at+"repeat_window"] = p.Scope, micros(p.Window)
+		g[at+"value"], g[at+"late_value"] = fmt.Sprint(p.Value), fmt.Sprint(p.LateValue)
+	}
+	for i, p := range s.Plans {
+		at := fmt.Sprintf("plans.%d.", i)
+		g[at+"rate"], g[at+"burst"], g[at+"price"] = fmt.Sprint(p.Rate), fmt.Sprint(p.Burst), fmt.Sprint(p.Price)
+		g[at+"over_value"], g[at+"over_cost"] = fmt.Sprint(p.OverValue), fmt.Sprint(p.OverCost)
+		g[at+"open_cap"], g[at+"ceiling_rate"] = fmt.Sprint(p.OpenCap), fmt.Sprint(p.Ceiling*p.Rate)
+		g[at+"ceiling_burst"] = fmt.Sprint(p.Ceiling * p.Burst)
+	}
+	return g
+}
+
+// lognormal draws with a mean and a coefficient of variation; exponential where that is nought.
+func lognormal(r *rand.Rand, mean, cv float64) float64 {
+	if cv <= 0 {
+		return mean * r.ExpFloat64()
+	}
+	v := math.Log(1 + cv*cv)
+	return mean * math.Exp(r.NormFloat64()*math.Sqrt(v)-v/2)
+}
+
+// sample gives a share of some things, at least one, chosen by the world's source.
+func sample[T any](w *world, from []T, share float64) []T {
+	n := max(1, int(math.Round(share*float64(len(from)))))
+	picked := w.net.Perm(len(from))[:min(n, len(from))]
+	sort.Ints(picked)
+	var out []T
+	for _, i := range picked {
+		out = append(out, from[i])
+	}
+	return out
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -211,6 +211,7 @@
 			return
 		}
 		t.answered = true
+		g.count.Add(counters.GaveUpTime + counters.ID(x.Why))
 		if x.Verb == control.Decline {
 			g.count.Add(counters.Declined)
 			t.front.Decline(t.who, ref, x.Limit)
