--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -249,7 +249,7 @@
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
-		return nil, where(file, err)
+		return nil, Where(file, err)
 	}
 	if key, what := s.wrong(); what != "" {
 		return nil, &Error{file, line(text, key), key + ": " + what}
@@ -257,8 +257,8 @@
 	return &s, nil
 }
 
-// where puts the library's error into file, line and key.
-func where(file string, err error) error {
+// Where puts the library's error into file, line and key.
+func Where(file string, err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		e := strict.Errors[0]
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,303 @@
+// Package standin plays on loopback sockets what front doors speak with: backends, discovery's agent, the counter
+// and clients, each by its published protocol, with faults on the wire. It starts real front doors as processes.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mode is what a backend does wrong. The nought value does nothing wrong.
+type Mode struct {
+	Slow    float64       // times slower; below 1 is as nought
+	Fail    float64       // share answered with 500
+	Full    float64       // share turned away unseen
+	Silent  float64       // share never answered
+	Delay   time.Duration // before each answer
+	ResetIn float64       // share whose connection is reset when the request is read, before any answer
+	Half    float64       // share of answers that break off in the middle
+	Stall   float64       // share of answers that stop in the middle and stay
+	Spoilt  float64       // share of answers with framing that can't be
+	Down    bool          // refuses connections
+}
+
+// Backend is one, with slots and a queue in front of them.
+type Backend struct {
+	ID, Hall string
+	Pod      int
+	Addr     string
+
+	work  func(kind string) time.Duration
+	mode  atomic.Pointer[Mode]
+	slots chan struct{}
+	held  atomic.Int64
+	most  int64
+	l     net.Listener
+	srv   *http.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	rng   *rand.Rand
+	ran   map[string]int // how often each id of a once-only kind began
+	Once  map[string]bool
+	Ran   atomic.Int64
+}
+
+// NewBackend listens on loopback. Work gives how long a request of a kind takes.
+func NewBackend(id, hall string, pod, slots, queue int, seed uint64, work func(string) time.Duration) (*Backend, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &Backend{ID: id, Hall: hall, Pod: pod, Addr: l.Addr().String(), work: work, slots: make(chan struct{}, slots), most: int64(slots + queue),
+		l: l, rng: rand.New(rand.NewPCG(seed, 7)), ran: map[string]int{}, conns: map[net.Conn]bool{}}
+	b.mode.Store(&Mode{})
+	b.srv = &http.Server{Handler: b, ConnState: func(c net.Conn, s http.ConnState) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if s == http.StateNew {
+			b.conns[c] = true
+			if b.mode.Load().Down {
+				reset(c)
+			}
+		} else if s == http.StateClosed || s == http.StateHijacked {
+			delete(b.conns, c)
+		}
+	}}
+	go b.srv.Serve(l)
+	return b, nil
+}
+
+// Set changes what it does wrong. One that goes down resets its connections.
+func (b *Backend) Set(m Mode) {
+	b.mode.Store(&m)
+	if !m.Down {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		reset(c)
+	}
+}
+
+// Close ends it.
+func (b *Backend) Close() { b.srv.Close() }
+
+// Twice counts ids of once-only kinds that began more than once here.
+func (b *Backend) Twice() (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, times := range b.ran {
+		if times > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Backend) chance(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rng.Float64() < share
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func hijack(w http.ResponseWriter) (net.Conn, bool) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return nil, false
+	}
+	c, _, err := h.Hijack()
+	return c, err == nil
+}
+
+// ServeHTTP does a request's work.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m := b.mode.Load()
+	io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("Req-Id")
+	if id == "" {
+		http.Error(w, "no id", http.StatusNotFound)
+		return
+	}
+	if b.chance(m.ResetIn) {
+		if c, ok := hijack(w); ok {
+			reset(c)
+		}
+		return
+	}
+	held := b.held.Add(1)
+	defer b.held.Add(-1)
+	w.Header().Set("Srv-Load", fmt.Sprintf("concurrent=%d", held))
+	if held > b.most || b.chance(m.Full) {
+		w.Header().Set("Srv-Declined", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.slots <- struct{}{}
+	defer func() { <-b.slots }()
+	if b.Once[r.Header.Get("Req-Kind")] {
+		b.mu.Lock()
+		if b.ran[id]++; len(b.ran) > 1<<20 {
+			clear(b.ran)
+		}
+		b.mu.Unlock()
+	}
+	b.Ran.Add(1)
+	if b.chance(m.Silent) {
+		<-r.Context().Done()
+		return
+	}
+	wait := b.work(r.Header.Get("Req-Kind"))
+	if m.Slow > 1 {
+		wait = time.Duration(float64(wait) * m.Slow)
+	}
+	select {
+	case <-time.After(wait + m.Delay):
+	case <-r.Context().Done(): // given up: the work stops
+		return
+	}
+	body := "done " + id
+	switch {
+	case b.chance(m.Fail):
+		w.WriteHeader(http.StatusInternalServerError)
+	case b.chance(m.Half), b.chance(m.Stall), b.chance(m.Spoilt):
+		b.spoil(w, r, m, body)
+	default:
+		io.WriteString(w, body)
+	}
+}
+
+// spoil writes an answer that is none.
+func (b *Backend) spoil(w http.ResponseWriter, r *http.Request, m *Mode, body string) {
+	c, ok := hijack(w)
+	if !ok {
+		return
+	}
+	switch {
+	case m.Half > 0:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*len(body), body)
+		c.Close()
+	case m.Stall > 0:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*len(body), body)
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		io.Copy(io.Discard, c)
+		c.Close()
+	default:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: -7\r\nTransfer-Encoding: what\r\n\r\n%s", body)
+		c.Close()
+	}
+}
+
+// Agent is discovery's on a front door's own machine: it answers with what it has been told.
+type Agent struct {
+	Addr string
+	srv  *http.Server
+	mu   sync.Mutex
+	rev  int
+	all  map[string]target
+	log  []target // by revision, from 1
+	more chan struct{}
+}
+
+type target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	AZ       string  `json:"az"`
+	Model    string  `json:"model"`
+	Pod      int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Hint     float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+// NewAgent listens on loopback.
+func NewAgent() (*Agent, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{Addr: l.Addr().String(), all: map[string]target{}, more: make(chan struct{})}
+	a.srv = &http.Server{Handler: a}
+	go a.srv.Serve(l)
+	return a, nil
+}
+
+// Tell brings news of a backend: Ready, Terminating or Gone; boot is its start, zero for long ago.
+func (a *Agent) Tell(b *Backend, state string, boot time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := target{b.ID, b.Addr, b.Hall, "m", b.Pod, state, 1, 0}
+	if !boot.IsZero() {
+		t.Boot = boot.UnixMilli()
+	}
+	if state == "Gone" {
+		delete(a.all, b.ID)
+	} else {
+		a.all[b.ID] = t
+	}
+	a.rev++
+	a.log = append(a.log, t)
+	close(a.more)
+	a.more = make(chan struct{})
+}
+
+// Whole is the list as JSON.
+func (a *Agent) Whole() []byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]target, 0, len(a.all))
+	for _, t := range a.all {
+		list = append(list, t)
+	}
+	b, _ := json.Marshal(map[string]any{"rev": a.rev, "all": true, "targets": list})
+	return b
+}
+
+// ServeHTTP answers a call, or a watch when there is news.
+func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var after, wait int
+	if _, err := fmt.Sscan(r.URL.Query().Get("after"), &after); err != nil {
+		w.Write(a.Whole())
+		return
+	}
+	fmt.Sscan(r.URL.Query().Get("wait_ms"), &wait)
+	a.mu.Lock()
+	more, rev := a.more, a.rev
+	a.mu.Unlock()
+	if rev <= after {
+		select {
+		case <-more:
+		case <-r.Context().Done():
+			return
+		case <-time.After(time.Duration(min(wait, 60000)) * time.Millisecond):
+		}
+	}
+	a.mu.Lock()
+	from := min(max(after, 0), len(a.log))
+	news := append([]target{}, a.log[from:]...)
+	b, _ := json.Marshal(map[string]any{"rev": a.rev, "all": false, "targets": news})
+	a.mu.Unlock()
+	w.Write(b)
+}
+
+// Close ends it.
+func (a *Agent) Close() { a.srv.Close() }
--- /dev/null
+++ b/internal/standin/clients.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"clovergap/internal/spec"
+)
+
+// source draws from a seed, for many at a time.
+type source struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newSource(seed uint64) *source { return &source{rng: rand.New(rand.NewPCG(seed, 11))} }
+
+func (s *source) exp() float64 { s.mu.Lock(); defer s.mu.Unlock(); return s.rng.ExpFloat64() }
+
+// Outcome counts how requests ended, by the client's own word.
+type Outcome struct {
+	Requests, Settled, InTime, Declined, Voided, Failed, Wrong int64
+}
+
+// Clients send requests to a fleet's front doors.
+type Clients struct {
+	f    *Fleet
+	http *http.Client
+	rng  *rand.Rand
+	mu   sync.Mutex
+	next atomic.Uint64
+	hist *hdrhistogram.Histogram
+	by   map[string]*Outcome // by plan, and all under ""
+	Rate func() float64      // requests a second now
+}
+
+// NewClients makes clients; each front door gets at most so many connections.
+func NewClients(f *Fleet, conns int) *Clients {
+	t := &http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return &Clients{f: f, http: &http.Client{Transport: t}, rng: rand.New(rand.NewPCG(f.Spec.Seed, 13)),
+		hist: hdrhistogram.New(1, 60_000_000, 3), by: map[string]*Outcome{"": {}}}
+}
+
+// pick draws by shares.
+func pick(rng *rand.Rand, n int, share func(int) float64) int {
+	total := 0.0
+	for i := 0; i < n; i++ {
+		total += share(i)
+	}
+	u := rng.Float64() * total
+	for i := 0; i < n-1; i++ {
+		if u -= share(i); u < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// ask is one request as it will be sent.
+type ask struct {
+	door    int
+	product spec.Product
+	plan    spec.Plan
+	key     uint64
+	id      string
+	width   int
+	first   int
+}
+
+func (c *Clients) draw() ask {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.f.Spec
+	p := pick(c.rng, len(s.Products), func(i int) float64 { return s.Products[i].Share })
+	pl := pick(c.rng, len(s.Plans), func(i int) float64 { return s.Plans[i].Share })
+	a := ask{product: s.Products[p], plan: s.Plans[pl]}
+	a.width = max(1, int(a.plan.Width*float64(len(c.f.Doors))+0.5))
+	n := max(1, int(c.rate()*a.plan.Share/(s.Clients.Use*a.plan.Rate)))
+	a.key = uint64(pl)<<24 | uint64(c.rng.IntN(n))
+	a.first = int(a.key % uint64(len(c.f.Doors)))
+	a.door = (a.first + c.rng.IntN(a.width)) % len(c.f.Doors)
+	a.id = fmt.Sprintf("%08x%08x", c.f.Spec.Seed&0xffffffff, c.next.Add(1))
+	return a
+}
+
+func (c *Clients) rate() float64 {
+	if c.Rate != nil {
+		return c.Rate()
+	}
+	return 100
+}
+
+// Send sends one request and waits for its end. Time counts from when it was meant to go.
+func (c *Clients) Send(ctx context.Context, a ask, meant time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, meant.Add(a.product.Expiry.D()+250*time.Millisecond))
+	defer cancel()
+	method, body := "GET", io.Reader(nil)
+	if a.product.Effect != "inquiry-like" {
+		method, body = "POST", strings.NewReader("{\"lot\":7,\"amount\":1250}")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.f.Doors[a.door].Addr+"/api?lot=7", body)
+	if err != nil {
+		return
+	}
+	left := time.Until(meant.Add(a.product.Expiry.D()))
+	for k, v := range map[string]string{"Req-Id": a.id, "Req-Kind": a.product.Name, "X-Plan": a.plan.Name, "Cookie": fmt.Sprintf("key=%016x", a.key),
+		"Req-Deadline": strconv.FormatInt(max(left.Microseconds(), 1), 10) + "u",
+		"X-Quota":      fmt.Sprintf("units=1,spread=%d,first=%d", a.width, a.first)} {
+		r.Header.Set(k, v)
+	}
+	if method == "POST" {
+		r.Header.Set("Idempotency-Key", "k-"+a.id)
+	}
+	code, text := 0, ""
+	if x, err := c.http.Do(r); err == nil {
+		b, err := io.ReadAll(x.Body)
+		x.Body.Close()
+		if err == nil {
+			code, text = x.StatusCode, string(b)
+		}
+	}
+	took := time.Since(meant)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all, plan := c.by[""], c.by[a.plan.Name]
+	if plan == nil {
+		plan = &Outcome{}
+		c.by[a.plan.Name] = plan
+	}
+	for _, o := range []*Outcome{all, plan} {
+		o.Requests++
+		switch {
+		case code == 200 && text != "done "+a.id:
+			o.Wrong++
+		case code == 200:
+			o.Settled++
+			if took <= a.product.SLA.D() {
+				o.InTime++
+			}
+		case code == 429 || code == 503:
+			o.Declined++
+		case code > 0:
+			o.Voided++
+		default:
+			o.Failed++
+		}
+	}
+	if code == 200 {
+		c.hist.RecordValue(took.Microseconds())
+	}
+}
+
+// Open sends at a rate, whatever becomes of what was sent before: a slow answer delays no other request, and time
+// counts from when each was meant to go, so that nothing is omitted where the front door is slow.
+func (c *Clients) Open(ctx context.Context, for_ time.Duration) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(for_)
+	for next := time.Now(); next.Before(end) && ctx.Err() == nil; {
+		if d := time.Until(next); d > 0 {
+			time.Sleep(d)
+		}
+		a, meant := c.draw(), next
+		wg.Add(1)
+		go func() { defer wg.Done(); c.Send(context.WithoutCancel(ctx), a, meant) }()
+		c.mu.Lock()
+		gap := c.rng.ExpFloat64() / max(c.rate(), 0.1)
+		c.mu.Unlock()
+		next = next.Add(time.Duration(gap * 1e9))
+	}
+	wg.Wait()
+}
+
+// Closed keeps so many requests under way, each client sending its next when it has its answer.
+func (c *Clients) Closed(ctx context.Context, clients int, for_ time.Duration) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(for_)
+	for i := 0; i < clients; i++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) && ctx.Err() == nil {
+				c.Send(context.WithoutCancel(ctx), c.draw(), time.Now())
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Outcomes copies the counts, by plan and all under "".
+func (c *Clients) Outcomes() map[string]Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]Outcome{}
+	for k, v := range c.by {
+		out[k] = *v
+	}
+	return out
+}
+
+// Quantile is of the times of settled requests.
+func (c *Clients) Quantile(q float64) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.hist.ValueAtQuantile(q)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"clovergap/internal/spec"
+)
+
+// fleet builds the front door and starts two of them before four backends in two halls.
+func fleet(t *testing.T) (*Fleet, *Clients) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "clovergap")
+	if out, err := exec.Command("go", "build", "-o", path, "clovergap/cmd/clovergap").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	s := spec.Default()
+	s.Doors.Count, s.Backends.Count = 2, 4
+	for i := range s.Products { // whatever the machine, nothing is to time out but what is spoilt
+		s.Products[i].Work, s.Products[i].SLA, s.Products[i].Expiry = spec.Span(2*time.Millisecond), spec.Span(4*time.Second), spec.Span(8*time.Second)
+	}
+	s.Plans = []spec.Plan{{Name: "all", Share: 1, Rate: 1e5, Burst: 1e5, Price: 1, Width: 1}}
+	f, err := Start(&s, path, 1, 192, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	c := NewClients(f, 64)
+	c.Rate = func() float64 { return 400 }
+	return f, c
+}
+
+// Whatever backends do wrong on the wire, each request ends, none with another's answer, and no front door ends.
+func TestWireFaults(t *testing.T) {
+	f, c := fleet(t)
+	last := Outcome{}
+	for _, m := range []Mode{{}, {Fail: 0.3}, {Full: 0.5}, {ResetIn: 0.3}, {Half: 0.3}, {Stall: 0.2}, {Spoilt: 0.3},
+		{Delay: 20 * time.Millisecond, Slow: 3}} {
+		for _, b := range f.Backends[:2] {
+			b.Set(m)
+		}
+		c.Open(context.Background(), 400*time.Millisecond)
+		now := c.Outcomes()[""]
+		if now.Requests == last.Requests || now.Settled == last.Settled {
+			t.Errorf("%+v: nothing settled: %+v", m, now)
+		}
+		if now.Failed > last.Failed || now.Wrong > 0 {
+			t.Errorf("%+v: %d without an answer, %d with a wrong one", m, now.Failed-last.Failed, now.Wrong)
+		}
+		last = now
+	}
+	for i, b := range f.Backends {
+		if b.Twice() > 0 {
+			t.Errorf("backend %d ran a once-only request twice", i)
+		}
+	}
+	if who := f.Crashed(); len(who) > 0 {
+		t.Errorf("front doors %v ended", who)
+	}
+}
+
+// A hall that is lost and returns, and a front door that is killed and returns: all that is asked later is served.
+func TestLossAndReturn(t *testing.T) {
+	f, c := fleet(t)
+	f.Lose("b", 50*time.Millisecond)
+	c.Open(context.Background(), 500*time.Millisecond)
+	f.Heal()
+	if err := f.Bounce(f.Doors[1], 50*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	after := NewClients(f, 64)
+	after.Rate = c.Rate
+	after.Open(context.Background(), 500*time.Millisecond)
+	o := after.Outcomes()[""]
+	if o.Settled < o.Requests*9/10 || o.Failed > 0 || f.Ready() != 4 || !f.Doors[1].Up() {
+		t.Errorf("after the return: %+v", o)
+	}
+	if n := f.Doors[0].Counters(10 * time.Second)["txns taken"]; n == 0 {
+		t.Error("no counters told")
+	}
+	if cpu, err := f.Doors[0].CPU(); err != nil || cpu < 0 || f.Doors[0].Memory() <= 0 {
+		t.Errorf("%v %v", cpu, err)
+	}
+}
