Command line on cobra, an operator file in TOML, logs as it says

Need: sub-commands by hand on pflag, one fixed log format, and no file in which operators could switch on what the platform's configuration does not know.

--- a/cmd/clovergap/main.go
+++ b/cmd/clovergap/main.go
@@ -6,64 +6,102 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strings"
 
-	"github.com/spf13/pflag"
+	"github.com/spf13/cobra"
 
 	"clovergap/internal/check"
 	"clovergap/internal/config"
+	"clovergap/internal/operator"
 )
 
 // version is set by the build where it knows better.
 var version = "0.1.0-dev"
 
-const usage = `clovergap meters many customers' use of one shared service.
-
-  clovergap serve [--config FILE]    run a front door
-  clovergap check [--config FILE]    read a configuration and tell what is wrong with it
-  clovergap version                  tell the version
-
-The configuration is NODE_CONFIG where no file is named. SIGHUP reads it again, SIGUSR1
-prints the counters, SIGTERM ends in order.
-`
+// usageError is one of how the program was called: it exits with 2, not 1.
+type usageError struct{ error }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) == 0 {
-		fmt.Fprint(os.Stderr, usage)
-		return 2
+	root := command()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return 0
 	}
-	flags := pflag.NewFlagSet(args[0], pflag.ContinueOnError)
-	flags.Usage = func() { fmt.Fprint(os.Stderr, usage) }
-	path := flags.String("config", os.Getenv("NODE_CONFIG"), "configuration file")
-	commands := map[string]func(string) error{"serve": serve, "check": examine, "version": tellVersion}
-	command := commands[args[0]]
-	if command == nil {
-		fmt.Fprint(os.Stderr, usage)
-		if args[0] == "help" || args[0] == "--help" || args[0] == "-h" {
-			return 0
-		}
+	fmt.Fprintln(os.Stderr, "clovergap:", err)
+	var usage usageError
+	if errors.As(err, &usage) || strings.HasPrefix(err.Error(), "unknown command") {
 		return 2
 	}
-	switch err := flags.Parse(args[1:]); {
-	case errors.Is(err, pflag.ErrHelp):
-		return 0
-	case err != nil || flags.NArg() > 0:
-		if err == nil {
-			err = fmt.Errorf("unknown argument %q", flags.Arg(0))
-		}
-		fmt.Fprintln(os.Stderr, "clovergap:", err)
-		flags.Usage()
-		return 2
+	return 1
+}
+
+func none(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usageError{fmt.Errorf("unknown argument %q", args[0])}
+	}
+	return nil
+}
+
+func command() *cobra.Command {
+	var path, oper string
+	root := &cobra.Command{Use: "clovergap", Short: "Meters many customers' use of one shared service", SilenceUsage: true, SilenceErrors: true,
+		Long: "clovergap meters many customers' use of one shared service. SIGHUP reads the configuration again, SIGUSR1 logs the\n" +
+			"counters, SIGTERM ends in order. Exit codes: 0 good, 1 failed, 2 usage.",
+		Args: func(c *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("unknown command %q", args[0])}
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, _ []string) error {
+			fmt.Fprint(os.Stderr, c.UsageString())
+			return usageError{errors.New("no command given")}
+		}}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	files := func(c *cobra.Command) *cobra.Command {
+		c.Flags().StringVar(&path, "config", os.Getenv("NODE_CONFIG"), "the platform's configuration, JSON (default $NODE_CONFIG)")
+		c.Flags().StringVar(&oper, "operator", os.Getenv("CLOVERGAP_OPERATOR"), "operator file, TOML (default $CLOVERGAP_OPERATOR)")
+		return c
 	}
-	if err := command(*path); err != nil {
-		fmt.Fprintln(os.Stderr, "clovergap:", err)
-		return 1
+	examine := func(*cobra.Command, []string) error { return examine(path, oper) }
+	root.AddCommand(
+		files(&cobra.Command{Use: "serve", Short: "Run a front door", Args: none,
+			Example: "  clovergap serve --config config.json --operator deploy/operator.toml",
+			RunE:    func(*cobra.Command, []string) error { return serve(path, oper) }}),
+		files(&cobra.Command{Use: "check", Short: "Tell what is wrong with a configuration (as config check)", Args: none, RunE: examine}),
+		&cobra.Command{Use: "version", Short: "Tell the version", Args: none, Run: func(*cobra.Command, []string) { tellVersion() }})
+	conf := &cobra.Command{Use: "config", Short: "Check, print or explain configurations", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return usageError{errors.New("wants check, print or example")}
+		}}
+	conf.AddCommand(
+		files(&cobra.Command{Use: "check", Short: "Tell what is wrong with the configuration and the operator file", Args: none,
+			Example: "  clovergap config check --operator deploy/operator.toml", RunE: examine}),
+		files(&cobra.Command{Use: "print", Short: "Print the operator file as it holds, defaults included", Args: none,
+			RunE: func(*cobra.Command, []string) error {
+				f, err := operator.Load(oper)
+				return show(f, err)
+			}}),
+		&cobra.Command{Use: "example", Short: "Print an operator file with all it may say", Args: none,
+			RunE: func(*cobra.Command, []string) error { return show(operator.Default(), nil) }})
+	root.AddCommand(conf)
+	return root
+}
+
+// show prints an operator file.
+func show(f operator.File, err error) error {
+	if err != nil {
+		return err
 	}
-	return 0
+	text, err := operator.Text(f)
+	fmt.Print(text)
+	return err
 }
 
-func tellVersion(string) error {
+func tellVersion() {
 	build := "release"
 	if check.Debug {
 		build = "debug"
@@ -73,11 +111,19 @@
 		goes = info.GoVersion
 	}
 	fmt.Println("clovergap", version, build, goes)
-	return nil
 }
 
-// examine reads a configuration as serve would.
-func examine(path string) error {
+// examine reads both files as serve would. Either may be left out, not both.
+func examine(path, oper string) error {
+	if oper != "" {
+		if _, err := operator.Load(oper); err != nil {
+			return err
+		}
+		fmt.Printf("%s: fine\n", oper)
+		if path == "" {
+			return nil
+		}
+	}
 	c, err := config.Load(path)
 	if err != nil {
 		return err
--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -14,7 +14,6 @@
 
 	"github.com/lesismal/nbio/logging"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"clovergap/control"
 	"clovergap/internal/check"
@@ -26,6 +25,8 @@
 	"clovergap/internal/http1"
 	"clovergap/internal/intake"
 	"clovergap/internal/link"
+	"clovergap/internal/logs"
+	"clovergap/internal/operator"
 	"clovergap/internal/peers"
 )
 
@@ -65,12 +66,16 @@
 
 func (quiet) Tell(control.GatewayID, []byte) {}
 
-func serve(path string) error {
+func serve(path, oper string) error {
+	o, err := operator.Load(oper)
+	if err != nil {
+		return err
+	}
 	c, err := config.Load(path)
 	if err != nil {
 		return err
 	}
-	log, flush := logger()
+	log, flush := logs.New(o.Log, c.Name)
 	defer flush()
 	logging.SetLogger(pollerLog{log.Sugar()})
 	limits(c)
@@ -109,13 +114,6 @@
 // the memory holds what comes in; what one connection has under way for certain is small.
 const clientShare, ringShare = 2, 4
 
-// logger writes to standard error by way of a buffer: a reader that stalls holds up no txn.
-func logger() (*zap.Logger, func()) {
-	out := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), FlushInterval: time.Second}
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
-	return log, func() { out.Stop() }
-}
-
 // build puts the stages together and starts them.
 func build(c *config.Config, log *zap.Logger) (*front, error) {
 	f := &front{conf: c, log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw, c.MemoryMB<<20/ringShare)}
@@ -162,7 +160,7 @@
 		f.watch = discovery.NewWatch(f.e, c.Discovery, c.Wait, c.Halls, f.listed, log)
 		f.watch.Start()
 	})
-	log.Info("serves", zap.String("name", c.Name), zap.String("listen", c.Listen), zap.Bool("debug", check.Debug))
+	log.Info("serves", zap.String("listen", c.Listen), zap.Bool("debug", check.Debug))
 	return f, nil
 }
 
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -898,7 +898,7 @@
 	st, text = lay(1, 1024, settings(1, 20))
 	write("{", "{")
 	ended := make(chan error)
-	go func() { ended <- serve(path) }()
+	go func() { ended <- serve(path, "") }()
 	st.agent.call()
 	write(st.agent.l.Addr().String(), now.l.Addr().String())
 	syscall.Kill(os.Getpid(), syscall.SIGHUP)
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,134 @@
+// Package operator reads the operator file: what operators may switch on beside the platform's configuration.
+// Everything in it is off, or as it was, where the file says nothing.
+package operator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// File is an operator file.
+type File struct {
+	Log Log `toml:"log" comment:"The log goes to standard error."`
+}
+
+// Log says how the log is written.
+type Log struct {
+	Level    string   `toml:"level" comment:"debug, info, warn or error"`
+	Format   string   `toml:"format" comment:"json, one object a line, or console, for people"`
+	Sampling Sampling `toml:"sampling" comment:"Bounds lines of one message; first = 0 writes them all."`
+}
+
+// Sampling bounds what is logged of one message in a while.
+type Sampling struct {
+	First int    `toml:"first" comment:"lines of a message written in each span"`
+	Then  int    `toml:"then" comment:"of those after, each so many-th is written; 0 for none"`
+	Every string `toml:"every" comment:"the span, such as 1s"`
+	every time.Duration
+}
+
+// Span is the sampling's.
+func (s Sampling) Span() time.Duration { return s.every }
+
+// Default is what holds without a file.
+func Default() File {
+	return File{Log{Level: "info", Format: "json", Sampling: Sampling{Every: "1s", every: time.Second}}}
+}
+
+// Load reads a file; no name is no file.
+func Load(path string) (File, error) {
+	if path == "" {
+		return Default(), nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Default(), fmt.Errorf("operator file: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads its text over the defaults. What is unknown or wrong is named by file, line and key.
+func Parse(path string, text []byte) (File, error) {
+	f := Default()
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return Default(), where(path, err)
+	}
+	wrong := func(key, what string) (File, error) {
+		return Default(), fmt.Errorf("%s:%d: %s: %s", path, line(text, key), key, what)
+	}
+	switch f.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		return wrong("log.level", fmt.Sprintf("must be debug, info, warn or error, not %q", f.Log.Level))
+	}
+	if f.Log.Format != "json" && f.Log.Format != "console" {
+		return wrong("log.format", fmt.Sprintf("must be json or console, not %q", f.Log.Format))
+	}
+	s := &f.Log.Sampling
+	if s.First < 0 || s.Then < 0 {
+		return wrong("log.sampling.first", "counts must not be below nought")
+	}
+	var err error
+	if s.every, err = time.ParseDuration(s.Every); err != nil || s.every <= 0 {
+		return wrong("log.sampling.every", fmt.Sprintf("must be a span over nought, such as 1s, not %q", s.Every))
+	}
+	return f, nil
+}
+
+// typed is how the library words a value of the wrong type.
+var typed = regexp.MustCompile(`cannot decode TOML (\w+) into struct field \S+ of type (\S+)`)
+
+// where puts the library's error into file, line and key.
+func where(path string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%s:%d: unknown key %s", path, row, strings.Join(strict.Errors[0].Key(), "."))
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, _ := bad.Position()
+		what := typed.ReplaceAllString(strings.TrimPrefix(bad.Error(), "toml: "), "$1 where $2 is wanted")
+		if key := strings.Join(bad.Key(), "."); key != "" {
+			what = key + ": " + what
+		}
+		return fmt.Errorf("%s:%d: %s", path, row, what)
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+// line finds a key's in the text: the last line that sets its last part within its table, or the table's head.
+func line(text []byte, key string) int {
+	parts := strings.Split(key, ".")
+	table, last := strings.Join(parts[:len(parts)-1], "."), parts[len(parts)-1]
+	in, found := "", 1
+	for i, l := range strings.Split(string(text), "\n") {
+		l = strings.TrimSpace(l)
+		if strings.HasPrefix(l, "[") {
+			if in = strings.Trim(strings.SplitN(l, "#", 2)[0], "[] "); in == table {
+				found = i + 1
+			}
+			continue
+		}
+		name := strings.TrimSpace(strings.SplitN(l, "=", 2)[0])
+		if in == table && name == last || in != "" && in+"."+name == key || in == "" && name == key {
+			return i + 1
+		}
+	}
+	return found
+}
+
+// Text writes a file with all it may say and what it means.
+func Text(f File) (string, error) {
+	b, err := toml.Marshal(f)
+	return string(b), err
+}
--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -257,6 +257,9 @@
 	return &s, nil
 }
 
+// typed is how the library words a value of the wrong type.
+var typed = regexp.MustCompile(`cannot decode TOML (\w+) into struct field \S+ of type (\S+)`)
+
 // Where puts the library's error into file, line and key.
 func Where(file string, err error) error {
 	var strict *toml.StrictMissingError
@@ -268,7 +271,7 @@
 	var bad *toml.DecodeError
 	if errors.As(err, &bad) {
 		row, _ := bad.Position()
-		what := strings.TrimPrefix(bad.Error(), "toml: ")
+		what := typed.ReplaceAllString(strings.TrimPrefix(bad.Error(), "toml: "), "$1 where $2 is wanted")
 		if key := strings.Join(bad.Key(), "."); key != "" {
 			what = key + ": " + what
 		}
