--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -125,7 +125,6 @@
 		return
 	}
 	sub.ran = true
-	w.judge.ran(sub, b)
 	fails := w.s.Backends.ErrorRate
 	if b.failing > 0 {
 		fails = b.failing
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -37,18 +37,17 @@
 
 // try is one submission of a request by its client.
 type try struct {
-	nr      uint32
-	req     *request
-	d       *door
-	life    int
-	sent    time.Duration
-	expiry  time.Duration
-	ref     slots.Ref
-	taken   bool
-	over    bool // at the client
-	left    bool
-	beyond  bool
-	counted bool
+	nr     uint32
+	req    *request
+	d      *door
+	life   int
+	sent   time.Duration
+	expiry time.Duration
+	ref    slots.Ref
+	taken  bool
+	over   bool // at the client
+	left   bool
+	beyond bool
 }
 
 type clients struct {
--- a/internal/emulator/door.go
+++ b/internal/emulator/door.go
@@ -273,7 +273,7 @@
 		return
 	}
 	w := s.d.w
-	if s.to.dead && w.s.Policy != "" {
+	if s.to.dead {
 		w.after(way, func() { s.finish(control.Unreachable) })
 		return
 	}
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -245,9 +245,6 @@
 	}
 }
 
-// ran: a submission has begun at a backend.
-func (j *judge) ran(*submission, *backend) {}
-
 // ended: a front door has a submission's outcome.
 func (j *judge) ended(s *submission, e control.Ending) {
 	if s.whole {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -24,6 +24,7 @@
 
 	"clovergap/internal/emulator"
 	"clovergap/internal/spec"
+	"clovergap/internal/tomlfile"
 )
 
 // Build names the program that makes the results.
@@ -81,10 +82,10 @@
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
-		return nil, spec.Where(file, err)
+		return nil, tomlfile.Where(file, err)
 	}
 	if s.Base == "" || s.Seeds < 1 {
-		return nil, &spec.Error{File: file, What: "base must name an experiment, seeds must be 1 at the least"}
+		return nil, &tomlfile.Error{File: file, What: "base must name an experiment, seeds must be 1 at the least"}
 	}
 	s.Base = filepath.Join(filepath.Dir(file), s.Base)
 	if s.text, err = os.ReadFile(s.Base); err != nil {
@@ -137,7 +138,7 @@
 func (s *Sweep) at(p map[string]any) (*spec.Spec, error) {
 	all := map[string]any{}
 	if err := toml.Unmarshal(s.text, &all); err != nil {
-		return nil, spec.Where(s.Base, err)
+		return nil, tomlfile.Where(s.Base, err)
 	}
 	for k, v := range p {
 		at := all
@@ -146,7 +147,7 @@
 			next, ok := at[part].(map[string]any)
 			if !ok {
 				if at[part] != nil {
-					return nil, &spec.Error{File: s.file, Place: "grid." + k, What: "only keys of plain tables can be swept"}
+					return nil, &tomlfile.Error{File: s.file, Place: "grid." + k, What: "only keys of plain tables can be swept"}
 				}
 				next = map[string]any{}
 				at[part] = next
@@ -187,7 +188,7 @@
 				if errors.Is(err, io.EOF) {
 					return all, true, nil
 				}
-				return all, false, &spec.Error{File: file, Place: fmt.Sprint(n), What: bad.Error()}
+				return all, false, &tomlfile.Error{File: file, Place: fmt.Sprint(n), What: bad.Error()}
 			}
 			all = append(all, r)
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,14 +4,14 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"os"
-	"regexp"
 	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"clovergap/internal/tomlfile"
 )
 
 // File is an operator file.
@@ -60,7 +60,7 @@
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&f); err != nil {
-		return Default(), where(path, err)
+		return Default(), tomlfile.Where(path, err)
 	}
 	wrong := func(key, what string) (File, error) {
 		return Default(), fmt.Errorf("%s:%d: %s: %s", path, line(text, key), key, what)
@@ -84,28 +84,6 @@
 	return f, nil
 }
 
-// typed is how the library words a value of the wrong type.
-var typed = regexp.MustCompile(`cannot decode TOML (\w+) into struct field \S+ of type (\S+)`)
-
-// where puts the library's error into file, line and key.
-func where(path string, err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		row, _ := strict.Errors[0].Position()
-		return fmt.Errorf("%s:%d: unknown key %s", path, row, strings.Join(strict.Errors[0].Key(), "."))
-	}
-	var bad *toml.DecodeError
-	if errors.As(err, &bad) {
-		row, _ := bad.Position()
-		what := typed.ReplaceAllString(strings.TrimPrefix(bad.Error(), "toml: "), "$1 where $2 is wanted")
-		if key := strings.Join(bad.Key(), "."); key != "" {
-			what = key + ": " + what
-		}
-		return fmt.Errorf("%s:%d: %s", path, row, what)
-	}
-	return fmt.Errorf("%s: %w", path, err)
-}
-
 // line finds a key's in the text: the last line that sets its last part within its table, or the table's head.
 func line(text []byte, key string) int {
 	parts := strings.Split(key, ".")
--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"regexp"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"clovergap/internal/tomlfile"
 )
 
 // Span is a time.Duration written as "150ms".
@@ -80,7 +81,7 @@
 	ErrorRate   float64 `toml:"error_rate"`
 	ReportEvery Span    `toml:"report_every"`
 	ReportLate  Span    `toml:"report_late"`
-	Handshake   Span    `toml:"handshake"` // core time of a new connection
+	Handshake   Span    `toml:"handshake"` // added to a new connection's way; the backend's work for it is left out
 	RoundTrips  int     `toml:"round_trips"`
 	ConnIdle    Span    `toml:"conn_idle"`
 	DialLimit   Span    `toml:"dial_limit"`
@@ -211,17 +212,6 @@
 			{"capped", 0.3, 14, 28, 1.4, 0, 1, 8, 2, 1}}}
 }
 
-// Error says what is wrong, and where.
-type Error struct{ File, Place, What string }
-
-func (e *Error) Error() string {
-	place := e.File
-	if e.Place != "" {
-		place += ":" + e.Place
-	}
-	return place + ": " + e.What
-}
-
 // Load reads an experiment over the defaults.
 func Load(file string) (*Spec, error) {
 	text, err := os.ReadFile(file)
@@ -249,37 +239,14 @@
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
-		return nil, Where(file, err)
+		return nil, tomlfile.Where(file, err)
 	}
 	if key, what := s.wrong(); what != "" {
-		return nil, &Error{file, line(text, key), key + ": " + what}
+		return nil, &tomlfile.Error{File: file, Place: line(text, key), What: key + ": " + what}
 	}
 	return &s, nil
 }
 
-// typed is how the library words a value of the wrong type.
-var typed = regexp.MustCompile(`cannot decode TOML (\w+) into struct field \S+ of type (\S+)`)
-
-// Where puts the library's error into file, line and key.
-func Where(file string, err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		row, _ := e.Position()
-		return &Error{file, fmt.Sprint(row), "unknown key " + strings.Join(e.Key(), ".")}
-	}
-	var bad *toml.DecodeError
-	if errors.As(err, &bad) {
-		row, _ := bad.Position()
-		what := typed.ReplaceAllString(strings.TrimPrefix(bad.Error(), "toml: "), "$1 where $2 is wanted")
-		if key := strings.Join(bad.Key(), "."); key != "" {
-			what = key + ": " + what
-		}
-		return &Error{file, fmt.Sprint(row), what}
-	}
-	return &Error{file, "", err.Error()}
-}
-
 var indexed = regexp.MustCompile(`^(\w+)\[(\d+)\]`)
 
 // line finds a key's table, so that what the whole shows to be wrong has a place too.
