Named points for debug builds and a history that a front door may write

Change: internal/points (stop or exit at a named place, told over stdin, compiled in under -tags debug only); internal/history (events, JSON lines, versioned, bounded); [history] in the operator file, off by default; the gate tells steps of txns to a watcher only where one is set. Measured: tests of the command and of the points pass; with the switch off one nil check a step.

--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -22,12 +22,14 @@
 	"clovergap/internal/discovery"
 	"clovergap/internal/dispatch"
 	"clovergap/internal/gate"
+	"clovergap/internal/history"
 	"clovergap/internal/http1"
 	"clovergap/internal/intake"
 	"clovergap/internal/link"
 	"clovergap/internal/logs"
 	"clovergap/internal/operator"
 	"clovergap/internal/peers"
+	"clovergap/internal/points"
 )
 
 // Life of a front door that is told to end: clients still come for a while, then connections close between
@@ -51,6 +53,7 @@
 	next     *discovery.Watch // at the address that a new configuration names, until it answers
 	conf     *config.Config
 	log      *zap.Logger
+	past     *past // nil: no history is wanted
 }
 
 // clock gives the gate the engine's time; the module's next due time is an entry among all others.
@@ -81,7 +84,13 @@
 	limits(c)
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	f, err := build(c, log)
+	past, err := record(o.History, c.Name)
+	if err != nil {
+		return err
+	}
+	defer past.close()
+	points.Listen(os.Stdin) // in debug builds
+	f, err := build(c, log, past)
 	if err != nil {
 		return err
 	}
@@ -115,8 +124,8 @@
 const clientShare, ringShare = 2, 4
 
 // build puts the stages together and starts them.
-func build(c *config.Config, log *zap.Logger) (*front, error) {
-	f := &front{conf: c, log: log, e: link.New(c.Listen, c.Sockets, http1.MostRaw, c.MemoryMB<<20/ringShare)}
+func build(c *config.Config, log *zap.Logger, past *past) (*front, error) {
+	f := &front{conf: c, log: log, past: past, e: link.New(c.Listen, c.Sockets, http1.MostRaw, c.MemoryMB<<20/ringShare)}
 	door, err := control.New(c.Seed, c.Settings, f.e.Now())
 	if err != nil {
 		return nil, err
@@ -139,6 +148,9 @@
 		tell = f.peers
 	}
 	f.gate.Through(f.dispatch, tell)
+	if past != nil && past.txns {
+		f.gate.Watched(past)
+	}
 	f.e.Accepted(f.intake.Accept)
 	f.e.Settled(f.gate.Pull)
 	f.e.Short(func() {
@@ -147,6 +159,7 @@
 		}
 	})
 	f.e.Turn(func() { f.listed(known) })
+	points.At(points.BeforeReady)
 	if err := f.e.Start(); err != nil {
 		return nil, err
 	}
@@ -160,6 +173,7 @@
 		f.watch = discovery.NewWatch(f.e, c.Discovery, c.Wait, c.Halls, f.listed, log)
 		f.watch.Start()
 	})
+	past.add(history.Event{Kind: history.Up})
 	log.Info("serves", zap.String("listen", c.Listen), zap.Bool("debug", check.Debug))
 	return f, nil
 }
@@ -167,6 +181,7 @@
 // reload reads the configuration again, under load. A file that can't be read or is wrong changes nothing. What can
 // move while txns are held moves, the rest is named and waits for a restart.
 func (f *front) reload(path string) {
+	points.At(points.BeforeReload)
 	c, err := config.Load(path)
 	if err == nil {
 		_, err = usable(c)
@@ -230,6 +245,8 @@
 
 // listed takes a list to those who go by it.
 func (f *front) listed(l discovery.List) {
+	points.At(points.BeforeList)
+	f.past.listed(l)
 	list := make([]control.Listing, 0, len(l.Entries))
 	listed := map[control.BackendID]bool{}
 	for _, e := range l.Entries {
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -68,7 +68,7 @@
 		fmt.Println(err)
 		return nil
 	}
-	st.f, err = build(conf, zap.NewNop())
+	st.f, err = build(conf, zap.NewNop(), nil)
 	if err != nil {
 		fmt.Println(err)
 	}
@@ -734,7 +734,7 @@
 func Example_silentWatch() {
 	st, text := lay(1, 1024, settings(1, 20))
 	conf, _ := config.Parse([]byte(strings.Replace(string(text), "30000,", "200,", 1)))
-	st.f, _ = build(conf, zap.NewNop())
+	st.f, _ = build(conf, zap.NewNop(), nil)
 	defer st.close()
 	go func() {
 		for x := range st.agent.came {
@@ -869,7 +869,7 @@
 	defer os.Remove(path)
 	st, text := lay(1, 1024, settings(1, 20))
 	conf, _ := config.Parse(text)
-	st.f, _ = build(conf, zap.NewNop())
+	st.f, _ = build(conf, zap.NewNop(), nil)
 	old, listed := st.agent.l.Addr().String(), target(0, st.backends[0].l.Addr().String(), "Ready")
 	write := func(old, new string) {
 		os.WriteFile(path, []byte(strings.Replace(string(text), old, new, 1)), 0o600)
@@ -941,7 +941,7 @@
 		fmt.Println(err)
 		return
 	}
-	_, err = build(conf, zap.NewNop())
+	_, err = build(conf, zap.NewNop(), nil)
 	fmt.Println(strings.Contains(err.Error(), syscall.EADDRINUSE.Error()))
 	// Output:
 	// [] 2
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 	"clovergap/control"
 	"clovergap/internal/check"
 	"clovergap/internal/counters"
+	"clovergap/internal/points"
 	"clovergap/internal/slots"
 )
 
@@ -45,6 +46,21 @@
 	Tell(peer control.GatewayID, payload []byte)
 }
 
+// Settled is what a watcher is told of a txn that a backend's answer ended; the module's verbs name the others.
+const Settled control.Verb = -1
+
+// Watcher is told of the steps of txns, where operators want a history of them. Without one nothing is done.
+type Watcher interface {
+	Sent(txn slots.Ref, id string, nr int, to control.BackendID)
+	Ended(txn slots.Ref, nr int, at control.BackendID, how control.Ending)
+	Final(txn slots.Ref, id string, how control.Verb)
+}
+
+// namer is a front that knows txns by their clients' ids.
+type namer interface {
+	ID(who, txn slots.Ref) string
+}
+
 // Clock is the turn's time and a place to hang due times.
 type Clock interface {
 	Now() time.Duration
@@ -71,6 +87,7 @@
 	count *counters.Set
 	log   *zap.Logger
 	wake  uint32 // number of the module's present due time
+	watch Watcher
 }
 
 // New makes a gate for at most so many txns at a time.
@@ -81,6 +98,24 @@
 // Through says what carries submissions and messages.
 func (g *Gate) Through(s Sender, t Teller) { g.send, g.tell = s, t }
 
+// Watched says who is told of the steps of txns.
+func (g *Gate) Watched(w Watcher) { g.watch = w }
+
+func (t *txn) id(ref slots.Ref) string {
+	if n, ok := t.front.(namer); ok {
+		return n.ID(t.who, ref)
+	}
+	return ""
+}
+
+// final tells of a final answer before it leaves.
+func (g *Gate) final(ref slots.Ref, t *txn, how control.Verb) {
+	points.At(points.BeforeAnswer)
+	if g.watch != nil {
+		g.watch.Final(ref, t.id(ref), how)
+	}
+}
+
 // Held counts txns that are not answered or still have a submission out.
 func (g *Gate) Held() int { return g.txns.Held() }
 
@@ -131,10 +166,14 @@
 	}
 	t.out = false
 	g.count.Add(counters.EndSettled + counters.ID(o.Ending))
+	if g.watch != nil {
+		g.watch.Ended(ref, nr, at, o.Ending)
+	}
 	over := t.answered
 	if o.Ending == control.Settled && !t.answered {
 		g.count.Add(counters.Settled)
 		over, t.answered = true, true
+		g.final(ref, t, Settled)
 		t.front.Settle(t.who, ref, o.Body, o.Kind)
 	}
 	g.door.Now(g.clock.Now())
@@ -203,7 +242,12 @@
 		if x.Limit > 0 {
 			limit = min(limit, x.Limit)
 		}
+		points.At(points.BeforeSubmit)
+		if g.watch != nil {
+			g.watch.Sent(ref, t.id(ref), nr, x.Backend)
+		}
 		g.send.Submit(ref, nr, Message{t.front, t.who, ref}, x.Backend, limit, x.Whole)
+		points.At(points.AfterSubmit)
 	case control.Decline, control.Void:
 		t := g.txns.Get(ref)
 		check.That(t != nil && !t.answered, "a txn is answered once")
@@ -211,6 +255,7 @@
 			return
 		}
 		t.answered = true
+		g.final(ref, t, x.Verb)
 		g.count.Add(counters.GaveUpTime + counters.ID(x.Why))
 		if x.Verb == control.Decline {
 			g.count.Add(counters.Declined)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -296,6 +296,14 @@
 	return c
 }
 
+// ID names a txn by its client's id, while the client waits.
+func (in *Intake) ID(who, txn slots.Ref) string {
+	if c := in.clients.Get(who); c != nil && c.txn == txn {
+		return c.id
+	}
+	return ""
+}
+
 // Settle, Decline and Void give the one answer to a txn.
 func (in *Intake) Settle(who, txn slots.Ref, body, kind []byte) {
 	if c := in.holds(who, txn); c != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,7 +16,15 @@
 
 // File is an operator file.
 type File struct {
-	Log Log `toml:"log" comment:"The log goes to standard error."`
+	Log     Log     `toml:"log" comment:"The log goes to standard error."`
+	History History `toml:"history" comment:"What this front door did, one JSON object a line, for checkers and inquiries. Off without a file."`
+}
+
+// History says where a history of what the front door did goes.
+type History struct {
+	File   string `toml:"file" comment:"added to; empty writes none"`
+	Txns   bool   `toml:"txns" comment:"each submission and final answer as well, not only starts, ends and lists"`
+	MostMB int    `toml:"most_mb" comment:"no more is written to the file than this; what is left out is counted"`
 }
 
 // Log says how the log is written.
@@ -39,7 +47,7 @@
 
 // Default is what holds without a file.
 func Default() File {
-	return File{Log{Level: "info", Format: "json", Sampling: Sampling{Every: "1s", every: time.Second}}}
+	return File{Log: Log{Level: "info", Format: "json", Sampling: Sampling{Every: "1s", every: time.Second}}, History: History{MostMB: 64}}
 }
 
 // Load reads a file; no name is no file.
@@ -81,6 +89,9 @@
 	if s.every, err = time.ParseDuration(s.Every); err != nil || s.every <= 0 {
 		return wrong("log.sampling.every", fmt.Sprintf("must be a span over nought, such as 1s, not %q", s.Every))
 	}
+	if f.History.MostMB < 1 || f.History.MostMB > 1<<20 {
+		return wrong("history.most_mb", fmt.Sprintf("must be 1 to %d, not %d", 1<<20, f.History.MostMB))
+	}
 	return f, nil
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,6 +9,7 @@
 	"clovergap/control"
 	"clovergap/internal/counters"
 	"clovergap/internal/link"
+	"clovergap/internal/points"
 )
 
 // longest datagram that a front door may send.
@@ -94,11 +95,13 @@
 		return
 	}
 	p.e.Count.Add(counters.MailTaken)
+	points.At(points.AfterHear)
 	p.heard(id, payload)
 }
 
 // Tell sends a message; one that can't be sent is lost as any may be.
 func (p *Peers) Tell(peer control.GatewayID, payload []byte) {
+	points.At(points.BeforeTell)
 	if int(peer) >= len(p.addrs) || len(payload) > longest || p.fd < 0 ||
 		syscall.Sendto(p.fd, payload, syscall.MSG_DONTWAIT, p.addrs[peer]) != nil {
 		p.e.Count.Add(counters.MailUnsent)
--- /dev/null
+++ b/internal/points/debug.go
@@ -0,0 +1,94 @@
+//go:build debug
+
+package points
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// On tells whether this build has the places.
+const On = true
+
+// order is what is to be done at a place, once, when it is reached for so many-th time from now.
+type order struct {
+	does string
+	left int
+}
+
+var (
+	armed  atomic.Int64 // orders that wait: none costs one load
+	mu     sync.Mutex
+	orders = map[Name]*order{}
+	say    = func(line []byte) { os.Stderr.Write(line) }
+	does   = map[string]func(){
+		"stop": func() { syscall.Kill(os.Getpid(), syscall.SIGSTOP) }, // all of the process, until SIGCONT
+		"exit": func() { syscall.Kill(os.Getpid(), syscall.SIGKILL) },
+	}
+)
+
+// At is put where a place is.
+func At(n Name) {
+	if armed.Load() == 0 {
+		return
+	}
+	mu.Lock()
+	o := orders[n]
+	if o == nil {
+		mu.Unlock()
+		return
+	}
+	if o.left--; o.left > 0 {
+		mu.Unlock()
+		return
+	}
+	delete(orders, n)
+	armed.Add(-1)
+	line, _ := json.Marshal(Reached{n, o.does})
+	say(append(line, '\n'))
+	mu.Unlock()
+	does[o.does]()
+}
+
+// Listen takes orders, a line each: "stop gate.before-submit 3" stands still at the third time from now, "exit" ends
+// the process there. What is wrong is told in one line and changes nothing.
+func Listen(in io.Reader) {
+	go func() {
+		for lines := bufio.NewScanner(in); lines.Scan(); {
+			if err := take(lines.Text()); err != nil {
+				line, _ := json.Marshal(map[string]string{"point": "", "error": err.Error()})
+				say(append(line, '\n'))
+			}
+		}
+	}()
+}
+
+func take(line string) error {
+	f := strings.Fields(line)
+	if len(f) < 2 || len(f) > 3 || does[f[0]] == nil {
+		return fmt.Errorf("%q is no order: want stop or exit, a point, and the count if not 1", line)
+	}
+	nth := 1
+	if len(f) == 3 {
+		if _, err := fmt.Sscan(f[2], &nth); err != nil || nth < 1 {
+			return fmt.Errorf("%q: the count must be a number from 1", line)
+		}
+	}
+	if !Known(Name(f[1])) {
+		return fmt.Errorf("%q: no such point", line)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if orders[Name(f[1])] == nil {
+		armed.Add(1)
+	}
+	orders[Name(f[1])] = &order{f[0], nth}
+	return nil
+}
--- /dev/null
+++ b/internal/points/points_test.go
@@ -0,0 +1,37 @@
+//go:build debug
+
+package points
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+// An order hits its place at its count, once; orders that are wrong are told and change nothing.
+func TestOrders(t *testing.T) {
+	did, said := 0, make(chan string, 10)
+	does["stop"] = func() { did++ }
+	say = func(line []byte) { said <- string(line) }
+	in, out := io.Pipe()
+	Listen(in)
+	for _, bad := range []string{"", "stop", "stop nowhere", "halt gate.before-submit", "stop gate.before-submit 0", "stop gate.before-submit 1 2"} {
+		io.WriteString(out, bad+"\n")
+		if line := <-said; !strings.Contains(line, "error") {
+			t.Errorf("%q: %s", bad, line)
+		}
+	}
+	At(BeforeSubmit)
+	io.WriteString(out, "stop gate.before-submit 3\nwrong\n")
+	<-said // the wrong one after it: the order has been taken
+	for i := 1; i <= 5; i++ {
+		At(BeforeSubmit)
+		At(AfterSubmit)
+		if want := i / 3; i <= 3 && did != want {
+			t.Errorf("after %d: did it %d times", i, did)
+		}
+	}
+	if line := <-said; did != 1 || !strings.Contains(line, `"point":"gate.before-submit","does":"stop"`) {
+		t.Errorf("did %d, said %s", did, line)
+	}
+}
--- /dev/null
+++ b/internal/points/release.go
@@ -0,0 +1,14 @@
+//go:build !debug
+
+package points
+
+import "io"
+
+// On tells whether this build has the places.
+const On = false
+
+// At does nothing in a release build.
+func At(Name) {}
+
+// Listen does nothing in a release build.
+func Listen(io.Reader) {}
