Emulator plays datagram and counter faults; random schedules; copies judged as sent

Seen on real processes: 44 broken rules in the first schedule with a hall cut off; traced to the rig, not the front door: a proxy passed on what front doors had long given up, on connections that would never have come up, and the checker took arrivals for sends. Also seen: a restarted front door's port taken by another's outgoing connection.

--- a/internal/emulator/door.go
+++ b/internal/emulator/door.go
@@ -174,13 +174,13 @@
 	if int(peer) < 0 || int(peer) >= len(w.doors) || w.net.Float64() < w.s.Peers.Loss || w.strikes(w.lossBy) {
 		return
 	}
-	to := w.doors[peer]
-	if w.apart(d.hall, to.hall) {
+	if w.apart(d.hall, w.doors[peer].hall) {
 		return
 	}
-	w.after(w.between(w.s.Peers.Delay), func() {
-		to.turn(func() { to.brain.Heard(control.GatewayID(d.nr), payload) })
-	})
+	for _, c := range w.links.Send(w.now, d.nr, int(peer), payload) {
+		c.After += w.between(w.s.Peers.Delay)
+		w.hear(c)
+	}
 }
 
 // AppendTo gives the number of the try: the emulated wire needs no more.
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"clovergap/control"
+	"clovergap/internal/links"
 	"clovergap/internal/spec"
+	"clovergap/internal/tally"
 )
 
 // plan hangs the experiment's faults on the clock.
@@ -47,7 +49,7 @@
 	w.until(f, func() { w.res.note("%s ends", f.Kind) })
 	switch f.Kind {
 	case "slow":
-		for _, b := range w.ready(f.Share) {
+		for _, b := range w.ready(f) {
 			b := b
 			b.advance()
 			b.slow *= f.By
@@ -55,19 +57,19 @@
 			w.until(f, func() { b.advance(); b.slow /= f.By; b.plan() })
 		}
 	case "failing":
-		for _, b := range w.ready(f.Share) {
+		for _, b := range w.ready(f) {
 			b := b
 			b.failing += f.By
 			w.until(f, func() { b.failing = max(0, b.failing-f.By) })
 		}
 	case "silent":
-		for _, b := range w.ready(f.Share) {
+		for _, b := range w.ready(f) {
 			b := b
 			b.silent++
 			w.until(f, func() { b.silent-- })
 		}
 	case "crash":
-		for _, b := range w.ready(f.Share) {
+		for _, b := range w.ready(f) {
 			w.crash(b, f.For.D())
 		}
 	case "drain", "release":
@@ -91,11 +93,11 @@
 		w.cutHall[hall]++
 		w.until(f, func() { w.cutHall[hall]-- })
 	case "door-kill":
-		for _, d := range sample(w, w.doors, f.Share) {
+		for _, d := range sample(w, w.doors, f) {
 			w.bounce(d, f.For.D())
 		}
 	case "door-stall":
-		for _, d := range sample(w, w.doors, f.Share) {
+		for _, d := range sample(w, w.doors, f) {
 			d.stall(f.For.D())
 		}
 	case "door-roll":
@@ -111,11 +113,57 @@
 	case "late-lists":
 		w.lateBy++
 		w.until(f, func() { w.lateBy-- })
+	case "counter-down":
+		w.troubled(f, func(m *tally.Mode) { m.Down = true })
+	case "counter-busy":
+		w.troubled(f, func(m *tally.Mode) { m.Busy = 1 - (1-m.Busy)*(1-f.Share) })
+	case "counter-spoilt":
+		w.troubled(f, func(m *tally.Mode) { m.Spoilt = 1 - (1-m.Spoilt)*(1-f.Share) })
+	case "counter-mute":
+		w.troubled(f, func(m *tally.Mode) { m.Mute = 1 - (1-m.Mute)*(1-f.Share) })
+	case "counter-late":
+		w.troubled(f, func(m *tally.Mode) { m.Late += f.Delay.D() })
+	case "counter-reset":
+		w.counter.Replace()
+	default:
+		hall := func(i int) string { return w.s.Halls.Names[w.doors[i].hall] }
+		if e, ok := links.Of(&f, len(w.doors), hall, f.Source(w.net)); ok {
+			id := w.links.Bring(e)
+			w.until(f, func() {
+				for _, c := range w.links.End(id) {
+					w.hear(c)
+				}
+			})
+		}
+	}
+}
+
+// troubled has the counter do something wrong while the fault lasts.
+func (w *world) troubled(f spec.Fault, change func(*tally.Mode)) {
+	i := len(w.countBy)
+	w.countBy = append(w.countBy, change)
+	sum := func() {
+		w.counter.Mode = tally.Mode{}
+		for _, do := range w.countBy {
+			if do != nil {
+				do(&w.counter.Mode)
+			}
+		}
 	}
+	sum()
+	w.until(f, func() { w.countBy[i] = nil; sum() })
+}
+
+// hear delivers a datagram.
+func (w *world) hear(c links.Copy) {
+	w.after(c.After, func() {
+		to := w.doors[c.To]
+		to.turn(func() { to.brain.Heard(control.GatewayID(c.From), c.Payload) })
+	})
 }
 
 // ready samples the backends in service.
-func (w *world) ready(share float64) []*backend {
+func (w *world) ready(f spec.Fault) []*backend {
 	var all []*backend
 	for _, b := range w.backends {
 		if !b.dead && b.state == control.Ready {
@@ -125,7 +173,7 @@
 	if len(all) == 0 {
 		return nil
 	}
-	return sample(w, all, share)
+	return sample(w, all, f)
 }
 
 // crash ends a backend's process; one of a new id takes its place, cold, when the fault is over.
@@ -144,7 +192,7 @@
 
 // release drains backends in waves, each replaced by a cold one.
 func (w *world) release(f spec.Fault) {
-	all := w.ready(f.Share)
+	all := w.ready(f)
 	for i, b := range all {
 		b := b
 		wave := float64(i * max(1, f.Waves) / len(all))
@@ -174,7 +222,7 @@
 
 // roll restarts front doors in waves.
 func (w *world) roll(f spec.Fault) {
-	all := sample(w, w.doors, f.Share)
+	all := sample(w, w.doors, f)
 	waves := max(1, f.Waves)
 	step := float64(f.For) / float64(waves)
 	for i, d := range all {
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -244,7 +244,7 @@
 
 // Run plays an experiment once, by its policy.
 func Run(s *spec.Spec) (*Result, error) {
-	m, ok := map[string]maker{"module": module, "seeing": seeing, "plain": plain}[s.Policy]
+	m, ok := map[string]maker{"module": module, "seeing": seeing, "plain": plain, "counted": counted}[s.Policy]
 	if !ok {
 		return nil, fmt.Errorf("no such policy: %q", s.Policy)
 	}
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -108,6 +108,8 @@
 		{"read again anywhere", fmt.Sprintf(asked, "read") + began + "700 s3 arrive txn=1 n=2", "", twice},
 		{"turned away, then elsewhere", fmt.Sprintf(asked, "pay") + "10 s1 turn-away txn=1 n=1\n20 s2 arrive txn=1 n=2\n30 c answer txn=1 n=200 what=1", "", twice},
 		{"declined before it began", fmt.Sprintf(asked, "pay") + "10 s1 turn-away txn=1 n=1\n20 c answer txn=1 n=429", "", twice},
+		{"held up on its way", fmt.Sprintf(asked, "read") + "900 s1 arrive txn=1 n=1 own=10\n100 s1 over txn=1 n=1\n120 s2 arrive txn=1 n=1 own=110\n150 s2 over txn=1 n=1", "", twice},
+		{"declined, and it runs later", fmt.Sprintf(asked, "pay") + "900 s1 arrive txn=1 n=1 own=10\n100 c answer txn=1 n=429", "declined", twice},
 		{"pay again", fmt.Sprintf(asked, "pay") + began + "100 s1 arrive txn=1 n=2", "once-only", twice},
 		{"other hall", fmt.Sprintf(asked, "bid") + began + "100 s3 arrive txn=1 n=2", "outside the hall", twice},
 		{"other pod", fmt.Sprintf(asked, "pod") + began + "100 s2 arrive txn=1 n=2", "outside the pod", twice},
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -302,6 +302,46 @@
 	return os.Rename(file+".new", file)
 }
 
+// Random plays random schedules on top of an experiment's own faults, on all cores, from its seed on. Each is told of, one
+// at a time; an error of the teller ends it.
+func Random(ctx context.Context, s *spec.Spec, n, most int, told func(done int, c *spec.Spec, r *emulator.Result) error) error {
+	feed := make(chan uint64)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed error
+	done := 0
+	for i := 0; i < runtime.NumCPU(); i++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for seed := range feed {
+				c := s.Drawn(seed, most, true)
+				r, err := One(c, s.Name, false)
+				mu.Lock()
+				if done++; err == nil && failed == nil {
+					err = told(done, c, r)
+				}
+				if err != nil && failed == nil {
+					failed = fmt.Errorf("seed %d: %w", seed, err)
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		select {
+		case feed <- s.Seed + uint64(i):
+		case <-ctx.Done():
+		}
+	}
+	close(feed)
+	wg.Wait()
+	if failed == nil && ctx.Err() != nil {
+		return fmt.Errorf("stopped after %d of %d schedules", done, n)
+	}
+	return failed
+}
+
 // One plays one experiment.
 func One(s *spec.Spec, file string, marks bool) (r *emulator.Result, err error) {
 	if marks {
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -5,6 +5,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"clovergap/internal/spec"
 )
 
 // Effect is what a fault does to the datagrams from one front door to another.
@@ -147,3 +149,26 @@
 	}
 	return b
 }
+
+// Of gives what a fault does to the datagrams between front doors, if it does anything.
+func Of(f *spec.Fault, n int, hall func(int) string, rng *rand.Rand) (e Effect, ok bool) {
+	switch f.Kind {
+	case "peer-cut":
+		e = Effect{Cut: true, Hold: f.Hold, On: f.Pairs(n, hall, rng)}
+	case "peer-loss":
+		e = Effect{Loss: f.Share}
+	case "peer-delay":
+		e = Effect{Delay: f.Delay.D()}
+	case "peer-double":
+		e = Effect{Double: f.Share}
+	case "peer-reorder":
+		e = Effect{Reorder: f.Share, Delay: f.Delay.D()}
+	case "peer-rate":
+		e = Effect{Rate: f.By}
+	case "peer-spoil":
+		e = Effect{Spoil: f.Share}
+	default:
+		return e, false
+	}
+	return e, true
+}
--- a/internal/spec/fault.go
+++ b/internal/spec/fault.go
@@ -173,6 +173,15 @@
 // drawn kinds need a debug build or a machine of their own, or would end every run.
 var notDrawn = map[string]bool{"stall-at": true, "exit-at": true, "door-few": true, "door-little": true, "peer-spoil": true}
 
+// Drawn gives an experiment with random faults on top of its own, and with a seed of its own.
+func (s *Spec) Drawn(seed uint64, most int, emulated bool) *Spec {
+	c := *s
+	c.Seed = seed
+	c.Faults = append([]Fault(nil), s.Faults...)
+	c.Draw(rand.New(rand.NewPCG(seed, 0xc4a05)), most, emulated)
+	return &c
+}
+
 // Draw adds random faults, which overlap as they like and end a while before the run does, so that what must come back
 // after the last heal can.
 func (s *Spec) Draw(rng *rand.Rand, most int, emulated bool) {
