Mutants, kept schedules and the rig's own tests

Change: lab mutants with its table of 32 changes, lab kept, lab/cold.toml, lab/ceilings.toml, internal/rig's tests on three processes; an end in order excuses no txn taken before; news on a cut way counts as told when it gets there.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -56,7 +56,7 @@
 		Long: "lab plays fleets of front doors in simulated time (run, sweep), compares and draws results (compare, report), and\n" +
 			"starts real front doors on loopback (bench, demo). Exit codes: 0 good, 1 failed or worse, 2 usage."}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), benchCommand(), demoCommand(), chaosCommand())
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), benchCommand(), demoCommand(), chaosCommand(), mutantsCommand(), keptCommand())
 	return root
 }
 
@@ -66,6 +66,7 @@
 	var marks bool
 	var random, most int
 	var keep string
+	var firstOnly bool
 	c := &cobra.Command{Use: "run FILE", Short: "Play one experiment in simulated time", Args: exactly(1, "one experiment file"),
 		Example: "  lab run lab/calm.toml\n  lab run lab/hall-loss.toml --seed 7 --out results.jsonl\n" +
 			"  lab run lab/scopes.toml --random 1000 --keep found",
@@ -81,7 +82,7 @@
 				s.Policy = policy
 			}
 			if random > 0 {
-				return randomRuns(c.Context(), s, random, most, keep)
+				return randomRuns(c.Context(), s, random, most, keep, firstOnly)
 			}
 			began := time.Now()
 			r, err := lab.One(s, args[0], marks && s.Policy == "module")
@@ -109,6 +110,7 @@
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed in place of the file's")
 	c.Flags().IntVar(&random, "random", 0, "play so many random overlapping schedules on top of the file's faults, on all cores")
 	c.Flags().IntVar(&most, "faults", 6, "with --random, drawn faults of a schedule at most")
+	c.Flags().BoolVar(&firstOnly, "first-broken", false, "with --random, end when a rule is broken")
 	c.Flags().StringVar(&keep, "keep", "found", "with --random, folder for schedules that broke a rule")
 	c.Flags().BoolVar(&marks, "marks", true, "play both marks as well, for the place between them")
 	return c
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -100,6 +100,8 @@
 		{"another's", fmt.Sprintf(asked, "pay") + strings.Replace(answer, "what=1", "what=2", 1), `the answer of "2"`, one},
 		{"never", fmt.Sprintf(asked, "pay") + "2000 x up", "no answer before", one},
 		{"broken off", fmt.Sprintf(asked, "pay") + began + "30 c unheard txn=1", "without a whole answer", one},
+		{"ended in order with it", fmt.Sprintf(asked, "pay") + began + "100 n0 down what=in_order\n100 c unheard txn=1", "without a whole answer", one},
+		{"asked after its end", "0 n0 down what=in_order\n" + strings.Replace(fmt.Sprintf(asked, "pay"), "0 c", "60 c", 1) + "61 c unheard txn=1\n3000 x up", "", one},
 		{"down only later", fmt.Sprintf(asked, "pay") + "2000 n0 down", "no answer before", one},
 		{"many unsent", strings.ReplaceAll(strings.ReplaceAll(spend(1, 2, 3, 4), "s1 arrive", "x see"), "x see", "c unheard"), "nothing sent on", one},
 
@@ -121,6 +123,7 @@
 		{"in the grace", "0 n0 told at=s1 what=Terminating\n900 c ask txn=1 at=n0 n=1 what=pay due=2000\n1040 s1 arrive txn=1 n=1", "", drains},
 		{"sent in the grace, late there", "0 n0 told at=s1 what=Terminating\n900 c ask txn=1 at=n0 n=1 what=pay due=2000\n1500 s1 arrive txn=1 n=1 own=950", "", drains},
 		{"ready again", "0 n0 told at=s1 what=Gone\n10 n0 told at=s1 what=Ready\n2000 c ask txn=1 at=n0 n=1 what=pay\n2001 s1 arrive txn=1", "", drains},
+		{"stood still meanwhile", "0 n0 told at=s1 what=Gone\n10 n0 stop\n1950 n0 go\n2000 c ask txn=1 at=n0 n=1 what=pay\n2001 s1 arrive txn=1", "", drains},
 		{"another was told", "0 n1 told at=s1 what=Gone\n2000 c ask txn=1 at=n0 n=1 what=pay\n2001 s1 arrive txn=1", "", drains},
 		{"to a draining one", "0 n0 told at=s1 what=Terminating\n2000 c ask txn=1 at=n0 n=1 what=pay\n2001 s1 arrive txn=1", "2.0s after it was told", drains},
 		{"turned away there", "0 n0 told at=s1 what=Gone\n2000 c ask txn=1 at=n0 n=1 what=pay\n2001 s1 turn-away txn=1", "after it was told", drains},
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -35,7 +35,7 @@
 	Over     Kind = "over"      // a submission is out no longer
 	Told     Kind = "told"      // discovery has written news of the backend At to the front door Who; What is its state
 	Up       Kind = "up"        // a process serves; Life counts its starts
-	Down     Kind = "down"      // it has ended
+	Down     Kind = "down"      // it has ended; What is "in order" where it did so by itself when told
 	Stopped  Kind = "stop"      // it stands still
 	Goes     Kind = "go"        // and goes on
 	Strikes  Kind = "strike"    // a fault begins; What names it
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -104,6 +104,7 @@
 	defer r.f.Close()
 	r.f.Relay.Bring(base(s))
 	load := standin.NewClients(r.f, 256)
+	defer load.Close()
 	load.Log, load.Notice = r.log, s.Clients.Notice[0].D()
 	rate := o.Rate
 	if rate <= 0 {
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -237,6 +237,9 @@
 	wg.Wait()
 }
 
+// Close ends the clients' connections.
+func (c *Clients) Close() { c.http.CloseIdleConnections() }
+
 // Outcomes copies the counts, by plan and all under "".
 func (c *Clients) Outcomes() map[string]Outcome {
 	c.mu.Lock()
--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -151,13 +151,13 @@
 			}
 		}
 	}
-	err := cmd.Wait()
-	d.mu.Lock()
+	err, how := cmd.Wait(), ""
 	if err == nil {
-		err = errors.New("it ended with 0")
+		err, how = errors.New("it ended with 0"), history.InOrder
 	}
+	d.mu.Lock()
 	d.ended, d.gone = err, time.Now()
-	d.note(history.Down, "")
+	d.note(history.Down, how)
 	d.mu.Unlock()
 	close(exit)
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -165,6 +165,9 @@
 			return f, err
 		}
 		a.door, a.log = d.Name, o.History
+		if o.Links {
+			a.way, a.seen = d.Discovery, f.marks
+		}
 		f.Agents = append(f.Agents, a)
 		if d.counter, err = f.via(d, "counter", f.Counter.Addr, d.Counter); err != nil {
 			return f, err
