Rig: connections told apart by both ends, and a history that says when it closes

A port is used towards two addresses at once, and the rig's marks were kept by the port alone. And a front door that stood still for good was not found, since a history had no end by which an answer was due. Ruled out: the front door, by its own order of sends. Change: marks by both ends; a closing event.

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -46,6 +46,7 @@
 	Seen     Kind = "see"       // Who holds What to be so of Key
 	Invoke   Kind = "invoke"    // of an operation on the register or lock Key: What is the operation, N its value
 	Return   Kind = "return"    // its answer
+	Closes   Kind = "closes"    // nothing more is to come: all that was due by now would be here
 	Lost     Kind = "lost"      // N events were not kept: there was no room
 )
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -133,6 +133,7 @@
 	if ctx.Err() == nil {
 		time.Sleep(tail)
 	}
+	r.log.Add(history.Event{Who: "rig", Kind: history.Closes})
 	close(stop)
 	res := &Result{Name: s.Name, Seed: s.Seed, Doors: s.Doors.Count, Seconds: time.Since(began).Seconds(), Faults: len(s.Faults), Slow: <-slow}
 	if ctx.Err() != nil {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -74,7 +74,9 @@
 	return s
 }
 
-func options() Options { return Options{Program: built, Rate: 60, Cores: 1, MemoryMB: 192, Sockets: 1024} }
+func options() Options {
+	return Options{Program: built, Rate: 60, Cores: 1, MemoryMB: 192, Sockets: 1024}
+}
 
 // Three front doors, ten kinds of faults that overlap: all rules are kept, each fault is seen to have struck, and no
 // process and no goroutine is left.
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -167,7 +167,7 @@
 	io.Copy(io.Discard, r.Body)
 	id, came := r.Header.Get("Req-Id"), history.Event{T: history.Now(), Who: b.ID, N: float64(b.nr.Add(1))}
 	came.Txn = id
-	t := b.marks.of(r.RemoteAddr)
+	t := b.marks.of(r.RemoteAddr, b.Addr)
 	if t != nil {
 		came.Own = time.Duration(t.sent.Load())
 	}
@@ -370,7 +370,7 @@
 		note()
 		return
 	}
-	came, trace := time.Now(), a.seen.of(r.RemoteAddr)
+	came, trace := time.Now(), a.seen.of(r.RemoteAddr, a.Addr)
 	go func() {
 		if a.way.pass(size, came, a.quit) && (trace == nil || trace.closed.Load() == 0) {
 			note()
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -109,15 +109,17 @@
 	closed atomic.Int64 // when it had closed its side
 }
 
-// traces finds them by the address that the far end sees.
+// traces finds them by both ends' addresses: a port is used again, at the same time, towards another address.
 type traces struct{ all sync.Map }
 
+func ends(near, far string) string { return near + ">" + far }
+
 // of finds a connection's; nil if it came by no proxy.
-func (t *traces) of(remote string) *trace {
+func (t *traces) of(remote, here string) *trace {
 	if t == nil {
 		return nil
 	}
-	x, _ := t.all.Load(remote)
+	x, _ := t.all.Load(ends(remote, here))
 	tr, _ := x.(*trace)
 	return tr
 }
@@ -198,8 +200,9 @@
 	defer p.drop(far)
 	t := &trace{}
 	if p.marks != nil {
-		p.marks.all.Store(far.LocalAddr().String(), t)
-		defer time.AfterFunc(5*time.Second, func() { p.marks.all.CompareAndDelete(far.LocalAddr().String(), t) })
+		key := ends(far.LocalAddr().String(), p.to)
+		p.marks.all.Store(key, t)
+		defer time.AfterFunc(5*time.Second, func() { p.marks.all.CompareAndDelete(key, t) })
 	}
 	both := make(chan struct{}, 2)
 	go func() { defer func() { both <- struct{}{} }(); p.pump(near, far, t) }()
