--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -19,6 +19,7 @@
 
 	"clovergap/internal/config"
 	"clovergap/internal/counters"
+	"clovergap/internal/standin"
 )
 
 // patience bounds every wait of these tests; none of them depends on how long anything takes within it.
@@ -27,8 +28,8 @@
 // stage is a front door with stand-ins for all that it speaks with.
 type stage struct {
 	f        *front
-	agent    *agent
-	backends []*backend
+	agent    *standin.Script
+	backends []*standin.Script
 	peer     *net.UDPConn
 }
 
@@ -56,8 +57,7 @@
 
 // target is a line of the list.
 func target(n int, addr, state string) object {
-	return object{"uid": fmt.Sprintf("s-%d", n), "endpoint": addr, "az": "hall-a", "model": "m", "pod_group": 0,
-		"state": state, "capacity_hint": 1.0, "boot_ms": 0}
+	return standin.Listed(fmt.Sprintf("s-%d", n), addr, "hall-a", state)
 }
 
 // open starts a front door before so many backends, of which each does as told for its next request.
@@ -77,16 +77,16 @@
 
 // lay makes the stand-ins and the configuration that names them.
 func lay(backends, sockets int, s object) (*stage, []byte) {
-	st := &stage{agent: newAgent()}
+	st := &stage{agent: script()}
 	var list []object
 	for i := 0; i < backends; i++ {
-		b := newBackend()
+		b := script()
 		st.backends = append(st.backends, b)
-		list = append(list, target(i, b.l.Addr().String(), "Ready"))
+		list = append(list, target(i, b.L.Addr().String(), "Ready"))
 	}
 	st.peer, _ = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	peer := st.peer.LocalAddr().String()
-	c := object{"name": "n0", "listen": "127.0.0.1:0", "discovery": st.agent.l.Addr().String(), "discovery_wait_ms": 30000,
+	c := object{"name": "n0", "listen": "127.0.0.1:0", "discovery": st.agent.L.Addr().String(), "discovery_wait_ms": 30000,
 		"seed": "8c1f30d27a5be964", "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
 		"peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:1", peer, "127.0.0.1:2"},
 		"known": object{"rev": 1, "all": true, "targets": list}, "settings": s}
@@ -96,10 +96,10 @@
 
 func (st *stage) close() {
 	st.f.e.Stop()
-	st.agent.l.Close()
+	st.agent.L.Close()
 	st.peer.Close()
 	for _, b := range st.backends {
-		b.l.Close()
+		b.L.Close()
 	}
 }
 
@@ -124,102 +124,22 @@
 	st.until(fmt.Sprint("counter ", id, " at ", n), func() bool { return st.count(id) >= n })
 }
 
-// backend is a stand-in: it takes requests one by one and answers as the test says.
-type backend struct {
-	l    net.Listener
-	came chan *call
-}
-
-// call is a request that has arrived whole at a backend.
-type call struct {
-	head, body string
-	c          net.Conn
-}
-
-func newBackend() *backend {
-	l, _ := net.Listen("tcp", "127.0.0.2:0") // a dial that goes astray, to 0.0.0.0, would still reach 127.0.0.1
-	b := &backend{l: l, came: make(chan *call, 100)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				for r := bufio.NewReader(c); ; {
-					head, body, err := message(r)
-					if err != nil {
-						return
-					}
-					b.came <- &call{head, body, c}
-				}
-			}()
-		}
-	}()
-	return b
-}
-
-// next waits for a request.
-func (b *backend) next() *call {
-	select {
-	case x := <-b.came:
-		return x
-	case <-time.After(patience):
-		return &call{head: "no request came\r\n"}
-	}
-}
-
-func (x *call) answer(text string) { io.WriteString(x.c, text) }
-
-func ok(body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nSrv-Load: concurrent=1,mean_ms=3\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-}
-
-// message reads one message with a Content-Length or none.
-func message(r *bufio.Reader) (head, body string, err error) {
-	length := 0
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return head, "", err
-		}
-		if line == "\r\n" {
-			break
-		}
-		head += line
-		if name, value, _ := strings.Cut(line, ": "); name == "Content-Length" {
-			fmt.Sscan(value, &length)
-		}
+// script is a stand-in that answers call by call.
+func script() *standin.Script {
+	s, err := standin.NewScript()
+	if err != nil {
+		fmt.Println(err)
 	}
-	b := make([]byte, length)
-	_, err = io.ReadFull(r, b)
-	return head, string(b), err
-}
-
-// agent is discovery's: it hands over each call and answers what the test says.
-type agent struct {
-	l    net.Listener
-	came chan *call
+	return s
 }
 
-func newAgent() *agent { b := newBackend(); return &agent{b.l, b.came} }
-
-// call waits for a call and prints its target.
-func (a *agent) call() *call {
-	x := (&backend{a.l, a.came}).next()
-	line, _, _ := strings.Cut(x.head, "\r\n")
-	fmt.Println("asked:", strings.TrimSuffix(strings.TrimPrefix(line, "GET "), " HTTP/1.1"))
+// call waits for a call of discovery's and prints its target.
+func call(from *standin.Script) *standin.Call {
+	x := from.Next()
+	fmt.Println("asked:", strings.TrimPrefix(x.Target(), "GET "))
 	return x
 }
 
-func (x *call) list(rev int, all bool, targets ...object) {
-	if targets == nil {
-		targets = []object{}
-	}
-	b, _ := json.Marshal(object{"rev": rev, "all": all, "targets": targets})
-	x.answer(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b))
-}
-
 // client is one connection of a client.
 type client struct {
 	net.Conn
@@ -251,7 +171,7 @@
 
 // show prints an answer, without what a proxy is free to choose.
 func (c *client) show() {
-	head, body, err := message(c.r)
+	head, body, err := standin.ReadMessage(c.r)
 	if err != nil {
 		fmt.Println("connection ended")
 		return
@@ -273,15 +193,15 @@
 }
 
 // lines prints what of a request must pass unchanged.
-func (x *call) lines() {
+func lines(x *standin.Call) {
 	var kept []string
-	for i, l := range strings.Split(strings.TrimSpace(x.head), "\r\n") {
+	for i, l := range strings.Split(strings.TrimSpace(x.Head), "\r\n") {
 		if i == 0 || strings.HasPrefix(l, "Req-Id") || strings.HasPrefix(l, "Idempotency-Key") {
 			kept = append(kept, l)
 		}
 	}
 	sort.Strings(kept[1:])
-	fmt.Printf("backend: %s %q\n", strings.Join(kept, ", "), x.body)
+	fmt.Printf("backend: %s %q\n", strings.Join(kept, ", "), x.Body)
 }
 
 func Example_settled() {
@@ -295,22 +215,22 @@
 		c.send(piece)
 		time.Sleep(2 * time.Millisecond)
 	}
-	x := st.backends[0].next()
-	x.lines()
+	x := st.backends[0].Next()
+	lines(x)
 	c.send(txn("a2", "bid") + "Content-Length: 5\r\n\r\nhello" +
 		txn("a3", "bid") + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: u\r\n\r\n")
 	for _, body := range []string{"first", "second", "third"} {
-		x.answer(ok(body))
+		x.Answer(standin.Served(body))
 		c.show()
 		if body != "third" {
-			x = st.backends[0].next()
-			x.lines()
+			x = st.backends[0].Next()
+			lines(x)
 		}
 	}
 	fmt.Println("dials", st.count(counters.Dials)-1, "reused", st.count(counters.Reused))
 	fmt.Println("# the client wants the connection closed")
 	c.send(txn("a4", "read") + "Connection: close\r\n\r\n")
-	st.backends[0].next().answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	st.backends[0].Next().Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
 	c.show()
 	c.show()
 	// Output:
@@ -333,14 +253,14 @@
 	st := open(1, 1024, settings(1, 20))
 	defer st.close()
 	b := st.backends[0]
-	try := func(what string, answer func(*call)) {
+	try := func(what string, answer func(*standin.Call)) {
 		var before counters.Set
 		st.f.e.Turn(func() { before = *st.f.e.Count })
 		c := st.client()
 		defer c.Close()
 		c.send(txn("b", "pay") + "\r\n")
 		if answer != nil {
-			answer(b.next())
+			answer(b.Next())
 		}
 		fmt.Print(what, ": ")
 		c.show()
@@ -352,19 +272,19 @@
 			}
 		}
 	}
-	says := func(text string) func(*call) { return func(x *call) { x.answer(text) } }
+	says := func(text string) func(*standin.Call) { return func(x *standin.Call) { x.Answer(text) } }
 	try("500", says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
 	try("503 turned away", says("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"))
 	try("503 without a word", says("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"))
 	try("no answer's form", says("HELLO\r\n\r\n"))
 	try("no length", says("HTTP/1.1 200 OK\r\n\r\nsome"))
-	try("cut", func(x *call) { x.answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome"); x.c.Close() })
-	try("ended", func(x *call) { x.c.Close() })
-	try("reset", func(x *call) { x.c.(*net.TCPConn).SetLinger(0); x.c.Close() })
+	try("cut", func(x *standin.Call) { x.Answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome"); x.C.Close() })
+	try("ended", func(x *standin.Call) { x.C.Close() })
+	try("reset", func(x *standin.Call) { x.C.(*net.TCPConn).SetLinger(0); x.C.Close() })
 	try("two lengths", says("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"))
-	try("interim, then stray bytes", says("HTTP/1.1 100 Continue\r\n\r\n"+ok("done")+"more"))
-	try("settled", says(ok("done")))
-	b.l.Close()
+	try("interim, then stray bytes", says("HTTP/1.1 100 Continue\r\n\r\n"+standin.Served("done")+"more"))
+	try("settled", says(standin.Served("done")))
+	b.L.Close()
 	st.f.e.Turn(func() { st.f.dispatch.Evict(nil) }) // the kept connection, so that a new one is needed
 	try("refused", nil)
 	// Output:
@@ -403,17 +323,17 @@
 	defer st.close()
 	c := st.client()
 	c.send(txn("s", "read") + "\r\n")
-	var first, second *call
+	var first, second *standin.Call
 	select {
-	case first = <-st.backends[0].came:
-		second = st.backends[1].next()
-	case first = <-st.backends[1].came:
-		second = st.backends[0].next()
+	case first = <-st.backends[0].Came:
+		second = st.backends[1].Next()
+	case first = <-st.backends[1].Came:
+		second = st.backends[0].Next()
 	}
-	first.c.SetReadDeadline(time.Now().Add(patience))
-	n, err := first.c.Read(make([]byte, 1))
+	first.C.SetReadDeadline(time.Now().Add(patience))
+	n, err := first.C.Read(make([]byte, 1))
 	fmt.Println("the first connection:", n, err)
-	second.answer(ok("late but whole"))
+	second.Answer(standin.Served("late but whole"))
 	c.show()
 	fmt.Println("timed out", st.count(counters.EndTimedOut))
 	// Output:
@@ -515,7 +435,7 @@
 	once.send("GET /up HTTP/1.1\r\n\r\n")
 	once.show()
 	busy.send(txn("r", "bid") + "\r\n")
-	x := st.backends[0].next()
+	x := st.backends[0].Next()
 	again := st.client()
 	again.send(txn("r", "bid") + "\r\n")
 	again.show()
@@ -524,10 +444,10 @@
 		c.show()
 	}
 	fmt.Println("stuck", st.count(counters.ClientsStuck), "idle", st.count(counters.ClientsIdle) >= 2)
-	x.answer(ok("the open one"))
+	x.Answer(standin.Served("the open one"))
 	busy.show()
 	busy.send(txn("r", "bid") + "\r\n")
-	st.backends[0].next().answer(ok("free again"))
+	st.backends[0].Next().Answer(standin.Served("free again"))
 	busy.show()
 	// Output:
 	// HTTP/1.1 200 OK up
@@ -547,22 +467,22 @@
 	st := open(2, 1024, settings(3, 20))
 	defer st.close()
 	c := st.client()
-	either := func() *call {
+	either := func() *standin.Call {
 		select {
-		case x := <-st.backends[0].came:
+		case x := <-st.backends[0].Came:
 			return x
-		case x := <-st.backends[1].came:
+		case x := <-st.backends[1].Came:
 			return x
 		case <-time.After(patience):
-			return &call{head: "no request came\r\n", c: c}
+			return &standin.Call{Head: "no request came\r\n", C: c}
 		}
 	}
 	for i, noise := range []string{"noise, and no end", "HTTP/1.1 200 OK\r\nno header\r\n", "HTTP/1.1 200 OK\r\n" +
 		"Content-Length: 3000000000\r\n\r\nand on", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
 		"HTTP/1.1 200 OK\r\nX: and no end", "HTTP/1.1 200 OK\r\nx: " + strings.Repeat("x", 9000)} {
 		c.send(txn(fmt.Sprint("n", i), "read") + "\r\n")
-		either().answer(noise)
-		either().answer(ok("whole"))
+		either().Answer(noise)
+		either().Answer(standin.Served("whole"))
 		c.show()
 	}
 	fmt.Println("broken", st.count(counters.EndBroken), "bad", st.count(counters.BadAnswer))
@@ -570,21 +490,21 @@
 	st = open(1, 1024, settings(1, 20))
 	defer st.close()
 	c = st.client()
-	var x, y *call
-	for i := 0; i < 100 && (y == nil || x.c == y.c); i++ { // a machine that is slow lets the first connection rest
+	var x, y *standin.Call
+	for i := 0; i < 100 && (y == nil || x.C == y.C); i++ { // a machine that is slow lets the first connection rest
 		c.send(txn(fmt.Sprint("t", i), "read") + "\r\n" + txn(fmt.Sprint("u", i), "read") + "\r\n")
 		if y != nil {
-			y.answer(ok("second"))
-			message(c.r)
+			y.Answer(standin.Served("second"))
+			standin.ReadMessage(c.r)
 		}
-		x = st.backends[0].next()
-		x.answer(ok("first"))
-		message(c.r)
-		y = st.backends[0].next()
+		x = st.backends[0].Next()
+		x.Answer(standin.Served("first"))
+		standin.ReadMessage(c.r)
+		y = st.backends[0].Next()
 	}
-	x.answer(ok("first"))
+	x.Answer(standin.Served("first"))
 	st.counted(counters.BadAnswer, 1)
-	y.answer(ok("second"))
+	y.Answer(standin.Served("second"))
 	c.show()
 	// Output:
 	// HTTP/1.1 200 OK whole
@@ -602,24 +522,24 @@
 func Example_comeAndGo() {
 	st := open(1, 1024, settings(1, 20))
 	defer st.close()
-	x, was := st.agent.call(), st.backends[0].l.Addr().String()
-	x.list(1, true, target(0, was, "Ready"))
+	x, was := call(st.agent), st.backends[0].L.Addr().String()
+	x.List(1, true, target(0, was, "Ready"))
 	for i := 1; i <= 100; i++ { // always new ids, at the address of the one before
-		(&backend{st.agent.l, st.agent.came}).next().list(1+i, false, target(i-1, "", "Gone"), target(i, was, "Ready"))
+		st.agent.Next().List(1+i, false, target(i-1, "", "Gone"), target(i, was, "Ready"))
 	}
-	x = st.agent.call()
+	x = call(st.agent)
 	st.f.e.Turn(func() { fmt.Println("backends", st.f.dispatch.Backends()) })
 	fmt.Println("# a new process at the same address: the old one's connection is not kept")
 	c := st.client()
 	c.send(txn("o", "read") + "\r\n")
-	y := st.backends[0].next()
-	y.answer(ok("old"))
+	y := st.backends[0].Next()
+	y.Answer(standin.Served("old"))
 	c.show()
 	again := target(100, was, "Ready")
 	again["boot_ms"] = time.Now().UnixMilli()
-	x.list(200, false, again)
-	y.c.SetReadDeadline(time.Now().Add(patience))
-	_, err := y.c.Read(make([]byte, 1))
+	x.List(200, false, again)
+	y.C.SetReadDeadline(time.Now().Add(patience))
+	_, err := y.C.Read(make([]byte, 1))
 	fmt.Println(err)
 	// Output:
 	// asked: /discovery/hosts
@@ -637,15 +557,15 @@
 	c := st.client()
 	body := strings.Repeat("q", 64<<10)
 	go c.send(txn("l", "bid") + "Content-Length: 65536\r\n\r\n" + body)
-	x := st.backends[0].next()
-	fmt.Println("backend:", len(x.body), x.body == body)
-	x.answer(ok(strings.Repeat("a", 64<<10)))
+	x := st.backends[0].Next()
+	fmt.Println("backend:", len(x.Body), x.Body == body)
+	x.Answer(standin.Served(strings.Repeat("a", 64<<10)))
 	st.counted(counters.Settled, 1)
 	c.show()
 	fmt.Println("# one byte more is no answer that can be read")
 	c.send(txn("m", "pay") + "\r\n")
-	x = st.backends[0].next()
-	go x.answer(ok(strings.Repeat("a", 64<<10+1)))
+	x = st.backends[0].Next()
+	go x.Answer(standin.Served(strings.Repeat("a", 64<<10+1)))
 	c.show()
 	// Output:
 	// backend: 65536 true
@@ -660,10 +580,10 @@
 	defer st.close()
 	c := st.client()
 	c.send(txn("g", "read") + "\r\n")
-	x := st.backends[0].next()
+	x := st.backends[0].Next()
 	c.Close()
 	st.counted(counters.TxnsLeft, 1)
-	x.answer(ok("for nobody"))
+	x.Answer(standin.Served("for nobody"))
 	st.counted(counters.EndSettled, 1)
 	st.until("nothing is held", func() (none bool) {
 		st.f.e.Turn(func() { none = st.f.gate.Held() == 0 && st.f.intake.Clients() == 0 })
@@ -677,38 +597,38 @@
 func Example_discovery() {
 	st := open(1, 1024, settings(1, 4))
 	defer st.close()
-	other := newBackend()
-	defer other.l.Close()
-	was := func() string { return st.backends[0].l.Addr().String() }
-	try := func(b *backend) {
+	other := script()
+	defer other.L.Close()
+	was := func() string { return st.backends[0].L.Addr().String() }
+	try := func(b *standin.Script) {
 		c := st.client()
 		defer c.Close()
 		c.send(txn("d", "read") + "\r\n")
 		if b != nil {
-			b.next().answer(ok("served"))
+			b.Next().Answer(standin.Served("served"))
 		}
 		c.show()
 	}
-	x := st.agent.call()
+	x := call(st.agent)
 	try(st.backends[0])
-	x.list(41, true, target(0, was(), "Ready"))
+	x.List(41, true, target(0, was(), "Ready"))
 	fmt.Println("# one drains, another comes")
-	x = st.agent.call()
-	x.list(42, false, target(0, was(), "Terminating"), target(1, other.l.Addr().String(), "Ready"))
-	x = st.agent.call()
+	x = call(st.agent)
+	x.List(42, false, target(0, was(), "Terminating"), target(1, other.L.Addr().String(), "Ready"))
+	x = call(st.agent)
 	try(other)
 	fmt.Println("# what can't be read changes nothing, and is asked again")
-	x.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{rev}")
-	x = st.agent.call()
+	x.Answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{rev}")
+	x = call(st.agent)
 	try(other)
 	fmt.Println("# the agent dies; then a whole list without the other")
-	x.c.Close()
-	x = st.agent.call()
-	x.list(50, true, target(0, was(), "Ready"))
-	x = st.agent.call()
+	x.C.Close()
+	x = call(st.agent)
+	x.List(50, true, target(0, was(), "Ready"))
+	x = call(st.agent)
 	try(st.backends[0])
-	x.list(51, false, target(0, was(), "Gone"))
-	st.agent.call()
+	x.List(51, false, target(0, was(), "Gone"))
+	call(st.agent)
 	try(nil)
 	fmt.Println("lists", st.count(counters.ListsTaken), "bad", st.count(counters.ListsBad))
 	// Output:
@@ -737,9 +657,9 @@
 	st.f, _ = build(conf, zap.NewNop(), nil)
 	defer st.close()
 	go func() {
-		for x := range st.agent.came {
-			if !strings.Contains(x.head, "after=") {
-				x.list(41, true, target(0, st.backends[0].l.Addr().String(), "Ready"))
+		for x := range st.agent.Came {
+			if !strings.Contains(x.Head, "after=") {
+				x.List(41, true, target(0, st.backends[0].L.Addr().String(), "Ready"))
 			}
 		}
 	}()
@@ -779,7 +699,7 @@
 	defer st.close()
 	busy := st.client()
 	busy.send(txn("h", "read") + "\r\n")
-	x := st.backends[0].next()
+	x := st.backends[0].Next()
 	first := st.client()
 	first.send("GET /up HTTP/1.1\r\n\r\n")
 	first.show()
@@ -802,7 +722,7 @@
 	}
 	first.show()
 	silent[0].show()
-	x.answer(ok("still here"))
+	x.Answer(standin.Served("still here"))
 	busy.show()
 	busy.show()
 	fmt.Println("# with a txn on each, one more is let go after a moment")
@@ -836,7 +756,7 @@
 	idle.send("GET /up HTTP/1.1\r\n\r\n")
 	idle.show()
 	busy.send(txn("e", "pay") + "\r\n")
-	x := st.backends[0].next()
+	x := st.backends[0].Next()
 	ended := make(chan bool)
 	go func() { st.f.end(); close(ended) }()
 	idle.show()
@@ -845,7 +765,7 @@
 		fmt.Println("ended with a txn held")
 	default:
 	}
-	x.answer(ok("in time"))
+	x.Answer(standin.Served("in time"))
 	busy.show()
 	busy.show()
 	<-ended
@@ -862,7 +782,7 @@
 
 // A new configuration under way moves discovery; one that is wrong changes nothing; SIGHUP asks for it.
 func Example_reload() {
-	was, now := os.Stderr, newAgent()
+	was, now := os.Stderr, script()
 	os.Stderr, _ = os.Open(os.DevNull)
 	defer func() { os.Stderr = was }()
 	path := filepath.Join(os.TempDir(), fmt.Sprint("clovergap-test-", os.Getpid()))
@@ -870,28 +790,28 @@
 	st, text := lay(1, 1024, settings(1, 20))
 	conf, _ := config.Parse(text)
 	st.f, _ = build(conf, zap.NewNop(), nil)
-	old, listed := st.agent.l.Addr().String(), target(0, st.backends[0].l.Addr().String(), "Ready")
+	old, listed := st.agent.L.Addr().String(), target(0, st.backends[0].L.Addr().String(), "Ready")
 	write := func(old, new string) {
 		os.WriteFile(path, []byte(strings.Replace(string(text), old, new, 1)), 0o600)
 	}
-	x := st.agent.call()
-	x.list(41, true, listed)
-	x = st.agent.call()
+	x := call(st.agent)
+	x.List(41, true, listed)
+	x = call(st.agent)
 	for _, wrong := range [][2]string{{"{", ""}, {`"cold":1000000`, `"cold":"x"`}, {old, "nowhere"}, {`"me":0`, `"me":1`}} {
 		write(wrong[0], wrong[1])
 		st.f.reload(path)
 	}
 	fmt.Println("bad", st.count(counters.ReloadsBad), "good", st.count(counters.Reloads))
 	fmt.Println("# the old watch goes on until the new one is told")
-	write(old, now.l.Addr().String())
+	write(old, now.L.Addr().String())
 	st.f.reload(path)
-	y := now.call()
-	x.list(42, false)
-	x = st.agent.call()
-	y.list(43, true, listed)
-	now.call()
-	x.c.SetReadDeadline(time.Now().Add(patience))
-	_, err := x.c.Read(make([]byte, 1))
+	y := call(now)
+	x.List(42, false)
+	x = call(st.agent)
+	y.List(43, true, listed)
+	call(now)
+	x.C.SetReadDeadline(time.Now().Add(patience))
+	_, err := x.C.Read(make([]byte, 1))
 	fmt.Println("the old watch:", err)
 	st.close()
 	fmt.Println("# by signal")
@@ -899,10 +819,10 @@
 	write("{", "{")
 	ended := make(chan error)
 	go func() { ended <- serve(path, "") }()
-	st.agent.call()
-	write(st.agent.l.Addr().String(), now.l.Addr().String())
+	call(st.agent)
+	write(st.agent.L.Addr().String(), now.L.Addr().String())
 	syscall.Kill(os.Getpid(), syscall.SIGHUP)
-	now.call()
+	call(now)
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	fmt.Println("ended:", <-ended)
 	// Output:
