Emulated resets come while the work runs, so that repeats reach their window's end

Cause: a mutant that counts the window from the last time a txn may have run was not found by 150 schedules: a reset came at once, so that five submissions took a few ms. Change: it comes sometime during the work.

--- a/internal/emulator/door.go
+++ b/internal/emulator/door.go
@@ -286,8 +286,9 @@
 		case !s.to.reachable(s.d): // nothing comes back
 		default:
 			s.to.take(s)
-			if w.strikes(w.resetBy) {
-				w.after(way, func() { s.finish(control.Broken) })
+			if w.strikes(w.resetBy) { // sometime while it runs
+				in := time.Duration(w.net.Float64() * s.try.req.work * float64(time.Second))
+				w.after(way+in, func() { s.finish(control.Broken) })
 			}
 		}
 	})
