--- /dev/null
+++ b/internal/lease/check/check.go
@@ -0,0 +1,376 @@
+// Package check explores what the core of the leases can do: its very code, in a small world in which messages are lost,
+// doubled, late by any time and in any order, processes restart without their promises, clocks run as unevenly as they
+// may, and the configuration reaches one front door after another. At no moment may two hold one seat, and the numbers
+// of grants must rise.
+package check
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"clovergap/internal/lease"
+)
+
+// Model is a small world.
+type Model struct {
+	Nodes    int
+	Wishers  []lease.Node
+	Seats    int
+	Voters   int
+	Rates    []float64      // of the clocks; the last one goes on for the rest
+	Fleets   []lease.Fleet  // generations that may come, the first holds at the start
+	Ticks    int            // budgets: steps of time,
+	Doubles  int            // deliveries that leave the message where it was,
+	Restarts int            // of any process,
+	Drops    int            // wishes given up and made again,
+	Moves    int            // steps of one front door to the next generation
+	Packets  int            // on their way at most; older ones are lost
+	Length   time.Duration  // of a lease, in the world's units
+	Drift    float64        // the bound that the cores go by
+	Step     time.Duration  // a tick's true length
+	Margin   time.Duration  // before its end that a holder stops
+	Stale    func(int) bool // tells whether a node is never given time by itself; nil: none
+}
+
+// Small is three voters, two of which wish, with clocks as far apart as their bound allows.
+func Small() Model {
+	return Model{Nodes: 3, Wishers: []lease.Node{0, 1}, Seats: 1, Voters: 3, Rates: []float64{0.75, 1.25, 1}, Fleets: []lease.Fleet{{Gen: 1, Members: 3}},
+		Ticks: 9, Doubles: 1, Restarts: 1, Packets: 6, Length: 40, Drift: 0.25, Step: 8, Margin: 2}
+}
+
+type packet struct {
+	from, to lease.Node
+	body     string
+}
+
+type node struct {
+	core  *lease.Core
+	own   time.Duration
+	life  uint32
+	gen   int // index of the last fleet it knows
+	wants bool
+}
+
+// world is a state.
+type world struct {
+	m                               *Model
+	nodes                           []node
+	net                             []packet
+	now                             int // ticks
+	highest                         map[int]lease.Number
+	doubles, restarts, drops, moves int
+	bad                             string
+}
+
+const task = lease.Task("t")
+
+func (m *Model) rate(i int) float64 { return m.Rates[min(i, len(m.Rates)-1)] }
+
+func (m *Model) config(i lease.Node, life uint32, gen, now int) lease.Config {
+	return lease.Config{Me: i, Life: life, Fleets: m.Fleets[:gen+1], Voters: m.Voters, Length: m.Length, Longest: m.Length, Drift: m.Drift,
+		Margin: m.Margin, Retry: 5, Floor: lease.Number(1000 * now)} // the wall clock, which all machines read, has gone on by a start
+}
+
+// long ago is when the first lives began: nobody is silent at the start.
+const longAgo = -1000
+
+func (m *Model) start() (*world, error) {
+	w := &world{m: m, highest: map[int]lease.Number{}, doubles: m.Doubles, restarts: m.Restarts, drops: m.Drops, moves: m.Moves}
+	for i := 0; i < m.Nodes; i++ {
+		c, err := lease.New(m.config(lease.Node(i), 1, 0, 0), longAgo)
+		if err != nil {
+			return nil, err
+		}
+		c.Now(0)
+		w.nodes = append(w.nodes, node{core: c, life: 1})
+	}
+	for _, i := range m.Wishers {
+		w.wish(int(i))
+	}
+	return w, nil
+}
+
+func (w *world) wish(i int) {
+	w.nodes[i].wants = true
+	w.nodes[i].core.Wish(task, w.m.Seats, 0)
+}
+
+func (w *world) clone() *world {
+	x := *w
+	x.nodes = append([]node(nil), w.nodes...)
+	for i := range x.nodes {
+		x.nodes[i].core = x.nodes[i].core.Clone()
+	}
+	x.net = append([]packet(nil), w.net...)
+	x.highest = map[int]lease.Number{}
+	for k, v := range w.highest {
+		x.highest[k] = v
+	}
+	return &x
+}
+
+// pull carries out all decisions and looks at the invariant.
+func (w *world) pull(i int) {
+	for {
+		x, ok := w.nodes[i].core.Next()
+		if !ok {
+			break
+		}
+		switch x.Kind {
+		case lease.Send:
+			w.net = append(w.net, packet{lease.Node(i), x.To, string(x.Payload)})
+		case lease.Granted:
+			if x.Grant.Number <= w.highest[x.Grant.Seat] {
+				w.bad = fmt.Sprintf("node %d is granted number %d after %d", i, x.Grant.Number, w.highest[x.Grant.Seat])
+			}
+			w.highest[x.Grant.Seat] = max(w.highest[x.Grant.Seat], x.Grant.Number)
+		}
+	}
+	if len(w.net) > w.m.Packets {
+		w.net = w.net[len(w.net)-w.m.Packets:]
+	}
+	w.look()
+}
+
+// look: who holds a seat now, each by its own clock?
+func (w *world) look() {
+	holders := map[int][]int{}
+	for i := range w.nodes {
+		w.nodes[i].core.Now(w.nodes[i].own)
+		if g, ok := w.nodes[i].core.Holds(task); ok {
+			holders[g.Seat] = append(holders[g.Seat], i)
+		}
+	}
+	for seat, who := range holders {
+		if len(who) > 1 {
+			w.bad = fmt.Sprintf("nodes %v hold seat %d at once", who, seat)
+		}
+	}
+}
+
+// step is what may happen next.
+type step struct {
+	what string
+	do   func(*world)
+}
+
+// steps lists them.
+func (w *world) steps() (all []step) {
+	seen := map[packet]bool{}
+	for k, p := range w.net {
+		if seen[p] {
+			continue
+		}
+		seen[p] = true
+		deliver := func(keep bool) func(*world) {
+			return func(x *world) {
+				if keep {
+					x.doubles--
+				} else {
+					x.net = append(x.net[:k:k], x.net[k+1:]...)
+				}
+				n := &x.nodes[p.to]
+				n.core.Now(n.own)
+				n.core.Heard(p.from, []byte(p.body))
+				x.pull(int(p.to))
+			}
+		}
+		name := fmt.Sprintf("%d>%d op %d", p.from, p.to, p.body[2])
+		all = append(all, step{name, deliver(false)})
+		if w.doubles > 0 {
+			all = append(all, step{name + " doubled", deliver(true)})
+		}
+	}
+	if w.now < w.m.Ticks {
+		all = append(all, step{"tick", func(x *world) {
+			x.now++
+			for i := range x.nodes {
+				x.nodes[i].own += time.Duration(float64(x.m.Step) * x.m.rate(i))
+			}
+			x.look()
+			for i := range x.nodes {
+				if x.m.Stale == nil || !x.m.Stale(i) {
+					x.pull(i)
+				}
+			}
+		}})
+	}
+	for i := range w.nodes {
+		if w.restarts > 0 {
+			all = append(all, step{fmt.Sprintf("restart %d", i), func(x *world) {
+				x.restarts--
+				n := &x.nodes[i]
+				n.life++
+				c, err := lease.New(x.m.config(lease.Node(i), n.life, n.gen, x.now+1), n.own)
+				if err != nil {
+					x.bad = err.Error()
+					return
+				}
+				n.core = c
+				if n.wants {
+					x.wish(i)
+				}
+				x.pull(i)
+			}})
+		}
+		if w.drops > 0 && w.nodes[i].wants {
+			all = append(all, step{fmt.Sprintf("drop %d", i), func(x *world) {
+				x.drops--
+				x.nodes[i].core.Drop(task)
+				x.wish(i)
+				x.pull(i)
+			}})
+		}
+		if w.moves > 0 && w.nodes[i].gen+1 < len(w.m.Fleets) {
+			all = append(all, step{fmt.Sprintf("move %d", i), func(x *world) {
+				x.moves--
+				n := &x.nodes[i]
+				n.gen++
+				if err := n.core.Move(x.m.Fleets[:n.gen+1]); err != nil {
+					x.bad = err.Error()
+				}
+				x.pull(i)
+			}})
+		}
+	}
+	return all
+}
+
+// key names a state: what its future depends on.
+func (w *world) key() [16]byte {
+	var b []byte
+	for i := range w.nodes {
+		b = w.nodes[i].core.AppendState(b)
+		b = append(b, 0xff)
+	}
+	net := make([]string, 0, len(w.net))
+	for _, p := range w.net {
+		net = append(net, string([]byte{byte(p.from), byte(p.to)})+p.body)
+	}
+	sort.Strings(net)
+	for _, p := range net {
+		b = binary.AppendUvarint(b, uint64(len(p)))
+		b = append(b, p...)
+	}
+	b = binary.AppendUvarint(b, uint64(w.now))
+	for s := 0; s < w.m.Seats; s++ {
+		b = binary.AppendUvarint(b, uint64(w.highest[s]))
+	}
+	b = append(b, byte(w.doubles), byte(w.restarts), byte(w.drops), byte(w.moves))
+	sum := sha256.Sum256(b)
+	return [16]byte(sum[:16])
+}
+
+// Result is what was explored.
+type Result struct {
+	States, Depth int
+	Whole         bool // every state within the budgets was seen
+	Granted       bool // somebody held a seat in some state: the exploration is not empty
+	Bad           string
+	Trace         []string // that leads there
+	Took          time.Duration
+}
+
+func (r Result) String() string {
+	s := fmt.Sprintf("%d states, depth %d, in %.1f s", r.States, r.Depth, r.Took.Seconds())
+	if r.Whole {
+		s += ", all within the budgets"
+	}
+	if r.Bad != "" {
+		s += fmt.Sprintf(": %s by %s", r.Bad, strings.Join(r.Trace, ", "))
+	}
+	return s
+}
+
+// Explore goes through states by breadth, up to so many.
+func Explore(m Model, most int) (r Result, err error) {
+	began := time.Now()
+	defer func() { r.Took = time.Since(began) }()
+	type entry struct {
+		w     *world
+		back  int
+		what  string
+		depth int
+	}
+	first, err := m.start()
+	if err != nil {
+		return r, err
+	}
+	for i := range first.nodes {
+		first.pull(i)
+	}
+	all := []entry{{w: first, back: -1}}
+	seen := map[[16]byte]bool{first.key(): true}
+	for at := 0; at < len(all); at++ {
+		e := all[at]
+		r.States, r.Depth = at+1, e.depth
+		r.Granted = r.Granted || len(e.w.highest) > 0
+		if e.w.bad != "" {
+			r.Bad = e.w.bad
+			for k := at; k > 0; k = all[k].back {
+				r.Trace = append([]string{all[k].what}, r.Trace...)
+			}
+			return r, nil
+		}
+		if len(seen) >= most {
+			continue // what is known already is still looked at
+		}
+		for _, s := range e.w.steps() {
+			x := e.w.clone()
+			s.do(x)
+			if k := x.key(); !seen[k] {
+				seen[k] = true
+				all = append(all, entry{x, at, s.what, e.depth + 1})
+			}
+		}
+		all[at].w = nil // its trace is enough
+	}
+	r.Whole = len(seen) < most
+	return r, nil
+}
+
+// Walk goes many random ways of so many steps: deeper than Explore, and not all.
+func Walk(m Model, seed uint64, walks, steps int) (r Result, err error) {
+	began := time.Now()
+	defer func() { r.Took = time.Since(began) }()
+	rng := rand.New(rand.NewPCG(seed, 0x3a11c))
+	for i := 0; i < walks; i++ {
+		w, err := m.start()
+		if err != nil {
+			return r, err
+		}
+		for i := range w.nodes {
+			w.pull(i)
+		}
+		var trace []string
+		for k := 0; k < steps; k++ {
+			all := w.steps()
+			if len(all) == 0 {
+				break
+			}
+			s := all[rng.IntN(len(all))]
+			if rare(s.what) && rng.IntN(6) > 0 { // or the budgets are gone before anything has happened
+				continue
+			}
+			s.do(w)
+			trace = append(trace, s.what)
+			r.States++
+			r.Depth = max(r.Depth, len(trace))
+			r.Granted = r.Granted || len(w.highest) > 0
+			if w.bad != "" {
+				r.Bad, r.Trace = w.bad, trace
+				return r, nil
+			}
+		}
+	}
+	return r, nil
+}
+
+func rare(what string) bool {
+	return strings.HasPrefix(what, "restart") || strings.HasPrefix(what, "drop") || strings.HasPrefix(what, "move") || strings.HasSuffix(what, "doubled")
+}
--- /dev/null
+++ b/internal/lease/check/check_test.go
@@ -0,0 +1,65 @@
+package check
+
+import (
+	"testing"
+
+	"clovergap/internal/lease"
+)
+
+func sound(t *testing.T, name string, r Result, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s: %s", name, r)
+	if r.Bad != "" {
+		t.Errorf("%s: %s", name, r)
+	}
+	if !r.Granted {
+		t.Errorf("%s: nobody ever held anything", name)
+	}
+}
+
+// No two hold one seat, and numbers rise, whatever is lost, doubled, late, restarted or uneven: all states of a small
+// world up to a bound, breadth first.
+func TestExplore(t *testing.T) {
+	m := Small()
+	r, err := Explore(m, 60000)
+	sound(t, "three voters, two wishers", r, err)
+}
+
+// The same on many long random ways, in larger worlds.
+func TestWalks(t *testing.T) {
+	walks := 1500
+	for name, m := range Models() {
+		r, err := Walk(m, 1, walks, 90)
+		sound(t, name, r, err)
+	}
+}
+
+// Voters of a seat are the same at every front door, spread evenly, and change little with the fleet.
+func TestVoters(t *testing.T) {
+	load, moved := make([]int, 100), 0
+	for i := 0; i < 400; i++ {
+		task := lease.Task([]byte{'t', byte(i), byte(i >> 8)})
+		a, b := lease.Voters(lease.Fleet{Gen: 1, Members: 100}, 5, task, 0), lease.Voters(lease.Fleet{Gen: 2, Members: 99}, 5, task, 0)
+		same := 0
+		for _, n := range a {
+			load[n]++
+			for _, o := range b {
+				if n == o {
+					same++
+				}
+			}
+		}
+		moved += 5 - same
+	}
+	for n, x := range load {
+		if x < 4 || x > 45 {
+			t.Errorf("front door %d votes for %d of 400 seats, 20 are even", n, x)
+		}
+	}
+	if moved > 60 {
+		t.Errorf("%d of 2,000 voters changed when one of a hundred left", moved)
+	}
+}
