--- a/internal/lease/check/models.go
+++ b/internal/lease/check/models.go
@@ -1,6 +1,11 @@
 package check
 
-import "clovergap/internal/lease"
+import (
+	"fmt"
+	"slices"
+
+	"clovergap/internal/lease"
+)
 
 // Models are the worlds that are walked through.
 func Models() map[string]Model {
@@ -20,5 +25,17 @@
 	moves.Rates, moves.Ticks, moves.Moves, moves.Restarts, moves.Doubles, moves.Packets = []float64{0.75, 1.25, 1, 0.75, 1.25}, 28, 10, 1, 2, 16
 	seats := five
 	seats.Seats, seats.Drops = 2, 3
-	return map[string]Model{"restarts": restarts, "five voters": five, "drops": drops, "a wisher without time": stale, "voters change": moves, "two seats": seats}
+	clocks := Small() // the voters' clocks as fast, a holder's as slow as they may be
+	clocks.Restarts, clocks.Doubles, clocks.Ticks, clocks.Rates = 0, 0, 12, []float64{0.75, 1.25, 1.25}
+	apart := Small() // the old and the new voters have nobody in common, and one front door hears late
+	apart.Nodes, apart.Wishers, apart.Voters = 6, []lease.Node{0, 3}, 3
+	apart.Fleets = []lease.Fleet{{Gen: 1, Members: 3}, {Gen: 2, Members: 6}, {Gen: 3, Members: 6}}
+	apart.Rates, apart.Ticks, apart.Moves, apart.Restarts, apart.Doubles, apart.Packets = []float64{0.75, 1.25, 1.25, 0.75, 1.25}, 32, 10, 0, 1, 16
+	for i := 0; ; i++ {
+		apart.Task = lease.Task(fmt.Sprint("t", i))
+		if v := lease.Voters(apart.Fleets[1], 3, apart.Task, 0); slices.Min(v) >= 3 {
+			break
+		}
+	}
+	return map[string]Model{"clocks": clocks, "voters apart": apart, "restarts": restarts, "five voters": five, "drops": drops, "a wisher without time": stale, "voters change": moves, "two seats": seats}
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -212,6 +212,9 @@
 	if !boot.IsZero() {
 		b.started = history.Now()
 	}
+	if rate := f.Spec.Backends.ErrorRate; f.opt.Links && rate > 0 {
+		b.Bring(func(m *Mode) { m.Fail = rate })
+	}
 	f.Backends, f.all = append(f.Backends, b), append(f.all, b)
 	return b, nil
 }
