--- a/cmd/clovergap/main.go
+++ b/cmd/clovergap/main.go
@@ -87,7 +87,7 @@
 			}}),
 		&cobra.Command{Use: "example", Short: "Print an operator file with all it may say", Args: none,
 			RunE: func(*cobra.Command, []string) error { return show(operator.Default(), nil) }})
-	root.AddCommand(conf)
+	root.AddCommand(conf, leasesCommand(files, &oper), turnCommand(files, &oper))
 	return root
 }
 
--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	"clovergap/internal/history"
 	"clovergap/internal/http1"
 	"clovergap/internal/intake"
+	"clovergap/internal/leasing"
 	"clovergap/internal/link"
 	"clovergap/internal/logs"
 	"clovergap/internal/operator"
@@ -54,6 +56,7 @@
 	conf     *config.Config
 	log      *zap.Logger
 	past     *past // nil: no history is wanted
+	leases   *leasing.Host
 }
 
 // clock gives the gate the engine's time; the module's next due time is an entry among all others.
@@ -90,10 +93,17 @@
 	}
 	defer past.close()
 	points.Listen(os.Stdin) // in debug builds
-	f, err := build(c, log, past)
+	f, err := build(c, log, past, o.Leases)
 	if err != nil {
 		return err
 	}
+	if f.leases != nil && o.Leases.Socket != "" {
+		s, err := leasing.Serve(f.e, f.leases, o.Leases.Socket)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+	}
 	for s := range signals {
 		switch s {
 		case syscall.SIGUSR1:
@@ -124,7 +134,7 @@
 const clientShare, ringShare = 2, 4
 
 // build puts the stages together and starts them.
-func build(c *config.Config, log *zap.Logger, past *past) (*front, error) {
+func build(c *config.Config, log *zap.Logger, past *past, o operator.Leases) (*front, error) {
 	f := &front{conf: c, log: log, past: past, e: link.New(c.Listen, c.Sockets, http1.MostRaw, c.MemoryMB<<20/ringShare)}
 	door, err := control.New(c.Seed, c.Settings, f.e.Now())
 	if err != nil {
@@ -153,6 +163,20 @@
 	}
 	f.e.Accepted(f.intake.Accept)
 	f.e.Settled(f.gate.Pull)
+	if o.On {
+		if f.peers == nil {
+			return nil, errors.New("leases.on: the configuration names no peers")
+		}
+		hall := ""
+		if n, err := strconv.Atoi(c.Settings["hall"]); err == nil && n >= 0 && n < len(c.Halls) {
+			hall = c.Halls[n]
+		}
+		if f.leases, err = leasing.New(f.e, o, c.Me, len(c.Peers), uint32(c.Seed)^uint32(c.Seed>>32), c.Name, hall, f.peers.Tell, log, past.add); err != nil {
+			return nil, err
+		}
+		f.peers.Frames(f.leases.Heard)
+		f.e.Settled(func() { f.gate.Pull(); f.leases.Pull() })
+	}
 	f.e.Short(func() {
 		if !f.dispatch.Evict(nil) {
 			f.intake.Evict()
--- a/cmd/clovergap/serve_test.go
+++ b/cmd/clovergap/serve_test.go
@@ -19,6 +19,7 @@
 
 	"clovergap/internal/config"
 	"clovergap/internal/counters"
+	"clovergap/internal/operator"
 	"clovergap/internal/standin"
 )
 
@@ -68,7 +69,7 @@
 		fmt.Println(err)
 		return nil
 	}
-	st.f, err = build(conf, zap.NewNop(), nil)
+	st.f, err = build(conf, zap.NewNop(), nil, operator.Leases{})
 	if err != nil {
 		fmt.Println(err)
 	}
@@ -654,7 +655,7 @@
 func Example_silentWatch() {
 	st, text := lay(1, 1024, settings(1, 20))
 	conf, _ := config.Parse([]byte(strings.Replace(string(text), "30000,", "200,", 1)))
-	st.f, _ = build(conf, zap.NewNop(), nil)
+	st.f, _ = build(conf, zap.NewNop(), nil, operator.Leases{})
 	defer st.close()
 	go func() {
 		for x := range st.agent.Came {
@@ -789,7 +790,7 @@
 	defer os.Remove(path)
 	st, text := lay(1, 1024, settings(1, 20))
 	conf, _ := config.Parse(text)
-	st.f, _ = build(conf, zap.NewNop(), nil)
+	st.f, _ = build(conf, zap.NewNop(), nil, operator.Leases{})
 	old, listed := st.agent.L.Addr().String(), target(0, st.backends[0].L.Addr().String(), "Ready")
 	write := func(old, new string) {
 		os.WriteFile(path, []byte(strings.Replace(string(text), old, new, 1)), 0o600)
@@ -861,7 +862,7 @@
 		fmt.Println(err)
 		return
 	}
-	_, err = build(conf, zap.NewNop(), nil)
+	_, err = build(conf, zap.NewNop(), nil, operator.Leases{})
 	fmt.Println(strings.Contains(err.Error(), syscall.EADDRINUSE.Error()))
 	// Output:
 	// [] 2
--- a/cmd/lab/chaos.go
+++ b/cmd/lab/chaos.go
@@ -23,6 +23,7 @@
 // chaos are the flags of playing on real processes.
 type chaos struct {
 	named, keep, out    string
+	operator            string
 	seeds, doors, most  int
 	first               uint64
 	dur                 time.Duration
@@ -64,6 +65,13 @@
 			}
 			defer done()
 			k.named = path
+			if k.operator != "" {
+				text, err := os.ReadFile(k.operator)
+				if err != nil {
+					return err
+				}
+				k.operator, k.own = string(text), true
+			}
 			switch {
 			case k.shrink:
 				return k.smaller(c.Context(), s, args[0])
@@ -73,6 +81,7 @@
 			return k.draw(c.Context(), s)
 		}}
 	c.Flags().StringVar(&k.named, "program", "", "clovergap program (default: beside lab, under bin, or built)")
+	c.Flags().StringVar(&k.operator, "operator", "", "operator file for the front doors; {name} and {dir} stand for its name and the fleet's folder")
 	c.Flags().StringVar(&k.keep, "keep", "found", "folder for schedules and histories of what failed")
 	c.Flags().StringVar(&k.out, "out", "", "add each run's result to this file of JSON lines")
 	c.Flags().IntVar(&k.seeds, "seeds", 5, "how many schedules")
@@ -91,7 +100,7 @@
 }
 
 func (k *chaos) options() rig.Options {
-	return rig.Options{Program: k.named, Rate: k.rate, Cores: 1, MemoryMB: 192, Sockets: 1024, Keep: k.keep, Own: k.own}
+	return rig.Options{Program: k.named, Rate: k.rate, Cores: 1, MemoryMB: 192, Sockets: 1024, Keep: k.keep, Own: k.own, Operator: k.operator}
 }
 
 // tell prints a run's line and adds it to the file of results.
@@ -105,6 +114,9 @@
 	}
 	fmt.Printf("%s seed %d: %d front doors, %d faults, %d asked, %d settled, %d refused, %d voided, %d without answer, beyond quota %.3f, held up %s: %s\n",
 		r.Name, r.Seed, r.Doors, r.Faults, r.Asked, r.Settled, r.Refused, r.Voided, r.Failed, r.Beyond, r.Slow.Round(time.Millisecond), verdict)
+	if r.Held > 0 {
+		fmt.Printf("  leases: %d grants and renewals, %d steps taken, %d stale ones refused\n", r.Held, r.Steps, r.Stale)
+	}
 	if k.out == "" {
 		return nil
 	}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -66,6 +66,13 @@
 	MailUnsent
 	AcceptErrors
 	Turns
+	FramesSent // of leases
+	FramesTaken
+	FramesUnsent
+	Grants
+	GrantsGone
+	Steps
+	StepsStale
 	all
 )
 
@@ -79,7 +86,8 @@
 	"ended errored", "ended full", "ended timed out", "ended unreachable", "ended broken", "ended called off",
 	"ended not sent", "bad answers", "backend connections evicted", "configurations taken",
 	"configurations bad", "lists taken", "lists bad", "watches lost",
-	"mails sent", "mails taken", "mails bad", "mails unsent", "accept errors", "turns"}
+	"mails sent", "mails taken", "mails bad", "mails unsent", "accept errors", "turns",
+	"lease frames sent", "lease frames taken", "lease frames unsent", "leases granted", "leases over", "steps under leases", "stale steps refused"}
 
 // Set is one front door's counters. One owner at a time counts.
 type Set [all]uint64
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -473,6 +473,47 @@
 	return bad
 }
 
+// HoldsApart: at no moment is one seat of a task held by two, each until the time that it last gave, or until it gave the
+// seat back or ended. One that stands still holds on until that time and no longer: its own clock goes on.
+func HoldsApart(h []Event) (bad []Broken) {
+	type seat struct{ task, nr string }
+	type hold struct {
+		who      string
+		from, to time.Duration
+		n        float64
+	}
+	now := map[seat][]hold{}
+	for _, e := range h {
+		k := seat{e.Key, e.What}
+		switch e.Kind {
+		case Holds:
+			kept := now[k][:0]
+			from := e.T
+			for _, x := range now[k] {
+				if x.who == e.Who && x.n == e.N {
+					from = x.from
+				} else if x.to > e.T {
+					kept = append(kept, x)
+					bad = append(bad, Broken{Rule: "no two hold one seat", T: e.T, Who: e.Who, Key: e.Key + "/" + e.What,
+						What: fmt.Sprintf("held by number %g while %s holds it by number %g until %.3fs", e.N, x.who, x.n, x.to.Seconds())})
+				}
+			}
+			now[k] = append(kept, hold{e.Who, from, e.Due, e.N})
+		case Gave, Down:
+			for s, all := range now {
+				kept := all[:0]
+				for _, x := range all {
+					if x.who != e.Who || e.Kind == Gave && s != k {
+						kept = append(kept, x)
+					}
+				}
+				now[s] = kept
+			}
+		}
+	}
+	return bad
+}
+
 // NumbersRise: no keeper takes a step with a number lower than one it took before, and one number comes from one holder.
 func NumbersRise(h []Event) (bad []Broken) {
 	type place struct{ keeper, task string }
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -147,6 +147,11 @@
 		{"twice by itself", "0 n0 begin key=t\n5 n0 begin key=t", "2 acts", overlap},
 		{"an end of nothing", "0 n0 begin key=t\n5 n1 end key=t", "never began", overlap},
 
+		{"one after another", "0 n0 hold key=t what=0 n=1 due=100\n50 n0 hold key=t what=0 n=1 due=150\n90 n0 gave key=t what=0 n=1\n91 n1 hold key=t what=0 n=2 due=200\n201 n2 hold key=t what=0 n=3 due=300", "", HoldsApart},
+		{"killed, then another", "0 n0 hold key=t what=0 n=1 due=100\n5 n0 down\n6 n1 hold key=t what=0 n=2 due=99\n7 n2 hold key=t what=1 n=2 due=99", "", HoldsApart},
+		{"held by two", "0 n0 hold key=t what=0 n=1 due=100\n99 n1 hold key=t what=0 n=2 due=200", "while n0 holds it", HoldsApart},
+		{"held by two as one stands still", "0 n0 hold key=t what=0 n=1 due=100\n10 n0 stop\n60 n1 hold key=t what=0 n=2 due=200", "while n0", HoldsApart},
+		{"renewed over another", "0 n0 hold key=t what=0 n=1 due=100\n101 n1 hold key=t what=0 n=2 due=200\n150 n0 hold key=t what=0 n=1 due=250", "while n1", HoldsApart},
 		{"rising", "0 k took key=t n=1 at=n0\n1 k took key=t n=1 at=n0\n2 k took key=t n=3 at=n1\n3 k took key=u n=1 at=n1", "", NumbersRise},
 		{"falling", "0 k took key=t n=2 at=n0\n1 k took key=t n=1 at=n1", "after 2", NumbersRise},
 		{"shared", "0 k took key=t n=2 at=n0\n1 k took key=t n=2 at=n1", "also that of", NumbersRise},
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -43,6 +43,8 @@
 	Began    Kind = "begin"     // an act under a grant: Key the task, N the seat
 	Ended    Kind = "end"       // and its end
 	Took     Kind = "took"      // the keeper Who took a step numbered N for Key, from At
+	Holds    Kind = "hold"      // Who holds a seat, What, of the task Key until Due, by number N
+	Gave     Kind = "gave"      // and holds it no longer
 	Seen     Kind = "see"       // Who holds What to be so of Key
 	Invoke   Kind = "invoke"    // of an operation on the register or lock Key: What is the operation, N its value
 	Return   Kind = "return"    // its answer
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -102,6 +102,7 @@
 	Send    Kind = iota // Payload to To
 	Granted             // Grant is held from now on
 	Gone                // Grant is held no longer: acts must have stopped
+	Renewed             // Grant is held for longer
 )
 
 // Output is the next thing to do.
@@ -534,9 +535,11 @@
 		first := w.phase == sealing
 		w.phase, w.until, w.renewing, w.tries = held, until, false, 0
 		w.again = w.sent + c.conf.window()/2
+		kind := Renewed
 		if first {
-			c.out = append(c.out, Output{Kind: Granted, Grant: w.grant()})
+			kind = Granted
 		}
+		c.out = append(c.out, Output{Kind: kind, Grant: w.grant()})
 	case m.op == opNo && w.phase == held:
 		w.no = with(w.no, from) // its own time tells when it is over
 	case m.op == opNo:
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -206,3 +206,6 @@
 		return all[i].task < all[j].task || all[i].task == all[j].task && all[i].seat < all[j].seat
 	})
 }
+
+// SilentFor is how long this voter still answers nobody.
+func (c *Core) SilentFor() time.Duration { return c.born + c.conf.silence() - c.now }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,9 +17,69 @@
 // File is an operator file.
 type File struct {
 	Log     Log     `toml:"log" comment:"The log goes to standard error."`
+	Leases  Leases  `toml:"leases" comment:"Work that one front door does for the whole fleet, or a few. Off here."`
 	History History `toml:"history" comment:"What this front door did, one JSON object a line, for checkers and inquiries. Off without a file."`
 }
 
+// Leases says how tasks are shared out, and which there are.
+type Leases struct {
+	On        bool    `toml:"on" comment:"take part: vote, and hold what is wanted below"`
+	Length    string  `toml:"length" comment:"of a lease: a task goes on elsewhere at most this, and a little, after its holder is gone"`
+	Longest   string  `toml:"longest" comment:"of any lease in the fleet, while the length changes; empty: the length"`
+	Drift     float64 `toml:"drift" comment:"every clock's rate is within 1-drift and 1+drift of the true one: safety rests on it"`
+	Margin    string  `toml:"margin" comment:"a holder stops this much before it must: longer than a step takes"`
+	Retry     string  `toml:"retry" comment:"least time between two askings"`
+	Voters    int     `toml:"voters" comment:"of each task: odd, 1 to 15"`
+	PerSecond float64 `toml:"per_second" comment:"frames sent a second at most"`
+	Fleets    []Fleet `toml:"fleets" comment:"front doors by generation of the configuration, the present one last; keep the one before until all have left it. Empty: the peers, generation 1"`
+	Socket    string  `toml:"socket" comment:"Unix socket, for this user only, for clovergap leases and clovergap turn; empty: none"`
+	Turns     int     `toml:"turns" comment:"front doors that may have their turn to restart at once; 0: no turns"`
+	TurnsHall int     `toml:"turns_hall" comment:"and of one hall; 0: no bound"`
+	RollCall  string  `toml:"roll_call" comment:"file, shared by all, in which one front door notes each span who was heard; empty: none"`
+	RollSpan  string  `toml:"roll_span" comment:"such a span"`
+
+	length, longest, margin, retry, span time.Duration
+}
+
+// Fleet is who there is under one generation of the configuration.
+type Fleet struct {
+	Generation uint32 `toml:"generation"`
+	Members    int    `toml:"members" comment:"front doors 0 to members-1"`
+}
+
+// Spans are the lease's length, the longest, the margin, the retry and the roll call's span.
+func (l Leases) Spans() (length, longest, margin, retry, span time.Duration) {
+	return l.length, l.longest, l.margin, l.retry, l.span
+}
+
+// read takes the spans; what is wrong is named by its key.
+func (l *Leases) read() (key, what string) {
+	for _, x := range []struct {
+		key, text string
+		to        *time.Duration
+	}{{"length", l.Length, &l.length}, {"margin", l.Margin, &l.margin}, {"retry", l.Retry, &l.retry}, {"roll_span", l.RollSpan, &l.span}} {
+		d, err := time.ParseDuration(x.text)
+		if err != nil || d <= 0 {
+			return x.key, fmt.Sprintf("must be a span over nought, such as 1s, not %q", x.text)
+		}
+		*x.to = d
+	}
+	if l.longest = l.length; l.Longest != "" {
+		d, err := time.ParseDuration(l.Longest)
+		if err != nil || d < l.length {
+			return "longest", fmt.Sprintf("must be a span no shorter than the length, not %q", l.Longest)
+		}
+		l.longest = d
+	}
+	switch {
+	case l.Turns < 0 || l.Turns > 64 || l.TurnsHall < 0 || l.TurnsHall > 64:
+		return "turns", "must be 0 to 64"
+	case l.PerSecond <= 0:
+		return "per_second", "must be more than nought"
+	}
+	return "", ""
+}
+
 // History says where a history of what the front door did goes.
 type History struct {
 	File   string `toml:"file" comment:"added to; empty writes none"`
@@ -47,7 +107,10 @@
 
 // Default is what holds without a file.
 func Default() File {
-	return File{Log: Log{Level: "info", Format: "json", Sampling: Sampling{Every: "1s", every: time.Second}}, History: History{MostMB: 64}}
+	f := File{Log: Log{Level: "info", Format: "json", Sampling: Sampling{Every: "1s", every: time.Second}}, History: History{MostMB: 64},
+		Leases: Leases{Length: "4s", Drift: 0.02, Margin: "200ms", Retry: "200ms", Voters: 5, PerSecond: 50, RollSpan: "1s"}}
+	f.Leases.read()
+	return f
 }
 
 // Load reads a file; no name is no file.
@@ -89,6 +152,9 @@
 	if s.every, err = time.ParseDuration(s.Every); err != nil || s.every <= 0 {
 		return wrong("log.sampling.every", fmt.Sprintf("must be a span over nought, such as 1s, not %q", s.Every))
 	}
+	if key, what := f.Leases.read(); what != "" {
+		return wrong("leases."+key, what)
+	}
 	if f.History.MostMB < 1 || f.History.MostMB > 1<<20 {
 		return wrong("history.most_mb", fmt.Sprintf("must be 1 to %d, not %d", 1<<20, f.History.MostMB))
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	for _, text := range []string{example, string(kept)} {
-		if f, err := Parse("x", []byte(text)); err != nil || f != Default() {
+		if f, err := Parse("x", []byte(text)); err != nil || fmt.Sprint(f) != fmt.Sprint(Default()) {
 			t.Errorf("%+v %v", f, err)
 		}
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,6 +8,7 @@
 
 	"clovergap/control"
 	"clovergap/internal/counters"
+	"clovergap/internal/lease"
 	"clovergap/internal/link"
 	"clovergap/internal/points"
 )
@@ -23,6 +24,7 @@
 	addrs  []syscall.Sockaddr
 	ids    map[netip.AddrPort]control.GatewayID
 	heard  func(control.GatewayID, []byte)
+	frames func(control.GatewayID, []byte) // of leases; nil: none are taken
 	buf    [2048]byte
 }
 
@@ -36,6 +38,9 @@
 	return p, err
 }
 
+// Frames says who takes what is no message of the module's: where nobody does, the module passes over it.
+func (p *Peers) Frames(f func(control.GatewayID, []byte)) { p.frames = f }
+
 // Move says where the others are from now on.
 func (p *Peers) Move(addrs []netip.AddrPort, me int) {
 	p.ids, p.addrs = map[netip.AddrPort]control.GatewayID{}, nil
@@ -94,6 +99,10 @@
 		p.e.Count.Add(counters.MailBad)
 		return
 	}
+	if p.frames != nil && len(payload) > 0 && payload[0] == lease.Mark {
+		p.frames(id, payload)
+		return
+	}
 	p.e.Count.Add(counters.MailTaken)
 	points.At(points.AfterHear)
 	p.heard(id, payload)
--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -15,10 +15,12 @@
 	BeforeList   Name = "serve.before-list"  // news of the backends has come, nobody goes by it
 	BeforeReload Name = "serve.before-reload"
 	BeforeReady  Name = "serve.before-ready" // built, not serving
+	BeforeAct    Name = "lease.before-act"   // a grant was found good, its step is not done
+	AfterAct     Name = "lease.after-act"    // the step is done, nobody knows
 )
 
 // All lists them.
-var All = []Name{BeforeSubmit, AfterSubmit, BeforeAnswer, BeforeTell, AfterHear, BeforeList, BeforeReload, BeforeReady}
+var All = []Name{BeforeSubmit, AfterSubmit, BeforeAnswer, BeforeTell, AfterHear, BeforeList, BeforeReload, BeforeReady, BeforeAct, AfterAct}
 
 // Known tells whether there is such a place.
 func Known(n Name) bool {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -16,6 +16,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"clovergap/internal/history"
+	"clovergap/internal/ledger"
 	"clovergap/internal/spec"
 	"clovergap/internal/standin"
 )
@@ -28,6 +29,7 @@
 	MemoryMB int
 	Sockets  int
 	Keep     string // folder for schedule and history of what failed; none if empty
+	Operator string // operator file's text for each, see standin.Options
 	Own      bool   // the front doors write histories of their own, which go into the one
 }
 
@@ -51,7 +53,10 @@
 	InTime  int64            `json:"in_time"`
 	Refused int64            `json:"refused"`
 	Voided  int64            `json:"voided"`
-	Failed  int64            `json:"failed"` // without an answer
+	Failed  int64            `json:"failed"`          // without an answer
+	Held    int              `json:"held,omitempty"`  // grants and renewals of leases
+	Steps   int              `json:"steps,omitempty"` // that the ledger took
+	Stale   int              `json:"stale,omitempty"` // and that it refused, as a newer holder had taken one
 	History []history.Event  `json:"-"`
 }
 
@@ -63,6 +68,9 @@
 	tail       = 700 * time.Millisecond
 )
 
+// Ledger is where an operator text for the rig puts the roll call: {dir}/ledger.
+const Ledger = "ledger"
+
 // run is one under way.
 type run struct {
 	s     *spec.Spec
@@ -97,7 +105,7 @@
 	}
 	var err error
 	r.f, err = standin.With(s, standin.Options{Program: o.Program, Cores: o.Cores, MemoryMB: o.MemoryMB, Sockets: o.Sockets, Links: true,
-		History: r.log, Own: own, Late: late})
+		History: r.log, Own: own, Late: late, Operator: o.Operator})
 	if err != nil {
 		return nil, err
 	}
@@ -232,6 +240,26 @@
 	bad = append(bad, history.NoColdPushedOver(h, w, history.Cold{From: s.Rules.ColdFrom, Times: s.Rules.FallMultiple, Cores: s.Backends.Cores,
 		By: s.Rules.WarmBy.D(), Window: s.Rules.FallWindow.D()})...)
 	bad = append(bad, history.WithinBound("ceilings kept", h, Ceilings(s))...)
+	bad = append(bad, history.HoldsApart(h)...)
+	if steps, err := ledger.Read(filepath.Join(r.f.Dir(), Ledger)); err == nil { // the order in which its keeper took them
+		res.Steps = len(steps)
+		var took []history.Event
+		for i, l := range steps {
+			took = append(took, history.Event{T: time.Duration(i), Who: "ledger", Kind: history.Took, Key: l.Task, At: l.By, N: float64(l.Number)})
+			if i > 0 && l.Span <= steps[i-1].Span {
+				bad = append(bad, history.Broken{Rule: "spans closed once", Who: l.By, Key: l.Task, What: fmt.Sprintf("span %d after %d", l.Span, steps[i-1].Span)})
+			}
+		}
+		bad = append(bad, history.NumbersRise(took)...)
+	}
+	for _, e := range h {
+		switch {
+		case e.Kind == history.Holds:
+			res.Held++
+		case e.Kind == history.Ended && strings.Contains(e.What, ledger.ErrStale.Error()):
+			res.Stale++
+		}
+	}
 	for _, b := range bad {
 		if b.Timed && res.Doubt != "" {
 			res.Doubted = append(res.Doubted, b)
--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -84,9 +84,12 @@
 		return err
 	}
 	args := []string{"serve", "--config", d.conf}
+	text := strings.NewReplacer("{name}", d.Name, "{dir}", d.f.dir).Replace(d.f.opt.Operator)
 	if own := d.f.opt.Own; own != "" {
+		text += fmt.Sprintf("\n[history]\nfile = %q\ntxns = true\n", filepath.Join(own, d.Name+".jsonl"))
+	}
+	if text != "" {
 		file := filepath.Join(d.f.dir, d.Name+".toml")
-		text := fmt.Sprintf("[history]\nfile = %q\ntxns = true\n", filepath.Join(own, d.Name+".jsonl"))
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -70,6 +70,7 @@
 	History  *history.Log // nil: none is kept
 	Own      string       // folder for the front doors' own histories; none if empty
 	Late     map[int]bool // front doors that are not started yet
+	Operator string       // operator file's text, with {name} for the front door's and {dir} for the fleet's folder
 }
 
 var fleets atomic.Uint32
@@ -306,6 +307,9 @@
 	return append([]*Backend(nil), f.Backends...)
 }
 
+// Dir is the fleet's own folder: it goes with it.
+func (f *Fleet) Dir() string { return f.dir }
+
 // All lists all backends that ever were.
 func (f *Fleet) All() []*Backend {
 	f.mu.Lock()
