--- a/internal/lease/check/check_test.go
+++ b/internal/lease/check/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"clovergap/internal/lease"
 )
@@ -63,3 +64,26 @@
 		t.Errorf("%d of 2,000 voters changed when one of a hundred left", moved)
 	}
 }
+
+// Sixty front doors under random overlapping faults: no two hold a seat, and with the fleet at rest every task has a holder.
+func TestFleet(t *testing.T) {
+	var after []time.Duration
+	grants := 0
+	for seed := uint64(1); seed <= 12; seed++ {
+		r, err := Usual(60).Play(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Bad {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if r.Idle > 2*time.Second {
+			t.Errorf("seed %d: a task had no holder for %s with the fleet at rest", seed, r.Idle)
+		}
+		after, grants = append(after, r.After...), grants+r.Grants
+	}
+	t.Logf("%d grants; %d holders lost, their tasks went on after %s (median), %s (99 %%)", grants, len(after), Quantile(after, 0.5), Quantile(after, 0.99))
+	if grants < 50 || len(after) == 0 {
+		t.Errorf("%d grants, %d holders lost: nothing is shown", grants, len(after))
+	}
+}
--- /dev/null
+++ b/internal/lease/check/fleet.go
@@ -0,0 +1,369 @@
+package check
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"clovergap/internal/lease"
+	"clovergap/internal/links"
+	"clovergap/internal/spec"
+)
+
+// Big is a fleet of cores in simulated time, under random overlapping faults.
+type Big struct {
+	Doors   int
+	Tasks   int
+	Wishers int // of each task
+	For     time.Duration
+	Faults  int // drawn at most
+	Voters  int
+	Length  time.Duration
+	Retry   time.Duration
+	Margin  time.Duration
+	Drift   float64
+	Delay   time.Duration // of datagrams, at most
+	Loss    float64
+}
+
+// Usual is what the operator file has by default, for so many front doors.
+func Usual(doors int) Big {
+	return Big{Doors: doors, Tasks: max(1, doors/15), Wishers: min(doors, 10), For: 60 * time.Second, Faults: 6, Voters: 5, Length: 4 * time.Second,
+		Retry: 200 * time.Millisecond, Margin: 200 * time.Millisecond, Drift: 0.02, Delay: 30 * time.Millisecond, Loss: 0.05}
+}
+
+// Played is what came of one seed.
+type Played struct {
+	Seed   uint64
+	Bad    []string
+	Grants int
+	After  []time.Duration // from when a holder died or began to stand still until its task was granted again
+	Idle   time.Duration   // the longest that a task had no holder while no fault was under way and none had been for two lengths and a half
+	Frames float64         // that a front door sent a second, on the mean
+	Most   float64         // and the one that sent most
+	Faults []spec.Fault
+}
+
+type due struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type dues []due
+
+func (d dues) Len() int { return len(d) }
+func (d dues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// door is one front door of a big fleet.
+type door struct {
+	core  *lease.Core
+	rate  float64
+	born  time.Duration // true time at which its clock showed nought
+	up    bool
+	life  uint32
+	still int // reasons to stand still
+	waits []func()
+	timer uint64
+	sent  int
+}
+
+type big struct {
+	b     Big
+	rng   *rand.Rand
+	now   time.Duration
+	q     dues
+	seq   uint64
+	doors []*door
+	links *links.Set
+	wants map[int][]lease.Task // by front door
+	by    map[lease.Task][]int
+	lost  map[lease.Task]time.Duration // since when a task's holder is gone
+	free  map[lease.Task]time.Duration // since when nobody holds it
+	calm  time.Duration                // since when no fault is under way; below nought: one is
+	under int
+	out   *Played
+}
+
+// settles is how long after the last fault a task may still lack a holder: a voter's silence, a promise to run out, and a
+// few askings.
+func (b Big) settles() time.Duration { return 5 * b.Length / 2 }
+
+// Play plays a seed.
+func (b Big) Play(seed uint64) (*Played, error) {
+	w := &big{b: b, rng: rand.New(rand.NewPCG(seed, 0xb16)), wants: map[int][]lease.Task{}, by: map[lease.Task][]int{}, lost: map[lease.Task]time.Duration{},
+		free: map[lease.Task]time.Duration{}, out: &Played{Seed: seed}}
+	w.links = links.New(rand.New(rand.NewPCG(seed, 0x11)))
+	w.links.Bring(links.Effect{Loss: b.Loss, Reorder: 1, Delay: b.Delay})
+	for i := 0; i < b.Tasks; i++ {
+		t := lease.Task(fmt.Sprint("task-", i))
+		who := w.rng.Perm(b.Doors)[:b.Wishers]
+		w.by[t] = who
+		for _, n := range who {
+			w.wants[n] = append(w.wants[n], t)
+		}
+	}
+	for i := 0; i < b.Doors; i++ {
+		w.doors = append(w.doors, &door{rate: 1 - b.Drift + 2*b.Drift*w.rng.Float64()})
+		w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() { w.start(i) })
+	}
+	s := spec.Default()
+	s.For = spec.Span(b.For)
+	for len(s.Faults) == 0 { // only those that front doors and their datagrams suffer
+		s.Draw(w.rng, b.Faults, true)
+		kept := s.Faults[:0]
+		for _, f := range s.Faults {
+			switch f.Kind {
+			case "door-kill", "door-stall", "door-roll", "peer-cut", "peer-loss", "peer-delay", "peer-double", "peer-reorder", "hall-cut":
+				kept = append(kept, f)
+			}
+		}
+		s.Faults = kept
+	}
+	w.out.Faults = s.Faults
+	for i := range s.Faults {
+		w.at(s.Faults[i].At.D(), func() { w.strike(&s.Faults[i], s.Halls.Names) })
+	}
+	for len(w.q) > 0 && w.q[0].at <= b.For {
+		x := heap.Pop(&w.q).(due)
+		w.now = x.at
+		x.do()
+	}
+	total, most := 0, 0
+	for _, d := range w.doors {
+		total, most = total+d.sent, max(most, d.sent)
+	}
+	w.out.Frames, w.out.Most = float64(total)/float64(b.Doors)/b.For.Seconds(), float64(most)/b.For.Seconds()
+	for t, since := range w.free {
+		w.idle(t, since)
+	}
+	return w.out, nil
+}
+
+func (w *big) at(t time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.q, due{max(t, w.now), w.seq, do})
+}
+
+func (w *big) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+// own is a front door's clock.
+func (d *door) own(now time.Duration) time.Duration {
+	return time.Duration(float64(now-d.born) * d.rate)
+}
+
+func (w *big) start(i int) {
+	d := w.doors[i]
+	if d.up {
+		return
+	}
+	d.life++
+	d.up, d.still, d.waits, d.born = true, 0, nil, w.now
+	c, err := lease.New(lease.Config{Me: lease.Node(i), Life: uint32(w.rng.Uint32()), Fleets: []lease.Fleet{{Gen: 1, Members: w.b.Doors}}, Voters: w.b.Voters,
+		Length: w.b.Length, Longest: w.b.Length, Drift: w.b.Drift, Margin: w.b.Margin, Retry: w.b.Retry,
+		Floor: lease.Number(1e9 + w.now.Milliseconds())}, 0)
+	if err != nil {
+		w.out.Bad = append(w.out.Bad, err.Error())
+		return
+	}
+	d.core = c
+	for _, t := range w.wants[i] {
+		c.Wish(t, 1, 0)
+	}
+	w.pull(i)
+}
+
+// turn does something at a front door, or later if it stands still.
+func (w *big) turn(i int, life uint32, do func(*door)) {
+	d := w.doors[i]
+	if !d.up || d.life != life {
+		return
+	}
+	if d.still > 0 {
+		d.waits = append(d.waits, func() { w.turn(i, life, do) })
+		return
+	}
+	d.core.Now(d.own(w.now))
+	do(d)
+	w.pull(i)
+}
+
+func (w *big) pull(i int) {
+	d := w.doors[i]
+	d.core.Now(d.own(w.now))
+	for x, ok := d.core.Next(); ok; x, ok = d.core.Next() {
+		switch x.Kind {
+		case lease.Send:
+			d.sent++
+			for _, c := range w.links.Send(w.now, i, int(x.To), x.Payload) {
+				w.deliver(c)
+			}
+		case lease.Granted:
+			w.granted(i, x.Grant)
+		case lease.Renewed: // it stood still for less than its lease
+			delete(w.lost, x.Grant.Task)
+			delete(w.free, x.Grant.Task)
+		case lease.Gone:
+			w.gone(x.Grant.Task)
+		}
+	}
+	if at, ok := d.core.Due(); ok {
+		d.timer++
+		nr, life := d.timer, d.life
+		w.after(max(time.Duration(float64(at-d.own(w.now))/d.rate), time.Microsecond), func() {
+			if d.timer == nr {
+				w.turn(i, life, func(*door) {})
+			}
+		})
+	}
+}
+
+func (w *big) deliver(c links.Copy) {
+	w.after(c.After, func() {
+		w.turn(c.To, w.doors[c.To].life, func(d *door) { d.core.Heard(lease.Node(c.From), c.Payload) })
+	})
+}
+
+// granted looks whether any other holds the seat now, each by its own clock, whether it stands still or not.
+func (w *big) granted(i int, g lease.Grant) {
+	w.out.Grants++
+	for _, n := range w.by[g.Task] {
+		d := w.doors[n]
+		if n == i || !d.up {
+			continue
+		}
+		d.core.Now(d.own(w.now))
+		if o, ok := d.core.Holds(g.Task); ok && o.Seat == g.Seat {
+			w.out.Bad = append(w.out.Bad, fmt.Sprintf("at %s front doors %d and %d hold %s", w.now, n, i, g.Task))
+		}
+	}
+	if since, ok := w.lost[g.Task]; ok {
+		w.out.After = append(w.out.After, w.now-since)
+		delete(w.lost, g.Task)
+	}
+	if since, ok := w.free[g.Task]; ok {
+		w.idle(g.Task, since)
+		delete(w.free, g.Task)
+	}
+}
+
+// idle notes how long a task had no holder with the fleet at rest.
+func (w *big) idle(_ lease.Task, since time.Duration) {
+	if w.under > 0 {
+		return
+	}
+	from := max(since, w.calm+w.b.settles(), w.b.settles())
+	w.out.Idle = max(w.out.Idle, w.now-from)
+}
+
+func (w *big) gone(t lease.Task) {
+	if _, ok := w.free[t]; !ok {
+		w.free[t] = w.now
+	}
+}
+
+// hurt notes the tasks whose holder has died or begins to stand still.
+func (w *big) hurt(i int) {
+	d := w.doors[i]
+	if !d.up {
+		return
+	}
+	d.core.Now(d.own(w.now))
+	for _, t := range w.wants[i] {
+		if _, ok := d.core.Holds(t); ok {
+			if _, known := w.lost[t]; !known {
+				w.lost[t] = w.now
+			}
+			w.gone(t)
+		}
+	}
+}
+
+func (w *big) kill(i int, down time.Duration) {
+	d := w.doors[i]
+	if !d.up {
+		return
+	}
+	w.hurt(i)
+	d.up = false
+	w.after(down, func() { w.start(i) })
+}
+
+func (w *big) strike(f *spec.Fault, halls []string) {
+	rng := f.Source(w.rng)
+	hall := func(i int) string { return halls[i%len(halls)] }
+	w.under++
+	w.after(f.For.D(), func() {
+		if w.under--; w.under == 0 {
+			w.calm = w.now
+		}
+	})
+	hits := spec.Hits(len(w.doors), f.Share, rng)
+	switch f.Kind {
+	case "door-kill":
+		for _, i := range hits {
+			w.kill(i, f.For.D())
+		}
+	case "door-roll":
+		waves := max(1, f.Waves)
+		for k, i := range hits {
+			w.after(time.Duration(k*waves/len(hits))*f.For.D()/time.Duration(waves), func() { w.kill(i, f.For.D()/time.Duration(2*waves)) })
+		}
+	case "door-stall":
+		for _, i := range hits {
+			d, life := w.doors[i], w.doors[i].life
+			if !d.up {
+				continue
+			}
+			w.hurt(i)
+			d.still++
+			w.after(f.For.D(), func() {
+				if d.life != life || d.still == 0 {
+					return
+				}
+				if d.still--; d.still == 0 {
+					waits := d.waits
+					d.waits = nil
+					for _, do := range waits {
+						do()
+					}
+					w.turn(i, life, func(*door) {})
+				}
+			})
+		}
+	case "hall-cut":
+		id := w.links.Bring(links.Effect{Cut: true, On: func(a, b int) bool { return (hall(a) == f.Hall) != (hall(b) == f.Hall) }})
+		w.after(f.For.D(), func() { w.links.End(id) })
+	default:
+		if e, ok := links.Of(f, len(w.doors), hall, rng); ok {
+			id := w.links.Bring(e)
+			w.after(f.For.D(), func() {
+				for _, c := range w.links.End(id) {
+					w.deliver(c)
+				}
+			})
+		}
+	}
+}
+
+// Quantile of some spans.
+func Quantile(all []time.Duration, q float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	all = append([]time.Duration(nil), all...)
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all[min(len(all)-1, int(q*float64(len(all))))]
+}
