Leases: who is cut off asks less often, and only a seat that was held is offered

Cause: one front door of thirty sent 111 frames a second on the mean. Traced: a refused asker gave its votes back, each voter offered the free seat to the first in line, which asked at once and was refused again, at the speed of a round trip. Ruled out: renewals (25 a second at most). Change: a seat is offered only when a holder gave it back; unheard askings wait twice as long each time.

--- a/internal/lease/check/fleet.go
+++ b/internal/lease/check/fleet.go
@@ -110,7 +110,7 @@
 	for i := 0; i < b.Tasks; i++ {
 		t := lease.Task(fmt.Sprint("task-", i))
 		who := w.rng.Perm(b.Doors)[:b.Wishers]
-		w.by[t] = who
+		w.by[t], w.free[t] = who, 0
 		for _, n := range who {
 			w.wants[n] = append(w.wants[n], t)
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -126,6 +126,7 @@
 	ask     uint32        // the round in which it was asked for
 	until   time.Duration // nought: nobody has it
 	highest Number        // of all that were told here
+	sealed  bool          // its holder has told one
 	keptFor Node          // handed on to, for a while
 	keptTo  time.Duration
 	waiting []waiter
@@ -169,6 +170,7 @@
 	tries    int           // seats refused in a row
 	wait     time.Duration // the least that refusals tell to wait
 	behind   int           // who waits before this one, at most
+	unheard  int           // questions in a row that too few answered
 }
 
 // Core is one front door's part, as voter and as holder.
@@ -488,6 +490,11 @@
 // later. Who has others before it asks the less often, so that many wishes cost few messages.
 func (c *Core) refuse(w *wish) {
 	c.Refused++
+	if sets := c.sets(w.task, w.seat); hopeless(sets, w.no) { // enough have spoken
+		w.unheard = 0
+	} else if w.unheard++; w.unheard > 1 { // cut off, or voters that are silent yet: asking more often helps nobody
+		w.wait = max(w.wait, min(c.conf.Retry<<min(w.unheard, 16), c.conf.Length))
+	}
 	c.release(w, c.conf.Me, stays)
 	w.seat = (w.seat + 1) % w.seats
 	if w.tries++; w.tries < w.seats {
@@ -533,7 +540,7 @@
 			return // too late: what was held is over, and is not held again without new promises
 		}
 		first := w.phase == sealing
-		w.phase, w.until, w.renewing, w.tries = held, until, false, 0
+		w.phase, w.until, w.renewing, w.tries, w.unheard = held, until, false, 0, 0
 		w.again = w.sent + c.conf.window()/2
 		kind := Renewed
 		if first {
--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -163,7 +163,7 @@
 		w := c.wishes[task]
 		b = append(b, task...)
 		num(int64(w.phase), int64(w.seat), int64(w.ask), int64(w.round), t(w.sent), t(w.again), int64(w.highest), int64(w.number), t(w.until),
-			int64(w.tries), int64(w.wait), int64(w.behind), t(w.since))
+			int64(w.tries), int64(w.wait), int64(w.behind), int64(w.unheard), t(w.since))
 		if w.renewing {
 			b = append(b, 'r')
 		}
@@ -182,6 +182,9 @@
 		num(int64(p.seat), int64(v.highest), max(t(v.until), 0), max(t(v.keptTo), 0))
 		if v.until > c.now {
 			num(int64(v.holder), int64(v.life), int64(v.ask))
+			if v.sealed {
+				num(-4)
+			}
 		}
 		for _, w := range v.waiting {
 			num(int64(w.who), int64(w.priority), t(w.since), t(w.seen))
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -39,7 +39,7 @@
 			return
 		}
 		if !mine {
-			p.holder, p.life, p.ask, p.until = from, m.life, m.ask, c.now+c.conf.Length
+			p.holder, p.life, p.ask, p.until, p.sealed = from, m.life, m.ask, c.now+c.conf.Length, false
 		}
 		a := *m
 		a.op, a.number, a.gen = opVote, max(p.highest, c.floor), c.gen()
@@ -49,7 +49,7 @@
 			c.no(from, m, p)
 			return
 		}
-		p.highest, p.until = m.number, c.now+c.conf.Length
+		p.highest, p.until, p.sealed = m.number, c.now+c.conf.Length, true
 		p.waiting = without(p.waiting, from)
 		a := *m
 		a.op, a.gen = opSealed, c.gen()
@@ -65,7 +65,7 @@
 		if m.node != from {
 			p.keptFor, p.keptTo = m.node, c.now+firstLook*c.conf.Retry
 			c.tell([]Node{m.node}, &message{op: opFree, gen: c.gen(), task: m.task, seat: m.seat})
-		} else if best := c.best(p); best != nil { // who waits longest hears at once
+		} else if best := c.best(p); best != nil && p.sealed { // who waits longest hears at once; of a seat that nobody got, nobody
 			c.tell([]Node{best.who}, &message{op: opFree, gen: c.gen(), task: m.task, seat: m.seat})
 		}
 	}
