Walks through the leases' states let time pass more often

Cause: with a dozen messages on their way a walk of 90 steps saw six ticks, so that what needs seventeen (old voters closed for the longest lease) was never reached. Change: one step in five is one of time.

--- a/cmd/lab/leases.go
+++ b/cmd/lab/leases.go
@@ -83,7 +83,7 @@
 								failed = err
 							}
 							if r.Bad != "" && sum.Bad == "" {
-								sum.Bad, sum.Trace, first = r.Bad, slices.Clone(r.Trace), seed*chunk
+								sum.Bad, sum.Trace, first = r.Bad, slices.Clone(r.Trace), (seed+1)*chunk
 							}
 							mu.Unlock()
 						}
@@ -105,7 +105,7 @@
 		}}
 	c.Flags().IntVar(&states, "states", 500000, "states to go through breadth first; 1 for none")
 	c.Flags().IntVar(&walks, "walks", 20000, "random ways through each model")
-	c.Flags().IntVar(&steps, "steps", 90, "steps of each")
+	c.Flags().IntVar(&steps, "steps", 150, "steps of each")
 	c.Flags().IntVar(&doors, "fleet", 0, "instead, play random faults on so many front doors in simulated time")
 	c.Flags().IntVar(&seeds, "seeds", 20, "with --fleet, from seed 1 on")
 	c.Flags().StringVar(&model, "model", "all", "all, or one, with dashes for spaces")
--- a/internal/lease/check/check.go
+++ b/internal/lease/check/check.go
@@ -341,6 +341,9 @@
 	return r, nil
 }
 
+// tickOften: one step in so many is one of time, on top of those that come by chance.
+const tickOften = 5
+
 // Walk goes many random ways of so many steps: deeper than Explore, and not all.
 func Walk(m Model, seed uint64, walks, steps int) (r Result, err error) {
 	began := time.Now()
@@ -361,6 +364,13 @@
 				break
 			}
 			s := all[rng.IntN(len(all))]
+			if rng.IntN(tickOften) == 0 { // or time would stand still while messages go to and fro
+				for _, t := range all {
+					if t.what == "tick" {
+						s = t
+					}
+				}
+			}
 			if rare(s.what) && rng.IntN(6) > 0 { // or the budgets are gone before anything has happened
 				continue
 			}
