A closed history passes over what comes later; the roll call counts every datagram

Cause: read in review: a front door that ends closes its history while its engine may still tell it things, and a send on a closed channel ends the process by a panic; and the roll call knew only peers that sent frames of leases.

--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -152,7 +152,7 @@
 	f.intake = intake.New(f.e, f.gate, c, clients, func() bool { return f.dispatch.Evict(nil) })
 	var tell gate.Teller = quiet{}
 	if len(c.Peers) > 0 {
-		if f.peers, err = peers.New(f.e, c.PeerListen, c.Peers, c.Me, f.gate.Heard); err != nil {
+		if f.peers, err = peers.New(f.e, c.PeerListen, c.Peers, c.Me, f.heard); err != nil {
 			return nil, err
 		}
 		tell = f.peers
@@ -202,6 +202,14 @@
 	return f, nil
 }
 
+// heard takes a peer's message to the module.
+func (f *front) heard(from control.GatewayID, payload []byte) {
+	if f.leases != nil {
+		f.leases.Seen(from)
+	}
+	f.gate.Heard(from, payload)
+}
+
 // reload reads the configuration again, under load. A file that can't be read or is wrong changes nothing. What can
 // move while txns are held moves, the rest is named and waits for a restart.
 func (f *front) reload(path string) {
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -203,6 +203,8 @@
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
+	l.Add(Event{Kind: Seen}) // a front door that ends may still be told things
+	l.Close()
 	all, cut, err := ReadFile(name)
 	last := all[len(all)-1]
 	if err != nil || cut || all[0].Who != "n7" || all[0].Life != 3 || last.Kind != Lost || len(all)-1+int(last.N) != 100 {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -87,6 +87,8 @@
 	all   []Event // in memory
 	most  int
 	lost  atomic.Uint64
+	gate  sync.RWMutex // of the queue's end
+	over  bool
 	queue chan Event // to a file
 	done  chan struct{}
 	who   string
@@ -120,6 +122,11 @@
 		if e.Who == "" {
 			e.Who, e.Life = l.who, l.life
 		}
+		l.gate.RLock()
+		defer l.gate.RUnlock()
+		if l.over {
+			return
+		}
 		select {
 		case l.queue <- e:
 		default:
@@ -169,11 +176,18 @@
 	}
 }
 
-// Close ends a log to a file. Nothing may be added after it.
+// Close ends a log to a file; what is added after it is passed over.
 func (l *Log) Close() error {
 	if l == nil || l.queue == nil {
 		return nil
 	}
+	l.gate.Lock()
+	was := l.over
+	l.over = true
+	l.gate.Unlock()
+	if was {
+		return l.fault
+	}
 	close(l.queue)
 	<-l.done
 	return l.fault
--- a/internal/leasing/leasing.go
+++ b/internal/leasing/leasing.go
@@ -82,10 +82,13 @@
 	return all
 }
 
+// Seen notes that a peer was heard, whatever it said.
+func (h *Host) Seen(from control.GatewayID) { h.heard[lease.Node(from)] = h.e.Now() }
+
 // Heard takes a frame from a peer.
 func (h *Host) Heard(from control.GatewayID, payload []byte) {
 	h.e.Count.Add(counters.FramesTaken)
-	h.heard[lease.Node(from)] = h.e.Now()
+	h.Seen(from)
 	h.core.Now(h.e.Now())
 	h.core.Heard(lease.Node(from), payload)
 }
