Orders at points by their count; the rig waits for no process that has ended

Seen: of 20 runs beside a load of 11 to 19 on six cores the leases' test failed ten times, the faults' test never. Cause: the count at which a holder stands still was drawn up to 40, so that it often came after the run, and the rig's timer of a stop outlived its process. Change: a fault may name the count, and the timer ends with the process.

--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -324,6 +324,9 @@
 	}
 	for _, nr := range spec.Hits(len(r.f.Doors), f.Share, rng) {
 		d, nth := r.f.Doors[nr], 1+rng.IntN(most)
+		if f.Waves > 0 {
+			nth = f.Waves
+		}
 		if f.Kind == "exit-at" {
 			d.Order("exit", points.Name(f.Point), nth, 0)
 			heal = append(heal, func() {
--- a/internal/rig/leases_test.go
+++ b/internal/rig/leases_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	s := three(t, 11,
-		spec.Fault{Kind: "stall-at", Point: "lease.before-act", At: sec(3), For: sec(1), Share: 1, Delay: sec(2)},
+		spec.Fault{Kind: "stall-at", Point: "lease.before-act", Waves: 4, At: sec(2.5), For: sec(1), Share: 1, Delay: sec(4)},
 		spec.Fault{Kind: "peer-cut", Shape: "halves", Share: 0.4, Way: "in", Hold: true, At: sec(5.5), For: sec(1.5)},
 		spec.Fault{Kind: "peer-double", Share: 0.5, At: sec(3), For: sec(6)},
 		spec.Fault{Kind: "door-kill", Share: 0.2, At: sec(7.5), For: sec(0.2)},
--- a/internal/spec/fault.go
+++ b/internal/spec/fault.go
@@ -19,7 +19,7 @@
 	Share float64 `toml:"share,omitempty"` // of the backends, front doors, messages or answers that it hits
 	Hall  string  `toml:"hall,omitempty"`
 	By    float64 `toml:"by,omitempty"`    // how much: times slower, share failing, times the load, bytes a second
-	Waves int     `toml:"waves,omitempty"` // of a release or a roll
+	Waves int     `toml:"waves,omitempty"` // of a release or a roll; at a point: the so many-th time, drawn if nought
 	Shape string  `toml:"shape,omitempty"` // of a cut between front doors
 	Way   string  `toml:"way,omitempty"`   // in, out or both: what the cut group does not hear, is not heard with, or neither
 	Hold  bool    `toml:"hold,omitempty"`  // what is said during the cut comes after it
--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -391,9 +391,15 @@
 	}
 	d.holds++
 	d.note(history.Stopped, string(at))
+	exit := d.exit
 	d.mu.Unlock()
-	time.Sleep(hold)
-	d.Hold(false, string(at))
+	wake := time.NewTimer(hold)
+	defer wake.Stop()
+	select {
+	case <-exit:
+	case <-wake.C:
+		d.Hold(false, string(at))
+	}
 }
 
 // Settle rewrites the configuration and has the process read it again.
