A stop at a point stops there; promises that are not sealed last less; split votes ask on

Traced by holds and stops: the next front door held the lease after 0.8 s and took no step, since the one that stood still had the ledger's lock: SIGSTOP to the process was taken by another thread, and the one at the point ran on into the write. Seen as well: with one of five voters gone a split vote counted as unheard, and waited up to a lease's length. Change: the signal goes to the thread at the point; who is answered by a majority counts as heard; a promise that is not sealed lasts six retries.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -492,7 +492,7 @@
 // later. Who has others before it asks the less often, so that many wishes cost few messages.
 func (c *Core) refuse(w *wish) {
 	c.Refused++
-	if sets := c.sets(w.task, w.seat); hopeless(sets, w.no) { // enough have spoken
+	if majority(c.sets(w.task, w.seat), append(append([]Node(nil), w.yes...), w.no...)) { // enough have spoken
 		w.unheard = 0
 	} else if w.unheard++; w.unheard > 1 { // cut off, or voters that are silent yet: asking more often helps nobody
 		w.wait = max(w.wait, min(c.conf.Retry<<min(w.unheard, 16), c.conf.Length))
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -8,8 +8,9 @@
 // firstLook is how long a better claim is waited for, in retries; ageWeight makes a wish that waits for so long as good
 // as one of the next higher priority.
 const (
-	firstLook = 3
-	ageWeight = 10 * time.Second
+	firstLook   = 3
+	unsealedFor = 6 // a promise that is not sealed lasts no longer, in retries: its asker gives up after four
+	ageWeight   = 10 * time.Second
 )
 
 // asked takes a question to this voter and answers it.
@@ -39,7 +40,7 @@
 			return
 		}
 		if !mine {
-			p.holder, p.life, p.ask, p.until, p.sealed = from, m.life, m.ask, c.now+c.conf.Length, false
+			p.holder, p.life, p.ask, p.until, p.sealed = from, m.life, m.ask, c.now+min(c.conf.Length, unsealedFor*c.conf.Retry), false
 		}
 		a := *m
 		a.op, a.number, a.gen = opVote, max(p.highest, c.floor), c.gen()
--- a/internal/points/debug.go
+++ b/internal/points/debug.go
@@ -8,10 +8,13 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // On tells whether this build has the places.
@@ -29,11 +32,19 @@
 	orders = map[Name]*order{}
 	say    = func(line []byte) { os.Stderr.Write(line) }
 	does   = map[string]func(){
-		"stop": func() { syscall.Kill(os.Getpid(), syscall.SIGSTOP) }, // all of the process, until SIGCONT
+		"stop": stop,
 		"exit": func() { syscall.Kill(os.Getpid(), syscall.SIGKILL) },
 	}
 )
 
+// stop lets the whole process stand still until SIGCONT. The signal goes to this very thread: sent to the process, another
+// thread may take it, and this one runs on for a moment, past the place.
+func stop() {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	unix.Tgkill(os.Getpid(), unix.Gettid(), unix.SIGSTOP)
+}
+
 // At is put where a place is.
 func At(n Name) {
 	if armed.Load() == 0 {
