The relay and the big fleets take the due queue that the project had

Cause: found by a look for duplicates: a third and a fourth heap of due times. Change: internal/due in both.

--- a/internal/lease/check/fleet.go
+++ b/internal/lease/check/fleet.go
@@ -1,12 +1,12 @@
 package check
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"sort"
 	"time"
 
+	"clovergap/internal/due"
 	"clovergap/internal/lease"
 	"clovergap/internal/links"
 	"clovergap/internal/spec"
@@ -46,27 +46,6 @@
 	Faults []spec.Fault
 }
 
-type due struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type dues []due
-
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(i, j int) bool {
-	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
-}
-func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	old := *d
-	x := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return x
-}
-
 // door is one front door of a big fleet.
 type door struct {
 	core  *lease.Core
@@ -84,8 +63,7 @@
 	b     Big
 	rng   *rand.Rand
 	now   time.Duration
-	q     dues
-	seq   uint64
+	q     due.Queue[func()]
 	doors []*door
 	links *links.Set
 	wants map[int][]lease.Task // by front door
@@ -136,10 +114,10 @@
 	for i := range s.Faults {
 		w.at(s.Faults[i].At.D(), func() { w.strike(&s.Faults[i], s.Halls.Names) })
 	}
-	for len(w.q) > 0 && w.q[0].at <= b.For {
-		x := heap.Pop(&w.q).(due)
-		w.now = x.at
-		x.do()
+	for at, ok := w.q.Next(); ok && at <= b.For; at, ok = w.q.Next() {
+		do, _ := w.q.Take(at)
+		w.now = at
+		do()
 	}
 	total, most := 0, 0
 	for _, d := range w.doors {
@@ -153,8 +131,7 @@
 }
 
 func (w *big) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.q, due{max(t, w.now), w.seq, do})
+	w.q.Add(max(t, w.now), do)
 }
 
 func (w *big) after(d time.Duration, do func()) { w.at(w.now+d, do) }
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +10,7 @@
 	"sync"
 	"time"
 
+	"clovergap/internal/due"
 	"clovergap/internal/links"
 )
 
@@ -26,34 +26,10 @@
 	born  time.Time
 	moved int
 	late  time.Duration // the most that a datagram came later than it was to
-	due   parcels
+	due   due.Queue[links.Copy]
 	more  chan struct{}
 	stop  chan struct{}
 	wg    sync.WaitGroup
-	seq   uint64
-}
-
-// parcel is a datagram on its way.
-type parcel struct {
-	at  time.Duration
-	seq uint64
-	c   links.Copy
-}
-
-type parcels []parcel
-
-func (p parcels) Len() int { return len(p) }
-func (p parcels) Less(i, j int) bool {
-	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].seq < p[j].seq
-}
-func (p parcels) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
-func (p *parcels) Push(x any)   { *p = append(*p, x.(parcel)) }
-func (p *parcels) Pop() any {
-	old := *p
-	x := old[len(old)-1]
-	old[len(old)-1] = parcel{}
-	*p = old[:len(old)-1]
-	return x
 }
 
 // NewRelay opens the sockets for front doors that listen at the given addresses.
@@ -126,8 +102,7 @@
 // send hangs copies on the clock; the lock is held.
 func (r *Relay) send(now time.Duration, copies []links.Copy) {
 	for _, c := range copies {
-		r.seq++
-		heap.Push(&r.due, parcel{now + c.After, r.seq, c})
+		r.due.Add(now+c.After, c)
 	}
 	if len(copies) > 0 {
 		select {
@@ -145,14 +120,14 @@
 	for {
 		r.mu.Lock()
 		now, wait := time.Since(r.born), time.Hour
-		for len(r.due) > 0 && r.due[0].at <= now {
-			p := heap.Pop(&r.due).(parcel)
-			r.late = max(r.late, now-p.at)
+		for at, ok := r.due.Next(); ok && at <= now; at, ok = r.due.Next() {
+			c, _ := r.due.Take(now)
+			r.late = max(r.late, now-at)
 			r.moved++
-			r.socks[p.c.To][p.c.From].WriteToUDPAddrPort(p.c.Payload, r.to[p.c.To]) // does not block
+			r.socks[c.To][c.From].WriteToUDPAddrPort(c.Payload, r.to[c.To]) // does not block
 		}
-		if len(r.due) > 0 {
-			wait = r.due[0].at - now
+		if at, ok := r.due.Next(); ok {
+			wait = at - now
 		}
 		r.mu.Unlock()
 		timer.Reset(wait)
