--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -215,7 +215,7 @@
 			}
 		})
 	case "link-cut", "link-delay", "link-rate":
-		t := standin.Trouble{Cut: f.Kind == "link-cut", Delay: f.Delay.D()}
+		t := standin.Trouble{Cut: f.Kind == "link-cut", Delay: f.Delay.D(), Only: map[string]standin.Direction{"in": standin.In, "out": standin.Out}[f.Way]}
 		if f.Kind == "link-rate" {
 			t.Rate = f.By
 		}
--- a/internal/spec/fault.go
+++ b/internal/spec/fault.go
@@ -21,7 +21,7 @@
 	By    float64 `toml:"by,omitempty"`    // how much: times slower, share failing, times the load, bytes a second
 	Waves int     `toml:"waves,omitempty"` // of a release or a roll; at a point: the so many-th time, drawn if nought
 	Shape string  `toml:"shape,omitempty"` // of a cut between front doors
-	Way   string  `toml:"way,omitempty"`   // in, out or both: what the cut group does not hear, is not heard with, or neither
+	Way   string  `toml:"way,omitempty"`   // in, out or both: what the cut group, or a link's front door, does not hear, is not heard with, or neither
 	Hold  bool    `toml:"hold,omitempty"`  // what is said during the cut comes after it
 	Delay Span    `toml:"delay,omitempty"`
 	Link  string  `toml:"link,omitempty"`  // a front door's way to: discovery, backends, counter
@@ -225,6 +225,9 @@
 		if strings.Contains(need, "hall") || f.Shape == "hall" {
 			f.Hall = s.Halls.Names[rng.IntN(len(s.Halls.Names))]
 		}
+		if f.Kind == "link-cut" {
+			f.Way = []string{"in", "out", "both"}[rng.IntN(3)]
+		}
 		if strings.Contains(need, "link") {
 			f.Link = []string{"discovery", "backends", "counter"}[rng.IntN(3)]
 		}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -372,7 +372,7 @@
 	}
 	came, trace := time.Now(), a.seen.of(r.RemoteAddr, a.Addr)
 	go func() {
-		if a.way.pass(size, came, a.quit) && (trace == nil || trace.closed.Load() == 0) {
+		if a.way.pass(In, size, came, a.quit) && (trace == nil || trace.closed.Load() == 0) {
 			note()
 		}
 	}()
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -13,22 +13,37 @@
 // Trouble is what a front door's way to one of its others suffers.
 type Trouble struct {
 	Cut   bool          // nothing gets through; what is written waits
+	Only  Direction     // of a cut: one way, or both
 	Delay time.Duration // of each piece, both ways
 	Rate  float64       // bytes a second, each way; 0: no bound
 }
 
+// Direction is one of a way's: what the front door says, or what it is told.
+type Direction int
+
+// The directions.
+const (
+	Both Direction = iota
+	Out
+	In
+)
+
 // Way is a front door's way to one kind of others: discovery, backends, the counter.
 type Way struct {
 	mu   sync.Mutex
 	now  map[int]Trouble
 	next int
-	cut  chan struct{} // closed when the way is open
+	cut  [In + 1]chan struct{} // closed when that direction is open
+	shut [In + 1]bool
 	sum  Trouble
 }
 
 func newWay() *Way {
-	w := &Way{now: map[int]Trouble{}, cut: make(chan struct{})}
-	close(w.cut)
+	w := &Way{now: map[int]Trouble{}}
+	for d := range w.cut {
+		w.cut[d] = make(chan struct{})
+		close(w.cut[d])
+	}
 	return w
 }
 
@@ -50,29 +65,33 @@
 
 // add sums up what is under way; the lock is held.
 func (w *Way) add() {
-	was := w.sum.Cut
-	w.sum = Trouble{}
+	was := w.shut
+	w.sum, w.shut = Trouble{}, [In + 1]bool{}
 	for _, t := range w.now {
-		w.sum.Cut = w.sum.Cut || t.Cut
+		for d := range w.shut {
+			w.shut[d] = w.shut[d] || t.Cut && (t.Only == Both || t.Only == Direction(d))
+		}
 		w.sum.Delay += t.Delay
 		if t.Rate > 0 && (w.sum.Rate == 0 || t.Rate < w.sum.Rate) {
 			w.sum.Rate = t.Rate
 		}
 	}
-	if w.sum.Cut && !was {
-		w.cut = make(chan struct{})
-	} else if !w.sum.Cut && was {
-		close(w.cut)
+	for d := range w.shut {
+		if w.shut[d] && !was[d] {
+			w.cut[d] = make(chan struct{})
+		} else if !w.shut[d] && was[d] {
+			close(w.cut[d])
+		}
 	}
 }
 
 // pass waits until a piece of so many bytes, come at a time, may go on; false if all is over.
-func (w *Way) pass(n int, came time.Time, quit <-chan struct{}) bool {
+func (w *Way) pass(d Direction, n int, came time.Time, quit <-chan struct{}) bool {
 	for {
 		w.mu.Lock()
-		sum, open := w.sum, w.cut
+		sum, open, shut := w.sum, w.cut[d], w.shut[d]
 		w.mu.Unlock()
-		if sum.Cut {
+		if shut {
 			select {
 			case <-open:
 				continue
@@ -96,11 +115,16 @@
 	}
 }
 
-// isCut tells whether nothing gets through now.
-func (w *Way) isCut() bool {
+// isCut tells in which direction nothing gets through now: a connection needs both to come up.
+func (w *Way) isCut() (Direction, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.sum.Cut
+	for _, d := range []Direction{Out, In} {
+		if w.shut[d] {
+			return d, true
+		}
+	}
+	return Both, false
 }
 
 // trace is what a proxy knows of a connection from a front door's side.
@@ -183,8 +207,8 @@
 func (p *proxy) serve(near net.Conn) {
 	defer p.wg.Done()
 	defer p.drop(near)
-	if p.way.isCut() { // it never comes up, and is reset once the way is open
-		p.way.pass(0, time.Now(), p.quit)
+	if d, cut := p.way.isCut(); cut { // it never comes up, and is reset once the way is open
+		p.way.pass(d, 0, time.Now(), p.quit)
 		reset(near)
 		return
 	}
@@ -205,8 +229,8 @@
 		defer time.AfterFunc(5*time.Second, func() { p.marks.all.CompareAndDelete(key, t) })
 	}
 	both := make(chan struct{}, 2)
-	go func() { defer func() { both <- struct{}{} }(); p.pump(near, far, t) }()
-	go func() { defer func() { both <- struct{}{} }(); p.pump(far, near, nil) }()
+	go func() { defer func() { both <- struct{}{} }(); p.pump(Out, near, far, t) }()
+	go func() { defer func() { both <- struct{}{} }(); p.pump(In, far, near, nil) }()
 	<-both
 	<-both
 }
@@ -223,7 +247,7 @@
 
 // pump takes bytes from one side to the other until either ends, and passes the end on as it came. What is read is
 // noted at once, however long it waits: a front door that has closed its side has done so, whoever knows.
-func (p *proxy) pump(from, to net.Conn, t *trace) {
+func (p *proxy) pump(d Direction, from, to net.Conn, t *trace) {
 	line, over := make(chan piece, piecesMost), make(chan struct{})
 	defer close(over)
 	go func() {
@@ -248,7 +272,7 @@
 		}
 	}()
 	for x := range line {
-		open := p.way.pass(len(x.b), x.came, p.quit)
+		open := p.way.pass(d, len(x.b), x.came, p.quit)
 		if !open || len(x.b) > 0 && write(to, x.b) != nil || x.err != nil && x.err != io.EOF {
 			reset(to)
 			reset(from)
