The quota is a type of its own, and control is split by concern

Need: the gateway meters tenants by the same hashed owner's bucket, views and deltas, and control.go was to be split by concern before it grows.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -252,7 +252,7 @@
 	s.at(10300)
 	fmt.Println("# what does not decode is dropped and counted")
 	s.d.PeerSaid(1, []byte{1, 2, 3})
-	fmt.Println(s.d.badMail)
+	fmt.Println(s.d.quota.badMail)
 	// Output:
 	// # out of order and twice, each applied once
 	// 10000 tell 1: snapshot left 15 sharers 2 ack 2
@@ -275,7 +275,7 @@
 	s.at(10200)
 	fmt.Println("# the snapshot acknowledges the first two: four units are left, two of them used since")
 	snap := func(version uint64, left float64) *message {
-		return &message{epoch: 9, version: version, ackEpoch: s.d.epoch, ackHigh: 2, ackMask: 3,
+		return &message{epoch: 9, version: version, ackEpoch: s.d.quota.epoch, ackHigh: 2, ackMask: 3,
 			snaps: []snapLine{{c, left, 1, 0, 0}}}
 	}
 	s.hear(1, snap(5, 4))
@@ -398,9 +398,9 @@
 	s := warm()
 	s.d.plans[0].overValue, s.d.plans[0].overCost = 0.3, 0
 	c := ownedBy(0)
-	a := s.d.account(c, 0)
+	a := s.d.quota.account(c, 0)
 	a.level, a.levelAt = 0, s.d.now
-	a.plan.rate = 1
+	a.limit.rate = 1
 	fmt.Println("# no units, room to spare, nothing charged: goes on, and takes no units")
 	s.txn(1, c, 0, 0)
 	fmt.Println("# something lacked room lately: declined, with advice when units are due")
@@ -419,19 +419,19 @@
 	s.at(10000)
 	s.d.room = 3
 	c := ownedBy(1)
-	a := s.d.account(c, 1)
-	s.d.place(a, 0, 3)
-	s.d.partNow(a)
+	a := s.d.quota.account(c, 1)
+	s.d.quota.place(a, 0, 3)
+	s.d.quota.partNow(a)
 	fmt.Println("# a part without a unit: the owner is asked for what is lacking, and its grant lets the txn go")
 	a.part, s.quiet = 0.25, true
 	s.txn(1, c, 0, 1)
 	fmt.Printf("asks for %.2f\n", -s.mails[len(s.mails)-1].deltas[0].part)
-	m := &message{epoch: 9, version: 3, ackEpoch: s.d.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 5, 1, 0, 0.75}}}
+	m := &message{epoch: 9, version: 3, ackEpoch: s.d.quota.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 5, 1, 0, 0.75}}}
 	s.hear(1, m)
 	fmt.Println("# a grant comes once, whatever is repeated, and no more than the part holds")
 	a.part, m.version, m.snaps[0].grant = 0, 4, 900
 	s.hear(1, m)
-	fmt.Printf("%.1f of %.1f\n", a.part, s.d.partCap(a))
+	fmt.Printf("%.1f of %.1f\n", a.part, s.d.quota.partCap(a))
 	a.part = 0
 	s.hear(1, m)
 	fmt.Println("# a grant for an earlier life is lost")
@@ -439,12 +439,12 @@
 	s.hear(1, m)
 	fmt.Printf("%.1f\n", a.part)
 	fmt.Println("# all parts and the pool are the whole ceiling; an owner gives no more than its pool")
-	own := s.d.account(ownedBy(0), 1)
-	s.d.place(own, 0, 3)
-	fmt.Printf("%.1f and twice %.1f of %.1f\n", s.d.partCap(own), s.d.partCap(a), a.plan.ceilBurst)
+	own := s.d.quota.account(ownedBy(0), 1)
+	s.d.quota.place(own, 0, 3)
+	fmt.Printf("%.1f and twice %.1f of %.1f\n", s.d.quota.partCap(own), s.d.quota.partCap(a), a.limit.ceilBurst)
 	own.part, own.partAt = 2, s.d.now
 	for seq, want := range []float64{3, 1.5} {
-		s.hear(2, &message{epoch: 9, seq: uint64(seq) + 1, ackEpoch: s.d.epoch,
+		s.hear(2, &message{epoch: 9, seq: uint64(seq) + 1, ackEpoch: s.d.quota.epoch,
 			deltas: []deltaLine{{own.id, 1, 0, 0, -want, 0, 0, 3}}})
 		s.at(int(s.d.now.Milliseconds()) + 50)
 		grant := 0.0
@@ -478,8 +478,8 @@
 	s.txn(1, ownedBy(0), 0, 0)
 	s.quiet = true
 	s.txn(2, c, 0, 0)
-	s.hear(1, &message{epoch: 9, version: 1, ackEpoch: s.d.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 2, 2, 0, 0}}})
-	a := s.d.accounts[c]
+	s.hear(1, &message{epoch: 9, version: 1, ackEpoch: s.d.quota.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 2, 2, 0, 0}}})
+	a := s.d.quota.accounts[c]
 	fmt.Println("kept:", a.kept, "- what others may spend of the view is less by that")
 	s.at(10170)
 	s.ended(1, Settled)
@@ -496,7 +496,7 @@
 func Example_repeatInTime() {
 	s := warm()
 	c := ownedBy(0)
-	a := s.d.account(c, 0)
+	a := s.d.quota.account(c, 0)
 	again := func(id TxnID, left time.Duration) {
 		a.level, a.levelAt = 5, s.d.now // of 20: under what a late repeat must leave
 		s.d.TxnTaken(Txn{ID: id, Customer: c, Repeat: true, Units: 1, SetWidth: 3, Expiry: s.d.now + left})
@@ -616,7 +616,7 @@
 func Example_repeatsLeaveALowBucket() {
 	s := warm()
 	c := ownedBy(0)
-	a := s.d.account(c, 0)
+	a := s.d.quota.account(c, 0)
 	fmt.Println("# four units of twenty left: not for a repeat, at once, but for a first try")
 	a.level, a.levelAt = 4, s.d.now
 	s.d.TxnTaken(Txn{ID: 1, Customer: c, Repeat: true, Units: 1, SetWidth: 3, Expiry: s.d.now + time.Second})
@@ -688,13 +688,13 @@
 	fmt.Println("# new, but an allowance for each would be too much: the owner is asked, and says two")
 	s.txn(1, c, 0, 0)
 	s.at(10030)
-	s.hear(1, &message{epoch: 9, version: 1, ackEpoch: s.d.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 2, 2, 0, 0}}})
+	s.hear(1, &message{epoch: 9, version: 1, ackEpoch: s.d.quota.epoch, ackHigh: 1, ackMask: 1, snaps: []snapLine{{c, 2, 2, 0, 0}}})
 	fmt.Println("# it says none: declined, with the time until there is one")
 	s.quiet = true
 	s.at(11000)
 	s.quiet = false
 	s.txn(2, c, 0, 0)
-	s.hear(1, &message{epoch: 9, version: 2, ackEpoch: s.d.epoch, ackHigh: 2, ackMask: 3, snaps: []snapLine{{c, 0, 2, 0, 0}}})
+	s.hear(1, &message{epoch: 9, version: 2, ackEpoch: s.d.quota.epoch, ackHigh: 2, ackMask: 3, snaps: []snapLine{{c, 0, 2, 0, 0}}})
 	s.at(11150)
 	fmt.Println("# no answer in time: the allowance is there for that")
 	s.quiet = true
@@ -748,7 +748,7 @@
 	s.d.PeerSaid(1, append(b, 0))
 	m.deltas[0].width = 1 << 30
 	s.d.PeerSaid(1, m.encode())
-	fmt.Println(s.d.badMail == len(b)+2, len(s.d.accounts), s.d.peers[1].heard)
+	fmt.Println(s.d.quota.badMail == len(b)+2, len(s.d.quota.accounts), s.d.quota.peers[1].heard)
 	// Output:
 	// true true true <nil>
 	// # cut short anywhere, too long, or with a number out of range: dropped and counted, nothing changes
@@ -789,7 +789,7 @@
 		for g := GatewayID(1); g < 3; g++ {
 			s.d.PeerSaid(g, (&message{epoch: 7, age: age, seq: 1}).encode())
 		}
-		fmt.Println("peers up for", age, "- a bucket starts with", s.d.account(c, 0).level)
+		fmt.Println("peers up for", age, "- a bucket starts with", s.d.quota.account(c, 0).level)
 	}
 	// Output:
 	// peers up for 0s - a bucket starts with 20
@@ -815,8 +815,8 @@
 	s := warm()
 	c := ownedBy(0)
 	s.hear(1, &message{epoch: 7, seq: 1, deltas: []deltaLine{{c, 1, 0, 0, 0, 0, 0, 1}}})
-	a := s.d.accounts[c]
-	fmt.Println("a peer says the set is this gateway alone:", a.width, "part", s.d.partNow(a) > 0)
+	a := s.d.quota.accounts[c]
+	fmt.Println("a peer says the set is this gateway alone:", a.width, "part", s.d.quota.partNow(a) > 0)
 	s.d.TxnTaken(Txn{ID: 1, Customer: c, Plan: 1, Units: 1, SetWidth: 3, Expiry: s.d.now + time.Second})
 	s.pull()
 	fmt.Println("a txn says three: width", a.width, "part", a.part)
@@ -840,12 +840,12 @@
 	s.ended(2, Settled)
 	for i := 1; i <= 3; i++ { // a peer goes on using what is quiet here
 		s.at(10000 + 4000*i)
-		s.hear(1, &message{epoch: 7, ackEpoch: s.d.epoch, ackHigh: 9, ackMask: 1<<32 - 1, seq: uint64(i),
+		s.hear(1, &message{epoch: 7, ackEpoch: s.d.quota.epoch, ackHigh: 9, ackMask: 1<<32 - 1, seq: uint64(i),
 			deltas: []deltaLine{{customer: mine, units: 15, width: 3}}})
 	}
-	fmt.Printf("left %.0f, customers %d\n", s.d.accounts[mine].level, len(s.d.order))
+	fmt.Printf("left %.0f, customers %d\n", s.d.quota.accounts[mine].level, len(s.d.quota.order))
 	s.at(40000)
-	fmt.Println("customers", len(s.d.order), len(s.d.accounts))
+	fmt.Println("customers", len(s.d.quota.order), len(s.d.quota.accounts))
 	// Output:
 	// backends 3 3 3
 	// 10000 submit 1 to 1, 446
--- a/control/peer.go
+++ b/control/peer.go
@@ -228,16 +228,3 @@
 func (m *message) acknowledges(seq uint64) bool {
 	return m.ackHigh >= seq && (m.ackHigh-seq >= 32 || m.ackMask>>(m.ackHigh-seq)&1 == 1)
 }
-
-// owe queues an account for the next snapshot to the peer.
-func (d *Door) owe(p *peer, id CustomerID) {
-	p.ackDue = true
-	d.post(p)
-	if p.answer == nil {
-		p.answer = map[CustomerID]bool{}
-	}
-	if !p.answer[id] {
-		p.answer[id] = true
-		p.answers = append(p.answers, id)
-	}
-}
--- /dev/null
+++ b/control/quota.go
@@ -0,0 +1,379 @@
+package control
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// Tuned values. Shares are of 1.
+const (
+	mailUse     = 0.7       // of what a peer takes in
+	leastGap    = 10 * ms   // packing delay at the least
+	viewLife    = 1000 * ms // a snapshot older than this is stale
+	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
+	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
+	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
+	reporterFor = 2 * time.Second
+	debtMost    = 1 * time.Second // of the rate
+	goneFor     = 1 * time.Minute // a customer no longer metered is remembered
+	idleAfter   = 10 * time.Second
+	askTries    = 2        // a question or its answer may get lost: an owner is silent after so many
+	askWait     = 100 * ms // and both packing delays: longest wait for a snapshot
+	gapMost     = 2 * time.Second
+	gapFall     = 0.5
+	viewWait    = 0.4             // of the SLA time at most
+	repeatLeave = 0.5             // of the burst: what a repeat must leave
+	unitWait    = 0.3             // of the SLA time: longest wait for units or an open slot
+	youth       = 2 * time.Second // gateways of one age started within this
+	youngMany   = 3               // of these heard, and none older
+	partEven    = 0.5             // of a ceiling: split evenly; the rest is the owner's pool
+
+	resendAfter, resendMost = 120 * ms, 3 // an unacknowledged delta goes again, twice as late each time
+)
+
+// draw takes units from an owned bucket; what is not there was beyond the quota and takes nothing.
+func (q *Quota) draw(a *account, units float64) {
+	least := 0.0
+	if q.terms.Firm { // spent without its word: paid back, but old use not for long
+		least = -a.limit.rate * debtMost.Seconds()
+	}
+	a.level = max(least, a.level-units)
+	if a.level >= 1 {
+		a.spent = false
+	} else if !a.spent { // exhaustion is told to recent reporters at once
+		a.spent = true
+		for _, r := range a.reports {
+			if q.now-r.at < reporterFor && r.left >= 1 {
+				q.owe(q.peers[r.from], a.id)
+			}
+		}
+	}
+}
+
+// meet learns whether the fleet is as young as this gateway: then nobody can have spent before, and buckets
+// are full. One older gateway is enough to know better: this one has restarted, its buckets start empty.
+func (q *Quota) meet(p *peer, age time.Duration) {
+	if age > q.now-q.born+youth {
+		q.elders++
+	} else if p.heard == 0 {
+		q.young++
+	}
+	if !q.terms.FullStart || q.elders > 0 || q.allNew || q.now-q.born > youth ||
+		q.young < min(youngMany, q.gateways-1) {
+		return
+	}
+	for _, a := range q.order {
+		if a.owner == q.me {
+			a.level += a.limit.burst - q.sinceBirth(a) // capped at the next refill
+		}
+	}
+	q.allNew = true
+}
+
+// share is the floored split cap: the burst divided by the recent reporters, one txn's units at least.
+func (a *account) share(units float64) float64 {
+	most := a.limit.burst
+	if a.known {
+		most = min(most, shareOf*max(a.level, 0))
+	}
+	return max(most/float64(max(a.sharers, 1)), units)
+}
+
+// covered tells whether the quota covers a txn now, may cover it soon, or does not; and what it lacks if not.
+func (q *Quota) covered(a *account, w Wish) (Verdict, time.Duration, Lack) {
+	last := w.Arrived + time.Duration(unitWait*float64(w.SLA))
+	if ok, until := q.underCeiling(a, w); !ok {
+		if until < last {
+			return Wait, last, lackCeiling
+		}
+		return Beyond, until - q.now, lackCeiling
+	}
+	if a.limit.openCap > 0 && a.out+a.keeps+q.outElse(a) >= a.limit.openCap {
+		if a.owner != q.me && q.now-a.levelAt > q.answerIn(a) {
+			q.ask(a) // what others had out is long ended, but nobody tells a gateway that keeps still
+		}
+		if q.now < last {
+			return Wait, last, lackSlot
+		}
+		return Beyond, 0, lackSlot
+	}
+	if a.limit.rate <= 0 {
+		return Pass, 0, lackUnits
+	}
+	if a.owner == q.me {
+		q.refill(a)
+		level := a.level - q.lent(a, nil)
+		if level-a.kept >= q.need(a, w) {
+			return Pass, 0, lackUnits
+		}
+		due := time.Duration((q.need(a, w) - level) / a.limit.rate * float64(time.Second))
+		if q.now+due < last && !w.Late {
+			return Wait, last, lackUnits
+		}
+		return Beyond, due, lackUnits
+	}
+	decide := q.byView
+	if q.terms.Firm {
+		decide = q.byLoan
+	}
+	verdict, at := decide(a, w)
+	return verdict, at, lackView
+}
+
+// need is what must be left for a txn: a client's repeat, which mostly comes late, leaves a low bucket to
+// first tries.
+func (q *Quota) need(a *account, w Wish) float64 {
+	if w.Late {
+		return w.Units + repeatLeave*a.limit.burst
+	}
+	return w.Units
+}
+
+// byView decides for a customer that another gateway owns.
+func (q *Quota) byView(a *account, w Wish) (Verdict, time.Duration) {
+	share := a.share(w.Units)
+	pending := a.unacked + a.unsent + a.kept
+	age := q.now - a.levelAt
+	until := q.answerBy(a, w)
+	most, life := a.limit.burst, q.terms.ViewLife
+	if a.known {
+		most = min(most, max(a.level, 0))
+	}
+	// Where one such txn for each gateway is more than is left, a view is good only for the txns that wait for
+	// it: with a set of a hundred gateways each would else spend its allowance on a used-up bucket.
+	tight := w.Units*float64(a.sharers) > most
+	if tight {
+		life = q.answerIn(a)
+	}
+	fresh := a.known && age < life
+	if fresh && a.level-pending >= q.need(a, w) && pending+w.Units <= share {
+		return Pass, 0
+	}
+	if !fresh {
+		q.ask(a)
+		// While the owner is silent the allowance grows at the rate, shared by the recent reporters but for those
+		// found lost: the survivors of a lost hall then serve the whole quota between them.
+		silent := q.silent(a)
+		if silent {
+			share += a.limit.rate / float64(q.survivors(a)) * (q.now - a.asked).Seconds()
+		}
+		// An owner that answers is asked first if its last word, with this gateway's part of the refill since,
+		// does not cover the txn: else many gateways would each spend an allowance a second on a used-up bucket.
+		left := a.level + a.limit.rate*age.Seconds()/float64(max(a.sharers, 1)) - pending
+		enough := !a.known || left >= q.need(a, w)
+		// Asked in good time and not answered: the allowance is there for that.
+		unanswered := q.now >= until && a.asked > 0 && a.asked < until && !w.Late
+		if pending+w.Units <= share && (silent || !tight && enough || unanswered && enough) {
+			return Pass, 0
+		}
+	}
+	mayBe := a.level + a.limit.rate*age.Seconds() - pending // if no other spent since
+	if (!fresh || age > q.answerIn(a) && mayBe >= w.Units || pending+w.Units > share) && q.now < until {
+		q.ask(a)
+		a.wanted = max(a.wanted, w.Units)
+		return Wait, until
+	}
+	return Beyond, time.Duration((q.need(a, w) - max(0, a.level-pending)) / a.limit.rate * float64(time.Second))
+}
+
+// byLoan decides firmly: an owner lends each gateway units of its own, which nobody else may spend while the
+// view lasts. Without any the owner is asked, and only when it is silent a gateway has its part of the rate.
+func (q *Quota) byLoan(a *account, w Wish) (Verdict, time.Duration) {
+	left := a.level - a.unacked - a.unsent - a.kept
+	age := q.now - a.levelAt
+	fresh := a.known && age < q.terms.ViewLife
+	if fresh && left >= w.Units {
+		return Pass, 0
+	}
+	due := time.Duration(max(0, w.Units-max(left, 0)) / a.limit.rate * float64(time.Second))
+	if gap := max(q.terms.Gap, q.peers[a.owner].gap); fresh && a.level < w.Units && age < gap {
+		return Beyond, max(due, gap-age) // it has just said that there is none
+	}
+	q.ask(a)
+	if q.silent(a) {
+		if q.aloneNow(a)-a.kept >= w.Units {
+			return Pass, 0
+		}
+		return Beyond, due * time.Duration(q.gateways)
+	}
+	if until := q.answerBy(a, w); q.now < until {
+		if w.Arrived == q.now {
+			a.wanted += w.Units
+		}
+		a.wanted = max(a.wanted, w.Units)
+		return Wait, until
+	}
+	return Beyond, due
+}
+
+// lend is what an owner lends to a gateway that reported: what waits there, twice what it used, or a small
+// part of what is left, whichever is most. More would be lost for a while to the others, and be spent twice
+// if the gateway were cut off then. A fragment lets nobody go.
+func (q *Quota) lend(a *account, r *report) float64 {
+	left := max(0, a.level-q.lent(a, r)-a.kept)
+	r.units = math.Floor(min(left, max(r.wanted, 2*r.used, left/float64(8*q.gateways))))
+	r.used, r.wanted, r.told, r.left = 0, 0, q.now, r.units
+	return r.units
+}
+
+// lent is what others may still spend of an owned bucket. The time is that of their views, and of the way
+// there.
+func (q *Quota) lent(a *account, but *report) (units float64) {
+	if q.terms.Firm {
+		for _, r := range a.reports {
+			if r != but && q.now-r.told < q.terms.ViewLife+q.answerIn(a) {
+				units += r.units
+			}
+		}
+	}
+	return units
+}
+
+// rate is what an owned bucket fills at. Firm: gateways out of reach spend their parts of it alone.
+func (q *Quota) rate(a *account) float64 {
+	if !q.terms.Firm {
+		return a.limit.rate
+	}
+	return a.limit.rate * float64(q.reach) / float64(q.gateways)
+}
+
+// silent tells that an owner was asked and that nothing was heard of it for as long as a healthy one takes.
+func (q *Quota) silent(a *account) bool {
+	return q.now-max(a.asked, q.peers[a.owner].heard, q.stallTo) > askTries*q.answerIn(a)
+}
+
+// answerBy is the time until which a txn waits for the owner's word.
+func (q *Quota) answerBy(a *account, w Wish) time.Duration {
+	return w.Arrived + min(askTries*q.answerIn(a), time.Duration(viewWait*float64(w.SLA)))
+}
+
+// survivors counts the gateways that share a silent owner's rate. One that was written to and has not been
+// heard since is lost; of the others a wide set's gateways hear little, and that is no sign.
+func (q *Quota) survivors(a *account) int {
+	n := a.sharers
+	for i := 0; i < a.width; i++ {
+		p := q.peers[(int(a.first)+i)%q.gateways]
+		if len(p.flight) > 0 && q.now-max(p.since, p.heard, q.stallTo) > heardFor {
+			n--
+		}
+	}
+	return max(n, 1)
+}
+
+// answerIn is the time within which an owner that is well answers.
+func (q *Quota) answerIn(a *account) time.Duration { return askWait + q.gap + q.peers[a.owner].gap }
+
+// underCeiling keeps rule 5. A share of the ceiling is split evenly over the set's gateways, so that each has
+// some when cut off; the rest is the owner's pool, for those to ask whose customers come unevenly. Parts and
+// pool start empty in each life, and their rates and stores add up to the whole, whoever restarts.
+func (q *Quota) underCeiling(a *account, w Wish) (bool, time.Duration) {
+	if a.limit.ceilRate <= 0 {
+		return true, 0
+	}
+	if !a.listened {
+		return false, q.now + time.Second
+	}
+	need := w.Units + a.kept - q.partNow(a)
+	if need <= 0 {
+		return true, 0
+	}
+	if a.owner != q.me {
+		a.want = min(max(a.want, need), q.partCap(a))
+		q.ask(a)
+		return false, q.now
+	}
+	return false, q.now + time.Duration(need/(a.limit.ceilRate*q.partOf(a))*float64(time.Second))
+}
+
+// partOf is the share of a ceiling that is this gateway's.
+func (q *Quota) partOf(a *account) float64 {
+	width := float64(max(a.width, 1))
+	// The largest txn fits into a part.
+	even := min(1, max(partEven, q.terms.MostUnits*width/max(a.limit.ceilBurst, 1)))
+	if a.owner == q.me {
+		return even/width + 1 - even
+	}
+	return even / width
+}
+
+// move tells the owner what this gateway lacks of a ceiling.
+func (q *Quota) move(a *account) (want float64) {
+	want, a.want = a.want, 0
+	return -want
+}
+
+// grant gives from the owner's pool. It is taken off before it is sent, applied at most once and only in the
+// life it was meant for: a lost message merely loses it.
+func (q *Quota) grant(a *account, r *report) float64 {
+	if r.want <= 0 || !a.listened || a.limit.ceilRate <= 0 {
+		return 0
+	}
+	g := math.Ceil(16*r.want) / 16
+	if r.want = 0; g > q.partNow(a)-a.kept {
+		return 0 // a fragment lets nobody go
+	}
+	a.part -= g
+	return g
+}
+
+// Sweep does the work that comes by the clock, once a second: it drops what is idle and works out how often
+// peers may write. Limits set by SetLimit stay.
+func (q *Quota) Sweep() {
+	if q.now-q.tick < time.Second {
+		return
+	}
+	// The gap between messages to here follows what comes in: a customer whose many gateways all write to
+	// its owner is told of less often, all others at once.
+	in := float64(q.mailIn) / (q.now - q.tick).Seconds()
+	q.gap = min(max(q.terms.Gap, time.Duration(float64(q.gap)*max(in/q.mailMost, gapFall))), gapMost)
+	if in > q.mailMost {
+		q.gap = max(q.gap, time.Duration(float64(q.writers)/q.mailMost*float64(time.Second)))
+	}
+	q.mailIn, q.writers = 0, 0
+	kept := q.order[:0]
+	for _, a := range q.order {
+		full := a.owner != q.me || a.level+a.limit.rate*(q.now-a.levelAt).Seconds() >= a.limit.burst &&
+			(a.limit.ceilRate <= 0 || q.partNow(a) >= q.partCap(a))
+		if q.ofPlan != nil && q.now-a.used > idleAfter && full && !a.dirty && a.out == 0 && a.keeps == 0 &&
+			a.unacked <= 0 {
+			delete(q.accounts, a.id)
+			continue
+		}
+		kept = append(kept, a)
+	}
+	q.order, q.tick = kept, q.now
+	maps.DeleteFunc(q.gone, func(_ CustomerID, at time.Duration) bool { return q.now-at > goneFor })
+}
+
+// Mail gives what is due to a peer now: one packed message, deltas and answers together.
+func (q *Quota) Mail() (to GatewayID, payload []byte, ok bool) {
+	posted := q.posted
+	q.posted = q.posted[:0]
+	for i, p := range posted {
+		p.posted = len(p.dirty) > 0 || p.ackDue || len(p.flight) > 0
+		if !p.posted {
+			continue
+		}
+		q.posted = append(q.posted, p)
+		if q.now-p.lastSent < max(p.gap, q.terms.Gap) && p.lastSent > 0 {
+			continue
+		}
+		m := &message{epoch: q.epoch, gap: q.gap, age: q.now - q.born,
+			ackEpoch: p.epoch, ackHigh: p.high, ackMask: p.mask}
+		if len(p.flight) > 0 && q.now-p.flight[0].at > (resendAfter+p.gap)<<p.flight[0].tries {
+			f := p.flight[0] // again under its sequence
+			f.at, f.tries = q.now, min(f.tries+1, resendMost)
+			p.flight = append(p.flight[1:], f)
+			m.seq, m.deltas = f.seq, f.lines
+		} else if len(p.dirty) > 0 {
+			q.packDeltas(p, m)
+		}
+		if m.seq == 0 && !p.ackDue {
+			continue
+		}
+		q.posted = append(q.posted, posted[i+1:]...)
+		return p.id, q.seal(p, m), true
+	}
+	return 0, nil, false
+}
--- a/control/scene_test.go
+++ b/control/scene_test.go
@@ -84,8 +84,8 @@
 func ownedBy(g GatewayID) CustomerID {
 	d, _ := New(1, settings(0), 0)
 	for c := CustomerID(1); ; c++ {
-		a := d.account(c, 0)
-		if d.place(a, 0, 3); a.owner == g {
+		a := d.quota.account(c, 0)
+		if d.quota.place(a, 0, 3); a.owner == g {
 			return c
 		}
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -21,6 +21,7 @@
 	PlanID     int
 	HallID     int
 	PodID      int
+	ServiceID  int
 )
 
 // Ending is how a submission ended.
@@ -57,6 +58,8 @@
 	State   BackendState
 	Size    float64
 	Started time.Duration // 0: long ago
+	Service ServiceID     // what it serves, where there are several
+	Cold    time.Duration // a time of the clock: it is slow until then; 0: as the settings say
 }
 
 // Txn is what a client brings.
@@ -164,9 +167,8 @@
 }
 
 type plan struct {
-	rate, burst, price, overValue, overCost float64
-	openCap                                 int
-	ceilRate, ceilBurst                     float64
+	limit
+	price, overValue, overCost float64
 }
 
 // txn is one that this gateway holds.
@@ -245,80 +247,6 @@
 	until, pause time.Duration // passed over
 }
 
-// account is one customer here: the bucket if this gateway owns it, the view if not.
-type account struct {
-	id       CustomerID
-	plan     *plan
-	planID   PlanID
-	owner    GatewayID
-	first    GatewayID // of the set
-	width    int
-	inSet    bool
-	used     time.Duration
-	out      int     // submissions out from here
-	kept     float64 // units of txns that are covered and wait for a backend
-	keeps    int     // and how many these are
-	level    float64 // owner: remaining; other: the snapshot's remaining
-	levelAt  time.Duration
-	known    bool // a snapshot has come
-	version  uint64
-	reports  []*report
-	spent    bool // exhaustion told
-	unsent   float64
-	unacked  float64
-	dirty    bool
-	packed   time.Duration // last part of a delta
-	asked    time.Duration // oldest ask without an answer
-	sharers  int
-	outElse  int
-	part     float64 // ceiling's part left
-	partAt   time.Duration
-	listened bool
-	want     float64 // of the ceiling, to ask the owner for
-	wanted   float64 // units that a txn waits for
-}
-
-type report struct {
-	from   GatewayID
-	left   float64 // told last
-	at     time.Duration
-	out    int
-	want   float64 // of the ceiling
-	wanted float64 // units that a txn waits for
-	units  float64 // told that it may spend them, and not yet reported
-	told   time.Duration
-}
-
-// peer is another gateway.
-type peer struct {
-	id       GatewayID
-	epoch    uint32 // its present life
-	retired  []uint32
-	high     uint64 // sequences of its deltas that are applied
-	mask     uint64
-	seq      uint64 // sequence of the last delta sent to it
-	flight   []*parcel
-	sightNr  int           // the last one told
-	since    time.Duration // it owes an acknowledgement
-	dirty    []*account
-	answers  []CustomerID
-	answer   map[CustomerID]bool
-	ackDue   bool
-	posted   bool          // among those with something due
-	gap      time.Duration // between messages to it, as it wishes
-	lastSent time.Duration
-	heard    time.Duration
-	granted  uint64 // version of the last message whose grants were taken
-}
-
-// parcel is a delta message that waits for its acknowledgement.
-type parcel struct {
-	seq   uint64
-	at    time.Duration
-	tries int
-	lines []deltaLine
-}
-
 func (p *picker) products() (all []product) {
 	for i := 0; i < p.count("products.count", 255); i++ {
 		at := fmt.Sprintf("products.%d.", i)
@@ -332,24 +260,24 @@
 func (p *picker) plans() (all []plan) {
 	for i := 0; i < p.count("plans.count", 1<<16); i++ {
 		at := fmt.Sprintf("plans.%d.", i)
-		all = append(all, plan{rate: p.number(at + "rate"), burst: p.number(at + "burst"),
-			price: p.number(at + "price"), overValue: p.number(at + "over_value"),
-			overCost: p.number(at + "over_cost"), openCap: p.count(at+"open_cap", 1<<20),
-			ceilRate: p.number(at + "ceiling_rate"), ceilBurst: p.number(at + "ceiling_burst")})
+		all = append(all, plan{limit{rate: p.number(at + "rate"), burst: p.number(at + "burst"),
+			openCap: p.count(at+"open_cap", 1<<20), ceilRate: p.number(at + "ceiling_rate"),
+			ceilBurst: p.number(at + "ceiling_burst")},
+			p.number(at + "price"), p.number(at + "over_value"), p.number(at + "over_cost")})
 	}
 	return all
 }
 
 // Door is the decision module of one gateway.
 type Door struct {
+	quota               *Quota
 	now, born, lastWork time.Duration
 	rng                 *rand.Rand
-	me                  GatewayID
 	gateways            int
 	hall                HallID
 	products            []product
 	plans               []plan
-	probes, tells       bool
+	probes              bool
 	cancel, advice      bool
 	adviceMost          time.Duration
 	submissions         int
@@ -357,11 +285,6 @@
 	fields              []string
 	warmBy, fallWindow  time.Duration
 	coldFrom, fallTimes float64
-	mostUnits           float64
-	gap                 time.Duration // between messages to here, as peers are told
-	mailMost            float64       // messages a second taken in at most
-	mailIn              int           // messages since the last tick
-	writers             int           // and the peers they came from
 
 	txns       map[TxnID]*txn
 	due        due.Queue[TxnID]
@@ -370,23 +293,15 @@
 	recheck    bool
 	ready      []Decision
 	backends   map[BackendID]*backend
-	list       []*backend // in order of id
-	accounts   map[CustomerID]*account
-	order      []*account
-	peers      []*peer
-	posted     []*peer // with something due
-	epoch      uint32
+	list       []*backend      // in order of id
 	typical    map[int]float64 // usual answer time by product and units, in seconds
 	retries    float64
 	probeRight float64 // probes that may go out to learn of load
 	wakeAt     time.Duration
-	tick       time.Duration
 	stallFrom  time.Duration // when this gateway stood still last
 	stallTo    time.Duration
-	badMail    int
 	room       float64       // submissions out at a usual backend, at most
 	pressed    time.Duration // when room last ran out
-	version    uint64
 	gaveUp     tally
 	noted      time.Duration
 	surveyed   time.Duration
@@ -403,24 +318,12 @@
 	lost       float64 // share of submissions, everywhere
 	doneRate   float64 // settled a second at warm backends, smoothed
 	doneAt     time.Duration
-	elders     int     // heard of
-	young      int     // started about when this gateway did
-	allNew     bool    // the whole fleet
 	sights     []sight // how the last submissions went
 	sightNr    int
 	byHash     map[uint64]*backend
 	use        float64 // share of the room in use
 }
 
-// verdict is what the quota says of a txn.
-type verdict int
-
-const (
-	pass verdict = iota
-	wait
-	beyond
-)
-
 // mix is a hash of one word; ownership and rankings go by it.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -491,28 +394,33 @@
 // newDoor makes an instance that knows its settings and nothing else.
 func newDoor(seed int64, s Settings, now time.Duration) (*Door, *picker) {
 	p := &picker{s: s}
+	me := GatewayID(p.count("me", 1<<20))
 	d := &Door{now: now, born: now, lastWork: now, rng: rand.New(rand.NewSource(seed)),
-		me: GatewayID(p.count("me", 1<<20)), gateways: p.count("gateways", 1<<20),
-		hall: HallID(p.count("hall", 1<<16)), probes: p.yes("limits.probes"), tells: p.yes("limits.peers"),
+		gateways: p.count("gateways", 1<<20), hall: HallID(p.count("hall", 1<<16)), probes: p.yes("limits.probes"),
 		cancel: p.yes("limits.cancel"), advice: p.yes("limits.advice"),
 		adviceMost: p.span("limits.longest_advice"), submissions: p.count("limits.max_submissions", 1<<16),
 		byProbe: p.text("report.how") == "probe", warmBy: p.span("rules.warm_by"),
 		fallWindow: p.span("rules.fall_window"), coldFrom: p.number("rules.cold_from"),
-		fallTimes: p.number("rules.fall_multiple"), mostUnits: p.number("quota.most_units"),
-		mailMost: p.number("quota.mail_per_s"), txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{},
-		byHash: map[uint64]*backend{}, accounts: map[CustomerID]*account{}, typical: map[int]float64{}}
+		fallTimes: p.number("rules.fall_multiple"), txns: map[TxnID]*txn{}, backends: map[BackendID]*backend{},
+		byHash: map[uint64]*backend{}, typical: map[int]float64{}}
 	d.fields = (&picker{s: Settings{"f": s["report.fields"]}}).list("f")
 	d.products, d.plans = p.products(), p.plans()
 	if len(d.products) == 0 || len(d.plans) == 0 {
 		p.complain("products.count and plans.count", "must be one at the least")
 	}
 	d.everywhere = make([]failing, len(d.products))
-	if d.gateways < 1 || int(d.me) >= d.gateways {
+	if d.gateways < 1 || int(me) >= d.gateways {
 		p.complain("me", "must be under the number of gateways, which is one at the least")
 	}
-	d.epoch = d.rng.Uint32() | 1 // nought stands for none
-	for i := 0; i < d.gateways; i++ {
-		d.peers = append(d.peers, &peer{id: GatewayID(i)})
+	d.quota = newQuota(d.rng.Uint32()|1, me, d.gateways, now, QuotaTerms{Gap: leastGap, ViewLife: viewLife,
+		MailPerS: p.number("quota.mail_per_s"), FullStart: true, MostUnits: p.number("quota.most_units")})
+	d.quota.tells = p.yes("limits.peers")
+	d.quota.ofPlan = func(pl PlanID) *limit {
+		if pl < 0 || int(pl) >= len(d.plans) {
+			return nil
+		}
+		return &d.plans[pl].limit
 	}
+	d.quota.along, d.quota.heardOf = d.tellSights, d.hearSights
 	return d, p
 }
--- a/internal/emulator/door.go
+++ b/internal/emulator/door.go
@@ -184,22 +184,24 @@
 }
 
 // AppendTo gives the number of the try: the emulated wire needs no more.
-func (d *door) AppendTo(b []byte, who, _ slots.Ref, _ time.Duration) []byte {
+func (d *door) AppendTo(b []byte, who, _ slots.Ref, _ control.BackendID, _ time.Duration) []byte {
 	return binary.LittleEndian.AppendUint32(b, uint32(who))
 }
 
 // Settle, Decline and Void are the final answers.
-func (d *door) Settle(who, _ slots.Ref, body, _ []byte) {
-	d.w.clients.answer(d, who, control.Settled, 0, body)
+func (d *door) Settle(who, _ slots.Ref, o gate.Outcome) {
+	d.w.clients.answer(d, who, control.Settled, 0, o.Body)
 }
 
 // Decline: trying again is harmless.
-func (d *door) Decline(who, _ slots.Ref, after time.Duration) {
+func (d *door) Decline(who, _ slots.Ref, after time.Duration, _ control.Lack) {
 	d.w.clients.answer(d, who, control.Full, after, nil)
 }
 
 // Void makes no such promise.
-func (d *door) Void(who, _ slots.Ref) { d.w.clients.answer(d, who, control.Errored, 0, nil) }
+func (d *door) Void(who, _ slots.Ref, _ control.Lack) {
+	d.w.clients.answer(d, who, control.Errored, 0, nil)
+}
 
 // Probe is not allowed on this site; as dispatch does, it is answered as failed.
 func (d *door) Probe(control.BackendID) {}
@@ -232,7 +234,7 @@
 
 // Submit sends a txn to a backend, over a connection that rests or a new one.
 func (d *door) Submit(ref slots.Ref, nr int, m gate.Message, at control.BackendID, limit, _ time.Duration) {
-	d.submit(ref, nr, d.w.clients.tries[binary.LittleEndian.Uint32(m.AppendTo(nil, limit))], d.w.byID[at], limit)
+	d.submit(ref, nr, d.w.clients.tries[binary.LittleEndian.Uint32(m.AppendTo(nil, at, limit))], d.w.byID[at], limit)
 }
 
 func (d *door) submit(ref slots.Ref, nr int, t *try, b *backend, limit time.Duration) {
--- a/internal/emulator/policies.go
+++ b/internal/emulator/policies.go
@@ -69,9 +69,9 @@
 	product := p.d.w.s.Products[t.x.Product]
 	safe := product.Effect == "inquiry-like" || product.Effect == "referenced" && product.Scope == "all"
 	if safe || !t.ran && !t.out {
-		p.d.Decline(t.who, ref, 0)
+		p.d.Decline(t.who, ref, 0, gate.LackBackend)
 	} else {
-		p.d.Void(t.who, ref)
+		p.d.Void(t.who, ref, gate.LackBackend)
 	}
 }
 
@@ -145,7 +145,7 @@
 	case control.Settled:
 		if !t.over {
 			t.over = true
-			p.d.Settle(t.who, ref, o.Body, nil)
+			p.d.Settle(t.who, ref, o)
 		}
 	case control.Full, control.Unreachable, control.NotSent:
 		if p.seeing && t.nr < p.d.w.s.Limits.Submissions && !t.over {
