--- a/cmd/clovergap/serve.go
+++ b/cmd/clovergap/serve.go
@@ -148,8 +148,10 @@
 	f.gate = gate.New(door, k, min(c.MostHeld, c.Sockets), f.e.Count, log)
 	k.due = f.gate
 	clients := max(1, f.e.Room()/clientShare)
-	f.dispatch = dispatch.New(f.e, f.gate, c.Fields, c.ConnIdle, c.DialLimit, func() bool { return f.intake.Evict() })
-	f.intake = intake.New(f.e, f.gate, c, clients, func() bool { return f.dispatch.Evict(nil) })
+	f.dispatch = dispatch.New(f.e, f.gate, dispatch.Terms{Dialect: dispatch.NewReports(c.Fields), Idle: c.ConnIdle,
+		Dial: c.DialLimit}, func() bool { return f.intake.Evict() })
+	f.intake = intake.New(f.e, clients, intake.Bounds{}, func() bool { return f.dispatch.Evict(nil) })
+	intake.NewTxns(f.intake, f.gate, c)
 	var tell gate.Teller = quiet{}
 	if len(c.Peers) > 0 {
 		if f.peers, err = peers.New(f.e, c.PeerListen, c.Peers, c.Me, f.heard); err != nil {
--- /dev/null
+++ b/cmd/playhouse/check.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/callsheet"
+	"clovergap/internal/playbill"
+)
+
+type checkCmd struct {
+	Settings string `arg:"--settings" help:"a settings file, YAML"`
+	Config   string `arg:"--config" help:"a whole configuration, JSON"`
+}
+
+// run reads the files as a door would, offline.
+func (c *checkCmd) run() error {
+	if c.Settings == "" && c.Config == "" {
+		return errors.New("check: name a file with --settings or --config")
+	}
+	if c.Settings != "" {
+		s, err := callsheet.Load(c.Settings)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: fine, door %s in %s\n", c.Settings, s.NodeName, s.Zone)
+	}
+	if c.Config != "" {
+		text, err := os.ReadFile(c.Config)
+		if err != nil {
+			return err
+		}
+		b, err := playbill.ReadBill(text)
+		if err != nil {
+			return errors.Wrap(err, c.Config)
+		}
+		t := playbill.NewTable(b)
+		fmt.Printf("%s: fine, version %d, %d routes, %d tenants\n", c.Config, t.Version(), len(t.Routes()), len(t.Tenants()))
+	}
+	return nil
+}
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -28,6 +28,31 @@
 // Void makes no such promise: it may have run.
 func Void(b []byte, last bool) []byte { return end(http1.AppendStatus(b, 502), 0, last) }
 
+// Refuse gives a status alone, with the id that the request came with, best again after some time (0: none is advised).
+func Refuse(b []byte, status int, name string, id []byte, after time.Duration, last bool) []byte {
+	b = http1.AppendStatus(b, status)
+	b = http1.AppendHeader(b, name, id)
+	if after > 0 {
+		b = http1.AppendSeconds(b, "Retry-After", after)
+	}
+	if status == 401 {
+		b = append(b, "WWW-Authenticate: Token\r\n"...)
+	}
+	return end(b, 0, last)
+}
+
+// Whole gives a status and a body of a kind, best asked for again after some time (0: no advice).
+func Whole(b []byte, status int, kind string, body []byte, after time.Duration, last bool) []byte {
+	b = http1.AppendStatus(b, status)
+	if after > 0 {
+		b = http1.AppendSeconds(b, "Retry-After", after)
+	}
+	if len(body) > 0 {
+		b = append(append(append(b, "Content-Type: "...), kind...), '\r', '\n')
+	}
+	return append(end(b, len(body), last), body...)
+}
+
 // Bad tells in one line what is wrong with a request.
 func Bad(b []byte, status int, line string, last bool) []byte {
 	b = http1.AppendStatus(b, status)
--- /dev/null
+++ b/internal/boxoffice/sim_test.go
@@ -0,0 +1,236 @@
+package boxoffice
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/control"
+	"clovergap/internal/due"
+)
+
+// job is a request at a backend; or, in the queue of the fair, any event.
+type job struct {
+	what string
+	door int
+	txn  control.TxnID
+	nr   int
+	at   control.BackendID
+	sent time.Duration
+}
+
+// server works on so many at a time and queues as many more.
+type server struct {
+	speed float64
+	slots int
+	zone  control.HallID
+	busy  int
+	queue []job
+	work  time.Duration // done
+	dead  bool
+}
+
+// fair is a few offices before queueing servers, in simulated time.
+type fair struct {
+	now                                                           time.Duration
+	rng                                                           *rand.Rand
+	offices                                                       []*Office
+	servers                                                       []*server
+	events                                                        due.Queue[job]
+	call                                                          Call
+	mean                                                          time.Duration
+	rate                                                          []float64 // a second, by office
+	born                                                          map[[2]int]time.Duration
+	next                                                          control.TxnID
+	taken, inAim, late, refused, voided, crossed, firsts, further int
+}
+
+func newFair(seed int64, doors, servers, slots int, rate float64, effectful bool) *fair {
+	f := &fair{rng: rand.New(rand.NewSource(seed)), mean: 120 * ms, born: map[[2]int]time.Duration{},
+		call: Call{Effectful: effectful, Aim: 400 * ms, Deadline: 1500 * ms, MaxTries: 2,
+			Targets: []Target{{1, 1}}}}
+	var list []control.Listing
+	for i := range servers {
+		f.servers = append(f.servers, &server{speed: 0.6 + 0.8*float64(i)/float64(servers-1), slots: slots,
+			zone: control.HallID(i % 3)})
+		list = append(list, control.Listing{ID: control.BackendID(i + 1), Hall: control.HallID(i % 3),
+			State: control.Ready, Size: float64(slots), Service: 1})
+	}
+	f.rng.Shuffle(servers, func(i, j int) {
+		f.servers[i].speed, f.servers[j].speed = f.servers[j].speed, f.servers[i].speed
+	})
+	for i := range doors {
+		o := New(100*seed+int64(i), Terms{Zone: control.HallID(i % 3), RetryRatio: 0.2,
+			RetryWindow: 10 * time.Second, RetryExtra: 64, Doors: doors}, free(), 0)
+		o.SetCall(1, f.call)
+		o.ListChanged(true, list)
+		f.offices = append(f.offices, o)
+		f.rate = append(f.rate, rate/float64(doors)*(0.6+0.8*f.rng.Float64()))
+		f.events.Add(0, job{what: "arrival", door: i})
+	}
+	return f
+}
+
+func (f *fair) after(d time.Duration, j job) { f.events.Add(f.now+d, j) }
+
+func (f *fair) chance(mean time.Duration) time.Duration {
+	return time.Duration(f.rng.ExpFloat64() * float64(mean))
+}
+
+// run plays until a time.
+func (f *fair) run(until time.Duration) {
+	for {
+		at, _ := f.events.Next()
+		if at > until {
+			return
+		}
+		f.now = at
+		j, _ := f.events.Take(at)
+		f.play(j)
+	}
+}
+
+func (f *fair) play(j job) {
+	o := f.offices[j.door]
+	if j.what == "arrive" || j.what == "done" {
+		f.serve(j)
+		return
+	}
+	o.Now(f.now)
+	switch j.what {
+	case "arrival":
+		f.after(f.chance(time.Duration(float64(time.Second)/f.rate[j.door])), j)
+		f.next++
+		f.taken++
+		f.born[[2]int{j.door, int(f.next)}] = f.now
+		o.TxnTaken(control.Txn{ID: f.next, Product: 1, Units: 1, Expiry: f.now + f.call.Deadline})
+	case "settled", "full", "cut":
+		how := map[string]control.Ending{"settled": control.Settled, "full": control.Full,
+			"cut": control.TimedOut}[j.what]
+		who := [2]int{j.door, int(j.txn)}
+		born, waits := f.born[who]
+		if t := o.txns[j.txn]; t == nil || !t.out || t.nr-1 != j.nr {
+			break // it has ended otherwise
+		}
+		if waits && how == control.Settled {
+			delete(f.born, who)
+			if f.now-born <= f.call.Aim {
+				f.inAim++
+			} else {
+				f.late++
+			}
+		}
+		o.SubmissionEnded(j.txn, j.nr, j.at, how, how == control.Settled, f.now-j.sent, nil)
+	}
+	f.pull(j.door, o)
+}
+
+func (f *fair) pull(door int, o *Office) {
+	for x, ok := o.Next(); ok; x, ok = o.Next() {
+		who := [2]int{door, int(x.Txn)}
+		switch x.Verb {
+		case control.Submit:
+			nr := o.txns[x.Txn].nr - 1
+			if nr == 0 {
+				f.firsts++
+			} else {
+				f.further++
+			}
+			j := job{"arrive", door, x.Txn, nr, x.Backend, f.now}
+			if f.servers[x.Backend-1].zone != o.terms.Zone {
+				f.crossed++
+			}
+			f.after(ms, j)
+			j.what = "cut"
+			f.after(x.Limit, j)
+		case control.Decline, control.Void:
+			if x.Verb == control.Void {
+				f.voided++
+			} else {
+				f.refused++
+			}
+			delete(f.born, who)
+		case control.Recall:
+			if t := o.txns[x.Txn]; t != nil && t.out {
+				o.SubmissionEnded(x.Txn, x.Nr, t.at, control.CalledOff, t.ended, f.now-t.sent, nil)
+			}
+		case control.Wake:
+			f.after(x.Limit, job{what: "wake", door: door})
+		}
+	}
+}
+
+func (f *fair) serve(j job) {
+	s := f.servers[j.at-1]
+	if s.dead {
+		return
+	}
+	if j.what == "arrive" {
+		switch {
+		case s.busy < s.slots:
+			f.start(s, j)
+		case len(s.queue) < s.slots:
+			s.queue = append(s.queue, j)
+		default:
+			j.what = "full"
+			f.after(ms, j)
+		}
+		return
+	}
+	j.what = "settled"
+	f.after(ms, j)
+	s.busy--
+	if len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		f.start(s, next)
+	}
+}
+
+func (f *fair) start(s *server, j job) {
+	s.busy++
+	d := time.Duration(float64(f.chance(f.mean)) * s.speed)
+	j.what = "done"
+	s.work += d
+	f.after(d, j)
+}
+
+// Backends of very different speed are used alike, few requests leave their zone, and what is beyond what all
+// can do is refused without taking away from the rest.
+func TestFair(t *testing.T) {
+	f := newFair(1, 12, 13, 4, 330, false)
+	f.run(40 * time.Second)
+	for zone := range control.HallID(3) {
+		least, most := 1.0, 0.0
+		for _, s := range f.servers {
+			if used := s.work.Seconds() / f.now.Seconds() / float64(s.slots); s.zone == zone {
+				least, most = min(least, used), max(most, used)
+			}
+		}
+		must.Less(t, 1.25, most/least) // speeds are 0.6 to 1.4
+	}
+	must.Greater(t, 0.93, f.share(f.inAim))
+	must.Less(t, 0.06, f.share(f.crossed))
+
+	f = newFair(1, 12, 13, 4, 650, false) // half as much again as all can do
+	f.run(40 * time.Second)
+	must.Greater(t, 0.55, f.share(f.inAim))
+	must.LessEq(t, 0.2*float64(f.firsts)+64, float64(f.further))
+}
+
+// Two backends that are silent cost little: others take over, those are tried with few.
+func TestSilent(t *testing.T) {
+	for _, effectful := range []bool{false, true} {
+		f := newFair(1, 12, 13, 4, 217, effectful)
+		f.run(20 * time.Second)
+		f.taken, f.inAim, f.voided = 0, 0, 0
+		f.servers[0].dead, f.servers[5].dead = true, true
+		f.run(50 * time.Second)
+		must.Greater(t, 0.92, f.share(f.inAim))
+		must.Less(t, 0.008, f.share(f.voided))
+	}
+}
+
+func (f *fair) share(n int) float64 { return float64(n) / float64(f.taken) }
--- /dev/null
+++ b/internal/callboard/board.go
@@ -0,0 +1,420 @@
+// Package callboard keeps the list of backends as one door knows it.
+//
+// Each backend has one keeper among the live doors, named by its id. Beats are steered there; the keeper
+// watches for silence and tells all doors what changed. Beats themselves do not travel. What doors know of a
+// backend joins in any order to the same result: see join. The board does no I/O: inputs update what is
+// known, the host then pulls with Next until nothing is left. All times are the host's steady clock since
+// its start.
+package callboard
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"clovergap/internal/check"
+)
+
+// Seat is a door's number, the same at every door and in every life of it.
+type Seat int
+
+// None is no door.
+const None Seat = -1
+
+// Phase is where a backend is in its life.
+type Phase uint8
+
+const (
+	Ready    Phase = iota // takes requests
+	Draining              // takes no new ones; never becomes Ready again
+	Gone                  // silent, left, or another is at its address
+)
+
+func (p Phase) String() string {
+	switch p {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	}
+	return "gone"
+}
+
+// Word is what one door knows of one backend. Of a beat, the host sets the fields up to Seq.
+type Word struct {
+	ID         string
+	Service    string
+	Addr       string // host:port
+	Zone       string
+	Generation string
+	Capacity   int           // requests at a time
+	Phase      Phase         // Gone is not for beats: see Leave
+	ColdLeft   time.Duration // how long it stays slow, from the time of the word
+	Seq        uint64        // call_seq
+
+	Drained bool          // has once said draining: sticky
+	Final   bool          // has left: nothing revives it
+	Age     time.Duration // since the first door heard of it, at the time of the word
+	Keeper  Seat          // who watches it
+	Fence   uint64        // how often it changed hands; 0: nobody watches yet
+	Missed  Seat          // whom the keeper took it from unasked, as it no longer heard that door; else None
+}
+
+// Message is what doors tell each other. Nr 0 wants no confirmation.
+type Message struct {
+	Nr     uint64
+	Words  []Word   // what changed, or the board on a greeting
+	Beats  []Word   // beats that came to a door which is not the keeper
+	Doubts []Word   // somebody else answered at the address of these
+	Acks   []uint64 // numbers of messages taken in
+}
+
+// Door is a door that is known, this one too, live or not.
+type Door struct {
+	Seat    Seat
+	Control string // address for beats; a live door without one keeps nothing
+	Zone    string // backends are kept in their own zone where a door lives there; "" everywhere: any door
+	Live    bool   // heard of late; for this door it does not matter
+	Firm    bool   // counts as a loss: copies at these are what a drain must rest on, where there are any
+}
+
+// Terms are the figures of the settings file that bind the board.
+type Terms struct {
+	BeatInterval time.Duration // between two beats of a backend
+	Enough       int           // doors that must hold a drain before it is acknowledged: tolerated losses + 1
+	Life         uint32        // differs between lives of this door: old confirmations match nothing
+}
+
+// Ticket names a call of a backend that waits for Acknowledge.
+type Ticket uint64
+
+// Action is what the host is to do: Send, Changed, Acknowledge or Wake.
+type Action interface{ action() }
+
+// Send goes to another door; it may be lost.
+type Send struct {
+	To      Seat
+	Message Message
+}
+
+// Changed tells the view of one backend that differs from the last told. ColdUntil is on the host's clock.
+type Changed struct {
+	Word      Word
+	ColdUntil time.Duration
+}
+
+// Acknowledge ends a ticket: 200 with Target as beat_target where OK, else 503.
+type Acknowledge struct {
+	Ticket Ticket
+	Target string // may be empty
+	OK     bool
+}
+
+// Wake asks for Now at a time, or earlier. The newest counts.
+type Wake struct{ At time.Duration }
+
+func (Send) action()        {}
+func (Changed) action()     {}
+func (Acknowledge) action() {}
+func (Wake) action()        {}
+
+const (
+	most       = 8192                   // backends that are known, tombstones too
+	tombs      = 4096                   // of them gone
+	tombFor    = 60 * time.Second       // how long a gone one is remembered
+	tick       = 500 * time.Millisecond // longest sleep while there is something to watch
+	standstill = time.Second            // a longer step of the clock was a freeze of this door
+	never      = time.Duration(1<<63 - 1)
+)
+
+// Board is one door's list. It is not safe for concurrent use.
+type Board struct {
+	me    Seat
+	terms Terms
+	now   time.Duration
+	calm  time.Duration // silence counts from here at the earliest
+	next  time.Duration // next look at all backends
+	woken time.Duration // last Wake given
+
+	all    map[string]*entry
+	list   []*entry // all, by id
+	byAddr map[string][]*entry
+	gone   int
+
+	met    bool   // Doors was told
+	doors  []Door // live, with an address for beats, by seat
+	known  int    // other doors, live or not
+	live   int    // other doors that live
+	firm   bool   // a firm door lives
+	self   Door
+	seats  []Seat // of peers, sorted
+	peers  map[Seat]*peer
+	tail   Ticket
+	waits  []wait
+	out    []Action // acknowledgements that are due
+	fresh  []*entry // whose view may have changed
+	refuse uint64   // backends not taken as the board was full
+}
+
+// entry is what is known of one backend. In w, Phase, ColdLeft and Age are unused: see word.
+type entry struct {
+	w      Word
+	gone   bool // by silence, at this Seq and Fence
+	goneAt time.Duration
+	born   time.Duration
+	cold   time.Duration // until when
+	beatAt time.Duration // last sign of life, or since when this door watches
+	kept   time.Duration // since when the keeper is known as such
+	signAt time.Duration // last beat that came here or was passed on to this door
+	here   bool          // and it came here
+	shy    time.Duration // until then not taken over: another door still hears its keeper
+	doubt  bool          // gone by what this door saw, until its keeper says so too
+	told   map[Seat]level
+
+	queued    bool
+	shown     Word
+	shownCold time.Duration
+	everShown bool
+}
+
+// level is how much of an end is known.
+type level uint8
+
+const (
+	noEnd level = iota
+	drains
+	left
+)
+
+func (e *entry) level() level {
+	switch {
+	case e.w.Final:
+		return left
+	case e.w.Drained:
+		return drains
+	}
+	return noEnd
+}
+
+func (e *entry) phase() Phase {
+	switch {
+	case e.w.Final || e.gone:
+		return Gone
+	case e.w.Drained:
+		return Draining
+	}
+	return Ready
+}
+
+// New makes an empty board; beats fill it. Until Doors is told, no end of a backend is acknowledged.
+func New(me Seat, terms Terms, now time.Duration) *Board {
+	check.That(me >= 0, "a board has a seat")
+	return &Board{me: me, terms: terms, now: now, calm: now, next: now + tick, woken: never,
+		all: map[string]*entry{}, byAddr: map[string][]*entry{}, peers: map[Seat]*peer{}}
+}
+
+// SetTerms takes figures that changed while running.
+func (b *Board) SetTerms(t Terms) { t.Life, b.terms = b.terms.Life, t }
+
+// Now moves the clock; earlier times are passed over. A step of over a second means that this door stood
+// still: no beat could come, so silence counts anew.
+func (b *Board) Now(t time.Duration) {
+	if t < b.now {
+		return
+	}
+	if t >= b.woken {
+		b.woken = never
+	}
+	if t-b.now > standstill {
+		b.calm = t
+		for _, e := range b.list {
+			e.beatAt = t
+		}
+	}
+	b.now = t
+	for _, s := range b.seats {
+		b.resend(b.peers[s])
+	}
+	if t >= b.next {
+		b.look()
+	}
+	b.settle()
+}
+
+// Beat takes a backend's call that names its phase. The host answers when the ticket is acknowledged.
+func (b *Board) Beat(w Word) Ticket {
+	b.tail++
+	e := b.entry(w.ID)
+	if e == nil {
+		b.out = append(b.out, Acknowledge{Ticket: b.tail})
+		return b.tail
+	}
+	w.Final, w.Fence, w.Keeper, w.Missed, w.Age = false, 0, None, None, 0
+	w.Drained = w.Phase == Draining
+	asked := noEnd
+	if w.Drained {
+		asked = drains
+	}
+	b.beat(e, w, true)
+	b.ticket(e, asked)
+	return b.tail
+}
+
+// Leave takes a backend's last call.
+func (b *Board) Leave(id string, seq uint64) Ticket {
+	b.tail++
+	e := b.entry(id)
+	if e == nil {
+		b.out = append(b.out, Acknowledge{Ticket: b.tail})
+		return b.tail
+	}
+	was := e.level()
+	b.join(e, Word{ID: id, Phase: Gone, Final: true, Keeper: None, Missed: None})
+	if was != left {
+		b.spread(e, true)
+	}
+	b.ticket(e, left)
+	return b.tail
+}
+
+// Seen421 says that another backend answers at the address of this one: it is gone here, and its keeper is
+// told. Its next beat revives it everywhere.
+func (b *Board) Seen421(id string) {
+	e := b.all[id]
+	if e == nil || e.phase() == Gone {
+		return
+	}
+	b.hush(e)
+	if e.w.Keeper == b.me {
+		b.spread(e, true)
+	} else {
+		e.doubt = true
+		b.ask(e)
+	}
+}
+
+// Next gives what is to be done; call it until there is nothing more, after every input.
+func (b *Board) Next() (Action, bool) {
+	if len(b.out) > 0 {
+		a := b.out[0]
+		b.out = b.out[1:]
+		return a, true
+	}
+	b.out = nil
+	for len(b.fresh) > 0 {
+		e := b.fresh[0]
+		b.fresh = b.fresh[1:]
+		e.queued = false
+		if a, ok := b.show(e); ok {
+			return a, true
+		}
+	}
+	b.fresh = nil
+	for _, s := range b.seats {
+		if m, ok := b.load(b.peers[s]); ok {
+			return Send{To: s, Message: m}, true
+		}
+	}
+	if at := b.wake(); at != b.woken {
+		b.woken = at
+		return Wake{At: at}, true
+	}
+	return nil, false
+}
+
+// All gives the backends that are not gone, by id; ColdLeft and Age are as of the last Now.
+func (b *Board) All() []Word {
+	var words []Word
+	for _, e := range b.list {
+		if b.view(e) != Gone {
+			words = append(words, b.word(e))
+		}
+	}
+	return words
+}
+
+// Status is for operators.
+type Status struct {
+	Ready, Draining, Gone int // backends
+	Kept                  int // watched by this door
+	Unwatched             int // whose keeper is not heard
+	Waiting               int // calls that wait for other doors
+	Unconfirmed           int // words that other doors have not confirmed
+	Refused               uint64
+}
+
+// Status counts what there is.
+func (b *Board) Status() Status {
+	s := Status{Waiting: len(b.waits), Refused: b.refuse}
+	for _, e := range b.list {
+		switch b.view(e) {
+		case Ready:
+			s.Ready++
+		case Draining:
+			s.Draining++
+		case Gone:
+			s.Gone++
+		}
+		if e.phase() == Gone {
+			continue
+		}
+		if e.w.Keeper == b.me {
+			s.Kept++
+		} else if b.lost(e.w.Keeper) {
+			s.Unwatched++
+		}
+	}
+	for _, p := range b.peers {
+		s.Unconfirmed += len(p.order)
+		for _, f := range p.flight {
+			s.Unconfirmed += len(f.ids)
+		}
+	}
+	return s
+}
+
+// entry finds or makes one; nil when the board is full.
+func (b *Board) entry(id string) *entry {
+	if e := b.all[id]; e != nil {
+		return e
+	}
+	if id == "" {
+		return nil
+	}
+	if len(b.all) >= most {
+		b.refuse++
+		return nil
+	}
+	e := &entry{w: Word{ID: id, Keeper: None, Missed: None}, born: b.now, beatAt: b.now, kept: b.now,
+		signAt: -never / 2}
+	b.all[id] = e
+	at, _ := slices.BinarySearchFunc(b.list, id, byID)
+	b.list = slices.Insert(b.list, at, e)
+	return e
+}
+
+func byID(e *entry, id string) int { return strings.Compare(e.w.ID, id) }
+
+// word is the entry as it travels.
+func (b *Board) word(e *entry) Word {
+	w := e.w
+	w.Phase = e.phase()
+	w.ColdLeft = max(0, e.cold-b.now)
+	w.Age = b.now - e.born
+	return w
+}
+
+// wake is when Now is wanted next.
+func (b *Board) wake() time.Duration {
+	at := never
+	if len(b.all) > b.gone {
+		at = b.next
+	}
+	for _, w := range b.waits {
+		at = min(at, w.due(b.now))
+	}
+	for _, s := range b.seats {
+		at = min(at, b.peers[s].due())
+	}
+	return at
+}
--- /dev/null
+++ b/internal/callboard/callboard_test.go
@@ -0,0 +1,567 @@
+package callboard
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	ms   = time.Millisecond
+	beat = 1500 * ms
+)
+
+// troupe is a few doors and the mail between them, on one clock.
+type troupe struct {
+	t      *testing.T
+	now    time.Duration
+	boards map[Seat]*Board
+	live   map[Seat]bool
+	cut    map[[2]Seat]bool
+	firm   int // doors from 0 that count
+	mail   int
+	acks   map[Seat]map[Ticket]Acknowledge
+	views  map[Seat]map[string]Word
+}
+
+func open(t *testing.T, n, firm int) *troupe {
+	tr := &troupe{t: t, boards: map[Seat]*Board{}, live: map[Seat]bool{}, cut: map[[2]Seat]bool{}, firm: firm,
+		acks: map[Seat]map[Ticket]Acknowledge{}, views: map[Seat]map[string]Word{}}
+	for s := range Seat(n) {
+		tr.start(s)
+	}
+	tr.meet()
+	return tr
+}
+
+func (tr *troupe) start(s Seat) {
+	tr.boards[s] = New(s, Terms{BeatInterval: beat, Enough: 2, Life: uint32(tr.now)}, tr.now)
+	tr.acks[s], tr.views[s], tr.live[s] = map[Ticket]Acknowledge{}, map[string]Word{}, true
+}
+
+// meet tells each door which others it hears.
+func (tr *troupe) meet() {
+	for s, b := range tr.boards {
+		var doors []Door
+		for o := range Seat(len(tr.boards)) {
+			doors = append(doors, Door{Seat: o, Control: fmt.Sprint("door", o), Firm: int(o) < tr.firm,
+				Live: tr.live[o] && !tr.cut[[2]Seat{s, o}]})
+		}
+		b.Doors(doors)
+	}
+	tr.pump()
+}
+
+// pump carries mail until there is none; cut and dead doors get none.
+func (tr *troupe) pump() {
+	for again := true; again; {
+		again = false
+		for s := range Seat(len(tr.boards)) {
+			if !tr.live[s] {
+				continue
+			}
+			for a, ok := tr.boards[s].Next(); ok; a, ok = tr.boards[s].Next() {
+				switch a := a.(type) {
+				case Send:
+					again = true
+					tr.mail++
+					if tr.live[a.To] && !tr.cut[[2]Seat{s, a.To}] {
+						tr.boards[a.To].Heard(s, a.Message)
+					}
+				case Acknowledge:
+					tr.acks[s][a.Ticket] = a
+				case Changed:
+					tr.views[s][a.Word.ID] = a.Word
+				}
+			}
+		}
+	}
+}
+
+func (tr *troupe) step(d time.Duration) {
+	for end := tr.now + d; tr.now < end; {
+		tr.now += min(100*ms, end-tr.now)
+		for s, b := range tr.boards {
+			if tr.live[s] {
+				b.Now(tr.now)
+			}
+		}
+		tr.pump()
+	}
+}
+
+// backend beats where it is told to.
+type backend struct {
+	Word
+	target Seat
+}
+
+func (tr *troupe) beat(s *backend, at Seat) Acknowledge {
+	s.Seq++
+	ticket := tr.boards[at].Beat(s.Word)
+	tr.pump()
+	a, ok := tr.acks[at][ticket]
+	if ok && a.Target != "" {
+		fmt.Sscanf(a.Target, "door%d", &s.target)
+	}
+	return a
+}
+
+func server(i int) *backend {
+	return &backend{Word: Word{ID: fmt.Sprint("i-", i), Service: "s", Capacity: 4,
+		Addr: fmt.Sprint("10.0.0.", i, ":80")}}
+}
+
+func (tr *troupe) phases(id string, want Phase) {
+	tr.t.Helper()
+	for s := range tr.boards {
+		if w, ok := tr.views[s][id]; tr.live[s] && (ok || want != Gone) {
+			must.Eq(tr.t, want, w.Phase, must.Sprintf("door %d of %s", s, id))
+		}
+	}
+}
+
+// know is all that must be alike at doors that have heard the same.
+func know(b *Board) map[string]Word {
+	m := map[string]Word{}
+	for id, e := range b.all {
+		w := b.word(e)
+		w.ColdLeft, w.Missed, w.Seq = 0, None, 0 // beats do not travel
+		m[id] = w
+	}
+	return m
+}
+
+// orders calls f with every order of n things.
+func orders(n int, f func([]int)) {
+	var go1 func(head, rest []int)
+	go1 = func(head, rest []int) {
+		if len(rest) == 0 {
+			f(head)
+		}
+		for i, x := range rest {
+			left := append(append([]int{}, rest[:i]...), rest[i+1:]...)
+			go1(append(append([]int{}, head...), x), left)
+		}
+	}
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	go1(nil, all)
+}
+
+func TestAllOrdersOfWordsEndAlike(t *testing.T) {
+	w := server(1).Word
+	say := func(f func(*Word)) Word {
+		x := w
+		x.Keeper, x.Missed = None, None
+		f(&x)
+		return x
+	}
+	for _, words := range [][]Word{
+		{ // one changes hands while its old keeper finds it silent, and it beats on
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper = 1, 1, 3 }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper, x.Phase = 4, 1, 3, Gone }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper = 4, 2, 5 }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper = 4, 2, 4 }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper, x.Capacity = 5, 2, 5, 7 }),
+		},
+		{ // draining, silent, beating late, leaving
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper = 1, 1, 3 }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper, x.Phase, x.Drained = 2, 1, 3, Draining, true }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper = 3, 1, 3 }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper, x.Phase = 3, 1, 3, Gone }),
+			{ID: w.ID, Keeper: None, Missed: None, Phase: Gone, Final: true},
+		},
+		{ // two at one address
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper, x.Age = 9, 1, 3, 9*time.Second }),
+			say(func(x *Word) { x.ID, x.Service, x.Seq, x.Fence, x.Keeper = "i-9", "other", 1, 1, 4 }),
+			say(func(x *Word) { x.Seq, x.Fence, x.Keeper, x.Age, x.Drained = 9, 1, 3, 9*time.Second, true }),
+		},
+	} {
+		var first map[string]Word
+		var seen []Word
+		orders(len(words), func(order []int) {
+			b := New(0, Terms{BeatInterval: beat}, 0)
+			for _, i := range append(order, order[0]) {
+				b.Heard(Seat(words[i].Keeper+1), Message{Words: words[i : i+1]})
+			}
+			if first == nil {
+				first, seen = know(b), b.All()
+			}
+			must.Eq(t, first, know(b), must.Sprint(order))
+			must.SliceLen(t, len(seen), b.All())
+		})
+	}
+}
+
+func TestAllOrdersOfCallsEndAlike(t *testing.T) {
+	// Calls of one backend at three doors, in every order and with the doors cut from each other meanwhile
+	// or not.
+	for _, cut := range []bool{false, true} {
+		orders(4, func(order []int) {
+			tr := open(t, 3, 0)
+			if cut {
+				for _, p := range [][2]Seat{{0, 1}, {1, 0}, {0, 2}, {2, 0}} {
+					tr.cut[p] = true
+				}
+				tr.meet()
+			}
+			for _, i := range order {
+				w := server(1).Word
+				switch i {
+				case 0:
+					w.Seq = 1
+					tr.boards[0].Beat(w)
+				case 1:
+					w.Seq, w.Capacity = 2, 6
+					tr.boards[1].Beat(w)
+				case 2:
+					w.Seq, w.Phase = 3, Draining
+					tr.boards[2].Beat(w)
+				case 3:
+					w.Seq = 4
+					tr.boards[0].Beat(w)
+				}
+				tr.pump()
+			}
+			tr.cut = map[[2]Seat]bool{}
+			tr.meet()
+			tr.step(time.Second)
+			tr.phases("i-1", Draining)
+			must.Eq(t, know(tr.boards[0])["i-1"], know(tr.boards[1])["i-1"], must.Sprint(cut, order))
+		})
+	}
+}
+
+func TestBeatsAreSteeredAndDoNotTravel(t *testing.T) {
+	tr := open(t, 4, 0)
+	var all []*backend
+	for i := range 20 {
+		all = append(all, server(i))
+		must.True(t, tr.beat(all[i], 0).OK)
+	}
+	tr.step(200 * ms)
+	for _, s := range all {
+		tr.phases(s.ID, Ready)
+		must.Eq(t, s.target, tr.boards[0].all[s.ID].w.Keeper)
+	}
+	kept := map[Seat]int{}
+	for _, s := range all {
+		kept[s.target]++
+		tr.beat(s, s.target)
+	}
+	must.MapLen(t, 4, kept)
+	tr.step(200 * ms)
+	tr.mail = 0
+	for range 8 {
+		for _, s := range all {
+			must.True(t, tr.beat(s, s.target).OK)
+		}
+		tr.step(beat)
+	}
+	must.Eq(t, 0, tr.mail)
+	// Without beats all are gone at all doors, and one that beats again is back.
+	tr.step(4 * beat)
+	for _, s := range all {
+		tr.phases(s.ID, Gone)
+	}
+	tr.beat(all[3], 2)
+	tr.step(100 * ms)
+	tr.phases(all[3].ID, Ready)
+}
+
+func TestDrainIsAcknowledgedWhenOthersKnow(t *testing.T) {
+	tr := open(t, 4, 2)
+	s := server(1)
+	tr.beat(s, 0)
+	tr.step(time.Second)
+	s.Phase = Draining
+	must.True(t, tr.beat(s, 0).OK)
+	tr.phases(s.ID, Draining)
+	must.Eq(t, 0, tr.boards[0].Status().Waiting)
+
+	// Door 3 has not been missed yet but hears nothing: enough is enough after a while.
+	mute := func(o Seat) { tr.cut[[2]Seat{0, o}] = true }
+	mute(3)
+	s = server(2)
+	tr.beat(s, 0)
+	s.Phase = Draining
+	must.False(t, tr.beat(s, 0).OK)
+	ticket := tr.boards[0].tail
+	tr.step(400 * ms)
+	must.MapNotContainsKey(t, tr.acks[0], ticket)
+	tr.step(100 * ms)
+	must.True(t, tr.acks[0][ticket].OK)
+
+	// Copies at doors that do not count are not enough.
+	mute(1)
+	ticket = tr.boards[0].Leave(s.ID, 9)
+	tr.pump()
+	tr.step(700 * ms)
+	must.MapNotContainsKey(t, tr.acks[0], ticket)
+	tr.step(100 * ms)
+	must.MapContainsKey(t, tr.acks[0], ticket)
+	must.False(t, tr.acks[0][ticket].OK)
+
+	// Door 1 hears again: the word is still on its way, and the next call finds it told.
+	delete(tr.cut, [2]Seat{0, 1})
+	delete(tr.cut, [2]Seat{0, 3})
+	tr.step(time.Second)
+	tr.phases(s.ID, Gone)
+	ticket = tr.boards[0].Leave(s.ID, 10)
+	tr.pump()
+	must.True(t, tr.acks[0][ticket].OK)
+
+	// A door that hears nobody acknowledges no end, but a door that is alone may.
+	for o := range Seat(3) {
+		mute(o + 1)
+	}
+	tr.meet()
+	s = server(3)
+	must.True(t, tr.beat(s, 0).OK)
+	s.Phase = Draining
+	must.False(t, tr.beat(s, 0).OK)
+	tr = open(t, 1, 0)
+	must.True(t, tr.beat(s, 0).OK)
+}
+
+func TestKeeperLostIsNotItsBackends(t *testing.T) {
+	tr := open(t, 4, 0)
+	var all []*backend
+	for i := range 30 {
+		all = append(all, server(i))
+		tr.beat(all[i], 0)
+		tr.beat(all[i], all[i].target)
+	}
+	tr.step(time.Second)
+	dead := all[0].target
+	var orphans, dumb []*backend
+	for _, s := range all {
+		if s.target == dead {
+			orphans = append(orphans, s)
+		}
+	}
+	must.Greater(t, 1, len(orphans))
+	dumb, orphans = orphans[:1], orphans[1:]
+	others := all[:0:0]
+	for _, s := range all {
+		if s.target != dead {
+			others = append(others, s)
+		}
+	}
+	tr.live[dead] = false
+	next := (dead + 1) % 4
+	for i := range 7 {
+		for _, s := range others {
+			tr.beat(s, s.target)
+		}
+		for _, s := range orphans {
+			if i == 0 || s.target == dead {
+				tr.beat(s, next) // its beat failed: it turns to the next door
+			} else {
+				tr.beat(s, s.target)
+			}
+		}
+		if i == 1 {
+			tr.meet() // only now the doors miss it
+		}
+		for _, s := range all {
+			if i < 4 || s != dumb[0] {
+				tr.phases(s.ID, Ready)
+			}
+		}
+		tr.step(beat)
+	}
+	tr.phases(dumb[0].ID, Gone) // it went together with its keeper
+	for _, s := range orphans {
+		must.NotEq(t, dead, s.target)
+		must.Eq(t, s.target, tr.boards[next].all[s.ID].w.Keeper)
+	}
+	// The keeper comes back and knows nothing: it is told the whole board, ends too.
+	tr.start(dead)
+	tr.meet()
+	tr.step(time.Second)
+	must.Eq(t, know(tr.boards[next]), know(tr.boards[dead]))
+	must.Eq(t, 29, len(tr.boards[dead].All()))
+}
+
+func TestCutOffDoorJudgesOnlyWhatItHeard(t *testing.T) {
+	tr := open(t, 5, 0)
+	var all []*backend
+	for i := range 20 {
+		all = append(all, server(i))
+		tr.beat(all[i], 1)
+	}
+	tr.step(100 * ms)
+	for o := range Seat(4) {
+		tr.cut[[2]Seat{0, o + 1}], tr.cut[[2]Seat{o + 1, 0}] = true, true
+	}
+	tr.meet()
+	for range 10 {
+		for _, s := range all {
+			at := s.target
+			if at == 0 {
+				at = 2 // its zone does not reach door 0 any more
+			}
+			tr.beat(s, at)
+		}
+		tr.step(beat)
+	}
+	must.SliceLen(t, 20, tr.boards[0].All())
+	tr.cut = map[[2]Seat]bool{}
+	tr.meet()
+	tr.step(time.Second)
+	for _, s := range all {
+		tr.phases(s.ID, Ready)
+	}
+}
+
+func TestStandstillIsNotSilence(t *testing.T) {
+	tr := open(t, 2, 0)
+	s := server(1)
+	tr.beat(s, 0)
+	tr.beat(s, s.target)
+	b := tr.boards[s.target]
+	b.Now(tr.now + 20*time.Second)
+	tr.pump()
+	tr.phases(s.ID, Ready)
+	for range 20 {
+		tr.now += 200 * ms
+		b.Now(tr.now + 20*time.Second)
+	}
+	tr.pump()
+	tr.phases(s.ID, Ready)
+	for range 5 {
+		tr.now += 200 * ms
+		b.Now(tr.now + 20*time.Second)
+	}
+	tr.pump()
+	tr.phases(s.ID, Gone)
+}
+
+func TestAddressUsedAgain(t *testing.T) {
+	tr := open(t, 3, 0)
+	old := server(1)
+	tr.beat(old, 0)
+	tr.step(2 * time.Second)
+	young := server(2)
+	young.Addr, young.Service = old.Addr, "other"
+	tr.beat(young, 1)
+	tr.step(600 * ms)
+	tr.phases(old.ID, Gone)
+	tr.phases(young.ID, Ready)
+	must.SliceLen(t, 1, tr.boards[2].All())
+	// A late call of the old one changes nothing for long, and the young one's end does not bring it back.
+	old.Seq += 5
+	tr.beat(old, 2)
+	tr.step(600 * ms)
+	tr.phases(old.ID, Gone)
+	tr.phases(young.ID, Ready)
+	tr.boards[0].Leave(young.ID, 9)
+	tr.pump()
+	tr.phases(young.ID, Gone)
+	tr.phases(old.ID, Gone)
+}
+
+func TestTombstonesEnd(t *testing.T) {
+	tr := open(t, 2, 0)
+	s := server(1)
+	tr.beat(s, 0)
+	tr.boards[1].Leave(s.ID, 2)
+	tr.pump()
+	s.Seq = 7
+	tr.beat(s, 0)
+	tr.phases(s.ID, Gone)
+	tr.step(tombFor + time.Second)
+	must.Eq(t, Status{}, tr.boards[0].Status())
+	must.MapEmpty(t, tr.boards[0].all)
+	must.MapEmpty(t, tr.boards[0].byAddr)
+	for i := range tombs + 100 {
+		tr.boards[0].Leave(fmt.Sprint(i), 1)
+	}
+	tr.step(time.Second)
+	must.Eq(t, tombs, len(tr.boards[0].all))
+}
+
+func TestAfterAnyTroubleAllKnowTheSame(t *testing.T) {
+	for seed := range int64(150) {
+		r := rand.New(rand.NewSource(seed))
+		n := 3 + r.Intn(5)
+		tr, all, crashed := open(t, n, r.Intn(4)), []*backend{}, map[string]bool{}
+		for i := range 12 {
+			all = append(all, server(i))
+		}
+		beats := func() {
+			for _, s := range all {
+				for tries := 0; tries < n && !crashed[s.ID]; tries++ {
+					if tr.live[s.target] && tr.beat(s, s.target).OK {
+						break
+					}
+					s.target = Seat(r.Intn(n))
+				}
+			}
+		}
+		back := func(d Seat) {
+			tr.start(d)
+			for o, b := range tr.boards {
+				if o != d && tr.live[o] {
+					b.Greet(d) // it may have been back before anybody missed it
+				}
+			}
+			tr.meet()
+		}
+		for range 25 {
+			x, y, s := Seat(r.Intn(n)), Seat(r.Intn(n)), all[r.Intn(len(all))]
+			switch r.Intn(7) {
+			case 0:
+				tr.live[x] = false
+			case 1:
+				back(x)
+			case 2:
+				tr.cut[[2]Seat{x, y}], tr.cut[[2]Seat{y, x}] = x != y, x != y
+			case 3:
+				tr.cut = map[[2]Seat]bool{}
+			case 4:
+				s.Phase = Draining
+			case 5:
+				crashed[s.ID] = true
+			case 6:
+				tr.boards[x].Seen421(s.ID)
+			}
+			for range 2 { // trouble is noticed before the next beats, after, or not at all
+				if r.Intn(2) == 0 {
+					tr.meet()
+				}
+				beats()
+				tr.step(time.Duration(r.Intn(1000)) * ms)
+			}
+		}
+		tr.cut = map[[2]Seat]bool{}
+		for d := range Seat(n) {
+			if !tr.live[d] {
+				back(d)
+			}
+		}
+		tr.meet()
+		for i := range 12 {
+			if i == 9 {
+				tr.mail = 0
+			}
+			beats()
+			tr.step(beat)
+		}
+		for _, s := range all {
+			want := s.Phase
+			if crashed[s.ID] {
+				want = Gone
+			}
+			tr.phases(s.ID, want)
+		}
+		must.Eq(t, 0, tr.mail, must.Sprint("in calm, seed ", seed))
+	}
+}
--- /dev/null
+++ b/internal/callboard/keep.go
@@ -0,0 +1,208 @@
+package callboard
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	silentBeats  = 3  // without a sign for so long, a backend is gone
+	graceHalves  = 5  // half beats that a missing keeper is waited for
+	shyBeats     = 20 // how long a contested backend is left to the other keeper
+	lookEvery    = tick
+	packFor      = 50 * time.Millisecond  // small news wait so long for company
+	resendAfter  = 300 * time.Millisecond // for a confirmation
+	resendMost   = 10
+	askAfter     = time.Second // between two questions to a door that confirmed nothing
+	wordsMost    = 64          // in one message
+	flightMost   = 4           // messages on their way to one door
+	waitAll      = 500 * time.Millisecond
+	waitEnough   = 800 * time.Millisecond
+	tooLate      = 950 * time.Millisecond // the backend has turned to the next door
+	confirmsMost = 256
+)
+
+// Doors tells all doors that are known, this one too. One that is no longer live or named is lost: what it
+// kept goes to the next after a grace. One that lives again is greeted.
+func (b *Board) Doors(doors []Door) {
+	b.met = true
+	named := map[Seat]bool{}
+	b.doors, b.known, b.live, b.firm = b.doors[:0], 0, 0, false
+	b.self = Door{Seat: b.me}
+	var back []Seat
+	for _, d := range doors {
+		if d.Seat == b.me {
+			d.Live = true
+			b.self = d
+		} else if d.Seat >= 0 {
+			named[d.Seat] = true
+			b.known++
+			p := b.peer(d.Seat)
+			if d.Live && !p.door.Live {
+				back = append(back, d.Seat)
+			} else if !d.Live && p.door.Live {
+				b.drop(p)
+			}
+			p.door = d
+			if d.Live {
+				b.live++
+			}
+		} else {
+			continue
+		}
+		if d.Live {
+			b.firm = b.firm || d.Firm
+			if d.Control != "" {
+				b.doors = append(b.doors, d)
+			}
+		}
+	}
+	slices.SortFunc(b.doors, func(x, y Door) int { return int(x.Seat - y.Seat) })
+	for s, p := range b.peers {
+		if !named[s] {
+			b.drop(p)
+			delete(b.peers, s)
+		}
+	}
+	b.seats = slices.DeleteFunc(b.seats, func(s Seat) bool { return !named[s] })
+	for _, s := range back {
+		b.Greet(s)
+	}
+	b.settle()
+}
+
+// lost tells that a door is not heard.
+func (b *Board) lost(s Seat) bool {
+	if s == b.me {
+		return false
+	}
+	p := b.peers[s]
+	return p == nil || !p.door.Live
+}
+
+// duty names the keeper of a backend over the live doors but one; None where there is no door for it.
+func (b *Board) duty(e *entry, but Seat) Door {
+	h := fnv.New64a()
+	h.Write([]byte(e.w.ID))
+	key := h.Sum64()
+	best, found, near, top := Door{Seat: None}, false, false, uint64(0)
+	for _, d := range b.doors {
+		if d.Seat == but {
+			continue
+		}
+		n := d.Zone == e.w.Zone
+		w := mix(key ^ mix(uint64(d.Seat)+1))
+		if !found || n && !near || n == near && w > top {
+			best, found, near, top = d, true, n, w
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a number (the end of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// beat takes a beat that came to this door itself, or was passed on by another.
+func (b *Board) beat(e *entry, w Word, direct bool) {
+	before := e.w
+	revived := b.join(e, w)
+	if e.w.Seq > before.Seq {
+		e.signAt, e.here = b.now, direct
+	} else if e.w.Keeper != None && !direct {
+		return // a late one
+	}
+	to := b.duty(e, None)
+	claimed := false
+	if to.Seat == b.me && e.w.Keeper != b.me && e.phase() != Gone {
+		b.claim(e, None)
+		claimed = true
+	}
+	news := claimed || revived || differs(before, e.w)
+	ends := e.level() > noEnd && (!before.Drained || e.w.Final && !before.Final)
+	mine := to.Seat == b.me || e.w.Keeper == b.me
+	if news && mine || ends && direct {
+		b.spread(e, ends || revived)
+	}
+	if !direct || e.w.Final {
+		return
+	}
+	if to.Seat != None && to.Seat != b.me {
+		b.relay(e, to.Seat)
+	}
+	// The keeper that is known may not know yet that it is no longer the one: it must not see silence.
+	if k := e.w.Keeper; k != to.Seat && k != b.me && !b.lost(k) {
+		b.relay(e, k)
+	}
+}
+
+// differs tells whether what travels has changed, ends aside.
+func differs(x, y Word) bool {
+	return x.Service != y.Service || x.Addr != y.Addr || x.Zone != y.Zone || x.Generation != y.Generation ||
+		x.Capacity != y.Capacity || x.Fence != y.Fence || x.Keeper != y.Keeper
+}
+
+// claim makes this door the keeper, under the next fence.
+func (b *Board) claim(e *entry, missed Seat) {
+	b.keeper(e, b.me, missed)
+	e.w.Fence++
+	e.gone = false
+	b.touch(e)
+}
+
+// look goes over all backends: silence of those kept here, and those whose keeper is missing.
+func (b *Board) look() {
+	b.next = b.now + lookEvery
+	silent := silentBeats * b.terms.BeatInterval
+	grace := graceHalves * b.terms.BeatInterval / 2
+	old := false
+	for _, e := range b.list {
+		if e.phase() == Gone {
+			old = old || b.now-e.goneAt >= tombFor
+			if e.doubt && b.now-e.kept >= b.terms.BeatInterval {
+				b.ask(e)
+			}
+			continue
+		}
+		if e.w.Keeper == b.me {
+			// A door that hears few others judges only those that last beat here: the rest may beat
+			// elsewhere.
+			judge := e.here || b.most()
+			if b.displaced(e) || judge && b.now-max(e.beatAt, b.calm) >= silent {
+				b.hush(e)
+				b.spread(e, true)
+			}
+			continue
+		}
+		if !b.lost(e.w.Keeper) || !b.most() || b.now < e.shy {
+			continue
+		}
+		since := max(e.kept, b.calm)
+		if p := b.peers[e.w.Keeper]; p != nil {
+			since = max(since, p.lostAt)
+		}
+		if b.now-since < grace {
+			continue
+		}
+		if to := b.duty(e, None).Seat; to == b.me {
+			b.claim(e, e.w.Keeper)
+			b.spread(e, false)
+		} else if p := b.peers[to]; p != nil && b.now-since >= grace+b.terms.BeatInterval {
+			// The one whose turn it is may never have heard of it.
+			b.tell(p, e.w.ID, false)
+			e.kept = b.now
+		}
+	}
+	if old || b.gone > tombs || len(b.all) >= most {
+		b.forget()
+	}
+}
+
+// most tells whether this door hears more than half of all, itself among them.
+func (b *Board) most() bool { return 2*(b.live+1) > b.known+1 }
--- /dev/null
+++ b/internal/callboard/spread.go
@@ -0,0 +1,333 @@
+package callboard
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// peer is another door, and what it has yet to be told.
+type peer struct {
+	door   Door
+	lostAt time.Duration
+	nr     uint64
+
+	order  []string // ids whose words wait to be sent
+	waits  map[string]bool
+	sendAt time.Duration // when they go
+	flight []*parcel     // sent and not confirmed
+	again  []*parcel     // to be sent once more
+	behind bool          // gave no confirmation: only asked for a sign, and greeted when there is one
+
+	doubts []string
+	beats  []Word
+	acks   []uint64
+}
+
+// parcel is one message on its way, with what it said when it was first sent.
+type parcel struct {
+	nr     uint64
+	ids    []string
+	levels []level
+	doubts []string
+	at     time.Duration
+	tries  int
+}
+
+func (b *Board) peer(s Seat) *peer {
+	p := b.peers[s]
+	if p == nil {
+		p = &peer{door: Door{Seat: s}, nr: uint64(b.terms.Life) << 32, waits: map[string]bool{},
+			lostAt: b.now}
+		b.peers[s] = p
+		at := sort.Search(len(b.seats), func(i int) bool { return b.seats[i] >= s })
+		b.seats = slices.Insert(b.seats, at, s)
+	}
+	return p
+}
+
+// drop forgets what was on its way to a door: it may come back in a new life that has heard nothing.
+func (b *Board) drop(p *peer) {
+	p.lostAt = b.now
+	p.order, p.flight, p.again, p.doubts, p.beats, p.acks = nil, nil, nil, nil, nil, nil
+	p.behind = false
+	clear(p.waits)
+	for _, e := range b.list {
+		delete(e.told, p.door.Seat)
+	}
+}
+
+// Greet tells a door that is connected anew: the backends kept here, those that the door itself should keep,
+// those whose keeper is missing and that fall to this door, and all ends. Together the doors tell it the
+// whole board.
+func (b *Board) Greet(s Seat) {
+	p := b.peers[s]
+	if p == nil {
+		return
+	}
+	b.drop(p)
+	for _, e := range b.list {
+		k := e.w.Keeper
+		if k == b.me || k == s || e.level() > noEnd || b.lost(k) && b.duty(e, s).Seat == b.me {
+			b.tell(p, e.w.ID, true)
+		}
+	}
+}
+
+// spread tells all live doors, at once or together with other small news.
+func (b *Board) spread(e *entry, now bool) {
+	for _, s := range b.seats {
+		if p := b.peers[s]; p.door.Live {
+			b.tell(p, e.w.ID, now)
+		}
+	}
+}
+
+func (b *Board) tell(p *peer, id string, now bool) {
+	at := b.now
+	if !now {
+		at += packFor
+	}
+	if len(p.order) == 0 || at < p.sendAt {
+		p.sendAt = at
+	}
+	if !p.waits[id] {
+		p.waits[id] = true
+		p.order = append(p.order, id)
+	}
+}
+
+// relay passes a beat on; the next beat makes up for a lost one.
+func (b *Board) relay(e *entry, s Seat) {
+	if p := b.peers[s]; p != nil && p.door.Live && len(p.beats) < wordsMost {
+		p.beats = append(p.beats, b.word(e))
+	}
+}
+
+// load takes what is due for a door.
+func (b *Board) load(p *peer) (m Message, ok bool) {
+	m.Acks, p.acks = p.acks, nil
+	if !p.door.Live {
+		return m, len(m.Acks) > 0
+	}
+	m.Beats, p.beats = p.beats, nil
+	if len(p.again) > 0 {
+		f := p.again[0]
+		p.again = p.again[1:]
+		return b.fill(m, f), true
+	}
+	due := len(p.order) > 0 && b.now >= p.sendAt
+	if !due && len(p.doubts) == 0 || p.behind || len(p.flight) >= flightMost {
+		return m, len(m.Acks)+len(m.Beats) > 0
+	}
+	p.nr++
+	f := &parcel{nr: p.nr, at: b.now, doubts: p.doubts}
+	p.doubts = nil
+	if due {
+		n := min(len(p.order), wordsMost)
+		f.ids, p.order = slices.Clone(p.order[:n]), p.order[n:]
+	}
+	for _, id := range f.ids {
+		delete(p.waits, id)
+		l := noEnd
+		if e := b.all[id]; e != nil {
+			l = e.level()
+		}
+		f.levels = append(f.levels, l)
+	}
+	p.flight = append(p.flight, f)
+	return b.fill(m, f), true
+}
+
+// fill writes the words of a parcel as they are now.
+func (b *Board) fill(m Message, f *parcel) Message {
+	m.Nr = f.nr
+	for _, id := range f.ids {
+		if e := b.all[id]; e != nil {
+			m.Words = append(m.Words, b.word(e))
+		}
+	}
+	for _, id := range f.doubts {
+		if e := b.all[id]; e != nil {
+			m.Doubts = append(m.Doubts, b.word(e))
+		}
+	}
+	return m
+}
+
+// resend repeats what was not confirmed, and gives up on a door that confirms nothing.
+func (b *Board) resend(p *peer) {
+	for _, f := range p.flight {
+		if b.now-f.at < p.patience() {
+			continue
+		}
+		if f.tries++; f.tries > resendMost && !p.behind {
+			b.drop(p)
+			p.behind = true
+			p.nr++
+			f = &parcel{nr: p.nr, at: b.now}
+			p.flight, p.again = []*parcel{f}, []*parcel{f}
+			return
+		}
+		f.at = b.now
+		if !slices.Contains(p.again, f) {
+			p.again = append(p.again, f)
+		}
+	}
+}
+
+// patience is how long a confirmation is waited for.
+func (p *peer) patience() time.Duration {
+	if p.behind {
+		return askAfter
+	}
+	return resendAfter
+}
+
+// due is when the door wants to be looked at again.
+func (p *peer) due() time.Duration {
+	at := never
+	for _, f := range p.flight {
+		at = min(at, f.at+p.patience())
+	}
+	if p.door.Live && !p.behind && len(p.order) > 0 && len(p.flight) < flightMost {
+		at = min(at, p.sendAt)
+	}
+	return at
+}
+
+// Heard takes a message of another door.
+func (b *Board) Heard(from Seat, m Message) {
+	p := b.peers[from]
+	if p == nil {
+		if from < 0 || from == b.me {
+			return
+		}
+		p = b.peer(from)
+	}
+	if p.behind && p.door.Live {
+		b.Greet(from)
+	}
+	for _, nr := range m.Acks {
+		b.confirmed(p, nr)
+	}
+	for _, w := range m.Words {
+		b.heard(p, w)
+	}
+	for _, w := range m.Beats {
+		if e := b.entry(w.ID); e != nil {
+			b.beat(e, w, false)
+		}
+	}
+	for _, w := range m.Doubts {
+		b.doubted(p, w)
+	}
+	if m.Nr != 0 && len(p.acks) < confirmsMost {
+		p.acks = append(p.acks, m.Nr)
+	}
+	b.settle()
+}
+
+// heard joins a word and says otherwise where more is known here.
+func (b *Board) heard(p *peer, w Word) {
+	e := b.entry(w.ID)
+	if e == nil {
+		return
+	}
+	mine := e.w.Keeper == b.me && e.phase() != Gone
+	recent := b.now-e.signAt < silentBeats*b.terms.BeatInterval
+	before := e.w
+	revived := b.join(e, w)
+	if e.w.Keeper == b.me && (before.Keeper != b.me || revived || differs(before, e.w)) {
+		// The keeper answers for what all know: others may have believed it, or have come up with it.
+		b.spread(e, revived)
+	}
+	if w.Phase == Gone && p.door.Seat == e.w.Keeper {
+		e.doubt = false
+	}
+	if l := lvl(w); l > noEnd {
+		b.tolds(e, p.door.Seat, l)
+	}
+	if w.Missed != None && w.Fence == e.w.Fence && w.Keeper == e.w.Keeper {
+		if w.Missed == b.me && mine && recent {
+			// Somebody thinks this door missing, but the beats still come here.
+			b.claim(e, None)
+			b.spread(e, true)
+			return
+		}
+		if m := b.peers[w.Missed]; w.Missed != p.door.Seat && m != nil && m.door.Live {
+			b.tell(m, e.w.ID, true)
+		}
+	}
+	is := b.word(e)
+	switch {
+	case w.Phase == Gone && is.Phase != Gone && (e.w.Keeper == b.me || recent):
+		b.spread(e, true) // whoever believed it must be told
+	case w.Phase != is.Phase || lvl(w) != lvl(is) ||
+		w.Keeper != is.Keeper && (w.Fence < is.Fence || w.Fence == is.Fence && w.Keeper < is.Keeper):
+		if p.door.Live {
+			b.tell(p, e.w.ID, true)
+		}
+	}
+}
+
+// doubted hears that another backend answered at the address: the next beat shows who is right.
+func (b *Board) doubted(p *peer, w Word) {
+	e := b.entry(w.ID)
+	if e == nil {
+		return
+	}
+	before := e.phase()
+	b.join(e, w)
+	if e.phase() != Gone {
+		b.hush(e)
+	}
+	if before != Gone {
+		b.spread(e, true)
+	} else {
+		b.tell(p, e.w.ID, true)
+	}
+}
+
+// ask tells the keeper of a doubt.
+func (b *Board) ask(e *entry) {
+	e.kept = b.now
+	if p := b.peers[e.w.Keeper]; p != nil && p.door.Live && !slices.Contains(p.doubts, e.w.ID) {
+		p.doubts = append(p.doubts, e.w.ID)
+	}
+}
+
+func lvl(w Word) level {
+	switch {
+	case w.Final:
+		return left
+	case w.Drained || w.Phase == Draining:
+		return drains
+	}
+	return noEnd
+}
+
+// confirmed notes what a door has taken in.
+func (b *Board) confirmed(p *peer, nr uint64) {
+	for i, f := range p.flight {
+		if f.nr != nr {
+			continue
+		}
+		for j, id := range f.ids {
+			if e := b.all[id]; e != nil && f.levels[j] > noEnd {
+				b.tolds(e, p.door.Seat, f.levels[j])
+			}
+		}
+		p.flight = slices.Delete(p.flight, i, i+1)
+		p.again = slices.DeleteFunc(p.again, func(x *parcel) bool { return x == f })
+		return
+	}
+}
+
+// tolds notes that a door knows of an end.
+func (b *Board) tolds(e *entry, s Seat, l level) {
+	if e.told == nil {
+		e.told = map[Seat]level{}
+	}
+	e.told[s] = max(e.told[s], l)
+}
--- /dev/null
+++ b/internal/casting/casting_test.go
@@ -0,0 +1,157 @@
+package casting
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/control"
+)
+
+// stage is a cast with backends 1 to 6, 1 to 3 of them in this zone, that answer in their own time.
+type stage struct {
+	*Cast
+	now   time.Duration
+	got   map[control.BackendID]int
+	takes map[control.BackendID]time.Duration // not 100 ms
+	fails map[control.BackendID]control.Ending
+}
+
+func newStage(seed int64) *stage {
+	s := &stage{Cast: New(rand.New(rand.NewSource(seed)), 0, 3), now: time.Second,
+		got: map[control.BackendID]int{}, takes: map[control.BackendID]time.Duration{},
+		fails: map[control.BackendID]control.Ending{}}
+	for i := range 6 {
+		s.List(0, s.line(control.BackendID(i+1), control.Ready))
+	}
+	return s
+}
+
+func (s *stage) line(id control.BackendID, state control.BackendState) control.Listing {
+	return control.Listing{ID: id, Hall: control.HallID((id - 1) / 3), State: state, Size: 4}
+}
+
+// play sends so many, one each 20 ms, each ended before the next: what each backend has out is no guide here.
+func (s *stage) play(n int, w Want) {
+	clear(s.got)
+	for range n {
+		s.now += 20 * ms
+		id, a := s.Pick(s.now, w)
+		if a != Chosen {
+			continue
+		}
+		s.got[id]++
+		s.Sent(s.now, id, w)
+		took := 100 * ms
+		if t := s.takes[id]; t > 0 {
+			took = t
+		}
+		s.Ended(s.now, id, End{Ending: s.fails[id], Took: took, Aim: 400 * ms})
+	}
+}
+
+func (s *stage) elsewhere() int { return s.got[4] + s.got[5] + s.got[6] }
+
+func TestZone(t *testing.T) {
+	s := newStage(1)
+	s.play(300, Want{})
+	must.Zero(t, s.elsewhere())
+	// Somewhat slower is no reason to leave, late is.
+	for i := range 3 {
+		s.takes[control.BackendID(i+1)] = 200 * ms
+	}
+	s.play(300, Want{})
+	must.Zero(t, s.elsewhere())
+	for i := range 3 {
+		s.takes[control.BackendID(i+1)] = 500 * ms
+	}
+	s.play(300, Want{})
+	must.Greater(t, 50, s.elsewhere())
+	// And so is a zone that turns all away, or fails. When it is well again, they come back.
+	for _, e := range []control.Ending{control.Full, control.Unreachable} {
+		s = newStage(1)
+		s.fails[1], s.fails[2], s.fails[3] = e, e, e
+		s.play(300, Want{})
+		must.Greater(t, 200, s.elsewhere())
+		clear(s.fails)
+		s.play(600, Want{})
+		s.play(100, Want{})
+		must.Less(t, 10, s.elsewhere())
+	}
+}
+
+// Sends go by speed, and doors of one age and knowledge don't move in step.
+func TestParts(t *testing.T) {
+	first := map[control.BackendID]int{}
+	for seed := range int64(12) {
+		s := newStage(seed)
+		id, _ := s.Pick(s.now, Want{})
+		first[id]++
+		s.takes[1], s.takes[2], s.takes[3] = 60*ms, 100*ms, 140*ms
+		s.play(600, Want{})
+		s.play(600, Want{})
+		must.Between(t, 1.4, float64(s.got[1])/float64(s.got[2]), 2)
+		must.Between(t, 1.2, float64(s.got[2])/float64(s.got[3]), 1.7)
+	}
+	must.MapLen(t, 3, first)
+}
+
+func TestAside(t *testing.T) {
+	s := newStage(1)
+	s.play(60, Want{})
+	s.fails[2] = control.Broken
+	s.play(300, Want{}) // six seconds
+	must.Between(t, 2, s.got[2], 15)
+	s.play(300, Want{Effectful: true})
+	must.Less(t, 3, s.got[2])
+	delete(s.fails, 2)
+	s.play(600, Want{})
+	s.play(300, Want{})
+	must.Greater(t, 60, s.got[2])
+	// Where all fail alike, all are still tried.
+	for i := range 6 {
+		s.fails[control.BackendID(i+1)] = control.Errored
+	}
+	s.play(300, Want{})
+	must.MapLen(t, 6, s.got)
+	for _, n := range s.got {
+		must.Greater(t, 5, n)
+	}
+}
+
+func TestColdAndDraining(t *testing.T) {
+	s := newStage(1)
+	cold := s.line(7, control.Ready)
+	cold.Hall, cold.Cold = 0, s.now+6*time.Second
+	s.List(s.now, cold)
+	s.List(s.now, s.line(1, control.Draining))
+	s.play(300, Want{})
+	must.Between(t, 10, s.got[7], 50)
+	must.Zero(t, s.got[1])
+	s.play(200, Want{})
+	s.play(300, Want{})
+	must.Greater(t, 85, s.got[7])
+}
+
+// One that owes answers for long gets few, and is dead once others have answered.
+func TestSilence(t *testing.T) {
+	s := newStage(1)
+	s.play(100, Want{})
+	for range 2 {
+		s.Sent(s.now, 1, Want{})
+	}
+	s.now += 250 * ms
+	must.False(t, s.Dead(s.now, 1))
+	s.now += 200 * ms
+	must.False(t, s.Dead(s.now, 1)) // nobody else was asked
+	s.play(5, Want{Tried: []control.BackendID{1}})
+	must.True(t, s.Dead(s.now, 1))
+	for range 10 {
+		id, _ := s.Pick(s.now, Want{})
+		must.NotEq(t, 1, id)
+	}
+	s.Stood(s.now) // unless the silence was this door's own
+	must.False(t, s.Dead(s.now, 1))
+}
--- /dev/null
+++ b/internal/company/company.go
@@ -0,0 +1,353 @@
+// Package company knows the doors of a house: who there is, who is heard, which seats they have, and, at the first
+// start of all, which doors found the core. It is free of I/O: inputs only update what is known, the host pulls
+// actions with Next.
+package company
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Seat is a door's number, given once by the core; owners of buckets and keepers of backends are hashed over seats.
+type Seat int
+
+// NoSeat is the seat of a door that has none yet.
+const NoSeat Seat = -1
+
+// Disk names a door's disk; nought: it has none. A wiped disk is another one.
+type Disk uint64
+
+// Door is what a door says of itself.
+type Door struct {
+	Name    string
+	Addr    string // where it takes frames: IP and first inner port
+	Control string // where it takes control calls
+	Zone    string
+	Disk    Disk
+	First   bool   // the first start of the whole house
+	Life    uint64 // drawn at each start
+	Founded bool   // its disk holds a state of the core
+}
+
+// Hello is what doors tell each other when a link comes up, and when something of it changes.
+type Hello struct {
+	Door  Door
+	Known []string // addresses of other doors
+}
+
+// Founder is a door that begins the core.
+type Founder struct {
+	Disk Disk
+	Addr string
+}
+
+// Verb is what an action asks of the host.
+type Verb int
+
+const (
+	Want    Verb = iota // keep a link to Addr
+	Leave               // keep it no longer
+	Greet               // say Hello to Addr
+	Found               // tell the door at Addr that Founders begin the core
+	Changed             // the live doors are others than before
+)
+
+// Action is one thing to do now.
+type Action struct {
+	Verb     Verb
+	Addr     string
+	Founders []Founder
+}
+
+// Terms are what a deployment sets.
+type Terms struct {
+	Seeds     []string // inner addresses, in the order of the settings
+	Tolerates int      // doors with a disk that may be lost at once
+}
+
+const (
+	silentFor  = 2200 * time.Millisecond // a door that is not heard for longer counts as lost
+	forgetIn   = 90 * time.Second        // and after this it is dialed no more, unless it is a seed or has a seat
+	foundCalm  = 500 * time.Millisecond  // no further door with a disk came for so long
+	foundMost  = 3 * time.Second         // with fewer than are needed, the core begins all the same
+	foundNext  = 2500 * time.Millisecond // the next seed begins it where the ones before are silent
+	foundAgain = time.Second
+	lookEvery  = 200 * time.Millisecond
+	doorsMost  = 512
+)
+
+type door struct {
+	Door
+	met   bool // it said hello in its present life
+	up    bool // our link to it
+	heard time.Duration
+	known time.Duration
+	live  bool
+}
+
+// Company is one door's knowledge of all.
+type Company struct {
+	now, born time.Duration
+	me        Door
+	terms     Terms
+	doors     map[string]*door
+	seats     map[string]Seat
+	order     []Seated
+	ready     []Action
+	looked    time.Duration
+	lastDisk  time.Duration // when a door with a disk was first met
+	founders  []Founder     // who begin the core, where this door says so
+	foundAt   time.Duration
+	changed   bool
+}
+
+// Seated is a door's entry in the order of seats.
+type Seated struct{ Name, Addr, Control, Zone string }
+
+// New makes one that knows its seeds.
+func New(me Door, t Terms, now time.Duration) *Company {
+	c := &Company{now: now, born: now, me: me, terms: t, doors: map[string]*door{}, seats: map[string]Seat{},
+		looked: now, lastDisk: now}
+	for _, s := range t.Seeds {
+		c.learn(s)
+	}
+	return c
+}
+
+// Now sets the clock.
+func (c *Company) Now(t time.Duration) { c.now = max(c.now, t) }
+
+// Me is what this door says of itself.
+func (c *Company) Me() Door { return c.me }
+
+// Settle says that this door's disk holds a state of the core from now on; all are told.
+func (c *Company) Settle(disk Disk, founded bool) {
+	if c.me.Disk == disk && c.me.Founded == founded {
+		return
+	}
+	c.me.Disk, c.me.Founded = disk, founded
+	for _, a := range c.Addrs() {
+		if c.doors[a].up {
+			c.do(Action{Verb: Greet, Addr: a})
+		}
+	}
+}
+
+func (c *Company) do(a Action) { c.ready = append(c.ready, a) }
+
+func (c *Company) learn(addr string) *door {
+	if addr == c.me.Addr || addr == "" || len(c.doors) >= doorsMost {
+		return nil
+	}
+	d := c.doors[addr]
+	if d == nil {
+		d = &door{Door: Door{Addr: addr}, heard: c.now - silentFor, known: c.now}
+		c.doors[addr] = d
+		c.do(Action{Verb: Want, Addr: addr})
+	}
+	return d
+}
+
+// Seed is an address that the settings name by now.
+func (c *Company) Seed(addr string) { c.learn(addr) }
+
+// Up and Down tell how our link to a door is.
+func (c *Company) Up(addr string) {
+	if d := c.doors[addr]; d != nil {
+		d.up = true
+		c.do(Action{Verb: Greet, Addr: addr})
+	}
+}
+
+func (c *Company) Down(addr string) {
+	if d := c.doors[addr]; d != nil {
+		d.up = false
+		c.look()
+	}
+}
+
+// Heard: something came from a door.
+func (c *Company) Heard(addr string) {
+	if d := c.learn(addr); d != nil || c.doors[addr] != nil {
+		d = c.doors[addr]
+		d.heard = c.now
+		if !d.live {
+			c.look()
+		}
+	}
+}
+
+// Hello takes what a door says of itself.
+func (c *Company) Hello(from string, h Hello) {
+	d := c.learn(from)
+	if d == nil {
+		return
+	}
+	if h.Door.Disk != 0 && d.Disk != h.Door.Disk {
+		c.lastDisk = c.now
+	}
+	again := d.met && d.Life != h.Door.Life
+	d.Door, d.met, d.heard = h.Door, true, c.now
+	d.Addr = from
+	for _, a := range h.Known {
+		c.learn(a)
+	}
+	if again {
+		c.changed = true
+	}
+	c.look()
+}
+
+// Seats takes the order of seats as the core has it.
+func (c *Company) Seats(order []Seated) {
+	c.order = order
+	clear(c.seats)
+	for i, s := range order {
+		c.seats[s.Addr] = Seat(i)
+		c.learn(s.Addr)
+	}
+	c.changed = true
+}
+
+// Seat of an address, or NoSeat.
+func (c *Company) Seat(addr string) Seat {
+	if s, ok := c.seats[addr]; ok {
+		return s
+	}
+	return NoSeat
+}
+
+// At is who has a seat.
+func (c *Company) At(s Seat) (Seated, bool) {
+	if s < 0 || int(s) >= len(c.order) {
+		return Seated{}, false
+	}
+	return c.order[s], true
+}
+
+// Order is all seats.
+func (c *Company) Order() []Seated { return c.order }
+
+// Live tells whether a door is linked both ways.
+func (c *Company) Live(addr string) bool {
+	d := c.doors[addr]
+	return addr == c.me.Addr || d != nil && d.live
+}
+
+// Door is what a door last said of itself.
+func (c *Company) Door(addr string) (Door, bool) {
+	if addr == c.me.Addr {
+		return c.me, true
+	}
+	d := c.doors[addr]
+	if d == nil || !d.met {
+		return Door{}, false
+	}
+	return d.Door, true
+}
+
+// Disks are the live doors with a disk, this one among them, in the order of their addresses.
+func (c *Company) Disks() (all []Door) {
+	if c.me.Disk != 0 {
+		all = append(all, c.me)
+	}
+	for _, a := range c.Addrs() {
+		if d := c.doors[a]; d.live && d.Disk != 0 {
+			all = append(all, d.Door)
+		}
+	}
+	return all
+}
+
+// Addrs are the other doors that are known, in order.
+func (c *Company) Addrs() []string {
+	all := make([]string, 0, len(c.doors))
+	for a := range c.doors {
+		all = append(all, a)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// Say is this door's hello.
+func (c *Company) Say() Hello { return Hello{Door: c.me, Known: c.Addrs()} }
+
+// look works out who is live.
+func (c *Company) look() {
+	c.looked = c.now
+	for a, d := range c.doors {
+		live := d.up && d.met && c.now-d.heard < silentFor
+		if live != d.live {
+			d.live, c.changed = live, true
+		}
+		if c.Seat(a) == NoSeat && !slices.Contains(c.terms.Seeds, a) && c.now-max(d.heard, d.known) > forgetIn {
+			delete(c.doors, a)
+			c.do(Action{Verb: Leave, Addr: a})
+		}
+	}
+	c.found()
+}
+
+// found begins the core at the first start of all: the first seed does, once no further door with a disk comes. Only
+// where the seeds before are silent does the next one. Doors that have a state take no such word, and nobody begins
+// anything where one that is met has a state. Who begins it is settled once in a life; the word goes again to those
+// that have not written it down, since a link may have lost it.
+func (c *Company) found() {
+	if c.founders == nil && !c.begin() || c.now-c.foundAt < foundAgain && c.foundAt > 0 {
+		return
+	}
+	c.foundAt = c.now
+	for _, f := range c.founders {
+		d := c.doors[f.Addr]
+		if f.Addr == c.me.Addr && !c.me.Founded || d != nil && d.up && d.Disk == f.Disk && !d.Founded {
+			c.do(Action{Verb: Found, Addr: f.Addr, Founders: c.founders})
+		}
+	}
+}
+
+// begin tells whether this door is to begin the core now, and names the founders.
+func (c *Company) begin() bool {
+	rank := slices.Index(c.terms.Seeds, c.me.Addr)
+	if !c.me.First || c.me.Founded || rank < 0 || c.now-c.born < time.Duration(rank)*foundNext {
+		return false
+	}
+	var with []Founder
+	if c.me.Disk != 0 {
+		with = append(with, Founder{c.me.Disk, c.me.Addr})
+	}
+	for a, d := range c.doors {
+		if d.met && d.Founded || slices.Contains(c.terms.Seeds[:rank], a) && d.met {
+			return false // it has begun, or is for a seed before to begin
+		}
+		if d.met && d.Disk != 0 && d.First {
+			with = append(with, Founder{d.Disk, a})
+		}
+	}
+	need := 2*c.terms.Tolerates + 1
+	calm := c.now-c.lastDisk >= foundCalm && c.now-c.born >= foundCalm
+	if len(with) == 0 || !calm || len(with) < need && c.now-c.born < foundMost {
+		return false
+	}
+	slices.SortFunc(with, func(a, b Founder) int { return strings.Compare(a.Addr, b.Addr) })
+	c.founders = with
+	return true
+}
+
+// Next gives the next thing to do now, or false.
+func (c *Company) Next() (Action, bool) {
+	if c.now-c.looked >= lookEvery {
+		c.look()
+	}
+	if len(c.ready) > 0 {
+		a := c.ready[0]
+		c.ready = c.ready[1:]
+		return a, true
+	}
+	if c.changed {
+		c.changed = false
+		return Action{Verb: Changed}, true
+	}
+	return Action{}, false
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -54,6 +54,7 @@
 	EndCalledOff
 	EndNotSent
 	BadAnswer
+	OtherAnswer
 	BackendsEvicted
 	Reloads
 	ReloadsBad
@@ -73,6 +74,9 @@
 	GrantsGone
 	Steps
 	StepsStale
+	NoSuchKey
+	UnknownYet
+	CutShort
 	all
 )
 
@@ -84,10 +88,12 @@
 	"without memory", "unknown paths", "unknown methods",
 	"too many held", "ups", "submissions", "connections reused", "dials", "dials failed", "ended settled",
 	"ended errored", "ended full", "ended timed out", "ended unreachable", "ended broken", "ended called off",
-	"ended not sent", "bad answers", "backend connections evicted", "configurations taken",
+	"ended not sent", "bad answers",
+	"answers to others", "backend connections evicted", "configurations taken",
 	"configurations bad", "lists taken", "lists bad", "watches lost",
 	"mails sent", "mails taken", "mails bad", "mails unsent", "accept errors", "turns",
-	"lease frames sent", "lease frames taken", "lease frames unsent", "leases granted", "leases over", "steps under leases", "stale steps refused"}
+	"lease frames sent", "lease frames taken", "lease frames unsent", "leases granted", "leases over", "steps under leases", "stale steps refused",
+	"unknown keys", "not known yet", "answers cut short"}
 
 // Set is one front door's counters. One owner at a time counts.
 type Set [all]uint64
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"bytes"
 	"time"
 
 	"clovergap/control"
 	"clovergap/internal/check"
 	"clovergap/internal/counters"
+	"clovergap/internal/gate"
 	"clovergap/internal/http1"
 	"clovergap/internal/link"
 	"clovergap/internal/slots"
@@ -22,17 +24,23 @@
 	dialing bool
 	carries bool // the present submission was given to the link
 	idleAt  time.Duration
+	idleFor time.Duration
+	feeding bool
+	passing bool
+	verdict Verdict // of an answer that is passed on in parts
+	flows   bool    // one is
 }
 
-// reuse takes the idle connection used last that has rested, and closes those that are not fit to be used again.
-func (d *Dispatch) reuse(b *backend) *conn {
+// reuse takes the idle connection used last that has rested, unless any will do, and closes those that are not fit to
+// be used again.
+func (d *Dispatch) reuse(b *backend, any bool) *conn {
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
-		if d.e.Now()-c.idleAt < rest {
+		if d.e.Now()-c.idleAt < d.terms.Rest && !any {
 			continue
 		}
 		b.idle = append(b.idle[:i], b.idle[i+1:]...)
-		if d.e.Now()-c.idleAt < d.idleMost && c.l.Clean() {
+		if d.e.Now()-c.idleAt < c.idleFor && c.l.Clean() {
 			return c
 		}
 		c.close()
@@ -40,9 +48,9 @@
 	return nil
 }
 
-// rest is how long a connection stays idle after an answer: what a backend sends behind one, a second copy or noise,
+// restUsual is how long a connection stays idle after an answer: what a backend sends behind one, a second copy or noise,
 // shows itself by then. Come later, it would be taken for the next answer. It costs a connection more now and then.
-const rest = 10 * time.Millisecond
+const restUsual = 10 * time.Millisecond
 
 // dial opens a connection for a submission, or ends it when none may be opened.
 func (d *Dispatch) dial(b *backend, ref slots.Ref, s *submission) bool {
@@ -56,7 +64,12 @@
 		return false
 	}
 	*c = conn{d: d, me: me, b: b, r: http1.Responses(), sub: ref, dialing: true}
-	c.l = d.e.Dial(b.addr, d.dialLimit, c.up)
+	c.r.Bound(d.terms.Head, d.terms.Body)
+	b.open++
+	c.l = d.e.Dial(b.addr, d.terms.Dial, c.up)
+	if d.terms.Raw > 0 {
+		c.l.Bound(d.terms.Raw)
+	}
 	c.l.Own(c)
 	s.conn = c
 	return true
@@ -81,17 +94,25 @@
 	c.sub, s.conn = ref, c
 	check.That(s.backend.ready, "nothing is sent to one that drains or is gone")
 	left := s.until - c.d.e.Now()
-	c.d.scratch = s.message.AppendTo(c.d.scratch[:0], left)
+	c.d.scratch = s.message.AppendTo(c.d.scratch[:0], c.b.id, left)
 	if len(c.d.scratch) == 0 || left <= 0 { // its client has gone, or its time, before anything was written
 		c.d.end(ref, s, control.NotSent)
 		return
 	}
 	c.carries = true
-	c.l.Send(c.d.scratch)
+	c.r.Bodiless = bytes.HasPrefix(c.d.scratch, []byte("HEAD "))
+	s.id, s.given, s.flows = s.message.ID(), len(c.d.scratch), s.message.Flows()
+	if c.l.Send(c.d.scratch) && s.flows {
+		c.feed()
+	}
 }
 
 // Sent: the last byte is in the socket; mayRun asks for that when it counts.
-func (c *conn) Sent() {}
+func (c *conn) Sent() {
+	if s := c.d.subs.Get(c.sub); s != nil && s.flows {
+		c.feed()
+	}
+}
 
 // Closed: a connection that ends before a submission's last byte is written never ran it.
 func (c *conn) Closed() {
@@ -122,6 +143,7 @@
 			break
 		}
 	}
+	c.b.open--
 	c.d.conns.Drop(c.me)
 }
 
@@ -135,6 +157,10 @@
 		c.close()
 		return
 	}
+	if c.flows {
+		c.pass(ref, s)
+		return
+	}
 	for {
 		b := c.l.In.Linear()
 		size, whole, err := c.r.Read(b)
@@ -142,22 +168,66 @@
 			c.d.spoilt(ref, s)
 			return
 		}
+		if !whole && c.begins(ref, s, b) {
+			return
+		}
 		if !whole {
 			if c.l.Full() {
 				c.d.spoilt(ref, s)
-			} else if len(b) > 0 && !s.partly && s.whole > 0 {
-				s.partly = true
-				c.d.e.At(c.d.e.Now()+s.whole, &c.d.parts, uint32(ref))
+			} else if len(b) > 0 && s.wholeBy == 0 && s.whole > 0 {
+				s.wholeBy = c.d.e.Now() + s.whole
+				c.d.e.At(s.wholeBy, &c.d.parts, uint32(ref))
 			}
 			return
 		}
 		if c.r.Status() >= 200 {
-			c.answered(ref, s, b, size)
-			return
+			v := c.read(s, b)
+			if !v.Other {
+				c.answered(ref, s, v, b, size)
+				return
+			}
+			c.d.e.Count.Add(counters.OtherAnswer)
+			s.wholeBy = 0
 		}
-		c.l.In.Drop(size) // an interim answer
+		bodiless := c.r.Bodiless // an interim answer, or another's
+		c.l.In.Drop(size)
 		c.r.Reset()
+		c.r.Bodiless = bodiless
+	}
+}
+
+// answered ends a submission by its answer and keeps the connection where it may carry another.
+func (c *conn) answered(ref slots.Ref, s *submission, v Verdict, b []byte, size int) {
+	if v.Ending == control.Broken { // it has the form of an answer, and is none
+		c.d.spoilt(ref, s)
+		return
 	}
+	o := gate.Outcome{Ending: v.Ending, Load: v.Load, Final: v.Final, Answer: &c.r, Bytes: b, Body: c.r.Body(b)}
+	c.over(ref, s, v, o, size)
+}
+
+// over tells the outcome that an answer makes, and keeps the connection if nothing is left on it.
+func (c *conn) over(ref slots.Ref, s *submission, v Verdict, o gate.Outcome, size int) {
+	// else nobody would find it again
+	keep := !c.r.Closes && !v.Closes && c.l.Unwritten() == 0 && !s.flows && c.l.In.Len() == size
+	c.sub, c.carries, s.conn = 0, false, nil
+	c.d.tell(ref, s, o)
+	if !keep || !c.b.ready || c.l.IsClosed() {
+		c.close()
+		return
+	}
+	c.l.In.Drop(size)
+	c.r.Reset()
+	c.idleAt, c.idleFor = c.d.e.Now(), time.Duration(idleShare*float64(c.d.terms.Idle))
+	if v.Idle > 0 {
+		c.idleFor = v.Idle
+	}
+	c.b.idle = append(c.b.idle, c)
+}
+
+// read asks what an answer means.
+func (c *conn) read(s *submission, b []byte) Verdict {
+	return c.d.terms.Dialect.Read(Carried{s.id, s.message.Once(), c.b.id}, &c.r, b)
 }
 
 // spoilt: an answer that can't be read ends as a broken connection does, it may have run.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"clovergap/control"
 	"clovergap/internal/counters"
 	"clovergap/internal/gate"
+	"clovergap/internal/http1"
 	"clovergap/internal/link"
 	"clovergap/internal/slots"
 )
@@ -16,6 +17,10 @@
 type Gate interface {
 	Ended(txn slots.Ref, nr int, at control.BackendID, o gate.Outcome)
 	Probed(at control.BackendID, good bool, took time.Duration, load []float64)
+	// Of an answer that is passed on in parts: its head, how much is wanted, a part; Ended tells of its end as well.
+	Begun(txn slots.Ref, o gate.Outcome) bool
+	Room(txn slots.Ref) int
+	Pass(txn slots.Ref, part []byte)
 }
 
 // backend is where one is and the idle connections to it, the last used at the end.
@@ -25,6 +30,20 @@
 	started time.Duration
 	ready   bool // takes new ones
 	idle    []*conn
+	open    int // connections, idle ones among them
+	most    int // of these; 0: as many as there may be
+}
+
+// Terms are what a Dispatch goes by.
+type Terms struct {
+	Dialect Dialect
+	Idle    time.Duration // after which a backend closes an idle connection, where its answers don't tell
+	Rest    time.Duration // 0: restUsual
+	Dial    time.Duration // limit of a dial
+	Head    int           // bounds of an answer; 0: http1's
+	Body    int
+	Buffer  int // of a body, beyond which it is passed on in parts; 0: none is
+	Raw     int // bytes of an answer that may wait; 0: the engine's
 }
 
 // submission is one that is out, or about to be.
@@ -37,32 +56,37 @@
 	began   time.Duration
 	until   time.Duration
 	whole   time.Duration // for an answer, from its first bytes
-	partly  bool          // some of it has come
+	wholeBy time.Duration // some of it has come, the rest must by then; 0: none has
+	id      string
+	given   int  // bytes given to the link
+	flows   bool // more of its body is to come
 }
 
-// mayRun tells whether its last byte is in the socket: from then on it may have run. Only what the poller has
-// written counts, not what it has taken into its queue.
+// mayRun tells whether its last byte is in the socket, or its first where backends begin earlier: from then on it may
+// have run. Only what the poller has written counts, not what it has taken into its queue.
 func (s *submission) mayRun() bool {
-	return s.conn != nil && s.conn.carries && s.conn.l.Unwritten() == 0
+	if s.conn == nil || !s.conn.carries {
+		return false
+	}
+	left := s.conn.l.Unwritten()
+	return left == 0 || s.conn.d.wary && left < s.given
 }
 
 // Dispatch carries submissions.
 type Dispatch struct {
-	e         *link.Engine
-	gate      Gate
-	backends  map[control.BackendID]*backend
-	subs      *slots.Table[submission]
-	conns     *slots.Table[conn]
-	byTxn     map[slots.Ref]slots.Ref
-	fields    []string
-	idleMost  time.Duration
-	dialLimit time.Duration
-	scratch   []byte
-	load      []float64
-	dials     dialAlarm
-	limits    limitAlarm
-	parts     partAlarm
-	makeRoom  func() bool
+	e        *link.Engine
+	gate     Gate
+	backends map[control.BackendID]*backend
+	subs     *slots.Table[submission]
+	conns    *slots.Table[conn]
+	byTxn    map[slots.Ref]slots.Ref
+	terms    Terms
+	wary     bool
+	scratch  []byte
+	dials    dialAlarm
+	limits   limitAlarm
+	parts    partAlarm
+	makeRoom func() bool
 }
 
 // idleShare of the time after which a backend closes an idle connection: an older one is not used again, since
@@ -70,15 +94,30 @@
 const idleShare = 0.8
 
 // New makes one. makeRoom gives back a descriptor that another stage does not need.
-func New(e *link.Engine, g Gate, fields []string, idle, dial time.Duration, makeRoom func() bool) *Dispatch {
-	d := &Dispatch{e: e, gate: g, backends: map[control.BackendID]*backend{}, fields: fields,
+func New(e *link.Engine, g Gate, t Terms, makeRoom func() bool) *Dispatch {
+	d := &Dispatch{e: e, gate: g, backends: map[control.BackendID]*backend{}, terms: t, wary: t.Dialect.Wary(),
 		subs: slots.New[submission](1 << 16), conns: slots.New[conn](1 << 16), byTxn: map[slots.Ref]slots.Ref{},
-		idleMost: time.Duration(idleShare * float64(idle)), dialLimit: dial, makeRoom: makeRoom,
-		load: make([]float64, len(fields))}
+		makeRoom: makeRoom}
+	if d.terms.Rest == 0 {
+		d.terms.Rest = restUsual
+	}
+	if d.terms.Head == 0 {
+		d.terms.Head, d.terms.Body = http1.MostHead, http1.MostBody
+	}
+	if d.terms.Buffer > 0 && d.terms.Raw == 0 {
+		d.terms.Raw = d.terms.Head + d.terms.Buffer + d.terms.Buffer/4
+	}
 	d.dials.d, d.limits.d, d.parts.d = d, d, d
 	return d
 }
 
+// Most bounds the connections to a backend that is known; 0 bounds nothing.
+func (d *Dispatch) Most(id control.BackendID, conns int) {
+	if b := d.backends[id]; b != nil {
+		b.most = conns
+	}
+}
+
 // At says where a backend is, since when, and whether it takes anything new. Connections to where it was before, or to
 // the process before, are not used again: where a machine vanished they are open and silent. What is still being
 // connected to one that drains or is gone ends here, never sent. One that takes nothing new is forgotten: what is out
@@ -141,20 +180,36 @@
 	now := d.e.Now()
 	*s = submission{txn: txn, nr: nr, backend: b, message: m, began: now, until: now + limit, whole: whole}
 	d.byTxn[txn] = ref
-	if c := d.reuse(b); c != nil {
+	if c := d.reuse(b, false); c != nil {
 		d.e.Count.Add(counters.Reused)
 		d.e.At(s.until, &d.limits, uint32(ref))
 		c.carry(ref, s)
 		return
 	}
+	if b.most > 0 && b.open >= b.most {
+		d.crowded(b, ref, s)
+		return
+	}
 	if d.dial(b, ref, s) {
-		if dialUntil := now + d.dialLimit; dialUntil < s.until {
+		if dialUntil := now + d.terms.Dial; dialUntil < s.until {
 			d.e.At(dialUntil, &d.dials, uint32(ref))
 		}
 		d.e.At(s.until, &d.limits, uint32(ref))
 	}
 }
 
+// crowded takes a connection that has not rested where no more may be opened, rather than none at all.
+func (d *Dispatch) crowded(b *backend, ref slots.Ref, s *submission) {
+	c := d.reuse(b, true)
+	if c == nil {
+		d.end(ref, s, control.NotSent)
+		return
+	}
+	d.e.Count.Add(counters.Reused)
+	d.e.At(s.until, &d.limits, uint32(ref))
+	c.carry(ref, s)
+}
+
 // Recall calls a submission off: its connection ends.
 func (d *Dispatch) Recall(txn slots.Ref, nr int) {
 	ref := d.byTxn[txn]
@@ -196,10 +251,13 @@
 type dialAlarm struct{ d *Dispatch }
 type partAlarm struct{ d *Dispatch }
 
-func (a *partAlarm) Live(ref uint32) bool { return a.d.subs.Get(slots.Ref(ref)) != nil }
+func (a *partAlarm) Live(ref uint32) bool {
+	s := a.d.subs.Get(slots.Ref(ref))
+	return s != nil && s.wholeBy > 0
+}
 
 func (a *partAlarm) Due(ref uint32) {
-	if s := a.d.subs.Get(slots.Ref(ref)); s != nil {
+	if s := a.d.subs.Get(slots.Ref(ref)); a.Live(ref) && a.d.e.Now() >= s.wholeBy {
 		a.d.spoilt(slots.Ref(ref), s)
 	}
 }
--- /dev/null
+++ b/internal/foyer/flow_test.go
@@ -0,0 +1,196 @@
+package foyer
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/counters"
+)
+
+// long is a body that no door holds, different at each place.
+func long(n int) []byte {
+	b := make([]byte, n)
+	rand.NewChaCha8([32]byte{1}).Read(b)
+	return b
+}
+
+// stall is a backend that hands over its connections as they are.
+func (st *stage) stall() (next func() (*bufio.Reader, *net.TCPConn)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(st.t, err)
+	st.t.Cleanup(func() { l.Close() })
+	st.e.Turn(func() { st.d.At(7, l.Addr().String(), 1, true) })
+	return func() (*bufio.Reader, *net.TCPConn) {
+		c, err := l.Accept()
+		must.NoError(st.t, err)
+		c.SetDeadline(time.Now().Add(patience))
+		st.t.Cleanup(func() { c.Close() })
+		return bufio.NewReader(c), c.(*net.TCPConn)
+	}
+}
+
+// inChunks cuts a body into chunks of uneven sizes.
+func inChunks(body []byte) []byte {
+	var b bytes.Buffer
+	for i := 1; len(body) > 0; i++ {
+		n := min(len(body), i*i*7%70000+1)
+		fmt.Fprintf(&b, "%x;e=%d\r\n%s\r\n", n, i, body[:n])
+		body = body[n:]
+	}
+	b.WriteString("0\r\nT: u\r\n\r\n")
+	return b.Bytes()
+}
+
+// Long bodies, by length and in chunks, come through whole both ways, one after the other on one connection, though
+// either side is slow; the memory that they take is bounded.
+func TestLongBodies(t *testing.T) {
+	st := open(t)
+	next := st.stall()
+	body := long(3 << 20)
+	c := st.client()
+	for i, chunked := range []bool{false, true, false, true} {
+		head := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		sent := body
+		if chunked {
+			head, sent = "Transfer-Encoding: chunked\r\n", inChunks(body)
+		}
+		id := fmt.Sprint("b", i)
+		go c.send(request("POST", "/once/", id, head) + string(sent))
+		r, conn := next()
+		q, err := http.ReadRequest(r)
+		must.NoError(t, err)
+		must.Eq(t, "huka", q.Header.Get("X-Tenant"))
+		must.Eq(t, chunked, q.ContentLength < 0)
+		time.Sleep(5 * time.Millisecond) // all rings fill
+		got, err := io.ReadAll(q.Body)
+		must.NoError(t, err)
+		must.True(t, bytes.Equal(body, got))
+		more := "Connection: close\r\n"
+		if i < 2 {
+			more = ""
+		}
+		go func() {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Backend-Seal: s\r\n%s%s\r\n%s", id, more, head, sent)
+			if more != "" {
+				conn.Close() // before its reader has begun
+			}
+		}()
+		a, err := http.ReadResponse(c.r, &http.Request{Method: "POST"})
+		must.NoError(t, err)
+		must.Eq(t, "s", a.Header.Get("X-Backend-Seal"))
+		time.Sleep(5 * time.Millisecond)
+		got, err = io.ReadAll(a.Body)
+		must.NoError(t, err)
+		must.True(t, bytes.Equal(body, got))
+		if i < 2 {
+			conn.Close()
+		}
+	}
+	must.Eq(t, 4, st.count(counters.Settled))
+	must.Eq(t, 1, st.count(counters.ClientsOpened))
+}
+
+// A reader that stops holds up its own connection only, and what waits for it stays with the backend.
+func TestSlowReader(t *testing.T) {
+	st := open(t)
+	next := st.stall()
+	slow, quick := st.client(), st.client()
+	slow.Conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+	slow.send(request("GET", "/pure/", "s", ""))
+	_, conn := next()
+	conn.SetWriteBuffer(16 << 10)
+	body := long(24 << 20)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: s\r\nX-Backend-Seal: s\r\nContent-Length: %d\r\n\r\n", len(body))
+	went := make(chan error)
+	go func() {
+		_, err := conn.Write(body)
+		went <- err
+	}()
+	for i := range 20 {
+		quick.send(request("GET", "/pure/", fmt.Sprint("q", i), ""))
+		r, other := next()
+		_, err := http.ReadRequest(r)
+		must.NoError(t, err)
+		io.WriteString(other, served(fmt.Sprint("q", i), "Connection: close\r\n", "quick"))
+		must.Eq(t, "quick", quick.hears("HTTP/1.1 200 Fine"))
+	}
+	select {
+	case <-went:
+		t.Fatal("an answer was taken that nobody reads")
+	default:
+	}
+	a, err := http.ReadResponse(slow.r, nil)
+	must.NoError(t, err)
+	got, err := io.ReadAll(a.Body)
+	must.NoError(t, err)
+	must.True(t, bytes.Equal(body, got))
+	must.NoError(t, <-went)
+}
+
+// What is cut short never looks whole, and a body of which some has gone does not go again.
+func TestCutShort(t *testing.T) {
+	st := open(t)
+	next := st.stall()
+	body := long(1 << 20)
+	for _, head := range []string{"Content-Length: 1048576\r\n", "Transfer-Encoding: chunked\r\n"} {
+		sent := body
+		if strings.HasPrefix(head, "Transfer") {
+			sent = inChunks(body)
+		}
+		c := st.client()
+		c.send(request("GET", "/pure/", "c", ""))
+		_, conn := next()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: c\r\nX-Backend-Seal: s\r\n%s\r\n%s", head, sent[:len(sent)-50])
+		conn.Close()
+		a, err := http.ReadResponse(c.r, nil)
+		must.NoError(t, err)
+		_, err = io.ReadAll(a.Body)
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+	must.Eq(t, 2, st.count(counters.CutShort))
+	for i, x := range []struct {
+		answer string // of the backend, before the body is whole
+		rest   string
+		line   string
+	}{
+		{"", "zz\r\n", "400 Bad Request"}, // what is no chunk
+		{"HTTP/1.1 503 Full\r\nX-Attempt-Id: d\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "", "503 Service Unavailable"},
+		{"no answer\r\n", "", "502 Bad Gateway"},
+		{"HTTP/1.1 500 Oops\r\nX-Attempt-Id: d\r\nContent-Length: 0\r\n\r\n", "", "502 Bad Gateway"},
+	} {
+		c := st.client()
+		c.send(request("PUT", "/pure/", "d", "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n"))
+		c.hears("HTTP/1.1 100 Continue")
+		c.send(string(inChunks(body)[:1<<19]))
+		r, conn := next()
+		q, err := http.ReadRequest(r)
+		must.NoError(t, err)
+		io.ReadFull(q.Body, make([]byte, 1<<18))
+		io.WriteString(conn, x.answer)
+		if i == 0 {
+			// the present chunk is filled up first, so that what follows stands where a chunk's mark should
+			c.send(strings.Repeat("x", 70000) + "\r\n" + x.rest)
+		}
+		c.hears("HTTP/1.1 "+x.line, "Connection: close")
+	}
+	st.e.Turn(func() { must.Eq(t, 0, st.g.Held()) })
+	c := st.client()
+	c.send(request("PUT", "/pure/", "e", "Content-Length: 1000000\r\n") + string(body[:500000]))
+	r, _ := next()
+	q, err := http.ReadRequest(r)
+	must.NoError(t, err)
+	io.ReadFull(q.Body, make([]byte, 400000))
+	c.Close() // its client leaves
+	_, err = io.ReadAll(q.Body)
+	must.Error(t, err)
+}
--- /dev/null
+++ b/internal/foyer/foyer.go
@@ -0,0 +1,291 @@
+// Package foyer is what the gateway's clients and backends say, each in HTTP/1.1: requests in, told apart by host, path
+// and key, answers out, and in between what a backend is handed and what its answer means.
+package foyer
+
+import (
+	"bytes"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/answer"
+	"clovergap/internal/counters"
+	"clovergap/internal/dispatch"
+	"clovergap/internal/gate"
+	"clovergap/internal/http1"
+	"clovergap/internal/intake"
+	"clovergap/internal/slots"
+)
+
+// Admission is what the configuration says of a request.
+type Admission struct {
+	Product  control.ProductID
+	Customer control.CustomerID
+	Tenant   string // told to the backend; "": none
+	Metered  bool   // it draws on the customer's quota
+	Once     bool   // it may run at most once
+	Deadline time.Duration
+}
+
+// Refusal is why a request is not admitted.
+type Refusal int
+
+const (
+	None       Refusal = iota
+	NoRoute            // no route of that host begins that path
+	NoKey              // the route needs a key, and this is none that is known
+	UnknownYet         // a configuration that is not here yet might allow it
+)
+
+// Lookups is what a door knows of configurations and backends. All of it is called in a turn, and must not block.
+type Lookups interface {
+	// Admit looks a request up. host is in lower case and without a port, path without the query; key is nil without one.
+	Admit(host, path, key []byte) (Admission, Refusal)
+	// BackendName is the id that a backend goes by; "" if it is not known any more: then nothing is sent to it.
+	BackendName(at control.BackendID) string
+	// Gone: at a backend's address another one has answered.
+	Gone(at control.BackendID)
+}
+
+// Clock is the turn's time, and how long bytes may have lain unread.
+type Clock interface {
+	Now() time.Duration
+	Waited() time.Duration
+}
+
+// Foyer is the form of the gateway's requests, and the gate's front for them.
+type Foyer struct {
+	in    *intake.Intake
+	clock Clock
+	gate  Gate
+	house Lookups
+	host  []byte // the present request's, put into lower case
+	part  []byte
+}
+
+// visit is what is known of the request that a connection has.
+type visit struct {
+	Admission
+	expiry time.Duration
+	spent  bool  // some of a body that is passed on as it comes has gone
+	wrong  error // with what came of that body
+	chunks bool  // its answer goes out in chunks
+}
+
+// Gate takes requests, and hears of clients that leave and of what has come or gone of a long body.
+type Gate interface {
+	intake.Gate
+	More(txn slots.Ref)
+}
+
+func visitOf(c *intake.Client) *visit {
+	if c == nil {
+		return nil
+	}
+	return c.Note.(*visit)
+}
+
+// Bounds of what has no other.
+const (
+	mostID     = 128
+	mostWait   = time.Hour
+	soon       = 300 * time.Millisecond // when to ask again where a door does not know yet, or holds as many as it may
+	readIn     = 10 * time.Second       // an answer
+	wholeTimes = 10                     // a body may take so many times as long as a head
+)
+
+// Buffer is how many bytes of a body a door holds; what is longer is passed on as it comes, up to the limits.
+const Buffer = 256 << 10
+
+// Bounds of backends' answers, and the life of their idle connections where they don't tell.
+const (
+	answerHead = 16 << 10
+	answerBody = 64 << 20
+	idleUsual  = 4 * time.Second
+)
+
+// Terms gives what submissions go by.
+func Terms(house Lookups, dial time.Duration) dispatch.Terms {
+	return dispatch.Terms{Dialect: NewDialect(house), Idle: idleUsual, Dial: dial, Head: answerHead, Body: answerBody,
+		Buffer: Buffer}
+}
+
+// New makes the form for an intake.
+func New(in *intake.Intake, clock Clock, g Gate, house Lookups) *Foyer {
+	f := &Foyer{in: in, clock: clock, gate: g, house: house}
+	in.Serves(f)
+	return f
+}
+
+// Limits are the configuration's word on what clients may send, and how long they may take. Nought: the usual.
+type Limits struct {
+	Head, Body   int // bytes
+	HeadIn, Idle time.Duration
+}
+
+// Bounds gives an intake's bounds that follow from such limits.
+func Bounds(l Limits) intake.Bounds {
+	return intake.Bounds{Head: l.Head, Body: l.Body, Buffer: Buffer, HeadIn: l.HeadIn, WholeIn: wholeTimes * l.HeadIn,
+		ReadIn: readIn, Idle: l.Idle}
+}
+
+// Take admits a request, or refuses it right here.
+func (f *Foyer) Take(c *intake.Client) {
+	r, b := c.Request()
+	// Bytes behind a message that no message begins with show that its length was wrong.
+	if rest := c.Rest(); len(rest) > 0 && !http1.MayStart(rest) {
+		c.Doubtful(http1.ErrFraming)
+		return
+	}
+	target := r.Target(b)
+	id, ids := r.Get(b, "x-attempt-id")
+	host, hosts := r.Get(b, "host")
+	key, keyed, keys := f.key(r, b)
+	wait, ok := f.wait(r, b)
+	switch {
+	case target[0] != '/':
+		c.Reject(400, counters.BadRequest, "a path is needed")
+		return
+	case hosts || len(host) == 0:
+		c.Reject(400, counters.BadRequest, "host: one is needed")
+		return
+	case ids || len(id) == 0 || len(id) > mostID:
+		c.Reject(400, counters.BadID, "x-attempt-id: one is needed")
+		return
+	case keys:
+		c.Reject(400, counters.BadRequest, "authorization: more than one")
+		return
+	case !ok:
+		c.Reject(400, counters.BadRequest, "x-deadline-ms: one number of milliseconds")
+		return
+	}
+	if !keyed {
+		key = nil
+	}
+	path, _, _ := bytes.Cut(target, []byte("?"))
+	a, why := f.house.Admit(f.plain(host), path, key)
+	switch why {
+	case NoRoute:
+		f.refuse(c, id, 404, counters.NoSuchPath, 0)
+		return
+	case NoKey:
+		f.refuse(c, id, 401, counters.NoSuchKey, 0)
+		return
+	case UnknownYet:
+		f.refuse(c, id, 503, counters.UnknownYet, soon)
+		return
+	}
+	v, _ := c.Note.(*visit)
+	if v == nil {
+		v = &visit{}
+		c.Note = v
+	}
+	if *v = (visit{Admission: a}); wait == 0 || a.Deadline > 0 && a.Deadline < wait {
+		wait = a.Deadline
+	}
+	// The client counts from when it sent. After a standstill the request may have lain unread for all of it.
+	v.expiry = f.clock.Now() + max(wait-f.clock.Waited(), 0)
+	x := control.Txn{Customer: a.Customer, Product: a.Product, Expiry: v.expiry, SetWidth: 1}
+	if a.Metered {
+		x.Units = 1
+	}
+	ref, ok := f.gate.Take(x, f, c.Who())
+	if !ok {
+		f.refuse(c, id, 503, counters.Declined, soon)
+		return
+	}
+	c.Hold(ref, string(id))
+}
+
+// key reads a key: `Token KEY`. What else a client may say of itself is no key.
+func (f *Foyer) key(r *http1.Reader, b []byte) (key []byte, ok, many bool) {
+	v, many := r.Get(b, "authorization")
+	const form = "token "
+	if len(v) <= len(form) || !http1.Same(v[:len(form)], form) {
+		return nil, false, many
+	}
+	return bytes.TrimLeft(v[len(form):], " "), true, many
+}
+
+// wait reads how long the client waits; 0: it does not say.
+func (f *Foyer) wait(r *http1.Reader, b []byte) (time.Duration, bool) {
+	v, many := r.Get(b, "x-deadline-ms")
+	if v == nil {
+		return 0, true
+	}
+	whole, _, _ := bytes.Cut(v, []byte("."))
+	n, ok := http1.Number(whole, int(mostWait/time.Millisecond))
+	return max(time.Duration(n)*time.Millisecond, 1), ok && !many
+}
+
+// plain gives a host in lower case, without its port.
+func (f *Foyer) plain(host []byte) []byte {
+	if i := bytes.LastIndexByte(host, ':'); i >= 0 && bytes.IndexByte(host[i:], ']') < 0 {
+		host = host[:i]
+	}
+	for i, c := range host {
+		if c >= 'A' && c <= 'Z' {
+			f.host = append(append(f.host[:0], host[:i]...), bytes.ToLower(host[i:])...)
+			return f.host
+		}
+	}
+	return host
+}
+
+// refuse answers without a body what goes no further.
+func (f *Foyer) refuse(c *intake.Client, id []byte, status int, why counters.ID, after time.Duration) {
+	f.in.Count(why)
+	c.Answer(func(b []byte, last bool) []byte { return answer.Refuse(b, status, "X-Attempt-Id", id, after, last) })
+}
+
+// Left: the client of a request has gone away.
+func (f *Foyer) Left(txn slots.Ref) { f.gate.Left(txn) }
+
+// ID names a request by its client's id, while the client waits.
+func (f *Foyer) ID(who, txn slots.Ref) string { return f.in.ID(who, txn) }
+
+// Once tells whether a request may run at most once; one whose client has gone goes nowhere any more.
+func (f *Foyer) Once(who, txn slots.Ref) bool {
+	c := f.in.Waits(who, txn)
+	return c == nil || visitOf(c).Once
+}
+
+// Settle passes a backend's answer on.
+func (f *Foyer) Settle(who, txn slots.Ref, o gate.Outcome) {
+	if c := f.in.Holds(who, txn); c != nil {
+		r, m := c.Request()
+		head := string(r.Method(m)) == "HEAD"
+		c.Answer(func(b []byte, last bool) []byte {
+			return append(appendHead(b, o.Answer, o.Bytes, head, last), o.Body...)
+		})
+	}
+}
+
+// Decline says that a request has not run and never will, and when it is best to come again.
+func (f *Foyer) Decline(who, txn slots.Ref, after time.Duration, why control.Lack) {
+	status := 503
+	if why == gate.LackUnits {
+		status = 429
+	}
+	f.end(who, txn, status, after)
+}
+
+// Void makes no such promise.
+func (f *Foyer) Void(who, txn slots.Ref, why control.Lack) {
+	status := 502
+	if c := f.in.Waits(who, txn); why == gate.LackTime || c != nil && visitOf(c).expiry <= f.clock.Now() {
+		status = 504
+	}
+	f.end(who, txn, status, 0)
+}
+
+func (f *Foyer) end(who, txn slots.Ref, status int, after time.Duration) {
+	c := f.in.Holds(who, txn)
+	switch v := visitOf(c); {
+	case c == nil:
+	case v.wrong != nil:
+		c.Doubtful(v.wrong)
+	default:
+		id := []byte(f.in.ID(who, txn))
+		c.Answer(func(b []byte, last bool) []byte { return answer.Refuse(b, status, "X-Attempt-Id", id, after, last) })
+	}
+}
--- /dev/null
+++ b/internal/foyer/foyer_test.go
@@ -0,0 +1,402 @@
+package foyer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"clovergap/control"
+	"clovergap/internal/counters"
+	"clovergap/internal/dispatch"
+	"clovergap/internal/gate"
+	"clovergap/internal/intake"
+	"clovergap/internal/link"
+	"clovergap/internal/slots"
+	"clovergap/internal/standin"
+)
+
+// patience bounds every wait of these tests; none of them depends on how long anything takes within it.
+const patience = 20 * time.Second
+
+// usher is the least module there may be: each request goes to the one backend; what never ran is declined, what may
+// have is voided.
+type usher struct {
+	todo    []control.Decision
+	lacking control.Lack // set: requests are declined for it
+	expiry  map[control.TxnID]time.Duration
+}
+
+func (u *usher) Now(time.Duration) {}
+func (u *usher) TxnTaken(x control.Txn) {
+	u.expiry[x.ID] = x.Expiry
+	d := control.Decision{Verb: control.Submit, Txn: x.ID, Backend: 7}
+	if u.lacking != 0 {
+		d = control.Decision{Verb: control.Decline, Txn: x.ID, Why: u.lacking, Limit: 1500 * time.Millisecond}
+	}
+	u.todo = append(u.todo, d)
+}
+
+func (u *usher) ClientLeft(id control.TxnID) {
+	u.todo = append(u.todo, control.Decision{Verb: control.Recall, Txn: id})
+}
+
+func (u *usher) SubmissionEnded(id control.TxnID, _ int, _ control.BackendID, e control.Ending, over bool,
+	_ time.Duration, _ []float64) {
+	d := control.Decision{Verb: control.Void, Txn: id, Why: gate.LackBackend}
+	if e == control.Full || e == control.Unreachable || e == control.NotSent {
+		d.Verb = control.Decline
+	}
+	if !over {
+		u.todo = append(u.todo, d)
+	}
+}
+func (u *usher) ListChanged(bool, []control.Listing)                          {}
+func (u *usher) PeerSaid(control.GatewayID, []byte)                           {}
+func (u *usher) ProbeEnded(control.BackendID, bool, time.Duration, []float64) {}
+func (u *usher) Woken(uint64)                                                 {}
+func (u *usher) Next() (d control.Decision, ok bool) {
+	if len(u.todo) == 0 {
+		return d, false
+	}
+	d, u.todo = u.todo[0], u.todo[1:]
+	return d, true
+}
+
+type clock struct {
+	*link.Engine
+	due link.Alarm
+}
+
+func (c *clock) Wake(at time.Duration, nr uint32) { c.At(at, c.due, nr) }
+
+// house knows one host, with /pure/, /once/ and /open/.
+type house struct {
+	unknown bool
+	gone    []control.BackendID
+}
+
+func (h *house) Admit(host, path, key []byte) (Admission, Refusal) {
+	switch kind, _, _ := strings.Cut(strings.TrimPrefix(string(path), "/"), "/"); {
+	case h.unknown:
+		return Admission{}, UnknownYet
+	case string(host) != "lots.example" || kind != "pure" && kind != "once" && kind != "open":
+		return Admission{}, NoRoute
+	case kind == "open":
+		return Admission{Deadline: 20 * time.Second}, None
+	case string(key) != "k1":
+		return Admission{}, NoKey
+	default:
+		return Admission{Tenant: "huka", Once: kind == "once", Deadline: 20 * time.Second}, None
+	}
+}
+func (h *house) BackendName(control.BackendID) string { return "i-7" }
+func (h *house) Gone(at control.BackendID)            { h.gone = append(h.gone, at) }
+
+// stage is a door's data path between a client and a backend that answers as told.
+type stage struct {
+	t     *testing.T
+	e     *link.Engine
+	in    *intake.Intake
+	d     *dispatch.Dispatch
+	g     *gate.Gate
+	usher *usher
+	house *house
+	b     *standin.Script
+}
+
+func open(t *testing.T) *stage {
+	st := &stage{t: t, e: link.New("", 1024, 512<<10, 64<<20), usher: &usher{expiry: map[control.TxnID]time.Duration{}},
+		house: &house{}}
+	k := &clock{Engine: st.e}
+	st.g = gate.New(st.usher, k, 1000, st.e.Count, zap.NewNop())
+	k.due = st.g
+	st.d = dispatch.New(st.e, st.g, Terms(st.house, time.Second), func() bool { return false })
+	st.in = intake.New(st.e, 500, Bounds(Limits{16 << 10, 4 << 20, 5 * time.Second, 15 * time.Second}), func() bool { return false })
+	f := New(st.in, st.e, st.g, st.house)
+	must.True(t, f != nil)
+	st.g.Through(st.d, nil)
+	st.e.Settled(st.g.Pull)
+	must.NoError(t, st.e.Listen("127.0.0.1:0", st.in.Accept))
+	var err error
+	st.b, err = standin.NewScript()
+	must.NoError(t, err)
+	must.NoError(t, st.e.Start())
+	st.e.Turn(func() { st.d.At(7, st.b.Addr(), 0, true) })
+	t.Cleanup(func() { st.e.Stop(); st.b.Close() })
+	return st
+}
+
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (st *stage) client() *client {
+	c, err := net.Dial("tcp", st.e.AddrOf(0))
+	must.NoError(st.t, err)
+	c.SetDeadline(time.Now().Add(patience))
+	st.t.Cleanup(func() { c.Close() })
+	return &client{st.t, c, bufio.NewReader(c)}
+}
+
+func (c *client) send(text string) { io.WriteString(c, text) }
+
+// hears checks an answer's first line, the headers that are named, and its body.
+func (c *client) hears(line string, headers ...string) string {
+	c.t.Helper()
+	head, body, err := standin.ReadMessage(c.r)
+	must.NoError(c.t, err)
+	first, rest, _ := strings.Cut(head, "\r\n")
+	must.Eq(c.t, line, first)
+	for _, h := range headers {
+		if no, missing := strings.CutPrefix(h, "!"); missing {
+			must.StrNotContains(c.t, "\r\n"+rest, "\r\n"+no)
+		} else {
+			must.StrContains(c.t, "\r\n"+rest, "\r\n"+h+"\r\n")
+		}
+	}
+	return body
+}
+
+func (c *client) ended() {
+	c.t.Helper()
+	_, err := c.r.ReadByte()
+	must.ErrorIs(c.t, err, io.EOF)
+}
+
+func (st *stage) count(id counters.ID) (n uint64) {
+	st.e.Turn(func() { n = st.e.Count[id] })
+	return n
+}
+
+func request(method, path, id, more string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: Lots.example:80\r\nX-Attempt-Id: " + id +
+		"\r\nAuthorization: Token k1\r\n" + more + "\r\n"
+}
+
+func served(id, more, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 Fine\r\nX-Attempt-Id: %s\r\nX-Backend-Seal: s1\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+// What goes on is what came, but for what concerns one connection and what the gateway says itself.
+func TestPassedOn(t *testing.T) {
+	st := open(t)
+	c := st.client()
+	c.send(request("PATCH", "/pure/a?b=c&d", "a1", "Connection: X-Attempt-Id, x-hop, keep-alive\r\nX-Hop: 1\r\nX-Tenant: liar\r\n"+
+		"X-Expect-Backend: i-0\r\nX-Deadline-Ms: 1500\r\nTE: trailers\r\nX-Other: kept\r\nTransfer-Encoding: chunked\r\n") +
+		"3\r\nabc\r\n2;x\r\nde\r\n0\r\nT: u\r\n\r\n")
+	x := st.b.Next()
+	left := 0
+	var lines []string
+	for _, l := range strings.Split(strings.TrimSpace(x.Head), "\r\n") {
+		if n, _ := fmt.Sscanf(l, "X-Deadline-Ms: %d", &left); n == 0 {
+			lines = append(lines, l)
+		}
+	}
+	must.Eq(t, []string{"PATCH /pure/a?b=c&d HTTP/1.1", "Host: Lots.example:80", "X-Attempt-Id: a1", "X-Other: kept",
+		"X-Expect-Backend: i-7", "X-Tenant: huka", "Content-Length: 5"}, lines)
+	must.Eq(t, "abcde", x.Body)
+	must.Between(t, 1000, left, 1500)
+	x.Answer(served("a1", "Connection: X-Backend-Seal, x-hop\r\nX-Hop: 2\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n", "body"))
+	must.Eq(t, "body", c.hears("HTTP/1.1 200 Fine", "X-Attempt-Id: a1", "X-Backend-Seal: s1", "Set-Cookie: a",
+		"Set-Cookie: b", "!X-Hop", "!Connection"))
+	c.send(request("HEAD", "/open/", "a2", "") + request("GET", "/open/", "a3", "Connection: close\r\n"))
+	x = st.b.Next()
+	must.StrNotContains(t, x.Head, "Tenant")
+	x.Answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: a2\r\nX-Backend-Seal: s\r\nContent-Length: 9\r\n\r\n")
+	line, _ := c.r.ReadString('\n')
+	must.Eq(t, "HTTP/1.1 200 OK\r\n", line)
+	for line != "\r\n" {
+		line, _ = c.r.ReadString('\n')
+	}
+	st.b.Next().Answer(served("a3", "", "third"))
+	must.Eq(t, "third", c.hears("HTTP/1.1 200 Fine", "Connection: close"))
+	c.ended()
+}
+
+// Not knowing is not "no", and what can't be a request is told so at once.
+func TestRefused(t *testing.T) {
+	st := open(t)
+	good := request("GET", "/pure/", "r", "")
+	swap := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for _, x := range []struct{ text, line string }{
+		{swap("/pure/", "/none/"), "404 Not Found"}, {swap("Lots", "bids"), "404 Not Found"},
+		{swap("k1", "k2"), "401 Unauthorized"}, {swap("Token", "Basic"), "401 Unauthorized"},
+		{swap("X-Attempt-Id: r\r\n", ""), "400 Bad Request"}, {swap("Host", "Ghost"), "400 Bad Request"},
+		{swap("\r\n\r\n", "\r\nHost: a\r\n\r\n"), "400 Bad Request"},
+		{swap("\r\n\r\n", "\r\nX-Deadline-Ms: soon\r\n\r\n"), "400 Bad Request"},
+		{swap("/pure/", "pure/"), "400 Bad Request"}, {swap("Host:", "Host :"), "400 Bad Request"},
+		{swap("\r\n\r\n", "\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), "400 Bad Request"},
+		{swap("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nab?"), "400 Bad Request"},
+		{swap("Host", " Host"), "400 Bad Request"}, {swap("\r\nHost", "\nHost"), "400 Bad Request"},
+		{swap("\r\n\r\n", "\r\nContent-Length: 4194305\r\n\r\n"), "413 Content Too Large"},
+		{swap("\r\n\r\n", "\r\nA: "+strings.Repeat("a", 17<<10)+"\r\n\r\n"), "431 Request Header Fields Too Large"},
+	} {
+		c := st.client()
+		c.send(x.text)
+		c.hears("HTTP/1.1 " + x.line)
+	}
+	st.e.Turn(func() { st.usher.lacking = gate.LackUnits })
+	c := st.client()
+	c.send(good)
+	c.hears("HTTP/1.1 429 Too Many Requests", "Retry-After: 1.500", "X-Attempt-Id: r")
+	st.e.Turn(func() { st.usher.lacking = gate.LackBackend })
+	c.send(good)
+	c.hears("HTTP/1.1 503 Service Unavailable", "Retry-After: 1.500")
+	st.e.Turn(func() { st.house.unknown = true })
+	c.send(good)
+	c.hears("HTTP/1.1 503 Service Unavailable", "Retry-After: 0.300")
+	must.Eq(t, 0, st.count(counters.Dials))
+}
+
+// Each way that a submission may end, and what its client is told.
+func TestEnds(t *testing.T) {
+	st := open(t)
+	says := func(status, more string) func(*standin.Call) {
+		return func(x *standin.Call) {
+			x.Answer("HTTP/1.1 " + status + "\r\nX-Attempt-Id: e\r\n" + more + "Content-Length: 2\r\n\r\nno")
+		}
+	}
+	for _, x := range []struct {
+		what   string
+		says   func(*standin.Call)
+		pure   string
+		once   string
+		ending counters.ID
+	}{
+		{"own failure", says("500 Oops", ""), "502 Bad Gateway", "500 Oops", counters.EndErrored},
+		{"own deadline", says("504 Late", ""), "502 Bad Gateway", "504 Late", counters.EndErrored},
+		{"own word", says("403 No", ""), "403 No", "403 No", counters.EndSettled},
+		{"full", says("503 Full", "X-Not-Run: 1\r\n"), "503 Service Unavailable", "503 Service Unavailable", counters.EndFull},
+		{"busy", says("429 Full", "X-Not-Run: 1\r\n"), "503 Service Unavailable", "503 Service Unavailable", counters.EndFull},
+		{"another", says("421 Wrong", ""), "503 Service Unavailable", "503 Service Unavailable", counters.EndFull},
+		{"promise without a word", says("503 Full", ""), "502 Bad Gateway", "502 Bad Gateway", counters.EndErrored},
+		{"no seal", says("200 OK", ""), "502 Bad Gateway", "502 Bad Gateway", counters.EndErrored},
+		{"encoded", says("200 OK", "X-Backend-Seal: s\r\nContent-Encoding: gzip\r\n"), "502 Bad Gateway", "502 Bad Gateway", counters.EndErrored},
+		{"no id", func(x *standin.Call) { x.Answer("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n") },
+			"502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+		{"cut", func(x *standin.Call) { x.Answer(served("e", "", "some")[:80]); x.C.Close() },
+			"502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+		{"reset", func(x *standin.Call) { x.C.(*net.TCPConn).SetLinger(0); x.C.Close() },
+			"502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+		{"noise", func(x *standin.Call) { x.Answer("\x00\x01\r\n") }, "502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+	} {
+		for path, line := range map[string]string{"/pure/": x.pure, "/once/": x.once} {
+			c, before := st.client(), st.count(x.ending)
+			c.send(request("POST", path, "e", ""))
+			x.says(st.b.Next())
+			c.hears("HTTP/1.1 " + line)
+			must.Eq(t, before+1, st.count(x.ending), must.Sprint(x.what, path))
+		}
+	}
+	must.Eq(t, []control.BackendID{7, 7}, st.house.gone)
+}
+
+// An answer with another id is passed over and the right one awaited; one too many ends its connection.
+func TestAnotherID(t *testing.T) {
+	st := open(t)
+	c := st.client()
+	c.send(request("POST", "/once/", "x1", ""))
+	x := st.b.Next()
+	x.Answer(served("x0", "", "not yours") + served("x1", "", "yours") + served("x2", "", "nobody's"))
+	must.Eq(t, "yours", c.hears("HTTP/1.1 200 Fine"))
+	x.C.SetReadDeadline(time.Now().Add(patience))
+	_, err := x.C.Read(make([]byte, 1))
+	must.Error(t, err)
+	must.Eq(t, 1, st.count(counters.OtherAnswer))
+}
+
+// A connection is used as long as its backend says, less a margin, and never more of them than allowed.
+func TestConnections(t *testing.T) {
+	v := NewDialect(nil)
+	for text, want := range map[string]time.Duration{"timeout=5, max=9": 3900 * time.Millisecond, "max=9": 0} {
+		d, ok := span([]byte(text))
+		if ok {
+			d = time.Duration(idleShare*float64(d)) - idleLess
+		}
+		must.Eq(t, want, d)
+	}
+	must.True(t, v.Wary())
+	st := open(t)
+	st.e.Turn(func() { st.d.Most(7, 1) })
+	c, other := st.client(), st.client()
+	c.send(request("GET", "/pure/", "m1", ""))
+	x := st.b.Next()
+	other.send(request("GET", "/pure/", "m2", ""))
+	other.hears("HTTP/1.1 503 Service Unavailable")
+	x.Answer(served("m1", "", "a"))
+	c.hears("HTTP/1.1 200 Fine")
+	c.send(request("GET", "/pure/", "m3", "")) // at once: it has not rested, and no other may be opened
+	st.b.Next().Answer(served("m3", "Keep-Alive: timeout=0\r\n", "b"))
+	c.hears("HTTP/1.1 200 Fine")
+	must.Eq(t, 1, st.count(counters.Dials))
+	c.send(request("GET", "/pure/", "m4", ""))
+	st.b.Next().Answer(served("m4", "", "b"))
+	c.hears("HTTP/1.1 200 Fine")
+	must.Eq(t, 2, st.count(counters.Dials))
+}
+
+// A form that answers later finds the one that asked, and nobody else.
+type later struct {
+	in      *intake.Intake
+	tickets chan intake.Ticket
+}
+
+func (f *later) Take(c *intake.Client) {
+	t := c.Ticket()
+	c.Hold(0, "")
+	f.tickets <- t
+}
+func (f *later) Left(slots.Ref) {}
+
+func TestLateAnswers(t *testing.T) {
+	e := link.New("", 256, 64<<10, 16<<20)
+	in := intake.New(e, 10, intake.Bounds{Body: 4 << 20}, func() bool { return false })
+	f := &later{in, make(chan intake.Ticket, 10)}
+	in.Serves(f)
+	must.NoError(t, e.Listen("127.0.0.1:0", (*link.Link).CloseSoon))
+	must.NoError(t, e.Listen("127.0.0.1:0", in.Accept))
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	dial := func() *client {
+		c, err := net.Dial("tcp", e.AddrOf(1))
+		must.NoError(t, err)
+		c.SetDeadline(time.Now().Add(patience))
+		return &client{t, c, bufio.NewReader(c)}
+	}
+	say := func(k intake.Ticket, status int) (ok bool) {
+		e.Turn(func() {
+			ok = in.Answer(k, func(b []byte, _ bool) []byte {
+				return fmt.Appendf(b, "HTTP/1.1 %d A\r\nContent-Length: 0\r\n\r\n", status)
+			})
+		})
+		return ok
+	}
+	c := dial()
+	body := strings.Repeat("b", 3<<20)
+	go c.send(fmt.Sprintf("POST /api HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	first := <-f.tickets
+	must.True(t, say(first, 200))
+	c.hears("HTTP/1.1 200 A")
+	must.False(t, say(first, 201))
+	c.send("GET /api HTTP/1.1\r\n\r\n")
+	second := <-f.tickets
+	must.False(t, say(first, 201))
+	must.True(t, say(second, 202))
+	c.hears("HTTP/1.1 202 A")
+	c.send("GET /api HTTP/1.1\r\n\r\n")
+	third := <-f.tickets
+	c.Close()
+	for in, end := 1, time.Now().Add(patience); in > 0 && time.Now().Before(end); {
+		e.Turn(func() { in = f.in.Clients() })
+	}
+	must.False(t, say(third, 200))
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,17 +10,55 @@
 	"clovergap/control"
 	"clovergap/internal/check"
 	"clovergap/internal/counters"
+	"clovergap/internal/http1"
 	"clovergap/internal/points"
 	"clovergap/internal/slots"
 )
 
+// Module is what decides: inputs only update what it knows, and Next gives what is to be done now, one by one, until
+// there is nothing. *control.Door is one.
+type Module interface {
+	Now(time.Duration)
+	TxnTaken(control.Txn)
+	ClientLeft(control.TxnID)
+	SubmissionEnded(id control.TxnID, nr int, at control.BackendID, e control.Ending, over bool, took time.Duration,
+		load []float64)
+	ListChanged(whole bool, list []control.Listing)
+	PeerSaid(from control.GatewayID, payload []byte)
+	ProbeEnded(at control.BackendID, good bool, took time.Duration, load []float64)
+	Woken(uint64)
+	Next() (control.Decision, bool)
+}
+
+// What a txn lacked, in the module's order and that of the counters.
+const (
+	LackTime control.Lack = iota
+	LackUnits
+	LackView
+	LackSlot
+	LackCeiling
+	LackBackend
+)
+
 // Front is where txns come from. It knows a txn by its own number for who waits and by the gate's for the txn,
 // so that a late word finds nobody else.
 type Front interface {
-	Settle(who, txn slots.Ref, body, kind []byte) // what the backend answered; kind names its form
-	Decline(who, txn slots.Ref, after time.Duration)
-	Void(who, txn slots.Ref)
-	AppendTo(b []byte, who, txn slots.Ref, wait time.Duration) []byte // what is passed on
+	Settle(who, txn slots.Ref, o Outcome)                                                   // what the backend answered, or a Final failure
+	Decline(who, txn slots.Ref, after time.Duration, why control.Lack)                      // it never ran and never will; after 0: no advice
+	Void(who, txn slots.Ref, why control.Lack)                                              // it may have run
+	AppendTo(b []byte, who, txn slots.Ref, at control.BackendID, wait time.Duration) []byte // what is passed on
+}
+
+// Streamer is a front some of whose bodies are passed on as they come, both ways.
+type Streamer interface {
+	Front
+	Flows(who, txn slots.Ref) bool                                  // Part gives its body, AppendTo the head alone
+	Spent(who, txn slots.Ref) bool                                  // some of it has gone: it can't go again
+	Part(b []byte, who, txn slots.Ref) (out []byte, whole, ok bool) // adds what has come; not ok: no more will
+	Begin(who, txn slots.Ref, o Outcome) bool                       // the head of an answer; false: it can't be passed on so
+	Room(who, txn slots.Ref) int                                    // bytes of the answer that are wanted now; below 0: nobody waits
+	Pass(who, txn slots.Ref, part []byte)                           // adds them
+	End(who, txn slots.Ref, whole bool)                             // not whole: it must not look so
 }
 
 // Message is what is passed on to a backend. It gives nothing once its client has gone.
@@ -29,9 +67,40 @@
 	who, txn slots.Ref
 }
 
-// AppendTo writes it as it goes on.
-func (m Message) AppendTo(b []byte, wait time.Duration) []byte {
-	return m.front.AppendTo(b, m.who, m.txn, wait)
+// AppendTo writes it as it goes on to a backend, which has so long for it.
+func (m Message) AppendTo(b []byte, at control.BackendID, wait time.Duration) []byte {
+	return m.front.AppendTo(b, m.who, m.txn, at, wait)
+}
+
+// ID is what its client calls it, while the client waits and where the front knows.
+func (m Message) ID() string {
+	if n, ok := m.front.(namer); ok {
+		return n.ID(m.who, m.txn)
+	}
+	return ""
+}
+
+// Once tells whether it may run at most once, where the front knows.
+func (m Message) Once() bool {
+	o, ok := m.front.(interface{ Once(who, txn slots.Ref) bool })
+	return ok && o.Once(m.who, m.txn)
+}
+
+// Flows tells whether its body is passed on as it comes.
+func (m Message) Flows() bool {
+	s, ok := m.front.(Streamer)
+	return ok && s.Flows(m.who, m.txn)
+}
+
+// spent tells whether some of such a body has gone.
+func (m Message) spent() bool {
+	s, ok := m.front.(Streamer)
+	return ok && s.Spent(m.who, m.txn)
+}
+
+// Part adds what has come of such a body. When it is not ok, the rest never comes.
+func (m Message) Part(b []byte) (out []byte, whole, ok bool) {
+	return m.front.(Streamer).Part(b, m.who, m.txn)
 }
 
 // Sender carries submissions and tells Ended, exactly once, how each went.
@@ -73,13 +142,15 @@
 	who      slots.Ref
 	expiry   time.Duration
 	answered bool // or nobody waits any more
+	begun    bool // some of an answer has gone to the client
+	flows    bool // its body is passed on as it comes
 	nr       int  // submissions so far
 	out      bool
 }
 
 // Gate is the module with what it drives.
 type Gate struct {
-	door  *control.Door
+	door  Module
 	clock Clock
 	txns  *slots.Table[txn]
 	send  Sender
@@ -91,7 +162,7 @@
 }
 
 // New makes a gate for at most so many txns at a time.
-func New(door *control.Door, clock Clock, most int, count *counters.Set, log *zap.Logger) *Gate {
+func New(door Module, clock Clock, most int, count *counters.Set, log *zap.Logger) *Gate {
 	return &Gate{door: door, clock: clock, txns: slots.New[txn](most), count: count, log: log}
 }
 
@@ -101,18 +172,13 @@
 // Watched says who is told of the steps of txns.
 func (g *Gate) Watched(w Watcher) { g.watch = w }
 
-func (t *txn) id(ref slots.Ref) string {
-	if n, ok := t.front.(namer); ok {
-		return n.ID(t.who, ref)
-	}
-	return ""
-}
+func (t *txn) message(ref slots.Ref) Message { return Message{t.front, t.who, ref} }
 
 // final tells of a final answer before it leaves.
 func (g *Gate) final(ref slots.Ref, t *txn, how control.Verb) {
 	points.At(points.BeforeAnswer)
 	if g.watch != nil {
-		g.watch.Final(ref, t.id(ref), how)
+		g.watch.Final(ref, t.message(ref).ID(), how)
 	}
 }
 
@@ -146,15 +212,64 @@
 	t.answered = true
 	g.door.Now(g.clock.Now())
 	g.door.ClientLeft(control.TxnID(ref))
+	g.halt(ref, t)
+}
+
+// halt calls off what can't come to its end any more: an answer that nobody reads, a body that does not come.
+func (g *Gate) halt(ref slots.Ref, t *txn) {
+	if (t.begun || t.flows) && t.out {
+		g.send.Recall(ref, t.nr-1)
+		return
+	}
 	g.drop(ref, t)
 }
 
-// Outcome is how a submission ended.
+// More passes on that a front has more of a body, or room for more of an answer.
+func (g *Gate) More(ref slots.Ref) {
+	if t := g.txns.Get(ref); t == nil || !t.out {
+		return
+	}
+	if s, ok := g.send.(interface{ More(txn slots.Ref) }); ok {
+		s.More(ref)
+	}
+}
+
+// Begun takes the head of an answer that goes on in parts. False: nobody waits for it, or it can't be had so.
+func (g *Gate) Begun(ref slots.Ref, o Outcome) bool {
+	t := g.txns.Get(ref)
+	if t == nil || t.answered {
+		return false
+	}
+	s, ok := t.front.(Streamer)
+	t.begun = ok && s.Begin(t.who, ref, o)
+	return t.begun
+}
+
+// Room is how many bytes of such an answer are wanted now; below 0: nobody waits any more.
+func (g *Gate) Room(ref slots.Ref) int {
+	t := g.txns.Get(ref)
+	if t == nil || t.answered || !t.begun {
+		return -1
+	}
+	return t.front.(Streamer).Room(t.who, ref)
+}
+
+// Pass passes them on.
+func (g *Gate) Pass(ref slots.Ref, part []byte) {
+	if t := g.txns.Get(ref); t != nil && !t.answered && t.begun {
+		t.front.(Streamer).Pass(t.who, ref, part)
+	}
+}
+
+// Outcome is how a submission ended. The answer is there during the call only.
 type Outcome struct {
-	Ending     control.Ending
-	Took       time.Duration
-	Load       []float64
-	Body, Kind []byte // of a settled one
+	Ending control.Ending
+	Took   time.Duration
+	Load   []float64
+	Final  bool          // no success, yet to be passed on as it is: nothing better will come
+	Answer *http1.Reader // of a backend's whole answer, with the bytes that it read; nil: there is none
+	Bytes  []byte
+	Body   []byte
 }
 
 // Ended takes the one outcome of a submission.
@@ -170,17 +285,55 @@
 		g.watch.Ended(ref, nr, at, o.Ending)
 	}
 	over := t.answered
-	if o.Ending == control.Settled && !t.answered {
+	switch {
+	case t.answered:
+	case t.begun:
+		over, t.answered = true, true
+		g.final(ref, t, Settled)
+		if o.Answer != nil {
+			g.count.Add(counters.Settled)
+		} else {
+			g.count.Add(counters.CutShort)
+		}
+		t.front.(Streamer).End(t.who, ref, o.Answer != nil)
+	case o.Ending == control.Settled || o.Final:
 		g.count.Add(counters.Settled)
 		over, t.answered = true, true
 		g.final(ref, t, Settled)
-		t.front.Settle(t.who, ref, o.Body, o.Kind)
+		t.front.Settle(t.who, ref, o)
+	case t.flows && t.message(ref).spent(): // whatever the module would do, it can't go again
+		over, t.answered = true, true
+		if ran(o.Ending) {
+			g.void(ref, t, LackBackend)
+		} else {
+			g.decline(ref, t, 0, LackBackend)
+		}
 	}
 	g.door.Now(g.clock.Now())
 	g.door.SubmissionEnded(control.TxnID(ref), nr, at, o.Ending, over, o.Took, o.Load)
 	g.drop(ref, t)
 }
 
+// ran tells whether a submission that ended so may have run.
+func ran(e control.Ending) bool {
+	return e != control.Full && e != control.Unreachable && e != control.NotSent
+}
+
+// decline and void give the one answer to a txn that no backend's answer ends.
+func (g *Gate) decline(ref slots.Ref, t *txn, after time.Duration, why control.Lack) {
+	g.final(ref, t, control.Decline)
+	g.count.Add(counters.GaveUpTime + counters.ID(why))
+	g.count.Add(counters.Declined)
+	t.front.Decline(t.who, ref, after, why)
+}
+
+func (g *Gate) void(ref slots.Ref, t *txn, why control.Lack) {
+	g.final(ref, t, control.Void)
+	g.count.Add(counters.GaveUpTime + counters.ID(why))
+	g.count.Add(counters.Voided)
+	t.front.Void(t.who, ref, why)
+}
+
 // Listed takes news of the backends.
 func (g *Gate) Listed(whole bool, list []control.Listing) {
 	g.door.Now(g.clock.Now())
@@ -236,7 +389,7 @@
 			return
 		}
 		nr := t.nr
-		t.nr, t.out = t.nr+1, true
+		t.nr, t.out, t.flows = t.nr+1, true, t.message(ref).Flows()
 		g.count.Add(counters.Submissions)
 		limit := t.expiry - g.clock.Now()
 		if x.Limit > 0 {
@@ -244,9 +397,9 @@
 		}
 		points.At(points.BeforeSubmit)
 		if g.watch != nil {
-			g.watch.Sent(ref, t.id(ref), nr, x.Backend)
+			g.watch.Sent(ref, t.message(ref).ID(), nr, x.Backend)
 		}
-		g.send.Submit(ref, nr, Message{t.front, t.who, ref}, x.Backend, limit, x.Whole)
+		g.send.Submit(ref, nr, t.message(ref), x.Backend, limit, x.Whole)
 		points.At(points.AfterSubmit)
 	case control.Decline, control.Void:
 		t := g.txns.Get(ref)
@@ -255,17 +408,20 @@
 			return
 		}
 		t.answered = true
-		g.final(ref, t, x.Verb)
-		g.count.Add(counters.GaveUpTime + counters.ID(x.Why))
-		if x.Verb == control.Decline {
-			g.count.Add(counters.Declined)
-			t.front.Decline(t.who, ref, x.Limit)
-		} else {
-			g.count.Add(counters.Voided)
-			t.front.Void(t.who, ref)
+		switch {
+		case t.begun:
+			g.count.Add(counters.CutShort)
+			t.front.(Streamer).End(t.who, ref, false)
+		case x.Verb == control.Decline:
+			g.decline(ref, t, x.Limit, x.Why)
+		default:
+			g.void(ref, t, x.Why)
 		}
-		g.drop(ref, t)
+		g.halt(ref, t)
 	case control.Recall:
+		if t := g.txns.Get(ref); t != nil && t.begun && !t.answered {
+			return // its answer is on its way to the client already
+		}
 		g.send.Recall(ref, x.Nr)
 	case control.Probe:
 		g.send.Probe(x.Backend)
--- /dev/null
+++ b/internal/house/core.go
@@ -0,0 +1,257 @@
+package house
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/company"
+	"clovergap/internal/playbill"
+	"clovergap/internal/promptbook"
+	"clovergap/internal/prompter"
+	"clovergap/internal/script"
+)
+
+const (
+	tailMost    = 512              // entries that a door with a disk keeps for those who follow
+	compactAt   = 64               // delivered entries after which the log is put into a snapshot
+	dismissFor  = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
+	admitEvery  = 300 * time.Millisecond
+	pendingMost = 256
+)
+
+// core is this door's part in the ordered log: none without a disk.
+type core struct {
+	h        *House
+	me       prompter.Member
+	p        *prompter.Prompter
+	book     *promptbook.Book
+	writes   chan []prompter.Write
+	queue    []prompter.Write // not yet given to the disk
+	writing  bool
+	waits    map[uint64]waiting // by token
+	token    uint64
+	verdicts map[uint64]verdict // of the last entries applied, by index
+	lookedAt time.Duration
+	lost     map[prompter.MemberID]time.Duration // since when a member is not live
+	wake     uint32
+}
+
+// waiting is a call that the log settles.
+type waiting struct {
+	kind script.Kind
+	then func(status int, body []byte)
+}
+
+type verdict struct {
+	verdict playbill.Verdict
+	err     error
+}
+
+// openCore reads the disk. A disk that can't be read counts as lost: it is emptied, and let in anew by the others.
+func (h *House) openCore() error {
+	if h.sheet.DataDir == "" {
+		return nil
+	}
+	book, kept, err := promptbook.Open(h.sheet.DataDir)
+	if torn := (*promptbook.Unreadable)(nil); errors.As(err, &torn) {
+		h.warn(corePart, "disk can't be read, begins empty: %v", err)
+		if err := promptbook.Wipe(h.sheet.DataDir); err != nil {
+			return err
+		}
+		book, kept, err = promptbook.Open(h.sheet.DataDir)
+	}
+	if err != nil {
+		return err
+	}
+	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, book: book, writes: make(chan []prompter.Write, 1),
+		waits: map[uint64]waiting{}, verdicts: map[uint64]verdict{}, lost: map[prompter.MemberID]time.Duration{}}
+	c.p = prompter.New(c.me, kept, prompter.DefaultTerms(), h.seed, h.e.Now())
+	h.core = c
+	go c.disk()
+	return nil
+}
+
+// disk writes and syncs, apart from the turns: a slow disk must hold up nothing else.
+func (c *core) disk() {
+	for batch := range c.writes {
+		for wait := 20 * time.Millisecond; ; wait = min(2*wait, time.Second) {
+			err := c.book.Apply(batch)
+			if err == nil {
+				break
+			}
+			c.h.e.Turn(func() { c.h.warn(corePart, "write failed, goes again: %v", err) })
+			time.Sleep(wait)
+		}
+		last := batch[len(batch)-1].Nr
+		c.h.e.Turn(func() {
+			c.writing = false
+			c.p.Now(c.h.e.Now())
+			c.p.Synced(last)
+		})
+	}
+}
+
+// pull carries out what the log asks for.
+func (c *core) pull() {
+	c.p.Now(c.h.e.Now())
+	c.tend()
+	for {
+		a, ok := c.p.Next()
+		if !ok {
+			break
+		}
+		switch a := a.(type) {
+		case prompter.Send:
+			if addr := c.addr(a.To); addr != "" {
+				c.h.wings.Send(addr, &Frame{Core: &Line{c.me.ID, a.Message}})
+			}
+		case prompter.Write:
+			c.queue = append(c.queue, a)
+		case prompter.Restore:
+			c.restore(a.Index, a.State)
+		case prompter.Deliver:
+			c.deliver(a.Entry)
+		case prompter.Outcome:
+			c.settle(a)
+		case prompter.Wake:
+			c.wake++
+			c.h.e.At(a.At, (*coreAlarm)(c), c.wake)
+		}
+	}
+	if !c.writing && len(c.queue) > 0 {
+		c.writing = true
+		c.writes <- c.queue
+		c.queue = nil
+	}
+	c.h.company.Settle(company.Disk(c.me.ID), c.p.Founded())
+}
+
+// addr of a member: where its door says that it is, since a view may name an older place.
+func (c *core) addr(m prompter.Member) string {
+	if m.Addr != "" {
+		return m.Addr
+	}
+	for _, d := range c.h.company.Disks() {
+		if prompter.MemberID(d.Disk) == m.ID {
+			return d.Addr
+		}
+	}
+	return ""
+}
+
+func (c *core) restore(index uint64, state []byte) {
+	s := script.New()
+	if len(state) > 0 {
+		var err error
+		if s, err = script.Restore(state); err != nil {
+			c.h.warn(corePart, "state of %d can't be read: %v", index, err)
+			return
+		}
+	}
+	c.h.begin(index, s)
+}
+
+func (c *core) deliver(e prompter.Entry) {
+	var data []byte
+	if e.Kind == prompter.Change {
+		data = e.Data
+	}
+	v, err := c.h.apply(e.Index, data)
+	c.verdicts[e.Index] = verdict{v, err}
+	delete(c.verdicts, e.Index-pendingMost)
+	if e.Index%compactAt == 0 {
+		c.p.Compact(e.Index, c.h.script.Snapshot())
+	}
+}
+
+// tend lets doors with a disk in that are no members, and members out that are long gone.
+func (c *core) tend() {
+	if now := c.h.e.Now(); !c.p.Leading() || now-c.lookedAt < admitEvery {
+		return
+	}
+	c.lookedAt = c.h.e.Now()
+	members := c.p.Members()
+	in := map[prompter.MemberID]bool{}
+	live := 0
+	for _, m := range members {
+		in[m.ID] = true
+		d, ok := c.h.company.Door(m.Addr)
+		if ok && c.h.company.Live(m.Addr) && prompter.MemberID(d.Disk) == m.ID {
+			delete(c.lost, m.ID)
+			live++
+		} else if c.lost[m.ID] == 0 {
+			c.lost[m.ID] = c.lookedAt
+		}
+	}
+	for _, d := range c.h.company.Disks() {
+		if id := prompter.MemberID(d.Disk); !in[id] {
+			c.p.Admit(prompter.Member{ID: id, Addr: d.Addr}, 0)
+			return
+		}
+	}
+	for _, m := range members {
+		if at := c.lost[m.ID]; at > 0 && c.lookedAt-at > dismissFor && live > 2*c.h.sheet.Tolerates.Machines {
+			c.p.Dismiss(m.ID)
+			return
+		}
+	}
+}
+
+// propose puts a change into the log, or reads; then is told how it ended.
+func (c *core) propose(kind script.Kind, body []byte, then func(status int, body []byte)) {
+	c.token++
+	c.p.Now(c.h.e.Now())
+	c.waits[c.token] = waiting{kind, then}
+	if kind == Read {
+		c.p.Read(c.token)
+		return
+	}
+	c.p.Propose(c.token, script.Entry(kind, body))
+}
+
+// settle answers a call whose place in the log is known.
+func (c *core) settle(o prompter.Outcome) {
+	w, ok := c.waits[o.Token]
+	delete(c.waits, o.Token)
+	switch {
+	case !ok:
+	case o.Verdict != prompter.Done:
+		w.then(503, []byte(o.Verdict.String()))
+	case w.kind == Read:
+		w.then(200, c.h.script.Bills.Body())
+	default:
+		v := c.verdicts[o.Index]
+		status, text := answerOf(v.verdict, v.err)
+		w.then(status, text)
+	}
+}
+
+// answerOf is the table from verdicts on changes to answers.
+func answerOf(v playbill.Verdict, err error) (int, []byte) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	switch v {
+	case playbill.Taken, playbill.Already:
+		return 200, nil
+	case playbill.Conflict:
+		return 412, []byte(text)
+	}
+	return 400, []byte(text)
+}
+
+// stale is how long ago this member last heard a leader.
+func (c *core) stale() time.Duration {
+	if _, _, ok := c.p.Leader(); ok {
+		return 0
+	}
+	return c.h.e.Now() - c.h.ledAt
+}
+
+// coreAlarm brings the log's own due time; the pull at the end of the turn does the rest.
+type coreAlarm core
+
+func (a *coreAlarm) Live(nr uint32) bool { return nr == a.wake }
+func (a *coreAlarm) Due(uint32)          {}
--- /dev/null
+++ b/internal/house/doors.go
@@ -0,0 +1,219 @@
+package house
+
+import (
+	"net"
+	"net/netip"
+	"strconv"
+
+	"clovergap/control"
+	"clovergap/internal/callboard"
+	"clovergap/internal/company"
+	"clovergap/internal/prompter"
+)
+
+// Heard, Up and Down are the links': each in a turn.
+func (h *House) Heard(from string, f *Frame) {
+	h.company.Now(h.e.Now())
+	h.company.Heard(from)
+	switch {
+	case f.Hello != nil:
+		h.company.Hello(from, *f.Hello)
+	case f.Ping != nil:
+		h.words[from] = word{h.e.Now(), f.Ping.Stale, f.Ping.Index}
+	case f.Found != nil:
+		h.found(f.Found)
+	case f.Core != nil && h.core != nil:
+		h.core.p.Now(h.e.Now())
+		h.core.p.Heard(f.Core.From, f.Core.Message)
+		if _, _, ok := h.core.p.Leader(); ok {
+			h.ledAt = h.e.Now()
+		}
+	case f.Board != nil && h.board != nil:
+		if s := h.company.Seat(from); s != company.NoSeat {
+			h.board.Now(h.e.Now())
+			h.board.Heard(callboard.Seat(s), *f.Board)
+		}
+	case f.Follow != nil:
+		h.followed(from, f.Follow)
+	case f.Feed != nil:
+		h.fed(from, f.Feed)
+	case f.Call != nil:
+		h.called(from, f.Call)
+	case f.Reply != nil:
+		h.replied(f.Reply.Nr, f.Reply.Status, f.Reply.Body)
+	}
+}
+
+func (h *House) Up(to string) {
+	h.company.Now(h.e.Now())
+	h.company.Up(to)
+	if s := h.company.Seat(to); s != company.NoSeat && h.board != nil {
+		h.board.Now(h.e.Now())
+		h.board.Greet(callboard.Seat(s)) // it may have started anew
+	}
+}
+
+func (h *House) Down(to string) {
+	h.company.Now(h.e.Now())
+	h.company.Down(to)
+	delete(h.followers, to)
+	for nr, c := range h.calls {
+		if c.sent == to { // it may have been taken: the same again is answered as the first was
+			c.sent, c.next = "", h.e.Now()+callAgain
+			h.e.At(c.next, (*callAlarm)(h), uint32(nr))
+		}
+	}
+}
+
+// found begins the core, if this door's disk is empty.
+func (h *House) found(members []prompter.Member) {
+	if h.core == nil {
+		return
+	}
+	if err := h.core.p.Found(members); err != nil {
+		h.say(corePart, "founding passed over: %v", err)
+		return
+	}
+	h.say(corePart, "founded by %d doors", len(members))
+}
+
+// pullDoors carries out what the company asks for.
+func (h *House) pullDoors() {
+	h.company.Now(h.e.Now())
+	for {
+		a, ok := h.company.Next()
+		if !ok {
+			return
+		}
+		switch a.Verb {
+		case company.Want:
+			h.wings.Want(a.Addr)
+		case company.Leave:
+			h.wings.Leave(a.Addr)
+		case company.Greet:
+			hello := h.company.Say()
+			h.wings.Send(a.Addr, &Frame{Hello: &hello})
+		case company.Found:
+			var members []prompter.Member
+			for _, f := range a.Founders {
+				members = append(members, prompter.Member{ID: prompter.MemberID(f.Disk), Addr: f.Addr})
+			}
+			if a.Addr == h.inner {
+				h.found(members)
+			} else {
+				h.wings.Send(a.Addr, &Frame{Found: members})
+			}
+		case company.Changed:
+			h.doorsChanged()
+		}
+	}
+}
+
+// seat is this door's, or NoSeat.
+func (h *House) seat() company.Seat { return h.company.Seat(h.inner) }
+
+// doorsChanged tells the parts that go by doors which there are, and which live.
+func (h *House) doorsChanged() {
+	for addr := range h.followers {
+		if !h.company.Live(addr) {
+			delete(h.followers, addr)
+		}
+	}
+	me := h.seat()
+	if me == company.NoSeat {
+		return
+	}
+	order := h.company.Order()
+	if h.board == nil {
+		h.board = callboard.New(callboard.Seat(me), callboard.Terms{BeatInterval: h.sheet.BeatInterval,
+			Enough: h.sheet.Tolerates.Machines + 1, Life: uint32(h.life)}, h.e.Now())
+		h.say(doorPart, "has seat %d of %d", me, len(order))
+	}
+	if len(order) != h.seats {
+		h.seats = len(order)
+		addrs := make([]netip.AddrPort, len(order))
+		for i, s := range order {
+			addrs[i] = h.mailAt(s.Addr)
+		}
+		h.peers.Move(addrs, int(me))
+		h.quota.Grow(control.GatewayID(me), len(order))
+		h.office.SetDoors(len(order))
+	}
+	doors := make([]callboard.Door, 0, len(order))
+	reach := 0
+	for i, s := range order {
+		if h.company.Live(s.Addr) {
+			reach++
+		}
+		d, _ := h.company.Door(s.Addr)
+		doors = append(doors, callboard.Door{Seat: callboard.Seat(i), Control: s.Control, Zone: s.Zone,
+			Live: h.company.Live(s.Addr), Firm: d.Disk != 0})
+	}
+	h.quota.Reach(reach)
+	h.board.Now(h.e.Now())
+	h.board.Doors(doors)
+}
+
+// mailAt is where a door takes datagrams: the port after that of its links.
+func (h *House) mailAt(inner string) netip.AddrPort {
+	host, _, _ := net.SplitHostPort(inner)
+	a, err := netip.ParseAddr(host)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(a, uint16(h.sheet.InnerPorts[0]+1))
+}
+
+// innerOf is where the door at a control address takes links: the ports of a house are alike.
+func innerOf(control string, port int) string {
+	host, _, err := net.SplitHostPort(control)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+// ping tells all doors that this one lives, where nothing else was said.
+func (h *House) ping() {
+	p := &Frame{Ping: &Ping{h.stale(), h.applied}}
+	for _, addr := range h.company.Addrs() {
+		h.wings.Send(addr, p)
+	}
+}
+
+// pullBoard carries out what the board asks for.
+func (h *House) pullBoard() {
+	if h.board == nil {
+		return
+	}
+	h.board.Now(h.e.Now())
+	for {
+		a, ok := h.board.Next()
+		if !ok {
+			return
+		}
+		switch a := a.(type) {
+		case callboard.Send:
+			if s, ok := h.company.At(company.Seat(a.To)); ok {
+				m := a.Message
+				h.wings.Send(s.Addr, &Frame{Board: &m})
+			}
+		case callboard.Changed:
+			h.listed(a)
+		case callboard.Acknowledge:
+			if then := h.beats[a.Ticket]; then != nil {
+				delete(h.beats, a.Ticket)
+				then(a.OK, a.Target)
+			}
+		case callboard.Wake:
+			h.boardWake++
+			h.e.At(a.At, (*boardAlarm)(h), h.boardWake)
+		}
+	}
+}
+
+// boardAlarm brings the board's due time; the pull at the end of the turn does the rest.
+type boardAlarm House
+
+func (a *boardAlarm) Live(nr uint32) bool { return nr == a.boardWake }
+func (a *boardAlarm) Due(uint32)          {}
--- /dev/null
+++ b/internal/house/feed.go
@@ -0,0 +1,194 @@
+package house
+
+import (
+	"time"
+
+	"clovergap/internal/company"
+	"clovergap/internal/playbill"
+	"clovergap/internal/script"
+)
+
+const (
+	pingEvery   = 700 * time.Millisecond
+	feedStale   = 1500 * time.Millisecond // a feeder whose word of the core is older is left for a fresher one
+	followAgain = 500 * time.Millisecond  // an unanswered wish to follow goes again
+	readyStale  = 3 * time.Second         // a door that knows no newer word of the core says that it is not ready
+	knownStale  = 2 * time.Second         // and one past this does not say for sure what is not there
+	never       = 24 * time.Hour
+)
+
+// line is an entry that was applied here, kept for those who follow.
+type line struct {
+	index uint64
+	data  []byte
+}
+
+// begin starts from a state.
+func (h *House) begin(index uint64, s *script.Script) {
+	if index < h.applied {
+		return // never back within a life
+	}
+	h.applied, h.script, h.tail = index, s, nil
+	h.company.Seats(s.Seats())
+	h.swap()
+	for addr := range h.followers {
+		h.feed(addr)
+	}
+}
+
+// apply takes the next entry of the order. Empty data is the core's own.
+func (h *House) apply(index uint64, data []byte) (v playbill.Verdict, err error) {
+	h.applied = index
+	if len(data) > 0 {
+		before, seats := h.script.Bills.Version(), len(h.script.Seats())
+		if v, err = h.script.Apply(data); err != nil && v != playbill.Conflict {
+			h.say(corePart, "entry %d changes nothing: %v", index, err)
+		}
+		if h.script.Bills.Version() != before {
+			h.say(corePart, "configuration %d is in force", h.script.Bills.Version())
+			h.swap()
+		}
+		if len(h.script.Seats()) != seats {
+			h.company.Seats(h.script.Seats())
+		}
+	}
+	if h.core != nil {
+		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
+			h.tail = append([]line(nil), h.tail[tailMost/2:]...)
+		}
+		for addr := range h.followers {
+			h.feed(addr)
+		}
+	}
+	return v, err
+}
+
+// feed sends a follower what it lacks.
+func (h *House) feed(addr string) {
+	after := h.followers[addr]
+	if after >= h.applied {
+		return
+	}
+	f := &Feed{After: after}
+	if len(h.tail) == 0 || after+1 < h.tail[0].index {
+		f.After, f.State = h.applied, h.script.Snapshot()
+	} else {
+		for _, l := range h.tail[after+1-h.tail[0].index:] {
+			f.Entries = append(f.Entries, l.data)
+		}
+	}
+	h.followers[addr] = h.applied
+	h.wings.Send(addr, &Frame{Feed: f})
+}
+
+// followed takes a wish to follow; followers are those with a live link.
+func (h *House) followed(from string, f *Follow) {
+	if h.core == nil || !h.core.p.Founded() {
+		return
+	}
+	h.followers[from] = f.After
+	if f.After < h.applied {
+		h.feed(from)
+	} else {
+		h.wings.Send(from, &Frame{Feed: &Feed{After: h.applied}})
+	}
+}
+
+// fed takes entries from the door that is followed. What was had before is passed over, a gap is asked for anew.
+func (h *House) fed(from string, f *Feed) {
+	if h.core != nil || from != h.feeder {
+		return
+	}
+	h.fedAt = h.e.Now()
+	if f.State != nil && f.After > h.applied {
+		s, err := script.Restore(f.State)
+		if err != nil {
+			h.warn(feedPart, "state of %d can't be read: %v", f.After, err)
+			return
+		}
+		h.begin(f.After, s)
+	}
+	for i, data := range f.Entries {
+		switch index := f.After + 1 + uint64(i); {
+		case index <= h.applied:
+		case index == h.applied+1:
+			h.apply(index, data)
+		default:
+			h.follow(from)
+			return
+		}
+	}
+	if f.After > h.applied {
+		h.follow(from)
+	}
+}
+
+// follow asks a door with a disk for the entries from here on.
+func (h *House) follow(addr string) {
+	if h.feeder != addr {
+		h.say(feedPart, "follows %s after %d", addr, h.applied)
+	}
+	h.feeder, h.askedAt = addr, h.e.Now()
+	h.wings.Send(addr, &Frame{Follow: &Follow{h.applied}})
+}
+
+// tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear.
+func (h *House) tendFeed() {
+	if h.core != nil {
+		return
+	}
+	now := h.e.Now()
+	if h.company.Live(h.feeder) && h.staleOf(h.feeder) < feedStale {
+		if w, ok := h.words[h.feeder]; ok && w.index > h.applied && now-max(h.askedAt, h.fedAt) > followAgain {
+			h.follow(h.feeder) // what it sent was lost
+		}
+		return
+	}
+	if now-h.askedAt < followAgain && h.feeder != "" {
+		return
+	}
+	var best company.Door
+	least := time.Duration(never)
+	for _, d := range h.company.Disks() {
+		if !d.Founded || d.Addr == h.inner {
+			continue
+		}
+		stale := h.staleOf(d.Addr).Truncate(feedStale)
+		if d.Zone != h.sheet.Zone {
+			stale += time.Millisecond
+		}
+		if stale < least {
+			best, least = d, stale
+		}
+	}
+	if best.Addr != "" {
+		h.follow(best.Addr)
+	}
+}
+
+// word is what a door said of its knowledge of the core.
+type word struct {
+	at    time.Duration
+	stale time.Duration
+	index uint64
+}
+
+// staleOf is how old a door's knowledge of the core is by now.
+func (h *House) staleOf(addr string) time.Duration {
+	w, ok := h.words[addr]
+	if !ok {
+		return never
+	}
+	return w.stale + max(0, h.e.Now()-w.at-pingEvery)
+}
+
+// stale is how old this door's is.
+func (h *House) stale() time.Duration {
+	if h.core != nil {
+		return h.core.stale()
+	}
+	if h.feeder == "" {
+		return never
+	}
+	return h.staleOf(h.feeder)
+}
--- /dev/null
+++ b/internal/house/frame.go
@@ -0,0 +1,65 @@
+package house
+
+import (
+	"time"
+
+	"clovergap/internal/callboard"
+	"clovergap/internal/company"
+	"clovergap/internal/prompter"
+	"clovergap/internal/script"
+)
+
+// Frame is what doors say to each other on their links: one of its fields is set. Fields that are nil cost nothing.
+type Frame struct {
+	Hello  *company.Hello
+	Ping   *Ping
+	Found  []prompter.Member // who begins the core
+	Core   *Line
+	Board  *callboard.Message
+	Follow *Follow
+	Feed   *Feed
+	Call   *Call
+	Reply  *Reply
+	Leaves bool // this door ends in order
+}
+
+// Ping tells that the sender lives, and how old its knowledge of the core is.
+type Ping struct {
+	Stale time.Duration // since it last heard a leader, or led; over an hour: never
+	Index uint64        // of the last entry that it applied
+}
+
+// Line is a message between members of the core.
+type Line struct {
+	From    prompter.MemberID
+	Message prompter.Message
+}
+
+// Follow asks a door with a disk for the entries after an index, and for those to come.
+type Follow struct{ After uint64 }
+
+// Feed carries entries in order. With State, they begin after Index, which that state holds all of.
+type Feed struct {
+	After   uint64 // the first entry is the one after this
+	State   []byte
+	Entries [][]byte // data of changes; empty ones are of the core's own
+	Stale   time.Duration
+}
+
+// Call is a control call that is passed on to whoever leads.
+type Call struct {
+	Nr   uint64
+	Kind script.Kind // or Read
+	Body []byte
+	Hops int
+}
+
+// Read asks for the newest configuration.
+const Read script.Kind = 'g'
+
+// Reply ends a call. Status is as for the caller: 200, 400, 412 or 503.
+type Reply struct {
+	Nr     uint64
+	Status int
+	Body   []byte
+}
--- /dev/null
+++ b/internal/house/stock.go
@@ -0,0 +1,147 @@
+package house
+
+import (
+	"hash/fnv"
+
+	"clovergap/control"
+	"clovergap/internal/boxoffice"
+	"clovergap/internal/callboard"
+	"clovergap/internal/foyer"
+	"clovergap/internal/playbill"
+)
+
+// stock numbers what the parts know by number: names are the edge's.
+type stock struct {
+	calls    map[playbill.RouteKey]control.ProductID
+	routes   map[control.ProductID]*playbill.Route
+	services map[string]control.ServiceID
+	zones    map[string]control.HallID
+	names    map[control.BackendID]string
+	last     control.ProductID
+}
+
+func newStock() stock {
+	return stock{calls: map[playbill.RouteKey]control.ProductID{}, routes: map[control.ProductID]*playbill.Route{},
+		services: map[string]control.ServiceID{}, zones: map[string]control.HallID{}, names: map[control.BackendID]string{}}
+}
+
+func (s *stock) zone(name string) control.HallID {
+	if _, ok := s.zones[name]; !ok {
+		s.zones[name] = control.HallID(len(s.zones))
+	}
+	return s.zones[name]
+}
+
+func (s *stock) service(name string) control.ServiceID {
+	if _, ok := s.services[name]; !ok {
+		s.services[name] = control.ServiceID(len(s.services))
+	}
+	return s.services[name]
+}
+
+// backend names one by its id, alike at every door.
+func backendOf(id string) control.BackendID {
+	f := fnv.New64a()
+	f.Write([]byte(id))
+	return control.BackendID(f.Sum64())
+}
+
+// swap puts a new table in force, whole, in this turn.
+func (h *House) swap() {
+	bill := h.script.Bills.Bill()
+	if bill == nil {
+		return
+	}
+	old := h.table
+	h.table = playbill.NewTable(bill)
+	kept := map[playbill.RouteKey]control.ProductID{}
+	for _, r := range h.table.Routes() {
+		id, ok := h.stock.calls[r.Key]
+		if !ok {
+			h.stock.last++
+			id = h.stock.last
+			c := boxoffice.Call{Effectful: r.Effectful, Aim: r.Target, Deadline: r.Deadline, MaxTries: r.MaxTries,
+				Priority: r.Priority}
+			for _, t := range r.Targets {
+				c.Targets = append(c.Targets, boxoffice.Target{Service: h.stock.service(t.Service), Weight: t.Weight})
+			}
+			h.office.SetCall(id, c)
+		}
+		kept[r.Key] = id
+	}
+	for key, id := range h.stock.calls {
+		if _, ok := kept[key]; !ok {
+			h.office.DropCall(id)
+		}
+	}
+	h.stock.calls = kept
+	had := map[string]bool{}
+	for _, t := range h.table.Tenants() {
+		had[t.Name] = true
+		h.quota.SetLimit(customerOf(t.Name), t.Rate, t.Burst)
+	}
+	for _, t := range old.Tenants() {
+		if !had[t.Name] {
+			h.quota.SetLimit(customerOf(t.Name), 0, 0)
+		}
+	}
+	l := h.table.Limits()
+	h.front.Bound(foyer.Bounds(foyer.Limits{Head: l.MostHeader, Body: l.MostBody, HeadIn: l.HeaderTimeout, Idle: l.IdleTimeout}))
+}
+
+// Admit tells what a request is: its route, its tenant, or why it may not go on.
+func (h *House) Admit(host, path, key []byte) (a foyer.Admission, no foyer.Refusal) {
+	sure := h.table.Version() > 0 && h.stale() < knownStale
+	r, ok := h.table.Route(host, path)
+	if !ok {
+		if !sure {
+			return a, foyer.UnknownYet
+		}
+		return a, foyer.NoRoute
+	}
+	a = foyer.Admission{Product: h.stock.calls[r.Key], Deadline: r.Deadline, Once: r.Effectful}
+	if r.Public || !h.table.HasTenants() {
+		return a, foyer.None
+	}
+	t, ok := h.table.Tenant(key)
+	if !ok {
+		if !sure {
+			return a, foyer.UnknownYet
+		}
+		return a, foyer.NoKey
+	}
+	a.Tenant = t.Name
+	if a.Metered = t.Rate > 0; a.Metered {
+		a.Customer = customerOf(t.Name)
+	}
+	return a, foyer.None
+}
+
+// BackendName is a backend's id in its own words.
+func (h *House) BackendName(id control.BackendID) string { return h.stock.names[id] }
+
+// Gone: another backend answered at this one's address.
+func (h *House) Gone(id control.BackendID) {
+	if h.board != nil {
+		h.board.Seen421(h.stock.names[id])
+	}
+}
+
+// listed takes news of a backend to those who go by it.
+func (h *House) listed(c callboard.Changed) {
+	id := backendOf(c.Word.ID)
+	state := control.Ready
+	switch c.Word.Phase {
+	case callboard.Draining:
+		state = control.Draining
+	case callboard.Gone:
+		state = control.Gone
+	}
+	h.stock.names[id] = c.Word.ID
+	h.dispatch.At(id, c.Word.Addr, 0, state == control.Ready)
+	h.gate.Listed(false, []control.Listing{{ID: id, Hall: h.stock.zone(c.Word.Zone), State: state,
+		Size: float64(max(c.Word.Capacity, 1)), Service: h.stock.service(c.Word.Service), Cold: c.ColdUntil}})
+	if state == control.Gone {
+		delete(h.stock.names, id)
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -15,12 +15,13 @@
 	ErrBody      = errors.New("body too large")
 )
 
-// Bounds of a message.
+// Bounds of a message, where a Reader has none of its own.
 const (
-	MostHead    = 8 << 10
-	MostBody    = 64 << 10
-	mostHeaders = 64
-	mostMethod  = 16
+	MostHead   = 8 << 10
+	MostBody   = 64 << 10
+	mostMethod = 16
+	// leastHeader is what a header takes of a head's bound: so many may come.
+	leastHeader = 128
 	// MostRaw holds any message that is taken: chunked ones with a fair overhead.
 	MostRaw = MostHead + MostBody + 16<<10
 )
@@ -35,6 +36,8 @@
 // Reader reads one message at a time.
 type Reader struct {
 	response bool
+	mostHead int
+	mostBody int
 	// of the present message
 	state    int
 	seen     int  // bytes searched for a line's end
@@ -51,7 +54,10 @@
 	chunk    int // bytes left of the present chunk
 	inChunk  bool
 	trailing bool
+	given    bool // its length is told in the head
+	gone     int  // bytes of the body that Part gave
 	Closes   bool // the sender ends the connection after this message
+	Bodiless bool // set before a response is read: it answers a HEAD, and no body follows whatever its head says
 }
 
 const (
@@ -61,12 +67,15 @@
 )
 
 // Requests, Responses make a reader of that kind.
-func Requests() Reader  { return Reader{response: false} }
-func Responses() Reader { return Reader{response: true} }
+func Requests() Reader  { return Reader{response: false, mostHead: MostHead, mostBody: MostBody} }
+func Responses() Reader { return Reader{response: true, mostHead: MostHead, mostBody: MostBody} }
+
+// Bound sets how many bytes a head and a body may have, from the next head that is read on.
+func (r *Reader) Bound(head, body int) { r.mostHead, r.mostBody = head, body }
 
 // Reset makes ready for the next message.
 func (r *Reader) Reset() {
-	*r = Reader{response: r.response, headers: r.headers[:0]}
+	*r = Reader{response: r.response, mostHead: r.mostHead, mostBody: r.mostBody, headers: r.headers[:0]}
 }
 
 // Read looks at all bytes from the message's first on. It tells how many bytes the message takes, once whole.
@@ -107,13 +116,13 @@
 			if !r.begins(b[r.line:]) {
 				return 0, ErrMalformed
 			}
-			if r.seen > MostHead {
+			if r.seen > r.mostHead {
 				return 0, ErrHead
 			}
 			return 0, nil
 		}
 		end := r.seen + i + 1
-		if end > MostHead {
+		if end > r.mostHead {
 			return 0, ErrHead
 		}
 		l := span{r.line, end - 2}
@@ -130,7 +139,7 @@
 				return 0, ErrMalformed
 			}
 			r.started = true
-		case len(r.headers) == mostHeaders:
+		case len(r.headers) >= r.mostHead/leastHeader:
 			return 0, ErrHead
 		case !r.header(b, l):
 			return 0, ErrMalformed
@@ -168,6 +177,13 @@
 	return false
 }
 
+// MayStart tells whether a request, whatever its method, may begin with such bytes.
+func MayStart(b []byte) bool {
+	r := Requests()
+	_, err := r.head(b)
+	return err != ErrMalformed
+}
+
 func (r *Reader) version(v []byte) bool {
 	if len(v) != 8 || string(v[:7]) != "HTTP/1." || v[7] != '1' && v[7] != '0' {
 		return false
@@ -197,7 +213,7 @@
 		return false
 	}
 	status, ok := Number(line[9:12], 999)
-	r.status = status
+	r.status, r.first[2] = status, span{l.from + min(13, len(line)), l.to}
 	return ok && status >= 100
 }
 
@@ -239,21 +255,21 @@
 			}
 			r.chunked = true
 		case Same(name, "connection"):
-			closes, keeps = closes || has(value, "close"), keeps || has(value, "keep-alive")
+			closes, keeps = closes || Has(value, "close"), keeps || Has(value, "keep-alive")
 		}
 	}
 	if r.chunked && (lengths >= 0 || r.minor == 0) {
 		return ErrFraming
 	}
 	r.Closes = closes || r.minor == 0 && !keeps
-	none := r.response && (r.status < 200 || r.status == 204 || r.status == 304)
-	if none {
+	r.given = lengths >= 0
+	if r.response && (r.Bodiless || r.status < 200 || r.status == 204 || r.status == 304) {
 		r.chunked, lengths = false, 0
 	}
 	if r.response && !r.chunked && lengths < 0 {
 		return ErrFraming // ended by the connection's end: a cut answer could not be told from a whole one
 	}
-	if lengths > MostBody {
+	if lengths > r.mostBody {
 		return ErrBody
 	}
 	r.length = max(lengths, 0)
@@ -292,11 +308,11 @@
 		if j := bytes.IndexByte(line, ';'); j >= 0 {
 			line = line[:j]
 		}
-		n, ok := hex(bytes.TrimRight(line, " \t"))
+		n, ok := hex(bytes.TrimRight(line, " \t"), r.mostBody)
 		if !ok {
 			return false, ErrFraming
 		}
-		if r.body.to-r.body.from+n > MostBody {
+		if r.gone+r.body.to-r.body.from+n > r.mostBody {
 			return false, ErrBody
 		}
 		r.at += i + 2
@@ -304,8 +320,62 @@
 	}
 }
 
-// Status is a response's status.
-func (r *Reader) Status() int { return r.status }
+// Cut makes ready to take the body in parts, once the head is whole: from the next call on, Part is shown what comes
+// behind the head, which may be forgotten but for its headers: these are found in a copy.
+func (r *Reader) Cut() {
+	r.at -= r.seen
+	r.body.from, r.body.to = 0, r.body.to-r.seen
+}
+
+// Part gives what of the body is there, and how many bytes it took: the next call is shown what comes behind them. A
+// chunked body is put together in place.
+func (r *Reader) Part(b []byte) (part []byte, used int, whole bool, err error) {
+	if r.chunked {
+		if whole, err = r.chunks(b); err != nil {
+			return nil, 0, false, err
+		}
+		part, used = r.body.of(b), r.at
+	} else {
+		used = min(len(b), r.length-r.gone)
+		part, whole = b[:used], r.gone+used == r.length
+	}
+	r.gone += len(part)
+	r.at, r.body = 0, span{}
+	if whole {
+		r.state = done
+	}
+	return part, used, whole, nil
+}
+
+// Done tells that the whole message was read; Some how much of its body has been put together and not given by Part.
+func (r *Reader) Done() bool { return r.state == done }
+func (r *Reader) Some() int  { return r.body.to - r.body.from }
+
+// Old tells that it is of a version that knows no chunks.
+func (r *Reader) Old() bool { return r.minor == 0 }
+
+// Status is a response's status, Reason its words for it.
+func (r *Reader) Status() int            { return r.status }
+func (r *Reader) Reason(b []byte) []byte { return r.first[2].of(b) }
+
+// Headed tells whether the head is whole, and how many bytes it takes.
+func (r *Reader) Headed() (size int, whole bool) {
+	if r.state == inHead {
+		return 0, false
+	}
+	return r.seen, true
+}
+
+// Framed tells how the body's end is told, once the head is whole: by chunks, by a length, or by neither: then there is
+// no body. A length is told as well for what has no body after all, an answer to HEAD.
+func (r *Reader) Framed() (length int, given, chunked bool) { return r.length, r.given, r.chunked }
+
+// Each walks over all headers in order.
+func (r *Reader) Each(b []byte, f func(name, value []byte)) {
+	for _, h := range r.headers {
+		f(h.name.of(b), h.value.of(b))
+	}
+}
 
 // Method, Target, Body and Get give parts of a message that is whole; b is what Read was shown.
 func (r *Reader) Method(b []byte) []byte { return r.first[0].of(b) }
--- a/internal/http1/words.go
+++ b/internal/http1/words.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 )
@@ -46,8 +47,8 @@
 	return true
 }
 
-// has tells whether a list split by commas has a word.
-func has(list []byte, word string) bool {
+// Has tells whether a list split by commas has a word, without regard to case; word is in lower case.
+func Has(list []byte, word string) bool {
 	for len(list) > 0 {
 		i := 0
 		for i < len(list) && list[i] != ',' {
@@ -68,6 +69,18 @@
 	return false
 }
 
+// Names tells whether a list split by commas has a name, both without regard to case.
+func Names(list, name []byte) bool {
+	for len(list) > 0 {
+		one, rest, _ := bytes.Cut(list, []byte(","))
+		if bytes.EqualFold(bytes.TrimSpace(one), name) {
+			return true
+		}
+		list = rest
+	}
+	return false
+}
+
 // Number reads a whole number of digits alone, up to a bound.
 func Number(b []byte, most int) (int, bool) {
 	n := 0
@@ -80,11 +93,11 @@
 	return n, len(b) > 0 && n <= most
 }
 
-func hex(b []byte) (int, bool) {
+func hex(b []byte, most int) (int, bool) {
 	n := 0
 	for _, c := range b {
 		d, ok := Digit(c)
-		if !ok || n > MostBody {
+		if !ok || n > most {
 			return 0, false
 		}
 		n = n<<4 | d
@@ -136,6 +149,8 @@
 	return append(b, '\r', '\n')
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
-	502: "Bad Gateway", 503: "Service Unavailable"}
+var reasons = map[int]string{100: "Continue", 200: "OK", 307: "Temporary Redirect", 400: "Bad Request",
+	401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+	412: "Precondition Failed", 413: "Content Too Large", 421: "Misdirected Request", 422: "Unprocessable Content",
+	429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,37 +1,97 @@
-// Package intake takes clients' connections, reads their txns and writes their answers.
+// Package intake takes callers' connections, reads their messages and writes the answers. What a message means is its
+// Form's affair: clients' txns, calls of control.
 package intake
 
 import (
 	"time"
 
-	"clovergap/control"
 	"clovergap/internal/answer"
-	"clovergap/internal/config"
 	"clovergap/internal/counters"
-	"clovergap/internal/gate"
 	"clovergap/internal/http1"
 	"clovergap/internal/link"
 	"clovergap/internal/slots"
 )
 
-// Gate takes txns and hears of clients that leave.
-type Gate interface {
-	Take(x control.Txn, front gate.Front, who slots.Ref) (slots.Ref, bool)
+// Form is what messages mean. All its methods are called in a turn.
+type Form interface {
+	// Take takes a whole message. It is answered by Reject or Answer at once, or held for an answer that comes later.
+	// What c.Request gives is there until the answer.
+	Take(c *Client)
+	// Left: the client that waited for a txn that is held has gone away.
 	Left(txn slots.Ref)
 }
 
-// Intake is the client side of a front door.
+// Streamer is a form that takes messages of which only the head and a part of the body are there (Client.Flows), and
+// may answer in parts.
+type Streamer interface {
+	Form
+	// More: more of the body has come, or more of the answer may go.
+	More(c *Client)
+}
+
+// Bounds are what a client may send and how long it may take. Nought stands for the usual one.
+type Bounds struct {
+	Head, Body int           // bytes of a message's head and body
+	Buffer     int           // of a body, beyond which it is taken in parts; 0: none is
+	Raw        int           // bytes that may wait on a connection; least what a head and a body take
+	HeadIn     time.Duration // for a head, from its first byte, or from the connection's start
+	WholeIn    time.Duration // for a message, likewise
+	ReadIn     time.Duration // for reading an answer
+	Idle       time.Duration // between messages
+}
+
+// Bounds on clients that do nothing. They meet whatever keeps a descriptor and memory for nothing: silent ones, heads
+// and bodies that do not end, answers that are not read, clients that asked once and stay. A usual client that is
+// slower than these loses nothing but its connection.
+const (
+	sweepEvery = 250 * time.Millisecond
+	moment     = 100 * time.Millisecond // a client that connects has something to say by then
+	wholeIn    = 2 * time.Second        // a message, from its first byte, or from the connection's start
+	readIn     = 5 * time.Second        // an answer
+	idleMost   = 5 * time.Second        // between messages
+)
+
+// rawShare of a body's bound is what the marks of its chunks may take besides.
+const rawShare = 4
+
+func (b Bounds) filled() Bounds {
+	or := func(x *time.Duration, usual time.Duration) {
+		if *x <= 0 {
+			*x = usual
+		}
+	}
+	or(&b.WholeIn, wholeIn)
+	or(&b.HeadIn, b.WholeIn)
+	or(&b.ReadIn, readIn)
+	or(&b.Idle, idleMost)
+	if b.Head <= 0 {
+		b.Head = http1.MostHead
+	}
+	if b.Body <= 0 {
+		b.Body = http1.MostBody
+	}
+	held := b.Body
+	if b.Buffer > 0 {
+		held = min(held, b.Buffer)
+	}
+	if least := b.Head + held + held/rawShare; b.Raw < least {
+		b.Raw = least
+	}
+	return b
+}
+
+// streamRing is what waits of a body that is taken in parts, and of an answer that is given so.
+const streamRing = 64 << 10
+
+// Intake is one side of a door that is called: its connections.
 type Intake struct {
 	e        *link.Engine
-	gate     Gate
-	clients  *slots.Table[client]
-	products map[string]control.ProductID
-	kinds    []config.Product
-	plans    map[string]control.PlanID
-	open     map[string]slots.Ref // ids of txns that are held, and by which client
-	gateways int
-	units    float64 // of a txn, at most
-	most     int     // clients at a time
+	form     Form
+	streams  Streamer // the form, if it is one
+	clients  *slots.Table[Client]
+	open     map[string]slots.Ref // ids that are claimed, and by which client
+	bounds   Bounds
+	most     int // clients at a time
 	makeRoom func() bool
 	draining bool
 	scratch  []byte
@@ -39,21 +99,22 @@
 
 // New makes one that holds at most so many clients. makeRoom gives back a descriptor that another stage does
 // not need.
-func New(e *link.Engine, g Gate, c *config.Config, most int, makeRoom func() bool) *Intake {
-	in := &Intake{e: e, gate: g, clients: slots.New[client](most), products: map[string]control.ProductID{},
-		plans: map[string]control.PlanID{}, open: map[string]slots.Ref{}, gateways: max(len(c.Peers), 1),
-		units: c.MostUnits, most: most, makeRoom: makeRoom}
-	for i, p := range c.Products {
-		in.products[p.Name] = control.ProductID(i)
-		in.kinds = append(in.kinds, p)
-	}
-	for i, p := range c.Plans {
-		in.plans[p] = control.PlanID(i)
-	}
+func New(e *link.Engine, most int, b Bounds, makeRoom func() bool) *Intake {
+	in := &Intake{e: e, clients: slots.New[Client](most), open: map[string]slots.Ref{}, bounds: b.filled(), most: most,
+		makeRoom: makeRoom}
 	e.At(e.Now()+sweepEvery, in, 0)
 	return in
 }
 
+// Serves says what the messages mean; it comes before the first connection.
+func (in *Intake) Serves(f Form) {
+	in.form = f
+	in.streams, _ = f.(Streamer)
+}
+
+// Bound changes the bounds, for messages and connections that begin from now on, and waits that are under way.
+func (in *Intake) Bound(b Bounds) { in.bounds = b.filled() }
+
 // Accept takes a new connection. When as many as may be are open, one that does nothing goes.
 func (in *Intake) Accept(l *link.Link) {
 	in.e.Count.Add(counters.ClientsOpened)
@@ -68,7 +129,9 @@
 		in.e.Count.Add(counters.ClientsRefused)
 		return
 	}
-	*c = client{in: in, l: l, me: ref, r: http1.Requests(), since: in.e.Now()}
+	*c = Client{in: in, l: l, me: ref, r: http1.Requests(), since: in.e.Now()}
+	c.r.Bound(in.bounds.Head, in.bounds.Body)
+	l.Bound(in.bounds.Raw)
 	l.Own(c)
 }
 
@@ -79,9 +142,9 @@
 // Evict closes the connection that is worth least: one that never brought a whole message and had a moment for it,
 // before the one idle longest. One that has a txn, or may have one unread, stays.
 func (in *Intake) Evict() bool {
-	var least *client
-	strange := func(c *client) bool { return c.nr == 0 && in.e.Now()-c.since > moment }
-	in.clients.Each(func(_ slots.Ref, c *client) {
+	var least *Client
+	strange := func(c *Client) bool { return c.nr == 0 && in.e.Now()-c.since > moment }
+	in.clients.Each(func(_ slots.Ref, c *Client) {
 		if c.busy || !strange(c) && !c.idle() {
 			return
 		}
@@ -103,7 +166,7 @@
 // Drain closes connections between txns from now on; what has been taken is answered.
 func (in *Intake) Drain() {
 	in.draining = true
-	in.clients.Each(func(_ slots.Ref, c *client) {
+	in.clients.Each(func(_ slots.Ref, c *Client) {
 		if c.idle() && c.l.Clean() {
 			c.close()
 		}
@@ -113,8 +176,9 @@
 // Clients counts connections.
 func (in *Intake) Clients() int { return in.clients.Held() }
 
-// client is one connection of a client; it has one txn at a time.
-type client struct {
+// Client is one connection of a client; it has one message at a time.
+type Client struct {
+	Note    any // the form's own, for as long as the connection lasts
 	in      *Intake
 	me      slots.Ref
 	l       *link.Link
@@ -127,19 +191,121 @@
 	nr      uint32        // of the message
 	begun   bool          // some of the present message has come
 	reading bool
-	id      string // of the txn that is held
+	id      string // of the message that is held
+	claimed bool   // the id is its own
+	flows   bool   // the body is taken in parts
+	head    []byte // then: a copy of the message's head
+	asked   bool   // to go on with the body
+	// some of the answer has gone, the rest comes in parts
+	answering bool
 }
 
-// Bounds on clients that do nothing. They meet whatever keeps a descriptor and memory for nothing: silent ones, heads
-// and bodies that do not end, answers that are not read, clients that asked once and stay. A usual client that is
-// slower than these loses nothing but its connection.
-const (
-	sweepEvery = 250 * time.Millisecond
-	moment     = 100 * time.Millisecond // a client that connects has something to say by then
-	wholeIn    = 2 * time.Second        // a message, from its first byte, or from the connection's start
-	readIn     = 5 * time.Second        // an answer
-	idleMost   = 5 * time.Second        // between messages
-)
+// Request is the present message: its reader, and the bytes that this was shown. Where the body is taken in parts, the
+// head alone is there.
+func (c *Client) Request() (*http1.Reader, []byte) {
+	if c.flows {
+		return &c.r, c.head
+	}
+	return &c.r, c.l.In.Linear()
+}
+
+// Rest is what has come behind the present message already.
+func (c *Client) Rest() []byte {
+	if c.flows {
+		return nil
+	}
+	return c.l.In.Linear()[c.size:]
+}
+
+// Count counts one, for a form.
+func (in *Intake) Count(id counters.ID) { in.e.Count.Add(id) }
+
+// Claim takes an id for as long as the message is held; it fails if another client has it.
+func (c *Client) Claim(id string) bool {
+	if _, held := c.in.open[id]; held {
+		return false
+	}
+	c.id, c.claimed = id, true
+	c.in.open[id] = c.me
+	return true
+}
+
+// Hold keeps the message for an answer that comes later. txn is what the form is told of when the client leaves (0:
+// nothing), id what the message is called.
+func (c *Client) Hold(txn slots.Ref, id string) {
+	c.txn = txn
+	if !c.claimed {
+		c.id = id
+	}
+}
+
+// Who is the connection's number, which a form may hand on.
+func (c *Client) Who() slots.Ref { return c.me }
+
+// Closes makes the present message the connection's last.
+func (c *Client) Closes() { c.last = true }
+
+// Answer writes the answer to the present message; write adds it to the bytes it is given, and tells its reader if
+// this is the connection's last.
+func (c *Client) Answer(write func(b []byte, last bool) []byte) {
+	c.final()
+	c.finish(write(c.in.scratch[:0], c.last))
+}
+
+// Ticket names a message that waits for its answer.
+type Ticket struct {
+	who slots.Ref
+	nr  uint32
+}
+
+// Ticket names the present message.
+func (c *Client) Ticket() Ticket { return Ticket{c.me, c.nr} }
+
+// Answer answers a message that was held, as the Client's Answer does. It tells whether its client still waits: nobody
+// else ever gets it.
+func (in *Intake) Answer(t Ticket, write func(b []byte, last bool) []byte) bool {
+	c := in.clients.Get(t.who)
+	if c == nil || !c.busy || c.nr != t.nr {
+		in.e.Count.Add(counters.Unheard)
+		return false
+	}
+	c.last = c.last || in.draining || in.crowded()
+	c.Answer(write)
+	return true
+}
+
+// Holds finds the client that waits for a txn, nil if it has gone.
+func (in *Intake) Holds(who, txn slots.Ref) *Client {
+	c := in.waits(who, txn)
+	if c == nil {
+		in.e.Count.Add(counters.Unheard)
+		return nil
+	}
+	c.last = c.last || in.draining || in.crowded()
+	return c
+}
+
+// waits finds it without a word on its answer.
+func (in *Intake) waits(who, txn slots.Ref) *Client {
+	if c := in.clients.Get(who); c != nil && c.txn == txn && txn != 0 {
+		return c
+	}
+	return nil
+}
+
+// Waits finds the client that waits for a txn, where no answer is due yet.
+func (in *Intake) Waits(who, txn slots.Ref) *Client { return in.waits(who, txn) }
+
+// ID names a txn by its client's id, while the client waits.
+func (in *Intake) ID(who, txn slots.Ref) string {
+	if c := in.waits(who, txn); c != nil {
+		return c.id
+	}
+	return ""
+}
+
+// IsClosed tells that its connection is over, or about to be.
+func (c *Client) IsClosed() bool { return c.l.IsClosed() }
 
 // Live and Due are the engine's: it is time to look at all clients.
 func (in *Intake) Live(uint32) bool { return true }
@@ -147,15 +313,17 @@
 // Due closes connections that have had their time.
 func (in *Intake) Due(uint32) {
 	in.e.At(in.e.Now()+sweepEvery, in, 0)
-	in.clients.Each(func(_ slots.Ref, c *client) {
-		most := wholeIn
+	in.clients.Each(func(_ slots.Ref, c *Client) {
+		most := in.bounds.WholeIn
 		switch {
 		case c.busy:
 			return
 		case c.l.Unwritten() > 0:
-			most = readIn
+			most = in.bounds.ReadIn
 		case !c.begun && c.nr > 0:
-			most = idleMost
+			most = in.bounds.Idle
+		case !c.headed():
+			most = in.bounds.HeadIn
 		}
 		if in.e.Now()-c.since < most || !c.begun && c.l.Unwritten() == 0 && !c.l.Clean() {
 			return
@@ -171,52 +339,65 @@
 
 // idle: between txns, with nothing of the next read yet. Where the connection is to be closed, Clean asks the
 // socket as well: a txn that waits there unread would be lost with it.
-func (c *client) idle() bool { return !c.busy && c.l.In.Len() == 0 && c.l.Unwritten() == 0 }
+func (c *Client) idle() bool { return !c.busy && c.l.In.Len() == 0 && c.l.Unwritten() == 0 }
 
-func (c *client) close() {
+func (c *Client) close() {
 	c.l.Close()
 	c.drop()
 }
 
-func (c *client) drop() {
+func (c *Client) drop() {
 	c.release()
+	c.head, c.Note = nil, nil
 	if c.in.clients.Get(c.me) == c {
 		c.in.e.Count.Add(counters.ClientsClosed)
 		c.in.clients.Drop(c.me)
 	}
 }
 
-// release gives a txn's id free.
-func (c *client) release() {
-	if c.id != "" {
+// headed tells whether the head of the present message is whole.
+func (c *Client) headed() bool {
+	_, whole := c.r.Headed()
+	return whole
+}
+
+// release gives a message's id free.
+func (c *Client) release() {
+	if c.claimed {
 		delete(c.in.open, c.id)
-		c.id = ""
 	}
+	c.id, c.claimed = "", false
 }
 
 // Closed: the client has gone away.
-func (c *client) Closed() {
+func (c *Client) Closed() {
 	txn := c.txn
 	c.txn = 0
 	c.drop()
 	if txn != 0 {
-		c.in.gate.Left(txn)
+		c.in.form.Left(txn)
 	}
 }
 
-// Sent: an answer is written.
-func (c *client) Sent() {
+// Sent: an answer is written, or what there is of it.
+func (c *Client) Sent() {
 	c.Data() // what has waited behind an answer
 }
 
 // Data reads on while no txn is held: a client has one at a time, in order.
-func (c *client) Data() {
+func (c *Client) Data() {
 	if c.reading {
 		return // the loop below goes on by itself
 	}
 	c.reading = true
 	defer func() { c.reading = false }()
-	for !c.busy && !c.l.IsClosed() && c.l.In.Len() > 0 {
+	for !c.l.IsClosed() {
+		if c.flows || c.answering {
+			c.in.streams.More(c)
+		}
+		if c.busy || c.l.In.Len() == 0 {
+			return
+		}
 		if c.l.Unwritten() > 0 { // one answer at a time
 			return
 		}
@@ -225,49 +406,57 @@
 		}
 		size, whole, err := c.r.Read(c.l.In.Linear())
 		if err != nil {
-			c.doubtful(err)
+			c.Doubtful(err)
+			return
+		}
+		if !whole && c.begins() {
 			return
 		}
 		if !whole {
 			if c.l.In.Room() == 0 {
-				c.doubtful(http1.ErrBody)
+				c.Doubtful(http1.ErrBody)
 			} else if c.l.Full() {
 				c.last = true
-				c.reject(503, counters.NoMemory, "no memory for it now")
+				c.Reject(503, counters.NoMemory, "no memory for it now")
 			}
 			return
 		}
 		c.busy, c.size, c.last = true, size, c.r.Closes || c.in.draining || c.in.crowded()
-		c.take()
+		c.in.form.Take(c)
 	}
 }
 
-// doubtful rejects a message whose end can't be told, and with it all that follows.
-func (c *client) doubtful(err error) {
+// Doubtful rejects a message whose end can't be told, and with it all that follows.
+func (c *Client) Doubtful(err error) {
 	c.last = true
 	switch err {
 	case http1.ErrHead:
-		c.reject(431, counters.HeadTooLarge, "head too large")
+		c.Reject(431, counters.HeadTooLarge, "head too large")
 	case http1.ErrBody:
-		c.reject(413, counters.TooLarge, "body too large")
+		c.Reject(413, counters.TooLarge, "body too large")
 	case http1.ErrFraming:
-		c.reject(400, counters.BadFraming, "doubtful framing")
+		c.Reject(400, counters.BadFraming, "doubtful framing")
 	default:
-		c.reject(400, counters.BadRequest, "malformed request")
+		c.Reject(400, counters.BadRequest, "malformed request")
 	}
 }
 
-// reject answers what never becomes a txn.
-func (c *client) reject(status int, why counters.ID, line string) {
+// Reject answers what goes no further, and counts why.
+func (c *Client) Reject(status int, why counters.ID, line string) {
 	c.in.e.Count.Add(why)
+	c.final()
+	if r, b := c.Request(); string(r.Method(b)) == "HEAD" {
+		line = ""
+	}
 	c.finish(answer.Bad(c.in.scratch[:0], status, line, c.last))
 }
 
 // finish writes an answer and makes ready for the next message.
-func (c *client) finish(b []byte) {
+func (c *Client) finish(b []byte) {
 	c.in.scratch = b
 	c.release()
-	c.txn, c.busy, c.begun = 0, false, false
+	c.unflow()
+	c.txn, c.busy, c.begun, c.asked, c.answering = 0, false, false, false, false
 	if c.l.IsClosed() {
 		c.in.e.Count.Add(counters.Unheard)
 		return
@@ -275,8 +464,11 @@
 	c.l.In.Drop(min(c.size, c.l.In.Len()))
 	c.r.Reset()
 	c.size, c.since, c.nr = 0, c.in.e.Now(), c.nr+1
+	last, reading := c.last, c.reading
+	c.reading = true // what waits behind it is taken below: its own last word is not this one's
 	c.l.Send(b)
-	if c.last && !c.l.IsClosed() {
+	c.reading = reading
+	if last && !c.l.IsClosed() {
 		c.l.CloseSent()
 		c.drop()
 		return
@@ -284,41 +476,3 @@
 	c.l.Resume()
 	c.Data()
 }
-
-// holds finds the client that waits for a txn.
-func (in *Intake) holds(who, txn slots.Ref) *client {
-	c := in.clients.Get(who)
-	if c == nil || c.txn != txn {
-		in.e.Count.Add(counters.Unheard)
-		return nil
-	}
-	c.last = c.last || in.draining || in.crowded()
-	return c
-}
-
-// ID names a txn by its client's id, while the client waits.
-func (in *Intake) ID(who, txn slots.Ref) string {
-	if c := in.clients.Get(who); c != nil && c.txn == txn {
-		return c.id
-	}
-	return ""
-}
-
-// Settle, Decline and Void give the one answer to a txn.
-func (in *Intake) Settle(who, txn slots.Ref, body, kind []byte) {
-	if c := in.holds(who, txn); c != nil {
-		c.finish(answer.Settle(in.scratch[:0], body, kind, c.last))
-	}
-}
-
-func (in *Intake) Decline(who, txn slots.Ref, after time.Duration) {
-	if c := in.holds(who, txn); c != nil {
-		c.finish(answer.Decline(in.scratch[:0], after, c.last))
-	}
-}
-
-func (in *Intake) Void(who, txn slots.Ref) {
-	if c := in.holds(who, txn); c != nil {
-		c.finish(answer.Void(in.scratch[:0], c.last))
-	}
-}
--- a/internal/intake/txn.go
+++ b/internal/intake/txn.go
@@ -7,59 +7,117 @@
 
 	"clovergap/control"
 	"clovergap/internal/answer"
+	"clovergap/internal/config"
 	"clovergap/internal/counters"
+	"clovergap/internal/gate"
 	"clovergap/internal/http1"
 	"clovergap/internal/slots"
 )
 
-// take makes a txn of a whole message, or answers it right here.
-func (c *client) take() {
-	b := c.l.In.Linear()
-	method, target := c.r.Method(b), c.r.Target(b)
+// Gate takes txns and hears of clients that leave.
+type Gate interface {
+	Take(x control.Txn, front gate.Front, who slots.Ref) (slots.Ref, bool)
+	Left(txn slots.Ref)
+}
+
+// Txns is the form of txns that say all about themselves: product, plan, customer and quota.
+type Txns struct {
+	*Intake
+	gate     Gate
+	products map[string]control.ProductID
+	kinds    []config.Product
+	plans    map[string]control.PlanID
+	gateways int
+	units    float64 // of a txn, at most
+}
+
+// NewTxns makes it for an intake.
+func NewTxns(in *Intake, g Gate, c *config.Config) *Txns {
+	f := &Txns{Intake: in, gate: g, products: map[string]control.ProductID{}, plans: map[string]control.PlanID{},
+		gateways: max(len(c.Peers), 1), units: c.MostUnits}
+	for i, p := range c.Products {
+		f.products[p.Name] = control.ProductID(i)
+		f.kinds = append(f.kinds, p)
+	}
+	for i, p := range c.Plans {
+		f.plans[p] = control.PlanID(i)
+	}
+	in.Serves(f)
+	return f
+}
+
+// Left: the client of a txn has gone away.
+func (f *Txns) Left(txn slots.Ref) { f.gate.Left(txn) }
+
+// Take makes a txn of a whole message, or answers it right here.
+func (f *Txns) Take(c *Client) {
+	r, b := c.Request()
+	method, target := r.Method(b), r.Target(b)
 	path, _, _ := bytes.Cut(target, []byte("?"))
 	switch {
 	case string(path) == "/up":
 		if string(method) != "GET" {
-			c.reject(405, counters.NoSuchMethod, "GET only")
+			c.Reject(405, counters.NoSuchMethod, "GET only")
 			return
 		}
-		c.in.e.Count.Add(counters.Ups)
-		c.finish(answer.Up(c.in.scratch[:0], c.last))
+		f.e.Count.Add(counters.Ups)
+		c.Answer(answer.Up)
 		return
 	case string(path) != "/api":
-		c.reject(404, counters.NoSuchPath, "no such path")
+		c.Reject(404, counters.NoSuchPath, "no such path")
 		return
 	case string(method) != "GET" && string(method) != "POST":
-		c.reject(405, counters.NoSuchMethod, "GET or POST")
+		c.Reject(405, counters.NoSuchMethod, "GET or POST")
 		return
 	}
 	// Bytes behind a message that no message begins with show that its length was wrong: what went on would not be
 	// what the client meant.
-	if rest := b[c.size:]; len(rest) > 0 && !http1.MayBegin(rest) {
-		c.doubtful(http1.ErrFraming)
+	if rest := c.Rest(); len(rest) > 0 && !http1.MayBegin(rest) {
+		c.Doubtful(http1.ErrFraming)
 		return
 	}
-	x, why, line := c.in.read(&c.r, b)
+	x, why, line := f.read(r, b)
 	if line != "" {
-		c.reject(400, why, line)
+		c.Reject(400, why, line)
 		return
 	}
-	id, _ := c.r.Get(b, "req-id")
-	if _, held := c.in.open[string(id)]; held {
-		c.reject(400, counters.BadID, "req-id: of a request that is still open")
+	id, _ := r.Get(b, "req-id")
+	if !c.Claim(string(id)) {
+		c.Reject(400, counters.BadID, "req-id: of a request that is still open")
 		return
 	}
-	ref, ok := c.in.gate.Take(x, c.in, c.me)
+	ref, ok := f.gate.Take(x, f, c.Who())
 	if !ok {
-		c.finish(answer.Decline(c.in.scratch[:0], 0, c.last))
+		c.Answer(func(b []byte, last bool) []byte { return answer.Decline(b, 0, last) })
 		return
 	}
-	c.txn, c.id = ref, string(id)
-	c.in.open[c.id] = c.me
+	c.Hold(ref, c.id)
+}
+
+// Settle, Decline and Void give the one answer to a txn.
+func (f *Txns) Settle(who, txn slots.Ref, o gate.Outcome) {
+	if c := f.Holds(who, txn); c != nil {
+		kind, _ := o.Answer.Get(o.Bytes, "content-type")
+		c.Answer(func(b []byte, last bool) []byte { return answer.Settle(b, o.Body, kind, last) })
+	}
+}
+
+// Decline says that coming again is harmless.
+func (f *Txns) Decline(who, txn slots.Ref, after time.Duration, _ control.Lack) {
+	if c := f.Holds(who, txn); c != nil {
+		c.Answer(func(b []byte, last bool) []byte { return answer.Decline(b, after, last) })
+	}
+}
+
+// Void makes no such promise.
+func (f *Txns) Void(who, txn slots.Ref, _ control.Lack) {
+	if c := f.Holds(who, txn); c != nil {
+		c.Answer(answer.Void)
+	}
 }
 
 // read makes a txn of a message's headers, or says in one line what is wrong with them.
-func (in *Intake) read(r *http1.Reader, b []byte) (x control.Txn, why counters.ID, line string) {
+func (f *Txns) read(r *http1.Reader, b []byte) (x control.Txn, why counters.ID, line string) {
 	one := func(name string) []byte {
 		v, many := r.Get(b, name)
 		if (many || len(v) == 0) && line == "" {
@@ -82,26 +140,26 @@
 	}
 	// The client counts from when it sent. After a standstill the txn may have lain unread for all of it: taken as
 	// new, it would be answered past its expiry.
-	x.Expiry = in.e.Now() + max(span-in.e.Waited(), 0)
+	x.Expiry = f.e.Now() + max(span-f.e.Waited(), 0)
 	if x.Customer, ok = customer(cookie); !ok {
 		return x, why, "cookie: key is 16 hexadecimal digits below 2^33"
 	}
-	if x.Product, ok = in.products[string(kind)]; !ok {
+	if x.Product, ok = f.products[string(kind)]; !ok {
 		return x, counters.BadProduct, "req-kind: unknown"
 	}
-	if in.kinds[x.Product].Keyed {
+	if f.kinds[x.Product].Keyed {
 		if one("idempotency-key"); line != "" { // without it a repeat could not be told from a new one
 			return
 		}
 	}
 	// The class decides the method: what backends would reject takes no units and counts against none of them.
-	if get := string(r.Method(b)) == "GET"; get != in.kinds[x.Product].Safe || get && len(r.Body(b)) > 0 {
+	if get := string(r.Method(b)) == "GET"; get != f.kinds[x.Product].Safe || get && len(r.Body(b)) > 0 {
 		return x, why, "req-kind: not by this method"
 	}
-	if x.Plan, ok = in.plans[string(plan)]; !ok {
+	if x.Plan, ok = f.plans[string(plan)]; !ok {
 		return x, counters.BadPlan, "x-plan: unknown"
 	}
-	if !in.quota(&x, quota) {
+	if !f.quota(&x, quota) {
 		return x, counters.BadQuota, "x-quota: units, spread and first"
 	}
 	if v, _ := r.Get(b, "req-retry"); len(v) > 0 {
@@ -151,7 +209,7 @@
 }
 
 // quota reads what a txn weighs and which front doors its customer has.
-func (in *Intake) quota(x *control.Txn, v []byte) bool {
+func (f *Txns) quota(x *control.Txn, v []byte) bool {
 	seen := 0
 	for len(v) > 0 {
 		var one []byte
@@ -162,21 +220,21 @@
 		}
 		switch string(name) {
 		case "units":
-			f, err := strconv.ParseFloat(string(figure), 64)
-			if err != nil || !(f > 0 && f <= in.units) || seen&1 != 0 {
+			u, err := strconv.ParseFloat(string(figure), 64)
+			if err != nil || !(u > 0 && u <= f.units) || seen&1 != 0 {
 				return false
 			}
-			x.Units = f
+			x.Units = u
 			seen |= 1
 		case "spread", "first":
-			n, ok := http1.Number(figure, in.gateways)
+			n, ok := http1.Number(figure, f.gateways)
 			if !ok {
 				return false
 			}
 			if string(name) == "spread" && n >= 1 && seen&2 == 0 {
 				x.SetWidth = n
 				seen |= 2
-			} else if string(name) == "first" && n < in.gateways && seen&4 == 0 {
+			} else if string(name) == "first" && n < f.gateways && seen&4 == 0 {
 				x.SetFirst = control.GatewayID(n)
 				seen |= 4
 			} else {
@@ -188,32 +246,32 @@
 }
 
 // AppendTo writes what goes on to a backend: method, target, body, id and key as they came.
-func (in *Intake) AppendTo(b []byte, who, txn slots.Ref, wait time.Duration) []byte {
-	c := in.clients.Get(who)
-	if c == nil || c.txn != txn || c.l.IsClosed() {
+func (f *Txns) AppendTo(b []byte, who, txn slots.Ref, _ control.BackendID, wait time.Duration) []byte {
+	c := f.Waits(who, txn)
+	if c == nil || c.IsClosed() {
 		return b
 	}
-	m := c.l.In.Linear()
-	b = append(append(b, c.r.Method(m)...), ' ')
-	b = append(append(b, c.r.Target(m)...), " HTTP/1.1\r\n"...)
-	host, _ := c.r.Get(m, "host")
+	r, m := c.Request()
+	b = append(append(b, r.Method(m)...), ' ')
+	b = append(append(b, r.Target(m)...), " HTTP/1.1\r\n"...)
+	host, _ := r.Get(m, "host")
 	b = http1.AppendHeader(b, "Host", host)
-	id, _ := c.r.Get(m, "req-id")
+	id, _ := r.Get(m, "req-id")
 	b = http1.AppendHeader(b, "Req-Id", id)
-	if kind, _ := c.r.Get(m, "req-kind"); len(kind) > 0 {
+	if kind, _ := r.Get(m, "req-kind"); len(kind) > 0 {
 		b = http1.AppendHeader(b, "Req-Kind", kind)
 	}
-	if key, _ := c.r.Get(m, "idempotency-key"); len(key) > 0 {
+	if key, _ := r.Get(m, "idempotency-key"); len(key) > 0 {
 		b = http1.AppendHeader(b, "Idempotency-Key", key)
 	}
-	if form, _ := c.r.Get(m, "content-type"); len(form) > 0 {
+	if form, _ := r.Get(m, "content-type"); len(form) > 0 {
 		b = http1.AppendHeader(b, "Content-Type", form)
 	}
 	b = append(b, "Req-Deadline: "...)
 	b = strconv.AppendInt(b, max(int64(wait/time.Microsecond), 1), 10)
 	b = append(b, "u\r\n"...)
-	body := c.r.Body(m)
-	if len(body) > 0 || string(c.r.Method(m)) == "POST" {
+	body := r.Body(m)
+	if len(body) > 0 || string(r.Method(m)) == "POST" {
 		b = http1.AppendNumber(b, "Content-Length", len(body))
 	}
 	return append(append(b, "\r\n"...), body...)
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 
 	"clovergap/internal/counters"
 )
@@ -14,6 +17,22 @@
 // first four bytes of an address as Go keeps it, sixteen bytes, and so connects to 0.0.0.0.
 var dialer = net.Dialer{KeepAlive: -1}
 
+// Silence sets how long bytes that were sent on a dialed connection may stay without the other side's word that they
+// came, before the connection counts as broken: a machine without power, or behind a cut, says nothing. 0: as the
+// system has it.
+func (e *Engine) Silence(most time.Duration) { e.silence = most }
+
+// silent sets that on a socket before it connects.
+func silent(most time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(most/time.Millisecond))
+		})
+		return errors.Join(err, failed)
+	}
+}
+
 // Dial opens a connection and tells whether it came up; one that is closed meanwhile tells nothing.
 func (e *Engine) Dial(addr string, limit time.Duration, dialed func(ok bool)) *Link {
 	l := e.newLink()
@@ -21,8 +40,12 @@
 	e.open++
 	ctx, cancel := context.WithTimeout(noContext, limit)
 	l.cancel = cancel
+	d := dialer
+	if e.silence > 0 {
+		d.Control = silent(e.silence)
+	}
 	go func() {
-		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		conn, err := d.DialContext(ctx, "tcp", addr)
 		cancel()
 		e.Turn(func() { e.dialEnded(l, conn, err, dialed) })
 	}()
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -28,27 +28,27 @@
 
 // Engine runs the poller, the clock and the turns.
 type Engine struct {
-	mu       sync.Mutex
-	poll     *nbio.Engine
-	listener net.Listener
-	born     time.Time
-	now      time.Duration
-	dues     due.Queue[alarm]
-	timer    int           // its descriptor
-	armed    time.Duration // 0: not
-	settled  func()        // end of each turn: decisions are pulled
-	accept   func(*Link)
-	short    func() // descriptors ran out
-	open     int    // connections, dials among them
-	most     int
-	bound    int
-	spare    int // bytes that all rings of what comes in may still grow by
-	inTurn   bool
-	deaf     bool // no new connections are taken
-	stopped  bool
-	stood    time.Duration // how long this front door last stood still
-	stoodAt  time.Duration
-	Count    *counters.Set
+	mu      sync.Mutex
+	poll    *nbio.Engine
+	ears    []*ear // in the order of listening
+	born    time.Time
+	now     time.Duration
+	dues    due.Queue[alarm]
+	timer   int           // its descriptor
+	armed   time.Duration // 0: not
+	settled func()        // end of each turn: decisions are pulled
+	accept  func(*Link)
+	short   func() // descriptors ran out
+	silence time.Duration
+	open    int // connections, dials among them
+	most    int
+	bound   int
+	spare   int // bytes that all rings of what comes in may still grow by
+	inTurn  bool
+	stopped bool
+	stood   time.Duration // how long this front door last stood still
+	stoodAt time.Duration
+	Count   *counters.Set
 }
 
 // before is what the clock shows at the start: a backend may have started before this front door did.
@@ -60,24 +60,24 @@
 	e := &Engine{born: time.Now(), now: before, most: descriptors - ownFiles, bound: bound, spare: spare,
 		Count: &counters.Set{}, settled: func() {}, accept: (*Link).CloseSoon, short: func() {}}
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
-	conf := nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
-		ReadBufferSize: 4 << 10, MaxWriteBufferSize: 2 * bound,
-		Listen: func(network, addr string) (ln net.Listener, err error) {
-			ln, err = (&net.ListenConfig{KeepAlive: -1}).Listen(noContext, network, addr)
-			e.listener = ln
-			return ln, err
-		}}
+	next := 0 // the poller asks for its listeners once, in their order
+	e.poll = nbio.NewEngine(nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
+		ReadBufferSize: 4 << 10, MaxWriteBufferSize: 2 * max(bound, chunk),
+		Listen: func(string, string) (net.Listener, error) {
+			a := e.ears[next]
+			next++
+			return a, a.open()
+		}})
 	if listen != "" {
-		conf.Addrs = []string{listen}
+		e.hear(listen, func(l *Link) { e.accept(l) })
 	}
-	e.poll = nbio.NewEngine(conf)
 	e.poll.OnOpen(e.opened)
 	e.poll.OnRead(e.readable)
 	e.poll.OnClose(e.gone)
 	e.poll.OnWrittenSize(written)
 	e.poll.OnAcceptError(func(error) {
 		e.Turn(func() {
-			if !e.deaf {
+			if !e.stopped {
 				e.Count.Add(counters.AcceptErrors)
 				e.short()
 			}
@@ -107,14 +107,6 @@
 	e.poll.Stop()
 }
 
-// Deafen takes no new connections from now on: they are refused.
-func (e *Engine) Deafen() {
-	if !e.deaf {
-		e.deaf = true
-		e.listener.Close()
-	}
-}
-
 // Turn runs something as the one owner and pulls decisions after it.
 func (e *Engine) Turn(f func()) {
 	e.mu.Lock()
@@ -201,5 +193,8 @@
 // Open counts connections, dials among them.
 func (e *Engine) Open() int { return e.open }
 
-// Addr is where clients connect.
-func (e *Engine) Addr() string { return e.poll.Addrs[0] }
+// Addr is where clients connect: the first that was listened on.
+func (e *Engine) Addr() string { return e.AddrOf(0) }
+
+// AddrOf is one of the addresses listened on, in their order, as the system gave it.
+func (e *Engine) AddrOf(nr int) string { return e.ears[nr].Listener.Addr().String() }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 
 	"clovergap/internal/check"
 	"clovergap/internal/ring"
@@ -40,6 +42,9 @@
 	handed  atomic.Int64 // bytes given to the poller
 	written atomic.Int64 // of these, written to the socket
 	waits   atomic.Bool  // some are not yet
+	trail   int          // a descriptor of its own for the socket, while it is to be read to its end; 0: none
+	ended   bool         // the poller has closed its own
+	unsent  int          // bytes that an error kept from the socket
 	closed  bool
 	closing bool               // once all is written
 	linger  bool               // all is written and the end told; what still comes is dropped
@@ -52,6 +57,52 @@
 	return &Link{e: e, In: ring.New(leastRing, e.bound, &e.spare), out: ring.New(leastRing, 2*e.bound, nil)}
 }
 
+// Bound changes how many bytes wait on it at the most: so many of what comes in, twice as many of what goes out.
+func (l *Link) Bound(most int) {
+	l.In.Bound(most)
+	l.out.Bound(2 * most)
+}
+
+// Trail reads on to the end of what was sent though the other side has ended, as long as a stream of bytes passes
+// through: the poller closes at once, and what the ring had no room for would be lost. Trail(false) tells whether the
+// other side is still there.
+func (l *Link) Trail(on bool) bool {
+	l.In.Hold(on)
+	if !on {
+		l.untrail()
+		return !l.ended && !l.closed
+	}
+	if fd, err := unix.FcntlInt(uintptr(l.c.Hash()), unix.F_DUPFD_CLOEXEC, 0); err == nil && !l.closed {
+		l.trail = fd
+		l.e.open++
+	}
+	return true
+}
+
+func (l *Link) untrail() {
+	if l.trail > 0 {
+		syscall.Close(l.trail)
+		l.trail = 0
+		l.e.open--
+	}
+}
+
+// recv reads from the socket.
+func (l *Link) recv(p []byte) (int, error) {
+	if !l.ended {
+		n, err := l.c.Read(p)
+		if l.trail == 0 || !errors.Is(err, net.ErrClosed) {
+			return n, err
+		}
+		l.ended = true
+	}
+	n, err := syscall.Read(l.trail, p)
+	if errors.Is(err, syscall.EAGAIN) { // nothing will tell of more
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
 // Own says who is told of this connection.
 func (l *Link) Own(o Owner) { l.owner = o }
 
@@ -64,7 +115,7 @@
 		l.c = c
 		c.SetSession(l)
 		e.open++
-		e.accept(l)
+		e.came(c)(l)
 	})
 }
 
@@ -91,7 +142,7 @@
 			}
 			return
 		}
-		n, err := l.c.Read(free)
+		n, err := l.recv(free)
 		if n > 0 {
 			if l.linger {
 				l.dropped += n
@@ -114,12 +165,21 @@
 			l.owner.Data()
 		}
 		if n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) {
-			l.lost()
+			l.end()
 		}
 		return
 	}
 }
 
+// end: no more comes. What has come and is still to be taken along a trail is waited for, as if the ring were full.
+func (l *Link) end() {
+	if l.trail > 0 && l.In.Len() > 0 && !l.closed {
+		l.more = true
+		return
+	}
+	l.lost()
+}
+
 // Full tells that no more can be read until some is dropped: the ring's own bound, or that of all of them.
 func (l *Link) Full() bool { return l.more }
 
@@ -135,6 +195,13 @@
 	if l.closed || l.closing {
 		return false
 	}
+	if l.Unwritten() == 0 { // the usual: nothing waits, and the ring is not needed
+		n := min(len(p), chunk)
+		if !l.hand(p[:n]) {
+			return false
+		}
+		p = p[n:]
+	}
 	if !l.out.Append(p) {
 		l.lost()
 		return false
@@ -143,19 +210,31 @@
 	return !l.closed
 }
 
+// hand gives bytes to the poller, which writes what the socket takes and keeps a copy of the rest.
+func (l *Link) hand(p []byte) bool {
+	if len(p) == 0 {
+		return true
+	}
+	l.handed.Add(int64(len(p)))
+	if n, err := l.c.Write(p); err != nil || n < 0 {
+		l.unsent = len(p)
+		l.handed.Add(-int64(len(p)))
+		l.lost()
+		return false
+	}
+	return true
+}
+
 // pump hands bytes to the poller, a chunk at a time, so that its own queue never holds more than one.
 func (l *Link) pump() {
 	l.waits.Store(false)
 	for !l.closed && l.out.Len() > 0 && l.written.Load() == l.handed.Load() {
 		head := l.out.Head()
 		head = head[:min(len(head), chunk)]
-		l.handed.Add(int64(len(head)))
-		n, err := l.c.Write(head)
-		if err != nil || n < 0 {
-			l.lost()
+		l.out.Drop(len(head)) // before it is handed over: what an error keeps back is counted apart
+		if !l.hand(head) {
 			return
 		}
-		l.out.Drop(len(head))
 	}
 	if l.closed {
 		return
@@ -190,7 +269,7 @@
 }
 
 // Unwritten counts bytes given to Send that are not yet written to the socket: nought means the last byte is.
-func (l *Link) Unwritten() int { return l.out.Len() + int(l.handed.Load()-l.written.Load()) }
+func (l *Link) Unwritten() int { return l.out.Len() + l.unsent + int(l.handed.Load()-l.written.Load()) }
 
 // Clean tells whether an idle connection may carry a submission: open, with nothing come unasked.
 func (l *Link) Clean() bool {
@@ -211,6 +290,7 @@
 		return
 	}
 	l.closed = true
+	l.untrail()
 	l.In.Release()
 	l.out.Release()
 	if l.cancel != nil {
@@ -284,6 +364,7 @@
 	if l.owner != nil {
 		l.owner.Closed()
 	}
+	l.untrail()
 	l.In.Release()
 	l.out.Release()
 }
@@ -292,8 +373,15 @@
 	go e.Turn(func() { // apart: the poller would swallow a panic here
 		e.open--
 		check.That(e.open >= 0, "no more connections close than were opened")
-		if l, _ := c.Session().(*Link); l != nil {
-			l.lost()
+		l, _ := c.Session().(*Link)
+		if l == nil {
+			return
 		}
+		if l.trail > 0 && !l.closed {
+			l.ended = true
+			l.read()
+			return
+		}
+		l.lost()
 	})
 }
