--- /dev/null
+++ b/internal/playbill/playbill_test.go
@@ -0,0 +1,262 @@
+package playbill
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+)
+
+// whole is the page's example with fields that this program does not know and numbers in several forms.
+const whole = `{"generation":7, "services":[{"name":"huvo","health_path":"/health","max_conns":130},
+{"name":"wuno"}],"limits":{"max_header_bytes":16384,"idle_timeout":"2.5s"},"note":{"x":1.50e2},
+"tenants":[{"name":"huka","api_keys":["k1","k2"],"priority":1,"rate_per_s":47,"burst":4.0}],
+"parent_version":0,"vhosts":[{"hostname":"Ficu.example","path_list":[
+{"name":"r-a","path_prefix":"/lo/","variant":"pure","deadline":"1500ms","target_latency":"600ms","priority":2,
+"weighted_targets":[{"target":"huvo","weight":90},{"target":"wuno","weight":10}],
+"max_tries":3,"public":false},
+{"name":"r-b","path_prefix":"/lo/pu/","variant":"effectful","target":"huvo"}]},
+{"hostname":"other.example","path_list":[
+{"name":"r-c","path_prefix":"/","variant":"pure","target":"wuno"}]}]}`
+
+func first(t *testing.T) *Register {
+	t.Helper()
+	r := NewRegister()
+	v, err := r.Apply(Replace, []byte(whole))
+	must.NoError(t, err)
+	must.Eq(t, Taken, v)
+	return r
+}
+
+func amend(t *testing.T, r *Register, change string) {
+	t.Helper()
+	v, err := r.Apply(Amend, []byte(change))
+	must.NoError(t, err)
+	must.Eq(t, Taken, v)
+}
+
+func TestRefusalsNameTheirPlace(t *testing.T) {
+	for _, c := range []struct{ old, now, place string }{
+		{`"generation":7`, `"generation":0`, "generation"},
+		{`"generation":7`, `"generation":-7`, "generation"},
+		{`"generation":7, `, ``, "generation"},
+		{`"variant":"effectful"`, `"variant":"Pure"`, "vhosts[0].path_list[1].variant"},
+		{`"variant":"effectful",`, ``, "vhosts[0].path_list[1].variant"},
+		{`"/lo/pu/"`, `"lo/pu/"`, "vhosts[0].path_list[1].path_prefix"},
+		{`"600ms"`, `"61.5s"`, "vhosts[0].path_list[0].target_latency"},
+		{`"600ms"`, `"600"`, "vhosts[0].path_list[0].target_latency"},
+		{`"1500ms"`, `"-1s"`, "vhosts[0].path_list[0].deadline"},
+		{`"1500ms"`, `1500`, "vhosts[0].path_list[0].deadline"},
+		{`"2.5s"`, `"99999999999999s"`, "limits.idle_timeout"},
+		{`"weight":90},{"target":"wuno","weight":10}`, `"weight":0}`,
+			"vhosts[0].path_list[0].weighted_targets"},
+		{`"weight":10`, `"weight":-10`, "vhosts[0].path_list[0].weighted_targets[1].weight"},
+		{`{"target":"wuno"`, `{"target":"gone"`, "vhosts[0].path_list[0].weighted_targets[1].target"},
+		{`"pure","target":"wuno"`, `"pure","target":"gone"`, "vhosts[1].path_list[0].target"},
+		{`"pure","target":"wuno"`, `"pure"`, "vhosts[1].path_list[0].target"},
+		{`"max_tries":3`, `"max_tries":"3"`, "vhosts[0].path_list[0].max_tries"},
+		{`["k1","k2"]`, `["k1",{}]`, "tenants[0].api_keys[1]"},
+		{`"public":false`, `"public":false,"Public":true`, "vhosts[0].path_list[0].public"},
+		{`"wuno"}]}]}`, `"wuno"}]}]}x`, ""},
+		{`"wuno"}]}]}`, `"wuno"}]}]`, ""},
+		{`{"x":1.50e2}`, strings.Repeat("[", 1<<20), ""},
+	} {
+		body := strings.Replace(whole, c.old, c.now, 1)
+		must.NotEq(t, whole, body)
+		r := NewRegister()
+		v, err := r.Apply(Replace, []byte(body))
+		must.Eq(t, Invalid, v, must.Sprint(c.now))
+		var f *Fault
+		must.True(t, errors.As(err, &f))
+		must.Eq(t, c.place, f.Place, must.Sprint(err))
+		must.Eq(t, 0, r.Version())
+	}
+	for _, body := range []string{"", "null", "[]", "{}", whole + whole, "\xff" + whole} {
+		v, _ := NewRegister().Decide(Replace, []byte(body))
+		must.Eq(t, Invalid, v)
+	}
+	v, err := first(t).Decide(Amend, []byte(`{"generation":9,"parent_version":7,"upserts":{
+		"vhosts":[{"path_list":[{"path_prefix":"/","variant":"x"}]}]}}`))
+	must.Eq(t, Invalid, v)
+	must.StrHasPrefix(t, "upserts.vhosts[0].path_list[0].variant: ", err.Error())
+}
+
+func TestSpans(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"0ms": 0, "1500ms": 1500 * time.Millisecond,
+		"2.5s": 2500 * time.Millisecond, "0.25ms": 250 * time.Microsecond,
+	} {
+		d, err := ParseSpan(text)
+		must.NoError(t, err)
+		must.Eq(t, want, d)
+	}
+	for _, text := range strings.Split(",s,ms,1,1m,1us,1h,-1s,+1s,.5s,1.s,1 s,1s1s,1e3s", ",") {
+		_, err := ParseSpan(text)
+		must.Error(t, err, must.Sprint(text))
+	}
+}
+
+func TestNoMoreIsRefused(t *testing.T) {
+	for old, now := range map[string]string{
+		`"600ms"`:        `"61.499s"`,
+		`"weight":90`:    `"weight":0`,
+		`"max_tries":3,`: ``,
+		`"priority":2`:   `"priority":-2`,
+		`["k1","k2"]`:    `null`,
+		`"name":"r-b",`:  ``,
+		`"r-b"`:          `"r-a"`,
+		`"/lo/pu/"`:      `"/lo/"`,
+	} {
+		body := strings.Replace(whole, old, now, 1)
+		must.NotEq(t, whole, body)
+		v, err := NewRegister().Decide(Replace, []byte(body))
+		must.NoError(t, err)
+		must.Eq(t, Taken, v)
+	}
+	v, _ := NewRegister().Decide(Replace, []byte(` {"generation":1} `))
+	must.Eq(t, Taken, v)
+}
+
+func TestAmend(t *testing.T) {
+	r := first(t)
+	must.Eq(t, whole, string(r.Body()))
+	// A route is replaced in its place, one is added, one removed; a host is emptied and goes, a key is
+	// taken away; a field that nobody knows stays as it was written.
+	amend(t, r, `{"generation":9,"parent_version":7,"removals":{"routes":["r-b","r-c","r-old"],"services":[]},
+		"upserts":{"services":[{"name":"new"},{"name":"wuno","odd":1.0}],
+		"tenants":[{"name":"huka","api_keys":["k2"]}],
+		"vhosts":[{"hostname":"ficu.EXAMPLE","path_list":[
+			{"name":"r-n","path_prefix":"/n/","variant":"pure","target":"new"},
+			{"name":"r-a","path_prefix":"/m/","variant":"pure","target":"huvo"}]}]}}`)
+	must.Eq(t, 9, r.Version())
+	must.Eq(t, `{"generation":9,"services":[{"name":"huvo","health_path":"/health","max_conns":130},`+
+		`{"name":"wuno","odd":1.0},{"name":"new"}],`+
+		`"limits":{"max_header_bytes":16384,"idle_timeout":"2.5s"},`+
+		`"note":{"x":1.50e2},"tenants":[{"name":"huka","api_keys":["k2"]}],"parent_version":7,`+
+		`"vhosts":[{"hostname":"ficu.EXAMPLE","path_list":[`+
+		`{"name":"r-a","path_prefix":"/m/","variant":"pure","target":"huvo"},`+
+		`{"name":"r-n","path_prefix":"/n/","variant":"pure","target":"new"}]}]}`, string(r.Body()))
+
+	v, err := r.Decide(Amend, []byte(`{"generation":11,"parent_version":9,"removals":{"services":["new"]}}`))
+	must.Eq(t, Invalid, v) // r-n still names it
+	must.StrHasPrefix(t, "vhosts[0].path_list[1].target: ", err.Error())
+
+	// One change moves a route to a new host; what upserts holds that is no list replaces the field.
+	amend(t, r, `{"generation":11,"parent_version":9,"removals":{"routes":["r-n"],"services":["new"]},
+		"upserts":{"generation":99,"limits":{"max_body_bytes":5},"vhosts":[{"hostname":"b","path_list":[
+		{"name":"r-n","path_prefix":"/","variant":"pure","target":"wuno"}]}]}}`)
+	must.Eq(t, 11, r.Version())
+	table := NewTable(r.Bill())
+	must.Eq(t, 2, len(table.Routes()))
+	must.Eq(t, 5, table.Limits().MostBody)
+	must.Eq(t, DefaultIdleTimeout, table.Limits().IdleTimeout)
+	amend(t, r, `{"generation":12,"parent_version":11,"removals":{"vhosts":["B"],"tenants":["huka"]}}`)
+	must.Eq(t, 1, len(r.Bill().Vhosts))
+	must.False(t, NewTable(r.Bill()).HasTenants())
+}
+
+func TestResendsAndRaces(t *testing.T) {
+	r := first(t)
+	next := func(generation, parent int) []byte {
+		return []byte(fmt.Sprintf(`{"generation":%d,"parent_version":%d}`, generation, parent))
+	}
+	verdict := func(k Kind, body []byte) Verdict {
+		decided, err1 := r.Decide(k, body)
+		applied, err2 := r.Apply(k, body)
+		must.Eq(t, decided, applied)
+		must.Eq(t, err1 == nil, err2 == nil)
+		return applied
+	}
+	must.Eq(t, Already, verdict(Replace, []byte(whole)))
+	must.Eq(t, Invalid, verdict(Replace, next(7, 7)))
+	must.Eq(t, Conflict, verdict(Replace, next(9, 5)))
+	must.Eq(t, Taken, verdict(Amend, next(9, 7)))
+	must.Eq(t, Conflict, verdict(Amend, next(11, 7)))    // lost the race
+	must.Eq(t, Conflict, verdict(Replace, next(9, 7)))   // the same bytes of another call
+	must.Eq(t, Already, verdict(Amend, next(9, 7)))      // sent again
+	must.Eq(t, Already, verdict(Replace, []byte(whole))) // sent again late
+	must.Eq(t, 9, r.Version())
+	for g := 10; g < 10+mostTaken; g++ {
+		must.Eq(t, Taken, verdict(Replace, next(g, g-1)))
+	}
+	must.Len(t, mostTaken, r.taken)
+	must.Eq(t, Conflict, verdict(Replace, []byte(whole))) // forgotten
+	must.Eq(t, Already, verdict(Replace, next(10, 9)))
+}
+
+// A member that starts from a snapshot anywhere in the log comes to the same as one that folded all of it.
+func TestMembersAgree(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	a, b := NewRegister(), NewRegister()
+	for range 2000 {
+		body := []byte(fmt.Sprintf(`{"generation":%d,"parent_version":%d}`,
+			int(a.Version())+chance.IntN(4)-1, max(0, int(a.Version())-chance.IntN(2))))
+		kind := Kind(chance.IntN(2))
+		va, _ := a.Apply(kind, body)
+		vb, _ := b.Apply(kind, body)
+		must.Eq(t, va, vb)
+		if chance.IntN(9) == 0 {
+			var err error
+			b, err = Restore(b.Snapshot())
+			must.NoError(t, err)
+		}
+		must.Eq(t, string(a.Body()), string(b.Body()))
+		must.Eq(t, a.Version(), b.Version())
+	}
+	must.Eq(t, string(a.Snapshot()), string(b.Snapshot()))
+	_, err := Restore(nil)
+	must.Error(t, err)
+}
+
+func TestTable(t *testing.T) {
+	table := NewTable(first(t).Bill())
+	for _, c := range []struct{ host, path, name string }{
+		{"ficu.example", "/lo/", "r-a"},
+		{"FICU.example:8080", "/lo/pu", "r-a"},
+		{"ficu.example", "/lo/pu/?/x", "r-b"},
+		{"ficu.example", "/lo/pu/x/y", "r-b"},
+		{"ficu.example", "/lo", ""},
+		{"ficu.example", "/lo?/", ""},
+		{"other.example", "/anything", "r-c"},
+		{"other.example", "*", ""},
+		{"nobody.example", "/lo/", ""},
+		{strings.Repeat("x", 300), "/", ""},
+	} {
+		r, ok := table.Route([]byte(c.host), []byte(c.path))
+		must.Eq(t, c.name != "", ok, must.Sprint(c))
+		if ok {
+			must.Eq(t, c.name, r.Name)
+		}
+	}
+	tenant, ok := table.Tenant([]byte("k2"))
+	must.True(t, ok)
+	must.Eq(t, Tenant{Name: "huka", Priority: 1, Rate: 47, Burst: 4}, *tenant)
+	_, ok = table.Tenant(nil)
+	must.False(t, ok)
+	must.Eq(t, Limits{16384, DefaultMostBody, DefaultHeaderTimeout, 2500 * time.Millisecond}, table.Limits())
+	s, _ := table.Service("wuno")
+	must.Eq(t, Service{Name: "wuno", HealthPath: "/health"}, *s)
+
+	host, path, key := []byte("Ficu.example"), []byte("/lo/pu/x?y"), []byte("k1")
+	must.Eq(t, 0, testing.AllocsPerRun(100, func() { table.Route(host, path); table.Tenant(key) }))
+
+	// Of a changed configuration, the routes that changed in nothing keep their key.
+	other := new(Bill)
+	body := strings.Replace(whole, `"weight":90`, `"weight":9223372036854775807`, 1)
+	must.NoError(t, json.Unmarshal([]byte(body), other))
+	now := NewTable(other).Routes()
+	for i, r := range table.Routes() {
+		must.Eq(t, i > 0, r.Key == now[i].Key)
+	}
+	must.Positive(t, now[0].Targets[0].Weight)
+	must.Eq(t, Route{Name: "r-b", Host: "ficu.example", Prefix: "/lo/pu/", Effectful: true, Key: now[1].Key,
+		Deadline: DefaultDeadline, Target: DefaultDeadline, MaxTries: DefaultMaxTries,
+		Targets: []Target{{"huvo", 1}}}, *now[1])
+	_, ok = NewTable(nil).Route(host, path)
+	must.False(t, ok)
+}
--- /dev/null
+++ b/internal/playbill/read.go
@@ -0,0 +1,178 @@
+package playbill
+
+import (
+	"encoding/json"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
+	"github.com/go-playground/validator/v10"
+)
+
+// latencySlack is how far a route's target_latency stays below over its deadline (PROTOCOL.md, "The
+// operator").
+const latencySlack = time.Minute
+
+// Fault tells why a body was not taken, and where in it.
+type Fault struct {
+	Place string // such as vhosts[0].path_list[2].variant; empty where it is the whole body
+	What  string // in words
+}
+
+func (f *Fault) Error() string {
+	if f.Place == "" {
+		return f.What
+	}
+	return f.Place + ": " + f.What
+}
+
+func fault(place, format string, args ...any) error {
+	return &Fault{Place: place, What: errors.Errorf(format, args...).Error()}
+}
+
+// ReadBill reads and checks a whole configuration as Config.Replace carries it. Its errors are *Fault. That
+// its generation is above the current one is for the Register to say.
+func ReadBill(body []byte) (*Bill, error) {
+	b := new(Bill)
+	if err := read(body, b); err != nil {
+		return nil, err
+	}
+	return b, inspect(b)
+}
+
+// ReadAmendment reads a change as Config.Amend carries it, and checks its items each by itself. Its errors
+// are *Fault.
+func ReadAmendment(body []byte) (*Amendment, error) {
+	a := new(Amendment)
+	if err := read(body, a); err != nil {
+		return nil, err
+	}
+	return a, inspect(a)
+}
+
+// read fills into from one JSON object and nothing after it.
+func read(body []byte, into any) error {
+	if !utf8.Valid(body) {
+		return fault("", "the body is not UTF-8")
+	}
+	start := skipSpace(body, 0)
+	if start == len(body) || body[start] != '{' {
+		return fault("", "the body is not a JSON object")
+	}
+	err := json.Unmarshal(body, into)
+	var wrong *json.UnmarshalTypeError
+	if err != nil && !errors.As(err, &wrong) {
+		return fault("", "%s", err)
+	}
+	// The body is valid JSON.
+	if bad := survey(body, start, 1, func() string { return "" }); bad != nil {
+		return bad
+	}
+	if wrong != nil {
+		place := placeAt(body, start, int(wrong.Offset), "")
+		return fault(place, "a %s cannot be a %s", wrong.Value, wrong.Type)
+	}
+	return nil
+}
+
+// inspect checks what was read by its tags and by the rules below.
+func inspect(v any) error {
+	err := checker().Struct(v)
+	if err == nil {
+		return nil
+	}
+	var bad validator.ValidationErrors
+	if !errors.As(err, &bad) || len(bad) == 0 {
+		return fault("", "%s", err)
+	}
+	_, place, _ := strings.Cut(bad[0].Namespace(), ".")
+	return fault(place, "%s", inWords(bad[0]))
+}
+
+func inWords(e validator.FieldError) string {
+	switch e.Tag() {
+	case "required":
+		return "missing"
+	case "oneof":
+		return "must be one of " + e.Param()
+	case "startswith":
+		return "must begin with " + e.Param()
+	case "min":
+		return "must be at least " + e.Param()
+	case "span":
+		return "must be a number followed by ms or s"
+	case "latency":
+		return "a minute or more over the deadline"
+	case "weights":
+		return "the weights add up to 0"
+	case "service":
+		return "there is no service " + strconv.Quote(e.Param())
+	}
+	return "breaks the rule " + e.Tag()
+}
+
+var checker = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	if err := v.RegisterValidation("span", func(fl validator.FieldLevel) bool {
+		_, err := ParseSpan(fl.Field().String())
+		return err == nil
+	}); err != nil {
+		panic(err) // only an empty tag or function is refused
+	}
+	v.RegisterStructValidation(checkRoute, BillRoute{})
+	v.RegisterStructValidation(checkNames, Bill{})
+	return v
+})
+
+func checkRoute(sl validator.StructLevel) {
+	r := sl.Current().Interface().(BillRoute)
+	if len(r.WeightedTargets) > 0 {
+		sum := 0.0 // whole numbers could wrap around to 0
+		for _, t := range r.WeightedTargets {
+			sum += float64(t.Weight)
+		}
+		if sum <= 0 {
+			sl.ReportError(r.WeightedTargets, "weighted_targets", "WeightedTargets", "weights", "")
+		}
+	}
+	if r.Deadline == nil || r.TargetLatency == nil {
+		return
+	}
+	deadline, err1 := ParseSpan(*r.Deadline)
+	target, err2 := ParseSpan(*r.TargetLatency)
+	if err1 == nil && err2 == nil && target-deadline >= latencySlack {
+		sl.ReportError(r.TargetLatency, "target_latency", "TargetLatency", "latency", "")
+	}
+}
+
+func checkNames(sl validator.StructLevel) {
+	b := sl.Current().Interface().(Bill)
+	known := make(map[string]bool, len(b.Services))
+	for i := range b.Services {
+		known[b.Services[i].Name] = true
+	}
+	for i := range b.Vhosts {
+		for j := range b.Vhosts[i].PathList {
+			r := &b.Vhosts[i].PathList[j]
+			place := "vhosts[" + strconv.Itoa(i) + "].path_list[" + strconv.Itoa(j) + "]."
+			for k, t := range r.WeightedTargets {
+				if !known[t.Target] {
+					at := place + "weighted_targets[" + strconv.Itoa(k) + "].target"
+					sl.ReportError(t.Target, at, "Target", "service", t.Target)
+				}
+			}
+			// A route without any target names no service at all, which is refused as an unknown one is.
+			if (r.Target != "" || len(r.WeightedTargets) == 0) && !known[r.Target] {
+				sl.ReportError(r.Target, place+"target", "Target", "service", r.Target)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/playbill/table.go
@@ -0,0 +1,274 @@
+package playbill
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"clovergap/internal/check"
+)
+
+// What holds where a configuration leaves it out or gives 0. The limits are those of PROTOCOL.md's example.
+const (
+	DefaultDeadline      = 30 * time.Second
+	DefaultMaxTries      = 2
+	DefaultHealthPath    = "/health"
+	DefaultMostHeader    = 16 << 10
+	DefaultMostBody      = 64 << 20
+	DefaultHeaderTimeout = 3 * time.Second
+	DefaultIdleTimeout   = 15 * time.Second
+)
+
+// mostHost bounds a host name that is looked up, in bytes; DNS allows 253.
+const mostHost = 256
+
+// RouteKey is equal for routes that are equal in all, in whichever table: what was learnt of one holds for
+// the other.
+type RouteKey string
+
+// Route is a route as doors use it.
+type Route struct {
+	Key       RouteKey
+	Name      string
+	Host      string // in lower case
+	Prefix    string
+	Effectful bool          // at most one run for each try of a client
+	Deadline  time.Duration // the longest time that a request is held
+	Target    time.Duration // an answer within it earns its full worth; the deadline where it is left out
+	Priority  int           // 0 is highest
+	MaxTries  int           // backends that one request may be sent to, 1 or more
+	Public    bool          // carries no key
+	Targets   []Target      // one or more, weights above 0 whose sum fits 32 bits
+}
+
+// Target is a service that may answer a route, and its part of the sum of weights.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Tenant is a tenant as doors use it.
+type Tenant struct {
+	Name     string
+	Priority int     // comes before the route's, 0 is highest
+	Rate     float64 // requests a second over all doors, 0 = no limit
+	Burst    float64 // requests on top
+}
+
+// Service is a service as doors use it.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int // of one backend, from all callers together; 0 = not given
+	Protocol   string
+	TLS        bool
+}
+
+// Limits bound what a client may send and how long it may take. All are above 0.
+type Limits struct {
+	MostHeader    int // bytes
+	MostBody      int // bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is what a door routes by. It never changes, so that many may read it at once; what it hands out is
+// not to be changed.
+type Table struct {
+	version  uint64
+	limits   Limits
+	hosts    map[string]*host
+	keys     map[string]*Tenant
+	services map[string]*Service
+	routes   []*Route
+	tenants  []*Tenant
+}
+
+// host holds the routes of a host by their prefix, and the lengths of these, longest first: a look-up tries
+// each length once, however many routes there are.
+type host struct {
+	routes  map[string]*Route
+	lengths []int
+}
+
+// NewTable builds the table of a checked configuration; of nil, one with no routes and the default limits.
+// Where two routes have the same host and prefix, or two tenants the same key, the first one counts.
+func NewTable(b *Bill) *Table {
+	if b == nil {
+		b = new(Bill)
+	}
+	t := &Table{
+		version:  b.Generation,
+		limits:   limitsOf(b.Limits),
+		hosts:    make(map[string]*host, len(b.Vhosts)),
+		keys:     make(map[string]*Tenant),
+		services: make(map[string]*Service, len(b.Services)),
+	}
+	for _, s := range b.Services {
+		if t.services[s.Name] == nil {
+			t.services[s.Name] = &Service{
+				Name: s.Name, HealthPath: cmp.Or(s.HealthPath, DefaultHealthPath),
+				MaxConns: max(s.MaxConns, 0), Protocol: s.Protocol, TLS: s.Tls,
+			}
+		}
+	}
+	for _, one := range b.Tenants {
+		tenant := &Tenant{
+			Name: one.Name, Priority: one.Priority, Rate: max(one.RatePerS, 0), Burst: max(one.Burst, 0),
+		}
+		t.tenants = append(t.tenants, tenant)
+		for _, key := range one.ApiKeys {
+			if t.keys[key] == nil {
+				t.keys[key] = tenant
+			}
+		}
+	}
+	for i := range b.Vhosts {
+		name := strings.ToLower(b.Vhosts[i].Hostname)
+		h := t.hosts[name]
+		if h == nil {
+			h = &host{routes: make(map[string]*Route, len(b.Vhosts[i].PathList))}
+			t.hosts[name] = h
+		}
+		for j := range b.Vhosts[i].PathList {
+			r := routeOf(name, &b.Vhosts[i].PathList[j])
+			if h.routes[r.Prefix] != nil {
+				continue
+			}
+			h.routes[r.Prefix] = r
+			t.routes = append(t.routes, r)
+			if !slices.Contains(h.lengths, len(r.Prefix)) {
+				h.lengths = append(h.lengths, len(r.Prefix))
+			}
+		}
+		slices.SortFunc(h.lengths, func(x, y int) int { return y - x })
+	}
+	return t
+}
+
+func routeOf(host string, b *BillRoute) *Route {
+	r := &Route{
+		Name: b.Name, Host: host, Prefix: b.PathPrefix,
+		Effectful: b.Variant != Pure,
+		Deadline:  span(b.Deadline, DefaultDeadline),
+		Priority:  b.Priority, MaxTries: b.MaxTries, Public: b.Public,
+	}
+	r.Target = span(b.TargetLatency, r.Deadline)
+	if r.MaxTries <= 0 {
+		r.MaxTries = DefaultMaxTries
+	}
+	for _, t := range b.WeightedTargets {
+		if t.Weight > 0 {
+			r.Targets = append(r.Targets, Target{t.Target, t.Weight})
+		}
+	}
+	halve(r.Targets)
+	if len(r.Targets) == 0 {
+		r.Targets = []Target{{b.Target, 1}}
+	}
+	key, err := json.Marshal(r) // it has no key yet
+	check.That(err == nil, "a route has a key")
+	r.Key = RouteKey(key)
+	return r
+}
+
+// halve makes weights small enough to be added up without wrapping around.
+func halve(weights []Target) {
+	for {
+		sum := 0.0
+		for _, t := range weights {
+			sum += float64(t.Weight)
+		}
+		if sum <= math.MaxInt32 {
+			return
+		}
+		for i := range weights {
+			weights[i].Weight -= weights[i].Weight / 2
+		}
+	}
+}
+
+func limitsOf(b *BillLimits) Limits {
+	if b == nil {
+		b = new(BillLimits)
+	}
+	l := Limits{
+		MostHeader: b.MaxHeaderBytes, MostBody: b.MaxBodyBytes,
+		HeaderTimeout: span(b.HeaderTimeout, DefaultHeaderTimeout),
+		IdleTimeout:   span(b.IdleTimeout, DefaultIdleTimeout),
+	}
+	if l.MostHeader <= 0 {
+		l.MostHeader = DefaultMostHeader
+	}
+	if l.MostBody <= 0 {
+		l.MostBody = DefaultMostBody
+	}
+	return l
+}
+
+// Route finds the route of a request: among those of its host the one with the longest prefix that begins
+// the path. A port after the host and a query after the path are passed over; letters of the host may be of
+// either case. It allocates nothing.
+func (t *Table) Route(hostname, path []byte) (*Route, bool) {
+	if i := bytes.LastIndexByte(hostname, ':'); i >= 0 && bytes.IndexByte(hostname[i:], ']') < 0 {
+		hostname = hostname[:i]
+	}
+	var room [mostHost]byte
+	if len(hostname) > len(room) {
+		return nil, false
+	}
+	lower := room[:len(hostname)]
+	for i, c := range hostname {
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		lower[i] = c
+	}
+	h := t.hosts[string(lower)]
+	if h == nil {
+		return nil, false
+	}
+	if i := bytes.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r := h.routes[string(path[:n])]; r != nil {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Tenant finds the tenant that holds a key. It allocates nothing.
+func (t *Table) Tenant(key []byte) (*Tenant, bool) {
+	tenant := t.keys[string(key)]
+	return tenant, tenant != nil
+}
+
+// HasTenants tells whether requests on routes that are not public carry a key.
+func (t *Table) HasTenants() bool { return len(t.tenants) > 0 }
+
+// Service finds a service by its name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s := t.services[name]
+	return s, s != nil
+}
+
+// Version is the generation that the table was built from, 0 if none.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits are the bounds on what clients send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Routes are all routes, in the configuration's order.
+func (t *Table) Routes() []*Route { return t.routes }
+
+// Tenants are all tenants, in the configuration's order.
+func (t *Table) Tenants() []*Tenant { return t.tenants }
--- /dev/null
+++ b/internal/promptbook/promptbook.go
@@ -0,0 +1,293 @@
+// Package promptbook keeps on disk what the prompter must not forget, in one bbolt file.
+//
+// The file never shrinks. Each write goes to free pages first, so it holds at most about three times the
+// largest snapshot plus the log that was ever held at once, rounded up to steps of 64 KiB: a state of 100
+// KB with some hundred entries of 1 KB stays below 1 MiB.
+//
+// bbolt writes to the file and reads it through a mapping. Where the two do not agree, Apply says so: it
+// reads back the head of what it wrote. A lock held by another process is waited for a second.
+package promptbook
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/gob"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+	"golang.org/x/sys/unix"
+
+	"clovergap/internal/prompter"
+)
+
+// Name is the file's, in the folder that Open is given.
+const Name = "promptbook.db"
+
+// growth is by how much the file grows; bbolt's own 16 MiB are much for a disk of 64.
+const growth = 64 << 10
+
+var (
+	bookBucket = []byte("book")
+	logBucket  = []byte("log") // entries by their index: 8 bytes, the highest byte first
+	headKey    = []byte("head")
+	snapKey    = []byte("snap")
+)
+
+// head is all but the snapshot and the entries.
+type head struct {
+	Me, For                   prompter.MemberID
+	House, Promise, Delivered uint64
+}
+
+// Book is an open file, for one goroutine at a time.
+type Book struct {
+	path string
+	me   prompter.MemberID
+	db   *bbolt.DB
+}
+
+// Open opens the file in a folder and reads all of it; where there is none it makes one, with a new
+// member's id, synced with its name. An error names the file. If what it holds can't be read, the error is
+// an Unreadable: the disk is to be taken for lost then, see Wipe.
+func Open(dir string) (*Book, prompter.Kept, error) {
+	b := &Book{path: filepath.Join(dir, Name)}
+	var k prompter.Kept
+	switch info, err := os.Stat(b.path); {
+	case errors.Is(err, os.ErrNotExist):
+	case err != nil:
+		return nil, k, named(b.path, err)
+	case info.Size() == 0: // a process ended before the first write: nothing was said yet
+	default:
+		// Only to read: a file that is broken can end the whole process when it is opened to be written.
+		var file *os.File
+		err := guard(func() error {
+			db, err := bbolt.Open(b.path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: time.Second,
+				OpenFile: func(name string, flag int, mode os.FileMode) (_ *os.File, err error) {
+					file, err = os.OpenFile(name, flag, mode)
+					return file, err
+				}})
+			if err != nil {
+				return err
+			}
+			k, err = read(db)
+			return errors.Join(err, db.Close())
+		})
+		if err != nil && file != nil {
+			// A panic leaves it open, mapped and locked; the lock would last as long as the mapping.
+			_ = unix.Flock(int(file.Fd()), unix.LOCK_UN)
+			file.Close()
+		}
+		if errors.Is(err, os.ErrPermission) || errors.Is(err, berrors.ErrTimeout) {
+			return nil, k, named(b.path, err)
+		}
+		if err != nil {
+			return nil, prompter.Kept{}, &Unreadable{b.path, err}
+		}
+	}
+	if err := guard(func() error { return b.open(dir, &k) }); err != nil {
+		b.Close()
+		return nil, prompter.Kept{}, named(b.path, err)
+	}
+	b.me = k.Me
+	return b, k, nil
+}
+
+// Unreadable is the error of a file that is torn or does not hold together.
+type Unreadable struct {
+	Path string
+	Err  error
+}
+
+func (u *Unreadable) Error() string {
+	return "promptbook " + u.Path + " can't be read: " + u.Err.Error()
+}
+func (u *Unreadable) Unwrap() error { return u.Err }
+
+// named names the file that an error, if there is one, is about.
+func named(path string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrapf(err, "promptbook %s", path)
+}
+
+// guard turns a panic or a fault of a mapping into an error.
+func guard(do func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Errorf("%v", r)
+		}
+	}()
+	return do()
+}
+
+// open opens the file to be written, and founds it if nothing was read.
+func (b *Book) open(dir string, k *prompter.Kept) (err error) {
+	b.db, err = bbolt.Open(b.path, 0o600, &bbolt.Options{Timeout: time.Second, NoFreelistSync: true,
+		FreelistType: bbolt.FreelistMapType, InitialMmapSize: 1 << 20, NoStatistics: true})
+	if err != nil {
+		return err
+	}
+	b.db.AllocSize = growth
+	if k.Me != 0 {
+		return nil
+	}
+	for k.Me == 0 {
+		var random [8]byte
+		if _, err := rand.Read(random[:]); err != nil {
+			return err
+		}
+		// 40 bits are enough, and it travels with each message.
+		k.Me = prompter.MemberID(binary.BigEndian.Uint64(random[:]) >> 24)
+	}
+	if err := b.db.Update(func(tx *bbolt.Tx) error {
+		if _, err := tx.CreateBucket(logBucket); err != nil {
+			return err
+		}
+		book, err := tx.CreateBucket(bookBucket)
+		if err != nil {
+			return err
+		}
+		return put(book, headKey, head{Me: k.Me})
+	}); err != nil {
+		return err
+	}
+	return syncFolder(dir)
+}
+
+// read reads all there is. A file with no bucket at all is as a new one: the process ended before its first
+// write.
+func read(db *bbolt.DB) (k prompter.Kept, err error) {
+	return k, db.View(func(tx *bbolt.Tx) error {
+		book, log := tx.Bucket(bookBucket), tx.Bucket(logBucket)
+		if book == nil && log == nil {
+			return nil
+		}
+		if book == nil || log == nil {
+			return errors.New("a bucket is missing")
+		}
+		var h head
+		if err := get(book.Get(headKey), &h); err != nil {
+			return errors.Wrap(err, "head")
+		}
+		k = prompter.Kept{Me: h.Me, House: h.House, Promise: h.Promise, For: h.For, Delivered: h.Delivered}
+		if v := book.Get(snapKey); v != nil {
+			if err := get(v, &k.Snap); err != nil {
+				return errors.Wrap(err, "snapshot")
+			}
+		}
+		if err := log.ForEach(func(key, v []byte) error {
+			var e prompter.Entry
+			if err := get(v, &e); err != nil {
+				return errors.Wrapf(err, "entry %x", key)
+			}
+			k.Entries = append(k.Entries, e)
+			return nil
+		}); err != nil {
+			return err
+		}
+		return k.Check()
+	})
+}
+
+// Apply puts writes on disk, in one step: after it they are synced, or, with an error, none is there and it
+// may be tried again.
+func (b *Book) Apply(writes []prompter.Write) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	last := writes[len(writes)-1]
+	h := head{Me: b.me, For: last.For, House: last.House, Promise: last.Promise, Delivered: last.Delivered}
+	err := guard(func() error {
+		if err := b.db.Update(func(tx *bbolt.Tx) error {
+			book, log := tx.Bucket(bookBucket), tx.Bucket(logBucket)
+			for _, w := range writes {
+				if err := apply(book, log, w); err != nil {
+					return err
+				}
+			}
+			return put(book, headKey, h)
+		}); err != nil {
+			return err
+		}
+		return b.db.View(func(tx *bbolt.Tx) error {
+			var back head
+			if err := get(tx.Bucket(bookBucket).Get(headKey), &back); err != nil || back != h {
+				return errors.New("what was written is not what is read")
+			}
+			return nil
+		})
+	})
+	return named(b.path, err)
+}
+
+func apply(book, log *bbolt.Bucket, w prompter.Write) error {
+	c := log.Cursor()
+	if w.Snap != nil {
+		if err := put(book, snapKey, w.Snap); err != nil {
+			return err
+		}
+		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= w.Snap.Index; k, _ = c.First() {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+	}
+	if w.From == 0 {
+		return nil
+	}
+	for k, _ := c.Last(); k != nil && binary.BigEndian.Uint64(k) >= w.From; k, _ = c.Last() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	for _, e := range w.Entries {
+		if err := put(log, binary.BigEndian.AppendUint64(nil, e.Index), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close closes the file.
+func (b *Book) Close() error {
+	if b.db == nil {
+		return nil
+	}
+	return named(b.path, b.db.Close())
+}
+
+// Wipe takes the file away, for good: the disk counts as lost, and Open begins with a new member's id.
+func Wipe(dir string) error {
+	path := filepath.Join(dir, Name)
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return named(path, err)
+	}
+	return named(path, syncFolder(dir))
+}
+
+// syncFolder makes the file's name last.
+func syncFolder(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+func put(b *bbolt.Bucket, key []byte, v any) error {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(v); err != nil {
+		return err
+	}
+	return b.Put(key, buf.Bytes())
+}
+
+func get(b []byte, v any) error { return gob.NewDecoder(bytes.NewReader(b)).Decode(v) }
--- /dev/null
+++ b/internal/promptbook/promptbook_test.go
@@ -0,0 +1,116 @@
+package promptbook
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/prompter"
+)
+
+func entry(index, view uint64, data string) prompter.Entry {
+	return prompter.Entry{Index: index, View: view, Data: []byte(data)}
+}
+
+// The file does what Kept.Apply does, also after it was closed.
+func TestReopen(t *testing.T) {
+	dir := t.TempDir()
+	b, want, err := Open(dir)
+	must.NoError(t, err)
+	must.NotEq(t, 0, want.Me)
+	members := []prompter.Member{{ID: want.Me, Addr: "10.0.0.1:1"}, {ID: 7, Addr: "10.0.0.2:1"}}
+	for _, batch := range [][]prompter.Write{
+		{{House: 5, Promise: 1, Delivered: 1, Snap: &prompter.Snapshot{Index: 1, View: 1, Members: members}, From: 2}},
+		{{House: 5, Promise: 2, For: 7, Delivered: 1, From: 2,
+			Entries: []prompter.Entry{entry(2, 2, "a"), entry(3, 2, "b"), entry(4, 2, "c")}},
+			{House: 5, Promise: 3, For: 7, Delivered: 2}},
+		{{House: 5, Promise: 3, For: 7, Delivered: 3, From: 4, // trimmed
+			Entries: []prompter.Entry{entry(4, 3, "d"), entry(5, 3, "e")}}},
+		{{House: 5, Promise: 3, For: 7, Delivered: 4,
+			Snap: &prompter.Snapshot{Index: 4, View: 3, Members: members, State: []byte("abd")}}},
+		{{House: 5, Promise: 9, For: 8, Delivered: 30, From: 31, // another's snapshot
+			Snap: &prompter.Snapshot{Index: 30, View: 8, Members: members, State: []byte("z")}}},
+	} {
+		must.NoError(t, b.Apply(batch))
+		for _, w := range batch {
+			want.Apply(w)
+		}
+		must.NoError(t, b.Close())
+		var got prompter.Kept
+		b, got, err = Open(dir)
+		must.NoError(t, err)
+		if len(want.Entries) == 0 {
+			want.Entries = nil
+		}
+		must.Eq(t, want, got)
+	}
+	must.NoError(t, b.Close())
+}
+
+func TestSizeIsBounded(t *testing.T) {
+	dir := t.TempDir()
+	b, _, err := Open(dir)
+	must.NoError(t, err)
+	list, index := []prompter.Member{{ID: 1}}, uint64(1)
+	for range 30 {
+		must.NoError(t, b.Apply([]prompter.Write{{House: 5, Promise: 1, Delivered: index,
+			Snap: &prompter.Snapshot{Index: index, View: 1, Members: list, State: make([]byte, 100_000)}}}))
+		for range 20 {
+			w := prompter.Write{House: 5, Promise: 1, Delivered: index, From: index + 1}
+			for range 5 {
+				index++
+				w.Entries = append(w.Entries, entry(index, 1, string(make([]byte, 1000))))
+			}
+			must.NoError(t, b.Apply([]prompter.Write{w}))
+		}
+	}
+	must.NoError(t, b.Close())
+	info, err := os.Stat(filepath.Join(dir, Name))
+	must.NoError(t, err)
+	t.Log(info.Size())
+	must.Less(t, int64(1<<20), info.Size())
+}
+
+// A file that is cut short or overwritten gives an error that names it, or reads as it was: never a crash.
+func TestTornFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, Name)
+	b, old, err := Open(dir)
+	must.NoError(t, err)
+	must.NoError(t, b.Apply([]prompter.Write{{House: 5, Promise: 1, Delivered: 1, From: 2,
+		Entries: []prompter.Entry{entry(2, 1, "a")},
+		Snap:    &prompter.Snapshot{Index: 1, View: 1, Members: []prompter.Member{{ID: 1}}, State: make([]byte, 9000)}}}))
+	must.NoError(t, b.Close())
+	whole, err := os.ReadFile(path)
+	must.NoError(t, err)
+	bad := 0
+	try := func(content []byte) {
+		must.NoError(t, os.WriteFile(path, content, 0o600))
+		b, _, err := Open(dir)
+		if err == nil {
+			must.NoError(t, b.Close())
+			return
+		}
+		bad++
+		var u *Unreadable
+		must.True(t, errors.As(err, &u), must.Sprint(err))
+		must.StrContains(t, err.Error(), path)
+	}
+	for at := 512; at < len(whole); at += 512 {
+		try(whole[:at])
+		junk := bytes.Repeat([]byte{0xa5}, 512)
+		try(bytes.Join([][]byte{whole[:at], junk, whole[min(at+512, len(whole)):]}, nil))
+	}
+	must.Positive(t, bad)
+	try(whole[:100])
+	must.NoError(t, Wipe(dir))
+	b, k, err := Open(dir)
+	must.NoError(t, err)
+	must.NotEq(t, old.Me, k.Me)
+	must.Eq(t, 0, k.Promise)
+	must.NoError(t, b.Close())
+}
--- /dev/null
+++ b/internal/prompter/explore_test.go
@@ -0,0 +1,463 @@
+package prompter
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/maphash"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// stage is a few members, what they have on disk, and what is on its way; each step is one of all that
+// could come next.
+type stage struct {
+	seats  []*seat
+	flight []flying
+	order  []Entry // as delivered first, from index 2 on
+	lost   []Kept  // wiped disks: what they held was acknowledged in good faith
+	left   budget
+	fault  fault
+	wrong  string
+	path   *step
+}
+
+type seat struct {
+	p      *Prompter
+	disk   Kept
+	writes []Write // not synced
+	led    uint64  // the newest view it was seen to lead
+}
+
+type flying struct {
+	from MemberID
+	s    Send
+}
+
+type budget struct{ stops, crashes, wipes, changes, beats int }
+
+type step struct {
+	before *step
+	what   string
+}
+
+func (s *step) String() string {
+	if s == nil {
+		return ""
+	}
+	return s.before.String() + "\n  " + s.what
+}
+
+// calm are terms under which time never matters: steps are taken when the explorer says so.
+var calm = Terms{Patience: 1, Spread: 1, Silence: time.Hour, Learn: time.Hour, Pending: 9, Batch: 1, Tell: time.Hour,
+	Beat: time.Hour}
+
+func newStage(n int, f fault, left budget) *stage {
+	w := &stage{left: left, fault: f}
+	for i := range n {
+		w.seats = append(w.seats, &seat{disk: Kept{Me: MemberID(i + 1)}})
+		w.start(i)
+	}
+	var list []Member
+	for _, s := range w.seats[:min(n, 3)] {
+		list = append(list, s.p.me)
+	}
+	for i := range list {
+		if w.seats[i].p.Found(list) != nil {
+			panic("not founded")
+		}
+		w.pull(i)
+	}
+	w.settle()
+	w.seats[0].p.stop(true)
+	w.pull(0)
+	w.settle()
+	w.beat(0)
+	w.settle()
+	return w
+}
+
+func (w *stage) start(i int) {
+	s := w.seats[i]
+	s.writes = nil
+	s.p = New(Member{s.disk.Me, fmt.Sprint("door", i)}, s.disk, calm, 1, 0)
+	s.p.fault = w.fault
+	w.pull(i)
+}
+
+func (w *stage) fail(f string, a ...any) {
+	if w.wrong == "" {
+		w.wrong = fmt.Sprintf(f, a...)
+	}
+}
+
+// pull carries out a member's actions and judges them.
+func (w *stage) pull(i int) {
+	s := w.seats[i]
+	for a, ok := s.p.Next(); ok; a, ok = s.p.Next() {
+		switch a := a.(type) {
+		case Send:
+			w.flight = append(w.flight, flying{s.disk.Me, a})
+		case Write:
+			s.writes = append(s.writes, a)
+		case Deliver:
+			w.judge(i, a.Entry)
+		}
+	}
+	if s.p.role == leading && s.p.promise > s.led {
+		s.led = s.p.promise
+		for _, e := range w.order {
+			if v, ok := s.p.viewAt(e.Index); e.Index > s.p.snap.Index && (!ok || v != e.View) {
+				w.fail("member %d leads view %d without the delivered entry %d", s.p.me.ID, s.p.promise, e.Index)
+			}
+		}
+	}
+}
+
+func same(a, b Entry) bool {
+	return a.Index == b.Index && a.View == b.View && a.Kind == b.Kind && string(a.Data) == string(b.Data)
+}
+
+func holds(k Kept, e Entry) bool {
+	n := e.Index - k.Snap.Index - 1
+	return k.Snap.Index >= e.Index || n < uint64(len(k.Entries)) && same(k.Entries[n], e)
+}
+
+func (w *stage) judge(i int, e Entry) {
+	if n := e.Index - 2; n < uint64(len(w.order)) {
+		if !same(w.order[n], e) {
+			w.fail("entry %d of view %d was delivered, and then one of view %d", e.Index, w.order[n].View, e.View)
+		}
+		return
+	}
+	w.order = append(w.order, e)
+	if !majority(w.seats[i].p.Members(), func(id MemberID) bool {
+		had := func(k Kept) bool { return k.Me == id && holds(k, e) }
+		now := func(s *seat) bool { return had(s.disk) }
+		return slices.ContainsFunc(w.lost, had) || slices.ContainsFunc(w.seats, now)
+	}) {
+		w.fail("entry %d is delivered and on too few disks", e.Index)
+	}
+}
+
+func (w *stage) sync(i int) {
+	s := w.seats[i]
+	s.disk.Apply(s.writes[0])
+	nr := s.writes[0].Nr
+	s.writes = s.writes[1:]
+	s.p.Synced(nr)
+	w.pull(i)
+}
+
+func (w *stage) arrive(n int) {
+	m := w.flight[n]
+	w.flight = slices.Delete(slices.Clone(w.flight), n, n+1)
+	for i, s := range w.seats {
+		if s.p.me.Addr == m.s.To.Addr || m.s.To.Addr == "" && s.p.me.ID == m.s.To.ID {
+			s.p.Heard(m.from, m.s.Message)
+			w.pull(i)
+		}
+	}
+}
+
+func (w *stage) beat(i int) {
+	w.seats[i].p.beat()
+	w.pull(i)
+}
+
+// settle lets all come through in order.
+func (w *stage) settle() {
+	for again := true; again; {
+		again = len(w.flight) > 0
+		for i, s := range w.seats {
+			for len(s.writes) > 0 {
+				w.sync(i)
+				again = true
+			}
+		}
+		if len(w.flight) > 0 {
+			w.arrive(0)
+		}
+	}
+}
+
+// prune takes away what can't do anything any more: answers to who has gone on to a newer view, on disk.
+func (w *stage) prune() {
+	w.flight = slices.DeleteFunc(slices.Clone(w.flight), func(f flying) bool {
+		to := slices.IndexFunc(w.seats, func(s *seat) bool { return s.disk.Me == f.s.To.ID })
+		k := f.s.Message.Kind
+		return to < 0 || f.s.Message.View < w.seats[to].disk.Promise && k != Lines && k != Stop
+	})
+}
+
+// steps are all that could come next. What is never taken was lost or has yet to come.
+func (w *stage) steps(do func(what string, act func(*stage))) {
+	for n, m := range w.flight {
+		key := string(m.key(nil))
+		if !slices.ContainsFunc(w.flight[:n], func(o flying) bool { return string(o.key(nil)) == key }) {
+			k := m.s.Message
+			what := fmt.Sprintf("%d>%d kind %d view %d index %d", m.from, m.s.To.ID, k.Kind, k.View, k.Index)
+			do(what, func(w *stage) { w.arrive(n) })
+		}
+	}
+	for i, s := range w.seats {
+		id := s.disk.Me
+		if len(s.writes) > 0 {
+			do(fmt.Sprintf("%d syncs", id), func(w *stage) { w.sync(i) })
+		}
+		if w.left.crashes > 0 {
+			do(fmt.Sprintf("%d loses power", id), func(w *stage) { w.left.crashes--; w.start(i) })
+		}
+		if w.left.wipes > 0 && s.p.Founded() {
+			do(fmt.Sprintf("%d loses its disk", id), func(w *stage) { w.left.wipes--; w.wipe(i) })
+		}
+		if w.left.stops > 0 && s.p.role != leading && s.p.member(id) {
+			do(fmt.Sprintf("%d asks", id), func(w *stage) { w.left.stops--; w.seats[i].p.stop(true); w.pull(i) })
+		}
+		if w.left.changes > 0 && s.p.role == leading {
+			do(fmt.Sprintf("%d proposes", id), func(w *stage) {
+				w.left.changes--
+				w.seats[i].p.Propose(1, []byte{byte(w.left.changes)})
+				w.pull(i)
+			})
+		}
+		if w.left.beats > 0 && s.p.role == leading {
+			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.beat(i) })
+		}
+	}
+}
+
+func (w *stage) wipe(i int) {
+	s := w.seats[i]
+	w.lost = append(slices.Clone(w.lost), s.disk)
+	if s.disk = (Kept{Me: s.disk.Me + 10}); w.fault == countWiped {
+		s.disk.Me -= 10
+	}
+	w.start(i)
+}
+
+func (w *stage) clone() *stage {
+	c := *w
+	c.seats = nil
+	for _, s := range w.seats {
+		o, p := *s, *s.p
+		p.log, p.casts, p.writes = slices.Clone(p.log), slices.Clone(p.casts), slices.Clone(p.writes)
+		p.waits, p.reads, p.with = slices.Clone(p.waits), slices.Clone(p.reads), maps.Clone(p.with)
+		for id, q := range p.with {
+			q := *q
+			p.with[id] = &q
+		}
+		p.tokens, p.nods = maps.Clone(p.tokens), maps.Clone(p.nods)
+		p.stops, p.asking = maps.Clone(p.stops), maps.Clone(p.asking)
+		o.p = &p
+		c.seats = append(c.seats, &o)
+	}
+	c.flight, c.order = slices.Clip(w.flight), slices.Clip(w.order)
+	for _, s := range c.seats {
+		s.writes = slices.Clip(s.writes)
+	}
+	return &c
+}
+
+func ints(b []byte, all ...uint64) []byte {
+	for _, n := range all {
+		b = binary.AppendUvarint(b, n)
+	}
+	return b
+}
+
+func entries(b []byte, all []Entry) []byte {
+	b = ints(b, uint64(len(all)))
+	for _, e := range all {
+		b = append(ints(b, e.Index, e.View, uint64(e.Kind), uint64(len(e.Data))), e.Data...)
+	}
+	return b
+}
+
+func (f flying) key(b []byte) []byte {
+	m := f.s.Message
+	b = ints(b, uint64(f.from), uint64(m.To), uint64(m.Kind), m.View, m.Index, m.At, m.Delivered, m.Round)
+	if m.Snap != nil {
+		b = append(b, 's')
+	}
+	return entries(b, m.Entries)
+}
+
+// key tells stages apart that may go on differently.
+func (w *stage) key() uint64 {
+	var b []byte
+	for _, s := range w.seats {
+		p := s.p
+		b = ints(b, uint64(p.me.ID), uint64(p.role), p.promise, uint64(p.promisedTo), uint64(p.leader),
+			p.delivered, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.blank, p.snap.Index, uint64(len(p.writes)))
+		b = entries(b, p.log)
+		for _, q := range p.waits {
+			b = ints(b, q.nr-p.done, uint64(q.kind), q.view, uint64(q.to))
+		}
+		for id := range MemberID(20) {
+			if q := p.with[id]; q != nil {
+				b = ints(b, q.next, q.match, q.round)
+			}
+			if q, ok := p.stops[id]; ok && p.role == stopping {
+				b = ints(b, q.view, q.index)
+			}
+		}
+		b = entries(ints(b, s.disk.Promise, uint64(s.disk.For), s.disk.Delivered), s.disk.Entries)
+		for _, q := range s.writes {
+			b = entries(ints(b, q.Promise, q.From, q.Delivered), q.Entries)
+		}
+	}
+	var flight []string
+	for _, f := range w.flight {
+		flight = append(flight, string(f.key(nil)))
+	}
+	slices.Sort(flight)
+	b = append(b, fmt.Sprint(w.left)...)
+	for _, f := range flight {
+		b = append(b, f...)
+	}
+	return maphash.Bytes(seed, b)
+}
+
+var seed = maphash.MakeSeed()
+
+// explore takes all steps in all orders, breadth first, until so many stages were seen.
+func explore(w *stage, most int) (seen int, wrong string) {
+	known := map[uint64]bool{w.key(): true}
+	for line := []*stage{w}; len(line) > 0 && len(known) < most; {
+		w := line[0]
+		line[0], line = nil, line[1:]
+		w.steps(func(what string, act func(*stage)) {
+			if wrong != "" || len(known) >= most {
+				return
+			}
+			c := w.clone()
+			c.path = &step{w.path, what}
+			func() {
+				defer func() {
+					if r := recover(); r != nil { // a debug build's check
+						c.fail("%v", r)
+					}
+				}()
+				act(c)
+				c.prune()
+			}()
+			if c.wrong != "" {
+				wrong = c.wrong + c.path.String()
+			}
+			if k := c.key(); !known[k] {
+				known[k] = true
+				line = append(line, c)
+			}
+		})
+		if wrong != "" {
+			break
+		}
+	}
+	return len(known), wrong
+}
+
+// leads lets a member ask and the one other promise; what else was said is lost.
+func (w *stage) leads(i, with int) {
+	w.seats[i].p.stop(true)
+	w.pull(i)
+	w.sync(i)
+	w.only(i, with)
+	w.sync(with)
+	w.only(with, i)
+	w.sync(i)
+}
+
+// only lets all that one said to another come through; what others said is lost.
+func (w *stage) only(from, to int) {
+	ids := [2]MemberID{w.seats[from].disk.Me, w.seats[to].disk.Me}
+	w.flight = slices.DeleteFunc(w.flight, func(f flying) bool { return [2]MemberID{f.from, f.s.To.ID} != ids })
+	for n := len(w.flight); n > 0; n-- {
+		w.arrive(0)
+	}
+}
+
+// propose has an entry that only the first member has so far.
+func (w *stage) propose() *stage {
+	w.seats[0].p.Propose(1, []byte("x"))
+	w.pull(0)
+	return w
+}
+
+// The scenes: what has been, before all orders of what may come are tried, and the faults that this must
+// show.
+var scenes = []struct {
+	name   string
+	make   func(fault) *stage
+	faults []fault
+}{
+	{"a change, a new view, a loss of power", func(f fault) *stage {
+		return newStage(3, f, budget{stops: 1, crashes: 1}).propose()
+	}, []fault{ackUnsynced, forgetful}},
+	{"an old leader's lines come late", func(f fault) *stage {
+		w := newStage(3, f, budget{changes: 1, beats: 1}).propose()
+		late := w.flight
+		w.leads(1, 2)
+		w.flight = append(w.flight, late...)
+		return w
+	}, []fault{takeOld}},
+	{"two views at once", func(f fault) *stage {
+		return newStage(3, f, budget{stops: 2, changes: 1})
+	}, []fault{ackUnsynced}},
+	{"a lost disk", func(f fault) *stage {
+		w := newStage(3, f, budget{stops: 1, wipes: 1, beats: 1}).propose()
+		w.only(0, 2)
+		return w
+	}, []fault{countWiped}},
+	{"a member for another", func(f fault) *stage {
+		w := newStage(4, f, budget{stops: 1})
+		w.seats[0].p.Admit(w.seats[3].p.me, 3)
+		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
+			w.arrive(0)
+			if len(w.seats[3].writes) > 0 {
+				w.sync(3)
+			}
+		}
+		return w
+	}, []fault{oneMajority}},
+	{"what only the old leader has", func(f fault) *stage {
+		w := newStage(3, f, budget{stops: 1, crashes: 1, beats: 1}).propose()
+		w.sync(0)
+		w.leads(1, 2)
+		return w
+	}, []fault{noTrim}},
+	{"an old view's entry", func(f fault) *stage {
+		w := newStage(3, f, budget{stops: 1}).propose()
+		w.sync(0)
+		w.leads(1, 2)
+		w.beat(0)
+		w.only(0, 1)
+		w.only(1, 0)
+		w.leads(0, 2)
+		w.seats[1].p.Heard(1, Message{Kind: Stop, House: w.seats[1].p.house, To: 2, View: 4})
+		w.pull(1)
+		return w
+	}, []fault{countOld}},
+}
+
+func TestAllOrders(t *testing.T) {
+	for _, s := range scenes {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			seen, wrong := explore(s.make(sound), 20_000)
+			t.Log(seen, "stages")
+			must.Eq(t, "", wrong)
+		})
+		for _, f := range s.faults {
+			t.Run(fmt.Sprint(s.name, ", fault ", f), func(t *testing.T) {
+				t.Parallel()
+				seen, wrong := explore(s.make(f), 20_000)
+				t.Log(seen, "stages:", wrong)
+				must.NotEq(t, "", wrong)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/prompter/log.go
@@ -0,0 +1,268 @@
+package prompter
+
+import (
+	"slices"
+
+	"clovergap/internal/check"
+)
+
+// fault is a defect that tests put in, to see that the explorer finds it.
+type fault uint8
+
+const (
+	sound        fault = iota
+	ackUnsynced        // what is not on disk is acknowledged
+	countWiped         // a member with an empty disk promises
+	takeOld            // lines of an old view are taken
+	forgetful          // promises are not put on disk
+	noTrim             // what the leader does not have stays
+	countOld           // entries of old views are delivered by counting
+	oneMajority        // a change of members needs one majority only
+	unreadRounds       // a read is answered without a round
+)
+
+func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
+
+func (p *Prompter) end() place {
+	v, _ := p.viewAt(p.last())
+	return place{v, p.last()}
+}
+
+// viewAt is the view of the entry at an index, if that is known.
+func (p *Prompter) viewAt(index uint64) (uint64, bool) {
+	switch {
+	case index == p.snap.Index:
+		return p.snap.View, true
+	case index < p.snap.Index || index > p.last():
+		return 0, false
+	}
+	return p.log[index-p.snap.Index-1].View, true
+}
+
+// from is a copy of the log from an index on.
+func (p *Prompter) from(index uint64) []Entry {
+	if index > p.last() {
+		return nil
+	}
+	return slices.Clone(p.log[index-p.snap.Index-1:])
+}
+
+// put puts an entry behind the last.
+func (p *Prompter) put(e Entry) {
+	check.That(e.Index == p.last()+1, "entries follow one another")
+	p.log = append(p.log, e)
+	if e.Kind == Cast {
+		p.casts = append(p.casts, cast{e.Index, e.Members})
+	}
+}
+
+// trim takes away all entries from an index on.
+func (p *Prompter) trim(from uint64) {
+	check.That(from > p.delivered, "what was delivered stays")
+	p.log = slices.Clone(p.log[:from-p.snap.Index-1])
+	for p.casts[len(p.casts)-1].index >= from {
+		p.casts = p.casts[:len(p.casts)-1]
+	}
+	p.unsync(from - 1)
+	p.touch(from)
+}
+
+// unsync: what is on disk beyond an index is not the log any more.
+func (p *Prompter) unsync(upto uint64) {
+	p.synced = min(p.synced, upto)
+	for i := range p.writes {
+		p.writes[i].upto = min(p.writes[i].upto, upto)
+	}
+}
+
+// take makes the log that of a newer one, given the entries after an index that both have.
+func (p *Prompter) take(prev uint64, entries []Entry) {
+	for i, e := range entries {
+		check.That(e.Index == prev+1+uint64(i), "entries follow one another")
+		if e.Index != prev+1+uint64(i) {
+			return
+		}
+		if e.Index <= p.delivered {
+			continue
+		}
+		if v, ok := p.viewAt(e.Index); ok {
+			if v == e.View || p.fault == noTrim {
+				continue
+			}
+			p.trim(e.Index)
+		}
+		p.touch(e.Index)
+		for _, e := range entries[i:] {
+			p.put(e)
+		}
+		return
+	}
+}
+
+// install puts a snapshot in the place of everything.
+func (p *Prompter) install(s Snapshot) {
+	p.snap, p.log = s, nil
+	p.casts = []cast{{s.Index, s.Members}}
+	p.delivered = s.Index
+	p.unsync(0)
+	p.dirtySnap = true
+	p.touch(s.Index + 1)
+	p.out = append(p.out, Restore{s.Index, s.State})
+}
+
+// mayInstall tells whether a snapshot is ahead of what is had here.
+func (p *Prompter) mayInstall(s *Snapshot) bool {
+	if s == nil || s.Index <= p.delivered {
+		return false
+	}
+	v, ok := p.viewAt(s.Index)
+	return !ok || v != s.View
+}
+
+// deliver hands over all up to an index.
+func (p *Prompter) deliver(upto uint64) {
+	check.That(upto <= p.last(), "only what is had is delivered")
+	for p.delivered < min(upto, p.last()) {
+		p.delivered++
+		e := p.log[p.delivered-p.snap.Index-1]
+		p.out = append(p.out, Deliver{e})
+		if token, ok := p.tokens[e.Index]; ok {
+			delete(p.tokens, e.Index)
+			p.outcome(token, e.Index, Done)
+		}
+		if e.Kind == Cast {
+			p.touch(0) // that the list is settled must outlast the one who knew
+		}
+	}
+}
+
+// settled: the newest list is known to be delivered.
+func (p *Prompter) settled() bool { return p.casts[len(p.casts)-1].index <= p.delivered }
+
+// quorum tells whether a majority of the members is so, and of those before if the newest list is not
+// settled.
+func (p *Prompter) quorum(is func(MemberID) bool) bool {
+	if !majority(p.Members(), is) {
+		return false
+	}
+	return p.settled() || p.fault == oneMajority || majority(p.casts[len(p.casts)-2].members, is)
+}
+
+func majority(list []Member, is func(MemberID) bool) bool {
+	n := 0
+	for _, m := range list {
+		if is(m.ID) {
+			n++
+		}
+	}
+	return n > len(list)/2
+}
+
+func (p *Prompter) member(id MemberID) bool {
+	return slices.ContainsFunc(p.Members(), func(m Member) bool { return m.ID == id })
+}
+
+// others are all who count, now or if the newest list should fall, but for this one.
+func (p *Prompter) others() (list []Member) {
+	list = slices.Clone(p.Members())
+	if !p.settled() {
+		for _, m := range p.casts[len(p.casts)-2].members {
+			if !p.member(m.ID) {
+				list = append(list, m)
+			}
+		}
+	}
+	return slices.DeleteFunc(list, func(m Member) bool { return m.ID == p.me.ID })
+}
+
+// touch notes that the disk is behind, and its entries from an index on if that is not 0.
+func (p *Prompter) touch(from uint64) {
+	p.dirty = true
+	if from > 0 && (p.dirtyFrom == 0 || from < p.dirtyFrom) {
+		p.dirtyFrom = from
+	}
+}
+
+// write is all that the disk is behind.
+func (p *Prompter) write() Write {
+	w := Write{Nr: p.nr, House: p.house, Promise: p.promise, For: p.promisedTo, Delivered: p.delivered}
+	if p.fault == forgetful {
+		w.Promise, w.For = 1, 0
+	}
+	if p.dirtyFrom > 0 {
+		w.From = max(p.dirtyFrom, p.snap.Index+1)
+		w.Entries = p.from(w.From)
+	}
+	if p.dirtySnap {
+		s := p.snap
+		w.Snap = &s
+	}
+	p.writes = append(p.writes, issued{p.nr, p.last()})
+	p.nr++
+	p.dirty, p.dirtyFrom, p.dirtySnap = false, 0, false
+	return w
+}
+
+// when says something once all of now is on disk.
+func (p *Prompter) when(w waiting) {
+	w.nr = p.nr
+	if !p.dirty {
+		w.nr--
+	}
+	if w.nr <= p.done || p.fault == ackUnsynced && w.kind == Have {
+		p.say(w)
+	} else if !slices.Contains(p.waits, w) {
+		p.waits = append(p.waits, w)
+	}
+}
+
+// say says what waited, unless a newer view was promised meanwhile.
+func (p *Prompter) say(w waiting) {
+	if w.view != p.promise {
+		return
+	}
+	switch w.kind {
+	case Have:
+		if p.role == following && p.leader == w.to {
+			p.have()
+		}
+	case Stopped:
+		if p.promisedTo == w.to {
+			e := p.end()
+			p.send(w.to, Message{Kind: Stopped, View: p.promise, Index: e.index, At: e.view})
+		}
+	case Stop:
+		if p.role == stopping && p.promisedTo == p.me.ID {
+			p.stops[p.me.ID] = p.end()
+			p.gather()
+		}
+	}
+}
+
+// send sends a message to whom it may be known where to find.
+func (p *Prompter) send(to MemberID, m Message) {
+	if w := p.with[to]; w != nil {
+		p.sendTo(w.Member, m)
+		return
+	}
+	if to == p.me.ID {
+		return
+	}
+	for i := len(p.casts) - 1; i >= 0; i-- {
+		for _, o := range p.casts[i].members {
+			if o.ID == to {
+				p.sendTo(o, m)
+				return
+			}
+		}
+	}
+	p.sendTo(Member{ID: to}, m) // the host may know its address
+}
+
+func (p *Prompter) sendTo(to Member, m Message) {
+	m.To = to.ID
+	if m.House == 0 {
+		m.House = p.house
+	}
+	p.out = append(p.out, Send{to, m})
+}
--- /dev/null
+++ b/internal/prompter/walk_test.go
@@ -0,0 +1,426 @@
+package prompter
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// walk is a run of doors under chance: delays, losses, doubles, cuts, crashes, power, lost disks, changes
+// of members.
+type walk struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Duration
+	doors  []*door
+	events []event
+	order  []Entry           // as delivered first, from index 2 on
+	states []string          // the host's state after each of them
+	acked  uint64            // the newest index that was acknowledged
+	reads  map[uint64]uint64 // what was acknowledged when a read came
+	cut    map[[2]int]bool   // one way
+	token  uint64
+	nextID MemberID
+	done   int
+	calm   bool
+	fault  fault
+	wrong  string
+}
+
+type door struct {
+	p       *Prompter
+	disk    Kept
+	life    int
+	busy    time.Duration // the disk hangs until then
+	wake    time.Duration
+	index   uint64
+	state   string
+	written time.Duration // the last write is synced then
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+func (w *walk) at(d time.Duration, do func()) { w.events = append(w.events, event{w.now + d, do}) }
+
+func (w *walk) ms(n int) time.Duration { return time.Duration(w.rng.Intn(n*1000)+1) * time.Microsecond }
+
+func (w *walk) start(i int) {
+	d := w.doors[i]
+	d.life++
+	d.index, d.state, d.written, d.wake = 0, "", 0, never
+	d.p = New(Member{d.disk.Me, fmt.Sprint("door", i)}, d.disk, DefaultTerms(), w.rng.Int63(), w.now)
+	d.p.fault = w.fault
+	w.pull(i)
+}
+
+func (w *walk) empty(i int) {
+	w.nextID++
+	w.doors[i].disk = Kept{Me: w.nextID}
+	w.start(i)
+}
+
+func (w *walk) down(i int, d time.Duration, then func(int)) {
+	w.doors[i].p = nil
+	w.doors[i].life++
+	w.at(d, func() { then(i) })
+}
+
+func (w *walk) fail(f string, a ...any) {
+	if w.wrong == "" {
+		w.wrong = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(f, a...)
+	}
+}
+
+// on does something with a door, if it has not ended since.
+func (w *walk) on(i int, do func(*door)) func() {
+	life := w.doors[i].life
+	return func() {
+		if d := w.doors[i]; d.life == life && d.p != nil {
+			d.p.Now(w.now)
+			do(d)
+			w.pull(i)
+		}
+	}
+}
+
+func (w *walk) pull(i int) {
+	d := w.doors[i]
+	for a, ok := d.p.Next(); ok; a, ok = d.p.Next() {
+		switch a := a.(type) {
+		case Send:
+			w.carry(i, a)
+		case Write:
+			d.written = max(d.written, d.busy, w.now) + w.ms(5)
+			w.at(d.written-w.now, w.on(i, func(d *door) { d.disk.Apply(a); d.p.Synced(a.Nr) }))
+		case Restore:
+			d.index, d.state = a.Index, string(a.State)
+			if a.Index > 1 && (a.Index-2 >= uint64(len(w.states)) || w.states[a.Index-2] != d.state) {
+				w.fail("door %d restores another state at %d", i, a.Index)
+			}
+		case Deliver:
+			w.deliver(i, d, a.Entry)
+		case Outcome:
+			since, read := w.reads[a.Token]
+			switch {
+			case a.Verdict != Done:
+			case read && a.Index < since:
+				w.fail("a read told %d, acknowledged was %d", a.Index, since)
+			case !read:
+				w.acked = max(w.acked, a.Index)
+				w.done++
+			}
+		case Wake:
+			if d.wake = a.At; a.At < never {
+				w.at(a.At-w.now, w.on(i, func(*door) {}))
+			}
+		}
+	}
+	if d.p.role == leading && d.index < w.acked && d.p.last() < w.acked {
+		w.old(i)
+	}
+}
+
+// old: a leader that lacks what was acknowledged must be one of an old view.
+func (w *walk) old(i int) {
+	if !slices.ContainsFunc(w.doors, func(o *door) bool { return o.disk.Promise > w.doors[i].p.promise }) {
+		w.fail("door %d leads the newest view without %d", i, w.acked)
+	}
+}
+
+func (w *walk) deliver(i int, d *door, e Entry) {
+	if e.Index != max(d.index, 1)+1 {
+		w.fail("door %d is given %d after %d", i, e.Index, d.index)
+		return
+	}
+	sum := sha256.Sum256(append([]byte(d.state), e.Data...))
+	d.index, d.state = e.Index, string(sum[:8])
+	if n := e.Index - 2; n < uint64(len(w.order)) {
+		if !same(w.order[n], e) {
+			w.fail("entry %d is of view %d, and at door %d of view %d", e.Index, w.order[n].View, i, e.View)
+		}
+	} else {
+		w.order, w.states = append(w.order, e), append(w.states, d.state)
+	}
+	if w.rng.Intn(20) == 0 {
+		d.p.Compact(d.index, []byte(d.state))
+	}
+}
+
+func (w *walk) carry(from int, s Send) {
+	id := w.doors[from].disk.Me
+	for i, d := range w.doors {
+		there := s.To.Addr == fmt.Sprint("door", i) || s.To.Addr == "" && d.disk.Me == s.To.ID
+		if !there || w.cut[[2]int{from, i}] {
+			continue
+		}
+		n := 1
+		if !w.calm {
+			n = [...]int{0, 2, 1, 1, 1, 1, 1, 1, 1, 1}[w.rng.Intn(10)]
+		}
+		for range n {
+			late := w.ms(8)
+			if !w.calm && w.rng.Intn(20) == 0 {
+				late += w.ms(1500)
+			}
+			life := d.life
+			w.at(late, func() {
+				if d.life == life || !w.calm { // a late one may reach who moved in since
+					if d.p != nil {
+						d.p.Now(w.now)
+						d.p.Heard(id, s.Message)
+						w.pull(i)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (w *walk) leader() (found int) {
+	found = -1
+	for i, d := range w.doors {
+		if d.p != nil && d.p.Leading() && (found < 0 || d.p.promise > w.doors[found].p.promise) {
+			found = i
+		}
+	}
+	return found
+}
+
+// whole tells whether all members have the newest list on disk: a disk may be lost again.
+func (w *walk) whole() bool {
+	l := w.leader()
+	if l < 0 || !w.doors[l].p.mayCast() {
+		return false
+	}
+	list := w.doors[l].p.casts
+	for _, m := range w.doors[l].p.Members() {
+		if !slices.ContainsFunc(w.doors, func(d *door) bool {
+			return d.p != nil && d.disk.Me == m.ID && d.disk.House != 0 && d.disk.Delivered >= list[len(list)-1].index
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// hosts do what hosts do: doors that are no members ask to be admitted.
+func (w *walk) hosts() {
+	if l := w.leader(); l >= 0 {
+		for i, d := range w.doors {
+			if d.p != nil && !w.doors[l].p.member(d.disk.Me) && (w.calm || w.rng.Intn(4) > 0) {
+				w.on(l, func(o *door) { o.p.Admit(Member{d.disk.Me, fmt.Sprint("door", i)}, 0) })()
+			}
+		}
+	}
+	w.at(w.ms(400), w.hosts)
+}
+
+func (w *walk) ask() {
+	for range w.rng.Intn(3) {
+		w.token++
+		token, i := w.token, w.rng.Intn(len(w.doors))
+		if l := w.leader(); l >= 0 && w.rng.Intn(3) > 0 {
+			i = l
+		}
+		w.on(i, func(d *door) {
+			if w.rng.Intn(2) == 0 {
+				w.reads[token] = w.acked
+				d.p.Read(token)
+			} else {
+				d.p.Propose(token, []byte(strconv.FormatUint(token, 10)))
+			}
+		})()
+	}
+	w.at(w.ms(120), w.ask)
+}
+
+func (w *walk) trouble() {
+	if w.calm {
+		return
+	}
+	i := w.rng.Intn(len(w.doors))
+	d := w.doors[i]
+	switch w.rng.Intn(9) {
+	case 0, 1: // power: what was not synced is lost
+		if d.p != nil {
+			w.down(i, w.ms(1500), w.start)
+		}
+	case 2: // all at once
+		for i, d := range w.doors {
+			if d.p != nil {
+				w.down(i, w.ms(900), w.start)
+			}
+		}
+	case 3: // a disk, and at times power for the others
+		if d.p != nil && w.whole() {
+			all := w.rng.Intn(2) == 0
+			for o, x := range w.doors {
+				if all && o != i && x.p != nil {
+					w.down(o, w.ms(900), w.start)
+				}
+			}
+			w.down(i, w.ms(900), w.empty)
+		}
+	case 4, 5:
+		link := [2]int{i, w.rng.Intn(len(w.doors))}
+		w.cut[link] = true
+		w.at(w.ms(4000), func() { delete(w.cut, link) })
+	case 6: // cut off whole
+		for o := range w.doors {
+			w.cut[[2]int{i, o}], w.cut[[2]int{o, i}] = true, true
+		}
+		w.at(w.ms(3000), func() { clear(w.cut) })
+	case 7:
+		d.busy = w.now + w.ms(3000)
+	case 8:
+		if l := w.leader(); l >= 0 {
+			w.on(l, func(x *door) {
+				if len(x.p.Members()) > 3 && w.rng.Intn(2) == 0 {
+					x.p.Dismiss(d.disk.Me)
+				} else {
+					x.p.HandOver()
+				}
+			})()
+		}
+	}
+	w.at(w.ms(1200), w.trouble)
+}
+
+func (w *walk) until(t time.Duration) {
+	for w.wrong == "" {
+		n := 0
+		for i, e := range w.events {
+			if e.at < w.events[n].at {
+				n = i
+			}
+		}
+		e := w.events[n]
+		if e.at > t {
+			break
+		}
+		last := len(w.events) - 1
+		w.events[n] = w.events[last]
+		w.events = w.events[:last]
+		w.now = max(w.now, e.at)
+		e.do()
+	}
+	w.now = t
+}
+
+// found sets up doors, three of which found.
+func found(t *testing.T, doors int, seed int64, f fault) *walk {
+	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
+	w.cut, w.reads = map[[2]int]bool{}, map[uint64]uint64{}
+	var list []Member
+	for i := range doors {
+		w.doors = append(w.doors, &door{})
+		w.empty(i)
+		if i < 3 {
+			list = append(list, w.doors[i].p.me)
+		}
+	}
+	for i := range list {
+		w.on(i, func(d *door) { must.NoError(t, d.p.Found(list)) })()
+	}
+	return w
+}
+
+func takeWalk(t *testing.T, seed int64, f fault) *walk {
+	w := found(t, 3+int(seed%3), seed, f)
+	w.hosts()
+	w.ask()
+	w.at(3*time.Second, w.trouble)
+	w.until(40 * time.Second)
+	w.calm = true
+	clear(w.cut)
+	w.until(50 * time.Second)
+	return w
+}
+
+// After any walk: one order, nothing acknowledged lost, reads new enough, and ten calm seconds later all go
+// on.
+func TestWalks(t *testing.T) {
+	walks := 40
+	if n, err := strconv.Atoi(os.Getenv("PROMPTER_WALKS")); err == nil {
+		walks = n
+	}
+	for seed := range int64(walks) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := takeWalk(t, seed, sound)
+			must.Eq(t, "", w.wrong)
+			done, l := w.done, w.leader()
+			must.NotEq(t, -1, l, must.Sprint("nobody leads"))
+			w.until(52 * time.Second)
+			must.Eq(t, "", w.wrong)
+			must.Greater(t, done, w.done, must.Sprint("nothing goes on"))
+			for i, d := range w.doors {
+				must.True(t, w.doors[l].p.member(d.disk.Me), must.Sprintf("door %d is no member", i))
+				must.Between(t, w.acked-9, d.index, w.acked+9, must.Sprintf("door %d", i))
+			}
+		})
+	}
+}
+
+func TestWalksFindAReadWithoutItsRound(t *testing.T) {
+	for seed := range int64(40) {
+		if w := takeWalk(t, seed, unreadRounds); w.wrong != "" {
+			return
+		}
+	}
+	t.Fatal("not found")
+}
+
+// A leader that is heard and hears nobody stops within Silence, refuses, and lets another lead.
+func TestLeaderThatHearsNobody(t *testing.T) {
+	w := quiet(t)
+	l := w.leader()
+	for i := range w.doors {
+		w.cut[[2]int{i, l}] = true
+	}
+	w.until(w.now + DefaultTerms().Silence + 2*DefaultTerms().Beat)
+	must.False(t, w.doors[l].p.Leading())
+	must.Eq(t, NoLeader, w.doors[l].p.mayLead(0))
+	w.until(w.now + time.Second)
+	must.NotEq(t, -1, w.leader())
+	must.NotEq(t, l, w.leader())
+}
+
+// A member that was cut off comes back without a new view; one that leaves hands over within a few round
+// trips.
+func TestComingAndGoing(t *testing.T) {
+	w := quiet(t)
+	l := w.leader()
+	view, away := w.doors[l].p.promise, (l+1)%3
+	for i := range w.doors {
+		w.cut[[2]int{i, away}], w.cut[[2]int{away, i}] = true, true
+	}
+	w.until(w.now + 5*time.Second)
+	clear(w.cut)
+	w.until(w.now + time.Second)
+	must.Eq(t, view, w.doors[l].p.promise)
+	must.True(t, w.doors[l].p.Leading())
+	w.on(l, func(d *door) { d.p.HandOver() })()
+	w.until(w.now + 100*time.Millisecond)
+	must.NotEq(t, -1, w.leader())
+	must.NotEq(t, l, w.leader())
+	must.Eq(t, view+1, w.doors[l].p.promise)
+}
+
+func quiet(t *testing.T) *walk {
+	w := found(t, 3, 1, sound)
+	w.calm = true
+	w.until(3 * time.Second)
+	must.NotEq(t, -1, w.leader())
+	return w
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -8,6 +8,7 @@
 	from, n int
 	least   int
 	most    int
+	hold    bool
 	spare   *int // bytes that all rings of a kind may still grow by, beyond their least; nil: no such bound
 }
 
@@ -18,9 +19,15 @@
 func (r *Ring) Len() int  { return r.n }
 func (r *Ring) Room() int { return r.most - r.n }
 
+// Bound changes how many bytes it may hold; what it holds beyond that stays.
+func (r *Ring) Bound(most int) { r.most = max(most, r.n) }
+
+// Hold keeps the memory though the ring runs empty, as long as more is to come.
+func (r *Ring) Hold(on bool) { r.hold = on }
+
 // Free gives a stretch to read into, or nil when the bound is reached; Took tells how much of it was filled.
 func (r *Ring) Free() []byte {
-	if r.n == len(r.buf) && !r.grow(r.n+1) {
+	if r.n >= r.most || r.n == len(r.buf) && !r.grow(r.n+1) {
 		return nil
 	}
 	at := (r.from + r.n) % len(r.buf)
@@ -63,7 +70,7 @@
 	r.from, r.n = r.from+n, r.n-n
 	if r.n == 0 {
 		r.from = 0
-		if len(r.buf) > r.least {
+		if len(r.buf) > r.least && !r.hold {
 			r.Release()
 		}
 	} else if r.from >= len(r.buf) {
--- /dev/null
+++ b/internal/script/script.go
@@ -0,0 +1,120 @@
+// Package script is the state that the core's ordered log tells: the configuration in force, what was taken, and who has which
+// seat. Every door folds it from the same entries, so that all come to the same. It is free of I/O.
+package script
+
+import (
+	"bytes"
+	"encoding/gob"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/company"
+	"clovergap/internal/playbill"
+)
+
+// Kind is what an entry changes; its first byte in the log.
+type Kind byte
+
+const (
+	Replace Kind = 'r' // the whole configuration
+	Amend   Kind = 'a' // named items of it
+	Seat    Kind = 's' // a door asks for a seat
+)
+
+// seatsMost bounds the order of seats.
+const seatsMost = 1024
+
+// Script is the state.
+type Script struct {
+	Bills *playbill.Register
+	seats []company.Seated
+}
+
+// New is the state before the first entry.
+func New() *Script { return &Script{Bills: playbill.NewRegister()} }
+
+// Entry words a change for the log.
+func Entry(k Kind, body []byte) []byte { return append([]byte{byte(k)}, body...) }
+
+// SeatEntry words a door's wish for a seat.
+func SeatEntry(d company.Seated) []byte {
+	var b bytes.Buffer
+	gob.NewEncoder(&b).Encode(d) // of texts alone: it can't fail
+	return Entry(Seat, b.Bytes())
+}
+
+// Seats is the order of seats.
+func (s *Script) Seats() []company.Seated { return s.seats }
+
+func billKind(k Kind) (playbill.Kind, bool) {
+	switch k {
+	case Replace:
+		return playbill.Replace, true
+	case Amend:
+		return playbill.Amend, true
+	}
+	return 0, false
+}
+
+// Decide tells what would become of a change now.
+func (s *Script) Decide(k Kind, body []byte) (playbill.Verdict, error) {
+	kind, ok := billKind(k)
+	if !ok {
+		return playbill.Taken, nil
+	}
+	return s.Bills.Decide(kind, body)
+}
+
+// Apply takes an entry. What it can't read changes nothing: an entry of a newer program must not stop an older one.
+func (s *Script) Apply(entry []byte) (playbill.Verdict, error) {
+	if len(entry) == 0 {
+		return playbill.Invalid, errors.New("empty entry")
+	}
+	k, body := Kind(entry[0]), entry[1:]
+	if kind, ok := billKind(k); ok {
+		return s.Bills.Apply(kind, body)
+	}
+	if k != Seat {
+		return playbill.Invalid, errors.Errorf("entry of unknown kind %q", k)
+	}
+	var d company.Seated
+	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&d); err != nil {
+		return playbill.Invalid, errors.Wrap(err, "seat")
+	}
+	for i, o := range s.seats {
+		if o.Addr == d.Addr {
+			s.seats[i] = d
+			return playbill.Already, nil
+		}
+	}
+	if len(s.seats) >= seatsMost {
+		return playbill.Invalid, errors.New("no seat is left")
+	}
+	s.seats = append(s.seats, d)
+	return playbill.Taken, nil
+}
+
+type kept struct {
+	Bills []byte
+	Seats []company.Seated
+}
+
+// Snapshot is the whole state.
+func (s *Script) Snapshot() []byte {
+	var b bytes.Buffer
+	gob.NewEncoder(&b).Encode(kept{s.Bills.Snapshot(), s.seats}) // of bytes and texts: it can't fail
+	return b.Bytes()
+}
+
+// Restore reads one.
+func Restore(b []byte) (*Script, error) {
+	var k kept
+	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&k); err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	bills, err := playbill.Restore(k.Bills)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	return &Script{bills, k.Seats}, nil
+}
--- /dev/null
+++ b/internal/stagedoor/stagedoor.go
@@ -0,0 +1,197 @@
+package stagedoor
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-playground/validator/v10"
+
+	"clovergap/internal/answer"
+	"clovergap/internal/callboard"
+	"clovergap/internal/counters"
+	"clovergap/internal/intake"
+	"clovergap/internal/playbill"
+	"clovergap/internal/script"
+	"clovergap/internal/slots"
+)
+
+// House is what stands behind the calls. Every then is called once, in a turn, sooner or later.
+type House interface {
+	Ready() bool
+	// Change brings a change to whoever leads: 200 taken, 400 invalid, 412 another version is current, 503 not now.
+	Change(kind script.Kind, body []byte, then func(status int, body []byte))
+	// Newest reads the newest configuration: 200 with it, 503 if it can't be told for sure now.
+	Newest(then func(status int, body []byte))
+	Beat(w callboard.Word, then func(ok bool, target string))
+	Leave(id string, then func(ok bool, target string))
+	Status() any
+}
+
+// Paths of the calls; the last two are followed by a backend's id.
+const (
+	pathReady     = "/api/ready"
+	pathReplace   = "/api/Config.Replace"
+	pathAmend     = "/api/Config.Amend"
+	pathRead      = "/api/Config.Read"
+	pathStatus    = "/api/House.Status"
+	pathHeartbeat = "/api/Backends.Heartbeat/"
+	pathLeave     = "/api/Backends.Leave/"
+)
+
+// longest id of a backend, in bytes.
+const longestID = 128
+
+// busyAdvice is when a caller may come back that found nobody to settle its call.
+const busyAdvice = 200 * time.Millisecond
+
+var valid = validator.New(validator.WithRequiredStructEnabled())
+
+// Form answers the calls of backends and operators, and the platform's question whether this door is ready.
+type Form struct {
+	in    *intake.Intake
+	house House
+}
+
+// New makes one; in is the connections that it answers on.
+func New(in *intake.Intake, h House) *Form { return &Form{in, h} }
+
+// Left is never told: calls go on when their caller has left.
+func (f *Form) Left(slots.Ref) {}
+
+// Take takes a whole call.
+func (f *Form) Take(c *intake.Client) {
+	r, b := c.Request()
+	path, _, _ := strings.Cut(string(r.Target(b)), "?")
+	method := string(r.Method(b))
+	want := "POST"
+	if path == pathReady || path == pathRead || path == pathStatus {
+		want = "GET"
+	}
+	id, beat := strings.CutPrefix(path, pathHeartbeat)
+	gone, leave := strings.CutPrefix(path, pathLeave)
+	switch {
+	case path != pathReady && path != pathReplace && path != pathAmend && path != pathRead && path != pathStatus && !beat && !leave:
+		c.Reject(404, counters.NoSuchPath, "no such call")
+	case method != want:
+		c.Reject(405, counters.NoSuchMethod, want+" only")
+	case path == pathReady:
+		f.ready(c)
+	case path == pathStatus:
+		text, err := json.Marshal(f.house.Status())
+		if err != nil {
+			text = []byte(err.Error())
+		}
+		c.Answer(func(b []byte, last bool) []byte { return answer.Whole(b, 200, "application/json", text, 0, last) })
+	case path == pathRead:
+		t := f.hold(c)
+		f.house.Newest(func(status int, body []byte) { f.end(t, status, body) })
+	case beat:
+		f.beat(c, id, r.Body(b))
+	case leave:
+		if gone == "" || len(gone) > longestID {
+			c.Reject(400, counters.BadID, "no id in the path")
+			return
+		}
+		t := f.hold(c)
+		f.house.Leave(gone, func(ok bool, target string) { f.acknowledge(t, ok, target) })
+	default:
+		kind := script.Replace
+		if path == pathAmend {
+			kind = script.Amend
+		}
+		body := bytes.Clone(r.Body(b))
+		t := f.hold(c)
+		f.house.Change(kind, body, func(status int, text []byte) { f.end(t, status, text) })
+	}
+}
+
+func (f *Form) hold(c *intake.Client) intake.Ticket {
+	t := c.Ticket()
+	c.Hold(0, "")
+	return t
+}
+
+func (f *Form) ready(c *intake.Client) {
+	status := 503
+	if f.house.Ready() {
+		status = 200
+	}
+	c.Answer(func(b []byte, last bool) []byte { return answer.Whole(b, status, "", nil, 0, last) })
+}
+
+// end answers a call that was held. What is no configuration is worded as a refusal.
+func (f *Form) end(t intake.Ticket, status int, body []byte) {
+	if status != 200 {
+		body, _ = json.Marshal(Refusal{Error: kindOf(status), Detail: string(body)})
+	}
+	after := time.Duration(0)
+	if status == 503 {
+		after = busyAdvice
+	}
+	f.in.Answer(t, func(b []byte, last bool) []byte {
+		return answer.Whole(b, status, "application/json", body, after, last)
+	})
+}
+
+// kindOf is the closed list of what may be wrong with a call.
+func kindOf(status int) string {
+	switch status {
+	case 400:
+		return "invalid"
+	case 412:
+		return "conflict"
+	case 503:
+		return "unavailable"
+	}
+	return "failed"
+}
+
+// beat takes what a backend says of itself.
+func (f *Form) beat(c *intake.Client, id string, body []byte) {
+	w, err := readBeat(id, body)
+	if err != nil {
+		c.Reject(400, counters.BadRequest, err.Error())
+		return
+	}
+	t := f.hold(c)
+	f.house.Beat(w, func(ok bool, target string) { f.acknowledge(t, ok, target) })
+}
+
+func readBeat(id string, body []byte) (callboard.Word, error) {
+	var b Beat
+	if id == "" || len(id) > longestID {
+		return callboard.Word{}, errors.New("no id in the path")
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return callboard.Word{}, errors.Wrap(err, "beat")
+	}
+	if err := valid.Struct(b); err != nil {
+		return callboard.Word{}, errors.Wrap(err, "beat")
+	}
+	cold := time.Duration(0)
+	if b.ColdLeft != "" {
+		var err error
+		if cold, err = playbill.ParseSpan(b.ColdLeft); err != nil {
+			return callboard.Word{}, errors.Wrap(err, "cold_left")
+		}
+	}
+	phase := callboard.Ready
+	if b.Phase == Draining {
+		phase = callboard.Draining
+	}
+	return callboard.Word{ID: id, Service: b.Target, Addr: b.Address, Zone: b.Zone, Generation: b.Generation,
+		Capacity: b.Capacity, Phase: phase, ColdLeft: cold, Seq: b.CallSeq}, nil
+}
+
+// acknowledge answers a backend's call.
+func (f *Form) acknowledge(t intake.Ticket, ok bool, target string) {
+	if !ok {
+		f.end(t, 503, []byte("too few doors have heard it"))
+		return
+	}
+	body, _ := json.Marshal(BeatAnswer{BeatTarget: target})
+	f.end(t, 200, body)
+}
