After the loss of all, a leader is found sooner, and doors follow what a disk held

Cause: after all doors were killed or lost power, members waited 0.4 to 0.8 s for a leader that nobody could be, each failed asking as long again, and doors without a disk followed nobody until there was one: they answered 503 for 1.2 s more.

--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -148,11 +148,12 @@
 		return
 	}
 	var best company.Door
-	least := time.Duration(never)
+	least := time.Duration(1<<63 - 1)
 	for _, d := range h.company.Disks() {
 		if !d.Founded || d.Addr == h.inner {
 			continue
 		}
+		// One that knows of no leader yet has what its disk held, which is better than nothing after the loss of all.
 		stale := h.staleOf(d.Addr).Truncate(feedStale)
 		if d.Zone != h.sheet.Zone {
 			stale += time.Millisecond
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -288,6 +288,7 @@
 	role      role
 	leader    MemberID // of the view promise, 0 if not known
 	heardAt   time.Duration
+	begun     bool          // a leader was heard of in this life, or promised
 	due       time.Duration // a new view is asked for
 	woken     time.Duration // told to the host
 	matched   uint64        // the log is as the leader's up to here
@@ -332,7 +333,7 @@
 func New(me Member, k Kept, terms Terms, seed int64, now time.Duration) *Prompter {
 	check.That(me.ID != 0 && me.ID == k.Me, "a disk keeps its member's id")
 	p := &Prompter{me: me, terms: terms, now: now, seed: uint64(seed) ^ uint64(me.ID), house: k.House,
-		promise: k.Promise, promisedTo: k.For, snap: k.Snap, nr: 1, heardAt: now, due: never, seen: k.Promise,
+		promise: k.Promise, promisedTo: k.For, snap: k.Snap, nr: 1, heardAt: now - terms.Patience, due: never, seen: k.Promise,
 		tokens: map[uint64]uint64{}}
 	p.casts = []cast{{k.Snap.Index, k.Snap.Members}}
 	for _, e := range k.Entries {
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -67,10 +67,17 @@
 	p.Heard(from, m)
 }
 
+// beginTimes as soon a member asks for a view that has heard of no leader since its start. Those who have one say no.
+const beginTimes = 3
+
 // setDue starts the waiting for a leader anew.
 func (p *Prompter) setDue() {
 	if p.due = never; p.house != 0 && p.member(p.me.ID) {
-		p.due = p.now + p.terms.Patience + p.chance(p.terms.Spread)
+		wait, spread := p.terms.Patience, p.terms.Spread
+		if !p.begun { // nobody has led in this life: after the loss of all there is no leader to be patient with
+			wait, spread = wait/beginTimes, spread/beginTimes
+		}
+		p.due = p.now + wait + p.chance(spread)
 	}
 }
 
@@ -121,7 +128,7 @@
 	}
 	if m.View > p.promise {
 		p.rise(m.View, from)
-		p.heardAt = p.now // whoever asked gets its time
+		p.heardAt, p.begun = p.now, true // whoever asked gets its time
 		p.setDue()
 	}
 	p.when(waiting{kind: Stopped, view: m.View, to: from})
@@ -208,7 +215,7 @@
 		p.rise(m.View, from)
 	}
 	check.That(p.role != leading, "a view has one leader")
-	p.role, p.leader, p.heardAt = following, from, p.now
+	p.role, p.leader, p.heardAt, p.begun = following, from, p.now, true
 	p.round = max(p.round, m.Round)
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
