--- /dev/null
+++ b/cmd/playhouse/change.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+type applyCmd struct {
+	changeArgs
+}
+
+type amendCmd struct {
+	changeArgs
+}
+
+// changeArgs are alike for both ways to change the configuration.
+type changeArgs struct {
+	File   string  `arg:"positional,required" help:"JSON; - is standard input"`
+	Parent *uint64 `arg:"--parent" placeholder:"N" help:"build on this version, whatever parent_version says"`
+	caller
+}
+
+func (c *applyCmd) run(out io.Writer) error { return c.change(out, "/api/Config.Replace") }
+func (c *amendCmd) run(out io.Writer) error { return c.change(out, "/api/Config.Amend") }
+
+func (*applyCmd) examples() string {
+	return `  playhouse apply config.json                   put it in force, on top of the parent_version that it names
+  playhouse apply --parent 7 config.json        the same, on top of version 7
+  playhouse read --json | jq '.parent_version=.generation|.generation+=1' | playhouse apply -`
+}
+
+func (*amendCmd) examples() string {
+	return `  playhouse amend --parent 7 change.json
+  echo '{"generation":8,"removals":{"routes":["r-old"]}}' | playhouse amend --parent 7 -`
+}
+
+// change sends a change until it is settled.
+func (c *changeArgs) change(out io.Writer, path string) error {
+	if _, err := c.doors(); err != nil {
+		return err
+	}
+	body, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Parent != nil {
+		if body, err = onTop(body, *c.Parent); err != nil {
+			return errors.Wrap(err, c.File)
+		}
+	}
+	a, err := c.call(path, body)
+	if err != nil {
+		return err
+	}
+	var said struct {
+		Generation uint64 `json:"generation"`
+	}
+	_ = json.Unmarshal(body, &said) // it was taken: the door could read it
+	if c.JSON {
+		told := map[string]any{"generation": said.Generation, "door": a.door, "tries": a.tries}
+		return json.NewEncoder(out).Encode(told)
+	}
+	_, err = fmt.Fprintf(out, "version %d is taken (%s, tries %d)\n", said.Generation, a.door, a.tries)
+	return err
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		body, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, errors.Wrap(err, "standard input")
+		}
+		return body, nil
+	}
+	return os.ReadFile(name)
+}
+
+// onTop sets parent_version in an object and leaves all other bytes as they are: the same file and version
+// always give the same bytes.
+func onTop(body []byte, parent uint64) ([]byte, error) {
+	const field = "parent_version"
+	if !json.Valid(body) {
+		return nil, errors.New("not JSON")
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return nil, errors.New("not a JSON object")
+	}
+	begin, number := d.InputOffset(), strconv.FormatUint(parent, 10)
+	empty := !d.More()
+	for d.More() {
+		name, err := d.Token()
+		if err != nil {
+			return nil, err
+		}
+		var value json.RawMessage
+		if err := d.Decode(&value); err != nil {
+			return nil, err
+		}
+		if text, _ := name.(string); strings.EqualFold(text, field) { // as a door reads it
+			end := d.InputOffset()
+			return splice(body, end-int64(len(value)), end, number), nil
+		}
+	}
+	set := `"` + field + `":` + number
+	if !empty {
+		set += ","
+	}
+	return splice(body, begin, begin, set), nil
+}
+
+func splice(body []byte, from, to int64, text string) []byte {
+	return append(append(bytes.Clone(body[:from]), text...), body[to:]...)
+}
--- a/cmd/playhouse/check.go
+++ b/cmd/playhouse/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/go-faster/errors"
@@ -15,17 +16,22 @@
 	Config   string `arg:"--config" help:"a whole configuration, JSON"`
 }
 
+func (*checkCmd) examples() string {
+	return `  playhouse check --settings settings.yaml
+  playhouse check --config config.json`
+}
+
 // run reads the files as a door would, offline.
-func (c *checkCmd) run() error {
+func (c *checkCmd) run(out io.Writer) error {
 	if c.Settings == "" && c.Config == "" {
-		return errors.New("check: name a file with --settings or --config")
+		return wrongly("name a file with --settings or --config")
 	}
 	if c.Settings != "" {
 		s, err := callsheet.Load(c.Settings)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%s: fine, door %s in %s\n", c.Settings, s.NodeName, s.Zone)
+		fmt.Fprintf(out, "%s: fine, door %s in %s\n", c.Settings, s.NodeName, s.Zone)
 	}
 	if c.Config != "" {
 		text, err := os.ReadFile(c.Config)
@@ -37,7 +43,8 @@
 			return errors.Wrap(err, c.Config)
 		}
 		t := playbill.NewTable(b)
-		fmt.Printf("%s: fine, version %d, %d routes, %d tenants\n", c.Config, t.Version(), len(t.Routes()), len(t.Tenants()))
+		fmt.Fprintf(out, "%s: fine, version %d, %d routes, %d tenants\n", c.Config, t.Version(), len(t.Routes()),
+			len(t.Tenants()))
 	}
 	return nil
 }
--- a/cmd/playhouse/main.go
+++ b/cmd/playhouse/main.go
@@ -1,11 +1,13 @@
-// Command playhouse is the gateway: one program for all machines. `playhouse door` runs a door; the other commands are
-// for operators.
+// Command playhouse is the gateway: one program for all machines. `playhouse door` runs a door; the other
+// commands are for operators.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -21,8 +23,18 @@
 var version = "0.1.0-dev"
 
 type args struct {
-	Door  *doorCmd  `arg:"subcommand:door" help:"run a door with the settings file that CLOVERGAP_BOOT names"`
-	Check *checkCmd `arg:"subcommand:check" help:"tell what is wrong with a settings file or a configuration"`
+	Door     *doorCmd     `arg:"subcommand:door" help:"run a door with the settings file that CLOVERGAP_BOOT names"`
+	Check    *checkCmd    `arg:"subcommand:check" help:"tell what is wrong with a settings file or a configuration"`
+	Apply    *applyCmd    `arg:"subcommand:apply" help:"put a whole configuration in force"`
+	Amend    *amendCmd    `arg:"subcommand:amend" help:"change named items of the configuration"`
+	Read     *readCmd     `arg:"subcommand:read" help:"read the newest configuration"`
+	Routes   *routesCmd   `arg:"subcommand:routes" help:"list its routes"`
+	Tenants  *tenantsCmd  `arg:"subcommand:tenants" help:"list its tenants, keys hidden"`
+	Status   *statusCmd   `arg:"subcommand:status" help:"tell how things stand at a door"`
+	Doors    *doorsCmd    `arg:"subcommand:doors" help:"list the doors"`
+	Backends *backendsCmd `arg:"subcommand:backends" help:"list the backends"`
+	Views    *viewsCmd    `arg:"subcommand:views" help:"show the core: members, view, leader, log"`
+	About    *versionCmd  `arg:"subcommand:version" help:"tell which build this is"`
 }
 
 func (args) Description() string {
@@ -30,7 +42,15 @@
 		"Exit codes: 0 good, 1 failed, 2 called wrongly."
 }
 
-func (args) Version() string {
+const examples = `  CLOVERGAP_BOOT=/etc/clovergap/settings.yaml playhouse door
+  export CLOVERGAP_CONTROL=10.1.0.37:8381,10.2.0.8:8381
+  playhouse status
+  playhouse apply --parent 7 config.json
+  playhouse COMMAND --help`
+
+func (args) Version() string { return built() }
+
+func built() string {
 	build := "release"
 	if check.Debug {
 		build = "debug"
@@ -38,46 +58,85 @@
 	return "playhouse " + version + " " + build
 }
 
-func main() {
+type versionCmd struct{}
+
+func (versionCmd) run(out io.Writer) error {
+	_, err := fmt.Fprintln(out, built(), runtime.Version())
+	return err
+}
+
+// command is one task.
+type command interface{ run(out io.Writer) error }
+
+// Exit codes.
+const (
+	good        = 0
+	failed      = 1
+	calledWrong = 2
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run does what the words of a command line ask and gives the exit code.
+func run(words []string, out, complain io.Writer) int {
 	var a args
 	p, err := arg.NewParser(arg.Config{Program: "playhouse"}, &a)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "playhouse:", err)
-		os.Exit(2)
+		fmt.Fprintln(complain, "playhouse:", err)
+		return calledWrong
 	}
-	switch err := p.Parse(os.Args[1:]); {
+	switch err := p.Parse(words); {
 	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelpForSubcommand(os.Stdout, p.SubcommandNames()...)
-		return
+		p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
+		text := examples
+		if p.Subcommand() != nil {
+			text = ""
+			if c, ok := p.Subcommand().(interface{ examples() string }); ok {
+				text = c.examples()
+			}
+		}
+		if text != "" {
+			fmt.Fprintln(out, "\nExamples:\n"+text)
+		}
+		return good
 	case errors.Is(err, arg.ErrVersion):
-		fmt.Println(a.Version())
-		return
+		fmt.Fprintln(out, a.Version())
+		return good
 	case err != nil || p.Subcommand() == nil:
-		p.WriteUsage(os.Stderr)
+		p.WriteUsageForSubcommand(complain, p.SubcommandNames()...)
 		if err == nil {
 			err = errors.New("no command given")
 		}
-		fmt.Fprintln(os.Stderr, "playhouse:", err)
-		os.Exit(2)
+		fmt.Fprintln(complain, "playhouse:", err)
+		return calledWrong
+	}
+	err = p.Subcommand().(command).run(out)
+	if err == nil {
+		return good
 	}
-	if err := p.Subcommand().(command).run(); err != nil {
-		fmt.Fprintln(os.Stderr, "playhouse:", err)
-		os.Exit(1)
+	fmt.Fprintln(complain, "playhouse:", err)
+	if errors.As(err, &misuse{}) {
+		return calledWrong
 	}
+	return failed
 }
 
-type command interface{ run() error }
-
 type doorCmd struct {
 	Settings string `arg:"--settings,env:CLOVERGAP_BOOT" help:"the settings file of this process, YAML"`
 }
 
-// memoryShare of what the machine grants is the heap's soft limit: the rest is stacks, buffers of the system, the disk's map.
+// memoryShare of what the machine grants is the heap's soft limit: the rest is stacks, buffers of the system,
+// the disk's map.
 const memoryShare = 0.6
 
-func (c *doorCmd) run() error {
+func (*doorCmd) examples() string {
+	return `  CLOVERGAP_BOOT=/etc/clovergap/settings.yaml playhouse door
+  playhouse door --settings settings.yaml`
+}
+
+func (c *doorCmd) run(io.Writer) error {
 	if c.Settings == "" {
-		return errors.New("no settings file: " + callsheet.Env + " is not set")
+		return wrongly("no settings file: %s is not set", callsheet.Env)
 	}
 	sheet, err := callsheet.Load(c.Settings)
 	if err != nil {
--- /dev/null
+++ b/cmd/playhouse/playhouse_test.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/stagedoor"
+)
+
+const config = `{"generation":7, "parent_version":5,"odd":1.0,"services":[{"name":"s"}],
+"tenants":[{"name":"huka","api_keys":["2b9wu3fexd9d","abc"],"rate_per_s":47}],
+"vhosts":[{"hostname":"H.example","path_list":[{"name":"r","path_prefix":"/a/","variant":"pure","target":"s"}]}]}`
+
+// script is a door that answers by a list, the last answer again and again; it keeps what came.
+type script struct {
+	t       *testing.T
+	answers []string // status and body
+	mu      sync.Mutex
+	bodies  []string
+}
+
+func (s *script) came() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodies
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	must.NoError(s.t, err)
+	s.mu.Lock()
+	now := s.answers[min(len(s.bodies), len(s.answers)-1)]
+	s.bodies = append(s.bodies, string(body))
+	s.mu.Unlock()
+	status, text, _ := strings.Cut(now, " ")
+	switch status {
+	case "close":
+		panic(http.ErrAbortHandler)
+	case "307":
+		w.Header().Set("Location", text)
+		w.WriteHeader(307)
+	default:
+		n := 0
+		must.NoError(s.t, json.Unmarshal([]byte(status), &n))
+		w.WriteHeader(n)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func door(t *testing.T, answers ...string) (*script, string) {
+	s := &script{t: t, answers: answers}
+	srv := httptest.NewServer(s)
+	srv.Config.ErrorLog = nil
+	t.Cleanup(srv.Close)
+	return s, strings.TrimPrefix(srv.URL, "http://")
+}
+
+func play(words ...string) (code int, out, complaint string) {
+	var o, e bytes.Buffer
+	code = run(words, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestCallMovesOnAndSendsTheSame(t *testing.T) {
+	a, at := door(t, "close", "503 busy", "429")
+	b, bt := door(t, "500", "408", "200")
+	var pauses []time.Duration
+	c := caller{Control: at + ", " + bt, Tries: 10, sleep: func(d time.Duration) { pauses = append(pauses, d) }}
+	got, err := c.call("/api/Config.Replace", []byte(config))
+	must.NoError(t, err)
+	must.Eq(t, 6, got.tries)
+	must.Eq(t, bt, got.door)
+	for _, body := range append(a.came(), b.came()...) {
+		must.Eq(t, config, body)
+	}
+	must.SliceLen(t, 5, pauses)
+	must.Eq(t, 100*time.Millisecond, pauses[0])
+	must.Eq(t, 1600*time.Millisecond, pauses[4])
+}
+
+func TestCallEnds(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		kind   kind
+		tries  int
+		open   bool
+	}{
+		{`412 {"error":"conflict","place":"parent_version","detail":"is 5, but 6 is current"}`, conflict, 1, false},
+		{"400", invalid, 1, false},
+		{"413", tooLarge, 1, false},
+		{"404", unknown, 3, false},
+		{"429", busy, 4, false},
+		{"503", unclear, 4, true},
+		{"503;429", busy, 4, true}, // the first try may have been taken
+		{"close;412", conflict, 2, false},
+		{"204", taken, 1, false},
+		{"302 elsewhere", astray, 4, true},
+		{"close", silent, 4, true},
+	} {
+		s, at := door(t, strings.Split(c.answer, ";")...)
+		call := caller{Control: at, Tries: 4, sleep: func(time.Duration) {}}
+		_, err := call.call("/api/Config.Replace", []byte(config))
+		must.SliceLen(t, c.tries, s.came(), must.Sprint(c.answer))
+		if c.kind == taken {
+			must.NoError(t, err)
+			continue
+		}
+		f, ok := err.(*failure)
+		must.True(t, ok)
+		must.Eq(t, c.kind, f.kind, must.Sprint(c.answer))
+		must.Eq(t, c.open, strings.Contains(f.Error(), maybe), must.Sprint(c.answer))
+		if strings.Contains(c.answer, "detail") {
+			must.StrContains(t, f.Error(), "at parent_version: is 5, but 6 is current")
+		}
+	}
+}
+
+func TestCallFollowsTwice(t *testing.T) {
+	end, et := door(t, "200")
+	_, second := door(t, "307 http://"+et+"/api/Config.Amend")
+	_, first := door(t, "307 http://"+second+"/api/Config.Amend")
+	_, zeroth := door(t, "307 http://"+first+"/api/Config.Amend")
+	c := caller{Control: first, Tries: 1}
+	_, err := c.call("/api/Config.Amend", []byte(config))
+	must.NoError(t, err)
+	must.Eq(t, []string{config}, end.came())
+	c.Control = zeroth
+	_, err = c.call("/api/Config.Amend", []byte(config))
+	must.Error(t, err)
+}
+
+func TestApply(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "c.json")
+	must.NoError(t, os.WriteFile(file, []byte(config), 0o600))
+	s, at := door(t, "200", "412")
+	code, out, _ := play("apply", "--control", at, "--parent", "6", file)
+	must.Eq(t, good, code)
+	must.StrHasPrefix(t, "version 7 is taken", out)
+	must.Eq(t, strings.Replace(config, `"parent_version":5`, `"parent_version":6`, 1), s.came()[0])
+	code, _, complaint := play("apply", "--control", at, file)
+	must.Eq(t, failed, code)
+	must.StrContains(t, complaint, "Another version is current")
+
+	for body, want := range map[string]string{
+		`{}`:                           `{"parent_version":9}`,
+		` { "generation" : 1 }`:        ` {"parent_version":9, "generation" : 1 }`,
+		`{"a":{"parent_version":1}}`:   `{"parent_version":9,"a":{"parent_version":1}}`,
+		`{"a":1,"Parent_Version": 3 }`: `{"a":1,"Parent_Version": 9 }`,
+	} {
+		got, err := onTop([]byte(body), 9)
+		must.NoError(t, err)
+		must.Eq(t, want, string(got))
+	}
+	_, err := onTop([]byte(`[]`), 9)
+	must.Error(t, err)
+}
+
+func TestCalledWrongly(t *testing.T) {
+	t.Setenv("CLOVERGAP_CONTROL", "")
+	for _, words := range [][]string{{}, {"dance"}, {"apply"}, {"read"}, {"check"}, {"read", "--control", "nowhere"},
+		{"read", "--control", "127.0.0.1:1", "--tries", "0"}, {"door", "--settings", ""}} {
+		code, out, _ := play(words...)
+		must.Eq(t, calledWrong, code, must.Sprint(words))
+		must.Eq(t, "", out)
+	}
+	code, out, _ := play("apply", "--help")
+	must.Eq(t, good, code)
+	must.StrContains(t, out, "Examples:")
+}
+
+func TestConfigTables(t *testing.T) {
+	_, at := door(t, "200 "+config)
+	_, out, _ := play("tenants", "--control", at)
+	must.Eq(t, "NAME  PRIORITY  A SECOND  BURST  KEYS\nhuka  0         47        0      2b9w..., a...\n", out)
+	_, out, _ = play("tenants", "--control", at, "--json")
+	must.StrNotContains(t, out, "2b9wu3")
+	_, out, _ = play("tenants", "--control", at, "--keys")
+	must.StrContains(t, out, "2b9wu3fexd9d, abc")
+	_, out, _ = play("routes", "--control", at)
+	must.StrContains(t, out, "r     h.example  /a/     pure     s        30s       30s  2")
+	_, out, _ = play("read", "--control", at, "--json")
+	must.Eq(t, config+"\n", out)
+
+	_, none := door(t, "200")
+	code, _, complaint := play("read", "--control", none)
+	must.Eq(t, failed, code)
+	must.StrContains(t, complaint, "no configuration")
+}
+
+func TestStatusTables(t *testing.T) {
+	seat := 1
+	with := stagedoor.HouseStatus{Door: "b", Core: &stagedoor.HouseCore{Role: "leading", View: 3, Leader: "b:1",
+		Members: []stagedoor.HouseMember{{Id: "01", Address: "b:1", Live: true}}, First: 5, Last: 9}}
+	_, bt := door(t, "200 "+marshal(t, with))
+	without := stagedoor.HouseStatus{Door: "a", Zone: "z", Unready: []string{"no seat"},
+		Doors: []stagedoor.HouseDoor{{Name: "a", Address: "a:1", Live: true},
+			{Name: "b\x1b[2J", Address: "b:1", Control: bt, Seat: &seat, Disk: true}},
+		Backends: []stagedoor.HouseBackend{{Id: "i-1", Target: "s"}, {Id: "i-2", Target: "t"}}}
+	_, at := door(t, "200 "+marshal(t, without))
+
+	_, out, _ := play("status", "--control", at)
+	must.StrContains(t, out, "no: no seat")
+	must.StrContains(t, out, "never")
+	_, out, _ = play("doors", "--control", at)
+	must.StrContains(t, out, "b?[2J")
+	_, out, _ = play("doors", "--control", at, "--ask")
+	must.StrContains(t, out, "no answer") // a's control address is not known
+	must.StrContains(t, out, "leading")
+	_, out, _ = play("backends", "--control", at, "--service", "t")
+	must.StrContains(t, out, "i-2")
+	must.StrNotContains(t, out, "i-1")
+	_, out, _ = play("views", "--control", at) // by way of b
+	must.StrContains(t, out, "5 to 9")
+	must.StrContains(t, out, "01")
+}
+
+func marshal(t *testing.T, v any) string {
+	b, err := json.Marshal(v)
+	must.NoError(t, err)
+	return string(b)
+}
--- /dev/null
+++ b/cmd/playhouse/views.go
@@ -0,0 +1,439 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/playbill"
+	"clovergap/internal/stagedoor"
+)
+
+// keyShown is how much of a tenant's key is printed.
+const keyShown = 4
+
+// table writes aligned columns.
+type table struct{ *tabwriter.Writer }
+
+func newTable(out io.Writer, heads ...any) table {
+	t := table{tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)}
+	t.row(heads...)
+	return t
+}
+
+func (t table) row(cells ...any) {
+	texts := make([]string, len(cells))
+	for i, c := range cells {
+		if texts[i] = plain(fmt.Sprint(c)); texts[i] == "" {
+			texts[i] = "-"
+		}
+	}
+	fmt.Fprintln(t, strings.Join(texts, "\t"))
+}
+
+// plain keeps a text from moving the cursor: names come from afar.
+func plain(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return '?'
+	}, s)
+}
+
+func yes(is bool) string {
+	if is {
+		return "yes"
+	}
+	return "no"
+}
+
+func number[N int | int64](n *N) string {
+	if n == nil {
+		return ""
+	}
+	return strconv.FormatInt(int64(*n), 10)
+}
+
+func stale(ms *int64) string {
+	if ms == nil {
+		return "never"
+	}
+	return (time.Duration(*ms) * time.Millisecond).String()
+}
+
+// print writes JSON as it is, with an end of line.
+func print(out io.Writer, text []byte) error {
+	_, err := out.Write(append(bytes.TrimRight(text, "\n"), '\n'))
+	return err
+}
+
+// status asks how things stand; raw is the answer as it came.
+func (c *caller) status() (s *stagedoor.HouseStatus, raw []byte, err error) {
+	doors, err := c.doors()
+	if err != nil {
+		return nil, nil, err
+	}
+	return c.statusOf(doors, c.Tries)
+}
+
+func (c *caller) statusOf(doors []string, tries int) (*stagedoor.HouseStatus, []byte, error) {
+	a, err := c.ask(doors, tries, "/api/House.Status", nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := new(stagedoor.HouseStatus)
+	if err := json.Unmarshal(a.body, s); err != nil {
+		return nil, nil, a.astray(err)
+	}
+	return s, a.body, nil
+}
+
+// bill reads the newest configuration; raw is the answer as it came.
+func (c *caller) bill() (b *playbill.Bill, raw []byte, err error) {
+	a, err := c.call("/api/Config.Read", nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(bytes.TrimSpace(a.body)) == 0 {
+		return nil, nil, errors.New("no configuration is in force yet")
+	}
+	b = new(playbill.Bill)
+	if err := json.Unmarshal(a.body, b); err != nil {
+		return nil, nil, a.astray(err)
+	}
+	return b, a.body, nil
+}
+
+type readCmd struct{ caller }
+
+func (*readCmd) examples() string {
+	return `  playhouse read                     what the newest configuration holds, in numbers
+  playhouse read --json > now.json   all of it, to be changed and applied; it holds the keys`
+}
+
+func (c *readCmd) run(out io.Writer) error {
+	b, raw, err := c.bill()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return print(out, raw)
+	}
+	t := playbill.NewTable(b)
+	l := t.Limits()
+	w := newTable(out, "VERSION", "PARENT", "HOSTS", "ROUTES", "SERVICES", "TENANTS", "HEAD", "BODY", "HEAD IN",
+		"IDLE")
+	w.row(b.Generation, b.ParentVersion, len(b.Vhosts), len(t.Routes()), len(b.Services), len(b.Tenants),
+		l.MostHeader, l.MostBody, l.HeaderTimeout, l.IdleTimeout)
+	return w.Flush()
+}
+
+type routesCmd struct{ caller }
+
+func (*routesCmd) examples() string {
+	return `  playhouse routes          as doors route by them, with what the configuration leaves out filled in
+  playhouse routes --json   as they were sent`
+}
+
+func (c *routesCmd) run(out io.Writer) error {
+	b, raw, err := c.bill()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return print(out, section(raw, "vhosts"))
+	}
+	w := newTable(out, "NAME", "HOST", "PREFIX", "VARIANT", "TARGETS", "DEADLINE", "AIM", "TRIES", "PRIORITY",
+		"PUBLIC")
+	for _, r := range playbill.NewTable(b).Routes() {
+		variant := playbill.Pure
+		if r.Effectful {
+			variant = playbill.Effectful
+		}
+		var to []string
+		for _, t := range r.Targets {
+			if len(r.Targets) > 1 {
+				to = append(to, t.Service+" "+strconv.Itoa(t.Weight))
+			} else {
+				to = append(to, t.Service)
+			}
+		}
+		w.row(r.Name, r.Host, r.Prefix, variant, strings.Join(to, ", "), r.Deadline, r.Target, r.MaxTries,
+			r.Priority, yes(r.Public))
+	}
+	return w.Flush()
+}
+
+// section is one field of an object as it was written.
+func section(raw []byte, name string) []byte {
+	var all map[string]json.RawMessage
+	if json.Unmarshal(raw, &all) == nil {
+		for field, value := range all {
+			if strings.EqualFold(field, name) {
+				return value
+			}
+		}
+	}
+	return []byte("[]")
+}
+
+type tenantsCmd struct {
+	Keys bool `arg:"--keys" help:"print keys whole"`
+	caller
+}
+
+func (*tenantsCmd) examples() string {
+	return `  playhouse tenants          keys by their first four characters
+  playhouse tenants --keys   whole keys`
+}
+
+func (c *tenantsCmd) run(out io.Writer) error {
+	b, _, err := c.bill()
+	if err != nil {
+		return err
+	}
+	if !c.Keys {
+		for i := range b.Tenants {
+			for j, k := range b.Tenants[i].ApiKeys {
+				b.Tenants[i].ApiKeys[j] = hidden(k)
+			}
+		}
+	}
+	if c.JSON {
+		if b.Tenants == nil {
+			b.Tenants = []playbill.BillTenant{}
+		}
+		return json.NewEncoder(out).Encode(b.Tenants)
+	}
+	w := newTable(out, "NAME", "PRIORITY", "A SECOND", "BURST", "KEYS")
+	for _, t := range b.Tenants {
+		rate := "no limit"
+		if t.RatePerS > 0 {
+			rate = strconv.FormatFloat(t.RatePerS, 'g', -1, 64)
+		}
+		w.row(t.Name, t.Priority, rate, t.Burst, strings.Join(t.ApiKeys, ", "))
+	}
+	return w.Flush()
+}
+
+// hidden is what may be seen of a key; of a short one, less.
+func hidden(key string) string {
+	n := min(keyShown, len(key)/2)
+	for n > 0 && !utf8.RuneStart(key[n]) {
+		n--
+	}
+	return key[:n] + "..."
+}
+
+type doorsCmd struct {
+	Ask bool `arg:"--ask" help:"ask each door for its own word, too"`
+	caller
+}
+
+func (*doorsCmd) examples() string {
+	return `  playhouse doors         all doors as the one that answers knows them
+  playhouse doors --ask   each door's configuration, age of its word of the core, whether it wants clients`
+}
+
+func (c *doorsCmd) run(out io.Writer) error {
+	s, raw, err := c.status()
+	if err != nil {
+		return err
+	}
+	if !c.Ask {
+		if c.JSON {
+			return print(out, section(raw, "doors"))
+		}
+		w := newTable(out, "NAME", "ZONE", "ADDRESS", "CONTROL", "SEAT", "DISK", "LIVE")
+		for _, d := range s.Doors {
+			w.row(d.Name, d.Zone, d.Address, d.Control, number(d.Seat), yes(d.Disk), yes(d.Live))
+		}
+		return w.Flush()
+	}
+	words := c.askAll(s.Doors)
+	if c.JSON {
+		return json.NewEncoder(out).Encode(words)
+	}
+	w := newTable(out, "NAME", "ZONE", "VERSION", "APPLIED", "STALE", "READY", "CORE", "HELD", "CLIENTS", "WHY NOT")
+	for i, d := range s.Doors {
+		if o := words[i]; o == nil {
+			w.row(d.Name, d.Zone, "", "", "", "", "", "", "", "no answer")
+		} else {
+			role := ""
+			if o.Core != nil {
+				role = o.Core.Role
+			}
+			w.row(o.Door, o.Zone, o.Generation, o.Applied, stale(o.StaleMs), yes(o.Ready), role, o.Held,
+				o.Clients, strings.Join(o.Unready, ", "))
+		}
+	}
+	return w.Flush()
+}
+
+// askAll asks doors for their own word, each once; nil where none came.
+func (c *caller) askAll(doors []stagedoor.HouseDoor) []*stagedoor.HouseStatus {
+	const atOnce = 16
+	words, turn := make([]*stagedoor.HouseStatus, len(doors)), make(chan struct{}, atOnce)
+	var all sync.WaitGroup
+	for i, d := range doors {
+		if d.Control == "" {
+			continue
+		}
+		turn <- struct{}{}
+		all.Go(func() {
+			words[i], _, _ = c.statusOf([]string{d.Control}, 1)
+			<-turn
+		})
+	}
+	all.Wait()
+	return words
+}
+
+type backendsCmd struct {
+	Service string `arg:"--service" help:"those of one service only"`
+	caller
+}
+
+func (*backendsCmd) examples() string {
+	return `  playhouse backends
+  playhouse backends --service huvo11a`
+}
+
+func (c *backendsCmd) run(out io.Writer) error {
+	s, _, err := c.status()
+	if err != nil {
+		return err
+	}
+	some := []stagedoor.HouseBackend{}
+	for _, b := range s.Backends {
+		if c.Service == "" || b.Target == c.Service {
+			some = append(some, b)
+		}
+	}
+	if c.JSON {
+		return json.NewEncoder(out).Encode(some)
+	}
+	w := newTable(out, "ID", "SERVICE", "ADDRESS", "ZONE", "SOFTWARE", "CAPACITY", "PHASE", "COLD", "KEEPER",
+		"SEQ")
+	for _, b := range some {
+		w.row(b.Id, b.Target, b.Address, b.Zone, b.Generation, b.Capacity, b.Phase, b.ColdLeft, b.Keeper, b.CallSeq)
+	}
+	return w.Flush()
+}
+
+type viewsCmd struct{ caller }
+
+func (*viewsCmd) examples() string {
+	return `  playhouse views    the core: its view, leader, members, log; asked of a door with a disk`
+}
+
+func (c *viewsCmd) run(out io.Writer) error {
+	s, _, err := c.status()
+	if err != nil {
+		return err
+	}
+	for i := 0; s.Core == nil; i++ { // a door without a disk knows those with one
+		var with []stagedoor.HouseDoor
+		for _, d := range s.Doors {
+			if d.Disk && d.Control != "" {
+				with = append(with, d)
+			}
+		}
+		if i >= len(with) {
+			return errors.New("no door with a disk answers")
+		}
+		if o, _, err := c.statusOf([]string{with[i].Control}, 1); err == nil && o.Core != nil {
+			s = o
+		}
+	}
+	k := s.Core
+	if c.JSON {
+		return json.NewEncoder(out).Encode(k)
+	}
+	w := newTable(out, "DOOR", "ROLE", "VIEW", "LEADER", "SETTLED", "LOG", "SYNCED", "BEHIND", "WAITING",
+		"LEARNER")
+	w.row(s.Door, k.Role, k.View, k.Leader, yes(k.Settled), fmt.Sprintf("%d to %d", k.First, k.Last), k.Synced,
+		k.Behind, k.Waiting, k.Learner)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(out)
+	w = newTable(out, "MEMBER", "NAME", "ADDRESS", "LIVE", "LEADS")
+	for _, m := range k.Members {
+		name := ""
+		for _, d := range s.Doors {
+			if d.Address == m.Address {
+				name = d.Name
+			}
+		}
+		w.row(m.Id, name, m.Address, yes(m.Live), yes(m.Address == k.Leader))
+	}
+	return w.Flush()
+}
+
+type statusCmd struct{ caller }
+
+func (*statusCmd) examples() string {
+	return `  playhouse status
+  playhouse status --control 10.1.0.37:8381 --json`
+}
+
+func (c *statusCmd) run(out io.Writer) error {
+	s, raw, err := c.status()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return print(out, raw)
+	}
+	live := 0
+	for _, d := range s.Doors {
+		if d.Live {
+			live++
+		}
+	}
+	w := newTable(out, "door", s.Door+" in "+s.Zone)
+	w.row("seat", number(s.Seat))
+	if s.Ready {
+		w.row("ready", "yes")
+	} else {
+		w.row("ready", "no: "+strings.Join(s.Unready, ", "))
+	}
+	w.row("configuration", s.Generation)
+	w.row("log applied", s.Applied)
+	w.row("word of the core", stale(s.StaleMs)+" old")
+	if s.Feeder != "" {
+		w.row("follows", s.Feeder)
+	}
+	if k := s.Core; k != nil {
+		w.row("core", fmt.Sprintf("%s, view %d of %d members, leader %s", k.Role, k.View, len(k.Members),
+			orNone(k.Leader)))
+	}
+	w.row("doors", fmt.Sprintf("%d, %d live", len(s.Doors), live))
+	if b := s.Board; b != nil {
+		w.row("backends", fmt.Sprintf("%d ready, %d draining, %d gone, %d kept here, %d unwatched", b.Ready,
+			b.Draining, b.Gone, b.Kept, b.Unwatched))
+	}
+	w.row("requests held", s.Held)
+	w.row("clients", s.Clients)
+	w.row("counters", s.Counters)
+	return w.Flush()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "not known"
+	}
+	return s
+}
--- a/internal/stagedoor/api.gen.go
+++ b/internal/stagedoor/api.gen.go
@@ -53,6 +53,183 @@
 	BeatTarget string `json:"beat_target,omitempty"`
 }
 
+// HouseBackend A backend, as a door knows it.
+type HouseBackend struct {
+	Address string `json:"address"`
+
+	// CallSeq Of its newest call that is known.
+	CallSeq uint64 `json:"call_seq"`
+
+	// Capacity Requests that it works on at a time.
+	Capacity int `json:"capacity"`
+
+	// ColdLeft How much longer it stays slow from its start, a time.
+	ColdLeft string `json:"cold_left,omitempty"`
+
+	// Fence How often it changed hands.
+	Fence uint64 `json:"fence"`
+
+	// Generation Of its software.
+	Generation string `json:"generation,omitempty"`
+	Id         string `json:"id"`
+
+	// Keeper The seat of the door that watches it, -1 = none yet.
+	Keeper int `json:"keeper"`
+
+	// Phase Ready or draining, in small letters.
+	Phase string `json:"phase"`
+
+	// Target The name of its service.
+	Target string `json:"target"`
+	Zone   string `json:"zone"`
+}
+
+// HouseBoard A door's counts of backends.
+type HouseBoard struct {
+	Draining int `json:"draining"`
+
+	// Gone Remembered for a while.
+	Gone int `json:"gone"`
+
+	// Kept Those that this door watches.
+	Kept  int `json:"kept"`
+	Ready int `json:"ready"`
+
+	// Refused Backends that were not taken since the list was full.
+	Refused uint64 `json:"refused"`
+
+	// Unconfirmed Words that other doors have not confirmed.
+	Unconfirmed int `json:"unconfirmed"`
+
+	// Unwatched Those whose keeper is not heard.
+	Unwatched int `json:"unwatched"`
+
+	// Waiting Calls of backends that wait for other doors.
+	Waiting int `json:"waiting"`
+}
+
+// HouseCore A door's part in the core's ordered log. Only doors with a disk have one.
+type HouseCore struct {
+	// Behind How many places are not known here to be delivered.
+	Behind uint64 `json:"behind"`
+
+	// First The first place of the log that is kept; what is before it is in the snapshot.
+	First uint64 `json:"first"`
+
+	// Last The last place of the log.
+	Last uint64 `json:"last"`
+
+	// Leader The address of the leader, left out while none is known.
+	Leader string `json:"leader,omitempty"`
+
+	// Learner The disk that is being given the state, to become a member.
+	Learner string `json:"learner,omitempty"`
+
+	// Me The name of its disk in the core, new with each empty disk.
+	Me string `json:"me"`
+
+	// Members Of the newest list, empty before the founding.
+	Members []HouseMember `json:"members"`
+
+	// Role One of following, checking, stopping, leading.
+	Role string `json:"role"`
+
+	// Settled The newest list of members is known to be delivered.
+	Settled bool `json:"settled"`
+
+	// Synced The place up to which it is on disk here.
+	Synced uint64 `json:"synced"`
+
+	// View The newest that it takes part in.
+	View uint64 `json:"view"`
+
+	// Waiting Changes and reads that wait here.
+	Waiting int `json:"waiting"`
+}
+
+// HouseDoor A door, as another one knows it.
+type HouseDoor struct {
+	// Address Where it takes links of other doors, host:port.
+	Address string `json:"address"`
+
+	// Control Where it takes control calls, host:port.
+	Control string `json:"control,omitempty"`
+
+	// Disk It has a disk.
+	Disk bool `json:"disk"`
+
+	// Live Linked both ways, and heard of late.
+	Live bool `json:"live"`
+
+	// Name Left out where nothing was heard of it yet.
+	Name string `json:"name,omitempty"`
+
+	// Seat Left out while it has none.
+	Seat *int   `json:"seat,omitempty"`
+	Zone string `json:"zone,omitempty"`
+}
+
+// HouseMember A disk of the core, and where its door is reached.
+type HouseMember struct {
+	Address string `json:"address"`
+	Id      string `json:"id"`
+
+	// Live The door there is live, and has this disk.
+	Live bool `json:"live"`
+}
+
+// HouseStatus How things stand, as one door knows it.
+type HouseStatus struct {
+	// Address Where it takes links of other doors, host:port; its name among them.
+	Address string `json:"address"`
+
+	// Applied The place in the core's log up to which this door has applied all.
+	Applied uint64 `json:"applied"`
+
+	// Backends Those that are not gone, by id.
+	Backends []HouseBackend `json:"backends"`
+
+	// Board A door's counts of backends.
+	Board *HouseBoard `json:"board,omitempty"`
+
+	// Clients Connections of clients.
+	Clients int `json:"clients"`
+
+	// Core A door's part in the core's ordered log. Only doors with a disk have one.
+	Core *HouseCore `json:"core,omitempty"`
+
+	// Counters What was counted since the start, for people to read.
+	Counters string `json:"counters"`
+
+	// Door The name of the door that was asked.
+	Door string `json:"door"`
+
+	// Doors All doors that it knows, itself too.
+	Doors []HouseDoor `json:"doors"`
+
+	// Feeder The address of the door with a disk that it follows, left out at doors with one.
+	Feeder string `json:"feeder,omitempty"`
+
+	// Generation The configuration in force here, 0 = none.
+	Generation uint64 `json:"generation"`
+
+	// Held Requests that have no answer yet.
+	Held int `json:"held"`
+
+	// Ready It wants new connections.
+	Ready bool `json:"ready"`
+
+	// Seat Its number among doors, left out while it has none.
+	Seat *int `json:"seat,omitempty"`
+
+	// StaleMs How old its newest word of the core is, left out where it never had one.
+	StaleMs *int64 `json:"stale_ms,omitempty"`
+
+	// Unready In words, why it wants none.
+	Unready []string `json:"unready,omitempty"`
+	Zone    string   `json:"zone"`
+}
+
 // Refusal Why a call was not done.
 type Refusal struct {
 	// Detail In words.
--- a/internal/stagedoor/stagedoor.go
+++ b/internal/stagedoor/stagedoor.go
@@ -27,7 +27,7 @@
 	Newest(then func(status int, body []byte))
 	Beat(w callboard.Word, then func(ok bool, target string))
 	Leave(id string, then func(ok bool, target string))
-	Status() any
+	Status() HouseStatus
 }
 
 // Paths of the calls; the last two are followed by a backend's id.
