Doors with a disk remember the backends: recovery need not wait for beats

Cause: after the loss of all doors the registry was empty, and clients got 503 until the backends' next beats, up to 1.5 s. Change: a door with a disk keeps its board beside the log when it changed, at most each half second, and takes it as known at its start; silence counts from then on, newer words go before it, a wrong one costs a submission that another backend's id turns away. Effectful requests also keep away only from backends that fail three of ten, not one of eight.

--- a/internal/callboard/board.go
+++ b/internal/callboard/board.go
@@ -277,6 +277,18 @@
 	return b.tail
 }
 
+// Remember takes what this door knew before its start, from a disk. It may be old: all are watched for silence from now
+// on, and whoever knows newer goes before it. After the loss of all doors it spares them a wait for the beats. What is
+// wrong in it costs a submission that can't be sent or is turned away by another backend's id.
+func (b *Board) Remember(words []Word) {
+	for _, w := range words {
+		if e := b.entry(w.ID); e != nil && w.Phase != Gone {
+			w.ColdLeft = 0 // nobody knows how long ago that was
+			b.join(e, w)
+		}
+	}
+}
+
 // Seen421 says that another backend answers at the address of this one: it is gone here, and its keeper is
 // told. Its next beat revives it everywhere.
 func (b *Board) Seen421(id string) {
--- a/internal/callboard/callboard_test.go
+++ b/internal/callboard/callboard_test.go
@@ -565,3 +565,37 @@
 		must.Eq(t, 0, tr.mail, must.Sprint("in calm, seed ", seed))
 	}
 }
+
+// After the loss of all doors one that remembers spares the others a wait for the beats. What it remembers wrongly goes:
+// a backend that says nothing is gone after three beats, one that left meanwhile stays gone where that is known.
+func TestWhatOneDoorRemembers(t *testing.T) {
+	tr := open(t, 3, 1)
+	lives, died := server(1), server(2)
+	for _, s := range []*backend{lives, died} {
+		tr.beat(s, 0)
+		tr.beat(s, s.target)
+	}
+	tr.step(time.Second)
+	kept := tr.boards[0].All()
+	must.Len(t, 2, kept)
+	for s := range Seat(3) {
+		tr.start(s)
+	}
+	tr.boards[0].Remember(kept)
+	tr.meet()
+	tr.step(200 * ms)
+	tr.phases(lives.ID, Ready)
+	tr.phases(died.ID, Ready)
+	for range 6 {
+		tr.beat(lives, lives.target)
+		tr.step(beat)
+	}
+	tr.phases(lives.ID, Ready)
+	tr.phases(died.ID, Gone)
+
+	tr.start(0)
+	tr.boards[0].Leave(lives.ID, 0)
+	tr.boards[0].Remember(kept)
+	tr.pump()
+	must.Eq(t, Gone, tr.boards[0].view(tr.boards[0].all[lives.ID]))
+}
--- a/internal/casting/casting.go
+++ b/internal/casting/casting.go
@@ -30,7 +30,7 @@
 	asideLast            = 5 * time.Second
 	failShare            = 0.3  // of endings: set aside
 	failOdd              = 2.0  // and this times the share of the whole service
-	careShare            = 0.12 // an effectful request keeps away from one failing more than this
+	careShare            = 0.3  // an effectful request keeps away from one failing more than this
 	careTimes            = 3    // of the pause, and it stays away for so long
 	notSentPause         = 60 * ms
 
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -1,10 +1,13 @@
 package house
 
 import (
+	"bytes"
+	"encoding/gob"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"clovergap/internal/callboard"
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
 	"clovergap/internal/promptbook"
@@ -18,6 +21,7 @@
 	dismissFor  = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
 	admitEvery  = 300 * time.Millisecond
 	pendingMost = 256
+	noteEvery   = 500 * time.Millisecond
 )
 
 // core is this door's part in the ordered log: none without a disk.
@@ -26,8 +30,10 @@
 	me       prompter.Member
 	p        *prompter.Prompter
 	book     *promptbook.Book
-	writes   chan []prompter.Write
+	writes   chan batch
 	queue    []prompter.Write // not yet given to the disk
+	note     []byte           // the board, to be kept beside the log; nil: nothing to keep
+	noted    time.Duration    // when it last was
 	writing  bool
 	waits    map[uint64]waiting // by token
 	token    uint64
@@ -64,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, book: book, writes: make(chan []prompter.Write, 1),
+	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, book: book, writes: make(chan batch, 1),
 		waits: map[uint64]waiting{}, verdicts: map[uint64]verdict{}, lost: map[prompter.MemberID]time.Duration{}}
 	c.p = prompter.New(c.me, kept, prompter.DefaultTerms(), h.seed, h.e.Now())
 	h.core = c
@@ -72,22 +78,34 @@
 	return nil
 }
 
-// disk writes and syncs, apart from the turns: a slow disk must hold up nothing else.
+// batch is what goes to the disk at once.
+type batch struct {
+	writes []prompter.Write
+	note   []byte
+}
+
+// disk writes and syncs, apart from the turns: a slow disk must hold up nothing else. A note that can't be kept is let go.
 func (c *core) disk() {
-	for batch := range c.writes {
+	for b := range c.writes {
 		for wait := 20 * time.Millisecond; ; wait = min(2*wait, time.Second) {
-			err := c.book.Apply(batch)
+			err := c.book.Apply(b.writes)
 			if err == nil {
 				break
 			}
 			c.h.e.Turn(func() { c.h.warn(corePart, "write failed, goes again: %v", err) })
 			time.Sleep(wait)
 		}
-		last := batch[len(batch)-1].Nr
+		if b.note != nil {
+			if err := c.book.Note(b.note); err != nil {
+				c.h.e.Turn(func() { c.h.warn(corePart, "board not kept: %v", err) })
+			}
+		}
 		c.h.e.Turn(func() {
 			c.writing = false
-			c.p.Now(c.h.e.Now())
-			c.p.Synced(last)
+			if len(b.writes) > 0 {
+				c.p.Now(c.h.e.Now())
+				c.p.Synced(b.writes[len(b.writes)-1].Nr)
+			}
 		})
 	}
 }
@@ -119,14 +137,36 @@
 			c.h.e.At(a.At, (*coreAlarm)(c), c.wake)
 		}
 	}
-	if !c.writing && len(c.queue) > 0 {
+	if !c.writing && (len(c.queue) > 0 || c.note != nil) {
 		c.writing = true
-		c.writes <- c.queue
-		c.queue = nil
+		c.writes <- batch{c.queue, c.note}
+		c.queue, c.note = nil, nil
 	}
 	c.h.company.Settle(company.Disk(c.me.ID), c.p.Founded())
 }
 
+// keepBoard has the board kept beside the log, where it changed, now and then.
+func (c *core) keepBoard() {
+	now := c.h.e.Now()
+	if !c.h.boardNews || now-c.noted < noteEvery || c.h.board == nil {
+		return
+	}
+	c.h.boardNews, c.noted = false, now
+	var b bytes.Buffer
+	gob.NewEncoder(&b).Encode(c.h.board.All()) // of texts and numbers: it can't fail
+	c.note = b.Bytes()
+}
+
+// remember gives the board what was kept of it.
+func (c *core) remember() {
+	var words []callboard.Word
+	if noted := c.book.Noted(); noted != nil && gob.NewDecoder(bytes.NewReader(noted)).Decode(&words) == nil {
+		c.h.board.Now(c.h.e.Now())
+		c.h.board.Remember(words)
+		c.h.say(boardPart, "remembers %d backends", len(words))
+	}
+}
+
 // addr of a member: where its door says that it is, since a view may name an older place.
 func (c *core) addr(m prompter.Member) string {
 	if m.Addr != "" {
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -128,6 +128,9 @@
 		h.board = callboard.New(callboard.Seat(me), callboard.Terms{BeatInterval: h.sheet.BeatInterval,
 			Enough: h.sheet.Tolerates.Machines + 1, Life: uint32(h.life)}, h.e.Now())
 		h.say(doorPart, "has seat %d of %d", me, len(order))
+		if h.core != nil {
+			h.core.remember()
+		}
 	}
 	if len(order) != h.seats {
 		h.seats = len(order)
@@ -199,6 +202,7 @@
 				h.wings.Send(s.Addr, &Frame{Board: &m})
 			}
 		case callboard.Changed:
+			h.boardNews = true
 			h.listed(a)
 		case callboard.Acknowledge:
 			if then := h.beats[a.Ticket]; then != nil {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -65,6 +65,7 @@
 
 	board     *callboard.Board // nil until there is a seat
 	boardWake uint32
+	boardNews bool // since it was last kept on disk
 	beats     map[callboard.Ticket]func(ok bool, target string)
 
 	quota    *control.Quota
@@ -241,6 +242,9 @@
 	}
 	h.tendFeed()
 	h.wantSeat()
+	if h.core != nil {
+		h.core.keepBoard()
+	}
 }
 
 // customerOf names a tenant for the quota: the same at every door. Messages carry 34 bits of it.
--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -37,6 +37,7 @@
 	logBucket  = []byte("log") // entries by their index: 8 bytes, the highest byte first
 	headKey    = []byte("head")
 	snapKey    = []byte("snap")
+	noteKey    = []byte("note")
 )
 
 // head is all but the snapshot and the entries.
@@ -256,6 +257,26 @@
 	return nil
 }
 
+// Note keeps something beside the log that is good to have after a start and may be old or lost: the newest alone.
+func (b *Book) Note(what []byte) error {
+	return named(b.path, guard(func() error {
+		return b.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bookBucket).Put(noteKey, what) })
+	}))
+}
+
+// Noted is the newest note, nil if there is none.
+func (b *Book) Noted() (what []byte) {
+	if guard(func() error {
+		return b.db.View(func(tx *bbolt.Tx) error {
+			what = bytes.Clone(tx.Bucket(bookBucket).Get(noteKey))
+			return nil
+		})
+	}) != nil {
+		return nil
+	}
+	return what
+}
+
 // Close closes the file.
 func (b *Book) Close() error {
 	if b.db == nil {
--- a/internal/promptbook/promptbook_test.go
+++ b/internal/promptbook/promptbook_test.go
@@ -114,3 +114,18 @@
 	must.Eq(t, 0, k.Promise)
 	must.NoError(t, b.Close())
 }
+
+// A note stands beside the log: the newest alone, through a start, and an empty file has none.
+func TestNote(t *testing.T) {
+	dir := t.TempDir()
+	b, _, err := Open(dir)
+	must.NoError(t, err)
+	must.Nil(t, b.Noted())
+	must.NoError(t, b.Note([]byte("one")))
+	must.NoError(t, b.Note([]byte("two")))
+	must.NoError(t, b.Close())
+	b, _, err = Open(dir)
+	must.NoError(t, err)
+	must.Eq(t, "two", string(b.Noted()))
+	must.NoError(t, b.Close())
+}
