--- a/control/books.go
+++ b/control/books.go
@@ -33,7 +33,7 @@
 	ViewLife  time.Duration // an owner's word is good for so long
 	MailPerS  float64       // messages a second that a gateway is able to take in
 	FullStart bool          // buckets start full in a fleet that is all new
-	Firm      bool          // units are lent to gateways, not shown to all: see Covered
+	Parts     bool          // a gateway alone has its part of the rate, and no more: see Covered
 	Fence     time.Duration // a bucket newly owned, by a start or by Grow, stays empty for so long
 	MostUnits float64       // the units of the largest txn
 }
@@ -123,7 +123,6 @@
 	wanted float64 // units that a txn waits for
 	units  float64 // told that it may spend them, and not yet reported
 	told   time.Duration
-	used   float64 // reported since it was told
 }
 
 // peer is another gateway.
@@ -291,18 +290,14 @@
 // told by Spend, or by Keep while it waits for something else. What waits is asked for again when PeerSaid
 // brings news and at the time given, with Arrived as it was.
 //
-// Firm terms bound what all gateways spend together. An owner lends units and counts them as gone while the
-// view they came with lasts; a new or old view lends nothing. A gateway alone, which hears nothing of an
-// owner that it has asked, spends at most rate/gateways a second of each customer's units, from nothing, and
-// saves up no more than burst/gateways, or one unit. With Reach told before that, the owner beside it has so
-// much less, and all together spend no more than the rate and the burst. While Reach is late, and without
-// it, the owner's rate and the parts of all that are alone add up to less than twice the rate. On top come,
-// for each gateway cut off or started again, units lent to it and not reported: the most of what waited
-// there, twice what it spent between two messages, and an eighth of the bucket over the gateways.
+// By parts, what all gateways spend together is bounded beside the ordinary path. A gateway that hears nothing of
+// an owner that it has asked spends at most rate/gateways a second of each customer's units, from nothing, and saves
+// up no more than burst/gateways, or one unit; before that, its allowance. With Reach told, the owner beside it has so
+// much less. Use without the owner's word is paid back, up to a second of the rate. With k of n gateways cut off for
+// the time t and Reach told after s, all spend at most rate x t + burst, and once: k/n x (2 burst + rate x s).
 //
-// Terms that are not firm are Door's: a gateway alone spends its share of the burst at once, and then the
-// rate over those gateways that it does not know to be lost. Over all gateways that may be twice the quota
-// and more.
+// Otherwise the terms are Door's: a gateway alone spends its share of the burst at once, and then the rate over those
+// gateways that it does not know to be lost. Over all gateways that may be twice the quota and more.
 func (q *Quota) Covered(c CustomerID, w Wish) (Verdict, time.Duration) {
 	a := q.accounts[c]
 	if a == nil {
@@ -470,11 +465,6 @@
 		q.refill(a)
 		sharers, out, told := q.reporters(a, p)
 		r := a.report(p.id)
-		if q.terms.Firm {
-			m.snaps = append(m.snaps, snapLine{a.id, q.lend(a, r), sharers + 1, 0, 0})
-			room -= len(m.snaps[len(m.snaps)-1].append(nil))
-			continue
-		}
 		left := max(0, a.level-told-a.kept)
 		r.units, r.told, r.left = 0, q.now, left
 		if left >= r.wanted {
@@ -544,7 +534,6 @@
 		r.units = max(0, r.units-l.units)
 		if fresh {
 			q.draw(a, l.units)
-			r.used += l.units
 		}
 		if fresh && m.ackEpoch == q.epoch && a.listened && a.limit.ceilRate > 0 {
 			r.want = max(-l.part, 0)
@@ -576,8 +565,7 @@
 		if once && a != nil && a.owner == p.id && a.limit.ceilRate > 0 && a.listened {
 			a.part = min(q.partCap(a), q.partNow(a)+l.grant)
 		}
-		if a == nil || a.owner != p.id || m.version < a.version && a.known ||
-			q.terms.Firm && m.version <= a.version { // what was lent comes once
+		if a == nil || a.owner != p.id || m.version < a.version && a.known {
 			continue
 		}
 		a.level, a.levelAt, a.known, a.version = l.left, q.now, true, m.version
--- a/control/quota.go
+++ b/control/quota.go
@@ -35,7 +35,7 @@
 // draw takes units from an owned bucket; what is not there was beyond the quota and takes nothing.
 func (q *Quota) draw(a *account, units float64) {
 	least := 0.0
-	if q.terms.Firm { // spent without its word: paid back, but old use not for long
+	if q.terms.Parts { // spent without its word: paid back, but old use not for long
 		least = -a.limit.rate * debtMost.Seconds()
 	}
 	a.level = max(least, a.level-units)
@@ -103,21 +103,16 @@
 	}
 	if a.owner == q.me {
 		q.refill(a)
-		level := a.level - q.lent(a, nil)
-		if level-a.kept >= q.need(a, w) {
+		if a.level-a.kept >= q.need(a, w) {
 			return Pass, 0, lackUnits
 		}
-		due := time.Duration((q.need(a, w) - level) / a.limit.rate * float64(time.Second))
+		due := time.Duration((q.need(a, w) - a.level) / a.limit.rate * float64(time.Second))
 		if q.now+due < last && !w.Late {
 			return Wait, last, lackUnits
 		}
 		return Beyond, due, lackUnits
 	}
-	decide := q.byView
-	if q.terms.Firm {
-		decide = q.byLoan
-	}
-	verdict, at := decide(a, w)
+	verdict, at := q.byView(a, w)
 	return verdict, at, lackView
 }
 
@@ -155,6 +150,12 @@
 		// While the owner is silent the allowance grows at the rate, shared by the recent reporters but for those
 		// found lost: the survivors of a lost hall then serve the whole quota between them.
 		silent := q.silent(a)
+		if silent && q.terms.Parts {
+			if q.aloneNow(a)-a.kept >= w.Units {
+				return Pass, 0
+			}
+			return Beyond, time.Duration(w.Units / a.limit.rate * float64(q.gateways) * float64(time.Second))
+		}
 		if silent {
 			share += a.limit.rate / float64(q.survivors(a)) * (q.now - a.asked).Seconds()
 		}
@@ -177,62 +178,9 @@
 	return Beyond, time.Duration((q.need(a, w) - max(0, a.level-pending)) / a.limit.rate * float64(time.Second))
 }
 
-// byLoan decides firmly: an owner lends each gateway units of its own, which nobody else may spend while the
-// view lasts. Without any the owner is asked, and only when it is silent a gateway has its part of the rate.
-func (q *Quota) byLoan(a *account, w Wish) (Verdict, time.Duration) {
-	left := a.level - a.unacked - a.unsent - a.kept
-	age := q.now - a.levelAt
-	fresh := a.known && age < q.terms.ViewLife
-	if fresh && left >= w.Units {
-		return Pass, 0
-	}
-	due := time.Duration(max(0, w.Units-max(left, 0)) / a.limit.rate * float64(time.Second))
-	if gap := max(q.terms.Gap, q.peers[a.owner].gap); fresh && a.level < w.Units && age < gap {
-		return Beyond, max(due, gap-age) // it has just said that there is none
-	}
-	q.ask(a)
-	if q.silent(a) {
-		if q.aloneNow(a)-a.kept >= w.Units {
-			return Pass, 0
-		}
-		return Beyond, due * time.Duration(q.gateways)
-	}
-	if until := q.answerBy(a, w); q.now < until {
-		if w.Arrived == q.now {
-			a.wanted += w.Units
-		}
-		a.wanted = max(a.wanted, w.Units)
-		return Wait, until
-	}
-	return Beyond, due
-}
-
-// lend is what an owner lends to a gateway that reported: what waits there, twice what it used, or a small
-// part of what is left, whichever is most. More would be lost for a while to the others, and be spent twice
-// if the gateway were cut off then. A fragment lets nobody go.
-func (q *Quota) lend(a *account, r *report) float64 {
-	left := max(0, a.level-q.lent(a, r)-a.kept)
-	r.units = math.Floor(min(left, max(r.wanted, 2*r.used, left/float64(8*q.gateways))))
-	r.used, r.wanted, r.told, r.left = 0, 0, q.now, r.units
-	return r.units
-}
-
-// lent is what others may still spend of an owned bucket. The time is that of their views, and of the way
-// there.
-func (q *Quota) lent(a *account, but *report) (units float64) {
-	if q.terms.Firm {
-		for _, r := range a.reports {
-			if r != but && q.now-r.told < q.terms.ViewLife+q.answerIn(a) {
-				units += r.units
-			}
-		}
-	}
-	return units
-}
-
-// rate is what an owned bucket fills at. Firm: gateways out of reach spend their parts of it alone.
+// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone.
 func (q *Quota) rate(a *account) float64 {
-	if !q.terms.Firm {
+	if !q.terms.Parts {
 		return a.limit.rate
 	}
 	return a.limit.rate * float64(q.reach) / float64(q.gateways)
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -149,7 +149,7 @@
 // buildPath makes the way of requests and of calls.
 func (h *House) buildPath(fds int) (err error) {
 	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond,
-		ViewLife: time.Second, MailPerS: 400, MostUnits: 1})
+		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true})
 	h.office = boxoffice.New(h.seed, boxoffice.Terms{Zone: h.stock.zone(h.sheet.Zone),
 		RetryRatio: h.sheet.Bounds.RetryRatio, RetryWindow: h.sheet.Bounds.RetryWindow,
 		RetryExtra: float64(h.sheet.Bounds.RetryExtra), Doors: 1}, h.quota, h.e.Now())
