After the loss of all: buckets begin half full, doors dial each other sooner

Cause: after a loss of all doors buckets were empty and clients' repeats were refused (429); a door that found a seed not yet up waited 250 ms for the next try. Change: a fleet that is all new begins with half the burst (rate x 5 + 1.5 x burst is under what the rule leaves; a door that hears of an older one begins empty, as before); a failed dial goes again after 40 ms, doubled up to 640; who lives changed is looked at for the feed at once.

--- a/control/books.go
+++ b/control/books.go
@@ -32,7 +32,7 @@
 	Gap       time.Duration // packing delay at the least: two messages to a peer are so far apart
 	ViewLife  time.Duration // an owner's word is good for so long
 	MailPerS  float64       // messages a second that a gateway is able to take in
-	FullStart bool          // buckets start full in a fleet that is all new
+	Start     float64       // of the burst: what buckets begin with in a fleet that is all new
 	Parts     bool          // a gateway alone has its part of the rate, and no more: see Covered
 	Fence     time.Duration // a bucket newly owned, by a start or by Grow, stays empty for so long
 	MostUnits float64       // the units of the largest txn
@@ -611,10 +611,11 @@
 
 // sinceBirth is what a bucket that was empty when this gateway started holds by now.
 func (q *Quota) sinceBirth(a *account) float64 {
+	level := a.limit.rate * max(0, q.now-q.since-q.terms.Fence).Seconds()
 	if q.allNew && q.elders == 0 {
-		return a.limit.burst
+		level += q.terms.Start * a.limit.burst
 	}
-	return min(a.limit.burst, a.limit.rate*max(0, q.now-q.since-q.terms.Fence).Seconds())
+	return min(a.limit.burst, level)
 }
 
 // ask makes the account part of the next delta, with nought if need be, unless a question is on its way.
--- a/control/quota.go
+++ b/control/quota.go
@@ -59,13 +59,13 @@
 	} else if p.heard == 0 {
 		q.young++
 	}
-	if !q.terms.FullStart || q.elders > 0 || q.allNew || q.now-q.born > youth ||
+	if q.terms.Start <= 0 || q.elders > 0 || q.allNew || q.now-q.born > youth ||
 		q.young < min(youngMany, q.gateways-1) {
 		return
 	}
 	for _, a := range q.order {
 		if a.owner == q.me {
-			a.level += a.limit.burst - q.sinceBirth(a) // capped at the next refill
+			a.level += q.terms.Start * a.limit.burst // capped at the next refill
 		}
 	}
 	q.allNew = true
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -114,6 +114,7 @@
 
 // doorsChanged tells the parts that go by doors which there are, and which live.
 func (h *House) doorsChanged() {
+	h.tendFeed()
 	for addr := range h.followers {
 		if !h.company.Live(addr) {
 			delete(h.followers, addr)
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -21,7 +21,8 @@
 const (
 	dialLimit  = 600 * time.Millisecond
 	writeLimit = 2 * time.Second
-	redialIn   = 250 * time.Millisecond
+	redialIn   = 40 * time.Millisecond // doubled up to redialMost: doors that start together are up soon
+	redialMost = 640 * time.Millisecond
 	queueMost  = 4096     // frames that wait for a link
 	frameMost  = 16 << 20 // bytes of one frame
 )
@@ -170,9 +171,10 @@
 // write dials, writes, and dials again, until the link is not wanted any more.
 func (w *Wings[F]) write(ctx context.Context, l *link[F]) {
 	d := net.Dialer{Timeout: dialLimit, KeepAlive: -1, Control: deadPeers}
-	for ctx.Err() == nil {
+	for wait := redialIn; ctx.Err() == nil; wait = min(2*wait, redialMost) {
 		c, err := d.DialContext(ctx, "tcp", l.to)
 		if err == nil {
+			wait = redialIn
 			for len(l.queue) > 0 { // meant for a link that is no more
 				<-l.queue
 			}
@@ -183,7 +185,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialIn):
+		case <-time.After(wait):
 		}
 	}
 }
