Long bodies are passed on as they come, both ways; defects of the shared path mended

A tenant's rank goes before the route's; connections to a backend are bounded by the configuration's max_conns over the doors.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -28,7 +28,8 @@
 // Void makes no such promise: it may have run.
 func Void(b []byte, last bool) []byte { return end(http1.AppendStatus(b, 502), 0, last) }
 
-// Refuse gives a status alone, with the id that the request came with, best again after some time (0: none is advised).
+// Refuse gives a status alone, with the id that the request came with, best again after some time (0: none
+// is advised).
 func Refuse(b []byte, status int, name string, id []byte, after time.Duration, last bool) []byte {
 	b = http1.AppendStatus(b, status)
 	b = http1.AppendHeader(b, name, id)
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -31,8 +31,8 @@
 	flows   bool    // one is
 }
 
-// reuse takes the idle connection used last that has rested, unless any will do, and closes those that are not fit to
-// be used again.
+// reuse takes the idle connection used last that has rested, unless any will do, and closes those that are
+// not fit to be used again.
 func (d *Dispatch) reuse(b *backend, any bool) *conn {
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
@@ -48,8 +48,9 @@
 	return nil
 }
 
-// restUsual is how long a connection stays idle after an answer: what a backend sends behind one, a second copy or noise,
-// shows itself by then. Come later, it would be taken for the next answer. It costs a connection more now and then.
+// restUsual is how long a connection stays idle after an answer: what a backend sends behind one, a second
+// copy or noise, shows itself by then. Come later, it would be taken for the next answer. It costs a
+// connection more now and then.
 const restUsual = 10 * time.Millisecond
 
 // dial opens a connection for a submission, or ends it when none may be opened.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,7 +17,8 @@
 type Gate interface {
 	Ended(txn slots.Ref, nr int, at control.BackendID, o gate.Outcome)
 	Probed(at control.BackendID, good bool, took time.Duration, load []float64)
-	// Of an answer that is passed on in parts: its head, how much is wanted, a part; Ended tells of its end as well.
+	// Of an answer that is passed on in parts: its head, how much is wanted, a part; Ended tells of its end as
+	// well.
 	Begun(txn slots.Ref, o gate.Outcome) bool
 	Room(txn slots.Ref) int
 	Pass(txn slots.Ref, part []byte)
@@ -62,8 +63,8 @@
 	flows   bool // more of its body is to come
 }
 
-// mayRun tells whether its last byte is in the socket, or its first where backends begin earlier: from then on it may
-// have run. Only what the poller has written counts, not what it has taken into its queue.
+// mayRun tells whether its last byte is in the socket, or its first where backends begin earlier: from then
+// on it may have run. Only what the poller has written counts, not what it has taken into its queue.
 func (s *submission) mayRun() bool {
 	if s.conn == nil || !s.conn.carries {
 		return false
--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -78,7 +78,7 @@
 	c.verdict, c.flows, s.wholeBy = v, true, 0
 	c.r.Cut()
 	c.l.In.Drop(size)
-	c.l.Bound(flowMost)
+	c.l.In.Bound(flowMost)
 	c.l.Trail(true)
 	if s := c.d.subs.Get(ref); s != nil && s.conn == c {
 		c.pass(ref, s)
@@ -126,13 +126,16 @@
 		c.l.In.Drop(used)
 		if whole {
 			c.flows = false
-			c.l.Bound(c.d.terms.Raw)
+			c.l.In.Bound(c.d.terms.Raw)
 			c.r.Closes = !c.l.Trail(false) || c.r.Closes
 			v := c.verdict
 			c.over(ref, s, v, gate.Outcome{Ending: v.Ending, Load: v.Load, Final: v.Final, Answer: &c.r}, 0)
 			return
 		}
 		if used == 0 && !c.refill() {
+			if s.conn == c && c.l.Over() { // what waits is not the rest of the answer
+				c.d.spoilt(ref, s)
+			}
 			return
 		}
 	}
--- a/internal/foyer/dialect.go
+++ b/internal/foyer/dialect.go
@@ -8,8 +8,8 @@
 	"clovergap/internal/http1"
 )
 
-// idleShare and idleLess are what of a backend's word on idle connections is used: what is written to one that is just
-// being closed may be lost, and nobody knows then whether it ran.
+// idleShare and idleLess are what of a backend's word on idle connections is used: what is written to one
+// that is just being closed may be lost, and nobody knows then whether it ran.
 const (
 	idleShare = 0.8
 	idleLess  = 100 * time.Millisecond
--- a/internal/foyer/flow.go
+++ b/internal/foyer/flow.go
@@ -6,8 +6,8 @@
 	"clovergap/internal/slots"
 )
 
-// Bodies beyond Buffer pass through as they come: a part at a time, and no more than the other side takes. The rest waits
-// in the sender's socket.
+// Bodies beyond Buffer pass through as they come: a part at a time, and no more than the other side takes.
+// The rest waits in the sender's socket.
 
 // partMost is about what one part holds.
 const partMost = 64 << 10
@@ -69,7 +69,8 @@
 	return b, whole, !c.IsClosed()
 }
 
-// chunk fills the mark in that stands before the last n bytes; nothing makes no chunk, which would be the last.
+// chunk fills the mark in that stands before the last n bytes; nothing makes no chunk, which would be the
+// last.
 func chunk(b []byte, from, n int) []byte {
 	if n == 0 {
 		return b[:from]
--- a/internal/foyer/flow_test.go
+++ b/internal/foyer/flow_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"clovergap/control"
 	"clovergap/internal/counters"
 )
 
@@ -30,6 +31,7 @@
 	must.NoError(st.t, err)
 	st.t.Cleanup(func() { l.Close() })
 	st.e.Turn(func() { st.d.At(7, l.Addr().String(), 1, true) })
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
 	return func() (*bufio.Reader, *net.TCPConn) {
 		c, err := l.Accept()
 		must.NoError(st.t, err)
@@ -51,8 +53,8 @@
 	return b.Bytes()
 }
 
-// Long bodies, by length and in chunks, come through whole both ways, one after the other on one connection, though
-// either side is slow; the memory that they take is bounded.
+// Long bodies, by length and in chunks, come through whole both ways, one after the other on one
+// connection, though either side is slow; the memory that they take is bounded.
 func TestLongBodies(t *testing.T) {
 	st := open(t)
 	next := st.stall()
@@ -105,10 +107,9 @@
 	st := open(t)
 	next := st.stall()
 	slow, quick := st.client(), st.client()
-	slow.Conn.(*net.TCPConn).SetReadBuffer(16 << 10)
 	slow.send(request("GET", "/pure/", "s", ""))
-	_, conn := next()
-	conn.SetWriteBuffer(16 << 10)
+	r, conn := next()
+	http.ReadRequest(r)
 	body := long(24 << 20)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: s\r\nX-Backend-Seal: s\r\nContent-Length: %d\r\n\r\n", len(body))
 	went := make(chan error)
@@ -149,7 +150,8 @@
 		}
 		c := st.client()
 		c.send(request("GET", "/pure/", "c", ""))
-		_, conn := next()
+		r, conn := next()
+		http.ReadRequest(r) // a close with unread bytes would reset the connection
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: c\r\nX-Backend-Seal: s\r\n%s\r\n%s", head, sent[:len(sent)-50])
 		conn.Close()
 		a, err := http.ReadResponse(c.r, nil)
@@ -194,3 +196,45 @@
 	_, err = io.ReadAll(q.Body)
 	must.Error(t, err)
 }
+
+// Once an answer has begun, only its own end or the end of the time ends it: it is not called off for a
+// better one, and what is given up is cut.
+func TestBegun(t *testing.T) {
+	st := open(t)
+	next := st.stall()
+	body := long(1 << 20)
+	begin := func(id string) (c *client, conn *net.TCPConn, a *http.Response) {
+		c = st.client()
+		c.send(request("GET", "/pure/", id, ""))
+		r, conn := next()
+		http.ReadRequest(r)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Backend-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id,
+			len(body), body[:1000])
+		a, err := http.ReadResponse(c.r, nil)
+		must.NoError(t, err)
+		return c, conn, a
+	}
+	for _, verb := range []control.Verb{control.Recall, control.Void} {
+		_, conn, a := begin("g")
+		st.e.Turn(func() {
+			d := control.Decision{Verb: verb}
+			for d.Txn = range st.usher.expiry {
+			}
+			clear(st.usher.expiry)
+			st.usher.todo = append(st.usher.todo, d)
+		})
+		conn.Write(body[1000:])
+		got, err := io.ReadAll(a.Body)
+		if verb == control.Recall {
+			must.NoError(t, err)
+			must.True(t, bytes.Equal(body, got))
+			conn.Close()
+			continue
+		}
+		must.Error(t, err)
+		_, err = conn.Read(make([]byte, 1))
+		must.Error(t, err)
+	}
+	st.e.Turn(func() { must.Eq(t, 0, st.g.Held()) })
+	must.Eq(t, 1, st.count(counters.CutShort))
+}
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -1,5 +1,5 @@
-// Package foyer is what the gateway's clients and backends say, each in HTTP/1.1: requests in, told apart by host, path
-// and key, answers out, and in between what a backend is handed and what its answer means.
+// Package foyer is what the gateway's clients and backends say, each in HTTP/1.1: requests in, told apart
+// by host, path and key, answers out, and in between what a backend is handed and what its answer means.
 package foyer
 
 import (
@@ -21,6 +21,7 @@
 	Product  control.ProductID
 	Customer control.CustomerID
 	Tenant   string // told to the backend; "": none
+	Rank     int    // of its tenant, 0 is highest: it goes before the route's
 	Metered  bool   // it draws on the customer's quota
 	Once     bool   // it may run at most once
 	Deadline time.Duration
@@ -36,9 +37,11 @@
 	UnknownYet         // a configuration that is not here yet might allow it
 )
 
-// Lookups is what a door knows of configurations and backends. All of it is called in a turn, and must not block.
+// Lookups is what a door knows of configurations and backends. All of it is called in a turn, and must not
+// block.
 type Lookups interface {
-	// Admit looks a request up. host is in lower case and without a port, path without the query; key is nil without one.
+	// Admit looks a request up. host is in lower case and without a port, path without the query; key is nil
+	// without one.
 	Admit(host, path, key []byte) (Admission, Refusal)
 	// BackendName is the id that a backend goes by; "" if it is not known any more: then nothing is sent to it.
 	BackendName(at control.BackendID) string
@@ -88,12 +91,13 @@
 const (
 	mostID     = 128
 	mostWait   = time.Hour
-	soon       = 300 * time.Millisecond // when to ask again where a door does not know yet, or holds as many as it may
+	soon       = 300 * time.Millisecond // advice of a door that does not know yet, or holds as many as it may
 	readIn     = 10 * time.Second       // an answer
 	wholeTimes = 10                     // a body may take so many times as long as a head
 )
 
-// Buffer is how many bytes of a body a door holds; what is longer is passed on as it comes, up to the limits.
+// Buffer is how many bytes of a body a door holds; what is longer is passed on as it comes, up to the
+// limits.
 const Buffer = 256 << 10
 
 // Bounds of backends' answers, and the life of their idle connections where they don't tell.
@@ -116,7 +120,8 @@
 	return f
 }
 
-// Limits are the configuration's word on what clients may send, and how long they may take. Nought: the usual.
+// Limits are the configuration's word on what clients may send, and how long they may take. Nought: the
+// usual.
 type Limits struct {
 	Head, Body   int // bytes
 	HeadIn, Idle time.Duration
@@ -184,7 +189,7 @@
 	}
 	// The client counts from when it sent. After a standstill the request may have lain unread for all of it.
 	v.expiry = f.clock.Now() + max(wait-f.clock.Waited(), 0)
-	x := control.Txn{Customer: a.Customer, Product: a.Product, Expiry: v.expiry, SetWidth: 1}
+	x := control.Txn{Customer: a.Customer, Product: a.Product, Plan: control.PlanID(a.Rank), Expiry: v.expiry, SetWidth: 1}
 	if a.Metered {
 		x.Units = 1
 	}
--- a/internal/foyer/foyer_test.go
+++ b/internal/foyer/foyer_test.go
@@ -25,8 +25,8 @@
 // patience bounds every wait of these tests; none of them depends on how long anything takes within it.
 const patience = 20 * time.Second
 
-// usher is the least module there may be: each request goes to the one backend; what never ran is declined, what may
-// have is voided.
+// usher is the least module there may be: each request goes to the one backend; what never ran is declined,
+// what may have is voided.
 type usher struct {
 	todo    []control.Decision
 	lacking control.Lack // set: requests are declined for it
@@ -112,13 +112,14 @@
 }
 
 func open(t *testing.T) *stage {
-	st := &stage{t: t, e: link.New("", 1024, 512<<10, 64<<20), usher: &usher{expiry: map[control.TxnID]time.Duration{}},
-		house: &house{}}
+	st := &stage{t: t, e: link.New("", 1024, 512<<10, 64<<20), house: &house{},
+		usher: &usher{expiry: map[control.TxnID]time.Duration{}}}
 	k := &clock{Engine: st.e}
 	st.g = gate.New(st.usher, k, 1000, st.e.Count, zap.NewNop())
 	k.due = st.g
 	st.d = dispatch.New(st.e, st.g, Terms(st.house, time.Second), func() bool { return false })
-	st.in = intake.New(st.e, 500, Bounds(Limits{16 << 10, 4 << 20, 5 * time.Second, 15 * time.Second}), func() bool { return false })
+	st.in = intake.New(st.e, 500, Bounds(Limits{16 << 10, 4 << 20, 5 * time.Second, 15 * time.Second}),
+		func() bool { return false })
 	f := New(st.in, st.e, st.g, st.house)
 	must.True(t, f != nil)
 	st.g.Through(st.d, nil)
@@ -183,15 +184,17 @@
 }
 
 func served(id, more, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 Fine\r\nX-Attempt-Id: %s\r\nX-Backend-Seal: s1\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 Fine\r\nX-Attempt-Id: %s\r\nX-Backend-Seal: s1\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, more, len(body), body)
 }
 
 // What goes on is what came, but for what concerns one connection and what the gateway says itself.
 func TestPassedOn(t *testing.T) {
 	st := open(t)
 	c := st.client()
-	c.send(request("PATCH", "/pure/a?b=c&d", "a1", "Connection: X-Attempt-Id, x-hop, keep-alive\r\nX-Hop: 1\r\nX-Tenant: liar\r\n"+
-		"X-Expect-Backend: i-0\r\nX-Deadline-Ms: 1500\r\nTE: trailers\r\nX-Other: kept\r\nTransfer-Encoding: chunked\r\n") +
+	c.send(request("PATCH", "/pure/a?b=c&d", "a1", "Connection: X-Attempt-Id, x-hop, keep-alive\r\nX-Hop: 1\r\n"+
+		"X-Tenant: liar\r\nX-Expect-Backend: i-0\r\nX-Deadline-Ms: 1500\r\nTE: trailers\r\nX-Other: kept\r\n"+
+		"Transfer-Encoding: chunked\r\n") +
 		"3\r\nabc\r\n2;x\r\nde\r\n0\r\nT: u\r\n\r\n")
 	x := st.b.Next()
 	left := 0
@@ -265,6 +268,7 @@
 			x.Answer("HTTP/1.1 " + status + "\r\nX-Attempt-Id: e\r\n" + more + "Content-Length: 2\r\n\r\nno")
 		}
 	}
+	const unavailable, bad = "503 Service Unavailable", "502 Bad Gateway"
 	for _, x := range []struct {
 		what   string
 		says   func(*standin.Call)
@@ -275,19 +279,19 @@
 		{"own failure", says("500 Oops", ""), "502 Bad Gateway", "500 Oops", counters.EndErrored},
 		{"own deadline", says("504 Late", ""), "502 Bad Gateway", "504 Late", counters.EndErrored},
 		{"own word", says("403 No", ""), "403 No", "403 No", counters.EndSettled},
-		{"full", says("503 Full", "X-Not-Run: 1\r\n"), "503 Service Unavailable", "503 Service Unavailable", counters.EndFull},
-		{"busy", says("429 Full", "X-Not-Run: 1\r\n"), "503 Service Unavailable", "503 Service Unavailable", counters.EndFull},
-		{"another", says("421 Wrong", ""), "503 Service Unavailable", "503 Service Unavailable", counters.EndFull},
-		{"promise without a word", says("503 Full", ""), "502 Bad Gateway", "502 Bad Gateway", counters.EndErrored},
-		{"no seal", says("200 OK", ""), "502 Bad Gateway", "502 Bad Gateway", counters.EndErrored},
-		{"encoded", says("200 OK", "X-Backend-Seal: s\r\nContent-Encoding: gzip\r\n"), "502 Bad Gateway", "502 Bad Gateway", counters.EndErrored},
+		{"full", says("503 Full", "X-Not-Run: 1\r\n"), unavailable, unavailable, counters.EndFull},
+		{"busy", says("429 Full", "X-Not-Run: 1\r\n"), unavailable, unavailable, counters.EndFull},
+		{"another", says("421 Wrong", ""), unavailable, unavailable, counters.EndFull},
+		{"promise without a word", says("503 Full", ""), bad, bad, counters.EndErrored},
+		{"no seal", says("200 OK", ""), bad, bad, counters.EndErrored},
+		{"encoded", says("200 OK", "X-Backend-Seal: s\r\nContent-Encoding: gzip\r\n"), bad, bad, counters.EndErrored},
 		{"no id", func(x *standin.Call) { x.Answer("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n") },
-			"502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+			bad, bad, counters.EndBroken},
 		{"cut", func(x *standin.Call) { x.Answer(served("e", "", "some")[:80]); x.C.Close() },
-			"502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+			bad, bad, counters.EndBroken},
 		{"reset", func(x *standin.Call) { x.C.(*net.TCPConn).SetLinger(0); x.C.Close() },
-			"502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
-		{"noise", func(x *standin.Call) { x.Answer("\x00\x01\r\n") }, "502 Bad Gateway", "502 Bad Gateway", counters.EndBroken},
+			bad, bad, counters.EndBroken},
+		{"noise", func(x *standin.Call) { x.Answer("\x00\x01\r\n") }, bad, bad, counters.EndBroken},
 	} {
 		for path, line := range map[string]string{"/pure/": x.pure, "/once/": x.once} {
 			c, before := st.client(), st.count(x.ending)
--- a/internal/foyer/words.go
+++ b/internal/foyer/words.go
@@ -76,8 +76,8 @@
 	return found
 }
 
-// AppendTo writes what goes on to a backend: method, target, body and end-to-end headers as they came, with the
-// backend's id, the tenant and what is left of the time.
+// AppendTo writes what goes on to a backend: method, target, body and end-to-end headers as they came, with
+// the backend's id, the tenant and what is left of the time.
 func (f *Foyer) AppendTo(b []byte, who, txn slots.Ref, at control.BackendID, wait time.Duration) []byte {
 	c := f.in.Waits(who, txn)
 	if c == nil || c.IsClosed() {
@@ -133,7 +133,8 @@
 	return string(method) == "POST" || string(method) == "PUT" || string(method) == "PATCH"
 }
 
-// appendHead passes an answer's head on: status and end-to-end headers as they came. head: it answers a HEAD.
+// appendHead passes an answer's head on: status and end-to-end headers as they came. head: it answers a
+// HEAD.
 func appendHead(b []byte, r *http1.Reader, m []byte, head, last bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(r.Status()), 10)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,8 +15,8 @@
 	"clovergap/internal/slots"
 )
 
-// Module is what decides: inputs only update what it knows, and Next gives what is to be done now, one by one, until
-// there is nothing. *control.Door is one.
+// Module is what decides: inputs only update what it knows, and Next gives what is to be done now, one by
+// one, until there is nothing. *control.Door is one.
 type Module interface {
 	Now(time.Duration)
 	TxnTaken(control.Txn)
@@ -43,22 +43,32 @@
 // Front is where txns come from. It knows a txn by its own number for who waits and by the gate's for the txn,
 // so that a late word finds nobody else.
 type Front interface {
-	Settle(who, txn slots.Ref, o Outcome)                                                   // what the backend answered, or a Final failure
-	Decline(who, txn slots.Ref, after time.Duration, why control.Lack)                      // it never ran and never will; after 0: no advice
-	Void(who, txn slots.Ref, why control.Lack)                                              // it may have run
-	AppendTo(b []byte, who, txn slots.Ref, at control.BackendID, wait time.Duration) []byte // what is passed on
+	// Settle gives what the backend answered, or a Final failure.
+	Settle(who, txn slots.Ref, o Outcome)
+	// Decline: it never ran and never will; the client may come again, best after some time (0: no advice).
+	Decline(who, txn slots.Ref, after time.Duration, why control.Lack)
+	// Void: it may have run.
+	Void(who, txn slots.Ref, why control.Lack)
+	// AppendTo writes what is passed on to a backend; nothing once the client has gone.
+	AppendTo(b []byte, who, txn slots.Ref, at control.BackendID, wait time.Duration) []byte
 }
 
 // Streamer is a front some of whose bodies are passed on as they come, both ways.
 type Streamer interface {
 	Front
-	Flows(who, txn slots.Ref) bool                                  // Part gives its body, AppendTo the head alone
-	Spent(who, txn slots.Ref) bool                                  // some of it has gone: it can't go again
-	Part(b []byte, who, txn slots.Ref) (out []byte, whole, ok bool) // adds what has come; not ok: no more will
-	Begin(who, txn slots.Ref, o Outcome) bool                       // the head of an answer; false: it can't be passed on so
-	Room(who, txn slots.Ref) int                                    // bytes of the answer that are wanted now; below 0: nobody waits
-	Pass(who, txn slots.Ref, part []byte)                           // adds them
-	End(who, txn slots.Ref, whole bool)                             // not whole: it must not look so
+	// Flows: Part gives its body, AppendTo the head alone.
+	Flows(who, txn slots.Ref) bool
+	// Spent: some of that body has gone, and the request can't go again.
+	Spent(who, txn slots.Ref) bool
+	// Part adds what has come of the body; when it is not ok, no more will.
+	Part(b []byte, who, txn slots.Ref) (out []byte, whole, ok bool)
+	// Begin takes the head of an answer; false: it can't be passed on in parts.
+	Begin(who, txn slots.Ref, o Outcome) bool
+	// Room is how many bytes of the answer are wanted now; below 0: nobody waits. Pass adds them.
+	Room(who, txn slots.Ref) int
+	Pass(who, txn slots.Ref, part []byte)
+	// End ends the answer; one that is not whole must not look so.
+	End(who, txn slots.Ref, whole bool)
 }
 
 // Message is what is passed on to a backend. It gives nothing once its client has gone.
@@ -215,7 +225,8 @@
 	g.halt(ref, t)
 }
 
-// halt calls off what can't come to its end any more: an answer that nobody reads, a body that does not come.
+// halt calls off what can't come to its end any more: an answer that nobody reads, a body that does not
+// come.
 func (g *Gate) halt(ref slots.Ref, t *txn) {
 	if (t.begun || t.flows) && t.out {
 		g.send.Recall(ref, t.nr-1)
@@ -234,7 +245,8 @@
 	}
 }
 
-// Begun takes the head of an answer that goes on in parts. False: nobody waits for it, or it can't be had so.
+// Begun takes the head of an answer that goes on in parts. False: nobody waits for it, or it can't be had
+// so.
 func (g *Gate) Begun(ref slots.Ref, o Outcome) bool {
 	t := g.txns.Get(ref)
 	if t == nil || t.answered {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -41,8 +41,7 @@
 	callersMost  = 512       // connections of control
 	heldMost     = 4096      // requests at a time
 	dialLimit    = 700 * time.Millisecond
-	idleAtMost   = 10 * time.Second // of connections to backends, where they do not say
-	silence      = 3 * time.Second  // of bytes that nobody acknowledges
+	silence      = 3 * time.Second // of bytes that nobody acknowledges
 	lookEvery    = 100 * time.Millisecond
 	// allNewShare of the burst is in buckets after the loss of all doors: what was spent before it is not known any more,
 	// and half a burst more in five seconds is under what the rule on quotas leaves (rate x 5 + burst, a tenth more).
@@ -159,9 +158,11 @@
 	k := &clock{Engine: h.e}
 	h.gate = gate.New(h.office, k, heldMost, h.e.Count, zap.NewNop())
 	k.due = h.gate
-	h.dispatch = dispatch.New(h.e, h.gate, dispatch.Terms{Dialect: foyer.NewDialect(h), Idle: idleAtMost, Dial: dialLimit},
+	h.dispatch = dispatch.New(h.e, h.gate, foyer.Terms(h, dialLimit),
 		func() bool { return h.front.Evict() })
-	h.front = intake.New(h.e, max(1, (fds-200)/clientShare), intake.Bounds{}, func() bool { return h.dispatch.Evict(nil) })
+	bounds := foyer.Bounds(foyer.Limits{Head: playbill.DefaultMostHeader, Body: playbill.DefaultMostBody,
+		HeadIn: playbill.DefaultHeaderTimeout, Idle: playbill.DefaultIdleTimeout})
+	h.front = intake.New(h.e, max(1, (fds-200)/clientShare), bounds, func() bool { return h.dispatch.Evict(nil) })
 	foyer.New(h.front, h.e, h.gate, h)
 	h.callers = intake.New(h.e, callersMost, intake.Bounds{Body: controlBound}, func() bool { return h.front.Evict() })
 	h.callers.Serves(stagedoor.New(h.callers, h))
--- a/internal/house/stock.go
+++ b/internal/house/stock.go
@@ -20,6 +20,9 @@
 	last     control.ProductID
 }
 
+// leastConns of a backend are this door's in any case, where its bound is split over the doors.
+const leastConns = 4
+
 func newStock() stock {
 	return stock{calls: map[playbill.RouteKey]control.ProductID{}, routes: map[control.ProductID]*playbill.Route{},
 		services: map[string]control.ServiceID{}, zones: map[string]control.HallID{}, names: map[control.BackendID]string{}}
@@ -110,7 +113,7 @@
 		}
 		return a, foyer.NoKey
 	}
-	a.Tenant = t.Name
+	a.Tenant, a.Rank = t.Name, t.Priority
 	if a.Metered = t.Rate > 0; a.Metered {
 		a.Customer = customerOf(t.Name)
 	}
@@ -139,6 +142,9 @@
 	}
 	h.stock.names[id] = c.Word.ID
 	h.dispatch.At(id, c.Word.Addr, 0, state == control.Ready)
+	if s, ok := h.table.Service(c.Word.Service); ok && s.MaxConns > 0 {
+		h.dispatch.Most(id, max(leastConns, s.MaxConns/max(h.seats, 1)))
+	}
 	h.gate.Listed(false, []control.Listing{{ID: id, Hall: h.stock.zone(c.Word.Zone), State: state,
 		Size: float64(max(c.Word.Capacity, 1)), Service: h.stock.service(c.Word.Service), Cold: c.ColdUntil}})
 	if state == control.Gone {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -320,15 +320,15 @@
 	}
 }
 
-// Cut makes ready to take the body in parts, once the head is whole: from the next call on, Part is shown what comes
-// behind the head, which may be forgotten but for its headers: these are found in a copy.
+// Cut makes ready to take the body in parts, once the head is whole: from the next call on, Part is shown
+// what comes behind the head, which may be forgotten but for its headers: these are found in a copy.
 func (r *Reader) Cut() {
 	r.at -= r.seen
 	r.body.from, r.body.to = 0, r.body.to-r.seen
 }
 
-// Part gives what of the body is there, and how many bytes it took: the next call is shown what comes behind them. A
-// chunked body is put together in place.
+// Part gives what of the body is there, and how many bytes it took: the next call is shown what comes
+// behind them. A chunked body is put together in place.
 func (r *Reader) Part(b []byte) (part []byte, used int, whole bool, err error) {
 	if r.chunked {
 		if whole, err = r.chunks(b); err != nil {
@@ -347,7 +347,8 @@
 	return part, used, whole, nil
 }
 
-// Done tells that the whole message was read; Some how much of its body has been put together and not given by Part.
+// Done tells that the whole message was read; Some how much of its body has been put together and not given
+// by Part.
 func (r *Reader) Done() bool { return r.state == done }
 func (r *Reader) Some() int  { return r.body.to - r.body.from }
 
@@ -366,8 +367,8 @@
 	return r.seen, true
 }
 
-// Framed tells how the body's end is told, once the head is whole: by chunks, by a length, or by neither: then there is
-// no body. A length is told as well for what has no body after all, an answer to HEAD.
+// Framed tells how the body's end is told, once the head is whole: by chunks, by a length, or by neither:
+// then there is no body. A length is told as well for what has no body after all, an answer to HEAD.
 func (r *Reader) Framed() (length int, given, chunked bool) { return r.length, r.given, r.chunked }
 
 // Each walks over all headers in order.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -150,3 +150,52 @@
 		}
 	})
 }
+
+// parts shows a reader the bytes as they come, and takes the body in parts as soon as the head is whole.
+func parts(text string, step int) (body []byte, rest int, whole bool, err error) {
+	r := Requests()
+	var b []byte
+	cut := false
+	for at := 0; at < len(text) || at == 0; at += step {
+		b = append(b, text[at:min(at+step, len(text))]...)
+		if !cut {
+			size, done, err := r.Read(b)
+			if done || err != nil {
+				return bytes.Clone(r.Body(b)), len(text) - size, done, err
+			}
+			if head, ok := r.Headed(); ok {
+				cut, b = true, b[head:]
+				r.Cut()
+			}
+		}
+		if cut {
+			part, used, done, err := r.Part(b)
+			if err != nil {
+				return body, 0, false, err
+			}
+			body = append(body, part...)
+			if b = b[used:]; done {
+				return body, len(b) + max(len(text)-at-step, 0), true, nil
+			}
+		}
+	}
+	return body, 0, false, nil
+}
+
+// A body taken in parts is the one that is read whole, however the bytes are cut.
+func FuzzParts(f *testing.F) {
+	for i, text := range requests {
+		f.Add(text, i+1)
+	}
+	f.Fuzz(func(t *testing.T, text string, step int) {
+		r, b := Requests(), []byte(text)
+		size, whole, err := r.Read(b)
+		body, rest, whole2, err2 := parts(text, max(step, 1))
+		if err == nil && err2 == nil && whole && (!whole2 || !bytes.Equal(r.Body(b), body) || rest != len(text)-size) {
+			t.Fatalf("whole %q and %d left, in parts %q and %d left", r.Body(b), len(text)-size, body, rest)
+		}
+		if (err == ErrFraming || err == ErrBody) && err2 == nil && whole2 {
+			t.Fatalf("%v, and none in parts", err)
+		}
+	})
+}
--- a/internal/intake/flow.go
+++ b/internal/intake/flow.go
@@ -25,15 +25,15 @@
 	c.head = append(c.head[:0], b[:size]...)
 	c.r.Cut()
 	c.l.In.Drop(size)
-	c.l.Bound(streamRing)
+	c.l.In.Bound(streamRing)
 	c.l.In.Hold(true)
 	c.flows, c.busy, c.size, c.last = true, true, 0, c.r.Closes || c.in.draining || c.in.crowded()
 	c.in.form.Take(c)
 	return true
 }
 
-// final makes the answer to a message whose body was not taken to its end the connection's last: nobody knows where the
-// next message would begin.
+// final makes the answer to a message whose body was not taken to its end the connection's last: nobody
+// knows where the next message would begin.
 func (c *Client) final() { c.last = c.last || c.flows && !c.r.Done() }
 
 // unflow ends the taking in parts.
@@ -43,7 +43,7 @@
 	}
 	c.flows = false
 	c.l.In.Hold(false)
-	c.l.Bound(c.in.bounds.Raw)
+	c.l.In.Bound(c.in.bounds.Raw)
 	if cap(c.head) > leastHead {
 		c.head = nil
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,5 @@
-// Package intake takes callers' connections, reads their messages and writes the answers. What a message means is its
-// Form's affair: clients' txns, calls of control.
+// Package intake takes callers' connections, reads their messages and writes the answers. What a message
+// means is its Form's affair: clients' txns, calls of control.
 package intake
 
 import (
@@ -14,15 +14,15 @@
 
 // Form is what messages mean. All its methods are called in a turn.
 type Form interface {
-	// Take takes a whole message. It is answered by Reject or Answer at once, or held for an answer that comes later.
-	// What c.Request gives is there until the answer.
+	// Take takes a whole message. It is answered by Reject or Answer at once, or held for an answer that comes
+	// later. What c.Request gives is there until the answer.
 	Take(c *Client)
 	// Left: the client that waited for a txn that is held has gone away.
 	Left(txn slots.Ref)
 }
 
-// Streamer is a form that takes messages of which only the head and a part of the body are there (Client.Flows), and
-// may answer in parts.
+// Streamer is a form that takes messages of which only the head and a part of the body are there
+// (Client.Flows), and may answer in parts.
 type Streamer interface {
 	Form
 	// More: more of the body has come, or more of the answer may go.
@@ -112,7 +112,8 @@
 	in.streams, _ = f.(Streamer)
 }
 
-// Bound changes the bounds, for messages and connections that begin from now on, and waits that are under way.
+// Bound changes the bounds, for messages and connections that begin from now on, and waits that are under
+// way.
 func (in *Intake) Bound(b Bounds) { in.bounds = b.filled() }
 
 // Accept takes a new connection. When as many as may be are open, one that does nothing goes.
@@ -200,8 +201,8 @@
 	answering bool
 }
 
-// Request is the present message: its reader, and the bytes that this was shown. Where the body is taken in parts, the
-// head alone is there.
+// Request is the present message: its reader, and the bytes that this was shown. Where the body is taken in
+// parts, the head alone is there.
 func (c *Client) Request() (*http1.Reader, []byte) {
 	if c.flows {
 		return &c.r, c.head
@@ -230,8 +231,8 @@
 	return true
 }
 
-// Hold keeps the message for an answer that comes later. txn is what the form is told of when the client leaves (0:
-// nothing), id what the message is called.
+// Hold keeps the message for an answer that comes later. txn is what the form is told of when the client
+// leaves (0: nothing), id what the message is called.
 func (c *Client) Hold(txn slots.Ref, id string) {
 	c.txn = txn
 	if !c.claimed {
@@ -245,8 +246,8 @@
 // Closes makes the present message the connection's last.
 func (c *Client) Closes() { c.last = true }
 
-// Answer writes the answer to the present message; write adds it to the bytes it is given, and tells its reader if
-// this is the connection's last.
+// Answer writes the answer to the present message; write adds it to the bytes it is given, and tells its
+// reader if this is the connection's last.
 func (c *Client) Answer(write func(b []byte, last bool) []byte) {
 	c.final()
 	c.finish(write(c.in.scratch[:0], c.last))
@@ -261,8 +262,8 @@
 // Ticket names the present message.
 func (c *Client) Ticket() Ticket { return Ticket{c.me, c.nr} }
 
-// Answer answers a message that was held, as the Client's Answer does. It tells whether its client still waits: nobody
-// else ever gets it.
+// Answer answers a message that was held, as the Client's Answer does. It tells whether its client still
+// waits: nobody else ever gets it.
 func (in *Intake) Answer(t Ticket, write func(b []byte, last bool) []byte) bool {
 	c := in.clients.Get(t.who)
 	if c == nil || !c.busy || c.nr != t.nr {
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -17,9 +17,9 @@
 // first four bytes of an address as Go keeps it, sixteen bytes, and so connects to 0.0.0.0.
 var dialer = net.Dialer{KeepAlive: -1}
 
-// Silence sets how long bytes that were sent on a dialed connection may stay without the other side's word that they
-// came, before the connection counts as broken: a machine without power, or behind a cut, says nothing. 0: as the
-// system has it.
+// Silence sets how long bytes that were sent on a dialed connection may stay without the other side's word
+// that they came, before the connection counts as broken: a machine without power, or behind a cut, says
+// nothing. 0: as the system has it.
 func (e *Engine) Silence(most time.Duration) { e.silence = most }
 
 // silent sets that on a socket before it connects.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -43,6 +43,7 @@
 	written atomic.Int64 // of these, written to the socket
 	waits   atomic.Bool  // some are not yet
 	trail   int          // a descriptor of its own for the socket, while it is to be read to its end; 0: none
+	over    bool         // the other side has ended, and what waits of its bytes is still to be taken
 	ended   bool         // the poller has closed its own
 	unsent  int          // bytes that an error kept from the socket
 	closed  bool
@@ -57,15 +58,16 @@
 	return &Link{e: e, In: ring.New(leastRing, e.bound, &e.spare), out: ring.New(leastRing, 2*e.bound, nil)}
 }
 
-// Bound changes how many bytes wait on it at the most: so many of what comes in, twice as many of what goes out.
+// Bound changes how many bytes wait on it at the most: so many of what comes in, twice as many of what goes
+// out.
 func (l *Link) Bound(most int) {
 	l.In.Bound(most)
 	l.out.Bound(2 * most)
 }
 
-// Trail reads on to the end of what was sent though the other side has ended, as long as a stream of bytes passes
-// through: the poller closes at once, and what the ring had no room for would be lost. Trail(false) tells whether the
-// other side is still there.
+// Trail reads on to the end of what was sent though the other side has ended, as long as a stream of bytes
+// passes through: the poller closes at once, and what the ring had no room for would be lost. Trail(false)
+// tells whether the other side is still there.
 func (l *Link) Trail(on bool) bool {
 	l.In.Hold(on)
 	if !on {
@@ -137,9 +139,7 @@
 	for got := false; !l.closed && l.dropped < dropMost; {
 		free := l.In.Free()
 		if l.more = free == nil; l.more { // the ring's bound: the rest waits in the socket
-			if got && l.owner != nil {
-				l.owner.Data()
-			}
+			l.show(got)
 			return
 		}
 		n, err := l.recv(free)
@@ -149,8 +149,8 @@
 				continue
 			}
 			l.In.Took(n)
-			if got = true; l.In.Len()-shown >= showEvery && l.owner != nil {
-				l.owner.Data() // a message that can't be taken is found out before it has filled the ring
+			if got = true; l.In.Len()-shown >= showEvery {
+				l.show(true) // a message that can't be taken is found out before it has filled the ring
 				shown = l.In.Len()
 			}
 			if n == len(free) {
@@ -161,9 +161,7 @@
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
-		if got && l.owner != nil {
-			l.owner.Data()
-		}
+		l.show(got)
 		if n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) {
 			l.end()
 		}
@@ -171,15 +169,26 @@
 	}
 }
 
-// end: no more comes. What has come and is still to be taken along a trail is waited for, as if the ring were full.
+// show tells the owner of what has come, unless it closed the connection over what it saw before.
+func (l *Link) show(got bool) {
+	if got && !l.closed && l.owner != nil {
+		l.owner.Data()
+	}
+}
+
+// end: no more comes. What has come and is still to be taken along a trail is waited for, as if the ring
+// were full.
 func (l *Link) end() {
 	if l.trail > 0 && l.In.Len() > 0 && !l.closed {
-		l.more = true
+		l.more, l.over = true, true
 		return
 	}
 	l.lost()
 }
 
+// Over tells that nothing more comes than what waits.
+func (l *Link) Over() bool { return l.over }
+
 // Full tells that no more can be read until some is dropped: the ring's own bound, or that of all of them.
 func (l *Link) Full() bool { return l.more }
 
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -7,8 +7,8 @@
 	"github.com/lesismal/nbio"
 )
 
-// ear is one address that is listened on. Once deaf it keeps its acceptor waiting until the end: the poller would
-// else ask it for connections without end.
+// ear is one address that is listened on. Once deaf it keeps its acceptor waiting until the end: the poller
+// would else ask it for connections without end.
 type ear struct {
 	net.Listener
 	addr   string
@@ -26,8 +26,8 @@
 	return a
 }
 
-// Listen listens on one more address, whose connections go to accept, each in a turn. It is called before Start, and
-// fails as a socket does that can't be bound.
+// Listen listens on one more address, whose connections go to accept, each in a turn. It is called before
+// Start, and fails as a socket does that can't be bound.
 func (e *Engine) Listen(addr string, accept func(*Link)) error {
 	return e.hear(addr, accept).open()
 }
