Quota: quiet reporters of used-up buckets count as out of reach; the bound is written

Cause: the bound derived for doors cut off under a hot tenant passed the rule's slack by more than a burst, since a cut is told 2.2 s late and a cut door could save up its share of the burst beside its allowance.

--- a/control/books.go
+++ b/control/books.go
@@ -292,9 +292,9 @@
 //
 // By parts, what all gateways spend together is bounded beside the ordinary path. A gateway that hears nothing of
 // an owner that it has asked spends at most rate/gateways a second of each customer's units, from nothing, and saves
-// up no more than burst/gateways, or one unit; before that, its allowance. With Reach told, the owner beside it has so
+// up no more than half of burst/gateways, or one unit; before that, its allowance. With Reach told, the owner beside it has so
 // much less. Use without the owner's word is paid back, up to a second of the rate. With k of n gateways cut off for
-// the time t and Reach told after s, all spend at most rate x t + burst, and once: k/n x (2 burst + rate x s).
+// the time t and Reach told after s, all spend at most rate x t + burst, and once: k/n x (1.5 burst + rate x s).
 //
 // Otherwise the terms are Door's: a gateway alone spends its share of the burst at once, and then the rate over those
 // gateways that it does not know to be lost. Over all gateways that may be twice the quota and more.
@@ -726,7 +726,7 @@
 // starts empty at each question, so that neither a restart nor a cut that comes and goes brings a fresh one.
 func (q *Quota) aloneNow(a *account) float64 {
 	n := float64(q.gateways)
-	a.alone = min(max(a.limit.burst/n, 1), a.alone+a.limit.rate/n*(q.now-a.aloneAt).Seconds())
+	a.alone = min(max(a.limit.burst/n/2, 1), a.alone+a.limit.rate/n*(q.now-a.aloneAt).Seconds())
 	a.aloneAt = q.now
 	return a.alone
 }
--- a/control/quota.go
+++ b/control/quota.go
@@ -14,6 +14,7 @@
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
+	quietFor    = 1000 * ms // and one that reports of a used-up bucket, for its part of the rate
 	reporterFor = 2 * time.Second
 	debtMost    = 1 * time.Second // of the rate
 	goneFor     = 1 * time.Minute // a customer no longer metered is remembered
@@ -178,12 +179,21 @@
 	return Beyond, time.Duration((q.need(a, w) - max(0, a.level-pending)) / a.limit.rate * float64(time.Second))
 }
 
-// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone.
+// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone. When a bucket is used
+// up, its reporters speak many times a second: one that says nothing for long is taken as out of reach before it is told.
 func (q *Quota) rate(a *account) float64 {
 	if !q.terms.Parts {
 		return a.limit.rate
 	}
-	return a.limit.rate * float64(q.reach) / float64(q.gateways)
+	quiet := 0
+	if a.level < 1 {
+		for _, r := range a.reports {
+			if q.now-r.at < idleAfter && q.now-max(r.at, q.peers[r.from].heard, q.stallTo) > quietFor {
+				quiet++
+			}
+		}
+	}
+	return a.limit.rate * float64(max(1, min(q.reach, q.gateways-quiet))) / float64(q.gateways)
 }
 
 // silent tells that an owner was asked and that nothing was heard of it for as long as a healthy one takes.
