Heartbeats go to three watchers on a ring; another life of a door is dialed at once

Need: every door told every other that it lives, 9,000 frames in 0.7 s on the grown fleet, most of its bytes between zones. Causes met on the way: dials to a dark machine hung 0.6 s after it was back, an idle link to an earlier life of a door looked well, and a bucket kept its rate low while seldom reporters counted as quiet. Change: doors with a disk watch, by the ring, tell each other whom they hear and their followers who lives; an opening with another life ends the old link and its dials; only who reports often can be quiet; a later seed founds where the earlier ones have lived before, with more than half of the seeds.

--- a/control/books.go
+++ b/control/books.go
@@ -123,6 +123,7 @@
 	wanted float64 // units that a txn waits for
 	units  float64 // told that it may spend them, and not yet reported
 	told   time.Duration
+	every  time.Duration // between its reports, smoothed
 }
 
 // peer is another gateway.
@@ -438,7 +439,7 @@
 			return r
 		}
 	}
-	r := &report{from: from, at: -reporterFor}
+	r := &report{from: from, at: -reporterFor, every: idleAfter}
 	a.reports = append(a.reports, r)
 	return r
 }
@@ -528,6 +529,7 @@
 		}
 		q.refill(a)
 		r := a.report(p.id)
+		r.every += (min(q.now-r.at, idleAfter) - r.every) / 5
 		if r.at = q.now; m.seq == p.high {
 			r.out, r.wanted = l.out, l.wanted
 		}
--- a/control/quota.go
+++ b/control/quota.go
@@ -14,7 +14,8 @@
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
-	quietFor    = 1000 * ms // and one that reports of a used-up bucket, for its part of the rate
+	quietFor    = 1000 * ms // and one that reports of a used-up bucket, for its part of the rate,
+	quietTimes  = 8         // if that is so many times its usual span
 	reporterFor = 2 * time.Second
 	debtMost    = 1 * time.Second // of the rate
 	goneFor     = 1 * time.Minute // a customer no longer metered is remembered
@@ -180,7 +181,8 @@
 }
 
 // rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone. When a bucket is used
-// up, its reporters speak many times a second: one that says nothing for long is taken as out of reach before it is told.
+// up, those that have much to report and say nothing for long are taken as out of reach before that is told. Who seldom
+// reports says nothing by it: taken as silent, it would keep a small bucket empty for ever.
 func (q *Quota) rate(a *account) float64 {
 	if !q.terms.Parts {
 		return a.limit.rate
@@ -188,7 +190,8 @@
 	quiet := 0
 	if a.level < 1 {
 		for _, r := range a.reports {
-			if q.now-r.at < idleAfter && q.now-max(r.at, q.peers[r.from].heard, q.stallTo) > quietFor {
+			late := max(quietFor, quietTimes*r.every)
+			if q.now-r.at < idleAfter && q.now-max(r.at, q.peers[r.from].heard, q.stallTo) > late {
 				quiet++
 			}
 		}
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -35,6 +35,7 @@
 type Hello struct {
 	Door  Door
 	Known []string // addresses of other doors
+	Begun bool     // one that it has met holds a state of the core
 }
 
 // Founder is a door that begins the core.
@@ -81,6 +82,7 @@
 type door struct {
 	Door
 	met   bool // it said hello in its present life
+	knows bool // of one that holds a state of the core
 	up    bool // our link to it
 	heard time.Duration
 	known time.Duration
@@ -94,6 +96,7 @@
 	terms     Terms
 	doors     map[string]*door
 	seats     map[string]Seat
+	opinions  map[string]opinion
 	order     []Seated
 	ready     []Action
 	looked    time.Duration
@@ -108,7 +111,7 @@
 
 // New makes one that knows its seeds.
 func New(me Door, t Terms, now time.Duration) *Company {
-	c := &Company{now: now, born: now, me: me, terms: t, doors: map[string]*door{}, seats: map[string]Seat{},
+	c := &Company{now: now, born: now, me: me, terms: t, doors: map[string]*door{}, seats: map[string]Seat{}, opinions: map[string]opinion{},
 		looked: now, lastDisk: now}
 	for _, s := range t.Seeds {
 		c.learn(s)
@@ -138,15 +141,13 @@
 func (c *Company) do(a Action) { c.ready = append(c.ready, a) }
 
 func (c *Company) learn(addr string) *door {
-	if addr == c.me.Addr || addr == "" || len(c.doors) >= doorsMost {
-		return nil
-	}
 	d := c.doors[addr]
-	if d == nil {
-		d = &door{Door: Door{Addr: addr}, heard: c.now - silentFor, known: c.now}
-		c.doors[addr] = d
-		c.do(Action{Verb: Want, Addr: addr})
+	if d != nil || addr == c.me.Addr || addr == "" || len(c.doors) >= doorsMost {
+		return d
 	}
+	d = &door{Door: Door{Addr: addr}, heard: c.now - silentFor, known: c.now}
+	c.doors[addr] = d
+	c.do(Action{Verb: Want, Addr: addr})
 	return d
 }
 
@@ -158,6 +159,7 @@
 	if d := c.doors[addr]; d != nil {
 		d.up = true
 		c.do(Action{Verb: Greet, Addr: addr})
+		c.look() // its hello may have come before
 	}
 }
 
@@ -170,8 +172,7 @@
 
 // Heard: something came from a door.
 func (c *Company) Heard(addr string) {
-	if d := c.learn(addr); d != nil || c.doors[addr] != nil {
-		d = c.doors[addr]
+	if d := c.learn(addr); d != nil {
 		d.heard = c.now
 		if !d.live {
 			c.look()
@@ -189,8 +190,12 @@
 		c.lastDisk = c.now
 	}
 	again := d.met && d.Life != h.Door.Life
-	d.Door, d.met, d.heard = h.Door, true, c.now
+	begun := c.begun()
+	d.Door, d.met, d.knows, d.heard = h.Door, true, h.Begun, c.now
 	d.Addr = from
+	if begun != c.begun() {
+		c.warn()
+	}
 	for _, a := range h.Known {
 		c.learn(a)
 	}
@@ -200,6 +205,25 @@
 	c.look()
 }
 
+// begun tells whether a door that was met holds a state of the core.
+func (c *Company) begun() bool {
+	for _, d := range c.doors {
+		if d.met && d.Founded {
+			return true
+		}
+	}
+	return false
+}
+
+// warn tells the seeds that may still begin the core whether another one has: they may not reach it themselves.
+func (c *Company) warn() {
+	for _, a := range c.terms.Seeds {
+		if d := c.doors[a]; d != nil && d.up && d.met && d.First && !d.Founded {
+			c.do(Action{Verb: Greet, Addr: a})
+		}
+	}
+}
+
 // Seats takes the order of seats as the core has it.
 func (c *Company) Seats(order []Seated) {
 	c.order = order
@@ -272,13 +296,13 @@
 }
 
 // Say is this door's hello.
-func (c *Company) Say() Hello { return Hello{Door: c.me, Known: c.Addrs()} }
+func (c *Company) Say() Hello { return Hello{Door: c.me, Known: c.Addrs(), Begun: c.begun()} }
 
 // look works out who is live.
 func (c *Company) look() {
 	c.looked = c.now
 	for a, d := range c.doors {
-		live := d.up && d.met && c.now-d.heard < silentFor
+		live := d.up && d.met && (c.hears(a) || c.told(c.Seat(a)))
 		if live != d.live {
 			d.live, c.changed = live, true
 		}
@@ -291,9 +315,10 @@
 }
 
 // found begins the core at the first start of all: the first seed does, once no further door with a disk comes. Only
-// where the seeds before are silent does the next one. Doors that have a state take no such word, and nobody begins
-// anything where one that is met has a state. Who begins it is settled once in a life; the word goes again to those
-// that have not written it down, since a link may have lost it.
+// where the seeds before are silent, or have lived before, does the next one. Doors that have a state take no such
+// word, and nobody begins anything where one that is met has a state or knows of one that has, or without more than half of the seeds: two
+// halves must not found two systems. Who begins it is settled once in a life; the word goes again to those that have not
+// written it down, since a link may have lost it.
 func (c *Company) found() {
 	if c.founders == nil && !c.begin() || c.now-c.foundAt < foundAgain && c.foundAt > 0 {
 		return
@@ -310,24 +335,34 @@
 // begin tells whether this door is to begin the core now, and names the founders.
 func (c *Company) begin() bool {
 	rank := slices.Index(c.terms.Seeds, c.me.Addr)
-	if !c.me.First || c.me.Founded || rank < 0 || c.now-c.born < time.Duration(rank)*foundNext {
+	turn := time.Duration(rank) * foundNext
+	if !c.me.First || c.me.Founded || rank < 0 || c.now-c.born < turn {
 		return false
 	}
 	var with []Founder
 	if c.me.Disk != 0 {
 		with = append(with, Founder{c.me.Disk, c.me.Addr})
 	}
+	seeds := 0
+	for _, a := range c.terms.Seeds {
+		if c.Live(a) {
+			seeds++
+		}
+	}
+	if 2*seeds <= len(c.terms.Seeds) {
+		return false
+	}
 	for a, d := range c.doors {
-		if d.met && d.Founded || slices.Contains(c.terms.Seeds[:rank], a) && d.met {
+		if d.met && (d.Founded || d.knows) || slices.Contains(c.terms.Seeds[:rank], a) && d.live && d.First {
 			return false // it has begun, or is for a seed before to begin
 		}
-		if d.met && d.Disk != 0 && d.First {
+		if d.met && d.Disk != 0 { // it is empty, whichever life this is
 			with = append(with, Founder{d.Disk, a})
 		}
 	}
 	need := 2*c.terms.Tolerates + 1
 	calm := c.now-c.lastDisk >= foundCalm && c.now-c.born >= foundCalm
-	if len(with) == 0 || !calm || len(with) < need && c.now-c.born < foundMost {
+	if len(with) == 0 || !calm || len(with) < need && c.now-c.born < foundMost+turn {
 		return false
 	}
 	slices.SortFunc(with, func(a, b Founder) int { return strings.Compare(a.Addr, b.Addr) })
--- /dev/null
+++ b/internal/company/company_test.go
@@ -0,0 +1,386 @@
+package company
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const ms = time.Millisecond
+
+// event is one input to a company.
+type event func(*Company)
+
+// interleave tries all orders of several sequences, each of which keeps its own.
+func interleave(seqs [][]event, try func([]event)) {
+	var order []event
+	var step func()
+	step = func() {
+		done := true
+		for i, s := range seqs {
+			if len(s) == 0 {
+				continue
+			}
+			done = false
+			order, seqs[i] = append(order, s[0]), s[1:]
+			step()
+			order, seqs[i] = order[:len(order)-1], s
+		}
+		if done {
+			try(order)
+		}
+	}
+	step()
+}
+
+func drain(c *Company) (all []Action) {
+	for {
+		a, ok := c.Next()
+		if !ok {
+			return all
+		}
+		all = append(all, a)
+	}
+}
+
+func count(all []Action, v Verb, addr string) (n int) {
+	for _, a := range all {
+		if a.Verb == v && a.Addr == addr {
+			n++
+		}
+	}
+	return n
+}
+
+// A link comes and goes on its own, and what the other door says comes on another: whatever the order between doors,
+// and between a door's hellos and our link to it, the same doors are live in the end.
+func TestOrdersEndAlike(t *testing.T) {
+	hello := func(a string, disk Disk, life uint64, known ...string) event {
+		return func(c *Company) {
+			c.Hello(a, Hello{Door{Name: a, Addr: "elsewhere", Disk: disk, Life: life}, known, false})
+		}
+	}
+	up := func(a string) event { return func(c *Company) { c.Up(a) } }
+	down := func(a string) event { return func(c *Company) { c.Down(a) } }
+	tries, first := 0, ""
+	interleave([][]event{{hello("a", 1, 1, "b", "x"), up("a")}, {down("b"), up("b")},
+		{hello("b", 2, 1), hello("b", 3, 2)}, {up("d"), down("d")}, {hello("d", 4, 1)}}, func(order []event) {
+		c := New(Door{Addr: "me", Disk: 9}, Terms{Seeds: []string{"me", "a", "b", "d"}, Tolerates: 1}, 0)
+		var did []Action
+		for _, e := range order {
+			e(c)
+			did = append(did, drain(c)...)
+		}
+		var live []string
+		for _, a := range c.Addrs() {
+			if c.Live(a) {
+				live = append(live, a)
+			}
+		}
+		end := fmt.Sprint(live, c.Addrs(), c.Disks(), count(did, Want, "x"), count(did, Greet, "a"), count(did, Greet, "b"),
+			did[len(did)-1].Verb >= 0)
+		if tries++; tries == 1 {
+			must.Eq(t, []string{"a", "b"}, live)
+			must.Eq(t, []Door{{Name: "a", Addr: "a", Disk: 1, Life: 1}, {Name: "b", Addr: "b", Disk: 3, Life: 2},
+				{Addr: "me", Disk: 9}}, slices.SortedFunc(slices.Values(c.Disks()), func(a, b Door) int {
+				return strings.Compare(a.Addr, b.Addr)
+			}))
+			first = end
+		}
+		must.Eq(t, first, end)
+	})
+	must.Eq(t, 22680, tries)
+}
+
+// actor is a door in a small world of doors that say hello, found, die and come back.
+type actor struct {
+	*Company
+	me   Door
+	dead bool
+	up   map[string]bool
+	took []Founder // what its disk holds: the first word of a founding that it was told
+}
+
+type world struct {
+	now    time.Duration
+	terms  Terms
+	actors map[string]*actor
+	names  []string
+	joins  func(a, b string) bool     // they reach each other now
+	loses  func(from, to string) bool // a Found is lost
+	told   map[string]bool            // all lists of founders that were told
+	by     []string                   // who began, in order
+}
+
+func newWorld(seeds string, disks ...string) *world {
+	w := &world{terms: Terms{Seeds: strings.Split(seeds, ""), Tolerates: 1}, actors: map[string]*actor{}, told: map[string]bool{},
+		joins: func(string, string) bool { return true }, loses: func(string, string) bool { return false }}
+	for i, n := range disks {
+		w.start(n, Disk(i+1), true)
+	}
+	return w
+}
+
+// start begins a life of a door; its disk keeps what it took.
+func (w *world) start(name string, disk Disk, first bool) *actor {
+	a := w.actors[name]
+	if a == nil {
+		a = &actor{}
+		w.actors[name] = a
+		w.names = append(w.names, name)
+	}
+	a.me = Door{Name: name, Addr: name, Disk: disk, First: first, Life: uint64(w.now) + 1, Founded: a.took != nil}
+	a.Company, a.dead, a.up = New(a.me, w.terms, w.now), false, map[string]bool{}
+	return a
+}
+
+func (w *world) reach(a, b string) bool {
+	x := w.actors[b]
+	return x != nil && !x.dead && !w.actors[a].dead && w.joins(a, b)
+}
+
+// step lets a fifth of a second pass.
+func (w *world) step() {
+	w.now += 200 * ms
+	for _, n := range w.names {
+		a := w.actors[n]
+		if a.dead {
+			continue
+		}
+		a.Now(w.now)
+		for _, to := range a.Addrs() {
+			if is := w.reach(n, to); is != a.up[to] {
+				if a.up[to] = is; is {
+					a.Up(to)
+				} else {
+					a.Down(to)
+				}
+			}
+			if w.reach(to, n) && w.actors[to].up[n] && slices.Contains(w.actors[to].Watchers(), n) {
+				a.Heard(to)
+			}
+		}
+	}
+	for again := true; again; {
+		again = false
+		for _, n := range w.names {
+			a := w.actors[n]
+			for _, do := range drain(a.Company) {
+				if again = true; do.Verb == Found {
+					w.found(n, do)
+				}
+				if do.Verb == Greet && w.reach(n, do.Addr) {
+					w.actors[do.Addr].Hello(n, a.Say())
+				}
+			}
+		}
+	}
+}
+
+func (w *world) found(from string, do Action) {
+	if list := fmt.Sprint(do.Founders); !w.told[list] {
+		w.told[list], w.by = true, append(w.by, from)
+	}
+	to := w.actors[do.Addr]
+	if from != do.Addr && (!w.reach(from, do.Addr) || w.loses(from, do.Addr)) || to.took != nil {
+		return
+	}
+	for _, f := range do.Founders {
+		if f.Disk == to.Me().Disk {
+			to.took = do.Founders
+			to.Settle(f.Disk, true)
+		}
+	}
+}
+
+func (w *world) until(t time.Duration) *world {
+	for w.now < t {
+		w.step()
+	}
+	return w
+}
+
+// systems counts the lists of founders that a majority of them holds.
+func (w *world) systems() (n int) {
+	holds := map[string]int{}
+	for _, a := range w.actors {
+		if a.took != nil {
+			list := fmt.Sprint(a.took)
+			if holds[list]++; holds[list] == len(a.took)/2+1 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Three doors with disks and one without meet: the first seed begins the core, once, with all of them, and says it
+// again where the word was lost.
+func TestFirstSeedFounds(t *testing.T) {
+	w := newWorld("abc", "a", "b", "c")
+	w.start("d", 0, true)
+	lost := 0
+	w.loses = func(_, to string) bool {
+		lost++
+		return to == "c" && lost < 4
+	}
+	w.until(400 * ms)
+	must.MapEmpty(t, w.told)
+	w.until(2 * time.Second)
+	must.Eq(t, []string{"a"}, w.by)
+	all := []Founder{{1, "a"}, {2, "b"}, {3, "c"}}
+	must.Eq(t, all, w.actors["b"].took)
+	must.SliceEmpty(t, w.actors["c"].took)
+	w.until(8 * time.Second)
+	must.Eq(t, all, w.actors["c"].took)
+	must.SliceEmpty(t, w.actors["d"].took)
+	must.Eq(t, []string{"a"}, w.by)
+	said := lost
+	w.until(20 * time.Second) // all have it: nothing is said again
+	must.Eq(t, said, lost)
+}
+
+// Whose turn it is: the next seed begins only where the one before was never there, is gone, or has lived before; and
+// nobody does where one that was met holds a state.
+func TestWhoseTurn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		seeds string
+		do    func(w *world)
+		by    string // who began
+		size  int    // of the list
+	}{
+		{"the first is never there", "abc", func(w *world) { w.actors["a"].dead = true }, "b", 2},
+		{"the first dies early", "abc", func(w *world) { w.until(200 * ms).actors["a"].dead = true }, "b", 3},
+		{"it comes back with a new life", "abc", func(w *world) {
+			w.until(200 * ms).actors["a"].dead = true
+			w.until(1000*ms).start("a", 1, false)
+		}, "b", 3},
+		{"it comes back late, while it is waited for", "abc", func(w *world) {
+			w.actors["a"].dead = true
+			w.until(2200*ms).start("a", 1, true)
+		}, "a", 3},
+		{"it comes back with a state", "abc", func(w *world) {
+			w.until(200 * ms).actors["a"].dead = true
+			w.actors["a"].took = []Founder{{1, "a"}}
+			w.until(1000*ms).start("a", 1, false)
+		}, "", 0},
+		{"another holds a state", "abc", func(w *world) {
+			w.actors["c"].took = []Founder{{3, "c"}}
+			w.start("c", 3, false)
+		}, "", 0},
+		{"two are never there", "abc", func(w *world) { w.actors["a"].dead, w.actors["b"].dead = true, true }, "", 0},
+		{"no seed has a disk to found with", "def", func(w *world) {
+			for _, n := range []string{"d", "e", "f"} {
+				w.start(n, 0, true)
+			}
+			w.actors["d"].dead, w.actors["c"].dead = true, true
+		}, "e", 2},
+		{"a seed without a disk hears two that do not hear each other", "abf", func(w *world) {
+			w.start("f", 0, true)
+			w.start("d", 4, true)
+			w.joins = func(a, b string) bool { return strings.Contains("af fa bf fb ad da bc cb", a+b) }
+		}, "a", 2},
+		{"one seed, and it is alone", "a", func(w *world) { w.joins = func(a, b string) bool { return false } }, "a", 1},
+		{"all seeds are the same", "bbb", func(*world) {}, "b", 3},
+	} {
+		w := newWorld(c.seeds, "a", "b", "c")
+		c.do(w)
+		w.until(12 * time.Second)
+		by := strings.Join(w.by, "")
+		must.Eq(t, c.by, by, must.Sprint(c.name))
+		for list := range w.told {
+			must.Eq(t, c.size, strings.Count(list, "{"), must.Sprint(c.name))
+		}
+	}
+}
+
+// However three seeds and another door with a disk come to reach each other, whichever words of a founding are lost,
+// and whether or not the first seed dies on the way: no two systems have a majority; one has once all reach each other,
+// unless the first seed alone wrote its founding down and forgot whom to tell.
+func TestHalvesFoundOneSystem(t *testing.T) {
+	const far = time.Hour
+	at := []time.Duration{0, 1600 * ms, 6 * time.Second, far} // when two of the seeds first reach each other
+	tries := 0
+	for meet := range 64 * 3 {
+		when := map[string]time.Duration{"ab": at[meet&3], "ac": at[meet>>2&3], "bc": at[meet>>4&3],
+			"ad": at[2], "bd": at[2], "cd": at[2]}
+		when[[]string{"ad", "bd", "cd"}[meet>>6]] = 0
+		for _, dies := range []time.Duration{far, 400 * ms, 3400 * ms} {
+			lossy := tries%2 > 0
+			w := newWorld("abc", "a", "b", "c", "d")
+			w.joins = func(a, b string) bool { return w.now >= min(when[min(a, b)+max(a, b)], 10*time.Second) }
+			w.loses = func(_, to string) bool { return lossy && w.now < 7*time.Second && to != "d" }
+			alone := false
+			for w.now < 14*time.Second {
+				w.step()
+				must.LessEq(t, 1, w.systems(), must.Sprintf("meet %o, dies %v: %v", meet, dies, w.by))
+				if a := w.actors["a"]; w.now == dies {
+					a.dead = true
+					alone = a.took != nil && w.systems() == 0
+				} else if w.now == dies+800*ms {
+					w.start("a", 1, false)
+				}
+			}
+			if tries++; !alone {
+				must.Eq(t, 1, w.systems(), must.Sprintf("meet %o, dies %v: %v", meet, dies, w.by))
+			}
+		}
+	}
+}
+
+// A door that says nothing is not live, one that is not heard for long is forgotten, and a seed or one with a seat is not.
+func TestSilence(t *testing.T) {
+	c := New(Door{Addr: "me"}, Terms{Seeds: []string{"s"}}, 0)
+	for _, a := range []string{"s", "x", "y"} {
+		c.Hello(a, Hello{Door: Door{Name: a, Life: 1}})
+		c.Up(a)
+	}
+	c.Seats([]Seated{{Addr: "me"}, {Addr: "y"}})
+	must.Eq(t, 1, count(drain(c), Changed, ""))
+	must.Eq(t, Seat(1), c.Seat("y"))
+	must.Eq(t, NoSeat, c.Seat("x"))
+	_, there := c.At(2)
+	must.False(t, there)
+	for at := time.Duration(0); at < silentFor; at += 100 * ms {
+		c.Now(at)
+		c.Heard("x")
+		must.SliceEmpty(t, drain(c))
+	}
+	c.Now(silentFor)
+	must.Eq(t, 1, count(drain(c), Changed, "")) // s and y have gone, at once
+	must.True(t, c.Live("x"))
+	must.False(t, c.Live("y"))
+	c.Heard("y")
+	must.True(t, c.Live("y")) // its link never ended
+	c.Hello("y", Hello{Door: Door{Name: "y", Life: 2}})
+	must.Eq(t, 1, count(drain(c), Changed, "")) // another life of it, though it stays live
+	c.Now(silentFor + forgetIn + ms)
+	gone := drain(c)
+	must.Eq(t, 1, count(gone, Leave, "x"))
+	must.Eq(t, []string{"s", "y"}, c.Addrs())
+	c.Heard("x")
+	must.Eq(t, 1, count(drain(c), Want, "x"))
+	for i := range 2 * doorsMost {
+		c.Seed(fmt.Sprint("z", i))
+	}
+	must.Len(t, doorsMost, c.Addrs())
+	c.Hello("x", Hello{Door: Door{Name: "x", Disk: 5}}) // a full table still takes word of those in it
+	d, _ := c.Door("x")
+	must.Eq(t, Disk(5), d.Disk)
+}
+
+// A disk that settles later is told to those that are linked.
+func TestSettle(t *testing.T) {
+	c := New(Door{Addr: "me"}, Terms{Seeds: []string{"a", "b"}}, 0)
+	c.Up("a")
+	drain(c)
+	c.Settle(7, true)
+	c.Settle(7, true)
+	must.Eq(t, []Action{{Verb: Greet, Addr: "a"}}, drain(c))
+	must.Eq(t, Hello{Door{Addr: "me", Disk: 7, Founded: true}, []string{"a", "b"}, false}, c.Say())
+}
--- /dev/null
+++ b/internal/company/watch.go
@@ -0,0 +1,105 @@
+package company
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Heartbeats. Each door tells a few watchers that it lives: doors with a disk, the first ones after its place on a ring. These
+// tell each other whom they hear, and all who follow them who lives. So a fleet of n doors sends a few heartbeats a door and not
+// n, and all doors go by the same word. What comes from a door itself, whatever it is, counts as well.
+
+// watchersMost is how many watchers a door has: one may be lost and one cut off while the third still hears it.
+const watchersMost = 3
+
+// opinion is what another door with a disk last told.
+type opinion struct {
+	hears []byte
+	at    time.Duration
+}
+
+// place is where a door stands on the ring (FNV-1a, its bits spread: addresses differ in their last digits alone).
+func place(addr string) uint64 {
+	h := uint64(0xcbf29ce484222325)
+	for i := range len(addr) {
+		h = (h ^ uint64(addr[i])) * 0x100000001b3
+	}
+	h ^= h >> 32
+	h *= 0x9e3779b97f4a7c15
+	return h ^ h>>29
+}
+
+// Watchers are the doors to tell that this one lives. A door with a disk tells all others that have one; while none is known,
+// all that are known are told.
+func (c *Company) Watchers() (all []string) {
+	for a, d := range c.doors {
+		if d.met && d.Disk != 0 && (d.live || c.me.Disk != 0) {
+			all = append(all, a)
+		}
+	}
+	if len(all) == 0 {
+		return c.Addrs()
+	}
+	slices.Sort(all)
+	if c.me.Disk != 0 || len(all) <= watchersMost {
+		return all
+	}
+	me := place(c.me.Addr)
+	slices.SortFunc(all, func(a, b string) int {
+		if x, y := place(a)-me, place(b)-me; x != y { // the way round the ring
+			if x < y {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return all[:watchersMost]
+}
+
+func bit(set []byte, s Seat) bool { return s >= 0 && int(s)/8 < len(set) && set[s/8]>>(s%8)&1 == 1 }
+
+func (c *Company) set(in func(addr string) bool) []byte {
+	set := make([]byte, (len(c.order)+7)/8)
+	for i, s := range c.order {
+		if in(s.Addr) {
+			set[i/8] |= 1 << (i % 8)
+		}
+	}
+	return set
+}
+
+// hears tells whether anything came from a door of late.
+func (c *Company) hears(addr string) bool {
+	d := c.doors[addr]
+	return addr == c.me.Addr || d != nil && d.met && c.now-d.heard < silentFor
+}
+
+// Hears are the seats that this door hears itself, a bit each: what doors with a disk tell each other. It holds no hearsay,
+// else two doors could keep a dead one alive between them.
+func (c *Company) Hears() []byte { return c.set(c.hears) }
+
+// Lives are the seats of the live doors, a bit each: what doors with a disk tell those who follow them.
+func (c *Company) Lives() []byte {
+	return c.set(func(addr string) bool { return c.hears(addr) || c.told(c.Seat(addr)) })
+}
+
+// Told takes the seats that another door hears, or that live where this one has no disk and follows it.
+func (c *Company) Told(from string, seats []byte) {
+	if c.me.Disk == 0 {
+		clear(c.opinions) // one word at a time: that of the door that is followed
+	}
+	c.opinions[from] = opinion{seats, c.now}
+	c.look()
+}
+
+// told tells whether a door that is heard hears a seat.
+func (c *Company) told(s Seat) bool {
+	for from, o := range c.opinions {
+		if bit(o.hears, s) && c.now-o.at < silentFor && c.hears(from) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -20,6 +20,9 @@
 		h.company.Hello(from, *f.Hello)
 	case f.Ping != nil:
 		h.words[from] = word{h.e.Now(), f.Ping.Stale, f.Ping.Index}
+		if f.Ping.Lives != nil && (h.core != nil || from == h.feeder) {
+			h.company.Told(from, f.Ping.Lives)
+		}
 	case f.Found != nil:
 		h.found(f.Found)
 	case f.Core != nil && h.core != nil:
@@ -177,11 +180,23 @@
 	return net.JoinHostPort(host, strconv.Itoa(port))
 }
 
-// ping tells all doors that this one lives, where nothing else was said.
+// ping tells the watchers that this door lives, and those who follow it who does.
 func (h *House) ping() {
-	p := &Frame{Ping: &Ping{h.stale(), h.applied}}
-	for _, addr := range h.company.Addrs() {
-		h.wings.Send(addr, p)
+	p := Ping{Stale: h.stale(), Index: h.applied}
+	told := map[string]bool{}
+	if h.core != nil {
+		f := &Frame{Ping: &Ping{p.Stale, p.Index, h.company.Lives()}}
+		for addr := range h.followers {
+			h.wings.Send(addr, f)
+			told[addr] = true
+		}
+		p.Lives = h.company.Hears()
+	}
+	f := &Frame{Ping: &p}
+	for _, addr := range h.company.Watchers() {
+		if !told[addr] {
+			h.wings.Send(addr, f)
+		}
 	}
 }
 
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -12,6 +12,7 @@
 	pingEvery   = 700 * time.Millisecond
 	feedStale   = 1500 * time.Millisecond // a feeder whose word of the core is older is left for a fresher one
 	followAgain = 500 * time.Millisecond  // an unanswered wish to follow goes again
+	wordFor     = 3 * time.Second         // what a door said of its knowledge is forgotten after that
 	readyStale  = 3 * time.Second         // a door that knows no newer word of the core says that it is not ready
 	knownStale  = 2 * time.Second         // and one past this does not say for sure what is not there
 	never       = 24 * time.Hour
@@ -69,7 +70,7 @@
 	if after >= h.applied {
 		return
 	}
-	f := &Feed{After: after}
+	f := &Feed{After: after, Stale: h.stale()}
 	if len(h.tail) == 0 || after+1 < h.tail[0].index {
 		f.After, f.State = h.applied, h.script.Snapshot()
 	} else {
@@ -90,7 +91,7 @@
 	if f.After < h.applied {
 		h.feed(from)
 	} else {
-		h.wings.Send(from, &Frame{Feed: &Feed{After: h.applied}})
+		h.wings.Send(from, &Frame{Feed: &Feed{After: h.applied, Stale: h.stale()}})
 	}
 }
 
@@ -100,6 +101,9 @@
 		return
 	}
 	h.fedAt = h.e.Now()
+	if w := h.words[from]; w.at == 0 || h.e.Now()-w.at > pingEvery {
+		h.words[from] = word{h.fedAt, f.Stale, f.After}
+	}
 	if f.State != nil && f.After > h.applied {
 		s, err := script.Restore(f.State)
 		if err != nil {
@@ -132,20 +136,28 @@
 	h.wings.Send(addr, &Frame{Follow: &Follow{h.applied}})
 }
 
-// tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear.
+// tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear. Only
+// the feeder tells how fresh its word is; one of which nothing is known is tried before one that is known to be stale, and
+// one that did not answer goes to the end. One that knows of no leader yet has what its disk held, which is better than
+// nothing after the loss of all.
 func (h *House) tendFeed() {
 	if h.core != nil {
 		return
 	}
 	now := h.e.Now()
+	if h.feeder != "" && now-h.askedAt < followAgain {
+		return
+	}
 	if h.company.Live(h.feeder) && h.staleOf(h.feeder) < feedStale {
-		if w, ok := h.words[h.feeder]; ok && w.index > h.applied && now-max(h.askedAt, h.fedAt) > followAgain {
+		if w := h.words[h.feeder]; w.index > h.applied && now-max(h.askedAt, h.fedAt) > followAgain {
 			h.follow(h.feeder) // what it sent was lost
 		}
 		return
 	}
-	if now-h.askedAt < followAgain && h.feeder != "" {
-		return
+	if h.feeder != "" {
+		if w, ok := h.words[h.feeder]; !ok || now-w.at > feedStale {
+			h.words[h.feeder] = word{now, never, 0} // it says nothing
+		}
 	}
 	var best company.Door
 	least := time.Duration(1<<63 - 1)
@@ -153,12 +165,14 @@
 		if !d.Founded || d.Addr == h.inner {
 			continue
 		}
-		// One that knows of no leader yet has what its disk held, which is better than nothing after the loss of all.
-		stale := h.staleOf(d.Addr).Truncate(feedStale)
+		stale := time.Duration(0)
+		if w, ok := h.words[d.Addr]; ok && now-w.at < wordFor {
+			stale = w.stale.Truncate(feedStale)
+		}
 		if d.Zone != h.sheet.Zone {
 			stale += time.Millisecond
 		}
-		if stale < least {
+		if stale < least || stale == least && d.Addr == h.feeder {
 			best, least = d, stale
 		}
 	}
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -27,6 +27,7 @@
 type Ping struct {
 	Stale time.Duration // since it last heard a leader, or led; over an hour: never
 	Index uint64        // of the last entry that it applied
+	Lives []byte        // seats, a bit each: see company.Told; nil from a door without a disk
 }
 
 // Line is a message between members of the core.
@@ -42,8 +43,8 @@
 type Feed struct {
 	After   uint64 // the first entry is the one after this
 	State   []byte
-	Entries [][]byte // data of changes; empty ones are of the core's own
-	Stale   time.Duration
+	Entries [][]byte      // data of changes; empty ones are of the core's own
+	Stale   time.Duration // as in Ping
 }
 
 // Call is a control call that is passed on to whoever leads.
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -123,7 +123,7 @@
 
 // buildDoors makes what doors know of each other.
 func (h *House) buildDoors() (err error) {
-	if h.wings, err = wings.New[Frame](h.inner, h, h.e.Turn); err != nil {
+	if h.wings, err = wings.New[Frame](h.inner, h.life, h, h.e.Turn); err != nil {
 		return err
 	}
 	var seeds []string
--- /dev/null
+++ b/internal/script/script_test.go
@@ -0,0 +1,97 @@
+package script
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/company"
+	"clovergap/internal/playbill"
+)
+
+func bill(generation, parent int) []byte {
+	return fmt.Appendf(nil, `{"generation":%d,"parent_version":%d,"services":[{"name":"s"}],"vhosts":[{"hostname":"h.example",
+"path_list":[{"name":"r","path_prefix":"/","variant":"pure","target":"s"}]}]}`, generation, parent)
+}
+
+func seat(name string) company.Seated {
+	return company.Seated{Name: name, Addr: name + ":1", Control: name + ":2", Zone: "z"}
+}
+
+// log is a short life of a core, with all that an entry may be.
+func log() [][]byte {
+	again := seat("b")
+	again.Name = "b2"
+	return [][]byte{SeatEntry(seat("b")), Entry(Replace, bill(3, 0)), SeatEntry(seat("a")), Entry(Replace, bill(4, 0)),
+		Entry(Replace, bill(3, 0)), SeatEntry(again), Entry('z', []byte("of a newer program")), nil, Entry(Seat, []byte("no seat")),
+		Entry(Amend, []byte(`{"generation":5,"parent_version":3,"upserts":{"services":[{"name":"t"}]}}`)),
+		Entry(Replace, []byte("{")), SeatEntry(seat("c")), Entry(Replace, bill(9, 5))}
+}
+
+// Every entry has its verdict; seats are given in order, and a door that asks again keeps its own under its new name.
+func TestEntries(t *testing.T) {
+	s := New()
+	taken, already, conflict, invalid := playbill.Taken, playbill.Already, playbill.Conflict, playbill.Invalid
+	for i, want := range []playbill.Verdict{taken, taken, taken, conflict, already, already, invalid, invalid, invalid,
+		taken, invalid, taken, taken} {
+		e, before := log()[i], s.Snapshot()
+		if len(e) > 0 && (e[0] == byte(Replace) || e[0] == byte(Amend)) { // told before as it comes
+			v, _ := s.Decide(Kind(e[0]), e[1:])
+			must.Eq(t, want, v)
+		}
+		v, err := s.Apply(e)
+		must.Eq(t, want, v, must.Sprint(i))
+		must.Eq(t, want == taken || want == already, err == nil, must.Sprint(i))
+		if want == conflict || want == invalid {
+			must.Eq(t, before, s.Snapshot())
+		}
+	}
+	b := seat("b")
+	b.Name = "b2"
+	must.Eq(t, []company.Seated{b, seat("a"), seat("c")}, s.Seats())
+	must.Eq(t, 9, s.Bills.Version())
+	must.StrContains(t, string(s.Bills.Body()), `"generation":9`)
+}
+
+// Whoever starts from a snapshot after any entry comes to the same as who folded all, whatever becomes of a third.
+func TestRestoreAnywhere(t *testing.T) {
+	all := log()
+	whole := New()
+	var snaps [][]byte
+	for _, e := range all {
+		snaps = append(snaps, whole.Snapshot())
+		whole.Apply(e)
+	}
+	for i, snap := range snaps {
+		s, err := Restore(snap)
+		must.NoError(t, err)
+		must.Eq(t, snap, s.Snapshot()) // the same bytes round trip
+		for _, e := range all[i:] {
+			s.Apply(e)
+		}
+		must.Eq(t, whole.Snapshot(), s.Snapshot(), must.Sprint(i))
+		must.Eq(t, whole.Seats(), s.Seats())
+		v, _ := s.Decide(Replace, bill(3, 0)) // what was taken is known by its bytes
+		must.Eq(t, playbill.Already, v)
+	}
+	for _, bad := range [][]byte{nil, []byte("x"), snaps[3][:len(snaps[3])/2]} {
+		_, err := Restore(bad)
+		must.Error(t, err)
+	}
+}
+
+// The order of seats is bounded; who has one keeps it.
+func TestSeatsEnd(t *testing.T) {
+	s := New()
+	for i := range seatsMost {
+		v, _ := s.Apply(SeatEntry(seat(fmt.Sprint(i))))
+		must.Eq(t, playbill.Taken, v)
+	}
+	v, err := s.Apply(SeatEntry(seat("more")))
+	must.Eq(t, playbill.Invalid, v)
+	must.Error(t, err)
+	v, _ = s.Apply(SeatEntry(seat("7")))
+	must.Eq(t, playbill.Already, v)
+	must.Len(t, seatsMost, s.Seats())
+}
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -43,29 +43,40 @@
 	mu    sync.Mutex
 	links map[string]*link[F]
 	ins   map[net.Conn]bool
+	from  map[string]net.Conn // the newest link of each door
+	lives map[string]uint64   // and its life
+	life  uint64
 	done  bool
+	all   sync.WaitGroup
 }
 
-// opening is the first value on a link.
-type opening struct{ From string }
+// opening is the first value on a link. Life differs between two starts of a door.
+type opening struct {
+	From string
+	Life uint64
+}
 
 type link[F any] struct {
 	to    string
 	queue chan *F
 	stop  context.CancelFunc
+	abort func() // ends the dial, the pause or the connection that it has now
+	up    bool
 }
 
-// New listens at an inner address, which is this door's name among the links. turn runs something as the one owner.
-func New[F any](me string, host Host[F], turn func(func())) (*Wings[F], error) {
+// New listens at an inner address, which is this door's name among the links; life is another one at each start. turn runs
+// something as the one owner.
+func New[F any](me string, life uint64, host Host[F], turn func(func())) (*Wings[F], error) {
 	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", me)
 	if err != nil {
 		return nil, errors.Wrap(err, "wings")
 	}
-	return &Wings[F]{me: me, host: host, turn: turn, ln: ln, links: map[string]*link[F]{}, ins: map[net.Conn]bool{}}, nil
+	return &Wings[F]{me: me, host: host, turn: turn, ln: ln, links: map[string]*link[F]{}, ins: map[net.Conn]bool{},
+		from: map[string]net.Conn{}, lives: map[string]uint64{}, life: life}, nil
 }
 
 // Start takes links of others.
-func (w *Wings[F]) Start() { go w.accept() }
+func (w *Wings[F]) Start() { w.all.Go(w.accept) }
 
 // Addr is where frames come in.
 func (w *Wings[F]) Addr() string { return w.ln.Addr().String() }
@@ -85,9 +96,9 @@
 			c.Close()
 		} else {
 			w.ins[c] = true
+			w.all.Go(func() { w.read(c) })
 		}
 		w.mu.Unlock()
-		go w.read(c)
 	}
 }
 
@@ -101,34 +112,67 @@
 	if b.left <= 0 {
 		return 0, errors.New("frame too long")
 	}
-	n, err := b.r.Read(p)
+	n, err := b.r.Read(p[:min(len(p), b.left)])
 	b.left -= n
 	return n, err
 }
 
 func (w *Wings[F]) read(c net.Conn) {
+	var o opening
 	defer func() {
 		c.Close()
 		w.mu.Lock()
 		delete(w.ins, c)
+		if w.from[o.From] == c {
+			delete(w.from, o.From)
+		}
 		w.mu.Unlock()
 	}()
 	b := &bounded{r: c, left: frameMost}
 	dec := gob.NewDecoder(bufio.NewReaderSize(b, 2<<10))
-	var o opening
 	if dec.Decode(&o) != nil {
 		return
 	}
+	// What a link before this one still holds is of an earlier time, perhaps of an earlier life; and where its machine
+	// lost power, nothing else ever ends it.
+	w.mu.Lock()
+	if old := w.from[o.From]; old != nil {
+		old.Close()
+	}
+	w.from[o.From] = c
+	w.kick(o.From, o.Life)
+	w.mu.Unlock()
 	for {
 		f := new(F)
 		b.left = frameMost
 		if dec.Decode(f) != nil {
 			return
 		}
-		w.turn(func() { w.host.Heard(o.From, f) })
+		w.turn(func() {
+			if w.newestOf(o.From, c) {
+				w.host.Heard(o.From, f)
+			}
+		})
+	}
+}
+
+// kick: a door has dialed us, so that it can be reached. A dial to it that hangs since its machine was dark, or a pause, ends;
+// and a connection to an earlier life of it, which may look well for as long as nothing is sent.
+func (w *Wings[F]) kick(from string, life uint64) {
+	anew := w.lives[from] != 0 && w.lives[from] != life
+	w.lives[from] = life
+	if l := w.links[from]; l != nil && l.abort != nil && (!l.up || anew) {
+		l.abort()
 	}
 }
 
+// has says what a link's abort is to end.
+func (w *Wings[F]) has(l *link[F], up bool, abort func()) {
+	w.mu.Lock()
+	l.up, l.abort = up, abort
+	w.mu.Unlock()
+}
+
 // Want keeps a link to a door from now on.
 func (w *Wings[F]) Want(to string) {
 	w.mu.Lock()
@@ -139,7 +183,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	l := &link[F]{to: to, queue: make(chan *F, queueMost), stop: stop}
 	w.links[to] = l
-	go w.write(ctx, l)
+	w.all.Go(func() { w.write(ctx, l) })
 }
 
 // Leave keeps it no longer.
@@ -172,24 +216,49 @@
 func (w *Wings[F]) write(ctx context.Context, l *link[F]) {
 	d := net.Dialer{Timeout: dialLimit, KeepAlive: -1, Control: deadPeers}
 	for wait := redialIn; ctx.Err() == nil; wait = min(2*wait, redialMost) {
-		c, err := d.DialContext(ctx, "tcp", l.to)
+		now, abort := context.WithCancel(ctx)
+		w.has(l, false, abort)
+		c, err := d.DialContext(now, "tcp", l.to)
 		if err == nil {
 			wait = redialIn
 			for len(l.queue) > 0 { // meant for a link that is no more
 				<-l.queue
 			}
+			w.has(l, true, func() { c.Close() })
 			w.turn(func() { w.host.Up(l.to) })
 			w.pass(ctx, l, c)
+			w.has(l, false, abort)
 			c.Close()
-			w.turn(func() { w.host.Down(l.to) })
+			w.turn(func() {
+				if w.newest(l) { // else the one in its place may be up already
+					w.host.Down(l.to)
+				}
+			})
 		}
 		select {
-		case <-ctx.Done():
+		case <-now.Done():
+			wait = redialIn
 		case <-time.After(wait):
 		}
+		abort()
 	}
 }
 
+// newestOf tells whether a door has dialed no other link since this one.
+func (w *Wings[F]) newestOf(from string, c net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.from[from] == c
+}
+
+// newest tells whether no other link has been wanted since in the place of this one.
+func (w *Wings[F]) newest(l *link[F]) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.links[l.to]
+	return now == nil || now == l
+}
+
 // pass writes frames until the link fails. Nothing comes back on it: a read that ends tells of its end at once.
 func (w *Wings[F]) pass(ctx context.Context, l *link[F], c net.Conn) {
 	ended := make(chan struct{})
@@ -200,7 +269,7 @@
 	}()
 	out := bufio.NewWriterSize(c, 4<<10)
 	enc := gob.NewEncoder(out)
-	if enc.Encode(opening{w.me}) != nil {
+	if enc.Encode(opening{w.me, w.life}) != nil {
 		return
 	}
 	for {
@@ -226,10 +295,9 @@
 	})
 }
 
-// Stop ends all links.
+// Stop ends all links, and returns when nothing more is told. It is not for a turn.
 func (w *Wings[F]) Stop() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.done = true
 	w.ln.Close()
 	for _, l := range w.links {
@@ -238,4 +306,6 @@
 	for c := range w.ins {
 		c.Close()
 	}
+	w.mu.Unlock()
+	w.all.Wait()
 }
