--- a/internal/promptbook/promptbook.go
+++ b/internal/promptbook/promptbook.go
@@ -230,26 +230,32 @@
 }
 
 func apply(book, log *bbolt.Bucket, w prompter.Write) error {
-	c := log.Cursor()
+	var gone [][]byte
 	if w.Snap != nil {
 		if err := put(book, snapKey, w.Snap); err != nil {
 			return err
 		}
-		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= w.Snap.Index; k, _ = c.First() {
-			if err := c.Delete(); err != nil {
-				return err
-			}
-		}
 	}
-	if w.From == 0 {
+	if err := log.ForEach(func(key, _ []byte) error {
+		index := binary.BigEndian.Uint64(key)
+		if w.Snap != nil && index <= w.Snap.Index || w.From > 0 && index >= w.From {
+			gone = append(gone, bytes.Clone(key))
+		}
 		return nil
+	}); err != nil {
+		return err
 	}
-	for k, _ := c.Last(); k != nil && binary.BigEndian.Uint64(k) >= w.From; k, _ = c.Last() {
-		if err := c.Delete(); err != nil {
+	// By their keys, and never by a cursor that goes on: in bbolt 1.5 one that deletes its way through several pages and is
+	// then sent to the end goes round for ever over pages that hold nothing any more.
+	for _, key := range gone {
+		if err := log.Delete(key); err != nil {
 			return err
 		}
 	}
 	for _, e := range w.Entries {
+		if w.From == 0 {
+			break
+		}
 		if err := put(log, binary.BigEndian.AppendUint64(nil, e.Index), e); err != nil {
 			return err
 		}
--- a/internal/promptbook/promptbook_test.go
+++ b/internal/promptbook/promptbook_test.go
@@ -129,3 +129,32 @@
 	must.Eq(t, "two", string(b.Noted()))
 	must.NoError(t, b.Close())
 }
+
+// A follower that was behind when the log was put into a snapshot deletes all its entries, over several pages, and goes on with a
+// later one in the same step. It used to go round for ever.
+func TestSnapshotAndMoreAtOnce(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		b, k, err := Open(t.TempDir())
+		must.NoError(t, err)
+		snap := prompter.Snapshot{Index: 1, View: 1, Members: []prompter.Member{{ID: k.Me, Addr: "a"}}}
+		first := prompter.Write{Nr: 1, House: 1, Promise: 1, Delivered: 1, Snap: &snap, From: 2}
+		for i := uint64(2); i <= 400; i++ {
+			first.Entries = append(first.Entries, entry(i, 1, "some data of a change"))
+		}
+		must.NoError(t, b.Apply([]prompter.Write{first}))
+		snap.Index = 400
+		later := []prompter.Write{{Nr: 2, House: 1, Promise: 1, Delivered: 400, Snap: &snap, From: 401,
+			Entries: []prompter.Entry{entry(401, 1, "more")}}}
+		if !together {
+			later = []prompter.Write{{Nr: 2, House: 1, Promise: 1, Delivered: 400, Snap: &snap},
+				{Nr: 3, House: 1, Promise: 1, Delivered: 400, From: 401, Entries: later[0].Entries}}
+		}
+		must.NoError(t, b.Apply(later))
+		must.NoError(t, b.Close())
+		b, k, err = Open(filepath.Dir(b.path))
+		must.NoError(t, err)
+		must.Eq(t, 400, k.Snap.Index)
+		must.Len(t, 1, k.Entries)
+		must.NoError(t, b.Close())
+	}
+}
