A door alone saves up its part of the rate all along, not from each question

Change: its part fills from the start of its life, up to half its share of the burst; the bound in docs/gateway.md is the same.

--- a/control/books.go
+++ b/control/books.go
@@ -379,7 +379,7 @@
 func (q *Quota) account(id CustomerID, pl PlanID) *account {
 	a := q.accounts[id]
 	if a == nil {
-		a = &account{id: id, planID: pl, owner: q.me, sharers: 1, used: q.now}
+		a = &account{id: id, planID: pl, owner: q.me, sharers: 1, used: q.now, aloneAt: q.now}
 		if q.ofPlan != nil {
 			a.limit = q.ofPlan(pl)
 			a.level, a.levelAt = q.sinceBirth(a), q.now
@@ -623,7 +623,7 @@
 // ask makes the account part of the next delta, with nought if need be, unless a question is on its way.
 func (q *Quota) ask(a *account) {
 	if a.asked == 0 {
-		a.asked, a.alone, a.aloneAt = q.now, 0, q.now
+		a.asked = q.now
 	} else if q.now-a.packed < q.answerIn(a) {
 		return
 	}
@@ -724,8 +724,8 @@
 	}
 }
 
-// aloneNow is what a gateway may spend without its owner's word: its part of the rate since it asked. It
-// starts empty at each question, so that neither a restart nor a cut that comes and goes brings a fresh one.
+// aloneNow is what a gateway may spend without its owner's word: its part of the rate, saved up a little. It begins empty
+// in each life, and a silence does not renew it: neither a restart nor a cut that comes and goes brings a fresh one.
 func (q *Quota) aloneNow(a *account) float64 {
 	n := float64(q.gateways)
 	a.alone = min(max(a.limit.burst/n/2, 1), a.alone+a.limit.rate/n*(q.now-a.aloneAt).Seconds())
