--- /dev/null
+++ b/internal/understudy/judge.go
@@ -0,0 +1,127 @@
+package understudy
+
+import "math"
+
+// Chances of a wrong pull-back, over a whole roll-out: by the fleet, and by one door alone.
+const (
+	FleetWrong = 1.0 / 200
+	AloneWrong = 1e-5
+	doubtFrom  = 20 // times the stake: no next step by itself
+)
+
+// Shares of the stake that the tests have; together 1.
+const (
+	allPart   = 0.15 // each kind, failing
+	slowPart  = 0.10 // each kind, slow
+	groupPart = 0.25 / (2 * groups)
+	zonePart  = 0.25 / (2 * zonesMost)
+	zonesMost = 8
+)
+
+func part(test int) float64 {
+	switch {
+	case test >= slow:
+		return slowPart
+	case test%slices_ == 0:
+		return allPart
+	}
+	return groupPart
+}
+
+// found is what one life of a door found.
+type found struct {
+	*evidence
+	zone  string
+	backs int // of the new version, that it saw at work
+	skip  bool
+}
+
+// wealth is what the bets came to in a window, from a stake of 1, without one backend's failures (0: with all).
+func wealth(list []*found, w int, without uint64) float64 {
+	var sum vector
+	zones := map[string]*[2][thetas]float64{}
+	for _, f := range list {
+		if f.skip {
+			continue
+		}
+		v := f.l[w]
+		if b := f.by[without]; b != nil {
+			for t := range v {
+				for i := range v[t] {
+					v[t][i] -= b[w][t][i]
+				}
+			}
+		}
+		z := zones[f.zone]
+		if z == nil && len(zones) < zonesMost {
+			z = new([2][thetas]float64)
+			zones[f.zone] = z
+		}
+		for t := range v {
+			for i := range v[t] {
+				sum[t][i] += v[t][i]
+			}
+		}
+		for k := 0; z != nil && k < 2; k++ {
+			for i := range thetas {
+				z[k][i] += v[k*slices_][i]
+			}
+		}
+	}
+	total := 0.0
+	for t := range sum {
+		total += part(t) * bets(&sum[t])
+	}
+	for _, z := range zones {
+		total += zonePart * (bets(&z[0]) + bets(&z[1]))
+	}
+	return total + max(0, 0.25-2*zonePart*float64(len(zones))) // what is not staked stays
+}
+
+func bets(l *[thetas]float64) (sum float64) {
+	if *l == ([thetas]float64{}) {
+		return 1
+	}
+	for _, x := range l {
+		if x > -30 { // below that it is nothing
+			sum += math.Exp(min(x, 600)) / thetas
+		}
+	}
+	return sum
+}
+
+// judge tells by how much the evidence passes what the stated chance asks for: 1 and more is a verdict. It must
+// hold without any one backend, and without any one door: what befalls one machine is not the version's. The
+// chance is split over both windows and over all steps and laps: the k-th of them has 1/(k(k+1)) of a half.
+func judge(list []*found, step, lap int, wrong float64) (score, doubt float64) {
+	backs := map[uint64]bool{}
+	many := 0
+	for _, f := range list {
+		many = max(many, f.backs)
+		for b := range f.by {
+			backs[b] = true
+		}
+	}
+	for w, k := range [windows]float64{float64(step), float64(lap)} {
+		asked := 2 * k * (k + 1) / wrong
+		least := wealth(list, w, 0)
+		doubt = max(doubt, least/doubtFrom)
+		if least < asked {
+			continue
+		}
+		if many > 1 || len(backs) > 1 {
+			for b := range backs {
+				least = min(least, wealth(list, w, b))
+			}
+		}
+		if len(list) > 1 {
+			for _, f := range list {
+				f.skip = true
+				least = min(least, wealth(list, w, 0))
+				f.skip = false
+			}
+		}
+		score = max(score, least/asked)
+	}
+	return score, doubt
+}
--- /dev/null
+++ b/internal/understudy/state.go
@@ -0,0 +1,299 @@
+package understudy
+
+import (
+	"bytes"
+	"encoding/gob"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/check"
+	"clovergap/internal/playbill"
+)
+
+// Verb is what an entry does.
+type Verb string
+
+// Start is an operator's, Step and PullBack also the duty's, and so is Hold where there is nowhere to go back to.
+const (
+	Start    Verb = "start"
+	Advance  Verb = "step"
+	Hold     Verb = "hold"
+	PullBack Verb = "pull-back"
+	Finish   Verb = "finish"
+)
+
+// Entry is an order or a verdict, as the ordered log has it. An operator's names the Rev that it builds on, so
+// that of two at once one wins; the duty's names the step that was judged, under its fence.
+type Entry struct {
+	Verb    Verb
+	Service string
+	Mark    string // names the call: the same again is answered as the first was
+	By      string // who, for the history
+	At      int64  // milliseconds since 1970, for the history alone
+	Why     string
+	Rev     uint64 // operators: of the service's newest roll-out, 0 if there was none. Not asked of Hold, PullBack
+	Number  Number // all but Start
+	Step    int    // Advance: the step to go to, from 1. The duty: the step judged, or to go to
+	Fence   uint64 // the duty: 1 or more. 0: an operator
+	Order   *Rollout
+	Room    Room   // Start: as whoever took the call knew it
+	Counts  Counts // of the step so far, as the duty has them
+}
+
+// Phase of a roll-out.
+type Phase string
+
+// Pulled and Finished end a roll-out and stay in force until another one of the service starts.
+const (
+	Running  Phase = "running"
+	Pulled   Phase = "pulled back"
+	Finished Phase = "finished"
+)
+
+// Past is one line of a history. Counts are those of the step that the line ends, as the duty last had them.
+type Past struct {
+	Verb   Verb
+	Step   int
+	Share  int
+	By     string
+	At     int64
+	Why    string
+	Counts Counts
+}
+
+// Run is a roll-out and what became of it.
+type Run struct {
+	Number  Number
+	Rev     uint64 // rises with each change of it
+	Order   Rollout
+	Room    Room
+	Phase   Phase
+	Step    int // from 1
+	Held    bool
+	History []Past
+}
+
+// Share is of the users that the order is about, in 1/10000.
+func (r *Run) Share() int {
+	switch r.Phase {
+	case Running:
+		return r.Order.Steps[r.Step-1].Share
+	case Finished:
+		return Whole
+	}
+	return 0
+}
+
+// Bounds of the state.
+const (
+	runsMost    = 64 // services
+	endedMost   = 32 // earlier roll-outs, of all services
+	historyMost = 48 // lines of one
+	marksMost   = 256
+	textMost    = 512
+)
+
+// State is folded from the ordered log: all doors come to the same.
+type State struct {
+	kept
+}
+
+type kept struct {
+	Runs  []Run // the newest of each service, by service
+	Ended []Run // earlier ones, oldest first
+	Last  Number
+	Rev   uint64
+	Fence uint64
+	Marks []string
+}
+
+// NewState is that before the first entry.
+func NewState() *State { return &State{} }
+
+// Runs are the newest roll-outs of all services; not to be changed.
+func (s *State) Runs() []Run { return s.kept.Runs }
+
+// Ended are earlier ones, oldest first; not to be changed.
+func (s *State) Ended() []Run { return s.kept.Ended }
+
+// Run is the newest roll-out of a service, nil if there was none; not to be changed.
+func (s *State) Run(service string) *Run {
+	if i, ok := s.find(service); ok {
+		return &s.kept.Runs[i]
+	}
+	return nil
+}
+
+// Running tells whether any roll-out runs or has ended in a way that binds: else nothing is on the wire.
+func (s *State) Running() bool { return len(s.kept.Runs) > 0 }
+
+func (s *State) find(service string) (int, bool) {
+	return slices.BinarySearchFunc(s.kept.Runs, service, func(r Run, n string) int {
+		return strings.Compare(r.Order.Service, n)
+	})
+}
+
+// Word encodes an entry for the log.
+func (e *Entry) Word() []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(e); err != nil {
+		check.That(false, "an entry can be written")
+	}
+	return b.Bytes()
+}
+
+// ReadEntry decodes one.
+func ReadEntry(b []byte) (*Entry, error) {
+	e := new(Entry)
+	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(e); err != nil {
+		return nil, errors.Wrap(err, "entry of a roll-out")
+	}
+	return e, nil
+}
+
+// Decide tells what would become of an entry now, and changes nothing.
+func (s *State) Decide(e *Entry) (playbill.Verdict, error) {
+	if e.Mark != "" && slices.Contains(s.Marks, e.Mark) {
+		return playbill.Already, nil
+	}
+	if len(e.Service) > textMost || len(e.By) > textMost || len(e.Why) > textMost || len(e.Mark) > textMost {
+		return playbill.Invalid, errors.Errorf("a text is longer than %d bytes", textMost)
+	}
+	r := s.Run(e.Service)
+	if e.Verb == Start {
+		return s.start(e, r)
+	}
+	conflict := func(f string, a ...any) (playbill.Verdict, error) {
+		return playbill.Conflict, errors.Errorf(f, a...)
+	}
+	switch {
+	case r == nil:
+		return conflict("service: no roll-out of %q", e.Service)
+	case e.Number != r.Number:
+		return conflict("number: is %d, but %d is the newest", e.Number, r.Number)
+	case r.Phase != Running:
+		return conflict("number: roll-out %d is %s", r.Number, r.Phase)
+	case e.Fence == 0 && e.Rev != r.Rev && e.Verb != PullBack && e.Verb != Hold: // these may not come too late
+		return conflict("rev: is %d, but %d is current", e.Rev, r.Rev)
+	case e.Fence != 0 && e.Fence < s.Fence:
+		return conflict("fence: is %d, but %d was seen", e.Fence, s.Fence)
+	}
+	switch e.Verb {
+	case Advance:
+		if e.Step != r.Step+1 || e.Step > len(r.Order.Steps) {
+			return conflict("step: is %d, %d of %d is current", e.Step, r.Step, len(r.Order.Steps))
+		}
+		if e.Fence != 0 && (r.Held || r.Order.Advance != "time") {
+			return conflict("step: it waits for an operator's word")
+		}
+	case Finish:
+		if r.Step < len(r.Order.Steps) || e.Fence != 0 {
+			return conflict("step: %d of %d is current, only an operator finishes the last", r.Step, len(r.Order.Steps))
+		}
+	case Hold, PullBack:
+	default:
+		return playbill.Invalid, errors.Errorf("verb: no %q", e.Verb)
+	}
+	return playbill.Taken, nil
+}
+
+func (s *State) start(e *Entry, r *Run) (playbill.Verdict, error) {
+	if e.Order == nil || e.Order.Service != e.Service || e.Fence != 0 {
+		return playbill.Invalid, errors.New("order: missing, or of another service")
+	}
+	o := *e.Order
+	if err := o.Check(); err != nil {
+		return playbill.Invalid, err
+	}
+	rev := uint64(0)
+	if r != nil {
+		rev = r.Rev
+	}
+	if e.Rev != rev {
+		return playbill.Conflict, errors.Errorf("rev: is %d, but %d is current", e.Rev, rev)
+	}
+	if r != nil && r.Phase == Running {
+		return playbill.Conflict, errors.Errorf("service: roll-out %d of %q runs", r.Number, e.Service)
+	}
+	if r == nil && len(s.kept.Runs) >= runsMost {
+		return playbill.Invalid, errors.Errorf("service: %d have roll-outs, no more are kept", runsMost)
+	}
+	if err := o.Fits(e.Room); err != nil {
+		return playbill.Invalid, err
+	}
+	return playbill.Taken, nil
+}
+
+// Apply carries an entry out, as Decide tells it.
+func (s *State) Apply(e *Entry) (playbill.Verdict, error) {
+	if v, err := s.Decide(e); v != playbill.Taken {
+		return v, err
+	}
+	s.Rev++
+	if e.Mark != "" {
+		s.Marks = keep(append(s.Marks, e.Mark), marksMost)
+	}
+	s.Fence = max(s.Fence, e.Fence)
+	i, had := s.find(e.Service)
+	if e.Verb == Start {
+		s.Last++
+		r := Run{Number: s.Last, Order: *e.Order, Room: e.Room, Phase: Running, Step: 1}
+		must := r.Order.Check()
+		check.That(must == nil, "an order that was taken is sound")
+		if had {
+			s.kept.Ended = keep(append(s.kept.Ended, s.kept.Runs[i]), endedMost)
+			s.kept.Runs[i] = r
+		} else {
+			s.kept.Runs = slices.Insert(s.kept.Runs, i, r)
+		}
+	}
+	r := &s.kept.Runs[i]
+	r.Rev = s.Rev
+	ended := r.Step
+	switch e.Verb {
+	case Advance:
+		r.Step, r.Held = e.Step, r.Held && e.Fence != 0
+	case Hold:
+		r.Held = true
+	case PullBack:
+		r.Phase = Pulled
+	case Finish:
+		r.Phase = Finished
+	}
+	if len(r.History) == historyMost { // the first line, the order's, stays
+		r.History = slices.Delete(r.History, 1, 2)
+	}
+	r.History = append(r.History, Past{Verb: e.Verb, Step: ended, Share: r.Share(), By: e.By, At: e.At, Why: e.Why,
+		Counts: e.Counts})
+	return playbill.Taken, nil
+}
+
+func keep[T any](list []T, most int) []T {
+	if len(list) > most {
+		return slices.Clone(list[len(list)-most:])
+	}
+	return list
+}
+
+// Snapshot is the whole state as bytes.
+func (s *State) Snapshot() []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(s.kept); err != nil {
+		check.That(false, "the state can be written")
+	}
+	return b.Bytes()
+}
+
+// Restore reads one; nothing at all is the state before the first entry.
+func Restore(b []byte) (*State, error) {
+	s := NewState()
+	if len(b) == 0 {
+		return s, nil
+	}
+	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&s.kept); err != nil {
+		return nil, errors.Wrap(err, "snapshot of roll-outs")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/understudy/state_test.go
@@ -0,0 +1,231 @@
+package understudy
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/playbill"
+)
+
+func order(shares ...int) *Rollout {
+	r := &Rollout{Service: "libro", Old: "v1", New: "v2", Advance: "time"}
+	for _, s := range shares {
+		r.Steps = append(r.Steps, Step{Share: s, MinTime: Span(10 * time.Second), Requests: 10})
+	}
+	return r
+}
+
+func startEntry(o *Rollout, rev uint64, mark string) *Entry {
+	return &Entry{Verb: Start, Service: o.Service, Rev: rev, Mark: mark, By: "ana", Order: o, Room: Room{100, 100, 60}}
+}
+
+func TestAnOrderIsReadAndRefusedByItsField(t *testing.T) {
+	var r Rollout
+	must.NoError(t, json.Unmarshal([]byte(`{"service":"libro","old":"v1","new":"v2",
+		"steps":[{"share":100,"min_time":"10s"},{"share":2500,"min_time":"60000ms","requests":500}]}`), &r))
+	must.NoError(t, r.Check())
+	must.Eq(t, Usual(), r.Failing)
+	must.NoError(t, r.Fits(Room{Old: 24, New: 8, Busy: 19}))
+	for want, spoil := range map[string]func(*Rollout){
+		"new":               func(r *Rollout) { r.New = "v1" },
+		"steps[1].share":    func(r *Rollout) { r.Steps[1].Share = 100 },
+		"steps[0].share":    func(r *Rollout) { r.Steps[0].Share = 9500 },
+		"steps[0].min_time": func(r *Rollout) { r.Steps[0].MinTime = 0 },
+		"failing.causes[0]": func(r *Rollout) { r.Failing.Causes = []string{"4xx"} },
+		"advance":           func(r *Rollout) { r.Advance = "moon" },
+	} {
+		x := r
+		x.Steps = append([]Step(nil), r.Steps...)
+		spoil(&x)
+		err := x.Check()
+		must.Error(t, err, must.Sprint(want))
+		must.StrContains(t, err.Error(), want)
+	}
+	must.ErrorContains(t, r.Fits(Room{Old: 24, New: 8, Busy: 20}), "old: v1 has room for 24")
+	must.ErrorContains(t, r.Fits(Room{Old: 90, New: 8, Busy: 40}), "steps[1].share: v2")
+	all, none := func(string) bool { return true }, func(string) bool { return false }
+	r.Limits.Tenants = []string{"huka"}
+	must.ErrorContains(t, r.Known(all, all, none, all), "limits.tenants[0]")
+}
+
+func TestSharesAreExactAndSticky(t *testing.T) {
+	const users = 100_000
+	shares := []int{1, 100, 500, 2500, 7500, 9000}
+	names := make([][]byte, users)
+	for i := range names {
+		names[i] = fmt.Appendf(nil, "2b9wu3fexd9dnn2c%d", i)
+	}
+	for n := range Number(5) {
+		for i, got := range order(shares...).Shared(n, names) {
+			p := float64(shares[i]) / Whole // stated: that of as many coins
+			must.InDelta(t, p*users, float64(got), 5*math.Sqrt(users*p*(1-p))+5)
+		}
+	}
+	a, b := NewDoor("a", 1, 0), NewDoor("b", 2, 0) // no word between them
+	s := NewState()
+	on := make([]bool, users)
+	for step := range shares {
+		e := &Entry{Verb: Advance, Service: "libro", Number: 1, Step: step + 1, Fence: 1}
+		if step == 0 {
+			e = startEntry(order(shares...), 0, "")
+			e.Room.New = 1000
+		}
+		v, err := s.Apply(e)
+		must.Eq(t, playbill.Taken, v, must.Sprint(err))
+		for _, d := range []*Door{a, b} {
+			d.Fold(s)
+			d.Touch(true)
+		}
+		for i, u := range names {
+			x, _ := a.Side("libro", u, Scope{})
+			y, _ := b.Side("libro", u, Scope{Tenant: "any"})
+			if x != y || on[i] && x == Old {
+				t.Fatalf("user %d is on %v, %v", i, x, y)
+			}
+			on[i] = x == New
+		}
+	}
+	side, counts := a.Side("libro", nil, Scope{})
+	must.True(t, side == Old && !counts)
+	must.True(t, May(New, Old) && May(New, New) && May(Old, Old) && !May(Old, New))
+}
+
+// All orders of seven entries of two operators and two doors with the duty: a state that ends never runs again,
+// what is taken is taken by all alike, an old verdict never hits the next roll-out.
+func TestAllOrdersOfEntries(t *testing.T) {
+	t.Parallel()
+	next := order(100)
+	next.New = "v3"
+	entries := []*Entry{
+		startEntry(order(100, 500), 0, "ana-1"),
+		startEntry(next, 0, "ben-1"),
+		{Verb: Advance, Service: "libro", Number: 1, Step: 2, Fence: 2},
+		{Verb: PullBack, Service: "libro", Number: 1, Step: 1, Fence: 1},
+		{Verb: PullBack, Service: "libro", Number: 1, Step: 2, Fence: 2},
+		{Verb: Hold, Service: "libro", Number: 1, Rev: 1, Mark: "ben-2"},
+		startEntry(next, 2, "ben-3"),
+	}
+	var each func(left []int, done []int)
+	each = func(left []int, done []int) {
+		if len(left) > 0 {
+			for i := range left {
+				rest := append(append([]int(nil), left[:i]...), left[i+1:]...)
+				each(rest, append(append([]int(nil), done...), left[i]))
+			}
+			return
+		}
+		s, ended, fence := NewState(), map[Number]bool{}, uint64(0)
+		marks := map[string]int{}
+		for _, i := range done {
+			e := entries[i]
+			was := s.Run("libro")
+			var before Run
+			if was != nil {
+				before = *was
+			}
+			v, err := s.Apply(e)
+			must.Eq(t, v == playbill.Taken || v == playbill.Already, err == nil)
+			if v != playbill.Taken {
+				continue
+			}
+			marks[e.Mark]++
+			r := s.Run("libro")
+			must.False(t, e.Mark != "" && marks[e.Mark] > 1)
+			must.False(t, e.Fence != 0 && e.Fence < fence)
+			fence = max(fence, e.Fence)
+			must.False(t, ended[r.Number] || e.Verb == Start && before.Phase == Running)
+			must.True(t, e.Verb == Start || e.Number == r.Number)
+			must.False(t, e.Verb == Advance && before.Held)
+			ended[r.Number] = r.Phase != Running
+		}
+		must.Eq(t, 1, marks["ana-1"]+marks["ben-1"]) // one of two wins
+		for mark, n := range marks {
+			if mark != "" && n > 0 { // the same again
+				v, err := s.Apply(&Entry{Verb: PullBack, Service: "libro", Mark: mark})
+				must.True(t, v == playbill.Already && err == nil)
+			}
+		}
+	}
+	each([]int{0, 1, 2, 3, 4, 5, 6}, nil)
+}
+
+func TestStateSurvivesAndIsBounded(t *testing.T) {
+	t.Parallel()
+	s := NewState()
+	for i := range 60 {
+		rev := uint64(0)
+		if r := s.Run("libro"); r != nil {
+			rev = r.Rev
+		}
+		v, err := s.Apply(startEntry(order(100), rev, fmt.Sprint(i)))
+		must.Eq(t, playbill.Taken, v, must.Sprint(err))
+		r := s.Run("libro")
+		for range 60 {
+			e := &Entry{Verb: Hold, Service: "libro", Number: r.Number, Step: 1, Fence: 1, Why: strings.Repeat("x", 200)}
+			e.Counts[New][Write].Ends = 7
+			if i == 0 {
+				read, err := ReadEntry(e.Word())
+				must.NoError(t, err)
+				must.Eq(t, e, read)
+				e = read
+			}
+			_, err = s.Apply(e)
+			must.NoError(t, err)
+		}
+		_, err = s.Apply(&Entry{Verb: PullBack, Service: "libro", Number: r.Number, Rev: r.Rev})
+		must.NoError(t, err)
+	}
+	must.Eq(t, endedMost, len(s.Ended()))
+	must.Eq(t, historyMost, len(s.Run("libro").History))
+	b := s.Snapshot()
+	must.Less(t, 1<<20, len(b))
+	again, err := Restore(b)
+	must.NoError(t, err)
+	must.Eq(t, b, again.Snapshot())
+	_, err = Restore(b[:len(b)/2])
+	must.Error(t, err)
+}
+
+func TestADoorThatIsCutOffOnlyLowers(t *testing.T) {
+	s := NewState()
+	e := startEntry(order(9000), 0, "")
+	e.Room.New = 10
+	_, err := s.Apply(e)
+	must.ErrorContains(t, err, "steps[0].share") // no room for so many
+	e.Room.New = 1000
+	_, err = s.Apply(e)
+	must.NoError(t, err)
+	user := []byte("someone")
+	late := NewDoor("a", 1, 0)
+	late.Fold(s) // of its disk: it may have been pulled back since
+	must.True(t, late.Share("libro") == 0 && late.Barred("libro"))
+	late.Touch(true)
+	must.Eq(t, 9000, late.Share("libro"))
+	late.Touch(false)
+	must.Eq(t, 9000, late.Share("libro"))
+	for now := time.Duration(0); now < 5*time.Second; now += 100 * time.Millisecond {
+		late.Now(now)
+		for i := range 10 {
+			late.Ended("libro", 1, End{Side: Old, Kind: Write, Backend: uint64(1 + i%3)})
+			late.Ended("libro", 1, End{Side: New, Kind: Write, Backend: uint64(5 + i%3), Cause: Wrong})
+		}
+	}
+	must.True(t, late.Share("libro") == 0 && late.Barred("libro"))
+	side, _ := late.Side("libro", user, Scope{})
+	must.Eq(t, Old, side)
+	a, ok := late.Next()
+	low, is := a.(Lowered)
+	must.True(t, ok && is)
+	must.StrContains(t, low.Why, "writes: new")
+	late.Touch(true)
+	late.Fold(s) // the fleet's share does not bring it back
+	must.Eq(t, 0, late.Share("libro"))
+	must.Eq(t, Old, late.Pool("libro", "v1.5"))
+	must.Eq(t, New, late.Pool("libro", "v2"))
+}
