Leaders, reach, readiness and the office's notes are in the log; followers hear sooner

Cause met with it: after the loss of all, followers waited up to 0.7 s for the word that somebody leads again. Change: a line when a view has a leader, reach and readiness at most once a second, the office's notes under gate; a new leader is told to followers at the next look.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -158,6 +158,11 @@
 	out      bool
 }
 
+// Log takes the module's notes; *zap.Logger is one.
+type Log interface {
+	Info(text string, fields ...zap.Field)
+}
+
 // Gate is the module with what it drives.
 type Gate struct {
 	door  Module
@@ -166,13 +171,13 @@
 	send  Sender
 	tell  Teller
 	count *counters.Set
-	log   *zap.Logger
+	log   Log
 	wake  uint32 // number of the module's present due time
 	watch Watcher
 }
 
 // New makes a gate for at most so many txns at a time.
-func New(door Module, clock Clock, most int, count *counters.Set, log *zap.Logger) *Gate {
+func New(door Module, clock Clock, most int, count *counters.Set, log Log) *Gate {
 	return &Gate{door: door, clock: clock, txns: slots.New[txn](most), count: count, log: log}
 }
 
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -41,6 +41,7 @@
 	lookedAt time.Duration
 	lost     map[prompter.MemberID]time.Duration // since when a member is not live
 	wake     uint32
+	view     uint64 // the last one whose leader was known
 }
 
 // waiting is a call that the log settles.
@@ -137,6 +138,15 @@
 			c.h.e.At(a.At, (*coreAlarm)(c), c.wake)
 		}
 	}
+	if m, view, ok := c.p.Leader(); ok && view != c.view {
+		c.view = view
+		c.h.pingedAt = 0 // who follows waits for the word that somebody leads
+		if m.ID == c.me.ID {
+			c.h.say(corePart, "leads view %d", view)
+		} else {
+			c.h.say(corePart, "view %d is led by %s", view, m.Addr)
+		}
+	}
 	if !c.writing && (len(c.queue) > 0 || c.note != nil) {
 		c.writing = true
 		c.writes <- batch{c.queue, c.note}
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -173,6 +173,7 @@
 		doors = append(doors, callboard.Door{Seat: callboard.Seat(i), Control: s.Control, Zone: s.Zone,
 			Live: h.company.Live(s.Addr), Firm: d.Disk != 0})
 	}
+	h.reach = reach
 	h.quota.Reach(reach)
 	h.board.Now(h.e.Now())
 	h.board.Doors(doors)
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -13,7 +13,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
-	"go.uber.org/zap"
 
 	"clovergap/control"
 	"clovergap/internal/boxoffice"
@@ -92,6 +91,10 @@
 	seatAsked time.Duration
 	pingedAt  time.Duration
 	seats     int
+	reach     int // doors in reach
+	said      int // and as last logged
+	saidAt    time.Duration
+	notReady  string // why clients were last not wanted, as logged
 	leaving   bool
 }
 
@@ -156,7 +159,7 @@
 		RetryRatio: h.sheet.Bounds.RetryRatio, RetryWindow: h.sheet.Bounds.RetryWindow,
 		RetryExtra: float64(h.sheet.Bounds.RetryExtra), Doors: 1}, h.quota, h.e.Now())
 	k := &clock{Engine: h.e}
-	h.gate = gate.New(h.office, k, heldMost, h.e.Count, zap.NewNop())
+	h.gate = gate.New(h.office, k, heldMost, h.e.Count, notes{h})
 	k.due = h.gate
 	h.dispatch = dispatch.New(h.e, h.gate, foyer.Terms(h, dialLimit),
 		func() bool { return h.front.Evict() })
@@ -249,6 +252,9 @@
 	if h.core != nil {
 		h.core.keepBoard()
 	}
+	if now-h.saidAt >= time.Second {
+		h.tellState()
+	}
 }
 
 // customerOf names a tenant for the quota: the same at every door. Messages carry 34 bits of it.
--- a/internal/house/log.go
+++ b/internal/house/log.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/phuslu/log"
+	"go.uber.org/zap"
 )
 
 // part is a part of the house in the log: a fixed prefix for its short sentences.
@@ -25,6 +27,12 @@
 		Writer: &log.IOWriter{Writer: os.Stderr}}
 }
 
+// notes are the module's.
+type notes struct{ h *House }
+
+// Info takes one.
+func (n notes) Info(text string, _ ...zap.Field) { n.h.say(gatePart, "%s", text) }
+
 func (h *House) say(p part, format string, args ...any) {
 	h.log.Info().Msg(string(p) + fmt.Sprintf(format, args...))
 }
@@ -32,3 +40,19 @@
 func (h *House) warn(p part, format string, args ...any) {
 	h.log.Warn().Msg(string(p) + fmt.Sprintf(format, args...))
 }
+
+// tellState logs what changed of what operators ask first: who is heard, and whether clients are wanted here.
+func (h *House) tellState() {
+	h.saidAt = h.e.Now()
+	if h.reach != h.said {
+		h.said = h.reach
+		h.say(doorPart, "hears %d of %d doors", h.reach, h.seats)
+	}
+	if why := strings.Join(h.unready(), ", "); why != h.notReady {
+		if h.notReady = why; why == "" {
+			h.say(doorPart, "is ready")
+		} else {
+			h.say(doorPart, "is not ready: %s", why)
+		}
+	}
+}
