--- a/cmd/lab/chaos.go
+++ b/cmd/lab/chaos.go
@@ -187,27 +187,39 @@
 	return nil
 }
 
-// smaller shrinks a schedule that fails.
-func (k *chaos) smaller(ctx context.Context, s *spec.Spec, file string) error {
-	rule := ""
-	fails := func(c *spec.Spec) (bool, error) {
-		o := k.options()
-		o.Keep = ""
-		r, err := rig.Play(ctx, c, o)
+// failing makes of a play one that tells whether it breaks the rule: the one that is broken first, and the same all the way, or
+// another failure would be found. A play that was ended from outside breaks nothing.
+func failing(ctx context.Context, rule *string, play func(*spec.Spec) ([]history.Broken, error)) func(*spec.Spec) (bool, error) {
+	return func(c *spec.Spec) (bool, error) {
+		broken, err := play(c)
 		if err != nil {
 			if ctx.Err() != nil {
 				return false, nil
 			}
 			return false, err
 		}
-		for _, b := range r.Broken {
-			if rule == "" || b.Rule == rule {
-				rule = b.Rule // the same rule all the way, or another failure would be found
+		for _, b := range broken {
+			if *rule == "" || b.Rule == *rule {
+				*rule = b.Rule
 				return true, nil
 			}
 		}
 		return false, nil
 	}
+}
+
+// smaller shrinks a schedule that fails.
+func (k *chaos) smaller(ctx context.Context, s *spec.Spec, file string) error {
+	rule := ""
+	fails := failing(ctx, &rule, func(c *spec.Spec) ([]history.Broken, error) {
+		o := k.options()
+		o.Keep = ""
+		r, err := rig.Play(ctx, c, o)
+		if err != nil {
+			return nil, err
+		}
+		return r.Broken, nil
+	})
 	times := max(k.times, 3)
 	found := false
 	for i := 0; i < times && !found; i++ {
--- a/cmd/lab/housechaos.go
+++ b/cmd/lab/housechaos.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"clovergap/internal/history"
 	"clovergap/internal/rig"
 	"clovergap/internal/spec"
 )
@@ -198,24 +199,15 @@
 // smaller shrinks a seed's schedule that fails.
 func (k *houseChaos) smaller(ctx context.Context) error {
 	s, rule := k.drawn(k.first), ""
-	fails := func(c *spec.Spec) (bool, error) {
+	fails := failing(ctx, &rule, func(c *spec.Spec) ([]history.Broken, error) {
 		x, o := *s, k.options()
 		x.Faults, o.Keep = c.Faults, ""
 		r, err := rig.PlayHouse(ctx, &x, o)
 		if err != nil {
-			if ctx.Err() != nil {
-				return false, nil
-			}
-			return false, err
-		}
-		for _, b := range r.Broken {
-			if rule == "" || b.Rule == rule {
-				rule = b.Rule // the same rule all the way, or another failure would be found
-				return true, nil
-			}
+			return nil, err
 		}
-		return false, nil
-	}
+		return r.Broken, nil
+	})
 	whole := &spec.Spec{Faults: s.Faults}
 	for i := 0; rule == ""; i++ {
 		if i == 3 {
--- a/control/quota.go
+++ b/control/quota.go
@@ -180,9 +180,9 @@
 	return Beyond, time.Duration((q.need(a, w) - max(0, a.level-pending)) / a.limit.rate * float64(time.Second))
 }
 
-// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone. When a bucket is used
-// up, those that have much to report and say nothing for long are taken as out of reach before that is told. Who seldom
-// reports says nothing by it: taken as silent, it would keep a small bucket empty for ever.
+// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone. When a bucket is
+// used up, those that have much to report and say nothing for long are taken as out of reach before that is
+// told. Who seldom reports says nothing by it: taken as silent, it would keep a small bucket empty for ever.
 func (q *Quota) rate(a *account) float64 {
 	if !q.terms.Parts {
 		return a.limit.rate
