--- a/cmd/lab/chaos.go
+++ b/cmd/lab/chaos.go
@@ -117,10 +117,15 @@
 	if r.Held > 0 {
 		fmt.Printf("  leases: %d grants and renewals, %d steps taken, %d stale ones refused\n", r.Held, r.Steps, r.Stale)
 	}
-	if k.out == "" {
+	return addResult(k.out, r)
+}
+
+// addResult adds a play's result to a file, one JSON object a line; without a file it does nothing.
+func addResult(file string, r any) error {
+	if file == "" {
 		return nil
 	}
-	f, err := os.OpenFile(k.out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	f, err := os.OpenFile(file, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return err
 	}
--- a/cmd/lab/house.go
+++ b/cmd/lab/house.go
@@ -57,17 +57,9 @@
 			if doors < 1 || doors > 30 {
 				return usageError{fmt.Errorf("--doors must be 1 to 30")}
 			}
-			path, done, err := program(playhouse, named)
-			if err != nil {
-				return err
-			}
-			defer done()
-			ctx, cancel := c.Context(), context.CancelFunc(func() {})
-			if dur > 0 {
-				ctx, cancel = context.WithTimeout(ctx, dur)
-			}
-			defer cancel()
-			return houseDemo(ctx, path, fault, doors, rate, dur)
+			return showDemo(c, playhouse, named, dur, func(ctx context.Context, path string) error {
+				return houseDemo(ctx, path, fault, doors, rate, dur)
+			})
 		}}
 	c.Flags().StringVar(&named, "program", "", "playhouse program (default: beside lab, under bin, or built)")
 	c.Flags().StringVar(&fault, "fault", "", "fault to bring after a third of the time: "+strings.Join(known,
--- a/cmd/lab/housechaos.go
+++ b/cmd/lab/housechaos.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -119,18 +117,7 @@
 		}
 		fmt.Printf("      %s\n", b)
 	}
-	if k.out == "" {
-		return nil
-	}
-	f, err := os.OpenFile(k.out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
-	if err != nil {
-		return err
-	}
-	b, err := json.Marshal(r)
-	if err == nil {
-		_, err = f.Write(append(b, '\n'))
-	}
-	return errors.Join(err, f.Close())
+	return addResult(k.out, r)
 }
 
 // ruleNames lists the rules broken, with how often each.
--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -158,17 +158,9 @@
 			if !known {
 				return usageError{fmt.Errorf("no such fault: %q", fault)}
 			}
-			path, done, err := program("clovergap", named)
-			if err != nil {
-				return err
-			}
-			defer done()
-			ctx, cancel := c.Context(), context.CancelFunc(func() {})
-			if dur > 0 {
-				ctx, cancel = context.WithTimeout(ctx, dur)
-			}
-			defer cancel()
-			return demo(ctx, path, fault, rate, dur)
+			return showDemo(c, "clovergap", named, dur, func(ctx context.Context, path string) error {
+				return demo(ctx, path, fault, rate, dur)
+			})
 		}}
 	c.Flags().StringVar(&named, "program", "", "clovergap program (default: beside lab, under bin, or built)")
 	c.Flags().StringVar(&fault, "fault", "", "fault to bring after a third of the time: "+faultNames())
@@ -333,3 +325,18 @@
 	}
 	return nil
 }
+
+// showDemo runs a demo of a program that is found or built for it, for so long, or without end.
+func showDemo(c *cobra.Command, name, named string, dur time.Duration, run func(context.Context, string) error) error {
+	path, done, err := program(name, named)
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel := c.Context(), context.CancelFunc(func() {})
+	if dur > 0 {
+		ctx, cancel = context.WithTimeout(ctx, dur)
+	}
+	defer cancel()
+	return run(ctx, path)
+}
--- a/internal/extras/clients.go
+++ b/internal/extras/clients.go
@@ -304,20 +304,14 @@
 
 // Open sends at a rate, whatever becomes of what was sent before, until the context ends, and waits for all.
 func (c *Clients) Open(ctx context.Context) {
-	var wg sync.WaitGroup
-	for next := time.Now(); ctx.Err() == nil; {
-		if d := time.Until(next); d > 0 {
-			pause(ctx, d)
-		}
-		w, meant := c.draw(), next
-		wg.Add(1)
-		go func() { defer wg.Done(); c.Send(context.WithoutCancel(ctx), w, meant) }()
+	standin.Pace(ctx, func() float64 {
 		c.mu.Lock()
-		gap := c.rng.ExpFloat64() / max(c.Rate(), 0.1)
-		c.mu.Unlock()
-		next = next.Add(time.Duration(gap * 1e9))
-	}
-	wg.Wait()
+		defer c.mu.Unlock()
+		return c.rng.ExpFloat64() / max(c.Rate(), 0.1)
+	}, func(meant time.Time) func() {
+		w := c.draw()
+		return func() { c.Send(context.WithoutCancel(ctx), w, meant) }
+	})
 }
 
 // Outcomes are how requests ended, all and by tenant, and the last answers' statuses.
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -20,7 +20,6 @@
 	Feed   *Feed
 	Call   *Call
 	Reply  *Reply
-	Leaves bool // this door ends in order
 }
 
 // Ping tells that the sender lives, and how old its knowledge of the core is.
--- a/internal/house/log.go
+++ b/internal/house/log.go
@@ -16,7 +16,6 @@
 	doorPart  part = "door: "
 	corePart  part = "core: "
 	boardPart part = "board: "
-	callPart  part = "call: "
 	feedPart  part = "feed: "
 	gatePart  part = "gate: "
 )
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -222,19 +222,31 @@
 // Open sends at a rate, whatever becomes of what was sent before: a slow answer delays no other request, and time
 // counts from when each was meant to go, so that nothing is omitted where the front door is slow.
 func (c *Clients) Open(ctx context.Context, for_ time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, for_)
+	defer cancel()
+	Pace(ctx, func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.rng.ExpFloat64() / max(c.rate(), 0.1)
+	}, func(meant time.Time) func() {
+		a := c.draw()
+		return func() { c.Send(context.WithoutCancel(ctx), a, meant) }
+	})
+}
+
+// Pace sends again and again until the context ends, and waits for all: gap is the seconds to the next, draw makes one that is
+// meant to go at a time, in order, and what it gives runs beside the others.
+func Pace(ctx context.Context, gap func() float64, draw func(meant time.Time) func()) {
 	var wg sync.WaitGroup
-	end := time.Now().Add(for_)
-	for next := time.Now(); next.Before(end) && ctx.Err() == nil; {
+	for next := time.Now(); ctx.Err() == nil; next = next.Add(time.Duration(gap() * 1e9)) {
 		if d := time.Until(next); d > 0 {
-			time.Sleep(d)
+			select {
+			case <-ctx.Done():
+				continue
+			case <-time.After(d):
+			}
 		}
-		a, meant := c.draw(), next
-		wg.Add(1)
-		go func() { defer wg.Done(); c.Send(context.WithoutCancel(ctx), a, meant) }()
-		c.mu.Lock()
-		gap := c.rng.ExpFloat64() / max(c.rate(), 0.1)
-		c.mu.Unlock()
-		next = next.Add(time.Duration(gap * 1e9))
+		wg.Go(draw(next))
 	}
 	wg.Wait()
 }
