Doors without a disk link only to those with one, and hear of backends from these

Change: keepers are the doors with a disk; each tells the others that have one, and these those who follow them, with the whole board once when they begin; what a feeder did not name is told to it. Doors without a disk keep no links to each other once they have a seat.

--- a/internal/callboard/board.go
+++ b/internal/callboard/board.go
@@ -1,8 +1,9 @@
 // Package callboard keeps the list of backends as one door knows it.
 //
-// Each backend has one keeper among the live doors, named by its id. Beats are steered there; the keeper
-// watches for silence and tells all doors what changed. Beats themselves do not travel. What doors know of a
-// backend joins in any order to the same result: see join. The board does no I/O: inputs update what is
+// Each backend has one keeper among the live doors with a disk, named by its id. Beats are steered there; the keeper
+// watches for silence and tells the other doors with a disk what changed, and each of these tells the doors that follow
+// it. Beats themselves do not travel, and doors without a disk tell each other nothing: what goes over a link does not
+// grow with their number. What doors know of a backend joins in any order to the same result: see join. The board does no I/O: inputs update what is
 // known, the host then pulls with Next until nothing is left. All times are the host's steady clock since
 // its start.
 package callboard
@@ -67,6 +68,7 @@
 	Beats  []Word   // beats that came to a door which is not the keeper
 	Doubts []Word   // somebody else answered at the address of these
 	Acks   []uint64 // numbers of messages taken in
+	All    bool     // from here on the sender tells all that it has
 }
 
 // Door is a door that is known, this one too, live or not.
@@ -75,7 +77,8 @@
 	Control string // address for beats; a live door without one keeps nothing
 	Zone    string // backends are kept in their own zone where a door lives there; "" everywhere: any door
 	Live    bool   // heard of late; for this door it does not matter
-	Firm    bool   // counts as a loss: copies at these are what a drain must rest on, where there are any
+	Firm    bool   // has a disk and counts as a loss: such keep backends, and copies at them are what a drain rests on
+	Hears   bool   // it follows this door, and is told all that becomes known here
 }
 
 // Terms are the figures of the settings file that bind the board.
@@ -122,6 +125,7 @@
 	most       = 8192                   // backends that are known, tombstones too
 	tombs      = 4096                   // of them gone
 	tombFor    = 60 * time.Second       // how long a gone one is remembered
+	nameFor    = 3 * time.Second        // for so long the door that is followed may take to tell all it has
 	tick       = 500 * time.Millisecond // longest sleep while there is something to watch
 	standstill = time.Second            // a longer step of the clock was a freeze of this door
 	never      = time.Duration(1<<63 - 1)
@@ -142,12 +146,15 @@
 	gone   int
 
 	met    bool   // Doors was told
-	doors  []Door // live, with an address for beats, by seat
+	doors  []Door // those that may keep: live, with an address for beats, by seat
 	known  int    // other doors, live or not
 	live   int    // other doors that live
 	firm   bool   // a firm door lives
 	self   Door
-	seats  []Seat // of peers, sorted
+	feeder Seat          // who last began to tell all that it has
+	fedAt  time.Duration // and when
+	askAt  time.Duration // when what it did not name is told to it; never: it was
+	seats  []Seat        // of peers, sorted
 	peers  map[Seat]*peer
 	tail   Ticket
 	waits  []wait
@@ -165,6 +172,7 @@
 	cold   time.Duration // until when
 	beatAt time.Duration // last sign of life, or since when this door watches
 	kept   time.Duration // since when the keeper is known as such
+	named  time.Duration // when the feeder last said a word of it
 	signAt time.Duration // last beat that came here or was passed on to this door
 	here   bool          // and it came here
 	shy    time.Duration // until then not taken over: another door still hears its keeper
@@ -209,7 +217,7 @@
 // New makes an empty board; beats fill it. Until Doors is told, no end of a backend is acknowledged.
 func New(me Seat, terms Terms, now time.Duration) *Board {
 	check.That(me >= 0, "a board has a seat")
-	return &Board{me: me, terms: terms, now: now, calm: now, next: now + tick, woken: never,
+	return &Board{me: me, terms: terms, now: now, calm: now, next: now + tick, woken: never, feeder: None, askAt: never,
 		all: map[string]*entry{}, byAddr: map[string][]*entry{}, peers: map[Seat]*peer{}}
 }
 
--- a/internal/callboard/callboard_test.go
+++ b/internal/callboard/callboard_test.go
@@ -42,13 +42,23 @@
 	tr.acks[s], tr.views[s], tr.live[s] = map[Ticket]Acknowledge{}, map[string]Word{}, true
 }
 
-// meet tells each door which others it hears.
+// meet tells each door which others it hears, and who follows whom: doors without a disk the first one with a disk that
+// they reach.
 func (tr *troupe) meet() {
+	reach := func(a, b Seat) bool { return tr.live[b] && !tr.cut[[2]Seat{a, b}] }
+	follows := func(s Seat) Seat {
+		for o := range Seat(tr.firm) {
+			if int(s) >= tr.firm && reach(s, o) && reach(o, s) {
+				return o
+			}
+		}
+		return None
+	}
 	for s, b := range tr.boards {
 		var doors []Door
 		for o := range Seat(len(tr.boards)) {
 			doors = append(doors, Door{Seat: o, Control: fmt.Sprint("door", o), Firm: int(o) < tr.firm,
-				Live: tr.live[o] && !tr.cut[[2]Seat{s, o}]})
+				Live: reach(s, o), Hears: follows(o) == s})
 		}
 		b.Doors(doors)
 	}
@@ -489,9 +499,9 @@
 }
 
 func TestAfterAnyTroubleAllKnowTheSame(t *testing.T) {
-	for seed := range int64(150) {
+	for seed := range int64(200) {
 		r := rand.New(rand.NewSource(seed))
-		n := 3 + r.Intn(5)
+		n := 3 + r.Intn(9)
 		tr, all, crashed := open(t, n, r.Intn(4)), []*backend{}, map[string]bool{}
 		for i := range 12 {
 			all = append(all, server(i))
@@ -566,6 +576,39 @@
 	}
 }
 
+// What goes over a link must not grow with the doors: a release of many backends, and a door that comes back in the middle of
+// it, cost a door without a disk one word a change from the one that it follows, and its board once. On thin links, words
+// of all to all held up requests and broke DRAIN.
+func TestWordsGrowWithTheDoorsAndNotTheirSquare(t *testing.T) {
+	for _, n := range []int{12, 48, 96} {
+		tr := open(t, n, 3)
+		for i := range 60 {
+			tr.beat(server(i), Seat(i%n))
+		}
+		tr.step(time.Second)
+		for s := range Seat(n) {
+			must.Len(t, 60, tr.boards[s].All())
+		}
+		tr.mail = 0
+		for i := range 60 {
+			s := server(i)
+			s.Seq, s.Phase = 9, Draining
+			must.True(t, tr.beat(s, Seat(i%n)).OK, must.Sprint("known by those with a disk, it is acknowledged at once"))
+		}
+		must.LessEq(t, 60*(2*n+20), tr.mail, must.Sprint(n, " doors")) // a word and its confirmation each
+		tr.step(time.Second)
+		tr.mail = 0
+		tr.start(Seat(n - 1))
+		for s := range Seat(n - 1) {
+			tr.boards[s].Greet(Seat(n - 1))
+		}
+		tr.meet()
+		tr.step(time.Second)
+		must.LessEq(t, 12, tr.mail)
+		must.Len(t, 60, tr.boards[Seat(n-1)].All())
+	}
+}
+
 // After the loss of all doors one that remembers spares the others a wait for the beats. What it remembers wrongly goes:
 // a backend that says nothing is gone after three beats, one that left meanwhile stays gone where that is known.
 func TestWhatOneDoorRemembers(t *testing.T) {
--- a/internal/callboard/keep.go
+++ b/internal/callboard/keep.go
@@ -39,9 +39,10 @@
 			named[d.Seat] = true
 			b.known++
 			p := b.peer(d.Seat)
-			if d.Live && !p.door.Live {
+			switch {
+			case d.Live && (!p.door.Live || d.Firm && !p.door.Firm || d.Hears && !p.door.Hears):
 				back = append(back, d.Seat)
-			} else if !d.Live && p.door.Live {
+			case !d.Live && p.door.Live || p.door.Hears && !d.Hears:
 				b.drop(p)
 			}
 			p.door = d
@@ -59,6 +60,9 @@
 		}
 	}
 	slices.SortFunc(b.doors, func(x, y Door) int { return int(x.Seat - y.Seat) })
+	if slices.ContainsFunc(b.doors, func(d Door) bool { return d.Firm }) { // else whoever lives keeps
+		b.doors = slices.DeleteFunc(b.doors, func(d Door) bool { return !d.Firm })
+	}
 	for s, p := range b.peers {
 		if !named[s] {
 			b.drop(p)
@@ -159,6 +163,7 @@
 // look goes over all backends: silence of those kept here, and those whose keeper is missing.
 func (b *Board) look() {
 	b.next = b.now + lookEvery
+	b.unnamed()
 	silent := silentBeats * b.terms.BeatInterval
 	grace := graceHalves * b.terms.BeatInterval / 2
 	old := false
--- a/internal/callboard/spread.go
+++ b/internal/callboard/spread.go
@@ -19,6 +19,7 @@
 	again  []*parcel     // to be sent once more
 	behind bool          // gave no confirmation: only asked for a sign, and greeted when there is one
 
+	greet  bool // the next message begins to tell all there is
 	doubts []string
 	beats  []Word
 	acks   []uint64
@@ -30,6 +31,7 @@
 	ids    []string
 	levels []level
 	doubts []string
+	greet  bool
 	at     time.Duration
 	tries  int
 }
@@ -50,34 +52,74 @@
 func (b *Board) drop(p *peer) {
 	p.lostAt = b.now
 	p.order, p.flight, p.again, p.doubts, p.beats, p.acks = nil, nil, nil, nil, nil, nil
-	p.behind = false
+	p.behind, p.greet = false, false
 	clear(p.waits)
 	for _, e := range b.list {
 		delete(e.told, p.door.Seat)
 	}
 }
 
-// Greet tells a door that is connected anew: the backends kept here, those that the door itself should keep,
-// those whose keeper is missing and that fall to this door, and all ends. Together the doors tell it the
-// whole board.
+// tells tells whether a door gets this one's words: where a door with a disk lives, such ones do, and those who follow
+// this door.
+func (b *Board) tells(p *peer) bool { return p.door.Live && (!b.firm || p.door.Firm || p.door.Hears) }
+
+// Greet tells a door that is connected anew, or follows anew. One that follows gets all backends that are not gone. Doors
+// with a disk tell each other those kept here, those that the other should keep, those whose keeper is missing and that
+// fall to this door, and all ends: together they tell it the whole board. A door without a disk tells the ends of
+// backends that are still there; more of what it knows follows where the other turns out not to have it.
 func (b *Board) Greet(s Seat) {
 	p := b.peers[s]
 	if p == nil {
 		return
 	}
 	b.drop(p)
+	if !b.tells(p) {
+		return
+	}
+	p.greet = p.door.Hears
 	for _, e := range b.list {
-		k := e.w.Keeper
-		if k == b.me || k == s || e.level() > noEnd || b.lost(k) && b.duty(e, s).Seat == b.me {
+		k, there := e.w.Keeper, e.phase() != Gone
+		var tell bool
+		switch {
+		case p.door.Hears:
+			tell = there
+		case b.firm && !b.self.Firm:
+			tell = there && e.level() > noEnd
+		default:
+			tell = k == b.me || k == s || e.level() > noEnd || b.lost(k) && b.duty(e, s).Seat == b.me
+		}
+		if tell {
 			b.tell(p, e.w.ID, true)
 		}
 	}
 }
 
-// spread tells all live doors, at once or together with other small news.
-func (b *Board) spread(e *entry, now bool) {
+// unnamed tells the door that is followed what it did not name a while after it began to tell all it has: so it learns
+// what it should have had, or this door that it is gone.
+func (b *Board) unnamed() {
+	if b.now < b.askAt {
+		return
+	}
+	b.askAt = never
+	p := b.peers[b.feeder]
+	if p == nil || !b.tells(p) {
+		return
+	}
+	for _, e := range b.list {
+		if e.phase() != Gone && e.named < b.fedAt {
+			b.tell(p, e.w.ID, false)
+		}
+	}
+}
+
+// spread tells all doors that this one tells, at once or together with other small news.
+func (b *Board) spread(e *entry, now bool) { b.pass(e, nil, now) }
+
+// pass tells what came from one door to the others: what a door with a disk told it has told all that have one, so it is
+// for those who follow; what another told is for all.
+func (b *Board) pass(e *entry, from *peer, now bool) {
 	for _, s := range b.seats {
-		if p := b.peers[s]; p.door.Live {
+		if p := b.peers[s]; p != from && b.tells(p) && !(from != nil && from.door.Firm && p.door.Firm) {
 			b.tell(p, e.w.ID, now)
 		}
 	}
@@ -116,13 +158,13 @@
 		p.again = p.again[1:]
 		return b.fill(m, f), true
 	}
-	due := len(p.order) > 0 && b.now >= p.sendAt
+	due := len(p.order) > 0 && b.now >= p.sendAt || p.greet
 	if !due && len(p.doubts) == 0 || p.behind || len(p.flight) >= flightMost {
 		return m, len(m.Acks)+len(m.Beats) > 0
 	}
 	p.nr++
-	f := &parcel{nr: p.nr, at: b.now, doubts: p.doubts}
-	p.doubts = nil
+	f := &parcel{nr: p.nr, at: b.now, doubts: p.doubts, greet: p.greet}
+	p.doubts, p.greet = nil, false
 	if due {
 		n := min(len(p.order), wordsMost)
 		f.ids, p.order = slices.Clone(p.order[:n]), p.order[n:]
@@ -141,7 +183,7 @@
 
 // fill writes the words of a parcel as they are now.
 func (b *Board) fill(m Message, f *parcel) Message {
-	m.Nr = f.nr
+	m.Nr, m.All = f.nr, f.greet
 	for _, id := range f.ids {
 		if e := b.all[id]; e != nil {
 			m.Words = append(m.Words, b.word(e))
@@ -208,6 +250,9 @@
 	if p.behind && p.door.Live {
 		b.Greet(from)
 	}
+	if m.All {
+		b.feeder, b.fedAt, b.askAt = from, b.now, b.now+nameFor
+	}
 	for _, nr := range m.Acks {
 		b.confirmed(p, nr)
 	}
@@ -236,11 +281,23 @@
 	}
 	mine := e.w.Keeper == b.me && e.phase() != Gone
 	recent := b.now-e.signAt < silentBeats*b.terms.BeatInterval
-	before := e.w
-	revived := b.join(e, w)
-	if e.w.Keeper == b.me && (before.Keeper != b.me || revived || differs(before, e.w)) {
+	before, was, level, cold, doubt := e.w, e.phase(), e.level(), e.cold, e.doubt
+	b.join(e, w)
+	if p.door.Seat == b.feeder {
+		e.named = b.now
+	}
+	// What this door alone held for gone, nobody was told.
+	turned := e.phase() != was || e.level() > level || doubt && w.Phase == Gone
+	news := turned || differs(before, e.w)
+	switch {
+	case e.w.Keeper == b.me && (before.Keeper != b.me || news):
 		// The keeper answers for what all know: others may have believed it, or have come up with it.
-		b.spread(e, revived)
+		b.spread(e, turned)
+	case b.self.Firm && (news || e.cold != cold):
+		b.pass(e, p, turned)
+	}
+	if k := b.peers[e.w.Keeper]; b.self.Firm && before.Service == "" && e.phase() != Gone && k != nil && k != p && k.door.Live {
+		b.tell(k, e.w.ID, false) // new here, and not from its keeper: that one may have forgotten it, and watches again
 	}
 	if w.Phase == Gone && p.door.Seat == e.w.Keeper {
 		e.doubt = false
--- a/internal/callboard/wait.go
+++ b/internal/callboard/wait.go
@@ -27,7 +27,7 @@
 	if asked != noEnd {
 		for _, s := range b.seats {
 			p := b.peers[s]
-			if p.door.Live && e.told[s] < asked && !p.carries(e.w.ID, asked) {
+			if b.tells(p) && e.told[s] < asked && !p.carries(e.w.ID, asked) {
 				b.tell(p, e.w.ID, true)
 			}
 		}
@@ -64,7 +64,8 @@
 	})
 }
 
-// decide tells whether a call may be answered, and how.
+// decide tells whether a call may be answered, and how: when the doors that this one tells have confirmed it. The others have
+// it from these a moment later.
 func (b *Board) decide(w wait) (ok, done bool) {
 	if w.asked == noEnd || b.met && b.known == 0 {
 		return true, true
@@ -79,7 +80,7 @@
 	}
 	for _, s := range b.seats {
 		p := b.peers[s]
-		if !p.door.Live {
+		if !b.tells(p) {
 			continue
 		}
 		counts := !b.firm || p.door.Firm
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -34,7 +34,7 @@
 // Hello is what doors tell each other when a link comes up, and when something of it changes.
 type Hello struct {
 	Door  Door
-	Known []string // addresses of other doors
+	Known []string // addresses of doors that the other one is to keep links to
 	Begun bool     // one that it has met holds a state of the core
 }
 
@@ -77,17 +77,21 @@
 	foundLate  = 6 * time.Second         // as long waits one that has lived before: others may still come with a state
 	foundAgain = time.Second
 	lookEvery  = 200 * time.Millisecond
+	guestFor   = 5 * time.Second // a door without a disk is answered by another one for so long after its hello
 	doorsMost  = 512
 )
 
 type door struct {
 	Door
-	met   bool // it said hello in its present life
-	knows bool // of one that holds a state of the core
-	up    bool // our link to it
-	heard time.Duration
-	known time.Duration
-	live  bool
+	met    bool // it said hello in its present life
+	knows  bool // of one that holds a state of the core
+	named  bool // as one to keep a link to
+	linked bool // we want a link to it
+	up     bool // and have it
+	heard  time.Duration
+	known  time.Duration
+	asked  time.Duration // when it last said hello
+	live   bool
 }
 
 // Company is one door's knowledge of all.
@@ -95,6 +99,7 @@
 	now, born time.Duration
 	me        Door
 	terms     Terms
+	seeds     []string // as the settings name them now
 	doors     map[string]*door
 	seats     map[string]Seat
 	opinions  map[string]opinion
@@ -114,9 +119,7 @@
 func New(me Door, t Terms, now time.Duration) *Company {
 	c := &Company{now: now, born: now, me: me, terms: t, doors: map[string]*door{}, seats: map[string]Seat{}, opinions: map[string]opinion{},
 		looked: now, lastDisk: now}
-	for _, s := range t.Seeds {
-		c.learn(s)
-	}
+	c.SetSeeds(t.Seeds)
 	return c
 }
 
@@ -146,14 +149,51 @@
 	if d != nil || addr == c.me.Addr || addr == "" || len(c.doors) >= doorsMost {
 		return d
 	}
-	d = &door{Door: Door{Addr: addr}, heard: c.now - silentFor, known: c.now}
+	d = &door{Door: Door{Addr: addr}, heard: c.now - silentFor, known: c.now, asked: c.now - guestFor}
 	c.doors[addr] = d
-	c.do(Action{Verb: Want, Addr: addr})
+	c.link(addr, d)
 	return d
 }
 
-// Seed is an address that the settings name by now.
-func (c *Company) Seed(addr string) { c.learn(addr) }
+// link keeps or leaves our link to a door. Doors with a disk keep links to all, the others to those alone, so that links
+// and what goes over them grow with the doors and not with their square. Two doors without a disk are linked only while one
+// of them may know nobody else: it dials its seeds until it has a seat and a door with a disk, and is answered meanwhile.
+func (c *Company) link(addr string, d *door) {
+	want := c.me.Disk != 0 || d.Disk != 0 || d.named && !d.met || c.now-d.asked < guestFor ||
+		slices.Contains(c.seeds, addr) && !c.tied()
+	switch {
+	case want && !d.linked:
+		c.do(Action{Verb: Want, Addr: addr})
+	case !want && d.linked:
+		d.up = false
+		c.do(Action{Verb: Leave, Addr: addr})
+	}
+	d.linked = want
+}
+
+// tied tells whether this door needs its seeds no more: the core has told who there is, and a door with a disk lives.
+func (c *Company) tied() bool {
+	if len(c.order) == 0 {
+		return false
+	}
+	for _, d := range c.doors {
+		if d.live && d.Disk != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// SetSeeds takes the seeds that the settings name by now. Who begins the core goes by those of the start: they are alike
+// at all doors.
+func (c *Company) SetSeeds(all []string) {
+	c.seeds = all
+	for _, a := range all {
+		if d := c.learn(a); d != nil {
+			c.link(a, d)
+		}
+	}
+}
 
 // Up and Down tell how our link to a door is.
 func (c *Company) Up(addr string) {
@@ -191,14 +231,26 @@
 		c.lastDisk = c.now
 	}
 	again := d.met && d.Life != h.Door.Life
+	found := h.Door.Disk != 0 && (!d.met || d.Disk != h.Door.Disk)
 	begun := c.begun()
-	d.Door, d.met, d.knows, d.heard = h.Door, true, h.Begun, c.now
+	d.Door, d.met, d.knows, d.heard, d.asked = h.Door, true, h.Begun, c.now, c.now
 	d.Addr = from
+	c.link(from, d)
 	if begun != c.begun() {
 		c.warn()
 	}
 	for _, a := range h.Known {
-		c.learn(a)
+		if o := c.learn(a); o != nil {
+			o.named = true
+			c.link(a, o)
+		}
+	}
+	if found && c.me.Disk == 0 { // whoever has dialed this door as a seed waits for such a one
+		for _, a := range c.Addrs() {
+			if o := c.doors[a]; o.up && o.Disk == 0 {
+				c.do(Action{Verb: Greet, Addr: a})
+			}
+		}
 	}
 	if again {
 		c.changed = true
@@ -296,20 +348,33 @@
 	return all
 }
 
-// Say is this door's hello.
-func (c *Company) Say() Hello { return Hello{Door: c.me, Known: c.Addrs(), Begun: c.begun()} }
+// Say is this door's hello to another one: it names all doors to one with a disk, and those with a disk to the others.
+func (c *Company) Say(to string) Hello {
+	h := Hello{Door: c.me, Begun: c.begun()}
+	d := c.doors[to]
+	for _, a := range c.Addrs() {
+		if a != to && (d != nil && d.Disk != 0 || c.doors[a].Disk != 0) {
+			h.Known = append(h.Known, a)
+		}
+	}
+	return h
+}
 
 // look works out who is live.
 func (c *Company) look() {
 	c.looked = c.now
-	for a, d := range c.doors {
-		live := d.up && d.met && (c.hears(a) || c.told(c.Seat(a)))
+	for _, a := range c.Addrs() { // in order: what is asked for must not go by chance
+		d := c.doors[a]
+		live := (!d.linked || d.up && d.met) && (c.hears(a) || c.told(c.Seat(a)))
 		if live != d.live {
 			d.live, c.changed = live, true
 		}
-		if c.Seat(a) == NoSeat && !slices.Contains(c.terms.Seeds, a) && c.now-max(d.heard, d.known) > forgetIn {
+		c.link(a, d)
+		if c.Seat(a) == NoSeat && !slices.Contains(c.seeds, a) && c.now-max(d.heard, d.known) > forgetIn {
 			delete(c.doors, a)
-			c.do(Action{Verb: Leave, Addr: a})
+			if d.linked {
+				c.do(Action{Verb: Leave, Addr: a})
+			}
 		}
 	}
 	c.found()
--- a/internal/company/company_test.go
+++ b/internal/company/company_test.go
@@ -158,7 +158,7 @@
 					w.found(n, do)
 				}
 				if do.Verb == Greet && w.reach(n, do.Addr) {
-					w.actors[do.Addr].Hello(n, a.Say())
+					w.actors[do.Addr].Hello(n, a.Say(do.Addr))
 				}
 			}
 		}
@@ -329,7 +329,7 @@
 
 // A door that says nothing is not live, one that is not heard for long is forgotten, and a seed or one with a seat is not.
 func TestSilence(t *testing.T) {
-	c := New(Door{Addr: "me"}, Terms{Seeds: []string{"s"}}, 0)
+	c := New(Door{Addr: "me", Disk: 9}, Terms{Seeds: []string{"s"}}, 0)
 	for _, a := range []string{"s", "x", "y"} {
 		c.Hello(a, Hello{Door: Door{Name: a, Life: 1}})
 		c.Up(a)
@@ -357,9 +357,11 @@
 	must.Eq(t, []string{"s", "y"}, c.Addrs())
 	c.Heard("x")
 	must.Eq(t, 1, count(drain(c), Want, "x"))
+	var many []string
 	for i := range 2 * doorsMost {
-		c.Seed(fmt.Sprint("z", i))
+		many = append(many, fmt.Sprint("z", i))
 	}
+	c.SetSeeds(many)
 	must.Len(t, doorsMost, c.Addrs())
 	c.Hello("x", Hello{Door: Door{Name: "x", Disk: 5}}) // a full table still takes word of those in it
 	d, _ := c.Door("x")
--- a/internal/company/watch.go
+++ b/internal/company/watch.go
@@ -38,10 +38,11 @@
 			all = append(all, a)
 		}
 	}
-	if len(all) == 0 || len(c.order) == 0 {
-		return c.Addrs() // the core is not there yet
-	}
 	slices.Sort(all)
+	if len(all) == 0 || len(c.order) == 0 { // the core is not there yet
+		all = c.Addrs()
+		return slices.DeleteFunc(all, func(a string) bool { return !c.doors[a].linked })
+	}
 	if c.me.Disk != 0 || len(all) <= watchersMost {
 		return all
 	}
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -54,12 +54,23 @@
 	if d, ok := h.company.Door(to); ok {
 		h.remind(to, d)
 	}
-	if s := h.company.Seat(to); s != company.NoSeat && h.board != nil {
+	h.greet(to) // it may have started anew
+}
+
+// greet tells a door of the backends.
+func (h *House) greet(addr string) {
+	if s := h.company.Seat(addr); s != company.NoSeat && h.board != nil {
 		h.board.Now(h.e.Now())
-		h.board.Greet(callboard.Seat(s)) // it may have started anew
+		h.board.Greet(callboard.Seat(s))
 	}
 }
 
+// hears tells whether a door gets its news from this one.
+func (h *House) hears(addr string) bool {
+	_, ok := h.followers[addr]
+	return ok
+}
+
 func (h *House) Down(to string) {
 	h.company.Now(h.e.Now())
 	h.company.Down(to)
@@ -111,7 +122,7 @@
 		case company.Leave:
 			h.wings.Leave(a.Addr)
 		case company.Greet:
-			hello := h.company.Say()
+			hello := h.company.Say(a.Addr)
 			h.wings.Send(a.Addr, &Frame{Hello: &hello})
 		case company.Found:
 			var members []prompter.Member
@@ -171,7 +182,7 @@
 		}
 		d, _ := h.company.Door(s.Addr)
 		doors = append(doors, callboard.Door{Seat: callboard.Seat(i), Control: s.Control, Zone: s.Zone,
-			Live: h.company.Live(s.Addr), Firm: d.Disk != 0})
+			Live: h.company.Live(s.Addr), Firm: d.Disk != 0, Hears: h.hears(s.Addr)})
 	}
 	h.reach = reach
 	h.quota.Reach(reach)
@@ -189,13 +200,14 @@
 	return netip.AddrPortFrom(a, uint16(h.sheet.InnerPorts[0]+1))
 }
 
-// innerOf is where the door at a control address takes links: the ports of a house are alike.
-func innerOf(control string, port int) string {
-	host, _, err := net.SplitHostPort(control)
-	if err != nil {
-		return ""
+// innersOf is where the doors at some control addresses take links: the ports of a house are alike.
+func (h *House) innersOf(controls []string) (inners []string) {
+	for _, c := range controls {
+		if host, _, err := net.SplitHostPort(c); err == nil {
+			inners = append(inners, net.JoinHostPort(host, strconv.Itoa(h.sheet.InnerPorts[0])))
+		}
 	}
-	return net.JoinHostPort(host, strconv.Itoa(port))
+	return inners
 }
 
 // ping tells the watchers that this door lives, and those who follow it who does.
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -87,7 +87,18 @@
 	if h.core == nil || !h.core.p.Founded() {
 		return
 	}
+	if f.Ends {
+		delete(h.followers, from)
+		h.doorsChanged()
+		return
+	}
+	had := h.hears(from)
 	h.followers[from] = f.After
+	if !had {
+		h.doorsChanged()
+	} else if f.Anew {
+		h.greet(from)
+	}
 	if f.After < h.applied {
 		h.feed(from)
 	} else {
@@ -129,11 +140,15 @@
 
 // follow asks a door with a disk for the entries from here on.
 func (h *House) follow(addr string) {
-	if h.feeder != addr {
+	anew := h.feeder != addr
+	if anew {
 		h.say(feedPart, "follows %s after %d", addr, h.applied)
+		if h.feeder != "" {
+			h.wings.Send(h.feeder, &Frame{Follow: &Follow{Ends: true}})
+		}
 	}
 	h.feeder, h.askedAt = addr, h.e.Now()
-	h.wings.Send(addr, &Frame{Follow: &Follow{h.applied}})
+	h.wings.Send(addr, &Frame{Follow: &Follow{After: h.applied, Anew: anew}})
 }
 
 // tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear. Only
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -35,8 +35,12 @@
 	Message prompter.Message
 }
 
-// Follow asks a door with a disk for the entries after an index, and for those to come.
-type Follow struct{ After uint64 }
+// Follow asks a door with a disk for the entries after an index, and for those to come, and for its board.
+type Follow struct {
+	After uint64
+	Anew  bool // the sender did not follow it before
+	Ends  bool // and it does no longer
+}
 
 // Feed carries entries in order. With State, they begin after Index, which that state holds all of.
 type Feed struct {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -129,12 +129,6 @@
 	if h.wings, err = wings.New[Frame](h.inner, h.life, h, h.e.Turn); err != nil {
 		return err
 	}
-	var seeds []string
-	for _, s := range h.sheet.SeedAddrs {
-		if a := innerOf(s, h.sheet.InnerPorts[0]); a != "" {
-			seeds = append(seeds, a)
-		}
-	}
 	h.e.Turn(func() { // the core may have something to say at once: it is pulled once all is there
 		err = h.openCore()
 	})
@@ -146,7 +140,7 @@
 	if h.core != nil {
 		me.Disk, me.Founded = company.Disk(h.core.me.ID), h.core.p.Founded()
 	}
-	h.company = company.New(me, company.Terms{Seeds: seeds, Tolerates: h.sheet.Tolerates.Machines}, h.e.Now())
+	h.company = company.New(me, company.Terms{Seeds: h.innersOf(h.sheet.SeedAddrs), Tolerates: h.sheet.Tolerates.Machines}, h.e.Now())
 	h.ledAt = h.e.Now() - never
 	return nil
 }
--- a/internal/house/leave.go
+++ b/internal/house/leave.go
@@ -62,22 +62,13 @@
 		if fixed := h.sheet.Fixed(s); len(fixed) > 0 {
 			h.warn(doorPart, "settings that wait for a restart: %v", fixed)
 		}
-		h.takeSeeds(s.SeedAddrs)
+		h.company.Now(h.e.Now())
+		h.company.SetSeeds(h.innersOf(s.SeedAddrs)) // doors that the settings name now are said hello to
 		h.sheet.SeedAddrs, h.sheet.Bounds, h.sheet.Tolerates = s.SeedAddrs, s.Bounds, s.Tolerates
 		h.say(doorPart, "settings taken")
 	})
 }
 
-// takeSeeds says hello to doors that the settings name now.
-func (h *House) takeSeeds(seeds []string) {
-	for _, s := range seeds {
-		if a := innerOf(s, h.sheet.InnerPorts[0]); a != "" {
-			h.company.Now(h.e.Now())
-			h.company.Seed(a)
-		}
-	}
-}
-
 // Tell writes the counters to the log.
 func (h *House) Tell() {
 	var m runtime.MemStats
