--- a/internal/callboard/callboard_test.go
+++ b/internal/callboard/callboard_test.go
@@ -642,3 +642,31 @@
 	tr.pump()
 	must.Eq(t, Gone, tr.boards[0].view(tr.boards[0].all[lives.ID]))
 }
+
+// The only door with a disk comes back knowing nothing: those who follow it tell what it did not name. What lives is kept again
+// without a wait for its beat, what died meanwhile goes after three beats at all doors, though no beat ever names it again.
+func TestOthersKeepWhatAMissingDoorShouldHaveHad(t *testing.T) {
+	tr := open(t, 4, 1)
+	lives, died := server(1), server(2)
+	for _, s := range []*backend{lives, died} {
+		tr.beat(s, 3)
+		must.Eq(t, Seat(0), s.target) // doors with a disk keep
+		tr.beat(s, 0)
+	}
+	tr.step(time.Second)
+	tr.start(0)
+	for s := range Seat(3) {
+		tr.boards[s+1].Greet(0)
+	}
+	tr.meet()
+	must.Len(t, 0, tr.boards[0].All())
+	tr.step(nameFor + time.Second)
+	must.Len(t, 2, tr.boards[0].All())
+	must.Len(t, 2, tr.boards[2].All())
+	for range 6 {
+		tr.beat(lives, 0)
+		tr.step(beat)
+	}
+	tr.phases(lives.ID, Ready)
+	tr.phases(died.ID, Gone)
+}
--- a/internal/company/company_test.go
+++ b/internal/company/company_test.go
@@ -367,3 +367,68 @@
 	d, _ := c.Door("x")
 	must.Eq(t, Disk(5), d.Disk)
 }
+
+// Links must not grow with the square of the doors, and nobody may be left without one: a door without a disk that knows only
+// seeds without a disk is brought to those that have one, leaves the seeds when it has a seat, and goes back to them when
+// all doors with a disk are gone.
+func TestLinksGoByDoorsWithADisk(t *testing.T) {
+	w := newWorld("dea", "a", "b", "c")
+	for _, n := range []string{"d", "e", "f", "g"} {
+		w.start(n, 0, true)
+	}
+	seats := func() {
+		var order []Seated
+		for _, n := range w.names {
+			order = append(order, Seated{Name: n, Addr: n})
+		}
+		for _, n := range w.names {
+			w.actors[n].Seats(order)
+		}
+	}
+	linked := func(n string) (all string) {
+		for _, a := range w.actors[n].Addrs() {
+			if w.actors[n].doors[a].linked {
+				all += a
+			}
+		}
+		return all
+	}
+	feed := func(d time.Duration) { // those with a disk tell the others who lives
+		for end := w.now + d; w.now < end; {
+			w.step()
+			for _, n := range w.names {
+				if a := w.actors[n]; !a.dead && a.Me().Disk != 0 {
+					for _, o := range w.names {
+						if b := w.actors[o]; b != a && !b.dead && b.Me().Disk != 0 {
+							b.Told(n, a.Hears())
+						} else if !b.dead && n == "b" {
+							b.Heard(n)
+							b.Told(n, a.Lives())
+						}
+					}
+				}
+			}
+		}
+	}
+	w.until(3 * time.Second)
+	seats()
+	feed(10 * time.Second)
+	must.Eq(t, "bcdefg", linked("a"))
+	for _, n := range []string{"d", "e", "f", "g"} {
+		must.Eq(t, "abc", linked(n))
+		must.True(t, w.actors[n].Live("d")) // by the word of those with a disk
+		must.Eq(t, []string{"a", "b", "c"}, w.actors[n].Say("f").Known)
+	}
+	w.actors["a"].dead = true // the one seed with a disk
+	w.start("h", 0, false)
+	feed(time.Second)
+	must.Eq(t, "abcde", linked("h")) // a is a seed: it may come back
+	seats()
+	feed(10 * time.Second)
+	must.Eq(t, "abc", linked("h"))
+	must.Eq(t, "abc", linked("d"))
+	w.die("b", "c")
+	w.until(w.now + 4*time.Second)
+	must.Eq(t, "abcde", linked("h"))
+	must.Eq(t, "abce", linked("d"))
+}
