casting: each door sends mostly to its homes, a window of its zone's backends

Cause: with 24 doors and 56 backends a zone each door sent to each backend once in seven seconds: it learnt nothing of their speeds, and two of three requests opened a connection. Change: homes by a window on the ring of the zone's backends, by the door's place among the zone's doors; the others get a twentieth and all that the homes have no room for.

--- a/internal/boxoffice/boxoffice.go
+++ b/internal/boxoffice/boxoffice.go
@@ -147,6 +147,8 @@
 	meter    Meter
 	calls    map[control.ProductID]*Call
 	houses   []*house // in order of id
+	place    int      // of this door among those of its zone
+	places   int
 	byID     map[control.BackendID]*house
 	txns     map[control.TxnID]*txn
 	due      due.Queue[look]
@@ -188,6 +190,14 @@
 // DropCall: there are no such requests any more.
 func (o *Office) DropCall(id control.ProductID) { delete(o.calls, id) }
 
+// SetPlace says which of how many doors of its zone this one is.
+func (o *Office) SetPlace(nr, of int) {
+	o.place, o.places = nr, of
+	for _, h := range o.houses {
+		h.cast.SetPlace(nr, of)
+	}
+}
+
 // SetDoors says how many doors share the budgets and the backends.
 func (o *Office) SetDoors(n int) {
 	for _, h := range o.houses {
--- a/internal/boxoffice/house.go
+++ b/internal/boxoffice/house.go
@@ -18,6 +18,7 @@
 	})
 	if !ok {
 		h := &house{id: id, cast: casting.New(o.rng, o.terms.Zone, o.terms.Doors)}
+		h.cast.SetPlace(o.place, o.places)
 		h.budget = budget{window: o.terms.RetryWindow, at: o.now,
 			nr: int64(o.now / (o.terms.RetryWindow / parts))}
 		o.houses = slices.Insert(o.houses, at, h)
--- a/internal/casting/casting.go
+++ b/internal/casting/casting.go
@@ -104,14 +104,17 @@
 	suspect   bool          // failing: after the pause one request at a time tries it
 	rampFrom  time.Duration
 	pass      float64 // its place in the order of sends, see Pick
+	away      bool    // no home of this door, see SetPlace
 	sentAt    time.Duration
 }
 
 // Cast chooses among the backends of one service.
 type Cast struct {
-	rng   *rand.Rand
-	zone  control.HallID
-	doors int
+	rng    *rand.Rand
+	zone   control.HallID
+	doors  int
+	place  int // of this door among those of its zone
+	places int
 
 	all   map[control.BackendID]*backend // with gone ones that still owe an answer
 	list  []*backend                     // in order of id
@@ -197,6 +200,7 @@
 		c.room = roomFirst * c.slots / float64(c.doors)
 	}
 	c.bound()
+	c.settleHomes()
 }
 
 func (c *Cast) bound() { c.room = min(max(c.room, 1), max(1, roomMost*c.slots)) }
@@ -340,6 +344,9 @@
 			part *= firstPart
 		}
 	}
+	if b.away {
+		part *= awayPart
+	}
 	return min(max(b.speed, speedLow), speedHigh) / (max(b.Size, 1) * part)
 }
 
--- a/internal/casting/casting_test.go
+++ b/internal/casting/casting_test.go
@@ -155,3 +155,58 @@
 	s.Stood(s.now) // unless the silence was this door's own
 	must.False(t, s.Dead(s.now, 1))
 }
+
+// Without homes a door of a large fleet sent to each backend once in a while: it learnt nothing of them and opened a connection
+// for two requests of three. Homes are spread evenly without a word, most goes there, and what they have no room for,
+// or all when they are gone, goes to the others.
+func TestHomes(t *testing.T) {
+	const doors, backends = 24, 56
+	homes := map[control.BackendID]int{}
+	for nr := range doors {
+		c := New(rand.New(rand.NewSource(int64(nr))), 0, 4*doors)
+		c.SetPlace(nr, doors)
+		for i := range backends {
+			c.List(0, control.Listing{ID: control.BackendID(i + 1), Size: 4, State: control.Ready})
+		}
+		own := map[control.BackendID]bool{}
+		for _, b := range c.list {
+			if own[b.ID] = !b.away; !b.away {
+				homes[b.ID]++
+			}
+		}
+		s := &stage{Cast: c, now: time.Second, got: map[control.BackendID]int{}}
+		s.play(400, Want{})
+		at := 0
+		for id, n := range s.got {
+			if own[id] {
+				at += n
+			}
+		}
+		must.Between(t, 330, at, 399)
+		var out []control.BackendID
+		for range 24 { // none of them ends
+			id, a := s.Pick(s.now, Want{})
+			must.Eq(t, Chosen, a)
+			s.Sent(s.now, id, Want{})
+			out = append(out, id)
+		}
+		for _, id := range out {
+			s.Ended(s.now, id, End{Took: 100 * ms, Aim: 400 * ms})
+		}
+		for id := range own {
+			if own[id] {
+				s.List(s.now, control.Listing{ID: id, State: control.Gone})
+			}
+		}
+		s.play(50, Want{})
+		total := 0
+		for _, n := range s.got {
+			total += n
+		}
+		must.Eq(t, 50, total)
+	}
+	for id, n := range homes {
+		must.Between(t, homeDoors, n, homeDoors+2, must.Sprint("backend ", id))
+	}
+	must.MapLen(t, backends, homes)
+}
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -175,8 +175,14 @@
 		h.office.SetDoors(len(order))
 	}
 	doors := make([]callboard.Door, 0, len(order))
-	reach := 0
+	reach, place, places := 0, 0, 0
 	for i, s := range order {
+		if s.Zone == h.sheet.Zone {
+			if i == int(me) {
+				place = places
+			}
+			places++
+		}
 		if h.company.Live(s.Addr) {
 			reach++
 		}
@@ -186,6 +192,7 @@
 	}
 	h.reach = reach
 	h.quota.Reach(reach)
+	h.office.SetPlace(place, places)
 	h.board.Now(h.e.Now())
 	h.board.Doors(doors)
 }
