--- a/internal/casting/casting.go
+++ b/internal/casting/casting.go
@@ -4,6 +4,7 @@
 package casting
 
 import (
+	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -23,6 +24,7 @@
 	longTimes = 5.0  // times the usual: an answer counts as no longer
 	speedLow  = 0.4  // bounds of what a backend's speed may do to its share
 	speedHigh = 5.0
+	speedBend = 1.6 // power of it that goes into the share: a fast one gets more than its speed alone would give
 	crowdHigh = 2.5 // times the usual: a backend this slow gets one at a time
 
 	fullFirst, fullTimes = 60 * ms, 5 // pause of a backend that turned one away, doubled so many times
@@ -347,7 +349,7 @@
 	if b.away {
 		part *= awayPart
 	}
-	return min(max(b.speed, speedLow), speedHigh) / (max(b.Size, 1) * part)
+	return math.Pow(min(max(b.speed, speedLow), speedHigh), speedBend) / (max(b.Size, 1) * part)
 }
 
 // silent tells that a backend owes answers for longer than such requests take. Now and then a pure one tries
