--- a/control/books.go
+++ b/control/books.go
@@ -30,7 +30,6 @@
 // QuotaTerms are what users of a Quota set differently.
 type QuotaTerms struct {
 	Gap       time.Duration // packing delay at the least: two messages to a peer are so far apart
-	Rest      time.Duration // plain use waits so long for company; questions and answers do not
 	ViewLife  time.Duration // an owner's word is good for so long
 	MailPerS  float64       // messages a second that a gateway is able to take in
 	Start     float64       // of the burst: what buckets begin with in a fleet that is all new
@@ -139,7 +138,6 @@
 	sightNr  int           // the last one told
 	since    time.Duration // it owes an acknowledgement
 	dirty    []*account
-	due      time.Duration // when these are to be told at the latest
 	answers  []CustomerID
 	answer   map[CustomerID]bool
 	ackDue   bool
@@ -265,7 +263,7 @@
 		if owner == me {
 			a.levelAt, a.unsent = q.now+q.terms.Fence, 0
 		} else if a.unsent > 0 {
-			q.mark(a, 0)
+			q.mark(a)
 		}
 	}
 }
@@ -342,10 +340,8 @@
 		if len(p.flight) > 0 {
 			at = p.flight[0].at + (resendAfter+p.gap)<<p.flight[0].tries + 1
 		}
-		if p.ackDue {
+		if len(p.dirty) > 0 || p.ackDue {
 			at = q.now
-		} else if len(p.dirty) > 0 {
-			at = min(at, p.due)
 		}
 		if p.lastSent > 0 {
 			at = max(at, p.lastSent+max(p.gap, q.terms.Gap))
@@ -395,17 +391,10 @@
 	return a
 }
 
-// mark makes the account part of the next delta to its owner, which goes after a while at the latest.
-func (q *Quota) mark(a *account, within time.Duration) {
-	if a.owner == q.me {
-		return
-	}
-	p := q.peers[a.owner]
-	if due := q.now + within; len(p.dirty) == 0 || due < p.due {
-		p.due = due
-	}
-	if !a.dirty {
+func (q *Quota) mark(a *account) {
+	if !a.dirty && a.owner != q.me {
 		a.dirty = true
+		p := q.peers[a.owner]
 		p.dirty = append(p.dirty, a)
 		q.post(p)
 	}
@@ -421,7 +410,7 @@
 
 func (q *Quota) outChanged(a *account) {
 	if a.limit.openCap > 0 {
-		q.mark(a, 0)
+		q.mark(a)
 	}
 }
 
@@ -638,7 +627,7 @@
 	} else if q.now-a.packed < q.answerIn(a) {
 		return
 	}
-	q.mark(a, 0)
+	q.mark(a)
 }
 
 // packDeltas moves unreported use into a new parcel, oldest first, so that none starves.
@@ -719,7 +708,7 @@
 		a.alone = max(0, q.aloneNow(a)-units)
 	}
 	a.unsent += units
-	q.mark(a, q.terms.Rest)
+	q.mark(a)
 }
 
 // owe queues an account for the next snapshot to the peer.
--- a/control/quota.go
+++ b/control/quota.go
@@ -327,7 +327,7 @@
 			f.at, f.tries = q.now, min(f.tries+1, resendMost)
 			p.flight = append(p.flight[1:], f)
 			m.seq, m.deltas = f.seq, f.lines
-		} else if len(p.dirty) > 0 && (p.ackDue || q.now >= p.due) {
+		} else if len(p.dirty) > 0 {
 			q.packDeltas(p, m)
 		}
 		if m.seq == 0 && !p.ackDue {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -42,7 +42,6 @@
 	dialLimit    = 700 * time.Millisecond
 	silence      = 3 * time.Second // of bytes that nobody acknowledges
 	lookEvery    = 100 * time.Millisecond
-	restFor      = 250 * time.Millisecond // of use that nothing asks for: bytes between zones are dear
 	// allNewShare of the burst is in buckets after the loss of all doors: what was spent before it is not known any more,
 	// and half a burst more in five seconds is under what the rule on quotas leaves (rate x 5 + burst, a tenth more).
 	allNewShare = 0.5
@@ -148,7 +147,7 @@
 
 // buildPath makes the way of requests and of calls.
 func (h *House) buildPath(fds int) (err error) {
-	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond, Rest: restFor,
+	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond,
 		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true, Start: allNewShare})
 	h.office = boxoffice.New(h.seed, boxoffice.Terms{Zone: h.stock.zone(h.sheet.Zone),
 		RetryRatio: h.sheet.Bounds.RetryRatio, RetryWindow: h.sheet.Bounds.RetryWindow,
