--- a/internal/boxoffice/boxoffice.go
+++ b/internal/boxoffice/boxoffice.go
@@ -115,16 +115,21 @@
 	sent     time.Duration
 	begun    bool // part of an answer has gone to its client
 	quit     bool // its submission is called off in favour of another backend
+	sided    bool // its side is settled, where there are two
+	began    Began
 }
 
 // house is one service.
 type house struct {
 	id     control.ServiceID
 	cast   *casting.Cast
-	budget budget
+	budget *budget
 	line   []*txn // waiting for a backend, by priority, then arrival
 	look   bool   // something changed for the line
 	holds  int    // txns that go there
+	main   *house // it is another version of that one; nil: it is the main one itself
+	under  *house // the other version of this one; nil: there is none
+	open   Open   // who may go there
 }
 
 // what is looked at again at a time
@@ -145,6 +150,7 @@
 	rng      *rand.Rand
 	terms    Terms
 	meter    Meter
+	sides    Sides
 	calls    map[control.ProductID]*Call
 	houses   []*house // in order of id
 	byID     map[control.BackendID]*house
@@ -267,6 +273,9 @@
 	t.house.cast.Ended(o.now, at, casting.End{Ending: said, Kind: t.Product, Took: took, Aim: t.call.Aim,
 		Own: t.sent < o.stallTo})
 	t.house.look = true
+	if t.began.Counts && t.nr == 1 {
+		o.compare(t, said, took)
+	}
 	e := after(how, t.call.Effectful, over || t.ended || t.begun)
 	t.ran = t.ran || e.ran
 	if e.arrived {
@@ -394,6 +403,7 @@
 	case lookGiveUp:
 		switch {
 		case t.ended || t.out || o.now < t.giveUp:
+		case t.waits && o.crossed(t):
 		case t.waits:
 			o.end(t, LackBackend, o.advice(t.house))
 		case t.asks: // decided a last time, as the owner of its quota has been silent
@@ -444,6 +454,9 @@
 		}
 		t.house.holds++
 	}
+	if t.house.under != nil || t.house.main != nil {
+		o.side(t)
+	}
 	if !o.fits(t) {
 		o.end(t, LackTime, o.advice(t.house))
 		return
@@ -578,7 +591,7 @@
 	h := t.house
 	o.turn(h)
 	may := !t.ended && !t.out && !(t.ran && t.call.Effectful) && t.tries < t.call.MaxTries &&
-		!slices.Contains(t.tried, to)
+		!slices.Contains(t.tried, to) && t.mayGo()
 	check.That(may, "what is sent may be sent")
 	if !may || !o.fits(t) {
 		o.end(t, LackTime, o.advice(h))
--- a/internal/boxoffice/house.go
+++ b/internal/boxoffice/house.go
@@ -18,7 +18,7 @@
 	})
 	if !ok {
 		h := &house{id: id, cast: casting.New(o.rng, o.terms.Zone, o.terms.Doors)}
-		h.budget = budget{window: o.terms.RetryWindow, at: o.now,
+		h.budget = &budget{window: o.terms.RetryWindow, at: o.now,
 			nr: int64(o.now / (o.terms.RetryWindow / parts))}
 		o.houses = slices.Insert(o.houses, at, h)
 	}
@@ -41,7 +41,7 @@
 	for _, any := range []bool{false, true} {
 		sum := 0
 		for _, t := range c.Targets {
-			if any || o.house(t.Service).cast.Ready() > 0 {
+			if any || o.house(t.Service).ready() > 0 {
 				sum += max(t.Weight, 0)
 			}
 		}
@@ -51,7 +51,7 @@
 		n := o.rng.Intn(sum)
 		for _, t := range c.Targets {
 			h := o.house(t.Service)
-			if !any && h.cast.Ready() == 0 {
+			if !any && h.ready() == 0 {
 				continue
 			}
 			if n -= max(t.Weight, 0); n < 0 {
@@ -101,7 +101,7 @@
 	if o.now-o.swept >= sweepEvery {
 		o.swept = o.now
 		o.houses = slices.DeleteFunc(o.houses, func(h *house) bool {
-			return h.holds == 0 && h.cast.Idle() && !o.named(h)
+			return h.holds == 0 && h.cast.Idle() && h.main == nil && h.under == nil && !o.named(h)
 		})
 	}
 	if o.now-o.noted >= noteEvery && o.count != (counts{}) {
--- /dev/null
+++ b/internal/boxoffice/sides.go
@@ -0,0 +1,161 @@
+package boxoffice
+
+import (
+	"slices"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/understudy"
+)
+
+// Two versions of a service are two houses, each with its own line, room and usual times, and one budget of further
+// tries. Calls name the main one alone; which requests go to the other is said by Open and, of each user, by Sides.
+
+// Open is who may go to the version that is not the main one.
+type Open uint8
+
+const (
+	Shut   Open = iota // nobody, whatever becomes of the main one
+	Spare              // who finds nobody ready at the main one
+	Shared             // whom Sides sends there
+)
+
+// Sides decides on which side of a roll-out a request begins, and hears how the first submissions of those ended that
+// the versions are compared by.
+type Sides interface {
+	Begin(id control.TxnID, kind control.ProductID, service control.ServiceID) Began
+	Ended(e Compared)
+}
+
+// Began is where a request begins.
+type Began struct {
+	Number understudy.Number
+	Side   understudy.Side
+	Counts bool // it is one that the versions are compared by
+	Tenant uint32
+}
+
+// Compared is the end of a first submission that counts.
+type Compared struct {
+	Began
+	Service   control.ServiceID
+	Kind      control.ProductID
+	Effectful bool
+	At        control.BackendID
+	Ending    control.Ending
+	Took      time.Duration
+	Cold      bool
+}
+
+// SetSides says who decides on sides. Without any roll-out it is never asked.
+func (o *Office) SetSides(s Sides) { o.sides = s }
+
+// Understudy puts another version beside a service, known by a number of its own, and says who may go there. What
+// waits there and may not any more moves to the main one's line; what was sent ends as it will.
+func (o *Office) Understudy(service, under control.ServiceID, open Open) {
+	m, u := o.house(service), o.house(under)
+	if u.main == nil {
+		u.main, m.under, u.budget = m, u, m.budget
+	}
+	if m.open = open; open == Shared {
+		return
+	}
+	for _, t := range u.line {
+		t.waits = false
+		o.todo = append(o.todo, t)
+	}
+	u.line = nil
+}
+
+// side settles where a txn goes next: its first submission by its user, a further one to the main version; to the
+// other only from there, or where all may, and the main one has nobody for it.
+func (o *Office) side(t *txn) {
+	m := t.house
+	if m.main != nil {
+		m = m.main
+	}
+	u, to := m.under, m
+	if u == nil {
+		return
+	}
+	switch none := !m.cast.Has(t.want()) && u.cast.Has(t.want()); {
+	case m.open == Shut:
+	case m.open == Spare:
+		if none {
+			to = u
+		}
+	case t.nr > 0:
+		if none && understudy.May(t.began.Side, understudy.New) {
+			to = u
+		}
+	case !t.sided:
+		t.began = o.sides.Begin(t.ID, t.Product, m.id)
+		if t.began.Side == understudy.New && u.cast.Ready() > 0 {
+			to = u
+		} else if t.began.Side == understudy.New { // all of the new version are gone: that is no verdict
+			t.began = Began{}
+		}
+	case t.house == u:
+		to = u
+	}
+	t.sided = true
+	if to == m && t.nr == 0 && t.began.Side == understudy.New {
+		t.began = Began{}
+	}
+	o.move(t, to)
+}
+
+func (o *Office) move(t *txn, to *house) {
+	if t.house != to {
+		t.house.holds--
+		to.holds++
+		t.house = to
+	}
+}
+
+// crossed moves a txn that has waited in vain for the other version to the main one, where it goes at once or not
+// at all: the one that is being tried out may be short of room, the main one is not to be.
+func (o *Office) crossed(t *txn) bool {
+	m := t.house.main
+	if m == nil || t.nr > 0 || m.cast.Ready() == 0 {
+		return false
+	}
+	t.house.line = slices.DeleteFunc(t.house.line, func(x *txn) bool { return x == t })
+	t.waits, t.began = false, Began{}
+	o.move(t, m)
+	o.queue(t)
+	return true
+}
+
+// mayGo tells whether a txn may be sent to the version that its house is: asked again with each send.
+func (t *txn) mayGo() bool {
+	m := t.house.main
+	return m == nil || m.open == Spare || m.open == Shared && understudy.May(t.began.Side, understudy.New)
+}
+
+// compare tells of the end of a first submission. What ended by this door's own doing says nothing; one that was
+// called off since its backend was silent is the backend's.
+func (o *Office) compare(t *txn, how control.Ending, took time.Duration) {
+	own := t.sent < o.stallTo
+	if t.quit {
+		how = control.TimedOut
+	}
+	if how == control.CalledOff || how == control.NotSent || own && how == control.TimedOut {
+		return
+	}
+	m := t.house
+	if m.main != nil {
+		m = m.main
+	}
+	o.sides.Ended(Compared{Began: t.began, Service: m.id, Kind: t.Product, Effectful: t.call.Effectful, At: t.at, Ending: how,
+		Took: took, Cold: own || t.house.cast.Cold(o.now, t.at)})
+}
+
+// ready counts the backends of a service that may get something, of both versions.
+func (h *house) ready() int {
+	n := h.cast.Ready()
+	if h.under != nil && h.open != Shut {
+		n += h.under.cast.Ready()
+	}
+	return n
+}
--- a/internal/casting/casting.go
+++ b/internal/casting/casting.go
@@ -211,6 +211,12 @@
 	return n
 }
 
+// Cold tells whether a backend is still slow from its start, or not known any more.
+func (c *Cast) Cold(now time.Duration, id control.BackendID) bool {
+	b := c.all[id]
+	return b == nil || now < b.Cold
+}
+
 // Idle tells that there is nothing to keep: no backend and nothing out.
 func (c *Cast) Idle() bool { return len(c.all) == 0 }
 
@@ -242,7 +248,7 @@
 func (c *Cast) Pick(now time.Duration, w Want) (control.BackendID, Answer) {
 	if c.out >= int(max(1, c.room)) {
 		c.pressed = now
-		if c.anyReady(w) {
+		if c.Has(w) {
 			return 0, Enough
 		}
 		return 0, None
@@ -378,7 +384,8 @@
 	return now-b.oweSince > most && c.heard > b.oweSince+most/2
 }
 
-func (c *Cast) anyReady(w Want) bool {
+// Has tells whether any backend is ready that a request was not sent to before.
+func (c *Cast) Has(w Want) bool {
 	return slices.ContainsFunc(c.list, func(b *backend) bool {
 		return b.State == control.Ready && !slices.Contains(w.Tried, b.ID)
 	})
--- a/internal/foyer/foyer.go
+++ b/internal/foyer/foyer.go
@@ -63,6 +63,7 @@
 	house Lookups
 	host  []byte // the present request's, put into lower case
 	part  []byte
+	user  []byte // scratch, see User
 }
 
 // visit is what is known of the request that a connection has.
@@ -211,6 +212,22 @@
 	return bytes.TrimLeft(v[len(form):], " "), true, many
 }
 
+// User names whoever a request is of, for a share of users, and its tenant: the client's mark together with its key, where
+// it has one, else the key; nil where there is neither. It is good until the next call.
+func (f *Foyer) User(who, txn slots.Ref) (user []byte, tenant string) {
+	c := f.in.Waits(who, txn)
+	if c == nil || c.IsClosed() {
+		return nil, ""
+	}
+	r, b := c.Request()
+	key, _, _ := f.key(r, b)
+	mark, many := r.Get(b, "x-client-mark")
+	if f.user = append(f.user[:0], key...); len(mark) > 0 && !many {
+		f.user = append(append(f.user, 0), mark...)
+	}
+	return f.user, visitOf(c).Tenant
+}
+
 // wait reads how long the client waits; 0: it does not say.
 func (f *Foyer) wait(r *http1.Reader, b []byte) (time.Duration, bool) {
 	v, many := r.Get(b, "x-deadline-ms")
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -200,6 +200,14 @@
 // Held counts txns that are not answered or still have a submission out.
 func (g *Gate) Held() int { return g.txns.Held() }
 
+// Asker is who waits for a txn, by its front's own number; 0: it is not held.
+func (g *Gate) Asker(ref slots.Ref) slots.Ref {
+	if t := g.txns.Get(ref); t != nil {
+		return t.who
+	}
+	return 0
+}
+
 // ---- Inputs
 
 // Take takes a txn in. Its id is given here; false means that as many as may be are held.
--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -44,7 +44,9 @@
 	c := h.calls[nr]
 	if h.core != nil && h.core.p.Leading() {
 		c.next, c.sent = never, "here"
-		h.core.propose(c.kind, c.body, func(status int, body []byte) { h.replied(nr, status, body) })
+		h.core.propose(c.kind, h.counted(c.kind, c.body), func(status int, body []byte) {
+			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
+		})
 		return
 	}
 	to := h.leads()
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -253,7 +253,7 @@
 	c.token++
 	c.p.Now(c.h.e.Now())
 	c.waits[c.token] = waiting{kind, then}
-	if kind == Read {
+	if kind == Read || kind == ReadRollouts {
 		c.p.Read(c.token)
 		return
 	}
@@ -270,6 +270,8 @@
 		w.then(503, []byte(o.Verdict.String()))
 	case w.kind == Read:
 		w.then(200, c.h.script.Bills.Body())
+	case w.kind == ReadRollouts:
+		w.then(200, c.h.rolloutText())
 	default:
 		v := c.verdicts[o.Index]
 		status, text := answerOf(v.verdict, v.err)
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -45,6 +45,8 @@
 		h.called(from, f.Call)
 	case f.Reply != nil:
 		h.replied(f.Reply.Nr, f.Reply.Status, f.Reply.Body)
+	case f.Rollout != nil:
+		h.rolloutHeard(from, f.Rollout)
 	}
 }
 
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -32,6 +32,7 @@
 	h.applied, h.script, h.tail = index, s, nil
 	h.company.Seats(s.Seats())
 	h.swap()
+	h.foldRollouts()
 	for addr := range h.followers {
 		h.feed(addr)
 	}
@@ -52,6 +53,7 @@
 		if len(h.script.Seats()) != seats {
 			h.company.Seats(h.script.Seats())
 		}
+		h.foldRollouts()
 	}
 	if h.core != nil {
 		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -7,6 +7,7 @@
 	"clovergap/internal/company"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
+	"clovergap/internal/understudy"
 )
 
 // Frame is what doors say to each other on their links: one of its fields is set. Fields that are nil cost nothing.
@@ -20,6 +21,8 @@
 	Feed   *Feed
 	Call   *Call
 	Reply  *Reply
+
+	Rollout *RolloutWord // while one runs
 }
 
 // Ping tells that the sender lives, and how old its knowledge of the core is.
@@ -29,6 +32,15 @@
 	Lives []byte        // seats, a bit each: see company.Told; nil from a door without a disk
 }
 
+// RolloutWord is one of its fields: a report on its way to whoever leads, with the seat of the door that it is of, or the word
+// that evidence is gathered afresh, on its way to all doors.
+type RolloutWord struct {
+	Seat   company.Seat
+	Hops   int
+	Report *understudy.Report
+	Lap    *understudy.Lap
+}
+
 // Line is a message between members of the core.
 type Line struct {
 	From    prompter.MemberID
@@ -54,8 +66,11 @@
 	Hops int
 }
 
-// Read asks for the newest configuration.
-const Read script.Kind = 'g'
+// Read asks for the newest configuration, ReadRollouts for the roll-outs.
+const (
+	Read         script.Kind = 'g'
+	ReadRollouts script.Kind = 'h'
+)
 
 // Reply ends a call. Status is as for the caller: 200, 400, 412 or 503.
 type Reply struct {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -72,6 +72,8 @@
 	quota    *control.Quota
 	office   *boxoffice.Office
 	gate     *gate.Gate
+	foyer    *foyer.Foyer
+	rollouts rollouts
 	dispatch *dispatch.Dispatch
 	front    *intake.Intake
 	callers  *intake.Intake
@@ -155,18 +157,20 @@
 func (h *House) buildPath(fds int) (err error) {
 	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond,
 		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true, Start: allNewShare})
+	h.openRollouts()
 	h.office = boxoffice.New(h.seed, boxoffice.Terms{Zone: h.stock.zone(h.sheet.Zone),
 		RetryRatio: h.sheet.Bounds.RetryRatio, RetryWindow: h.sheet.Bounds.RetryWindow,
 		RetryExtra: float64(h.sheet.Bounds.RetryExtra), Doors: 1}, h.quota, h.e.Now())
+	h.office.SetSides((*sides)(h))
 	k := &clock{Engine: h.e}
 	h.gate = gate.New(h.office, k, heldMost, h.e.Count, notes{h})
 	k.due = h.gate
-	h.dispatch = dispatch.New(h.e, h.gate, foyer.Terms(h, dialLimit),
+	h.dispatch = dispatch.New(h.e, &usher{h.gate, h}, foyer.Terms(h, dialLimit),
 		func() bool { return h.front.Evict() })
 	bounds := foyer.Bounds(foyer.Limits{Head: playbill.DefaultMostHeader, Body: playbill.DefaultMostBody,
 		HeadIn: playbill.DefaultHeaderTimeout, Idle: playbill.DefaultIdleTimeout})
 	h.front = intake.New(h.e, max(1, (fds-200)/clientShare), bounds, func() bool { return h.dispatch.Evict(nil) })
-	foyer.New(h.front, h.e, h.gate, h)
+	h.foyer = foyer.New(h.front, h.e, h.gate, h)
 	h.callers = intake.New(h.e, callersMost, intake.Bounds{Body: controlBound}, func() bool { return h.front.Evict() })
 	h.callers.Serves(stagedoor.New(h.callers, h))
 	h.askers = intake.New(h.e, 64, intake.Bounds{}, func() bool { return h.front.Evict() })
@@ -249,6 +253,7 @@
 	}
 	h.tendFeed()
 	h.wantSeat()
+	h.tendRollouts()
 	if h.core != nil {
 		h.core.keepBoard()
 	}
--- a/internal/house/log.go
+++ b/internal/house/log.go
@@ -18,6 +18,8 @@
 	boardPart part = "board: "
 	feedPart  part = "feed: "
 	gatePart  part = "gate: "
+
+	rolloutPart part = "rollout: "
 )
 
 // newLog writes to standard error, a line an event.
--- /dev/null
+++ b/internal/house/orders.go
@@ -0,0 +1,174 @@
+package house
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"clovergap/internal/check"
+	"clovergap/internal/playbill"
+	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
+	"clovergap/internal/understudy"
+)
+
+// Rollout brings an operator's order to whoever leads, as a change of the configuration goes. What is wrong in itself, or does
+// not fit what is known here, needs no leader.
+func (h *House) Rollout(e *understudy.Entry, dry bool, then func(status int, body []byte)) {
+	if e.At = time.Now().UnixMilli(); e.Mark == "" { // the same call may go out twice from here
+		e.Mark = fmt.Sprintf("%016x", rand.Uint64())
+	}
+	if e.Verb == understudy.Start {
+		if err := h.knows(e.Order); err != nil {
+			then(answerOf(playbill.Invalid, err))
+			return
+		}
+		e.Room = h.roomOf(e.Order)
+	}
+	body := e.Word()
+	if v, err := h.script.Decide(script.Rollout, body); v == playbill.Invalid || dry && v != playbill.Taken {
+		then(answerOf(v, err))
+		return
+	}
+	if dry {
+		then(200, text(h.wouldBe(e)))
+		return
+	}
+	h.ask(script.Rollout, body, 0, then)
+}
+
+// knows tells what an order names that this door does not know. Zones are those of doors.
+func (h *House) knows(o *understudy.Rollout) error {
+	service := func(n string) bool { _, ok := h.table.Service(n); return ok }
+	route := func(n string) bool {
+		for _, r := range h.table.Routes() {
+			if r.Name == n {
+				return true
+			}
+		}
+		return false
+	}
+	tenant := func(n string) bool {
+		for _, t := range h.table.Tenants() {
+			if t.Name == n {
+				return true
+			}
+		}
+		return false
+	}
+	zone := func(n string) bool {
+		for _, s := range h.company.Order() {
+			if s.Zone == n {
+				return true
+			}
+		}
+		return n == h.sheet.Zone
+	}
+	return o.Known(service, route, tenant, zone)
+}
+
+// wouldBe counts the known keys that each step of an order would have on the new version.
+func (h *House) wouldBe(e *understudy.Entry) stagedoor.RolloutAnswer {
+	var users [][]byte
+	if bill := h.script.Bills.Bill(); bill != nil {
+		for _, t := range bill.Tenants {
+			for _, key := range t.ApiKeys {
+				users = append(users, []byte(key))
+			}
+		}
+	}
+	n := h.script.Rollouts.Last + 1
+	return stagedoor.RolloutAnswer{Service: e.Service, Number: uint64(n), Phase: "dry", Rev: e.Rev, Steps: len(e.Order.Steps),
+		Users: ptr(len(users)), Moved: e.Order.Shared(n, users),
+		Room: &stagedoor.RolloutRoom{Old: e.Room.Old, New: e.Room.New, Busy: e.Room.Busy}}
+}
+
+// text words an answer.
+func text(v any) []byte {
+	b, err := json.Marshal(v)
+	check.That(err == nil, "an answer can be worded")
+	return b
+}
+
+// worded gives the answer to a call that was taken, where it has one.
+func (h *House) worded(k script.Kind, body []byte, status int, answer []byte) []byte {
+	if k != script.Rollout || status != 200 {
+		return answer
+	}
+	e, err := understudy.ReadEntry(body)
+	if err != nil {
+		return answer
+	}
+	r := h.script.Rollouts.Run(e.Service)
+	if r == nil {
+		return answer
+	}
+	return text(stagedoor.RolloutAnswer{Service: e.Service, Number: uint64(r.Number), Rev: r.Rev, Phase: string(r.Phase),
+		Step: r.Step, Steps: len(r.Order.Steps), Share: r.Share(),
+		Room: &stagedoor.RolloutRoom{Old: r.Room.Old, New: r.Room.New, Busy: r.Room.Busy}})
+}
+
+// Rollouts asks whoever leads, who has the counts; where nobody can be asked, it is this door's own knowledge.
+func (h *House) Rollouts(then func(status int, body []byte)) {
+	h.ask(ReadRollouts, nil, 0, func(status int, body []byte) {
+		if status != 200 {
+			status, body = 200, h.rolloutText()
+		}
+		then(status, body)
+	})
+}
+
+// rolloutText is how roll-outs stand, as this door knows it.
+func (h *House) rolloutText() []byte {
+	x, s := &h.rollouts, h.script.Rollouts
+	all := stagedoor.RolloutStatus{Door: h.sheet.NodeName, Rev: s.Rev, Leads: x.duty != nil || h.core != nil && h.core.p.Leading(),
+		Rollouts: []stagedoor.RolloutRun{}}
+	for i := range s.Runs() {
+		r := &s.Runs()[i]
+		run := stagedoor.RolloutRun{Service: r.Order.Service, Number: uint64(r.Number), Rev: r.Rev, Phase: string(r.Phase),
+			Step: r.Step, Steps: len(r.Order.Steps), Share: r.Share(), Old: r.Order.Old, New: r.Order.New, Held: r.Held,
+			Here: x.door.Share(r.Order.Service)}
+		if x.duty != nil && r.Phase == understudy.Running {
+			var c understudy.Counts
+			c, run.Doubt = x.duty.Counts(r.Order.Service)
+			run.Counts = ptr(countsOf(&c))
+		}
+		all.Rollouts = append(all.Rollouts, run)
+	}
+	return text(all)
+}
+
+// RolloutHistory is what became of a service's roll-outs, as this door knows it.
+func (h *House) RolloutHistory(service string) stagedoor.RolloutHistory {
+	all := stagedoor.RolloutHistory{Service: service, Rollouts: []stagedoor.RolloutPast{}}
+	add := func(r *understudy.Run) {
+		if r == nil || r.Order.Service != service {
+			return
+		}
+		past := stagedoor.RolloutPast{Number: uint64(r.Number), Old: r.Order.Old, New: r.Order.New, Phase: string(r.Phase)}
+		for _, p := range r.History {
+			past.Lines = append(past.Lines, stagedoor.RolloutLine{Verb: string(p.Verb), Step: p.Step, Share: p.Share, By: p.By,
+				At: p.At, Why: p.Why, Counts: countsOf(&p.Counts)})
+		}
+		all.Rollouts = append(all.Rollouts, past)
+	}
+	for i := range h.script.Rollouts.Ended() {
+		add(&h.script.Rollouts.Ended()[i])
+	}
+	add(h.script.Rollouts.Run(service))
+	return all
+}
+
+func countsOf(c *understudy.Counts) stagedoor.RolloutCounts {
+	side := func(s understudy.Side) stagedoor.RolloutSide {
+		return stagedoor.RolloutSide{Reads: tallyOf(&c[s][understudy.Read]), Writes: tallyOf(&c[s][understudy.Write])}
+	}
+	return stagedoor.RolloutCounts{Old: side(understudy.Old), New: side(understudy.New)}
+}
+
+func tallyOf(t *understudy.Tally) stagedoor.RolloutTally {
+	return stagedoor.RolloutTally{Ends: int(t.Ends), Failed: int(t.By[understudy.Failed]), None: int(t.By[understudy.NoAnswer]),
+		Wrong: int(t.By[understudy.Wrong]), Full: int(t.By[understudy.Full]), HalfMs: t.Quantile(0.5).Milliseconds(),
+		TenthMs: t.Quantile(0.9).Milliseconds()}
+}
--- /dev/null
+++ b/internal/house/rollout.go
@@ -0,0 +1,412 @@
+package house
+
+import (
+	"cmp"
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/boxoffice"
+	"clovergap/internal/callboard"
+	"clovergap/internal/company"
+	"clovergap/internal/gate"
+	"clovergap/internal/script"
+	"clovergap/internal/slots"
+	"clovergap/internal/stagedoor"
+	"clovergap/internal/understudy"
+)
+
+// Roll-outs: the understudy decides, this file carries for it. A version that is not the main one is a service of its own to the
+// office, and which of the two is the main one follows from the phase. While there is no roll-out nothing is asked, timed or sent.
+
+// Bounds of what a door reports, so that the reports of 96 doors are under half of a link of 2 Mbit/s at whoever leads.
+// What does not go out is stood for by the next one: reports are sums.
+const (
+	reportRate  = 1 << 10 // bytes a second
+	reportBurst = 2 << 10
+	reportOther = 400      // bytes of one beside the evidence, about
+	reportMost  = 64 << 10 // of evidence
+	reportsMost = 64       // that wait
+)
+
+// rollouts is what a door goes by.
+type rollouts struct {
+	door    *understudy.Door
+	duty    *understudy.Duty // nil: another door has it
+	fence   uint64
+	rev     uint64            // of the state, as last folded
+	revs    map[string]uint64 // of each service's, as last logged
+	cues    map[string]cue
+	touched bool // in this life the roll-outs were known here as whoever leads knows them
+	askedAt time.Duration
+	waiting []understudy.Report // the newest of each service, to go out
+	left    float64             // bytes that may
+	leftAt  time.Duration
+	answer  int // status of the answer whose end is being told; 0: there is none
+}
+
+// cue is what the office last was told of a service.
+type cue struct {
+	number understudy.Number
+	phase  understudy.Phase
+	open   boxoffice.Open
+}
+
+func (h *House) openRollouts() {
+	h.rollouts = rollouts{door: understudy.NewDoor(h.sheet.Zone, h.life, h.e.Now()), revs: map[string]uint64{},
+		cues: map[string]cue{}, askedAt: -time.Second}
+}
+
+// foldRollouts takes the state after an entry or a snapshot.
+func (h *House) foldRollouts() {
+	x, s := &h.rollouts, h.script.Rollouts
+	if s.Rev == x.rev {
+		return
+	}
+	x.rev = s.Rev
+	x.door.Now(h.e.Now())
+	x.door.Fold(s)
+	if x.duty != nil {
+		x.duty.Now(h.e.Now())
+		x.duty.Fold(s)
+	}
+	for i := range s.Runs() {
+		r := &s.Runs()[i]
+		if x.revs[r.Order.Service] != r.Rev {
+			x.revs[r.Order.Service] = r.Rev
+			last := r.History[len(r.History)-1]
+			h.say(rolloutPart, "%s %d: %s by %s: %s, step %d of %d, %s of the users%s", r.Order.Service, r.Number, last.Verb,
+				cmp.Or(last.By, "nobody named"), r.Phase, r.Step, len(r.Order.Steps), percent(r.Share()), because(last.Why))
+		}
+	}
+	h.cueSides()
+}
+
+func because(why string) string {
+	if why == "" {
+		return ""
+	}
+	return ": " + why
+}
+
+// percent words a share in 1/10000.
+func percent(share int) string { return strconv.FormatFloat(float64(share)/100, 'f', -1, 64) + " %" }
+
+// underOf names the version of a service that is not the main one; no configuration can.
+func underOf(service string) string { return service + "\x00" }
+
+// poolOf is where a backend is listed: until a roll-out is finished the main version is all but the new one, from
+// then on all but the old one.
+func (h *House) poolOf(w callboard.Word) control.ServiceID {
+	if r := h.script.Rollouts.Run(w.Service); r != nil {
+		if pool := h.rollouts.door.Pool(w.Service, w.Generation); (pool == understudy.New) != (r.Phase == understudy.Finished) {
+			return h.stock.service(underOf(w.Service))
+		}
+	}
+	return h.stock.service(w.Service)
+}
+
+// cueSides tells the office who may go where, as far as that has changed.
+func (h *House) cueSides() {
+	x := &h.rollouts
+	for i := range h.script.Rollouts.Runs() {
+		r := &h.script.Rollouts.Runs()[i]
+		name := r.Order.Service
+		now := cue{r.Number, r.Phase, boxoffice.Shared}
+		switch {
+		case r.Phase == understudy.Finished:
+			now.open = boxoffice.Spare
+		case x.door.Barred(name):
+			now.open = boxoffice.Shut
+		}
+		was, had := x.cues[name]
+		if was == now {
+			continue
+		}
+		x.cues[name] = now
+		main, under := h.stock.service(name), h.stock.service(underOf(name))
+		if !had || was.number != now.number || (was.phase == understudy.Finished) != (now.phase == understudy.Finished) {
+			h.office.Understudy(main, under, boxoffice.Shut)
+			h.listAnew(name, main)
+		}
+		h.office.Understudy(main, under, now.open)
+	}
+}
+
+// listAnew lists the backends of a service by their versions: those of the main one first, so that it is never without.
+func (h *House) listAnew(service string, main control.ServiceID) {
+	if h.board == nil {
+		return
+	}
+	h.board.Now(h.e.Now())
+	words := slices.DeleteFunc(h.board.All(), func(w callboard.Word) bool { return w.Service != service })
+	for _, first := range []bool{true, false} {
+		for _, w := range words {
+			if (h.poolOf(w) == main) == first {
+				c := callboard.Changed{Word: w}
+				if w.ColdLeft > 0 {
+					c.ColdUntil = h.e.Now() + w.ColdLeft
+				}
+				h.listed(c)
+			}
+		}
+	}
+}
+
+// ---- The path of a request
+
+// sides answers the office.
+type sides House
+
+// Begin tells where a request begins, by its user.
+func (s *sides) Begin(id control.TxnID, kind control.ProductID, service control.ServiceID) boxoffice.Began {
+	h := (*House)(s)
+	name := h.stock.titles[service]
+	user, tenant := h.foyer.User(h.gate.Asker(slots.Ref(id)), slots.Ref(id))
+	in := understudy.Scope{Tenant: tenant, Zone: h.sheet.Zone}
+	if r := h.stock.routes[kind]; r != nil {
+		in.Route = r.Name
+	}
+	b := boxoffice.Began{Number: h.rollouts.door.Number(name)}
+	b.Side, b.Counts = h.rollouts.door.Side(name, user, in)
+	if b.Counts {
+		f := fnv.New32a()
+		f.Write([]byte(tenant))
+		b.Tenant = f.Sum32()
+	}
+	return b
+}
+
+// Ended passes on how a request that counts has ended.
+func (s *sides) Ended(e boxoffice.Compared) {
+	x := &(*House)(s).rollouts
+	end := understudy.End{Side: e.Side, Call: uint32(e.Kind), Tenant: e.Tenant, Backend: uint64(e.At),
+		Cause: causeOf(e.Ending, x.answer), Took: e.Took, Cold: e.Cold}
+	if e.Effectful {
+		end.Kind = understudy.Write
+	}
+	x.door.Ended(s.stock.titles[e.Service], e.Number, end)
+}
+
+// causeOf is the table from endings, and the status of the answer where there was one, to causes.
+func causeOf(e control.Ending, status int) understudy.Cause {
+	switch {
+	case e == control.Settled:
+		return understudy.Fine
+	case e == control.Full:
+		return understudy.Full
+	case e != control.Errored:
+		return understudy.NoAnswer
+	case status >= 500:
+		return understudy.Failed
+	case status >= 400: // the service's own word
+		return understudy.Fine
+	}
+	return understudy.Wrong
+}
+
+// usher notes the status of an answer on its way to the gate, for the time of the call.
+type usher struct {
+	*gate.Gate
+	h *House
+}
+
+func (u *usher) Ended(txn slots.Ref, nr int, at control.BackendID, o gate.Outcome) {
+	if x := &u.h.rollouts; o.Answer != nil {
+		x.answer = o.Answer.Status()
+		defer func() { x.answer = 0 }()
+	}
+	u.Gate.Ended(txn, nr, at, o)
+}
+
+// ---- Reports and the duty
+
+// tendRollouts is the part of the one timer.
+func (h *House) tendRollouts() {
+	x := &h.rollouts
+	if !x.door.Active() {
+		return
+	}
+	now := h.e.Now()
+	fresh := h.stale() < knownStale
+	if fresh && !x.touched && now-x.askedAt >= time.Second {
+		x.askedAt = now
+		h.ask(ReadRollouts, nil, 0, h.caughtUp)
+	}
+	x.door.Touch(fresh && x.touched)
+	x.door.Now(now)
+	for a, ok := x.door.Next(); ok; a, ok = x.door.Next() {
+		switch a := a.(type) {
+		case understudy.Tell:
+			h.report(a.Report)
+		case understudy.Lowered:
+			h.warn(rolloutPart, "%s %d: this door pulls back for itself: %s", a.Service, a.Number, a.Why)
+		}
+	}
+	h.sendReports()
+	h.tendDuty()
+	h.cueSides()
+}
+
+// caughtUp: what whoever leads knew when it was asked; this door's own may be of before its last life.
+func (h *House) caughtUp(status int, body []byte) {
+	var there stagedoor.RolloutStatus
+	if status == 200 && json.Unmarshal(body, &there) == nil && h.script.Rollouts.Rev >= there.Rev {
+		h.rollouts.touched = true
+	}
+}
+
+// report lays one out to be sent in place of the one before it.
+func (h *House) report(r understudy.Report) {
+	x := &h.rollouts
+	if x.duty != nil {
+		h.dutyHeard(&RolloutWord{Seat: h.seat(), Report: &r})
+		return
+	}
+	for i := range x.waiting {
+		if x.waiting[i].Service == r.Service {
+			x.waiting[i] = r
+			return
+		}
+	}
+	if len(x.waiting) < reportsMost {
+		x.waiting = append(x.waiting, r)
+	}
+}
+
+func (h *House) sendReports() {
+	x, now := &h.rollouts, h.e.Now()
+	x.left = min(x.left+reportRate*(now-x.leftAt).Seconds(), reportBurst)
+	x.leftAt = now
+	for len(x.waiting) > 0 && x.left > 0 {
+		r := x.waiting[0]
+		x.waiting = x.waiting[1:]
+		x.left -= float64(reportOther + len(r.Evidence))
+		if to := h.leads(); to != "" {
+			h.wings.Send(to, &Frame{Rollout: &RolloutWord{Seat: h.seat(), Hops: 1, Report: &r}})
+		}
+	}
+}
+
+// rolloutHeard takes a report, or the word of a lap, or passes it on.
+func (h *House) rolloutHeard(from string, w *RolloutWord) {
+	switch {
+	case w.Lap != nil:
+		h.rollouts.door.Now(h.e.Now())
+		h.rollouts.door.Lap(*w.Lap)
+		if h.core != nil {
+			h.tellFollowers(from, &Frame{Rollout: w})
+		}
+	case w.Report == nil || len(w.Report.Evidence) > reportMost:
+	case h.rollouts.duty != nil:
+		h.dutyHeard(w)
+	case w.Hops < hopsMost && h.core != nil:
+		if to := h.leads(); to != "" && to != from {
+			h.wings.Send(to, &Frame{Rollout: &RolloutWord{Seat: w.Seat, Hops: w.Hops + 1, Report: w.Report}})
+		}
+	}
+}
+
+func (h *House) tellFollowers(but string, f *Frame) {
+	for addr := range h.followers {
+		if addr != but {
+			h.wings.Send(addr, f)
+		}
+	}
+}
+
+func (h *House) dutyHeard(w *RolloutWord) {
+	if w.Seat == company.NoSeat {
+		return
+	}
+	h.rollouts.duty.Now(h.e.Now())
+	if err := h.rollouts.duty.Heard(understudy.DoorID(w.Seat), *w.Report); err != nil {
+		h.say(rolloutPart, "door %d: %v", w.Seat, err)
+	}
+}
+
+// tendDuty judges for all while this door leads: the fence is the number of its view.
+func (h *House) tendDuty() {
+	x, now := &h.rollouts, h.e.Now()
+	if h.core == nil || !h.core.p.Leading() {
+		x.duty = nil
+		return
+	}
+	if _, view, _ := h.core.p.Leader(); x.duty == nil || x.fence != view {
+		x.duty, x.fence = understudy.NewDuty(view, now), view
+		x.duty.Fold(h.script.Rollouts)
+	}
+	h.tellBackends()
+	x.duty.Now(now)
+	for a, ok := x.duty.Next(); ok; a, ok = x.duty.Next() {
+		switch a := a.(type) {
+		case understudy.Propose:
+			e := a.Entry
+			e.At = time.Now().UnixMilli()
+			h.core.propose(script.Rollout, e.Word(), func(status int, body []byte) {
+				if status != 200 {
+					h.say(rolloutPart, "%s %d: %s not taken: %s", e.Service, e.Number, e.Verb, body)
+				}
+			})
+		case understudy.Laps:
+			l := a.Lap
+			x.door.Lap(l)
+			f := &Frame{Rollout: &RolloutWord{Lap: &l}}
+			for _, m := range h.core.p.Members() {
+				if addr := h.core.addr(m); addr != "" && addr != h.inner {
+					h.wings.Send(addr, f)
+				}
+			}
+			h.tellFollowers("", f)
+		}
+	}
+}
+
+// tellBackends tells the duty whether there is an old version to go back to, and a service at all.
+func (h *House) tellBackends() {
+	for i := range h.script.Rollouts.Runs() {
+		r := &h.script.Rollouts.Runs()[i]
+		if r.Phase != understudy.Running {
+			continue
+		}
+		old := -1
+		if room := h.roomOf(&r.Order); room.Old+room.New > 0 {
+			old = room.Old
+		}
+		_, known := h.table.Service(r.Order.Service)
+		h.rollouts.duty.Backends(r.Order.Service, old, known || h.table.Version() == 0)
+	}
+}
+
+// roomOf is how many requests the ready backends of each version take at a time.
+func (h *House) roomOf(o *understudy.Rollout) (m understudy.Room) {
+	if h.board == nil {
+		return m
+	}
+	for _, w := range h.board.All() {
+		switch {
+		case w.Service != o.Service || w.Phase != callboard.Ready:
+		case w.Generation == o.New:
+			m.New += max(w.Capacity, 1)
+		default:
+			m.Old += max(w.Capacity, 1)
+		}
+	}
+	return m
+}
+
+// counted adds to an operator's entry what the duty has counted until now.
+func (h *House) counted(k script.Kind, body []byte) []byte {
+	if k != script.Rollout || h.rollouts.duty == nil {
+		return body
+	}
+	e, err := understudy.ReadEntry(body)
+	if err != nil {
+		return body
+	}
+	e.Counts, _ = h.rollouts.duty.Counts(e.Service)
+	return e.Word()
+}
--- a/internal/house/stock.go
+++ b/internal/house/stock.go
@@ -17,6 +17,7 @@
 	services map[string]control.ServiceID
 	zones    map[string]control.HallID
 	names    map[control.BackendID]string
+	titles   []string // services by number
 	last     control.ProductID
 }
 
@@ -38,6 +39,7 @@
 func (s *stock) service(name string) control.ServiceID {
 	if _, ok := s.services[name]; !ok {
 		s.services[name] = control.ServiceID(len(s.services))
+		s.titles = append(s.titles, name)
 	}
 	return s.services[name]
 }
@@ -70,11 +72,12 @@
 			}
 			h.office.SetCall(id, c)
 		}
-		kept[r.Key] = id
+		kept[r.Key], h.stock.routes[id] = id, r
 	}
 	for key, id := range h.stock.calls {
 		if _, ok := kept[key]; !ok {
 			h.office.DropCall(id)
+			delete(h.stock.routes, id)
 		}
 	}
 	h.stock.calls = kept
@@ -146,7 +149,7 @@
 		h.dispatch.Most(id, max(leastConns, s.MaxConns/max(h.seats, 1)))
 	}
 	h.gate.Listed(false, []control.Listing{{ID: id, Hall: h.stock.zone(c.Word.Zone), State: state,
-		Size: float64(max(c.Word.Capacity, 1)), Service: h.stock.service(c.Word.Service), Cold: c.ColdUntil}})
+		Size: float64(max(c.Word.Capacity, 1)), Service: h.poolOf(c.Word), Cold: c.ColdUntil}})
 	if state == control.Gone {
 		delete(h.stock.names, id)
 	}
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -1,5 +1,5 @@
-// Package script is the state that the core's ordered log tells: the configuration in force, what was taken, and who has which
-// seat. Every door folds it from the same entries, so that all come to the same. It is free of I/O.
+// Package script is the state that the core's ordered log tells: the configuration in force, what was taken, who has which
+// seat, and which roll-outs there are. Every door folds it from the same entries, so that all come to the same. It is free of I/O.
 package script
 
 import (
@@ -10,6 +10,7 @@
 
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
+	"clovergap/internal/understudy"
 )
 
 // Kind is what an entry changes; its first byte in the log.
@@ -19,6 +20,7 @@
 	Replace Kind = 'r' // the whole configuration
 	Amend   Kind = 'a' // named items of it
 	Seat    Kind = 's' // a door asks for a seat
+	Rollout Kind = 'u' // an understudy.Entry: an order to a roll-out, or a verdict on one
 )
 
 // seatsMost bounds the order of seats.
@@ -26,12 +28,13 @@
 
 // Script is the state.
 type Script struct {
-	Bills *playbill.Register
-	seats []company.Seated
+	Bills    *playbill.Register
+	Rollouts *understudy.State
+	seats    []company.Seated
 }
 
 // New is the state before the first entry.
-func New() *Script { return &Script{Bills: playbill.NewRegister()} }
+func New() *Script { return &Script{Bills: playbill.NewRegister(), Rollouts: understudy.NewState()} }
 
 // Entry words a change for the log.
 func Entry(k Kind, body []byte) []byte { return append([]byte{byte(k)}, body...) }
@@ -58,6 +61,9 @@
 
 // Decide tells what would become of a change now.
 func (s *Script) Decide(k Kind, body []byte) (playbill.Verdict, error) {
+	if k == Rollout {
+		return s.rollout(body, s.Rollouts.Decide)
+	}
 	kind, ok := billKind(k)
 	if !ok {
 		return playbill.Taken, nil
@@ -65,6 +71,15 @@
 	return s.Bills.Decide(kind, body)
 }
 
+// rollout reads an entry on roll-outs and hands it on.
+func (s *Script) rollout(body []byte, to func(*understudy.Entry) (playbill.Verdict, error)) (playbill.Verdict, error) {
+	e, err := understudy.ReadEntry(body)
+	if err != nil {
+		return playbill.Invalid, err
+	}
+	return to(e)
+}
+
 // Apply takes an entry. What it can't read changes nothing: an entry of a newer program must not stop an older one.
 func (s *Script) Apply(entry []byte) (playbill.Verdict, error) {
 	if len(entry) == 0 {
@@ -74,6 +89,9 @@
 	if kind, ok := billKind(k); ok {
 		return s.Bills.Apply(kind, body)
 	}
+	if k == Rollout {
+		return s.rollout(body, s.Rollouts.Apply)
+	}
 	if k != Seat {
 		return playbill.Invalid, errors.Errorf("entry of unknown kind %q", k)
 	}
@@ -95,14 +113,15 @@
 }
 
 type kept struct {
-	Bills []byte
-	Seats []company.Seated
+	Bills    []byte
+	Seats    []company.Seated
+	Rollouts []byte // not in snapshots of older programs
 }
 
 // Snapshot is the whole state.
 func (s *Script) Snapshot() []byte {
 	var b bytes.Buffer
-	gob.NewEncoder(&b).Encode(kept{s.Bills.Snapshot(), s.seats}) // of bytes and texts: it can't fail
+	gob.NewEncoder(&b).Encode(kept{s.Bills.Snapshot(), s.seats, s.Rollouts.Snapshot()}) // of bytes and texts: it can't fail
 	return b.Bytes()
 }
 
@@ -116,5 +135,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
-	return &Script{bills, k.Seats}, nil
+	rollouts, err := understudy.Restore(k.Rollouts)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	return &Script{bills, rollouts, k.Seats}, nil
 }
--- a/internal/stagedoor/api.gen.go
+++ b/internal/stagedoor/api.gen.go
@@ -242,5 +242,270 @@
 	Place string `json:"place,omitempty"`
 }
 
+// RolloutAnswer A roll-out after a call, or what it would be.
+type RolloutAnswer struct {
+	// Moved Dry run, how many of these keys each step has on the new version.
+	Moved  []int  `json:"moved,omitempty"`
+	Number uint64 `json:"number"`
+
+	// Phase One of running, pulled back and finished; a dry run's is dry.
+	Phase string `json:"phase"`
+
+	// Rev Rises with each change of it.
+	Rev uint64 `json:"rev"`
+
+	// Room Requests at a time that the ready backends of each version take.
+	Room    *RolloutRoom `json:"room,omitempty"`
+	Service string       `json:"service"`
+
+	// Share Of the users that the order is about, in 1/10000.
+	Share int `json:"share"`
+
+	// Step The present one, from 1.
+	Step int `json:"step"`
+
+	// Steps How many there are.
+	Steps int `json:"steps"`
+
+	// Users Dry run, how many keys the configuration has.
+	Users *int `json:"users,omitempty"`
+}
+
+// RolloutCounts What ended in a step, of first submissions.
+type RolloutCounts struct {
+	// New What ended on one side.
+	New RolloutSide `json:"new"`
+
+	// Old What ended on one side.
+	Old RolloutSide `json:"old"`
+}
+
+// RolloutFailing What counts against the new version, always compared with the old one in the same span.
+type RolloutFailing struct {
+	// Causes Some of 5xx, none, wrong and full.
+	Causes []string `json:"causes,omitempty"`
+
+	// Extra So many more failing, in 1/10000, are borne.
+	Extra int `json:"extra,omitempty"`
+
+	// Quantile In 1/10000, of the old version's times.
+	Quantile int `json:"quantile,omitempty"`
+
+	// Slower So many hundredths of it are borne.
+	Slower int `json:"slower,omitempty"`
+}
+
+// RolloutHistory A service's roll-outs, the oldest first.
+type RolloutHistory struct {
+	Rollouts []RolloutPast `json:"rollouts"`
+	Service  string        `json:"service"`
+}
+
+// RolloutLimits Binds a roll-out to some of the traffic; an empty list binds nothing. Zones are the doors'.
+type RolloutLimits struct {
+	Routes  []string `json:"routes,omitempty"`
+	Tenants []string `json:"tenants,omitempty"`
+	Zones   []string `json:"zones,omitempty"`
+}
+
+// RolloutLine An order or a verdict that was taken.
+type RolloutLine struct {
+	// At Milliseconds since 1970, by the clock of the door that took the call.
+	At int64  `json:"at"`
+	By string `json:"by,omitempty"`
+
+	// Counts What ended in a step, of first submissions.
+	Counts RolloutCounts `json:"counts"`
+
+	// Share From then on, in 1/10000.
+	Share int `json:"share"`
+
+	// Step The step that it ended.
+	Step int `json:"step"`
+
+	// Verb One of start, step, hold, pull-back and finish.
+	Verb string `json:"verb"`
+	Why  string `json:"why,omitempty"`
+}
+
+// RolloutOrder Which version of a service takes over from which, and how. A version is the generation in its backends' beats.
+type RolloutOrder struct {
+	// Advance Who goes on to the next step; word, where it is left out.
+	Advance string `json:"advance,omitempty"`
+
+	// By Who, for the history.
+	By string `json:"by,omitempty"`
+
+	// DryRun Changes nothing, and tells what it would be.
+	DryRun bool `json:"dry_run,omitempty"`
+
+	// Failing What counts against the new version, always compared with the old one in the same span.
+	Failing *RolloutFailing `json:"failing,omitempty"`
+
+	// Limits Binds a roll-out to some of the traffic; an empty list binds nothing. Zones are the doors'.
+	Limits *RolloutLimits `json:"limits,omitempty"`
+
+	// Mark Names the call, so that the same again is answered as the first was.
+	Mark string `json:"mark,omitempty"`
+
+	// New The generation to be tried.
+	New string `json:"new"`
+
+	// Old The generation that serves.
+	Old string `json:"old"`
+
+	// Rev Of the service's newest roll-out, 0 if there was none.
+	Rev     uint64        `json:"rev,omitempty"`
+	Service string        `json:"service"`
+	Steps   []RolloutStep `json:"steps"`
+
+	// Why For the history.
+	Why string `json:"why,omitempty"`
+}
+
+// RolloutPast A roll-out and what became of it.
+type RolloutPast struct {
+	Lines  []RolloutLine `json:"lines"`
+	New    string        `json:"new"`
+	Number uint64        `json:"number"`
+	Old    string        `json:"old"`
+	Phase  string        `json:"phase"`
+}
+
+// RolloutRoom Requests at a time that the ready backends of each version take.
+type RolloutRoom struct {
+	// Busy How many are used at the busiest, 0 where it is not known.
+	Busy int `json:"busy"`
+	New  int `json:"new"`
+	Old  int `json:"old"`
+}
+
+// RolloutRun A roll-out.
+type RolloutRun struct {
+	// Counts What ended in a step, of first submissions.
+	Counts *RolloutCounts `json:"counts,omitempty"`
+
+	// Doubt From 1 on there is no next step by itself; at whoever leads.
+	Doubt float64 `json:"doubt,omitempty"`
+
+	// Held It waits for an operator's word.
+	Held bool `json:"held"`
+
+	// Here The share at that door, less than share where it has lowered it for itself.
+	Here   int    `json:"here"`
+	New    string `json:"new"`
+	Number uint64 `json:"number"`
+	Old    string `json:"old"`
+
+	// Phase One of running, pulled back and finished.
+	Phase string `json:"phase"`
+
+	// Rev Rises with each change of it.
+	Rev     uint64 `json:"rev"`
+	Service string `json:"service"`
+
+	// Share Of the users that the order is about, in 1/10000.
+	Share int `json:"share"`
+
+	// Step The present one, from 1.
+	Step int `json:"step"`
+
+	// Steps How many there are.
+	Steps int `json:"steps"`
+}
+
+// RolloutSide What ended on one side.
+type RolloutSide struct {
+	// Reads What ended on one side, of one kind.
+	Reads RolloutTally `json:"reads"`
+
+	// Writes What ended on one side, of one kind.
+	Writes RolloutTally `json:"writes"`
+}
+
+// RolloutStatus The newest roll-out of each service.
+type RolloutStatus struct {
+	// Door Whose knowledge this is.
+	Door string `json:"door"`
+
+	// Leads That door leads; only such a one counts for all.
+	Leads bool `json:"leads"`
+
+	// Rev Rises with each change of any roll-out.
+	Rev      uint64       `json:"rev"`
+	Rollouts []RolloutRun `json:"rollouts"`
+}
+
+// RolloutStep A share of users, and what must pass before the next one.
+type RolloutStep struct {
+	// MinTime A time, a second or more.
+	MinTime string `json:"min_time"`
+
+	// Requests On the new version, over all doors.
+	Requests int `json:"requests,omitempty"`
+
+	// Share In 1/10000, at most 9000.
+	Share int `json:"share"`
+}
+
+// RolloutTally What ended on one side, of one kind.
+type RolloutTally struct {
+	Ends int `json:"ends"`
+
+	// Failed Answers of 5xx.
+	Failed int `json:"failed"`
+
+	// Full Turned away unseen.
+	Full int `json:"full"`
+
+	// HalfMs Half of the answers of warm backends took at most so long.
+	HalfMs int64 `json:"half_ms"`
+
+	// None No answer.
+	None int `json:"none"`
+
+	// TenthMs Nine in ten of them did.
+	TenthMs int64 `json:"tenth_ms"`
+
+	// Wrong Answers that are not the service's.
+	Wrong int `json:"wrong"`
+}
+
+// RolloutWord An operator's word on a roll-out that runs.
+type RolloutWord struct {
+	// By Who, for the history.
+	By string `json:"by,omitempty"`
+
+	// Mark Names the call, so that the same again is answered as the first was.
+	Mark string `json:"mark,omitempty"`
+
+	// Number The roll-out's.
+	Number uint64 `json:"number"`
+
+	// Rev That it builds on; not asked of Hold and PullBack.
+	Rev uint64 `json:"rev,omitempty"`
+
+	// Step Step alone, the one to go to, from 1.
+	Step int `json:"step,omitempty"`
+
+	// Why For the history.
+	Why string `json:"why,omitempty"`
+}
+
 // BeatJSONRequestBody defines body for Beat for application/json ContentType.
 type BeatJSONRequestBody = Beat
+
+// FinishRolloutJSONRequestBody defines body for FinishRollout for application/json ContentType.
+type FinishRolloutJSONRequestBody = RolloutWord
+
+// HoldRolloutJSONRequestBody defines body for HoldRollout for application/json ContentType.
+type HoldRolloutJSONRequestBody = RolloutWord
+
+// PullBackRolloutJSONRequestBody defines body for PullBackRollout for application/json ContentType.
+type PullBackRolloutJSONRequestBody = RolloutWord
+
+// StartRolloutJSONRequestBody defines body for StartRollout for application/json ContentType.
+type StartRolloutJSONRequestBody = RolloutOrder
+
+// StepRolloutJSONRequestBody defines body for StepRollout for application/json ContentType.
+type StepRolloutJSONRequestBody = RolloutWord
--- a/internal/stagedoor/stagedoor.go
+++ b/internal/stagedoor/stagedoor.go
@@ -28,6 +28,7 @@
 	Beat(w callboard.Word, then func(ok bool, target string))
 	Leave(id string, then func(ok bool, target string))
 	Status() HouseStatus
+	Rollouts
 }
 
 // Paths of the calls; the last two are followed by a backend's id.
@@ -66,6 +67,10 @@
 	r, b := c.Request()
 	path, _, _ := strings.Cut(string(r.Target(b)), "?")
 	method := string(r.Method(b))
+	if call, ok := strings.CutPrefix(path, pathRollout); ok {
+		f.rollout(c, method, call, r.Body(b))
+		return
+	}
 	want := "POST"
 	if path == pathReady || path == pathRead || path == pathStatus {
 		want = "GET"
--- a/internal/stagedoor/stagedoor_test.go
+++ b/internal/stagedoor/stagedoor_test.go
@@ -18,6 +18,7 @@
 	"clovergap/internal/intake"
 	"clovergap/internal/link"
 	"clovergap/internal/script"
+	"clovergap/internal/understudy"
 )
 
 // patience bounds every wait of these tests; none of them depends on how long anything takes within it.
@@ -64,6 +65,22 @@
 	h.do("leave "+id, func() { then(h.ok, h.target) })
 }
 
+func (h *house) Rollout(e *understudy.Entry, dry bool, then func(int, []byte)) {
+	status, text := h.status, []byte(h.body)
+	what := fmt.Sprintf("%s %q %d %d %d %s %s %s %v", e.Verb, e.Service, e.Rev, e.Number, e.Step, e.Mark, e.By, e.Why, dry)
+	if e.Order != nil {
+		what += fmt.Sprint(" ", e.Order)
+	}
+	h.do(what, func() { then(status, text) })
+}
+func (h *house) Rollouts(then func(int, []byte)) {
+	status, text := h.status, []byte(h.body)
+	h.do("rollouts", func() { then(status, text) })
+}
+func (h *house) RolloutHistory(service string) RolloutHistory {
+	return RolloutHistory{Service: service, Rollouts: []RolloutPast{}}
+}
+
 // stage is the form on sockets, before a house.
 type stage struct {
 	t *testing.T
--- a/internal/understudy/door.go
+++ b/internal/understudy/door.go
@@ -146,9 +146,14 @@
 // Active tells whether there is anything to ask this door for. Without a roll-out there is not.
 func (d *Door) Active() bool { return len(d.runs) > 0 }
 
-// Pool is the side of a backend, by the generation in its beats: what is not the new version is the old one.
+// Pool is the side of a backend, by the generation in its beats: what is not the new version is the old one. Once a
+// roll-out is finished, what is not the old version is the new one: a third one may come without another roll-out.
 func (d *Door) Pool(service, generation string) Side {
-	if x := d.runs[service]; x != nil && generation == x.Order.New {
+	x := d.runs[service]
+	switch {
+	case x == nil:
+		return Old
+	case x.Phase == Finished && generation != x.Order.Old, generation == x.Order.New:
 		return New
 	}
 	return Old
