A live roll-out in the house's tests; how busy a service is, known or told

A start was always refused: what is in use at the busiest was not known, and 7/10 of both versions' room never fit. The box office keeps the mean of what is under way by spans of 10 s, the most of the last half hour or two; times the doors it is the figure, and an order may tell its own. A start without any backend of either version is refused.

--- a/internal/boxoffice/boxoffice.go
+++ b/internal/boxoffice/boxoffice.go
@@ -130,6 +130,7 @@
 	main   *house // it is another version of that one; nil: it is the main one itself
 	under  *house // the other version of this one; nil: there is none
 	open   Open   // who may go there
+	use    use
 }
 
 // what is looked at again at a time
@@ -273,6 +274,7 @@
 	t.house.cast.Ended(o.now, at, casting.End{Ending: said, Kind: t.Product, Took: took, Aim: t.call.Aim,
 		Own: t.sent < o.stallTo})
 	t.house.look = true
+	t.house.use.sum += took
 	if t.began.Counts && t.nr == 1 {
 		o.compare(t, said, took)
 	}
--- a/internal/boxoffice/house.go
+++ b/internal/boxoffice/house.go
@@ -100,6 +100,9 @@
 	}
 	if o.now-o.swept >= sweepEvery {
 		o.swept = o.now
+		for _, h := range o.houses {
+			h.use.turn(o.now)
+		}
 		o.houses = slices.DeleteFunc(o.houses, func(h *house) bool {
 			return h.holds == 0 && h.cast.Idle() && h.main == nil && h.under == nil && !o.named(h)
 		})
--- a/internal/boxoffice/sides.go
+++ b/internal/boxoffice/sides.go
@@ -159,3 +159,42 @@
 	}
 	return n
 }
+
+// use is how many requests a service has under way from this door, on average over spans of some seconds: the most that any of
+// them had, of late.
+type use struct {
+	sum  time.Duration // that ended requests took, in this span
+	from time.Duration
+	most [2]float64 // in the present period and the one before
+	nr   time.Duration
+}
+
+const (
+	useSpan   = 10 * time.Second
+	usePeriod = 30 * time.Minute
+)
+
+func (u *use) turn(now time.Duration) {
+	if now-u.from < useSpan {
+		return
+	}
+	if nr := now / usePeriod; nr != u.nr {
+		u.most[1] = 0
+		if nr == u.nr+1 {
+			u.most[1] = u.most[0]
+		}
+		u.most[0], u.nr = 0, nr
+	}
+	u.most[0] = max(u.most[0], float64(u.sum)/float64(now-u.from))
+	u.sum, u.from = 0, now
+}
+
+// Busy is how many requests a service had under way from this door at its busiest of late, of both versions; 0: not known.
+func (o *Office) Busy(service control.ServiceID) float64 {
+	h := o.house(service)
+	most := max(h.use.most[0], h.use.most[1])
+	if h.under != nil {
+		most += max(h.under.use.most[0], h.under.use.most[1])
+	}
+	return most
+}
--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -44,7 +44,12 @@
 	c := h.calls[nr]
 	if h.core != nil && h.core.p.Leading() {
 		c.next, c.sent = never, "here"
-		h.core.propose(c.kind, h.counted(c.kind, c.body), func(status int, body []byte) {
+		body, err := h.counted(c.kind, c.body)
+		if err != nil {
+			h.replied(nr, 400, []byte(err.Error()))
+			return
+		}
+		h.core.propose(c.kind, body, func(status int, body []byte) {
 			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
 		})
 		return
--- a/internal/house/orders.go
+++ b/internal/house/orders.go
@@ -20,11 +20,14 @@
 		e.Mark = fmt.Sprintf("%016x", rand.Uint64())
 	}
 	if e.Verb == understudy.Start {
-		if err := h.knows(e.Order); err != nil {
+		if err := h.knows(e.Order); err != nil && dry {
 			then(answerOf(playbill.Invalid, err))
 			return
 		}
-		e.Room = h.roomOf(e.Order)
+		busy := e.Room.Busy
+		if e.Room = h.roomOf(e.Order); busy > 0 {
+			e.Room.Busy = busy
+		}
 	}
 	body := e.Word()
 	if v, err := h.script.Decide(script.Rollout, body); v == playbill.Invalid || dry && v != playbill.Taken {
--- a/internal/house/rollout.go
+++ b/internal/house/rollout.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"hash/fnv"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -381,7 +382,8 @@
 	}
 }
 
-// roomOf is how many requests the ready backends of each version take at a time.
+// roomOf is how many requests the ready backends of each version take at a time, and how many there are at the busiest, as
+// far as this door's own tell.
 func (h *House) roomOf(o *understudy.Rollout) (m understudy.Room) {
 	if h.board == nil {
 		return m
@@ -395,18 +397,27 @@
 			m.Old += max(w.Capacity, 1)
 		}
 	}
+	m.Busy = int(math.Ceil(h.office.Busy(h.stock.service(o.Service)) * float64(max(h.seats, 1))))
 	return m
 }
 
-// counted adds to an operator's entry what the duty has counted until now.
-func (h *House) counted(k script.Kind, body []byte) []byte {
-	if k != script.Rollout || h.rollouts.duty == nil {
-		return body
+// counted is an operator's entry as whoever leads puts it into the log: with what the duty has counted until now. An order that
+// names what is not in the configuration is refused here, since another door may not know the newest.
+func (h *House) counted(k script.Kind, body []byte) ([]byte, error) {
+	if k != script.Rollout {
+		return body, nil
 	}
 	e, err := understudy.ReadEntry(body)
 	if err != nil {
-		return body
+		return nil, err
 	}
-	e.Counts, _ = h.rollouts.duty.Counts(e.Service)
-	return e.Word()
+	if e.Order != nil {
+		if err := h.knows(e.Order); err != nil {
+			return nil, err
+		}
+	}
+	if h.rollouts.duty != nil {
+		e.Counts, _ = h.rollouts.duty.Counts(e.Service)
+	}
+	return e.Word(), nil
 }
--- /dev/null
+++ b/internal/house/rollout_test.go
@@ -0,0 +1,197 @@
+package house
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/control"
+	"clovergap/internal/stagedoor"
+	"clovergap/internal/understudy"
+)
+
+// backend answers for a version, and beats once: the interval is long.
+func (d *doors) backend(id, version string, fails *atomic.Bool) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Version", version)
+		if fails.Load() && r.Method == "POST" {
+			w.WriteHeader(500)
+			return
+		}
+		w.Header().Set("X-Backend-Seal", "s")
+	}))
+	s.Config.ErrorLog = nil
+	d.t.Cleanup(s.Close)
+	d.settles(0, 200, "POST", "/api/Backends.Heartbeat/"+id, fmt.Sprintf(`{"target":"s","address":%q,"zone":"z",
+"generation":%q,"capacity":100,"phase":"ready","call_seq":1}`, strings.TrimPrefix(s.URL, "http://"), version))
+}
+
+var attempts atomic.Int64
+
+// asks sends a client's request to a door and gives the version that answered, "" if none did.
+func (d *doors) asks(i int, method, key, mark string) (version string) {
+	r, err := http.NewRequest(method, "http://"+d.sheets[i].Bind.Front+map[string]string{"GET": "/r/", "POST": "/w/"}[method], nil)
+	must.NoError(d.t, err)
+	r.Host = "h.example"
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("X-Attempt-Id", fmt.Sprint("a-", attempts.Add(1)))
+	if mark != "" {
+		r.Header.Set("X-Client-Mark", mark)
+	}
+	a, err := d.http.Do(r)
+	if err != nil {
+		return ""
+	}
+	a.Body.Close()
+	return a.Header.Get("X-Version")
+}
+
+func (d *doors) rollout(i int) (r stagedoor.RolloutRun) {
+	var s stagedoor.RolloutStatus
+	_, text := d.call(i, "GET", "/api/Rollout.Status", "")
+	if json.Unmarshal([]byte(text), &s); len(s.Rollouts) > 0 {
+		r = s.Rollouts[0]
+	}
+	return r
+}
+
+// here is a door's own share, and whether it has made sure of what it knows in this life.
+func (d *doors) here(i int) (share int, touched bool) {
+	h := d.live[i]
+	h.e.Turn(func() { share, touched = h.rollouts.door.Share("s"), h.rollouts.touched })
+	return share, touched
+}
+
+func (d *doors) shares(want int) {
+	d.t.Helper()
+	for i := range d.live {
+		d.until(fmt.Sprint("share ", want, " at ", i), func() bool { share, _ := d.here(i); return share == want })
+	}
+}
+
+// A roll-out's life: a user's side is the same at every door and by count the one that the dry run told; it stays when the
+// share grows; a failing version is pulled back by the duty and gets nothing any more; a door that starts again sends nobody
+// there before it has asked; a service that the configuration loses is pulled back too.
+func TestRollout(t *testing.T) {
+	const start, word = "/api/Rollout.Start", `{"number":%d,"rev":%d,"step":%d,"by":"ana"}`
+	const order = `{"service":"s","old":"v1","new":"v2","steps":[{"share":5000,"min_time":"1s"},{"share":9000,"min_time":"1s"}],
+"rev":%d,"mark":%q,"by":"ana","busy":100%s}`
+	var good, bad atomic.Bool
+	d := open(t, 4)
+	users, keys := [][]byte{}, []string{}
+	for i := range 40 {
+		keys = append(keys, fmt.Sprint("key-", i))
+		users = append(users, []byte(keys[i]))
+	}
+	list, _ := json.Marshal(keys)
+	config := func(generation, parent int, service string) string {
+		return fmt.Sprintf(`{"generation":%d,"parent_version":%d,"services":[{"name":%q}],"tenants":[{"name":"t","api_keys":%s}],
+"vhosts":[{"hostname":"h.example","path_list":[{"name":"r","path_prefix":"/r/","variant":"pure","target":%q},
+{"name":"w","path_prefix":"/w/","variant":"effectful","target":%q}]}]}`, generation, parent, service, list, service, service)
+	}
+	d.settles(0, 200, "POST", "/api/Config.Replace", config(1, 0, "s"))
+	must.StrContains(t, d.settles(0, 400, "POST", start, fmt.Sprintf(order, 0, "m", "")), "room") // there are no backends
+	for i, v := range []string{"v1", "v1", "v2", "v2"} {
+		d.backend(fmt.Sprint(v, "-", i), v, map[string]*atomic.Bool{"v1": &good, "v2": &bad}[v])
+	}
+	d.all("the backends, and to be ready", func(s stagedoor.HouseStatus) bool { return len(s.Backends) == 4 && s.Ready })
+
+	var dry stagedoor.RolloutAnswer
+	must.NoError(t, json.Unmarshal([]byte(d.settles(3, 200, "POST", start, fmt.Sprintf(order, 0, "m", `,"dry_run":true`))), &dry))
+	must.Eq(t, (&understudy.Rollout{Service: "s", Steps: []understudy.Step{{Share: 5000}, {Share: 9000}}}).Shared(1, users), dry.Moved)
+	must.Eq(t, stagedoor.RolloutRoom{Old: 200, New: 200, Busy: 100}, *dry.Room)
+	must.Eq(t, "", d.rollout(3).Phase) // nothing was changed
+	must.StrContains(t, d.settles(3, 400, "POST", start, fmt.Sprintf(order, 0, "m", `,"shares":1`)), "shares")
+	must.StrContains(t, d.settles(3, 400, "POST", start, fmt.Sprintf(order, 0, "m", `,"limits":{"routes":["x"]}`)), "limits.routes[0]")
+	first := d.settles(3, 200, "POST", start, fmt.Sprintf(order, 0, "m", ""))
+	must.Eq(t, first, d.settles(1, 200, "POST", start, fmt.Sprintf(order, 0, "m", "")))
+	d.settles(2, 412, "POST", start, fmt.Sprintf(order, 0, "other", ""))
+	must.EqJSON(t, config(1, 0, "s"), d.settles(2, 200, "GET", "/api/Config.Read", ""))
+
+	d.shares(5000)
+	sides := func() (moved map[string]bool) {
+		moved = map[string]bool{}
+		for _, k := range keys {
+			v := d.asks(0, "GET", k, "")
+			for i := 1; i < 4; i++ {
+				must.Eq(t, v, d.asks(i, "GET", k, ""))
+			}
+			if v == "v2" {
+				moved[k] = true
+			}
+		}
+		return moved
+	}
+	before := sides()
+	must.MapLen(t, dry.Moved[0], before)
+	marks := map[string]int{}
+	for i := range 20 { // users of one key, by their marks
+		marks[d.asks(i%4, "GET", keys[0], fmt.Sprint("mark-", i))]++
+	}
+	must.MapLen(t, 2, marks)
+	d.settles(2, 412, "POST", "/api/Rollout.Finish/s", fmt.Sprintf(word, 1, 1, 0))
+	d.settles(2, 200, "POST", "/api/Rollout.Step/s", fmt.Sprintf(word, 1, 1, 2))
+	d.shares(9000)
+	after := sides()
+	must.MapLen(t, dry.Moved[1], after)
+	for k := range before {
+		must.True(t, after[k])
+	}
+
+	bad.Store(true)
+	n := 0
+	d.until("a verdict", func() bool {
+		for range 40 {
+			n++
+			d.asks(n%4, "POST", keys[n%len(keys)], "")
+		}
+		return d.rollout(3).Phase == string(understudy.Pulled)
+	})
+	d.shares(0)
+	must.MapEmpty(t, sides())
+	var past stagedoor.RolloutHistory
+	must.NoError(t, json.Unmarshal([]byte(d.settles(3, 200, "GET", "/api/Rollout.History/s", "")), &past))
+	lines := past.Rollouts[0].Lines
+	must.Len(t, 3, lines)
+	must.Eq(t, "duty", lines[2].By)
+	must.Positive(t, lines[2].Counts.New.Writes.Failed)
+	must.Eq(t, 0, lines[2].Counts.Old.Writes.Failed)
+
+	bad.Store(false)
+	d.settles(0, 412, "POST", start, fmt.Sprintf(order, 0, "again", ""))
+	d.settles(0, 200, "POST", start, fmt.Sprintf(order, d.rollout(0).Rev, "again", ""))
+	d.shares(5000)
+	for _, i := range []int{1, 3} { // with a disk, and without
+		d.kill(i)
+		d.start(i)
+		d.until("to have asked", func() bool {
+			share, touched := d.here(i)
+			must.True(t, touched || share == 0)
+			return share == 5000
+		})
+	}
+	d.settles(0, 200, "POST", "/api/Config.Replace", config(2, 1, "t"))
+	d.until("the end of it", func() bool { return d.rollout(2).Phase == string(understudy.Pulled) })
+	must.StrContains(t, d.settles(2, 200, "GET", "/api/Rollout.History/s", ""), "not in the configuration")
+}
+
+// What ends is told apart: only what the service could have said better counts against a version.
+func TestCauses(t *testing.T) {
+	for _, x := range []struct {
+		how    control.Ending
+		status int
+		want   understudy.Cause
+	}{{control.Settled, 404, understudy.Fine}, {control.Settled, 0, understudy.Fine}, {control.Errored, 500, understudy.Failed},
+		{control.Errored, 200, understudy.Wrong}, {control.Errored, 429, understudy.Fine}, {control.Full, 503, understudy.Full},
+		{control.TimedOut, 0, understudy.NoAnswer}, {control.Broken, 0, understudy.NoAnswer},
+		{control.Unreachable, 0, understudy.NoAnswer}} {
+		must.Eq(t, x.want, causeOf(x.how, x.status), must.Sprint(x))
+	}
+}
--- a/internal/stagedoor/api.gen.go
+++ b/internal/stagedoor/api.gen.go
@@ -333,6 +333,9 @@
 	// Advance Who goes on to the next step; word, where it is left out.
 	Advance string `json:"advance,omitempty"`
 
+	// Busy Requests at a time at the busiest, over all doors; left out: as the asked door saw it of late, times the doors.
+	Busy int `json:"busy,omitempty"`
+
 	// By Who, for the history.
 	By string `json:"by,omitempty"`
 
--- a/internal/stagedoor/rollouts.go
+++ b/internal/stagedoor/rollouts.go
@@ -57,11 +57,11 @@
 		c.Answer(func(b []byte, last bool) []byte { return answer.Whole(b, 200, "application/json", text, 0, last) })
 	default:
 		e, dry, err := readRollout(verb, service, body)
+		t := f.hold(c)
 		if err != nil {
-			c.Reject(400, counters.BadRequest, err.Error())
+			f.end(t, 400, []byte(err.Error()))
 			return
 		}
-		t := f.hold(c)
 		f.house.Rollout(e, dry, func(status int, body []byte) { f.end(t, status, body) })
 	}
 }
@@ -72,7 +72,10 @@
 	strict := func(into any) error {
 		d := json.NewDecoder(bytes.NewReader(body))
 		d.DisallowUnknownFields()
-		return errors.Wrap(d.Decode(into), "body")
+		if err := d.Decode(into); err != nil {
+			return errors.Wrap(err, "body")
+		}
+		return nil
 	}
 	if verb != understudy.Start {
 		var w RolloutWord
@@ -93,6 +96,6 @@
 	if err := order.Check(); err != nil {
 		return nil, false, err
 	}
-	return &understudy.Entry{Verb: verb, Service: o.Service, Mark: o.Mark, By: o.By, Why: o.Why, Rev: o.Rev, Order: order},
-		o.DryRun, nil
+	return &understudy.Entry{Verb: verb, Service: o.Service, Mark: o.Mark, By: o.By, Why: o.Why, Rev: o.Rev, Order: order,
+		Room: understudy.Room{Busy: max(o.Busy, 0)}}, o.DryRun, nil
 }
--- a/internal/understudy/order.go
+++ b/internal/understudy/order.go
@@ -125,6 +125,12 @@
 // Fits tells whether there is room: the old version can take all back at any moment, the new one bears its
 // largest share.
 func (r *Rollout) Fits(m Room) error {
+	switch {
+	case m.Old <= 0:
+		return errors.Errorf("old: %s has room for none", r.Old)
+	case m.New <= 0:
+		return errors.Errorf("new: %s has room for none", r.New)
+	}
 	busy := float64(m.Busy)
 	if m.Busy <= 0 {
 		busy = 0.7 * float64(m.Old+m.New)
