One door is no verdict, even as the first to report; tests of sides, of the log's state

The first report of a step was judged alone, so that one sick door could pull all back before the others had spoken, and two lives of one door counted as two. Doors are left out by their seat, and where there are others, none is believed alone.

--- a/internal/boxoffice/office_test.go
+++ b/internal/boxoffice/office_test.go
@@ -18,6 +18,7 @@
 // desk is one office with a hand-driven host.
 type desk struct {
 	*Office
+	t    *testing.T // where it is set
 	now  time.Duration
 	seen []control.Decision // but wake-ups and notes
 }
--- a/internal/house/rollout.go
+++ b/internal/house/rollout.go
@@ -340,6 +340,7 @@
 		x.duty, x.fence = understudy.NewDuty(view, now), view
 		x.duty.Fold(h.script.Rollouts)
 	}
+	x.duty.Doors(h.seats)
 	h.tellBackends()
 	x.duty.Now(now)
 	for a, ok := x.duty.Next(); ok; a, ok = x.duty.Next() {
--- a/internal/script/script_test.go
+++ b/internal/script/script_test.go
@@ -1,13 +1,17 @@
 package script
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
+	"clovergap/internal/understudy"
 )
 
 func bill(generation, parent int) []byte {
@@ -26,7 +30,19 @@
 	return [][]byte{SeatEntry(seat("b")), Entry(Replace, bill(3, 0)), SeatEntry(seat("a")), Entry(Replace, bill(4, 0)),
 		Entry(Replace, bill(3, 0)), SeatEntry(again), Entry('z', []byte("of a newer program")), nil, Entry(Seat, []byte("no seat")),
 		Entry(Amend, []byte(`{"generation":5,"parent_version":3,"upserts":{"services":[{"name":"t"}]}}`)),
-		Entry(Replace, []byte("{")), SeatEntry(seat("c")), Entry(Replace, bill(9, 5))}
+		Entry(Replace, []byte("{")), SeatEntry(seat("c")), Entry(Replace, bill(9, 5)),
+		rollout(understudy.Entry{Verb: understudy.Start, Mark: "m", Order: order}),
+		rollout(understudy.Entry{Verb: understudy.Start, Mark: "m", Order: order}),
+		rollout(understudy.Entry{Verb: understudy.Advance, Number: 1, Step: 2, Fence: 5}), Entry(Rollout, []byte("{")),
+		rollout(understudy.Entry{Verb: understudy.PullBack, Number: 1, Step: 1, Fence: 5, Why: "bad"})}
+}
+
+var order = &understudy.Rollout{Service: "s", Old: "v1", New: "v2", Steps: []understudy.Step{{Share: 100,
+	MinTime: understudy.Span(time.Second)}}}
+
+func rollout(e understudy.Entry) []byte {
+	e.Service, e.Room = "s", understudy.Room{Old: 9, New: 9, Busy: 5}
+	return Entry(Rollout, e.Word())
 }
 
 // Every entry has its verdict; seats are given in order, and a door that asks again keeps its own under its new name.
@@ -34,9 +50,9 @@
 	s := New()
 	taken, already, conflict, invalid := playbill.Taken, playbill.Already, playbill.Conflict, playbill.Invalid
 	for i, want := range []playbill.Verdict{taken, taken, taken, conflict, already, already, invalid, invalid, invalid,
-		taken, invalid, taken, taken} {
+		taken, invalid, taken, taken, taken, already, conflict, invalid, taken} {
 		e, before := log()[i], s.Snapshot()
-		if len(e) > 0 && (e[0] == byte(Replace) || e[0] == byte(Amend)) { // told before as it comes
+		if len(e) > 0 && e[0] != byte(Seat) && e[0] != 'z' { // told before as it comes
 			v, _ := s.Decide(Kind(e[0]), e[1:])
 			must.Eq(t, want, v)
 		}
@@ -51,6 +67,8 @@
 	b.Name = "b2"
 	must.Eq(t, []company.Seated{b, seat("a"), seat("c")}, s.Seats())
 	must.Eq(t, 9, s.Bills.Version())
+	must.Eq(t, bill(9, 5), s.Bills.Body()) // a roll-out changes nothing of it
+	must.Eq(t, understudy.Pulled, s.Rollouts.Run("s").Phase)
 	for i := range seatsMost { // they are bounded
 		s.Apply(SeatEntry(seat(fmt.Sprint(i))))
 	}
@@ -78,6 +96,17 @@
 		v, _ := s.Decide(Replace, bill(3, 0)) // what was taken is known by its bytes
 		must.Eq(t, playbill.Already, v)
 	}
+	var older bytes.Buffer // the snapshot of a program that knew no roll-outs
+	must.NoError(t, gob.NewEncoder(&older).Encode(struct {
+		Bills []byte
+		Seats []company.Seated
+	}{whole.Bills.Snapshot(), whole.Seats()}))
+	s, err := Restore(older.Bytes())
+	must.NoError(t, err)
+	must.Eq(t, whole.Bills.Snapshot(), s.Bills.Snapshot())
+	must.False(t, s.Rollouts.Running())
+	v, _ := s.Apply(rollout(understudy.Entry{Verb: understudy.Start, Order: order}))
+	must.Eq(t, playbill.Taken, v)
 	for _, bad := range [][]byte{nil, []byte("x"), snaps[3][:len(snaps[3])/2]} {
 		_, err := Restore(bad)
 		must.Error(t, err)
--- a/internal/understudy/duty.go
+++ b/internal/understudy/duty.go
@@ -28,6 +28,7 @@
 type Duty struct {
 	now    time.Duration
 	fence  uint64
+	doors  int // that there are
 	trials map[string]*trial
 	ready  []Action
 }
@@ -102,10 +103,14 @@
 	if r.Lap > t.lap { // of whoever had the duty before
 		t.lap, t.lapAt = r.Lap, d.now
 	}
+	f.door = from
 	t.heard[key], t.news = &heard{r, f}, true
 	return nil
 }
 
+// Doors says how many there are: where there are others, none is believed alone.
+func (d *Duty) Doors(n int) { d.doors = n }
+
 // Backends says how many backends of the old version are ready, and whether the configuration still has the
 // service.
 func (d *Duty) Backends(service string, old int, known bool) {
@@ -154,8 +159,9 @@
 // judge looks at what all doors found.
 func (d *Duty) judge(t *trial) {
 	var list []*found
-	alone := map[DoorID]bool{}
+	alone, spoke := map[DoorID]bool{}, map[DoorID]bool{}
 	for key, h := range t.heard {
+		spoke[key.door] = true
 		if h.Lap != t.lap { // what it found since a lap of its own
 			f := *h.found
 			e := *f.evidence
@@ -177,7 +183,7 @@
 	if len(alone) > 0 { // for a step by itself that is enough to wait
 		t.doubt = max(doubt, 1)
 	}
-	if score < 1 && len(alone) < 2 {
+	if (score < 1 || len(spoke) == 1 && d.doors > 1) && len(alone) < 2 {
 		return
 	}
 	c := t.counts()
--- a/internal/understudy/judge.go
+++ b/internal/understudy/judge.go
@@ -1,6 +1,9 @@
 package understudy
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Chances of a wrong pull-back, over a whole roll-out: by the fleet, and by one door alone.
 const (
@@ -31,6 +34,7 @@
 // found is what one life of a door found.
 type found struct {
 	*evidence
+	door  DoorID // several lives of one may have been heard
 	zone  string
 	backs int // of the new version, that it saw at work
 	skip  bool
@@ -95,8 +99,12 @@
 // chance is split over both windows and over all steps and laps: the k-th of them has 1/(k(k+1)) of a half.
 func judge(list []*found, step, lap int, wrong float64) (score, doubt float64) {
 	backs := map[uint64]bool{}
+	var doors []DoorID
 	many := 0
 	for _, f := range list {
+		if !slices.Contains(doors, f.door) {
+			doors = append(doors, f.door)
+		}
 		many = max(many, f.backs)
 		for b := range f.by {
 			backs[b] = true
@@ -114,12 +122,14 @@
 				least = min(least, wealth(list, w, b))
 			}
 		}
-		if len(list) > 1 {
+		for _, but := range doors {
 			for _, f := range list {
-				f.skip = true
-				least = min(least, wealth(list, w, 0))
-				f.skip = false
+				f.skip = f.door == but && len(doors) > 1
 			}
+			least = min(least, wealth(list, w, 0))
+		}
+		for _, f := range list {
+			f.skip = false
 		}
 		score = max(score, least/asked)
 	}
--- a/internal/understudy/judge_test.go
+++ b/internal/understudy/judge_test.go
@@ -347,3 +347,40 @@
 	d.Fold(w.state)
 	must.Error(t, d.Heard(1, broken))
 }
+
+// One sick door is never a verdict: neither while it is the first whose report has come, nor by several lives of it.
+func TestOneDoorIsNoVerdict(t *testing.T) {
+	s := NewState()
+	e := startEntry(order(5000), 0, "")
+	_, err := s.Apply(e)
+	must.NoError(t, err)
+	d := NewDuty(2, 0)
+	d.Doors(12)
+	d.Fold(s)
+	now := time.Duration(0)
+	sick := func(id DoorID, life uint64) (pulled bool) {
+		door := NewDoor("a", life, now)
+		door.Fold(s)
+		door.Touch(true)
+		for end := now + 3*time.Second; now < end; now += tick {
+			for i := range 20 {
+				door.Ended("libro", 1, End{Side: Side(i % 2), Backend: uint64(1 + i%6), Cause: Cause(i % 2)})
+			}
+			door.Now(now)
+			for a, ok := door.Next(); ok; a, ok = door.Next() {
+				if tell, is := a.(Tell); is {
+					must.NoError(t, d.Heard(id, tell.Report))
+				}
+			}
+			d.Now(now)
+			for a, ok := d.Next(); ok; a, ok = d.Next() {
+				p, is := a.(Propose)
+				pulled = pulled || is && p.Entry.Verb == PullBack
+			}
+		}
+		return pulled
+	}
+	must.False(t, sick(3, 1))
+	must.False(t, sick(3, 2))
+	must.True(t, sick(4, 3)) // and a second door is one
+}
