playhouse rollout: start, step, hold, pull-back, finish, status, history

Operators had no command for roll-outs. An order's file is checked before it is sent, the number and rev that a word builds on are read unless they are given, and each order bears a mark, so that a try without an answer does no harm. A dry run tells the keys and the room of each step. Tested against a door that answers by a list.

--- a/cmd/playhouse/main.go
+++ b/cmd/playhouse/main.go
@@ -34,6 +34,7 @@
 	Doors    *doorsCmd    `arg:"subcommand:doors" help:"list the doors"`
 	Backends *backendsCmd `arg:"subcommand:backends" help:"list the backends"`
 	Views    *viewsCmd    `arg:"subcommand:views" help:"show the core: members, view, leader, log"`
+	Rollout  *rolloutCmd  `arg:"subcommand:rollout" help:"shift a share of users onto a new version of a service"`
 	About    *versionCmd  `arg:"subcommand:version" help:"tell which build this is"`
 }
 
--- /dev/null
+++ b/cmd/playhouse/rollout.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/stagedoor"
+)
+
+type rolloutCmd struct {
+	Start    *rolloutStartCmd    `arg:"subcommand:start" help:"start to shift users onto a new version, by an order"`
+	Step     *rolloutStepCmd     `arg:"subcommand:step" help:"go on to the next step"`
+	Hold     *rolloutHoldCmd     `arg:"subcommand:hold" help:"keep the present step until the next word"`
+	PullBack *rolloutPullBackCmd `arg:"subcommand:pull-back" help:"bring all users back to the old version"`
+	Finish   *rolloutFinishCmd   `arg:"subcommand:finish" help:"shift all users onto the new version, after the last step"`
+	Status   *rolloutStatusCmd   `arg:"subcommand:status" help:"tell how roll-outs stand"`
+	History  *rolloutHistoryCmd  `arg:"subcommand:history" help:"tell what became of a service's roll-outs"`
+}
+
+func (*rolloutCmd) examples() string {
+	return `  playhouse rollout start --order order.json --dry-run   the users and the room of each step; changes nothing
+  playhouse rollout start --order order.json
+  playhouse rollout status
+  playhouse rollout step libro
+  playhouse rollout pull-back libro --why "wrong prices"
+  playhouse rollout history libro`
+}
+
+func (*rolloutCmd) run(io.Writer) error {
+	return wrongly("rollout: no command given: start, step, hold, pull-back, finish, status or history")
+}
+
+// signed is what every order of an operator bears.
+type signed struct {
+	By   string  `arg:"--by,env:USER" placeholder:"NAME" help:"who orders it, for the history"`
+	Why  string  `arg:"--why" placeholder:"TEXT" help:"for the history"`
+	Mark string  `arg:"--mark" placeholder:"TEXT" help:"names the order: the same again is answered as the first was"`
+	Rev  *uint64 `arg:"--rev" placeholder:"N" help:"build on this rev instead of the current one"`
+	caller
+}
+
+// textMost is the most that doors take of a text.
+const textMost = 512
+
+func (s *signed) check() error {
+	for _, f := range []struct{ name, text string }{{"--by", s.By}, {"--why", s.Why}, {"--mark", s.Mark}} {
+		if len(f.text) > textMost {
+			return wrongly("%s: longer than %d bytes", f.name, textMost)
+		}
+	}
+	if s.Mark == "" {
+		s.Mark = fmt.Sprintf("%016x", rand.Uint64())
+	}
+	_, err := s.doors()
+	return err
+}
+
+// now is the newest roll-out of a service, nil if there was none.
+func (c *caller) now(service string) (*stagedoor.RolloutRun, error) {
+	all, _, err := c.rollouts()
+	if err != nil {
+		return nil, err
+	}
+	for i := range all.Rollouts {
+		if all.Rollouts[i].Service == service {
+			return &all.Rollouts[i], nil
+		}
+	}
+	return nil, nil
+}
+
+func (c *caller) rollouts() (*stagedoor.RolloutStatus, []byte, error) {
+	a, err := c.call("/api/Rollout.Status", nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := new(stagedoor.RolloutStatus)
+	if err := json.Unmarshal(a.body, s); err != nil {
+		return nil, nil, a.astray(err)
+	}
+	return s, a.body, nil
+}
+
+// order sends one and tells how the roll-out stands then.
+func (s *signed) order(out io.Writer, path string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	a, err := s.call(path, text)
+	if err != nil {
+		return err
+	}
+	if s.JSON {
+		return print(out, a.body)
+	}
+	var r stagedoor.RolloutAnswer
+	if err := json.Unmarshal(a.body, &r); err != nil {
+		return a.astray(err)
+	}
+	if r.Users == nil {
+		_, err = fmt.Fprintf(out, "%s %d: %s, step %d of %d, %s of the users, rev %d (%s, tries %d)\n", plain(r.Service), r.Number,
+			plain(r.Phase), r.Step, r.Steps, percent(r.Share), r.Rev, a.door, a.tries)
+		return err
+	}
+	w := newTable(out, "STEP", "KEYS", "OF")
+	for i, n := range r.Moved {
+		w.row(i+1, n, *r.Users)
+	}
+	if err := w.Flush(); err != nil || r.Room == nil {
+		return err
+	}
+	busy := "not known"
+	if r.Room.Busy > 0 {
+		busy = strconv.Itoa(r.Room.Busy)
+	}
+	_, err = fmt.Fprintf(out, "it would be %d; room: old %d, new %d, used at the busiest: %s\n", r.Number, r.Room.Old, r.Room.New, busy)
+	return err
+}
+
+func percent(share int) string { return strconv.FormatFloat(float64(share)/100, 'f', -1, 64) + " %" }
+
+type rolloutStartCmd struct {
+	Order string `arg:"--order,required" placeholder:"FILE" help:"the order, JSON; - is standard input"`
+	Busy  int    `arg:"--busy" placeholder:"N" help:"requests at a time at the busiest, over all doors"`
+	Dry   bool   `arg:"--dry-run" help:"change nothing, tell the users and the room of each step"`
+	signed
+}
+
+func (*rolloutStartCmd) examples() string {
+	return `  playhouse rollout start --order order.json --dry-run
+  echo '{"service":"libro","old":"v1","new":"v2","advance":"time","steps":[
+    {"share":100,"min_time":"60s","requests":500},{"share":1000,"min_time":"60s"},{"share":5000,"min_time":"300s"}]}' |
+    playhouse rollout start --order - --busy 40      shares are in 1/10000`
+}
+
+func (c *rolloutStartCmd) run(out io.Writer) error {
+	if c.Busy < 0 {
+		return wrongly("--busy: %d is below 0", c.Busy)
+	}
+	if err := c.check(); err != nil {
+		return err
+	}
+	text, err := readFile(c.Order)
+	if err != nil {
+		return err
+	}
+	var o stagedoor.RolloutOrder
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&o); err != nil {
+		return errors.Wrap(err, c.Order)
+	}
+	if c.Rev != nil {
+		o.Rev = *c.Rev
+	} else if o.Rev == 0 {
+		r, err := c.now(o.Service)
+		if err != nil {
+			return err
+		}
+		if r != nil {
+			o.Rev = r.Rev
+		}
+	}
+	o.Mark, o.By, o.Why = cmp.Or(o.Mark, c.Mark), cmp.Or(c.By, o.By), cmp.Or(c.Why, o.Why)
+	o.Busy, o.DryRun = cmp.Or(c.Busy, o.Busy), o.DryRun || c.Dry
+	return c.order(out, "/api/Rollout.Start", o)
+}
+
+// wordArgs are alike for the orders to a roll-out that runs.
+type wordArgs struct {
+	Service string  `arg:"positional,required" help:"the service's name"`
+	Number  *uint64 `arg:"--number" placeholder:"N" help:"this roll-out and no other; left out: the newest"`
+	signed
+}
+
+// send sends an order to the newest roll-out of a service, or to the one that is named.
+func (c *wordArgs) send(out io.Writer, call string, step int) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	w := stagedoor.RolloutWord{Mark: c.Mark, By: c.By, Why: c.Why, Step: step}
+	if c.Number == nil || c.Rev == nil || step < 0 {
+		r, err := c.now(c.Service)
+		switch {
+		case err != nil:
+			return err
+		case r == nil:
+			return errors.Errorf("no roll-out of %q", c.Service)
+		}
+		w.Number, w.Rev = r.Number, r.Rev
+		if step < 0 {
+			w.Step = r.Step + 1
+		}
+	}
+	if c.Number != nil {
+		w.Number = *c.Number
+	}
+	if c.Rev != nil {
+		w.Rev = *c.Rev
+	}
+	return c.order(out, "/api/Rollout."+call+"/"+url.PathEscape(c.Service), w)
+}
+
+type rolloutStepCmd struct {
+	wordArgs
+	Step int `arg:"--step" placeholder:"N" help:"the step to go to, from 1; left out: the next"`
+}
+
+type rolloutHoldCmd struct{ wordArgs }
+type rolloutPullBackCmd struct{ wordArgs }
+type rolloutFinishCmd struct{ wordArgs }
+
+func (c *rolloutStepCmd) run(out io.Writer) error {
+	if c.Step < 0 {
+		return wrongly("--step: %d is not at least 1", c.Step)
+	}
+	return c.send(out, "Step", cmp.Or(c.Step, -1))
+}
+func (c *rolloutHoldCmd) run(out io.Writer) error     { return c.send(out, "Hold", 0) }
+func (c *rolloutPullBackCmd) run(out io.Writer) error { return c.send(out, "PullBack", 0) }
+func (c *rolloutFinishCmd) run(out io.Writer) error   { return c.send(out, "Finish", 0) }
+
+type rolloutStatusCmd struct{ caller }
+
+func (*rolloutStatusCmd) examples() string {
+	return `  playhouse rollout status          failed of ended, of this step and all doors, where the door that answers leads
+  playhouse rollout status --json   with the counts by kind and cause`
+}
+
+func (c *rolloutStatusCmd) run(out io.Writer) error {
+	s, raw, err := c.rollouts()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return print(out, raw)
+	}
+	w := newTable(out, "SERVICE", "NUMBER", "OLD", "NEW", "PHASE", "STEP", "SHARE", "THERE", "HELD", "DOUBT", "NEW FAILED", "OLD FAILED")
+	for _, r := range s.Rollouts {
+		now, was := "", ""
+		if r.Counts != nil {
+			now, was = failedOf(&r.Counts.New), failedOf(&r.Counts.Old)
+		}
+		w.row(r.Service, r.Number, r.Old, r.New, r.Phase, fmt.Sprintf("%d of %d", r.Step, r.Steps), percent(r.Share), percent(r.Here),
+			yes(r.Held), strconv.FormatFloat(r.Doubt, 'g', 2, 64), now, was)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if !s.Leads {
+		_, err = fmt.Fprintf(out, "nobody who leads could be asked: this is what %s knows\n", plain(s.Door))
+	}
+	return err
+}
+
+// failedOf sums both kinds.
+func failedOf(s *stagedoor.RolloutSide) string {
+	bad := func(t *stagedoor.RolloutTally) int { return t.Failed + t.None + t.Wrong }
+	return fmt.Sprintf("%d of %d", bad(&s.Reads)+bad(&s.Writes), s.Reads.Ends+s.Writes.Ends)
+}
+
+type rolloutHistoryCmd struct {
+	Service string `arg:"positional,required" help:"the service's name"`
+	caller
+}
+
+func (c *rolloutHistoryCmd) run(out io.Writer) error {
+	a, err := c.call("/api/Rollout.History/"+url.PathEscape(c.Service), nil)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return print(out, a.body)
+	}
+	var past stagedoor.RolloutHistory
+	if err := json.Unmarshal(a.body, &past); err != nil {
+		return a.astray(err)
+	}
+	w := newTable(out, "NUMBER", "AT", "ORDER", "STEP", "THEN", "BY", "NEW FAILED", "OLD FAILED", "WHY")
+	for _, r := range past.Rollouts {
+		for _, l := range r.Lines {
+			w.row(r.Number, time.UnixMilli(l.At).UTC().Format(time.DateTime), l.Verb, l.Step, percent(l.Share), l.By,
+				failedOf(&l.Counts.New), failedOf(&l.Counts.Old), l.Why)
+		}
+	}
+	return w.Flush()
+}
--- a/internal/stagedoor/stagedoor_test.go
+++ b/internal/stagedoor/stagedoor_test.go
@@ -132,6 +132,9 @@
 const beat = `{"target":"s","address":"10.0.0.9:80","zone":"z","generation":"v1","capacity":3,"phase":"draining",
 "cold_left":"1.5s","call_seq":4,"more":[1]}`
 
+const order = `{"service":"s","old":"v1","new":"v2","steps":[{"share":100,"min_time":"60s"}],"rev":4,"mark":"m","by":"ana",
+"why":"late","dry_run":true}`
+
 // Every call on one connection: what the house is asked, and how its word is answered.
 func TestCalls(t *testing.T) {
 	st := open(t)
@@ -164,6 +167,17 @@
 		{leave, "", house{ok: true}, "leave i-1", 200, `{}`},
 		{leave, "{}", house{}, "leave i-1", 503, few},
 		{"GET /api/House.Status", "", house{}, "", 200, string(status)},
+		{"POST /api/Rollout.Start", order, house{status: 200, body: `{"number":1}`},
+			`start "s" 4 0 0 m ana late true s from v1 to v2 in 1 steps`, 200, `{"number":1}`},
+		{"POST /api/Rollout.Step/s", `{"number":3,"rev":4,"step":2,"by":"ana"}`, house{status: 412, body: "no"},
+			`step "s" 4 3 2  ana  false`, 412, `{"detail":"no","error":"conflict"}`},
+		{"POST /api/Rollout.PullBack/a%2Fb", `{"number":3}`, house{status: 200, body: "{}"}, `pull-back "a/b" 0 3 0    false`, 200, "{}"},
+		{"POST /api/Rollout.Hold/s", `{"nummer":3}`, house{}, "", 400,
+			`{"detail":"body: json: unknown field \"nummer\"","error":"invalid"}`},
+		{"POST /api/Rollout.Start", strings.Replace(order, "100", "9001", 1), house{}, "", 400,
+			`{"detail":"steps[0].share: 9001 breaks max 9000","error":"invalid"}`},
+		{"GET /api/Rollout.Status", "", house{status: 200, body: `{}`}, "rollouts", 200, `{}`},
+		{"GET /api/Rollout.History/s", "", house{}, "", 200, `{"service":"s","rollouts":[]}`},
 	} {
 		what := must.Sprint(x.call, " ", x.status)
 		st.set(func(h *house) { *h = x.house })
@@ -196,6 +210,9 @@
 		}
 	}
 	refused(404, beat, "GET /", "GET /api/Ready", "POST /api/Config.Replace/", "POST /api/Backends.Heartbeat")
+	refused(404, order, "POST /api/Rollout.Start/s", "POST /api/Rollout.Stop/s", "POST /api/Rollout.Hold/", "GET /api/Rollout.Status/s",
+		"GET /api/Rollout.")
+	refused(405, order, "GET /api/Rollout.Start", "POST /api/Rollout.Status", "GET /api/Rollout.PullBack/s")
 	refused(405, "{}", "POST /api/ready", "GET /api/Config.Replace", "PUT /api/Config.Amend", "POST /api/Config.Read",
 		"GET /api/Backends.Leave/i-1", "DELETE /api/House.Status")
 	refused(400, beat, "POST /api/Backends.Heartbeat/", "POST /api/Backends.Heartbeat/"+long,
