--- a/internal/house/rollout.go
+++ b/internal/house/rollout.go
@@ -31,22 +31,25 @@
 	reportOther = 400      // bytes of one beside the evidence, about
 	reportMost  = 64 << 10 // of evidence
 	reportsMost = 64       // that wait
+
+	lookBackends = time.Second // the duty is told of them so often
 )
 
 // rollouts is what a door goes by.
 type rollouts struct {
-	door    *understudy.Door
-	duty    *understudy.Duty // nil: another door has it
-	fence   uint64
-	rev     uint64            // of the state, as last folded
-	revs    map[string]uint64 // of each service's, as last logged
-	cues    map[string]cue
-	touched bool // in this life the roll-outs were known here as whoever leads knows them
-	askedAt time.Duration
-	waiting []understudy.Report // the newest of each service, to go out
-	left    float64             // bytes that may
-	leftAt  time.Duration
-	answer  int // status of the answer whose end is being told; 0: there is none
+	door     *understudy.Door
+	duty     *understudy.Duty // nil: another door has it
+	fence    uint64
+	lookedAt time.Duration     // at the backends, for the duty
+	rev      uint64            // of the state, as last folded
+	revs     map[string]uint64 // of each service's, as last logged
+	cues     map[string]cue
+	touched  bool // in this life the roll-outs were known here as whoever leads knows them
+	askedAt  time.Duration
+	waiting  []understudy.Report // the newest of each service, to go out
+	left     float64             // bytes that may
+	leftAt   time.Duration
+	answer   int // status of the answer whose end is being told; 0: there is none
 }
 
 // cue is what the office last was told of a service.
@@ -216,11 +219,11 @@
 }
 
 func (u *usher) Ended(txn slots.Ref, nr int, at control.BackendID, o gate.Outcome) {
-	if x := &u.h.rollouts; o.Answer != nil {
+	if x := &u.h.rollouts; x.door.Active() && o.Answer != nil {
 		x.answer = o.Answer.Status()
-		defer func() { x.answer = 0 }()
 	}
 	u.Gate.Ended(txn, nr, at, o)
+	u.h.rollouts.answer = 0
 }
 
 // ---- Reports and the duty
@@ -339,9 +342,13 @@
 	if _, view, _ := h.core.p.Leader(); x.duty == nil || x.fence != view {
 		x.duty, x.fence = understudy.NewDuty(view, now), view
 		x.duty.Fold(h.script.Rollouts)
+		x.lookedAt = now - lookBackends
+	}
+	if now-x.lookedAt >= lookBackends {
+		x.lookedAt = now
+		x.duty.Doors(h.seats)
+		h.tellBackends()
 	}
-	x.duty.Doors(h.seats)
-	h.tellBackends()
 	x.duty.Now(now)
 	for a, ok := x.duty.Next(); ok; a, ok = x.duty.Next() {
 		switch a := a.(type) {
--- a/internal/house/rollout_test.go
+++ b/internal/house/rollout_test.go
@@ -177,9 +177,16 @@
 			return share == 5000
 		})
 	}
-	d.settles(0, 200, "POST", "/api/Config.Replace", config(2, 1, "t"))
-	d.until("the end of it", func() bool { return d.rollout(2).Phase == string(understudy.Pulled) })
-	must.StrContains(t, d.settles(2, 200, "GET", "/api/Rollout.History/s", ""), "not in the configuration")
+	lead := 0
+	for i := range d.live {
+		if d.status(i).Core.Role == "leading" {
+			lead = i
+		}
+	}
+	d.kill(lead) // the duty goes to another
+	d.settles(3, 200, "POST", "/api/Config.Replace", config(2, 1, "t"))
+	d.until("the end of it", func() bool { return d.rollout(3).Phase == string(understudy.Pulled) })
+	must.StrContains(t, d.settles(3, 200, "GET", "/api/Rollout.History/s", ""), "not in the configuration")
 }
 
 // What ends is told apart: only what the service could have said better counts against a version.
