--- a/cmd/playhouse/rollout.go
+++ b/cmd/playhouse/rollout.go
@@ -79,15 +79,7 @@
 }
 
 func (c *caller) rollouts() (*stagedoor.RolloutStatus, []byte, error) {
-	a, err := c.call("/api/Rollout.Status", nil)
-	if err != nil {
-		return nil, nil, err
-	}
-	s := new(stagedoor.RolloutStatus)
-	if err := json.Unmarshal(a.body, s); err != nil {
-		return nil, nil, a.astray(err)
-	}
-	return s, a.body, nil
+	return readAs[stagedoor.RolloutStatus](c.call("/api/Rollout.Status", nil))
 }
 
 // order sends one and tells how the roll-out stands then.
@@ -97,15 +89,12 @@
 		return err
 	}
 	a, err := s.call(path, text)
+	r, raw, err := readAs[stagedoor.RolloutAnswer](a, err)
 	if err != nil {
 		return err
 	}
 	if s.JSON {
-		return print(out, a.body)
-	}
-	var r stagedoor.RolloutAnswer
-	if err := json.Unmarshal(a.body, &r); err != nil {
-		return a.astray(err)
+		return print(out, raw)
 	}
 	if r.Users == nil {
 		_, err = fmt.Fprintf(out, "%s %d: %s, step %d of %d, %s of the users, rev %d (%s, tries %d)\n", plain(r.Service), r.Number,
@@ -275,16 +264,12 @@
 }
 
 func (c *rolloutHistoryCmd) run(out io.Writer) error {
-	a, err := c.call("/api/Rollout.History/"+url.PathEscape(c.Service), nil)
+	past, raw, err := readAs[stagedoor.RolloutHistory](c.call("/api/Rollout.History/"+url.PathEscape(c.Service), nil))
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return print(out, a.body)
-	}
-	var past stagedoor.RolloutHistory
-	if err := json.Unmarshal(a.body, &past); err != nil {
-		return a.astray(err)
+		return print(out, raw)
 	}
 	w := newTable(out, "NUMBER", "AT", "ORDER", "STEP", "THEN", "BY", "NEW FAILED", "OLD FAILED", "WHY")
 	for _, r := range past.Rollouts {
--- a/cmd/playhouse/views.go
+++ b/cmd/playhouse/views.go
@@ -88,15 +88,19 @@
 }
 
 func (c *caller) statusOf(doors []string, tries int) (*stagedoor.HouseStatus, []byte, error) {
-	a, err := c.ask(doors, tries, "/api/House.Status", nil)
+	return readAs[stagedoor.HouseStatus](c.ask(doors, tries, "/api/House.Status", nil))
+}
+
+// readAs reads an answer; raw is it as it came.
+func readAs[T any](a answer, err error) (t *T, raw []byte, _ error) {
 	if err != nil {
 		return nil, nil, err
 	}
-	s := new(stagedoor.HouseStatus)
-	if err := json.Unmarshal(a.body, s); err != nil {
+	t = new(T)
+	if err := json.Unmarshal(a.body, t); err != nil {
 		return nil, nil, a.astray(err)
 	}
-	return s, a.body, nil
+	return t, a.body, nil
 }
 
 // bill reads the newest configuration; raw is the answer as it came.
