--- a/cmd/playhouse/rollout.go
+++ b/cmd/playhouse/rollout.go
@@ -121,6 +121,7 @@
 type rolloutStartCmd struct {
 	Order string `arg:"--order,required" placeholder:"FILE" help:"the order, JSON; - is standard input"`
 	Busy  int    `arg:"--busy" placeholder:"N" help:"requests at a time at the busiest, over all doors"`
+	Room  int    `arg:"--new-room" placeholder:"N" help:"requests at a time that the new version will take, where it is not there yet"`
 	Dry   bool   `arg:"--dry-run" help:"change nothing, tell the users and the room of each step"`
 	signed
 }
@@ -133,8 +134,8 @@
 }
 
 func (c *rolloutStartCmd) run(out io.Writer) error {
-	if c.Busy < 0 {
-		return wrongly("--busy: %d is below 0", c.Busy)
+	if c.Busy < 0 || c.Room < 0 {
+		return wrongly("--busy, --new-room: %d, %d: below 0", c.Busy, c.Room)
 	}
 	if err := c.check(); err != nil {
 		return err
@@ -161,7 +162,7 @@
 		}
 	}
 	o.Mark, o.By, o.Why = cmp.Or(o.Mark, c.Mark), cmp.Or(c.By, o.By), cmp.Or(c.Why, o.Why)
-	o.Busy, o.DryRun = cmp.Or(c.Busy, o.Busy), o.DryRun || c.Dry
+	o.Busy, o.NewRoom, o.DryRun = cmp.Or(c.Busy, o.Busy), cmp.Or(c.Room, o.NewRoom), o.DryRun || c.Dry
 	return c.order(out, "/api/Rollout.Start", o)
 }
 
--- a/cmd/playhouse/rollout_test.go
+++ b/cmd/playhouse/rollout_test.go
@@ -32,8 +32,8 @@
 		sent    string // last
 		out     string // part of what is said
 	}{
-		{"start --mark m --by ana --busy 7 --order " + file, []string{"200 " + runs, "200 " + after}, good,
-			`{"busy":7,"by":"ana","mark":"m","new":"v2","old":"v1","rev":9,"service":"libro","steps":[{"min_time":"60s","share":150},
+		{"start --mark m --by ana --busy 7 --new-room 9 --order " + file, []string{"200 " + runs, "200 " + after}, good,
+			`{"busy":7,"new_room":9,"by":"ana","mark":"m","new":"v2","old":"v1","rev":9,"service":"libro","steps":[{"min_time":"60s","share":150},
 {"min_time":"60s","share":5000}]}`, "libro 3: running, step 2 of 2, 50 % of the users, rev 10"},
 		{"start --dry-run --mark m --by ana --rev 9 --order " + file, []string{"200 " + dry}, good, "", "2     21    40\nit would be 4; room: old 200"},
 		{"start --order " + bad, []string{"200"}, failed, "", "servise"},
--- a/internal/house/orders.go
+++ b/internal/house/orders.go
@@ -1,6 +1,7 @@
 package house
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -24,10 +25,9 @@
 			then(answerOf(playbill.Invalid, err))
 			return
 		}
-		busy := e.Room.Busy
-		if e.Room = h.roomOf(e.Order); busy > 0 {
-			e.Room.Busy = busy
-		}
+		told := e.Room
+		e.Room = h.roomOf(e.Order)
+		e.Room.New, e.Room.Busy = max(told.New, e.Room.New), cmp.Or(told.Busy, e.Room.Busy)
 	}
 	body := e.Word()
 	if v, err := h.script.Decide(script.Rollout, body); v == playbill.Invalid || dry && v != playbill.Taken {
--- a/internal/house/rollout_test.go
+++ b/internal/house/rollout_test.go
@@ -80,7 +80,7 @@
 // share grows; a failing version is pulled back by the duty and gets nothing any more; a door that starts again sends nobody
 // there before it has asked; a service that the configuration loses is pulled back too.
 func TestRollout(t *testing.T) {
-	const start, word = "/api/Rollout.Start", `{"number":%d,"rev":%d,"step":%d,"by":"ana"}`
+	const start, word = "/api/Rollout.Start", `{"number":%d,"rev":%d,"step":%d,"mark":"again as the first"}`
 	const order = `{"service":"s","old":"v1","new":"v2","steps":[{"share":5000,"min_time":"1s"},{"share":9000,"min_time":"1s"}],
 "rev":%d,"mark":%q,"by":"ana","busy":100%s}`
 	var good, bad atomic.Bool
@@ -99,6 +99,11 @@
 	d.settles(0, 200, "POST", "/api/Config.Replace", config(1, 0, "s"))
 	must.StrContains(t, d.settles(0, 400, "POST", start, fmt.Sprintf(order, 0, "m", "")), "room") // there are no backends
 	for i, v := range []string{"v1", "v1", "v2", "v2"} {
+		if i == 2 { // the new version may be there later
+			d.all("the old version", func(s stagedoor.HouseStatus) bool { return len(s.Backends) == 2 && s.Ready })
+			must.StrContains(t, d.settles(1, 400, "POST", start, fmt.Sprintf(order, 0, "m", `,"dry_run":true`)), "new: v2 has room for none")
+			d.settles(1, 200, "POST", start, fmt.Sprintf(order, 0, "m", `,"dry_run":true,"new_room":200`))
+		}
 		d.backend(fmt.Sprint(v, "-", i), v, map[string]*atomic.Bool{"v1": &good, "v2": &bad}[v])
 	}
 	d.all("the backends, and to be ready", func(s stagedoor.HouseStatus) bool { return len(s.Backends) == 4 && s.Ready })
--- a/internal/stagedoor/api.gen.go
+++ b/internal/stagedoor/api.gen.go
@@ -354,6 +354,9 @@
 	// New The generation to be tried.
 	New string `json:"new"`
 
+	// NewRoom Requests at a time that the new version will take, so that it may come when the order is there; left out: what is ready of it.
+	NewRoom int `json:"new_room,omitempty"`
+
 	// Old The generation that serves.
 	Old string `json:"old"`
 
--- a/internal/stagedoor/rollouts.go
+++ b/internal/stagedoor/rollouts.go
@@ -97,5 +97,5 @@
 		return nil, false, err
 	}
 	return &understudy.Entry{Verb: verb, Service: o.Service, Mark: o.Mark, By: o.By, Why: o.Why, Rev: o.Rev, Order: order,
-		Room: understudy.Room{Busy: max(o.Busy, 0)}}, o.DryRun, nil
+		Room: understudy.Room{New: max(o.NewRoom, 0), Busy: max(o.Busy, 0)}}, o.DryRun, nil
 }
