The house's test finishes a roll-out and goes the other way round

Finish and the way back were tried in the state alone. Now all users of four doors are on the new version after it, and the next roll-out, from v2 to v1, has the share that its number gives.

--- a/internal/house/rollout_test.go
+++ b/internal/house/rollout_test.go
@@ -182,6 +182,17 @@
 			return share == 5000
 		})
 	}
+	now := d.rollout(0)
+	d.settles(1, 200, "POST", "/api/Rollout.Step/s", fmt.Sprintf(`{"number":2,"rev":%d,"step":2,"mark":"s"}`, now.Rev))
+	d.settles(1, 200, "POST", "/api/Rollout.Finish/s", fmt.Sprintf(`{"number":2,"rev":%d,"mark":"f"}`, d.rollout(0).Rev))
+	d.shares(understudy.Whole)
+	must.MapLen(t, len(keys), sides())
+	back := strings.NewReplacer(`"v1"`, `"v2"`, `"v2"`, `"v1"`).Replace(order) // the way back is one the other way round
+	d.settles(1, 200, "POST", start, fmt.Sprintf(back, d.rollout(0).Rev, "back", ""))
+	d.shares(5000)
+	third := (&understudy.Rollout{Service: "s", Steps: []understudy.Step{{Share: 5000}}}).Shared(3, users)[0]
+	must.MapLen(t, len(keys)-third, sides())
+
 	lead := 0
 	for i := range d.live {
 		if d.status(i).Core.Role == "leading" {
