A door started on a finished roll-out tries no third version until it is in touch

Once a roll-out is finished, what is not the old version serves. A door whose disk ends there may not know of the next one, which tries a third version or has pulled it back: until it has asked, only the version that it knows as the new one is in its main pool. Tested in the state; the house's test passes with -race -tags debug. docs/state.md names the entries.

--- a/internal/house/rollout.go
+++ b/internal/house/rollout.go
@@ -57,6 +57,7 @@
 	number understudy.Number
 	phase  understudy.Phase
 	open   boxoffice.Open
+	sure   bool // finished, and the door knows that there is no later one
 }
 
 func (h *House) openRollouts() {
@@ -119,9 +120,10 @@
 	for i := range h.script.Rollouts.Runs() {
 		r := &h.script.Rollouts.Runs()[i]
 		name := r.Order.Service
-		now := cue{r.Number, r.Phase, boxoffice.Shared}
+		ended := r.Phase == understudy.Finished
+		now := cue{r.Number, r.Phase, boxoffice.Shared, ended && x.door.Touched()}
 		switch {
-		case r.Phase == understudy.Finished:
+		case ended:
 			now.open = boxoffice.Spare
 		case x.door.Barred(name):
 			now.open = boxoffice.Shut
@@ -132,7 +134,7 @@
 		}
 		x.cues[name] = now
 		main, under := h.stock.service(name), h.stock.service(underOf(name))
-		if !had || was.number != now.number || (was.phase == understudy.Finished) != (now.phase == understudy.Finished) {
+		if !had || was.number != now.number || was.sure != now.sure || (was.phase == understudy.Finished) != ended {
 			h.office.Understudy(main, under, boxoffice.Shut)
 			h.listAnew(name, main)
 		}
--- a/internal/understudy/door.go
+++ b/internal/understudy/door.go
@@ -143,17 +143,21 @@
 	}
 }
 
+// Touched tells whether Touch was ever given fresh word: pools may be others from then on.
+func (d *Door) Touched() bool { return d.touched }
+
 // Active tells whether there is anything to ask this door for. Without a roll-out there is not.
 func (d *Door) Active() bool { return len(d.runs) > 0 }
 
 // Pool is the side of a backend, by the generation in its beats: what is not the new version is the old one. Once a
-// roll-out is finished, what is not the old version is the new one: a third one may come without another roll-out.
+// roll-out is finished, what is not the old version is the new one: a third one may come without another roll-out. But a door
+// that was in no touch yet may not know of another, which tries that one, or has pulled it back.
 func (d *Door) Pool(service, generation string) Side {
 	x := d.runs[service]
 	switch {
 	case x == nil:
 		return Old
-	case x.Phase == Finished && generation != x.Order.Old, generation == x.Order.New:
+	case x.Phase == Finished && d.touched && generation != x.Order.Old, generation == x.Order.New:
 		return New
 	}
 	return Old
--- a/internal/understudy/state_test.go
+++ b/internal/understudy/state_test.go
@@ -227,5 +227,26 @@
 	late.Fold(s) // the fleet's share does not bring it back
 	must.Eq(t, 0, late.Share("libro"))
 	must.Eq(t, Old, late.Pool("libro", "v1.5"))
+	done := NewState()
+	must.NoError(t, apply(done, startEntry(order(9000), 0, ""), &Entry{Verb: Finish, Service: "libro", Number: 1, Rev: 1}))
+	for i, want := range []Side{Old, New} { // a third version, which another roll-out may have pulled back
+		ended := NewDoor("a", 1, 0)
+		ended.Fold(done)
+		ended.Touch(i == 1)
+		must.Eq(t, want, ended.Pool("libro", "v3"))
+		must.True(t, ended.Pool("libro", "v1") == Old && ended.Pool("libro", "v2") == New)
+	}
 	must.Eq(t, New, late.Pool("libro", "v2"))
 }
+
+func apply(s *State, all ...*Entry) error {
+	for _, e := range all {
+		if e.Verb == Start {
+			e.Room.New = 1000
+		}
+		if _, err := s.Apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
