A door that was frozen hears at once from whom it follows, and never from nobody

Change: a wish to follow holds until taken back or the link ends; links that come up anew, either way, renew it; an unanswered one goes elsewhere after 0.5 s, twice as late each time; where nobody lives the linked doors with a disk are asked; a pause of a door's own is not silence of others, and what lies unread after it is read first.

--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -70,6 +70,7 @@
 
 const (
 	silentFor  = 2200 * time.Millisecond // a door that is not heard for longer counts as lost
+	standstill = time.Second
 	forgetIn   = 90 * time.Second        // and after this it is dialed no more, unless it is a seed or has a seat
 	foundCalm  = 500 * time.Millisecond  // no further door with a disk came for so long
 	foundMost  = 3 * time.Second         // with fewer than are needed, the core begins all the same
@@ -123,8 +124,20 @@
 	return c
 }
 
-// Now sets the clock.
-func (c *Company) Now(t time.Duration) { c.now = max(c.now, t) }
+// Now sets the clock. A long step means that this door stood still and could hear nobody: silence counts anew. Else it would
+// take all for lost for a moment, and leave the door that it follows though all that this one sent lies unread.
+func (c *Company) Now(t time.Duration) {
+	if step := t - c.now; step > standstill {
+		for _, d := range c.doors {
+			d.heard += step
+		}
+		for a, o := range c.opinions {
+			o.at += step
+			c.opinions[a] = o
+		}
+	}
+	c.now = max(c.now, t)
+}
 
 // Me is what this door says of itself.
 func (c *Company) Me() Door { return c.me }
@@ -338,6 +351,17 @@
 	return all
 }
 
+// Linked are the other doors with a disk that our links reach, live or not, in the order of their addresses: where nobody lives
+// as far as this door is told, it is one of these that may tell more.
+func (c *Company) Linked() (all []Door) {
+	for _, a := range c.Addrs() {
+		if d := c.doors[a]; d.up && d.met && d.Disk != 0 {
+			all = append(all, d.Door)
+		}
+	}
+	return all
+}
+
 // Addrs are the other doors that are known, in order.
 func (c *Company) Addrs() []string {
 	all := make([]string, 0, len(c.doors))
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -11,7 +11,16 @@
 	"clovergap/internal/prompter"
 )
 
-// Heard, Up and Down are the links': each in a turn.
+// Came, Heard, Up and Down are the links': each in a turn.
+
+// Came: the door that this one follows has dialed it anew. It may have given up a link before and with it the wish to follow:
+// without a new one it would say nothing, and for two seconds nothing would tell of that.
+func (h *House) Came(from string) {
+	if from == h.feeder {
+		h.follow(from)
+	}
+}
+
 func (h *House) Heard(from string, f *Frame) {
 	h.company.Now(h.e.Now())
 	h.company.Heard(from)
@@ -57,6 +66,9 @@
 		h.remind(to, d)
 	}
 	h.greet(to) // it may have started anew
+	if to == h.feeder {
+		h.follow(to) // so that the wish to follow it may have been lost with the link before
+	}
 }
 
 // greet tells a door of the backends.
@@ -148,11 +160,6 @@
 // doorsChanged tells the parts that go by doors which there are, and which live.
 func (h *House) doorsChanged() {
 	h.tendFeed()
-	for addr := range h.followers {
-		if !h.company.Live(addr) {
-			delete(h.followers, addr)
-		}
-	}
 	me := h.seat()
 	if me == company.NoSeat {
 		return
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -11,10 +11,13 @@
 const (
 	pingEvery   = 700 * time.Millisecond
 	feedStale   = 1500 * time.Millisecond // a feeder whose word of the core is older is left for a fresher one
-	followAgain = 500 * time.Millisecond  // an unanswered wish to follow goes again
+	followAgain = 500 * time.Millisecond  // an unanswered wish to follow goes again, to another door if there is one
+	followMost  = 2 * time.Second         // twice as late each time: a long answer takes its time on a thin link
 	wordFor     = 3 * time.Second         // what a door said of its knowledge is forgotten after that
 	readyStale  = 3 * time.Second         // a door that knows no newer word of the core says that it is not ready
 	knownStale  = 2 * time.Second         // and one past this does not say for sure what is not there
+	standstill  = time.Second             // a longer pause between two ticks is this door's own
+	readFor     = 300 * time.Millisecond  // after one, what others sent meanwhile is read before one of them is left
 	never       = 24 * time.Hour
 )
 
@@ -84,7 +87,8 @@
 	h.wings.Send(addr, &Frame{Feed: f})
 }
 
-// followed takes a wish to follow; followers are those with a live link.
+// followed takes a wish to follow. It holds until it is taken back or the link ends, however long the other one is silent: one
+// that was frozen does not know that it was missed, and would wait for news that nobody sends it.
 func (h *House) followed(from string, f *Follow) {
 	if h.core == nil || !h.core.p.Founded() {
 		return
@@ -113,7 +117,7 @@
 	if h.core != nil || from != h.feeder {
 		return
 	}
-	h.fedAt = h.e.Now()
+	h.fedAt, h.askWait = h.e.Now(), followAgain
 	if w := h.words[from]; w.at == 0 || h.e.Now()-w.at > pingEvery {
 		h.words[from] = word{h.fedAt, f.Stale, f.After}
 	}
@@ -162,23 +166,31 @@
 		return
 	}
 	now := h.e.Now()
-	if h.feeder != "" && now-h.askedAt < followAgain {
+	if h.feeder != "" && now-h.askedAt < max(h.askWait, followAgain) || now-h.stoodTo < readFor && h.stoodTo > 0 {
 		return
 	}
-	if h.company.Live(h.feeder) && h.staleOf(h.feeder) < feedStale {
+	answered := h.fedAt >= h.askedAt
+	if answered && h.company.Live(h.feeder) && h.staleOf(h.feeder) < feedStale {
 		if w := h.words[h.feeder]; w.index > h.applied && now-max(h.askedAt, h.fedAt) > followAgain {
 			h.follow(h.feeder) // what it sent was lost
 		}
 		return
 	}
 	if h.feeder != "" {
-		if w, ok := h.words[h.feeder]; !ok || now-w.at > feedStale {
+		if w, ok := h.words[h.feeder]; !ok || !answered || now-w.at > feedStale {
 			h.words[h.feeder] = word{now, never, 0} // it says nothing
 		}
+		if !answered {
+			h.askWait = min(2*max(h.askWait, followAgain), followMost)
+		}
 	}
 	var best company.Door
 	least := time.Duration(1<<63 - 1)
-	for _, d := range h.company.Disks() {
+	disks := h.company.Disks()
+	if len(disks) == 0 { // who lives is told by the door that is followed: without one, nobody seems to
+		disks = h.company.Linked()
+	}
+	for _, d := range disks {
 		if !d.Founded || d.Addr == h.inner {
 			continue
 		}
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -85,6 +85,9 @@
 	feeder  string
 	askedAt time.Duration
 	fedAt   time.Duration
+	askWait time.Duration
+	tickAt  time.Duration
+	stoodTo time.Duration // when this door last stood still until
 	ledAt   time.Duration // when a leader was last heard of by this member of the core
 
 	followers map[string]uint64
@@ -241,6 +244,10 @@
 	h := (*House)(t)
 	now := h.e.Now()
 	h.e.At(now+lookEvery, t, 0)
+	if h.tickAt > 0 && now-h.tickAt > standstill {
+		h.stoodTo = now
+	}
+	h.tickAt = now
 	if now-h.pingedAt >= pingEvery {
 		h.pingedAt = now
 		h.ping()
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -29,6 +29,7 @@
 
 // Host is told what happens, each in a turn of its own.
 type Host[F any] interface {
+	Came(from string)        // a link of another door is up: what it sent on one before may be lost
 	Heard(from string, f *F) // from: where the sender takes frames itself
 	Up(to string)            // a link that was dialed is up; all before is lost
 	Down(to string)          // it has ended
@@ -142,6 +143,11 @@
 	w.from[o.From] = c
 	w.kick(o.From, o.Life)
 	w.mu.Unlock()
+	w.turn(func() {
+		if w.newestOf(o.From, c) {
+			w.host.Came(o.From)
+		}
+	})
 	for {
 		f := new(F)
 		b.left = frameMost
