Cuts between doors in the rig of real processes

The rig had kills, stalls and lost disks, and no cuts: doors dial each other's own addresses, so no proxy has a place. A debug build now takes 'cut HOST' and 'mend HOST' on its stdin, beside the orders of its points: a link's frames and dials to that host hang and the link ends as without answers, datagrams are lost. Release builds have none of it. The rig draws door-cut, core-cut and ack-cut (one way or both; one alone, halves, ring, bridge, by the shapes that the front doors' cuts have), tells doors of them again after a restart, and in touch and settled go by the cuts.

--- a/cmd/lab/housechaos.go
+++ b/cmd/lab/housechaos.go
@@ -30,7 +30,7 @@
 func houseChaosCommand() *cobra.Command {
 	var k houseChaos
 	c := &cobra.Command{Use: "chaos",
-		Short: "Random kills, stalls, lost disks and restarts of real doors, checked", Args: exactly(0,
+		Short: "Random kills, stalls, cuts, lost disks and restarts of real doors, checked", Args: exactly(0,
 			"no arguments"),
 		Long: "Starts doors, three of them with a disk, with backends that beat, an operator and clients; draws\n" +
 			"overlapping faults from each seed, plays them, and holds what clients, backends and the operator saw\n" +
@@ -48,7 +48,7 @@
 			if k.shrink && k.seeds != 1 {
 				return usageError{errors.New("--shrink wants one seed")}
 			}
-			path, done, err := program(playhouse, k.named)
+			path, done, err := program(playhouse, k.named, "debug")
 			if err != nil {
 				return err
 			}
@@ -59,7 +59,7 @@
 			}
 			return k.play(c.Context())
 		}}
-	c.Flags().StringVar(&k.named, "program", "", "playhouse program (default: beside lab, under bin, or built)")
+	c.Flags().StringVar(&k.named, "program", "", "playhouse program of a debug build (default: built)")
 	c.Flags().StringVar(&k.keep, "keep", "found", "folder for histories and doors' logs of what failed")
 	c.Flags().StringVar(&k.out, "out", "", "add each run's result to this file of JSON lines")
 	c.Flags().IntVar(&k.seeds, "seeds", 5, "how many schedules")
--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -19,14 +19,19 @@
 	"clovergap/internal/standin"
 )
 
-// program finds a program of the module, such as the front door's: as named, beside this one, under bin, or built from the module at hand.
-func program(what, named string) (path string, done func(), err error) {
+// program finds a program of the module, such as the front door's: as named, beside this one, under bin, or built from the module at hand; with
+// tags it is always built.
+func program(what, named string, tags ...string) (path string, done func(), err error) {
 	done = func() {}
 	if named != "" {
 		return named, done, nil
 	}
 	self, _ := os.Executable()
-	for _, p := range []string{filepath.Join(filepath.Dir(self), what), filepath.Join("bin", what)} {
+	beside := []string{filepath.Join(filepath.Dir(self), what), filepath.Join("bin", what)}
+	if len(tags) > 0 {
+		beside = nil // what lies there is a release
+	}
+	for _, p := range beside {
 		if i, err := os.Stat(p); err == nil && !i.IsDir() {
 			p, err = filepath.Abs(p)
 			return p, done, err
@@ -40,7 +45,7 @@
 		return "", done, err
 	}
 	path = filepath.Join(dir, what)
-	if out, err := exec.Command("go", "build", "-o", path, "./cmd/"+what).CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-tags", strings.Join(tags, ","), "-o", path, "./cmd/"+what).CombinedOutput(); err != nil {
 		os.RemoveAll(dir)
 		return "", done, fmt.Errorf("building %s: %w: %s", what, err, out)
 	}
--- a/cmd/playhouse/main.go
+++ b/cmd/playhouse/main.go
@@ -17,6 +17,7 @@
 	"clovergap/internal/callsheet"
 	"clovergap/internal/check"
 	"clovergap/internal/house"
+	"clovergap/internal/points"
 )
 
 // version is set by the build where it knows better.
@@ -146,6 +147,7 @@
 	if sheet.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(sheet.Limits.MemoryMB<<20) * memoryShare))
 	}
+	points.Listen(os.Stdin) // in debug builds
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	signal.Ignore(syscall.SIGPIPE)
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -233,13 +233,14 @@
 	events map[string][]time.Duration // of each door: ends, starts, stops, goes
 	core   []time.Duration
 	off    map[string][][2]time.Duration
+	gaps   []gap
 	cores  []string
 }
 
 const always = time.Duration(1<<63 - 1)
 
 func newCalm(h []history.Event, t *Troupe) *calm {
-	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}}
+	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}, gaps: gapsOf(h)}
 	for _, d := range t.Cores() {
 		c.cores = append(c.cores, d.Name)
 	}
@@ -262,6 +263,11 @@
 		case history.Goes:
 			ends = history.Stopped
 		case Terminates:
+		case Parted, Joined: // of a cut, both ends must be of the core to unsettle it
+			if slices.Contains(c.cores, e.Who) && slices.Contains(c.cores, e.At) {
+				c.core = append(c.core, e.T)
+			}
+			continue
 		default:
 			continue
 		}
@@ -292,22 +298,19 @@
 
 // settled tells whether the core was, for a whole time.
 func (c *calm) settled(from, to time.Duration) bool {
-	if between(c.core, from-Bounds().InTouch, to) {
-		return false
-	}
-	running := 0
-	for _, who := range c.cores {
-		if !c.isOff(who, from-Bounds().InTouch, to) {
-			running++
-		}
-	}
-	return 2*running > len(c.cores)
+	begin := from - Bounds().InTouch
+	return !between(c.core, begin, to) && slices.ContainsFunc(c.cores, func(who string) bool {
+		return !c.isOff(who, begin, to) && c.reaches(who, begin, to, true)
+	})
 }
 
 // touch tells whether a door was in touch for a whole time.
 func (c *calm) touch(door string, from, to time.Duration) bool {
 	begin := from - Bounds().InTouch
-	return !between(c.events[door], begin, to) && !c.isOff(door, begin, to) && c.settled(from, to)
+	return !between(c.events[door], begin, to) && !c.isOff(door, begin, to) && c.settled(from, to) &&
+		!slices.ContainsFunc(c.cores, func(o string) bool { // without a path to one that has to do with most of the core
+			return !c.isOff(o, begin, to) && c.reaches(o, begin, to, false) && !c.joined(door, o, begin, to, true)
+		})
 }
 
 // Judge holds a history against the rules that clients, backends and the operator can see broken. Slack is
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -112,6 +112,7 @@
 func (p *Peers) Tell(peer control.GatewayID, payload []byte) {
 	points.At(points.BeforeTell)
 	if int(peer) >= len(p.addrs) || len(payload) > longest || p.fd < 0 ||
+		points.On && points.Cut(addrPort(p.addrs[peer]).String()) ||
 		syscall.Sendto(p.fd, payload, syscall.MSG_DONTWAIT, p.addrs[peer]) != nil {
 		p.e.Count.Add(counters.MailUnsent)
 		return
--- a/internal/points/debug.go
+++ b/internal/points/debug.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"runtime"
 	"strings"
@@ -30,6 +31,8 @@
 	armed  atomic.Int64 // orders that wait: none costs one load
 	mu     sync.Mutex
 	orders = map[Name]*order{}
+	parted = map[string]bool{} // hosts that nothing said here gets to
+	cuts   atomic.Int64        // how many: none costs one load
 	say    = func(line []byte) { os.Stderr.Write(line) }
 	does   = map[string]func(){
 		"stop": stop,
@@ -68,8 +71,22 @@
 	does[o.does]()
 }
 
+// Cut tells whether nothing that is sent from here gets to an address: host, or host and port.
+func Cut(to string) bool {
+	if cuts.Load() == 0 {
+		return false
+	}
+	if host, _, err := net.SplitHostPort(to); err == nil {
+		to = host
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	return parted[to]
+}
+
 // Listen takes orders, a line each: "stop gate.before-submit 3" stands still at the third time from now, "exit" ends
-// the process there. What is wrong is told in one line and changes nothing.
+// the process there; "cut 127.1.2.3" loses what is sent to that host from now on, until "mend 127.1.2.3". What is wrong is
+// told in one line and changes nothing.
 func Listen(in io.Reader) {
 	go func() {
 		for lines := bufio.NewScanner(in); lines.Scan(); {
@@ -83,8 +100,17 @@
 
 func take(line string) error {
 	f := strings.Fields(line)
+	if len(f) == 2 && (f[0] == "cut" || f[0] == "mend") {
+		mu.Lock()
+		defer mu.Unlock()
+		if parted[f[1]] = f[0] == "cut"; !parted[f[1]] {
+			delete(parted, f[1])
+		}
+		cuts.Store(int64(len(parted)))
+		return nil
+	}
 	if len(f) < 2 || len(f) > 3 || does[f[0]] == nil {
-		return fmt.Errorf("%q is no order: want stop or exit, a point, and the count if not 1", line)
+		return fmt.Errorf("%q is no order: want stop or exit, a point, and the count if not 1; or cut or mend and a host", line)
 	}
 	nth := 1
 	if len(f) == 3 {
--- a/internal/points/points_test.go
+++ b/internal/points/points_test.go
@@ -34,4 +34,11 @@
 	if line := <-said; did != 1 || !strings.Contains(line, `"point":"gate.before-submit","does":"stop"`) {
 		t.Errorf("did %d, said %s", did, line)
 	}
+	for _, order := range []string{"cut 127.1.2.3\n", "mend 127.1.2.4\n", "mend 127.1.2.3\n"} {
+		io.WriteString(out, order+"wrong\n")
+		<-said // the wrong one after it
+		if cut := order != "mend 127.1.2.3\n"; Cut("127.1.2.3:70") != cut || Cut("127.1.2.3") != cut || Cut("127.1.2.4") {
+			t.Errorf("after %q: %v", order, Cut("127.1.2.3"))
+		}
+	}
 }
--- a/internal/points/release.go
+++ b/internal/points/release.go
@@ -10,5 +10,8 @@
 // At does nothing in a release build.
 func At(Name) {}
 
+// Cut is for debug builds: here all gets through.
+func Cut(string) bool { return false }
+
 // Listen does nothing in a release build.
 func Listen(io.Reader) {}
--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -82,6 +83,7 @@
 		"disk-wipe", "disk-wipe", "ack-wipe", "ack-kill", "ack-kill", "ack-stall", "door-term", "core-term",
 		"crash", "drain",
 		"drain", "burst",
+		"door-cut", "door-cut", "core-cut", "core-cut", "ack-cut",
 		"resets", "lost-answers", "garble", "slow"}
 	for range 2 + rng.IntN(max(1, most-1)) {
 		f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: spec.Span(rng.Float64() * 0.75 * float64(dur)),
@@ -107,6 +109,12 @@
 			f.Share, f.For = []float64{0.3, 0.6, 1}[rng.IntN(3)], span(0.05, 2)
 		case "door-term", "core-term":
 			f.Share, f.For = 0.3, span(0.5, 2)
+		case "door-cut":
+			f.Shape, f.Share = []string{"isolated", "isolated", "halves", "bridge", "ring"}[rng.IntN(5)], 0.2+0.4*rng.Float64()
+			f.Way, f.For = cutWays[rng.IntN(len(cutWays))], span(0.3, 6)
+		case "core-cut", "ack-cut":
+			f.Shape, f.Way = []string{"isolated", "isolated", "bridge"}[rng.IntN(3)], cutWays[rng.IntN(len(cutWays))]
+			f.For = span(0.3, 6)
 		case "crash", "drain":
 			f.Share, f.For = 0.1+0.3*rng.Float64(), span(0.2, 2)
 		case "burst":
@@ -119,6 +127,14 @@
 	return s
 }
 
+// cutWays of a cut: one of them in is of a door that hears nobody, out of one that nobody hears.
+var cutWays = []string{"both", "in", "out"}
+
+// cuts tells whether any fault parts doors, which only debug builds can play.
+func (s *HouseSchedule) cuts() bool {
+	return slices.ContainsFunc(s.Faults, func(f spec.Fault) bool { return strings.HasSuffix(f.Kind, "-cut") })
+}
+
 // DrawFounding draws a schedule of the first start of all: doors start up to some seconds apart, and are killed and
 // stand still while the core is founded. No disk is lost.
 func DrawFounding(seed uint64, doors int, most int, dur time.Duration) *HouseSchedule {
@@ -160,6 +176,12 @@
 
 // PlayHouse plays a schedule on real doors. Whatever happens, no process is left when it returns.
 func PlayHouse(ctx context.Context, s *HouseSchedule, o HouseOptions) (*HouseResult, error) {
+	if s.cuts() {
+		about, err := exec.CommandContext(ctx, o.Program, "version").Output()
+		if err != nil || !strings.Contains(string(about), "debug") {
+			return nil, fmt.Errorf("cuts between doors want a program built with -tags debug: %s %w", about, err)
+		}
+	}
 	log := history.InMemory(eventsMost)
 	each := 1
 	if s.Doors > 6 {
@@ -202,8 +224,11 @@
 	res := &HouseResult{Seed: s.Seed, Doors: s.Doors}
 	for i := range s.Faults {
 		f := &s.Faults[i]
-		res.Faults = append(res.Faults, fmt.Sprintf("%s %.1f+%.1fs", f.Kind, f.At.D().Seconds(),
-			f.For.D().Seconds()))
+		name := f.Kind
+		if f.Shape != "" {
+			name = fmt.Sprint(name, " ", f.Shape, " ", f.Way)
+		}
+		res.Faults = append(res.Faults, fmt.Sprintf("%s %.1f+%.1fs", name, f.At.D().Seconds(), f.For.D().Seconds()))
 	}
 	ends := h.run(ctx)
 	close(stop)
@@ -391,6 +416,21 @@
 		h.each(which, func(d *extras.Door) error { d.Hold(true, f.Kind); return nil })
 		sleep(ctx, f.For.D())
 		h.each(which, func(d *extras.Door) error { d.Hold(false, f.Kind); return nil })
+	case "door-cut", "core-cut", "ack-cut":
+		of := h.t.Doors
+		if f.Kind != "door-cut" {
+			of = h.t.Cores()
+		}
+		parts := f.Pairs(len(of), nil, rng)
+		for i, from := range of {
+			for j, to := range of {
+				if i != j && parts(i, j) {
+					from.Part(to, true)
+					defer from.Part(to, false)
+				}
+			}
+		}
+		sleep(ctx, f.For.D())
 	case "door-term", "core-term":
 		of := h.t.Doors
 		if f.Kind == "core-term" {
--- a/internal/rig/house_test.go
+++ b/internal/rig/house_test.go
@@ -13,8 +13,8 @@
 	"clovergap/internal/spec"
 )
 
-// Five doors, three with disks, while cores and doors are killed, stand still, lose a disk and end in order,
-// and all die right after an acknowledgement: no rule that rests on no time is broken, all serve again, and
+// Five doors, three with disks, while cores and doors are killed, stand still, lose a disk, end in order and are cut
+// off, and all die right after an acknowledgement: no rule that rests on no time is broken, all serve again, and
 // no process is left.
 func TestFaultsOnAHouse(t *testing.T) {
 	if testing.Short() {
@@ -32,7 +32,8 @@
 		fault("ack-wipe", 0.3, 0.3, 0.3), fault("door-stall", 0.5, 1, 0.4), fault("drain", 0.8, 0.2,
 			0.2), fault("core-stall", 1.5, 1.5, 0.3),
 		fault("core-term", 2, 0.3, 0.3), fault("crash", 2.5, 0.3, 0.2), fault("herd-kill", 4, 0.2,
-			1), fault("ack-kill", 5, 0.3, 0.6)}}
+			1), fault("ack-kill", 5, 0.3, 0.6), fault("ack-cut", 3, 0.8, 0), fault("door-cut", 1, 2, 0.4)}}
+	s.Faults[8].Shape, s.Faults[8].Way, s.Faults[9].Shape = "isolated", "out", "halves"
 	r, err := PlayHouse(context.Background(), s, HouseOptions{Program: program, Rate: 60})
 	must.NoError(t, err)
 	for _, b := range r.Broken {
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -38,7 +38,8 @@
 	life   int
 	holds  int // reasons to stand still
 	orders map[points.Name]time.Duration
-	said   []string // last lines that are no JSON: what a crash says
+	cut    map[string]int // reasons why nothing said gets to a host; they outlast a life
+	said   []string       // last lines that are no JSON: what a crash says
 	gone   time.Time
 }
 
@@ -77,6 +78,9 @@
 	}
 	d.cmd, d.in, d.exit, d.meant, d.holds, d.gone = cmd, in, make(chan struct{}), false, 0, time.Time{}
 	d.ended, d.orders, d.said = nil, map[points.Name]time.Duration{}, nil
+	for host := range d.cut {
+		d.say("cut %s\n", host)
+	}
 	go d.read(out, cmd, d.exit)
 	return nil
 }
@@ -303,6 +307,32 @@
 	return err
 }
 
+// Cut lets nothing that a debug build says get to a host, or lets it again; while any reason cuts it off, it is.
+func (d *Process) Cut(host string, off bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cut == nil {
+		d.cut = map[string]int{}
+	}
+	if off {
+		if d.cut[host]++; d.cut[host] == 1 {
+			d.say("cut %s\n", host)
+		}
+		return
+	}
+	if d.cut[host]--; d.cut[host] <= 0 {
+		delete(d.cut, host)
+		d.say("mend %s\n", host)
+	}
+}
+
+// say gives an order to the process if it runs; the lock is held.
+func (d *Process) say(format string, args ...any) {
+	if d.in != nil && d.ended == nil {
+		fmt.Fprintf(d.in, format, args...) // one that ends now needs none
+	}
+}
+
 // reached: the process stands still at a point, by its own doing. It goes on after the time that was
 // ordered.
 func (d *Process) reached(cmd *exec.Cmd, at points.Name) {
--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -15,6 +15,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"clovergap/internal/points"
 )
 
 // Bounds of a link.
@@ -218,7 +220,7 @@
 	for wait := redialIn; ctx.Err() == nil; wait = min(2*wait, redialMost) {
 		now, abort := context.WithCancel(ctx)
 		w.has(l, false, abort)
-		c, err := d.DialContext(now, "tcp", l.to)
+		c, err := dial(now, &d, l.to)
 		if err == nil {
 			wait = redialIn
 			for len(l.queue) > 0 { // meant for a link that is no more
@@ -244,6 +246,28 @@
 	}
 }
 
+// cutLook is how often a debug build looks whether a cut has healed.
+const cutLook = 5 * time.Millisecond
+
+// dial dials; into a cut it hangs, as it would without an answer.
+func dial(ctx context.Context, d *net.Dialer, to string) (net.Conn, error) {
+	if points.Cut(to) && !through(ctx, to, dialLimit) {
+		return nil, errors.New("cut off")
+	}
+	return d.DialContext(ctx, "tcp", to)
+}
+
+// through waits while a test has this door cut off from another; false if that takes too long. What is sent into a cut goes
+// out when it heals, as TCP's does, and a link over which nothing got through for writeLimit ends.
+func through(ctx context.Context, to string, most time.Duration) bool {
+	for end := time.Now().Add(most); points.Cut(to); time.Sleep(cutLook) {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // newestOf tells whether a door has dialed no other link since this one.
 func (w *Wings[F]) newestOf(from string, c net.Conn) bool {
 	w.mu.Lock()
@@ -275,6 +299,9 @@
 	for {
 		select {
 		case f := <-l.queue:
+			if points.Cut(l.to) && !through(ctx, l.to, writeLimit) {
+				return
+			}
 			c.SetWriteDeadline(time.Now().Add(writeLimit))
 			if enc.Encode(f) != nil || len(l.queue) == 0 && out.Flush() != nil {
 				return
@@ -282,7 +309,9 @@
 		case <-ended:
 			return
 		case <-ctx.Done():
-			out.Flush()
+			if !points.Cut(l.to) {
+				out.Flush()
+			}
 			return
 		}
 	}
