lab house losses: from a leader's death to the next acknowledgement, measured

The rig's house is laid in one place for this and for chaos; the operator of the rig can be told to ask more often.

--- /dev/null
+++ b/cmd/lab/houselosses.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"clovergap/internal/lease/check"
+	"clovergap/internal/rig"
+)
+
+func houseLossesCommand() *cobra.Command {
+	var named, out string
+	var doors, tries int
+	var seed uint64
+	var rate float64
+	var cuts bool
+	c := &cobra.Command{Use: "losses", Short: "How long until the core acknowledges and the doors serve after a loss",
+		Args: exactly(0, "no arguments"),
+		Long: "Starts doors, three of them with a disk, under load; kills the leader, freezes it, kills all doors and starts\n" +
+			"them again, in turn, each once all is well again. A change is sent right after the leader's loss, again and again\n" +
+			"to doors drawn at random, until it is acknowledged.",
+		Example: "  lab house losses --doors 5 --tries 30\n  lab house losses --cuts   # and the leader cut off, by a debug build",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if tries < 1 || doors < rig.Disks || doors > 60 {
+				return usageError{fmt.Errorf("--tries must be 1 at the least, --doors %d to 60", rig.Disks)}
+			}
+			losses, tags := []rig.Loss{rig.Killed, rig.Frozen, rig.Emptied}, []string(nil)
+			if cuts {
+				losses, tags = []rig.Loss{rig.CutOff}, []string{"debug"}
+			}
+			path, done, err := program(playhouse, named, tags...)
+			if err != nil {
+				return err
+			}
+			defer done()
+			all, err := rig.MeasureLosses(c.Context(), seed, doors, tries, losses, rig.HouseOptions{Program: path, Rate: rate},
+				func(l rig.Loss, try int) { fmt.Printf("  %d of %d: %s\n", try+1, tries, l) })
+			if err != nil {
+				return err
+			}
+			for _, s := range all {
+				fmt.Printf("%s, %d tries on %d doors:\n", s.Loss, tries, doors)
+				tellSpan("another leads after", s.Leads)
+				tellSpan("a change is acknowledged after", s.Taken)
+				tellSpan("a quarter of the requests is served after", s.Serve)
+				tellSpan("every door serves every first route after", s.All)
+				if err := addResult(out, s); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&named, "program", "", "playhouse program (default: beside lab, under bin, or built; with --cuts built for debug)")
+	c.Flags().StringVar(&out, "out", "", "add each loss's times to this file of JSON lines")
+	c.Flags().IntVar(&doors, "doors", 5, "doors, the first three with a disk")
+	c.Flags().IntVar(&tries, "tries", 30, "how often each loss is brought")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the load, and of when losses come")
+	c.Flags().Float64Var(&rate, "rate", 80, "requests a second")
+	c.Flags().BoolVar(&cuts, "cuts", false, "cut the leader off from all doors, and nothing else")
+	return c
+}
+
+// tellSpan prints the median and the worst of some times, if there are any.
+func tellSpan(what string, of []time.Duration) {
+	if len(of) > 0 {
+		ms := func(q float64) time.Duration { return check.Quantile(of, q).Round(time.Millisecond) }
+		fmt.Printf("  %-42s median %s, 90 %% %s, worst %s\n", what, ms(0.5), ms(0.9), ms(1))
+	}
+}
--- a/internal/extras/operator.go
+++ b/internal/extras/operator.go
@@ -89,6 +89,8 @@
 
 // Operator changes the configuration, sends the same bytes again until the answer is clear, and reads.
 type Operator struct {
+	Pause time.Duration // the longest between two calls of one change
+
 	t        *Troupe
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -100,7 +102,7 @@
 }
 
 func newOperator(t *Troupe) *Operator {
-	return &Operator{t: t, rng: t.source(0x09e7a702), versions: map[uint64]*Version{}, at: 0}
+	return &Operator{Pause: 500 * time.Millisecond, t: t, rng: t.source(0x09e7a702), versions: map[uint64]*Version{}, at: 0}
 }
 
 // clearMost bounds how long a call is sent again.
@@ -116,7 +118,7 @@
 	at := o.at
 	o.mu.Unlock()
 	strange := 0
-	for wait := 30 * time.Millisecond; ctx.Err() == nil; wait = min(2*wait, 500*time.Millisecond) {
+	for wait := 30 * time.Millisecond; ctx.Err() == nil; wait = min(2*wait, o.Pause) {
 		status, text, err := o.t.call(ctx, method, o.t.Doors[at%len(o.t.Doors)].Control, path, body, time.Second)
 		at++
 		switch {
@@ -278,6 +280,17 @@
 	}
 }
 
+// Change makes one proper change, and tells whether it was acknowledged.
+func (o *Operator) Change(ctx context.Context) bool {
+	parent, bill := o.current(ctx)
+	if bill == nil {
+		return false
+	}
+	o.amend(ctx, parent, bill)
+	known, _ := o.Known()
+	return known != parent
+}
+
 func (o *Operator) guestRoute(n uint64) playbill.BillRoute {
 	deadline, aim := "1500ms", "400ms"
 	return playbill.BillRoute{Name: fmt.Sprintf("g-%d", n), PathPrefix: fmt.Sprintf("/g%d/", n),
--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -182,29 +182,12 @@
 			return nil, fmt.Errorf("cuts between doors want a program built with -tags debug: %s %w", about, err)
 		}
 	}
-	log := history.InMemory(eventsMost)
-	each := 1
-	if s.Doors > 6 {
-		each = 2
-	}
-	t, err := extras.New(extras.Terms{Program: o.Program, Doors: s.Doors, Disks: Disks,
-		Zones: []string{"stalls", "circle", "gallery"},
-		Each:  each, Rate: o.Rate, Seed: s.Seed, Beat: time.Second, Lost: 1, History: log})
+	h, err := enter(s, o)
 	if err != nil {
 		return nil, err
 	}
-	defer t.Close()
-	h := &house{s: s, t: t, log: log, load: extras.NewClients(t), acked: make(chan struct{})}
-	defer h.load.Close()
-	h.load.Rate = func() float64 {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		x := o.Rate
-		for _, by := range h.burst {
-			x *= by
-		}
-		return x
-	}
+	t := h.t
+	defer h.leave()
 	stop := make(chan struct{})
 	slow := watchSelf(stop)
 	began := time.Now()
@@ -248,6 +231,37 @@
 	return res, nil
 }
 
+// enter lays a house; leave ends all that is of it.
+func enter(s *HouseSchedule, o HouseOptions) (*house, error) {
+	log := history.InMemory(eventsMost)
+	each := 1
+	if s.Doors > 6 {
+		each = 2
+	}
+	t, err := extras.New(extras.Terms{Program: o.Program, Doors: s.Doors, Disks: Disks,
+		Zones: []string{"stalls", "circle", "gallery"},
+		Each:  each, Rate: o.Rate, Seed: s.Seed, Beat: time.Second, Lost: 1, History: log})
+	if err != nil {
+		return nil, err
+	}
+	h := &house{s: s, t: t, log: log, load: extras.NewClients(t), acked: make(chan struct{})}
+	h.load.Rate = func() float64 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		x := o.Rate
+		for _, by := range h.burst {
+			x *= by
+		}
+		return x
+	}
+	return h, nil
+}
+
+func (h *house) leave() {
+	h.load.Close()
+	h.t.Close()
+}
+
 // run plays all; what is broken by its end is given.
 func (h *house) run(ctx context.Context) (bad []history.Broken) {
 	all, cancel := context.WithCancel(ctx)
--- a/internal/rig/house_test.go
+++ b/internal/rig/house_test.go
@@ -21,10 +21,7 @@
 		t.Skip("starts processes")
 	}
 	defer goleak.VerifyNone(t)
-	program := filepath.Join(t.TempDir(), "playhouse")
-	out, err := exec.Command("go", "build", "-tags", "debug", "-o", program,
-		"clovergap/cmd/playhouse").CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(out)))
+	program := build(t)
 	fault := func(kind string, at, for_, share float64) spec.Fault {
 		return spec.Fault{Kind: kind, At: sec(at), For: sec(for_), Share: share, Pick: 7}
 	}
@@ -50,6 +47,30 @@
 	must.SliceEmpty(t, children(t), must.Sprint("processes left"))
 }
 
+// What losses cost is measured: another leads and takes changes, and doors that were killed serve again.
+func TestMeasureLosses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	defer goleak.VerifyNone(t)
+	losses := []Loss{Killed, Emptied}
+	all, err := MeasureLosses(context.Background(), 1, Disks, 1, losses, HouseOptions{Program: build(t), Rate: 40}, func(Loss, int) {})
+	must.NoError(t, err)
+	for _, of := range [][]time.Duration{all[0].Leads, all[0].Taken, all[1].Serve, all[1].All} {
+		must.Len(t, 1, of)
+		must.Between(t, 1, of[0], recoverMost)
+	}
+	must.SliceEmpty(t, children(t), must.Sprint("processes left"))
+}
+
+// build makes a debug build of the gateway's program.
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "playhouse")
+	out, err := exec.Command("go", "build", "-tags", "debug", "-o", program, "clovergap/cmd/playhouse").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return program
+}
+
 // A schedule comes again from its seed, and loses as many disks as may be lost.
 func TestDrawHouse(t *testing.T) {
 	for seed := range uint64(500) {
--- /dev/null
+++ b/internal/rig/spans.go
@@ -0,0 +1,208 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/standin"
+)
+
+// Loss is what is done to the leader, or to all doors.
+type Loss string
+
+// The losses.
+const (
+	Killed  Loss = "the leader is killed"
+	Frozen  Loss = "the leader is frozen"
+	CutOff  Loss = "the leader is cut off from all doors" // of a debug build
+	Emptied Loss = "all doors are killed and started again at once"
+)
+
+// lossFor is how long a leader stays frozen, cut off or dead.
+const lossFor = 4 * time.Second
+
+// Spans are how long it took, one of each try.
+type Spans struct {
+	Loss  Loss
+	Leads []time.Duration // until another of the core leads
+	Taken []time.Duration // until a change that was sent right after the loss is acknowledged
+	Serve []time.Duration // until the first half second in which a quarter of the requests was served
+	All   []time.Duration // until every door serves every first route
+}
+
+// MeasureLosses brings each loss so many times on a house under load, one after the other, each once all is well again.
+func MeasureLosses(ctx context.Context, seed uint64, doors, tries int, losses []Loss, o HouseOptions,
+	told func(Loss, int)) ([]Spans, error) {
+	h, err := enter(&HouseSchedule{Seed: seed, Doors: doors}, o)
+	if err != nil {
+		return nil, err
+	}
+	defer h.leave()
+	if err := h.t.Start(); err != nil {
+		return nil, err
+	}
+	all, cancel := context.WithCancel(ctx)
+	var side sync.WaitGroup
+	defer side.Wait()
+	defer cancel()
+	side.Go(func() { h.load.Watch(all) })
+	h.t.Operator.Pause = 30 * time.Millisecond // the doors' time counts, not the operator's
+	if !h.t.Operator.Open(all) {
+		return nil, fmt.Errorf("no first configuration is taken: %w", ctx.Err())
+	}
+	side.Go(func() { h.load.Open(all) })
+	rng := rand.New(rand.NewPCG(seed, 0x1055))
+	out := make([]Spans, len(losses))
+	for try := range tries {
+		for i, l := range losses {
+			out[i].Loss = l
+			if err := h.lose(all, &out[i], rng); err != nil {
+				return nil, fmt.Errorf("try %d, %s: %w", try, l, err)
+			}
+			told(l, try)
+		}
+	}
+	return out, h.fault
+}
+
+// lose brings one loss and waits for what it measures.
+func (h *house) lose(ctx context.Context, s *Spans, rng *rand.Rand) error {
+	leader, view, err := h.well(ctx)
+	if err != nil {
+		return err
+	}
+	sleep(ctx, time.Duration(rng.IntN(1000))*time.Millisecond) // anywhere between its beats
+	if s.Loss == Emptied {
+		return h.empty(ctx, s)
+	}
+	rest := slices.DeleteFunc(slices.Clone(h.t.Doors), func(d *extras.Door) bool { return d == leader })
+	part := func(off bool) {
+		for _, d := range rest {
+			leader.Part(d, off)
+			d.Part(leader, off)
+		}
+	}
+	began := time.Now()
+	switch s.Loss {
+	case Killed:
+		go leader.Kill()
+	case Frozen:
+		leader.Hold(true, string(s.Loss))
+	case CutOff:
+		part(true)
+	}
+	late, cancel := context.WithTimeout(ctx, recoverMost)
+	defer cancel()
+	var side sync.WaitGroup
+	var leads time.Duration
+	side.Go(func() {
+		if h.another(late, leader, view) {
+			leads = time.Since(began)
+		}
+	})
+	var taken time.Duration
+	side.Go(func() {
+		for late.Err() == nil && taken == 0 {
+			if h.t.Operator.Change(late) {
+				taken = time.Since(began)
+			}
+		}
+	})
+	sleep(ctx, time.Until(began.Add(lossFor)))
+	switch s.Loss {
+	case Killed:
+		err = leader.Again()
+	case Frozen:
+		leader.Hold(false, string(s.Loss))
+	case CutOff:
+		part(false)
+	}
+	side.Wait()
+	if err == nil && (leads == 0 || taken == 0) {
+		err = fmt.Errorf("another leads after %s, a change is acknowledged after %s (nought: never)", leads, taken)
+	}
+	s.Leads, s.Taken = append(s.Leads, leads), append(s.Taken, taken)
+	return err
+}
+
+// empty kills all doors and starts them again.
+func (h *house) empty(ctx context.Context, s *Spans) error {
+	began := time.Now()
+	h.each(h.t.Doors, kill)
+	var side sync.WaitGroup
+	defer side.Wait()
+	side.Go(func() { h.each(h.t.Doors, again) })
+	serve := make(chan time.Duration, 1)
+	side.Go(func() { serve <- h.quarter(ctx, began) })
+	if bad := h.recovers(ctx, string(s.Loss)); len(bad) > 0 {
+		return fmt.Errorf("%s", bad[0])
+	}
+	s.All, s.Serve = append(s.All, time.Since(began)), append(s.Serve, <-serve)
+	return ctx.Err()
+}
+
+// quarterIn is over how long a share of served requests is taken.
+const quarterIn = 500 * time.Millisecond
+
+// quarter waits for a half second in which a quarter of the requests that ended was served; it gives when that began.
+func (h *house) quarter(ctx context.Context, began time.Time) time.Duration {
+	type sample struct {
+		at time.Duration
+		o  standin.Outcome
+	}
+	var line []sample
+	for ctx.Err() == nil {
+		now, _, _ := h.load.Outcomes()
+		line = append(line, sample{time.Since(began), now})
+		for line[0].at+quarterIn < line[len(line)-1].at {
+			was := line[0]
+			if n := now.Requests - was.o.Requests; n > 0 && 4*(now.Settled-was.o.Settled) >= n && was.at > 0 {
+				return was.at
+			}
+			line = line[1:]
+		}
+		sleep(ctx, 10*time.Millisecond)
+	}
+	return 0
+}
+
+// well waits until all is well, and tells who leads.
+func (h *house) well(ctx context.Context) (*extras.Door, uint64, error) {
+	late, cancel := context.WithTimeout(ctx, recoverMost)
+	defer cancel()
+	for late.Err() == nil {
+		if d, view := h.t.Leader(late); d != nil {
+			return d, view, nil
+		}
+		sleep(late, 50*time.Millisecond)
+	}
+	if ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
+	text := ""
+	for _, d := range h.t.Doors {
+		text += "\n" + d.Name + ": " + h.t.Tells(d)
+	}
+	return nil, 0, fmt.Errorf("not all is well after %s:%s", recoverMost, text)
+}
+
+// another waits until another of the core leads a newer view.
+func (h *house) another(ctx context.Context, than *extras.Door, view uint64) bool {
+	for ctx.Err() == nil {
+		for _, d := range h.t.Cores() {
+			if d == than {
+				continue
+			}
+			if s := h.t.Status(ctx, d, time.Second); s != nil && s.Core != nil && s.Core.Role == "leading" && s.Core.View > view {
+				return true
+			}
+		}
+		sleep(ctx, 5*time.Millisecond)
+	}
+	return false
+}
