A view asked for in vain gives the next try longer: slow disks still get a leader

Members ask again after 0.13 to 0.27 s when nobody has led in their life, and that ends the asking under way; where two syncs and the messages take longer, none ever ends. Each view asked for in vain since a leader was heard now doubles the next one's time, up to 4 times the patience.

--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -8,7 +8,7 @@
 
 // lead begins the new view.
 func (p *Prompter) lead() {
-	p.role, p.leader, p.begun = leading, p.me.ID, true
+	p.role, p.leader, p.begun, p.vain = leading, p.me.ID, true, 0
 	p.with = map[MemberID]*progress{}
 	p.round, p.reads, p.handing, p.learner = 0, nil, 0, 0
 	p.meet()
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -289,6 +289,7 @@
 	leader    MemberID // of the view promise, 0 if not known
 	heardAt   time.Duration
 	begun     bool          // a leader was heard of in this life, or promised
+	vain      int           // views asked for since a leader was heard
 	due       time.Duration // a new view is asked for
 	woken     time.Duration // told to the host
 	matched   uint64        // the log is as the leader's up to here
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -70,6 +70,11 @@
 // beginTimes as soon a member asks for a view that has heard of no leader since its start. Those who have one say no.
 const beginTimes = 3
 
+// vainMost is how many times its patience a member waits at most for a view that it asked for, and as much again by chance.
+// Each one asked for in vain doubles the next one's time: disks that sync slower than members are patient must not keep all
+// from ever being led.
+const vainMost = 4
+
 // setDue starts the waiting for a leader anew.
 func (p *Prompter) setDue() {
 	if p.due = never; p.house != 0 && p.member(p.me.ID) {
@@ -77,6 +82,9 @@
 		if !p.begun { // nobody has led in this life: after the loss of all there is no leader to be patient with
 			wait, spread = wait/beginTimes, spread/beginTimes
 		}
+		for n := 0; n < p.vain && 2*wait <= vainMost*p.terms.Patience; n++ {
+			wait, spread = 2*wait, 2*spread
+		}
 		p.due = p.now + wait + p.chance(spread)
 	}
 }
@@ -117,6 +125,7 @@
 	p.role, p.fetch = stopping, 0
 	p.stops, p.asking = map[MemberID]place{}, map[MemberID]Member{}
 	p.setDue()
+	p.vain++
 	p.when(waiting{kind: Stop, view: p.promise})
 }
 
@@ -215,7 +224,7 @@
 		p.rise(m.View, from)
 	}
 	check.That(p.role != leading, "a view has one leader")
-	p.role, p.leader, p.heardAt, p.begun = following, from, p.now, true
+	p.role, p.leader, p.heardAt, p.begun, p.vain = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -31,6 +31,7 @@
 	nextID MemberID
 	done   int
 	calm   bool
+	sync   time.Duration // of any disk, on top
 	fault  fault
 	wrong  string
 }
@@ -101,7 +102,7 @@
 		case Send:
 			w.carry(i, a)
 		case Write:
-			d.written = max(d.written, d.busy, w.now) + w.ms(5)
+			d.written = max(d.written, d.busy, w.now) + w.ms(5) + w.sync
 			w.at(d.written-w.now, w.on(i, func(d *door) { d.disk.Apply(a); d.p.Synced(a.Nr) }))
 		case Restore:
 			d.index, d.state = a.Index, string(a.State)
@@ -409,6 +410,24 @@
 	must.NotEq(t, l, w.leader())
 }
 
+// Where each sync takes longer than the patience with which a view is first asked for, one is led all the same: who asks in
+// vain gives the next try longer. Without it nobody led for as long as a machine's disk was that slow.
+func TestSlowDisksStillLead(t *testing.T) {
+	for seed := range int64(20) {
+		w := found(t, 3, seed, sound)
+		w.calm, w.sync = true, 600*time.Millisecond
+		w.until(20 * time.Second)
+		l := w.leader()
+		must.NotEq(t, -1, l, must.Sprintf("seed %d: nobody leads", seed))
+		for i := range 9 {
+			w.on(l, func(d *door) { d.p.Propose(uint64(i+1), []byte(strconv.Itoa(i+1))) })()
+			w.until(w.now + 2*time.Second)
+		}
+		must.Eq(t, "", w.wrong)
+		must.Eq(t, 9, w.done, must.Sprintf("seed %d", seed))
+	}
+}
+
 // A member that was cut off comes back without a new view; one that leaves hands over within a few round
 // trips.
 func TestComingAndGoing(t *testing.T) {
