A call on its way to a leader that stands still goes to the one that leads next

lab house losses showed it: another led 0.4 s after the leader was frozen or cut off, and a change asked through a third door was answered 503 after 0.9 s, since its call waited for an answer that never came (a link to a machine that stands still does not end).

--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -21,7 +21,7 @@
 	body  []byte
 	hops  int
 	until time.Duration
-	next  time.Duration // when it goes again, if it is not on its way
+	next  time.Duration // when it goes again, if it is not on its way or another leads by then
 	sent  string        // to whom it is on its way
 	then  func(status int, body []byte)
 }
@@ -53,7 +53,8 @@
 		h.e.At(c.next, (*callAlarm)(h), uint32(nr))
 		return
 	}
-	c.next, c.sent = never, to
+	c.next, c.sent = h.e.Now()+callAgain, to
+	h.e.At(c.next, (*callAlarm)(h), uint32(nr))
 	h.wings.Send(to, &Frame{Call: &Call{Nr: nr, Kind: c.kind, Body: c.body, Hops: c.hops + 1}})
 }
 
@@ -71,6 +72,15 @@
 	return ""
 }
 
+// leadsAnew tells whether another leads, as far as is known here, than the door that a call was passed on to.
+func (h *House) leadsAnew(than string) bool {
+	if h.core != nil && h.core.p.Leading() {
+		return true
+	}
+	to := h.leads()
+	return to != "" && to != than
+}
+
 // called takes a call that another door passed on.
 func (h *House) called(from string, c *Call) {
 	h.ask(c.Kind, c.Body, c.Hops, func(status int, body []byte) {
@@ -105,7 +115,11 @@
 	case now >= c.until:
 		delete(h.calls, uint64(nr))
 		c.then(503, []byte("no clear answer in time"))
-	case now >= c.next:
+	case now < c.next:
+	case c.sent != "" && !h.leadsAnew(c.sent): // its answer is still to come
+		c.next = now + callAgain
+		h.e.At(c.next, a, nr)
+	default: // one that stands still or is cut off never answers: another leads by now
 		h.pass(uint64(nr))
 	}
 }
