A quarter served: counted by when tries were sent

The half seconds of ended requests began before anything was served, so the figure said 16 ms. Now it is the first quarter of a second of whose tries, by when they were sent, a quarter was served, beginning with one that was. A test of its own.

--- a/cmd/lab/houselosses.go
+++ b/cmd/lab/houselosses.go
@@ -43,7 +43,7 @@
 					s.Aside, s.Slow.Round(time.Millisecond))
 				tellSpan("another leads after", s.Leads)
 				tellSpan("a change is acknowledged after", s.Taken)
-				tellSpan("a quarter of the requests is served after", s.Serve)
+				tellSpan("a quarter of the tries is served after", s.Serve)
 				tellSpan("every door serves every first route after", s.All)
 				err = errors.Join(err, addResult(out, s))
 			}
--- a/internal/rig/house_test.go
+++ b/internal/rig/house_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
+	"clovergap/internal/history"
 	"clovergap/internal/spec"
 )
 
@@ -63,6 +65,23 @@
 	must.SliceEmpty(t, children(t), must.Sprint("processes left"))
 }
 
+// A quarter is one of the tries by when they were sent, and begins with one that was served.
+func TestQuarter(t *testing.T) {
+	var h []history.Event
+	for i := range 40 { // each 20 ms; from the 13th on every third is served
+		at := time.Duration(i) * 20 * time.Millisecond
+		h = append(h, history.Event{T: at, Kind: history.Asked, Txn: fmt.Sprint(i)})
+		if i >= 12 && i%3 == 0 {
+			h = append(h, history.Event{T: at + time.Second, Kind: history.Answered, Txn: fmt.Sprint(i), N: 200})
+		}
+	}
+	at, ok := quarter(h, 40*time.Millisecond)
+	must.True(t, ok)
+	must.Eq(t, 200*time.Millisecond, at)
+	_, ok = quarter(h[:12], 0)
+	must.False(t, ok)
+}
+
 // build makes a debug build of the gateway's program.
 func build(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "playhouse")
--- a/internal/rig/spans.go
+++ b/internal/rig/spans.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"clovergap/internal/extras"
-	"clovergap/internal/standin"
+	"clovergap/internal/history"
 )
 
 // Loss is what is done to the leader, or to all doors.
@@ -32,7 +32,7 @@
 	Loss  Loss
 	Leads []time.Duration // until another of the core leads
 	Taken []time.Duration // until a change that was sent right after the loss is acknowledged
-	Serve []time.Duration // until the first half second in which a quarter of the requests was served
+	Serve []time.Duration // until the first quarter of a second began of whose tries a quarter was served
 	All   []time.Duration // until every door serves every first route
 	Aside int             // tries in which the rig itself was held up: they are not in
 	Slow  time.Duration   // the longest that it was held up in the others
@@ -161,43 +161,58 @@
 
 // empty kills all doors and starts them again.
 func (h *house) empty(ctx context.Context, s *Spans) error {
-	began := time.Now()
+	began, killed := time.Now(), history.Now()
 	h.each(h.t.Doors, kill)
 	var side sync.WaitGroup
 	defer side.Wait()
 	side.Go(func() { h.each(h.t.Doors, again) })
-	serve := make(chan time.Duration, 1)
-	side.Go(func() { serve <- h.quarter(ctx, began) })
 	if bad := h.recovers(ctx, string(s.Loss)); len(bad) > 0 {
 		return fmt.Errorf("%s", bad[0])
 	}
-	s.All, s.Serve = append(s.All, time.Since(began)), append(s.Serve, <-serve)
+	s.All = append(s.All, time.Since(began))
+	sleep(ctx, 2*time.Second) // what was sent by then has its answer
+	at, ok := quarter(h.log.Events(), killed)
+	if !ok {
+		return errors.New("never was a quarter of the tries served")
+	}
+	s.Serve = append(s.Serve, at)
 	return ctx.Err()
 }
 
-// quarterIn is over how long a share of served requests is taken.
-const quarterIn = 500 * time.Millisecond
+// quarterOf is over how long a share of served tries is taken, quarterMin the least of them that are a share.
+const (
+	quarterOf  = 250 * time.Millisecond
+	quarterMin = 8
+)
 
-// quarter waits for a half second in which a quarter of the requests that ended was served; it gives when that began.
-func (h *house) quarter(ctx context.Context, began time.Time) time.Duration {
-	type sample struct {
-		at time.Duration
-		o  standin.Outcome
+// quarter tells how long after a time the first span began of whose tries, by when they were sent, a quarter was served.
+func quarter(all []history.Event, after time.Duration) (time.Duration, bool) {
+	var sent []history.Event
+	served := map[string]bool{}
+	for _, e := range all {
+		switch {
+		case e.T < after:
+		case e.Kind == history.Asked:
+			sent = append(sent, e)
+		case e.Kind == history.Answered && e.N >= 200 && e.N < 300:
+			served[e.Txn] = true
+		}
 	}
-	var line []sample
-	for ctx.Err() == nil {
-		now, _, _ := h.load.Outcomes()
-		line = append(line, sample{time.Since(began), now})
-		for line[0].at+quarterIn < line[len(line)-1].at {
-			was := line[0]
-			if n := now.Requests - was.o.Requests; n > 0 && 4*(now.Settled-was.o.Settled) >= n && was.at > 0 {
-				return was.at
+	for i, first := range sent {
+		n, good := 0, 0
+		for _, e := range sent[i:] {
+			if e.T > first.T+quarterOf {
+				break
 			}
-			line = line[1:]
+			if n++; served[e.Txn] {
+				good++
+			}
+		}
+		if n >= quarterMin && 4*good >= n && served[first.Txn] {
+			return first.T - after, true
 		}
-		sleep(ctx, 10*time.Millisecond)
 	}
-	return 0
+	return 0, false
 }
 
 // well waits until all is well, and tells who leads.
