Doors over a given base: sockets, or what a rehearsal gives

A door held its sockets, clock and disk by their concrete types, so that no whole door could be played without them. Now house.Base gives time, links, disk, ways to backends, mail and the front; New wires the real ones as before, Over takes given ones. Followers and waiting calls are walked in order, so that no map decides what is sent first.

--- a/internal/extras/operator.go
+++ b/internal/extras/operator.go
@@ -173,7 +173,7 @@
 func (o *Operator) Open(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		v := &Version{Bill: First()}
-		if status, clear := o.propose(ctx, "/api/Config.Replace", v.Bill, v); clear && status == http.StatusOK {
+		if status, clear := o.propose(ctx, replacePath, v.Bill, v); clear && status == http.StatusOK {
 			return true
 		} else if clear {
 			return false
@@ -245,70 +245,102 @@
 	return o.rng.IntN(n)
 }
 
-// Step makes one change of a kind drawn: a guest's route is added, moved or removed by name, the whole is
-// replaced, two operators race, or something invalid is sent.
+// Change is one that an operator may send.
+type Change struct {
+	Path string
+	Body any
+	Version
+}
+
+// Step makes one change of a kind drawn, or two that race.
 func (o *Operator) Step(ctx context.Context) {
 	parent, bill := o.current(ctx)
 	if bill == nil {
 		return
 	}
-	switch x := o.draw(10); {
-	case x < 6:
-		o.amend(ctx, parent, bill)
-	case x < 8:
-		n := clone(bill)
-		n.Generation, n.ParentVersion = o.number(), parent
-		guest(n, o.guestRoute(n.Generation))
-		o.propose(ctx, "/api/Config.Replace", n, &Version{Bill: n, Parent: parent})
-	case x < 9:
-		var both sync.WaitGroup
-		for range 2 {
-			both.Add(1)
-			go func() { defer both.Done(); o.amend(ctx, parent, bill) }()
-		}
-		both.Wait()
+	changes := Draft(o.draw, o.number, parent, bill)
+	var all sync.WaitGroup
+	for _, c := range changes {
+		all.Add(1)
+		go func() { defer all.Done(); o.propose(ctx, c.Path, c.Body, &c.Version) }()
+	}
+	all.Wait()
+	if len(changes) > 1 {
 		o.mu.Lock()
 		o.unsure = true // who has won is read
 		o.mu.Unlock()
-	default:
-		n := clone(bill)
-		n.Generation, n.ParentVersion = o.number(), parent
-		n.Vhosts[0].PathList[0].Target = "nobody"
-		o.propose(ctx, "/api/Config.Replace", n, &Version{Bill: n, Parent: parent, WellKnownBad: true})
 	}
 }
 
-func (o *Operator) guestRoute(n uint64) playbill.BillRoute {
+// Draft draws what an operator does next on top of a configuration: a guest's route is added, moved or removed by name, the
+// whole is replaced, two changes race, or something invalid is sent.
+func Draft(draw func(n int) int, number func() uint64, parent uint64, bill *playbill.Bill) []Change {
+	d := draft{draw, number, parent, bill}
+	switch x := draw(10); {
+	case x < 6:
+		return []Change{d.amend()}
+	case x < 8:
+		n := d.next()
+		guest(n, d.guestRoute(n.Generation))
+		return []Change{{replacePath, n, Version{Bill: n, Parent: parent}}}
+	case x < 9:
+		return []Change{d.amend(), d.amend()}
+	}
+	n := d.next()
+	n.Vhosts[0].PathList[0].Target = "nobody"
+	return []Change{{replacePath, n, Version{Bill: n, Parent: parent, WellKnownBad: true}}}
+}
+
+const (
+	replacePath = "/api/Config.Replace"
+	amendPath   = "/api/Config.Amend"
+)
+
+// draft is a change under way.
+type draft struct {
+	draw   func(n int) int
+	number func() uint64
+	parent uint64
+	bill   *playbill.Bill
+}
+
+// next is the whole configuration under a new number.
+func (d *draft) next() *playbill.Bill {
+	n := clone(d.bill)
+	n.Generation, n.ParentVersion = d.number(), d.parent
+	return n
+}
+
+func (d *draft) guestRoute(n uint64) playbill.BillRoute {
 	deadline, aim := "1500ms", "400ms"
 	return playbill.BillRoute{Name: fmt.Sprintf("g-%d", n), PathPrefix: fmt.Sprintf("/g%d/", n),
 		Variant: playbill.Pure, Deadline: &deadline,
-		TargetLatency: &aim, MaxTries: 2, Target: services[o.draw(2)].name}
+		TargetLatency: &aim, MaxTries: 2, Target: services[d.draw(2)].name}
 }
 
 // amend changes named items.
-func (o *Operator) amend(ctx context.Context, parent uint64, bill *playbill.Bill) {
-	n := clone(bill)
-	n.Generation, n.ParentVersion = o.number(), parent
-	a := playbill.Amendment{Generation: n.Generation, ParentVersion: parent}
-	guests := Guests(bill)
-	if x := o.draw(3); x == 0 && len(guests) > 2 {
-		gone := guests[o.draw(len(guests))].Name
+func (d *draft) amend() Change {
+	n := d.next()
+	a := playbill.Amendment{Generation: n.Generation, ParentVersion: d.parent}
+	guests := Guests(d.bill)
+	if x := d.draw(3); x == 0 && len(guests) > 2 {
+		gone := guests[d.draw(len(guests))].Name
 		a.Removals = &playbill.Removals{Routes: []string{gone}}
 		for i := range n.Vhosts {
 			n.Vhosts[i].PathList = slices.DeleteFunc(n.Vhosts[i].PathList,
 				func(r playbill.BillRoute) bool { return r.Name == gone })
 		}
 	} else {
-		r := o.guestRoute(n.Generation)
+		r := d.guestRoute(n.Generation)
 		if x == 1 && len(guests) > 0 { // one moves to a service, maybe another
-			old := guests[o.draw(len(guests))]
+			old := guests[d.draw(len(guests))]
 			r.Name, r.PathPrefix = old.Name, old.PathPrefix
 		}
 		a.Upserts = &playbill.Upserts{Vhosts: []playbill.BillHost{{Hostname: hostGuests,
 			PathList: []playbill.BillRoute{r}}}}
 		guest(n, r)
 	}
-	o.propose(ctx, "/api/Config.Amend", a, &Version{Bill: n, Parent: parent})
+	return Change{amendPath, a, Version{Bill: n, Parent: d.parent}}
 }
 
 // Guests are the routes that come and go.
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -110,13 +110,9 @@
 // budgets: in no window does a service receive more arrivals after the first of each request than its share
 // of the requests for it and the extra. What was turned away counts, and the best of three windows of
 // requests does.
-func budgets(h []history.Event, t *Troupe) (bad []history.Broken) {
+func budgets(h []history.Event, t *Cast) (bad []history.Broken) {
 	b := Bounds()
-	service := map[string]string{}
-	for _, l := range t.All() {
-		service[l.ID] = l.Service
-	}
-	versions := t.Operator.Versions()
+	service, versions := t.Services, t.Versions
 	prefixes := map[string][]string{} // services that any version names, by host and the path's first part
 	named := func(e history.Event) []string {
 		key := e.Key + e.At[:strings.Index(e.At[1:], "/")+2]
@@ -228,6 +224,35 @@
 	return in
 }
 
+// Trouble on a door's machine or its links, by whoever brings it.
+const (
+	Troubled history.Kind = "trouble"
+	Eased    history.Kind = "eased"
+)
+
+// Cast is who played a history, as far as the rules ask.
+type Cast struct {
+	Doors    map[string]string // names, by where they take control calls
+	Cores    []string          // those with a disk
+	Services map[string]string // of every backend that ever was
+	Versions map[uint64]Version
+}
+
+// Cast names who played.
+func (t *Troupe) Cast() *Cast {
+	c := &Cast{Doors: map[string]string{}, Services: map[string]string{}, Versions: t.Operator.Versions()}
+	for _, d := range t.Doors {
+		c.Doors[d.Control] = d.Name
+	}
+	for _, d := range t.Cores() {
+		c.Cores = append(c.Cores, d.Name)
+	}
+	for _, l := range t.All() {
+		c.Services[l.ID] = l.Service
+	}
+	return c
+}
+
 // calm tells when doors were in touch, by what the rig did to them.
 type calm struct {
 	events map[string][]time.Duration // of each door: ends, starts, stops, goes
@@ -238,14 +263,11 @@
 
 const always = time.Duration(1<<63 - 1)
 
-func newCalm(h []history.Event, t *Troupe) *calm {
-	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}}
-	for _, d := range t.Cores() {
-		c.cores = append(c.cores, d.Name)
-	}
+func newCalm(h []history.Event, t *Cast) *calm {
+	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}, cores: t.Cores}
 	open := map[string]map[history.Kind]time.Duration{}
-	for _, d := range t.Doors {
-		open[d.Name] = map[history.Kind]time.Duration{}
+	for _, name := range t.Doors {
+		open[name] = map[history.Kind]time.Duration{}
 	}
 	for _, e := range h {
 		if open[e.Who] == nil {
@@ -253,7 +275,7 @@
 		}
 		ends := history.Kind("")
 		switch e.Kind {
-		case history.Down, history.Stopped:
+		case history.Down, history.Stopped, Troubled:
 			if _, ok := open[e.Who][e.Kind]; !ok { // a kill is told when it is sent, and when it is seen
 				open[e.Who][e.Kind] = e.T
 			}
@@ -261,6 +283,8 @@
 			ends = history.Down
 		case history.Goes:
 			ends = history.Stopped
+		case Eased:
+			ends = Troubled
 		case Terminates:
 		default:
 			continue
@@ -312,7 +336,7 @@
 
 // Judge holds a history against the rules that clients, backends and the operator can see broken. Slack is
 // how slow the machine itself was.
-func Judge(h []history.Event, t *Troupe, slack time.Duration) (bad []history.Broken) {
+func Judge(h []history.Event, t *Cast, slack time.Duration) (bad []history.Broken) {
 	c := newCalm(h, t)
 	bad = append(bad, Twice(h)...)
 	bad = append(bad, Quotas(h)...)
@@ -325,17 +349,14 @@
 
 // drains: nothing reaches a backend by a door in touch more than the drain after a door in touch
 // acknowledged that it leaves.
-func drains(h []history.Event, t *Troupe, c *calm, slack time.Duration) (bad []history.Broken) {
-	names, ask, told := map[string]string{}, map[string]history.Event{}, map[string]time.Duration{}
-	for _, d := range t.Doors {
-		names[d.Control] = d.Name
-	}
+func drains(h []history.Event, t *Cast, c *calm, slack time.Duration) (bad []history.Broken) {
+	ask, told := map[string]history.Event{}, map[string]time.Duration{}
 	for _, e := range h {
 		switch e.Kind {
 		case history.Asked:
 			ask[e.Txn] = e
 		case history.Told:
-			if _, ok := told[e.At]; !ok && c.touch(names[e.Who], e.T, e.T) {
+			if _, ok := told[e.At]; !ok && c.touch(t.Doors[e.Who], e.T, e.T) {
 				told[e.At] = e.T
 			}
 		case history.Arrived:
@@ -351,12 +372,12 @@
 }
 
 // reads: what is read is not older than what was acknowledged before it was asked.
-func reads(h []history.Event, t *Troupe) (bad []history.Broken) {
+func reads(h []history.Event, t *Cast) (bad []history.Broken) {
 	for _, e := range h {
 		if e.Kind != ReadBack {
 			continue
 		}
-		for n, v := range t.Operator.Versions() {
+		for n, v := range t.Versions {
 			if v.Acked > 0 && v.Acked < e.Due && float64(n) > e.N {
 				bad = append(bad, history.Broken{Rule: "CONFIG", T: e.T, What: fmt.Sprintf(
 					"%.0f was read, asked at %.3fs, though %d was acknowledged at %.3fs", e.N,
@@ -368,9 +389,9 @@
 }
 
 // acks: a proper order is acknowledged within its time where the core was settled all the while.
-func acks(t *Troupe, c *calm, h []history.Event) (bad []history.Broken) {
+func acks(t *Cast, c *calm, h []history.Event) (bad []history.Broken) {
 	last := h[len(h)-1].T
-	for n, v := range t.Operator.Versions() {
+	for n, v := range t.Versions {
 		late := v.Sent + Bounds().AckWithin
 		if v.Lost || v.Acked > 0 && v.Acked <= late || late > last {
 			continue
@@ -386,7 +407,7 @@
 
 // routes: what runs was asked so, by a service that some configuration names for it, and doors in touch go
 // by the configurations that may be in force.
-func routes(h []history.Event, t *Troupe, c *calm, slack time.Duration) (bad []history.Broken) {
+func routes(h []history.Event, t *Cast, c *calm, slack time.Duration) (bad []history.Broken) {
 	type request struct {
 		route, ask, final history.Event
 		ran               []history.Event
@@ -416,11 +437,7 @@
 		}
 		last = max(last, e.T)
 	}
-	service := map[string]string{}
-	for _, l := range t.All() {
-		service[l.ID] = l.Service
-	}
-	versions := t.Operator.Versions()
+	service, versions := t.Services, t.Versions
 	for n, v := range versions {
 		if v.Acked > 0 { // none may have been read
 			newest = max(newest, n)
--- /dev/null
+++ b/internal/house/base.go
@@ -0,0 +1,216 @@
+package house
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/control"
+	"clovergap/internal/counters"
+	"clovergap/internal/dispatch"
+	"clovergap/internal/foyer"
+	"clovergap/internal/gate"
+	"clovergap/internal/intake"
+	"clovergap/internal/link"
+	"clovergap/internal/peers"
+	"clovergap/internal/playbill"
+	"clovergap/internal/promptbook"
+	"clovergap/internal/prompter"
+	"clovergap/internal/stagedoor"
+	"clovergap/internal/wings"
+)
+
+// Base is what a door stands on. New gives it sockets, a clock and a disk; a rehearsal gives it simulated ones. No part of a
+// door knows the difference.
+type Base interface {
+	Turns
+	// Draws are what differs between two lives: the seed of all chance, and the life's name.
+	Draws() (seed int64, life uint64)
+	Counters() *counters.Set
+	// Links to other doors tell the host what comes, each in a turn.
+	Links(host wings.Host[Frame]) (Links, error)
+	// Disk is called for a door with one, and gives what it holds.
+	Disk() (Disk, prompter.Kept, error)
+	// Path is the way of requests and of mail, once the gate is there.
+	Path(h *House, g *gate.Gate) (Path, error)
+}
+
+// Turns is a door's time. Whatever happens takes its turn; at the end of each the parts are pulled.
+type Turns interface {
+	Now() time.Duration
+	At(at time.Duration, to link.Alarm, ref uint32)
+	Turn(func())
+	Settled(func())
+}
+
+// Links carry frames to other doors; what is sent may be lost.
+type Links interface {
+	Want(to string)
+	Leave(to string)
+	Send(to string, f *Frame) bool
+}
+
+// Disk keeps what the core must not forget. Writes go on apart from the turns, one at a time; done is called in a turn, once
+// all of them are synced. A note that can't be kept is let go.
+type Disk interface {
+	Write(writes []prompter.Write, note []byte, done func())
+	Noted() []byte
+}
+
+// Path is what carries requests and mail.
+type Path struct {
+	Ways  Ways
+	Mail  Mail
+	Front Front
+}
+
+// Ways lead to backends.
+type Ways interface {
+	gate.Sender
+	At(id control.BackendID, addr string, started time.Duration, ready bool)
+	Most(id control.BackendID, conns int)
+}
+
+// Mail are datagrams between seats.
+type Mail interface {
+	gate.Teller
+	Move(addrs []netip.AddrPort, me int)
+}
+
+// Front is where clients come in.
+type Front interface {
+	Bound(intake.Bounds)
+	Clients() int
+	Drain()  // connections close between requests
+	Deafen() // and none is taken
+}
+
+// sockets are the real base.
+type sockets struct {
+	*link.Engine
+	h        *House
+	seed     int64
+	life     uint64
+	fds      int
+	wings    *wings.Wings[Frame]
+	disk     *disk
+	peers    *peers.Peers
+	dispatch *dispatch.Dispatch
+	front    *intake.Intake
+	callers  *intake.Intake
+	askers   *intake.Intake // the platform, asking whether this door is ready
+}
+
+func newSockets(fds, memory int) *sockets {
+	s := &sockets{Engine: link.New("", fds-200, ringBound, memory<<20/ringShare), fds: fds,
+		seed: int64(rand.Uint64() >> 1), life: rand.Uint64()}
+	s.Engine.Silence(silence)
+	return s
+}
+
+func (s *sockets) Draws() (int64, uint64)  { return s.seed, s.life }
+func (s *sockets) Counters() *counters.Set { return s.Engine.Count }
+
+func (s *sockets) Links(host wings.Host[Frame]) (_ Links, err error) {
+	s.wings, err = wings.New[Frame](s.h.inner, s.life, host, s.Turn)
+	return s.wings, err
+}
+
+// Disk reads the disk. One that can't be read counts as lost: it is emptied, and let in anew by the others.
+func (s *sockets) Disk() (Disk, prompter.Kept, error) {
+	dir := s.h.sheet.DataDir
+	book, kept, err := promptbook.Open(dir)
+	if torn := (*promptbook.Unreadable)(nil); errors.As(err, &torn) {
+		s.h.warn(corePart, "disk can't be read, begins empty: %v", err)
+		if err := promptbook.Wipe(dir); err != nil {
+			return nil, kept, err
+		}
+		book, kept, err = promptbook.Open(dir)
+	}
+	if err != nil {
+		return nil, kept, err
+	}
+	s.disk = &disk{h: s.h, book: book, writes: make(chan batch, 1)}
+	go s.disk.run()
+	return s.disk, kept, nil
+}
+
+// disk is a real one, with a goroutine of its own: a slow disk must hold up nothing else.
+type disk struct {
+	h      *House
+	book   *promptbook.Book
+	writes chan batch
+}
+
+// batch is what goes to the disk at once.
+type batch struct {
+	writes []prompter.Write
+	note   []byte
+	done   func()
+}
+
+func (d *disk) Write(writes []prompter.Write, note []byte, done func()) {
+	d.writes <- batch{writes, note, done}
+}
+func (d *disk) Noted() []byte { return d.book.Noted() }
+
+func (d *disk) run() {
+	for b := range d.writes {
+		for wait := 20 * time.Millisecond; ; wait = min(2*wait, time.Second) {
+			err := d.book.Apply(b.writes)
+			if err == nil {
+				break
+			}
+			d.h.e.Turn(func() { d.h.warn(corePart, "write failed, goes again: %v", err) })
+			time.Sleep(wait)
+		}
+		if b.note != nil {
+			if err := d.book.Note(b.note); err != nil {
+				d.h.e.Turn(func() { d.h.warn(corePart, "board not kept: %v", err) })
+			}
+		}
+		d.h.e.Turn(b.done)
+	}
+}
+
+func (s *sockets) Path(h *House, g *gate.Gate) (p Path, err error) {
+	s.dispatch = dispatch.New(s.Engine, g, foyer.Terms(h, dialLimit), func() bool { return s.front.Evict() })
+	bounds := foyer.Bounds(foyer.Limits{Head: playbill.DefaultMostHeader, Body: playbill.DefaultMostBody,
+		HeadIn: playbill.DefaultHeaderTimeout, Idle: playbill.DefaultIdleTimeout})
+	s.front = intake.New(s.Engine, max(1, (s.fds-200)/clientShare), bounds, func() bool { return s.dispatch.Evict(nil) })
+	foyer.New(s.front, s.Engine, g, h)
+	s.callers = intake.New(s.Engine, callersMost, intake.Bounds{Body: controlBound}, func() bool { return s.front.Evict() })
+	s.callers.Serves(stagedoor.New(s.callers, h))
+	s.askers = intake.New(s.Engine, 64, intake.Bounds{}, func() bool { return s.front.Evict() })
+	s.askers.Serves(stagedoor.New(s.askers, h))
+	mail := h.mailAt(h.inner)
+	if s.peers, err = peers.New(s.Engine, mail.String(), []netip.AddrPort{mail}, 0, h.Mailed); err != nil {
+		return p, err
+	}
+	s.Short(func() {
+		if !s.dispatch.Evict(nil) {
+			s.front.Evict()
+		}
+	})
+	for _, l := range []struct {
+		addr string
+		to   func(*link.Link)
+	}{{h.sheet.Bind.Front, s.front.Accept}, {h.sheet.Bind.Readiness, s.askers.Accept}, {h.sheet.Bind.Control, s.callers.Accept}} {
+		if l.addr != "" {
+			if err := s.Listen(l.addr, l.to); err != nil {
+				return p, err
+			}
+		}
+	}
+	return Path{s.dispatch, s.peers, entrance{s.front, s.Engine}}, nil
+}
+
+// entrance is where clients come in, all of the door's listening with it.
+type entrance struct {
+	*intake.Intake
+	e *link.Engine
+}
+
+func (e entrance) Deafen() { e.e.Deafen() }
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -5,12 +5,9 @@
 	"encoding/gob"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"clovergap/internal/callboard"
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
-	"clovergap/internal/promptbook"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
 )
@@ -29,8 +26,7 @@
 	h        *House
 	me       prompter.Member
 	p        *prompter.Prompter
-	book     *promptbook.Book
-	writes   chan batch
+	disk     Disk
 	queue    []prompter.Write // not yet given to the disk
 	note     []byte           // the board, to be kept beside the log; nil: nothing to keep
 	noted    time.Duration    // when it last was
@@ -55,60 +51,34 @@
 	err     error
 }
 
-// openCore reads the disk. A disk that can't be read counts as lost: it is emptied, and let in anew by the others.
-func (h *House) openCore() error {
+// openCore begins with what the disk holds.
+func (h *House) openCore(b Base) error {
 	if h.sheet.DataDir == "" {
 		return nil
 	}
-	book, kept, err := promptbook.Open(h.sheet.DataDir)
-	if torn := (*promptbook.Unreadable)(nil); errors.As(err, &torn) {
-		h.warn(corePart, "disk can't be read, begins empty: %v", err)
-		if err := promptbook.Wipe(h.sheet.DataDir); err != nil {
-			return err
-		}
-		book, kept, err = promptbook.Open(h.sheet.DataDir)
-	}
+	disk, kept, err := b.Disk()
 	if err != nil {
 		return err
 	}
-	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, book: book, writes: make(chan batch, 1),
-		waits: map[uint64]waiting{}, verdicts: map[uint64]verdict{}, lost: map[prompter.MemberID]time.Duration{}}
+	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, disk: disk, waits: map[uint64]waiting{},
+		verdicts: map[uint64]verdict{}, lost: map[prompter.MemberID]time.Duration{}}
 	c.p = prompter.New(c.me, kept, prompter.DefaultTerms(), h.seed, h.e.Now())
 	h.core = c
-	go c.disk()
 	return nil
 }
 
-// batch is what goes to the disk at once.
-type batch struct {
-	writes []prompter.Write
-	note   []byte
-}
-
-// disk writes and syncs, apart from the turns: a slow disk must hold up nothing else. A note that can't be kept is let go.
-func (c *core) disk() {
-	for b := range c.writes {
-		for wait := 20 * time.Millisecond; ; wait = min(2*wait, time.Second) {
-			err := c.book.Apply(b.writes)
-			if err == nil {
-				break
-			}
-			c.h.e.Turn(func() { c.h.warn(corePart, "write failed, goes again: %v", err) })
-			time.Sleep(wait)
-		}
-		if b.note != nil {
-			if err := c.book.Note(b.note); err != nil {
-				c.h.e.Turn(func() { c.h.warn(corePart, "board not kept: %v", err) })
-			}
+// write gives the disk what is due. Apart from the turns: a slow disk must hold up nothing else.
+func (c *core) write() {
+	writes := c.queue
+	c.writing = true
+	c.disk.Write(writes, c.note, func() {
+		c.writing = false
+		if len(writes) > 0 {
+			c.p.Now(c.h.e.Now())
+			c.p.Synced(writes[len(writes)-1].Nr)
 		}
-		c.h.e.Turn(func() {
-			c.writing = false
-			if len(b.writes) > 0 {
-				c.p.Now(c.h.e.Now())
-				c.p.Synced(b.writes[len(b.writes)-1].Nr)
-			}
-		})
-	}
+	})
+	c.queue, c.note = nil, nil
 }
 
 // pull carries out what the log asks for.
@@ -148,9 +118,7 @@
 		}
 	}
 	if !c.writing && (len(c.queue) > 0 || c.note != nil) {
-		c.writing = true
-		c.writes <- batch{c.queue, c.note}
-		c.queue, c.note = nil, nil
+		c.write()
 	}
 	c.h.company.Settle(company.Disk(c.me.ID), c.p.Founded())
 }
@@ -170,7 +138,7 @@
 // remember gives the board what was kept of it.
 func (c *core) remember() {
 	var words []callboard.Word
-	if noted := c.book.Noted(); noted != nil && gob.NewDecoder(bytes.NewReader(noted)).Decode(&words) == nil {
+	if noted := c.disk.Noted(); noted != nil && gob.NewDecoder(bytes.NewReader(noted)).Decode(&words) == nil {
 		c.h.board.Now(c.h.e.Now())
 		c.h.board.Remember(words)
 		c.h.say(boardPart, "remembers %d backends", len(words))
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -1,8 +1,10 @@
 package house
 
 import (
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"clovergap/control"
@@ -75,8 +77,8 @@
 	h.company.Now(h.e.Now())
 	h.company.Down(to)
 	delete(h.followers, to)
-	for nr, c := range h.calls {
-		if c.sent == to { // it may have been taken: the same again is answered as the first was
+	for _, nr := range slices.Sorted(maps.Keys(h.calls)) {
+		if c := h.calls[nr]; c.sent == to { // it may have been taken: the same again is answered as the first was
 			c.sent, c.next = "", h.e.Now()+callAgain
 			h.e.At(c.next, (*callAlarm)(h), uint32(nr))
 		}
@@ -216,7 +218,7 @@
 	told := map[string]bool{}
 	if h.core != nil {
 		f := &Frame{Ping: &Ping{p.Stale, p.Index, h.company.Lives()}}
-		for addr := range h.followers {
+		for _, addr := range h.following() {
 			h.wings.Send(addr, f)
 			told[addr] = true
 		}
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -1,6 +1,8 @@
 package house
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"clovergap/internal/company"
@@ -32,7 +34,7 @@
 	h.applied, h.script, h.tail = index, s, nil
 	h.company.Seats(s.Seats())
 	h.swap()
-	for addr := range h.followers {
+	for _, addr := range h.following() {
 		h.feed(addr)
 	}
 }
@@ -57,7 +59,7 @@
 		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
 			h.tail = append([]line(nil), h.tail[tailMost/2:]...)
 		}
-		for addr := range h.followers {
+		for _, addr := range h.following() {
 			h.feed(addr)
 		}
 	}
@@ -82,6 +84,9 @@
 	h.wings.Send(addr, &Frame{Feed: f})
 }
 
+// following are those who follow, in order: what is sent must not go by chance.
+func (h *House) following() []string { return slices.Sorted(maps.Keys(h.followers)) }
+
 // followed takes a wish to follow; followers are those with a live link.
 func (h *House) followed(from string, f *Follow) {
 	if h.core == nil || !h.core.p.Founded() {
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -22,6 +22,25 @@
 	Reply  *Reply
 }
 
+// Kind names what a frame carries.
+func (f *Frame) Kind() string {
+	switch {
+	case f.Hello != nil, f.Found != nil:
+		return "hellos"
+	case f.Ping != nil:
+		return "heartbeats"
+	case f.Core != nil:
+		return "core"
+	case f.Board != nil:
+		return "board"
+	case f.Follow != nil, f.Feed != nil:
+		return "feed"
+	case f.Call != nil, f.Reply != nil:
+		return "calls"
+	}
+	return "others"
+}
+
 // Ping tells that the sender lives, and how old its knowledge of the core is.
 type Ping struct {
 	Stale time.Duration // since it last heard a leader, or led; over an hour: never
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -5,9 +5,7 @@
 
 import (
 	"hash/fnv"
-	"math/rand/v2"
 	"net"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -19,16 +17,11 @@
 	"clovergap/internal/callboard"
 	"clovergap/internal/callsheet"
 	"clovergap/internal/company"
-	"clovergap/internal/dispatch"
-	"clovergap/internal/foyer"
+	"clovergap/internal/counters"
 	"clovergap/internal/gate"
-	"clovergap/internal/intake"
 	"clovergap/internal/link"
-	"clovergap/internal/peers"
 	"clovergap/internal/playbill"
 	"clovergap/internal/script"
-	"clovergap/internal/stagedoor"
-	"clovergap/internal/wings"
 )
 
 // Shares and bounds of a door.
@@ -55,9 +48,11 @@
 	life  uint64
 	inner string // where it takes links; its name among doors
 
-	e       *link.Engine
-	wings   *wings.Wings[Frame]
-	peers   *peers.Peers
+	e       Turns
+	own     *sockets // nil in a rehearsal
+	count   *counters.Set
+	wings   Links
+	peers   Mail
 	company *company.Company
 	core    *core // nil without a disk
 	script  *script.Script
@@ -72,10 +67,8 @@
 	quota    *control.Quota
 	office   *boxoffice.Office
 	gate     *gate.Gate
-	dispatch *dispatch.Dispatch
-	front    *intake.Intake
-	callers  *intake.Intake
-	askers   *intake.Intake // the platform, asking whether this door is ready
+	dispatch Ways
+	front    Front
 
 	table   *playbill.Table
 	stock   stock
@@ -100,10 +93,6 @@
 
 // New puts a door together; Start begins it.
 func New(sheet *callsheet.Sheet) (*House, error) {
-	h := &House{sheet: sheet, log: newLog(sheet.NodeName), seed: int64(rand.Uint64() >> 1), life: rand.Uint64(),
-		inner:  net.JoinHostPort(sheet.IP, strconv.Itoa(sheet.InnerPorts[0])),
-		script: script.New(), table: playbill.NewTable(nil), words: map[string]word{}, followers: map[string]uint64{},
-		calls: map[uint64]*call{}, beats: map[callboard.Ticket]func(bool, string){}, stock: newStock()}
 	fds := sheet.Limits.MaxFDs
 	if fds <= 0 {
 		fds = 1024
@@ -112,12 +101,28 @@
 	if memory <= 0 {
 		memory = 256
 	}
-	h.e = link.New("", fds-200, ringBound, memory<<20/ringShare)
-	h.e.Silence(silence)
-	if err := h.buildDoors(); err != nil {
+	s := newSockets(fds, memory)
+	return build(&House{sheet: sheet, own: s, log: newLog(sheet.NodeName)}, s)
+}
+
+// Over puts a door together over what it is given to stand on; Begin begins it.
+func Over(sheet *callsheet.Sheet, b Base, log *log.Logger) (*House, error) {
+	return build(&House{sheet: sheet, log: log}, b)
+}
+
+func build(h *House, b Base) (*House, error) {
+	h.seed, h.life = b.Draws()
+	h.inner = net.JoinHostPort(h.sheet.IP, strconv.Itoa(h.sheet.InnerPorts[0]))
+	h.e, h.count = b, b.Counters()
+	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]uint64{}
+	h.calls, h.beats, h.stock = map[uint64]*call{}, map[callboard.Ticket]func(bool, string){}, newStock()
+	if h.own != nil {
+		h.own.h = h
+	}
+	if err := h.buildDoors(b); err != nil {
 		return nil, err
 	}
-	if err := h.buildPath(fds); err != nil {
+	if err := h.buildPath(b); err != nil {
 		return nil, err
 	}
 	h.e.Settled(h.pull)
@@ -125,12 +130,12 @@
 }
 
 // buildDoors makes what doors know of each other.
-func (h *House) buildDoors() (err error) {
-	if h.wings, err = wings.New[Frame](h.inner, h.life, h, h.e.Turn); err != nil {
+func (h *House) buildDoors(b Base) (err error) {
+	if h.wings, err = b.Links(h); err != nil {
 		return err
 	}
 	h.e.Turn(func() { // the core may have something to say at once: it is pulled once all is there
-		err = h.openCore()
+		err = h.openCore(b)
 	})
 	if err != nil {
 		return errors.Wrap(err, "core")
@@ -146,51 +151,27 @@
 }
 
 // buildPath makes the way of requests and of calls.
-func (h *House) buildPath(fds int) (err error) {
+func (h *House) buildPath(b Base) error {
 	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond,
 		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true, Start: allNewShare})
 	h.office = boxoffice.New(h.seed, boxoffice.Terms{Zone: h.stock.zone(h.sheet.Zone),
 		RetryRatio: h.sheet.Bounds.RetryRatio, RetryWindow: h.sheet.Bounds.RetryWindow,
 		RetryExtra: float64(h.sheet.Bounds.RetryExtra), Doors: 1}, h.quota, h.e.Now())
-	k := &clock{Engine: h.e}
-	h.gate = gate.New(h.office, k, heldMost, h.e.Count, notes{h})
+	k := &clock{Turns: h.e}
+	h.gate = gate.New(h.office, k, heldMost, h.count, notes{h})
 	k.due = h.gate
-	h.dispatch = dispatch.New(h.e, h.gate, foyer.Terms(h, dialLimit),
-		func() bool { return h.front.Evict() })
-	bounds := foyer.Bounds(foyer.Limits{Head: playbill.DefaultMostHeader, Body: playbill.DefaultMostBody,
-		HeadIn: playbill.DefaultHeaderTimeout, Idle: playbill.DefaultIdleTimeout})
-	h.front = intake.New(h.e, max(1, (fds-200)/clientShare), bounds, func() bool { return h.dispatch.Evict(nil) })
-	foyer.New(h.front, h.e, h.gate, h)
-	h.callers = intake.New(h.e, callersMost, intake.Bounds{Body: controlBound}, func() bool { return h.front.Evict() })
-	h.callers.Serves(stagedoor.New(h.callers, h))
-	h.askers = intake.New(h.e, 64, intake.Bounds{}, func() bool { return h.front.Evict() })
-	h.askers.Serves(stagedoor.New(h.askers, h))
-	mail := h.mailAt(h.inner).String()
-	if h.peers, err = peers.New(h.e, mail, []netip.AddrPort{h.mailAt(h.inner)}, 0, h.mailed); err != nil {
+	p, err := b.Path(h, h.gate)
+	if err != nil {
 		return err
 	}
+	h.dispatch, h.peers, h.front = p.Ways, p.Mail, p.Front
 	h.gate.Through(h.dispatch, h.peers)
-	h.e.Short(func() {
-		if !h.dispatch.Evict(nil) {
-			h.front.Evict()
-		}
-	})
-	for _, l := range []struct {
-		addr string
-		to   func(*link.Link)
-	}{{h.sheet.Bind.Front, h.front.Accept}, {h.sheet.Bind.Readiness, h.askers.Accept}, {h.sheet.Bind.Control, h.callers.Accept}} {
-		if l.addr != "" {
-			if err := h.e.Listen(l.addr, l.to); err != nil {
-				return err
-			}
-		}
-	}
 	return nil
 }
 
 // clock gives the gate the engine's time; the module's next due time is an entry among all others.
 type clock struct {
-	*link.Engine
+	Turns
 	due link.Alarm
 }
 
@@ -198,25 +179,28 @@
 
 // Start begins to listen and to say hello.
 func (h *House) Start() error {
-	if err := h.e.Start(); err != nil {
+	if err := h.own.Start(); err != nil {
 		return err
 	}
 	var err error
 	h.e.Turn(func() {
-		if err = h.peers.Start(); err == nil {
-			h.e.At(h.e.Now()+lookEvery, (*tick)(h), 0)
+		if err = h.own.peers.Start(); err == nil {
+			h.Begin()
 		}
 	})
 	if err != nil {
 		return err
 	}
-	h.wings.Start()
+	h.own.wings.Start()
 	h.say(doorPart, "serves at %s, control at %s, disk %v", h.sheet.Bind.Front, h.sheet.Bind.Control, h.core != nil)
 	return nil
 }
 
-// mailed takes a peer's datagram to the quota, by the module.
-func (h *House) mailed(from control.GatewayID, payload []byte) { h.gate.Heard(from, payload) }
+// Begin begins the periodic work, in a turn.
+func (h *House) Begin() { h.e.At(h.e.Now()+lookEvery, (*tick)(h), 0) }
+
+// Mailed takes a peer's datagram to the quota, by the module.
+func (h *House) Mailed(from control.GatewayID, payload []byte) { h.gate.Heard(from, payload) }
 
 // pull carries out what the parts decided: the log first, since all else goes by it.
 func (h *House) pull() {
--- a/internal/house/leave.go
+++ b/internal/house/leave.go
@@ -20,6 +20,29 @@
 	graceUsual = 6 * time.Second
 )
 
+// Leaving begins the end of a door, in a turn: it says that it is not ready, and hands over what it leads.
+func (h *House) Leaving() {
+	h.leaving = true
+	h.say(doorPart, "ends, %d requests held", h.gate.Held())
+	if h.core != nil {
+		h.core.p.Now(h.e.Now())
+		h.core.p.HandOver()
+	}
+}
+
+// Ends goes on with it so long after it began, in a turn, and tells whether all is done.
+func (h *House) Ends(since time.Duration) bool {
+	if since < comingFor {
+		return false
+	}
+	h.front.Drain()
+	if since <= quietFor {
+		return false
+	}
+	h.front.Deafen()
+	return h.gate.Held() == 0 && h.front.Clients() == 0
+}
+
 // End ends a door in order.
 func (h *House) End() {
 	began := time.Now()
@@ -27,25 +50,9 @@
 	if grace <= 0 {
 		grace = graceUsual
 	}
-	h.e.Turn(func() {
-		h.leaving = true
-		h.say(doorPart, "ends, %d requests held", h.gate.Held())
-		if h.core != nil {
-			h.core.p.Now(h.e.Now())
-			h.core.p.HandOver()
-		}
-	})
+	h.e.Turn(h.Leaving)
 	for over := false; !over && time.Since(began) < grace-endMargin; time.Sleep(endLook) {
-		if time.Since(began) < comingFor {
-			continue
-		}
-		h.e.Turn(func() {
-			h.front.Drain()
-			if time.Since(began) > quietFor {
-				h.e.Deafen()
-				over = h.gate.Held() == 0 && h.front.Clients() == 0
-			}
-		})
+		h.e.Turn(func() { over = h.Ends(time.Since(began)) })
 	}
 	h.e.Turn(func() { h.say(doorPart, "ended, %d requests held", h.gate.Held()) })
 	time.Sleep(settleFor)
@@ -74,7 +81,7 @@
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	h.e.Turn(func() {
-		h.say(doorPart, "counters: %s; heap %d KB of %d, held %d, clients %d, must holds broken %d", h.e.Count.Text(),
+		h.say(doorPart, "counters: %s; heap %d KB of %d, held %d, clients %d, must holds broken %d", h.count.Text(),
 			m.HeapAlloc>>10, m.Sys>>10, h.gate.Held(), h.front.Clients(), check.Broken())
 	})
 }
--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -73,7 +73,7 @@
 	why := h.unready()
 	s := stagedoor.HouseStatus{Door: h.sheet.NodeName, Address: h.inner, Zone: h.sheet.Zone, Ready: len(why) == 0,
 		Unready: why, Generation: h.table.Version(), Applied: h.applied, Feeder: h.feeder, Held: h.gate.Held(),
-		Clients: h.front.Clients(), Counters: h.e.Count.Text(), Doors: h.doorList(),
+		Clients: h.front.Clients(), Counters: h.count.Text(), Doors: h.doorList(),
 		Backends: []stagedoor.HouseBackend{}}
 	if me := h.seat(); me != company.NoSeat {
 		s.Seat = ptr(int(me))
--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -524,7 +524,7 @@
 	if n := events[max(0, len(events)-1)]; n.Kind == history.Lost {
 		res.Slow = time.Hour // what rests on what was not kept is no finding
 	}
-	bad = append(bad, extras.Judge(events, h.t, platform+res.Slow)...)
+	bad = append(bad, extras.Judge(events, h.t.Cast(), platform+res.Slow)...)
 	spoilt := map[string]bool{}
 	for _, e := range events {
 		if e.Kind == standin.Spoils {
