--- a/internal/extras/backend.go
+++ b/internal/extras/backend.go
@@ -38,12 +38,12 @@
 }
 
 const (
-	slotsEach  = 4
-	queueEach  = 6
-	beatsMost  = 1 * time.Second // an acknowledgement counts within it
+	SlotsEach  = 4
+	QueueEach  = 6
+	BeatsMost  = 1 * time.Second // an acknowledgement counts within it
 	ackMost    = 4 << 10
-	drainSlack = 1500 * time.Millisecond // and a little longer
-	givesUp    = 6 * time.Second         // of a drain that nobody acknowledges
+	DrainSlack = 1500 * time.Millisecond // and a little longer
+	GivesUp    = 6 * time.Second         // of a drain that nobody acknowledges
 )
 
 // Read takes a request by the protocol; health and what can't be one are answered at once.
@@ -108,16 +108,16 @@
 	}
 	t.lives++
 	work := time.Duration(0)
-	for _, s := range services {
-		if s.name == service {
-			work = s.work
+	for _, s := range Services {
+		if s.Name == service {
+			work = s.Work
 		}
 	}
 	src := rand.New(rand.NewPCG(t.Terms.Seed, 0xbac0+uint64(t.lives)))
 	var draw sync.Mutex
 	l := &Line{Service: service, Zone: zone, t: t, from: time.Now(), cold: cold}
-	b, err := standin.NewSpeaking(l, t.Terms.History, fmt.Sprintf("i-%s-%d", service, t.lives), zone, slotsEach,
-		queueEach,
+	b, err := standin.NewSpeaking(l, t.Terms.History, fmt.Sprintf("i-%s-%d", service, t.lives), zone, SlotsEach,
+		QueueEach,
 		t.Terms.Seed+uint64(t.lives), func(string) time.Duration {
 			draw.Lock()
 			defer draw.Unlock()
@@ -175,11 +175,11 @@
 		if l.phase.Load() {
 			phase = stagedoor.Draining
 		}
-		body, _ := json.Marshal(stagedoor.Beat{Address: l.Addr, CallSeq: l.seq.Add(1), Capacity: slotsEach,
+		body, _ := json.Marshal(stagedoor.Beat{Address: l.Addr, CallSeq: l.seq.Add(1), Capacity: SlotsEach,
 			Generation: "v1", Phase: phase,
 			ColdLeft: fmt.Sprintf("%dms", max(0,
 				l.cold-time.Since(l.from)).Milliseconds()), Target: l.Service, Zone: l.Zone})
-		status, text, err := l.t.post(ctx, to, "/api/Backends."+what+"/"+l.ID, body, beatsMost)
+		status, text, err := l.t.post(ctx, to, "/api/Backends."+what+"/"+l.ID, body, BeatsMost)
 		if err != nil || status/100 != 2 || len(text) > ackMost {
 			return false
 		}
@@ -218,13 +218,13 @@
 // longer, leaves and ends. It returns when it has ended.
 func (l *Line) Drain(ctx context.Context) (acknowledged bool) {
 	l.phase.Store(true)
-	until := time.Now().Add(givesUp)
+	until := time.Now().Add(GivesUp)
 	for !acknowledged && ctx.Err() == nil && time.Now().Before(until) {
 		if acknowledged = l.say(ctx, "Heartbeat"); !acknowledged {
 			pause(ctx, 200*time.Millisecond)
 		}
 	}
-	pause(ctx, Bounds().Drain+drainSlack)
+	pause(ctx, Bounds().Drain+DrainSlack)
 	if acknowledged {
 		l.say(ctx, "Leave")
 	}
--- a/internal/extras/clients.go
+++ b/internal/extras/clients.go
@@ -32,17 +32,16 @@
 	by     standin.Outcome
 	status map[int]int // by the last try's answer; nought: none
 	kinds  map[string]*standin.Outcome
-	guests []playbill.BillRoute
-	gone   []playbill.BillRoute // the last that were guests
-	missed []int                // times in a row that a door was not ready
-	known  []bool
+	known  Known
+	missed []int // times in a row that a door was not ready
+	heard  []bool
 }
 
 // listens is how long after its time a client still listens: an answer that comes late is told from none.
 const listens = time.Second
 
-// triesMost of one request, by its client.
-const triesMost = 4
+// TriesMost of one request, by its client.
+const TriesMost = 4
 
 // goneMost routes that were taken away are asked on.
 const goneMost = 4
@@ -58,7 +57,7 @@
 			DialContext:        dial}},
 		fresh: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: dial}},
-		missed: make([]int, len(t.Doors)), known: make([]bool, len(t.Doors))}
+		missed: make([]int, len(t.Doors)), heard: make([]bool, len(t.Doors))}
 }
 
 // Watch asks every door each second whether it is ready, as the platform does, until the context ends.
@@ -72,7 +71,7 @@
 				yes, _ := c.t.ready(ctx, d)
 				c.mu.Lock()
 				if c.missed[i]++; yes {
-					c.missed[i], c.known[i] = 0, true
+					c.missed[i], c.heard[i] = 0, true
 				}
 				c.mu.Unlock()
 				pause(ctx, time.Second)
@@ -94,99 +93,124 @@
 	return n
 }
 
-func (c *Clients) in(i int) bool { return c.known[i] && c.missed[i] < 2 }
+func (c *Clients) in(i int) bool { return c.heard[i] && c.missed[i] < 2 }
 
 // door is where the platform passes a new connection of a zone; the lock is held.
 func (c *Clients) door(zone string) *Door {
-	var in, all, any []*Door
-	for i, d := range c.t.Doors {
-		if c.in(i) {
-			any = append(any, d)
+	return c.t.Doors[Pass(c.rng, zone, len(c.t.Doors), func(i int) string { return c.t.Doors[i].Zone }, c.in)]
+}
+
+// Pass chooses where the platform passes a new connection of a zone, by which doors are in.
+func Pass(rng *rand.Rand, zone string, doors int, zoneOf func(int) string, in func(int) bool) int {
+	var ready, all, any, every []int
+	for i := range doors {
+		every = append(every, i)
+		if in(i) {
+			any = append(any, i)
 		}
-		if d.Zone == zone {
-			if all = append(all, d); c.in(i) {
-				in = append(in, d)
+		if zoneOf(i) == zone {
+			if all = append(all, i); in(i) {
+				ready = append(ready, i)
 			}
 		}
 	}
 	switch {
-	case len(in) == 0 && len(any) > 0:
-		in = any
-	case 2*len(in) < len(all):
-		in = all
-	case len(in) == 0:
-		in = c.t.Doors
+	case len(ready) == 0 && len(any) > 0:
+		ready = any
+	case 2*len(ready) < len(all):
+		ready = all
+	case len(ready) == 0:
+		ready = every
 	}
-	return in[c.rng.IntN(len(in))]
+	return ready[rng.IntN(len(ready))]
 }
 
-// want is one request of a client.
-type want struct {
-	kind, host, path, tenant, key string
-	effectful                     bool
-	aim, deadline                 time.Duration
-	zone                          string
+// Want is one request of a client.
+type Want struct {
+	Kind, Host, Path, Tenant, Key string
+	Effectful                     bool
+	Aim, Deadline                 time.Duration
+	Zone                          string
 }
 
-// Learn tells the clients of routes that come and go.
-func (c *Clients) Learn(b *playbill.Bill) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// Known are the routes that come and go, as clients know them.
+type Known struct{ guests, gone []playbill.BillRoute }
+
+// Learn takes a configuration.
+func (k *Known) Learn(b *playbill.Bill) {
 	now := Guests(b)
-	for _, g := range c.guests {
+	for _, g := range k.guests {
 		if !slices.ContainsFunc(now, func(x playbill.BillRoute) bool { return x.Name == g.Name }) {
-			c.gone = append(c.gone, g)
-			c.gone = c.gone[max(0, len(c.gone)-goneMost):]
+			k.gone = append(k.gone, g)
+			k.gone = k.gone[max(0, len(k.gone)-goneMost):]
 		}
 	}
-	c.guests = now
+	k.guests = now
 }
 
-func (c *Clients) draw() want {
+// Learn tells the clients of routes that come and go.
+func (c *Clients) Learn(b *playbill.Bill) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := want{zone: c.t.Terms.Zones[c.rng.IntN(len(c.t.Terms.Zones))], aim: 400 * time.Millisecond,
-		deadline: 1500 * time.Millisecond}
-	switch x := c.rng.IntN(100); {
+	c.known.Learn(b)
+}
+
+func (c *Clients) draw() Want {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known.Draw(c.rng, c.t.Terms.Zones)
+}
+
+// Draw draws a request.
+func (k *Known) Draw(rng *rand.Rand, zones []string) Want {
+	w := Want{Zone: zones[rng.IntN(len(zones))], Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond}
+	switch x := rng.IntN(100); {
 	case x < 50:
-		w.tenant, w.key = "patrons", []string{"patronskey1", "patronskey2"}[c.rng.IntN(2)]
+		w.Tenant, w.Key = "patrons", []string{"patronskey1", "patronskey2"}[rng.IntN(2)]
 	case x < 75:
-		w.tenant, w.key = "clubs", "clubskey1"
+		w.Tenant, w.Key = "clubs", "clubskey1"
 	default:
-		w.tenant, w.key = "touts", "toutskey1"
+		w.Tenant, w.Key = "touts", "toutskey1"
 	}
-	switch x := c.rng.IntN(100); {
+	switch x := rng.IntN(100); {
 	case x < 40:
-		w.kind, w.host, w.path = "r-browse", hostProgramme, "/browse/"
+		w.Kind, w.Host, w.Path = "r-browse", hostProgramme, "/browse/"
 	case x < 50:
-		w.kind, w.host, w.path, w.tenant, w.key = "r-lobby", hostProgramme, "/lobby/", "", ""
-	case x < 85 || len(c.guests) == 0:
-		w.kind, w.host, w.path, w.effectful = "r-book", hostTickets, "/book/", true
-		w.aim, w.deadline = 500*time.Millisecond, 2*time.Second
+		w.Kind, w.Host, w.Path, w.Tenant, w.Key = "r-lobby", hostProgramme, "/lobby/", "", ""
+	case x < 85 || len(k.guests) == 0:
+		w.Kind, w.Host, w.Path, w.Effectful = "r-book", hostTickets, "/book/", true
+		w.Aim, w.Deadline = 500*time.Millisecond, 2*time.Second
 	default:
-		g := c.guests[c.rng.IntN(len(c.guests))]
-		if len(c.gone) > 0 && c.rng.IntN(4) == 0 {
-			g = c.gone[c.rng.IntN(len(c.gone))]
+		g := k.guests[rng.IntN(len(k.guests))]
+		if len(k.gone) > 0 && rng.IntN(4) == 0 {
+			g = k.gone[rng.IntN(len(k.gone))]
 		}
-		w.kind, w.host, w.path = g.Name, hostGuests, g.PathPrefix
+		w.Kind, w.Host, w.Path = g.Name, hostGuests, g.PathPrefix
 	}
-	w.path += strconv.FormatUint(c.rng.Uint64N(1000), 16)
+	w.Path += strconv.FormatUint(rng.Uint64N(1000), 16)
 	return w
 }
 
+// Probes are a request by each of the first routes.
+func Probes() []Want {
+	all := []Want{{Kind: "r-lobby", Host: hostProgramme, Path: "/lobby/probe"},
+		{Kind: "r-browse", Host: hostProgramme, Path: "/browse/probe", Tenant: "patrons", Key: "patronskey1"},
+		{Kind: "r-book", Host: hostTickets, Path: "/book/probe", Tenant: "patrons", Key: "patronskey2", Effectful: true}}
+	for i := range all {
+		all[i].Deadline = 2 * time.Second
+	}
+	return all
+}
+
 // One asks a door by a route, once, without a client's further tries.
-func (c *Clients) One(ctx context.Context, d *Door, w want) int {
-	status, _, _ := c.try(ctx, c.fresh, d, w, w.deadline)
+func (c *Clients) One(ctx context.Context, d *Door, w Want) int {
+	status, _, _ := c.try(ctx, c.fresh, d, w, w.Deadline)
 	return status
 }
 
 // Probe asks a door by each of the first routes; it tells whether all were served.
 func (c *Clients) Probe(ctx context.Context, d *Door) bool {
-	for _, w := range []want{{kind: "r-lobby", host: hostProgramme, path: "/lobby/probe"},
-		{kind: "r-browse", host: hostProgramme, path: "/browse/probe", tenant: "patrons", key: "patronskey1"},
-		{kind: "r-book", host: hostTickets, path: "/book/probe", tenant: "patrons", key: "patronskey2",
-			effectful: true}} {
-		w.deadline = 2 * time.Second
+	for _, w := range Probes() {
 		if c.One(ctx, d, w) != http.StatusOK {
 			return false
 		}
@@ -195,36 +219,36 @@
 }
 
 // try sends one try by its own id.
-func (c *Clients) try(ctx context.Context, with *http.Client, d *Door, w want,
+func (c *Clients) try(ctx context.Context, with *http.Client, d *Door, w Want,
 	left time.Duration) (status int, h http.Header, wrong bool) {
 	ctx, cancel := context.WithTimeout(ctx, left+listens)
 	defer cancel()
 	id := fmt.Sprintf("%08x%08x", uint32(c.t.Terms.Seed), c.next.Add(1))
 	method, text := "GET", ""
-	if w.effectful {
+	if w.Effectful {
 		method, text = "POST", "{\"seat\":7}"
 	}
 	// A body that the library can't get anew: it must not send anything again by itself.
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+d.Front+w.path,
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+d.Front+w.Path,
 		struct{ io.Reader }{strings.NewReader(text)})
 	if err != nil {
 		return 0, nil, false
 	}
-	r.ContentLength, r.Host = int64(len(text)), w.host
+	r.ContentLength, r.Host = int64(len(text)), w.Host
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	r.Header.Set("X-Tenant", "nobody") // the system's own word counts
-	if w.key != "" {
-		r.Header.Set("Authorization", "Token "+w.key)
+	if w.Key != "" {
+		r.Header.Set("Authorization", "Token "+w.Key)
 	}
 	what := "pure"
-	if w.effectful {
+	if w.Effectful {
 		what = "effectful"
 	}
-	asked := history.Event{Who: "clients", Kind: history.Asked, Txn: id, Key: w.tenant, At: d.Name, N: 1,
+	asked := history.Event{Who: "clients", Kind: history.Asked, Txn: id, Key: w.Tenant, At: d.Name, N: 1,
 		What: what, Due: history.Now() + left}
-	c.t.Terms.History.Add(history.Event{Who: "clients", Kind: Route, Txn: id, Key: w.host, At: w.path,
-		What: w.kind})
+	c.t.Terms.History.Add(history.Event{Who: "clients", Kind: Route, Txn: id, Key: w.Host, At: w.Path,
+		What: w.Kind})
 	status, h, body := standin.Try(with, c.t.Terms.History, r, asked)
 	if status/100 == 2 && (body != "done "+id || h.Get("X-Backend-Seal") == "" || h.Get("X-Attempt-Id") != id) {
 		wrong = true
@@ -240,26 +264,35 @@
 	Mixed history.Kind = "mixed" // a success that is not the backend's
 )
 
+// Again tells whether a client tries again after a status; nought: it got none.
+func Again(status int, effectful bool) bool {
+	switch status {
+	case 429, 503, 408, 421:
+		return true
+	case 400, 401, 404, 413, 431:
+		return false
+	}
+	return status/100 != 2 && !effectful
+}
+
 // Send sends one request, with further tries within its time.
-func (c *Clients) Send(ctx context.Context, w want, meant time.Time) {
-	until := meant.Add(w.deadline)
+func (c *Clients) Send(ctx context.Context, w Want, meant time.Time) {
+	until := meant.Add(w.Deadline)
 	status, wrong := 0, false
-	for try := 1; try <= triesMost; try++ {
+	for try := 1; try <= TriesMost; try++ {
 		left := time.Until(until)
 		if left < 20*time.Millisecond && try > 1 {
 			break
 		}
 		c.mu.Lock()
-		d, with := c.door(w.zone), c.http
+		d, with := c.door(w.Zone), c.http
 		if try > 1 || c.rng.IntN(4) == 0 {
 			with = c.fresh
 		}
 		c.mu.Unlock()
 		var h http.Header
 		status, h, wrong = c.try(ctx, with, d, w, max(left, time.Millisecond))
-		promise := status == 429 || status == 503 || status == 408 || status == 421
-		if status/100 == 2 || status == 400 || status == 401 || status == 404 || status == 413 || status == 431 ||
-			w.effectful && !promise {
+		if !Again(status, w.Effectful) {
 			break
 		}
 		wait := time.Duration(20+c.drawn(60)) * time.Millisecond
@@ -272,10 +305,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.status[status]++
-	k := c.kinds[w.tenant]
+	k := c.kinds[w.Tenant]
 	if k == nil {
 		k = &standin.Outcome{}
-		c.kinds[w.tenant] = k
+		c.kinds[w.Tenant] = k
 	}
 	for _, o := range []*standin.Outcome{&c.by, k} {
 		o.Requests++
@@ -283,7 +316,7 @@
 		case wrong:
 			o.Wrong++
 		case status/100 == 2:
-			if o.Settled++; took <= w.aim {
+			if o.Settled++; took <= w.Aim {
 				o.InTime++
 			}
 		case status == 429 || status == 503:
--- a/internal/extras/operator.go
+++ b/internal/extras/operator.go
@@ -15,13 +15,14 @@
 	"clovergap/internal/playbill"
 )
 
-// service is one of the small house that is played.
-type service struct {
-	name string
-	work time.Duration
+// Service is one of the small house that is played.
+type Service struct {
+	Name string
+	Work time.Duration // the least of a request is half of it, the mean all
 }
 
-var services = []service{{"programme", 15 * time.Millisecond}, {"tickets", 25 * time.Millisecond}}
+// Services are those of First.
+var Services = []Service{{"programme", 15 * time.Millisecond}, {"tickets", 25 * time.Millisecond}}
 
 // Hosts of the house.
 const (
@@ -70,8 +71,8 @@
 					playbill.BillTarget{Target: "tickets", Weight: 20})}},
 			{Hostname: hostTickets, PathList: []playbill.BillRoute{
 				route("r-book", "/book/", playbill.Effectful, "2000ms", "500ms", false, one("tickets"))}}}}
-	for _, s := range services {
-		b.Services = append(b.Services, playbill.BillService{Name: s.name, HealthPath: "/health", MaxConns: 130,
+	for _, s := range Services {
+		b.Services = append(b.Services, playbill.BillService{Name: s.Name, HealthPath: "/health", MaxConns: 130,
 			Protocol: "h1"})
 	}
 	return b
@@ -103,13 +104,22 @@
 	return &Operator{t: t, rng: t.source(0x09e7a702), versions: map[uint64]*Version{}, at: 0}
 }
 
-// clearMost bounds how long a call is sent again.
-const clearMost = 12 * time.Second
+// Clear tells whether a status ends an operator's call at once.
+func Clear(status int) bool {
+	switch status {
+	case 400, 409, 412, 413, 422:
+		return true
+	}
+	return status/100 == 2
+}
+
+// ClearMost bounds how long a call is sent again.
+const ClearMost = 12 * time.Second
 
 // ask brings a call to one door after another until one gives a clear answer: a 2xx or a 4xx that says no.
 func (o *Operator) ask(ctx context.Context, method, path string, body []byte) (status int, text []byte,
 	clear bool) {
-	ctx, cancel := context.WithTimeout(ctx, clearMost)
+	ctx, cancel := context.WithTimeout(ctx, ClearMost)
 	defer cancel()
 	o.mu.Lock()
 	o.at = o.rng.IntN(len(o.t.Doors))
@@ -121,9 +131,7 @@
 		at++
 		switch {
 		case err != nil:
-		case status/100 == 2:
-			return status, text, true
-		case status == 400 || status == 409 || status == 412 || status == 413 || status == 422:
+		case Clear(status):
 			return status, text, true
 		case status/100 == 4 && status != 408 && status != 429:
 			if strange++; strange == 3 {
@@ -173,7 +181,7 @@
 func (o *Operator) Open(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		v := &Version{Bill: First()}
-		if status, clear := o.propose(ctx, replacePath, v.Bill, v); clear && status == http.StatusOK {
+		if status, clear := o.propose(ctx, ReplacePath, v.Bill, v); clear && status == http.StatusOK {
 			return true
 		} else if clear {
 			return false
@@ -282,18 +290,18 @@
 	case x < 8:
 		n := d.next()
 		guest(n, d.guestRoute(n.Generation))
-		return []Change{{replacePath, n, Version{Bill: n, Parent: parent}}}
+		return []Change{{ReplacePath, n, Version{Bill: n, Parent: parent}}}
 	case x < 9:
 		return []Change{d.amend(), d.amend()}
 	}
 	n := d.next()
 	n.Vhosts[0].PathList[0].Target = "nobody"
-	return []Change{{replacePath, n, Version{Bill: n, Parent: parent, WellKnownBad: true}}}
+	return []Change{{ReplacePath, n, Version{Bill: n, Parent: parent, WellKnownBad: true}}}
 }
 
 const (
-	replacePath = "/api/Config.Replace"
-	amendPath   = "/api/Config.Amend"
+	ReplacePath = "/api/Config.Replace"
+	AmendPath   = "/api/Config.Amend"
 )
 
 // draft is a change under way.
@@ -315,7 +323,7 @@
 	deadline, aim := "1500ms", "400ms"
 	return playbill.BillRoute{Name: fmt.Sprintf("g-%d", n), PathPrefix: fmt.Sprintf("/g%d/", n),
 		Variant: playbill.Pure, Deadline: &deadline,
-		TargetLatency: &aim, MaxTries: 2, Target: services[d.draw(2)].name}
+		TargetLatency: &aim, MaxTries: 2, Target: Services[d.draw(2)].Name}
 }
 
 // amend changes named items.
@@ -340,7 +348,7 @@
 			PathList: []playbill.BillRoute{r}}}}
 		guest(n, r)
 	}
-	return Change{amendPath, a, Version{Bill: n, Parent: d.parent}}
+	return Change{AmendPath, a, Version{Bill: n, Parent: d.parent}}
 }
 
 // Guests are the routes that come and go.
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -171,11 +171,11 @@
 	return bad
 }
 
-// Kept: what was acknowledged is in the configuration read back at the end, or older than it; and what is
+// Kept: what was acknowledged is in the configuration read back at the end, at a time, or older than it; and what is
 // read is what was sent.
-func Kept(final *playbill.Bill, sent map[uint64]Version) (bad []history.Broken) {
+func Kept(final *playbill.Bill, sent map[uint64]Version, at time.Duration) (bad []history.Broken) {
 	say := func(format string, args ...any) {
-		bad = append(bad, history.Broken{Rule: "CONFIG", T: history.Now(), What: fmt.Sprintf(format, args...)})
+		bad = append(bad, history.Broken{Rule: "CONFIG", T: at, What: fmt.Sprintf(format, args...)})
 	}
 	parents := map[uint64]uint64{}
 	for n, v := range sent {
--- a/internal/extras/rules_test.go
+++ b/internal/extras/rules_test.go
@@ -141,6 +141,6 @@
 		"invalid":       {bill(4), map[uint64]Version{4: {Bill: bill(4), Acked: s, WellKnownBad: true}}, 1},
 		"nothing comes": {nil, map[uint64]Version{4: {Bill: bill(4)}}, 1},
 	} {
-		must.Len(t, c.bad, Kept(c.final, c.sent), must.Sprint(name))
+		must.Len(t, c.bad, Kept(c.final, c.sent, s), must.Sprint(name))
 	}
 }
--- a/internal/extras/troupe.go
+++ b/internal/extras/troupe.go
@@ -144,10 +144,10 @@
 		}
 	}
 	t.Operator = newOperator(t)
-	for _, s := range services {
+	for _, s := range Services {
 		for _, z := range o.Zones {
 			for range o.Each {
-				if _, err := t.Add(s.name, z, 0); err != nil {
+				if _, err := t.Add(s.Name, z, 0); err != nil {
 					return t, err
 				}
 			}
--- /dev/null
+++ b/internal/rehearsal/clients.go
@@ -0,0 +1,302 @@
+package rehearsal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/extras"
+	"clovergap/internal/foyer"
+	"clovergap/internal/gate"
+	"clovergap/internal/history"
+	"clovergap/internal/slots"
+)
+
+// clients ask, by way of the platform.
+type clients struct {
+	w      *world
+	rng    *rand.Rand
+	known  extras.Known
+	missed []int
+	heard  []bool
+	burst  []float64
+	next   uint32
+	open   bool
+	counts Counts
+}
+
+// Counts are how requests ended, by their last try.
+type Counts struct {
+	Asked, Served, InTime, Refused, Voided, Failed int
+}
+
+// try is one try of a client.
+type try struct {
+	nr     uint32
+	id     string
+	want   extras.Want
+	m      *machine
+	p      *process // that has it
+	adm    foyer.Admission
+	tenant string // as the door tells backends
+	ref    slots.Ref
+	expiry time.Duration // on the door's clock
+	over   bool          // at the client
+	ended  func(status int, after time.Duration)
+}
+
+func numberOf(b []byte) uint32 { return binary.LittleEndian.Uint32(b) }
+
+func newClients(w *world) *clients {
+	return &clients{w: w, rng: source(w.day.Seed, 0xc11e), missed: make([]int, w.day.Doors), heard: make([]bool, w.day.Doors)}
+}
+
+// watch asks every door each second whether it is ready, as the platform does.
+func (c *clients) watch() {
+	for i, m := range c.w.machines {
+		c.w.after(span(c.rng, 0, time.Second), func() {
+			c.w.every(time.Second, func() bool {
+				if c.missed[i]++; m.runs() && m.p.h.Ready() {
+					c.missed[i], c.heard[i] = 0, true
+				}
+				return true
+			})
+		})
+	}
+}
+
+func (c *clients) in(i int) bool { return c.heard[i] && c.missed[i] < 2 }
+
+// begin sends at the day's rate, whatever becomes of what was sent before.
+func (c *clients) begin() {
+	c.open = true
+	var next func()
+	next = func() {
+		if !c.open {
+			return
+		}
+		c.send(c.known.Draw(c.rng, c.w.zones))
+		c.w.after(c.gap(), next)
+	}
+	c.w.after(c.gap(), next)
+}
+
+func (c *clients) gap() time.Duration {
+	rate := c.w.day.Rate
+	for _, by := range c.burst {
+		rate *= by
+	}
+	return time.Duration(c.rng.ExpFloat64() / rate * 1e9)
+}
+
+// send sends one request, with further tries within its time.
+func (c *clients) send(want extras.Want) {
+	w := c.w
+	began, until, tries := w.now, w.now+want.Deadline, 0
+	c.counts.Asked++
+	var again func()
+	again = func() {
+		tries++
+		m := w.machines[extras.Pass(c.rng, want.Zone, len(w.machines), func(i int) string { return w.machines[i].zone }, c.in)]
+		c.try(m, want, until-w.now, func(status int, after time.Duration) {
+			left := until - w.now
+			if extras.Again(status, want.Effectful) && tries < extras.TriesMost && left > 20*time.Millisecond {
+				wait := span(c.rng, 20*time.Millisecond, 80*time.Millisecond)
+				if after > 0 {
+					wait = min(after, left/3)
+				}
+				w.after(wait, again)
+				return
+			}
+			switch {
+			case status == 200:
+				if c.counts.Served++; w.now-began <= want.Aim {
+					c.counts.InTime++
+				}
+			case status == 429 || status == 503:
+				c.counts.Refused++
+			case status > 0:
+				c.counts.Voided++
+			default:
+				c.counts.Failed++
+			}
+		})
+	}
+	again()
+}
+
+// try sends one try to a door.
+func (c *clients) try(m *machine, want extras.Want, left time.Duration, ended func(status int, after time.Duration)) {
+	w := c.w
+	c.next++
+	t := &try{nr: c.next, id: fmt.Sprintf("%08x", c.next), want: want, m: m, ended: ended}
+	what := "pure"
+	if want.Effectful {
+		what = "effectful"
+	}
+	w.note(history.Event{Who: "clients", Kind: extras.Route, Txn: t.id, Key: want.Host, At: want.Path, What: want.Kind})
+	w.note(history.Event{Who: "clients", Kind: history.Asked, Txn: t.id, Key: want.Tenant, At: m.name, N: 1, What: what,
+		Due: w.now + left})
+	sent := w.now
+	gives := left
+	if !want.Effectful && m.p != nil && m.stands > 0 { // a door that does not read is left earlier
+		gives = max(left/3, min(left, time.Second))
+	}
+	w.after(gives, func() { c.unheard(t, true) })
+	w.after(w.way(want.Zone, m.zone), func() {
+		if m.dark || t.over {
+			return
+		}
+		p := m.p
+		if p == nil || p.hall.deaf {
+			w.after(w.way(m.zone, want.Zone), func() { c.unheard(t, false) })
+			return
+		}
+		came := w.now
+		t.p = p
+		p.hall.tries[t.nr] = t
+		p.turn(func() { p.hall.take(t, left-(came-sent), w.now-came) })
+	})
+}
+
+// unheard: no answer came, the client closes the connection.
+func (c *clients) unheard(t *try, waited bool) {
+	if t.over {
+		return
+	}
+	t.over = true
+	c.w.note(history.Event{Who: "clients", Kind: history.Unheard, Txn: t.id})
+	if p := t.p; p != nil {
+		c.w.after(c.w.way(t.want.Zone, t.m.zone), func() {
+			p.turn(func() {
+				delete(p.hall.tries, t.nr)
+				if t.ref != 0 {
+					p.g.Left(t.ref)
+				}
+			})
+		})
+	}
+	t.ended(0, 0)
+}
+
+// answered: an answer is on its way.
+func (x *hall) answered(t *try, status int, after time.Duration) {
+	delete(x.tries, t.nr)
+	w := x.p.w
+	w.after(w.way(t.m.zone, t.want.Zone), func() {
+		if t.over {
+			return
+		}
+		t.over = true
+		w.note(history.Event{Who: "clients", Kind: history.Answered, Txn: t.id, N: float64(status), What: t.id})
+		t.ended(status, after)
+	})
+}
+
+// lost: a door's process has ended, and its clients' connections with it.
+func (c *clients) lost(p *process, power bool) {
+	if power {
+		return
+	}
+	for _, nr := range sortedKeys(p.hall.tries) {
+		t := p.hall.tries[nr]
+		t.p = nil
+		c.w.after(c.w.way(p.m.zone, t.want.Zone), func() { c.unheard(t, false) })
+	}
+}
+
+// ---- The front of a door: what internal/foyer does, without bytes.
+
+const soon = 300 * time.Millisecond
+
+// take admits a request whose client waits so long, some of which it may have lain unread.
+func (x *hall) take(t *try, wait, unread time.Duration) {
+	p := x.p
+	if x.tries[t.nr] != t {
+		return
+	}
+	key := []byte(t.want.Key)
+	if len(key) == 0 {
+		key = nil
+	}
+	a, why := p.h.Admit([]byte(t.want.Host), []byte(t.want.Path), key)
+	switch why {
+	case foyer.NoRoute:
+		x.answered(t, 404, 0)
+		return
+	case foyer.NoKey:
+		x.answered(t, 401, 0)
+		return
+	case foyer.UnknownYet:
+		x.answered(t, 503, soon)
+		return
+	}
+	t.adm, t.tenant = a, a.Tenant
+	if a.Deadline > 0 && a.Deadline < wait {
+		wait = a.Deadline
+	}
+	t.expiry = p.Now() + max(wait-unread, 0)
+	txn := control.Txn{Customer: a.Customer, Product: a.Product, Plan: control.PlanID(a.Rank), Expiry: t.expiry, SetWidth: 1}
+	if a.Metered {
+		txn.Units = 1
+	}
+	ref, ok := p.g.Take(txn, x, slots.Ref(t.nr))
+	if !ok {
+		x.answered(t, 503, soon)
+		return
+	}
+	t.ref = ref
+}
+
+// of finds a try that waits.
+func (x *hall) of(who, txn slots.Ref) *try {
+	if t := x.tries[uint32(who)]; t != nil && (t.ref == 0 || t.ref == txn) {
+		return t
+	}
+	return nil
+}
+
+// AppendTo gives the number of the try: no bytes are needed here.
+func (x *hall) AppendTo(b []byte, who, txn slots.Ref, _ control.BackendID, _ time.Duration) []byte {
+	if x.of(who, txn) == nil {
+		return b
+	}
+	return binary.LittleEndian.AppendUint32(b, uint32(who))
+}
+
+func (x *hall) Settle(who, txn slots.Ref, o gate.Outcome) {
+	t := x.of(who, txn)
+	switch {
+	case t == nil:
+	case string(o.Body) != t.id:
+		x.p.w.note(history.Event{Who: "clients", Kind: extras.Mixed, Txn: t.id, At: t.m.name, What: string(o.Body)})
+	case o.Ending == control.Settled:
+		x.answered(t, 200, 0)
+	default:
+		x.answered(t, 500, 0)
+	}
+}
+
+func (x *hall) Decline(who, txn slots.Ref, after time.Duration, why control.Lack) {
+	status := 503
+	if why == gate.LackUnits {
+		status = 429
+	}
+	if t := x.of(who, txn); t != nil {
+		x.answered(t, status, after)
+	}
+}
+
+func (x *hall) Void(who, txn slots.Ref, why control.Lack) {
+	t := x.of(who, txn)
+	if t == nil {
+		return
+	}
+	status := 502
+	if why == gate.LackTime || t.expiry <= x.p.Now() {
+		status = 504
+	}
+	x.answered(t, status, 0)
+}
--- /dev/null
+++ b/internal/rehearsal/day.go
@@ -0,0 +1,223 @@
+package rehearsal
+
+import (
+	"cmp"
+	"fmt"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+	"clovergap/internal/playbill"
+)
+
+// Result is what came of a day.
+type Result struct {
+	Day       *Day
+	Broken    []history.Broken
+	Digest    string // of all that was seen and sent: the same for the same day
+	Counts    Counts
+	Taken     int             // configurations acknowledged
+	Recovered []time.Duration // until all doors served: after the faults, after the closing fault
+	Played    time.Duration   // simulated
+	Events    uint64
+	Syncs     int
+	Disks     Traffic // bytes a second that a door with a disk sends, by kind, in the mean
+	Others    Traffic // and one without
+	Most      float64 // the most that any door sends
+	History   []history.Event
+}
+
+const (
+	openIn = 17 * time.Second // the first configuration is taken by then
+	// slack of what rests on times: the way of requests.
+	slack    = 50 * time.Millisecond
+	wipeCalm = 9 * time.Second // what was lost has caught up
+	lookEach = 100 * time.Millisecond
+	tail     = 3 * time.Second // until all that was asked is answered
+	warm     = 6 * time.Second // of a calm day, before bytes are counted
+)
+
+// recoverMost is when all doors must serve again after the last heal.
+var recoverMost = extras.Bounds().Recovery + 2*time.Second
+
+// Play plays a day.
+func Play(d *Day) (r *Result) {
+	d.Site = d.Site.Usual()
+	w := newWorld(d)
+	r = &Result{Day: d}
+	defer func() {
+		if x := recover(); x != nil {
+			r.Broken = append(r.Broken, history.Broken{Rule: "Fault", T: w.now, What: fmt.Sprintf("%v\n%s", x, debug.Stack())})
+		}
+	}()
+	w.run(r)
+	r.Played, r.Events, r.Digest, r.Counts, r.History = w.now-origin, w.events, w.digest(), w.clients.counts, w.history
+	return r
+}
+
+func (w *world) run(r *Result) {
+	d := w.day
+	bad := func(rule, who, format string, args ...any) {
+		r.Broken = append(r.Broken, history.Broken{Rule: rule, T: w.now, Who: who, What: fmt.Sprintf(format, args...)})
+	}
+	for _, s := range extras.Services {
+		for _, z := range w.zones {
+			for range d.Each {
+				w.stage.add(s.Name, z, 0)
+			}
+		}
+	}
+	for _, m := range w.machines {
+		w.after(span(w.net, 0, 300*time.Millisecond), m.start)
+	}
+	w.clients.watch()
+	opened := false
+	w.operator.open(func() { opened = true })
+	if !w.until(w.now+openIn, func() bool { return opened }) {
+		bad("Acks", "operator", "no first configuration is taken, with nothing in trouble")
+		return
+	}
+	w.clients.begin()
+	if d.Calm {
+		w.counted = w.now + warm
+		w.until(w.counted+d.For, nil)
+		w.count(r, d.For)
+		return
+	}
+	for i := range d.Faults {
+		w.play(&d.Faults[i])
+	}
+	w.until(w.now+d.For, nil)
+	w.until(w.now+time.Minute, func() bool { return w.faults == 0 })
+	if w.recovers(r, "the faults") && d.Closing {
+		if d.Wipe {
+			w.until(w.now+wipeCalm, nil)
+		}
+		w.closing()
+		w.recovers(r, "the closing fault")
+	}
+	w.operator.goes, w.clients.open = false, false
+	w.until(w.now+extras.ClearMost+5*time.Second, func() bool { return !w.operator.busy })
+	var final *playbill.Bill
+	for range 2 {
+		if final == nil {
+			read := false
+			w.operator.read(func(b *playbill.Bill) { final, read = b, true })
+			w.until(w.now+extras.ClearMost+time.Second, func() bool { return read })
+		}
+	}
+	w.until(w.now+tail, nil)
+	w.over = true
+	cast := w.cast()
+	for _, v := range cast.Versions {
+		if v.Acked > 0 {
+			r.Taken++
+		}
+	}
+	for _, m := range w.cores() {
+		r.Syncs += m.disk.syncs
+	}
+	r.Broken = append(r.Broken, extras.Kept(final, cast.Versions, w.now)...)
+	r.Broken = append(r.Broken, extras.Judge(w.history, cast, slack)...)
+	slices.SortStableFunc(r.Broken, func(a, b history.Broken) int {
+		return cmp.Or(cmp.Compare(a.T, b.T), strings.Compare(a.Rule, b.Rule), strings.Compare(a.What, b.What))
+	})
+}
+
+func (w *world) cast() *extras.Cast {
+	c := &extras.Cast{Doors: map[string]string{}, Services: w.stage.services, Versions: map[uint64]extras.Version{}}
+	for _, m := range w.machines {
+		c.Doors[m.control] = m.name
+	}
+	for _, m := range w.cores() {
+		c.Cores = append(c.Cores, m.name)
+	}
+	for n, v := range w.operator.versions {
+		c.Versions[n] = *v
+	}
+	return c
+}
+
+// closing kills all right after an acknowledgement; one disk may be lost by it.
+func (w *world) closing() {
+	rng := source(w.day.Seed, 0xc105)
+	lost, struck := w.cores()[rng.IntN(w.day.Disks)], false
+	w.next(acked, 5*time.Second, func() {
+		struck = true
+		w.say("closing fault")
+		for _, m := range w.machines {
+			m.kill(rng.IntN(2) == 0)
+			if w.day.Wipe && m == lost {
+				w.say("%s loses its disk", m.name)
+				m.disk.wipe()
+			}
+		}
+	})
+	w.until(w.now+10*time.Second, func() bool { return struck })
+	for _, m := range w.machines {
+		w.after(span(rng, 200*time.Millisecond, time.Second), m.start)
+	}
+	w.until(w.now+time.Second, nil)
+}
+
+// recovers waits until every door serves every first route.
+func (w *world) recovers(r *Result, what string) bool {
+	began, left := w.now, len(w.machines)
+	wants := extras.Probes()
+	for _, m := range w.machines {
+		served := 0
+		var next func()
+		next = func() {
+			want := wants[served]
+			want.Zone = m.zone
+			w.clients.try(m, want, want.Deadline, func(status int, _ time.Duration) {
+				if status != 200 {
+					served = 0
+					w.after(lookEach, next)
+					return
+				}
+				if served++; served < len(wants) {
+					next()
+					return
+				}
+				m.serves = w.now
+				left--
+			})
+		}
+		m.serves = 0
+		next()
+	}
+	ok := w.until(w.now+recoverMost, func() bool { return left == 0 })
+	r.Recovered = append(r.Recovered, w.now-began)
+	for _, m := range w.machines {
+		if m.serves == 0 {
+			why := "it does not run"
+			if m.p != nil {
+				why = fmt.Sprint(m.p.h.Status().Unready)
+			}
+			r.Broken = append(r.Broken, history.Broken{Rule: "RECOVER", T: w.now, Who: m.name,
+				What: fmt.Sprintf("does not serve %s after %s: %s", recoverMost, what, why)})
+		}
+	}
+	return ok
+}
+
+// count gives what doors sent in a calm time.
+func (w *world) count(r *Result, over time.Duration) {
+	r.Disks, r.Others = Traffic{}, Traffic{}
+	for _, m := range w.machines {
+		to, of := r.Others, w.day.Doors-w.day.Disks
+		if m.disk != nil {
+			to, of = r.Disks, w.day.Disks
+		}
+		sum := 0.0
+		for kind, n := range m.sent {
+			to[kind] += int64(float64(n) / over.Seconds() / float64(of))
+			sum += float64(n) / over.Seconds()
+		}
+		r.Most = max(r.Most, sum)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/faults.go
@@ -0,0 +1,219 @@
+package rehearsal
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"clovergap/internal/spec"
+)
+
+// Draw draws a day's faults from its seed, biased to moments that matter: right after an acknowledgement, while a disk writes,
+// while a view changes, right after a drain was acknowledged. One disk at the most is lost by them; the closing fault may
+// take another, after the core has been calm.
+func Draw(site Site, seed uint64, most int, dur time.Duration) *Day {
+	rng := source(seed, 0x5ced)
+	d := &Day{Site: site.Usual(), Seed: seed, For: dur}
+	if rng.IntN(3) == 0 {
+		d.Closing, d.Wipe = true, rng.IntN(2) == 0 && d.Tolerates() > 0
+	}
+	seconds := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
+	wiped := d.Tolerates() == 0
+	for range 1 + rng.IntN(max(1, most)) {
+		f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: spec.Span(rng.Float64() * 0.8 * float64(dur)), Pick: rng.Uint64()>>1 | 1,
+			Share: []float64{0.1, 0.3, 0.3, 0.6, 1}[rng.IntN(5)], For: seconds(0.05, 4), By: rng.Float64(),
+			Way: []string{"both", "both", "in", "out"}[rng.IntN(4)]}
+		switch {
+		case strings.HasSuffix(f.Kind, "-wipe"):
+			if wiped {
+				f.Kind = "core-kill"
+			}
+			wiped, f.Share = true, 0.01
+		case strings.HasSuffix(f.Kind, "-stall") || f.Kind == "drain" || f.Kind == "crash" || strings.HasSuffix(f.Kind, "-term"):
+			f.Share = min(f.Share, 0.6)
+		case strings.HasPrefix(f.Kind, "disk-"):
+			f.Share = min(f.Share, 0.6)
+		}
+		d.Faults = append(d.Faults, f)
+	}
+	return d
+}
+
+// kinds of faults; those that matter more stand more often.
+var kinds = []string{"door-kill", "core-kill", "herd-kill", "core-power", "ack-kill", "ack-kill", "ack-power", "sync-kill", "sync-power",
+	"view-kill", "view-stall", "drain-kill", "drain-kill", "door-stall", "core-stall", "ack-stall", "disk-wipe", "ack-wipe", "door-term",
+	"core-term", "door-cut", "core-cut", "core-cut", "ack-cut", "drain-cut", "zone-cut", "loss", "disk-slow", "disk-hang", "disk-full",
+	"crash", "drain", "drain", "drain", "burst", "resets", "lost-answers", "slow", "failing"}
+
+// Kinds are the names of all faults.
+func Kinds() []string { return slices.Compact(slices.Sorted(slices.Values(kinds))) }
+
+// moments that faults wait for, by the first word of their kind.
+var moments = map[string]moment{"ack": acked, "sync": writes, "view": asks}
+
+// play brings a fault and heals it.
+func (w *world) play(f *spec.Fault) {
+	w.faults++
+	w.at(w.now+f.At.D(), func() {
+		first, _, _ := strings.Cut(f.Kind, "-")
+		m := moments[first]
+		if f.Kind == "drain-kill" || f.Kind == "drain-cut" {
+			m = drained
+		}
+		if m == "" {
+			w.strike(f)
+			return
+		}
+		if m == drained && len(w.stage.live) > 0 { // one drains, so that the moment comes
+			b := w.stage.live[f.Pick%uint64(len(w.stage.live))]
+			w.stage.add(b.service, b.zone, time.Second)
+			b.drain()
+		}
+		w.next(m, 3*time.Second, func() { w.strike(f) })
+	})
+}
+
+// cores are the machines with a disk.
+func (w *world) cores() []*machine { return w.machines[:w.day.Disks] }
+
+// strike brings a fault now.
+func (w *world) strike(f *spec.Fault) {
+	rng := f.Source(w.net)
+	some := func(of []*machine) (all []*machine) {
+		for _, i := range spec.Hits(len(of), f.Share, rng) {
+			all = append(all, of[i])
+		}
+		return all
+	}
+	of, what := w.cores(), f.Kind[strings.LastIndexByte(f.Kind, '-')+1:]
+	if strings.HasPrefix(f.Kind, "door-") || strings.HasPrefix(f.Kind, "herd-") {
+		of = w.machines
+	}
+	hit := some(of)
+	if f.Kind == "herd-kill" {
+		hit = w.machines
+	}
+	if (f.Kind == "drain-kill" || f.Kind == "drain-cut") && w.teller != nil {
+		hit = []*machine{w.teller}
+	}
+	w.say("fault %s for %s, share %.2f", f.Kind, f.For.D(), f.Share)
+	// lasts brings something that ends after the fault's time; on machines it counts as trouble.
+	lasts := func(machines []*machine, on, off func()) {
+		for _, m := range machines {
+			m.harm(true)
+		}
+		on()
+		w.after(f.For.D(), func() {
+			off()
+			for _, m := range machines {
+				m.harm(false)
+			}
+			w.say("fault %s ends", f.Kind)
+			w.faults--
+		})
+	}
+	each := func(all []*machine, do func(*machine)) func() {
+		return func() {
+			for _, m := range all {
+				do(m)
+			}
+		}
+	}
+	backs := func(set func(b *backend, on float64)) {
+		var all []*backend
+		for _, i := range spec.Hits(len(w.stage.live), f.Share, rng) {
+			all = append(all, w.stage.live[i])
+		}
+		both := func(on float64) func() {
+			return func() {
+				for _, b := range all {
+					set(b, on)
+				}
+			}
+		}
+		lasts(nil, both(1), both(0))
+	}
+	switch what {
+	case "kill", "power":
+		power := what == "power"
+		if f.Kind == "drain-kill" {
+			power = f.By < 0.5
+		}
+		lasts(nil, each(hit, func(m *machine) { m.kill(power) }), each(hit, (*machine).start))
+	case "wipe":
+		lasts(nil, each(hit, func(m *machine) {
+			m.kill(f.By < 0.5)
+			w.say("%s loses its disk", m.name)
+			m.disk.wipe()
+		}), each(hit, (*machine).start))
+	case "stall":
+		lasts(nil, each(hit, func(m *machine) { m.hold(true) }), each(hit, func(m *machine) { m.hold(false) }))
+	case "term":
+		for _, m := range hit {
+			m.term()
+		}
+		w.after(w.machines[0].sheet.Bounds.Grace+200*time.Millisecond, func() {
+			lasts(nil, func() {}, each(hit, (*machine).start))
+		})
+	case "cut":
+		c := &cut{group: map[*machine]bool{}, in: f.Way != "out", out: f.Way != "in"}
+		if f.Kind == "zone-cut" {
+			c.zone, c.backends, c.in, c.out = w.zones[rng.IntN(len(w.zones))], true, true, true
+			hit = nil
+			for _, m := range w.machines {
+				if m.zone == c.zone {
+					hit = append(hit, m)
+				}
+			}
+		}
+		for _, m := range hit {
+			c.group[m] = true
+		}
+		lasts(w.machines, func() { w.cuts = append(w.cuts, c) },
+			func() { w.cuts = slices.DeleteFunc(w.cuts, func(x *cut) bool { return x == c }) })
+	case "loss":
+		x := 0.02 + 0.3*f.By
+		lasts(w.machines, func() { w.losses = append(w.losses, x) },
+			func() { w.losses = slices.Delete(w.losses, slices.Index(w.losses, x), slices.Index(w.losses, x)+1) })
+	case "slow":
+		if f.Kind == "slow" {
+			backs(func(b *backend, on float64) { b.slow = 1 + on*(1+20*f.By) })
+			break
+		}
+		by := 5 + 100*f.By
+		lasts(hit, each(hit, func(m *machine) { m.disk.slow *= by }), each(hit, func(m *machine) { m.disk.slow /= by }))
+	case "hang":
+		lasts(hit, each(hit, func(m *machine) { m.disk.hangs++ }), each(hit, func(m *machine) { m.disk.hangs-- }))
+	case "full":
+		lasts(hit, each(hit, func(m *machine) { m.disk.full++ }), each(hit, func(m *machine) { m.disk.full-- }))
+	case "crash", "drain":
+		for _, i := range spec.Hits(len(w.stage.live), f.Share, rng) {
+			b := w.stage.live[i]
+			if b.draining {
+				continue
+			}
+			if f.Kind == "drain" {
+				w.stage.add(b.service, b.zone, time.Second)
+				b.drain()
+				continue
+			}
+			w.after(0, b.crash)
+			w.after(f.For.D(), func() { w.stage.add(b.service, b.zone, time.Second) })
+		}
+		lasts(nil, func() {}, func() {})
+	case "burst":
+		by := 2 + 2*f.By
+		lasts(nil, func() { w.clients.burst = append(w.clients.burst, by) }, func() {
+			i := slices.Index(w.clients.burst, by)
+			w.clients.burst = slices.Delete(w.clients.burst, i, i+1)
+		})
+	case "resets":
+		backs(func(b *backend, on float64) { b.resets = on * f.By / 2 })
+	case "answers":
+		backs(func(b *backend, on float64) { b.silent = on * f.By / 2 })
+	case "failing":
+		backs(func(b *backend, on float64) { b.fails = on * f.By / 2 })
+	default:
+		panic("no such fault: " + f.Kind)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/machine.go
@@ -0,0 +1,371 @@
+package rehearsal
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"clovergap/internal/callsheet"
+	"clovergap/internal/counters"
+	"clovergap/internal/extras"
+	"clovergap/internal/gate"
+	"clovergap/internal/history"
+	"clovergap/internal/house"
+	"clovergap/internal/intake"
+	"clovergap/internal/link"
+	"clovergap/internal/prompter"
+	"clovergap/internal/wings"
+)
+
+// machine is one door's: it goes on while processes come and go.
+type machine struct {
+	w               *world
+	nr              int
+	name, ip, zone  string
+	inner, control  string
+	sheet           *callsheet.Sheet
+	disk            *platter // nil: none
+	life            int
+	p               *process // nil: none runs
+	dark            bool     // it has no power
+	free            time.Duration
+	trouble, stands int // faults under way on it; that hold its process
+	sent            Traffic
+	serves          time.Duration // since when, in a recovery
+}
+
+// before is what a door's clock shows at its start, as on real machines.
+const before = time.Hour
+
+// process is one life of a door: what its house stands on.
+type process struct {
+	m       *machine
+	w       *world
+	born    time.Duration
+	seed    int64
+	id      uint64
+	h       *house.House
+	g       *gate.Gate
+	count   *counters.Set
+	settled func()
+	over    bool
+	stood   time.Duration // when it last went on after standing still
+	backlog []func()
+	busy    time.Duration // until then its processor has no time
+	links   map[string]*wing
+	from    map[string]*conn // the newest link of each door
+	lives   map[string]uint64
+	mail    mail
+	ways    *ways
+	hall    *hall
+}
+
+// start begins a life.
+func (m *machine) start() {
+	if m.p != nil {
+		return
+	}
+	w := m.w
+	m.life++
+	m.dark = false
+	r := source(w.day.Seed, uint64(m.nr)<<20|uint64(m.life))
+	p := &process{m: m, w: w, born: w.now, seed: int64(r.Uint64() >> 1), id: r.Uint64(), count: &counters.Set{}, settled: func() {},
+		links: map[string]*wing{}, from: map[string]*conn{}, lives: map[string]uint64{}}
+	m.p = p
+	m.sheet.FirstBoot = m.life == 1
+	h, err := house.Over(m.sheet, p, w.logger(m.name))
+	if err != nil {
+		panic(err)
+	}
+	p.h = h
+	p.turn(func() { h.Begin() })
+	w.note(history.Event{Who: m.name, Life: m.life, Kind: history.Up})
+	w.say("%s starts, life %d", m.name, m.life)
+}
+
+// kill ends a process at once. Without power nothing tells the others.
+func (m *machine) kill(power bool) {
+	m.dark = m.dark || power
+	p := m.p
+	if p == nil {
+		return
+	}
+	m.p = nil
+	p.over = true
+	if m.stands > 0 {
+		m.w.note(history.Event{Who: m.name, Kind: history.Goes})
+	}
+	m.stands = 0
+	m.w.note(history.Event{Who: m.name, Kind: history.Down})
+	m.w.say("%s is killed, power off %v", m.name, power)
+	if m.disk != nil {
+		m.disk.killed()
+	}
+	m.w.lost(p)
+	p.ways.lost()
+	m.w.clients.lost(p, power)
+}
+
+// term tells a process to end in order.
+func (m *machine) term() {
+	p := m.p
+	if p == nil {
+		return
+	}
+	w, began := m.w, m.w.now
+	w.note(history.Event{Who: m.name, Kind: extras.Terminates})
+	w.say("%s is told to end", m.name)
+	p.turn(p.h.Leaving)
+	grace := m.sheet.Bounds.Grace
+	done := false
+	w.every(20*time.Millisecond, func() bool {
+		if p.over {
+			return false
+		}
+		if w.now-began > grace {
+			m.kill(false)
+			return false
+		}
+		p.turn(func() { done = done || p.h.Ends(w.now-began) })
+		if done || w.now-began > grace-400*time.Millisecond {
+			w.after(150*time.Millisecond, func() {
+				if !p.over {
+					m.kill(false)
+				}
+			})
+			return false
+		}
+		return true
+	})
+}
+
+// hold lets the process stand still, and go on.
+func (m *machine) hold(on bool) {
+	p := m.p
+	switch {
+	case p == nil:
+	case on:
+		if m.stands++; m.stands == 1 {
+			m.w.note(history.Event{Who: m.name, Kind: history.Stopped})
+			m.w.say("%s stands still", m.name)
+		}
+	case m.stands > 0:
+		if m.stands--; m.stands == 0 {
+			m.w.note(history.Event{Who: m.name, Kind: history.Goes})
+			m.w.say("%s goes on", m.name)
+			p.stood = m.w.now
+			all := p.backlog
+			p.backlog = nil
+			for _, do := range all {
+				p.turn(do)
+			}
+		}
+	}
+}
+
+// harm marks that a fault on a machine or its links begins or ends.
+func (m *machine) harm(on bool) {
+	switch {
+	case on:
+		if m.trouble++; m.trouble == 1 {
+			m.w.note(history.Event{Who: m.name, Kind: extras.Troubled})
+		}
+	default:
+		if m.trouble--; m.trouble == 0 {
+			m.w.note(history.Event{Who: m.name, Kind: extras.Eased})
+		}
+	}
+}
+
+// runs tells whether a process is there that does something.
+func (m *machine) runs() bool { return m.p != nil && m.stands == 0 }
+
+// turn is one owner's: what happens, then what was decided. What comes while the process stands still waits.
+func (p *process) turn(do func()) {
+	switch {
+	case p.over:
+	case p.m.stands > 0:
+		p.backlog = append(p.backlog, do)
+	case p.busy > p.w.now:
+		p.w.at(p.busy, func() { p.turn(do) })
+	default:
+		p.busy = p.w.now + p.w.day.Turn
+		do()
+		p.settled()
+	}
+}
+
+// Now and the others are what the house stands on.
+func (p *process) Now() time.Duration { return before + p.w.now - p.born }
+
+// late is the least time that a timer takes.
+const late = 50 * time.Microsecond
+
+func (p *process) At(at time.Duration, to link.Alarm, ref uint32) {
+	p.w.at(max(at-before+p.born, p.w.now+late), func() {
+		if !p.over && (p.m.stands > 0 || to.Live(ref)) {
+			p.turn(func() {
+				if to.Live(ref) {
+					to.Due(ref)
+				}
+			})
+		}
+	})
+}
+
+func (p *process) Turn(do func()) { do(); p.settled() }
+
+func (p *process) Settled(do func()) { p.settled = do }
+
+func (p *process) Draws() (int64, uint64) { return p.seed, p.id }
+
+func (p *process) Counters() *counters.Set { return p.count }
+
+func (p *process) Links(wings.Host[house.Frame]) (house.Links, error) { return p, nil }
+
+func (p *process) Disk() (house.Disk, prompter.Kept, error) {
+	return &drive{p, p.m.disk}, p.m.disk.read(), nil
+}
+
+func (p *process) Path(h *house.House, g *gate.Gate) (house.Path, error) {
+	p.h, p.g = h, g
+	p.ways = newWays(p)
+	p.hall = &hall{p: p, tries: map[uint32]*try{}}
+	p.mail = mail{p: p, seats: map[*machine]int{}}
+	return house.Path{Ways: p.ways, Mail: &p.mail, Front: p.hall}, nil
+}
+
+// mail are a door's datagrams.
+type mail struct {
+	p     *process
+	all   []*machine
+	seats map[*machine]int
+}
+
+func (x *mail) Move(addrs []netip.AddrPort, me int) {
+	x.all = nil
+	clear(x.seats)
+	for i, a := range addrs {
+		m := x.p.w.byInner[netip.AddrPortFrom(a.Addr(), innerPort).String()]
+		x.all = append(x.all, m)
+		if i != me {
+			x.seats[m] = i
+		}
+	}
+}
+
+// hall is the front of a door: connections of clients and what was taken from them.
+type hall struct {
+	p       *process
+	tries   map[uint32]*try
+	drained bool
+	deaf    bool
+}
+
+func (x *hall) Bound(intake.Bounds) {}
+func (x *hall) Clients() int        { return len(x.tries) }
+func (x *hall) Drain()              { x.drained = true }
+func (x *hall) Deafen()             { x.deaf = true }
+
+// platter is a disk: what is on it outlives processes.
+type platter struct {
+	w       *world
+	rng     *rand.Rand
+	kept    prompter.Kept
+	noted   []byte
+	writing *write
+	slow    float64 // times as slow as it is
+	full    int     // faults under way
+	hangs   int
+	syncs   int
+}
+
+type write struct {
+	p      *process
+	writes []prompter.Write
+	note   []byte
+	done   func()
+}
+
+func newPlatter(w *world) *platter { return &platter{w: w, rng: w.disks, slow: 1} }
+
+// wipe takes all that is on it.
+func (d *platter) wipe() { d.kept, d.noted, d.writing = prompter.Kept{}, nil, nil }
+
+// read gives what it holds, with an id for an empty one.
+func (d *platter) read() prompter.Kept {
+	for d.kept.Me == 0 {
+		d.kept.Me = prompter.MemberID(d.rng.Uint64() >> 24)
+	}
+	if err := d.kept.Check(); err != nil {
+		panic("a disk does not hold together: " + err.Error())
+	}
+	k := d.kept
+	k.Entries = append([]prompter.Entry(nil), k.Entries...)
+	return k
+}
+
+// killed ends the writer: what was being written is there whole, or not at all.
+func (d *platter) killed() {
+	if x := d.writing; x != nil && d.hangs == 0 && d.full == 0 && d.rng.IntN(2) == 0 {
+		d.apply(x)
+	}
+	d.writing = nil
+}
+
+func (d *platter) apply(x *write) {
+	for _, a := range x.writes {
+		d.kept.Apply(a)
+	}
+	if x.note != nil {
+		d.noted = x.note
+	}
+}
+
+// drive is a disk as a process has it.
+type drive struct {
+	p *process
+	d *platter
+}
+
+func (v *drive) Noted() []byte { return v.d.noted }
+
+func (v *drive) Write(writes []prompter.Write, note []byte, done func()) {
+	x := &write{v.p, writes, note, done}
+	v.d.writing = x
+	v.d.w.happens(writes_(writes))
+	v.d.go_(x, 20*time.Millisecond)
+}
+
+// writes_ is a moment only where something of the log is written.
+func writes_(all []prompter.Write) moment {
+	for _, a := range all {
+		if len(a.Entries) > 0 {
+			return writes
+		}
+	}
+	return ""
+}
+
+// go_ writes and syncs. A full disk refuses, and is tried again; one that hangs answers when it goes on.
+func (d *platter) go_(x *write, wait time.Duration) {
+	took := time.Duration(d.slow * float64(500*time.Microsecond+time.Duration(d.rng.ExpFloat64()*float64(2500*time.Microsecond))))
+	d.w.after(took, func() {
+		switch {
+		case d.writing != x:
+		case d.hangs > 0:
+			d.go_(x, wait)
+		case d.full > 0:
+			d.w.after(wait, func() {
+				if d.writing == x {
+					d.go_(x, min(2*wait, time.Second))
+				}
+			})
+		default:
+			d.apply(x)
+			d.writing = nil
+			d.syncs++
+			x.p.turn(x.done)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/net.go
@@ -0,0 +1,331 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/gob"
+	"slices"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/house"
+	"clovergap/internal/prompter"
+)
+
+// As internal/wings and its kernel have it.
+const (
+	dialLimit  = 600 * time.Millisecond
+	unheardFor = 2 * time.Second // bytes that nobody acknowledges end a link
+	redialIn   = 40 * time.Millisecond
+	redialMost = 640 * time.Millisecond
+	lookAgain  = 100 * time.Millisecond
+	goesAgain  = 200 * time.Millisecond // a packet that was lost
+	frameHead  = 66                     // of a packet, beside what it carries
+	queueMost  = 500 * time.Millisecond // datagrams wait no longer for their turn on a link
+)
+
+// Traffic is bytes by what they were for.
+type Traffic map[string]int64
+
+// cut parts a group of machines from the rest. Way: in and out are what the group does not hear, and is not heard with.
+type cut struct {
+	group    map[*machine]bool
+	zone     string // backends of it are in the group
+	in, out  bool
+	backends bool // the way between doors and backends is cut too
+}
+
+func (w *world) parts(from, to *machine) bool {
+	for _, c := range w.cuts {
+		if a, b := c.group[from], c.group[to]; a != b && (a && c.out || b && c.in) {
+			return true
+		}
+	}
+	return false
+}
+
+// apart tells whether a door and a backend hear nothing of each other.
+func (w *world) apart(m *machine, zone string) bool {
+	for _, c := range w.cuts {
+		if c.backends && c.group[m] != (c.zone == zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// strikes draws whether a packet is lost.
+func (w *world) strikes() bool {
+	for _, x := range w.losses {
+		if w.net.Float64() < x {
+			return true
+		}
+	}
+	return false
+}
+
+// leaves puts bytes on a machine's link, and tells when they are out.
+func (m *machine) leaves(kind string, bytes int) time.Duration {
+	if m.w.now >= m.w.counted {
+		if m.sent == nil {
+			m.sent = Traffic{}
+		}
+		m.sent[kind] += int64(bytes)
+	}
+	m.w.sum = m.w.sum*31 + uint64(bytes) + uint64(m.nr)
+	m.free = max(m.free, m.w.now)
+	if m.w.day.Mbps > 0 {
+		m.free += time.Duration(float64(bytes) * 8000 / m.w.day.Mbps)
+	}
+	return m.free
+}
+
+// wing is a link that a door wants, conn one connection of it.
+type wing struct {
+	p    *process
+	to   *machine
+	c    *conn
+	wait time.Duration
+	dial int // counts dials, so that a late one is told from the newest
+}
+
+type conn struct {
+	v       *wing
+	peer    *process
+	out     bytes.Buffer
+	in      bytes.Buffer
+	enc     *gob.Encoder
+	dec     *gob.Decoder
+	last    time.Duration // nothing overtakes
+	stuck   [][]byte
+	watched bool
+	over    bool
+}
+
+// Want, Leave and Send are the links of a house.
+func (p *process) Want(to string) {
+	if m := p.w.byInner[to]; m != nil && p.links[to] == nil && m != p.m {
+		v := &wing{p: p, to: m, wait: redialIn}
+		p.links[to] = v
+		v.again(0)
+	}
+}
+
+func (p *process) Leave(to string) {
+	if v := p.links[to]; v != nil {
+		delete(p.links, to)
+		v.dial++
+	}
+}
+
+func (p *process) Send(to string, f *house.Frame) bool {
+	v := p.links[to]
+	if v == nil {
+		return false
+	}
+	if f.Core != nil && f.Core.Message.Kind == prompter.Ask {
+		p.w.happens(asks)
+	}
+	if v.c != nil { // else it waits for a link, and is dropped when that is up
+		v.c.send(f)
+	}
+	return true
+}
+
+func (v *wing) wanted() bool { return !v.p.over && v.p.links[v.to.inner] == v }
+
+// again dials after a while.
+func (v *wing) again(wait time.Duration) {
+	v.dial++
+	nr, w := v.dial, v.p.w
+	w.after(wait, func() {
+		if nr != v.dial || !v.wanted() || v.c != nil {
+			return
+		}
+		failed := func() {
+			if nr == v.dial && v.wanted() && v.c == nil {
+				v.wait = min(2*v.wait, redialMost)
+				v.again(v.wait)
+			}
+		}
+		m, trip := v.to, w.way(v.p.m.zone, v.to.zone)+w.way(v.to.zone, v.p.m.zone)
+		v.p.m.leaves("links", 3*frameHead)
+		if m.dark || w.parts(v.p.m, m) || w.parts(m, v.p.m) {
+			w.after(dialLimit, failed)
+			return
+		}
+		w.after(trip, func() {
+			if nr != v.dial || !v.wanted() || v.c != nil {
+				return
+			}
+			if m.p == nil {
+				failed()
+				return
+			}
+			v.up(m.p)
+		})
+	})
+}
+
+func (v *wing) up(peer *process) {
+	c := &conn{v: v, peer: peer, last: v.p.w.now}
+	c.enc, c.dec = gob.NewEncoder(&c.out), gob.NewDecoder(&c.in)
+	v.c, v.wait = c, redialIn
+	from, life := v.p.m.inner, v.p.id
+	c.last += v.p.w.way(v.p.m.zone, v.to.zone) // what it says first names who has dialed
+	v.p.w.at(c.last, func() {
+		peer.turn(func() {
+			peer.from[from] = c
+			anew := peer.lives[from] != 0 && peer.lives[from] != life
+			peer.lives[from] = life
+			if back := peer.links[from]; back != nil && back.c == nil { // it can be reached
+				back.wait = redialIn
+				back.again(0)
+			} else if back != nil && anew && back.c.peer.over {
+				back.c.end()
+			}
+		})
+	})
+	v.p.turn(func() {
+		if v.c == c && v.wanted() {
+			v.p.h.Up(v.to.inner)
+		}
+	})
+}
+
+// send writes a frame: gob as on a real link, whose types travel once.
+func (c *conn) send(f *house.Frame) {
+	p := c.v.p
+	c.out.Reset()
+	if err := c.enc.Encode(f); err != nil {
+		panic(err)
+	}
+	b := bytes.Clone(c.out.Bytes())
+	at := p.m.leaves(f.Kind(), len(b)+frameHead)
+	if c.parted() {
+		c.watch()
+	}
+	if p.w.parts(p.m, c.v.to) || c.peer.over || len(c.stuck) > 0 {
+		c.stuck = append(c.stuck, b)
+		return
+	}
+	if p.w.strikes() {
+		at += goesAgain
+	}
+	c.deliver(at, b)
+}
+
+func (c *conn) deliver(at time.Duration, b []byte) {
+	p := c.v.p
+	c.last = max(c.last, at+p.w.way(p.m.zone, c.v.to.zone))
+	peer, from := c.peer, p.m.inner
+	p.w.at(c.last, func() {
+		peer.turn(func() {
+			f := new(house.Frame)
+			c.in.Write(b)
+			if err := c.dec.Decode(f); err != nil {
+				panic(err)
+			}
+			if peer.from[from] == c {
+				peer.h.Heard(from, f)
+			}
+		})
+	})
+}
+
+// parted tells whether what is sent may go unacknowledged.
+func (c *conn) parted() bool {
+	w := c.v.p.w
+	return c.peer.over || w.parts(c.v.p.m, c.v.to) || w.parts(c.v.to, c.v.p.m)
+}
+
+// watch looks after a link whose bytes are not acknowledged: it goes on, or ends after a while, or at once where another
+// process has come in the place of the one that it led to.
+func (c *conn) watch() {
+	if c.watched {
+		return
+	}
+	c.watched = true
+	w, began := c.v.p.w, c.v.p.w.now
+	w.every(lookAgain, func() bool {
+		switch {
+		case c.over || !c.v.wanted() || c.v.c != c:
+			return false
+		case !c.parted():
+			c.watched = false
+			all := c.stuck
+			c.stuck = nil
+			for _, b := range all {
+				c.deliver(w.now+span(w.net, 0, goesAgain), b)
+			}
+			return false
+		case w.now-began >= unheardFor || c.peer.over && !c.v.to.dark && !w.parts(c.v.p.m, c.v.to) && !w.parts(c.v.to, c.v.p.m):
+			c.end()
+			return false
+		}
+		return true
+	})
+}
+
+func (c *conn) end() {
+	v := c.v
+	if c.over || v.c != c {
+		return
+	}
+	c.over = true
+	v.c = nil
+	if v.p.over {
+		return
+	}
+	v.p.turn(func() {
+		if now := v.p.links[v.to.inner]; now == nil || now == v {
+			v.p.h.Down(v.to.inner)
+		}
+	})
+	if v.wanted() {
+		v.again(v.wait)
+	}
+}
+
+// lost: a process has ended. Its side of links is reset, where the machine still lives and can be heard.
+func (w *world) lost(p *process) {
+	if p.m.dark {
+		return
+	}
+	for _, m := range w.machines {
+		if m.p == nil || m.p == p {
+			continue
+		}
+		if v := m.p.links[p.m.inner]; v != nil && v.c != nil && v.c.peer == p {
+			c := v.c
+			w.after(w.way(p.m.zone, m.zone), func() {
+				if !w.parts(p.m, m) {
+					c.end()
+				} else {
+					c.watch()
+				}
+			})
+		}
+	}
+}
+
+// Tell sends a datagram.
+func (x *mail) Tell(peer control.GatewayID, payload []byte) {
+	p := x.p
+	if int(peer) >= len(x.all) || x.all[peer] == nil {
+		return
+	}
+	m, at := x.all[peer], p.m.leaves("mail", len(payload)+42)
+	if m == p.m || p.w.parts(p.m, m) || p.w.strikes() || at-p.w.now > queueMost {
+		return
+	}
+	b := slices.Clone(payload)
+	p.w.at(at+p.w.way(p.m.zone, m.zone), func() {
+		if q := m.p; q != nil {
+			q.turn(func() {
+				if seat, ok := q.mail.seats[p.m]; ok {
+					q.h.Mailed(control.GatewayID(seat), b)
+				}
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/operator.go
@@ -0,0 +1,197 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+	"clovergap/internal/playbill"
+	"clovergap/internal/script"
+)
+
+// operator changes the configuration, sends the same bytes again until the answer is clear, and reads.
+type operator struct {
+	w        *world
+	rng      *rand.Rand
+	versions map[uint64]*extras.Version
+	known    uint64
+	top      uint64
+	unsure   bool
+	goes     bool
+	busy     bool
+}
+
+func newOperator(w *world) *operator {
+	return &operator{w: w, rng: source(w.day.Seed, 0x09e7), versions: map[uint64]*extras.Version{}}
+}
+
+// call makes one call at a door, which has a second for it. Status 0: no answer.
+func (o *operator) call(m *machine, path string, body []byte, then func(status int, text []byte)) {
+	w, done := o.w, false
+	end := func(status int, text []byte) {
+		if !done {
+			done = true
+			then(status, text)
+		}
+	}
+	w.after(time.Second, func() { end(0, nil) })
+	if m.dark {
+		return
+	}
+	way := span(w.net, 500*time.Microsecond, 2*time.Millisecond)
+	w.after(way, func() {
+		p := m.p
+		if p == nil || p.hall.deaf {
+			w.after(way, func() { end(0, nil) })
+			return
+		}
+		p.turn(func() {
+			answered := func(status int, text []byte) { w.after(way, func() { end(status, text) }) }
+			switch path {
+			case extras.ReplacePath:
+				p.h.Change(script.Replace, body, answered)
+			case extras.AmendPath:
+				p.h.Change(script.Amend, body, answered)
+			default:
+				p.h.Newest(answered)
+			}
+		})
+	})
+}
+
+// ask brings a call to one door after another until one gives a clear answer, or for a while.
+func (o *operator) ask(path string, body []byte, then func(status int, text []byte, clear bool)) {
+	w, until, wait := o.w, o.w.now+extras.ClearMost, 30*time.Millisecond
+	at := o.rng.IntN(len(w.machines))
+	var next func()
+	next = func() {
+		m := w.machines[at%len(w.machines)]
+		at++
+		o.call(m, path, body, func(status int, text []byte) {
+			switch {
+			case extras.Clear(status):
+				then(status, text, true)
+			case w.now >= until:
+				then(0, nil, false)
+			default:
+				w.after(wait, next)
+				wait = min(2*wait, 500*time.Millisecond)
+			}
+		})
+	}
+	next()
+}
+
+// propose sends a change.
+func (o *operator) propose(c extras.Change, then func(status int, clear bool)) {
+	w, gen := o.w, c.Bill.Generation
+	text, err := json.Marshal(c.Body)
+	if err != nil {
+		panic(err)
+	}
+	v := &c.Version
+	v.Sent = w.now
+	o.versions[gen] = v
+	o.top = max(o.top, gen)
+	note := func(k history.Kind, what string) {
+		w.note(history.Event{Who: "operator", Kind: k, N: float64(gen), Key: fmt.Sprint(v.Parent), What: what})
+	}
+	note(extras.Proposes, c.Path)
+	o.ask(c.Path, text, func(status int, answer []byte, clear bool) {
+		switch {
+		case clear && status == 200:
+			v.Acked = w.now
+			o.known = max(o.known, gen)
+			note(extras.Taken, "")
+			w.happens(acked)
+		case clear:
+			v.Lost, v.Refusal = true, fmt.Sprint(status, " ", string(answer))
+			note(extras.Refused, v.Refusal)
+		default:
+			o.unsure = true
+			note(extras.Unclear, "")
+		}
+		then(status, clear)
+	})
+}
+
+// open sends the first configuration until it is taken, then changes it as long as it may.
+func (o *operator) open(then func()) {
+	first := extras.First()
+	o.propose(extras.Change{Path: extras.ReplacePath, Body: first, Version: extras.Version{Bill: first}}, func(status int, clear bool) {
+		if status != 200 {
+			o.w.after(100*time.Millisecond, func() { o.open(then) })
+			return
+		}
+		then()
+		o.goes = true
+		o.pause()
+	})
+}
+
+func (o *operator) pause() {
+	o.w.after(span(o.rng, 100*time.Millisecond, 700*time.Millisecond), func() {
+		switch {
+		case o.w.over:
+		case !o.goes:
+			o.pause()
+		default:
+			o.busy = true
+			o.step(func() {
+				o.busy = false
+				o.pause()
+			})
+		}
+	})
+}
+
+// step makes one change, or two that race.
+func (o *operator) step(then func()) {
+	if o.unsure {
+		o.read(func(b *playbill.Bill) {
+			if b == nil {
+				then()
+				return
+			}
+			o.unsure, o.known = false, b.Generation
+			o.step(then)
+		})
+		return
+	}
+	v := o.versions[o.known]
+	if v == nil {
+		then()
+		return
+	}
+	number := func() uint64 { o.top += 1 + o.rng.Uint64N(3); return o.top }
+	changes := extras.Draft(o.rng.IntN, number, o.known, v.Bill)
+	left := len(changes)
+	for _, c := range changes {
+		o.propose(c, func(int, bool) {
+			if v := o.versions[o.known]; v != nil {
+				o.w.clients.known.Learn(v.Bill)
+			}
+			if left--; left == 0 {
+				o.unsure = o.unsure || len(changes) > 1 // who has won is read
+				then()
+			}
+		})
+	}
+}
+
+// read asks for the newest configuration; nil if none came in time.
+func (o *operator) read(then func(*playbill.Bill)) {
+	began := o.w.now
+	o.ask("", nil, func(status int, text []byte, clear bool) {
+		b := new(playbill.Bill)
+		if !clear || status != 200 || json.Unmarshal(text, b) != nil {
+			then(nil)
+			return
+		}
+		o.w.note(history.Event{Who: "operator", Kind: extras.ReadBack, N: float64(b.Generation), Due: began})
+		then(b)
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/stage.go
@@ -0,0 +1,304 @@
+package rehearsal
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/callboard"
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// stage is all backends.
+type stage struct {
+	w        *world
+	at       map[string]*backend // by address
+	live     []*backend
+	services map[string]string // of every one that ever was
+	free     []vacant
+	born     int
+	runs     int
+}
+
+// vacant is an address that a backend had.
+type vacant struct {
+	addr string
+	from time.Duration // it may be used again
+}
+
+// backend is one life of one.
+type backend struct {
+	w                 *world
+	id, service, zone string
+	addr              string
+	slot              int
+	from, cold        time.Duration
+	seq               uint64
+	target            string // control address for beats
+	draining          bool
+	dead              bool
+	running           int
+	queue             []*submission
+	slow              float64
+	resets, silent    float64
+	fails             float64
+}
+
+func newStage(w *world) *stage {
+	return &stage{w: w, at: map[string]*backend{}, services: map[string]string{}}
+}
+
+// add starts a backend. An address that another had is used first.
+func (s *stage) add(service, zone string, cold time.Duration) *backend {
+	w := s.w
+	s.born++
+	b := &backend{w: w, id: fmt.Sprintf("i-%s-%d", service, s.born), service: service, zone: zone, slot: s.born, from: w.now,
+		cold: cold, slow: 1}
+	for i, v := range s.free {
+		if v.from <= w.now {
+			b.addr = v.addr
+			s.free = slices.Delete(s.free, i, i+1)
+			break
+		}
+	}
+	if b.addr == "" {
+		b.addr = fmt.Sprintf("10.200.%d.%d:8080", s.born/200, s.born%200+1)
+	}
+	s.at[b.addr] = b
+	s.live = append(s.live, b)
+	s.services[b.id] = service
+	w.every(w.day.Beat, func() bool {
+		if !b.dead {
+			b.say(false, func(bool) {})
+		}
+		return !b.dead
+	})
+	w.after(span(w.backs, 0, w.day.Beat/4), func() { b.say(false, func(bool) {}) })
+	return b
+}
+
+// crash ends it without a word.
+func (b *backend) crash() {
+	if b.dead {
+		return
+	}
+	w, s := b.w, b.w.stage
+	b.dead = true
+	s.live = slices.DeleteFunc(s.live, func(x *backend) bool { return x == b })
+	delete(s.at, b.addr)
+	s.free = append(s.free, vacant{b.addr, w.now + extras.Bounds().AddrReuse})
+	b.queue = nil
+	for _, m := range w.machines {
+		if p := m.p; p != nil {
+			for _, x := range p.ways.sorted() {
+				if x.line != nil && x.line.b == b && x.written {
+					x.answer(control.Broken, false)
+				}
+			}
+		}
+	}
+}
+
+// say calls doors, the one it was told first, until one acknowledges; nobody in a round is left for the next time.
+func (b *backend) say(leaves bool, then func(acked bool)) {
+	w := b.w
+	var todo []*machine
+	if m := w.byCall[b.target]; m != nil {
+		todo = append(todo, m)
+	}
+	from := int(b.seq) + b.slot
+	for i := range w.machines {
+		if m := w.machines[(from+i)%len(w.machines)]; len(todo) == 0 || m != todo[0] {
+			todo = append(todo, m)
+		}
+	}
+	drains := b.draining
+	var next func()
+	next = func() {
+		if b.dead || len(todo) == 0 || drains != b.draining {
+			then(false)
+			return
+		}
+		m := todo[0]
+		todo = todo[1:]
+		b.call(m, leaves, func(ok bool, target string) {
+			if !ok {
+				if m.control == b.target {
+					b.target = ""
+				}
+				next()
+				return
+			}
+			if target != "" {
+				b.target = target
+			}
+			if drains || leaves {
+				w.note(history.Event{Who: m.control, Kind: history.Told, At: b.id, What: "Terminating"})
+				w.teller = m
+				w.happens(drained)
+			}
+			then(true)
+		})
+	}
+	next()
+}
+
+// call makes one call at a door, which has a second for it.
+func (b *backend) call(m *machine, leaves bool, then func(ok bool, target string)) {
+	w, done := b.w, false
+	end := func(ok bool, target string) {
+		if !done {
+			done = true
+			then(ok, target)
+		}
+	}
+	w.after(extras.BeatsMost, func() { end(false, "") })
+	b.seq++
+	phase := callboard.Ready
+	if b.draining {
+		phase = callboard.Draining
+	}
+	word := callboard.Word{ID: b.id, Service: b.service, Addr: b.addr, Zone: b.zone, Generation: "v1", Capacity: extras.SlotsEach,
+		Phase: phase, ColdLeft: max(0, b.cold-(w.now-b.from)), Seq: b.seq}
+	if w.apart(m, b.zone) || m.dark {
+		return
+	}
+	w.after(w.way(b.zone, m.zone), func() {
+		p := m.p
+		if p == nil || p.hall.deaf {
+			w.after(w.way(m.zone, b.zone), func() { end(false, "") })
+			return
+		}
+		p.turn(func() {
+			answered := func(ok bool, target string) {
+				if !w.apart(m, b.zone) {
+					w.after(w.way(m.zone, b.zone), func() { end(ok, target) })
+				}
+			}
+			if leaves {
+				p.h.Leave(b.id, answered)
+			} else {
+				p.h.Beat(word, answered)
+			}
+		})
+	})
+}
+
+// drain lets it leave in order: it says so, serves for the drain after the acknowledgement and a little longer, and ends.
+func (b *backend) drain() {
+	w, began := b.w, b.w.now
+	b.draining = true
+	w.say("%s drains", b.id)
+	var ask func()
+	leave := func(acked bool) {
+		w.after(extras.Bounds().Drain+extras.DrainSlack, func() {
+			if acked {
+				b.say(true, func(bool) {})
+				w.after(500*time.Millisecond, b.crash)
+				return
+			}
+			b.crash()
+		})
+	}
+	ask = func() {
+		b.say(false, func(ok bool) {
+			switch {
+			case b.dead:
+			case ok || w.now-began > extras.GivesUp:
+				leave(ok)
+			default:
+				w.after(200*time.Millisecond, ask)
+			}
+		})
+	}
+	ask()
+}
+
+// take takes a submission that has come.
+func (b *backend) take(s *submission) {
+	w := b.w
+	if b.dead {
+		s.answer(control.Broken, false)
+		return
+	}
+	turned := func() {
+		w.note(history.Event{Who: b.id, Kind: history.Turned, Txn: s.try.id})
+	}
+	switch {
+	case s.name != b.id:
+		turned()
+		s.misdirected()
+	case b.running < extras.SlotsEach:
+		b.run(s)
+	case len(b.queue) < extras.QueueEach:
+		s.queued = true
+		b.queue = append(b.queue, s)
+	default:
+		turned()
+		s.answer(control.Full, false)
+	}
+}
+
+// run works on a submission.
+func (b *backend) run(s *submission) {
+	w := b.w
+	b.running++
+	b.w.stage.runs++
+	w.note(history.Event{Who: b.id, Kind: history.Arrived, Txn: s.try.id, Key: s.try.tenant, At: s.try.want.Path,
+		N: float64(b.w.stage.runs)})
+	work := time.Duration(0)
+	for _, x := range extras.Services {
+		if x.Name == b.service {
+			work = x.Work
+		}
+	}
+	took := time.Duration(float64(work) * (0.5 + w.backs.ExpFloat64()/2) * b.slow)
+	if w.now-b.from < b.cold {
+		took *= 3
+	}
+	resets, silent, fails := w.backs.Float64() < b.resets, w.backs.Float64() < b.silent, w.backs.Float64() < b.fails
+	if resets {
+		w.after(span(w.backs, 0, took), func() { s.answer(control.Broken, false) })
+	}
+	w.after(took, func() {
+		b.running--
+		if b.dead {
+			return
+		}
+		switch {
+		case resets || silent || s.over:
+		case fails:
+			s.answer(control.Errored, s.try.adm.Once)
+		default:
+			s.answer(control.Settled, false)
+		}
+		b.refill()
+	})
+}
+
+func (b *backend) refill() {
+	for len(b.queue) > 0 && b.running < extras.SlotsEach {
+		s := b.queue[0]
+		b.queue = b.queue[1:]
+		if s.queued = false; s.until <= b.w.now { // its time is up: it says that it has not run
+			b.w.note(history.Event{Who: b.id, Kind: history.Turned, Txn: s.try.id})
+			s.answer(control.Full, false)
+			continue
+		}
+		b.run(s)
+	}
+}
+
+// drop: the connection of a submission has ended.
+func (b *backend) drop(s *submission) {
+	if s.queued {
+		s.queued = false
+		b.queue = slices.DeleteFunc(b.queue, func(x *submission) bool { return x == s })
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/ways.go
@@ -0,0 +1,261 @@
+package rehearsal
+
+import (
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/gate"
+	"clovergap/internal/slots"
+)
+
+// dialMost is how long a door waits for a connection to a backend, as internal/house has it.
+const dialMost = 700 * time.Millisecond
+
+// ways are a door's ways to backends, as internal/dispatch and the foyer's dialect carry submissions: over connections that
+// are kept, with the backend's id in X-Expect-Backend; what proves that a request never ran, and nothing else, counts as such.
+type ways struct {
+	p    *process
+	at   map[control.BackendID]*place
+	subs map[slots.Ref]*submission
+}
+
+// place is where a door knows a backend to be.
+type place struct {
+	addr  string
+	ready bool
+	idle  []*line
+}
+
+// line is a connection to a process of a backend, whoever that is by now.
+type line struct {
+	b     *backend
+	since time.Duration
+}
+
+// submission is one try at a backend.
+type submission struct {
+	x       *ways
+	ref     slots.Ref
+	nr      int
+	to      control.BackendID
+	place   *place
+	try     *try
+	name    string // X-Expect-Backend
+	line    *line
+	began   time.Duration
+	until   time.Duration // on the world's clock
+	dialing bool
+	written bool
+	over    bool
+	queued  bool
+}
+
+func newWays(p *process) *ways {
+	return &ways{p: p, at: map[control.BackendID]*place{}, subs: map[slots.Ref]*submission{}}
+}
+
+// At says where a backend is.
+func (x *ways) At(id control.BackendID, addr string, _ time.Duration, ready bool) {
+	b := x.at[id]
+	if b == nil {
+		if ready {
+			x.at[id] = &place{addr: addr, ready: true}
+		}
+		return
+	}
+	if b.addr != addr || !ready {
+		b.idle = nil
+		for _, s := range x.sorted() {
+			if s.place == b && s.dialing {
+				s.end(control.NotSent, false)
+			}
+		}
+	}
+	if b.ready = ready; ready {
+		b.addr = addr
+	} else {
+		delete(x.at, id)
+	}
+}
+
+// Most bounds nothing here: no more connections are kept than requests are out.
+func (x *ways) Most(control.BackendID, int) {}
+
+func (x *ways) Probe(control.BackendID) {}
+
+// sorted are the submissions that are out, in order.
+func (x *ways) sorted() []*submission {
+	all := make([]*submission, 0, len(x.subs))
+	for _, ref := range sortedKeys(x.subs) {
+		all = append(all, x.subs[ref])
+	}
+	return all
+}
+
+// lost: the door's process has ended, and its connections with it.
+func (x *ways) lost() {
+	for _, s := range x.sorted() {
+		s.over = true
+		s.leave()
+	}
+}
+
+// Submit sends on. However it ends, the gate hears of it once.
+func (x *ways) Submit(ref slots.Ref, nr int, m gate.Message, to control.BackendID, limit, _ time.Duration) {
+	w, b := x.p.w, x.at[to]
+	if b == nil || !b.ready {
+		x.p.g.Ended(ref, nr, to, gate.Outcome{Ending: control.NotSent})
+		return
+	}
+	s := &submission{x: x, ref: ref, nr: nr, to: to, place: b, began: w.now, until: w.now + limit, name: x.p.h.BackendName(to)}
+	x.subs[ref] = s
+	if number := m.AppendTo(nil, to, limit); len(number) > 0 && s.name != "" {
+		s.try = x.p.hall.tries[numberOf(number)]
+	}
+	w.at(s.until, func() {
+		if s.over {
+			return
+		}
+		x.p.turn(func() {
+			if s.written {
+				s.end(control.TimedOut, false)
+			} else {
+				s.end(control.Unreachable, false)
+			}
+		})
+	})
+	for len(b.idle) > 0 {
+		l := b.idle[len(b.idle)-1]
+		b.idle = b.idle[:len(b.idle)-1]
+		if !l.b.dead && w.now-l.since < idleMost {
+			s.line = l
+			s.write()
+			return
+		}
+	}
+	s.dial()
+}
+
+const idleMost = 3 * time.Second
+
+func (s *submission) dial() {
+	x, w := s.x, s.x.p.w
+	s.dialing = true
+	l, zone := w.stage.at[s.place.addr], x.p.m.zone
+	ended := func() {
+		x.p.turn(func() {
+			if !s.over && s.dialing {
+				s.end(control.Unreachable, false)
+			}
+		})
+	}
+	if l == nil {
+		w.after(2*w.way(zone, zone), ended)
+		return
+	}
+	if w.apart(x.p.m, l.zone) {
+		w.after(dialMost, ended)
+		return
+	}
+	w.after(w.way(zone, l.zone)+w.way(l.zone, zone), func() {
+		x.p.turn(func() {
+			switch {
+			case s.over:
+			case l.dead:
+				s.end(control.Unreachable, false)
+			default:
+				s.dialing = false
+				s.line = &line{b: l}
+				s.write()
+			}
+		})
+	})
+}
+
+// write puts the request on its connection: from now on it may have run.
+func (s *submission) write() {
+	x, w := s.x, s.x.p.w
+	if s.try == nil || s.until <= w.now { // its client has gone
+		s.end(control.NotSent, false)
+		return
+	}
+	s.written = true
+	b := s.line.b
+	if w.apart(x.p.m, b.zone) {
+		return // nobody answers
+	}
+	w.after(w.way(x.p.m.zone, b.zone), func() { b.take(s) })
+}
+
+// answer is a backend's, on its way.
+func (s *submission) answer(e control.Ending, final bool) {
+	x, w := s.x, s.x.p.w
+	if w.apart(x.p.m, s.line.b.zone) {
+		return
+	}
+	w.after(w.way(s.line.b.zone, x.p.m.zone), func() {
+		if !s.over {
+			x.p.turn(func() { s.end(e, final) })
+		}
+	})
+}
+
+// misdirected: another backend answered at the address.
+func (s *submission) misdirected() {
+	x, w := s.x, s.x.p.w
+	w.after(w.way(s.line.b.zone, x.p.m.zone), func() {
+		if !s.over {
+			x.p.turn(func() {
+				if !s.over {
+					x.p.h.Gone(s.to)
+					s.line = nil
+					s.end(control.Full, false)
+				}
+			})
+		}
+	})
+}
+
+// leave tells the backend that the connection has ended: what it has not begun it drops.
+func (s *submission) leave() {
+	if s.line == nil || !s.written {
+		return
+	}
+	b := s.line.b
+	s.x.p.w.after(s.x.p.w.way(s.x.p.m.zone, b.zone), func() { b.drop(s) })
+}
+
+// Recall calls a submission off.
+func (x *ways) Recall(ref slots.Ref, nr int) {
+	if s := x.subs[ref]; s != nil && s.nr == nr {
+		if s.written {
+			s.end(control.CalledOff, false)
+		} else {
+			s.end(control.NotSent, false)
+		}
+	}
+}
+
+// end tells the one outcome, in a turn.
+func (s *submission) end(e control.Ending, final bool) {
+	x := s.x
+	if s.over {
+		return
+	}
+	s.over = true
+	delete(x.subs, s.ref)
+	switch {
+	case e == control.Settled || e == control.Errored || e == control.Full && s.line != nil:
+		if l := s.line; l != nil && !l.b.dead && s.place.ready {
+			l.since = x.p.w.now
+			s.place.idle = append(s.place.idle, l)
+		}
+	default:
+		s.leave()
+	}
+	o := gate.Outcome{Ending: e, Final: final, Took: x.p.w.now - s.began}
+	if s.try != nil {
+		o.Body = []byte(s.try.id)
+	}
+	x.p.g.Ended(s.ref, s.nr, s.to, o)
+}
--- /dev/null
+++ b/internal/rehearsal/world.go
@@ -0,0 +1,272 @@
+// Package rehearsal plays the gateway in simulated time: every door is the whole of internal/house, the very code that runs on
+// machines, over simulated clocks, links, datagrams, disks and ways to backends. Backends, clients and an operator are as the
+// protocol has them. One queue of due times and a few sources of chance, all from one seed, decide what happens: the same
+// day gives the same history to the byte. No goroutine, no wall clock and no order of a map has a say.
+package rehearsal
+
+import (
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"clovergap/internal/callsheet"
+	"clovergap/internal/due"
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+	"clovergap/internal/spec"
+)
+
+// origin is the clock at the start of a day: nought stands for "not yet" in histories.
+const origin = 10 * time.Second
+
+// Ports of all doors are alike.
+const (
+	innerPort   = 7110
+	controlPort = 7102
+)
+
+// Site is the shape of what is played.
+type Site struct {
+	Doors, Disks, Zones int
+	Each                int     // backends of each service in each zone
+	Rate                float64 // requests a second
+	Beat                time.Duration
+	Mbps                float64       // of each machine's link; 0: not bounded
+	Turn                time.Duration // of processor time that a turn takes; 0: none
+}
+
+// Usual completes a site.
+func (s Site) Usual() Site {
+	if s.Doors == 0 {
+		s.Doors = 5
+	}
+	s.Disks = min(max(s.Disks, 1), s.Doors)
+	if s.Zones == 0 {
+		s.Zones = min(3, s.Doors)
+	}
+	if s.Each == 0 {
+		s.Each = 1 + s.Doors/24
+	}
+	if s.Rate == 0 {
+		s.Rate = 60 + 4*float64(s.Doors)
+	}
+	if s.Beat == 0 {
+		s.Beat = time.Second
+	}
+	return s
+}
+
+// Tolerates is how many disks may be lost at once.
+func (s Site) Tolerates() int { return max(0, (s.Disks-1)/2) }
+
+// Day is one run: everything in it follows from these.
+type Day struct {
+	Site
+	Seed    uint64
+	For     time.Duration // how long faults are brought
+	Faults  []spec.Fault
+	Closing bool // a closing fault right after an acknowledgement: all are killed
+	Wipe    bool // and one disk is lost by it
+	Calm    bool // nothing but its time is played: no recovery is waited for
+	Log     io.Writer
+}
+
+// world is a day under way.
+type world struct {
+	day      *Day
+	now      time.Duration
+	dues     due.Queue[func()]
+	events   uint64
+	history  []history.Event
+	machines []*machine
+	byInner  map[string]*machine
+	byCall   map[string]*machine
+	zones    []string
+	net      *rand.Rand // what travels
+	disks    *rand.Rand
+	backs    *rand.Rand
+	cuts     []*cut
+	losses   []float64 // of datagrams, and of frames that go again
+	stage    *stage
+	clients  *clients
+	operator *operator
+	waits    map[moment][]func()
+	teller   *machine // who last acknowledged a drain
+	faults   int      // under way
+	over     bool
+	sum      uint64 // of what travelled
+	counted  time.Duration
+}
+
+// moment is something that faults wait for.
+type moment string
+
+const (
+	acked   moment = "a configuration was acknowledged"
+	drained moment = "a drain was acknowledged"
+	asks    moment = "a member asks for another view"
+	writes  moment = "a disk has begun to write"
+)
+
+// happens calls those who wait for a moment.
+func (w *world) happens(m moment) {
+	all := w.waits[m]
+	if len(all) == 0 {
+		return
+	}
+	delete(w.waits, m)
+	for _, do := range all {
+		w.after(0, do)
+	}
+}
+
+// next calls at the next such moment, or after a while.
+func (w *world) next(m moment, most time.Duration, do func()) {
+	done := false
+	once := func() {
+		if !done {
+			done = true
+			do()
+		}
+	}
+	w.waits[m] = append(w.waits[m], once)
+	w.after(most, once)
+}
+
+func source(seed, use uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, use)) }
+
+func newWorld(d *Day) *world {
+	w := &world{day: d, now: origin, byInner: map[string]*machine{}, byCall: map[string]*machine{},
+		waits: map[moment][]func(){}, net: source(d.Seed, 0x6e6574), disks: source(d.Seed, 0xd15c), backs: source(d.Seed, 0xbac)}
+	for i := range d.Zones {
+		w.zones = append(w.zones, fmt.Sprintf("zone-%d", i))
+	}
+	var seeds []string
+	for i := range d.Doors {
+		m := &machine{w: w, nr: i, name: fmt.Sprintf("door-%d", i), ip: fmt.Sprintf("10.%d.%d.%d", i%d.Zones, i/200, i%200+1),
+			zone: w.zones[i%d.Zones]}
+		m.inner, m.control = net.JoinHostPort(m.ip, strconv.Itoa(innerPort)), net.JoinHostPort(m.ip, strconv.Itoa(controlPort))
+		w.machines = append(w.machines, m)
+		w.byInner[m.inner], w.byCall[m.control] = m, m
+		if i < d.Disks {
+			m.disk = newPlatter(w)
+			if len(seeds) < 3 {
+				seeds = append(seeds, m.control)
+			}
+		}
+	}
+	for _, m := range w.machines {
+		m.sheet = &callsheet.Sheet{NodeName: m.name, Role: "door", Serves: []string{"edge", "control"}, IP: m.ip, Zone: m.zone,
+			InnerPorts: [2]int{innerPort, innerPort + 15}, SeedAddrs: seeds, FirstBoot: true, CountsAsLoss: m.disk != nil,
+			Bind:         callsheet.Bind{Front: "front", Readiness: "ready", Control: m.control},
+			BeatInterval: d.Beat, Tolerates: callsheet.Tolerates{Machines: d.Tolerates()}, Bounds: extras.Bounds()}
+		if m.disk != nil {
+			m.sheet.DataDir = "disk"
+		}
+	}
+	w.stage = newStage(w)
+	w.clients = newClients(w)
+	w.operator = newOperator(w)
+	return w
+}
+
+// at hangs something on the clock; what is past is due now.
+func (w *world) at(t time.Duration, do func())    { w.dues.Add(max(t, w.now), do) }
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+// every calls until it is told not to, or the day is over.
+func (w *world) every(d time.Duration, do func() bool) {
+	w.after(d, func() {
+		if !w.over && do() {
+			w.every(d, do)
+		}
+	})
+}
+
+// eventsMost bounds a day: one that has come so far goes round and round.
+const eventsMost = 1 << 28
+
+// until plays up to a time, or until something is so.
+func (w *world) until(t time.Duration, is func() bool) bool {
+	for {
+		at, ok := w.dues.Next()
+		if !ok || at > t {
+			w.now = t
+			return is != nil && is()
+		}
+		do, _ := w.dues.Take(at)
+		w.now = at
+		if w.events++; w.events > eventsMost {
+			panic("the day does not end")
+		}
+		do()
+		if is != nil && is() {
+			return true
+		}
+	}
+}
+
+// note adds to the history.
+func (w *world) note(e history.Event) {
+	e.T = w.now
+	w.history = append(w.history, e)
+}
+
+// span draws a time, evenly.
+func span(r *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(r.Float64()*float64(to-from))
+}
+
+// way is how long something travels between two zones, one way.
+func (w *world) way(from, to string) time.Duration {
+	if from == to {
+		return span(w.net, 200*time.Microsecond, 600*time.Microsecond)
+	}
+	return span(w.net, 800*time.Microsecond, 3*time.Millisecond)
+}
+
+// digest is of all that was seen and of every byte that travelled between doors.
+func (w *world) digest() string {
+	f := fnv.New64a()
+	for _, e := range w.history {
+		fmt.Fprintln(f, e)
+	}
+	fmt.Fprintln(f, w.sum, w.events)
+	return fmt.Sprintf("%016x", f.Sum64())
+}
+
+// lines are a door's, by the day's clock.
+type lines struct {
+	w    *world
+	name string
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	text := b
+	if i := bytes.Index(b, []byte(`"message":`)); i >= 0 { // what comes before is the wall clock's
+		text = b[i+len(`"message":`):]
+	}
+	l.w.say("%-8s %s", l.name, bytes.TrimRight(text, "}\n"))
+	return len(b), nil
+}
+
+func (w *world) logger(name string) *log.Logger {
+	if w.day.Log == nil {
+		return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	}
+	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines{w, name}}}
+}
+
+// say writes a line of the world's own.
+func (w *world) say(format string, args ...any) {
+	if w.day.Log != nil {
+		fmt.Fprintf(w.day.Log, "%9.4fs "+format+"\n", append([]any{(w.now - origin).Seconds()}, args...)...)
+	}
+}
--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -286,7 +286,7 @@
 			h.says = append(h.says, d.Name+": "+h.t.Tells(d))
 		}
 	}
-	return append(bad, extras.Kept(final, h.t.Operator.Versions())...)
+	return append(bad, extras.Kept(final, h.t.Operator.Versions(), history.Now())...)
 }
 
 // operate sends the first configuration, then changes it, until all is over.
