--- /dev/null
+++ b/cmd/lab/rehearse.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"clovergap/internal/check"
+	"clovergap/internal/history"
+	"clovergap/internal/lab"
+	"clovergap/internal/rehearsal"
+	"clovergap/internal/rig"
+	"clovergap/internal/spec"
+)
+
+// rehearse are the flags of days of the whole gateway in simulated time.
+type rehearse struct {
+	site         rehearsal.Site
+	seeds, most  int
+	first        uint64
+	dur          time.Duration
+	jobs         int
+	only         []int
+	bytes        []int
+	replay       uint64
+	log, shrink  bool
+	changes      bool
+	firstBroken  bool
+	days, broken int
+	simulated    time.Duration
+	counts       rehearsal.Counts
+	taken        int
+	slowest      time.Duration
+	rules        map[string]int
+}
+
+func rehearseCommand() *cobra.Command {
+	var k rehearse
+	c := &cobra.Command{Use: "rehearse", Short: "Days of the whole gateway in simulated time, with random faults, judged",
+		Args: exactly(0, "no arguments"),
+		Long: "Plays doors, backends, clients and an operator in simulated time; the doors are the very code of playhouse. Each\n" +
+			"seed draws overlapping faults, biased to moments that matter, and the history is held against the rules. The same\n" +
+			"seed and flags give the same day to the byte. Ends with 1 if a rule was broken.",
+		Example: "  lab rehearse --doors 12 --disks 3 --seeds 1000\n" +
+			"  lab rehearse --replay 7 --log            # seed 7 again, with the doors' log\n" +
+			"  lab rehearse --replay 7 --shrink         # as few of its faults as still fail\n" +
+			"  lab rehearse --replay 7 --only 0,2       # two of its faults\n" +
+			"  lab rehearse --bytes 3,12,48,96          # bytes a second between doors in calm",
+		RunE: func(c *cobra.Command, _ []string) error {
+			s := k.site
+			switch {
+			case s.Doors < 1 || s.Doors > 1000 || s.Disks < 1 || s.Disks > s.Doors:
+				return usageError{errors.New("--doors must be 1 to 1000, --disks 1 to as many")}
+			case s.Zones < 0 || s.Zones > s.Doors || k.seeds < 1 || k.jobs < 1 || k.most < 1 || k.dur <= 0:
+				return usageError{errors.New("--zones must be 0 to --doors; --seeds, --jobs, --faults and --for above nought")}
+			case (k.log || k.shrink || len(k.only) > 0) && k.replay == 0:
+				return usageError{errors.New("--log, --shrink and --only want --replay")}
+			case len(k.bytes) > 0:
+				return k.traffic(c.Context())
+			case k.shrink:
+				return k.smaller(c.Context())
+			case k.replay > 0:
+				return k.again()
+			}
+			return k.play(c.Context())
+		}}
+	f := c.Flags()
+	f.IntVar(&k.site.Doors, "doors", 5, "doors")
+	f.IntVar(&k.site.Disks, "disks", 3, "the first so many doors have a disk")
+	f.IntVar(&k.site.Zones, "zones", 0, "zones (0: three, or as many as doors)")
+	f.IntVar(&k.site.Each, "backends", 0, "backends of each service in each zone (0: by the doors)")
+	f.Float64Var(&k.site.Rate, "rate", 0, "requests a second (0: by the doors)")
+	f.Float64Var(&k.site.Mbps, "mbps", 0, "of each machine's link (0: not bounded)")
+	f.DurationVar(&k.site.Turn, "turn", 0, "processor time that a turn takes (0: none)")
+	f.IntVar(&k.seeds, "seeds", 100, "how many days")
+	f.Uint64Var(&k.first, "first", 1, "first seed")
+	f.IntVar(&k.most, "faults", 6, "faults of a day at most")
+	f.DurationVar(&k.dur, "for", 12*time.Second, "how long faults are brought; a day goes on until all has recovered")
+	f.IntVar(&k.jobs, "jobs", max(1, runtime.NumCPU()/2), "days side by side")
+	f.BoolVar(&k.firstBroken, "first-broken", false, "end when a rule is broken")
+	f.Uint64Var(&k.replay, "replay", 0, "play one seed's day again")
+	f.BoolVar(&k.log, "log", false, "with --replay, write the doors' log to standard error")
+	f.BoolVar(&k.shrink, "shrink", false, "with --replay, find as few of its faults as still fail")
+	f.IntSliceVar(&k.only, "only", nil, "with --replay, play these faults only, by number from 0")
+	f.BoolVar(&k.changes, "changes", false, "with --bytes, while the configuration changes twice a second or so")
+	f.IntSliceVar(&k.bytes, "bytes", nil, "count bytes between doors in calm, for these numbers of doors")
+	return c
+}
+
+func (k *rehearse) day(seed uint64) *rehearsal.Day {
+	return rehearsal.Draw(k.site, seed, k.most, k.dur)
+}
+
+// play plays the days.
+func (k *rehearse) play(ctx context.Context) error {
+	ctx, enough := context.WithCancel(ctx)
+	defer enough()
+	began := time.Now()
+	k.rules = map[string]int{}
+	err := lab.Seeds(ctx, k.first, k.seeds, k.jobs, func(seed uint64) (*rehearsal.Result, error) {
+		return rehearsal.Play(k.day(seed)), nil
+	}, func(done int, r *rehearsal.Result) error {
+		k.add(r)
+		if term.IsTerminal(int(os.Stderr.Fd())) || done%max(k.seeds/10, 1) == 0 {
+			fmt.Fprintf(os.Stderr, "\r%d of %d days, %d broke rules, %.0f days an hour", done, k.seeds, k.broken,
+				float64(done)/time.Since(began).Hours())
+		}
+		if len(r.Broken) > 0 && k.firstBroken {
+			enough()
+		}
+		return nil
+	})
+	fmt.Fprintln(os.Stderr)
+	if err != nil && (!k.firstBroken || k.broken == 0) {
+		return err
+	}
+	n, took := float64(max(k.days, 1)), time.Since(began)
+	fmt.Printf("%d doors, %d disks, %d zones: %d days of %.1f s in the mean, in %.1f s with %d side by side: %.0f an hour\n",
+		k.site.Doors, k.site.Disks, k.site.Usual().Zones, k.days, k.simulated.Seconds()/n, took.Seconds(), k.jobs, n/took.Hours())
+	fmt.Printf("a day: %.0f requests, %.1f %% served, %.1f %% in time, %.0f refused, %.0f voided, %.0f without an answer; %.1f configurations; "+
+		"all served again %.1f s after the faults at the latest\n", float64(k.counts.Asked)/n,
+		100*float64(k.counts.Served)/float64(max(1, k.counts.Asked)), 100*float64(k.counts.InTime)/float64(max(1, k.counts.Asked)),
+		float64(k.counts.Refused)/n, float64(k.counts.Voided)/n, float64(k.counts.Failed)/n, float64(k.taken)/n, k.slowest.Seconds())
+	if n := check.Broken(); n > 0 {
+		fmt.Printf("%d must holds did not hold\n", n)
+	}
+	if k.broken > 0 {
+		return fmt.Errorf("%d of %d days broke rules (%s)", k.broken, k.days, k.ruleNames())
+	}
+	return nil
+}
+
+func (k *rehearse) ruleNames() string {
+	var all []string
+	for rule, n := range k.rules {
+		all = append(all, fmt.Sprintf("%s %d", rule, n))
+	}
+	slices.Sort(all)
+	return strings.Join(all, ", ")
+}
+
+// add counts a day, and prints what it broke.
+func (k *rehearse) add(r *rehearsal.Result) {
+	k.days++
+	k.simulated += r.Played
+	k.taken += r.Taken
+	k.counts.Add(r.Counts)
+	for _, x := range r.Recovered {
+		k.slowest = max(k.slowest, x)
+	}
+	if len(r.Broken) == 0 {
+		return
+	}
+	k.broken++
+	had := map[string]bool{}
+	for _, b := range r.Broken {
+		if !had[b.Rule] {
+			k.rules[b.Rule]++
+		}
+		had[b.Rule] = true
+	}
+	tellDay(r, 4)
+}
+
+// tellDay prints a day that broke rules.
+func tellDay(r *rehearsal.Result, most int) {
+	fmt.Printf("\nseed %d BROKE %d: %s\n", r.Day.Seed, len(r.Broken), r.Broken[0])
+	for i, b := range r.Broken[1:] {
+		if i == most {
+			fmt.Printf("      and %d more\n", len(r.Broken)-1-i)
+			break
+		}
+		fmt.Printf("      %s\n", b)
+	}
+	for i, f := range r.Day.Faults {
+		fmt.Printf("  %2d %s\n", i, wordFault(f))
+	}
+	if r.Day.Early {
+		fmt.Println("  from the first start on")
+	}
+	if r.Day.Closing {
+		fmt.Printf("  closing fault, a disk lost: %v\n", r.Day.Wipe)
+	}
+}
+
+func wordFault(f spec.Fault) string {
+	return fmt.Sprintf("%-12s at %.2fs for %.2fs, share %.1f", f.Kind, f.At.D().Seconds(), f.For.D().Seconds(), f.Share)
+}
+
+// chosen is the day to replay, or what is asked of it.
+func (k *rehearse) chosen() *rehearsal.Day {
+	d := k.day(k.replay)
+	if len(k.only) > 0 {
+		var some []spec.Fault
+		for i, f := range d.Faults {
+			if slices.Contains(k.only, i) {
+				some = append(some, f)
+			}
+		}
+		d.Faults = some
+	}
+	return d
+}
+
+// again plays one day as it was.
+func (k *rehearse) again() error {
+	d := k.chosen()
+	if k.log {
+		d.Log = io.Writer(os.Stderr)
+	}
+	r := rehearsal.Play(d)
+	fmt.Printf("seed %d: %.1f s, %d events, digest %s\n", d.Seed, r.Played.Seconds(), r.Events, r.Digest)
+	fmt.Printf("%+v, %d configurations, served again after %v\n", r.Counts, r.Taken, r.Recovered)
+	if len(r.Broken) > 0 {
+		tellDay(r, 40)
+		return fmt.Errorf("broke %d rules", len(r.Broken))
+	}
+	return nil
+}
+
+// smaller shrinks a day that fails.
+func (k *rehearse) smaller(ctx context.Context) error {
+	d, rule := k.chosen(), ""
+	fails := failing(ctx, &rule, func(c *spec.Spec) ([]history.Broken, error) {
+		x := *d
+		x.Faults = c.Faults
+		return rehearsal.Play(&x).Broken, ctx.Err()
+	})
+	whole := &spec.Spec{Faults: d.Faults}
+	if bad, err := fails(whole); err != nil || !bad {
+		return errors.Join(err, fmt.Errorf("seed %d breaks nothing", d.Seed))
+	}
+	fmt.Printf("fails by %q with %d faults, closing fault %v\n", rule, len(d.Faults), d.Closing)
+	least, err := rig.Shrink(ctx, whole, 1, fails, func(left, tried int) {
+		fmt.Printf("  %d faults are enough (%d plays)\n", left, tried)
+	})
+	if err != nil {
+		return err
+	}
+	for _, f := range least.Faults {
+		fmt.Printf("  number %d: %s\n", slices.Index(d.Faults, f), wordFault(f))
+	}
+	return nil
+}
+
+// traffic prints bytes a second of a door by what they are for, in calm.
+func (k *rehearse) traffic(ctx context.Context) error {
+	fmt.Printf("bytes a second that a door sends in calm, beats each %s, configuration changed %v\n", k.site.Usual().Beat, k.changes)
+	head := "%5v %5v %-8s"
+	fmt.Printf(head, "doors", "disks", "door")
+	for _, kind := range rehearsal.Sorts {
+		fmt.Printf(" %10s", kind)
+	}
+	fmt.Printf(" %10s %10s\n", "all", "the most")
+	for _, n := range k.bytes {
+		s := k.site
+		s.Doors, s.Disks, s.Zones = n, min(k.site.Disks, n), min(max(k.site.Zones, 3), n)
+		r := rehearsal.Play(&rehearsal.Day{Site: s, Seed: k.first, For: k.dur, Calm: true, Changes: k.changes})
+		if len(r.Broken) > 0 {
+			tellDay(r, 4)
+			return errors.New("a calm day broke rules")
+		}
+		row := func(name string, t rehearsal.Traffic, most string) {
+			fmt.Printf(head, n, s.Disks, name)
+			for _, kind := range rehearsal.Sorts {
+				fmt.Printf(" %10d", t[kind])
+			}
+			fmt.Printf(" %10d %10s\n", t.Sum(), most)
+		}
+		row("disk", r.Disks, fmt.Sprintf("%.0f", r.Most))
+		if n > s.Disks {
+			row("none", r.Others, "")
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -344,6 +344,7 @@
 	bad = append(bad, drains(h, t, c, slack)...)
 	bad = append(bad, reads(h, t)...)
 	bad = append(bad, acks(t, c, h)...)
+	bad = append(bad, backwards(h, t, c, slack)...)
 	return append(bad, routes(h, t, c, slack)...)
 }
 
@@ -438,19 +439,7 @@
 		last = max(last, e.T)
 	}
 	service, versions := t.Services, t.Versions
-	for n, v := range versions {
-		if v.Acked > 0 { // none may have been read
-			newest = max(newest, n)
-		}
-	}
-	in := chain(newest, versions)
-	var force []Version // those that were in force, in order
-	for n := range in {
-		if v, ok := versions[n]; ok {
-			force = append(force, v)
-		}
-	}
-	slices.SortFunc(force, func(a, b Version) int { return int(a.Bill.Generation) - int(b.Bill.Generation) })
+	force := t.force(newest)
 	for _, id := range order {
 		r := all[id]
 		say := func(rule string, timed bool, at time.Duration, format string, args ...any) {
@@ -514,6 +503,82 @@
 	return bad
 }
 
+// force are the versions that were in force, in order: the newest that was read or acknowledged, and what it builds on.
+func (t *Cast) force(read uint64) (all []Version) {
+	for n, v := range t.Versions {
+		if v.Acked > 0 { // none may have been read
+			read = max(read, n)
+		}
+	}
+	for n := range chain(read, t.Versions) {
+		if v, ok := t.Versions[n]; ok {
+			all = append(all, v)
+		}
+	}
+	slices.SortFunc(all, func(a, b Version) int { return int(a.Bill.Generation) - int(b.Bill.Generation) })
+	return all
+}
+
+// slowedTimes as long may a door that is not in touch take to show what it knows.
+const slowedTimes = 8
+
+// backwards: within one life a door does not go back behind a version whose effect a backend has seen.
+func backwards(h []history.Event, t *Cast, c *calm, slack time.Duration) (bad []history.Broken) {
+	type sight struct {
+		at     time.Duration
+		oldest int // in force, that explains it
+	}
+	route, ask, seen, read := map[string]history.Event{}, map[string]history.Event{}, map[string][]sight{}, uint64(0)
+	for _, e := range h {
+		if e.Kind == ReadBack {
+			read = uint64(e.N)
+		}
+	}
+	force := t.force(read)
+	for _, e := range Run(h) {
+		switch e.Kind {
+		case Route:
+			route[e.Txn] = e
+		case history.Asked:
+			ask[e.Txn] = e
+		case history.Up:
+			delete(seen, e.Who)
+		case history.Arrived:
+			a, ok := ask[e.Txn]
+			oldest, newest := -1, -1
+			for i := range force {
+				if slices.Contains(targets(force[i].Bill, route[e.Txn]), t.Services[e.Who]) {
+					if newest = i; oldest < 0 {
+						oldest = i
+					}
+				}
+			}
+			if !ok || newest < 0 {
+				continue
+			}
+			within := Bounds().RevertSlack
+			if !c.touch(a.At, a.T, e.T) {
+				within *= slowedTimes
+			}
+			known := 0
+			for _, s := range seen[a.At] {
+				if s.at+within+slack < a.T {
+					known = max(known, s.oldest)
+				}
+			}
+			if newest < known {
+				bad = append(bad, history.Broken{Rule: "CONFIG", T: e.T, Who: a.At, Txn: e.Txn, Key: a.Key, Timed: true, What: fmt.Sprintf(
+					"ran at %s, as no version after %d allows, though %d was seen in force", e.Who, force[newest].Bill.Generation,
+					force[known].Bill.Generation)})
+			}
+			if all := seen[a.At]; len(all) == 0 || all[len(all)-1].oldest < oldest {
+				seen[a.At] = append(all, sight{e.T, oldest})
+			}
+		}
+	}
+	return bad
+}
+
 // targets are the services that a configuration names for a request.
 func targets(b *playbill.Bill, route history.Event) (all []string) {
 	longest := -1
--- a/internal/extras/rules_test.go
+++ b/internal/extras/rules_test.go
@@ -78,9 +78,11 @@
 		h     []history.Event
 		rules []string
 	}{
-		"all is well":                {browse(10*s, "p", 200), nil},
-		"the new way":                {browse(30*s, "t", 200), nil},
-		"either way at once":         {browse(21*s, "p", 200), nil},
+		"all is well":        {browse(10*s, "p", 200), nil},
+		"the new way":        {browse(30*s, "t", 200), nil},
+		"either way at once": {browse(21*s, "p", 200), nil},
+		"the new way, and back": {append(browse(20*s+s/2, "t", 200), request("b", "pure", "patrons", hostProgramme, "/browse/1",
+			21*s+s/2, map[string]time.Duration{"p": 21*s + s/2}, 22*s, 200)...), []string{"CONFIG"}},
 		"the old way for too long":   {browse(30*s, "p", 200), []string{"CONFIG"}},
 		"refused though it is there": {browse(30*s, "t", 404), []string{"CONFIG"}},
 		"a route that is gone": {request("a", "pure", "", hostTickets, "/book/1", 30*s,
--- a/internal/rehearsal/clients.go
+++ b/internal/rehearsal/clients.go
@@ -32,6 +32,12 @@
 	Asked, Served, InTime, Refused, Voided, Failed int
 }
 
+// Add adds another day's.
+func (c *Counts) Add(x Counts) {
+	c.Asked, c.Served, c.InTime = c.Asked+x.Asked, c.Served+x.Served, c.InTime+x.InTime
+	c.Refused, c.Voided, c.Failed = c.Refused+x.Refused, c.Voided+x.Voided, c.Failed+x.Failed
+}
+
 // try is one try of a client.
 type try struct {
 	nr     uint32
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -14,6 +14,7 @@
 func Draw(site Site, seed uint64, most int, dur time.Duration) *Day {
 	rng := source(seed, 0x5ced)
 	d := &Day{Site: site.Usual(), Seed: seed, For: dur}
+	d.Early = rng.IntN(4) == 0
 	if rng.IntN(3) == 0 {
 		d.Closing, d.Wipe = true, rng.IntN(2) == 0 && d.Tolerates() > 0
 	}
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -26,6 +26,17 @@
 // Traffic is bytes by what they were for.
 type Traffic map[string]int64
 
+// Sorts are what bytes are for, in the order of tables.
+var Sorts = []string{"heartbeats", "board", "core", "feed", "calls", "hellos", "others", "links", "mail"}
+
+// Sum is all of it.
+func (t Traffic) Sum() (n int64) {
+	for _, x := range t {
+		n += x
+	}
+	return n
+}
+
 // cut parts a group of machines from the rest. Way: in and out are what the group does not hear, and is not heard with.
 type cut struct {
 	group    map[*machine]bool
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -126,8 +126,8 @@
 			o.w.after(100*time.Millisecond, func() { o.open(then) })
 			return
 		}
-		then()
 		o.goes = true
+		then()
 		o.pause()
 	})
 }
