A door that hears no door with a disk asks those that its links lead to

A door without a disk and the one that it follows stand still at once for over 2.2 s, less than links bear. The one strikes the other off its followers and so tells it nothing any more; the other hears no door with a disk, and chose whom to follow among those that it hears. Both links were whole, so that no hello came either: it stayed without configuration and backends until a restart. Now it asks the doors with a disk that its links lead to, each in its turn, and their answer is heard.

--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -338,6 +338,16 @@
 	return all
 }
 
+// Reached are the doors with a disk that a link leads to, heard or not, in order: where none is heard, these can be asked.
+func (c *Company) Reached() (all []Door) {
+	for _, a := range c.Addrs() {
+		if d := c.doors[a]; d.up && d.met && d.Disk != 0 {
+			all = append(all, d.Door)
+		}
+	}
+	return all
+}
+
 // Addrs are the other doors that are known, in order.
 func (c *Company) Addrs() []string {
 	all := make([]string, 0, len(c.doors))
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -158,8 +158,9 @@
 
 // tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear. Only
 // the feeder tells how fresh its word is; one of which nothing is known is tried before one that is known to be stale, and
-// one that did not answer goes to the end. One that knows of no leader yet has what its disk held, which is better than
-// nothing after the loss of all.
+// one that did not answer goes to the end. After a standstill of both sides no door with a disk may be heard, and none has a
+// reason to say anything while the links are there: then those are asked that a link leads to. One that knows of no leader
+// yet has what its disk held, which is better than nothing after the loss of all.
 func (h *House) tendFeed() {
 	if h.core != nil {
 		return
@@ -181,7 +182,11 @@
 	}
 	var best company.Door
 	least := time.Duration(1<<63 - 1)
-	for _, d := range h.company.Disks() {
+	disks := h.company.Disks()
+	if len(disks) == 0 {
+		disks = h.company.Reached()
+	}
+	for _, d := range disks {
 		if !d.Founded || d.Addr == h.inner {
 			continue
 		}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"clovergap/internal/spec"
 )
 
 // Days of all shapes keep the rules, and the same day gives the same bytes: no map and no clock has a say.
@@ -24,3 +26,18 @@
 	}
 	must.Greater(t, 4000, served)
 }
+
+// Days that broke a rule before what they found was mended, shrunk.
+func TestKept(t *testing.T) {
+	for name, d := range map[string]*Day{
+		// A door without a disk and the one that it followed stood still at once, for longer than silence is borne: neither
+		// had any reason to speak to the other again, their links being whole.
+		"two stand still": {Site: Site{Doors: 7, Disks: 3}, Seed: 1504, Faults: []spec.Fault{{Kind: "door-stall",
+			At: 336857009, For: 2243628234, Share: 0.3, Pick: 0x41a2054cc35fe963}}},
+	} {
+		d.For = 5 * time.Second
+		for _, b := range Play(d).Broken {
+			t.Errorf("%s: %s", name, b)
+		}
+	}
+}
