--- a/internal/casting/casting.go
+++ b/internal/casting/casting.go
@@ -4,6 +4,7 @@
 package casting
 
 import (
+	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -23,6 +24,7 @@
 	longTimes = 5.0  // times the usual: an answer counts as no longer
 	speedLow  = 0.4  // bounds of what a backend's speed may do to its share
 	speedHigh = 5.0
+	speedBend = 1.6 // power of it that goes into the share: a fast one gets more than its speed alone would give
 	crowdHigh = 2.5 // times the usual: a backend this slow gets one at a time
 
 	fullFirst, fullTimes = 60 * ms, 5 // pause of a backend that turned one away, doubled so many times
@@ -104,14 +106,17 @@
 	suspect   bool          // failing: after the pause one request at a time tries it
 	rampFrom  time.Duration
 	pass      float64 // its place in the order of sends, see Pick
+	away      bool    // no home of this door, see SetPlace
 	sentAt    time.Duration
 }
 
 // Cast chooses among the backends of one service.
 type Cast struct {
-	rng   *rand.Rand
-	zone  control.HallID
-	doors int
+	rng    *rand.Rand
+	zone   control.HallID
+	doors  int
+	place  int // of this door among those of its zone
+	places int
 
 	all   map[control.BackendID]*backend // with gone ones that still owe an answer
 	list  []*backend                     // in order of id
@@ -197,6 +202,7 @@
 		c.room = roomFirst * c.slots / float64(c.doors)
 	}
 	c.bound()
+	c.settleHomes()
 }
 
 func (c *Cast) bound() { c.room = min(max(c.room, 1), max(1, roomMost*c.slots)) }
@@ -211,6 +217,12 @@
 	return n
 }
 
+// Cold tells whether a backend is still slow from its start, or not known any more.
+func (c *Cast) Cold(now time.Duration, id control.BackendID) bool {
+	b := c.all[id]
+	return b == nil || now < b.Cold
+}
+
 // Idle tells that there is nothing to keep: no backend and nothing out.
 func (c *Cast) Idle() bool { return len(c.all) == 0 }
 
@@ -242,7 +254,7 @@
 func (c *Cast) Pick(now time.Duration, w Want) (control.BackendID, Answer) {
 	if c.out >= int(max(1, c.room)) {
 		c.pressed = now
-		if c.anyReady(w) {
+		if c.Has(w) {
 			return 0, Enough
 		}
 		return 0, None
@@ -340,7 +352,10 @@
 			part *= firstPart
 		}
 	}
-	return min(max(b.speed, speedLow), speedHigh) / (max(b.Size, 1) * part)
+	if b.away {
+		part *= awayPart
+	}
+	return math.Pow(min(max(b.speed, speedLow), speedHigh), speedBend) / (max(b.Size, 1) * part)
 }
 
 // silent tells that a backend owes answers for longer than such requests take. Now and then a pure one tries
@@ -378,7 +393,8 @@
 	return now-b.oweSince > most && c.heard > b.oweSince+most/2
 }
 
-func (c *Cast) anyReady(w Want) bool {
+// Has tells whether any backend is ready that a request was not sent to before.
+func (c *Cast) Has(w Want) bool {
 	return slices.ContainsFunc(c.list, func(b *backend) bool {
 		return b.State == control.Ready && !slices.Contains(w.Tried, b.ID)
 	})
--- a/internal/house/base.go
+++ b/internal/house/base.go
@@ -18,6 +18,7 @@
 	"clovergap/internal/playbill"
 	"clovergap/internal/promptbook"
 	"clovergap/internal/prompter"
+	"clovergap/internal/slots"
 	"clovergap/internal/stagedoor"
 	"clovergap/internal/wings"
 )
@@ -85,6 +86,8 @@
 	Clients() int
 	Drain()  // connections close between requests
 	Deafen() // and none is taken
+	// User names whoever a request is of, and its tenant: see foyer.Foyer.
+	User(who, txn slots.Ref) (user []byte, tenant string)
 }
 
 // sockets are the real base.
@@ -176,11 +179,11 @@
 }
 
 func (s *sockets) Path(h *House, g *gate.Gate) (p Path, err error) {
-	s.dispatch = dispatch.New(s.Engine, g, foyer.Terms(h, dialLimit), func() bool { return s.front.Evict() })
+	s.dispatch = dispatch.New(s.Engine, &usher{g, h}, foyer.Terms(h, dialLimit), func() bool { return s.front.Evict() })
 	bounds := foyer.Bounds(foyer.Limits{Head: playbill.DefaultMostHeader, Body: playbill.DefaultMostBody,
 		HeadIn: playbill.DefaultHeaderTimeout, Idle: playbill.DefaultIdleTimeout})
 	s.front = intake.New(s.Engine, max(1, (s.fds-200)/clientShare), bounds, func() bool { return s.dispatch.Evict(nil) })
-	foyer.New(s.front, s.Engine, g, h)
+	form := foyer.New(s.front, s.Engine, g, h)
 	s.callers = intake.New(s.Engine, callersMost, intake.Bounds{Body: controlBound}, func() bool { return s.front.Evict() })
 	s.callers.Serves(stagedoor.New(s.callers, h))
 	s.askers = intake.New(s.Engine, 64, intake.Bounds{}, func() bool { return s.front.Evict() })
@@ -204,13 +207,16 @@
 			}
 		}
 	}
-	return Path{s.dispatch, s.peers, entrance{s.front, s.Engine}}, nil
+	return Path{s.dispatch, s.peers, entrance{s.front, form, s.Engine}}, nil
 }
 
 // entrance is where clients come in, all of the door's listening with it.
 type entrance struct {
 	*intake.Intake
-	e *link.Engine
+	form *foyer.Foyer
+	e    *link.Engine
 }
 
+func (e entrance) User(who, txn slots.Ref) ([]byte, string) { return e.form.User(who, txn) }
+
 func (e entrance) Deafen() { e.e.Deafen() }
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -67,6 +67,7 @@
 	quota    *control.Quota
 	office   *boxoffice.Office
 	gate     *gate.Gate
+	rollouts rollouts
 	dispatch Ways
 	front    Front
 
@@ -154,9 +155,11 @@
 func (h *House) buildPath(b Base) error {
 	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond,
 		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true, Start: allNewShare})
+	h.openRollouts()
 	h.office = boxoffice.New(h.seed, boxoffice.Terms{Zone: h.stock.zone(h.sheet.Zone),
 		RetryRatio: h.sheet.Bounds.RetryRatio, RetryWindow: h.sheet.Bounds.RetryWindow,
 		RetryExtra: float64(h.sheet.Bounds.RetryExtra), Doors: 1}, h.quota, h.e.Now())
+	h.office.SetSides((*sides)(h))
 	k := &clock{Turns: h.e}
 	h.gate = gate.New(h.office, k, heldMost, h.count, notes{h})
 	k.due = h.gate
@@ -227,6 +230,7 @@
 	}
 	h.tendFeed()
 	h.wantSeat()
+	h.tendRollouts()
 	if h.core != nil {
 		h.core.keepBoard()
 	}
--- a/internal/rehearsal/clients.go
+++ b/internal/rehearsal/clients.go
@@ -272,6 +272,14 @@
 	return binary.LittleEndian.AppendUint32(b, uint32(who))
 }
 
+// User names whoever a request is of: its key.
+func (x *hall) User(who, txn slots.Ref) ([]byte, string) {
+	if t := x.of(who, txn); t != nil {
+		return []byte(t.want.Key), t.tenant
+	}
+	return nil, ""
+}
+
 func (x *hall) Settle(who, txn slots.Ref, o gate.Outcome) {
 	t := x.of(who, txn)
 	switch {
