--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -13,6 +13,9 @@
 // take another, after the core has been calm.
 func Draw(site Site, seed uint64, most int, dur time.Duration) *Day {
 	rng := source(seed, 0x5ced)
+	if site.Beat == 0 {
+		site.Beat = []time.Duration{time.Second, time.Second, 3 * time.Second}[rng.IntN(3)]
+	}
 	d := &Day{Site: site.Usual(), Seed: seed, For: dur}
 	d.Early = rng.IntN(4) == 0
 	if rng.IntN(3) == 0 {
--- a/internal/rehearsal/machine.go
+++ b/internal/rehearsal/machine.go
@@ -49,7 +49,7 @@
 	count   *counters.Set
 	settled func()
 	over    bool
-	stood   time.Duration // when it last went on after standing still
+	died    time.Duration
 	backlog []func()
 	busy    time.Duration // until then its processor has no time
 	links   map[string]*wing
@@ -91,7 +91,7 @@
 		return
 	}
 	m.p = nil
-	p.over = true
+	p.over, p.died = true, m.w.now
 	if m.stands > 0 {
 		m.w.note(history.Event{Who: m.name, Kind: history.Goes})
 	}
@@ -153,7 +153,6 @@
 		if m.stands--; m.stands == 0 {
 			m.w.note(history.Event{Who: m.name, Kind: history.Goes})
 			m.w.say("%s goes on", m.name)
-			p.stood = m.w.now
 			all := p.backlog
 			p.backlog = nil
 			for _, do := range all {
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -19,6 +19,7 @@
 	redialMost = 640 * time.Millisecond
 	lookAgain  = 100 * time.Millisecond
 	goesAgain  = 200 * time.Millisecond // a packet that was lost
+	writtenIn  = 200 * time.Microsecond // links are written apart from the turns
 	frameHead  = 66                     // of a packet, beside what it carries
 	queueMost  = 500 * time.Millisecond // datagrams wait no longer for their turn on a link
 )
@@ -110,6 +111,7 @@
 	stuck   [][]byte
 	watched bool
 	over    bool
+	gone    bool // what was sent last was lost with its sender
 }
 
 // Want, Leave and Send are the links of a house.
@@ -222,14 +224,20 @@
 	if p.w.strikes() {
 		at += goesAgain
 	}
-	c.deliver(at, b)
+	c.deliver(at, p.w.now+span(p.w.net, 0, writtenIn), b)
 }
 
-func (c *conn) deliver(at time.Duration, b []byte) {
+// deliver brings bytes that were written at one time and are out on the link at another. What a process had not written when it
+// was killed never comes, nor what was not out when its machine lost power.
+func (c *conn) deliver(out, written time.Duration, b []byte) {
 	p := c.v.p
-	c.last = max(c.last, at+p.w.way(p.m.zone, c.v.to.zone))
+	c.last = max(c.last, max(out, written)+p.w.way(p.m.zone, c.v.to.zone))
 	peer, from := c.peer, p.m.inner
 	p.w.at(c.last, func() {
+		if p.over && (written > p.died || p.m.dark && out > p.died) || c.gone {
+			c.gone = true
+			return
+		}
 		peer.turn(func() {
 			f := new(house.Frame)
 			c.in.Write(b)
@@ -266,7 +274,7 @@
 			all := c.stuck
 			c.stuck = nil
 			for _, b := range all {
-				c.deliver(w.now+span(w.net, 0, goesAgain), b)
+				c.deliver(w.now+span(w.net, 0, goesAgain), began, b)
 			}
 			return false
 		case w.now-began >= unheardFor || c.peer.over && !c.v.to.dark && !w.parts(c.v.p.m, c.v.to) && !w.parts(c.v.to, c.v.p.m):
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -127,11 +127,33 @@
 			return
 		}
 		o.goes = true
+		o.audit()
 		then()
 		o.pause()
 	})
 }
 
+// audit reads at one door or another, once each time, whatever else is under way.
+func (o *operator) audit() {
+	w := o.w
+	w.every(300*time.Millisecond, func() bool {
+		if began := w.now; o.goes {
+			o.call(w.machines[o.rng.IntN(len(w.machines))], "", nil, func(status int, text []byte) { o.readBack(began, status, text) })
+		}
+		return true
+	})
+}
+
+// readBack notes what was read; nil: nothing was.
+func (o *operator) readBack(began time.Duration, status int, text []byte) *playbill.Bill {
+	b := new(playbill.Bill)
+	if status != 200 || json.Unmarshal(text, b) != nil {
+		return nil
+	}
+	o.w.note(history.Event{Who: "operator", Kind: extras.ReadBack, N: float64(b.Generation), Due: began})
+	return b
+}
+
 func (o *operator) pause() {
 	o.w.after(span(o.rng, 100*time.Millisecond, 700*time.Millisecond), func() {
 		switch {
@@ -186,12 +208,6 @@
 func (o *operator) read(then func(*playbill.Bill)) {
 	began := o.w.now
 	o.ask("", nil, func(status int, text []byte, clear bool) {
-		b := new(playbill.Bill)
-		if !clear || status != 200 || json.Unmarshal(text, b) != nil {
-			then(nil)
-			return
-		}
-		o.w.note(history.Event{Who: "operator", Kind: extras.ReadBack, N: float64(b.Generation), Due: began})
-		then(b)
+		then(o.readBack(began, status, text))
 	})
 }
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -140,8 +140,6 @@
 			}
 			if drains || leaves {
 				w.note(history.Event{Who: m.control, Kind: history.Told, At: b.id, What: "Terminating"})
-				w.teller = m
-				w.happens(drained)
 			}
 			then(true)
 		})
@@ -177,6 +175,10 @@
 		}
 		p.turn(func() {
 			answered := func(ok bool, target string) {
+				if ok && phase == callboard.Draining && !leaves {
+					w.teller = m
+					w.happens(drained)
+				}
 				if !w.apart(m, b.zone) {
 					w.after(w.way(m.zone, b.zone), func() { end(ok, target) })
 				}
