Test: words between doors do not grow with the square of their number

Keepers and words at every door once filled small links at 96 doors. The rehearsal counts bytes by kind; a test now holds a door without a disk in calm under 2 KB/s whatever the number, one with a disk under 2 KB/s + 60 B/s a door, and the whole to linear growth from 24 to 48 doors.

--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -41,3 +41,20 @@
 		}
 	}
 }
+
+// What doors say in calm does not grow with their square: a door without a disk stays under its budget whatever their number,
+// one with a disk grows with it. See docs/rehearsal.md.
+func TestWords(t *testing.T) {
+	all := map[int]*Result{}
+	for _, n := range []int{12, 24, 48} {
+		r := Play(&Day{Site: Site{Doors: n, Disks: 3, Rate: 200}, Seed: 1, For: 5 * time.Second, Calm: true})
+		must.SliceEmpty(t, r.Broken)
+		must.Less(t, 2<<10, r.Others.Sum())
+		must.Less(t, 2<<10+int64(60*n), r.Disks.Sum())
+		all[n] = r
+	}
+	must.Less(t, all[12].Others.Sum()*5/4, all[48].Others.Sum())
+	// All together: twice the doors, no more than somewhat over twice the bytes.
+	total := func(n int) int64 { return 3*all[n].Disks.Sum() + int64(n-3)*all[n].Others.Sum() }
+	must.Less(t, total(24)*5/2, total(48))
+}
