--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -196,6 +196,7 @@
 			} else if back != nil && anew && back.c.peer.over {
 				back.c.end()
 			}
+			peer.h.Came(from)
 		})
 	})
 	v.p.turn(func() {
