Who was away, or was just cut off, does not begin the core

Its disk then holds a founding that the others never join: it stays without configuration until the disk is taken away. Now a standstill begins the calm before a founding anew, and the seeds must have been heard within 1.1 s.

--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -72,6 +72,7 @@
 	silentFor  = 2200 * time.Millisecond // a door that is not heard for longer counts as lost
 	standstill = time.Second
 	forgetIn   = 90 * time.Second        // and after this it is dialed no more, unless it is a seed or has a seat
+	foundHeard = 1100 * time.Millisecond // and the seeds were heard within this: one that has just been cut off must not begin it
 	foundCalm  = 500 * time.Millisecond  // no further door with a disk came for so long
 	foundMost  = 3 * time.Second         // with fewer than are needed, the core begins all the same
 	foundNext  = 2500 * time.Millisecond // the next seed begins it where the ones before are silent
@@ -128,6 +129,7 @@
 // take all for lost for a moment, and leave the door that it follows though all that this one sent lies unread.
 func (c *Company) Now(t time.Duration) {
 	if step := t - c.now; step > standstill {
+		c.lastDisk = t // others may have begun the core meanwhile: their word of it lies unread
 		for _, d := range c.doors {
 			d.heard += step
 		}
@@ -440,7 +442,7 @@
 	}
 	seeds := 0
 	for _, a := range c.terms.Seeds {
-		if c.Live(a) {
+		if d := c.doors[a]; a == c.me.Addr || d != nil && d.live && c.now-d.heard < foundHeard {
 			seeds++
 		}
 	}
--- a/internal/company/company_test.go
+++ b/internal/company/company_test.go
@@ -462,3 +462,31 @@
 	drain(c)
 	must.False(t, c.Live("a") || c.Live("b")) // 2.2 s of silence, of which 0.5 s came before
 }
+
+// The first seed is frozen before it begins the core, or was just cut off: it reads first what the others have said, and does not
+// go by doors that it has not heard for a second. It would else begin a system of its own, which the others never join.
+func TestWhoWasAwayDoesNotBegin(t *testing.T) {
+	began := func(pause time.Duration, hears bool) bool {
+		c := New(Door{Addr: "a", Disk: 1, First: true}, Terms{Seeds: []string{"a", "b", "c"}, Tolerates: 1}, 0)
+		for i, n := range []string{"b", "c"} {
+			c.Hello(n, Hello{Door: Door{Name: n, Disk: Disk(i + 2), First: true, Life: 1}})
+			c.Up(n)
+		}
+		drain(c)
+		for c.now < 400*ms {
+			c.Now(c.now + 100*ms)
+		}
+		c.Now(c.now + pause)
+		did := drain(c)
+		for end := c.now + time.Second; c.now < end; did = append(did, drain(c)...) {
+			if c.Now(c.now + 100*ms); hears {
+				c.Heard("b")
+				c.Hello("c", Hello{Door: Door{Name: "c", Disk: 3, First: true, Life: 1, Founded: pause > 0}})
+			}
+		}
+		return count(did, Found, "a") > 0
+	}
+	must.True(t, began(0, true))
+	must.False(t, began(6*time.Second, true)) // another has begun it
+	must.False(t, began(800*ms, false))       // nobody is heard since 1.2 s
+}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -34,6 +34,11 @@
 		// had any reason to speak to the other again, their links being whole.
 		"two stand still": {Site: Site{Doors: 7, Disks: 3}, Seed: 1504, Faults: []spec.Fault{{Kind: "door-stall",
 			At: 336857009, For: 2243628234, Share: 0.3, Pick: 0x41a2054cc35fe963}}},
+		// The first seed stands still from its first moment on, while the others begin the core: awake, it began one of its own
+		// before it read that.
+		"frozen before it begins": {Site: Site{Doors: 3, Disks: 3, Rate: 72}, Seed: 70010, Early: true, Closing: true, Faults: []spec.Fault{
+			{Kind: "core-stall", At: 1427792977, For: 5773695458, Share: 0.1, Pick: 0x4952d45b103c5989},
+			{Kind: "sync-power", At: 426962490, For: 3359333924, Share: 0.1, Pick: 0x2b3dc7edc3446fc3}}},
 	} {
 		d.For = 5 * time.Second
 		for _, b := range Play(d).Broken {
