--- a/internal/extras/operator.go
+++ b/internal/extras/operator.go
@@ -15,13 +15,14 @@
 	"clovergap/internal/playbill"
 )
 
-// service is one of the small house that is played.
-type service struct {
-	name string
-	work time.Duration
+// Service is one of the small house that is played.
+type Service struct {
+	Name string
+	Work time.Duration // the least of a request is half of it, the mean all
 }
 
-var services = []service{{"programme", 15 * time.Millisecond}, {"tickets", 25 * time.Millisecond}}
+// Services are those of First.
+var Services = []Service{{"programme", 15 * time.Millisecond}, {"tickets", 25 * time.Millisecond}}
 
 // Hosts of the house.
 const (
@@ -70,8 +71,8 @@
 					playbill.BillTarget{Target: "tickets", Weight: 20})}},
 			{Hostname: hostTickets, PathList: []playbill.BillRoute{
 				route("r-book", "/book/", playbill.Effectful, "2000ms", "500ms", false, one("tickets"))}}}}
-	for _, s := range services {
-		b.Services = append(b.Services, playbill.BillService{Name: s.name, HealthPath: "/health", MaxConns: 130,
+	for _, s := range Services {
+		b.Services = append(b.Services, playbill.BillService{Name: s.Name, HealthPath: "/health", MaxConns: 130,
 			Protocol: "h1"})
 	}
 	return b
@@ -105,13 +106,22 @@
 	return &Operator{Pause: 500 * time.Millisecond, t: t, rng: t.source(0x09e7a702), versions: map[uint64]*Version{}, at: 0}
 }
 
-// clearMost bounds how long a call is sent again.
-const clearMost = 12 * time.Second
+// Clear tells whether a status ends an operator's call at once.
+func Clear(status int) bool {
+	switch status {
+	case 400, 409, 412, 413, 422:
+		return true
+	}
+	return status/100 == 2
+}
+
+// ClearMost bounds how long a call is sent again.
+const ClearMost = 12 * time.Second
 
 // ask brings a call to one door after another until one gives a clear answer: a 2xx or a 4xx that says no.
 func (o *Operator) ask(ctx context.Context, method, path string, body []byte) (status int, text []byte,
 	clear bool) {
-	ctx, cancel := context.WithTimeout(ctx, clearMost)
+	ctx, cancel := context.WithTimeout(ctx, ClearMost)
 	defer cancel()
 	o.mu.Lock()
 	o.at = o.rng.IntN(len(o.t.Doors))
@@ -123,9 +133,7 @@
 		at++
 		switch {
 		case err != nil:
-		case status/100 == 2:
-			return status, text, true
-		case status == 400 || status == 409 || status == 412 || status == 413 || status == 422:
+		case Clear(status):
 			return status, text, true
 		case status/100 == 4 && status != 408 && status != 429:
 			if strange++; strange == 3 {
@@ -175,7 +183,7 @@
 func (o *Operator) Open(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		v := &Version{Bill: First()}
-		if status, clear := o.propose(ctx, "/api/Config.Replace", v.Bill, v); clear && status == http.StatusOK {
+		if status, clear := o.propose(ctx, ReplacePath, v.Bill, v); clear && status == http.StatusOK {
 			return true
 		} else if clear {
 			return false
@@ -247,36 +255,30 @@
 	return o.rng.IntN(n)
 }
 
-// Step makes one change of a kind drawn: a guest's route is added, moved or removed by name, the whole is
-// replaced, two operators race, or something invalid is sent.
+// Change is one that an operator may send.
+type Change struct {
+	Path string
+	Body any
+	Version
+}
+
+// Step makes one change of a kind drawn, or two that race.
 func (o *Operator) Step(ctx context.Context) {
 	parent, bill := o.current(ctx)
 	if bill == nil {
 		return
 	}
-	switch x := o.draw(10); {
-	case x < 6:
-		o.amend(ctx, parent, bill)
-	case x < 8:
-		n := clone(bill)
-		n.Generation, n.ParentVersion = o.number(), parent
-		guest(n, o.guestRoute(n.Generation))
-		o.propose(ctx, "/api/Config.Replace", n, &Version{Bill: n, Parent: parent})
-	case x < 9:
-		var both sync.WaitGroup
-		for range 2 {
-			both.Add(1)
-			go func() { defer both.Done(); o.amend(ctx, parent, bill) }()
-		}
-		both.Wait()
+	changes := Draft(o.draw, o.number, parent, bill)
+	var all sync.WaitGroup
+	for _, c := range changes {
+		all.Add(1)
+		go func() { defer all.Done(); o.propose(ctx, c.Path, c.Body, &c.Version) }()
+	}
+	all.Wait()
+	if len(changes) > 1 {
 		o.mu.Lock()
 		o.unsure = true // who has won is read
 		o.mu.Unlock()
-	default:
-		n := clone(bill)
-		n.Generation, n.ParentVersion = o.number(), parent
-		n.Vhosts[0].PathList[0].Target = "nobody"
-		o.propose(ctx, "/api/Config.Replace", n, &Version{Bill: n, Parent: parent, WellKnownBad: true})
 	}
 }
 
@@ -286,42 +288,82 @@
 	if bill == nil {
 		return false
 	}
-	o.amend(ctx, parent, bill)
+	d := draft{o.draw, o.number, parent, bill}
+	c := d.amend()
+	o.propose(ctx, c.Path, c.Body, &c.Version)
 	known, _ := o.Known()
 	return known != parent
 }
 
-func (o *Operator) guestRoute(n uint64) playbill.BillRoute {
+// Draft draws what an operator does next on top of a configuration: a guest's route is added, moved or removed by name, the
+// whole is replaced, two changes race, or something invalid is sent.
+func Draft(draw func(n int) int, number func() uint64, parent uint64, bill *playbill.Bill) []Change {
+	d := draft{draw, number, parent, bill}
+	switch x := draw(10); {
+	case x < 6:
+		return []Change{d.amend()}
+	case x < 8:
+		n := d.next()
+		guest(n, d.guestRoute(n.Generation))
+		return []Change{{ReplacePath, n, Version{Bill: n, Parent: parent}}}
+	case x < 9:
+		return []Change{d.amend(), d.amend()}
+	}
+	n := d.next()
+	n.Vhosts[0].PathList[0].Target = "nobody"
+	return []Change{{ReplacePath, n, Version{Bill: n, Parent: parent, WellKnownBad: true}}}
+}
+
+const (
+	ReplacePath = "/api/Config.Replace"
+	AmendPath   = "/api/Config.Amend"
+)
+
+// draft is a change under way.
+type draft struct {
+	draw   func(n int) int
+	number func() uint64
+	parent uint64
+	bill   *playbill.Bill
+}
+
+// next is the whole configuration under a new number.
+func (d *draft) next() *playbill.Bill {
+	n := clone(d.bill)
+	n.Generation, n.ParentVersion = d.number(), d.parent
+	return n
+}
+
+func (d *draft) guestRoute(n uint64) playbill.BillRoute {
 	deadline, aim := "1500ms", "400ms"
 	return playbill.BillRoute{Name: fmt.Sprintf("g-%d", n), PathPrefix: fmt.Sprintf("/g%d/", n),
 		Variant: playbill.Pure, Deadline: &deadline,
-		TargetLatency: &aim, MaxTries: 2, Target: services[o.draw(2)].name}
+		TargetLatency: &aim, MaxTries: 2, Target: Services[d.draw(2)].Name}
 }
 
 // amend changes named items.
-func (o *Operator) amend(ctx context.Context, parent uint64, bill *playbill.Bill) {
-	n := clone(bill)
-	n.Generation, n.ParentVersion = o.number(), parent
-	a := playbill.Amendment{Generation: n.Generation, ParentVersion: parent}
-	guests := Guests(bill)
-	if x := o.draw(3); x == 0 && len(guests) > 2 {
-		gone := guests[o.draw(len(guests))].Name
+func (d *draft) amend() Change {
+	n := d.next()
+	a := playbill.Amendment{Generation: n.Generation, ParentVersion: d.parent}
+	guests := Guests(d.bill)
+	if x := d.draw(3); x == 0 && len(guests) > 2 {
+		gone := guests[d.draw(len(guests))].Name
 		a.Removals = &playbill.Removals{Routes: []string{gone}}
 		for i := range n.Vhosts {
 			n.Vhosts[i].PathList = slices.DeleteFunc(n.Vhosts[i].PathList,
 				func(r playbill.BillRoute) bool { return r.Name == gone })
 		}
 	} else {
-		r := o.guestRoute(n.Generation)
+		r := d.guestRoute(n.Generation)
 		if x == 1 && len(guests) > 0 { // one moves to a service, maybe another
-			old := guests[o.draw(len(guests))]
+			old := guests[d.draw(len(guests))]
 			r.Name, r.PathPrefix = old.Name, old.PathPrefix
 		}
 		a.Upserts = &playbill.Upserts{Vhosts: []playbill.BillHost{{Hostname: hostGuests,
 			PathList: []playbill.BillRoute{r}}}}
 		guest(n, r)
 	}
-	o.propose(ctx, "/api/Config.Amend", a, &Version{Bill: n, Parent: parent})
+	return Change{AmendPath, a, Version{Bill: n, Parent: d.parent}}
 }
 
 // Guests are the routes that come and go.
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -110,13 +110,9 @@
 // budgets: in no window does a service receive more arrivals after the first of each request than its share
 // of the requests for it and the extra. What was turned away counts, and the best of three windows of
 // requests does.
-func budgets(h []history.Event, t *Troupe) (bad []history.Broken) {
+func budgets(h []history.Event, t *Cast) (bad []history.Broken) {
 	b := Bounds()
-	service := map[string]string{}
-	for _, l := range t.All() {
-		service[l.ID] = l.Service
-	}
-	versions := t.Operator.Versions()
+	service, versions := t.Services, t.Versions
 	prefixes := map[string][]string{} // services that any version names, by host and the path's first part
 	named := func(e history.Event) []string {
 		key := e.Key + e.At[:strings.Index(e.At[1:], "/")+2]
@@ -175,11 +171,11 @@
 	return bad
 }
 
-// Kept: what was acknowledged is in the configuration read back at the end, or older than it; and what is
+// Kept: what was acknowledged is in the configuration read back at the end, at a time, or older than it; and what is
 // read is what was sent.
-func Kept(final *playbill.Bill, sent map[uint64]Version) (bad []history.Broken) {
+func Kept(final *playbill.Bill, sent map[uint64]Version, at time.Duration) (bad []history.Broken) {
 	say := func(format string, args ...any) {
-		bad = append(bad, history.Broken{Rule: "CONFIG", T: history.Now(), What: fmt.Sprintf(format, args...)})
+		bad = append(bad, history.Broken{Rule: "CONFIG", T: at, What: fmt.Sprintf(format, args...)})
 	}
 	parents := map[uint64]uint64{}
 	for n, v := range sent {
@@ -228,6 +224,35 @@
 	return in
 }
 
+// Trouble on a door's machine or its links, by whoever brings it.
+const (
+	Troubled history.Kind = "trouble"
+	Eased    history.Kind = "eased"
+)
+
+// Cast is who played a history, as far as the rules ask.
+type Cast struct {
+	Doors    map[string]string // names, by where they take control calls
+	Cores    []string          // those with a disk
+	Services map[string]string // of every backend that ever was
+	Versions map[uint64]Version
+}
+
+// Cast names who played.
+func (t *Troupe) Cast() *Cast {
+	c := &Cast{Doors: map[string]string{}, Services: map[string]string{}, Versions: t.Operator.Versions()}
+	for _, d := range t.Doors {
+		c.Doors[d.Control] = d.Name
+	}
+	for _, d := range t.Cores() {
+		c.Cores = append(c.Cores, d.Name)
+	}
+	for _, l := range t.All() {
+		c.Services[l.ID] = l.Service
+	}
+	return c
+}
+
 // calm tells when doors were in touch, by what the rig did to them.
 type calm struct {
 	events map[string][]time.Duration // of each door: ends, starts, stops, goes
@@ -239,14 +264,11 @@
 
 const always = time.Duration(1<<63 - 1)
 
-func newCalm(h []history.Event, t *Troupe) *calm {
-	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}, gaps: gapsOf(h)}
-	for _, d := range t.Cores() {
-		c.cores = append(c.cores, d.Name)
-	}
+func newCalm(h []history.Event, t *Cast) *calm {
+	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}, gaps: gapsOf(h), cores: t.Cores}
 	open := map[string]map[history.Kind]time.Duration{}
-	for _, d := range t.Doors {
-		open[d.Name] = map[history.Kind]time.Duration{}
+	for _, name := range t.Doors {
+		open[name] = map[history.Kind]time.Duration{}
 	}
 	for _, e := range h {
 		if open[e.Who] == nil {
@@ -254,7 +276,7 @@
 		}
 		ends := history.Kind("")
 		switch e.Kind {
-		case history.Down, history.Stopped:
+		case history.Down, history.Stopped, Troubled:
 			if _, ok := open[e.Who][e.Kind]; !ok { // a kill is told when it is sent, and when it is seen
 				open[e.Who][e.Kind] = e.T
 			}
@@ -262,6 +284,8 @@
 			ends = history.Down
 		case history.Goes:
 			ends = history.Stopped
+		case Eased:
+			ends = Troubled
 		case Terminates:
 		case Parted, Joined: // of a cut, both ends must be of the core to unsettle it
 			if slices.Contains(c.cores, e.Who) && slices.Contains(c.cores, e.At) {
@@ -315,7 +339,7 @@
 
 // Judge holds a history against the rules that clients, backends and the operator can see broken. Slack is
 // how slow the machine itself was.
-func Judge(h []history.Event, t *Troupe, slack time.Duration) (bad []history.Broken) {
+func Judge(h []history.Event, t *Cast, slack time.Duration) (bad []history.Broken) {
 	c := newCalm(h, t)
 	bad = append(bad, Twice(h)...)
 	bad = append(bad, Quotas(h)...)
@@ -323,22 +347,20 @@
 	bad = append(bad, drains(h, t, c, slack)...)
 	bad = append(bad, reads(h, t)...)
 	bad = append(bad, acks(t, c, h)...)
+	bad = append(bad, backwards(h, t, c, slack)...)
 	return append(bad, routes(h, t, c, slack)...)
 }
 
 // drains: nothing reaches a backend by a door in touch more than the drain after a door in touch
 // acknowledged that it leaves.
-func drains(h []history.Event, t *Troupe, c *calm, slack time.Duration) (bad []history.Broken) {
-	names, ask, told := map[string]string{}, map[string]history.Event{}, map[string]time.Duration{}
-	for _, d := range t.Doors {
-		names[d.Control] = d.Name
-	}
+func drains(h []history.Event, t *Cast, c *calm, slack time.Duration) (bad []history.Broken) {
+	ask, told := map[string]history.Event{}, map[string]time.Duration{}
 	for _, e := range h {
 		switch e.Kind {
 		case history.Asked:
 			ask[e.Txn] = e
 		case history.Told:
-			if _, ok := told[e.At]; !ok && c.touch(names[e.Who], e.T, e.T) {
+			if _, ok := told[e.At]; !ok && c.touch(t.Doors[e.Who], e.T, e.T) {
 				told[e.At] = e.T
 			}
 		case history.Arrived:
@@ -354,12 +376,12 @@
 }
 
 // reads: what is read is not older than what was acknowledged before it was asked.
-func reads(h []history.Event, t *Troupe) (bad []history.Broken) {
+func reads(h []history.Event, t *Cast) (bad []history.Broken) {
 	for _, e := range h {
 		if e.Kind != ReadBack {
 			continue
 		}
-		for n, v := range t.Operator.Versions() {
+		for n, v := range t.Versions {
 			if v.Acked > 0 && v.Acked < e.Due && float64(n) > e.N {
 				bad = append(bad, history.Broken{Rule: "CONFIG", T: e.T, What: fmt.Sprintf(
 					"%.0f was read, asked at %.3fs, though %d was acknowledged at %.3fs", e.N,
@@ -371,9 +393,9 @@
 }
 
 // acks: a proper order is acknowledged within its time where the core was settled all the while.
-func acks(t *Troupe, c *calm, h []history.Event) (bad []history.Broken) {
+func acks(t *Cast, c *calm, h []history.Event) (bad []history.Broken) {
 	last := h[len(h)-1].T
-	for n, v := range t.Operator.Versions() {
+	for n, v := range t.Versions {
 		late := v.Sent + Bounds().AckWithin
 		if v.Lost || v.Acked > 0 && v.Acked <= late || late > last {
 			continue
@@ -389,7 +411,7 @@
 
 // routes: what runs was asked so, by a service that some configuration names for it, and doors in touch go
 // by the configurations that may be in force.
-func routes(h []history.Event, t *Troupe, c *calm, slack time.Duration) (bad []history.Broken) {
+func routes(h []history.Event, t *Cast, c *calm, slack time.Duration) (bad []history.Broken) {
 	type request struct {
 		route, ask, final history.Event
 		ran               []history.Event
@@ -419,24 +441,8 @@
 		}
 		last = max(last, e.T)
 	}
-	service := map[string]string{}
-	for _, l := range t.All() {
-		service[l.ID] = l.Service
-	}
-	versions := t.Operator.Versions()
-	for n, v := range versions {
-		if v.Acked > 0 { // none may have been read
-			newest = max(newest, n)
-		}
-	}
-	in := chain(newest, versions)
-	var force []Version // those that were in force, in order
-	for n := range in {
-		if v, ok := versions[n]; ok {
-			force = append(force, v)
-		}
-	}
-	slices.SortFunc(force, func(a, b Version) int { return int(a.Bill.Generation) - int(b.Bill.Generation) })
+	service, versions := t.Services, t.Versions
+	force := t.force(newest)
 	for _, id := range order {
 		r := all[id]
 		say := func(rule string, timed bool, at time.Duration, format string, args ...any) {
@@ -500,6 +506,82 @@
 	return bad
 }
 
+// force are the versions that were in force, in order: the newest that was read or acknowledged, and what it builds on.
+func (t *Cast) force(read uint64) (all []Version) {
+	for n, v := range t.Versions {
+		if v.Acked > 0 { // none may have been read
+			read = max(read, n)
+		}
+	}
+	for n := range chain(read, t.Versions) {
+		if v, ok := t.Versions[n]; ok {
+			all = append(all, v)
+		}
+	}
+	slices.SortFunc(all, func(a, b Version) int { return int(a.Bill.Generation) - int(b.Bill.Generation) })
+	return all
+}
+
+// slowedTimes as long may a door that is not in touch take to show what it knows.
+const slowedTimes = 8
+
+// backwards: within one life a door does not go back behind a version whose effect a backend has seen.
+func backwards(h []history.Event, t *Cast, c *calm, slack time.Duration) (bad []history.Broken) {
+	type sight struct {
+		at     time.Duration
+		oldest int // in force, that explains it
+	}
+	route, ask, seen, read := map[string]history.Event{}, map[string]history.Event{}, map[string][]sight{}, uint64(0)
+	for _, e := range h {
+		if e.Kind == ReadBack {
+			read = uint64(e.N)
+		}
+	}
+	force := t.force(read)
+	for _, e := range Run(h) {
+		switch e.Kind {
+		case Route:
+			route[e.Txn] = e
+		case history.Asked:
+			ask[e.Txn] = e
+		case history.Up:
+			delete(seen, e.Who)
+		case history.Arrived:
+			a, ok := ask[e.Txn]
+			oldest, newest := -1, -1
+			for i := range force {
+				if slices.Contains(targets(force[i].Bill, route[e.Txn]), t.Services[e.Who]) {
+					if newest = i; oldest < 0 {
+						oldest = i
+					}
+				}
+			}
+			if !ok || newest < 0 {
+				continue
+			}
+			within := Bounds().RevertSlack
+			if !c.touch(a.At, a.T, e.T) {
+				within *= slowedTimes
+			}
+			known := 0
+			for _, s := range seen[a.At] {
+				if s.at+within+slack < a.T {
+					known = max(known, s.oldest)
+				}
+			}
+			if newest < known {
+				bad = append(bad, history.Broken{Rule: "CONFIG", T: e.T, Who: a.At, Txn: e.Txn, Key: a.Key, Timed: true, What: fmt.Sprintf(
+					"ran at %s, as no version after %d allows, though %d was seen in force", e.Who, force[newest].Bill.Generation,
+					force[known].Bill.Generation)})
+			}
+			if all := seen[a.At]; len(all) == 0 || all[len(all)-1].oldest < oldest {
+				seen[a.At] = append(all, sight{e.T, oldest})
+			}
+		}
+	}
+	return bad
+}
+
 // targets are the services that a configuration names for a request.
 func targets(b *playbill.Bill, route history.Event) (all []string) {
 	longest := -1
--- a/internal/extras/rules_test.go
+++ b/internal/extras/rules_test.go
@@ -78,9 +78,11 @@
 		h     []history.Event
 		rules []string
 	}{
-		"all is well":                {browse(10*s, "p", 200), nil},
-		"the new way":                {browse(30*s, "t", 200), nil},
-		"either way at once":         {browse(21*s, "p", 200), nil},
+		"all is well":        {browse(10*s, "p", 200), nil},
+		"the new way":        {browse(30*s, "t", 200), nil},
+		"either way at once": {browse(21*s, "p", 200), nil},
+		"the new way, and back": {append(browse(20*s+s/2, "t", 200), request("b", "pure", "patrons", hostProgramme, "/browse/1",
+			21*s+s/2, map[string]time.Duration{"p": 21*s + s/2}, 22*s, 200)...), []string{"CONFIG"}},
 		"the old way for too long":   {browse(30*s, "p", 200), []string{"CONFIG"}},
 		"refused though it is there": {browse(30*s, "t", 404), []string{"CONFIG"}},
 		"a route that is gone": {request("a", "pure", "", hostTickets, "/book/1", 30*s,
@@ -118,7 +120,7 @@
 			[]string{"CONFIG"}},
 	} {
 		var rules []string
-		for _, b := range Judge(history.Merge(c.h, []history.Event{read}), quiet(moved(20*s)), 0) {
+		for _, b := range Judge(history.Merge(c.h, []history.Event{read}), quiet(moved(20*s)).Cast(), 0) {
 			if len(rules) == 0 || rules[len(rules)-1] != b.Rule {
 				rules = append(rules, b.Rule)
 			}
@@ -149,6 +151,6 @@
 		"invalid":       {bill(4), map[uint64]Version{4: {Bill: bill(4), Acked: s, WellKnownBad: true}}, 1},
 		"nothing comes": {nil, map[uint64]Version{4: {Bill: bill(4)}}, 1},
 	} {
-		must.Len(t, c.bad, Kept(c.final, c.sent), must.Sprint(name))
+		must.Len(t, c.bad, Kept(c.final, c.sent, s), must.Sprint(name))
 	}
 }
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -1,6 +1,8 @@
 package house
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"clovergap/internal/company"
@@ -36,7 +38,7 @@
 	h.company.Seats(s.Seats())
 	h.swap()
 	h.foldRollouts()
-	for addr := range h.followers {
+	for _, addr := range h.following() {
 		h.feed(addr)
 	}
 }
@@ -62,7 +64,7 @@
 		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
 			h.tail = append([]line(nil), h.tail[tailMost/2:]...)
 		}
-		for addr := range h.followers {
+		for _, addr := range h.following() {
 			h.feed(addr)
 		}
 	}
@@ -87,6 +89,9 @@
 	h.wings.Send(addr, &Frame{Feed: f})
 }
 
+// following are those who follow, in order: what is sent must not go by chance.
+func (h *House) following() []string { return slices.Sorted(maps.Keys(h.followers)) }
+
 // followed takes a wish to follow. It holds until it is taken back or the link ends, however long the other one is silent: one
 // that was frozen does not know that it was missed, and would wait for news that nobody sends it.
 func (h *House) followed(from string, f *Follow) {
@@ -159,8 +164,9 @@
 
 // tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear. Only
 // the feeder tells how fresh its word is; one of which nothing is known is tried before one that is known to be stale, and
-// one that did not answer goes to the end. One that knows of no leader yet has what its disk held, which is better than
-// nothing after the loss of all.
+// one that did not answer goes to the end. After a standstill of both sides no door with a disk may be heard, and none has a
+// reason to say anything while the links are there: then those are asked that a link leads to. One that knows of no leader
+// yet has what its disk held, which is better than nothing after the loss of all.
 func (h *House) tendFeed() {
 	if h.core != nil {
 		return
--- a/internal/house/rollout.go
+++ b/internal/house/rollout.go
@@ -171,7 +171,7 @@
 func (s *sides) Begin(id control.TxnID, kind control.ProductID, service control.ServiceID) boxoffice.Began {
 	h := (*House)(s)
 	name := h.stock.titles[service]
-	user, tenant := h.foyer.User(h.gate.Asker(slots.Ref(id)), slots.Ref(id))
+	user, tenant := h.front.User(h.gate.Asker(slots.Ref(id)), slots.Ref(id))
 	in := understudy.Scope{Tenant: tenant, Zone: h.sheet.Zone}
 	if r := h.stock.routes[kind]; r != nil {
 		in.Route = r.Name
--- /dev/null
+++ b/internal/rehearsal/rehearsal_test.go
@@ -0,0 +1,65 @@
+package rehearsal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/spec"
+)
+
+// Days of all shapes keep the rules, and the same day gives the same bytes: no map and no clock has a say.
+func TestDays(t *testing.T) {
+	served := 0
+	for seed, site := range []Site{{Doors: 5, Disks: 3}, {Doors: 3, Disks: 3}, {Doors: 7, Disks: 5, Mbps: 2}, {Doors: 1, Disks: 1},
+		{Doors: 6, Disks: 3, Turn: 100 * time.Microsecond}, {Doors: 12, Disks: 3}} {
+		for n := range 2 {
+			day := func() *Result { return Play(Draw(site, uint64(10*seed+n), 6, 8*time.Second)) }
+			r := day()
+			for _, b := range r.Broken {
+				t.Errorf("seed %d: %s", r.Day.Seed, b)
+			}
+			must.Eq(t, r.Digest, day().Digest)
+			served += r.Counts.Served
+		}
+	}
+	must.Greater(t, 4000, served)
+}
+
+// Days that broke a rule before what they found was mended, shrunk.
+func TestKept(t *testing.T) {
+	for name, d := range map[string]*Day{
+		// A door without a disk and the one that it followed stood still at once, for longer than silence is borne: neither
+		// had any reason to speak to the other again, their links being whole.
+		"two stand still": {Site: Site{Doors: 7, Disks: 3}, Seed: 1504, Faults: []spec.Fault{{Kind: "door-stall",
+			At: 336857009, For: 2243628234, Share: 0.3, Pick: 0x41a2054cc35fe963}}},
+		// The first seed stands still from its first moment on, while the others begin the core: awake, it began one of its own
+		// before it read that.
+		"frozen before it begins": {Site: Site{Doors: 3, Disks: 3, Rate: 72}, Seed: 70010, Early: true, Closing: true, Faults: []spec.Fault{
+			{Kind: "core-stall", At: 1427792977, For: 5773695458, Share: 0.1, Pick: 0x4952d45b103c5989},
+			{Kind: "sync-power", At: 426962490, For: 3359333924, Share: 0.1, Pick: 0x2b3dc7edc3446fc3}}},
+	} {
+		d.For = 5 * time.Second
+		for _, b := range Play(d).Broken {
+			t.Errorf("%s: %s", name, b)
+		}
+	}
+}
+
+// What doors say in calm does not grow with their square: a door without a disk stays under its budget whatever their number,
+// one with a disk grows with it. See docs/rehearsal.md.
+func TestWords(t *testing.T) {
+	all := map[int]*Result{}
+	for _, n := range []int{12, 24, 48} {
+		r := Play(&Day{Site: Site{Doors: n, Disks: 3, Rate: 200}, Seed: 1, For: 5 * time.Second, Calm: true})
+		must.SliceEmpty(t, r.Broken)
+		must.Less(t, 2<<10, r.Others.Sum())
+		must.Less(t, 2<<10+int64(60*n), r.Disks.Sum())
+		all[n] = r
+	}
+	must.Less(t, all[12].Others.Sum()*5/4, all[48].Others.Sum())
+	// All together: twice the doors, no more than somewhat over twice the bytes.
+	total := func(n int) int64 { return 3*all[n].Disks.Sum() + int64(n-3)*all[n].Others.Sum() }
+	must.Less(t, total(24)*5/2, total(48))
+}
--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -325,7 +325,7 @@
 			h.says = append(h.says, d.Name+": "+h.t.Tells(d))
 		}
 	}
-	return append(bad, extras.Kept(final, h.t.Operator.Versions())...)
+	return append(bad, extras.Kept(final, h.t.Operator.Versions(), history.Now())...)
 }
 
 // operate sends the first configuration, then changes it, until all is over.
@@ -578,7 +578,7 @@
 	if n := events[max(0, len(events)-1)]; n.Kind == history.Lost {
 		res.Slow = time.Hour // what rests on what was not kept is no finding
 	}
-	bad = append(bad, extras.Judge(events, h.t, platform+res.Slow)...)
+	bad = append(bad, extras.Judge(events, h.t.Cast(), platform+res.Slow)...)
 	spoilt := map[string]bool{}
 	for _, e := range events {
 		if e.Kind == standin.Spoils {
