--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -74,7 +74,8 @@
 	if d.Early {
 		apart = []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 6 * time.Second}[w.net.IntN(4)]
 	}
-	for _, m := range w.machines {
+	for _, m := range w.machines { // until then it is as one that was killed
+		w.note(history.Event{Who: m.name, Kind: history.Down})
 		w.after(span(w.net, 0, apart), m.start)
 	}
 	w.clients.watch()
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -63,3 +63,12 @@
 	total := func(n int) int64 { return 3*all[n].Disks.Sum() + int64(n-3)*all[n].Others.Sum() }
 	must.Less(t, total(24)*5/2, total(48))
 }
+
+// A door that does not come back is told by the rule on recovery, and by no other; the rules on histories are tested in extras.
+func TestRecoverIsJudged(t *testing.T) {
+	d := &Day{Site: Site{Doors: 3, Disks: 3, Rate: 20}, Seed: 1, For: time.Second, Faults: []spec.Fault{{Kind: "door-kill", Share: 0.1,
+		For: spec.Span(time.Hour), Pick: 1}}}
+	r := Play(d)
+	must.SliceLen(t, 1, r.Broken)
+	must.Eq(t, "RECOVER", r.Broken[0].Rule)
+}
