--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -46,9 +46,6 @@
 		}
 		if d.Early && rng.IntN(2) == 0 { // while the core is founded
 			f.At, f.For = seconds(0, 1.5), seconds(0.5, 8)
-			if strings.HasSuffix(f.Kind, "-cut") { // known and open: see docs/rehearsal.md
-				f.Kind = "core-stall"
-			}
 		}
 		d.Faults = append(d.Faults, f)
 	}
