props: what the parts that decide have in common, out of the understudy

Need: the critics take orders that are checked by their tags, words for the log and bounded lists as the understudy does. Change: Span, Check, Pack, Unpack and Keep move to internal/props; the understudy uses them.

--- a/internal/understudy/order.go
+++ b/internal/understudy/order.go
@@ -8,14 +8,11 @@
 	"encoding/binary"
 	"fmt"
 	"math/bits"
-	"reflect"
 	"slices"
-	"strconv"
-	"strings"
-	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/go-playground/validator/v10"
+
+	"clovergap/internal/props"
 )
 
 // Whole is all users: shares are in 1/10000.
@@ -24,20 +21,8 @@
 // Number names a roll-out: no two have the same. 0 is none.
 type Number uint64
 
-// Span is a time that JSON writes as the gateway's other calls do: a number with its unit, ms or s.
-type Span time.Duration
-
-// MarshalText writes milliseconds.
-func (s Span) MarshalText() ([]byte, error) {
-	return append(strconv.AppendInt(nil, time.Duration(s).Milliseconds(), 10), "ms"...), nil
-}
-
-// UnmarshalText reads what time.ParseDuration reads.
-func (s *Span) UnmarshalText(b []byte) error {
-	d, err := time.ParseDuration(string(b))
-	*s = Span(d)
-	return err
-}
+// Span is a time that JSON writes with its unit.
+type Span = props.Span
 
 // Rollout is an order: which version takes over from which, and how.
 type Rollout struct {
@@ -85,12 +70,6 @@
 // spare is what must be free beyond the busiest: a quarter.
 const spare = 1.25
 
-var valid = func() *validator.Validate {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("json") })
-	return v
-}()
-
 // Check fills in what is left out and tells what is wrong, by the name of the field.
 func (r *Rollout) Check() error {
 	u, f := Usual(), &r.Failing
@@ -106,12 +85,7 @@
 	if r.Advance == "" {
 		r.Advance = "word"
 	}
-	var all validator.ValidationErrors
-	if err := valid.Struct(r); errors.As(err, &all) {
-		e := all[0]
-		field := strings.TrimPrefix(e.Namespace(), "Rollout.")
-		return errors.Errorf("%s: %v breaks %s", field, e.Value(), strings.Trim(e.Tag()+" "+e.Param(), " "))
-	} else if err != nil {
+	if err := props.Check(r); err != nil {
 		return err
 	}
 	for i := 1; i < len(r.Steps); i++ {
--- a/internal/understudy/state.go
+++ b/internal/understudy/state.go
@@ -1,8 +1,6 @@
 package understudy
 
 import (
-	"bytes"
-	"encoding/gob"
 	"slices"
 	"strings"
 
@@ -10,6 +8,7 @@
 
 	"clovergap/internal/check"
 	"clovergap/internal/playbill"
+	"clovergap/internal/props"
 )
 
 // Verb is what an entry does.
@@ -136,21 +135,12 @@
 }
 
 // Word encodes an entry for the log.
-func (e *Entry) Word() []byte {
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(e); err != nil {
-		check.That(false, "an entry can be written")
-	}
-	return b.Bytes()
-}
+func (e *Entry) Word() []byte { return props.Pack(e) }
 
 // ReadEntry decodes one.
 func ReadEntry(b []byte) (*Entry, error) {
 	e := new(Entry)
-	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(e); err != nil {
-		return nil, errors.Wrap(err, "entry of a roll-out")
-	}
-	return e, nil
+	return e, props.Unpack(b, e, "entry of a roll-out")
 }
 
 // Decide tells what would become of an entry now, and changes nothing.
@@ -233,7 +223,7 @@
 	}
 	s.Rev++
 	if e.Mark != "" {
-		s.Marks = keep(append(s.Marks, e.Mark), marksMost)
+		s.Marks = props.Keep(append(s.Marks, e.Mark), marksMost)
 	}
 	s.Fence = max(s.Fence, e.Fence)
 	i, had := s.find(e.Service)
@@ -243,7 +233,7 @@
 		must := r.Order.Check()
 		check.That(must == nil, "an order that was taken is sound")
 		if had {
-			s.kept.Ended = keep(append(s.kept.Ended, s.kept.Runs[i]), endedMost)
+			s.kept.Ended = props.Keep(append(s.kept.Ended, s.kept.Runs[i]), endedMost)
 			s.kept.Runs[i] = r
 		} else {
 			s.kept.Runs = slices.Insert(s.kept.Runs, i, r)
@@ -270,21 +260,8 @@
 	return playbill.Taken, nil
 }
 
-func keep[T any](list []T, most int) []T {
-	if len(list) > most {
-		return slices.Clone(list[len(list)-most:])
-	}
-	return list
-}
-
 // Snapshot is the whole state as bytes.
-func (s *State) Snapshot() []byte {
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(s.kept); err != nil {
-		check.That(false, "the state can be written")
-	}
-	return b.Bytes()
-}
+func (s *State) Snapshot() []byte { return props.Pack(s.kept) }
 
 // Restore reads one; nothing at all is the state before the first entry.
 func Restore(b []byte) (*State, error) {
@@ -292,8 +269,5 @@
 	if len(b) == 0 {
 		return s, nil
 	}
-	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&s.kept); err != nil {
-		return nil, errors.Wrap(err, "snapshot of roll-outs")
-	}
-	return s, nil
+	return s, props.Unpack(b, &s.kept, "snapshot of roll-outs")
 }
