--- /dev/null
+++ b/internal/critics/sim_test.go
@@ -0,0 +1,555 @@
+package critics
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/control"
+	"clovergap/internal/playbill"
+)
+
+const (
+	tick = 50 * time.Millisecond
+	ms   = time.Millisecond
+	long = time.Hour // never, in these plays
+)
+
+// trade is a service of the simulated site.
+type trade struct {
+	name          string
+	backs         int
+	writes, reads float64 // a second, over all doors
+	work          time.Duration
+	deadline      time.Duration
+	all           []*simBack
+}
+
+// fault is what a backend does to a request, beside answering it: None for nothing.
+type fault func(w *world, door *simDoor, m Manner) (kind Kind, slower float64)
+
+type simBack struct {
+	Life
+	trade *trade
+	fault fault
+	from  time.Duration // the fault's
+	dead  bool
+	speed float64
+	first time.Duration // first evidence that a door saw
+	ever  bool          // has a fault of its own
+}
+
+type request struct {
+	door *simDoor
+	back *simBack
+	key  Key
+	rev  uint64
+	sent time.Duration
+	seen Seen
+	also Kind // seen a moment later
+	done bool
+}
+
+type simDoor struct {
+	*Door
+	seat    Seat
+	zone    int
+	state   *State
+	at      int                   // entries applied
+	due     map[int]time.Duration // when an entry comes
+	bind    map[Key]Bound
+	out     map[Key]int // under way
+	sentAt  map[Key]time.Duration
+	liar    func(d *simDoor) *Report
+	refused int
+}
+
+// world is a site of doors in three zones, its backends, the core's log and the links between them.
+type world struct {
+	rng    *rand.Rand
+	now    time.Duration
+	trades []*trade
+	backs  []*simBack
+	doors  []*simDoor
+	duty   *Duty
+	dutyAt int // its door
+	log    []Entry
+	logAt  []time.Duration
+	state  *State
+	later  map[time.Duration][]func()
+	cuts   []cut
+	base   float64 // share of 5xx that all backends have
+	nr     int
+
+	met             map[Kind]int // requests that met a fault
+	verdicts, wrong int
+	acquits         int
+	firstTo, lastTo []time.Duration // first evidence to the entry, and the entry to the last door in touch
+	told, bytes     int
+	worst           float64       // share of the patient that is shut, against the bound
+	shutWrong       time.Duration // healthy backends shut, times how long
+	dupes           int
+}
+
+// cut takes a zone or a door from all others for a while.
+type cut struct {
+	zone, door int // -1: any
+	from, to   time.Duration
+}
+
+func site() []*trade {
+	return []*trade{
+		{"libro", 48, 560, 0, 160 * ms, 2 * time.Second, nil},
+		{"catalogo", 64, 80, 900, 120 * ms, 1500 * ms, nil},
+		{"archivo", 32, 0, 300, 300 * ms, 3 * time.Second, nil},
+	}
+}
+
+func small() []*trade {
+	return []*trade{
+		{"libro", 6, 69, 0, 160 * ms, 2 * time.Second, nil},
+		{"catalogo", 13, 10, 217, 120 * ms, 1500 * ms, nil},
+		{"archivo", 9, 0, 61, 300 * ms, 3 * time.Second, nil},
+	}
+}
+
+func newWorld(seed int64, doors int, trades []*trade) *world {
+	w := &world{rng: rand.New(rand.NewSource(seed)), trades: trades, state: NewState(),
+		later: map[time.Duration][]func(){}, met: map[Kind]int{}}
+	for i := range doors {
+		w.doors = append(w.doors, &simDoor{Door: NewDoor(zone(i%3), uint64(seed)*1000+uint64(i), 0), seat: Seat(i), zone: i % 3,
+			state: NewState(), due: map[int]time.Duration{}, bind: map[Key]Bound{}, out: map[Key]int{},
+			sentAt: map[Key]time.Duration{}})
+		w.doors[i].Doors(doors)
+		w.doors[i].Touch(true)
+	}
+	w.newDuty(1, 0)
+	for _, t := range trades {
+		for i := range t.backs {
+			w.start(t, i%3)
+		}
+	}
+	w.append(Entry{Verb: Set, Settings: &Settings{On: true}})
+	return w
+}
+
+func zone(i int) string { return fmt.Sprint("zone-", i) }
+
+func (w *world) start(t *trade, z int) *simBack {
+	w.nr++
+	b := &simBack{Life: Life{ID: LifeID(fmt.Sprintf("i-%03d", w.nr)), Service: t.name, Zone: zone(z)}, trade: t,
+		speed: math.Exp(0.15 * w.rng.NormFloat64()), from: long, first: long}
+	w.backs, t.all = append(w.backs, b), append(t.all, b)
+	w.tell(b)
+	return b
+}
+
+func (w *world) tell(b *simBack) {
+	for i, d := range w.doors {
+		l := b.Life
+		l.Kept = i == w.nr*7919%len(w.doors)
+		d.Life(l)
+	}
+	w.duty.Life(b.Life)
+}
+
+func (w *world) newDuty(fence uint64, at int) {
+	w.duty, w.dutyAt = NewDuty(fence, w.now), at
+	w.duty.Doors(len(w.doors))
+	for _, b := range w.backs {
+		if b.Phase == Ready {
+			w.duty.Life(b.Life)
+		}
+	}
+	w.duty.Fold(w.state, nil)
+}
+
+// apart tells whether two places hear each other, and until when they do not.
+func (w *world) apart(doorA, zoneA, doorB, zoneB int) (until time.Duration) {
+	for _, c := range w.cuts {
+		if w.now < c.from || w.now >= c.to {
+			continue
+		}
+		in := func(door, zone int) bool { return door == c.door && door >= 0 || zone == c.zone && c.zone >= 0 }
+		if in(doorA, zoneA) != in(doorB, zoneB) {
+			until = max(until, c.to)
+		}
+	}
+	return until
+}
+
+func (w *world) after(in time.Duration, f func()) {
+	at := (w.now + max(in, tick)).Truncate(tick)
+	w.later[at] = append(w.later[at], f)
+}
+
+// append puts an entry into the log, if the state takes it; each door has it a little later, in order.
+func (w *world) append(e Entry) {
+	was := w.state.Case(e.Key)
+	if e.Verb == Acquit && was != nil {
+		w.acquits++
+	}
+	if v, _ := w.state.Apply(&e); v != playbill.Taken {
+		return
+	}
+	w.log, w.logAt = append(w.log, e), append(w.logAt, w.now)
+	w.duty.Fold(w.state, &e)
+	if e.Verb == Convict {
+		w.verdicts++
+		for _, b := range w.backs {
+			if b.ID != e.Key.ID {
+				continue
+			}
+			if !b.ever && !b.dead {
+				w.wrong++
+			}
+			if b.first < w.now && was == nil {
+				w.firstTo = append(w.firstTo, w.now-b.first)
+			}
+		}
+	}
+	for _, d := range w.doors {
+		d.due[len(w.log)-1] = w.now + 20*ms + time.Duration(w.rng.Intn(100))*ms
+	}
+}
+
+func (w *world) feed(d *simDoor) {
+	touch := w.apart(int(d.seat), d.zone, w.dutyAt, w.dutyAt%3) == 0
+	if d.Touch(touch); !touch {
+		return
+	}
+	for d.at < len(w.log) && d.due[d.at] <= w.now {
+		if _, err := d.state.Apply(&w.log[d.at]); err != nil {
+			panic(err)
+		}
+		delete(d.due, d.at)
+		if d.at++; w.log[d.at-1].Verb == Convict {
+			if late := w.now - w.logAt[d.at-1]; late < time.Second {
+				w.lastTo = append(w.lastTo, late)
+			}
+		}
+		d.Fold(d.state, &w.log[d.at-1])
+	}
+}
+
+// play goes on for a time.
+func (w *world) play(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.step()
+	}
+}
+
+func (w *world) step() {
+	w.now += tick
+	for _, f := range w.later[w.now] {
+		f()
+	}
+	delete(w.later, w.now)
+	for _, t := range w.trades {
+		w.ask(t, Strict, t.writes)
+		w.ask(t, Patient, t.reads)
+	}
+	for _, d := range w.doors {
+		w.feed(d)
+		if w.now%(2*tick) == 0 || len(d.held) > 0 {
+			d.Now(w.now)
+		}
+		w.pull(d)
+		w.check(d)
+	}
+	w.duty.Now(w.now)
+	for a, ok := w.duty.Next(); ok; a, ok = w.duty.Next() {
+		switch a := a.(type) {
+		case Propose:
+			if w.core() {
+				w.after(tick, func() { w.append(a.Entry) })
+			}
+		case AskAll:
+			for _, d := range w.doors {
+				if w.apart(int(d.seat), d.zone, w.dutyAt, w.dutyAt%3) == 0 && w.rng.Intn(50) > 0 {
+					w.after(tick, func() { d.Asked(a.Ask) })
+				}
+			}
+		}
+	}
+}
+
+// core tells whether the duty's door is with the majority: two zones of three.
+func (w *world) core() bool {
+	for _, c := range w.cuts {
+		if w.now >= c.from && w.now < c.to && (c.zone == w.dutyAt%3 || c.door == w.dutyAt) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) pull(d *simDoor) {
+	for a, ok := d.Next(); ok; a, ok = d.Next() {
+		switch a := a.(type) {
+		case Tell:
+			r := a.Report
+			if d.liar != nil {
+				continue
+			}
+			w.send(d, r)
+		case Bound:
+			d.bind[a.Key] = a
+		case Probe:
+			for _, b := range w.backs {
+				if b.ID == a.ID && !b.dead && w.apart(int(d.seat), d.zone, -1, zoneOf(b)) == 0 {
+					w.after(2*tick, func() { d.Probed(b.ID, b.ID, true) }) // it lies: always well
+				}
+			}
+		}
+	}
+	if d.liar != nil {
+		if r := d.liar(d); r != nil {
+			w.send(d, *r)
+		}
+	}
+}
+
+func zoneOf(b *simBack) int { return int(b.Zone[len(b.Zone)-1] - '0') }
+
+// send takes a report to the duty; one of fifty is lost, one of fifty comes twice.
+func (w *world) send(d *simDoor, r Report) {
+	w.told++
+	n := 1
+	switch w.rng.Intn(50) {
+	case 0:
+		n = 0
+	case 1:
+		n = 2
+	}
+	for range n {
+		w.after(time.Duration(w.rng.Intn(60))*ms, func() {
+			if w.apart(int(d.seat), d.zone, w.dutyAt, w.dutyAt%3) == 0 {
+				w.duty.Heard(d.seat, r)
+			}
+		})
+	}
+}
+
+// ask sends a tick's requests of one manner.
+func (w *world) ask(t *trade, m Manner, rate float64) {
+	for n := rate * tick.Seconds(); n > 0; n-- {
+		if n < 1 && w.rng.Float64() > n {
+			break
+		}
+		d := w.doors[w.rng.Intn(len(w.doors))]
+		if b := w.pick(d, t, m); b != nil {
+			w.request(d, b, m)
+		} else {
+			d.refused++
+		}
+	}
+}
+
+// pick chooses one in the door's zone, else any, as its binds let it.
+func (w *world) pick(d *simDoor, t *trade, m Manner) *simBack {
+	var near, far []*simBack
+	for _, b := range t.all {
+		k := Key{b.ID, m}
+		if b.Phase != Ready {
+			continue
+		}
+		switch x := d.bind[k]; {
+		case x.Bind == Shut, x.Bind == Trickle && (d.out[k] > 0 || w.now-d.sentAt[k] < x.Every):
+		case zoneOf(b) == d.zone:
+			near = append(near, b)
+		default:
+			far = append(far, b)
+		}
+	}
+	if len(near) == 0 || w.rng.Intn(10) == 0 && len(far) > 0 { // some cross anyway
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[w.rng.Intn(len(near))]
+}
+
+func (w *world) request(d *simDoor, b *simBack, m Manner) {
+	t := b.trade
+	x := &request{door: d, back: b, key: Key{b.ID, m}, rev: d.Rev(Key{b.ID, m}), sent: w.now, seen: Seen{How: control.Settled}}
+	d.out[x.key]++
+	d.sentAt[x.key] = w.now
+	kind, slower := None, 1.0
+	if b.fault != nil && w.now >= b.from {
+		kind, slower = b.fault(w, d, m)
+	}
+	if kind == None && w.rng.Float64() < w.base {
+		kind = Failed
+	}
+	took := time.Duration(float64(t.work) * b.speed * slower * math.Exp(0.4*w.rng.NormFloat64()))
+	if until := w.apart(int(d.seat), d.zone, -1, zoneOf(b)); until > 0 {
+		took += until - w.now + time.Duration(200+w.rng.Intn(800))*ms
+	}
+	for _, c := range w.cuts { // one that begins on its way
+		in := func(door, zone int) bool { return c.door >= 0 && door == c.door || c.zone >= 0 && zone == c.zone }
+		if c.from > w.now && c.from < w.now+took && in(int(d.seat), d.zone) != in(-1, zoneOf(b)) {
+			took += c.to - c.from + time.Duration(200+w.rng.Intn(800))*ms
+		}
+	}
+	switch kind {
+	case Lost:
+		took = long
+	case Failed:
+		x.seen.How = control.Errored
+	case Unsealed:
+		x.seen = Seen{How: control.Errored, Form: true}
+	case Reset:
+		x.seen = Seen{How: control.Broken, Some: true}
+	case Second, Stray:
+		x.also = kind
+	}
+	if kind != None {
+		w.met[kind]++
+	}
+	if b.dead {
+		took = long
+	}
+	if took > t.deadline {
+		took, x.seen = t.deadline, Seen{How: control.TimedOut}
+	}
+	b.note(x)
+	w.after(took, func() { w.end(x) })
+}
+
+// note keeps what is under way at a backend that may crash.
+func (b *simBack) note(x *request) {
+	if b.fault == nil && !b.ever {
+		return
+	}
+}
+
+func (w *world) end(x *request) {
+	if x.done {
+		return
+	}
+	x.done = true
+	d := x.door
+	d.out[x.key]--
+	if k := x.seen.Kind(); k > Clean && x.back.first == long && w.now > x.back.from {
+		x.back.first = w.now
+	}
+	d.Door.now = w.now
+	d.Ended(x.key, x.rev, x.sent, x.seen)
+	if x.also != None {
+		w.after(2*tick, func() {
+			if x.back.first == long {
+				x.back.first = w.now
+			}
+			d.Saw(x.key, x.rev, x.also)
+		})
+	}
+	w.pull(d)
+}
+
+// check holds every door against the floor, at every moment.
+func (w *world) check(d *simDoor) {
+	if w.now%(10*tick) != 0 {
+		return
+	}
+	for _, t := range w.trades {
+		ready, open := 0, 0
+		for _, b := range t.all {
+			if b.Phase != Ready {
+				continue
+			}
+			ready++
+			if d.bind[Key{b.ID, Patient}].Bind == Open {
+				open++
+			}
+			if x := d.bind[Key{b.ID, Strict}]; x.Bind == Shut && !x.Own && !b.ever {
+				w.shutWrong += 10 * tick / time.Duration(len(w.doors))
+			}
+		}
+		floor := d.state.Settings().floor(ready)
+		if open < floor {
+			panic(fmt.Sprintf("door %d has %d of %d open, floor %d", d.seat, open, ready, floor))
+		}
+		w.worst = max(w.worst, float64(ready-open)/float64(max(ready-floor, 1)))
+	}
+}
+
+// sick makes some of a service's backends do a thing to a share of a manner's requests.
+func (w *world) sick(service string, part float64, from time.Duration, m Manner, kind Kind, share float64) (all []*simBack) {
+	for _, b := range w.backs {
+		if b.Service == service {
+			all = append(all, b)
+		}
+	}
+	all = all[:int(part*float64(len(all)))]
+	for _, b := range all {
+		b.from, b.ever = from, true
+		b.fault = func(w *world, _ *simDoor, is Manner) (Kind, float64) {
+			if is == m && w.rng.Float64() < share {
+				return kind, 1
+			}
+			return None, 1
+		}
+	}
+	return all
+}
+
+func median(d []time.Duration) (mid, worst time.Duration) {
+	if len(d) == 0 {
+		return 0, 0
+	}
+	slices.Sort(d)
+	return d[len(d)/2], d[len(d)-1]
+}
+
+func TestHowSoon(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		doors   int
+		trades  []*trade
+		service string
+		manner  Manner
+		kind    Kind
+		share   float64
+		most    time.Duration // stated, for the median
+	}{
+		{"half of the ledger loses one answer in forty", 12, small(), "libro", Strict, Lost, 1. / 40, 15 * time.Second},
+		{"half of the ledger loses one answer in forty", 96, site(), "libro", Strict, Lost, 1. / 40, 15 * time.Second},
+		{"half of the ledger answers one in forty twice", 96, site(), "libro", Strict, Second, 1. / 40, 300 * ms},
+		{"half of the ledger fails one in five by 5xx", 96, site(), "libro", Strict, Failed, 0.2, 15 * time.Second},
+		{"half of the ledger fails one in five by 5xx", 12, small(), "libro", Strict, Failed, 0.2, 15 * time.Second},
+		{"half of the catalogue: nine reads in ten unsealed", 96, site(), "catalogo", Patient, Unsealed, 0.9, 15 * time.Second},
+	} {
+		var first, last []time.Duration
+		met, verdicts, sick, refused := 0, 0, 0, 0
+		for seed := range int64(3) {
+			w := newWorld(seed, c.doors, c.trades)
+			w.base = 0.004
+			all := w.sick(c.service, 0.5, 5*time.Second, c.manner, c.kind, c.share)
+			w.play(65 * time.Second)
+			first, last = append(first, w.firstTo...), append(last, w.lastTo...)
+			met, verdicts = met+w.met[c.kind], verdicts+w.verdicts
+			for _, b := range all {
+				if w.state.Case(Key{b.ID, c.manner}) != nil {
+					sick++
+				}
+			}
+			for _, d := range w.doors {
+				refused += d.refused
+			}
+			must.Eq(t, 0, w.wrong)
+		}
+		mid, worst := median(first)
+		mid2, worst2 := median(last)
+		t.Logf("%-50s | %d doors | %v, %v | %v, %v | met %d | %d verdicts on %d | refused %d", c.name, c.doors, mid, worst, mid2,
+			worst2, met/3, verdicts, sick, refused)
+		must.LessEq(t, c.most, mid, must.Sprint(c.name))
+	}
+}
