--- a/internal/critics/door.go
+++ b/internal/critics/door.go
@@ -227,6 +227,7 @@
 	if x.Phase != Ready { // it gets nothing new, and what is told of it now is not about the service
 		delete(d.lives, x.ID)
 		for m := range l.files {
+			d.bound(&l.files[m], Open, false) // one that comes back begins so
 			delete(d.busy, l.files[m].key)
 		}
 		if len(h.lives) == 0 {
--- a/internal/critics/sim_test.go
+++ b/internal/critics/sim_test.go
@@ -97,7 +97,8 @@
 	firstTo, lastTo []time.Duration // first evidence to the entry, and the entry to the last door in touch
 	told            int
 	worst           float64       // share of the patient that is shut, against the bound
-	shutWrong       time.Duration // healthy backends shut, times how long
+	shutWrong       time.Duration // healthy backends shut by verdicts, times how long, of all doors' time
+	ownWrong        time.Duration // and by doors' own holds
 	bad             map[LifeID]bool
 	most            int // cases that a liar has out alone
 }
@@ -469,8 +470,12 @@
 			if d.bind[Key{b.ID, Patient}].Bind == Open {
 				open++
 			}
-			if x := d.bind[Key{b.ID, Strict}]; x.Bind == Shut && !x.Own && !b.ever {
-				w.shutWrong += 10 * tick / time.Duration(len(w.doors))
+			if x := d.bind[Key{b.ID, Strict}]; x.Bind == Shut && !b.ever && !b.dead {
+				if x.Own {
+					w.ownWrong += 10 * tick / time.Duration(len(w.doors))
+				} else {
+					w.shutWrong += 10 * tick / time.Duration(len(w.doors))
+				}
 			}
 		}
 		floor := d.state.Settings().floor(ready)
@@ -637,8 +642,8 @@
 		doors  int
 		trades func() []*trade
 		n      int
-	}{{96, site, seeds(6)}, {12, small, seeds(24)}} {
-		wrong, verdicts, worst, played, shut, told := 0, 0, 0.0, time.Duration(0), time.Duration(0), 0
+	}{{12, small, seeds(24)}, {96, site, seeds(6)}} {
+		wrong, verdicts, worst, played, own, told := 0, 0, 0.0, time.Duration(0), time.Duration(0), 0
 		plays(c.n, func(seed int64) *world {
 			w := newWorld(seed, c.doors, c.trades())
 			w.usual(5 * time.Second)
@@ -647,15 +652,15 @@
 			return w
 		}, func(w *world) {
 			wrong, verdicts, worst, played = wrong+w.wrong, verdicts+w.verdicts, max(worst, w.worst), played+w.now
-			shut, told = shut+w.shutWrong, told+w.told
+			own, told = own+w.ownWrong, told+w.told
 			for _, p := range w.state.Past() {
 				if p.Verb == Convict && w.bad[p.Key.ID] {
 					t.Log(p.Key, p.Why, p.Witnesses)
 				}
 			}
 		})
-		t.Logf("%d doors: %d seeds, %v: %d wrong of %d verdicts; patient: %.2f of its bound shut; healthy ones held off: %v; %.1f reports/s",
-			c.doors, c.n, played, wrong, verdicts, worst, shut, float64(told)/played.Seconds())
+		t.Logf("%d doors: %d seeds, %v: %d wrong of %d verdicts; patient: %.2f of its bound shut; held off by single doors: %v; %.1f reports/s",
+			c.doors, c.n, played, wrong, verdicts, worst, own.Round(ms), float64(told)/played.Seconds())
 		must.LessEq(t, 1+int(played.Hours()/10), wrong)
 	}
 }
