Critics: what one zone or one door says alone, tried at the duty itself

Change: a test of reports at the duty: two doors of another zone, one near, nobody else answered, one door's failing share, a report that is out of bounds.

--- a/internal/critics/orders_test.go
+++ b/internal/critics/orders_test.go
@@ -262,6 +262,58 @@
 	})
 }
 
+// Doors of another zone convict nobody by what a link can do, while those near the backend hear it well; a proof needs no
+// such, and shares hold without any one door.
+func TestWhatOneZoneOrOneDoorSaysAlone(t *testing.T) {
+	t.Parallel()
+	play := func(say func(seq uint64) []Report) (convicts int) {
+		d := NewDuty(1, 0)
+		d.Doors(4)
+		for _, id := range []LifeID{"i-1", "i-2", "i-3"} {
+			d.Life(back(id))
+		}
+		d.Fold(on(), nil)
+		for seq := uint64(1); seq < 30; seq++ {
+			for i, r := range say(seq) {
+				d.Heard(Seat(i), r)
+			}
+			d.Now(time.Duration(seq) * 100 * time.Millisecond)
+			for a, ok := d.Next(); ok; a, ok = d.Next() {
+				if p, is := a.(Propose); is && p.Entry.Verb == Convict {
+					convicts++
+				}
+			}
+		}
+		return convicts
+	}
+	report := func(seq uint64, zone string, clean, failing uint32, kinds ...Kind) Report {
+		r := said(seq, 0, "i-1", kinds...)
+		r.Zone, r.Files[0].Window = zone, Window{Clean: clean, Failing: failing}
+		r.Files[0].Rest = Window{Clean: clean + 50, Failing: failing}
+		return r
+	}
+	must.Eq(t, 0, play(func(seq uint64) []Report { // two of zone b, those of zone a hear it
+		return []Report{report(seq, "b", 0, 0, Reset), report(seq, "b", 0, 0, Reset), report(seq, "a", 9, 0), report(seq, "a", 9, 0)}
+	}))
+	must.Positive(t, play(func(seq uint64) []Report { // one of zone a lost one as well
+		return []Report{report(seq, "b", 0, 0, Reset), report(seq, "a", 9, 0, Reset), report(seq, "a", 9, 0), report(seq, "a", 9, 0)}
+	}))
+	must.Eq(t, 0, play(func(seq uint64) []Report { // nobody else has had an answer in that time
+		return []Report{report(seq, "a", 0, 0, Lost), report(seq, "a", 0, 0, Lost), report(seq, "a", 9, 0), report(seq, "a", 9, 0)}
+	}))
+	must.Eq(t, 0, play(func(seq uint64) []Report { // one door's failing ends
+		return []Report{report(seq, "a", 20, 40), report(seq, "a", 20, 1), report(seq, "a", 20, 0), report(seq, "a", 20, 0)}
+	}))
+	must.Positive(t, play(func(seq uint64) []Report {
+		return []Report{report(seq, "a", 20, 9), report(seq, "a", 20, 9), report(seq, "a", 20, 0), report(seq, "a", 20, 0)}
+	}))
+	must.Positive(t, play(func(seq uint64) []Report {
+		return []Report{report(seq, "b", 9, 0, Second), report(seq, "a", 9, 0), report(seq, "a", 9, 0), report(seq, "a", 9, 0)}
+	}))
+	broken := report(1, "a", 0, 0, kinds) // not to be believed, and not to be stumbled over
+	must.Eq(t, 0, play(func(uint64) []Report { return []Report{broken} }))
+}
+
 func TestWhatAnEndIsEvidenceOf(t *testing.T) {
 	for want, all := range map[Kind][]Seen{
 		Clean:    {{How: control.Settled}, {How: control.Settled, Some: true}},
