Critics: two defences that no test missed are tried: one door's vouching, the way back

Need: with them taken away all tests passed. Change: lost answers that only one door bears out are no verdict; who alone had a backend out has no say on its way back. Result: both fail without their rule.

--- a/internal/critics/orders_test.go
+++ b/internal/critics/orders_test.go
@@ -170,6 +170,28 @@
 	})
 }
 
+// Who alone had a backend out has no say on its way back; another has.
+func TestTheWayBackIsOnOthersWord(t *testing.T) {
+	t.Parallel()
+	for witness, want := range []int{0, 1} {
+		s, k := on(), Key{"i-1", Strict}
+		for _, e := range []Entry{{Verb: Convict, Service: "libro", Witnesses: []Seat{0}, Suffice: 1, Backs: 3}, {Verb: Parole},
+			{Verb: Parole}} {
+			e.Key, e.Rev, e.Fence = k, s.rev(k), 1
+			_, err := s.Apply(&e)
+			must.NoError(t, err)
+		}
+		d := NewDuty(1, 0)
+		d.Doors(3)
+		d.Life(back("i-1"))
+		d.Fold(s, nil)
+		d.Heard(Seat(witness), said(1, s.rev(k), "i-1", Second))
+		d.Now(time.Second)
+		_, ok := d.Next()
+		must.Eq(t, want == 1, ok)
+	}
+}
+
 // What a door sees, hears and is cut from in every order: a lost answer is held back and told only where its zone is
 // heard and the core is in touch; a verdict shuts; a hold ends; what was sent under an older rev, or to a life that is
 // gone, is nobody's evidence.
@@ -310,6 +332,15 @@
 	must.Positive(t, play(func(seq uint64) []Report {
 		return []Report{report(seq, "b", 9, 0, Second), report(seq, "a", 9, 0), report(seq, "a", 9, 0), report(seq, "a", 9, 0)}
 	}))
+	others := func(seq uint64, lates int) []Report { // what came meanwhile, by so many doors' word
+		all := []Report{report(seq, "a", 0, 0, Lost), report(seq, "a", 0, 0, Lost), report(seq, "a", 9, 0), report(seq, "a", 9, 0)}
+		for i := range lates {
+			all[2+i].Files[0].Late = slices.Repeat([]Window{{Clean: 50, Took: 5000}}, lateSlots)
+		}
+		return all
+	}
+	must.Eq(t, 0, play(func(seq uint64) []Report { return others(seq, 1) }))
+	must.Positive(t, play(func(seq uint64) []Report { return others(seq, 2) }))
 	broken := report(1, "a", 0, 0, kinds) // not to be believed, and not to be stumbled over
 	must.Eq(t, 0, play(func(uint64) []Report { return []Report{broken} }))
 }
