--- a/internal/critics/orders_test.go
+++ b/internal/critics/orders_test.go
@@ -456,8 +456,10 @@
 	must.Eq(t, b, again.Snapshot())
 	_, err = Restore(b[:len(b)/2])
 	must.Error(t, err)
-	_, err = s.Apply(&Entry{Verb: Forget, Fence: 1, Gone: []LifeID{"i-0018"}})
+	_, err = s.Apply(&Entry{Verb: Forget, Fence: 2, Gone: []LifeID{"i-0018"}})
 	must.NoError(t, err)
+	_, err = convict(2000, 1, 2) // of the duty before
+	must.ErrorContains(t, err, "fence")
 	must.Nil(t, s.Case(Key{"i-0018", Strict}))
 }
 
