--- a/cmd/lab/house.go
+++ b/cmd/lab/house.go
@@ -28,9 +28,9 @@
 			if len(args) > 0 {
 				return usageError{fmt.Errorf("no such command: house %s", args[0])}
 			}
-			return usageError{fmt.Errorf("house wants demo or chaos")}
+			return usageError{fmt.Errorf("house wants demo, chaos or rollout")}
 		}, RunE: func(*cobra.Command, []string) error { return nil }}
-	c.AddCommand(houseDemoCommand(), houseChaosCommand())
+	c.AddCommand(houseDemoCommand(), houseChaosCommand(), houseRolloutCommand())
 	return c
 }
 
--- a/cmd/lab/housechaos.go
+++ b/cmd/lab/housechaos.go
@@ -41,9 +41,8 @@
 			"  lab house chaos --first 7 --seeds 1 --only 0,2 # two of its faults\n" +
 			"  lab house chaos --first 7 --seeds 1 --shrink",
 		RunE: func(c *cobra.Command, _ []string) error {
-			if k.seeds < 1 || k.jobs < 1 || k.most < 2 || k.doors < rig.Disks || k.doors > 60 {
-				return usageError{fmt.Errorf("--seeds and --jobs must be 1 at the least, --faults 2, --doors %d to 60",
-					rig.Disks)}
+			if err := k.sound(); err != nil {
+				return err
 			}
 			if k.shrink && k.seeds != 1 {
 				return usageError{errors.New("--shrink wants one seed")}
@@ -59,20 +58,33 @@
 			}
 			return k.play(c.Context())
 		}}
+	k.flags(c, 80)
+	c.Flags().IntVar(&k.most, "faults", 7, "faults of a schedule at most")
+	c.Flags().DurationVar(&k.dur, "for", 20*time.Second, "how long faults are brought")
+	c.Flags().IntSliceVar(&k.only, "only", nil, "play these faults of the schedule only, by number from 0")
+	c.Flags().BoolVar(&k.founding, "founding", false, "schedules of the first start of all only: late starts, kills, stalls")
+	c.Flags().BoolVar(&k.shrink, "shrink", false, "find as few of the seed's faults as still fail")
+	return c
+}
+
+// flags are those of all that plays a schedule a seed.
+func (k *houseChaos) flags(c *cobra.Command, rate float64) {
 	c.Flags().StringVar(&k.named, "program", "", "playhouse program (default: beside lab, under bin, or built)")
 	c.Flags().StringVar(&k.keep, "keep", "found", "folder for histories and doors' logs of what failed")
 	c.Flags().StringVar(&k.out, "out", "", "add each run's result to this file of JSON lines")
 	c.Flags().IntVar(&k.seeds, "seeds", 5, "how many schedules")
 	c.Flags().Uint64Var(&k.first, "first", 1, "first seed")
 	c.Flags().IntVar(&k.doors, "doors", 5, "doors, the first three with a disk")
-	c.Flags().IntVar(&k.most, "faults", 7, "faults of a schedule at most")
-	c.Flags().DurationVar(&k.dur, "for", 20*time.Second, "how long faults are brought")
-	c.Flags().Float64Var(&k.rate, "rate", 80, "requests a second")
+	c.Flags().Float64Var(&k.rate, "rate", rate, "requests a second")
 	c.Flags().IntVar(&k.jobs, "jobs", 1, "runs side by side")
-	c.Flags().IntSliceVar(&k.only, "only", nil, "play these faults of the schedule only, by number from 0")
-	c.Flags().BoolVar(&k.founding, "founding", false, "schedules of the first start of all only: late starts, kills, stalls")
-	c.Flags().BoolVar(&k.shrink, "shrink", false, "find as few of the seed's faults as still fail")
-	return c
+}
+
+// sound tells whether the flags can be played.
+func (k *houseChaos) sound() error {
+	if k.seeds < 1 || k.jobs < 1 || k.most < 2 || k.doors < rig.Disks || k.doors > 60 {
+		return usageError{fmt.Errorf("--seeds and --jobs must be 1 at the least, --faults 2, --doors %d to 60", rig.Disks)}
+	}
+	return nil
 }
 
 func (k *houseChaos) drawn(seed uint64) *rig.HouseSchedule {
@@ -110,6 +122,12 @@
 	fmt.Printf(houseTable, r.Seed, r.Doors, r.Asked, r.Settled, r.Refused, r.Voided, r.Failed, r.Taken,
 		r.Unclear, fmt.Sprintf("%.0fs", r.Seconds),
 		r.Slow.Round(time.Millisecond), fmt.Sprint(r.Recovered), verdict+strings.Join(r.Faults, ", "))
+	showBroken(r)
+	return addResult(k.out, r)
+}
+
+// showBroken prints the first of the rules broken.
+func showBroken(r *rig.HouseResult) {
 	for i, b := range r.Broken {
 		if i == 4 {
 			fmt.Printf("      and %d more\n", len(r.Broken)-i)
@@ -117,7 +135,6 @@
 		}
 		fmt.Printf("      %s\n", b)
 	}
-	return addResult(k.out, r)
 }
 
 // ruleNames lists the rules broken, with how often each.
@@ -138,6 +155,13 @@
 func (k *houseChaos) play(ctx context.Context) error {
 	fmt.Printf(houseTable, "seed", "doors", "asked", "served", "refus", "fail", "no answ", "taken", "uncl",
 		"took", "held up", "recovered", "verdict")
+	return eachSeed(ctx, k, func(seed uint64) (*rig.HouseResult, error) {
+		return rig.PlayHouse(ctx, k.drawn(seed), k.options())
+	}, func(r *rig.HouseResult) (bool, error) { return len(r.Broken) > 0, k.tell(r) })
+}
+
+// eachSeed plays a schedule a seed, some side by side, and tells each result, which may be of broken rules.
+func eachSeed[T any](ctx context.Context, k *houseChaos, play func(uint64) (T, error), tell func(T) (bool, error)) error {
 	seeds := make(chan uint64)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -148,15 +172,16 @@
 		go func() {
 			defer wg.Done()
 			for seed := range seeds {
-				r, err := rig.PlayHouse(ctx, k.drawn(seed), k.options())
+				r, err := play(seed)
 				mu.Lock()
 				if err != nil && ctx.Err() == nil {
 					failed = errors.Join(failed, fmt.Errorf("seed %d: %w", seed, err))
 				} else if err == nil {
-					if played++; len(r.Broken) > 0 {
+					bad, err := tell(r)
+					if played++; bad {
 						broken++
 					}
-					failed = errors.Join(failed, k.tell(r))
+					failed = errors.Join(failed, err)
 				}
 				mu.Unlock()
 			}
--- /dev/null
+++ b/cmd/lab/houserollout.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/lab"
+	"clovergap/internal/rig"
+)
+
+// houseRollout are the flags of playing roll-outs on the gateway's doors.
+type houseRollout struct {
+	houseChaos
+	play, arm, page string
+}
+
+func houseRolloutCommand() *cobra.Command {
+	k := houseRollout{houseChaos: houseChaos{most: 2}}
+	plays := slices.Sorted(maps.Keys(extras.Plays()))
+	c := &cobra.Command{Use: "rollout PLAY",
+		Short: "Roll-outs of a version that fails partway, on real doors, with kills and stalls at the pull-back",
+		Args:  exactly(1, "one of "+strings.Join(plays, ", ")),
+		Long: "Starts doors, three of them with a disk, with backends of two versions, an operator and clients who are many\n" +
+			"users; shifts users onto the new version in four steps, lets it fail partway, and brings faults of doors about\n" +
+			"the moment of the pull-back. Everything is drawn from the seed. Holds what was seen against the rules: each\n" +
+			"write that a client was told is recorded once, none that was refused, none twice; reads under way come whole;\n" +
+			"nothing reaches the version by a door that has pulled back. Ends with 1 if a rule was broken.\n" +
+			"PLAY is " + strings.Join(plays, " or ") + ".",
+		Example: "  lab house rollout sale-day --seeds 50 --jobs 3 --out sale.jsonl\n" +
+			"  lab house rollout certification-week --first 7 --seeds 1 --page week.html\n" +
+			"  lab house rollout sale-day --arm unjudged        # the same, and nothing pulls it back",
+		RunE: func(c *cobra.Command, args []string) error {
+			if k.play = args[0]; !slices.Contains(plays, k.play) {
+				return usageError{fmt.Errorf("no such play: %q", k.play)}
+			}
+			if !slices.Contains(rig.Arms, rig.Arm(k.arm)) {
+				return usageError{fmt.Errorf("no such arm: %q", k.arm)}
+			}
+			if err := k.sound(); err != nil {
+				return err
+			}
+			path, done, err := program(playhouse, k.named)
+			if err != nil {
+				return err
+			}
+			defer done()
+			k.named = path
+			return k.run(c.Context())
+		}}
+	k.flags(c, 160)
+	c.Flags().DurationVar(&k.dur, "for", 12*time.Second, "how long a failing version is waited for at most")
+	c.Flags().StringVar(&k.arm, "arm", string(rig.Judged), "judged; unjudged: it fails and nothing counts; good: it does "+
+		"not fail;\nalone: it fails while most of the core stands still")
+	c.Flags().StringVar(&k.page, "page", "", "write a page with the versions' courses here")
+	return c
+}
+
+const rolloutTable = "%4v %9v %5v %7v %7v %7v %7v %6v %5v %5v %9v %9v %6v  %s\n"
+
+func (k *houseRollout) run(ctx context.Context) error {
+	fmt.Printf(rolloutTable, "seed", "advance", "share", "verdict", "doors", "last", "met it", "failed", "lost", "reads",
+		"unclear", "recorded", "asked", "flaw, verdict")
+	var all []*rig.RolloutResult
+	failed := eachSeed(ctx, &k.houseChaos, func(seed uint64) (*rig.RolloutResult, error) {
+		return rig.PlayRollout(ctx, rig.DrawRollout(k.play, rig.Arm(k.arm), seed, k.doors, k.dur), k.options())
+	}, func(r *rig.RolloutResult) (bool, error) {
+		all = append(all, r)
+		return len(r.Broken) > 0, k.tell(r)
+	})
+	showRollouts(all)
+	if k.page != "" {
+		f, err := os.Create(k.page)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := lab.Rollouts(f, k.play+", "+k.arm, all); err != nil {
+			return err
+		}
+	}
+	return failed
+}
+
+func (k *houseRollout) tell(r *rig.RolloutResult) error {
+	sec := func(d time.Duration) string { return fmt.Sprintf("%.2fs", d.Seconds()) }
+	fmt.Printf(rolloutTable, r.Seed, r.Advance, fmt.Sprintf("%g%%", float64(r.Share)/100), sec(r.Met.Verdict), sec(r.Met.LastDoor),
+		sec(r.Met.Last), r.Met.Requests, r.Met.Failing, r.Met.Clients,
+		fmt.Sprintf("%d/%d", r.Reads.Whole, r.Reads.UnderWay), fmt.Sprintf("%d/%d", r.Open.Recorded, r.Open.All), r.Recorded,
+		r.Asked, strings.Join(slices.DeleteFunc([]string{r.Flaw, r.Verdict(), strings.Join(r.Faults, ", ")},
+			func(s string) bool { return s == "" }), "; "))
+	showBroken(&r.HouseResult)
+	return addResult(k.out, r)
+}
+
+// showRollouts sums up: all that were pulled back, and by the share at which the version began to fail.
+func showRollouts(all []*rig.RolloutResult) {
+	by := map[int][]*rig.RolloutResult{}
+	for _, r := range all {
+		by[r.Share] = append(by[r.Share], r)
+	}
+	show := func(name string, some []*rig.RolloutResult) {
+		s := rig.SumRollouts(some)
+		b, _ := json.Marshal(s)
+		fmt.Printf("%s: %s\n", name, b)
+	}
+	for _, share := range slices.Sorted(maps.Keys(by)) {
+		show(fmt.Sprintf("at %g%%", float64(share)/100), by[share])
+	}
+	show("all", all)
+}
--- a/internal/extras/backend.go
+++ b/internal/extras/backend.go
@@ -26,6 +26,7 @@
 type Line struct {
 	*standin.Backend
 	Service, Zone string
+	Version       string // generation in its beats
 	t             *Troupe
 	left          atomic.Bool
 	phase         atomic.Bool // it drains
@@ -38,7 +39,6 @@
 }
 
 const (
-	slotsEach  = 4
 	queueEach  = 6
 	beatsMost  = 1 * time.Second // an acknowledgement counts within it
 	ackMost    = 4 << 10
@@ -55,7 +55,7 @@
 		}
 		return standin.Task{}
 	}
-	t := standin.Task{ID: r.Header.Get("X-Attempt-Id"), Kind: l.Service, Tenant: r.Header.Get("X-Tenant"),
+	t := standin.Task{ID: r.Header.Get("X-Attempt-Id"), Kind: l.t.kind(l.Service, r.URL.Path), Tenant: r.Header.Get("X-Tenant"),
 		At: r.URL.Path}
 	refuse := func(status int) standin.Task {
 		if t.ID != "" {
@@ -76,6 +76,7 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
 		t.Within = time.Duration(max(ms, 1) * float64(time.Millisecond))
 	}
+	l.spoil(&t, r)
 	return t
 }
 
@@ -91,8 +92,11 @@
 
 // Heads seals an answer.
 func (l *Line) Heads(_ *standin.Backend, w http.ResponseWriter, t standin.Task) {
+	l.record(t)
 	w.Header().Set("X-Attempt-Id", t.ID)
-	w.Header().Set("X-Backend-Seal", l.ID+"."+t.ID)
+	if !t.Bare {
+		w.Header().Set("X-Backend-Seal", l.ID+"."+t.ID)
+	}
 	w.Header().Set("Content-Type", "text/plain")
 	if l.phase.Load() {
 		w.Header().Set("Connection", "close")
@@ -101,27 +105,29 @@
 
 // Add starts a backend that is slow for a while, and lets it beat.
 func (t *Troupe) Add(service, zone string, cold time.Duration) (*Line, error) {
+	return t.AddVersion(service, zone, FirstVersion, cold)
+}
+
+// FirstVersion is that of the backends that a troupe begins with.
+const FirstVersion = "v1"
+
+// AddVersion is Add with the version that the backend beats with.
+func (t *Troupe) AddVersion(service, zone, version string, cold time.Duration) (*Line, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		return nil, errors.New("the troupe is closed")
 	}
 	t.lives++
-	work := time.Duration(0)
-	for _, s := range services {
-		if s.name == service {
-			work = s.work
-		}
-	}
 	src := rand.New(rand.NewPCG(t.Terms.Seed, 0xbac0+uint64(t.lives)))
 	var draw sync.Mutex
-	l := &Line{Service: service, Zone: zone, t: t, from: time.Now(), cold: cold}
-	b, err := standin.NewSpeaking(l, t.Terms.History, fmt.Sprintf("i-%s-%d", service, t.lives), zone, slotsEach,
+	l := &Line{Service: service, Zone: zone, Version: version, t: t, from: time.Now(), cold: cold}
+	b, err := standin.NewSpeaking(l, t.Terms.History, fmt.Sprintf("i-%s-%d", service, t.lives), zone, t.play().slots,
 		queueEach,
-		t.Terms.Seed+uint64(t.lives), func(string) time.Duration {
+		t.Terms.Seed+uint64(t.lives), func(kind string) time.Duration {
 			draw.Lock()
 			defer draw.Unlock()
-			return time.Duration(float64(work) * (0.5 + src.ExpFloat64()/2))
+			return time.Duration(float64(t.work(kind)) * (0.5 + min(src.ExpFloat64(), longestDraw)/2))
 		})
 	if err != nil {
 		return nil, err
@@ -175,8 +181,8 @@
 		if l.phase.Load() {
 			phase = stagedoor.Draining
 		}
-		body, _ := json.Marshal(stagedoor.Beat{Address: l.Addr, CallSeq: l.seq.Add(1), Capacity: slotsEach,
-			Generation: "v1", Phase: phase,
+		body, _ := json.Marshal(stagedoor.Beat{Address: l.Addr, CallSeq: l.seq.Add(1), Capacity: l.t.play().slots,
+			Generation: l.Version, Phase: phase,
 			ColdLeft: fmt.Sprintf("%dms", max(0,
 				l.cold-time.Since(l.from)).Milliseconds()), Target: l.Service, Zone: l.Zone})
 		status, text, err := l.t.post(ctx, to, "/api/Backends."+what+"/"+l.ID, body, beatsMost)
--- a/internal/extras/clients.go
+++ b/internal/extras/clients.go
@@ -126,6 +126,9 @@
 	effectful                     bool
 	aim, deadline                 time.Duration
 	zone                          string
+	user                          int    // from 1; nought: nobody in particular
+	mark                          string // the client's own
+	bytes                         int    // of the answer
 }
 
 // Learn tells the clients of routes that come and go.
@@ -147,6 +150,10 @@
 	defer c.mu.Unlock()
 	w := want{zone: c.t.Terms.Zones[c.rng.IntN(len(c.t.Terms.Zones))], aim: 400 * time.Millisecond,
 		deadline: 1500 * time.Millisecond}
+	if p := c.t.Terms.Play; p != nil {
+		c.drawPlay(p, &w)
+		return w
+	}
 	switch x := c.rng.IntN(100); {
 	case x < 50:
 		w.tenant, w.key = "patrons", []string{"patronskey1", "patronskey2"}[c.rng.IntN(2)]
@@ -164,16 +171,21 @@
 		w.kind, w.host, w.path, w.effectful = "r-book", hostTickets, "/book/", true
 		w.aim, w.deadline = 500*time.Millisecond, 2*time.Second
 	default:
-		g := c.guests[c.rng.IntN(len(c.guests))]
-		if len(c.gone) > 0 && c.rng.IntN(4) == 0 {
-			g = c.gone[c.rng.IntN(len(c.gone))]
-		}
-		w.kind, w.host, w.path = g.Name, hostGuests, g.PathPrefix
+		c.drawGuest(&w)
 	}
 	w.path += strconv.FormatUint(c.rng.Uint64N(1000), 16)
 	return w
 }
 
+// drawGuest asks by a route that comes and goes; the lock is held.
+func (c *Clients) drawGuest(w *want) {
+	g := c.guests[c.rng.IntN(len(c.guests))]
+	if len(c.gone) > 0 && c.rng.IntN(4) == 0 {
+		g = c.gone[c.rng.IntN(len(c.gone))]
+	}
+	w.kind, w.host, w.path = g.Name, hostGuests, g.PathPrefix
+}
+
 // One asks a door by a route, once, without a client's further tries.
 func (c *Clients) One(ctx context.Context, d *Door, w want) int {
 	status, _, _ := c.try(ctx, c.fresh, d, w, w.deadline)
@@ -182,10 +194,7 @@
 
 // Probe asks a door by each of the first routes; it tells whether all were served.
 func (c *Clients) Probe(ctx context.Context, d *Door) bool {
-	for _, w := range []want{{kind: "r-lobby", host: hostProgramme, path: "/lobby/probe"},
-		{kind: "r-browse", host: hostProgramme, path: "/browse/probe", tenant: "patrons", key: "patronskey1"},
-		{kind: "r-book", host: hostTickets, path: "/book/probe", tenant: "patrons", key: "patronskey2",
-			effectful: true}} {
+	for _, w := range c.probes() {
 		w.deadline = 2 * time.Second
 		if c.One(ctx, d, w) != http.StatusOK {
 			return false
@@ -194,6 +203,17 @@
 	return true
 }
 
+// probes are one request by each of the first routes.
+func (c *Clients) probes() []want {
+	if p := c.t.Terms.Play; p != nil {
+		return c.playProbes(p)
+	}
+	return []want{{kind: "r-lobby", host: hostProgramme, path: "/lobby/probe"},
+		{kind: "r-browse", host: hostProgramme, path: "/browse/probe", tenant: "patrons", key: "patronskey1"},
+		{kind: "r-book", host: hostTickets, path: "/book/probe", tenant: "patrons", key: "patronskey2",
+			effectful: true}}
+}
+
 // try sends one try by its own id.
 func (c *Clients) try(ctx context.Context, with *http.Client, d *Door, w want,
 	left time.Duration) (status int, h http.Header, wrong bool) {
@@ -217,6 +237,9 @@
 	if w.key != "" {
 		r.Header.Set("Authorization", "Token "+w.key)
 	}
+	if w.mark != "" {
+		r.Header.Set("X-Client-Mark", w.mark)
+	}
 	what := "pure"
 	if w.effectful {
 		what = "effectful"
@@ -224,12 +247,17 @@
 	asked := history.Event{Who: "clients", Kind: history.Asked, Txn: id, Key: w.tenant, At: d.Name, N: 1,
 		What: what, Due: history.Now() + left}
 	c.t.Terms.History.Add(history.Event{Who: "clients", Kind: Route, Txn: id, Key: w.host, At: w.path,
-		What: w.kind})
+		What: w.kind, N: float64(w.user)})
 	status, h, body := standin.Try(with, c.t.Terms.History, r, asked)
-	if status/100 == 2 && (body != "done "+id || h.Get("X-Backend-Seal") == "" || h.Get("X-Attempt-Id") != id) {
+	whole := "done " + id
+	if w.bytes > 0 {
+		whole = standin.Long(whole, w.bytes)
+	}
+	if status/100 == 2 && (body != whole || h.Get("X-Backend-Seal") == "" || h.Get("X-Attempt-Id") != id) {
 		wrong = true
 		c.t.Terms.History.Add(history.Event{Who: "clients", Kind: Mixed, Txn: id, At: d.Name,
-			What: fmt.Sprintf("%q, seal %q", body, h.Get("X-Backend-Seal"))})
+			What: fmt.Sprintf("%.80q of %d bytes, seal %q", body, len(body),
+				h.Get("X-Backend-Seal"))})
 	}
 	return status, h, wrong
 }
--- a/internal/extras/operator.go
+++ b/internal/extras/operator.go
@@ -55,9 +55,7 @@
 		return r
 	}
 	one := func(s string) playbill.BillTarget { return playbill.BillTarget{Target: s, Weight: 1} }
-	b := &playbill.Bill{Generation: 1,
-		Limits: &playbill.BillLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: span("3000ms"),
-			IdleTimeout: span("15000ms")},
+	b := &playbill.Bill{Generation: 1, Limits: limits(),
 		Tenants: []playbill.BillTenant{{Name: "patrons", ApiKeys: []string{"patronskey1", "patronskey2"},
 			Priority: 1},
 			{Name: "clubs", ApiKeys: []string{"clubskey1"}, Priority: 1, RatePerS: 20, Burst: 20},
@@ -70,13 +68,22 @@
 					playbill.BillTarget{Target: "tickets", Weight: 20})}},
 			{Hostname: hostTickets, PathList: []playbill.BillRoute{
 				route("r-book", "/book/", playbill.Effectful, "2000ms", "500ms", false, one("tickets"))}}}}
-	for _, s := range services {
-		b.Services = append(b.Services, playbill.BillService{Name: s.name, HealthPath: "/health", MaxConns: 130,
-			Protocol: "h1"})
-	}
+	b.Services = listed(services)
 	return b
 }
 
+func limits() *playbill.BillLimits {
+	header, idle := "3000ms", "15000ms"
+	return &playbill.BillLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: &header, IdleTimeout: &idle}
+}
+
+func listed(all []service) (out []playbill.BillService) {
+	for _, s := range all {
+		out = append(out, playbill.BillService{Name: s.name, HealthPath: "/health", MaxConns: 130, Protocol: "h1"})
+	}
+	return out
+}
+
 // Version is one configuration as the operator sent it, and what results from it.
 type Version struct {
 	Bill         *playbill.Bill
@@ -172,7 +179,7 @@
 // Open sends the first configuration, again and again until it is taken.
 func (o *Operator) Open(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		v := &Version{Bill: First()}
+		v := &Version{Bill: o.t.play().first()}
 		if status, clear := o.propose(ctx, "/api/Config.Replace", v.Bill, v); clear && status == http.StatusOK {
 			return true
 		} else if clear {
@@ -282,7 +289,7 @@
 	deadline, aim := "1500ms", "400ms"
 	return playbill.BillRoute{Name: fmt.Sprintf("g-%d", n), PathPrefix: fmt.Sprintf("/g%d/", n),
 		Variant: playbill.Pure, Deadline: &deadline,
-		TargetLatency: &aim, MaxTries: 2, Target: services[o.draw(2)].name}
+		TargetLatency: &aim, MaxTries: 2, Target: o.t.play().services[o.draw(2)].name}
 }
 
 // amend changes named items.
--- /dev/null
+++ b/internal/extras/orders.go
@@ -0,0 +1,87 @@
+package extras
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"clovergap/internal/understudy"
+)
+
+// RolloutView is a service's newest roll-out.
+type RolloutView struct {
+	Service string `json:"service"`
+	Number  uint64 `json:"number"`
+	Rev     uint64 `json:"rev"`
+	Phase   string `json:"phase"`
+	Step    int    `json:"step"`
+	Held    bool   `json:"held"`
+}
+
+// lookMost bounds one look at a roll-out.
+const lookMost = 300 * time.Millisecond
+
+// Rollout is how a service's newest roll-out stands, asked of a door; whoever leads knows best.
+func (t *Troupe) Rollout(ctx context.Context, d *Door, service string) (v RolloutView, ok bool) {
+	var all struct {
+		Rollouts []RolloutView `json:"rollouts"`
+	}
+	status, text, err := t.call(ctx, "GET", d.Control, "/api/Rollout.Status", nil, lookMost)
+	if err != nil || status != http.StatusOK || json.Unmarshal(text, &all) != nil {
+		return v, false
+	}
+	for _, r := range all.Rollouts {
+		if r.Service == service {
+			return r, true
+		}
+	}
+	return v, false
+}
+
+// PulledBack tells whether a door itself goes by a pull-back of a service's newest roll-out, and why there was one.
+func (t *Troupe) PulledBack(ctx context.Context, d *Door, service string) (why string, yes bool) {
+	var all struct {
+		Rollouts []struct {
+			Phase string `json:"phase"`
+			Lines []struct {
+				Verb string `json:"verb"`
+				By   string `json:"by"`
+				Why  string `json:"why"`
+			} `json:"lines"`
+		} `json:"rollouts"`
+	}
+	status, text, err := t.call(ctx, "GET", d.Control, "/api/Rollout.History/"+service, nil, lookMost)
+	if err != nil || status != http.StatusOK || json.Unmarshal(text, &all) != nil || len(all.Rollouts) == 0 {
+		return "", false
+	}
+	last := all.Rollouts[len(all.Rollouts)-1]
+	if last.Phase != string(understudy.Pulled) || len(last.Lines) == 0 {
+		return "", false
+	}
+	line := last.Lines[len(last.Lines)-1]
+	return line.By + ": " + line.Why, true
+}
+
+// Rollout gives an operator's order on top of a roll-out as it was seen, again and again until the answer is clear.
+func (o *Operator) Rollout(ctx context.Context, verb understudy.Verb, r understudy.Rollout, seen RolloutView,
+	step int) (status int, text []byte, clear bool) {
+	body := map[string]any{}
+	if verb == understudy.Start {
+		b, _ := json.Marshal(r)
+		json.Unmarshal(b, &body)
+	}
+	body["mark"], body["by"], body["rev"] = fmt.Sprintf("%s-%d", verb, o.number()), "operator", seen.Rev
+	name := map[understudy.Verb]string{understudy.Start: "Start", understudy.Advance: "Step", understudy.Hold: "Hold",
+		understudy.PullBack: "PullBack", understudy.Finish: "Finish"}[verb]
+	if verb != understudy.Start {
+		name += "/" + r.Service
+		body["number"] = seen.Number
+	}
+	if verb == understudy.Advance {
+		body["step"] = step
+	}
+	b, _ := json.Marshal(body)
+	return o.ask(ctx, "POST", "/api/Rollout."+name, b)
+}
--- /dev/null
+++ b/internal/extras/play.go
@@ -0,0 +1,313 @@
+package extras
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"clovergap/internal/history"
+	"clovergap/internal/playbill"
+	"clovergap/internal/standin"
+)
+
+// Play is what a troupe plays: services, the kinds of requests for them, and users who ask.
+type Play struct {
+	Name     string
+	Leading  string // the service that a new version takes over
+	Kinds    []Kind
+	slots    int // of a backend
+	services []service
+	first    func() *playbill.Bill
+}
+
+// Kind is one kind of requests, by a route of its own.
+type Kind struct {
+	Name, Service       string
+	Effectful           bool
+	Work, Aim, Deadline time.Duration
+	Share               int           // of the requests, in hundredths
+	Every               time.Duration // one each so often, beside the others; nought: none
+	Bytes               int           // of an answer that comes in pieces while the backend works
+}
+
+const (
+	longestDraw = 6 // of an exponential of mean one, in a backend's work
+	guestShare  = 4 // of a play's requests go by routes that come and go, in hundredths
+	tenantsEach = 4
+	keysEach    = 30 // of a tenant; every key has a user without a mark and one with
+	usersEach   = 2 * tenantsEach * keysEach
+)
+
+// house is the small one.
+var house = &Play{Name: "house", slots: 4, services: services, first: First}
+
+// SaleDay is an auction house's: bids, hammers that close a lot, views of lots, and long appraisals that are read
+// while bids go on.
+func SaleDay() *Play {
+	return written(&Play{Name: "sale-day", Leading: "saleroom", slots: 8, Kinds: []Kind{
+		{Name: "bids", Service: "saleroom", Effectful: true, Work: 25 * ms, Aim: 500 * ms, Deadline: 2000 * ms, Share: 38},
+		{Name: "hammers", Service: "saleroom", Effectful: true, Work: 40 * ms, Aim: 500 * ms, Deadline: 2500 * ms,
+			Every: 2500 * ms},
+		{Name: "lots", Service: "saleroom", Work: 12 * ms, Aim: 400 * ms, Deadline: 1500 * ms, Share: 42},
+		{Name: "appraisals", Service: "saleroom", Work: 2000 * ms, Aim: 5000 * ms, Deadline: 12000 * ms, Share: 2,
+			Bytes: 60000},
+		{Name: "catalogue", Service: "library", Work: 15 * ms, Aim: 400 * ms, Deadline: 1500 * ms, Share: 14}}})
+}
+
+// CertificationWeek is a test laboratory's: submissions, lookups, datasheets, and certificates of several seconds.
+func CertificationWeek() *Play {
+	return written(&Play{Name: "certification-week", Leading: "bench", slots: 10, Kinds: []Kind{
+		{Name: "submissions", Service: "bench", Effectful: true, Work: 45 * ms, Aim: 800 * ms, Deadline: 3000 * ms,
+			Share: 26},
+		{Name: "lookups", Service: "bench", Work: 8 * ms, Aim: 300 * ms, Deadline: 1500 * ms, Share: 48},
+		{Name: "certificates", Service: "bench", Work: 3000 * ms, Aim: 8000 * ms, Deadline: 15000 * ms, Share: 2,
+			Bytes: 90000},
+		{Name: "datasheets", Service: "archive", Work: 60 * ms, Aim: 600 * ms, Deadline: 2000 * ms, Share: 20,
+			Bytes: 6000}}})
+}
+
+const ms = time.Millisecond
+
+// Plays are those that there are, by name.
+func Plays() map[string]func() *Play {
+	return map[string]func() *Play{"sale-day": SaleDay, "certification-week": CertificationWeek}
+}
+
+// written has the services of the kinds and a configuration with a route for each.
+func written(p *Play) *Play {
+	var list []service
+	for _, k := range p.Kinds {
+		if len(list) == 0 || list[len(list)-1].name != k.Service {
+			list = append(list, service{name: k.Service})
+		}
+	}
+	p.services = list
+	p.first = func() *playbill.Bill {
+		b := &playbill.Bill{Generation: 1, Limits: limits(), Services: listed(list)}
+		for i := range tenantsEach {
+			t := playbill.BillTenant{Name: tenant(i), Priority: 1}
+			for k := range keysEach {
+				t.ApiKeys = append(t.ApiKeys, key(i, k))
+			}
+			b.Tenants = append(b.Tenants, t)
+		}
+		for _, k := range p.Kinds {
+			deadline, aim := span(k.Deadline), span(k.Aim)
+			r := playbill.BillRoute{Name: k.Name, PathPrefix: "/" + k.Name + "/", Variant: playbill.Pure, Deadline: &deadline,
+				TargetLatency: &aim, MaxTries: 2, Target: k.Service}
+			if k.Effectful {
+				r.Variant = playbill.Effectful
+			}
+			if n := len(b.Vhosts); n > 0 && b.Vhosts[n-1].Hostname == host(k) {
+				b.Vhosts[n-1].PathList = append(b.Vhosts[n-1].PathList, r)
+			} else {
+				b.Vhosts = append(b.Vhosts, playbill.BillHost{Hostname: host(k), PathList: []playbill.BillRoute{r}})
+			}
+		}
+		return b
+	}
+	return p
+}
+
+func span(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + "ms" }
+func tenant(i int) string         { return fmt.Sprintf("house%d", i) }
+func key(tenant, k int) string    { return fmt.Sprintf("house%dkey%d", tenant, k) }
+func host(k Kind) string          { return k.Service + ".example" }
+
+// Tenant is the name of one of a play's.
+func (p *Play) Tenant(i int) string { return tenant(i % tenantsEach) }
+
+// play is what is played.
+func (t *Troupe) play() *Play {
+	if t.Terms.Play != nil {
+		return t.Terms.Play
+	}
+	return house
+}
+
+// kind names what is asked for, for the work it takes: in the small house all of a service is alike.
+func (t *Troupe) kind(service, path string) string {
+	if name, _, ok := strings.Cut(strings.TrimPrefix(path, "/"), "/"); ok && t.play().of(name) != nil {
+		return name
+	}
+	return service
+}
+
+func (p *Play) of(kind string) *Kind {
+	for i := range p.Kinds {
+		if p.Kinds[i].Name == kind {
+			return &p.Kinds[i]
+		}
+	}
+	return nil
+}
+
+// work is how long a request of a kind takes in the middle.
+func (t *Troupe) work(kind string) time.Duration {
+	if k := t.play().of(kind); k != nil {
+		return k.Work
+	}
+	for _, s := range t.play().services {
+		if s.name == kind && s.work > 0 {
+			return s.work
+		}
+	}
+	return 15 * ms // of a guest's route
+}
+
+// drawPlay draws a request of a play; the lock is held.
+func (c *Clients) drawPlay(p *Play, w *want) {
+	x := c.rng.IntN(100)
+	if x >= 100-guestShare && len(c.guests) > 0 {
+		c.drawGuest(w)
+	} else {
+		for k, left := 0, x*(100-guestShare)/100; ; k = (k + 1) % len(p.Kinds) {
+			if left -= p.Kinds[k].Share; left < 0 {
+				w.of(p.Kinds[k])
+				break
+			}
+		}
+	}
+	w.by(1 + c.rng.IntN(usersEach))
+	w.path += strconv.FormatUint(c.rng.Uint64(), 16) // of a write: which one it is
+}
+
+func (w *want) of(k Kind) {
+	w.kind, w.host, w.path, w.effectful = k.Name, host(k), "/"+k.Name+"/", k.Effectful
+	w.aim, w.deadline, w.bytes = k.Aim, k.Deadline, k.Bytes
+}
+
+// by says which user asks.
+func (w *want) by(user int) {
+	x := user - 1
+	w.user, w.tenant = user, tenant(x%tenantsEach)
+	w.key = key(x%tenantsEach, x/tenantsEach%keysEach)
+	if x >= tenantsEach*keysEach {
+		w.mark = fmt.Sprintf("client-%d", user)
+	}
+}
+
+func (c *Clients) playProbes(p *Play) (all []want) {
+	for _, k := range p.Kinds {
+		if k.Work < time.Second {
+			w := want{}
+			w.of(k)
+			w.by(1)
+			w.path += "probe" + strconv.FormatUint(c.next.Add(1), 16)
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
+// Regular sends what comes every so often, such as the hammers, until the context ends, and waits for all.
+func (c *Clients) Regular(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, k := range c.t.play().Kinds {
+		if k.Every <= 0 {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			standin.Pace(ctx, k.Every.Seconds, func(meant time.Time) func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				w := want{zone: c.t.Terms.Zones[c.rng.IntN(len(c.t.Terms.Zones))]}
+				w.of(k)
+				w.by(1 + c.rng.IntN(usersEach))
+				w.path += strconv.FormatUint(c.rng.Uint64(), 16)
+				return func() { c.Send(context.WithoutCancel(ctx), w, meant) }
+			})
+		}()
+	}
+}
+
+// Flaw is what a version does wrong with some of its requests.
+type Flaw struct {
+	Cause  string  // 5xx, reset, silent, wrong or slow
+	Share  float64 // of those it hits
+	By     float64 // slow: so many times slower
+	Writes bool    // writes alone
+	Tenant string  // this one alone; empty: all
+	Cold   bool    // only while it is cold
+}
+
+// Causes of flaws.
+var Causes = []string{"5xx", "reset", "silent", "wrong", "slow"}
+
+func (f *Flaw) String() string {
+	s := fmt.Sprintf("%.0f%% %s", 100*f.Share, f.Cause)
+	if f.Cause == "slow" {
+		s += fmt.Sprintf(" x%.0f", f.By)
+	}
+	if f.Writes {
+		s += " of writes"
+	}
+	if f.Tenant != "" {
+		s += " of one tenant"
+	}
+	if f.Cold {
+		s += " while cold"
+	}
+	return s
+}
+
+// Spoil lets all backends of a version have a flaw, those that come later too; nil ends it.
+func (t *Troupe) Spoil(version string, f *Flaw) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f == nil {
+		delete(t.flaws, version)
+		return
+	}
+	if t.flaws == nil {
+		t.flaws = map[string]Flaw{}
+	}
+	t.flaws[version] = *f
+}
+
+// Kinds of events of versions.
+const (
+	Flawed   history.Kind = "flaw"   // the version does this one wrong: What is the cause
+	Recorded history.Kind = "record" // a write is in the books of its service: Txn the try, At the write
+)
+
+// spoil lets a request meet its version's flaw, and says how long its answer is.
+func (l *Line) spoil(t *standin.Task, r *http.Request) {
+	if k := l.t.play().of(t.Kind); k != nil {
+		t.Bytes = k.Bytes
+	}
+	l.t.mu.Lock()
+	f, bad := l.t.flaws[l.Version]
+	l.t.mu.Unlock()
+	if !bad || f.Writes && r.Method == http.MethodGet || f.Tenant != "" && f.Tenant != t.Tenant ||
+		f.Cold && time.Since(l.from) > l.cold || !l.Chance(f.Share) {
+		return
+	}
+	switch f.Cause {
+	case "5xx":
+		t.Does = &standin.Mode{Fail: 1}
+	case "reset":
+		t.Does = &standin.Mode{ResetIn: 1}
+	case "silent":
+		t.Does = &standin.Mode{Silent: 1}
+	case "slow":
+		t.Does = &standin.Mode{Slow: f.By}
+	case "wrong":
+		t.Bare = true
+	}
+	l.t.Terms.History.Add(history.Event{Who: l.ID, Kind: Flawed, Txn: t.ID, At: t.At, What: f.Cause})
+}
+
+// record puts a write in the books once its work is done, before anybody is told.
+func (l *Line) record(t standin.Task) {
+	if k := l.t.play().of(t.Kind); k != nil && k.Effectful {
+		l.t.Terms.History.Add(history.Event{Who: l.ID, Kind: Recorded, Txn: t.ID, At: t.At, Key: t.Tenant})
+	}
+}
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -232,62 +232,80 @@
 type calm struct {
 	events map[string][]time.Duration // of each door: ends, starts, stops, goes
 	core   []time.Duration
-	off    map[string][][2]time.Duration
+	off    off
 	cores  []string
 }
 
 const always = time.Duration(1<<63 - 1)
 
 func newCalm(h []history.Event, t *Troupe) *calm {
-	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}}
+	c := &calm{events: map[string][]time.Duration{}, off: newOff(h)}
 	for _, d := range t.Cores() {
 		c.cores = append(c.cores, d.Name)
 	}
-	open := map[string]map[history.Kind]time.Duration{}
+	doors := map[string]bool{}
 	for _, d := range t.Doors {
-		open[d.Name] = map[history.Kind]time.Duration{}
+		doors[d.Name] = true
 	}
 	for _, e := range h {
-		if open[e.Who] == nil {
+		if !doors[e.Who] || !slices.Contains([]history.Kind{history.Down, history.Stopped, history.Up, history.Goes,
+			Terminates}, e.Kind) {
 			continue
 		}
-		ends := history.Kind("")
-		switch e.Kind {
-		case history.Down, history.Stopped:
-			if _, ok := open[e.Who][e.Kind]; !ok { // a kill is told when it is sent, and when it is seen
-				open[e.Who][e.Kind] = e.T
-			}
-		case history.Up:
+		c.events[e.Who] = append(c.events[e.Who], e.T)
+		if slices.Contains(c.cores, e.Who) {
+			c.core = append(c.core, e.T)
+		}
+	}
+	return c
+}
+
+// off is when doors were down or stood still.
+type off map[string][][2]time.Duration
+
+// newOff reads it from a history; what else ends a door may be named.
+func newOff(h []history.Event, downs ...history.Kind) off {
+	o, open := off{}, map[string]map[history.Kind]time.Duration{}
+	for _, e := range h {
+		begins, ends := history.Kind(""), history.Kind("")
+		switch {
+		case e.Kind == history.Down || slices.Contains(downs, e.Kind):
+			begins = history.Down
+		case e.Kind == history.Stopped:
+			begins = history.Stopped
+		case e.Kind == history.Up:
 			ends = history.Down
-		case history.Goes:
+		case e.Kind == history.Goes:
 			ends = history.Stopped
-		case Terminates:
 		default:
 			continue
 		}
-		if from, ok := open[e.Who][ends]; ok {
-			c.off[e.Who] = append(c.off[e.Who], [2]time.Duration{from, e.T})
-			delete(open[e.Who], ends)
+		if open[e.Who] == nil {
+			open[e.Who] = map[history.Kind]time.Duration{}
 		}
-		c.events[e.Who] = append(c.events[e.Who], e.T)
-		if slices.Contains(c.cores, e.Who) {
-			c.core = append(c.core, e.T)
+		if _, is := open[e.Who][begins]; begins != "" && !is { // a kill is told when it is sent, and when it is seen
+			open[e.Who][begins] = e.T
+		}
+		if from, is := open[e.Who][ends]; is {
+			o[e.Who] = append(o[e.Who], [2]time.Duration{from, e.T})
+			delete(open[e.Who], ends)
 		}
 	}
 	for who, kinds := range open {
 		for _, from := range kinds {
-			c.off[who] = append(c.off[who], [2]time.Duration{from, always})
+			o[who] = append(o[who], [2]time.Duration{from, always})
 		}
 	}
-	return c
+	return o
 }
 
-func between(all []time.Duration, from, to time.Duration) bool {
-	return slices.ContainsFunc(all, func(t time.Duration) bool { return t >= from && t <= to })
+// meets tells whether a door was off at any moment of a time.
+func (o off) meets(who string, from, to time.Duration) bool {
+	return slices.ContainsFunc(o[who], func(s [2]time.Duration) bool { return s[0] <= to && s[1] >= from })
 }
 
-func (c *calm) isOff(who string, from, to time.Duration) bool {
-	return slices.ContainsFunc(c.off[who], func(s [2]time.Duration) bool { return s[0] <= to && s[1] >= from })
+func between(all []time.Duration, from, to time.Duration) bool {
+	return slices.ContainsFunc(all, func(t time.Duration) bool { return t >= from && t <= to })
 }
 
 // settled tells whether the core was, for a whole time.
@@ -297,7 +315,7 @@
 	}
 	running := 0
 	for _, who := range c.cores {
-		if !c.isOff(who, from-Bounds().InTouch, to) {
+		if !c.off.meets(who, from-Bounds().InTouch, to) {
 			running++
 		}
 	}
@@ -307,7 +325,7 @@
 // touch tells whether a door was in touch for a whole time.
 func (c *calm) touch(door string, from, to time.Duration) bool {
 	begin := from - Bounds().InTouch
-	return !between(c.events[door], begin, to) && !c.isOff(door, begin, to) && c.settled(from, to)
+	return !between(c.events[door], begin, to) && !c.off.meets(door, begin, to) && c.settled(from, to)
 }
 
 // Judge holds a history against the rules that clients, backends and the operator can see broken. Slack is
--- a/internal/extras/troupe.go
+++ b/internal/extras/troupe.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -22,6 +23,7 @@
 
 	"clovergap/internal/callsheet"
 	"clovergap/internal/history"
+	"clovergap/internal/stagedoor"
 	"clovergap/internal/standin"
 )
 
@@ -38,6 +40,7 @@
 	Beat    time.Duration
 	Lost    int          // disks that may be lost at once
 	History *history.Log // nil: none is kept
+	Play    *Play        // nil: the small house
 }
 
 // Bounds are what the doors are told; those of the rules that the rig checks are taken from here.
@@ -64,6 +67,7 @@
 	all    []*Line // those that are gone too
 	lives  int
 	closed bool
+	flaws  map[string]Flaw // of versions, by generation
 }
 
 // Door is one door's process, in one life after another.
@@ -144,7 +148,7 @@
 		}
 	}
 	t.Operator = newOperator(t)
-	for _, s := range services {
+	for _, s := range t.play().services {
 		for _, z := range o.Zones {
 			for range o.Each {
 				if _, err := t.Add(s.name, z, 0); err != nil {
@@ -270,6 +274,16 @@
 	return fmt.Sprint(status, " ", string(text))
 }
 
+// Leader is the address of the core's leader, as a door knows it; empty if it knows none.
+func (t *Troupe) Leader(d *Door) string {
+	var s stagedoor.HouseStatus
+	status, text, err := t.call(t.ctx, "GET", d.Control, "/api/House.Status", nil, 300*time.Millisecond)
+	if err != nil || status != http.StatusOK || json.Unmarshal(text, &s) != nil || s.Core == nil {
+		return ""
+	}
+	return s.Core.Leader
+}
+
 // Log is the file of all that the door's lives wrote.
 func (d *Door) Log() string { return filepath.Join(d.t.dir, d.Name+".log") }
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -142,11 +142,14 @@
 	return c, nil
 }
 
-var page = template.Must(template.New("report").Parse(`<!DOCTYPE html>
-<html lang="en"><head><meta charset="utf-8"><title>clovergap lab: {{.Title}}</title>
+// pageStyle is of all pages.
+const pageStyle = `
 <style>body{font-family:sans-serif;max-width:60em;margin:2em auto;line-height:1.4}table{border-collapse:collapse}
 td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}td:first-child,th:first-child{text-align:left}
-.bad{color:#b00;font-weight:bold}svg{max-width:100%;height:auto}</style></head><body>
+.bad{color:#b00;font-weight:bold}svg{max-width:100%;height:auto}</style>`
+
+var page = template.Must(template.New("report").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>clovergap lab: {{.Title}}</title>` + pageStyle + `</head><body>
 <h1>{{.Title}}</h1>
 <p>Simulated fleets; figures are of stand-ins. Service is the worth settled in time, of what was offered inside quotas; the
 place is 0 at the plain mark and 1 at the one that sees everything.</p>
--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,6 +51,7 @@
 
 // HouseSchedule is random overlapping faults on doors. The first three have a disk.
 type HouseSchedule struct {
+	Play   *extras.Play // nil: the small house
 	Seed   uint64
 	Doors  int
 	For    time.Duration
@@ -143,6 +145,7 @@
 	t       *extras.Troupe
 	log     *history.Log
 	load    *extras.Clients
+	name    string // of the play, for what is kept
 	wg      sync.WaitGroup
 	mu      sync.Mutex
 	burst   []float64
@@ -151,7 +154,9 @@
 	steps   atomic.Bool   // the operator goes on
 	calmed  time.Time
 	settled []time.Duration
-	says    []string // what the doors say of themselves, where all is not well at the end
+	says    []string                               // what the doors say of themselves, where all is not well at the end
+	act     func(context.Context) []history.Broken // what is played while clients ask
+	also    func(h []history.Event, slack time.Duration) []history.Broken
 }
 
 // recoverMost is when all doors must serve again after the last heal: the rules' bound, and a little for the
@@ -160,6 +165,10 @@
 
 // PlayHouse plays a schedule on real doors. Whatever happens, no process is left when it returns.
 func PlayHouse(ctx context.Context, s *HouseSchedule, o HouseOptions) (*HouseResult, error) {
+	return playHouse(ctx, s, o, func(h *house) { h.act = h.faults })
+}
+
+func playHouse(ctx context.Context, s *HouseSchedule, o HouseOptions, rehearse func(*house)) (*HouseResult, error) {
 	log := history.InMemory(eventsMost)
 	each := 1
 	if s.Doors > 6 {
@@ -167,13 +176,14 @@
 	}
 	t, err := extras.New(extras.Terms{Program: o.Program, Doors: s.Doors, Disks: Disks,
 		Zones: []string{"stalls", "circle", "gallery"},
-		Each:  each, Rate: o.Rate, Seed: s.Seed, Beat: time.Second, Lost: 1, History: log})
+		Each:  each, Rate: o.Rate, Seed: s.Seed, Beat: time.Second, Lost: 1, History: log, Play: s.Play})
 	if err != nil {
 		return nil, err
 	}
 	defer t.Close()
 	h := &house{s: s, t: t, log: log, load: extras.NewClients(t), acked: make(chan struct{})}
 	defer h.load.Close()
+	rehearse(h)
 	h.load.Rate = func() float64 {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -250,22 +260,8 @@
 	loads, enough := context.WithCancel(all)
 	defer enough()
 	beside(func(context.Context) { h.load.Open(loads) })
-	for i := range h.s.Faults {
-		h.wg.Add(1)
-		go func() { defer h.wg.Done(); h.play(all, &h.s.Faults[i]) }()
-	}
-	sleep(all, h.s.For)
-	h.wg.Wait() // every fault has healed
-	h.calmed = time.Now()
-	bad = append(bad, h.recovers(all, "the faults")...)
-	if h.s.Close && len(bad) == 0 {
-		if h.s.Wipe {
-			sleep(all, wipeCalm-time.Since(h.calmed))
-		}
-		h.closing(all)
-		h.calmed = time.Now()
-		bad = append(bad, h.recovers(all, "the closing fault")...)
-	}
+	beside(func(context.Context) { h.load.Regular(loads) })
+	bad = append(bad, h.act(all)...)
 	if all.Err() != nil {
 		return nil
 	}
@@ -289,6 +285,32 @@
 	return append(bad, extras.Kept(final, h.t.Operator.Versions())...)
 }
 
+// faults plays a schedule's.
+func (h *house) faults(all context.Context) (bad []history.Broken) {
+	h.strike(all)
+	sleep(all, h.s.For)
+	h.wg.Wait() // every fault has healed
+	h.calmed = time.Now()
+	bad = append(bad, h.recovers(all, "the faults")...)
+	if h.s.Close && len(bad) == 0 {
+		if h.s.Wipe {
+			sleep(all, wipeCalm-time.Since(h.calmed))
+		}
+		h.closing(all)
+		h.calmed = time.Now()
+		bad = append(bad, h.recovers(all, "the closing fault")...)
+	}
+	return bad
+}
+
+// strike lets all faults begin, each at its time from now.
+func (h *house) strike(ctx context.Context) {
+	for i := range h.s.Faults {
+		h.wg.Add(1)
+		go func() { defer h.wg.Done(); h.play(ctx, &h.s.Faults[i]) }()
+	}
+}
+
 // operate sends the first configuration, then changes it, until all is over.
 func (h *house) operate(ctx context.Context, open chan struct{}) {
 	rng := rand.New(rand.NewPCG(h.s.Seed, 0x09))
@@ -362,13 +384,16 @@
 		}
 		return all
 	}
-	if len(f.Kind) > 4 && f.Kind[:4] == "ack-" {
+	if strings.HasPrefix(f.Kind, "ack-") {
 		h.acknowledged(ctx, 3*time.Second)
 	}
+	if strings.HasPrefix(f.Kind, "lead-") {
+		some = func([]*extras.Door) []*extras.Door { return h.leader() }
+	}
 	h.log.Add(history.Event{Who: "rig", Kind: history.Strikes, What: f.Kind})
 	defer func() { h.log.Add(history.Event{Who: "rig", Kind: history.Heals, What: f.Kind}) }()
 	switch f.Kind {
-	case "door-kill", "herd-kill", "core-kill", "ack-kill":
+	case "door-kill", "herd-kill", "core-kill", "ack-kill", "lead-kill":
 		of := h.t.Doors
 		if f.Kind == "core-kill" || f.Kind == "ack-kill" {
 			of = h.t.Cores()
@@ -382,7 +407,7 @@
 		h.each(which, func(d *extras.Door) error { return d.Wipe() })
 		sleep(ctx, f.For.D())
 		h.each(which, again)
-	case "door-stall", "core-stall", "ack-stall":
+	case "door-stall", "core-stall", "ack-stall", "lead-stall":
 		of := h.t.Doors
 		if f.Kind != "door-stall" {
 			of = h.t.Cores()
@@ -391,7 +416,7 @@
 		h.each(which, func(d *extras.Door) error { d.Hold(true, f.Kind); return nil })
 		sleep(ctx, f.For.D())
 		h.each(which, func(d *extras.Door) error { d.Hold(false, f.Kind); return nil })
-	case "door-term", "core-term":
+	case "door-term", "core-term", "lead-term":
 		of := h.t.Doors
 		if f.Kind == "core-term" {
 			of = h.t.Cores()
@@ -457,6 +482,19 @@
 	}
 }
 
+// leader is the door that leads the core, by the first word of any of the core.
+func (h *house) leader() []*extras.Door {
+	for _, d := range h.t.Cores() {
+		address := h.t.Leader(d)
+		for _, x := range h.t.Cores() {
+			if address != "" && strings.HasPrefix(address, x.Host+":") {
+				return []*extras.Door{x}
+			}
+		}
+	}
+	return h.t.Cores()[:1]
+}
+
 // closing kills all right after an acknowledgement; one disk may be lost by it.
 func (h *house) closing(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(h.s.Seed, 0xc105))
@@ -525,6 +563,9 @@
 		res.Slow = time.Hour // what rests on what was not kept is no finding
 	}
 	bad = append(bad, extras.Judge(events, h.t, platform+res.Slow)...)
+	if h.also != nil {
+		bad = append(bad, h.also(events, platform+res.Slow)...)
+	}
 	spoilt := map[string]bool{}
 	for _, e := range events {
 		if e.Kind == standin.Spoils {
@@ -547,7 +588,7 @@
 
 // keep writes the history and the doors' logs of a run that failed.
 func (h *house) keep(dir string, res *HouseResult) error {
-	dir = filepath.Join(dir, fmt.Sprintf("house-%d-%d", res.Doors, res.Seed))
+	dir = filepath.Join(dir, fmt.Sprintf("%s-%d-%d", cmp.Or(h.name, "house"), res.Doors, res.Seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/rig/rollout.go
@@ -0,0 +1,400 @@
+package rig
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+	"clovergap/internal/spec"
+	"clovergap/internal/understudy"
+)
+
+// Arm is what a roll-out's run is compared by.
+type Arm string
+
+// The same seed draws the same in all of them.
+const (
+	Judged   Arm = "judged"   // the version fails partway and is judged
+	Unjudged Arm = "unjudged" // it fails, and nothing that it does counts
+	Good     Arm = "good"     // it does not fail
+	Alone    Arm = "alone"    // it fails while most of the core stands still
+)
+
+// Arms are all.
+var Arms = []Arm{Judged, Unjudged, Good, Alone}
+
+// newVersion is what takes over.
+const newVersion = "v2"
+
+// RolloutSchedule is a roll-out in four steps with a version that fails partway, and faults on doors about the
+// moment of the pull-back.
+type RolloutSchedule struct {
+	HouseSchedule
+	Arm     Arm
+	Steps   []int // shares
+	Dwell   time.Duration
+	Advance string // of understudy.Rollout
+	Flaw    extras.Flaw
+	Step    int           // in which it begins to fail, from 1
+	After   time.Duration // and when in it
+	Seen    bool          // the faults begin when the first door is seen to have pulled back; else with the failing
+}
+
+// DrawRollout draws a schedule from a seed.
+func DrawRollout(play string, arm Arm, seed uint64, doors int, dur time.Duration) *RolloutSchedule {
+	rng := rand.New(rand.NewPCG(seed, 0x9011+uint64(len(play)))) // plays differ in their schedules
+	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
+	s := &RolloutSchedule{HouseSchedule: HouseSchedule{Play: extras.Plays()[play](), Seed: seed, Doors: doors, For: dur},
+		Arm: arm, Steps: [][]int{{500, 2000, 5000, 9000}, {1000, 2500, 5000, 7500}, {1000, 3000, 6000, 9000}}[rng.IntN(3)],
+		Dwell: span(1.5, 2.5).D(), Advance: []string{"time", "word"}[rng.IntN(2)], Step: 2 + rng.IntN(3)}
+	s.After = time.Duration(rng.Float64() * float64(s.Dwell))
+	s.Flaw = extras.Flaw{Cause: extras.Causes[rng.IntN(len(extras.Causes))],
+		Share: []float64{0.2, 0.5, 1}[rng.IntN(3)], Writes: rng.IntN(3) == 0, By: 4}
+	if rng.IntN(6) == 0 {
+		s.Flaw.Tenant = s.Play.Tenant(rng.IntN(4))
+	}
+	s.Seen = rng.IntN(2) == 0
+	kinds := []string{"door-kill", "core-kill", "lead-kill", "lead-kill", "door-stall", "core-stall", "lead-stall",
+		"lead-stall", "door-term", "lead-term", "ack-kill", "herd-kill"}
+	for range rng.IntN(4) { // none in one of four
+		f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: span(0, 1.2), For: span(0.1, 3), Share: 0.3,
+			Pick: rng.Uint64()>>1 | 1}
+		if f.Kind == "herd-kill" {
+			f.Share, f.For = 1, span(0.05, 0.6)
+		}
+		s.Faults = append(s.Faults, f)
+	}
+	if arm == Alone {
+		s.Seen, s.Faults = false, []spec.Fault{{Kind: "core-stall", For: spec.Span(10 * time.Second), Share: 0.6, Pick: 7}}
+	}
+	return s
+}
+
+// order is the roll-out that is started.
+func (s *RolloutSchedule) order() understudy.Rollout {
+	r := understudy.Rollout{Service: s.Play.Leading, Old: extras.FirstVersion, New: newVersion, Advance: s.Advance}
+	for _, share := range s.Steps {
+		r.Steps = append(r.Steps, understudy.Step{Share: share, MinTime: understudy.Span(s.Dwell), Requests: 10})
+	}
+	if s.Arm == Unjudged { // backends that are full count, of which there are none, and ten times as slow
+		r.Failing = understudy.Failing{Causes: []string{"full"}, Extra: 5000, Quantile: 9900, Slower: 1000}
+	}
+	return r
+}
+
+// RolloutResult is what came of it.
+type RolloutResult struct {
+	HouseResult
+	Play     string          `json:"play"`
+	Arm      Arm             `json:"arm"`
+	Flaw     string          `json:"flaw,omitempty"`
+	Advance  string          `json:"advance"`
+	Share    int             `json:"share"`  // when it began to fail, in 1/10000
+	Rate     float64         `json:"rate"`   // requests a second
+	Pulled   int             `json:"pulled"` // doors that were seen to have pulled back
+	Phase    string          `json:"phase"`  // at the end
+	Why      string          `json:"why,omitempty"`
+	Met      extras.Met      `json:"met"`
+	Reads    extras.Carried  `json:"reads"`
+	Open     extras.Open     `json:"open"` // writes without a clear answer
+	Recorded int             `json:"recorded"`
+	Course   []extras.Moment `json:"course,omitempty"`
+	SpoiltAt float64         `json:"spoilt_at,omitempty"` // seconds from the start of the roll-out
+	PulledAt float64         `json:"pulled_at,omitempty"`
+}
+
+const (
+	lookEvery  = 40 * time.Millisecond
+	afterwards = 2 * time.Second // watched after the last door has pulled back
+	orderMost  = 20 * time.Second
+	piece      = 500 * time.Millisecond
+)
+
+// rollout is one under way, beside its house.
+type rollout struct {
+	*house
+	s     *RolloutSchedule
+	res   *RolloutResult
+	trial extras.Trial
+	from  time.Duration // when it was started
+
+	look sync.Mutex
+	last extras.RolloutView // the newest that any door told
+	why  string             // there was a pull-back
+	seen chan struct{}      // closed when a door has pulled back
+}
+
+// PlayRollout plays a schedule on real doors.
+func PlayRollout(ctx context.Context, s *RolloutSchedule, o HouseOptions) (*RolloutResult, error) {
+	r := &rollout{s: s, res: &RolloutResult{Play: s.Play.Name, Arm: s.Arm, Advance: s.Advance, Rate: o.Rate},
+		trial: extras.Trial{Service: s.Play.Leading, New: newVersion, Pulled: map[string]time.Duration{}},
+		seen:  make(chan struct{})}
+	if s.Arm != Good {
+		r.res.Flaw = s.Flaw.String()
+	}
+	res, err := playHouse(ctx, &s.HouseSchedule, o, func(h *house) {
+		r.house, h.act, h.also, h.name = h, r.act, r.judge, s.Play.Name+"-"+string(s.Arm)
+	})
+	if res != nil {
+		r.res.HouseResult = *res
+	}
+	return r.res, err
+}
+
+// act starts the roll-out, lets the new version fail, and waits until all doors have pulled back.
+func (r *rollout) act(ctx context.Context) (bad []history.Broken) {
+	broken := func(format string, args ...any) []history.Broken {
+		return append(bad, history.Broken{Rule: "ROLLOUT", T: history.Now(), What: fmt.Sprintf(format, args...)})
+	}
+	for _, l := range r.t.Serving() {
+		if l.Service == r.s.Play.Leading {
+			if _, err := r.t.AddVersion(l.Service, l.Zone, newVersion, time.Second); err != nil {
+				return broken("%s", err)
+			}
+		}
+	}
+	sleep(ctx, 3*time.Second) // all doors have heard of them
+	r.from = history.Now()
+	if why := r.call(ctx, understudy.Start, 0); why != "" {
+		return broken("not started: %s", why)
+	}
+	watch, enough := context.WithCancel(ctx)
+	var side sync.WaitGroup
+	defer side.Wait()
+	defer enough()
+	for _, d := range r.t.Doors {
+		side.Add(1)
+		go func() { defer side.Done(); r.watch(watch, d) }()
+	}
+	if !r.steps(ctx, r.s.Step) {
+		return broken("step %d does not come", r.s.Step)
+	}
+	sleep(ctx, r.s.After)
+	if r.s.Arm != Good {
+		r.trial.Spoilt = history.Now()
+		r.t.Spoil(newVersion, &r.s.Flaw)
+	}
+	r.res.Share = r.s.Steps[r.s.Step-1]
+	if !r.s.Seen || r.s.Arm == Good || r.s.Arm == Unjudged {
+		r.strike(ctx)
+	}
+	late := time.After(r.s.For)
+	stepped := make(chan bool, 1)
+	going, stop := context.WithCancel(ctx)
+	side.Add(1)
+	go func() { defer side.Done(); stepped <- r.steps(going, len(r.s.Steps)) }()
+	defer stop()
+	select {
+	case <-r.seen:
+		stop()
+		if r.s.Seen && r.s.Arm == Judged {
+			r.strike(ctx)
+		}
+	case <-late:
+	case <-ctx.Done():
+	}
+	r.wg.Wait()
+	if r.s.Arm == Good {
+		if !<-stepped {
+			bad = broken("the last step does not come")
+		}
+		sleep(ctx, r.s.Dwell)
+	}
+	if r.pulledBack() {
+		for until := time.Now().Add(recoverMost); time.Now().Before(until) && r.doorsPulled() < len(r.t.Doors); {
+			sleep(ctx, lookEvery)
+		}
+		sleep(ctx, afterwards)
+		if why := r.call(ctx, understudy.Advance, len(r.s.Steps)); why == "" {
+			bad = broken("went on to step %d after the pull-back", len(r.s.Steps))
+		}
+	}
+	bad = append(bad, r.recovers(ctx, "the roll-out's faults")...)
+	return bad
+}
+
+// steps brings the roll-out to a step: by the operator's word where the order wants that.
+func (r *rollout) steps(ctx context.Context, to int) bool {
+	late := time.Now().Add(time.Duration(to)*r.s.Dwell + orderMost)
+	since, at := time.Now(), 0
+	for ctx.Err() == nil && time.Now().Before(late) {
+		now := r.newest()
+		if now.Step != at {
+			since, at = time.Now(), now.Step
+		}
+		if now.Step >= to || now.Phase != "" && now.Phase != string(understudy.Running) {
+			return now.Step >= to
+		}
+		if r.s.Advance == "word" && time.Since(since) > r.s.Dwell {
+			r.call(ctx, understudy.Advance, now.Step+1) // refused if the newest is not known here: again then
+		}
+		sleep(ctx, lookEvery)
+	}
+	return false
+}
+
+// watch looks again and again at whether a door has pulled back, and one time in four at how all stands.
+func (r *rollout) watch(ctx context.Context, d *extras.Door) {
+	for i := 0; ctx.Err() == nil; i++ {
+		if i%4 == 0 {
+			if v, ok := r.t.Rollout(ctx, d, r.s.Play.Leading); ok {
+				r.look.Lock()
+				if v.Rev >= r.last.Rev {
+					r.last = v
+				}
+				r.look.Unlock()
+			}
+		}
+		why, yes := r.t.PulledBack(ctx, d, r.s.Play.Leading)
+		now := history.Now()
+		r.look.Lock()
+		if yes && r.trial.Pulled[d.Name] == 0 {
+			if r.trial.Pulled[d.Name] = now; r.trial.Verdict == 0 {
+				r.trial.Verdict, r.why = now, why
+				close(r.seen)
+			}
+		}
+		r.look.Unlock()
+		sleep(ctx, lookEvery)
+	}
+}
+
+func (r *rollout) pulledBack() bool { return r.doorsPulled() > 0 }
+
+func (r *rollout) doorsPulled() int {
+	r.look.Lock()
+	defer r.look.Unlock()
+	return len(r.trial.Pulled)
+}
+
+func (r *rollout) newest() extras.RolloutView {
+	r.look.Lock()
+	defer r.look.Unlock()
+	return r.last
+}
+
+// call gives an order; empty if it is done, else why not.
+func (r *rollout) call(ctx context.Context, verb understudy.Verb, step int) (why string) {
+	now := r.newest()
+	status, text, clear := r.t.Operator.Rollout(ctx, verb, r.s.order(), now, step)
+	if clear && status == 200 {
+		return ""
+	}
+	return cmp.Or(fmt.Sprint(status, " ", strings.TrimSpace(string(text))), "no clear answer")
+}
+
+// judge holds the roll-out against its own rules and measures it.
+func (r *rollout) judge(h []history.Event, slack time.Duration) (bad []history.Broken) {
+	r.trial.Lines, r.trial.Slack = r.t.Lines(), slack
+	books, open := extras.Books(h)
+	reads, carried := extras.Whole(h, &r.trial)
+	bad = slices.Concat(books, reads, extras.Barred(h, &r.trial))
+	x := r.res
+	x.Open, x.Reads, x.Met, x.Pulled = open, carried, extras.Measure(h, &r.trial), len(r.trial.Pulled)
+	now := r.newest()
+	x.Phase, x.Why = now.Phase, r.why
+	for _, e := range h {
+		if e.Kind == extras.Recorded {
+			x.Recorded++
+		}
+	}
+	x.Course = extras.Course(h, &r.trial, r.from, piece)
+	at := func(t time.Duration) float64 {
+		if t == 0 {
+			return 0
+		}
+		return (t - r.from).Seconds()
+	}
+	x.SpoiltAt, x.PulledAt = at(r.trial.Spoilt), at(r.trial.Verdict)
+	if r.s.Arm == Good && x.Pulled > 0 {
+		x.Why = "wrongly: " + x.Why
+	}
+	return bad
+}
+
+// Verdict tells what became of it, in a word or two.
+func (r *RolloutResult) Verdict() string {
+	switch {
+	case r.Pulled == 0:
+		return "not pulled back"
+	case r.Arm == Good:
+		return "WRONGLY pulled back"
+	case r.Pulled < r.Doors:
+		return fmt.Sprintf("pulled back at %d of %d doors", r.Pulled, r.Doors)
+	}
+	return "pulled back"
+}
+
+// Spread is the middle and the worst of some times.
+type Spread struct {
+	Half  time.Duration `json:"half"`
+	Worst time.Duration `json:"worst"`
+}
+
+func spreadOf(all []time.Duration) (s Spread) {
+	if len(all) == 0 {
+		return s
+	}
+	slices.Sort(all)
+	return Spread{all[len(all)/2].Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond)}
+}
+
+// RolloutSum sums up roll-outs.
+type RolloutSum struct {
+	Runs     int            `json:"runs"`
+	Broke    int            `json:"broke"`  // runs that broke a rule
+	Pulled   int            `json:"pulled"` // at all doors
+	Verdict  Spread         `json:"verdict"`
+	LastDoor Spread         `json:"last_door"`
+	Last     Spread         `json:"last"`
+	Met      [2]int         `json:"met"`    // median and most of the requests that met it
+	Failed   [2]int         `json:"failed"` // of these
+	Asked    int64          `json:"asked"`
+	Recorded int            `json:"recorded"`
+	Unclear  int            `json:"unclear"`
+	Why      map[string]int `json:"why"`
+	Reads    extras.Carried `json:"reads"`
+}
+
+// SumRollouts takes times and requests from those that were pulled back, or from all where none was.
+func SumRollouts(all []*RolloutResult) (s RolloutSum) {
+	s.Why = map[string]int{}
+	var verdict, door, last []time.Duration
+	var met, failed []int
+	none := !slices.ContainsFunc(all, func(r *RolloutResult) bool { return r.Pulled == r.Doors })
+	for _, r := range all {
+		s.Runs++
+		if len(r.Broken) > 0 {
+			s.Broke++
+		}
+		if r.Pulled == r.Doors {
+			s.Pulled++
+			verdict, door, last = append(verdict, r.Met.Verdict), append(door, r.Met.LastDoor), append(last, r.Met.Last)
+		}
+		if r.Pulled == r.Doors || none {
+			met, failed = append(met, r.Met.Requests), append(failed, r.Met.Failing)
+		}
+		s.Asked, s.Recorded, s.Unclear = s.Asked+r.Asked, s.Recorded+r.Recorded, s.Unclear+r.Open.All
+		for why, n := range r.Open.Why {
+			s.Why[why] += n
+		}
+		s.Reads.UnderWay, s.Reads.Whole = s.Reads.UnderWay+r.Reads.UnderWay, s.Reads.Whole+r.Reads.Whole
+		s.Reads.Failed, s.Reads.Off = s.Reads.Failed+r.Reads.Failed, s.Reads.Off+r.Reads.Off
+	}
+	s.Verdict, s.LastDoor, s.Last = spreadOf(verdict), spreadOf(door), spreadOf(last)
+	half := func(n []int) (x [2]int) {
+		if slices.Sort(n); len(n) > 0 {
+			x = [2]int{n[len(n)/2], n[len(n)-1]}
+		}
+		return x
+	}
+	s.Met, s.Failed = half(met), half(failed)
+	return s
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +37,9 @@
 	ID, Kind   string
 	Tenant, At string        // whose it is and where it asks, where that is told
 	Within     time.Duration // what its caller waits; nought: not told
+	Does       *Mode         // what goes wrong with this one, in place of the backend's own; nil: as that
+	Bare       bool          // its answer lacks the wire's heads
+	Bytes      int           // of its answer at the least, which come in pieces while it works; nought: at the end
 }
 
 // Wire is how a backend speaks with those before it.
@@ -188,7 +193,8 @@
 	return n
 }
 
-func (b *Backend) chance(share float64) bool {
+// Chance draws from the backend's own seed.
+func (b *Backend) Chance(share float64) bool {
 	if share <= 0 {
 		return false
 	}
@@ -222,6 +228,9 @@
 	if task.ID == "" {
 		return
 	}
+	if task.Does != nil {
+		m = task.Does
+	}
 	came := history.Event{T: history.Now(), Who: b.ID, N: float64(b.nr.Add(1)), Txn: task.ID, Key: task.Tenant, At: task.At}
 	t := b.marks.of(r.RemoteAddr, b.Addr)
 	if t != nil {
@@ -231,7 +240,7 @@
 		came.Kind = k
 		b.log.Add(came)
 	}
-	if b.chance(m.ResetIn) {
+	if b.Chance(m.ResetIn) {
 		note(history.Arrived) // it has begun, and nobody will know
 		b.began(task)
 		note(history.Over)
@@ -243,7 +252,7 @@
 	held := b.held.Add(1)
 	defer b.held.Add(-1)
 	b.wire.Held(w, held)
-	if held > b.most || b.chance(m.Full) {
+	if held > b.most || b.Chance(m.Full) {
 		note(history.Turned)
 		b.wire.TurnAway(w, task)
 		return
@@ -276,7 +285,7 @@
 	}
 	defer func() { <-b.slots }()
 	b.began(task)
-	if b.chance(m.Silent) {
+	if b.Chance(m.Silent) {
 		<-r.Context().Done()
 		return
 	}
@@ -284,6 +293,11 @@
 	if m.Slow > 1 {
 		wait = time.Duration(float64(wait) * m.Slow)
 	}
+	rest := wait
+	if task.Bytes > 0 {
+		wait /= 4
+	}
+	rest -= wait
 	select {
 	case <-time.After(wait + m.Delay):
 	case <-late: // nobody waits any more
@@ -293,15 +307,44 @@
 		return
 	}
 	body := "done " + task.ID
+	if task.Bytes > 0 {
+		body = Long(body, task.Bytes)
+	}
 	b.wire.Heads(b, w, task)
 	switch {
-	case b.chance(m.Fail):
+	case b.Chance(m.Fail):
 		w.WriteHeader(http.StatusInternalServerError)
-	case b.chance(m.Half), b.chance(m.Stall), b.chance(m.Spoilt):
+	case b.Chance(m.Half), b.Chance(m.Stall), b.Chance(m.Spoilt):
 		b.log.Add(history.Event{Who: b.ID, Kind: Spoils, Txn: task.ID})
 		b.spoil(w, r, m, body)
 	default:
+		b.answer(w, r, body, rest)
+	}
+}
+
+// Long is an answer's first line with so many bytes behind it.
+func Long(line string, bytes int) string { return line + "\n" + strings.Repeat(".", bytes) }
+
+// pieces of an answer that comes while its backend works.
+const pieces = 12
+
+// answer writes a body, in pieces where it takes a while.
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request, body string, takes time.Duration) {
+	if takes <= 0 {
 		io.WriteString(w, body)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	for i := range pieces {
+		if i > 0 {
+			select {
+			case <-time.After(takes / (pieces - 1)):
+			case <-r.Context().Done(): // given up
+				return
+			}
+		}
+		io.WriteString(w, body[i*len(body)/pieces:(i+1)*len(body)/pieces])
+		http.NewResponseController(w).Flush()
 	}
 }
 
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -208,7 +208,7 @@
 	}
 	if code > 0 {
 		note(began) // the answer may come before the library says that it wrote
-		log.Add(history.Event{Who: asked.Who, Kind: history.Answered, Txn: asked.Txn, N: float64(code), What: strings.TrimPrefix(text, "done ")})
+		log.Add(history.Event{Who: asked.Who, Kind: history.Answered, Txn: asked.Txn, N: float64(code), What: firstLine(text)})
 		return code, h, text
 	}
 	mu.Lock()
@@ -219,6 +219,12 @@
 	return code, h, text
 }
 
+// firstLine names whose answer it is.
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(strings.TrimPrefix(text, "done "), "\n")
+	return line
+}
+
 // Open sends at a rate, whatever becomes of what was sent before: a slow answer delays no other request, and time
 // counts from when each was meant to go, so that nothing is omitted where the front door is slow.
 func (c *Clients) Open(ctx context.Context, for_ time.Duration) {
