Roll-outs on real doors: two tries that are out at once may begin in any order

A door whose further try reached the old version before the first one's handler ran at the new one was taken for going back. The rule now wants the old version to have been done with it before, beyond the machine's slack, and rests on times. The order names how busy the service is.

--- a/internal/extras/orders.go
+++ b/internal/extras/orders.go
@@ -71,6 +71,7 @@
 	if verb == understudy.Start {
 		b, _ := json.Marshal(r)
 		json.Unmarshal(b, &body)
+		body["busy"] = o.t.play().busy
 	}
 	body["mark"], body["by"], body["rev"] = fmt.Sprintf("%s-%d", verb, o.number()), "operator", seen.Rev
 	name := map[understudy.Verb]string{understudy.Start: "Start", understudy.Advance: "Step", understudy.Hold: "Hold",
--- a/internal/extras/rollouts.go
+++ b/internal/extras/rollouts.go
@@ -48,6 +48,16 @@
 	flaw              string
 }
 
+// ended is when a backend was done with what it had begun.
+func (a *attempt) ended(b history.Event) time.Duration {
+	for _, e := range a.over {
+		if e.Who == b.Who && e.N == b.N {
+			return e.T
+		}
+	}
+	return always
+}
+
 func attempts(h []history.Event) (all map[string]*attempt, order []string) {
 	all = map[string]*attempt{}
 	of := func(e history.Event) *attempt {
@@ -153,21 +163,21 @@
 	all, order := attempts(h)
 	for _, id := range order {
 		a := all[id]
-		olds := 0
+		old := time.Duration(0) // when the old version was done with it
 		for _, b := range a.begun {
 			if t.Lines[b.Who][0] != t.Service {
 				continue
 			}
 			if !t.isNew(b.Who) {
-				olds++
+				old = a.ended(b) // two that are out at a time may begin in any order
 				continue
 			}
 			say := func(rule string, timed bool, format string, args ...any) {
 				bad = append(bad, history.Broken{Rule: rule, T: b.T, Who: a.ask.At, Txn: id, Key: a.route.What, Timed: timed,
 					What: fmt.Sprintf(format, args...)})
 			}
-			if olds > 0 {
-				say("BACK", false, "went on to %s of the new version after the old one had it", b.Who)
+			if old > 0 && old < b.T-t.Slack {
+				say("BACK", true, "went on to %s of the new version after the old one had it", b.Who)
 			}
 			if at, ok := closed[a.ask.At]; ok && b.T > at+t.Slack {
 				say("BARRED", a.ask.T <= at, "reached %s of the failing version %.3fs after its door had pulled back, asked "+
@@ -201,9 +211,7 @@
 	for _, id := range order {
 		a := all[id]
 		if a.ask.What != "pure" || !slices.ContainsFunc(a.begun, func(b history.Event) bool {
-			return t.isNew(b.Who) && b.T <= t.Verdict && !slices.ContainsFunc(a.over, func(e history.Event) bool {
-				return e.Who == b.Who && e.N == b.N && e.T <= t.Verdict
-			})
+			return t.isNew(b.Who) && b.T <= t.Verdict && a.ended(b) > t.Verdict
 		}) {
 			continue
 		}
