--- a/internal/extras/rollouts.go
+++ b/internal/extras/rollouts.go
@@ -249,6 +249,8 @@
 	Requests int           `json:"requests"`  // that reached the version from the first failing one on
 	Failing  int           `json:"failing"`   // of these
 	Clients  int           `json:"clients"`   // of these, tries that did not end well for their clients
+
+	ByDoor map[string]time.Duration `json:"by_door,omitempty"` // as Last, of each door
 }
 
 // Measure tells how long and how often a failing version was met; nothing where none failed.
@@ -275,6 +277,10 @@
 		for _, b := range a.begun {
 			if t.isNew(b.Who) && b.T >= first && (t.Mended == 0 || b.T <= t.Mended) {
 				met, m.Last = true, max(m.Last, b.T-first)
+				if m.ByDoor == nil {
+					m.ByDoor = map[string]time.Duration{}
+				}
+				m.ByDoor[a.ask.At] = max(m.ByDoor[a.ask.At], b.T-first)
 			}
 		}
 		if !met && a.flaw == "" {
--- a/internal/extras/rollouts_test.go
+++ b/internal/extras/rollouts_test.go
@@ -137,7 +137,8 @@
 		told("first", "effectful", "/bids/1", 10*s, s/10, 500, 1, "new"), flaw(10*s, "first"),
 		told("fine", "pure", "/lots/1", 12*s, s/10, 200, 0, "new"), told("old", "pure", "/lots/2", 13*s, s/10, 200, 0, "old"),
 		told("saved", "pure", "/lots/3", 15*s, s/10, 200, 0, "new", "old"), flaw(15*s, "saved"))
-	must.Eq(t, Met{FirstBad: 2 * s, Verdict: 10 * s, LastDoor: 11 * s, Last: 5 * s, Requests: 3, Failing: 2, Clients: 1},
+	must.Eq(t, Met{FirstBad: 2 * s, Verdict: 10 * s, LastDoor: 11 * s, Last: 5 * s, Requests: 3, Failing: 2, Clients: 1,
+		ByDoor: map[string]time.Duration{"d0": 5 * s}},
 		Measure(h, onTrial()))
 	must.Eq(t, []Moment{{0, 1, 2, 0, 1}, {5, 1, 1, 0, 1}}, Course(h, onTrial(), 10*s, 5*s))
 	must.Eq(t, Met{}, Measure(h[:2], onTrial()))
