Roll-outs on real doors: reads beyond a door's grace; what is not pulled back is kept

A door that was told to end closed a read of nearly five seconds at the end of its grace, as it must, and the rule of one final answer named it. Such ends are excused where the door used its grace up, and no others (test). A failing version that nothing pulled back keeps its history, logs and the doors' word on the roll-out.

--- a/internal/extras/rollouts_test.go
+++ b/internal/extras/rollouts_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// A read that takes longer than the grace of a door that ends may be cut; one of a door that ended early may not.
+func TestGraceIsUsedUp(t *testing.T) {
+	ends := func(after time.Duration) []history.Event {
+		return history.Merge(event(10*s, "d0", Terminates), event(10*s+after, "d0", history.Down))
+	}
+	must.True(t, OutOfGrace(ends(Bounds().Grace-s/4), "d0", 10*s+Bounds().Grace-s/4))
+	must.False(t, OutOfGrace(ends(Bounds().Grace-s/4), "d0", 11*s))
+	must.False(t, OutOfGrace(ends(Bounds().Grace-s/4), "d1", 10*s+Bounds().Grace-s/4))
+	must.False(t, OutOfGrace(ends(2*s), "d0", 12*s))
+	must.False(t, OutOfGrace(event(12*s, "d0", history.Down), "d0", 12*s))
+}
+
 func TestReadsUnderWayComeWhole(t *testing.T) {
 	read := func(from, takes time.Duration, code float64) []history.Event {
 		return told("a", "pure", "/appraisals/1", from, takes, code, 0, "new")
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -299,6 +299,28 @@
 	return o
 }
 
+// graceNear is how close to its end a door has used up its grace.
+const graceNear = 1500 * time.Millisecond
+
+// OutOfGrace tells whether a door that was told to end did so about then, with its grace used up: what takes longer
+// than that can't be waited for.
+func OutOfGrace(h []history.Event, door string, at time.Duration) bool {
+	told := always
+	for _, e := range h {
+		switch {
+		case e.Who != door:
+		case e.Kind == Terminates:
+			told = min(told, e.T)
+		case e.Kind == history.Down:
+			if e.T-told > Bounds().Grace-graceNear && e.T-at < graceNear/3 && at-e.T < graceNear/3 {
+				return true
+			}
+			told = always
+		}
+	}
+	return false
+}
+
 // meets tells whether a door was off at any moment of a time.
 func (o off) meets(who string, from, to time.Duration) bool {
 	return slices.ContainsFunc(o[who], func(s [2]time.Duration) bool { return s[0] <= to && s[1] >= from })
--- a/internal/extras/troupe.go
+++ b/internal/extras/troupe.go
@@ -266,8 +266,13 @@
 }
 
 // Tells is what a door says of itself.
-func (t *Troupe) Tells(d *Door) string {
-	status, text, err := t.call(t.ctx, "GET", d.Control, "/api/House.Status", nil, time.Second)
+func (t *Troupe) Tells(d *Door) string { return t.tells(d, "/api/House.Status") }
+
+// TellsRollouts is what a door says of roll-outs.
+func (t *Troupe) TellsRollouts(d *Door) string { return t.tells(d, "/api/Rollout.Status") }
+
+func (t *Troupe) tells(d *Door, path string) string {
+	status, text, err := t.call(t.ctx, "GET", d.Control, path, nil, time.Second)
 	if err != nil {
 		return err.Error()
 	}
--- a/internal/rig/rollout.go
+++ b/internal/rig/rollout.go
@@ -211,6 +211,10 @@
 	r.wg.Wait()
 	if !r.pulledBack() && r.s.Arm != Good { // somebody mends it at last
 		r.trial.Mended = history.Now()
+		r.odd = r.s.Arm == Judged
+		for _, d := range r.t.Doors {
+			r.says = append(r.says, d.Name+": "+r.t.TellsRollouts(d))
+		}
 		r.t.Spoil(newVersion, nil)
 	}
 	if r.s.Arm == Good {
