Roll-outs on real doors: an operator looks at the doubt before the next word

The rig's operator went on to 90 % of the users every two seconds, though the status said that the step was in doubt. Each step weighs anew and the control shrinks to a tenth, so that versions that were as good as found at 20 % took 15 s and more (one in five failing, 300 failures). The operator now waits while the doubt is 1 or more, as the duty does.

--- a/internal/extras/orders.go
+++ b/internal/extras/orders.go
@@ -18,6 +18,8 @@
 	Phase   string `json:"phase"`
 	Step    int    `json:"step"`
 	Held    bool   `json:"held"`
+
+	Doubt float64 `json:"doubt"` // 0 where whoever leads was not asked
 }
 
 // lookMost bounds one look at a roll-out.
--- a/internal/rig/rollout.go
+++ b/internal/rig/rollout.go
@@ -248,7 +248,8 @@
 		if now.Step >= to || now.Phase != "" && now.Phase != string(understudy.Running) {
 			return now.Step >= to
 		}
-		if r.s.Advance == "word" && time.Since(since) > r.s.Dwell {
+		// An operator looks before the next word. Where nothing counts there is nothing to be seen.
+		if r.s.Advance == "word" && time.Since(since) > r.s.Dwell && now.Doubt < 1 {
 			r.call(ctx, understudy.Advance, now.Step+1) // refused if the newest is not known here: again then
 		}
 		sleep(ctx, lookEvery)
