Rig of the house: the operator goes when all is over, not when the last read ends

Acknowledgements are now judged up to the event that closes a run. Tests pass; it fails without the change.

--- a/internal/extras/rollouts_test.go
+++ b/internal/extras/rollouts_test.go
@@ -219,3 +219,14 @@
 	}
 	must.Eq(t, 4, records) // what a version answers with 5xx is in its books
 }
+
+// A change that the operator sent and left behind when all was over is not held to an answer, however long reads go on.
+func TestTheOperatorGoesBeforeLongReadsEnd(t *testing.T) {
+	sent := moved(0)
+	sent[4].Sent, sent[4].Acked = 15*s, 0
+	end := event(30*s, "clients", history.Unheard)
+	house := quiet(sent)
+	must.Len(t, 1, acks(house, newCalm(end, house), end))
+	closed := history.Merge(event(16*s, "rig", history.Closes), end)
+	must.SliceEmpty(t, acks(house, newCalm(closed, house), closed))
+}
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -410,6 +410,9 @@
 // acks: a proper order is acknowledged within its time where the core was settled all the while.
 func acks(t *Troupe, c *calm, h []history.Event) (bad []history.Broken) {
 	last := h[len(h)-1].T
+	if i := slices.IndexFunc(h, func(e history.Event) bool { return e.Kind == history.Closes }); i >= 0 {
+		last = h[i].T // the operator has gone, while long reads may go on
+	}
 	for n, v := range t.Operator.Versions() {
 		late := v.Sent + Bounds().AckWithin
 		if v.Lost || v.Acked > 0 && v.Acked <= late || late > last {
