--- a/internal/understudy/judge_test.go
+++ b/internal/understudy/judge_test.go
@@ -248,6 +248,7 @@
 		{"all writes, one in five", 100, 350, always(.2, 1, writes), 80 * time.Second},
 		{"all writes, one in five", 1000, 350, always(.2, 1, writes), 8 * time.Second},
 		{"all writes, one in five", 5000, 350, always(.2, 1, writes), 5 * time.Second},
+		{"all writes, one in five", 9000, 350, always(.2, 1, writes), 15 * time.Second},
 		{"all writes, one in five", 1000, 3500, always(.2, 1, writes), 3 * time.Second},
 		{"everything, wrong bytes", 100, 350, always(1, 1, any), 6 * time.Second},
 		{"everything, wrong bytes", 5000, 350, always(1, 1, any), 3 * time.Second},
