--- a/cmd/lab/houserollout.go
+++ b/cmd/lab/houserollout.go
@@ -21,6 +21,7 @@
 type houseRollout struct {
 	houseChaos
 	play, arm, page string
+	dwell           time.Duration
 }
 
 func houseRolloutCommand() *cobra.Command {
@@ -48,6 +49,9 @@
 			if err := k.sound(); err != nil {
 				return err
 			}
+			if k.dwell != 0 && k.dwell < time.Second {
+				return usageError{fmt.Errorf("--dwell must be 1s at the least")}
+			}
 			path, done, err := program(playhouse, k.named)
 			if err != nil {
 				return err
@@ -60,6 +64,7 @@
 	c.Flags().DurationVar(&k.dur, "for", 12*time.Second, "how long a failing version is waited for at most")
 	c.Flags().StringVar(&k.arm, "arm", string(rig.Judged), "judged; unjudged: it fails and nothing counts; good: it does "+
 		"not fail;\nalone: it fails while most of the core stands still")
+	c.Flags().DurationVar(&k.dwell, "dwell", 0, "how long a step lasts at the least (default: drawn, 1.5 to 2.5 s)")
 	c.Flags().StringVar(&k.page, "page", "", "write a page with the versions' courses here")
 	return c
 }
@@ -71,7 +76,11 @@
 		"unclear", "recorded", "asked", "flaw, verdict")
 	var all []*rig.RolloutResult
 	failed := eachSeed(ctx, &k.houseChaos, func(seed uint64) (*rig.RolloutResult, error) {
-		return rig.PlayRollout(ctx, rig.DrawRollout(k.play, rig.Arm(k.arm), seed, k.doors, k.dur), k.options())
+		s := rig.DrawRollout(k.play, rig.Arm(k.arm), seed, k.doors, k.dur)
+		if k.dwell > 0 {
+			s.Last(k.dwell)
+		}
+		return rig.PlayRollout(ctx, s, k.options())
 	}, func(r *rig.RolloutResult) (bool, error) {
 		all = append(all, r)
 		return len(r.Broken) > 0, k.tell(r)
--- a/internal/rig/rollout.go
+++ b/internal/rig/rollout.go
@@ -78,6 +78,12 @@
 	return s
 }
 
+// Last lets each step last so long, with the failing at the same part of its step.
+func (s *RolloutSchedule) Last(dwell time.Duration) {
+	s.After = time.Duration(float64(s.After) / float64(s.Dwell) * float64(dwell))
+	s.Dwell = dwell
+}
+
 // order is the roll-out that is started.
 func (s *RolloutSchedule) order() understudy.Rollout {
 	r := understudy.Rollout{Service: s.Play.Leading, Old: extras.FirstVersion, New: newVersion, Advance: s.Advance}
