--- a/internal/rig/house.go
+++ b/internal/rig/house.go
@@ -152,6 +152,7 @@
 	fault   error
 	acked   chan struct{} // closed and made anew at each acknowledgement
 	steps   atomic.Bool   // the operator goes on
+	turn    sync.Mutex    // held while it does
 	calmed  time.Time
 	settled []time.Duration
 	says    []string                               // what the doors say of themselves, where all is not well at the end
@@ -268,6 +269,8 @@
 	}
 	enough()
 	h.steps.Store(false)
+	h.turn.Lock() // what is read last is read after the last change's answer
+	defer h.turn.Unlock()
 	last, over := context.WithTimeout(all, recoverMost)
 	defer over()
 	final := h.t.Operator.Read(last)
@@ -322,7 +325,11 @@
 	for ctx.Err() == nil {
 		if h.steps.Load() {
 			before, _ := h.t.Operator.Known()
-			h.t.Operator.Step(ctx)
+			h.turn.Lock()
+			if h.steps.Load() {
+				h.t.Operator.Step(ctx)
+			}
+			h.turn.Unlock()
 			now, bill := h.t.Operator.Known()
 			if bill != nil {
 				h.load.Learn(bill)
