--- a/internal/extras/rollouts.go
+++ b/internal/extras/rollouts.go
@@ -181,7 +181,8 @@
 				bad = append(bad, history.Broken{Rule: rule, T: b.T, Who: a.ask.At, Txn: id, Key: a.route.What, Timed: timed,
 					What: fmt.Sprintf(format, args...)})
 			}
-			if old > 0 && old < b.T-t.Slack {
+			late := a.final.T > 0 && a.final.T < b.T // it was sent before, and arrives after all is over
+			if old > 0 && old < b.T-t.Slack && !late {
 				say("BACK", true, "went on to %s of the new version after the old one had it", b.Who)
 			}
 			if at, ok := closed[a.ask.At]; ok && b.T > at+t.Slack {
