--- a/cmd/lab/housechaos.go
+++ b/cmd/lab/housechaos.go
@@ -47,16 +47,10 @@
 			if k.shrink && k.seeds != 1 {
 				return usageError{errors.New("--shrink wants one seed")}
 			}
-			path, done, err := program(playhouse, k.named)
-			if err != nil {
-				return err
-			}
-			defer done()
-			k.named = path
 			if k.shrink {
-				return k.smaller(c.Context())
+				return k.built(c.Context(), k.smaller)
 			}
-			return k.play(c.Context())
+			return k.built(c.Context(), k.play)
 		}}
 	k.flags(c, 80)
 	c.Flags().IntVar(&k.most, "faults", 7, "faults of a schedule at most")
@@ -79,6 +73,17 @@
 	c.Flags().IntVar(&k.jobs, "jobs", 1, "runs side by side")
 }
 
+// built plays with the program that was named, found or built.
+func (k *houseChaos) built(ctx context.Context, play func(context.Context) error) error {
+	path, done, err := program(playhouse, k.named)
+	if err != nil {
+		return err
+	}
+	defer done()
+	k.named = path
+	return play(ctx)
+}
+
 // sound tells whether the flags can be played.
 func (k *houseChaos) sound() error {
 	if k.seeds < 1 || k.jobs < 1 || k.most < 2 || k.doors < rig.Disks || k.doors > 60 {
--- a/cmd/lab/houserollout.go
+++ b/cmd/lab/houserollout.go
@@ -52,13 +52,7 @@
 			if k.dwell != 0 && k.dwell < time.Second {
 				return usageError{fmt.Errorf("--dwell must be 1s at the least")}
 			}
-			path, done, err := program(playhouse, k.named)
-			if err != nil {
-				return err
-			}
-			defer done()
-			k.named = path
-			return k.run(c.Context())
+			return k.built(c.Context(), k.run)
 		}}
 	k.flags(c, 160)
 	c.Flags().DurationVar(&k.dur, "for", 12*time.Second, "how long a failing version is waited for at most")
