--- a/internal/extras/operator.go
+++ b/internal/extras/operator.go
@@ -15,7 +15,7 @@
 	"clovergap/internal/playbill"
 )
 
-// Service is one of the small house that is played.
+// Service is one of those that are played.
 type Service struct {
 	Name string
 	Work time.Duration // the least of a request is half of it, the mean all
@@ -56,9 +56,7 @@
 		return r
 	}
 	one := func(s string) playbill.BillTarget { return playbill.BillTarget{Target: s, Weight: 1} }
-	b := &playbill.Bill{Generation: 1,
-		Limits: &playbill.BillLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: span("3000ms"),
-			IdleTimeout: span("15000ms")},
+	b := &playbill.Bill{Generation: 1, Limits: limits(),
 		Tenants: []playbill.BillTenant{{Name: "patrons", ApiKeys: []string{"patronskey1", "patronskey2"},
 			Priority: 1},
 			{Name: "clubs", ApiKeys: []string{"clubskey1"}, Priority: 1, RatePerS: 20, Burst: 20},
@@ -71,13 +69,22 @@
 					playbill.BillTarget{Target: "tickets", Weight: 20})}},
 			{Hostname: hostTickets, PathList: []playbill.BillRoute{
 				route("r-book", "/book/", playbill.Effectful, "2000ms", "500ms", false, one("tickets"))}}}}
-	for _, s := range Services {
-		b.Services = append(b.Services, playbill.BillService{Name: s.Name, HealthPath: "/health", MaxConns: 130,
-			Protocol: "h1"})
-	}
+	b.Services = listed(Services)
 	return b
 }
 
+func limits() *playbill.BillLimits {
+	header, idle := "3000ms", "15000ms"
+	return &playbill.BillLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: &header, IdleTimeout: &idle}
+}
+
+func listed(all []Service) (out []playbill.BillService) {
+	for _, s := range all {
+		out = append(out, playbill.BillService{Name: s.Name, HealthPath: "/health", MaxConns: 130, Protocol: "h1"})
+	}
+	return out
+}
+
 // Version is one configuration as the operator sent it, and what results from it.
 type Version struct {
 	Bill         *playbill.Bill
@@ -182,7 +189,7 @@
 // Open sends the first configuration, again and again until it is taken.
 func (o *Operator) Open(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		v := &Version{Bill: First()}
+		v := &Version{Bill: o.t.play().first()}
 		if status, clear := o.propose(ctx, ReplacePath, v.Bill, v); clear && status == http.StatusOK {
 			return true
 		} else if clear {
@@ -338,7 +345,7 @@
 	deadline, aim := "1500ms", "400ms"
 	return playbill.BillRoute{Name: fmt.Sprintf("g-%d", n), PathPrefix: fmt.Sprintf("/g%d/", n),
 		Variant: playbill.Pure, Deadline: &deadline,
-		TargetLatency: &aim, MaxTries: 2, Target: Services[d.draw(2)].Name}
+		TargetLatency: &aim, MaxTries: 2, Target: d.bill.Services[d.draw(len(d.bill.Services))].Name}
 }
 
 // amend changes named items.
--- a/internal/extras/rules.go
+++ b/internal/extras/rules.go
@@ -257,7 +257,7 @@
 type calm struct {
 	events map[string][]time.Duration // of each door: ends, starts, stops, goes
 	core   []time.Duration
-	off    map[string][][2]time.Duration
+	off    off
 	gaps   []gap
 	cores  []string
 }
@@ -265,75 +265,116 @@
 const always = time.Duration(1<<63 - 1)
 
 func newCalm(h []history.Event, t *Cast) *calm {
-	c := &calm{events: map[string][]time.Duration{}, off: map[string][][2]time.Duration{}, gaps: gapsOf(h), cores: t.Cores}
-	open := map[string]map[history.Kind]time.Duration{}
+	c := &calm{events: map[string][]time.Duration{}, off: newOff(h), gaps: gapsOf(h), cores: t.Cores}
+	doors := map[string]bool{}
 	for _, name := range t.Doors {
-		open[name] = map[history.Kind]time.Duration{}
+		doors[name] = true
 	}
 	for _, e := range h {
-		if open[e.Who] == nil {
-			continue
-		}
-		ends := history.Kind("")
-		switch e.Kind {
-		case history.Down, history.Stopped, Troubled:
-			if _, ok := open[e.Who][e.Kind]; !ok { // a kill is told when it is sent, and when it is seen
-				open[e.Who][e.Kind] = e.T
+		switch core := slices.Contains(c.cores, e.Who); e.Kind {
+		case history.Down, history.Stopped, history.Up, history.Goes, Terminates, Troubled, Eased:
+			if !doors[e.Who] {
+				continue
+			}
+			c.events[e.Who] = append(c.events[e.Who], e.T)
+			if core {
+				c.core = append(c.core, e.T)
 			}
-		case history.Up:
-			ends = history.Down
-		case history.Goes:
-			ends = history.Stopped
-		case Eased:
-			ends = Troubled
-		case Terminates:
 		case Parted, Joined: // of a cut, both ends must be of the core to unsettle it
-			if slices.Contains(c.cores, e.Who) && slices.Contains(c.cores, e.At) {
+			if core && slices.Contains(c.cores, e.At) {
 				c.core = append(c.core, e.T)
 			}
-			continue
+		}
+	}
+	return c
+}
+
+// off is when doors were down, stood still or were in trouble.
+type off map[string][][2]time.Duration
+
+// newOff reads it from a history; what else ends a door may be named.
+func newOff(h []history.Event, downs ...history.Kind) off {
+	o, open := off{}, map[string]map[history.Kind]time.Duration{}
+	for _, e := range h {
+		begins, ends := history.Kind(""), history.Kind("")
+		switch {
+		case e.Kind == history.Down || slices.Contains(downs, e.Kind):
+			begins = history.Down
+		case e.Kind == history.Stopped || e.Kind == Troubled:
+			begins = e.Kind
+		case e.Kind == history.Up:
+			ends = history.Down
+		case e.Kind == history.Goes:
+			ends = history.Stopped
+		case e.Kind == Eased:
+			ends = Troubled
 		default:
 			continue
 		}
-		if from, ok := open[e.Who][ends]; ok {
-			c.off[e.Who] = append(c.off[e.Who], [2]time.Duration{from, e.T})
-			delete(open[e.Who], ends)
+		if open[e.Who] == nil {
+			open[e.Who] = map[history.Kind]time.Duration{}
+		}
+		if _, is := open[e.Who][begins]; begins != "" && !is { // a kill is told when it is sent, and when it is seen
+			open[e.Who][begins] = e.T
 		}
-		c.events[e.Who] = append(c.events[e.Who], e.T)
-		if slices.Contains(c.cores, e.Who) {
-			c.core = append(c.core, e.T)
+		if from, is := open[e.Who][ends]; is {
+			o[e.Who] = append(o[e.Who], [2]time.Duration{from, e.T})
+			delete(open[e.Who], ends)
 		}
 	}
 	for who, kinds := range open {
 		for _, from := range kinds {
-			c.off[who] = append(c.off[who], [2]time.Duration{from, always})
+			o[who] = append(o[who], [2]time.Duration{from, always})
 		}
 	}
-	return c
+	return o
 }
 
-func between(all []time.Duration, from, to time.Duration) bool {
-	return slices.ContainsFunc(all, func(t time.Duration) bool { return t >= from && t <= to })
+// graceNear is how close to its end a door has used up its grace.
+const graceNear = 1500 * time.Millisecond
+
+// OutOfGrace tells whether a door that was told to end did so about then, with its grace used up: what takes longer
+// than that can't be waited for.
+func OutOfGrace(h []history.Event, door string, at time.Duration) bool {
+	told := always
+	for _, e := range h {
+		switch {
+		case e.Who != door:
+		case e.Kind == Terminates:
+			told = min(told, e.T)
+		case e.Kind == history.Down:
+			if e.T-told > Bounds().Grace-graceNear && e.T-at < graceNear/3 && at-e.T < graceNear/3 {
+				return true
+			}
+			told = always
+		}
+	}
+	return false
 }
 
-func (c *calm) isOff(who string, from, to time.Duration) bool {
-	return slices.ContainsFunc(c.off[who], func(s [2]time.Duration) bool { return s[0] <= to && s[1] >= from })
+// meets tells whether a door was off at any moment of a time.
+func (o off) meets(who string, from, to time.Duration) bool {
+	return slices.ContainsFunc(o[who], func(s [2]time.Duration) bool { return s[0] <= to && s[1] >= from })
+}
+
+func between(all []time.Duration, from, to time.Duration) bool {
+	return slices.ContainsFunc(all, func(t time.Duration) bool { return t >= from && t <= to })
 }
 
 // settled tells whether the core was, for a whole time.
 func (c *calm) settled(from, to time.Duration) bool {
 	begin := from - Bounds().InTouch
 	return !between(c.core, begin, to) && slices.ContainsFunc(c.cores, func(who string) bool {
-		return !c.isOff(who, begin, to) && c.reaches(who, begin, to, true)
+		return !c.off.meets(who, begin, to) && c.reaches(who, begin, to, true)
 	})
 }
 
 // touch tells whether a door was in touch for a whole time.
 func (c *calm) touch(door string, from, to time.Duration) bool {
 	begin := from - Bounds().InTouch
-	return !between(c.events[door], begin, to) && !c.isOff(door, begin, to) && c.settled(from, to) &&
+	return !between(c.events[door], begin, to) && !c.off.meets(door, begin, to) && c.settled(from, to) &&
 		!slices.ContainsFunc(c.cores, func(o string) bool { // without a path to one that has to do with most of the core
-			return !c.isOff(o, begin, to) && c.reaches(o, begin, to, false) && !c.joined(door, o, begin, to, true)
+			return !c.off.meets(o, begin, to) && c.reaches(o, begin, to, false) && !c.joined(door, o, begin, to, true)
 		})
 }
 
@@ -395,6 +436,9 @@
 // acks: a proper order is acknowledged within its time where the core was settled all the while.
 func acks(t *Cast, c *calm, h []history.Event) (bad []history.Broken) {
 	last := h[len(h)-1].T
+	if i := slices.IndexFunc(h, func(e history.Event) bool { return e.Kind == history.Closes }); i >= 0 {
+		last = h[i].T // the operator has gone, while long reads may go on
+	}
 	for n, v := range t.Versions {
 		late := v.Sent + Bounds().AckWithin
 		if v.Lost || v.Acked > 0 && v.Acked <= late || late > last {
