--- a/internal/extras/clients.go
+++ b/internal/extras/clients.go
@@ -131,6 +131,14 @@
 	Effectful                     bool
 	Aim, Deadline                 time.Duration
 	Zone                          string
+	User                          int    // from 1; nought: nobody in particular
+	Mark                          string // the client's own
+	Bytes                         int    // of the answer
+}
+
+// wantFrom is a request of a zone, with the times that most have.
+func wantFrom(rng *rand.Rand, zones []string) Want {
+	return Want{Zone: zones[rng.IntN(len(zones))], Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond}
 }
 
 // Known are the routes that come and go, as clients know them.
@@ -158,12 +166,15 @@
 func (c *Clients) draw() Want {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if p := c.t.Terms.Play; p != nil {
+		return c.known.drawPlay(p, c.rng, c.t.Terms.Zones)
+	}
 	return c.known.Draw(c.rng, c.t.Terms.Zones)
 }
 
-// Draw draws a request.
+// Draw draws a request in the small house.
 func (k *Known) Draw(rng *rand.Rand, zones []string) Want {
-	w := Want{Zone: zones[rng.IntN(len(zones))], Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond}
+	w := wantFrom(rng, zones)
 	switch x := rng.IntN(100); {
 	case x < 50:
 		w.Tenant, w.Key = "patrons", []string{"patronskey1", "patronskey2"}[rng.IntN(2)]
@@ -181,23 +192,31 @@
 		w.Kind, w.Host, w.Path, w.Effectful = "r-book", hostTickets, "/book/", true
 		w.Aim, w.Deadline = 500*time.Millisecond, 2*time.Second
 	default:
-		g := k.guests[rng.IntN(len(k.guests))]
-		if len(k.gone) > 0 && rng.IntN(4) == 0 {
-			g = k.gone[rng.IntN(len(k.gone))]
-		}
-		w.Kind, w.Host, w.Path = g.Name, hostGuests, g.PathPrefix
+		k.drawGuest(rng, &w)
 	}
 	w.Path += strconv.FormatUint(rng.Uint64N(1000), 16)
 	return w
 }
 
-// Probes are a request by each of the first routes.
+// drawGuest asks by a route that comes and goes, of which there is one at the least.
+func (k *Known) drawGuest(rng *rand.Rand, w *Want) {
+	g := k.guests[rng.IntN(len(k.guests))]
+	if len(k.gone) > 0 && rng.IntN(4) == 0 {
+		g = k.gone[rng.IntN(len(k.gone))]
+	}
+	w.Kind, w.Host, w.Path = g.Name, hostGuests, g.PathPrefix
+}
+
+// probeMost is what a probe waits.
+const probeMost = 2 * time.Second
+
+// Probes are a request by each of the small house's first routes.
 func Probes() []Want {
 	all := []Want{{Kind: "r-lobby", Host: hostProgramme, Path: "/lobby/probe"},
 		{Kind: "r-browse", Host: hostProgramme, Path: "/browse/probe", Tenant: "patrons", Key: "patronskey1"},
 		{Kind: "r-book", Host: hostTickets, Path: "/book/probe", Tenant: "patrons", Key: "patronskey2", Effectful: true}}
 	for i := range all {
-		all[i].Deadline = 2 * time.Second
+		all[i].Deadline = probeMost
 	}
 	return all
 }
@@ -210,7 +229,7 @@
 
 // Probe asks a door by each of the first routes; it tells whether all were served.
 func (c *Clients) Probe(ctx context.Context, d *Door) bool {
-	for _, w := range Probes() {
+	for _, w := range c.probes() {
 		if c.One(ctx, d, w) != http.StatusOK {
 			return false
 		}
@@ -218,6 +237,14 @@
 	return true
 }
 
+// probes are one request by each of the first routes.
+func (c *Clients) probes() []Want {
+	if p := c.t.Terms.Play; p != nil {
+		return c.playProbes(p)
+	}
+	return Probes()
+}
+
 // try sends one try by its own id.
 func (c *Clients) try(ctx context.Context, with *http.Client, d *Door, w Want,
 	left time.Duration) (status int, h http.Header, wrong bool) {
@@ -241,6 +268,9 @@
 	if w.Key != "" {
 		r.Header.Set("Authorization", "Token "+w.Key)
 	}
+	if w.Mark != "" {
+		r.Header.Set("X-Client-Mark", w.Mark)
+	}
 	what := "pure"
 	if w.Effectful {
 		what = "effectful"
@@ -248,12 +278,17 @@
 	asked := history.Event{Who: "clients", Kind: history.Asked, Txn: id, Key: w.Tenant, At: d.Name, N: 1,
 		What: what, Due: history.Now() + left}
 	c.t.Terms.History.Add(history.Event{Who: "clients", Kind: Route, Txn: id, Key: w.Host, At: w.Path,
-		What: w.Kind})
+		What: w.Kind, N: float64(w.User)})
 	status, h, body := standin.Try(with, c.t.Terms.History, r, asked)
-	if status/100 == 2 && (body != "done "+id || h.Get("X-Backend-Seal") == "" || h.Get("X-Attempt-Id") != id) {
+	whole := "done " + id
+	if w.Bytes > 0 {
+		whole = standin.Long(whole, w.Bytes)
+	}
+	if status/100 == 2 && (body != whole || h.Get("X-Backend-Seal") == "" || h.Get("X-Attempt-Id") != id) {
 		wrong = true
 		c.t.Terms.History.Add(history.Event{Who: "clients", Kind: Mixed, Txn: id, At: d.Name,
-			What: fmt.Sprintf("%q, seal %q", body, h.Get("X-Backend-Seal"))})
+			What: fmt.Sprintf("%.80q of %d bytes, seal %q", body, len(body),
+				h.Get("X-Backend-Seal"))})
 	}
 	return status, h, wrong
 }
--- a/internal/extras/cuts.go
+++ b/internal/extras/cuts.go
@@ -71,7 +71,7 @@
 func (c *calm) reaches(who string, from, to time.Duration, allOfIt bool) bool {
 	n := 0
 	for _, o := range c.cores {
-		if o == who || !c.isOff(o, from, to) && c.joined(who, o, from, to, allOfIt) {
+		if o == who || !c.off.meets(o, from, to) && c.joined(who, o, from, to, allOfIt) {
 			n++
 		}
 	}
--- a/internal/extras/troupe.go
+++ b/internal/extras/troupe.go
@@ -38,6 +38,7 @@
 	Beat    time.Duration
 	Lost    int          // disks that may be lost at once
 	History *history.Log // nil: none is kept
+	Play    *Play        // nil: the small house
 }
 
 // Bounds are what the doors are told; those of the rules that the rig checks are taken from here.
@@ -64,6 +65,7 @@
 	all    []*Line // those that are gone too
 	lives  int
 	closed bool
+	flaws  map[string]Flaw // of versions, by generation
 }
 
 // Door is one door's process, in one life after another.
@@ -144,7 +146,7 @@
 		}
 	}
 	t.Operator = newOperator(t)
-	for _, s := range Services {
+	for _, s := range t.play().services {
 		for _, z := range o.Zones {
 			for range o.Each {
 				if _, err := t.Add(s.Name, z, 0); err != nil {
@@ -262,8 +264,13 @@
 }
 
 // Tells is what a door says of itself.
-func (t *Troupe) Tells(d *Door) string {
-	status, text, err := t.call(t.ctx, "GET", d.Control, "/api/House.Status", nil, time.Second)
+func (t *Troupe) Tells(d *Door) string { return t.tells(d, "/api/House.Status") }
+
+// TellsRollouts is what a door says of roll-outs.
+func (t *Troupe) TellsRollouts(d *Door) string { return t.tells(d, "/api/Rollout.Status") }
+
+func (t *Troupe) tells(d *Door, path string) string {
+	status, text, err := t.call(t.ctx, "GET", d.Control, path, nil, time.Second)
 	if err != nil {
 		return err.Error()
 	}
