Doors with a disk tell at once who lives: to new followers, and when it changes

A door started again heard who lives up to 0.7 s late, and filled its buckets at a third of the rate. Change: the word goes with the next tick when somebody follows, and when the live doors change.

--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -201,6 +201,9 @@
 		doors = append(doors, callboard.Door{Seat: callboard.Seat(i), Control: s.Control, Zone: s.Zone,
 			Live: h.company.Live(s.Addr), Firm: d.Disk != 0, Hears: h.hears(s.Addr)})
 	}
+	if h.core != nil && reach != h.reach {
+		h.pingedAt = 0 // who follows goes by this door's word of who lives: an owner in its first second by a third of the rate
+	}
 	h.reach = reach
 	h.quota.Reach(reach)
 	h.office.SetPlace(place, places)
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -107,6 +107,7 @@
 	h.followers[from] = f.After
 	if !had {
 		h.doorsChanged()
+		h.pingedAt = 0 // it waits for the word of who lives
 	} else if f.Anew {
 		h.greet(from)
 	}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -72,3 +72,30 @@
 	must.SliceLen(t, 1, r.Broken)
 	must.Eq(t, "RECOVER", r.Broken[0].Rule)
 }
+
+// A door without a disk goes by the word of the one that it follows of who lives. Started again it had to wait for up to a second
+// for it, and filled the buckets that it owns at a third of their rate so long: it refused what was owed.
+func TestWhoLivesIsToldAtOnce(t *testing.T) {
+	w := newWorld(&Day{Site: Site{Doors: 12, Disks: 3}.Usual(), Seed: 1, For: time.Second})
+	for _, m := range w.machines {
+		m.start()
+	}
+	w.operator.open(func() {})
+	hears := func(m *machine) (n int) {
+		for _, d := range m.p.h.Status().Doors {
+			if d.Live {
+				n++
+			}
+		}
+		return n
+	}
+	for _, m := range w.machines {
+		must.True(t, w.until(w.now+20*time.Second, func() bool { return hears(m) == 12 }))
+	}
+	for _, m := range w.machines[3:] {
+		m.kill(false)
+		w.until(w.now+700*time.Millisecond, nil)
+		m.start()
+		must.True(t, w.until(w.now+250*time.Millisecond, func() bool { return hears(m) == 12 }), must.Sprint(m.name))
+	}
+}
