--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -99,8 +99,8 @@
 			c.queue = append(c.queue, a)
 		case prompter.Restore:
 			c.restore(a.Index, a.State)
-		case prompter.Deliver:
-			c.deliver(a.Entry)
+		case prompter.Commit:
+			c.commit(a.Entry)
 		case prompter.Outcome:
 			c.settle(a)
 		case prompter.Wake:
@@ -170,7 +170,7 @@
 	c.h.begin(index, s)
 }
 
-func (c *core) deliver(e prompter.Entry) {
+func (c *core) commit(e prompter.Entry) {
 	var data []byte
 	if e.Kind == prompter.Change {
 		data = e.Data
--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -39,7 +39,7 @@
 	s    Send
 }
 
-type budget struct{ stops, crashes, wipes, changes, beats int }
+type budget struct{ promises, crashes, wipes, changes, beats int }
 
 type step struct {
 	before *step
@@ -75,10 +75,10 @@
 		w.pull(i)
 	}
 	w.settle()
-	w.seats[0].p.stop(true)
+	w.seats[0].p.prepare(true)
 	w.pull(0)
 	w.settle()
-	w.beat(0)
+	w.heartbeat(0)
 	w.settle()
 	return w
 }
@@ -106,7 +106,7 @@
 			w.flight = append(w.flight, flying{s.disk.Me, a})
 		case Write:
 			s.writes = append(s.writes, a)
-		case Deliver:
+		case Commit:
 			w.judge(i, a.Entry)
 		}
 	}
@@ -169,8 +169,8 @@
 	}
 }
 
-func (w *stage) beat(i int) {
-	w.seats[i].p.beat()
+func (w *stage) heartbeat(i int) {
+	w.seats[i].p.heartbeat()
 	w.pull(i)
 }
 
@@ -195,7 +195,7 @@
 	w.flight = slices.DeleteFunc(slices.Clone(w.flight), func(f flying) bool {
 		to := slices.IndexFunc(w.seats, func(s *seat) bool { return s.disk.Me == f.s.To.ID })
 		k := f.s.Message.Kind
-		return to < 0 || f.s.Message.View < w.seats[to].disk.Promise && k != Lines && k != Stop
+		return to < 0 || f.s.Message.View < w.seats[to].disk.Promise && k != Append && k != Prepare
 	})
 }
 
@@ -220,8 +220,8 @@
 		if w.left.wipes > 0 && s.p.Founded() {
 			do(fmt.Sprintf("%d loses its disk", id), func(w *stage) { w.left.wipes--; w.wipe(i) })
 		}
-		if w.left.stops > 0 && s.p.role != leading && s.p.member(id) {
-			do(fmt.Sprintf("%d asks", id), func(w *stage) { w.left.stops--; w.seats[i].p.stop(true); w.pull(i) })
+		if w.left.promises > 0 && s.p.role != leading && s.p.member(id) {
+			do(fmt.Sprintf("%d asks", id), func(w *stage) { w.left.promises--; w.seats[i].p.prepare(true); w.pull(i) })
 		}
 		if w.left.changes > 0 && s.p.role == leading {
 			do(fmt.Sprintf("%d proposes", id), func(w *stage) {
@@ -231,7 +231,7 @@
 			})
 		}
 		if w.left.beats > 0 && s.p.role == leading {
-			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.beat(i) })
+			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.heartbeat(i) })
 		}
 	}
 }
@@ -250,14 +250,14 @@
 	c.seats = nil
 	for _, s := range w.seats {
 		o, p := *s, *s.p
-		p.log, p.casts, p.writes = slices.Clone(p.log), slices.Clone(p.casts), slices.Clone(p.writes)
-		p.waits, p.reads, p.with = slices.Clone(p.waits), slices.Clone(p.reads), maps.Clone(p.with)
-		for id, q := range p.with {
+		p.log, p.configs, p.writes = slices.Clone(p.log), slices.Clone(p.configs), slices.Clone(p.writes)
+		p.waits, p.reads, p.peers = slices.Clone(p.waits), slices.Clone(p.reads), maps.Clone(p.peers)
+		for id, q := range p.peers {
 			q := *q
-			p.with[id] = &q
+			p.peers[id] = &q
 		}
-		p.tokens, p.nods = maps.Clone(p.tokens), maps.Clone(p.nods)
-		p.stops, p.asking = maps.Clone(p.stops), maps.Clone(p.asking)
+		p.tokens, p.preVotes = maps.Clone(p.tokens), maps.Clone(p.preVotes)
+		p.promises, p.prepareSent = maps.Clone(p.promises), maps.Clone(p.prepareSent)
 		o.p = &p
 		c.seats = append(c.seats, &o)
 	}
@@ -298,16 +298,16 @@
 	for _, s := range w.seats {
 		p := s.p
 		b = ints(b, uint64(p.me.ID), uint64(p.role), p.promise, uint64(p.promisedTo), uint64(p.leader),
-			p.delivered, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.blank, p.snap.Index, uint64(len(p.writes)))
+			p.committed, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.noOp, p.snap.Index, uint64(len(p.writes)))
 		b = entries(b, p.log)
 		for _, q := range p.waits {
 			b = ints(b, q.nr-p.done, uint64(q.kind), q.view, uint64(q.to))
 		}
 		for id := range MemberID(20) {
-			if q := p.with[id]; q != nil {
+			if q := p.peers[id]; q != nil {
 				b = ints(b, q.next, q.match, q.round)
 			}
-			if q, ok := p.stops[id]; ok && p.role == stopping {
+			if q, ok := p.promises[id]; ok && p.role == preparing {
 				b = ints(b, q.view, q.index)
 			}
 		}
@@ -368,13 +368,13 @@
 
 // leads lets a member ask and only some others promise; what else was said is lost.
 func (w *stage) leads(i int, with ...int) {
-	w.seats[i].p.stop(true)
+	w.seats[i].p.prepare(true)
 	w.pull(i)
 	w.sync(i)
 	w.among([]int{i}, with)
 	w.syncs(with...)
 	w.among(with, []int{i})
-	if w.seats[i].p.role == stopping { // another's log is newer
+	if w.seats[i].p.role == preparing { // another's log is newer
 		w.among([]int{i}, with)
 		w.among(with, []int{i})
 	}
@@ -419,7 +419,7 @@
 	faults []fault
 }{
 	{"a change, a new view, a loss of power", func(f fault) *stage {
-		return newStage(3, 0, f, budget{stops: 1, crashes: 1}).propose()
+		return newStage(3, 0, f, budget{promises: 1, crashes: 1}).propose()
 	}, []fault{ackUnsynced, forgetful, tellEarly, fewPromises, notNewest}},
 	{"an old leader's lines come late", func(f fault) *stage {
 		w := newStage(3, 0, f, budget{changes: 1, beats: 1}).propose()
@@ -429,15 +429,15 @@
 		return w
 	}, []fault{takeOld}},
 	{"two views at once", func(f fault) *stage {
-		return newStage(3, 0, f, budget{stops: 2, changes: 1})
+		return newStage(3, 0, f, budget{promises: 2, changes: 1})
 	}, []fault{ackUnsynced}},
 	{"a lost disk", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1, wipes: 1, beats: 1}).propose()
+		w := newStage(3, 0, f, budget{promises: 1, wipes: 1, beats: 1}).propose()
 		w.only(0, 2)
 		return w
 	}, []fault{countWiped}},
 	{"a member for another", func(f fault) *stage {
-		w := newStage(3, 1, f, budget{stops: 1})
+		w := newStage(3, 1, f, budget{promises: 1})
 		w.seats[0].p.Admit(w.seats[3].p.me, 3)
 		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
 			w.arrive(0)
@@ -448,7 +448,7 @@
 		return w
 	}, []fault{oneMajority}},
 	{"a member to be", func(f fault) *stage {
-		w := newStage(3, 1, f, budget{stops: 1})
+		w := newStage(3, 1, f, budget{promises: 1})
 		w.seats[0].p.terms.Batch = 1 << 10 // it is told more at once than was delivered
 		w.seats[0].p.Admit(w.seats[3].p.me, 0)
 		w.pull(0)
@@ -463,27 +463,27 @@
 	{"two ask for one view", func(f fault) *stage {
 		w := newStage(3, 0, f, budget{changes: 1, beats: 1})
 		for _, i := range []int{1, 2} {
-			w.seats[i].p.stop(true)
+			w.seats[i].p.prepare(true)
 			w.pull(i)
 			w.syncs(i)
 		}
 		return w
 	}, []fault{promiseTwo}},
 	{"what only the old leader has", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1, crashes: 1, beats: 1}).propose()
+		w := newStage(3, 0, f, budget{promises: 1, crashes: 1, beats: 1}).propose()
 		w.sync(0)
 		w.leads(1, 2)
 		return w
-	}, []fault{noTrim}},
+	}, []fault{noTruncate}},
 	{"an old view's entry", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1}).propose()
+		w := newStage(3, 0, f, budget{promises: 1}).propose()
 		w.sync(0)
 		w.leads(1, 2)
-		w.beat(0)
+		w.heartbeat(0)
 		w.only(0, 1)
 		w.only(1, 0)
 		w.leads(0, 2)
-		w.seats[1].p.Heard(1, Message{Kind: Stop, House: w.seats[1].p.house, To: 2, View: 4})
+		w.seats[1].p.Heard(1, Message{Kind: Prepare, House: w.seats[1].p.house, To: 2, View: 4})
 		w.pull(1)
 		return w
 	}, []fault{countOld}},
@@ -494,7 +494,7 @@
 		return w
 	}, []fault{unmatched}},
 	{"a confirmation comes two views late", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1, crashes: 1, beats: 1}).propose().propose()
+		w := newStage(3, 0, f, budget{promises: 1, crashes: 1, beats: 1}).propose().propose()
 		w.only(0, 1)
 		w.syncs(1)
 		late := w.flight
@@ -513,7 +513,7 @@
 		w.only(0, 1)
 		w.syncs(1)
 		w.only(1, 0) // one more is enough
-		w.seats[3].p.stop(true)
+		w.seats[3].p.prepare(true)
 		w.pull(3)
 		w.syncs(3)
 		w.among([]int{3}, []int{2, 4})
@@ -522,12 +522,12 @@
 		return w
 	}, []fault{forgetful, tellEarly, fewPromises}},
 	{"five: another has the newest log", func(f fault) *stage {
-		w := newStage(5, 0, f, budget{stops: 1}).propose()
+		w := newStage(5, 0, f, budget{promises: 1}).propose()
 		w.syncs(0)
 		w.among([]int{0}, []int{1, 2})
 		w.syncs(1, 2)
 		w.among([]int{1, 2}, []int{0})
-		w.seats[3].p.stop(true)
+		w.seats[3].p.prepare(true)
 		w.pull(3)
 		w.syncs(3)
 		return w
@@ -539,9 +539,9 @@
 		w.sync(1)
 		w.leads(2, 3, 4)
 		return w
-	}, []fault{noTrim, unmatched}},
+	}, []fault{noTruncate, unmatched}},
 	{"five: a lost disk", func(f fault) *stage {
-		w := newStage(5, 0, f, budget{stops: 1, wipes: 1}).propose()
+		w := newStage(5, 0, f, budget{promises: 1, wipes: 1}).propose()
 		w.sync(0)
 		w.among([]int{0}, []int{1, 2})
 		w.sync(1)
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -7,75 +7,75 @@
 )
 
 // lead begins the new view.
-func (p *Prompter) lead() {
-	p.role, p.leader, p.begun, p.vain = leading, p.me.ID, true, 0
-	p.with = map[MemberID]*progress{}
-	p.round, p.reads, p.handing, p.learner = 0, nil, 0, 0
-	p.meet()
-	p.blank = p.add(Entry{Kind: Blank})
+func (p *Prompter) becomeLeader() {
+	p.role, p.leader, p.begun, p.failedViews = leading, p.me.ID, true, 0
+	p.peers = map[MemberID]*progress{}
+	p.round, p.reads, p.handingOver, p.learner = 0, nil, 0, 0
+	p.trackMembers()
+	p.noOp = p.appendNew(Entry{Kind: NoOp})
 	p.beatAt = p.now + p.terms.Beat
-	p.commit()
+	p.advanceCommit()
 }
 
 // meet keeps a progress for all who count, and the learner.
-func (p *Prompter) meet() {
+func (p *Prompter) trackMembers() {
 	others := p.others()
 	for _, m := range others {
-		if p.with[m.ID] == nil {
-			p.with[m.ID] = p.begin(m)
+		if p.peers[m.ID] == nil {
+			p.peers[m.ID] = p.newProgress(m)
 		}
 	}
-	for id := range p.with {
+	for id := range p.peers {
 		if id != p.learner && !slices.ContainsFunc(others, func(m Member) bool { return m.ID == id }) {
-			delete(p.with, id)
+			delete(p.peers, id)
 		}
 	}
 }
 
 // begin is a progress of which nothing is known yet.
-func (p *Prompter) begin(m Member) *progress {
+func (p *Prompter) newProgress(m Member) *progress {
 	return &progress{Member: m, next: p.last() + 1, heard: p.now, snapAt: -never, againAt: -never}
 }
 
 // forget gives up the learner.
-func (p *Prompter) forget() {
+func (p *Prompter) dropLearner() {
 	p.learner = 0
-	p.meet()
+	p.trackMembers()
 }
 
 // add puts a new entry of this view into the log and has it pushed.
-func (p *Prompter) add(e Entry) uint64 {
+func (p *Prompter) appendNew(e Entry) uint64 {
 	e.Index, e.View = p.last()+1, p.promise
-	p.put(e)
-	p.touch(e.Index)
-	if e.Kind == Cast {
-		p.meet()
+	p.appendEntry(e)
+	p.markDirty(e.Index)
+	if e.Kind == ConfigChange {
+		p.trackMembers()
 	}
 	p.flush = true
 	return e.Index
 }
 
-// mayCast: the list may be changed. An entry of this view must have been delivered, else a list of another
+// mayCast: the list may be changed. An entry of this view must have been committed, else a list of another
 // view that is not known here might hold without meeting this one.
-func (p *Prompter) mayCast() bool { return p.settled() && p.delivered >= p.blank }
+func (p *Prompter) mayReconfigure() bool { return p.settled() && p.committed >= p.noOp }
 
 // pushAll sends everyone what is new, and begins a round if reads wait for one.
-func (p *Prompter) pushAll() {
+func (p *Prompter) replicateAll() {
 	if p.role != leading {
 		return
 	}
 	for _, w := range p.sorted() {
-		p.push(w)
+		p.replicate(w)
 	}
 	if len(p.reads) > 0 && p.roundDone() == p.round && p.newRound() {
-		p.beat()
+		p.heartbeat()
 	}
-	p.commit() // one member alone has nobody to answer
+	p.advanceCommit() // one member alone has nobody to answer
 }
 
 // sorted are the others in a fixed order: the same inputs must give the same outputs.
 func (p *Prompter) sorted() (all []*progress) {
-	for _, w := range p.with {
+	for _, w := range p.peers {
 		all = append(all, w)
 	}
 	slices.SortFunc(all, func(a, b *progress) int {
@@ -88,7 +88,7 @@
 }
 
 // push sends a member the next it has not been sent.
-func (p *Prompter) push(w *progress) {
+func (p *Prompter) replicate(w *progress) {
 	switch {
 	case w.next <= p.snap.Index:
 		if !p.fresh(w) || p.now-p.terms.Resend < w.snapAt {
@@ -96,7 +96,7 @@
 		}
 		s := p.snap
 		w.snapAt, w.next = p.now, s.Index+1
-		p.linesTo(w, Message{Index: s.Index, At: s.View, Snap: &s})
+		p.appendTo(w, Message{Index: s.Index, At: s.View, Snap: &s})
 	case w.next <= p.last():
 		entries, size := p.from(w.next), 0
 		for i, e := range entries {
@@ -108,42 +108,42 @@
 		v, _ := p.viewAt(w.next - 1)
 		m := Message{Index: w.next - 1, At: v, Entries: entries}
 		w.next += uint64(len(entries))
-		p.linesTo(w, m)
+		p.appendTo(w, m)
 	}
 }
 
-func (p *Prompter) linesTo(w *progress, m Message) {
-	m.Kind, m.View, m.Delivered, m.Round = Lines, p.promise, p.delivered, p.round
+func (p *Prompter) appendTo(w *progress, m Message) {
+	m.Kind, m.View, m.Delivered, m.Round = Append, p.promise, p.committed, p.round
 	p.sendTo(w.Member, m)
 }
 
-// beat tells all that the leader is there, and what was delivered.
-func (p *Prompter) beat() {
+// beat tells all that the leader is there, and what was committed.
+func (p *Prompter) heartbeat() {
 	for _, w := range p.sorted() {
-		p.beatTo(w)
+		p.heartbeatTo(w)
 	}
 	p.beatAt = p.now + p.terms.Beat
 }
 
-func (p *Prompter) beatTo(w *progress) {
+func (p *Prompter) heartbeatTo(w *progress) {
 	prev := max(w.next-1, p.snap.Index)
 	v, _ := p.viewAt(prev)
-	p.linesTo(w, Message{Index: prev, At: v})
+	p.appendTo(w, Message{Index: prev, At: v})
 }
 
-// answered takes a member's answer to the leader's lines.
-func (p *Prompter) answered(from MemberID, m Message) {
-	w := p.with[from]
+// answered takes a member's answer to what the leader sends.
+func (p *Prompter) onAck(from MemberID, m Message) {
+	w := p.peers[from]
 	if p.role != leading || m.View != p.promise && p.fault != countLate || w == nil {
 		return
 	}
 	w.heard, w.round = p.now, max(w.round, m.Round)
-	if m.Kind == Miss {
+	if m.Kind == Reject {
 		// The lines sent since come back as missed too: once is enough.
 		if p.now >= w.againAt {
 			w.againAt = p.now + p.terms.Beat/2
 			w.next = max(m.Index, w.match) + 1
-			p.push(w)
+			p.replicate(w)
 		}
 		p.answerReads()
 		return
@@ -151,26 +151,26 @@
 	check.That(m.Index <= p.last(), "nobody has more than the leader")
 	w.match = max(w.match, m.Index)
 	w.next = max(w.next, w.match+1)
-	p.commit()
-	if p.role != leading || p.with[from] == nil {
+	p.advanceCommit()
+	if p.role != leading || p.peers[from] == nil {
 		return
 	}
-	if from == p.learner && w.match >= p.delivered && w.match > 0 && p.mayCast() {
+	if from == p.learner && w.match >= p.committed && w.match > 0 && p.mayReconfigure() {
 		list := p.learns
 		p.learner = 0
-		if list.index == p.casts[len(p.casts)-1].index { // else the list has changed since: to be asked for again
-			p.add(Entry{Kind: Cast, Members: list.members})
+		if list.index == p.configs[len(p.configs)-1].index { // else the list has changed since: to be asked for again
+			p.appendNew(Entry{Kind: ConfigChange, Members: list.members})
 		}
-		p.meet()
+		p.trackMembers()
 	}
-	if p.with[from] != nil && w.next <= p.last() {
-		p.push(w)
+	if p.peers[from] != nil && w.next <= p.last() {
+		p.replicate(w)
 	}
 	p.handOver()
 }
 
-// commit delivers what a majority has on disk, through an entry of this view.
-func (p *Prompter) commit() {
+// commit commits what a majority has on disk, through an entry of this view.
+func (p *Prompter) advanceCommit() {
 	for p.role == leading {
 		had := func(n uint64) bool {
 			return p.quorum(func(id MemberID) bool {
@@ -180,28 +180,28 @@
 				if p.fault == countLearner && p.learner != 0 && id == p.others()[0].ID {
 					id = p.learner // stands for one who counts
 				}
-				return p.with[id] != nil && p.with[id].match >= n
+				return p.peers[id] != nil && p.peers[id].match >= n
 			})
 		}
 		n := p.last()
-		for ; n > p.delivered; n-- {
+		for ; n > p.committed; n-- {
 			if v, _ := p.viewAt(n); v != p.promise && p.fault != countOld {
-				n = p.delivered
+				n = p.committed
 				break
 			}
 			if had(n) {
 				break
 			}
 		}
-		if n <= p.delivered {
+		if n <= p.committed {
 			break
 		}
 		before := p.settled()
-		p.deliver(n)
+		p.commitUpTo(n)
 		p.beatAt = min(p.beatAt, p.now+p.terms.Tell)
 		if !before && p.settled() {
-			p.beat() // those who are no members any more hear so, once
-			p.meet()
+			p.heartbeat() // those who are no members any more hear so, once
+			p.trackMembers()
 			if !p.member(p.me.ID) {
 				p.stepDown()
 			}
@@ -223,13 +223,13 @@
 func (p *Prompter) roundDone() (done uint64) {
 	heard := func(r uint64) bool {
 		return p.quorum(func(id MemberID) bool {
-			return id == p.me.ID || p.with[id] != nil && p.with[id].round >= r
+			return id == p.me.ID || p.peers[id] != nil && p.peers[id].round >= r
 		})
 	}
-	if len(p.with) == 0 && heard(p.round) {
+	if len(p.peers) == 0 && heard(p.round) {
 		return p.round
 	}
-	for _, w := range p.with {
+	for _, w := range p.peers {
 		if w.round > done && heard(w.round) {
 			done = w.round
 		}
@@ -237,10 +237,10 @@
 	return done
 }
 
-// answerReads answers the reads whose round is through. Before the first entry of this view is delivered,
+// answerReads answers the reads whose round is through. Before the first entry of this view is committed,
 // others' entries may be acknowledged and not yet known here to be.
 func (p *Prompter) answerReads() {
-	if p.role != leading || len(p.reads) == 0 || p.delivered < p.blank && p.fault != readEarly {
+	if p.role != leading || len(p.reads) == 0 || p.committed < p.noOp && p.fault != readEarly {
 		return
 	}
 	done, n := p.roundDone(), 0
@@ -248,7 +248,7 @@
 		done = p.round + 1
 	}
 	for ; n < len(p.reads) && p.reads[n].round <= done; n++ {
-		p.outcome(p.reads[n].token, p.delivered, Done)
+		p.outcome(p.reads[n].token, p.committed, Done)
 	}
 	if p.reads = p.reads[n:]; len(p.reads) > 0 && done >= p.round {
 		p.flush = true // those that came during the round
@@ -257,12 +257,12 @@
 
 // handOver asks one who has all to take the lead.
 func (p *Prompter) handOver() {
-	if p.role != leading || p.now >= p.handing || p.delivered < p.last() {
+	if p.role != leading || p.now >= p.handingOver || p.committed < p.last() {
 		return
 	}
 	for _, w := range p.sorted() {
 		if w.match == p.last() && p.fresh(w) && p.member(w.ID) {
-			p.sendTo(w.Member, Message{Kind: Take, View: p.promise})
+			p.sendTo(w.Member, Message{Kind: TakeOver, View: p.promise})
 			return
 		}
 	}
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -15,8 +15,8 @@
 	countWiped         // a member with an empty disk promises
 	takeOld            // lines of an old view are taken
 	forgetful          // promises are not put on disk
-	noTrim             // what the leader does not have stays
-	countOld           // entries of old views are delivered by counting
+	noTruncate         // what the leader does not have stays
+	countOld           // entries of old views are committed by counting
 	oneMajority        // a change of members needs one majority only
 	unreadRounds       // a read is answered without a round
 	tellEarly          // a promise is told before it is on disk
@@ -27,7 +27,7 @@
 	countLearner       // who is no member yet counts
 	countLate          // what was confirmed to an older view counts in this one
 	keepTokens         // a proposal whose end was told waits on
-	readEarly          // a read is answered before an entry of the present view is delivered
+	readEarly          // a read is answered before an entry of the present view is committed
 )
 
 func (f fault) String() string {
@@ -65,23 +65,23 @@
 }
 
 // put puts an entry behind the last.
-func (p *Prompter) put(e Entry) {
+func (p *Prompter) appendEntry(e Entry) {
 	check.That(e.Index == p.last()+1, "entries follow one another")
 	p.log = append(p.log, e)
-	if e.Kind == Cast {
-		p.casts = append(p.casts, cast{e.Index, e.Members})
+	if e.Kind == ConfigChange {
+		p.configs = append(p.configs, config{e.Index, e.Members})
 	}
 }
 
 // trim takes away all entries from an index on.
-func (p *Prompter) trim(from uint64) {
-	check.That(from > p.delivered, "what was delivered stays")
+func (p *Prompter) truncate(from uint64) {
+	check.That(from > p.committed, "what was delivered stays")
 	p.log = slices.Clone(p.log[:from-p.snap.Index-1])
-	for p.casts[len(p.casts)-1].index >= from {
-		p.casts = p.casts[:len(p.casts)-1]
+	for p.configs[len(p.configs)-1].index >= from {
+		p.configs = p.configs[:len(p.configs)-1]
 	}
 	p.unsync(from - 1)
-	p.touch(from)
+	p.markDirty(from)
 }
 
 // unsync: what is on disk beyond an index is not the log any more.
@@ -93,24 +93,24 @@
 }
 
 // take makes the log that of a newer one, given the entries after an index that both have.
-func (p *Prompter) take(prev uint64, entries []Entry) {
+func (p *Prompter) merge(prev uint64, entries []Entry) {
 	for i, e := range entries {
 		check.That(e.Index == prev+1+uint64(i), "entries follow one another")
 		if e.Index != prev+1+uint64(i) {
 			return
 		}
-		if e.Index <= p.delivered {
+		if e.Index <= p.committed {
 			continue
 		}
 		if v, ok := p.viewAt(e.Index); ok {
-			if v == e.View || p.fault == noTrim {
+			if v == e.View || p.fault == noTruncate {
 				continue
 			}
-			p.trim(e.Index)
+			p.truncate(e.Index)
 		}
-		p.touch(e.Index)
+		p.markDirty(e.Index)
 		for _, e := range entries[i:] {
-			p.put(e)
+			p.appendEntry(e)
 		}
 		return
 	}
@@ -119,17 +119,17 @@
 // install puts a snapshot in the place of everything.
 func (p *Prompter) install(s Snapshot) {
 	p.snap, p.log = s, nil
-	p.casts = []cast{{s.Index, s.Members}}
-	p.delivered = s.Index
+	p.configs = []config{{s.Index, s.Members}}
+	p.committed = s.Index
 	p.unsync(0)
 	p.dirtySnap = true
-	p.touch(s.Index + 1)
+	p.markDirty(s.Index + 1)
 	p.out = append(p.out, Restore{s.Index, s.State})
 }
 
 // mayInstall tells whether a snapshot is ahead of what is had here.
 func (p *Prompter) mayInstall(s *Snapshot) bool {
-	if s == nil || s.Index <= p.delivered {
+	if s == nil || s.Index <= p.committed {
 		return false
 	}
 	v, ok := p.viewAt(s.Index)
@@ -137,24 +137,24 @@
 }
 
 // deliver hands over all up to an index.
-func (p *Prompter) deliver(upto uint64) {
+func (p *Prompter) commitUpTo(upto uint64) {
 	check.That(upto <= p.last(), "only what is had is delivered")
-	for p.delivered < min(upto, p.last()) {
-		p.delivered++
-		e := p.log[p.delivered-p.snap.Index-1]
-		p.out = append(p.out, Deliver{e})
+	for p.committed < min(upto, p.last()) {
+		p.committed++
+		e := p.log[p.committed-p.snap.Index-1]
+		p.out = append(p.out, Commit{e})
 		if token, ok := p.tokens[e.Index]; ok {
 			delete(p.tokens, e.Index)
 			p.outcome(token, e.Index, Done)
 		}
-		if e.Kind == Cast {
-			p.touch(0) // that the list is settled must outlast the one who knew
+		if e.Kind == ConfigChange {
+			p.markDirty(0) // that the list is settled must outlast the one who knew
 		}
 	}
 }
 
-// settled: the newest list is known to be delivered.
-func (p *Prompter) settled() bool { return p.casts[len(p.casts)-1].index <= p.delivered }
+// settled: the newest list is known to be committed.
+func (p *Prompter) settled() bool { return p.configs[len(p.configs)-1].index <= p.committed }
 
 // quorum tells whether a majority of the members is so, and of those before if the newest list is not
 // settled.
@@ -162,7 +162,7 @@
 	if !majority(p.Members(), is) {
 		return false
 	}
-	return p.settled() || p.fault == oneMajority || majority(p.casts[len(p.casts)-2].members, is)
+	return p.settled() || p.fault == oneMajority || majority(p.configs[len(p.configs)-2].members, is)
 }
 
 func majority(list []Member, is func(MemberID) bool) bool {
@@ -183,7 +183,7 @@
 func (p *Prompter) others() (list []Member) {
 	list = slices.Clone(p.Members())
 	if !p.settled() {
-		for _, m := range p.casts[len(p.casts)-2].members {
+		for _, m := range p.configs[len(p.configs)-2].members {
 			if !p.member(m.ID) {
 				list = append(list, m)
 			}
@@ -193,7 +193,7 @@
 }
 
 // touch notes that the disk is behind, and its entries from an index on if that is not 0.
-func (p *Prompter) touch(from uint64) {
+func (p *Prompter) markDirty(from uint64) {
 	p.dirty = true
 	if from > 0 && (p.dirtyFrom == 0 || from < p.dirtyFrom) {
 		p.dirtyFrom = from
@@ -202,7 +202,7 @@
 
 // write is all that the disk is behind.
 func (p *Prompter) write() Write {
-	w := Write{Nr: p.nr, House: p.house, Promise: p.promise, For: p.promisedTo, Delivered: p.delivered}
+	w := Write{Nr: p.nr, House: p.house, Promise: p.promise, For: p.promisedTo, Delivered: p.committed}
 	if p.fault == forgetful {
 		w.Promise, w.For = 1, 0
 	}
@@ -221,13 +221,13 @@
 }
 
 // when says something once all of now is on disk.
-func (p *Prompter) when(w waiting) {
+func (p *Prompter) afterSync(w waiting) {
 	w.nr = p.nr
 	if !p.dirty {
 		w.nr--
 	}
-	if w.nr <= p.done || p.fault == ackUnsynced && w.kind == Have ||
-		p.fault == tellEarly && w.kind == Stopped {
+	if w.nr <= p.done || p.fault == ackUnsynced && w.kind == Ack ||
+		p.fault == tellEarly && w.kind == Promise {
 		p.say(w)
 	} else if !slices.Contains(p.waits, w) {
 		p.waits = append(p.waits, w)
@@ -240,34 +240,34 @@
 		return
 	}
 	switch w.kind {
-	case Have:
+	case Ack:
 		if p.role == following && p.leader == w.to {
-			p.have()
+			p.ack()
 		}
-	case Stopped:
+	case Promise:
 		if p.promisedTo == w.to {
 			e := p.end()
-			p.send(w.to, Message{Kind: Stopped, View: p.promise, Index: e.index, At: e.view})
+			p.send(w.to, Message{Kind: Promise, View: p.promise, Index: e.index, At: e.view})
 		}
-	case Stop:
-		if p.role == stopping && p.promisedTo == p.me.ID {
-			p.stops[p.me.ID] = p.end()
-			p.gather()
+	case Prepare:
+		if p.role == preparing && p.promisedTo == p.me.ID {
+			p.promises[p.me.ID] = p.end()
+			p.tallyPromises()
 		}
 	}
 }
 
 // send sends a message to whom it may be known where to find.
 func (p *Prompter) send(to MemberID, m Message) {
-	if w := p.with[to]; w != nil {
+	if w := p.peers[to]; w != nil {
 		p.sendTo(w.Member, m)
 		return
 	}
 	if to == p.me.ID {
 		return
 	}
-	for i := len(p.casts) - 1; i >= 0; i-- {
-		for _, o := range p.casts[i].members {
+	for i := len(p.configs) - 1; i >= 0; i-- {
+		for _, o := range p.configs[i].members {
 			if o.ID == to {
 				p.sendTo(o, m)
 				return
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -1,17 +1,20 @@
-// Package prompter keeps one order of changes among the doors with a disk. It is a core without I/O: inputs
-// are messages, times, proposals and finished writes; outputs are messages, writes, and changes in the
+// Package prompter is a replicated log: it keeps one order of changes among the doors with a disk. It is a core without
+// I/O: inputs are messages, times, proposals and finished writes; outputs are messages, writes, and committed entries in the
 // order that holds.
 //
-// Members work in views. A view has a number, a leader and members; an entry carries the view that it was
-// made in. A member that hears no leader asks the others to stop. Who promises so stops the old view, on
-// disk before it answers. With a majority stopped, and the newest of their logs in hand, the asker leads
-// the new view: the others' logs are trimmed to its own and go on. An entry is delivered once a majority
-// has it on disk, and only through an entry of the present view.
+// Members work in views, as in Viewstamped Replication; a view is what Raft calls a term. A view has a number, a leader and
+// members; an entry carries the view that it was made in. A member that hears no leader asks the others first whether they
+// have lost it too (pre-vote) and then to prepare the next view. Who promises so stops the old view, on disk before it
+// answers. With a majority's promises, and the newest of their logs in hand, the asker leads the new view: the others' logs
+// are truncated to where they agree with its own and go on. An entry is committed once a majority has it on disk, and only
+// through an entry of the present view.
 //
-// While a change of members (Cast) is not known to be delivered, majorities of the members before it and
-// after it are needed for everything. So one member may be replaced by another in one step, though
-// majorities of three need not meet across such a step. Nothing rests on time but how soon a new view is
-// asked for.
+// While a change of members (ConfigChange) is not known to be committed, majorities of the members before it and after it are
+// needed for everything (joint consensus). So one member may be replaced by another in one step, though majorities of three
+// need not meet across such a step. Nothing rests on time but how soon a new view is asked for.
+//
+// Names of fields that are sent or kept on disk by gob (Message, Entry, Snapshot) stay as they are: doors of two versions
+// talk while a new one is rolled out.
 package prompter
 
 import (
@@ -41,9 +44,9 @@
 
 // The kinds of entries.
 const (
-	Change EntryKind = iota // the host's own
-	Cast                    // the members from here on
-	Blank                   // the first of a view
+	Change       EntryKind = iota // the host's own
+	ConfigChange                  // the members from here on
+	NoOp                          // the first of a view
 )
 
 // Entry is one place in the log.
@@ -51,7 +54,7 @@
 	Index, View uint64
 	Kind        EntryKind
 	Data        []byte   // of a Change; never changed once proposed
-	Members     []Member // of a Cast: the whole new list
+	Members     []Member // of a ConfigChange: the whole new list
 }
 
 // Snapshot is the host's state after an index, in the place of the log up to there.
@@ -67,7 +70,7 @@
 	House     uint64   // tells one founding from another; 0 on an empty disk
 	Promise   uint64   // the newest view taken part in or promised
 	For       MemberID // who was promised it
-	Delivered uint64   // known to be delivered up to here, maybe further
+	Delivered uint64   // known to be committed up to here, maybe further
 	Snap      Snapshot
 	Entries   []Entry // from Snap.Index+1 on
 }
@@ -114,7 +117,7 @@
 	Patience time.Duration // the least time without a leader before another view is asked for
 	Spread   time.Duration // on top of Patience, by chance
 	Silence  time.Duration // a leader that no majority answered for so long stops leading
-	Tell     time.Duration // others hear at most this late what was delivered
+	Tell     time.Duration // others hear at most this late what was committed
 	Resend   time.Duration // a snapshot is not sent again earlier
 	Learn    time.Duration // a door to be admitted that says nothing for so long is given up
 	Pending  int           // most proposals, and most reads, that wait
@@ -133,17 +136,17 @@
 
 // The kinds of messages; the comments tell what their fields hold.
 const (
-	Lines   MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
-	Have                           // all up to Index is as the leader's, and synced; Round as heard
-	Miss                           // Index is not as told; delivered is Index; Round as heard
-	Refuse                         // promised to a newer View
-	Ask                            // has the leader been lost? Round tells this asking from others
-	Nod                            // No: it has not
-	Stop                           // stop the views before View and wait for its leader
-	Stopped                        // promised, on disk; the last entry is Index of view At
-	Fetch                          // the log after Index, please
-	Script                         // the log after Index, or a Snap and all after it
-	Take                           // the leader leaves: ask for the next view now
+	Append     MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
+	Ack                               // all up to Index is as the leader's, and synced; Round as heard
+	Reject                            // Index is not as told; committed is Index; Round as heard
+	RefuseView                        // promised to a newer View
+	PreVote                           // has the leader been lost? Round tells this asking from others
+	PreVoted                          // No: it has not
+	Prepare                           // stop the views before View and wait for its leader
+	Promise                           // promised, on disk; the last entry is Index of view At
+	FetchLog                          // the log after Index, please
+	LogTail                           // the log after Index, or a Snap and all after it
+	TakeOver                          // the leader leaves: ask for the next view now
 )
 
 // Message is what members say. One lost, doubled or late does no harm.
@@ -160,7 +163,7 @@
 	Snap      *Snapshot
 }
 
-// Action is what the host is to do: Send, Write, Deliver, Restore, Outcome or Wake.
+// Action is what the host is to do: Send, Write, Commit, Restore, Outcome or Wake.
 type Action interface{ action() }
 
 // Send is a message to be sent, or lost.
@@ -182,10 +185,10 @@
 	Entries   []Entry
 }
 
-// Deliver is the next entry of the order. Blank and Cast are delivered too: Index has no gaps.
-type Deliver struct{ Entry Entry }
+// Commit is the next entry of the order. NoOp and ConfigChange are committed too: Index has no gaps.
+type Commit struct{ Entry Entry }
 
-// Restore is the state to start from; Deliver goes on after its Index. It comes first when the disk held
+// Restore is the state to start from; Commit goes on after its Index. It comes first when the disk held
 // one, and later if the log up to there was not to be had from the leader.
 type Restore struct {
 	Index uint64
@@ -208,8 +211,8 @@
 	return [...]string{"done", "not the leader", "no leader that hears a majority", "too many wait", "unknown"}[v]
 }
 
-// Outcome is the end of a proposal (Index: its place; it was delivered just before) or of a read (Index:
-// what was delivered up to here is as new as anything acknowledged before the read came).
+// Outcome is the end of a proposal (Index: its place; it was committed just before) or of a read (Index:
+// what was committed up to here is as new as anything acknowledged before the read came).
 type Outcome struct {
 	Token   uint64
 	Index   uint64
@@ -222,7 +225,7 @@
 
 func (Send) action()    {}
 func (Write) action()   {}
-func (Deliver) action() {}
+func (Commit) action()  {}
 func (Restore) action() {}
 func (Outcome) action() {}
 func (Wake) action()    {}
@@ -231,8 +234,8 @@
 
 const (
 	following role = iota
-	checking       // asks whether others have lost the leader too
-	stopping       // asks for promises
+	preVoting      // asks whether others have lost the leader too
+	preparing      // asks for promises
 	leading
 )
 
@@ -244,7 +247,7 @@
 
 func (a place) newer(b place) bool { return a.view > b.view || a.view == b.view && a.index > b.index }
 
-type cast struct {
+type config struct {
 	index   uint64
 	members []Member
 }
@@ -272,9 +275,9 @@
 	promise    uint64
 	promisedTo MemberID
 	snap       Snapshot
-	log        []Entry // after snap
-	casts      []cast  // the one that holds at snap, and those in the log
-	delivered  uint64
+	log        []Entry  // after snap
+	configs    []config // the one that holds at snap, and those in the log
+	committed  uint64
 	synced     uint64 // the log is on disk up to here
 
 	nr        uint64 // of the write that is put together
@@ -285,33 +288,33 @@
 	writes    []issued
 	waits     []waiting
 
-	role      role
-	leader    MemberID // of the view promise, 0 if not known
-	heardAt   time.Duration
-	begun     bool          // a leader was heard of in this life, or promised
-	vain      int           // views asked for since a leader was heard
-	due       time.Duration // a new view is asked for
-	woken     time.Duration // told to the host
-	matched   uint64        // the log is as the leader's up to here
-	round     uint64        // heard from the leader; or as leader, begun
-	roundSaid uint64
-
-	seen   uint64              // the newest view anyone spoke of
-	try    uint64              // number of an asking
-	nods   map[MemberID]bool   // by whom the leader is lost
-	stops  map[MemberID]place  // who promised
-	fetch  MemberID            // asked for its log
-	asking map[MemberID]Member // told to stop
-
-	with    map[MemberID]*progress // by the leader
-	learner MemberID
-	learns  cast // its members are the list once the learner has caught up
-	blank   uint64
-	tokens  map[uint64]uint64 // by index
-	reads   []read
-	beatAt  time.Duration
-	flush   bool
-	handing time.Duration // proposals are refused until then: another is to lead
+	role        role
+	leader      MemberID // of the view promise, 0 if not known
+	heardAt     time.Duration
+	begun       bool          // a leader was heard of in this life, or promised
+	failedViews int           // views asked for since a leader was heard
+	due         time.Duration // a new view is asked for
+	woken       time.Duration // told to the host
+	matched     uint64        // the log is as the leader's up to here
+	round       uint64        // heard from the leader; or as leader, begun
+	roundSaid   uint64
+
+	seen        uint64              // the newest view anyone spoke of
+	try         uint64              // number of an asking
+	preVotes    map[MemberID]bool   // by whom the leader is lost
+	promises    map[MemberID]place  // who promised
+	fetch       MemberID            // asked for its log
+	prepareSent map[MemberID]Member // told to stop
+
+	peers       map[MemberID]*progress // by the leader
+	learner     MemberID
+	learns      config // its members are the list once the learner has caught up
+	noOp        uint64
+	tokens      map[uint64]uint64 // by index
+	reads       []read
+	beatAt      time.Duration
+	flush       bool
+	handingOver time.Duration // proposals are refused until then: another is to lead
 
 	out []Action
 }
@@ -336,15 +339,15 @@
 	p := &Prompter{me: me, terms: terms, now: now, seed: uint64(seed) ^ uint64(me.ID), house: k.House,
 		promise: k.Promise, promisedTo: k.For, snap: k.Snap, nr: 1, heardAt: now - terms.Patience, due: never, seen: k.Promise,
 		tokens: map[uint64]uint64{}}
-	p.casts = []cast{{k.Snap.Index, k.Snap.Members}}
+	p.configs = []config{{k.Snap.Index, k.Snap.Members}}
 	for _, e := range k.Entries {
-		p.put(e)
+		p.appendEntry(e)
 	}
-	p.synced, p.delivered = p.last(), p.snap.Index
+	p.synced, p.committed = p.last(), p.snap.Index
 	if p.snap.Index > 0 {
 		p.out = append(p.out, Restore{p.snap.Index, p.snap.State})
 	}
-	p.deliver(k.Delivered)
+	p.commitUpTo(k.Delivered)
 	p.dirty = false
 	p.setDue()
 	return p
@@ -355,20 +358,20 @@
 	p.now = max(p.now, t)
 	switch {
 	case p.role == leading:
-		heard := func(id MemberID) bool { return id == p.me.ID || p.with[id] != nil && p.fresh(p.with[id]) }
+		heard := func(id MemberID) bool { return id == p.me.ID || p.peers[id] != nil && p.fresh(p.peers[id]) }
 		if !p.quorum(heard) {
 			p.stepDown()
 			return
 		}
-		if l := p.with[p.learner]; l != nil && p.now-l.heard > p.terms.Learn {
-			p.forget()
+		if l := p.peers[p.learner]; l != nil && p.now-l.heard > p.terms.Learn {
+			p.dropLearner()
 		}
 		if p.now >= p.beatAt {
 			p.newRound()
-			p.beat()
+			p.heartbeat()
 		}
 	case p.now >= p.due:
-		p.ask()
+		p.preVote()
 	}
 }
 
@@ -399,9 +402,9 @@
 	}
 	p.house, p.promise, p.seen = house, 1, 1
 	p.snap = Snapshot{Index: 1, View: 1, Members: members}
-	p.casts = []cast{{1, members}}
-	p.delivered, p.dirtySnap = 1, true
-	p.touch(2)
+	p.configs = []config{{1, members}}
+	p.committed, p.dirtySnap = 1, true
+	p.markDirty(2)
 	p.setDue()
 	return nil
 }
@@ -413,10 +416,10 @@
 		p.outcome(token, 0, v)
 		return
 	}
-	p.tokens[p.add(Entry{Kind: Change, Data: data})] = token
+	p.tokens[p.appendNew(Entry{Kind: Change, Data: data})] = token
 }
 
-// Read asks what is delivered; see Outcome.
+// Read asks what is committed; see Outcome.
 func (p *Prompter) Read(token uint64) {
 	if p.role != leading || len(p.reads) >= p.terms.Pending {
 		p.outcome(token, 0, p.mayLead(len(p.reads)))
@@ -431,7 +434,7 @@
 	switch _, _, known := p.Leader(); {
 	case p.role != leading && known:
 		return NotLeader
-	case p.role != leading || p.now < p.handing:
+	case p.role != leading || p.now < p.handingOver:
 		return NoLeader
 	case waiting >= p.terms.Pending:
 		return Busy
@@ -462,12 +465,12 @@
 		return p.learner == m.ID
 	}
 	list = slices.DeleteFunc(list, func(o Member) bool { return o.ID == replaces || o.Addr == m.Addr })
-	p.learner, p.learns = m.ID, cast{members: append(list, m)}
-	if p.with[m.ID] == nil {
-		p.with[m.ID] = p.begin(m)
+	p.learner, p.learns = m.ID, config{members: append(list, m)}
+	if p.peers[m.ID] == nil {
+		p.peers[m.ID] = p.newProgress(m)
 	}
-	p.learns.index = p.casts[len(p.casts)-1].index
-	p.beatTo(p.with[m.ID])
+	p.learns.index = p.configs[len(p.configs)-1].index
+	p.heartbeatTo(p.peers[m.ID])
 	return true
 }
 
@@ -478,18 +481,18 @@
 	if len(list) == len(p.Members()) {
 		return true
 	}
-	if p.role != leading || !p.mayCast() || len(list) == 0 {
+	if p.role != leading || !p.mayReconfigure() || len(list) == 0 {
 		return false
 	}
-	p.add(Entry{Kind: Cast, Members: list})
+	p.appendNew(Entry{Kind: ConfigChange, Members: list})
 	return true
 }
 
 // HandOver lets another member lead, as soon as one has all. Proposals are refused meanwhile; after a
 // second without a new leader they are taken again.
 func (p *Prompter) HandOver() {
-	if p.role == leading && p.now >= p.handing {
-		p.handing = p.now + p.terms.Silence
+	if p.role == leading && p.now >= p.handingOver {
+		p.handingOver = p.now + p.terms.Silence
 		p.handOver()
 	}
 }
@@ -508,31 +511,31 @@
 	}
 	p.waits = p.waits[n:]
 	if p.role == leading {
-		p.commit()
+		p.advanceCommit()
 	}
 }
 
-// Compact puts the host's state after an index that was delivered in the place of the log up to there.
+// Compact puts the host's state after an index that was committed in the place of the log up to there.
 func (p *Prompter) Compact(index uint64, state []byte) {
-	check.That(index <= p.delivered, "only what was delivered goes into a snapshot")
-	if index <= p.snap.Index || index > p.delivered {
+	check.That(index <= p.committed, "only what was delivered goes into a snapshot")
+	if index <= p.snap.Index || index > p.committed {
 		return
 	}
 	view, _ := p.viewAt(index)
 	p.log = slices.Clone(p.log[index-p.snap.Index:])
-	for len(p.casts) > 1 && p.casts[1].index <= index {
-		p.casts = p.casts[1:]
+	for len(p.configs) > 1 && p.configs[1].index <= index {
+		p.configs = p.configs[1:]
 	}
-	p.snap = Snapshot{Index: index, View: view, Members: p.casts[0].members, State: state}
+	p.snap = Snapshot{Index: index, View: view, Members: p.configs[0].members, State: state}
 	p.dirtySnap = true
-	p.touch(0)
+	p.markDirty(0)
 }
 
 // Next is what is to be done, until there is nothing.
 func (p *Prompter) Next() (Action, bool) {
 	if len(p.out) == 0 && p.flush {
 		p.flush = false
-		p.pushAll()
+		p.replicateAll()
 	}
 	if len(p.out) == 0 && p.dirty {
 		p.out = append(p.out, p.write())
@@ -566,7 +569,7 @@
 	if p.leader == 0 || p.now-p.heardAt > p.terms.Silence {
 		return Member{}, p.promise, false
 	}
-	for _, c := range p.casts {
+	for _, c := range p.configs {
 		if i := slices.IndexFunc(c.members, func(m Member) bool { return m.ID == p.leader }); i >= 0 {
 			return c.members[i], p.promise, true
 		}
@@ -579,9 +582,9 @@
 func (p *Prompter) Leading() bool { return p.role == leading }
 
 // Members is the newest list; nil before a founding.
-func (p *Prompter) Members() []Member { return p.casts[len(p.casts)-1].members }
+func (p *Prompter) Members() []Member { return p.configs[len(p.configs)-1].members }
 
-// Founders are those of view 1, while nothing is known to be delivered after the founding: one of them with an empty disk has
+// Founders are those of view 1, while nothing is known to be committed after the founding: one of them with an empty disk has
 // missed the word, and may be handed it by any other. Nil otherwise.
 func (p *Prompter) Founders() []Member {
 	if p.house == 0 || p.snap.Index != 1 {
@@ -600,9 +603,9 @@
 	View                        uint64
 	Leader                      Member // zero if not known
 	Members                     []Member
-	Settled                     bool // the newest list is known to be delivered
+	Settled                     bool // the newest list is known to be committed
 	Learner                     MemberID
-	First, Last, Synced, Behind uint64 // the log; Behind: entries not delivered here
+	First, Last, Synced, Behind uint64 // the log; Behind: entries not committed here
 	Waiting                     int    // proposals and reads
 }
 
@@ -611,7 +614,7 @@
 	leader, _, _ := p.Leader()
 	return Status{Me: p.me, Role: p.role.String(), View: p.promise, Leader: leader, Members: p.Members(),
 		Settled: p.settled(), Learner: p.learner, First: p.snap.Index + 1, Last: p.last(), Synced: p.synced,
-		Behind: p.last() - p.delivered, Waiting: len(p.tokens) + len(p.reads)}
+		Behind: p.last() - p.committed, Waiting: len(p.tokens) + len(p.reads)}
 }
 
 // chance is splitmix64: below n, by the seed.
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -12,8 +12,8 @@
 		return
 	}
 	if p.house == 0 {
-		if m.Kind == Lines || p.fault == countWiped && m.Kind == Stop {
-			p.first(from, m)
+		if m.Kind == Append || p.fault == countWiped && m.Kind == Prepare {
+			p.onFirst(from, m)
 		}
 		return
 	}
@@ -22,45 +22,45 @@
 	}
 	p.seen = max(p.seen, m.View)
 	switch m.Kind {
-	case Lines:
-		p.lines(from, m)
-	case Have, Miss:
-		p.answered(from, m)
-	case Refuse:
+	case Append:
+		p.onAppend(from, m)
+	case Ack, Reject:
+		p.onAck(from, m)
+	case RefuseView:
 		// One who knows a newer view takes nothing from this one any more.
-		if p.role == leading && m.View > p.promise && p.with[from] != nil && from != p.learner {
+		if p.role == leading && m.View > p.promise && p.peers[from] != nil && from != p.learner {
 			p.stepDown()
 		}
-	case Ask:
+	case PreVote:
 		lost := p.role != leading && p.now-p.heardAt >= p.terms.Patience
-		p.send(from, Message{Kind: Nod, View: p.promise, Round: m.Round, No: !lost})
-	case Nod:
-		if p.role == checking && m.Round == p.try && !m.No {
-			p.nods[from] = true
-			p.stop(false)
+		p.send(from, Message{Kind: PreVoted, View: p.promise, Round: m.Round, No: !lost})
+	case PreVoted:
+		if p.role == preVoting && m.Round == p.try && !m.No {
+			p.preVotes[from] = true
+			p.prepare(false)
 		}
-	case Stop:
-		p.stopFor(from, m)
-	case Stopped:
-		if p.role == stopping && m.View == p.promise {
-			p.stops[from] = place{m.At, m.Index}
-			p.gather()
+	case Prepare:
+		p.onPrepare(from, m)
+	case Promise:
+		if p.role == preparing && m.View == p.promise {
+			p.promises[from] = place{m.At, m.Index}
+			p.tallyPromises()
 		}
-	case Fetch:
-		p.fetched(from, m)
-	case Script:
-		p.script(m)
-	case Take:
+	case FetchLog:
+		p.onFetchLog(from, m)
+	case LogTail:
+		p.onLogTail(m)
+	case TakeOver:
 		if m.View == p.promise && p.leader == from && p.role == following && p.member(p.me.ID) {
-			p.stop(true)
+			p.prepare(true)
 		}
 	}
 }
 
 // first is for an empty disk: it has nothing to say to anyone but a leader that gives it the state.
-func (p *Prompter) first(from MemberID, m Message) {
-	if m.Kind == Lines && m.Snap == nil {
-		p.send(from, Message{Kind: Miss, House: m.House, View: m.View, Round: m.Round})
+func (p *Prompter) onFirst(from MemberID, m Message) {
+	if m.Kind == Append && m.Snap == nil {
+		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round})
 		return
 	}
 	p.house = m.House
@@ -82,7 +82,7 @@
 		if !p.begun { // nobody has led in this life: after the loss of all there is no leader to be patient with
 			wait, spread = wait/beginTimes, spread/beginTimes
 		}
-		for n := 0; n < p.vain && 2*wait <= vainMost*p.terms.Patience; n++ {
+		for n := 0; n < p.failedViews && 2*wait <= vainMost*p.terms.Patience; n++ {
 			wait, spread = 2*wait, 2*spread
 		}
 		p.due = p.now + wait + p.chance(spread)
@@ -90,7 +90,7 @@
 }
 
 // rise goes on to a newer view, or to another leader than the promised one in the same.
-func (p *Prompter) rise(view uint64, to MemberID) {
+func (p *Prompter) enterView(view uint64, to MemberID) {
 	check.That(view >= p.promise, "views rise")
 	if p.role == leading {
 		p.stepDown()
@@ -99,67 +99,67 @@
 	p.seen = max(p.seen, view)
 	p.role, p.leader = following, 0
 	p.matched, p.round, p.roundSaid = 0, 0, 0
-	p.touch(0)
+	p.markDirty(0)
 }
 
 // ask asks the others whether they have lost the leader too: one who was cut off alone must not disturb.
-func (p *Prompter) ask() {
+func (p *Prompter) preVote() {
 	if p.setDue(); p.due == never {
 		return
 	}
-	p.role, p.leader = checking, 0
+	p.role, p.leader = preVoting, 0
 	p.try++
-	p.nods = map[MemberID]bool{p.me.ID: true}
+	p.preVotes = map[MemberID]bool{p.me.ID: true}
 	for _, m := range p.others() {
-		p.sendTo(m, Message{Kind: Ask, View: p.promise, Round: p.try})
+		p.sendTo(m, Message{Kind: PreVote, View: p.promise, Round: p.try})
 	}
-	p.stop(false)
+	p.prepare(false)
 }
 
 // stop asks for the promises, first this member's own: one who can't sync had better not ask.
-func (p *Prompter) stop(now bool) {
-	if !now && !p.quorum(func(id MemberID) bool { return p.nods[id] }) {
+func (p *Prompter) prepare(now bool) {
+	if !now && !p.quorum(func(id MemberID) bool { return p.preVotes[id] }) {
 		return
 	}
-	p.rise(max(p.promise, p.seen)+1, p.me.ID)
-	p.role, p.fetch = stopping, 0
-	p.stops, p.asking = map[MemberID]place{}, map[MemberID]Member{}
+	p.enterView(max(p.promise, p.seen)+1, p.me.ID)
+	p.role, p.fetch = preparing, 0
+	p.promises, p.prepareSent = map[MemberID]place{}, map[MemberID]Member{}
 	p.setDue()
-	p.vain++
-	p.when(waiting{kind: Stop, view: p.promise})
+	p.failedViews++
+	p.afterSync(waiting{kind: Prepare, view: p.promise})
 }
 
 // stopFor promises to take nothing from older views.
-func (p *Prompter) stopFor(from MemberID, m Message) {
+func (p *Prompter) onPrepare(from MemberID, m Message) {
 	if m.View < p.promise || m.View == p.promise && p.promisedTo != from && p.fault != promiseTwo {
-		p.send(from, Message{Kind: Refuse, View: p.promise})
+		p.send(from, Message{Kind: RefuseView, View: p.promise})
 		return
 	}
 	if m.View > p.promise || p.fault == promiseTwo {
-		p.rise(m.View, from)
+		p.enterView(m.View, from)
 		p.heardAt, p.begun = p.now, true // whoever asked gets its time
 		p.setDue()
 	}
-	p.when(waiting{kind: Stopped, view: m.View, to: from})
+	p.afterSync(waiting{kind: Promise, view: m.View, to: from})
 }
 
 // gather looks whether the promises suffice and this log is the newest among them.
-func (p *Prompter) gather() {
-	if _, ok := p.stops[p.me.ID]; !ok {
+func (p *Prompter) tallyPromises() {
+	if _, ok := p.promises[p.me.ID]; !ok {
 		return
 	}
 	for _, m := range p.others() {
-		if _, ok := p.asking[m.ID]; !ok {
-			p.asking[m.ID] = m
-			p.sendTo(m, Message{Kind: Stop, View: p.promise})
+		if _, ok := p.prepareSent[m.ID]; !ok {
+			p.prepareSent[m.ID] = m
+			p.sendTo(m, Message{Kind: Prepare, View: p.promise})
 		}
 	}
-	promised := func(id MemberID) bool { _, ok := p.stops[id]; return ok }
-	if !p.quorum(promised) && (p.fault != fewPromises || 2*len(p.stops) < len(p.Members())-1) {
+	promised := func(id MemberID) bool { _, ok := p.promises[id]; return ok }
+	if !p.quorum(promised) && (p.fault != fewPromises || 2*len(p.promises) < len(p.Members())-1) {
 		return
 	}
 	newest, at := p.me.ID, p.end()
-	for id, e := range p.stops {
+	for id, e := range p.promises {
 		if e.newer(at) || e == at && newest != p.me.ID && id < newest {
 			newest, at = id, e
 		}
@@ -167,7 +167,7 @@
 	if newest != p.me.ID && p.fault != notNewest {
 		if p.fetch != newest {
 			p.fetch = newest
-			p.send(newest, Message{Kind: Fetch, View: p.promise, Index: p.delivered})
+			p.send(newest, Message{Kind: FetchLog, View: p.promise, Index: p.committed})
 		}
 		return
 	}
@@ -176,15 +176,15 @@
 		p.setDue()
 		return
 	}
-	p.lead()
+	p.becomeLeader()
 }
 
 // fetched gives the log to the one who was promised the view.
-func (p *Prompter) fetched(from MemberID, m Message) {
+func (p *Prompter) onFetchLog(from MemberID, m Message) {
 	if m.View != p.promise || p.promisedTo != from || p.role != following || p.leader != 0 {
 		return
 	}
-	a := Message{Kind: Script, View: p.promise, Index: m.Index}
+	a := Message{Kind: LogTail, View: p.promise, Index: m.Index}
 	if m.Index < p.snap.Index {
 		s := p.snap
 		a.Snap, a.Index = &s, s.Index
@@ -194,8 +194,8 @@
 }
 
 // script takes a newer log.
-func (p *Prompter) script(m Message) {
-	if p.role != stopping || m.View != p.promise {
+func (p *Prompter) onLogTail(m Message) {
+	if p.role != preparing || m.View != p.promise {
 		return
 	}
 	var at place
@@ -204,56 +204,56 @@
 	} else if m.Snap != nil {
 		at = place{m.Snap.View, m.Snap.Index}
 	}
-	if !at.newer(p.end()) || m.Snap == nil && m.Index > p.delivered {
+	if !at.newer(p.end()) || m.Snap == nil && m.Index > p.committed {
 		return
 	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
-	p.take(m.Index, m.Entries)
-	p.gather()
+	p.merge(m.Index, m.Entries)
+	p.tallyPromises()
 }
 
 // lines takes what a leader says.
-func (p *Prompter) lines(from MemberID, m Message) {
+func (p *Prompter) onAppend(from MemberID, m Message) {
 	if m.View < p.promise && p.fault != takeOld {
-		p.send(from, Message{Kind: Refuse, View: p.promise})
+		p.send(from, Message{Kind: RefuseView, View: p.promise})
 		return
 	}
 	if m.View > p.promise || p.promisedTo != from && p.fault != takeOld {
-		p.rise(m.View, from)
+		p.enterView(m.View, from)
 	}
 	check.That(p.role != leading, "a view has one leader")
-	p.role, p.leader, p.heardAt, p.begun, p.vain = following, from, p.now, true, 0
+	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
-	if v, ok := p.viewAt(m.Index); m.Index > p.delivered && (!ok || v != m.At && p.fault != unmatched) {
+	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
-		p.send(from, Message{Kind: Miss, View: m.View, Index: p.delivered, Round: p.round})
+		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round})
 		return
 	}
-	p.take(m.Index, m.Entries)
+	p.merge(m.Index, m.Entries)
 	p.setDue() // the list may be another now
 	p.matched = max(p.matched, m.Index+uint64(len(m.Entries)))
-	p.deliver(max(p.delivered, min(m.Delivered, p.matched)))
+	p.commitUpTo(max(p.committed, min(m.Delivered, p.matched)))
 	if p.matched <= p.synced || p.round > p.roundSaid || len(m.Entries) == 0 && m.Snap == nil {
-		p.have()
+		p.ack()
 	}
 	if p.matched > p.synced {
-		p.when(waiting{kind: Have, view: p.promise, to: from})
+		p.afterSync(waiting{kind: Ack, view: p.promise, to: from})
 	}
 }
 
 // have tells the leader what is on disk, and the round: that one needs no disk.
-func (p *Prompter) have() {
+func (p *Prompter) ack() {
 	upto := min(p.matched, p.synced)
 	if p.fault == ackUnsynced {
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Have, View: p.promise, Index: upto, Round: p.round})
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round})
 }
 
 // stepDown stops leading.
@@ -261,7 +261,7 @@
 	p.role, p.leader = following, 0
 	p.heardAt = p.now - p.terms.Patience // nothing speaks against a new view
 	p.setDue()
-	p.with, p.learner, p.handing = nil, 0, 0
+	p.peers, p.learner, p.handingOver = nil, 0, 0
 	p.matched, p.round, p.roundSaid = 0, 0, 0
 	indexes := make([]uint64, 0, len(p.tokens))
 	for i := range p.tokens {
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -109,8 +109,8 @@
 			if a.Index > 1 && (a.Index-2 >= uint64(len(w.states)) || w.states[a.Index-2] != d.state) {
 				w.fail("door %d restores another state at %d", i, a.Index)
 			}
-		case Deliver:
-			w.deliver(i, d, a.Entry)
+		case Commit:
+			w.commitUpTo(i, d, a.Entry)
 		case Outcome:
 			since, read := w.reads[a.Token]
 			switch {
@@ -144,7 +144,7 @@
 	}
 }
 
-func (w *walk) deliver(i int, d *door, e Entry) {
+func (w *walk) commitUpTo(i int, d *door, e Entry) {
 	if e.Index != max(d.index, 1)+1 {
 		w.fail("door %d is given %d after %d", i, e.Index, d.index)
 		return
@@ -206,10 +206,10 @@
 // whole tells whether all members have the newest list on disk: a disk may be lost again.
 func (w *walk) whole() bool {
 	l := w.leader()
-	if l < 0 || !w.doors[l].p.mayCast() {
+	if l < 0 || !w.doors[l].p.mayReconfigure() {
 		return false
 	}
-	list := w.doors[l].p.casts
+	list := w.doors[l].p.configs
 	for _, m := range w.doors[l].p.Members() {
 		if !slices.ContainsFunc(w.doors, func(d *door) bool {
 			return d.p != nil && d.disk.Me == m.ID && d.disk.House != 0 && d.disk.Delivered >= list[len(list)-1].index
@@ -232,7 +232,7 @@
 	w.at(w.ms(400), w.hosts)
 }
 
-func (w *walk) ask() {
+func (w *walk) preVote() {
 	for range w.rng.Intn(3) {
 		w.token++
 		token, i := w.token, w.rng.Intn(len(w.doors))
@@ -248,7 +248,7 @@
 			}
 		})()
 	}
-	w.at(w.ms(120), w.ask)
+	w.at(w.ms(120), w.preVote)
 }
 
 func (w *walk) trouble() {
@@ -345,7 +345,7 @@
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
 	w.hosts()
-	w.ask()
+	w.preVote()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
 	w.calm = true
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -135,7 +135,7 @@
 	if v == nil {
 		return false
 	}
-	if f.Core != nil && f.Core.Message.Kind == prompter.Ask {
+	if f.Core != nil && f.Core.Message.Kind == prompter.PreVote {
 		p.w.happens(asks)
 	}
 	if v.c != nil { // else it waits for a link, and is dropped when that is up
