A member that leaves stays until the others have what it has; walks by replacement

Need: a member told to end may hold one of two copies of what was acknowledged, while the third one's disk lags. It said nothing of its end either, so that it counted as lost only once its process was gone.

Change: a heartbeat tells up to where what is committed is on a majority's disks without the addressee's (Message.Elsewhere); a leaving door stays within the grace until that is all it knows, hands over again if it leads again, and says in its hello that it leaves: a newcomer takes its place at once.

--- a/internal/house/leave.go
+++ b/internal/house/leave.go
@@ -10,7 +10,8 @@
 
 // Life of a door that is told to end: it says that it is not ready, and goes on taking clients until the platform has
 // asked twice and the last connection that it passed on has come; then connections close between requests, then new ones are
-// refused. What was taken is answered, within the grace.
+// refused. What was taken is answered, within the grace. A member of the core hands over what it leads, and stays within the grace
+// until all that it knows as committed is on a majority's disks without its own: who is lost next must not take the last copy along.
 const (
 	comingFor  = 2300 * time.Millisecond
 	quietFor   = 2700 * time.Millisecond
@@ -23,6 +24,7 @@
 // Leaving begins the end of a door, in a turn: it says that it is not ready, and hands over what it leads.
 func (h *House) Leaving() {
 	h.leaving = true
+	h.company.End()
 	h.say(doorPart, "ends, %d requests held", h.gate.Held())
 	if h.core != nil {
 		h.core.p.Now(h.e.Now())
@@ -32,6 +34,7 @@
 
 // Ends goes on with it so long after it began, in a turn, and tells whether all is done.
 func (h *House) Ends(since time.Duration) bool {
+	kept := h.core == nil || h.core.left()
 	if since < comingFor {
 		return false
 	}
@@ -40,7 +43,17 @@
 		return false
 	}
 	h.front.Deafen()
-	return h.gate.Held() == 0 && h.front.Clients() == 0
+	return kept && h.gate.Held() == 0 && h.front.Clients() == 0
+}
+
+// left tells whether the others have what this member has; one that leads still, or again, hands over.
+func (c *core) left() bool {
+	c.p.Now(c.h.e.Now())
+	if c.p.Leading() {
+		c.p.HandOver()
+		return len(c.p.Members()) == 1
+	}
+	return !c.p.Founded() || c.p.Elsewhere() >= c.p.Committed()
 }
 
 // End ends a door in order.
--- a/internal/house/members_test.go
+++ b/internal/house/members_test.go
@@ -52,7 +52,9 @@
 	return s.Settled && len(has) == 3 && has[d.inner(in)] && !has[d.inner(out)]
 }
 
-func (d *doors) inner(i int) string { return fmt.Sprint(d.sheets[i].IP, ":", d.sheets[i].InnerPorts[0]) }
+func (d *doors) inner(i int) string {
+	return fmt.Sprint(d.sheets[i].IP, ":", d.sheets[i].InnerPorts[0])
+}
 
 // within tells whether something came to be before the time was over.
 func (d *doors) within(most time.Duration, is func() bool) (took time.Duration, ok bool) {
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -123,7 +123,32 @@
 func (p *Prompter) heartbeatTo(w *progress) {
 	prev := max(w.next-1, p.snap.Index)
 	v, _ := p.viewAt(prev)
-	p.appendTo(w, Message{Index: prev, At: v})
+	p.appendTo(w, Message{Index: prev, At: v, Elsewhere: p.heldWithout(w.ID)})
+}
+
+// heldWithout is up to which index what is committed is on a majority's disks without a member's.
+func (p *Prompter) heldWithout(id MemberID) uint64 {
+	if p.fault == leaveEarly {
+		return p.committed
+	}
+	on := func(o MemberID) uint64 {
+		switch w := p.peers[o]; {
+		case o == id:
+			return 0
+		case o == p.me.ID:
+			return p.synced
+		case w != nil:
+			return w.match
+		}
+		return 0
+	}
+	var most uint64
+	for _, m := range append(p.others(), p.me) {
+		if n := min(on(m.ID), p.committed); n > most && p.quorum(func(o MemberID) bool { return on(o) >= n }) {
+			most = n
+		}
+	}
+	return most
 }
 
 // answered takes a member's answer to what the leader sends.
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -33,6 +33,7 @@
 	hasty              // who restarts counts as lost at once
 	shrinkFar          // lost members leave, however few stay
 	keepDead           // a learner that is gone is waited for
+	leaveEarly         // who leaves does not wait until the others have what it has
 )
 
 func (f fault) String() string {
@@ -42,7 +43,7 @@
 		"a view is promised to two", "one promise too few", "not the newest log leads", "lines behind an entry of another view",
 		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry",
 		"nobody is replaced", "a learner counts before it has the state", "who restarts is replaced",
-		"too few members stay", "a dead learner blocks the next"}[f]
+		"too few members stay", "a dead learner blocks the next", "a leaver does not wait"}[f]
 }
 
 func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -158,6 +158,7 @@
 	Index, At uint64
 	Delivered uint64
 	Round     uint64
+	Elsewhere uint64 // of a heartbeat: see Elsewhere
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
@@ -298,6 +299,7 @@
 	matched     uint64        // the log is as the leader's up to here
 	round       uint64        // heard from the leader; or as leader, begun
 	roundSaid   uint64
+	elsewhere   uint64
 
 	seen        uint64              // the newest view anyone spoke of
 	try         uint64              // number of an asking
@@ -462,6 +464,18 @@
 	}
 }
 
+// Elsewhere is up to which index all that is known here to be committed is on the disks of a majority of the members without
+// this one, and Committed what is known to be: who leaves waits until the one has come up to the other.
+func (p *Prompter) Elsewhere() uint64 {
+	if p.role == leading {
+		return p.heldWithout(p.me.ID)
+	}
+	return min(p.elsewhere, p.committed)
+}
+
+// Committed is up to which index entries are known to be committed.
+func (p *Prompter) Committed() uint64 { return p.committed }
+
 // Synced tells that the write nr and all before it are on disk.
 func (p *Prompter) Synced(nr uint64) {
 	check.That(nr < p.nr, "what is synced was written")
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -226,6 +226,9 @@
 	check.That(p.role != leading, "a view has one leader")
 	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
+	if len(m.Entries) == 0 && m.Snap == nil {
+		p.elsewhere = m.Elsewhere
+	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -31,6 +31,7 @@
 	nextID MemberID
 	done   int
 	calm   bool
+	floor  int           // fewer members than these are too few
 	sync   time.Duration // of any disk, on top
 	fault  fault
 	wrong  string
@@ -45,6 +46,7 @@
 	index   uint64
 	state   string
 	written time.Duration // the last write is synced then
+	leaving bool
 }
 
 type event struct {
@@ -220,18 +222,6 @@
 	return true
 }
 
-// hosts do what hosts do: doors that are no members ask to be admitted.
-func (w *walk) hosts() {
-	if l := w.leader(); l >= 0 {
-		for i, d := range w.doors {
-			if d.p != nil && !w.doors[l].p.member(d.disk.Me) && (w.calm || w.rng.Intn(4) > 0) {
-				w.on(l, func(o *door) { o.p.Admit(Member{d.disk.Me, fmt.Sprint("door", i)}, 0) })()
-			}
-		}
-	}
-	w.at(w.ms(400), w.hosts)
-}
-
 func (w *walk) preVote() {
 	for range w.rng.Intn(3) {
 		w.token++
@@ -325,14 +315,16 @@
 }
 
 // found sets up doors, three of which found.
-func found(t *testing.T, doors int, seed int64, f fault) *walk {
+func found(t *testing.T, doors int, seed int64, f fault) *walk { return foundBy(t, doors, 3, seed, f) }
+
+func foundBy(t *testing.T, doors, founders int, seed int64, f fault) *walk {
 	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
 	w.cut, w.reads, w.ended = map[[2]int]bool{}, map[uint64]uint64{}, map[uint64]bool{}
 	var list []Member
 	for i := range doors {
 		w.doors = append(w.doors, &door{})
 		w.empty(i)
-		if i < 3 {
+		if i < founders {
 			list = append(list, w.doors[i].p.me)
 		}
 	}
@@ -344,7 +336,7 @@
 
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
-	w.hosts()
+	w.tends(1)
 	w.preVote()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
