Explorer: members lost, replaced, back; a wiped disk's change takes nobody else out

Need: no scene had a member lost for good, a replacement under way with another loss, or a replaced one that comes back. The first of these found one: told to take in a disk that lies at a member's address in the place of another member, Admit took both out of the list, three became two. The policy never asked for it; now the call itself takes the one at the address only.

Change: seven scenes, five on three members and two on five: steps are a loss, a return, a replacement of any lost one by any that is there. Must hold: who is new on a list in force has what was committed when the leader made it, and no list is shorter than the founding's: so as many more may go as the list's size says.

--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -25,6 +25,8 @@
 	fault  fault
 	wrong  string
 	path   *step
+	list   []Member         // in force
+	bases  map[place]uint64 // what the leader knew to be committed when it made a list
 }
 
 type seat struct {
@@ -32,6 +34,7 @@
 	disk   Kept
 	writes []Write // not synced
 	led    uint64  // the newest view it was seen to lead
+	gone   bool    // for good, or until it is started
 }
 
 type flying struct {
@@ -39,7 +42,7 @@
 	s    Send
 }
 
-type budget struct{ promises, crashes, wipes, changes, beats int }
+type budget struct{ promises, crashes, wipes, changes, beats, losses, returns, swaps int }
 
 type step struct {
 	before *step
@@ -59,7 +62,7 @@
 
 // newStage has so many members in view 2, and others beside them with empty disks.
 func newStage(members, beside int, f fault, left budget) *stage {
-	w := &stage{left: left, fault: f}
+	w := &stage{left: left, fault: f, bases: map[place]uint64{}}
 	for i := range members + beside {
 		w.seats = append(w.seats, &seat{disk: Kept{Me: MemberID(i + 1)}})
 		w.start(i)
@@ -68,6 +71,7 @@
 	for _, s := range w.seats[:members] {
 		list = append(list, s.p.me)
 	}
+	w.list = list
 	for i := range list {
 		if w.seats[i].p.Found(list) != nil {
 			panic("not founded")
@@ -85,7 +89,7 @@
 
 func (w *stage) start(i int) {
 	s := w.seats[i]
-	s.writes = nil
+	s.writes, s.gone = nil, false
 	s.p = New(Member{s.disk.Me, fmt.Sprint("door", i)}, s.disk, calm, 1, 0)
 	s.p.fault = w.fault
 	w.pull(i)
@@ -100,6 +104,12 @@
 // pull carries out a member's actions and judges them.
 func (w *stage) pull(i int) {
 	s := w.seats[i]
+	if c := s.p.configs[len(s.p.configs)-1]; s.p.role == leading && c.index > s.p.committed {
+		if v, _ := s.p.viewAt(c.index); v == s.p.promise && w.bases[place{v, c.index}] == 0 {
+			w.bases = maps.Clone(w.bases)
+			w.bases[place{v, c.index}] = s.p.committed
+		}
+	}
 	for a, ok := s.p.Next(); ok; a, ok = s.p.Next() {
 		switch a := a.(type) {
 		case Send:
@@ -140,6 +150,9 @@
 		return
 	}
 	w.order = append(w.order, e)
+	if e.Kind == ConfigChange {
+		w.judgeList(e)
+	}
 	if !majority(w.seats[i].p.Members(), func(id MemberID) bool {
 		had := func(k Kept) bool { return k.Me == id && holds(k, e) }
 		now := func(s *seat) bool { return had(s.disk) }
@@ -149,6 +162,22 @@
 	}
 }
 
+// judgeList: once a list is in force as many more may go as its size says, whoever they are. So who is new on it has what the leader
+// knew to be committed when it made it, and it is no shorter than what it was founded with.
+func (w *stage) judgeList(e Entry) {
+	was := w.list
+	if w.list = e.Members; len(e.Members) < len(was) {
+		w.fail("list %d has %d members", e.Index, len(e.Members))
+	}
+	for _, s := range w.seats {
+		is := func(m Member) bool { return m.ID == s.disk.Me }
+		have, base := s.disk.Snap.Index+uint64(len(s.disk.Entries)), w.bases[place{e.View, e.Index}]
+		if slices.ContainsFunc(e.Members, is) && !slices.ContainsFunc(was, is) && !s.gone && have < base {
+			w.fail("list %d is in force, and its new member %d has %d of %d", e.Index, s.disk.Me, have, base)
+		}
+	}
+}
+
 func (w *stage) sync(i int) {
 	s := w.seats[i]
 	s.disk.Apply(s.writes[0])
@@ -162,6 +191,9 @@
 	m := w.flight[n]
 	w.flight = slices.Delete(slices.Clone(w.flight), n, n+1)
 	for i, s := range w.seats {
+		if s.gone {
+			continue
+		}
 		if s.p.me.Addr == m.s.To.Addr || m.s.To.Addr == "" && s.p.me.ID == m.s.To.ID {
 			s.p.Heard(m.from, m.s.Message)
 			w.pull(i)
@@ -211,6 +243,18 @@
 	}
 	for i, s := range w.seats {
 		id := s.disk.Me
+		if s.gone {
+			if w.left.returns > 0 {
+				do(fmt.Sprintf("%d is back", id), func(w *stage) { w.left.returns--; w.start(i) })
+			}
+			continue
+		}
+		if w.left.losses > 0 {
+			do(fmt.Sprintf("%d is lost", id), func(w *stage) { w.left.losses--; w.lose(i) })
+		}
+		if w.left.swaps > 0 && s.p.role == leading {
+			w.swaps(i, do)
+		}
 		if len(s.writes) > 0 {
 			do(fmt.Sprintf("%d syncs", id), func(w *stage) { w.sync(i) })
 		}
@@ -236,6 +280,36 @@
 	}
 }
 
+// lose takes a member away with what it has on disk.
+func (w *stage) lose(i int) { w.seats[i].gone, w.seats[i].writes = true, nil }
+
+// swaps are the replacements that a leader could begin: any that is there for any member that is lost.
+func (w *stage) swaps(i int, do func(what string, act func(*stage))) {
+	p := w.seats[i].p
+	for _, in := range w.seats {
+		for _, out := range w.seats {
+			if from, to := in.p.me, out.p.me.ID; !in.gone && out.gone && !p.member(from.ID) && p.member(to) {
+				do(fmt.Sprintf("%d takes %d in for %d", p.me.ID, from.ID, to), func(w *stage) {
+					w.left.swaps--
+					w.seats[i].p.Admit(from, to)
+					w.pull(i)
+				})
+			}
+		}
+	}
+}
+
+// replaced has a member lost and another take its place, as all know that reach each other.
+func (w *stage) replaced(out, in int) *stage {
+	w.lose(out)
+	w.seats[0].p.Admit(w.seats[in].p.me, w.seats[out].disk.Me)
+	w.pull(0)
+	w.settle()
+	w.heartbeat(0)
+	w.settle()
+	return w
+}
+
 func (w *stage) wipe(i int) {
 	s := w.seats[i]
 	w.lost = append(slices.Clone(w.lost), s.disk)
@@ -298,7 +372,11 @@
 	for _, s := range w.seats {
 		p := s.p
 		b = ints(b, uint64(p.me.ID), uint64(p.role), p.promise, uint64(p.promisedTo), uint64(p.leader),
-			p.committed, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.noOp, p.snap.Index, uint64(len(p.writes)))
+			p.committed, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.noOp, p.snap.Index, uint64(len(p.writes)),
+			uint64(p.learner), uint64(len(p.learns.members)))
+		if s.gone {
+			b = append(b, 'g')
+		}
 		b = entries(b, p.log)
 		for _, q := range p.waits {
 			b = ints(b, q.nr-p.done, uint64(q.kind), q.view, uint64(q.to))
@@ -549,6 +627,73 @@
 		w.among([]int{1, 2}, []int{0})
 		return w
 	}, []fault{countWiped}},
+	{"a lost member is replaced, and the leader is lost", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 1, losses: 1, returns: 1, swaps: 1})
+		w.lose(2)
+		return w
+	}, []fault{admitEarly}},
+	{"who was replaced is back and asks", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 2, returns: 1, changes: 1}).replaced(2, 3)
+		w.propose()
+		w.only(0, 3)
+		w.syncs(0, 3)
+		return w
+	}, []fault{ackUnsynced}},
+	{"the members before ask while one takes another's place", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 1, returns: 1})
+		w.lose(2)
+		w.seats[0].p.Admit(w.seats[3].p.me, 3)
+		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
+			w.arrive(0)
+			w.syncs(3)
+		}
+		return w
+	}, []fault{oneMajority}},
+	{"a learner is lost and another comes", func(f fault) *stage {
+		w := newStage(3, 2, f, budget{promises: 1, returns: 2, swaps: 1})
+		w.lose(2)
+		w.seats[0].p.Admit(w.seats[3].p.me, 3)
+		w.pull(0)
+		w.only(0, 3)
+		w.only(3, 0)
+		w.lose(3)
+		w.seats[0].p.dropLearner()
+		return w
+	}, []fault{admitEarly}},
+	{"a lost disk at a member's address while another is away", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 1, returns: 1, swaps: 1})
+		w.lose(2)
+		w.propose().settle()
+		w.wipe(1)
+		w.seats[0].p.Admit(w.seats[1].p.me, 0)
+		w.pull(0)
+		return w
+	}, []fault{countWiped}},
+	{"five: two are lost, one is replaced, the other in turn", func(f fault) *stage {
+		w := newStage(5, 2, f, budget{promises: 1, losses: 1, swaps: 1}).replaced(4, 5)
+		w.lose(3)
+		return w
+	}, []fault{admitEarly}},
+	{"five: the lost one asks as another takes its place, and one more is lost", func(f fault) *stage {
+		w := newStage(5, 1, f, budget{losses: 1})
+		w.lose(4)
+		w.seats[0].p.Admit(w.seats[5].p.me, 5)
+		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
+			w.arrive(0)
+			w.syncs(5)
+		}
+		w.syncs(0)
+		w.among([]int{0}, []int{1, 5})
+		w.syncs(1, 5)
+		late := w.flight
+		w.start(4)
+		w.seats[4].p.prepare(true)
+		w.pull(4)
+		w.syncs(4)
+		w.among([]int{4}, []int{2, 3})
+		w.flight = append(w.flight, late...)
+		return w
+	}, []fault{oneMajority}},
 }
 
 // stagesMost is how many stages are looked at from each scene, unless PROMPTER_STAGES says otherwise.
--- a/internal/prompter/members.go
+++ b/internal/prompter/members.go
@@ -179,14 +179,17 @@
 func majorityOf(n int) int { return n/2 + 1 }
 
 // Admit lets the leader give its state to a new member and, once that has it on disk, make it one: in the
-// place of the member replaces, or of the one at the same address, or on top (replaces 0). One at a time;
+// place of the one at the same address, or else of the member replaces, or on top (replaces 0). One at a time;
 // it is to be called again until Members has it. False: not the leader, or not now.
 func (p *Prompter) Admit(m Member, replaces MemberID) bool {
 	list := slices.Clone(p.Members())
 	if slices.ContainsFunc(list, func(o Member) bool { return o.ID == m.ID }) {
 		return p.role == leading
 	}
-	list = slices.DeleteFunc(list, func(o Member) bool { return o.ID == replaces || o.Addr == m.Addr })
+	if held := p.heldBy(m); held != 0 {
+		replaces = held // and nobody else: one change must not take two out
+	}
+	list = slices.DeleteFunc(list, func(o Member) bool { return o.ID == replaces })
 	if !p.learn(m, append(list, m)) {
 		return false
 	}
