Answers of passed-on calls are paired by the asker's life

Cause: calls that doors pass on were numbered from 1 in each life and a reply carried the number alone. A door killed and back within the 900 ms of a call took the answer to its former life's call for its own of the same number: an order that never left was answered 200. Change: a call carries the life that asks, the reply echoes it; it counts only from a door that the call was passed to, and a 5xx only from the one that has the call now. Numbers are of 32 bits as the timer's references are; a call proposed here no longer waits for the 24th hour.

--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -1,6 +1,7 @@
 package house
 
 import (
+	"slices"
 	"time"
 
 	"clovergap/internal/company"
@@ -15,6 +16,15 @@
 	callsMost = 256
 )
 
+// fault is a defect that tests put in, to see that they find it.
+type fault uint8
+
+const (
+	sound        fault = iota
+	numberAlone        // an answer belongs to whatever call bears its number
+	refuseByHere       // a door refuses by its own state, which may be behind
+)
+
 // call is one that waits for whoever leads.
 type call struct {
 	kind  script.Kind
@@ -23,6 +33,7 @@
 	until time.Duration
 	next  time.Duration // when it goes again, if it is not on its way or another leads by then
 	sent  string        // to whom it is on its way
+	asked []string      // to whom it ever was
 	then  func(status int, body []byte)
 }
 
@@ -33,17 +44,17 @@
 		then(503, []byte("too many calls wait"))
 		return
 	}
-	h.callNr++
+	h.callNr++ // of 32 bits, as the timer's are: no call lives long enough to meet its number again
 	h.calls[h.callNr] = &call{kind: kind, body: body, hops: hops, until: h.e.Now() + callFor, then: then}
 	h.pass(h.callNr)
-	h.e.At(h.e.Now()+callFor, (*callAlarm)(h), uint32(h.callNr))
+	h.e.At(h.e.Now()+callFor, (*callAlarm)(h), h.callNr)
 }
 
 // pass sends a call on, or settles it here.
-func (h *House) pass(nr uint64) {
+func (h *House) pass(nr uint32) {
 	c := h.calls[nr]
 	if h.core != nil && h.core.p.Leading() {
-		c.next, c.sent = never, "here"
+		c.next, c.sent = c.until, "here"
 		body, err := h.counted(c.kind, c.body)
 		if err != nil {
 			h.replied(nr, 400, []byte(err.Error()))
@@ -57,12 +68,15 @@
 	to := h.leads()
 	if to == "" || c.hops >= hopsMost {
 		c.next = h.e.Now() + callAgain
-		h.e.At(c.next, (*callAlarm)(h), uint32(nr))
+		h.e.At(c.next, (*callAlarm)(h), nr)
 		return
 	}
 	c.next, c.sent = h.e.Now()+callAgain, to
-	h.e.At(c.next, (*callAlarm)(h), uint32(nr))
-	h.wings.Send(to, &Frame{Call: &Call{Nr: nr, Kind: c.kind, Body: c.body, Hops: c.hops + 1}})
+	h.e.At(c.next, (*callAlarm)(h), nr)
+	if !slices.Contains(c.asked, to) {
+		c.asked = append(c.asked, to)
+	}
+	h.wings.Send(to, &Frame{Call: &Call{Asker: h.life, Nr: nr, Kind: c.kind, Body: c.body, Hops: c.hops + 1}})
 }
 
 // leads is the door to pass a call on to: the leader where it is known, else the door that this one follows.
@@ -91,19 +105,34 @@
 // called takes a call that another door passed on.
 func (h *House) called(from string, c *Call) {
 	h.ask(c.Kind, c.Body, c.Hops, func(status int, body []byte) {
-		h.wings.Send(from, &Frame{Reply: &Reply{c.Nr, status, body}})
+		h.wings.Send(from, &Frame{Reply: &Reply{c.Asker, c.Nr, status, body}})
 	})
 }
 
+// answered takes the answer to a call that was passed on. It is known by the life that asked and the number within it, and comes
+// from a door that was asked: one to a former life, or to a call that has ended, does nothing. A door that was asked before
+// the one that has the call now may still settle it, but not send it round again.
+func (h *House) answered(from string, r *Reply) {
+	c := h.calls[r.Nr]
+	switch {
+	case c == nil:
+	case r.Asker != h.life && h.fault != numberAlone:
+	case !slices.Contains(c.asked, from) && h.fault != numberAlone:
+	case r.Status/100 == 5 && from != c.sent && h.fault != numberAlone:
+	default:
+		h.replied(r.Nr, r.Status, r.Body)
+	}
+}
+
 // replied ends a call. Nobody leading is no end while there is time: who did may just have gone.
-func (h *House) replied(nr uint64, status int, body []byte) {
+func (h *House) replied(nr uint32, status int, body []byte) {
 	c := h.calls[nr]
 	if c == nil {
 		return
 	}
 	if status == 503 && string(body) != prompter.Unknown.String() && h.e.Now()+callAgain < c.until {
 		c.sent, c.next = "", h.e.Now()+callAgain
-		h.e.At(c.next, (*callAlarm)(h), uint32(nr))
+		h.e.At(c.next, (*callAlarm)(h), nr)
 		return
 	}
 	delete(h.calls, nr)
@@ -113,21 +142,21 @@
 // callAlarm brings a call's due times.
 type callAlarm House
 
-func (a *callAlarm) Live(nr uint32) bool { return a.calls[uint64(nr)] != nil }
+func (a *callAlarm) Live(nr uint32) bool { return a.calls[nr] != nil }
 
 func (a *callAlarm) Due(nr uint32) {
-	h, c := (*House)(a), a.calls[uint64(nr)]
+	h, c := (*House)(a), a.calls[nr]
 	switch now := h.e.Now(); {
 	case c == nil:
 	case now >= c.until:
-		delete(h.calls, uint64(nr))
+		delete(h.calls, nr)
 		c.then(503, []byte("no clear answer in time"))
 	case now < c.next:
 	case c.sent != "" && !h.leadsAnew(c.sent): // its answer is still to come
 		c.next = now + callAgain
 		h.e.At(c.next, a, nr)
 	default: // one that stands still or is cut off never answers: another leads by now
-		h.pass(uint64(nr))
+		h.pass(nr)
 	}
 }
 
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -55,7 +55,7 @@
 	case f.Call != nil:
 		h.called(from, f.Call)
 	case f.Reply != nil:
-		h.replied(f.Reply.Nr, f.Reply.Status, f.Reply.Body)
+		h.answered(from, f.Reply)
 	case f.Rollout != nil:
 		h.rolloutHeard(from, f.Rollout)
 	}
@@ -94,7 +94,7 @@
 	for _, nr := range slices.Sorted(maps.Keys(h.calls)) {
 		if c := h.calls[nr]; c.sent == to { // it may have been taken: the same again is answered as the first was
 			c.sent, c.next = "", h.e.Now()+callAgain
-			h.e.At(c.next, (*callAlarm)(h), uint32(nr))
+			h.e.At(c.next, (*callAlarm)(h), nr)
 		}
 	}
 }
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -85,10 +85,11 @@
 
 // Call is a control call that is passed on to whoever leads.
 type Call struct {
-	Nr   uint64
-	Kind script.Kind // or Read
-	Body []byte
-	Hops int
+	Asker uint64 // the life of the door that passes it on: Nr begins anew in each
+	Nr    uint32
+	Kind  script.Kind // or Read
+	Body  []byte
+	Hops  int
 }
 
 // Read asks for the newest configuration, ReadRollouts for the roll-outs.
@@ -97,9 +98,10 @@
 	ReadRollouts script.Kind = 'h'
 )
 
-// Reply ends a call. Status is as for the caller: 200, 400, 412 or 503.
+// Reply ends the call of that Asker and Nr. Status is as for the caller: 200, 400, 412 or 503.
 type Reply struct {
-	Nr     uint64
+	Asker  uint64
+	Nr     uint32
 	Status int
 	Body   []byte
 }
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -83,8 +83,9 @@
 	ledAt   time.Duration // when a leader was last heard of by this member of the core
 
 	followers map[string]uint64
-	calls     map[uint64]*call
-	callNr    uint64
+	calls     map[uint32]*call
+	callNr    uint32
+	fault     fault // tests put one in
 	seatAsked time.Duration
 	pingedAt  time.Duration
 	seats     int
@@ -119,7 +120,7 @@
 	h.inner = net.JoinHostPort(h.sheet.IP, strconv.Itoa(h.sheet.InnerPorts[0]))
 	h.e, h.count = b, b.Counters()
 	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]uint64{}
-	h.calls, h.beats, h.stock = map[uint64]*call{}, map[callboard.Ticket]func(bool, string){}, newStock()
+	h.calls, h.beats, h.stock = map[uint32]*call{}, map[callboard.Ticket]func(bool, string){}, newStock()
 	if h.own != nil {
 		h.own.h = h
 	}
--- /dev/null
+++ b/internal/house/replies_test.go
@@ -0,0 +1,140 @@
+package house
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/company"
+	"clovergap/internal/prompter"
+	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
+)
+
+// turn is something done, or looked at, in a door's turn.
+func (d *doors) turn(i int, do func(h *House)) { d.live[i].e.Turn(func() { do(d.live[i]) }) }
+
+// leader is the number of the door that leads.
+func (d *doors) leader() (leader int) {
+	d.t.Helper()
+	leader = -1
+	d.until("a leader", func() bool {
+		for i := range d.live {
+			d.turn(i, func(h *House) {
+				if h.core != nil && h.core.p.Leading() {
+					leader = i
+				}
+			})
+		}
+		return leader >= 0
+	})
+	return leader
+}
+
+// still holds doors in a turn each until they are told to go on.
+func (d *doors) still(which ...int) (goOn func()) {
+	end := make(chan bool)
+	for _, i := range which {
+		standing := make(chan bool)
+		go d.live[i].e.Turn(func() {
+			close(standing)
+			<-end
+		})
+		<-standing
+	}
+	return func() { close(end) }
+}
+
+// A door that is killed and back before its call was answered numbers its calls anew: the answer to its former life's call must
+// not end the one of this life that bears the same number, which never left the door.
+func TestReplyOfAFormerLife(t *testing.T) {
+	d := open(t, 4)
+	d.settles(3, 200, "POST", "/api/Config.Replace", bill(7, 0))
+	leader := d.leader()
+	seated := func(h *House) bool {
+		return h.seat() != company.NoSeat && h.feeder == d.live[leader].inner && h.fedAt >= h.askedAt
+	}
+	is, answer, nr := false, make(chan int, 1), uint32(0)
+	d.turn(3, func(h *House) { h.follow(d.live[leader].inner) })
+	d.until("to follow the leader", func() bool {
+		d.turn(3, func(h *House) { is = seated(h) && len(h.calls) == 0 })
+		return is
+	})
+	goOn := d.still((leader+1)%3, (leader+2)%3) // nothing is acknowledged now
+	d.turn(3, func(h *House) {
+		h.ask(script.Replace, []byte(bill(8, 7)), 0, func(int, []byte) {})
+		nr = h.callNr
+	})
+	d.until("the call at the leader", func() bool {
+		d.turn(leader, func(h *House) { is = len(h.calls) > 0 })
+		return is
+	})
+	d.kill(3)
+	d.start(3)
+	d.until("the next life to be fed", func() bool {
+		d.turn(3, func(h *House) { is = seated(h) })
+		return is
+	})
+	d.turn(3, func(h *House) {
+		h.callNr = nr - 1
+		h.ask(script.Replace, []byte(bill(9, 8)), hopsMost, func(status int, _ []byte) { answer <- status }) // goes nowhere
+	})
+	goOn()
+	must.Eq(t, 503, <-answer)
+	d.all("the former life's change", func(s stagedoor.HouseStatus) bool { return s.Generation == 8 })
+}
+
+// orders calls do with all orders of n messages.
+func orders(n int, do func(order []int)) {
+	var step func(order []int)
+	step = func(order []int) {
+		if len(order) == n {
+			do(order)
+		}
+		for i := range n {
+			if !slices.Contains(order, i) {
+				step(append(slices.Clone(order), i))
+			}
+		}
+	}
+	step(nil)
+}
+
+// Answers come in all orders, twice, from a former life, from a door that was never asked, and late from one that was asked
+// before another: each call ends once, with its own answer.
+func TestRepliesInAllOrders(t *testing.T) {
+	d := open(t, 1)
+	h := d.live[0]
+	misled := func(f fault) (n int) {
+		h.fault = f
+		defer func() { h.fault = sound }()
+		orders(7, func(order []int) {
+			got := [2][]string{}
+			for i := range got {
+				h.ask(Read, nil, hopsMost, func(status int, body []byte) { got[i] = append(got[i], fmt.Sprint(status, string(body))) })
+				h.calls[h.callNr].asked, h.calls[h.callNr].sent = []string{"x:1", "y:1"}[:i+1], "xy"[i:i+1]+":1"
+			}
+			a, b := h.callNr-1, h.callNr
+			all := []struct {
+				from string
+				Reply
+			}{{"x:1", Reply{h.life, a, 200, []byte("a")}}, {"x:1", Reply{h.life, a, 200, []byte("a")}},
+				{"y:1", Reply{h.life, b, 412, []byte("b")}}, {"x:1", Reply{h.life, b, 503, []byte(prompter.Unknown.String())}},
+				{"x:1", Reply{h.life + 1, b, 200, nil}}, {"z:1", Reply{h.life, b, 200, nil}}, {"y:1", Reply{h.life, b + 1, 200, nil}}}
+			for _, i := range order {
+				h.Heard(all[i].from, &Frame{Reply: &all[i].Reply})
+			}
+			if !slices.Equal(got[0], []string{"200a"}) || !slices.Equal(got[1], []string{"412b"}) {
+				n++
+			}
+			clear(h.calls)
+		})
+		return n
+	}
+	d.turn(0, func(h *House) {
+		must.Eq(t, 0, misled(sound))
+		must.Positive(t, misled(numberAlone))
+	})
+}
