Prompter: members tell how long ago a majority was in contact

A member that heard a leader counted as fresh, also where that leader was heard by nobody, or had stood still. Append, Ack and Reject carry their sender's clock and give back the other's: the leader knows since when a majority follows its view, by the time it asked and not by the time an answer came, and tells it; a follower counts from its own clock that comes back. Nothing rests on it but what a host says of its state. Doors of the version before tell no clock: of these the receipt counts, as it did.

--- /dev/null
+++ b/internal/prompter/contact.go
@@ -0,0 +1,100 @@
+package prompter
+
+import "time"
+
+// Contact with a majority: how old a member's word of the core is at the most, as the safe time of a bounded-staleness read. All that
+// was acknowledged so long ago is committed here. No write and no read rests on it: it tells a host what its state is worth.
+//
+// All messages between a leader and the others carry their sender's clock and give back the newest clock that was heard from the
+// other in this view. Who answers a clock of the leader's had promised no newer view when it was sent, so when a majority has, no
+// other leader had acknowledged anything by then, and what this one had is committed in it. The leader tells that age; a
+// follower adds the time since it sent the clock that comes back with it, not since the word came: what was long on its way, or
+// waited while a process stood still, is as old as it is. The clocks of a life begin at a number of its own, so that
+// those of another life match nothing.
+
+// known is what this member has word of: all that was acknowledged before at is committed here, as told in view.
+type known struct {
+	at   time.Duration // before any word: a long time ago
+	view uint64
+}
+
+const noWord = -never
+
+// clock is what others give back.
+func (p *Prompter) clock() uint64 { return p.clocks + uint64(p.now) + 1 }
+
+// sentAt is when this member's clock was so, in this life.
+func (p *Prompter) sentAt(clock uint64) (time.Duration, bool) {
+	at := clock - p.clocks - 1
+	return time.Duration(at), clock != 0 && at <= uint64(p.now)
+}
+
+// Contact is how long ago a majority was in contact at the latest, as far as is known here, and the newest view that this is known
+// of; false while there was no word of it in this life.
+func (p *Prompter) Contact(now time.Duration) (age time.Duration, view uint64, ok bool) {
+	if p.known.at == noWord {
+		view, _ = p.viewAt(p.committed)
+		return never, view, false
+	}
+	return max(now, p.now) - p.known.at, p.known.view, true
+}
+
+// learnContact goes on to newer word.
+func (p *Prompter) learnContact(at time.Duration, view uint64) {
+	if at >= p.known.at {
+		p.known = known{at, max(view, p.known.view)}
+	}
+}
+
+// answeredClock notes that a member followed this view when the clock that it gives back was told. A door of the version before
+// tells none: then it is when its answer came.
+func (p *Prompter) answeredClock(w *progress, m Message) {
+	at, ok := p.sentAt(m.Echo)
+	if m.Clock == 0 || p.fault == contactByReceipt {
+		at, ok = p.now, true
+	}
+	w.clock = m.Clock
+	if ok {
+		w.contact = max(w.contact, at)
+	}
+}
+
+// majorityContact is the leader's: the newest of its times since which a majority, of both lists while they change, was in
+// contact. Before an entry of this view is committed, others' entries may be acknowledged and not yet known here to be.
+func (p *Prompter) majorityContact() {
+	if p.role != leading || p.committed < p.noOp && p.fault != contactEarly {
+		return
+	}
+	since := func(t time.Duration) bool {
+		return p.quorum(func(id MemberID) bool { return id == p.me.ID || p.peers[id] != nil && p.peers[id].contact >= t })
+	}
+	if since(p.now) || p.fault == contactLeads {
+		p.learnContact(p.now, p.promise)
+		return
+	}
+	for _, w := range p.peers {
+		if w.contact > p.known.at && since(w.contact) {
+			p.learnContact(w.contact, p.promise)
+		}
+	}
+}
+
+// tellContact puts the leader's word into what it sends.
+func (p *Prompter) tellContact(w *progress, m *Message) {
+	p.majorityContact()
+	m.Clock, m.Echo, m.Contact = p.clock(), w.clock, -1
+	if age, _, ok := p.Contact(p.now); ok {
+		m.Contact = age
+	}
+}
+
+// heardContact takes the leader's word, once all that it had committed is committed here.
+func (p *Prompter) heardContact(m Message) {
+	at, ok := p.sentAt(m.Echo)
+	if m.Clock == 0 || p.fault == followByReceipt {
+		at, ok = p.now, true
+	}
+	if ok && m.Contact >= 0 && (p.committed >= m.Delivered || p.fault == contactAhead) {
+		p.learnContact(at-m.Contact, m.View)
+	}
+}
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -34,7 +34,7 @@
 
 // begin is a progress of which nothing is known yet.
 func (p *Prompter) newProgress(m Member) *progress {
-	return &progress{Member: m, next: p.last() + 1, heard: p.now, snapAt: -never, againAt: -never}
+	return &progress{Member: m, next: p.last() + 1, heard: p.now, snapAt: -never, againAt: -never, contact: noWord}
 }
 
 // forget gives up the learner.
@@ -114,6 +114,7 @@
 
 func (p *Prompter) appendTo(w *progress, m Message) {
 	m.Kind, m.View, m.Delivered, m.Round = Append, p.promise, p.committed, p.round
+	p.tellContact(w, &m)
 	p.sendTo(w.Member, m)
 }
 
@@ -138,6 +139,7 @@
 		return
 	}
 	w.heard, w.round = p.now, max(w.round, m.Round)
+	p.answeredClock(w, m)
 	if m.Kind == Reject {
 		// The lines sent since come back as missed too: once is enough.
 		if p.now >= w.againAt {
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -28,6 +28,12 @@
 	countLate          // what was confirmed to an older view counts in this one
 	keepTokens         // a proposal whose end was told waits on
 	readEarly          // a read is answered before an entry of the present view is committed
+
+	contactByReceipt // a leader counts contact from when an answer came
+	followByReceipt  // a follower counts it from when the word came
+	contactEarly     // a leader tells it before an entry of its view is committed
+	contactLeads     // a leader is in contact while it leads
+	contactAhead     // a follower takes it though it lacks what the leader has committed
 )
 
 func (f fault) String() string {
@@ -35,7 +41,8 @@
 		"promises are not put on disk", "a trim is missed", "an old view's entry is delivered by counting",
 		"one majority is enough for a change of members", "a read without a round", "a promise is told before it is on disk",
 		"a view is promised to two", "one promise too few", "not the newest log leads", "lines behind an entry of another view",
-		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry"}[f]
+		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry", "contact by an answer's receipt", "contact by the word's receipt",
+		"contact before the view's first entry", "contact while it leads", "contact ahead of the log"}[f]
 }
 
 func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -98,7 +98,7 @@
 	p.promise, p.promisedTo = view, to
 	p.seen = max(p.seen, view)
 	p.role, p.leader = following, 0
-	p.matched, p.round, p.roundSaid = 0, 0, 0
+	p.matched, p.round, p.roundSaid, p.leaderClock = 0, 0, 0, 0
 	p.markDirty(0)
 }
 
@@ -229,15 +229,18 @@
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
+	p.leaderClock = max(p.leaderClock, m.Clock)
 	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
-		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round})
+		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round,
+			Clock: p.clock(), Echo: p.leaderClock})
 		return
 	}
 	p.merge(m.Index, m.Entries)
 	p.setDue() // the list may be another now
 	p.matched = max(p.matched, m.Index+uint64(len(m.Entries)))
 	p.commitUpTo(max(p.committed, min(m.Delivered, p.matched)))
+	p.heardContact(m)
 	if p.matched <= p.synced || p.round > p.roundSaid || len(m.Entries) == 0 && m.Snap == nil {
 		p.ack()
 	}
@@ -253,7 +256,7 @@
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round})
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock(), Echo: p.leaderClock})
 }
 
 // stepDown stops leading.
