Prompter: contact is judged by an observer, in all orders and on walks

Need: what a member says of its contact must never be newer than the truth, whoever stands still or is not heard. Five scenes of the explorer with time as a step, and walks with freezes and cuts of leaders one way and both ways: what was acknowledged before the age it tells is committed there, and no newer view was led before it. Contact is judged on the old walks as well.

No older test is changed but for the observer's part in it.

--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -25,6 +25,10 @@
 	fault  fault
 	wrong  string
 	path   *step
+
+	timed   bool // contact is judged: see contact_test.go
+	now     time.Duration
+	ackedAt []time.Duration // by order
 }
 
 type seat struct {
@@ -39,7 +43,7 @@
 	s    Send
 }
 
-type budget struct{ promises, crashes, wipes, changes, beats int }
+type budget struct{ promises, crashes, wipes, changes, beats, ticks int }
 
 type step struct {
 	before *step
@@ -139,7 +143,7 @@
 		}
 		return
 	}
-	w.order = append(w.order, e)
+	w.order, w.ackedAt = append(w.order, e), append(w.ackedAt, w.now)
 	if !majority(w.seats[i].p.Members(), func(id MemberID) bool {
 		had := func(k Kept) bool { return k.Me == id && holds(k, e) }
 		now := func(s *seat) bool { return had(s.disk) }
@@ -154,6 +158,7 @@
 	s.disk.Apply(s.writes[0])
 	nr := s.writes[0].Nr
 	s.writes = s.writes[1:]
+	w.wakes(i)
 	s.p.Synced(nr)
 	w.pull(i)
 }
@@ -163,6 +168,7 @@
 	w.flight = slices.Delete(slices.Clone(w.flight), n, n+1)
 	for i, s := range w.seats {
 		if s.p.me.Addr == m.s.To.Addr || m.s.To.Addr == "" && s.p.me.ID == m.s.To.ID {
+			w.wakes(i)
 			s.p.Heard(m.from, m.s.Message)
 			w.pull(i)
 		}
@@ -170,6 +176,7 @@
 }
 
 func (w *stage) heartbeat(i int) {
+	w.wakes(i)
 	w.seats[i].p.heartbeat()
 	w.pull(i)
 }
@@ -202,8 +209,8 @@
 // steps are all that could come next. What is never taken was lost or has yet to come.
 func (w *stage) steps(do func(what string, act func(*stage))) {
 	for n, m := range w.flight {
-		key := string(m.key(nil))
-		if !slices.ContainsFunc(w.flight[:n], func(o flying) bool { return string(o.key(nil)) == key }) {
+		key := string(m.key(nil, w.timed))
+		if !slices.ContainsFunc(w.flight[:n], func(o flying) bool { return string(o.key(nil, w.timed)) == key }) {
 			k := m.s.Message
 			what := fmt.Sprintf("%d>%d kind %d view %d index %d", m.from, m.s.To.ID, k.Kind, k.View, k.Index)
 			do(what, func(w *stage) { w.arrive(n) })
@@ -234,6 +241,9 @@
 			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.heartbeat(i) })
 		}
 	}
+	if w.left.ticks > 0 {
+		do("a second passes", func(w *stage) { w.left.ticks--; w.now += time.Second })
+	}
 }
 
 func (w *stage) wipe(i int) {
@@ -261,7 +271,7 @@
 		o.p = &p
 		c.seats = append(c.seats, &o)
 	}
-	c.flight, c.order = slices.Clip(w.flight), slices.Clip(w.order)
+	c.flight, c.order, c.ackedAt = slices.Clip(w.flight), slices.Clip(w.order), slices.Clip(w.ackedAt)
 	for _, s := range c.seats {
 		s.writes = slices.Clip(s.writes)
 	}
@@ -283,12 +293,15 @@
 	return b
 }
 
-func (f flying) key(b []byte) []byte {
+func (f flying) key(b []byte, timed bool) []byte {
 	m := f.s.Message
 	b = ints(b, uint64(f.from), uint64(m.To), uint64(m.Kind), m.View, m.Index, m.At, m.Delivered, m.Round)
 	if m.Snap != nil {
 		b = append(b, 's')
 	}
+	if timed {
+		b = ints(b, m.Clock, m.Echo, uint64(m.Contact))
+	}
 	return entries(b, m.Entries)
 }
 
@@ -306,11 +319,17 @@
 		for id := range MemberID(20) {
 			if q := p.peers[id]; q != nil {
 				b = ints(b, q.next, q.match, q.round)
+				if w.timed {
+					b = ints(b, q.clock, uint64(q.contact))
+				}
 			}
 			if q, ok := p.promises[id]; ok && p.role == preparing {
 				b = ints(b, q.view, q.index)
 			}
 		}
+		if w.timed {
+			b = ints(b, p.leaderClock, uint64(p.known.at), p.known.view)
+		}
 		b = entries(ints(b, s.disk.Promise, uint64(s.disk.For), s.disk.Delivered), s.disk.Entries)
 		for _, q := range s.writes {
 			b = entries(ints(b, q.Promise, q.From, q.Delivered), q.Entries)
@@ -318,10 +337,10 @@
 	}
 	var flight []string
 	for _, f := range w.flight {
-		flight = append(flight, string(f.key(nil)))
+		flight = append(flight, string(f.key(nil, w.timed)))
 	}
 	slices.Sort(flight)
-	b = append(b, fmt.Sprint(w.left)...)
+	b = append(b, fmt.Sprint(w.left, w.now, w.ackedAt)...)
 	for _, f := range flight {
 		b = append(b, f...)
 	}
@@ -350,6 +369,7 @@
 				}()
 				act(c)
 				c.prune()
+				c.judgeContact()
 			}()
 			if c.wrong != "" {
 				wrong = c.wrong + c.path.String()
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -34,6 +34,9 @@
 	sync   time.Duration // of any disk, on top
 	fault  fault
 	wrong  string
+
+	acks []ack                    // by time
+	led  map[uint64]time.Duration // since when a view was led
 }
 
 type door struct {
@@ -45,6 +48,7 @@
 	index   uint64
 	state   string
 	written time.Duration // the last write is synced then
+	stands  time.Duration // the process stands still until then
 }
 
 type event struct {
@@ -86,13 +90,15 @@
 // on does something with a door, if it has not ended since.
 func (w *walk) on(i int, do func(*door)) func() {
 	life := w.doors[i].life
-	return func() {
-		if d := w.doors[i]; d.life == life && d.p != nil {
+	var act func()
+	act = func() {
+		if d := w.doors[i]; d.life == life && d.p != nil && !w.waits(d, act) {
 			d.p.Now(w.now)
 			do(d)
 			w.pull(i)
 		}
 	}
+	return act
 }
 
 func (w *walk) pull(i int) {
@@ -123,6 +129,7 @@
 				w.fail("a read told %d, acknowledged was %d", a.Index, since)
 			case !read:
 				w.acked = max(w.acked, a.Index)
+				w.acks = append(w.acks, ack{w.now, a.Index})
 				w.done++
 			}
 			w.ended[a.Token] = true
@@ -135,6 +142,7 @@
 	if d.p.role == leading && d.index < w.acked && d.p.last() < w.acked {
 		w.old(i)
 	}
+	w.judgeContact(i)
 }
 
 // old: a leader that lacks what was acknowledged must be one of an old view.
@@ -180,15 +188,17 @@
 				late += w.ms(1500)
 			}
 			life := d.life
-			w.at(late, func() {
+			var act func()
+			act = func() {
 				if d.life == life || !w.calm { // a late one may reach who moved in since
-					if d.p != nil {
+					if d.p != nil && !w.waits(d, act) {
 						d.p.Now(w.now)
 						d.p.Heard(id, s.Message)
 						w.pull(i)
 					}
 				}
-			})
+			}
+			w.at(late, act)
 		}
 	}
 }
@@ -327,6 +337,7 @@
 // found sets up doors, three of which found.
 func found(t *testing.T, doors int, seed int64, f fault) *walk {
 	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
+	w.led = map[uint64]time.Duration{}
 	w.cut, w.reads, w.ended = map[[2]int]bool{}, map[uint64]uint64{}, map[uint64]bool{}
 	var list []Member
 	for i := range doors {
