Members: one that lost power is lost from its last answer on

Cause: a machine without power ends no link, and its door counts as live for 2.2 s.

Change: the leader takes a member that has not answered three beats as lost since its last answer; and a newcomer is added to a list that is long enough only once all members have answered after it came. TestReplacementDays plays 12 days in which a machine with a disk is replaced, before or after it goes, told to end or without power, and another is lost catch_up later: it failed on the first of them.

--- a/internal/prompter/members.go
+++ b/internal/prompter/members.go
@@ -20,6 +20,7 @@
 	replaceAfter = 2 * time.Second      // a member that is lost for less may be restarting
 	dismissAfter = 3 * time.Second      // and one for whom none comes gets a little longer
 	gone         = 24 * 365 * time.Hour // lost for so long counts whoever says that it ends
+	quietMost    = 3                    // beats without an answer, after which a member is lost since the last one
 	learnMost    = 3                    // times Learn without anything new on a learner's disk, while others wait
 	membersMost  = 15                   // on a list
 )
@@ -81,15 +82,29 @@
 	}
 	for _, m := range p.Members() {
 		i := slices.IndexFunc(reach, func(r Reach) bool { return r.ID == m.ID })
+		since, here := now, i >= 0 || m.ID == p.me.ID
+		if w := p.peers[m.ID]; p.role == leading && w != nil && now-w.heard > quietMost*p.terms.Beat { // without power it ends no link
+			since, here = w.heard, false
+		}
 		switch {
 		case i >= 0 && reach[i].Leaving:
 			p.lost[m.ID] = now - gone
-		case i >= 0 || m.ID == p.me.ID:
+		case here:
 			delete(p.lost, m.ID)
 		case p.lost[m.ID] == 0 || p.lost[m.ID] < now-gone/2: // it has left: from here on it may be restarting
-			p.lost[m.ID] = now
+			p.lost[m.ID] = since
+		}
+	}
+}
+
+// answered tells whether all members have answered since the learner came: one that lies without power looks as if it were there.
+func (p *Prompter) answered() bool {
+	for _, m := range p.others() {
+		if w := p.peers[m.ID]; w == nil || w.heard <= p.learnFrom {
+			return false
 		}
 	}
+	return true
 }
 
 // nextLearner is who is given the state: the one that is, else one at a member's address, else the next after the one that was
@@ -144,7 +159,7 @@
 		p.Admit(m, held)
 	case id != 0 && p.now-since >= replaceAfter:
 		p.Admit(m, id)
-	case id != 0 && len(p.Members()) > 2*tolerates && p.fault != hasty:
+	case len(p.Members()) > 2*tolerates && p.fault != hasty && (id != 0 || p.learner != m.ID || !p.answered()):
 		p.learn(m, nil)
 	default:
 		p.Admit(m, 0)
@@ -206,7 +221,7 @@
 	if p.learner == m.ID {
 		return true
 	}
-	p.learner, p.learnAt = m.ID, p.now
+	p.learner, p.learnAt, p.learnFrom = m.ID, p.now, p.now
 	if p.peers[m.ID] == nil {
 		p.peers[m.ID] = p.newProgress(m)
 	}
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -317,8 +317,9 @@
 
 	peers       map[MemberID]*progress // by the leader
 	learner     MemberID
-	learns      config // its members are the list once the learner has caught up; none: it is held back
-	learnAt     time.Duration
+	learns      config                     // its members are the list once the learner has caught up; none: it is held back
+	learnAt     time.Duration              // it last had something new on disk
+	learnFrom   time.Duration              // it became the learner
 	lost        map[MemberID]time.Duration // since when the host does not reach a member
 	gaveUp      MemberID                   // the last learner that was
 	noOp        uint64
--- /dev/null
+++ b/internal/rehearsal/members_test.go
@@ -0,0 +1,108 @@
+package rehearsal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/extras"
+)
+
+// catchUp is how long a new machine, and the one whose place it takes, count as lost on the small sites.
+const catchUp = 4 * time.Second
+
+// replacementDay plays three doors with disks and three without, with traffic and changes; one with a disk is replaced by a fourth, before it
+// goes or after, and catch_up later one more is lost, the leader among them. It gives how long the replacement took.
+func replacementDay(t *testing.T, seed uint64, before, told bool) time.Duration {
+	w := newWorld(&Day{Site: Site{Doors: 7, Disks: 4}.Usual(), Seed: seed, For: 30 * time.Second})
+	late := w.machines[3]
+	for _, m := range w.machines {
+		m.sheet.Tolerates.Machines = 1
+		if m != late {
+			m.start()
+		}
+	}
+	late.life = 1 // it is not there at the first start of all
+	w.clients.watch()
+	opened := false
+	w.operator.open(func() { opened = true })
+	must.True(t, w.until(w.now+openIn, func() bool { return opened }))
+	w.clients.begin()
+	w.until(w.now+2*time.Second, nil)
+	gone, next := w.machines[seed%3], w.machines[(seed+1+seed/3%2)%3]
+	loses := func() {
+		if gone.harm(true); told {
+			gone.term()
+		} else {
+			gone.kill(true)
+		}
+		must.True(t, w.until(w.now+8*time.Second, func() bool { return gone.p == nil }))
+	}
+	comes := func() {
+		late.harm(true)
+		late.start()
+	}
+	if before {
+		comes()
+		w.until(w.now+catchUp, nil)
+		loses()
+	} else {
+		loses()
+		w.until(w.now+time.Second, nil)
+		comes()
+	}
+	began := w.now
+	three := func() bool {
+		for _, m := range w.cores() {
+			if m == gone {
+				continue
+			}
+			c := m.p.h.Status().Core
+			has := map[string]bool{}
+			for _, o := range c.Members {
+				has[o.Address] = true
+			}
+			if !c.Settled || len(has) != 3 || !has[late.inner] || has[gone.inner] {
+				return false
+			}
+		}
+		return true
+	}
+	must.True(t, w.until(began+catchUp, three), must.Sprintf("seed %d: the lost one still counts", seed))
+	took := w.now - began
+	w.until(began+catchUp, nil)
+	late.harm(false)
+	gone.harm(false)
+	taken := func() (n int) {
+		for _, v := range w.operator.versions {
+			if v.Acked > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	was := taken()
+	next.harm(true)
+	next.kill(true)
+	must.True(t, w.until(w.now+extras.ClearMost, func() bool { return taken() > was }), must.Sprintf("seed %d: nothing is taken", seed))
+	w.until(w.now+2*time.Second, nil)
+	next.start()
+	w.until(w.now+catchUp, nil)
+	next.harm(false)
+	w.operator.goes, w.clients.open = false, false
+	w.until(w.now+extras.ClearMost+5*time.Second, func() bool { return !w.operator.busy })
+	w.over = true
+	for _, b := range extras.Judge(w.history, w.cast(), slack) {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	return took
+}
+
+// A machine with a disk is replaced, and catch_up later another is lost: an order is taken all the same, and no rule is broken.
+func TestReplacementDays(t *testing.T) {
+	for seed := range uint64(12) {
+		took := replacementDay(t, seed, seed&1 > 0, seed&2 > 0)
+		t.Logf("seed %d: replaced %v after both", seed, took)
+	}
+}
