What was taken is known again over thousands of changes, else left unclear

Cause: only the last 256 digests were kept: an order taken, 300 others after it, the same bytes again got 412 at each door. A roll-out's order was refused by the state of the door that took the call (its room, what the configuration names), though it had been taken or was valid on the newest state; a verdict was looked up by its index alone, and a missing one meant taken. The same for marks of roll-outs. A door answers without the leader only what holds in every later state; the leader refuses by its own state only after a round. A verdict is of the entry proposed. Changes that another door had before end as unclear, not as unavailable.

--- /dev/null
+++ b/internal/house/again_test.go
@@ -0,0 +1,128 @@
+package house
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
+	"clovergap/internal/understudy"
+)
+
+const replacePath = "/api/Config.Replace"
+
+// An order that was taken is confirmed again by every door, after 300 others, and by doors that all have started anew since from a
+// snapshot: its answer may have been lost, and whoever sent it does not know.
+func TestOrderAgainAfterMany(t *testing.T) {
+	d := open(t, 4)
+	d.settles(0, 200, "POST", replacePath, bill(1, 0))
+	for v := 2; v <= 301; v++ {
+		d.settles(v%4, 200, "POST", replacePath, bill(v, v-1))
+	}
+	again := func() {
+		for i := range 4 {
+			for _, v := range []int{1, 2, 45, 300, 301} {
+				began := time.Now()
+				d.settles(i, 200, "POST", replacePath, bill(v, v-1))
+				t.Log("door", i, "version", v, "again", time.Since(began))
+			}
+			d.settles(i, 412, "POST", replacePath, bill(2, 0)) // that number was taken by another
+		}
+	}
+	again()
+	for i := range 4 {
+		d.kill(i)
+	}
+	for i := range 4 {
+		d.start(i)
+	}
+	d.all("the newest version", func(s stagedoor.HouseStatus) bool { return s.Generation == 301 })
+	again()
+}
+
+// Eight orders at once on one version, each through a door of its own: one is taken. The same order through eight: all are told so.
+func TestEightAtOnce(t *testing.T) {
+	d := open(t, 8)
+	d.settles(0, 200, "POST", replacePath, bill(1, 0))
+	d.all("the first version", func(s stagedoor.HouseStatus) bool { return s.Generation == 1 })
+	at := func(body func(i int) string) (taken, lost int) {
+		var all sync.WaitGroup
+		var answers [8]int
+		for i := range answers {
+			all.Go(func() { // until it is settled: an answer that is not clear may be of one that was taken
+				for end := time.Now().Add(patience); answers[i] != 200 && answers[i] != 412 && time.Now().Before(end); {
+					answers[i], _ = d.call(i, "POST", replacePath, body(i))
+				}
+			})
+		}
+		all.Wait()
+		for _, a := range answers {
+			if a == 200 {
+				taken++
+			} else if a == 412 {
+				lost++
+			}
+		}
+		return taken, lost
+	}
+	for v := 1; v < 40; v += 10 {
+		taken, lost := at(func(i int) string { return bill(v+1+i, v) })
+		must.Eq(t, [2]int{1, 7}, [2]int{taken, lost})
+		now := 0
+		d.until("one of them", func() bool { now = int(d.status(0).Generation); return now > v })
+		taken, _ = at(func(int) string { return bill(v+10, now) })
+		must.Eq(t, 8, taken)
+	}
+}
+
+// A door that is behind, and knows neither what was taken nor of any backend, refuses nothing by that: neither an order that was taken
+// nor one that is valid on the newest state.
+func TestDoorBehind(t *testing.T) {
+	var fails atomic.Bool
+	d := open(t, 4)
+	d.settles(0, 200, "POST", replacePath, bill(7, 0))
+	d.backend("v1-0", "v1", &fails)
+	d.backend("v2-0", "v2", &fails)
+	d.all("the backends", func(s stagedoor.HouseStatus) bool { return len(s.Backends) == 2 && s.Generation == 7 })
+	entry := func(rev uint64, mark string) *understudy.Entry {
+		return &understudy.Entry{Verb: understudy.Start, Service: "s", Mark: mark, Rev: rev, Room: understudy.Room{Busy: 9}, Order: &understudy.Rollout{
+			Service: "s", Old: "v1", New: "v2", Steps: []understudy.Step{{Share: 100, MinTime: understudy.Span(time.Second)}}}}
+	}
+	behind := func(do func(h *House, then func(int, []byte))) (status int) {
+		d.until("a clear answer", func() bool {
+			answer := make(chan int, 1)
+			d.turn(3, func(h *House) {
+				newest, board := h.script, h.board
+				h.script, h.board = script.New(), nil
+				do(h, func(status int, _ []byte) { answer <- status })
+				h.script, h.board = newest, board
+			})
+			status = <-answer
+			return status < 500
+		})
+		return status
+	}
+	change := func(body string) int {
+		return behind(func(h *House, then func(int, []byte)) { h.Change(script.Replace, []byte(body), then) })
+	}
+	rollout := func(rev uint64, mark string) int {
+		return behind(func(h *House, then func(int, []byte)) { h.Rollout(entry(rev, mark), false, then) })
+	}
+	must.Eq(t, 200, change(bill(7, 0)))
+	must.Eq(t, 200, change(bill(8, 7)))
+	must.Eq(t, 412, change(bill(9, 7)))
+	must.Eq(t, 400, change(bill(8, 8))) // wrong whatever is current
+	must.Eq(t, 200, rollout(0, "first"))
+	must.Eq(t, 200, rollout(0, "first"))
+	must.Eq(t, 412, rollout(0, "second"))
+	rev := d.rollout(0).Rev
+	d.settles(0, 200, "POST", "/api/Rollout.PullBack/s", fmt.Sprintf(`{"number":1,"rev":%d,"mark":"back"}`, rev))
+	must.Eq(t, 200, rollout(d.rollout(0).Rev, "third"))
+	d.settles(0, 200, "POST", replacePath, `{"generation":9,"parent_version":8}`) // what the order names is there no more
+	must.Eq(t, 200, rollout(0, "first"))
+}
--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"clovergap/internal/company"
-	"clovergap/internal/prompter"
 	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
 )
 
 const (
@@ -34,6 +34,7 @@
 	next  time.Duration // when it goes again, if it is not on its way or another leads by then
 	sent  string        // to whom it is on its way
 	asked []string      // to whom it ever was
+	doubt bool          // one that had it is gone or left without an answer: it may have been taken
 	then  func(status int, body []byte)
 }
 
@@ -53,16 +54,10 @@
 // pass sends a call on, or settles it here.
 func (h *House) pass(nr uint32) {
 	c := h.calls[nr]
+	c.doubt = c.doubt || c.sent != ""
 	if h.core != nil && h.core.p.Leading() {
 		c.next, c.sent = c.until, "here"
-		body, err := h.counted(c.kind, c.body)
-		if err != nil {
-			h.replied(nr, 400, []byte(err.Error()))
-			return
-		}
-		h.core.propose(c.kind, body, func(status int, body []byte) {
-			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
-		})
+		h.lead(nr, false)
 		return
 	}
 	to := h.leads()
@@ -79,6 +74,31 @@
 	h.wings.Send(to, &Frame{Call: &Call{Asker: h.life, Nr: nr, Kind: c.kind, Body: c.body, Hops: c.hops + 1}})
 }
 
+// lead puts a call into the log, whose verdict holds. What this door refuses before it refuses by its own state: only once a round
+// has told that it leads still, and that this state is as new as anything acknowledged.
+func (h *House) lead(nr uint32, confirmed bool) {
+	c := h.calls[nr]
+	if c == nil || c.sent != "here" {
+		return
+	}
+	switch body, err := h.counted(c.kind, c.body); {
+	case err == nil:
+		h.core.propose(c.kind, body, func(status int, body []byte) {
+			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
+		})
+	case confirmed:
+		h.replied(nr, 400, []byte(err.Error()))
+	default:
+		h.core.propose(Read, nil, func(status int, body []byte) {
+			if status != 200 {
+				h.replied(nr, status, body)
+				return
+			}
+			h.lead(nr, true)
+		})
+	}
+}
+
 // leads is the door to pass a call on to: the leader where it is known, else the door that this one follows.
 func (h *House) leads() string {
 	if h.core != nil {
@@ -130,12 +150,24 @@
 	if c == nil {
 		return
 	}
-	if status == 503 && string(body) != prompter.Unknown.String() && h.e.Now()+callAgain < c.until {
+	if status == 503 && h.e.Now()+callAgain < c.until {
 		c.sent, c.next = "", h.e.Now()+callAgain
 		h.e.At(c.next, (*callAlarm)(h), nr)
 		return
 	}
+	c.sent, c.doubt = "", c.doubt || status == stagedoor.Unclear
+	h.end(nr, status, body)
+}
+
+// end ends a call. A change that another door had before may have been taken there, whatever the last one knows of no leader.
+func (h *House) end(nr uint32, status int, body []byte) {
+	c := h.calls[nr]
 	delete(h.calls, nr)
+	if reads := c.kind == Read || c.kind == ReadRollouts; status/100 == 5 {
+		if status = 503; !reads && (c.doubt || c.sent != "") {
+			status = stagedoor.Unclear
+		}
+	}
 	c.then(status, body)
 }
 
@@ -149,8 +181,7 @@
 	switch now := h.e.Now(); {
 	case c == nil:
 	case now >= c.until:
-		delete(h.calls, nr)
-		c.then(503, []byte("no clear answer in time"))
+		h.end(nr, 503, []byte("no clear answer in time"))
 	case now < c.next:
 	case c.sent != "" && !h.leadsAnew(c.sent): // its answer is still to come
 		c.next = now + callAgain
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -6,19 +6,20 @@
 	"time"
 
 	"clovergap/internal/callboard"
+	"clovergap/internal/check"
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
 )
 
 const (
-	tailMost    = 512              // entries that a door with a disk keeps for those who follow
-	compactAt   = 64               // delivered entries after which the log is put into a snapshot
-	dismissFor  = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
-	admitEvery  = 300 * time.Millisecond
-	pendingMost = 256
-	noteEvery   = 500 * time.Millisecond
+	tailMost   = 512              // entries that a door with a disk keeps for those who follow
+	compactAt  = 64               // delivered entries after which the log is put into a snapshot
+	dismissFor = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
+	admitEvery = 300 * time.Millisecond
+	noteEvery  = 500 * time.Millisecond
 )
 
 // core is this door's part in the ordered log: none without a disk.
@@ -33,7 +34,7 @@
 	writing  bool
 	waits    map[uint64]waiting // by token
 	token    uint64
-	verdicts map[uint64]verdict // of the last entries applied, by index
+	last     verdict // of the last entry applied
 	lookedAt time.Duration
 	lost     map[prompter.MemberID]time.Duration // since when a member is not live
 	wake     uint32
@@ -42,11 +43,15 @@
 
 // waiting is a call that the log settles.
 type waiting struct {
-	kind script.Kind
-	then func(status int, body []byte)
+	kind  script.Kind
+	entry []byte // nil of a read
+	then  func(status int, body []byte)
 }
 
+// verdict is on an entry, and on no other that ever stood at its index.
 type verdict struct {
+	index   uint64
+	entry   []byte
 	verdict playbill.Verdict
 	err     error
 }
@@ -61,7 +66,7 @@
 		return err
 	}
 	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, disk: disk, waits: map[uint64]waiting{},
-		verdicts: map[uint64]verdict{}, lost: map[prompter.MemberID]time.Duration{}}
+		lost: map[prompter.MemberID]time.Duration{}}
 	c.p = prompter.New(c.me, kept, prompter.DefaultTerms(), h.seed, h.e.Now())
 	h.core = c
 	return nil
@@ -176,8 +181,7 @@
 		data = e.Data
 	}
 	v, err := c.h.apply(e.Index, data)
-	c.verdicts[e.Index] = verdict{v, err}
-	delete(c.verdicts, e.Index-pendingMost)
+	c.last = verdict{e.Index, data, v, err}
 	if e.Index%compactAt == 0 {
 		c.p.Compact(e.Index, c.h.script.Snapshot())
 	}
@@ -220,12 +224,14 @@
 func (c *core) propose(kind script.Kind, body []byte, then func(status int, body []byte)) {
 	c.token++
 	c.p.Now(c.h.e.Now())
-	c.waits[c.token] = waiting{kind, then}
 	if kind == Read || kind == ReadRollouts {
+		c.waits[c.token] = waiting{kind, nil, then}
 		c.p.Read(c.token)
 		return
 	}
-	c.p.Propose(c.token, script.Entry(kind, body))
+	entry := script.Entry(kind, body)
+	c.waits[c.token] = waiting{kind, entry, then}
+	c.p.Propose(c.token, entry)
 }
 
 // settle answers a call whose place in the log is known.
@@ -234,6 +240,8 @@
 	delete(c.waits, o.Token)
 	switch {
 	case !ok:
+	case o.Verdict == prompter.Unknown:
+		w.then(stagedoor.Unclear, []byte(o.Verdict.String()))
 	case o.Verdict != prompter.Done:
 		w.then(503, []byte(o.Verdict.String()))
 	case w.kind == Read:
@@ -241,9 +249,12 @@
 	case w.kind == ReadRollouts:
 		w.then(200, c.h.rolloutText())
 	default:
-		v := c.verdicts[o.Index]
-		status, text := answerOf(v.verdict, v.err)
-		w.then(status, text)
+		v := c.last
+		if v.index != o.Index || !bytes.Equal(v.entry, w.entry) {
+			check.That(false, "a proposal ends by its own entry")
+			v = verdict{verdict: playbill.Unclear}
+		}
+		w.then(answerOf(v.verdict, v.err))
 	}
 }
 
@@ -258,6 +269,8 @@
 		return 200, nil
 	case playbill.Conflict:
 		return 412, []byte(text)
+	case playbill.Unclear:
+		return stagedoor.Unclear, []byte(text)
 	}
 	return 400, []byte(text)
 }
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -93,7 +93,7 @@
 	delete(h.followers, to)
 	for _, nr := range slices.Sorted(maps.Keys(h.calls)) {
 		if c := h.calls[nr]; c.sent == to { // it may have been taken: the same again is answered as the first was
-			c.sent, c.next = "", h.e.Now()+callAgain
+			c.sent, c.doubt, c.next = "", true, h.e.Now()+callAgain
 			h.e.At(c.next, (*callAlarm)(h), nr)
 		}
 	}
--- a/internal/house/orders.go
+++ b/internal/house/orders.go
@@ -14,8 +14,8 @@
 	"clovergap/internal/understudy"
 )
 
-// Rollout brings an operator's order to whoever leads, as a change of the configuration goes. What is wrong in itself, or does
-// not fit what is known here, needs no leader.
+// Rollout brings an operator's order to whoever leads, as a change of the configuration goes. What is wrong in itself, or
+// is known here to have been taken, needs no leader; a dry run goes by what is known here alone.
 func (h *House) Rollout(e *understudy.Entry, dry bool, then func(status int, body []byte)) {
 	if e.At = time.Now().UnixMilli(); e.Mark == "" { // the same call may go out twice from here
 		e.Mark = fmt.Sprintf("%016x", rand.Uint64())
@@ -30,18 +30,19 @@
 		e.Room.New, e.Room.Busy = max(told.New, e.Room.New), cmp.Or(told.Busy, e.Room.Busy)
 	}
 	body := e.Word()
-	switch v, err := h.script.Decide(script.Rollout, body); {
-	case v == playbill.Already && !dry: // as far as is known here, which needs no leader
-		then(200, h.worded(script.Rollout, body, 200, nil))
-		return
-	case v == playbill.Invalid || dry && v != playbill.Taken:
-		then(answerOf(v, err))
-		return
-	}
 	if dry {
+		if v, err := h.script.Decide(script.Rollout, body); v != playbill.Taken {
+			then(answerOf(v, err))
+			return
+		}
 		then(200, text(h.wouldBe(e)))
 		return
 	}
+	if v, err, final := h.script.Final(script.Rollout, body); final {
+		status, answer := answerOf(v, err)
+		then(status, h.worded(script.Rollout, body, status, answer))
+		return
+	}
 	h.ask(script.Rollout, body, 0, then)
 }
 
--- a/internal/house/rollout.go
+++ b/internal/house/rollout.go
@@ -14,6 +14,7 @@
 	"clovergap/internal/callboard"
 	"clovergap/internal/company"
 	"clovergap/internal/gate"
+	"clovergap/internal/playbill"
 	"clovergap/internal/script"
 	"clovergap/internal/slots"
 	"clovergap/internal/stagedoor"
@@ -412,7 +413,7 @@
 }
 
 // counted is an operator's entry as whoever leads puts it into the log: with what the duty has counted until now. An order that
-// names what is not in the configuration is refused here, since another door may not know the newest.
+// would be taken, but names what is not in the configuration, is refused here, since another door may not know the newest.
 func (h *House) counted(k script.Kind, body []byte) ([]byte, error) {
 	if k != script.Rollout {
 		return body, nil
@@ -421,7 +422,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.Order != nil {
+	if e.Order != nil { // whoever took the call may know of fewer backends
+		here := h.roomOf(e.Order)
+		e.Room.Old, e.Room.New = max(e.Room.Old, here.Old), max(e.Room.New, here.New)
+	}
+	if v, _ := h.script.Rollouts.Decide(e); v == playbill.Taken && e.Order != nil {
 		if err := h.knows(e.Order); err != nil {
 			return nil, err
 		}
--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -30,17 +30,12 @@
 	return why
 }
 
-// Change brings a change to whoever leads. What is wrong in itself, or taken already as far as is known here, needs no leader.
+// Change brings a change to whoever leads, unless what is known here settles it for every later state: that it was taken, or that
+// it is wrong in itself. A door that is behind refuses nothing by its own state.
 func (h *House) Change(kind script.Kind, body []byte, then func(status int, body []byte)) {
-	switch v, err := h.script.Decide(kind, body); v {
-	case playbill.Already:
-		then(200, nil)
+	if v, err, final := h.script.Final(kind, body); final && (v != playbill.Invalid || h.stale() < knownStale) {
+		then(answerOf(v, err))
 		return
-	case playbill.Invalid:
-		if h.stale() < knownStale {
-			then(400, []byte(err.Error()))
-			return
-		}
 	}
 	h.ask(kind, body, 0, then)
 }
--- a/internal/playbill/register.go
+++ b/internal/playbill/register.go
@@ -1,15 +1,14 @@
 package playbill
 
 import (
-	"bytes"
 	"crypto/sha256"
-	"encoding/gob"
 	"encoding/json"
 	"slices"
 
 	"github.com/go-faster/errors"
 
 	"clovergap/internal/check"
+	"clovergap/internal/props"
 )
 
 // Kind tells the two calls that change the configuration.
@@ -30,28 +29,14 @@
 	Already                 // 200: these bytes were taken before
 	Conflict                // 412: another version is current
 	Invalid                 // 400
+	Unclear                 // 503: it may have been taken so long ago that this is forgotten
 )
 
 func (v Verdict) String() string {
-	return [...]string{"taken", "already", "conflict", "invalid"}[v]
+	return [...]string{"taken", "already", "conflict", "invalid", "unclear"}[v]
 }
 
-// mostTaken bounds how many versions back a call that is repeated is known again.
-const mostTaken = 256
-
-type digest [sha256.Size]byte
-
-func digestOf(k Kind, body []byte) digest {
-	h := sha256.New()
-	h.Write([]byte{byte(k)})
-	h.Write(body)
-	return digest(h.Sum(nil))
-}
-
-type taken struct {
-	Version uint64
-	Digest  digest
-}
+func digestOf(k Kind, body []byte) props.Digest { return props.DigestOf([]byte{byte(k)}, body) }
 
 // Register is the configuration in force, folded from the ordered log of calls: members that apply the same
 // calls in the same order come to the same. It is not safe for use by several at once.
@@ -59,22 +44,35 @@
 	version uint64
 	body    []byte
 	bill    *Bill
-	taken   []taken // oldest first, the last mostTaken
+	taken   *props.Window // by version
 
 	// The last call judged since the register changed: a door decides a call and then applies it.
-	judged  digest
+	judged  props.Digest
 	outcome *outcome
+
+	defect defect
 }
 
+// defect is one that tests put in, to see that they find it.
+type defect uint8
+
+const (
+	sound       defect = iota
+	noHorizon          // what is forgotten is judged as what never was
+	notKept            // a snapshot has no window
+	refuseStale        // a refusal by this state counts as one by every state
+)
+
 type outcome struct {
 	verdict Verdict
 	err     error
+	final   bool   // it will be so in every later state
 	body    []byte // these only where taken
 	bill    *Bill
 }
 
 // NewRegister returns a register in which no configuration is in force.
-func NewRegister() *Register { return &Register{} }
+func NewRegister() *Register { return &Register{taken: props.NewWindow(props.WindowBytes)} }
 
 // Decide tells what would become of a call now, and changes nothing. The error is nil where it would be
 // taken or was before, else a *Fault.
@@ -83,6 +81,13 @@
 	return o.verdict, o.err
 }
 
+// Final is as Decide, and tells besides whether the verdict is the same in every later state: a door that is behind may
+// answer by that, and by nothing else.
+func (r *Register) Final(k Kind, body []byte) (v Verdict, err error, final bool) {
+	o := r.judge(digestOf(k, body), k, body)
+	return o.verdict, o.err, o.final || r.defect == refuseStale && o.verdict != Taken
+}
+
 // Apply carries out a call, as Decide tells it. The body is copied.
 func (r *Register) Apply(k Kind, body []byte) (Verdict, error) {
 	d := digestOf(k, body)
@@ -92,15 +97,12 @@
 	}
 	check.That(o.bill.Generation > r.version, "versions of the configuration go up")
 	r.version, r.body, r.bill = o.bill.Generation, o.body, o.bill
-	if len(r.taken) == mostTaken {
-		r.taken = slices.Delete(r.taken, 0, 1)
-	}
-	r.taken = append(r.taken, taken{r.version, d})
+	r.taken.Add(r.version, d)
 	r.outcome = nil
 	return Taken, nil
 }
 
-func (r *Register) judge(d digest, k Kind, body []byte) *outcome {
+func (r *Register) judge(d props.Digest, k Kind, body []byte) *outcome {
 	if r.outcome == nil || r.judged != d {
 		o := r.weigh(d, k, body)
 		r.judged, r.outcome = d, &o
@@ -108,10 +110,19 @@
 	return r.outcome
 }
 
-func (r *Register) weigh(d digest, k Kind, body []byte) outcome {
+func (r *Register) weigh(d props.Digest, k Kind, body []byte) outcome {
 	// The digest covers the generation that the body names.
-	if slices.ContainsFunc(r.taken, func(t taken) bool { return t.Digest == d }) {
-		return outcome{verdict: Already}
+	if r.taken.Has(d) {
+		return outcome{verdict: Already, final: true}
+	}
+	// One at or below the horizon may have been taken and is not read any further: a later program may refuse more.
+	if horizon := r.taken.Horizon(); horizon > 0 && r.defect != noHorizon {
+		var of struct{ Generation uint64 }
+		if json.Unmarshal(body, &of); of.Generation > 0 && of.Generation <= horizon {
+			err := fault("generation", "is %d, and of %d and below it is not known any more what was taken: read what is in force",
+				of.Generation, horizon)
+			return outcome{verdict: Unclear, err: err, final: true}
+		}
 	}
 	var generation, parent uint64
 	var bill *Bill
@@ -132,18 +143,18 @@
 		err = fault("", "no such call")
 	}
 	if err != nil {
-		return outcome{verdict: Invalid, err: err}
+		return outcome{verdict: Invalid, err: err, final: true}
 	}
 	if parent != r.version {
 		err = fault("parent_version", "is %d, but %d is current", parent, r.version)
 		return outcome{verdict: Conflict, err: err}
 	}
 	if generation == 0 {
-		return outcome{verdict: Invalid, err: fault("generation", "missing")}
+		return outcome{verdict: Invalid, err: fault("generation", "missing"), final: true}
 	}
-	if generation <= r.version {
-		err = fault("generation", "is %d, not above %d", generation, r.version)
-		return outcome{verdict: Invalid, err: err}
+	if generation <= parent {
+		err = fault("generation", "is %d, not above %d", generation, parent)
+		return outcome{verdict: Invalid, err: err, final: true}
 	}
 	whole := slices.Clone(body)
 	if k == Amend {
@@ -157,7 +168,7 @@
 		check.That(bill.Generation == generation, "what results has the change's generation")
 	}
 	if err := inspect(bill); err != nil {
-		return outcome{verdict: Invalid, err: err}
+		return outcome{verdict: Invalid, err: err, final: k == Replace}
 	}
 	return outcome{verdict: Taken, body: whole, bill: bill}
 }
@@ -175,27 +186,50 @@
 
 // snapshot is the register's state as it is stored and sent.
 type snapshot struct {
-	Body  []byte
-	Taken []taken
+	Body   []byte
+	Taken  []taken // of programs before there was a window: the last 256
+	Window []byte
+}
+
+// taken is how such programs kept what was taken.
+type taken struct {
+	Version uint64
+	Digest  [sha256.Size]byte
 }
 
+const takenMost = 256
+
 // Snapshot gives the whole register as bytes, by gob. Equal registers give equal bytes within a program.
 func (r *Register) Snapshot() []byte {
-	var out bytes.Buffer
-	if err := gob.NewEncoder(&out).Encode(snapshot{r.body, r.taken}); err != nil {
-		check.That(false, "a register has a snapshot")
+	s := snapshot{Body: r.body, Window: r.taken.Bytes()}
+	if r.defect == notKept {
+		s.Window = nil
 	}
-	return out.Bytes()
+	return props.Pack(s)
 }
 
 // Restore makes the register of a snapshot. What was taken once is not judged again: a later program may
 // refuse more, but must not lose what is in force.
-func Restore(b []byte) (*Register, error) {
+func Restore(b []byte) (*Register, error) { return restore(b, props.WindowBytes) }
+
+func restore(b []byte, window int) (*Register, error) {
 	var s snapshot
-	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&s); err != nil {
-		return nil, errors.Wrap(err, "read snapshot of the configuration")
+	if err := props.Unpack(b, &s, "read snapshot of the configuration"); err != nil {
+		return nil, err
+	}
+	r := &Register{taken: props.NewWindow(window)}
+	if len(s.Taken) == takenMost {
+		r.taken.Forgets(s.Taken[0].Version - 1)
+	}
+	for _, t := range s.Taken {
+		r.taken.Add(t.Version, props.Digest(t.Digest[:len(props.Digest{})]))
+	}
+	if s.Window != nil {
+		var err error
+		if r.taken, err = props.ReadWindow(s.Window, window); err != nil {
+			return nil, errors.Wrap(err, "read snapshot of the configuration")
+		}
 	}
-	r := &Register{taken: s.Taken}
 	if len(s.Body) == 0 {
 		return r, nil
 	}
--- /dev/null
+++ b/internal/props/window.go
@@ -0,0 +1,116 @@
+package props
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/check"
+)
+
+// Digest stands for a request's bytes. 128 bits: that any two of 2^32 meet by chance takes 2^63 systems.
+type Digest [16]byte
+
+// DigestOf is that of some parts in their order; all but the last are of a fixed length.
+func DigestOf(parts ...[]byte) Digest {
+	h := sha256.New()
+	for _, p := range parts {
+		h.Write(p)
+	}
+	return Digest(h.Sum(nil)[:len(Digest{})])
+}
+
+// WindowBytes lets a Window know the last 4,400 requests at least, and 6,700 where their numbers follow one another.
+const WindowBytes = 112 << 10
+
+// Window is a deduplication window: which requests were carried out of late, so that one that is sent again is known. It is bounded
+// in the bytes that it takes when it is written; what it had to forget it says by a number: of a request at or below its
+// horizon that it does not know, nobody can tell whether it was carried out. Members that add the same come to the same.
+type Window struct {
+	most    int
+	size    int
+	done    []carried // oldest first; their numbers rise
+	known   map[Digest]struct{}
+	horizon uint64
+}
+
+type carried struct {
+	nr     uint64
+	digest Digest
+}
+
+// NewWindow is an empty one of so many bytes.
+func NewWindow(most int) *Window { return &Window{most: most, known: map[Digest]struct{}{}} }
+
+// Has tells whether a request was carried out and is not forgotten.
+func (w *Window) Has(d Digest) bool {
+	_, ok := w.known[d]
+	return ok
+}
+
+// Horizon is the highest number that may have been forgotten; 0 if none was.
+func (w *Window) Horizon() uint64 { return w.horizon }
+
+// newest is the number of the last one.
+func (w *Window) newest() uint64 {
+	if len(w.done) == 0 {
+		return w.horizon
+	}
+	return w.done[len(w.done)-1].nr
+}
+
+// Add notes that a request was carried out; its number is above all before it.
+func (w *Window) Add(nr uint64, d Digest) {
+	check.That(nr > w.newest(), "numbers of what was carried out rise")
+	w.size += sizeOf(nr - w.newest())
+	w.done, w.known[d] = append(w.done, carried{nr, d}), struct{}{}
+	for w.size > w.most {
+		w.forget()
+	}
+}
+
+// forget lets the oldest go.
+func (w *Window) forget() {
+	old := w.done[0]
+	w.size -= sizeOf(old.nr - w.horizon)
+	delete(w.known, old.digest)
+	w.done, w.horizon = w.done[1:], old.nr
+}
+
+// sizeOf is what one takes when written, by how far its number lies above the one before.
+func sizeOf(above uint64) int { return len(binary.AppendUvarint(nil, above)) + len(Digest{}) }
+
+// Bytes writes it.
+func (w *Window) Bytes() []byte {
+	before := w.horizon
+	b := binary.AppendUvarint(make([]byte, 0, w.size+binary.MaxVarintLen64), before)
+	for _, c := range w.done {
+		b = append(binary.AppendUvarint(b, c.nr-before), c.digest[:]...)
+		before = c.nr
+	}
+	return b
+}
+
+// ReadWindow reads what Bytes wrote.
+func ReadWindow(b []byte, most int) (*Window, error) {
+	w := NewWindow(most)
+	n := 0
+	if w.horizon, n = binary.Uvarint(b); n <= 0 {
+		return nil, errors.New("window: no horizon")
+	}
+	for b = b[n:]; len(b) > 0; b = b[n+len(Digest{}):] {
+		above, k := binary.Uvarint(b)
+		if n = k; k <= 0 || above == 0 || len(b) < k+len(Digest{}) {
+			return nil, errors.New("window: cut off, or numbers that don't rise")
+		}
+		w.Add(w.newest()+above, Digest(b[k:k+len(Digest{})]))
+	}
+	return w, nil
+}
+
+// Forgets says that a number and all below it may have been forgotten, as who took over from a program that did not say.
+func (w *Window) Forgets(nr uint64) {
+	check.That(len(w.done) == 0 && w.horizon == 0, "it is said at the start")
+	w.horizon = nr
+}
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -71,6 +71,27 @@
 	return s.Bills.Decide(kind, body)
 }
 
+// Final is as Decide, and tells besides whether the verdict is the same in every later state: what a door that is behind may
+// answer by.
+func (s *Script) Final(k Kind, body []byte) (v playbill.Verdict, err error, final bool) {
+	if kind, ok := billKind(k); ok {
+		return s.Bills.Final(kind, body)
+	}
+	if k != Rollout {
+		return playbill.Taken, nil, false
+	}
+	v, err = s.rollout(body, func(e *understudy.Entry) (playbill.Verdict, error) {
+		if s.Rollouts.Known(e.Mark) {
+			return playbill.Already, nil
+		}
+		if err := e.Inspect(); err != nil {
+			return playbill.Invalid, err
+		}
+		return playbill.Taken, nil
+	})
+	return v, err, v != playbill.Taken
+}
+
 // rollout reads an entry on roll-outs and hands it on.
 func (s *Script) rollout(body []byte, to func(*understudy.Entry) (playbill.Verdict, error)) (playbill.Verdict, error) {
 	e, err := understudy.ReadEntry(body)
--- a/internal/stagedoor/api.gen.go
+++ b/internal/stagedoor/api.gen.go
@@ -235,7 +235,7 @@
 	// Detail In words.
 	Detail string `json:"detail,omitempty"`
 
-	// Error The kind of error.
+	// Error The kind of error. unavailable - not taken at this try; unclear - a change that may have been taken or may still be.
 	Error string `json:"error"`
 
 	// Place Where in the body, as in vhosts[0].path_list[2].variant.
--- a/internal/stagedoor/stagedoor.go
+++ b/internal/stagedoor/stagedoor.go
@@ -21,7 +21,7 @@
 // House is what stands behind the calls. Every then is called once, in a turn, sooner or later.
 type House interface {
 	Ready() bool
-	// Change brings a change to whoever leads: 200 taken, 400 invalid, 412 another version is current, 503 not now.
+	// Change brings a change to whoever leads: 200 taken, 400 invalid, 412 another version is current, 503 not now, Unclear.
 	Change(kind script.Kind, body []byte, then func(status int, body []byte))
 	// Newest reads the newest configuration: 200 with it, 503 if it can't be told for sure now.
 	Newest(then func(status int, body []byte))
@@ -42,6 +42,9 @@
 	pathLeave     = "/api/Backends.Leave/"
 )
 
+// Unclear is the status, among doors and their parts, of a change that may have been taken or may still be. A caller gets 503.
+const Unclear = 504
+
 // longest id of a backend, in bytes.
 const longestID = 128
 
@@ -133,6 +136,9 @@
 		body, _ = json.Marshal(Refusal{Error: kindOf(status), Detail: string(body)})
 	}
 	after := time.Duration(0)
+	if status == Unclear {
+		status = 503
+	}
 	if status == 503 {
 		after = busyAdvice
 	}
@@ -150,6 +156,8 @@
 		return "conflict"
 	case 503:
 		return "unavailable"
+	case Unclear:
+		return "unclear"
 	}
 	return "failed"
 }
--- a/internal/understudy/state.go
+++ b/internal/understudy/state.go
@@ -90,13 +90,13 @@
 	runsMost    = 64 // services
 	endedMost   = 32 // earlier roll-outs, of all services
 	historyMost = 48 // lines of one
-	marksMost   = 256
 	textMost    = 512
 )
 
 // State is folded from the ordered log: all doors come to the same.
 type State struct {
 	kept
+	done *props.Window // marks, by the Rev that they made
 }
 
 type kept struct {
@@ -105,11 +105,15 @@
 	Last  Number
 	Rev   uint64
 	Fence uint64
-	Marks []string
+	Marks []string // of programs before there was a window: the last 256
+
+	Window []byte
 }
 
+const marksMost = 256
+
 // NewState is that before the first entry.
-func NewState() *State { return &State{} }
+func NewState() *State { return &State{done: props.NewWindow(props.WindowBytes)} }
 
 // Runs are the newest roll-outs of all services; not to be changed.
 func (s *State) Runs() []Run { return s.kept.Runs }
@@ -143,13 +147,57 @@
 	return e, props.Unpack(b, e, "entry of a roll-out")
 }
 
-// Decide tells what would become of an entry now, and changes nothing.
+// Inspect tells what is wrong with an entry by itself, whatever the state.
+func (e *Entry) Inspect() error {
+	if len(e.Service) > textMost || len(e.By) > textMost || len(e.Why) > textMost || len(e.Mark) > textMost {
+		return errors.Errorf("a text is longer than %d bytes", textMost)
+	}
+	if e.Verb == Start && (e.Order == nil || e.Order.Service != e.Service || e.Fence != 0) {
+		return errors.New("order: missing, or of another service")
+	}
+	switch e.Verb {
+	case Start:
+		o := *e.Order
+		return o.Check()
+	case Advance, Hold, PullBack, Finish:
+		return nil
+	}
+	return errors.Errorf("verb: no %q", e.Verb)
+}
+
+// Decide tells what would become of an entry now, and changes nothing. A call that lost its race may be one that won it, so
+// long ago that its mark is forgotten.
 func (s *State) Decide(e *Entry) (playbill.Verdict, error) {
-	if e.Mark != "" && slices.Contains(s.Marks, e.Mark) {
+	v, err := s.weigh(e)
+	if v == playbill.Conflict && s.forgot(e) {
+		return playbill.Unclear, errors.Wrap(err, "not known any more what was taken")
+	}
+	return v, err
+}
+
+// forgot tells whether a mark that is not known may be of a call that was taken. The service's rev stood where that call says.
+func (s *State) forgot(e *Entry) bool {
+	horizon := s.done.Horizon()
+	if e.Mark == "" || horizon == 0 || s.Run(e.Service) == nil {
+		return false
+	}
+	if e.Verb == Hold || e.Verb == PullBack { // they name no rev
+		return e.Number <= s.Last
+	}
+	return e.Rev < horizon
+}
+
+// Known tells whether the call of a mark was taken.
+func (s *State) Known(mark string) bool { return mark != "" && s.done.Has(markOf(mark)) }
+
+func markOf(mark string) props.Digest { return props.DigestOf([]byte(mark)) }
+
+func (s *State) weigh(e *Entry) (playbill.Verdict, error) {
+	if s.Known(e.Mark) {
 		return playbill.Already, nil
 	}
-	if len(e.Service) > textMost || len(e.By) > textMost || len(e.Why) > textMost || len(e.Mark) > textMost {
-		return playbill.Invalid, errors.Errorf("a text is longer than %d bytes", textMost)
+	if err := e.Inspect(); err != nil {
+		return playbill.Invalid, err
 	}
 	r := s.Run(e.Service)
 	if e.Verb == Start {
@@ -182,21 +230,13 @@
 		if r.Step < len(r.Order.Steps) || e.Fence != 0 {
 			return conflict("step: %d of %d is current, only an operator finishes the last", r.Step, len(r.Order.Steps))
 		}
-	case Hold, PullBack:
-	default:
-		return playbill.Invalid, errors.Errorf("verb: no %q", e.Verb)
 	}
 	return playbill.Taken, nil
 }
 
 func (s *State) start(e *Entry, r *Run) (playbill.Verdict, error) {
-	if e.Order == nil || e.Order.Service != e.Service || e.Fence != 0 {
-		return playbill.Invalid, errors.New("order: missing, or of another service")
-	}
 	o := *e.Order
-	if err := o.Check(); err != nil {
-		return playbill.Invalid, err
-	}
+	o.Check() // fills in what is left out
 	rev := uint64(0)
 	if r != nil {
 		rev = r.Rev
@@ -223,7 +263,7 @@
 	}
 	s.Rev++
 	if e.Mark != "" {
-		s.Marks = props.Keep(append(s.Marks, e.Mark), marksMost)
+		s.done.Add(s.Rev, markOf(e.Mark))
 	}
 	s.Fence = max(s.Fence, e.Fence)
 	i, had := s.find(e.Service)
@@ -261,7 +301,11 @@
 }
 
 // Snapshot is the whole state as bytes.
-func (s *State) Snapshot() []byte { return props.Pack(s.kept) }
+func (s *State) Snapshot() []byte {
+	k := s.kept
+	k.Window = s.done.Bytes()
+	return props.Pack(k)
+}
 
 // Restore reads one; nothing at all is the state before the first entry.
 func Restore(b []byte) (*State, error) {
@@ -269,5 +313,22 @@
 	if len(b) == 0 {
 		return s, nil
 	}
-	return s, props.Unpack(b, &s.kept, "snapshot of roll-outs")
+	if err := props.Unpack(b, &s.kept, "snapshot of roll-outs"); err != nil {
+		return s, err
+	}
+	marks, window := s.Marks, s.Window
+	s.Marks, s.Window = nil, nil
+	if window == nil { // each mark has made a rev of its own, at the latest the one that it is counted at here
+		before := s.Rev - uint64(len(marks))
+		if len(marks) == marksMost {
+			s.done.Forgets(before)
+		}
+		for i, m := range marks {
+			s.done.Add(before+1+uint64(i), markOf(m))
+		}
+		return s, nil
+	}
+	var err error
+	s.done, err = props.ReadWindow(window, props.WindowBytes)
+	return s, err
 }
--- a/internal/understudy/state_test.go
+++ b/internal/understudy/state_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"clovergap/internal/playbill"
+	"clovergap/internal/props"
 )
 
 func order(shares ...int) *Rollout {
@@ -250,3 +251,47 @@
 	}
 	return nil
 }
+
+// Marks of calls that were taken are known again, also by who starts from an older program's snapshot; once they are forgotten,
+// nobody is told that his call lost a race.
+func TestMarksAreForgottenByNumber(t *testing.T) {
+	t.Parallel()
+	for _, old := range []bool{false, true} {
+		s := NewState()
+		s.Apply(startEntry(order(100), 0, "first"))
+		hold := func(i int) *Entry {
+			return &Entry{Verb: Hold, Service: "libro", Number: 1, Mark: fmt.Sprint("m", i)}
+		}
+		for i := range 300 {
+			s.Apply(hold(i))
+		}
+		if old {
+			k := s.kept
+			for i := 300 - marksMost; i < 300; i++ {
+				k.Marks = append(k.Marks, hold(i).Mark)
+			}
+			var err error
+			s, err = Restore(props.Pack(k))
+			must.NoError(t, err)
+		} else {
+			s.done, _ = props.ReadWindow(s.done.Bytes(), 18*marksMost)
+		}
+		for range 2 {
+			for i := 300 - 200; i < 300; i++ {
+				v, _ := s.Decide(hold(i))
+				must.Eq(t, playbill.Already, v)
+			}
+			v, err := s.Decide(startEntry(order(100), 0, "first"))
+			must.Eq(t, playbill.Unclear, v)
+			must.Error(t, err)
+			v, _ = s.Decide(startEntry(order(100), s.Run("libro").Rev, "second")) // its rev stands: it never was
+			must.Eq(t, playbill.Conflict, v)
+			other := order(100)
+			other.Service = "other"
+			v, _ = s.Decide(startEntry(other, 0, "third"))
+			must.Eq(t, playbill.Taken, v)
+			s, err = Restore(s.Snapshot())
+			must.NoError(t, err)
+		}
+	}
+}
