--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -31,9 +31,13 @@
 	nextID MemberID
 	done   int
 	calm   bool
+	floor  int           // fewer members than these are too few
 	sync   time.Duration // of any disk, on top
 	fault  fault
 	wrong  string
+
+	acks []ack                    // by time
+	led  map[uint64]time.Duration // since when a view was led
 }
 
 type door struct {
@@ -45,6 +49,8 @@
 	index   uint64
 	state   string
 	written time.Duration // the last write is synced then
+	stands  time.Duration // the process stands still until then
+	leaving bool
 }
 
 type event struct {
@@ -86,13 +92,15 @@
 // on does something with a door, if it has not ended since.
 func (w *walk) on(i int, do func(*door)) func() {
 	life := w.doors[i].life
-	return func() {
-		if d := w.doors[i]; d.life == life && d.p != nil {
+	var act func()
+	act = func() {
+		if d := w.doors[i]; d.life == life && d.p != nil && !w.waits(d, act) {
 			d.p.Now(w.now)
 			do(d)
 			w.pull(i)
 		}
 	}
+	return act
 }
 
 func (w *walk) pull(i int) {
@@ -123,6 +131,7 @@
 				w.fail("a read told %d, acknowledged was %d", a.Index, since)
 			case !read:
 				w.acked = max(w.acked, a.Index)
+				w.acks = append(w.acks, ack{w.now, a.Index})
 				w.done++
 			}
 			w.ended[a.Token] = true
@@ -135,6 +144,7 @@
 	if d.p.role == leading && d.index < w.acked && d.p.last() < w.acked {
 		w.old(i)
 	}
+	w.judgeContact(i)
 }
 
 // old: a leader that lacks what was acknowledged must be one of an old view.
@@ -180,15 +190,17 @@
 				late += w.ms(1500)
 			}
 			life := d.life
-			w.at(late, func() {
+			var act func()
+			act = func() {
 				if d.life == life || !w.calm { // a late one may reach who moved in since
-					if d.p != nil {
+					if d.p != nil && !w.waits(d, act) {
 						d.p.Now(w.now)
 						d.p.Heard(id, s.Message)
 						w.pull(i)
 					}
 				}
-			})
+			}
+			w.at(late, act)
 		}
 	}
 }
@@ -220,18 +232,6 @@
 	return true
 }
 
-// hosts do what hosts do: doors that are no members ask to be admitted.
-func (w *walk) hosts() {
-	if l := w.leader(); l >= 0 {
-		for i, d := range w.doors {
-			if d.p != nil && !w.doors[l].p.member(d.disk.Me) && (w.calm || w.rng.Intn(4) > 0) {
-				w.on(l, func(o *door) { o.p.Admit(Member{d.disk.Me, fmt.Sprint("door", i)}, 0) })()
-			}
-		}
-	}
-	w.at(w.ms(400), w.hosts)
-}
-
 func (w *walk) preVote() {
 	for range w.rng.Intn(3) {
 		w.token++
@@ -325,14 +325,17 @@
 }
 
 // found sets up doors, three of which found.
-func found(t *testing.T, doors int, seed int64, f fault) *walk {
+func found(t *testing.T, doors int, seed int64, f fault) *walk { return foundBy(t, doors, 3, seed, f) }
+
+func foundBy(t *testing.T, doors, founders int, seed int64, f fault) *walk {
 	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
+	w.led = map[uint64]time.Duration{}
 	w.cut, w.reads, w.ended = map[[2]int]bool{}, map[uint64]uint64{}, map[uint64]bool{}
 	var list []Member
 	for i := range doors {
 		w.doors = append(w.doors, &door{})
 		w.empty(i)
-		if i < 3 {
+		if i < founders {
 			list = append(list, w.doors[i].p.me)
 		}
 	}
@@ -344,7 +347,7 @@
 
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
-	w.hosts()
+	w.tends(1)
 	w.preVote()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
