--- a/cmd/lab/rehearse.go
+++ b/cmd/lab/rehearse.go
@@ -34,6 +34,7 @@
 	replay       uint64
 	log, shrink  bool
 	changes      bool
+	hard         bool
 	firstBroken  bool
 	days, broken int
 	simulated    time.Duration
@@ -86,6 +87,8 @@
 	f.IntVar(&k.most, "faults", 6, "faults of a day at most")
 	f.DurationVar(&k.dur, "for", 12*time.Second, "how long faults are brought; a day goes on until all has recovered")
 	f.IntVar(&k.jobs, "jobs", max(1, runtime.NumCPU()/2), "days side by side")
+	f.BoolVar(&k.hard, "hard", false, "days of another draw: machines with a disk replaced, cuts of 20 s, late copies of orders and replies,\n"+
+		"restarts within a call, orders sent again long after")
 	f.BoolVar(&k.firstBroken, "first-broken", false, "end when a rule is broken")
 	f.Uint64Var(&k.replay, "replay", 0, "play one seed's day again")
 	f.BoolVar(&k.log, "log", false, "with --replay, write the doors' log to standard error")
@@ -97,6 +100,9 @@
 }
 
 func (k *rehearse) day(seed uint64) *rehearsal.Day {
+	if k.hard {
+		return rehearsal.DrawHard(k.site, seed, k.most, k.dur)
+	}
 	return rehearsal.Draw(k.site, seed, k.most, k.dur)
 }
 
--- a/internal/rehearsal/clients.go
+++ b/internal/rehearsal/clients.go
@@ -61,9 +61,10 @@
 
 // watch asks every door each second whether it is ready, as the platform does.
 func (c *clients) watch() {
-	for i, m := range c.w.machines {
+	for i := range c.w.machines {
 		c.w.after(span(c.rng, 0, time.Second), func() {
 			c.w.every(time.Second, func() bool {
+				m := c.w.machines[i] // another by now, if it was replaced
 				if c.missed[i]++; m.runs() && m.p.h.Ready() {
 					c.missed[i], c.heard[i] = 0, true
 				}
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -133,6 +133,7 @@
 		r.Syncs += m.disk.syncs
 	}
 	r.Broken = append(r.Broken, extras.Kept(final, cast.Versions, w.now)...)
+	r.Broken = append(r.Broken, w.broken...)
 	r.Broken = append(r.Broken, extras.Judge(w.history, cast, slack)...)
 	slices.SortStableFunc(r.Broken, func(a, b history.Broken) int {
 		return cmp.Or(cmp.Compare(a.T, b.T), strings.Compare(a.Rule, b.Rule), strings.Compare(a.What, b.What))
@@ -141,8 +142,8 @@
 
 func (w *world) cast() *extras.Cast {
 	c := &extras.Cast{Doors: map[string]string{}, Services: w.stage.services, Versions: map[uint64]extras.Version{}}
-	for _, m := range w.machines {
-		c.Doors[m.control] = m.name
+	for at, m := range w.byCall { // those that were replaced too
+		c.Doors[at] = m.name
 	}
 	for _, m := range w.cores() {
 		c.Cores = append(c.Cores, m.name)
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -62,7 +62,7 @@
 func Kinds() []string { return slices.Compact(slices.Sorted(slices.Values(kinds))) }
 
 // moments that faults wait for, by the first word of their kind.
-var moments = map[string]moment{"ack": acked, "sync": writes, "view": asks}
+var moments = map[string]moment{"ack": acked, "sync": writes, "view": asks, "call": passes}
 
 // play brings a fault and heals it.
 func (w *world) play(f *spec.Fault) {
@@ -109,6 +109,10 @@
 	if (f.Kind == "drain-kill" || f.Kind == "drain-cut") && w.teller != nil {
 		hit = []*machine{w.teller}
 	}
+	if strings.HasPrefix(f.Kind, "call-") && w.passer != nil {
+		w.restarts(f, w.passer, 1+int(4*f.By))
+		return
+	}
 	w.say("fault %s for %s, share %.2f", f.Kind, f.For.D(), f.Share)
 	// lasts brings something that ends after the fault's time; on machines it counts as trouble.
 	lasts := func(machines []*machine, on, off func()) {
@@ -153,7 +157,25 @@
 			power = f.By < 0.5
 		}
 		lasts(nil, each(hit, func(m *machine) { m.kill(power) }), each(hit, (*machine).start))
+	case "replace":
+		w.turn(func() {
+			for i, m := range hit { // by its place: it may have been replaced meanwhile
+				hit[i] = w.machines[m.nr].replace()
+			}
+			lasts(nil, func() {}, each(hit, (*machine).start))
+		})
 	case "wipe":
+		if w.day.Hard {
+			w.turn(func() {
+				for i, m := range hit {
+					hit[i] = w.machines[m.nr]
+					hit[i].kill(f.By < 0.5)
+					hit[i].loses()
+				}
+				lasts(nil, func() {}, each(hit, (*machine).start))
+			})
+			break
+		}
 		lasts(nil, each(hit, func(m *machine) {
 			m.kill(f.By < 0.5)
 			m.loses()
@@ -183,6 +205,8 @@
 		}
 		lasts(w.machines, func() { w.cuts = append(w.cuts, c) },
 			func() { w.cuts = slices.DeleteFunc(w.cuts, func(x *cut) bool { return x == c }) })
+	case "copies":
+		lasts(nil, func() { w.copies++ }, func() { w.copies-- })
 	case "loss":
 		x := 0.02 + 0.3*f.By
 		lasts(w.machines, func() { w.losses = append(w.losses, x) },
--- /dev/null
+++ b/internal/rehearsal/hard.go
@@ -0,0 +1,199 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+	"clovergap/internal/house"
+	"clovergap/internal/spec"
+)
+
+// hardKinds stand beside the others on hard days: a machine with a disk is replaced by a new one, with a new address and an empty
+// disk; the core is cut for 20 s; old copies of orders and of their replies come late, to whatever process is there by then; a
+// door is killed while an order that it passed on is under way, and is back before its time is up.
+var hardKinds = append([]string{"core-replace", "core-replace", "ack-replace", "sync-replace", "long-cut", "long-cut", "copies", "copies",
+	"copies", "call-kill", "call-kill", "call-kill", "call-power", "disk-wipe", "disk-slow"}, kinds...)
+
+const (
+	longCut   = 20 * time.Second
+	turnMost  = 40 * time.Second // that a loss of a disk waits for its turn
+	copiesMax = 6 * time.Second  // late
+	standsFor = 850 * time.Millisecond
+)
+
+// DrawHard draws the faults of a hard day, from all kinds: disks are lost one after the other, as soon as the last one counts as
+// caught up, and the operator sends again what was taken long ago. Draw's days stay what they are.
+func DrawHard(site Site, seed uint64, most int, dur time.Duration) *Day {
+	rng := source(seed, 0x4a4d)
+	d := Draw(site, seed, most, dur)
+	d.Hard, d.Faults = true, nil
+	seconds := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
+	for range 2 + rng.IntN(max(1, most)) {
+		f := spec.Fault{Kind: hardKinds[rng.IntN(len(hardKinds))], At: spec.Span(rng.Float64() * 0.9 * float64(dur)), Pick: rng.Uint64()>>1 | 1,
+			Share: []float64{0.1, 0.1, 0.3, 0.6, 1}[rng.IntN(5)], For: seconds(0.05, 4), By: rng.Float64(),
+			Way: []string{"both", "both", "in", "out"}[rng.IntN(4)]}
+		switch _, what, _ := strings.Cut(f.Kind, "-"); {
+		case what == "wipe" || what == "replace":
+			if f.Share = 0.01; d.Tolerates() == 0 || d.Early { // a core founded by too few has none to lose: see docs/rehearsal.md
+				f.Kind = "core-kill"
+			}
+		case f.Kind == "long-cut":
+			f.For, f.Share = spec.Span(longCut), 0.1
+		case strings.HasPrefix(f.Kind, "call-"):
+			f.For = seconds(0.02, 0.8)
+		case f.Kind == "copies":
+			f.For = seconds(2, 10)
+		case what == "stall" || what == "term" || strings.HasPrefix(f.Kind, "disk-") || f.Kind == "drain" || f.Kind == "crash":
+			f.Share = min(f.Share, 0.6)
+		case f.Kind == "failing":
+			f.For = seconds(1, 8)
+		}
+		d.Faults = append(d.Faults, f)
+	}
+	return d
+}
+
+// turn calls once so few machines with a disk are lost that another may be: what is in trouble, down or not back for as long as it
+// takes to catch up counts. After a while the loss is left out.
+func (w *world) turn(do func()) {
+	until := w.now + turnMost
+	w.every(lookEach, func() bool {
+		lost := 0
+		for _, m := range w.cores() {
+			if m.trouble > 0 || m.p == nil || w.now-m.eased < extras.Bounds().CatchUp || w.now-m.p.born < extras.Bounds().CatchUp {
+				lost++
+			}
+		}
+		switch {
+		case lost < w.day.Tolerates():
+			do()
+		case w.now >= until:
+			w.say("no turn comes for another loss")
+			w.faults--
+		default:
+			return true
+		}
+		return false
+	})
+}
+
+// replace puts a new machine in the place of one, under its name in the history: it has a new address, an empty disk and, when it
+// starts, seeds from the list as it is by then. The old one never comes back.
+func (m *machine) replace() *machine {
+	w := m.w
+	m.kill(true)
+	w.replaced++
+	n := &machine{w: w, nr: m.nr, name: m.name, zone: m.zone, life: m.life, trouble: m.trouble, eased: m.eased, disk: newPlatter(w),
+		ip: fmt.Sprintf("10.%d.%d.%d", m.nr%w.day.Zones, 100+w.replaced/200, w.replaced%200+1)}
+	n.inner, n.control = net.JoinHostPort(n.ip, strconv.Itoa(innerPort)), net.JoinHostPort(n.ip, strconv.Itoa(controlPort))
+	sheet := *m.sheet
+	sheet.NodeName, sheet.IP, sheet.Bind.Control = fmt.Sprintf("%s-%d", m.name, w.replaced), n.ip, n.control
+	n.sheet, m.heir = &sheet, n
+	w.machines[m.nr] = n
+	w.byInner[n.inner], w.byCall[n.control] = n, n
+	w.say("%s is replaced, at %s", m.name, n.ip)
+	n.loses()
+	return n
+}
+
+// seeds are the control addresses that a file names which is written now.
+func (w *world) seeds() (all []string) {
+	for _, m := range w.cores()[:min(3, w.day.Disks)] {
+		all = append(all, m.control)
+	}
+	return all
+}
+
+// restarts kills a door that has passed on a call and starts it again within the call's time, some times, each at the first call
+// of the next life: numbers of calls begin anew in each. Mostly whoever has the call stands still meanwhile, so that its reply
+// is sent to the new life.
+func (w *world) restarts(f *spec.Fault, m *machine, left int) {
+	m = w.machines[m.nr]
+	if left == 0 {
+		w.faults--
+		return
+	}
+	w.say("fault %s for %s, %d left", f.Kind, f.For.D(), left)
+	m.harm(true)
+	if has := w.passedTo; f.By > 0.25 && has != m {
+		has.harm(true)
+		has.hold(true)
+		w.after(standsFor, func() {
+			has.hold(false)
+			has.harm(false)
+		})
+	}
+	w.after(time.Millisecond, func() { m.kill(f.Kind == "call-power") }) // what it has sent is out
+	w.after(time.Millisecond+f.For.D(), func() {
+		w.machines[m.nr].start()
+		m.harm(false)
+		until := w.now + 2*time.Second
+		var next func()
+		next = func() {
+			if w.passer == w.machines[m.nr] || w.now >= until {
+				w.restarts(f, m, left-1)
+				return
+			}
+			w.next(passes, time.Second, next)
+		}
+		w.next(passes, time.Second, next)
+	})
+}
+
+// copied lets a passed-on call or its reply come once more, seconds late, to whatever process stands at the address by then.
+func (w *world) copied(p *process, to *machine, f *house.Frame) {
+	if f.Call == nil && f.Reply == nil || w.net.Float64() < 0.5 {
+		return
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(f); err != nil {
+		panic(err)
+	}
+	from := p.m
+	w.after(span(w.net, 20*time.Millisecond, copiesMax), func() {
+		if to.p == nil || w.parts(from, to) {
+			return
+		}
+		q, f := to.p, new(house.Frame)
+		if err := gob.NewDecoder(&b).Decode(f); err != nil {
+			panic(err)
+		}
+		q.turn(func() { q.h.Heard(from.inner, f) })
+	})
+}
+
+// order is an acknowledged change, as it was sent.
+type order struct {
+	gen  uint64
+	path string
+	body []byte
+}
+
+// again sends a change that was taken once more, however long ago, to any door: it is acknowledged, or left unclear.
+func (o *operator) again() {
+	w := o.w
+	w.every(400*time.Millisecond, func() bool {
+		if !o.goes || len(o.taken) == 0 {
+			return true
+		}
+		x := o.taken[o.rng.IntN(len(o.taken))]
+		if o.rng.IntN(2) == 0 {
+			x = o.taken[len(o.taken)-1]
+		}
+		m := w.machines[o.rng.IntN(len(w.machines))]
+		o.call(m, x.path, x.body, func(status int, text []byte) {
+			if status/100 == 4 && status != 408 && status != 429 {
+				w.broken = append(w.broken, history.Broken{Rule: "AGAIN", T: w.now, Who: m.name,
+					What: fmt.Sprintf("%d was acknowledged, and sent again is answered %d %s", x.gen, status, text)})
+			}
+		})
+		return true
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/hard_test.go
@@ -0,0 +1,80 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/spec"
+)
+
+// Hard days are days as well: the same seed gives the same bytes.
+func TestHardDaysAreDeterministic(t *testing.T) {
+	for seed := range uint64(3) {
+		day := func() string { return Play(DrawHard(Site{Doors: 5, Disks: 3}, seed+1, 5, 6*time.Second)).Digest }
+		must.Eq(t, day(), day())
+	}
+}
+
+// A machine with a disk is replaced by a new one: another address, an empty disk, the old one gone for good. The core gives it the
+// state, and nothing is owed that isn't given.
+func TestReplacedMachine(t *testing.T) {
+	w := newWorld(&Day{Site: Site{Doors: 5, Disks: 3}.Usual(), Seed: 4, For: time.Second, Hard: true})
+	for _, m := range w.machines {
+		m.start()
+	}
+	opened := false
+	w.operator.open(func() { opened = true })
+	must.True(t, w.until(w.now+openIn, func() bool { return opened }))
+	old := w.machines[1]
+	n := old.replace()
+	n.start()
+	old.start() // a fault that was under way on it ends: nothing comes of it
+	must.Nil(t, old.p)
+	must.NotEq(t, old.control, n.control)
+	must.False(t, n.sheet.FirstBoot)
+	must.True(t, w.until(w.now+extras.Bounds().CatchUp, func() bool { return n.disk.kept.Delivered > 0 }))
+	for seed := range uint64(4) {
+		d := &Day{Site: Site{Doors: 5, Disks: 3}, Seed: 20 + seed, For: 8 * time.Second, Hard: true, Faults: []spec.Fault{
+			{Kind: "core-replace", At: spec.Span(2 * time.Second), For: spec.Span(time.Second), Share: 0.01, Pick: 3 + seed}}}
+		must.SliceEmpty(t, Play(d).Broken)
+	}
+}
+
+// A door passes on an order, is killed, and is back before the order's time is up, while whoever has the order stands still; old
+// copies of orders and replies come as well. When replies were known by their numbers alone, which begin anew in each life, the
+// reply to the former life's order was taken for one to the new life's: an order that never left was acknowledged, and 19 of
+// 150 such days broke CONFIG, these among them.
+func TestRestartWithinACall(t *testing.T) {
+	for _, seed := range []uint64{89, 107, 112, 113, 117} {
+		d := &Day{Site: Site{Doors: 5, Disks: 3}, Seed: seed, For: 10 * time.Second, Hard: true, Faults: []spec.Fault{
+			{Kind: "copies", For: spec.Span(10 * time.Second), Pick: 1},
+			{Kind: "call-kill", At: spec.Span(time.Second), For: spec.Span(time.Duration(seed%7+1) * 50 * time.Millisecond), Pick: 1, By: 0.9},
+			{Kind: "call-kill", At: spec.Span(5 * time.Second), For: spec.Span(time.Duration(seed%5+1) * 30 * time.Millisecond), Pick: 1, By: 0.9},
+			{Kind: "disk-slow", At: spec.Span(time.Second), For: spec.Span(8 * time.Second), Share: 1, By: 0.4, Pick: 3}}}
+		for _, b := range Play(d).Broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+}
+
+// An order that the operator holds for taken, and that is refused when it comes again, is told by name.
+func TestAgainIsJudged(t *testing.T) {
+	w := newWorld(&Day{Site: Site{Doors: 3, Disks: 3}.Usual(), Seed: 1, For: time.Second, Hard: true})
+	for _, m := range w.machines {
+		m.start()
+	}
+	opened := false
+	w.operator.open(func() { opened = true })
+	must.True(t, w.until(w.now+openIn, func() bool { return opened }))
+	never := extras.First()
+	never.Generation = 1000
+	text, err := json.Marshal(never)
+	must.NoError(t, err)
+	w.operator.taken = []order{{1000, extras.ReplacePath, text}}
+	must.True(t, w.until(w.now+10*time.Second, func() bool { return len(w.broken) > 0 }))
+	must.Eq(t, "AGAIN", w.broken[0].Rule)
+}
--- a/internal/rehearsal/machine.go
+++ b/internal/rehearsal/machine.go
@@ -32,6 +32,8 @@
 	trouble, stands int // faults under way on it; that hold its process
 	sent            Traffic
 	serves          time.Duration // since when, in a recovery
+	eased           time.Duration // when its last trouble ended
+	heir            *machine      // what stands in its place
 }
 
 // before is what a door's clock shows at its start, as on real machines.
@@ -62,7 +64,7 @@
 
 // start begins a life.
 func (m *machine) start() {
-	if m.p != nil {
+	if m.p != nil || m.heir != nil {
 		return
 	}
 	w := m.w
@@ -72,7 +74,9 @@
 	p := &process{m: m, w: w, born: w.now, seed: int64(r.Uint64() >> 1), id: r.Uint64(), count: &counters.Set{}, settled: func() {},
 		links: map[string]*wing{}, from: map[string]*conn{}, lives: map[string]uint64{}}
 	m.p = p
-	m.sheet.FirstBoot = m.life == 1
+	if m.sheet.FirstBoot = m.life == 1; w.replaced > 0 {
+		m.sheet.SeedAddrs = w.seeds()
+	}
 	h, err := house.Over(m.sheet, p, w.logger(m.name))
 	if err != nil {
 		panic(err)
@@ -180,12 +184,15 @@
 // harm marks that a fault on a machine or its links begins or ends.
 func (m *machine) harm(on bool) {
 	switch {
+	case m.heir != nil:
+		m.heir.harm(on)
 	case on:
 		if m.trouble++; m.trouble == 1 {
 			m.w.note(history.Event{Who: m.name, Kind: extras.Troubled})
 		}
 	default:
 		if m.trouble--; m.trouble == 0 {
+			m.eased = m.w.now
 			m.w.note(history.Event{Who: m.name, Kind: extras.Eased})
 		}
 	}
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -138,6 +138,10 @@
 	if f.Core != nil && f.Core.Message.Kind == prompter.PreVote {
 		p.w.happens(asks)
 	}
+	if f.Call != nil {
+		p.w.passer, p.w.passedTo = p.m, v.to
+		p.w.happens(passes)
+	}
 	if v.c != nil { // else it waits for a link, and is dropped when that is up
 		v.c.send(f)
 	}
@@ -214,6 +218,9 @@
 		panic(err)
 	}
 	b := bytes.Clone(c.out.Bytes())
+	if p.w.copies > 0 {
+		p.w.copied(p, c.v.to, f)
+	}
 	at := p.m.leaves(f.Kind(), len(b)+frameHead)
 	if c.parted() {
 		c.watch()
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -22,6 +22,7 @@
 	unsure   bool
 	goes     bool
 	busy     bool
+	taken    []order
 }
 
 func newOperator(w *world) *operator {
@@ -105,6 +106,7 @@
 		case clear && status == 200:
 			v.Acked = w.now
 			o.known = max(o.known, gen)
+			o.taken = append(o.taken, order{gen, c.Path, text})
 			note(extras.Taken, "")
 			w.happens(acked)
 		case clear:
@@ -128,6 +130,9 @@
 		}
 		o.goes = true
 		o.audit()
+		if o.w.day.Hard {
+			o.again()
+		}
 		then()
 		o.pause()
 	})
@@ -150,6 +155,10 @@
 	if status != 200 || json.Unmarshal(text, b) != nil {
 		return nil
 	}
+	if v := o.versions[b.Generation]; v != nil && !extras.Same(v.Bill, b) {
+		o.w.broken = append(o.w.broken, history.Broken{Rule: "CONFIG", T: o.w.now,
+			What: fmt.Sprintf("%d was read back otherwise than it was sent", b.Generation)})
+	}
 	o.w.note(history.Event{Who: "operator", Kind: extras.ReadBack, N: float64(b.Generation), Due: began})
 	return b
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -77,6 +77,7 @@
 	Wipe    bool // and one disk is lost by it
 	Calm    bool // nothing but its time is played: no recovery is waited for
 	Changes bool // while the operator goes on, in a calm day
+	Hard    bool // disks wait their turn to be lost, and the operator sends again what was taken long ago: see DrawHard
 	Log     io.Writer
 }
 
@@ -105,6 +106,11 @@
 	over     bool
 	sum      uint64 // of what travelled
 	counted  time.Duration
+	copies   int      // faults under way that let frames come twice
+	replaced int      // machines
+	passer   *machine // who last passed on a call, and to whom
+	passedTo *machine
+	broken   []history.Broken // seen while the day went on
 }
 
 // moment is something that faults wait for.
@@ -115,6 +121,7 @@
 	drained moment = "a drain was acknowledged"
 	asks    moment = "a member asks for another view"
 	writes  moment = "a disk has begun to write"
+	passes  moment = "a door passes on a call"
 )
 
 // happens calls those who wait for a moment.
