--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -158,9 +158,13 @@
 	Index, At uint64
 	Delivered uint64
 	Round     uint64
+	Elsewhere uint64 // of a heartbeat: see Elsewhere
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
+
+	Clock, Echo uint64        // of Append, Ack and Reject: the sender's, and the newest heard from the other in this view
+	Contact     time.Duration // of Append: how old its majority's contact is; below nought while there was none
 }
 
 // Action is what the host is to do: Send, Write, Commit, Restore, Outcome or Wake.
@@ -298,6 +302,11 @@
 	matched     uint64        // the log is as the leader's up to here
 	round       uint64        // heard from the leader; or as leader, begun
 	roundSaid   uint64
+	elsewhere   uint64
+
+	clocks      uint64 // where those of this life begin
+	known       known
+	leaderClock uint64 // the newest heard in this view
 
 	seen        uint64              // the newest view anyone spoke of
 	try         uint64              // number of an asking
@@ -308,7 +317,10 @@
 
 	peers       map[MemberID]*progress // by the leader
 	learner     MemberID
-	learns      config // its members are the list once the learner has caught up
+	learns      config // its members are the list once the learner has caught up; none: it is held back
+	learnAt     time.Duration
+	lost        map[MemberID]time.Duration // since when the host does not reach a member
+	gaveUp      MemberID                   // the last learner that was
 	noOp        uint64
 	tokens      map[uint64]uint64 // by index
 	reads       []read
@@ -327,6 +339,8 @@
 	heard       time.Duration
 	snapAt      time.Duration
 	againAt     time.Duration
+	clock       uint64        // its newest
+	contact     time.Duration // it followed this view when this one's clock was so
 }
 
 type read struct{ token, round uint64 }
@@ -338,7 +352,8 @@
 	check.That(me.ID != 0 && me.ID == k.Me, "a disk keeps its member's id")
 	p := &Prompter{me: me, terms: terms, now: now, seed: uint64(seed) ^ uint64(me.ID), house: k.House,
 		promise: k.Promise, promisedTo: k.For, snap: k.Snap, nr: 1, heardAt: now - terms.Patience, due: never, seen: k.Promise,
-		tokens: map[uint64]uint64{}}
+		tokens: map[uint64]uint64{}, lost: map[MemberID]time.Duration{}, known: known{at: noWord}}
+	p.clocks = (p.seed * 0x9e3779b97f4a7c15) >> 1
 	p.configs = []config{{k.Snap.Index, k.Snap.Members}}
 	for _, e := range k.Entries {
 		p.appendEntry(e)
@@ -363,13 +378,14 @@
 			p.stepDown()
 			return
 		}
-		if l := p.peers[p.learner]; l != nil && p.now-l.heard > p.terms.Learn {
+		if l := p.peers[p.learner]; l != nil && p.now-l.heard > p.terms.Learn && p.fault != keepDead {
 			p.dropLearner()
 		}
 		if p.now >= p.beatAt {
 			p.newRound()
 			p.heartbeat()
 		}
+		p.majorityContact()
 	case p.now >= p.due:
 		p.preVote()
 	}
@@ -450,44 +466,6 @@
 	p.out = append(p.out, o)
 }
 
-// Admit lets the leader give its state to a new member and, once that has it on disk, make it one: in the
-// place of the member replaces, or of the one at the same address, or on top (replaces 0). One at a time;
-// it is to be called again until Members has it. False: not the leader, or not now.
-func (p *Prompter) Admit(m Member, replaces MemberID) bool {
-	if p.role != leading || m.ID == 0 {
-		return false
-	}
-	list := slices.Clone(p.Members())
-	if slices.ContainsFunc(list, func(o Member) bool { return o.ID == m.ID }) {
-		return true
-	}
-	if p.learner != 0 {
-		return p.learner == m.ID
-	}
-	list = slices.DeleteFunc(list, func(o Member) bool { return o.ID == replaces || o.Addr == m.Addr })
-	p.learner, p.learns = m.ID, config{members: append(list, m)}
-	if p.peers[m.ID] == nil {
-		p.peers[m.ID] = p.newProgress(m)
-	}
-	p.learns.index = p.configs[len(p.configs)-1].index
-	p.heartbeatTo(p.peers[m.ID])
-	return true
-}
-
-// Dismiss takes a member out of the list. It is to be called again until Members is without it. False: not
-// the leader, not now, or it is the last one.
-func (p *Prompter) Dismiss(id MemberID) bool {
-	list := slices.DeleteFunc(slices.Clone(p.Members()), func(o Member) bool { return o.ID == id })
-	if len(list) == len(p.Members()) {
-		return true
-	}
-	if p.role != leading || !p.mayReconfigure() || len(list) == 0 {
-		return false
-	}
-	p.appendNew(Entry{Kind: ConfigChange, Members: list})
-	return true
-}
-
 // HandOver lets another member lead, as soon as one has all. Proposals are refused meanwhile; after a
 // second without a new leader they are taken again.
 func (p *Prompter) HandOver() {
@@ -497,6 +475,18 @@
 	}
 }
 
+// Elsewhere is up to which index all that is known here to be committed is on the disks of a majority of the members without
+// this one, and Committed what is known to be: who leaves waits until the one has come up to the other.
+func (p *Prompter) Elsewhere() uint64 {
+	if p.role == leading {
+		return p.heldWithout(p.me.ID)
+	}
+	return min(p.elsewhere, p.committed)
+}
+
+// Committed is up to which index entries are known to be committed.
+func (p *Prompter) Committed() uint64 { return p.committed }
+
 // Synced tells that the write nr and all before it are on disk.
 func (p *Prompter) Synced(nr uint64) {
 	check.That(nr < p.nr, "what is synced was written")
