--- a/internal/house/orders.go
+++ b/internal/house/orders.go
@@ -130,7 +130,7 @@
 // rolloutText is how roll-outs stand, as this door knows it.
 func (h *House) rolloutText() []byte {
 	x, s := &h.rollouts, h.script.Rollouts
-	all := stagedoor.RolloutStatus{Door: h.sheet.NodeName, Rev: s.Rev, Leads: x.duty != nil || h.core != nil && h.core.p.Leading(),
+	all := stagedoor.RolloutStatus{Door: h.sheet.NodeName, Rev: s.Rev, Leads: x.duty != nil || h.leading(),
 		Rollouts: []stagedoor.RolloutRun{}}
 	for i := range s.Runs() {
 		r := &s.Runs()[i]
