Founding: the word goes to the seeds first, and on once more than half hold it

Cause: two doors with a disk that the other seeds never met could begin the core with the first seed, cut off from these two as it told the word: three of five held it. The other two seeds, which knew of three disks, began one of their own, two of three: two systems that both take orders. TestSeedsHoldTheWordFirst fails without the change (two systems, cut at 700 ms).

Change: hellos name the founding that a door's disk holds, synced (Door.House). The word is told to the seeds; to the other founders only once more than half of the seeds hold it, by whoever began it and by whoever hands it on. A seed's disk holds one, so that no two come that far. What is on enough disks without a leaver's own (Elsewhere) is told only to one that leaves: five bytes a beat less.

--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -30,6 +30,7 @@
 	Life    uint64 // drawn at each start
 	Founded bool   // its disk holds a state of the core
 	Leaving bool   // it was told to end
+	House   uint64 // which founding that is
 }
 
 // Hello is what doors tell each other when a link comes up, and when something of it changes.
@@ -67,6 +68,7 @@
 type Terms struct {
 	Seeds     []string // inner addresses, in the order of the settings
 	Tolerates int      // doors with a disk that may be lost at once
+	House     func([]Founder) uint64
 }
 
 const (
@@ -109,9 +111,9 @@
 	order     []Seated
 	ready     []Action
 	looked    time.Duration
-	lastDisk  time.Duration // when a door with a disk was first met
-	founders  []Founder     // who begin the core, where this door says so
-	foundAt   time.Duration
+	lastDisk  time.Duration            // when a door with a disk was first met
+	founders  []Founder                // who begin the core, where this door says so
+	toldAt    map[string]time.Duration // them, by address
 	changed   bool
 }
 
@@ -121,7 +123,7 @@
 // New makes one that knows its seeds.
 func New(me Door, t Terms, now time.Duration) *Company {
 	c := &Company{now: now, born: now, me: me, terms: t, doors: map[string]*door{}, seats: map[string]Seat{}, opinions: map[string]opinion{},
-		looked: now, lastDisk: now}
+		toldAt: map[string]time.Duration{}, looked: now, lastDisk: now}
 	c.SetSeeds(t.Seeds)
 	return c
 }
@@ -145,14 +147,28 @@
 // Me is what this door says of itself.
 func (c *Company) Me() Door { return c.me }
 
-// Settle says that this door's disk holds a state of the core from now on; all are told.
-func (c *Company) Settle(disk Disk, founded bool) {
-	if c.me.Disk != disk || c.me.Founded != founded {
-		c.me.Disk, c.me.Founded = disk, founded
+// Settle says which founding this door's disk holds a state of from now on; all are told.
+func (c *Company) Settle(disk Disk, house uint64) {
+	if c.me.Disk != disk || c.me.House != house {
+		c.me.Disk, c.me.Founded, c.me.House = disk, house != 0, house
 		c.greetAll()
 	}
 }
 
+// Spreads tells whether the word of a founding may go to a door: to seeds first, which hold one alone each, and to all others once more
+// than half of the seeds hold it, so that no two foundings ever come that far. A seed without a disk can hold none: being there is
+// all that it says, as when the core is begun.
+func (c *Company) Spreads(house uint64, to string) bool {
+	n := 0
+	for _, a := range c.terms.Seeds {
+		d, ok := c.Door(a)
+		if ok && (d.Disk != 0 && d.House == house || d.Disk == 0 && c.Live(a)) {
+			n++
+		}
+	}
+	return 2*n > len(c.terms.Seeds) || slices.Contains(c.terms.Seeds, to)
+}
+
 // End says that this door ends; all are told.
 func (c *Company) End() {
 	c.me.Leaving = true
@@ -424,16 +440,20 @@
 // was on disk, none is at its first start any more, and none may wait for ever: then the first live seed begins it, later, where
 // as many disks are empty as a core needs, so that nothing can have been acknowledged. Doors that have a state take
 // no such word, and nobody begins anything where one that is met has a state or knows of one that has, or without
-// more than half of the seeds: two halves must not found two systems. Who begins it is settled once in a life; the word
+// more than half of the seeds: two halves must not found two systems (see Spreads). Who begins it is settled once in a life; the word
 // goes again to those that have not written it down, since a link may have lost it.
 func (c *Company) found() {
-	if c.founders == nil && !c.begin() || c.now-c.foundAt < foundAgain && c.foundAt > 0 {
+	if c.founders == nil && !c.begin() {
 		return
 	}
-	c.foundAt = c.now
+	house := c.terms.House(c.founders)
 	for _, f := range c.founders {
 		d := c.doors[f.Addr]
+		if at, told := c.toldAt[f.Addr]; !c.Spreads(house, f.Addr) || told && c.now-at < foundAgain {
+			continue
+		}
 		if f.Addr == c.me.Addr && !c.me.Founded || d != nil && d.up && d.Disk == f.Disk && !d.Founded {
+			c.toldAt[f.Addr] = c.now
 			c.do(Action{Verb: Found, Addr: f.Addr, Founders: c.founders})
 		}
 	}
--- a/internal/company/company_test.go
+++ b/internal/company/company_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"strings"
 	"testing"
@@ -100,8 +101,14 @@
 	by     []string                   // who began, in order
 }
 
+func houseOf(list []Founder) uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, list)
+	return h.Sum64() | 1
+}
+
 func newWorld(seeds string, disks ...string) *world {
-	w := &world{terms: Terms{strings.Split(seeds, ""), 1}, actors: map[string]*actor{}, told: map[string]bool{},
+	w := &world{terms: Terms{strings.Split(seeds, ""), 1, houseOf}, actors: map[string]*actor{}, told: map[string]bool{},
 		joins: func(string, string) bool { return true }, loses: func(string, string) bool { return false }}
 	for i, n := range disks {
 		w.start(n, Disk(i+1), true)
@@ -118,6 +125,9 @@
 		w.names = append(w.names, name)
 	}
 	me := Door{Name: name, Addr: name, Disk: disk, First: first, Life: uint64(w.now) + 1, Founded: a.took != nil}
+	if a.took != nil {
+		me.House = houseOf(a.took)
+	}
 	a.Company, a.dead, a.up = New(me, w.terms, w.now), false, map[string]bool{}
 	return a
 }
@@ -175,7 +185,7 @@
 	}
 	if me := (Founder{to.Me().Disk, do.Addr}); slices.Contains(do.Founders, me) {
 		to.took = do.Founders
-		to.Settle(me.Disk, true)
+		to.Settle(me.Disk, houseOf(do.Founders))
 	}
 }
 
@@ -467,7 +477,7 @@
 // go by doors that it has not heard for a second. It would else begin a system of its own, which the others never join.
 func TestWhoWasAwayDoesNotBegin(t *testing.T) {
 	began := func(pause time.Duration, hears bool) bool {
-		c := New(Door{Addr: "a", Disk: 1, First: true}, Terms{Seeds: []string{"a", "b", "c"}, Tolerates: 1}, 0)
+		c := New(Door{Addr: "a", Disk: 1, First: true}, Terms{Seeds: []string{"a", "b", "c"}, Tolerates: 1, House: houseOf}, 0)
 		for i, n := range []string{"b", "c"} {
 			c.Hello(n, Hello{Door: Door{Name: n, Disk: Disk(i + 2), First: true, Life: 1}})
 			c.Up(n)
@@ -490,3 +500,26 @@
 	must.False(t, began(6*time.Second, true)) // another has begun it
 	must.False(t, began(800*ms, false))       // nobody is heard since 1.2 s
 }
+
+// Two doors with a disk that the second and third seed never met begin the core with the first one, which is cut off from these two as it
+// tells the word: three of five hold it. The other two seeds, which know of three disks, begin one of their own: two of three. Both systems
+// would take orders. So the word goes to the seeds first, and to the others once more than half of the seeds hold it.
+func TestSeedsHoldTheWordFirst(t *testing.T) {
+	for cut := 400 * ms; cut < 1600*ms; cut += 100 * ms {
+		w := newWorld("abc", "a", "b", "c", "d", "e")
+		w.joins = func(x, y string) bool {
+			x, y = min(x, y), max(x, y)
+			switch {
+			case w.now > 20*time.Second:
+				return true
+			case strings.Contains("bd be cd ce", x+y):
+				return false
+			}
+			return w.now < cut || !strings.Contains("ab ac", x+y)
+		}
+		for w.now < 20*time.Second {
+			w.step()
+			must.LessEq(t, 1, w.systems(), must.Sprintf("cut at %v: %v", cut, w.by))
+		}
+	}
+}
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -122,7 +122,7 @@
 	if !c.writing && (len(c.queue) > 0 || c.note != nil) {
 		c.write()
 	}
-	c.h.company.Settle(company.Disk(c.me.ID), c.p.Founded())
+	c.h.company.Settle(company.Disk(c.me.ID), c.p.House())
 }
 
 // keepBoard has the board kept beside the log, where it changed, now and then.
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -111,7 +111,7 @@
 	}
 	founders := h.core.p.Founders()
 	for _, m := range founders {
-		if m.ID == prompter.MemberID(d.Disk) {
+		if m.ID == prompter.MemberID(d.Disk) && h.company.Spreads(h.core.p.House(), addr) {
 			h.wings.Send(addr, &Frame{Found: founders})
 		}
 	}
@@ -161,10 +161,7 @@
 			hello := h.company.Say(a.Addr)
 			h.wings.Send(a.Addr, &Frame{Hello: &hello})
 		case company.Found:
-			var members []prompter.Member
-			for _, f := range a.Founders {
-				members = append(members, prompter.Member{ID: prompter.MemberID(f.Disk), Addr: f.Addr})
-			}
+			members := membersOf(a.Founders)
 			if a.Addr == h.inner {
 				h.found(members)
 			} else {
@@ -176,6 +173,13 @@
 	}
 }
 
+func membersOf(founders []company.Founder) (members []prompter.Member) {
+	for _, f := range founders {
+		members = append(members, prompter.Member{ID: prompter.MemberID(f.Disk), Addr: f.Addr})
+	}
+	return members
+}
+
 // seat is this door's, or NoSeat.
 func (h *House) seat() company.Seat { return h.company.Seat(h.inner) }
 
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -153,9 +153,10 @@
 	me := company.Door{Name: h.sheet.NodeName, Addr: h.inner, Control: h.sheet.Bind.Control, Zone: h.sheet.Zone,
 		First: h.sheet.FirstBoot, Life: h.life}
 	if h.core != nil {
-		me.Disk, me.Founded = company.Disk(h.core.me.ID), h.core.p.Founded()
+		me.Disk, me.Founded, me.House = company.Disk(h.core.me.ID), h.core.p.Founded(), h.core.p.House()
 	}
-	h.company = company.New(me, company.Terms{Seeds: h.innersOf(h.sheet.SeedAddrs), Tolerates: h.sheet.Tolerates.Machines}, h.e.Now())
+	h.company = company.New(me, company.Terms{Seeds: h.innersOf(h.sheet.SeedAddrs), Tolerates: h.sheet.Tolerates.Machines,
+		House: func(f []company.Founder) uint64 { return prompter.HouseOf(membersOf(f)) }}, h.e.Now())
 	h.known.at, h.beganAt, h.clock = -never, h.e.Now(), prompter.NewClock(h.life)
 	return nil
 }
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -124,7 +124,11 @@
 func (p *Prompter) heartbeatTo(w *progress) {
 	prev := max(w.next-1, p.snap.Index)
 	v, _ := p.viewAt(prev)
-	p.appendTo(w, Message{Index: prev, At: v, Elsewhere: p.heldWithout(w.ID)})
+	m := Message{Index: prev, At: v}
+	if p.leaving(w.ID) { // only one that leaves goes by it
+		m.Elsewhere = p.heldWithout(w.ID)
+	}
+	p.appendTo(w, m)
 }
 
 // heldWithout is up to which index what is committed is on a majority's disks without a member's.
--- a/internal/prompter/members.go
+++ b/internal/prompter/members.go
@@ -91,12 +91,15 @@
 			p.lost[m.ID] = now - gone
 		case here:
 			delete(p.lost, m.ID)
-		case p.lost[m.ID] == 0 || p.lost[m.ID] < now-gone/2: // it has left: from here on it may be restarting
+		case p.lost[m.ID] == 0 || p.leaving(m.ID): // it has left: from here on it may be restarting
 			p.lost[m.ID] = since
 		}
 	}
 }
 
+// leaving tells whether a member has said that it ends.
+func (p *Prompter) leaving(id MemberID) bool { return p.lost[id] < p.now-gone/2 }
+
 // answered tells whether all members have answered since the learner came: one that lies without power looks as if it were there.
 func (p *Prompter) answered() bool {
 	for _, m := range p.others() {
--- a/internal/prompter/members_test.go
+++ b/internal/prompter/members_test.go
@@ -244,6 +244,9 @@
 		w.until(3 * time.Second)
 		l := w.leader()
 		slow := (l + 1) % 3
+		w.doors[(l+2)%3].leaving = true
+		w.tends(1)
+		w.until(w.now + time.Second)
 		w.doors[slow].busy = w.now + 2*time.Second
 		w.on(l, func(d *door) { d.p.Propose(7, []byte("7")) })()
 		w.until(w.now + 200*time.Millisecond)
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -158,7 +158,7 @@
 	Index, At uint64
 	Delivered uint64
 	Round     uint64
-	Elsewhere uint64 // of a heartbeat: see Elsewhere
+	Elsewhere uint64 // of a heartbeat to one that leaves: see Elsewhere
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
@@ -283,6 +283,7 @@
 	configs    []config // the one that holds at snap, and those in the log
 	committed  uint64
 	synced     uint64 // the log is on disk up to here
+	held       bool   // so is the founding
 
 	nr        uint64 // of the write that is put together
 	done      uint64 // synced
@@ -359,7 +360,7 @@
 	for _, e := range k.Entries {
 		p.appendEntry(e)
 	}
-	p.synced, p.committed = p.last(), p.snap.Index
+	p.synced, p.committed, p.held = p.last(), p.snap.Index, k.House != 0
 	if p.snap.Index > 0 {
 		p.out = append(p.out, Restore{p.snap.Index, p.snap.State})
 	}
@@ -398,17 +399,14 @@
 // again does nothing; anything else where something is on disk is refused. All founders must be handed the
 // same list.
 func (p *Prompter) Found(members []Member) error {
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	hash, mine := fnv.New32a(), false
+	members, house := sortedMembers(members), HouseOf(members)
+	mine := false
 	for i, m := range members {
 		if m.ID == 0 || i > 0 && members[i-1].ID == m.ID {
 			return errors.Errorf("a founder's id %d is 0 or twice in the list", m.ID)
 		}
 		mine = mine || m.ID == p.me.ID
-		hash.Write(append(binary.AppendUvarint(nil, uint64(m.ID)), m.Addr...))
 	}
-	house := uint64(hash.Sum32()) | 1
 	switch {
 	case !mine:
 		return errors.New("this member is not among the founders")
@@ -426,6 +424,29 @@
 	return nil
 }
 
+// HouseOf names the founding by these members, in whatever order.
+func HouseOf(members []Member) uint64 {
+	hash := fnv.New32a()
+	for _, m := range sortedMembers(members) {
+		hash.Write(append(binary.AppendUvarint(nil, uint64(m.ID)), m.Addr...))
+	}
+	return uint64(hash.Sum32()) | 1
+}
+
+func sortedMembers(members []Member) []Member {
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members
+}
+
+// House names the founding whose state this disk holds, synced; 0: none.
+func (p *Prompter) House() uint64 {
+	if !p.held {
+		return 0
+	}
+	return p.house
+}
+
 // Propose asks for an entry; its Outcome carries the token, which is the host's and not used twice. The
 // data is kept.
 func (p *Prompter) Propose(token uint64, data []byte) {
@@ -477,7 +498,7 @@
 }
 
 // Elsewhere is up to which index all that is known here to be committed is on the disks of a majority of the members without
-// this one, and Committed what is known to be: who leaves waits until the one has come up to the other.
+// this one, where it leaves, and Committed what is known to be: who leaves waits until the one has come up to the other.
 func (p *Prompter) Elsewhere() uint64 {
 	if p.role == leading {
 		return p.heldWithout(p.me.ID)
@@ -494,6 +515,7 @@
 	p.done = max(p.done, nr)
 	for len(p.writes) > 0 && p.writes[0].nr <= nr {
 		p.synced = max(p.synced, p.writes[0].upto)
+		p.held = p.held || p.house != 0 && p.synced > 0
 		p.writes = p.writes[1:]
 	}
 	n := 0
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -89,7 +89,7 @@
 // forget makes it as an empty disk: what is written next says what it holds.
 func (p *Prompter) forget() {
 	check.That(len(p.log) == 0 && p.role != leading, "only a founding is laid aside")
-	p.house, p.promise, p.promisedTo, p.seen = 0, 0, 0, 0
+	p.house, p.promise, p.promisedTo, p.seen, p.held = 0, 0, 0, 0, false
 	p.snap, p.configs, p.committed = Snapshot{}, []config{{}}, 0
 	p.unsync(0)
 	p.role, p.leader, p.due = following, 0, never
