lab capacity: houses of several sizes measured, their slopes, bytes of each part's state

Need: the target of 720 doors has to be worked out from slopes that were measured, in trouble as well as in calm. The table of words between doors knows calm alone, and neither bytes at the busiest door, nor processor time, nor times to the last door. Package capacity fits lines and sums up; the state of parts is measured alone.

--- /dev/null
+++ b/cmd/lab/capacity.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"clovergap/internal/capacity"
+	"clovergap/internal/rehearsal"
+)
+
+// capacityRun are the flags of measuring how a house grows.
+type capacityRun struct {
+	sizes         []int
+	site          rehearsal.Site
+	whole         bool
+	each          float64 // requests a second at each door
+	dur           time.Duration
+	seed          uint64
+	phases        []string
+	out           string
+	fit           []string
+	state         bool
+	predict, from int
+}
+
+func capacityCommand() *cobra.Command {
+	var k capacityRun
+	c := &cobra.Command{Use: "capacity", Short: "How state, messages and work grow with the house, and what that comes to at the target",
+		Args: exactly(0, "no arguments"),
+		Long: "Plays houses of several sizes in simulated time: the doors are the very code of playhouse, without clients' bytes. Backends,\n" +
+			"services, routes and tenants grow with the doors, or are those of the target. Counted are bytes, frames, links and\n" +
+			"processor time of each door, calm and in trouble, and times to the last door. --fit reads what was measured.",
+		Example: "  lab capacity --sizes 3,12,48,96 --out docs/capacity/doors.jsonl\n" +
+			"  lab capacity --fit docs/capacity/doors.jsonl          # slopes, errors, the sum at the target\n" +
+			"  lab capacity --state                                   # bytes in memory of each part",
+		RunE: func(c *cobra.Command, _ []string) error {
+			switch {
+			case k.state:
+				return capacity.TellState(os.Stdout)
+			case len(k.fit) > 0:
+				return k.slopes()
+			}
+			return k.play()
+		}}
+	f := c.Flags()
+	f.IntSliceVar(&k.sizes, "sizes", []int{3, 12, 48}, "numbers of doors")
+	f.IntVar(&k.site.Disks, "core", 6, "doors with a disk")
+	f.IntVar(&k.site.Zones, "zones", 9, "zones")
+	f.IntVar(&k.site.Regions, "regions", 3, "regions")
+	f.IntVar(&k.site.Wide.Backends, "backends", 0, "backends (0: in proportion)")
+	f.IntVar(&k.site.Wide.Services, "services", 0, "services (0: in proportion)")
+	f.IntVar(&k.site.Wide.Routes, "routes", 0, "routes (0: in proportion)")
+	f.IntVar(&k.site.Wide.Tenants, "tenants", 0, "tenants (0: in proportion)")
+	f.BoolVar(&k.whole, "whole", false, "backends, services, routes and tenants of the target at each size")
+	f.Float64Var(&k.each, "rate", 1, "requests a second at each door")
+	f.DurationVar(&k.site.Beat, "beat", 1500*time.Millisecond, "between two beats of a backend")
+	f.Float64Var(&k.site.Share, "share", 0, "of a core that each door has (0: not bounded)")
+	f.DurationVar(&k.dur, "for", 8*time.Second, "of each phase")
+	f.Uint64Var(&k.seed, "seed", 1, "seed")
+	f.StringSliceVar(&k.phases, "phases", nil, strings.Join(rehearsal.Phases, ", ")+" (none: all)")
+	f.StringVar(&k.out, "out", "", "add what was measured to this file of JSON lines")
+	f.StringSliceVar(&k.fit, "fit", nil, "read what was measured from these files, and print slopes")
+	f.IntVar(&k.from, "up-to", 0, "with --fit, only of sizes up to this")
+	f.IntVar(&k.predict, "at", capacity.Target.Doors, "with --fit, what the slopes come to at this number of doors")
+	f.BoolVar(&k.state, "state", false, "measure bytes in memory of each part, alone")
+	return c
+}
+
+// of is the site of a size.
+func (k *capacityRun) of(doors int) rehearsal.Site {
+	s, t := k.site, capacity.Target
+	s.Doors, s.Disks = doors, min(s.Disks, doors)
+	s.Zones = min(s.Zones, doors)
+	s.Regions = min(s.Regions, s.Zones)
+	s.Rate = k.each * float64(doors)
+	size := func(of *int, target int) {
+		switch {
+		case *of > 0:
+		case k.whole:
+			*of = target
+		default:
+			*of = max(1, (target*doors+t.Doors/2)/t.Doors)
+		}
+	}
+	size(&s.Wide.Backends, t.Backends)
+	size(&s.Wide.Services, t.Services)
+	size(&s.Wide.Routes, t.Routes)
+	size(&s.Wide.Tenants, t.Tenants)
+	return s
+}
+
+func (k *capacityRun) play() error {
+	for _, n := range k.sizes {
+		if n < 1 || n > capacity.Target.Doors {
+			return usageError{fmt.Errorf("--sizes must be 1 to %d", capacity.Target.Doors)}
+		}
+	}
+	for _, n := range k.sizes {
+		s := k.of(n)
+		fmt.Printf("%d doors, %d of the core, %d zones, %d regions; %+v; %.0f requests a second\n", n, s.Disks, s.Zones, s.Regions, s.Wide, s.Rate)
+		capacity.Head(os.Stdout)
+		r := rehearsal.Meter(s, k.seed, k.dur, k.phases, func(p rehearsal.Phase) { capacity.TellPhase(os.Stdout, p) })
+		fmt.Printf("  configuration %d bytes, %.0f KB of heap a door, %d doors known, took %.0f s\n", r.Config, r.Heap/1024, r.Known, r.TookS)
+		if k.out != "" {
+			if err := capacity.Append(k.out, r); err != nil {
+				return err
+			}
+		}
+		if r.Incomplete != "" {
+			return errors.New(r.Incomplete)
+		}
+	}
+	return nil
+}
+
+func (k *capacityRun) slopes() error {
+	var all []*rehearsal.Measure
+	for _, name := range k.fit {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		for d := json.NewDecoder(f); d.More(); {
+			r := new(rehearsal.Measure)
+			if err := d.Decode(r); err != nil {
+				f.Close()
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			if k.from == 0 || r.Doors <= k.from {
+				all = append(all, r)
+			}
+		}
+		f.Close()
+	}
+	return capacity.TellSlopes(os.Stdout, all, k.predict)
+}
--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,144 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"clovergap/control"
+	"clovergap/internal/callboard"
+	"clovergap/internal/company"
+	"clovergap/internal/playbill"
+	"clovergap/internal/rehearsal"
+	"clovergap/internal/script"
+)
+
+// held is what a part keeps in use.
+func held(build func() any) (bytes float64, took time.Duration) {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	before, began := m.HeapAlloc, time.Now()
+	x := build()
+	took = time.Since(began)
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	bytes = float64(m.HeapAlloc) - float64(before)
+	runtime.KeepAlive(x)
+	runtime.KeepAlive(build) // what it builds from is not of the part
+	return bytes, took
+}
+
+// part is a part of a door whose state grows with something.
+type part struct {
+	name, per string
+	sizes     []int
+	build     func(n int) func() any
+}
+
+func parts() []part {
+	text := func(wide rehearsal.Wide) []byte { return rehearsal.FirstText(wide) }
+	register := func(wide rehearsal.Wide) func() any {
+		body := text(wide)
+		return func() any {
+			s := script.New()
+			if v, err := s.Apply(script.Entry(script.Replace, body)); v != playbill.Taken {
+				panic(fmt.Sprint(v, err))
+			}
+			return s
+		}
+	}
+	table := func(wide rehearsal.Wide) func() any {
+		s := register(wide)().(*script.Script)
+		return func() any { return playbill.NewTable(s.Bills.Bill()) }
+	}
+	return []part{
+		{"configuration as kept", "tenant", []int{100, 1000, 10000, 31000}, func(n int) func() any { return register(rehearsal.Wide{Tenants: n}) }},
+		{"configuration as kept", "route", []int{100, 400, 1700}, func(n int) func() any { return register(rehearsal.Wide{Routes: n}) }},
+		{"table", "tenant", []int{100, 1000, 10000, 31000}, func(n int) func() any { return table(rehearsal.Wide{Tenants: n}) }},
+		{"table", "route", []int{100, 400, 1700}, func(n int) func() any { return table(rehearsal.Wide{Routes: n}) }},
+		{"quota, limits alone", "tenant", []int{100, 1000, 10000, 31000}, func(n int) func() any {
+			return func() any {
+				q := control.NewQuota(1, 0, 720, 0, control.QuotaTerms{Gap: 50 * time.Millisecond, ViewLife: time.Second, MailPerS: 400,
+					MostUnits: 1, Parts: true, Start: 0.5})
+				for i := range n {
+					q.SetLimit(control.CustomerID(i+1), 50, 50)
+				}
+				return q
+			}
+		}},
+		{"board", "backend", []int{100, 1000, 5800}, func(n int) func() any {
+			return func() any {
+				b := callboard.New(0, callboard.Terms{BeatInterval: 1500 * time.Millisecond, Enough: 3, Life: 1}, 0)
+				b.Doors([]callboard.Door{{Seat: 0, Control: "10.0.0.1:7102", Zone: "zone-0", Live: true, Firm: true}})
+				for i := range n {
+					b.Beat(callboard.Word{ID: fmt.Sprintf("i-service-%d", i), Service: fmt.Sprintf("service-%03d", i%270),
+						Addr: fmt.Sprintf("10.200.%d.%d:8080", i/200, i%200+1), Zone: "zone-0", Generation: "v1", Capacity: 4,
+						Phase: callboard.Ready, Seq: 1})
+					for _, ok := b.Next(); ok; _, ok = b.Next() {
+					}
+				}
+				return b
+			}
+		}},
+		{"company", "door", []int{48, 200, 500}, func(n int) func() any {
+			return func() any {
+				at := func(i int) string { return fmt.Sprintf("10.0.%d.%d:7110", i/200, i%200+1) }
+				c := company.New(company.Door{Name: "door-0", Addr: at(0), Zone: "zone-0", Disk: 1}, company.Terms{Tolerates: 2}, 0)
+				var order []company.Seated
+				for i := range n {
+					order = append(order, company.Seated{Name: fmt.Sprintf("door-%d", i), Addr: at(i), Control: at(i), Zone: "zone-0"})
+				}
+				c.Seats(order)
+				for i := 1; i < n; i++ {
+					c.Hello(at(i), company.Hello{Door: company.Door{Name: fmt.Sprintf("door-%d", i), Addr: at(i), Control: at(i), Zone: "zone-0",
+						Life: uint64(i)}})
+				}
+				for _, ok := c.Next(); ok; _, ok = c.Next() {
+				}
+				return c
+			}
+		}},
+	}
+}
+
+// TellState prints the bytes in use of each part, with the slope.
+func TellState(w io.Writer) error {
+	fmt.Fprintf(w, "| part | for each | sizes | bytes each | error | off the line | at the target, KB | building it there, ms |\n")
+	fmt.Fprintf(w, "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: |\n")
+	for _, p := range parts() {
+		var x, y []float64
+		var took time.Duration
+		for _, n := range p.sizes {
+			build := p.build(n)
+			var b float64
+			b, took = held(build)
+			x, y = append(x, float64(n)), append(y, b)
+		}
+		f := Line(x, y)
+		at := map[string]int{"tenant": Target.Tenants, "route": Target.Routes, "backend": Target.Backends, "door": Target.Doors}[p.per]
+		fmt.Fprintf(w, "| %s | %s | %v | %.0f | %.2g | %.0f %% | %.0f | %.1f |\n", p.name, p.per, p.sizes, f.B, f.Error, 100*f.Residual,
+			f.At(float64(at))/1024, float64(took.Microseconds())/1000)
+	}
+	wide := rehearsal.Wide{Services: Target.Services, Routes: Target.Routes, Tenants: Target.Tenants}
+	body := rehearsal.FirstText(wide)
+	s := script.New()
+	began := time.Now()
+	if v, err := s.Apply(script.Entry(script.Replace, body)); v != playbill.Taken {
+		return fmt.Errorf("the target's configuration is not taken: %v %w", v, err)
+	}
+	applied := time.Since(began)
+	began = time.Now()
+	snap := s.Snapshot()
+	snapped := time.Since(began)
+	began = time.Now()
+	if _, err := script.Restore(snap); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\nthe target's configuration: %d bytes as sent, taken in %d ms; a snapshot of %d bytes is made in %d ms, read in %d ms\n", len(body),
+		applied.Milliseconds(), len(snap), snapped.Milliseconds(), time.Since(began).Milliseconds())
+	return nil
+}
--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -30,6 +30,9 @@
 	return why
 }
 
+// Version is of the configuration that this door routes by; 0: none yet.
+func (h *House) Version() uint64 { return h.table.Version() }
+
 // Change brings a change to whoever leads. What is wrong in itself, or taken already as far as is known here, needs no leader.
 func (h *House) Change(kind script.Kind, body []byte, then func(status int, body []byte)) {
 	switch v, err := h.script.Decide(kind, body); v {
--- a/internal/rehearsal/clients.go
+++ b/internal/rehearsal/clients.go
@@ -83,7 +83,7 @@
 		if !c.open {
 			return
 		}
-		c.send(c.known.Draw(c.rng, c.w.zones))
+		c.send(c.draw())
 		c.w.after(c.gap(), next)
 	}
 	c.w.after(c.gap(), next)
@@ -163,7 +163,10 @@
 		came := w.now
 		t.p = p
 		p.hall.tries[t.nr] = t
-		p.turn(func() { p.hall.take(t, left-(came-sent), w.now-came) })
+		p.turn(func() {
+			w.doing = "requests"
+			p.hall.take(t, left-(came-sent), w.now-came)
+		})
 	})
 }
 
--- a/internal/rehearsal/machine.go
+++ b/internal/rehearsal/machine.go
@@ -31,6 +31,7 @@
 	free            time.Duration
 	trouble, stands int // faults under way on it; that hold its process
 	sent            Traffic
+	meter           meter
 	serves          time.Duration // since when, in a recovery
 }
 
@@ -51,6 +52,7 @@
 	over    bool
 	died    time.Duration
 	backlog []func()
+	inbox   []func()      // turns that wait for its processor, in a metered day
 	busy    time.Duration // until then its processor has no time
 	links   map[string]*wing
 	from    map[string]*conn // the newest link of each door
@@ -200,10 +202,16 @@
 	case p.over:
 	case p.m.stands > 0:
 		p.backlog = append(p.backlog, do)
+	case p.w.day.Share > 0 && (p.busy > p.w.now || len(p.inbox) > 0):
+		p.queue(do)
 	case p.busy > p.w.now:
 		p.w.at(p.busy, func() { p.turn(do) })
 	default:
 		p.busy = p.w.now + p.w.day.Turn
+		if p.w.metered {
+			p.metered(do)
+			return
+		}
 		do()
 		p.settled()
 	}
--- /dev/null
+++ b/internal/rehearsal/measure.go
@@ -0,0 +1,343 @@
+package rehearsal
+
+import (
+	"math"
+	"runtime"
+	"slices"
+	"time"
+
+	"clovergap/internal/extras"
+)
+
+// Bounds of a measured day.
+const (
+	settleMost  = 30 * time.Second // for a thing that all doors should come to
+	reachedEach = 2 * time.Millisecond
+	reachedMost = 12 * time.Second // to the last door; beyond it a change counts as not arrived
+	changeEach  = 500 * time.Millisecond
+	turnover    = 500 * time.Millisecond // between two restarts, or two replaced backends
+)
+
+// Phases of a measured day, in their order.
+var Phases = []string{"start", "calm", "changes", "releases", "restarts", "zone", "region", "killed"}
+
+// Meter plays a day without a judge, and counts what doors do in each of its phases; none named: all.
+func Meter(s Site, seed uint64, over time.Duration, only []string, tell func(Phase)) *Measure {
+	runtime.LockOSThread() // a turn's processor time is its thread's
+	defer runtime.UnlockOSThread()
+	began := time.Now()
+	w := newWorld(&Day{Site: s.Usual(), Seed: seed, For: over, Calm: true})
+	w.metered = true
+	x := &metered{w: w, over: over, only: only, tell: tell, r: &Measure{Site: w.day.Site, Seed: seed}}
+	x.r.Incomplete = x.play()
+	x.r.TookS = math.Round(time.Since(began).Seconds())
+	return x.r
+}
+
+// metered is a measured day under way.
+type metered struct {
+	w    *world
+	over time.Duration
+	only []string
+	tell func(Phase)
+	r    *Measure
+}
+
+// phase plays one, and adds what all did in it.
+func (x *metered) phase(name string, do func(p *Phase)) {
+	if !named(x.only, name) {
+		return
+	}
+	w := x.w
+	p := Phase{Name: name}
+	before, began := w.counts(), w.now
+	do(&p)
+	over := w.now - began
+	p.Seconds = over.Seconds()
+	p.Member, p.Other = w.shared(before, over, true), w.shared(before, over, false)
+	for _, m := range w.machines {
+		if m.p != nil && !m.p.h.Ready() {
+			p.Unready++
+		}
+	}
+	x.r.Phases = append(x.r.Phases, p)
+	if x.tell != nil {
+		x.tell(p)
+	}
+}
+
+func (x *metered) play() string {
+	w, d := x.w, x.w.day
+	all := []string{}
+	for _, s := range extras.Services {
+		all = append(all, s.Name)
+	}
+	for i := range d.Wide.Services {
+		all = append(all, d.Wide.service(i))
+	}
+	for i := range max(d.Wide.Backends, len(all)) {
+		w.stage.add(all[i%len(all)], w.zones[i/len(all)%len(w.zones)], 0)
+	}
+	empty := heap()
+	opened := false
+	before, began := w.counts(), w.now
+	for _, m := range w.machines {
+		w.after(span(w.net, 0, 300*time.Millisecond), m.start)
+	}
+	w.clients.watch()
+	w.operator.open(func() { opened = true })
+	w.operator.goes = false
+	ready := func() bool { return opened && w.ready(nil) }
+	ok := w.until(w.now+settleMost, w.slowly(ready))
+	p := Phase{Name: "start", Seconds: (w.now - began).Seconds(), All: secondsOr(ok, w.now-began)}
+	p.Member, p.Other = w.shared(before, w.now-began, true), w.shared(before, w.now-began, false)
+	x.r.Phases = append(x.r.Phases, p)
+	if x.tell != nil {
+		x.tell(p)
+	}
+	w.operator.goes = false
+	if !opened {
+		return "no first configuration was taken"
+	}
+	x.r.Config = len(w.newestOf())
+	w.clients.begin()
+	w.until(w.now+4*time.Second, nil)
+	x.r.Heap = (heap() - empty) / float64(d.Doors)
+	x.r.Known = len(w.machines[0].p.h.Status().Doors)
+	x.phase("calm", func(*Phase) { w.until(w.now+x.over, nil) })
+	x.phase("changes", func(p *Phase) { x.changes(p, nil) })
+	x.phase("releases", x.releases)
+	x.phase("restarts", x.restarts)
+	x.phase("zone", x.zone)
+	x.phase("region", x.region)
+	x.phase("killed", x.killed)
+	return ""
+}
+
+// newestOf is the configuration as the first member of the core has it.
+func (w *world) newestOf() (text []byte) {
+	w.machines[0].p.turn(func() {
+		w.machines[0].p.h.Newest(func(_ int, b []byte) { text = b })
+	})
+	w.until(w.now+2*time.Second, func() bool { return text != nil })
+	return text
+}
+
+// slowly asks a costly question a hundred times a second.
+func (w *world) slowly(is func() bool) func() bool {
+	next := w.now
+	return func() bool {
+		if w.now < next {
+			return false
+		}
+		next = w.now + 10*time.Millisecond
+		return is()
+	}
+}
+
+// ready tells whether all doors want clients, but those that are away.
+func (w *world) ready(away map[*machine]bool) bool {
+	for _, m := range w.machines {
+		if !away[m] && (m.p == nil || !m.p.h.Ready()) {
+			return false
+		}
+	}
+	return true
+}
+
+// changes makes one change after the other, and takes the time until each door has it.
+func (x *metered) changes(p *Phase, away map[*machine]bool) {
+	w := x.w
+	var times, lasts, acks []float64
+	end := w.now + x.over
+	for w.now < end {
+		began := w.now
+		version, done := uint64(0), false
+		v := w.operator.versions[w.operator.known]
+		draw := func(n int) int {
+			switch n {
+			case 10: // an amendment
+				return 0
+			case 3: // of a new route
+				return 2
+			}
+			return w.operator.rng.IntN(n)
+		}
+		number := func() uint64 { w.operator.top++; return w.operator.top }
+		c := extras.Draft(draw, number, w.operator.known, v.Bill)[0]
+		w.operator.propose(c, func(status int, clear bool) {
+			if done = true; status == 200 {
+				version = c.Bill.Generation
+			}
+		})
+		w.until(w.now+20*time.Second, func() bool { return done })
+		if version == 0 {
+			p.Acks, p.AckMost = -1, -1
+			return
+		}
+		acked := w.now
+		p.Events++
+		acks = append(acks, ms(acked-began))
+		last := time.Duration(0)
+		left := map[*machine]bool{}
+		for _, m := range w.machines {
+			if !away[m] && m.p != nil {
+				left[m] = true
+			}
+		}
+		for len(left) > 0 && w.now-acked < reachedMost {
+			for _, m := range w.machines {
+				if left[m] && m.p != nil && m.p.h.Version() >= version {
+					delete(left, m)
+					last = w.now - acked
+					times = append(times, ms(last))
+				}
+			}
+			if len(left) > 0 {
+				w.until(w.now+reachedEach, nil)
+			}
+		}
+		if len(left) > 0 {
+			last = reachedMost
+		}
+		lasts = append(lasts, ms(last))
+		w.until(max(w.now, began+changeEach), nil)
+	}
+	p.Median, p.Mean99, p.Worst = part(times, 0.5), part(times, 0.99), slices.Max(append(lasts, 0))
+	p.Acks, p.AckMost = part(acks, 0.5), slices.Max(append(acks, 0))
+}
+
+// releases replaces backends, one after the other: a new one comes, an old one drains.
+func (x *metered) releases(p *Phase) {
+	w := x.w
+	end := w.now + x.over
+	for w.now < end {
+		var old *backend
+		for _, b := range w.stage.live {
+			if !b.draining && !b.dead {
+				old = b
+				break
+			}
+		}
+		if old == nil {
+			return
+		}
+		w.stage.add(old.service, old.zone, 0)
+		old.drain()
+		p.Events++
+		w.until(w.now+turnover, nil)
+	}
+}
+
+// restarts kills and starts doors without a disk, one after the other.
+func (x *metered) restarts(p *Phase) {
+	w := x.w
+	rng := source(w.day.Seed, 0x2e57)
+	end := w.now + x.over
+	for w.now < end && w.day.Doors > w.day.Disks {
+		m := w.machines[w.day.Disks+rng.IntN(w.day.Doors-w.day.Disks)]
+		m.kill(false)
+		w.until(w.now+turnover/5, nil)
+		m.start()
+		p.Events++
+		w.until(w.now+turnover*4/5, nil)
+	}
+	began := w.now
+	p.All = secondsOr(w.until(w.now+settleMost, w.slowly(func() bool { return w.ready(nil) })), w.now-began)
+}
+
+// zone takes the power of one, with its backends, goes on with changes, and gives it back.
+func (x *metered) zone(p *Phase) {
+	w := x.w
+	if len(w.zones) < 2 {
+		return
+	}
+	lost, away := w.zones[0], map[*machine]bool{}
+	for _, m := range w.machines {
+		if m.zone == lost {
+			away[m] = true
+			m.kill(true)
+		}
+	}
+	var dead []*backend
+	for _, b := range slices.Clone(w.stage.live) {
+		if b.zone == lost {
+			dead = append(dead, b)
+			b.crash()
+		}
+	}
+	x.changes(p, away)
+	for _, m := range w.machines {
+		if away[m] {
+			w.after(span(w.net, 0, time.Second), m.start)
+		}
+	}
+	for _, b := range dead {
+		w.stage.add(b.service, b.zone, 0)
+	}
+	began := w.now
+	w.until(w.now+time.Second, nil)
+	p.All = secondsOr(w.until(w.now+settleMost, w.slowly(func() bool { return w.ready(nil) })), w.now-began)
+}
+
+// region cuts one off from the others, goes on with changes, and joins it again.
+func (x *metered) region(p *Phase) {
+	w := x.w
+	if w.day.Regions < 2 {
+		return
+	}
+	c := &cut{group: map[*machine]bool{}, in: true, out: true}
+	for _, m := range w.machines {
+		if w.region(m.zone) == w.day.Regions-1 {
+			c.group[m] = true
+		}
+	}
+	w.cuts = append(w.cuts, c)
+	w.until(w.now+4*time.Second, nil) // the others have noticed
+	x.changes(p, c.group)
+	w.cuts = nil
+	began, newest := w.now, w.operator.known
+	p.All = secondsOr(w.until(w.now+settleMost, w.slowly(func() bool {
+		for m := range c.group {
+			if m.p.h.Version() < newest || !m.p.h.Ready() {
+				return false
+			}
+		}
+		return true
+	})), w.now-began)
+}
+
+// killed ends all at once; they start again within a second.
+func (x *metered) killed(p *Phase) {
+	w := x.w
+	for _, m := range w.machines {
+		m.kill(false)
+	}
+	began := w.now
+	for _, m := range w.machines {
+		w.after(span(w.net, 200*time.Millisecond, time.Second), m.start)
+	}
+	w.until(w.now+time.Second, nil)
+	p.All = secondsOr(w.until(w.now+settleMost, w.slowly(func() bool { return w.ready(nil) })), w.now-began)
+	w.until(max(w.now, began+x.over), nil)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// secondsOr gives a time, or -1 where what was waited for did not come about.
+func secondsOr(ok bool, d time.Duration) float64 {
+	if !ok {
+		return -1
+	}
+	return d.Seconds()
+}
+
+// part is what a share of values lies under.
+func part(all []float64, share float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	s := slices.Clone(all)
+	slices.Sort(s)
+	return s[min(len(s)-1, int(share*float64(len(s))))]
+}
--- /dev/null
+++ b/internal/rehearsal/meter.go
@@ -0,0 +1,311 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/playbill"
+)
+
+// Wide is how much a house carries beside the small house's own services, routes and tenants.
+type Wide struct {
+	Backends, Services, Routes, Tenants int
+}
+
+// Limits of a wide house's tenants.
+const accountRate, accountBurst = 50, 50
+
+func (x Wide) service(i int) string { return fmt.Sprintf("service-%03d", i) }
+
+func accountKey(i int) string { return fmt.Sprintf("account-key-%06d", i) }
+
+// first is the configuration that the house begins with.
+func (x Wide) first() *playbill.Bill {
+	b := extras.First()
+	for i := range x.Services {
+		s := b.Services[0]
+		s.Name = x.service(i)
+		b.Services = append(b.Services, s)
+	}
+	wide := playbill.BillHost{Hostname: "wide.example"}
+	for i := range x.Routes {
+		r := b.Vhosts[0].PathList[0]
+		r.Name, r.PathPrefix = fmt.Sprintf("route-%04d", i), fmt.Sprintf("/route-%04d/", i)
+		r.Target = b.Services[i%len(b.Services)].Name
+		wide.PathList = append(wide.PathList, r)
+	}
+	if x.Routes > 0 {
+		b.Vhosts = append(b.Vhosts, wide)
+	}
+	for i := range x.Tenants {
+		b.Tenants = append(b.Tenants, playbill.BillTenant{Name: fmt.Sprintf("account-%06d", i), ApiKeys: []string{accountKey(i)},
+			Priority: 1, RatePerS: accountRate, Burst: accountBurst})
+	}
+	return b
+}
+
+// draw draws a request; in a wide house any of its tenants may be the one that asks.
+func (c *clients) draw() extras.Want {
+	want := c.known.Draw(c.rng, c.w.zones)
+	if n := c.w.day.Wide.Tenants; n > 0 && want.Key != "" {
+		i := c.rng.IntN(n)
+		want.Tenant, want.Key = fmt.Sprintf("account-%06d", i), accountKey(i)
+	}
+	return want
+}
+
+// Tally is bytes and frames by kind.
+type Tally struct{ Bytes, Frames Traffic }
+
+func (t *Tally) add(kind string, bytes int) {
+	if t.Bytes == nil {
+		t.Bytes, t.Frames = Traffic{}, Traffic{}
+	}
+	t.Bytes[kind] += int64(bytes)
+	t.Frames[kind]++
+}
+
+// meter counts what one machine does.
+type meter struct {
+	sent, got Tally
+	spent     map[string]time.Duration // by what a turn was for
+	turns     Traffic
+	all       time.Duration // spent
+	frames    int           // sent and taken
+}
+
+// came notes what a turn under way is for.
+func (x *meter) came(w *world, kind string, bytes int) {
+	w.doing = kind
+	x.frames++
+	x.got.add(kind, bytes)
+}
+
+// turn takes a turn, and the processor time of it. A thread's own clock is read: what else runs on the machine is not in it.
+func (x *meter) turn(w *world, do func()) {
+	w.doing = "timers"
+	began := threadTime()
+	do()
+	if x.spent == nil {
+		x.spent, x.turns = map[string]time.Duration{}, Traffic{}
+	}
+	took := threadTime() - began
+	x.all += took
+	x.spent[w.doing] += took
+	x.turns[w.doing]++
+}
+
+// frameTime is what a frame takes beside its turn, at either end: a call of the kernel and its way through it.
+const frameTime = 8 * time.Microsecond
+
+// metered takes a turn and counts it; where the processor is bounded, the next one waits for as long as this one took.
+func (p *process) metered(do func()) {
+	x := &p.m.meter
+	began, frames := x.all, x.frames
+	x.turn(p.w, func() { do(); p.settled() })
+	if share := p.w.day.Share; share > 0 {
+		took := x.all - began + time.Duration(x.frames-frames)*frameTime
+		p.busy = p.w.now + time.Duration(float64(took)/share)
+	}
+}
+
+// queue has a turn wait for the processor, behind those that wait already.
+func (p *process) queue(do func()) {
+	if p.inbox = append(p.inbox, do); len(p.inbox) > 1 {
+		return
+	}
+	var next func()
+	next = func() {
+		if p.over || len(p.inbox) == 0 {
+			return
+		}
+		do := p.inbox[0]
+		p.inbox = p.inbox[1:]
+		if p.m.stands > 0 {
+			p.backlog = append(p.backlog, do)
+		} else {
+			p.metered(do)
+		}
+		if len(p.inbox) > 0 {
+			p.w.at(p.busy, next)
+		}
+	}
+	p.w.at(p.busy, next)
+}
+
+func threadTime() time.Duration {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t)
+	return time.Duration(t.Nano())
+}
+
+// Share is what doors of one role did in a span, a second of it. Most is the busiest door's, by bytes sent.
+type Share struct {
+	Doors              int
+	Mean, Median, Most float64            // bytes sent
+	Got                float64            // bytes that came, in the mean
+	GotMost            float64            // at whoever got the most
+	Kinds, MostKinds   map[string]float64 // bytes sent by kind, in the mean and at the busiest
+	Frames             map[string]float64 // sent by kind, in the mean
+	GotKinds           map[string]float64 // bytes that came by kind, in the mean
+	Core               float64            // of one core, in the mean
+	CoreMost           float64
+	Spent              map[string]float64 // of one core, by what turns were for, in the mean
+	Turns              map[string]float64
+	Links              float64 // that are up, both ways, in the mean
+	LinksMost          float64
+}
+
+// Phase is a span of a measured day.
+type Phase struct {
+	Name          string
+	Seconds       float64
+	Member, Other Share   // members of the core, and doors without a disk
+	Events        int     // changes, restarts: whatever the phase is of
+	All           float64 // seconds until all doors in reach were there again; below nought: not within the time
+	Median, Worst float64 // milliseconds from an acknowledgement to a door, and to the last of all
+	Acks, AckMost float64 // milliseconds from a change's sending to its acknowledgement, median and worst
+	Unready       int     // doors in reach that were not ready at its end
+	Mean99        float64 // milliseconds within which 99 in 100 of all doors had a change
+}
+
+// Measure is what came of a measured day.
+type Measure struct {
+	Site
+	Seed       uint64
+	Config     int     // bytes of the configuration
+	Heap       float64 // bytes of a door in memory, in the mean, all of its process's parts
+	Known      int     // doors that a member of the core knows, itself too
+	Phases     []Phase
+	TookS      float64
+	Incomplete string // why a day was not played to its end
+}
+
+// counts is a copy of what all machines did so far.
+func (w *world) counts() []meter {
+	all := make([]meter, len(w.machines))
+	for i, m := range w.machines {
+		x := m.meter
+		x.sent.Bytes, x.sent.Frames = copyOf(x.sent.Bytes), copyOf(x.sent.Frames)
+		x.got.Bytes, x.got.Frames = copyOf(x.got.Bytes), copyOf(x.got.Frames)
+		x.spent, x.turns = copyOf(x.spent), copyOf(x.turns)
+		all[i] = x
+	}
+	return all
+}
+
+func copyOf[K comparable, V any, M ~map[K]V](m M) M {
+	to := make(M, len(m))
+	for k, v := range m {
+		to[k] = v
+	}
+	return to
+}
+
+// links counts connections of a machine, those that it dialed and those that came.
+func (w *world) links() map[*machine]int {
+	n := map[*machine]int{}
+	for _, m := range w.machines {
+		if m.p != nil {
+			for _, v := range m.p.links {
+				if v.c != nil {
+					n[m]++
+					n[v.to]++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// shared sums what doors of one role did since a copy was taken.
+func (w *world) shared(before []meter, over time.Duration, member bool) (s Share) {
+	s.Kinds, s.MostKinds, s.Frames, s.Spent = map[string]float64{}, map[string]float64{}, map[string]float64{}, map[string]float64{}
+	s.Turns, s.GotKinds = map[string]float64{}, map[string]float64{}
+	var sums []float64
+	links, secs := w.links(), over.Seconds()
+	per := func(to map[string]float64, now, then Traffic) {
+		for k, v := range now {
+			to[k] += float64(v-then[k]) / secs
+		}
+	}
+	for i, m := range w.machines {
+		if (m.disk != nil) != member {
+			continue
+		}
+		s.Doors++
+		sum := float64(m.meter.sent.Bytes.Sum()-before[i].sent.Bytes.Sum()) / secs
+		sums = append(sums, sum)
+		if sum >= s.Most {
+			s.Most = sum
+			clear(s.MostKinds)
+			per(s.MostKinds, m.meter.sent.Bytes, before[i].sent.Bytes)
+		}
+		per(s.Kinds, m.meter.sent.Bytes, before[i].sent.Bytes)
+		per(s.GotKinds, m.meter.got.Bytes, before[i].got.Bytes)
+		per(s.Frames, m.meter.sent.Frames, before[i].sent.Frames)
+		per(s.Turns, m.meter.turns, before[i].turns)
+		got := float64(m.meter.got.Bytes.Sum()-before[i].got.Bytes.Sum()) / secs
+		s.Got += got
+		s.GotMost = max(s.GotMost, got)
+		var core float64
+		for k, v := range m.meter.spent {
+			x := (v - before[i].spent[k]).Seconds() / secs
+			s.Spent[k] += x
+			core += x
+		}
+		s.Core += core
+		s.CoreMost = max(s.CoreMost, core)
+		s.Links += float64(links[m])
+		s.LinksMost = max(s.LinksMost, float64(links[m]))
+	}
+	if s.Doors == 0 {
+		return s
+	}
+	n := float64(s.Doors)
+	for _, all := range []map[string]float64{s.Kinds, s.Frames, s.Spent, s.Turns, s.GotKinds} {
+		for k := range all {
+			all[k] /= n
+		}
+	}
+	s.Got, s.Core, s.Links = s.Got/n, s.Core/n, s.Links/n
+	for _, x := range sums {
+		s.Mean += x / n
+	}
+	s.Median = part(sums, 0.5)
+	return s
+}
+
+// heap is what is in use after all that is not was let go.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// named tells whether a phase is wanted.
+func named(all []string, name string) bool {
+	for _, x := range all {
+		if strings.EqualFold(x, name) {
+			return true
+		}
+	}
+	return len(all) == 0
+}
+
+// FirstText is the configuration that a wide house begins with, as an operator sends it.
+func FirstText(x Wide) []byte {
+	text, err := json.Marshal(x.first())
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -21,6 +21,7 @@
 	goesAgain  = 200 * time.Millisecond // a packet that was lost
 	writtenIn  = 200 * time.Microsecond // links are written apart from the turns
 	frameHead  = 66                     // of a packet, beside what it carries
+	mailHead   = 42                     // of a datagram
 	queueMost  = 500 * time.Millisecond // datagrams wait no longer for their turn on a link
 )
 
@@ -83,6 +84,10 @@
 		}
 		m.sent[kind] += int64(bytes)
 	}
+	if m.w.metered {
+		m.meter.sent.add(kind, bytes)
+		m.meter.frames++
+	}
 	m.w.sum = m.w.sum*31 + uint64(bytes) + uint64(m.nr)
 	m.free = max(m.free, m.w.now)
 	if m.w.day.Mbps > 0 {
@@ -245,6 +250,9 @@
 			if err := c.dec.Decode(f); err != nil {
 				panic(err)
 			}
+			if peer.w.metered {
+				peer.m.meter.came(peer.w, f.Kind(), len(b)+frameHead)
+			}
 			if peer.from[from] == c {
 				peer.h.Heard(from, f)
 			}
@@ -334,7 +342,7 @@
 	if int(peer) >= len(x.all) || x.all[peer] == nil {
 		return
 	}
-	m, at := x.all[peer], p.m.leaves("mail", len(payload)+42)
+	m, at := x.all[peer], p.m.leaves("mail", len(payload)+mailHead)
 	if m == p.m || p.w.parts(p.m, m) || p.w.strikes() || at-p.w.now > queueMost {
 		return
 	}
@@ -342,6 +350,9 @@
 	p.w.at(at+p.w.way(p.m.zone, m.zone), func() {
 		if q := m.p; q != nil {
 			q.turn(func() {
+				if q.w.metered {
+					q.m.meter.came(q.w, "mail", len(b)+mailHead)
+				}
 				if seat, ok := q.mail.seats[p.m]; ok {
 					q.h.Mailed(control.GatewayID(seat), b)
 				}
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -49,6 +49,7 @@
 			return
 		}
 		p.turn(func() {
+			w.doing = "operator"
 			answered := func(status int, text []byte) { w.after(way, func() { end(status, text) }) }
 			switch path {
 			case extras.ReplacePath:
@@ -120,7 +121,7 @@
 
 // open sends the first configuration until it is taken, then changes it as long as it may.
 func (o *operator) open(then func()) {
-	first := extras.First()
+	first := o.w.day.Wide.first()
 	o.propose(extras.Change{Path: extras.ReplacePath, Body: first, Version: extras.Version{Bill: first}}, func(status int, clear bool) {
 		if status != 200 {
 			o.w.after(100*time.Millisecond, func() { o.open(then) })
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -174,6 +174,7 @@
 			return
 		}
 		p.turn(func() {
+			w.doing = "beats"
 			answered := func(ok bool, target string) {
 				if ok && phase == callboard.Draining && !leaves {
 					w.teller = m
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,6 +41,9 @@
 	Beat                time.Duration
 	Mbps                float64       // of each machine's link; 0: not bounded
 	Turn                time.Duration // of processor time that a turn takes; 0: none
+	Share               float64       // of a core that a door has, in metered days: what turns took holds up the next; 0: not bounded
+	Regions             int           // zones lie in these in turn; 0 or 1: all in one
+	Wide                Wide          // nought: the small house
 }
 
 // Usual completes a site.
@@ -105,6 +109,8 @@
 	over     bool
 	sum      uint64 // of what travelled
 	counted  time.Duration
+	metered  bool   // work and frames are counted, and no history is kept
+	doing    string // what the turn under way is for, where it is metered
 }
 
 // moment is something that faults wait for.
@@ -217,6 +223,9 @@
 
 // note adds to the history.
 func (w *world) note(e history.Event) {
+	if w.metered {
+		return
+	}
 	e.T = w.now
 	w.history = append(w.history, e)
 }
@@ -231,9 +240,18 @@
 	if from == to {
 		return span(w.net, 200*time.Microsecond, 600*time.Microsecond)
 	}
+	if n := w.day.Regions; n > 1 && w.region(from) != w.region(to) {
+		return span(w.net, acrossLeast, acrossMost)
+	}
 	return span(w.net, 800*time.Microsecond, 3*time.Millisecond)
 }
 
+// One way between two regions.
+const acrossLeast, acrossMost = 50 * time.Millisecond, 60 * time.Millisecond
+
+// region is where a zone lies.
+func (w *world) region(zone string) int { return slices.Index(w.zones, zone) % max(w.day.Regions, 1) }
+
 // digest is of all that was seen and of every byte that travelled between doors.
 func (w *world) digest() string {
 	f := fnv.New64a()
