Boards are told whole to sixteen followers at a time, resends wait twice as long each

Cause: after the loss of all doors each follower asks at once and is told the whole board at once. With little processor time each part comes so late that it was sent again every 300 ms, and the follower left for another door, for all of it again: at 300 doors the busiest sent 6 to 12 MB a second for good. Change: sixteen transfers at a time; resends after 0.3, 0.6 ... 4.8 s; a follower asks for what was not named 3 s after the last word, 10 s at most.

--- a/internal/callboard/board.go
+++ b/internal/callboard/board.go
@@ -125,7 +125,8 @@
 	most       = 8192                   // backends that are known, tombstones too
 	tombs      = 4096                   // of them gone
 	tombFor    = 60 * time.Second       // how long a gone one is remembered
-	nameFor    = 3 * time.Second        // for so long the door that is followed may take to tell all it has
+	nameFor    = 3 * time.Second        // for so long the door that is followed may pause while it tells all it has
+	nameMost   = 10 * time.Second       // and take in all
 	tick       = 500 * time.Millisecond // longest sleep while there is something to watch
 	standstill = time.Second            // a longer step of the clock was a freeze of this door
 	never      = time.Duration(1<<63 - 1)
@@ -155,6 +156,7 @@
 	fedAt  time.Duration // and when
 	askAt  time.Duration // when what it did not name is told to it; never: it was
 	seats  []Seat        // of peers, sorted
+	queued []Seat        // who follows and waits to be told all there is
 	peers  map[Seat]*peer
 	tail   Ticket
 	waits  []wait
@@ -330,6 +332,7 @@
 		}
 	}
 	b.fresh = nil
+	b.transfer()
 	for _, s := range b.seats {
 		if m, ok := b.load(b.peers[s]); ok {
 			return Send{To: s, Message: m}, true
--- a/internal/callboard/keep.go
+++ b/internal/callboard/keep.go
@@ -7,20 +7,22 @@
 )
 
 const (
-	silentBeats  = 3  // without a sign for so long, a backend is gone
-	graceHalves  = 5  // half beats that a missing keeper is waited for
-	shyBeats     = 20 // how long a contested backend is left to the other keeper
-	lookEvery    = tick
-	packFor      = 50 * time.Millisecond  // small news wait so long for company
-	resendAfter  = 300 * time.Millisecond // for a confirmation
-	resendMost   = 10
-	askAfter     = time.Second // between two questions to a door that confirmed nothing
-	wordsMost    = 64          // in one message
-	flightMost   = 4           // messages on their way to one door
-	waitAll      = 500 * time.Millisecond
-	waitEnough   = 800 * time.Millisecond
-	tooLate      = 950 * time.Millisecond // the backend has turned to the next door
-	confirmsMost = 256
+	silentBeats   = 3  // without a sign for so long, a backend is gone
+	graceHalves   = 5  // half beats that a missing keeper is waited for
+	shyBeats      = 20 // how long a contested backend is left to the other keeper
+	lookEvery     = tick
+	packFor       = 50 * time.Millisecond  // small news wait so long for company
+	resendAfter   = 300 * time.Millisecond // for a confirmation
+	resendMost    = 6                      // times, over 14 s
+	resendDoubles = 4
+	transfersMost = 16          // doors that are told all there is at a time
+	askAfter      = time.Second // between two questions to a door that confirmed nothing
+	wordsMost     = 64          // in one message
+	flightMost    = 4           // messages on their way to one door
+	waitAll       = 500 * time.Millisecond
+	waitEnough    = 800 * time.Millisecond
+	tooLate       = 950 * time.Millisecond // the backend has turned to the next door
+	confirmsMost  = 256
 )
 
 // Doors tells all doors that are known, this one too. One that is no longer live or named is lost: what it
--- a/internal/callboard/spread.go
+++ b/internal/callboard/spread.go
@@ -20,6 +20,7 @@
 	behind bool          // gave no confirmation: only asked for a sign, and greeted when there is one
 
 	greet  bool // the next message begins to tell all there is
+	whole  bool // and it is being told all that
 	doubts []string
 	beats  []Word
 	acks   []uint64
@@ -52,8 +53,9 @@
 func (b *Board) drop(p *peer) {
 	p.lostAt = b.now
 	p.order, p.flight, p.again, p.doubts, p.beats, p.acks = nil, nil, nil, nil, nil, nil
-	p.behind, p.greet = false, false
+	p.behind, p.greet, p.whole = false, false, false
 	clear(p.waits)
+	b.queued = slices.DeleteFunc(b.queued, func(s Seat) bool { return s == p.door.Seat })
 	for _, e := range b.list {
 		delete(e.told, p.door.Seat)
 	}
@@ -76,13 +78,15 @@
 	if !b.tells(p) {
 		return
 	}
-	p.greet = p.door.Hears
+	if p.door.Hears {
+		b.queued = append(b.queued, s)
+		b.transfer()
+		return
+	}
 	for _, e := range b.list {
 		k, there := e.w.Keeper, e.phase() != Gone
 		var tell bool
 		switch {
-		case p.door.Hears:
-			tell = there
 		case b.firm && !b.self.Firm:
 			tell = there && e.level() > noEnd
 		default:
@@ -94,6 +98,34 @@
 	}
 }
 
+// transfer begins to tell all there is to those who follow and wait for it, a few at a time: after the loss of all doors everybody
+// asks at once, and what all are told together comes so late to each that they give up and ask another door, for all of it again.
+func (b *Board) transfer() {
+	if len(b.queued) == 0 {
+		return
+	}
+	under := 0
+	for _, s := range b.seats {
+		p := b.peers[s]
+		if p.whole && len(p.order)+len(p.flight) == 0 && !p.greet {
+			p.whole = false
+		}
+		if p.whole {
+			under++
+		}
+	}
+	for ; under < transfersMost && len(b.queued) > 0; under++ {
+		p := b.peers[b.queued[0]]
+		b.queued = b.queued[1:]
+		p.greet, p.whole = true, true
+		for _, e := range b.list {
+			if e.phase() != Gone {
+				b.tell(p, e.w.ID, true)
+			}
+		}
+	}
+}
+
 // unnamed tells the door that is followed what it did not name a while after it began to tell all it has: so it learns
 // what it should have had, or this door that it is gone.
 func (b *Board) unnamed() {
@@ -200,7 +232,7 @@
 // resend repeats what was not confirmed, and gives up on a door that confirms nothing.
 func (b *Board) resend(p *peer) {
 	for _, f := range p.flight {
-		if b.now-f.at < p.patience() {
+		if b.now-f.at < p.patience(f) {
 			continue
 		}
 		if f.tries++; f.tries > resendMost && !p.behind {
@@ -218,19 +250,20 @@
 	}
 }
 
-// patience is how long a confirmation is waited for.
-func (p *peer) patience() time.Duration {
+// patience is how long a confirmation is waited for: twice as long after each time. Links lose nothing while they are up, so what is not
+// confirmed mostly waits where the door has more to do than it can, and the same again is no help to it.
+func (p *peer) patience(f *parcel) time.Duration {
 	if p.behind {
 		return askAfter
 	}
-	return resendAfter
+	return resendAfter << min(f.tries, resendDoubles)
 }
 
 // due is when the door wants to be looked at again.
 func (p *peer) due() time.Duration {
 	at := never
 	for _, f := range p.flight {
-		at = min(at, f.at+p.patience())
+		at = min(at, f.at+p.patience(f))
 	}
 	if p.door.Live && !p.behind && len(p.order) > 0 && len(p.flight) < flightMost {
 		at = min(at, p.sendAt)
@@ -256,6 +289,9 @@
 	for _, nr := range m.Acks {
 		b.confirmed(p, nr)
 	}
+	if from == b.feeder && len(m.Words) > 0 && b.askAt != never { // it is still telling all it has
+		b.askAt = max(b.askAt, min(b.now+nameFor, b.fedAt+nameMost))
+	}
 	for _, w := range m.Words {
 		b.heard(p, w)
 	}
--- /dev/null
+++ b/internal/callboard/storm_test.go
@@ -0,0 +1,117 @@
+package callboard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// crowd is a door with a disk that many follow, all at once: what happens after the loss of all doors.
+type crowd struct {
+	b     *Board
+	words map[Seat]int // sent to each
+	due   []due
+	all   map[Seat]bool
+}
+
+type due struct {
+	at time.Duration
+	to Seat
+	nr uint64
+}
+
+func newCrowd(backends, followers int) *crowd {
+	c := &crowd{b: New(0, Terms{BeatInterval: time.Minute, Enough: 1, Life: 1}, 0), words: map[Seat]int{}, all: map[Seat]bool{}}
+	c.b.Doors([]Door{{Seat: 0, Control: "c:1", Live: true, Firm: true}})
+	for i := range backends {
+		c.b.Beat(Word{ID: fmt.Sprint("i-", i), Service: "s", Addr: fmt.Sprint("b:", i), Capacity: 1, Phase: Ready, Seq: 1})
+	}
+	for _, ok := c.b.Next(); ok; _, ok = c.b.Next() {
+	}
+	doors := []Door{{Seat: 0, Control: "c:1", Live: true, Firm: true}}
+	for s := range followers {
+		doors = append(doors, Door{Seat: Seat(s + 1), Live: true, Hears: true})
+	}
+	c.b.Doors(doors)
+	return c
+}
+
+// takes takes what is to be sent, each confirmed after a while, and gives the words in it.
+func (c *crowd) takes(after time.Duration) (sent int) {
+	for a, ok := c.b.Next(); ok; a, ok = c.b.Next() {
+		if m, is := a.(Send); is && m.Message.Nr != 0 {
+			sent += len(m.Message.Words)
+			c.words[m.To] += len(m.Message.Words)
+			c.all[m.To] = c.all[m.To] || m.Message.All
+			c.due = append(c.due, due{c.b.now + after, m.To, m.Message.Nr})
+		}
+	}
+	return sent
+}
+
+// until goes on to a time; confirmations come when they are due.
+func (c *crowd) until(t time.Duration, after time.Duration) {
+	for now := c.b.now; now <= t; now += 10 * time.Millisecond {
+		c.b.Now(now)
+		rest := c.due
+		c.due = nil
+		for _, d := range rest {
+			if d.at <= now {
+				c.b.Heard(d.to, Message{Acks: []uint64{d.nr}})
+			} else {
+				c.due = append(c.due, d)
+			}
+		}
+		c.takes(after)
+	}
+}
+
+// A door that all begin to follow at once told all of them everything together. With little processor time each then got its share so
+// late that it gave up, and asked another door, for all of it again: at 300 doors nothing else was done any more, and nothing was
+// served for half a minute.
+func TestTransfersAreBounded(t *testing.T) {
+	const backends, followers = 1000, 100
+	c := newCrowd(backends, followers)
+	must.LessEq(t, transfersMost*flightMost*wordsMost, c.takes(time.Hour)) // nobody confirms
+	c = newCrowd(backends, followers)
+	c.until(4*time.Second, 10*time.Millisecond)
+	for s := range followers {
+		must.True(t, c.all[Seat(s+1)])
+		must.Eq(t, backends, c.words[Seat(s+1)]) // each once
+	}
+}
+
+// What is confirmed late is not said again and again: that made a busy door busier.
+func TestLateConfirmationsCostLittle(t *testing.T) {
+	const backends, followers = 1000, 100
+	c := newCrowd(backends, followers)
+	sent := func() (n int) {
+		for _, x := range c.words {
+			n += x
+		}
+		return n
+	}
+	c.until(90*time.Second, 800*time.Millisecond)
+	for s := range followers {
+		must.GreaterEq(t, backends, c.words[Seat(s+1)])
+	}
+	must.LessEq(t, 2*backends*followers, sent()) // it was 3.7 times as much when it went again each 300 ms
+}
+
+// A transfer ends with the door that it goes to: the next one's begins.
+func TestTransfersGoOn(t *testing.T) {
+	c := newCrowd(1000, 2*transfersMost)
+	c.takes(time.Hour)
+	doors := []Door{{Seat: 0, Control: "c:1", Live: true, Firm: true}}
+	for s := range 2 * transfersMost {
+		doors = append(doors, Door{Seat: Seat(s + 1), Live: s >= transfersMost, Hears: s >= transfersMost})
+	}
+	c.b.Doors(doors) // those that were told first are lost
+	c.due = nil
+	c.until(4*time.Second, 10*time.Millisecond)
+	for s := transfersMost; s < 2*transfersMost; s++ {
+		must.Eq(t, 1000, c.words[Seat(s+1)])
+	}
+}
