A follower stays while nobody leads, and with a feeder that says other things

Cause: the word of a door with a disk that knows of no leader is as old as its start, so that followers changed over to whichever had told last, each time for the whole board; and one that had no answer in 2 s left a door that was merely busy. Each wish to follow made a door with a disk look at all doors anew. Change: all words over 1.5 s count alike; a feeder that says other things is waited for 5 s; the board is told of the one door alone.

--- a/internal/callboard/keep.go
+++ b/internal/callboard/keep.go
@@ -78,6 +78,22 @@
 	b.settle()
 }
 
+// Hears tells that a door follows this one, or does no longer: what Doors would tell of it, without looking at all the others.
+func (b *Board) Hears(s Seat, on bool) {
+	p := b.peers[s]
+	if p == nil || p.door.Hears == on {
+		return
+	}
+	if !on {
+		b.drop(p)
+	}
+	p.door.Hears = on
+	if on && p.door.Live {
+		b.Greet(s)
+	}
+	b.settle()
+}
+
 // lost tells that a door is not heard.
 func (b *Board) lost(s Seat) bool {
 	if s == b.me {
--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -26,6 +26,9 @@
 func (h *House) Heard(from string, f *Frame) {
 	h.company.Now(h.e.Now())
 	h.company.Heard(from)
+	if from == h.feeder {
+		h.saysAt = h.e.Now()
+	}
 	switch {
 	case f.Hello != nil:
 		h.company.Hello(from, *f.Hello)
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"clovergap/internal/callboard"
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
 	"clovergap/internal/script"
@@ -15,12 +16,14 @@
 	feedStale   = 1500 * time.Millisecond // a feeder whose word of the core is older is left for a fresher one
 	followAgain = 500 * time.Millisecond  // an unanswered wish to follow goes again, to another door if there is one
 	followMost  = 2 * time.Second         // twice as late each time: a long answer takes its time on a thin link
+	followLong  = 5 * time.Second         // and as long where the other one says something else: it has much to do, and another has as much
 	wordFor     = 3 * time.Second         // what a door said of its knowledge is forgotten after that
 	readyStale  = 3 * time.Second         // a door that knows no newer word of the core says that it is not ready
 	knownStale  = 2 * time.Second         // and one past this does not say for sure what is not there
 	standstill  = time.Second             // a longer pause between two ticks is this door's own
 	readFor     = 300 * time.Millisecond  // after one, what others sent meanwhile is read before one of them is left
 	never       = 24 * time.Hour
+	silent      = 2 * never // the word of a door that did not answer
 )
 
 // line is an entry that was applied here, kept for those who follow.
@@ -100,13 +103,13 @@
 	}
 	if f.Ends {
 		delete(h.followers, from)
-		h.doorsChanged()
+		h.boardHears(from)
 		return
 	}
 	had := h.hears(from)
 	h.followers[from] = f.After
 	if !had {
-		h.doorsChanged()
+		h.boardHears(from)
 		h.pingedAt = 0 // it waits for the word of who lives
 	} else if f.Anew {
 		h.greet(from)
@@ -118,6 +121,14 @@
 	}
 }
 
+// boardHears tells the board whether a door gets its news from this one.
+func (h *House) boardHears(addr string) {
+	if s := h.company.Seat(addr); s != company.NoSeat && h.board != nil {
+		h.board.Now(h.e.Now())
+		h.board.Hears(callboard.Seat(s), h.hears(addr))
+	}
+}
+
 // fed takes entries from the door that is followed. What was had before is passed over, a gap is asked for anew.
 func (h *House) fed(from string, f *Feed) {
 	if h.core != nil || from != h.feeder {
@@ -177,6 +188,9 @@
 		return
 	}
 	answered := h.fedAt >= h.askedAt
+	if !answered && h.saysAt > h.askedAt && now-h.askedAt < followLong && h.company.Live(h.feeder) {
+		return
+	}
 	if answered && h.company.Live(h.feeder) && h.staleOf(h.feeder) < feedStale {
 		if w := h.words[h.feeder]; w.index > h.applied && now-max(h.askedAt, h.fedAt) > followAgain {
 			h.follow(h.feeder) // what it sent was lost
@@ -185,7 +199,7 @@
 	}
 	if h.feeder != "" {
 		if w, ok := h.words[h.feeder]; !ok || !answered || now-w.at > feedStale {
-			h.words[h.feeder] = word{now, never, 0} // it says nothing
+			h.words[h.feeder] = word{now, silent, 0} // it says nothing
 		}
 		if !answered {
 			h.askWait = min(2*max(h.askWait, followAgain), followMost)
@@ -203,7 +217,9 @@
 		}
 		stale := time.Duration(0)
 		if w, ok := h.words[d.Addr]; ok && now-w.at < wordFor {
-			stale = w.stale.Truncate(feedStale)
+			if stale = min(w.stale, feedStale).Truncate(feedStale); w.stale == silent { // while nobody leads, all are as good
+				stale = silent
+			}
 		}
 		if d.Zone != h.sheet.Zone {
 			stale += time.Millisecond
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -77,6 +77,7 @@
 	feeder  string
 	askedAt time.Duration
 	fedAt   time.Duration
+	saysAt  time.Duration // when anything came from the feeder
 	askWait time.Duration
 	tickAt  time.Duration
 	stoodTo time.Duration // when this door last stood still until
