--- a/cmd/lab/capacity.go
+++ b/cmd/lab/capacity.go
@@ -16,17 +16,19 @@
 
 // capacityRun are the flags of measuring how a house grows.
 type capacityRun struct {
-	sizes         []int
-	site          rehearsal.Site
-	whole         bool
-	each          float64 // requests a second at each door
-	dur           time.Duration
-	seed          uint64
-	phases        []string
-	out           string
-	fit           []string
-	state         bool
-	predict, from int
+	sizes  []int
+	site   rehearsal.Site
+	whole  bool
+	each   float64 // requests a second at each door
+	dur    time.Duration
+	seed   uint64
+	phases []string
+	out    string
+	fit    []string
+	state  bool
+	from   int
+	by     string
+	at     float64
 }
 
 func capacityCommand() *cobra.Command {
@@ -67,7 +69,8 @@
 	f.StringVar(&k.out, "out", "", "add what was measured to this file of JSON lines")
 	f.StringSliceVar(&k.fit, "fit", nil, "read what was measured from these files, and print slopes")
 	f.IntVar(&k.from, "up-to", 0, "with --fit, only of sizes up to this")
-	f.IntVar(&k.predict, "at", capacity.Target.Doors, "with --fit, what the slopes come to at this number of doors")
+	f.StringVar(&k.by, "by", "door", "with --fit, what quantities grow with: "+strings.Join(capacity.Axes(), ", "))
+	f.Float64Var(&k.at, "at", float64(capacity.Target.Doors), "with --fit, what the slopes come to at so much of it")
 	f.BoolVar(&k.state, "state", false, "measure bytes in memory of each part, alone")
 	return c
 }
@@ -138,5 +141,5 @@
 		}
 		f.Close()
 	}
-	return capacity.TellSlopes(os.Stdout, all, k.predict)
+	return capacity.TellSlopes(os.Stdout, all, k.by, k.at)
 }
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -3,12 +3,15 @@
 package capacity
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"slices"
+	"strings"
 
 	"clovergap/internal/rehearsal"
 )
@@ -126,6 +129,8 @@
 		for _, kind := range rehearsal.Sorts {
 			add(ph, "  "+kind+" of a member", "B/s", func(p rehearsal.Phase) float64 { return p.Member.Kinds[kind] })
 		}
+		add(ph, "member, in all", "MB", func(p rehearsal.Phase) float64 { return p.Member.Mean * p.Seconds / 1e6 })
+		add(ph, "busiest member, in all", "MB", func(p rehearsal.Phase) float64 { return p.Member.Most * p.Seconds / 1e6 })
 		add(ph, "member, came", "B/s", func(p rehearsal.Phase) float64 { return p.Member.Got })
 		add(ph, "member, processor", "% core", func(p rehearsal.Phase) float64 { return 100 * p.Member.Core })
 		add(ph, "busiest member, processor", "% core", func(p rehearsal.Phase) float64 { return 100 * p.Member.CoreMost })
@@ -144,33 +149,50 @@
 	return all
 }
 
-// TellSlopes prints a line for each quantity, and what it comes to at a number of doors.
-func TellSlopes(w io.Writer, all []*rehearsal.Measure, at int) error {
+// axes are what quantities may grow with.
+var axes = map[string]func(m *rehearsal.Measure) float64{
+	"door":    func(m *rehearsal.Measure) float64 { return float64(m.Doors) },
+	"member":  func(m *rehearsal.Measure) float64 { return float64(m.Disks) },
+	"backend": func(m *rehearsal.Measure) float64 { return float64(m.Wide.Backends) },
+	"route":   func(m *rehearsal.Measure) float64 { return float64(m.Wide.Routes) },
+	"tenant":  func(m *rehearsal.Measure) float64 { return float64(m.Wide.Tenants) },
+	"request": func(m *rehearsal.Measure) float64 { return m.Rate / float64(m.Doors) }, // a second, at each door
+}
+
+// Axes are their names.
+func Axes() []string { return slices.Sorted(maps.Keys(axes)) }
+
+// TellSlopes prints a line for each quantity: how it grows with one thing, and what it comes to where there is so much of that.
+func TellSlopes(w io.Writer, all []*rehearsal.Measure, by string, at float64) error {
+	x, ok := axes[by]
+	if !ok {
+		return fmt.Errorf("slopes are by %s", strings.Join(Axes(), ", "))
+	}
 	if len(all) == 0 {
 		return fmt.Errorf("nothing was measured")
 	}
-	slices.SortStableFunc(all, func(a, b *rehearsal.Measure) int { return a.Doors - b.Doors })
+	slices.SortStableFunc(all, func(a, b *rehearsal.Measure) int { return cmp.Compare(x(a), x(b)) })
 	var phases []string
 	for _, name := range rehearsal.Phases {
 		if slices.ContainsFunc(all, func(m *rehearsal.Measure) bool { _, ok := PhaseOf(m, name); return ok }) {
 			phases = append(phases, name)
 		}
 	}
-	fmt.Fprintf(w, "| phase | quantity | at the least | at the most size | a door more | error | off the line | power | at %d |\n", at)
+	fmt.Fprintf(w, "| phase | quantity | at the least | at the most | a %s more | error | off the line | power | at %g |\n", by, at)
 	fmt.Fprintf(w, "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n")
 	for _, r := range rows(phases) {
-		var x, y []float64
+		var xs, y []float64
 		for _, m := range all {
 			if p, ok := PhaseOf(m, r.phase); ok && m.Doors > m.Disks {
-				x, y = append(x, float64(m.Doors)), append(y, r.of(p))
+				xs, y = append(xs, x(m)), append(y, r.of(p))
 			}
 		}
-		if len(x) < 2 || slices.Max(y) <= 0 {
+		if len(xs) < 2 || slices.Max(y) <= 0 {
 			continue
 		}
-		f := Line(x, y)
+		f := Line(xs, y)
 		fmt.Fprintf(w, "| %s | %s, %s | %.4g (%d) | %.4g (%d) | %.4g | %.2g | %.0f %% | %.2f | %.4g |\n", r.phase, r.what, r.unit,
-			y[0], int(f.From), y[len(y)-1], int(f.To), f.B, f.Error, 100*f.Residual, f.Power, f.At(float64(at)))
+			y[0], int(f.From), y[len(y)-1], int(f.To), f.B, f.Error, 100*f.Residual, f.Power, f.At(at))
 	}
 	return nil
 }
