--- a/cmd/lab/capacity.go
+++ b/cmd/lab/capacity.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,19 +17,21 @@
 
 // capacityRun are the flags of measuring how a house grows.
 type capacityRun struct {
-	sizes  []int
-	site   rehearsal.Site
-	whole  bool
-	each   float64 // requests a second at each door
-	dur    time.Duration
-	seed   uint64
-	phases []string
-	out    string
-	fit    []string
-	state  bool
-	from   int
-	by     string
-	at     float64
+	sizes   []int
+	site    rehearsal.Site
+	whole   bool
+	each    float64 // requests a second at each door
+	dur     time.Duration
+	seed    uint64
+	phases  []string
+	out     string
+	fit     []string
+	state   bool
+	hollow  int
+	changes int
+	from    int
+	by      string
+	at      float64
 }
 
 func capacityCommand() *cobra.Command {
@@ -45,6 +48,8 @@
 			switch {
 			case k.state:
 				return capacity.TellState(os.Stdout)
+			case k.hollow > 0:
+				return k.real(c.Context())
 			case len(k.fit) > 0:
 				return k.slopes()
 			}
@@ -71,6 +76,8 @@
 	f.IntVar(&k.from, "up-to", 0, "with --fit, only of sizes up to this")
 	f.StringVar(&k.by, "by", "door", "with --fit, what quantities grow with: "+strings.Join(capacity.Axes(), ", "))
 	f.Float64Var(&k.at, "at", float64(capacity.Target.Doors), "with --fit, what the slopes come to at so much of it")
+	f.IntVar(&k.hollow, "hollow", 0, "start so many real doors in this process, on loopback, and measure them")
+	f.IntVar(&k.changes, "changes", 20, "with --hollow, changes of the configuration")
 	f.BoolVar(&k.state, "state", false, "measure bytes in memory of each part, alone")
 	return c
 }
@@ -122,6 +129,20 @@
 	return nil
 }
 
+// real measures real doors, without clients.
+func (k *capacityRun) real(ctx context.Context) error {
+	s := k.of(k.hollow)
+	r, err := capacity.Hollow{Doors: s.Doors, Members: s.Disks, Zones: s.Zones, Wide: s.Wide, Beat: s.Beat, Over: k.dur, Changes: k.changes}.Play(ctx, os.Stdout)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(r)
+	if err == nil {
+		fmt.Println(string(text))
+	}
+	return err
+}
+
 func (k *capacityRun) slopes() error {
 	var all []*rehearsal.Measure
 	for _, name := range k.fit {
--- /dev/null
+++ b/internal/capacity/hollow.go
@@ -0,0 +1,312 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
+	"clovergap/internal/callsheet"
+	"clovergap/internal/extras"
+	"clovergap/internal/house"
+	"clovergap/internal/playbill"
+	"clovergap/internal/rehearsal"
+	"clovergap/internal/stagedoor"
+)
+
+// Hollow is a house of real doors in this process: sockets, disks and clocks are real, and no client asks anything.
+type Hollow struct {
+	Doors, Members, Zones int
+	Wide                  rehearsal.Wide
+	Beat                  time.Duration
+	Over                  time.Duration // of each span that is measured
+	Changes               int
+}
+
+// Seen is what came of it.
+type Seen struct {
+	Hollow
+	ReadyS             float64 // from the first start until all were ready
+	Descriptors        int     // of the process, without the beats'
+	Written            float64 // bytes a second written between doors, all together, without heads of packets and without logs
+	Core               float64 // of one core, all together, with the backends' beats
+	Heap               float64 // of a door, in the mean
+	RSS                float64 // of the process
+	Acks, Median, Last float64 // milliseconds: of a change to its acknowledgement; from that to a door, and to the last, the worst
+}
+
+// counted is a connection of the backends' and operators' side.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// hollow is one under way.
+type hollow struct {
+	Hollow
+	doors  []*house.House
+	sheets []*callsheet.Sheet
+	client *http.Client
+	bytes  atomic.Int64 // of beats and orders, both ways
+	dir    string
+}
+
+// Play starts the doors, measures, and leaves them to the end of the process.
+func (o Hollow) Play(ctx context.Context, tell io.Writer) (*Seen, error) {
+	x := &hollow{Hollow: o}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return counted{c, &x.bytes}, err
+	}
+	x.client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8}}
+	var err error
+	if x.dir, err = os.MkdirTemp("", "clovergap-hollow-"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(x.dir)
+	empty, began := x.heap(), time.Now()
+	if err := x.start(); err != nil {
+		return nil, err
+	}
+	version, err := x.order(ctx, extras.ReplacePath, rehearsal.FirstText(o.Wide), 1)
+	if err != nil {
+		return nil, errors.Wrap(err, "the first configuration")
+	}
+	beats, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	for i := range o.Wide.Backends {
+		wg.Go(func() { x.beats(beats, i) })
+	}
+	if !x.until(ctx, 2*time.Minute, func(h *house.House) bool { return h.Serves() }) {
+		return nil, errors.New("not all doors are ready in two minutes")
+	}
+	s := &Seen{Hollow: o, ReadyS: time.Since(began).Seconds()}
+	fmt.Fprintf(tell, "all ready after %.1f s\n", s.ReadyS)
+	time.Sleep(8 * time.Second)
+	before, bytes, cpu, at := written(), x.bytes.Load(), processTime(), time.Now()
+	time.Sleep(o.Over)
+	secs := time.Since(at).Seconds()
+	s.Written = (float64(written()-before) - float64(x.bytes.Load()-bytes)) / secs
+	s.Core = (processTime() - cpu).Seconds() / secs
+	s.Heap, s.RSS, s.Descriptors = (x.heap()-empty)/float64(o.Doors), resident(), x.descriptors()
+	return s, x.changes(ctx, s, version)
+}
+
+func (x *hollow) start() error {
+	pid := os.Getpid()
+	var seeds []string
+	for i := range x.Doors {
+		ip := fmt.Sprintf("127.%d.%d.%d", 2+(pid>>4+i/200)&127, 10+pid&127, 11+i%200)
+		s := &callsheet.Sheet{NodeName: fmt.Sprint("door-", i), IP: ip, Zone: fmt.Sprint("zone-", i%x.Zones), InnerPorts: [2]int{17560, 17575},
+			Bind:      callsheet.Bind{Front: ip + ":18388", Readiness: ip + ":18384", Control: ip + ":18381"},
+			FirstBoot: true, CountsAsLoss: i < x.Members, BeatInterval: x.Beat,
+			Tolerates: callsheet.Tolerates{Machines: (x.Members - 1) / 2}, Bounds: extras.Bounds()}
+		if i < x.Members {
+			s.DataDir = filepath.Join(x.dir, s.NodeName)
+			if err := os.Mkdir(s.DataDir, 0o755); err != nil {
+				return err
+			}
+			if len(seeds) < 3 {
+				seeds = append(seeds, s.Bind.Control)
+			}
+		}
+		x.sheets = append(x.sheets, s)
+	}
+	for _, s := range x.sheets {
+		s.SeedAddrs = seeds
+		h, err := house.New(s)
+		if err != nil {
+			return err
+		}
+		if err := h.Start(); err != nil {
+			return err
+		}
+		x.doors = append(x.doors, h)
+	}
+	return nil
+}
+
+// until waits for something of every door.
+func (x *hollow) until(ctx context.Context, most time.Duration, is func(*house.House) bool) bool {
+	left := slices.Clone(x.doors)
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if left = slices.DeleteFunc(left, is); len(left) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// post makes one call.
+func (x *hollow) post(ctx context.Context, to, path string, body []byte) (int, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	a, err := x.client.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	return a.StatusCode, text, err
+}
+
+// order sends one until it is taken, to one door after the other.
+func (x *hollow) order(ctx context.Context, path string, body []byte, version uint64) (uint64, error) {
+	last := ""
+	for i := range 200 {
+		status, text, err := x.post(ctx, x.sheets[i%len(x.sheets)].Bind.Control, path, body)
+		if err == nil && status == 200 {
+			return version, nil
+		}
+		last = fmt.Sprint(status, " ", string(text), " ", err)
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return 0, errors.New(last)
+}
+
+// beats says of one backend that it lives, as long as it does.
+func (x *hollow) beats(ctx context.Context, i int) {
+	services := 2 + x.Wide.Services
+	service := rehearsal.ServiceName(i % services)
+	to, beat := x.sheets[i%len(x.sheets)].Bind.Control, stagedoor.Beat{Address: fmt.Sprintf("10.200.%d.%d:8080", i/200, i%200+1),
+		Capacity: 4, Generation: "v1", Phase: stagedoor.Ready, ColdLeft: "0ms", Target: service, Zone: fmt.Sprint("zone-", i/services%x.Zones)}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(x.Beat * time.Duration(i) / time.Duration(max(x.Wide.Backends, 1))):
+	}
+	tick := time.NewTicker(x.Beat)
+	defer tick.Stop()
+	for {
+		beat.CallSeq++
+		body, _ := json.Marshal(beat)
+		status, text, err := x.post(ctx, to, fmt.Sprintf("/api/Backends.Heartbeat/i-%s-%d", service, i), body)
+		var a stagedoor.BeatAnswer
+		switch {
+		case err != nil || status/100 != 2:
+			to = x.sheets[(i+int(beat.CallSeq))%len(x.sheets)].Bind.Control
+		case json.Unmarshal(text, &a) == nil && a.BeatTarget != "":
+			to = a.BeatTarget
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// changes makes some, one after the other, and takes the time from each acknowledgement until the doors have it.
+func (x *hollow) changes(ctx context.Context, s *Seen, version uint64) error {
+	var acks, times []float64
+	for i := range x.Changes {
+		next := version + 1
+		deadline, aim := "1500ms", "400ms"
+		a := playbill.Amendment{Generation: next, ParentVersion: version, Upserts: &playbill.Upserts{Vhosts: []playbill.BillHost{{
+			Hostname: "guests.example", PathList: []playbill.BillRoute{{Name: fmt.Sprint("g-", i), PathPrefix: fmt.Sprintf("/g%d/", i),
+				Variant: playbill.Pure, Deadline: &deadline, TargetLatency: &aim, MaxTries: 2, Target: rehearsal.ServiceName(0)}}}}}}
+		body, err := json.Marshal(a)
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		if version, err = x.order(ctx, extras.AmendPath, body, next); err != nil {
+			return errors.Wrap(err, "a change")
+		}
+		acked := time.Now()
+		acks = append(acks, ms(acked.Sub(began)))
+		left := slices.Clone(x.doors)
+		for len(left) > 0 && time.Since(acked) < 12*time.Second {
+			left = slices.DeleteFunc(left, func(h *house.House) bool {
+				if h.InForce() < next {
+					return false
+				}
+				times = append(times, ms(time.Since(acked)))
+				return true
+			})
+		}
+		if len(left) > 0 {
+			return errors.Errorf("%d doors have not had a change in 12 s", len(left))
+		}
+		s.Last = max(s.Last, times[len(times)-1])
+		time.Sleep(500 * time.Millisecond)
+	}
+	slices.Sort(acks)
+	slices.Sort(times)
+	if len(acks) > 0 {
+		s.Acks, s.Median = acks[len(acks)/2], times[len(times)/2]
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func (x *hollow) heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// descriptors are those that doors hold.
+func (x *hollow) descriptors() int {
+	x.client.CloseIdleConnections()
+	all, _ := os.ReadDir("/proc/self/fd")
+	return len(all)
+}
+
+// field reads a number from a file of the kernel's.
+func field(file, name string) (n int64) {
+	text, _ := os.ReadFile(file)
+	for line := range strings.Lines(string(text)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == name {
+			n, _ = strconv.ParseInt(f[1], 10, 64)
+		}
+	}
+	return n
+}
+
+func written() int64    { return field("/proc/self/io", "wchar:") }
+func resident() float64 { return float64(field("/proc/self/status", "VmRSS:")) * 1024 }
+func processTime() time.Duration {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t)
+	return time.Duration(t.Nano())
+}
--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -33,6 +33,17 @@
 // Version is of the configuration that this door routes by; 0: none yet.
 func (h *House) Version() uint64 { return h.table.Version() }
 
+// InForce and Serves are Version and Ready for who is not in a turn.
+func (h *House) InForce() (v uint64) {
+	h.e.Turn(func() { v = h.Version() })
+	return v
+}
+
+func (h *House) Serves() (is bool) {
+	h.e.Turn(func() { is = h.Ready() })
+	return is
+}
+
 // Change brings a change to whoever leads. What is wrong in itself, or taken already as far as is known here, needs no leader.
 func (h *House) Change(kind script.Kind, body []byte, then func(status int, body []byte)) {
 	switch v, err := h.script.Decide(kind, body); v {
--- a/internal/rehearsal/meter.go
+++ b/internal/rehearsal/meter.go
@@ -23,6 +23,14 @@
 
 func (x Wide) service(i int) string { return fmt.Sprintf("service-%03d", i) }
 
+// ServiceName is the name of a wide house's service: the small house's come first.
+func ServiceName(i int) string {
+	if i < len(extras.Services) {
+		return extras.Services[i].Name
+	}
+	return Wide{}.service(i - len(extras.Services))
+}
+
 func accountKey(i int) string { return fmt.Sprintf("account-key-%06d", i) }
 
 // first is the configuration that the house begins with.
