--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -30,6 +30,20 @@
 	return why
 }
 
+// Version is of the configuration that this door routes by; 0: none yet.
+func (h *House) Version() uint64 { return h.table.Version() }
+
+// InForce and Serves are Version and Ready for who is not in a turn.
+func (h *House) InForce() (v uint64) {
+	h.e.Turn(func() { v = h.Version() })
+	return v
+}
+
+func (h *House) Serves() (is bool) {
+	h.e.Turn(func() { is = h.Ready() })
+	return is
+}
+
 // Change brings a change to whoever leads, unless what is known here settles it for every later state: that it was taken, or that
 // it is wrong in itself. A door that is behind refuses nothing by its own state.
 func (h *House) Change(kind script.Kind, body []byte, then func(status int, body []byte)) {
--- a/internal/prompter/members.go
+++ b/internal/prompter/members.go
@@ -82,9 +82,9 @@
 	}
 	for _, m := range p.Members() {
 		i := slices.IndexFunc(reach, func(r Reach) bool { return r.ID == m.ID })
-		since, here := now, i >= 0 || m.ID == p.me.ID
-		if w := p.peers[m.ID]; p.role == leading && w != nil && now-w.heard > quietMost*p.terms.Beat { // without power it ends no link
-			since, here = w.heard, false
+		here := i >= 0 || m.ID == p.me.ID
+		if now-p.lastHeard(m.ID, now) > quietMost*p.terms.Beat { // without power it ends no link
+			here = false
 		}
 		switch {
 		case i >= 0 && reach[i].Leaving:
@@ -92,7 +92,9 @@
 		case here:
 			delete(p.lost, m.ID)
 		case p.lost[m.ID] == 0 || p.leaving(m.ID): // it has left: from here on it may be restarting
-			p.lost[m.ID] = since
+			p.lost[m.ID] = p.lastHeard(m.ID, now)
+		default:
+			p.lost[m.ID] = p.lastHeard(m.ID, p.lost[m.ID])
 		}
 	}
 }
@@ -100,6 +102,15 @@
 // leaving tells whether a member has said that it ends.
 func (p *Prompter) leaving(id MemberID) bool { return p.lost[id] < p.now-gone/2 }
 
+// lastHeard is since when a member is lost. A host takes seconds to find that out, and with as much again on top of it a successor would
+// count only after catch_up: the leader goes by the last answer to its heartbeats, where that is longer ago.
+func (p *Prompter) lastHeard(id MemberID, lost time.Duration) time.Duration {
+	if w := p.peers[id]; w != nil && p.fault != lateLost {
+		return max(min(lost, w.heard), 1)
+	}
+	return lost
+}
+
 // answered tells whether all members have answered since the learner came: one that lies without power looks as if it were there.
 func (p *Prompter) answered() bool {
 	for _, m := range p.others() {
