A disk that is no member leaves at once when it is told to end

Cause: a spare that is being taught, or one that was replaced, is told nothing of where what it has is held, and would have stayed until the end of the grace. Change: nothing rests on one that is not on the list: it goes when its requests are answered. Measured: TestWhoLeavesStaysUntilOthersHaveIt, which now has that case, passes; without the change it fails (0 of what is committed).

--- a/internal/prompter/members_test.go
+++ b/internal/prompter/members_test.go
@@ -268,6 +268,18 @@
 	must.False(t, first)
 	_, first = early(leaveEarly)
 	must.True(t, first)
+	w := newStage(3, 1, sound, budget{}).replaced(2, 3) // one that is no member goes at once
+	w.start(2)
+	w.heartbeat(0)
+	w.settle()
+	w.seats[0].p.learn(w.seats[2].p.me, nil)
+	w.pull(0)
+	w.settle()
+	w.heartbeat(0)
+	w.settle()
+	out := w.seats[2].p
+	must.Eq(t, w.seats[0].p.committed, out.Committed())
+	must.Eq(t, out.Committed(), out.Elsewhere())
 }
 
 // A disk that was moved to another address keeps its place: the list is told, by both majorities, and it goes on as a member.
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -500,8 +500,11 @@
 // Elsewhere is up to which index all that is known here to be committed is on the disks of a majority of the members without
 // this one, where it leaves, and Committed what is known to be: who leaves waits until the one has come up to the other.
 func (p *Prompter) Elsewhere() uint64 {
-	if p.role == leading {
+	switch {
+	case p.role == leading:
 		return p.heldWithout(p.me.ID)
+	case !p.member(p.me.ID): // nothing rests on it
+		return p.committed
 	}
 	return min(p.elsewhere, p.committed)
 }
