--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -95,7 +95,13 @@
 // followed takes a wish to follow. It holds until it is taken back or the link ends, however long the other one is silent: one
 // that was frozen does not know that it was missed, and would wait for news that nobody sends it.
 func (h *House) followed(from string, f *Follow) {
-	if h.core == nil || !h.core.p.Founded() {
+	if h.core == nil {
+		return
+	}
+	if !h.core.p.Founded() {
+		if !f.Ends { // it asks another at once; without a word it would stay, since this door says other things
+			h.wings.Send(from, &Frame{Feed: &Feed{Stale: never}})
+		}
 		return
 	}
 	if f.Ends {
@@ -146,6 +152,10 @@
 		return
 	}
 	h.fedAt, h.askWait = h.e.Now(), followAgain
+	if f.After == 0 && f.State == nil && len(f.Entries) == 0 && h.applied > 0 { // it is back with an empty disk
+		h.words[from] = word{h.fedAt, silent, 0, 0}
+		return
+	}
 	if f.View > 0 && f.View < h.known.view && h.fault != oldViews { // what it has was had before that view began
 		h.words[from] = word{h.fedAt, never, f.After, f.View}
 		return
