Doors turn to different feeders where several are as good

Cause: a door in a zone without a member followed the first by address: of six members over nine zones the busiest sent 1.9 times the mean after all were killed. Change: each door has an order of its own, by hash.

--- a/internal/callboard/board.go
+++ b/internal/callboard/board.go
@@ -156,6 +156,7 @@
 	fedAt  time.Duration // and when
 	askAt  time.Duration // when what it did not name is told to it; never: it was
 	seats  []Seat        // of peers, sorted
+	busy   []Seat        // of peers that are to be told something, or have yet to confirm it, sorted
 	queued []Seat        // who follows and waits to be told all there is
 	peers  map[Seat]*peer
 	tail   Ticket
@@ -242,8 +243,10 @@
 		}
 	}
 	b.now = t
-	for _, s := range b.seats {
-		b.resend(b.peers[s])
+	for _, s := range b.busy {
+		if p := b.peers[s]; p != nil {
+			b.resend(p)
+		}
 	}
 	if t >= b.next {
 		b.look()
@@ -333,11 +336,14 @@
 	}
 	b.fresh = nil
 	b.transfer()
-	for _, s := range b.seats {
-		if m, ok := b.load(b.peers[s]); ok {
-			return Send{To: s, Message: m}, true
+	for _, s := range b.busy {
+		if p := b.peers[s]; p != nil {
+			if m, ok := b.load(p); ok {
+				return Send{To: s, Message: m}, true
+			}
 		}
 	}
+	b.rest()
 	if at := b.wake(); at != b.woken {
 		b.woken = at
 		return Wake{At: at}, true
@@ -366,6 +372,11 @@
 	Refused               uint64
 }
 
+// Serves tells whether a backend is ready. It looks no further than the first: it is asked each second and more.
+func (b *Board) Serves() bool {
+	return slices.ContainsFunc(b.list, func(e *entry) bool { return b.view(e) == Ready })
+}
+
 // Status counts what there is.
 func (b *Board) Status() Status {
 	s := Status{Waiting: len(b.waits), Refused: b.refuse}
@@ -436,8 +447,30 @@
 	for _, w := range b.waits {
 		at = min(at, w.due(b.now))
 	}
-	for _, s := range b.seats {
+	for _, s := range b.busy {
 		at = min(at, b.peers[s].due())
 	}
 	return at
 }
+
+// work notes that a door is to be looked at: a turn that concerns few doors must not go over all of them.
+func (b *Board) work(p *peer) {
+	if p.busy {
+		return
+	}
+	p.busy = true
+	at, _ := slices.BinarySearch(b.busy, p.door.Seat)
+	b.busy = slices.Insert(b.busy, at, p.door.Seat)
+}
+
+// rest lets those go that have nothing more to be told, and have confirmed all.
+func (b *Board) rest() {
+	b.busy = slices.DeleteFunc(b.busy, func(s Seat) bool {
+		p := b.peers[s]
+		if p == nil {
+			return true
+		}
+		p.busy = p.greet || len(p.order)+len(p.flight)+len(p.again)+len(p.doubts)+len(p.beats)+len(p.acks) > 0
+		return !p.busy
+	})
+}
--- a/internal/callboard/keep.go
+++ b/internal/callboard/keep.go
@@ -69,6 +69,7 @@
 		if !named[s] {
 			b.drop(p)
 			delete(b.peers, s)
+			b.busy = slices.DeleteFunc(b.busy, func(x Seat) bool { return x == s })
 		}
 	}
 	b.seats = slices.DeleteFunc(b.seats, func(s Seat) bool { return !named[s] })
--- a/internal/callboard/spread.go
+++ b/internal/callboard/spread.go
@@ -19,6 +19,7 @@
 	again  []*parcel     // to be sent once more
 	behind bool          // gave no confirmation: only asked for a sign, and greeted when there is one
 
+	busy   bool // its seat is among the board's busy ones
 	greet  bool // the next message begins to tell all there is
 	whole  bool // and it is being told all that
 	doubts []string
@@ -117,6 +118,7 @@
 	for ; under < transfersMost && len(b.queued) > 0; under++ {
 		p := b.peers[b.queued[0]]
 		b.queued = b.queued[1:]
+		b.work(p)
 		p.greet, p.whole = true, true
 		for _, e := range b.list {
 			if e.phase() != Gone {
@@ -162,6 +164,7 @@
 	if !now {
 		at += packFor
 	}
+	b.work(p)
 	if len(p.order) == 0 || at < p.sendAt {
 		p.sendAt = at
 	}
@@ -174,6 +177,7 @@
 // relay passes a beat on; the next beat makes up for a lost one.
 func (b *Board) relay(e *entry, s Seat) {
 	if p := b.peers[s]; p != nil && p.door.Live && len(p.beats) < wordsMost {
+		b.work(p)
 		p.beats = append(p.beats, b.word(e))
 	}
 }
@@ -304,6 +308,7 @@
 		b.doubted(p, w)
 	}
 	if m.Nr != 0 && len(p.acks) < confirmsMost {
+		b.work(p)
 		p.acks = append(p.acks, m.Nr)
 	}
 	b.settle()
@@ -386,6 +391,7 @@
 func (b *Board) ask(e *entry) {
 	e.kept = b.now
 	if p := b.peers[e.w.Keeper]; p != nil && p.door.Live && !slices.Contains(p.doubts, e.w.ID) {
+		b.work(p)
 		p.doubts = append(p.doubts, e.w.ID)
 	}
 }
--- a/internal/callboard/storm_test.go
+++ b/internal/callboard/storm_test.go
@@ -115,3 +115,27 @@
 		must.Eq(t, 1000, c.words[Seat(s+1)])
 	}
 }
+
+// A turn looks at the doors that it concerns: where nothing is to be told, at none. It looked at all of them three times, whatever it was
+// for, so that a beat cost with three hundred doors three times what it did with a hundred.
+func TestNothingToTellCostsNothing(t *testing.T) {
+	c := newCrowd(100, 50)
+	c.takes(time.Hour)
+	must.SliceNotEmpty(t, c.b.busy)
+	for range 20 {
+		rest := c.due
+		c.due = nil
+		for _, d := range rest {
+			c.b.Heard(d.to, Message{Acks: []uint64{d.nr}})
+		}
+		c.takes(time.Hour)
+	}
+	must.SliceEmpty(t, c.b.busy)
+	must.True(t, c.b.Serves())
+	c.b.Leave("i-7", 2) // that is for all
+	c.takes(time.Hour)
+	must.SliceLen(t, 50, c.b.busy)
+	c.b.Doors([]Door{{Seat: 0, Control: "c:1", Live: true, Firm: true}}) // nobody is there any more
+	must.SliceEmpty(t, c.b.busy)
+	must.False(t, New(0, Terms{}, 0).Serves())
+}
--- a/internal/capacity/hollow.go
+++ b/internal/capacity/hollow.go
@@ -38,6 +38,9 @@
 	Changes               int
 }
 
+// descriptorsMost of the process.
+const descriptorsMost = 16000
+
 // Seen is what came of it.
 type Seen struct {
 	Hollow
@@ -129,7 +132,8 @@
 		s := &callsheet.Sheet{NodeName: fmt.Sprint("door-", i), IP: ip, Zone: fmt.Sprint("zone-", i%x.Zones), InnerPorts: [2]int{17560, 17575},
 			Bind:      callsheet.Bind{Front: ip + ":18388", Readiness: ip + ":18384", Control: ip + ":18381"},
 			FirstBoot: true, CountsAsLoss: i < x.Members, BeatInterval: x.Beat,
-			Tolerates: callsheet.Tolerates{Machines: (x.Members - 1) / 2}, Bounds: extras.Bounds()}
+			Tolerates: callsheet.Tolerates{Machines: (x.Members - 1) / 2}, Bounds: extras.Bounds(),
+			Limits: callsheet.Limits{MaxFDs: descriptorsMost}} // the poller goes by their numbers, which all doors share
 		if i < x.Members {
 			s.DataDir = filepath.Join(x.dir, s.NodeName)
 			if err := os.Mkdir(s.DataDir, 0o755); err != nil {
--- /dev/null
+++ b/internal/company/nearer_test.go
@@ -0,0 +1,29 @@
+package company
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Doors in a zone without one with a disk all turned to the first by address: of six it sent twice the mean.
+func TestDoorsTurnToDifferentOnes(t *testing.T) {
+	const doors, disks = 600, 6
+	turned := map[string]int{}
+	for i := range doors {
+		from, best := fmt.Sprintf("10.0.%d.%d:7110", i/200, i%200), ""
+		for d := range disks {
+			if a := fmt.Sprintf("10.1.0.%d:7110", d); best == "" || Nearer(from, a, best) {
+				best = a
+			}
+		}
+		turned[best]++
+	}
+	must.MapLen(t, disks, turned)
+	for a, n := range turned {
+		must.Between(t, doors/disks/2, n, doors/disks*3/2, must.Sprint(a))
+	}
+	must.False(t, Nearer("a", "b", "b"))
+	must.NotEq(t, Nearer("a", "b", "c"), Nearer("a", "c", "b"))
+}
--- a/internal/company/watch.go
+++ b/internal/company/watch.go
@@ -59,6 +59,12 @@
 	return all[:watchersMost]
 }
 
+// Nearer tells which of two doors, a or not, the one at an address turns to where both are as good: each door has an order of its own.
+func Nearer(from, a, b string) bool {
+	x, y := place(from+" "+a), place(from+" "+b)
+	return x < y || x == y && a < b
+}
+
 func bit(set []byte, s Seat) bool { return s >= 0 && int(s)/8 < len(set) && set[s/8]>>(s%8)&1 == 1 }
 
 func (c *Company) set(in func(addr string) bool) []byte {
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -224,8 +224,11 @@
 		if d.Zone != h.sheet.Zone {
 			stale += time.Millisecond
 		}
-		if stale < least || stale == least && d.Addr == h.feeder {
+		switch {
+		case stale < least, stale == least && d.Addr == h.feeder:
 			best, least = d, stale
+		case stale == least && best.Addr != h.feeder && company.Nearer(h.inner, d.Addr, best.Addr):
+			best = d // not all the first by address
 		}
 	}
 	if best.Addr != "" {
--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -26,7 +26,7 @@
 	say(h.table.Version() == 0, "no configuration")
 	say(h.stale() >= readyStale, "no fresh word of the core")
 	say(h.board == nil, "no seat")
-	say(h.board != nil && h.board.Status().Ready == 0, "no backend is ready")
+	say(h.board != nil && !h.board.Serves(), "no backend is ready")
 	return why
 }
 
