--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -6,18 +6,19 @@
 	"time"
 
 	"clovergap/internal/callboard"
+	"clovergap/internal/check"
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
 )
 
 const (
-	tailMost    = 512 // entries that a door with a disk keeps for those who follow
-	compactAt   = 64  // delivered entries after which the log is put into a snapshot
-	admitEvery  = 300 * time.Millisecond
-	pendingMost = 256
-	noteEvery   = 500 * time.Millisecond
+	tailMost   = 512 // entries that a door with a disk keeps for those who follow
+	compactAt  = 64  // delivered entries after which the log is put into a snapshot
+	admitEvery = 300 * time.Millisecond
+	noteEvery  = 500 * time.Millisecond
 )
 
 // core is this door's part in the ordered log: none without a disk.
@@ -32,7 +33,7 @@
 	writing  bool
 	waits    map[uint64]waiting // by token
 	token    uint64
-	verdicts map[uint64]verdict // of the last entries applied, by index
+	last     verdict // of the last entry applied
 	lookedAt time.Duration
 	wake     uint32
 	view     uint64 // the last one whose leader was known
@@ -40,11 +41,15 @@
 
 // waiting is a call that the log settles.
 type waiting struct {
-	kind script.Kind
-	then func(status int, body []byte)
+	kind  script.Kind
+	entry []byte // nil of a read
+	then  func(status int, body []byte)
 }
 
+// verdict is on an entry, and on no other that ever stood at its index.
 type verdict struct {
+	index   uint64
+	entry   []byte
 	verdict playbill.Verdict
 	err     error
 }
@@ -58,8 +63,7 @@
 	if err != nil {
 		return err
 	}
-	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, disk: disk, waits: map[uint64]waiting{},
-		verdicts: map[uint64]verdict{}}
+	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, disk: disk, waits: map[uint64]waiting{}}
 	c.p = prompter.New(c.me, kept, prompter.DefaultTerms(), h.seed, h.e.Now())
 	h.core = c
 	return nil
@@ -174,8 +178,7 @@
 		data = e.Data
 	}
 	v, err := c.h.apply(e.Index, data)
-	c.verdicts[e.Index] = verdict{v, err}
-	delete(c.verdicts, e.Index-pendingMost)
+	c.last = verdict{e.Index, data, v, err}
 	if e.Index%compactAt == 0 {
 		c.p.Compact(e.Index, c.h.script.Snapshot())
 	}
@@ -193,18 +196,21 @@
 		reach = append(reach, prompter.Reach{Member: prompter.Member{ID: prompter.MemberID(d.Disk), Addr: d.Addr}, Leaving: d.Leaving})
 	}
 	c.p.Tend(reach, c.h.sheet.Tolerates.Machines)
+	c.layAside()
 }
 
 // propose puts a change into the log, or reads; then is told how it ended.
 func (c *core) propose(kind script.Kind, body []byte, then func(status int, body []byte)) {
 	c.token++
 	c.p.Now(c.h.e.Now())
-	c.waits[c.token] = waiting{kind, then}
 	if kind == Read || kind == ReadRollouts {
+		c.waits[c.token] = waiting{kind, nil, then}
 		c.p.Read(c.token)
 		return
 	}
-	c.p.Propose(c.token, script.Entry(kind, body))
+	entry := script.Entry(kind, body)
+	c.waits[c.token] = waiting{kind, entry, then}
+	c.p.Propose(c.token, entry)
 }
 
 // settle answers a call whose place in the log is known.
@@ -213,6 +219,8 @@
 	delete(c.waits, o.Token)
 	switch {
 	case !ok:
+	case o.Verdict == prompter.Unknown:
+		w.then(stagedoor.Unclear, []byte(o.Verdict.String()))
 	case o.Verdict != prompter.Done:
 		w.then(503, []byte(o.Verdict.String()))
 	case w.kind == Read:
@@ -220,9 +228,12 @@
 	case w.kind == ReadRollouts:
 		w.then(200, c.h.rolloutText())
 	default:
-		v := c.verdicts[o.Index]
-		status, text := answerOf(v.verdict, v.err)
-		w.then(status, text)
+		v := c.last
+		if v.index != o.Index || !bytes.Equal(v.entry, w.entry) {
+			check.That(false, "a proposal ends by its own entry")
+			v = verdict{verdict: playbill.Unclear}
+		}
+		w.then(answerOf(v.verdict, v.err))
 	}
 }
 
@@ -237,18 +248,12 @@
 		return 200, nil
 	case playbill.Conflict:
 		return 412, []byte(text)
+	case playbill.Unclear:
+		return stagedoor.Unclear, []byte(text)
 	}
 	return 400, []byte(text)
 }
 
-// stale is how long ago this member last heard a leader.
-func (c *core) stale() time.Duration {
-	if _, _, ok := c.p.Leader(); ok {
-		return 0
-	}
-	return c.h.e.Now() - c.h.ledAt
-}
-
 // coreAlarm brings the log's own due time; the pull at the end of the turn does the rest.
 type coreAlarm core
 
--- a/internal/house/patience_test.go
+++ b/internal/house/patience_test.go
@@ -25,15 +25,15 @@
 		for _, a := range []string{first, other} {
 			h.company.Heard(a)
 			h.saysAt = now
-			h.words[a] = word{now, never + time.Duration(i)*pingEvery, 0} // it has just started and knows of no leader
+			h.words[a] = word{now, never + time.Duration(i)*pingEvery, 0, 0} // it has just started and knows of no leader
 		}
-		h.words[other] = word{now, never - 10*time.Second, 0} // this one did a while ago
+		h.words[other] = word{now, never - 10*time.Second, 0, 0} // this one did a while ago
 		h.fedAt = now
 		h.tendFeed()
 		must.Eq(t, first, h.feeder)
 	}
 	// One that knows of a leader is changed over to.
-	h.words[other] = word{now, 0, 0}
+	h.words[other] = word{now, 0, 0, 0}
 	h.e.(*still).now = now + followAgain
 	h.company.Now(now + followAgain)
 	h.tendFeed()
@@ -52,7 +52,7 @@
 			h.company.Heard(d)
 		}
 		h.saysAt = now
-		h.words[first] = word{now, 0, 0}
+		h.words[first] = word{now, 0, 0, 0}
 		h.tendFeed()
 		if now-asked < followLong {
 			must.Eq(t, first, h.feeder)
