Seats are told to followers together, each tenth of a second

Cause: at the first start each door's seat is an entry of its own, told to all followers at once: frames with the square of the doors, each of which has a door look at all others. Change: what is fed waits for the next tick where it is a seat; the company takes the order of seats once a turn.

--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -150,6 +150,10 @@
 // pullDoors carries out what the company asks for.
 func (h *House) pullDoors() {
 	h.company.Now(h.e.Now())
+	if h.seatsNew { // once for all that came in this turn
+		h.seatsNew = false
+		h.company.Seats(h.script.Seats())
+	}
 	for {
 		a, ok := h.company.Next()
 		if !ok {
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -55,22 +55,29 @@
 			h.say(corePart, "configuration %d is in force", h.script.Bills.Version())
 			h.swap()
 		}
-		if len(h.script.Seats()) != seats {
-			h.company.Seats(h.script.Seats())
-		}
+		h.seatsNew = h.seatsNew || len(h.script.Seats()) != seats
 		h.foldRollouts()
 	}
 	if h.core != nil {
 		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
 			h.tail = append([]line(nil), h.tail[tailMost/2:]...)
 		}
-		for _, addr := range h.following() {
-			h.feed(addr)
+		if h.feedLate = len(data) > 0 && script.Kind(data[0]) == script.Seat; !h.feedLate {
+			h.feedAll()
 		}
 	}
 	return v, err
 }
 
+// feedAll sends all followers what they lack. Seats wait for the next tick: at the first start each door asks for one, and each
+// would be told to all by itself.
+func (h *House) feedAll() {
+	h.feedLate = false
+	for _, addr := range h.following() {
+		h.feed(addr)
+	}
+}
+
 // feed sends a follower what it lacks.
 func (h *House) feed(addr string) {
 	after := h.followers[addr]
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -60,6 +60,9 @@
 	applied uint64
 	tail    []line
 
+	feedLate bool // followers have yet to be told what was applied last: seats
+	seatsNew bool // and the company the order of seats
+
 	board     *callboard.Board // nil until there is a seat
 	boardWake uint32
 	boardNews bool // since it was last kept on disk
@@ -243,6 +246,9 @@
 		h.pingedAt = now
 		h.ping(news)
 	}
+	if h.feedLate {
+		h.feedAll()
+	}
 	h.tendFeed()
 	h.wantSeat()
 	h.tendRollouts()
