--- a/cmd/lab/capacity.go
+++ b/cmd/lab/capacity.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"time"
 
@@ -17,21 +18,24 @@
 
 // capacityRun are the flags of measuring how a house grows.
 type capacityRun struct {
-	sizes   []int
-	site    rehearsal.Site
-	whole   bool
-	each    float64 // requests a second at each door
-	dur     time.Duration
-	seed    uint64
-	phases  []string
-	out     string
-	fit     []string
-	state   bool
-	hollow  int
-	changes int
-	from    int
-	by      string
-	at      float64
+	sizes     []int
+	site      rehearsal.Site
+	whole     bool
+	each      float64 // requests a second at each door
+	warm, dur time.Duration
+	seed      uint64
+	phases    []string
+	out       string
+	fit       []string
+	state     bool
+	hollow    int
+	changes   int
+	memory    uint64 // MB
+	added     string
+	every     time.Duration
+	from      int
+	by        string
+	at        float64
 }
 
 func capacityCommand() *cobra.Command {
@@ -48,12 +52,14 @@
 			switch {
 			case k.state:
 				return capacity.TellState(os.Stdout)
+			case k.added != "":
+				return k.adds(c.Context())
 			case k.hollow > 0:
 				return k.real(c.Context())
 			case len(k.fit) > 0:
 				return k.slopes()
 			}
-			return k.play()
+			return k.play(c.Context())
 		}}
 	f := c.Flags()
 	f.IntSliceVar(&k.sizes, "sizes", []int{3, 12, 48}, "numbers of doors")
@@ -68,6 +74,7 @@
 	f.Float64Var(&k.each, "rate", 1, "requests a second at each door")
 	f.DurationVar(&k.site.Beat, "beat", 1500*time.Millisecond, "between two beats of a backend")
 	f.Float64Var(&k.site.Share, "share", 0, "of a core that each door has (0: not bounded)")
+	f.DurationVar(&k.warm, "warm", 4*time.Second, "after the start, before the first phase")
 	f.DurationVar(&k.dur, "for", 8*time.Second, "of each phase")
 	f.Uint64Var(&k.seed, "seed", 1, "seed")
 	f.StringSliceVar(&k.phases, "phases", nil, strings.Join(rehearsal.Phases, ", ")+" (none: all)")
@@ -78,6 +85,9 @@
 	f.Float64Var(&k.at, "at", float64(capacity.Target.Doors), "with --fit, what the slopes come to at so much of it")
 	f.IntVar(&k.hollow, "hollow", 0, "start so many real doors in this process, on loopback, and measure them")
 	f.IntVar(&k.changes, "changes", 20, "with --hollow, changes of the configuration")
+	f.StringVar(&k.added, "added", "", "playhouse program: measure what a door adds to a request, --rate of them a second")
+	f.DurationVar(&k.every, "change-every", 0, "with --added, change the configuration so often (0: never)")
+	f.Uint64Var(&k.memory, "memory", 8<<10, "MB that a rehearsed house may take")
 	f.BoolVar(&k.state, "state", false, "measure bytes in memory of each part, alone")
 	return c
 }
@@ -105,7 +115,21 @@
 	return s
 }
 
-func (k *capacityRun) play() error {
+// enough tells why a run is to end: nobody waits for it, or it takes more memory than it may. Three houses of 720 doors side by side took
+// all of a machine's.
+func (k *capacityRun) enough(ctx context.Context) string {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err().Error()
+	case m.Sys>>20 > k.memory:
+		return fmt.Sprintf("it took over %d MB, see --memory", k.memory)
+	}
+	return ""
+}
+
+func (k *capacityRun) play(ctx context.Context) error {
 	for _, n := range k.sizes {
 		if n < 1 || n > capacity.Target.Doors {
 			return usageError{fmt.Errorf("--sizes must be 1 to %d", capacity.Target.Doors)}
@@ -115,7 +139,8 @@
 		s := k.of(n)
 		fmt.Printf("%d doors, %d of the core, %d zones, %d regions; %+v; %.0f requests a second\n", n, s.Disks, s.Zones, s.Regions, s.Wide, s.Rate)
 		capacity.Head(os.Stdout)
-		r := rehearsal.Meter(s, k.seed, k.dur, k.phases, func(p rehearsal.Phase) { capacity.TellPhase(os.Stdout, p) })
+		r := rehearsal.Meter(s, k.seed, k.warm, k.dur, k.phases, func(p rehearsal.Phase) { capacity.TellPhase(os.Stdout, p) },
+			func() string { return k.enough(ctx) })
 		fmt.Printf("  configuration %d bytes, %.0f KB of heap a door, %d doors known, took %.0f s\n", r.Config, r.Heap/1024, r.Known, r.TookS)
 		if k.out != "" {
 			if err := capacity.Append(k.out, r); err != nil {
@@ -143,6 +168,20 @@
 	return err
 }
 
+// adds measures what a door adds to a request.
+func (k *capacityRun) adds(ctx context.Context) error {
+	wide := k.of(capacity.Target.Doors).Wide
+	r, err := capacity.Added{Program: k.added, Doors: 3, Wide: wide, Rate: k.each, Over: k.dur, Change: k.every, Backends: 8}.Play(ctx)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(r)
+	if err == nil {
+		fmt.Println(string(text))
+	}
+	return err
+}
+
 func (k *capacityRun) slopes() error {
 	var all []*rehearsal.Measure
 	for _, name := range k.fit {
--- /dev/null
+++ b/internal/capacity/added.go
@@ -0,0 +1,225 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"clovergap/internal/callsheet"
+	"clovergap/internal/extras"
+	"clovergap/internal/history"
+	"clovergap/internal/playbill"
+	"clovergap/internal/rehearsal"
+	"clovergap/internal/stagedoor"
+)
+
+// Added measures what a door adds to a request: real doors as processes, requests at one of them and at a backend itself, in turn,
+// in one run, with the target's configuration.
+type Added struct {
+	Program  string `json:"-"`
+	Doors    int
+	Wide     rehearsal.Wide
+	Rate     float64 // requests a second at the door, and as many at the bare backend
+	Over     time.Duration
+	Change   time.Duration // between changes of the configuration; 0: none
+	Backends int
+}
+
+// Waits are milliseconds.
+type Waits struct {
+	N, Bad                int
+	Half, Of90, Of99, Max float64
+}
+
+func waits(all []float64, bad int) Waits {
+	slices.Sort(all)
+	at := func(x float64) float64 {
+		if len(all) == 0 {
+			return 0
+		}
+		return all[min(len(all)-1, int(x*float64(len(all))))]
+	}
+	return Waits{len(all), bad, at(0.5), at(0.9), at(0.99), at(1)}
+}
+
+// Told is what came of it. RSS is the door's process's, at its peak and at the end, in bytes.
+type Told struct {
+	Added
+	Bare, Door Waits
+	Changes    int
+	Peak, RSS  float64
+}
+
+type added struct {
+	Added
+	t        *extras.Troupe
+	backends []*http.Server
+	at       []string
+	client   *http.Client
+	ctx      context.Context
+}
+
+// Play starts doors and backends, and asks.
+func (o Added) Play(ctx context.Context) (r *Told, err error) {
+	x := &added{Added: o, ctx: ctx, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	if x.t, err = extras.New(extras.Terms{Program: o.Program, Doors: o.Doors, Disks: min(3, o.Doors), Zones: []string{"zone-0"}, Rate: 1,
+		Seed: 1, Beat: time.Second, Lost: (min(3, o.Doors) - 1) / 2, History: history.InMemory(1 << 10)}); err != nil {
+		return nil, err
+	}
+	defer x.t.Close()
+	if err = x.t.Start(); err != nil {
+		return nil, err
+	}
+	hollow := &hollow{client: x.client}
+	for _, d := range x.t.Doors {
+		hollow.sheets = append(hollow.sheets, &callsheet.Sheet{Bind: callsheet.Bind{Control: d.Control}})
+	}
+	if _, err = hollow.order(ctx, extras.ReplacePath, rehearsal.FirstText(o.Wide), 1); err != nil {
+		return nil, errors.Wrap(err, "the first configuration")
+	}
+	beats, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	for i := range o.Backends {
+		if err = x.backend(beats, &wg, hollow, i); err != nil {
+			return nil, err
+		}
+	}
+	defer func() {
+		for _, s := range x.backends {
+			s.Close()
+		}
+	}()
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		if _, ok := x.ask(x.t.Doors[0].Front, 0, time.Now()); ok {
+			break
+		}
+		if time.Now().After(end) {
+			return nil, errors.New("the door does not serve in half a minute")
+		}
+	}
+	r = &Told{Added: o}
+	x.load(2*time.Second, &Told{}) // connections are there
+	if o.Change > 0 {
+		wg.Go(func() { x.changes(beats, hollow, r) })
+	}
+	x.load(o.Over, r)
+	pid := x.t.Doors[0].Pid()
+	file := fmt.Sprintf("/proc/%d/status", pid)
+	r.Peak, r.RSS = float64(field(file, "VmHWM:"))*1024, float64(field(file, "VmRSS:"))*1024
+	return r, nil
+}
+
+// backend answers at once, and beats.
+func (x *added) backend(ctx context.Context, wg *sync.WaitGroup, h *hollow, i int) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	service := extras.Services[0].Name
+	id := fmt.Sprintf("i-%s-%d", service, i)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		nr := r.Header.Get("X-Attempt-Id")
+		w.Header().Set("X-Attempt-Id", nr)
+		w.Header().Set("X-Backend-Seal", id+"."+nr)
+		w.Header().Set("X-Backend-Id", id)
+		io.WriteString(w, "done "+nr)
+	})}
+	go s.Serve(ln)
+	x.backends, x.at = append(x.backends, s), append(x.at, ln.Addr().String())
+	beat := stagedoor.Beat{Address: ln.Addr().String(), Capacity: 16, Generation: "v1", Phase: stagedoor.Ready, ColdLeft: "0ms", Target: service,
+		Zone: "zone-0"}
+	wg.Go(func() {
+		for to := x.t.Doors[0].Control; ctx.Err() == nil; {
+			beat.CallSeq++
+			body, _ := json.Marshal(beat)
+			if status, _, err := h.post(ctx, to, "/api/Backends.Heartbeat/"+id, body); err != nil || status/100 != 2 {
+				to = x.t.Doors[int(beat.CallSeq)%len(x.t.Doors)].Control
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+			}
+		}
+	})
+	return nil
+}
+
+// ask sends one request, and takes the time from when it was meant to be sent.
+func (x *added) ask(to string, nr int, meant time.Time) (float64, bool) {
+	r, err := http.NewRequestWithContext(x.ctx, "GET", "http://"+to+"/browse/"+fmt.Sprint(nr), nil)
+	if err != nil {
+		return 0, false
+	}
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	r.Host = "programme.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Deadline-Ms", "1500")
+	r.Header.Set("Authorization", "Token "+rehearsal.AccountKey(nr%max(x.Wide.Tenants, 1)))
+	a, err := x.client.Do(r)
+	if err != nil {
+		return 0, false
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return ms(time.Since(meant)), err == nil && a.StatusCode == 200 && string(body) == "done "+id
+}
+
+// load asks by chance at the rate, the door and the backends in turn, whatever became of what was sent before.
+func (x *added) load(over time.Duration, r *Told) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var all [2][]float64
+	var bad [2]int
+	end, next := time.Now().Add(over), time.Now()
+	for nr := 0; next.Before(end) && x.ctx.Err() == nil; nr++ {
+		next = next.Add(time.Duration(rand.ExpFloat64() / (2 * x.Rate) * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		meant, which, to := time.Now(), nr%2, x.t.Doors[0].Front
+		if which == 1 {
+			to = x.at[nr/2%len(x.at)]
+		}
+		who := rand.IntN(max(x.Wide.Tenants, 1))
+		wg.Go(func() {
+			took, ok := x.ask(to, who, meant)
+			mu.Lock()
+			defer mu.Unlock()
+			if ok {
+				all[which] = append(all[which], took)
+			} else {
+				bad[which]++
+			}
+		})
+	}
+	wg.Wait()
+	r.Door, r.Bare = waits(all[0], bad[0]), waits(all[1], bad[1])
+}
+
+// changes makes them every so often.
+func (x *added) changes(ctx context.Context, h *hollow, r *Told) {
+	for version := uint64(1); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(x.Change):
+		}
+		deadline, aim := "1500ms", "400ms"
+		body, _ := json.Marshal(playbill.Amendment{Generation: version + 1, ParentVersion: version, Upserts: &playbill.Upserts{
+			Vhosts: []playbill.BillHost{{Hostname: "guests.example", PathList: []playbill.BillRoute{{Name: "g-0", PathPrefix: "/g0/",
+				Variant: playbill.Pure, Deadline: &deadline, TargetLatency: &aim, MaxTries: 2, Target: extras.Services[int(version)%2].Name}}}}}})
+		if v, err := h.order(ctx, extras.AmendPath, body, version+1); err == nil {
+			version = v
+			r.Changes++
+		}
+	}
+}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -16,7 +16,7 @@
 	for _, n := range []int{12, 24, 48} {
 		s := rehearsal.Site{Doors: n, Disks: 3, Zones: 3, Rate: float64(n), Beat: 1500 * time.Millisecond,
 			Wide: rehearsal.Wide{Backends: 10 * n, Services: 3, Routes: 8, Tenants: 8}}
-		r := rehearsal.Meter(s, 1, 3*time.Second, []string{"calm", "changes", "killed"}, nil)
+		r := rehearsal.Meter(s, 1, 4*time.Second, 3*time.Second, []string{"calm", "changes", "killed"}, nil, nil)
 		must.Eq(t, "", r.Incomplete)
 		all = append(all, r)
 		followers := float64(n-3) / 3
@@ -50,6 +50,20 @@
 	must.Less(t, 300, slope("changes", func(p rehearsal.Phase) float64 { return p.Worst }).At(48))
 }
 
+// A day that is to end does so in the middle, and says why.
+func TestEnough(t *testing.T) {
+	asked := 0
+	r := rehearsal.Meter(rehearsal.Site{Doors: 12, Disks: 3, Rate: 500, Wide: rehearsal.Wide{Backends: 400}}, 1, time.Minute, time.Minute, nil, nil,
+		func() string {
+			if asked++; asked == 2 {
+				return "as told"
+			}
+			return ""
+		})
+	must.Eq(t, "as told", r.Incomplete)
+	must.Eq(t, 2, asked)
+}
+
 // A line through points on a line, and a square, are told for what they are.
 func TestLine(t *testing.T) {
 	f := Line([]float64{1, 2, 4}, []float64{5, 7, 11})
--- a/internal/company/company.go
+++ b/internal/company/company.go
@@ -81,7 +81,7 @@
 	foundAgain = time.Second
 	lookEvery  = 200 * time.Millisecond
 	guestFor   = 5 * time.Second // a door without a disk is answered by another one for so long after its hello
-	doorsMost  = 1024 // as many as there may be seats
+	doorsMost  = 1024            // as many as there may be seats
 )
 
 type door struct {
--- a/internal/rehearsal/measure.go
+++ b/internal/rehearsal/measure.go
@@ -22,21 +22,34 @@
 var Phases = []string{"start", "calm", "changes", "releases", "restarts", "zone", "region", "killed"}
 
 // Meter plays a day without a judge, and counts what doors do in each of its phases; none named: all.
-func Meter(s Site, seed uint64, over time.Duration, only []string, tell func(Phase)) *Measure {
+func Meter(s Site, seed uint64, warm, over time.Duration, only []string, tell func(Phase), enough func() string) (r *Measure) {
 	runtime.LockOSThread() // a turn's processor time is its thread's
 	defer runtime.UnlockOSThread()
 	began := time.Now()
 	w := newWorld(&Day{Site: s.Usual(), Seed: seed, For: over, Calm: true})
-	w.metered = true
-	x := &metered{w: w, over: over, only: only, tell: tell, r: &Measure{Site: w.day.Site, Seed: seed}}
+	w.metered, w.enough = true, enough
+	x := &metered{w: w, warm: warm, over: over, only: only, tell: tell, r: &Measure{Site: w.day.Site, Seed: seed}}
+	defer func() {
+		if why, ok := recover().(ended); ok {
+			x.r.Incomplete = string(why)
+		}
+		x.r.TookS = math.Round(time.Since(began).Seconds())
+		r = x.r
+	}()
 	x.r.Incomplete = x.play()
-	x.r.TookS = math.Round(time.Since(began).Seconds())
 	return x.r
 }
 
+// ended is why a day was not played on.
+type ended string
+
+// enoughEach is after how many events it is asked whether it is enough.
+const enoughEach = 1 << 14
+
 // metered is a measured day under way.
 type metered struct {
 	w    *world
+	warm time.Duration // before the first phase after the start
 	over time.Duration
 	only []string
 	tell func(Phase)
@@ -101,7 +114,7 @@
 	}
 	x.r.Config = len(w.newestOf())
 	w.clients.begin()
-	w.until(w.now+4*time.Second, nil)
+	w.until(w.now+x.warm, nil)
 	x.r.Heap = (heap() - empty) / float64(d.Doors)
 	x.r.Known = len(w.machines[0].p.h.Status().Doors)
 	x.phase("calm", func(*Phase) { w.until(w.now+x.over, nil) })
--- a/internal/rehearsal/meter.go
+++ b/internal/rehearsal/meter.go
@@ -31,7 +31,8 @@
 	return Wide{}.service(i - len(extras.Services))
 }
 
-func accountKey(i int) string { return fmt.Sprintf("account-key-%06d", i) }
+// AccountKey is the key of a wide house's tenant.
+func AccountKey(i int) string { return fmt.Sprintf("account-key-%06d", i) }
 
 // first is the configuration that the house begins with.
 func (x Wide) first() *playbill.Bill {
@@ -52,7 +53,7 @@
 		b.Vhosts = append(b.Vhosts, wide)
 	}
 	for i := range x.Tenants {
-		b.Tenants = append(b.Tenants, playbill.BillTenant{Name: fmt.Sprintf("account-%06d", i), ApiKeys: []string{accountKey(i)},
+		b.Tenants = append(b.Tenants, playbill.BillTenant{Name: fmt.Sprintf("account-%06d", i), ApiKeys: []string{AccountKey(i)},
 			Priority: 1, RatePerS: accountRate, Burst: accountBurst})
 	}
 	return b
@@ -63,7 +64,7 @@
 	want := c.known.Draw(c.rng, c.w.zones)
 	if n := c.w.day.Wide.Tenants; n > 0 && want.Key != "" {
 		i := c.rng.IntN(n)
-		want.Tenant, want.Key = fmt.Sprintf("account-%06d", i), accountKey(i)
+		want.Tenant, want.Key = fmt.Sprintf("account-%06d", i), AccountKey(i)
 	}
 	return want
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -116,6 +116,7 @@
 	passedTo *machine
 	broken   []history.Broken // seen while the day went on
 	metered  bool             // work and frames are counted, and no history is kept
+	enough   func() string    // why a metered day is to end at once; nil: never
 	doing    string           // what the turn under way is for, where it is metered
 }
 
@@ -221,6 +222,11 @@
 		if w.events++; w.events > eventsMost {
 			panic("the day does not end")
 		}
+		if w.enough != nil && w.events%enoughEach == 0 {
+			if why := w.enough(); why != "" {
+				panic(ended(why))
+			}
+		}
 		do()
 		if is != nil && is() {
 			return true
