--- a/internal/house/authority.go
+++ b/internal/house/authority.go
@@ -75,7 +75,12 @@
 	if h.core == nil {
 		within = rights[r].follower
 	}
-	return h.fault == noAuthority || rights[r].who&h.standing(within(h.sheet.Bounds)) != 0
+	switch without := h.fault; {
+	case without == endsAlone && r == ackEnds, without == waitsAlone && r == takeCalls,
+		without == readyAlone && (r == beReady || r == deny), without == noAuthority:
+		return true
+	}
+	return rights[r].who&h.standing(within(h.sheet.Bounds)) != 0
 }
 
 // standing is this door's, for a right that ends at an age.
@@ -146,9 +151,15 @@
 	}
 }
 
-// Defences that tests take out.
+// Defences that tests take out; planted is what new doors go without.
 const (
 	noAuthority fault = 100 + iota // all have all rights
 	byReceipt                      // word counts from when it came
 	oldViews                       // word of an older view is taken after a newer one's
+	endsAlone                      // an end is acknowledged by who cannot pass it on
+	readyAlone                     // who has old word is ready, and denies
+	waitsAlone                     // an order waits where nobody can take it
+	feederTells                    // who lives is told by the feeder, however old its word
 )
+
+var planted = sound
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -125,7 +125,7 @@
 // fresh puts this door's word of the core into what a follower is sent.
 func (h *House) fresh(to string, f *Feed) *Feed {
 	_, view, _ := h.contact()
-	f.Stale, f.View, f.Echo = h.stale(), view, h.echoes[to].clock
+	f.Stale, f.View, f.Echo, f.Index = h.stale(), view, h.echoes[to].clock, h.core.p.Committed()
 	return f
 }
 
@@ -164,7 +164,7 @@
 		h.follow(from)
 		return
 	}
-	h.learn(f.Stale, f.View, f.Echo, f.After+uint64(len(f.Entries)))
+	h.learn(f.Stale, f.View, f.Echo, f.Index)
 }
 
 // follow asks a door with a disk for the entries from here on.
@@ -211,7 +211,9 @@
 	var best company.Door
 	least := time.Duration(1<<63 - 1)
 	disks := h.company.Disks()
-	if len(disks) == 0 { // who lives is told by the door that is followed: without one, nobody seems to
+	// Who lives is told by the door that is followed: without one nobody seems to, and one that is cut off tells that all others
+	// are gone, while they are but a link away.
+	if len(disks) == 0 || h.feeds(h.feeder) >= feedStale && h.fault != feederTells {
 		disks = h.company.Linked()
 	}
 	for _, d := range disks {
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -87,6 +87,7 @@
 	Stale   time.Duration // as in Ping, with View and Echo
 	View    uint64
 	Echo    uint32
+	Index   uint64 // that the word is of: the sender may be about to send more
 }
 
 // Call is a control call that is passed on to whoever leads.
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -126,6 +126,7 @@
 	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]uint64{}
 	h.echoes = map[string]echo{}
 	h.calls, h.beats, h.stock = map[uint32]*call{}, map[callboard.Ticket]heard{}, newStock()
+	h.fault = planted
 	if h.own != nil {
 		h.own.h = h
 	}
--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"clovergap/internal/callboard"
 	"clovergap/internal/company"
@@ -110,6 +111,9 @@
 	return s
 }
 
+// Fresh is how old this door's word of a majority is, and the generation of the configuration that it goes by.
+func (h *House) Fresh() (age time.Duration, generation uint64) { return h.stale(), h.table.Version() }
+
 // neverHeard is below what stale says where no word of the core ever came.
 const neverHeard = never / 2
 
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -592,6 +592,9 @@
 // this very moment: that takes a Read.
 func (p *Prompter) Leading() bool { return p.role == leading }
 
+// Committed is the newest index that is.
+func (p *Prompter) Committed() uint64 { return p.committed }
+
 // Members is the newest list; nil before a founding.
 func (p *Prompter) Members() []Member { return p.configs[len(p.configs)-1].members }
 
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -28,6 +28,7 @@
 	Others    Traffic // and one without
 	Most      float64 // the most that any door sends
 	History   []history.Event
+	Parted    Parted
 }
 
 const (
@@ -55,6 +56,7 @@
 	}()
 	w.run(r)
 	r.Played, r.Events, r.Digest, r.Counts, r.History = w.now-origin, w.events, w.digest(), w.clients.counts, w.history
+	r.Parted = w.parted
 	return r
 }
 
@@ -79,6 +81,7 @@
 		w.after(span(w.net, 0, apart), m.start)
 	}
 	w.clients.watch()
+	w.watchContact()
 	opened := false
 	w.operator.open(func() { opened = true })
 	if d.Early {
@@ -134,6 +137,7 @@
 	}
 	r.Broken = append(r.Broken, extras.Kept(final, cast.Versions, w.now)...)
 	r.Broken = append(r.Broken, extras.Judge(w.history, cast, slack)...)
+	r.Broken = append(r.Broken, w.broken...)
 	slices.SortStableFunc(r.Broken, func(a, b history.Broken) int {
 		return cmp.Or(cmp.Compare(a.T, b.T), strings.Compare(a.Rule, b.Rule), strings.Compare(a.What, b.What))
 	})
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -41,6 +41,8 @@
 			f.Share = min(f.Share, 0.6)
 		case f.Kind == "failing":
 			f.For = seconds(1, 8)
+		case f.Kind == "core-part":
+			f.For = seconds(15, 22)
 		case strings.HasPrefix(f.Kind, "disk-"):
 			f.Share = min(f.Share, 0.6)
 		}
@@ -55,7 +57,7 @@
 // kinds of faults; those that matter more stand more often.
 var kinds = []string{"door-kill", "core-kill", "herd-kill", "core-power", "ack-kill", "ack-kill", "ack-power", "sync-kill", "sync-power",
 	"view-kill", "view-stall", "drain-kill", "drain-kill", "door-stall", "core-stall", "ack-stall", "disk-wipe", "ack-wipe", "door-term",
-	"core-term", "door-cut", "core-cut", "core-cut", "ack-cut", "drain-cut", "zone-cut", "loss", "disk-slow", "disk-hang", "disk-full",
+	"core-term", "door-cut", "core-cut", "core-cut", "core-part", "ack-cut", "drain-cut", "zone-cut", "loss", "disk-slow", "disk-hang", "disk-full",
 	"crash", "drain", "drain", "drain", "burst", "resets", "lost-answers", "slow", "failing"}
 
 // Kinds are the names of all faults.
@@ -183,6 +185,16 @@
 		}
 		lasts(w.machines, func() { w.cuts = append(w.cuts, c) },
 			func() { w.cuts = slices.DeleteFunc(w.cuts, func(x *cut) bool { return x == c }) })
+	case "part":
+		m := hit[0]
+		if l := w.leader(); l != nil && f.By < 0.6 {
+			m = l
+		}
+		if len(w.cores()) < 3 { // one of two is half
+			w.faults--
+			return
+		}
+		w.part(f, m)
 	case "loss":
 		x := 0.02 + 0.3*f.By
 		lasts(w.machines, func() { w.losses = append(w.losses, x) },
--- a/internal/rehearsal/machine.go
+++ b/internal/rehearsal/machine.go
@@ -50,6 +50,7 @@
 	settled func()
 	over    bool
 	died    time.Duration
+	goes    time.Duration // on, after it last stood still
 	backlog []func()
 	busy    time.Duration // until then its processor has no time
 	links   map[string]*wing
@@ -153,11 +154,13 @@
 		if m.stands--; m.stands == 0 {
 			m.w.note(history.Event{Who: m.name, Kind: history.Goes})
 			m.w.say("%s goes on", m.name)
+			p.goes = m.w.now
 			all := p.backlog
 			p.backlog = nil
 			for _, do := range all {
 				p.turn(do)
 			}
+			m.holdsWord()
 		}
 	}
 }
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -44,10 +44,14 @@
 	zone     string // backends of it are in the group
 	in, out  bool
 	backends bool // the way between doors and backends is cut too
+	cores    bool // between machines with a disk alone
 }
 
 func (w *world) parts(from, to *machine) bool {
 	for _, c := range w.cuts {
+		if c.cores && (from.disk == nil || to.disk == nil) {
+			continue
+		}
 		if a, b := c.group[from], c.group[to]; a != b && (a && c.out || b && c.in) {
 			return true
 		}
--- /dev/null
+++ b/internal/rehearsal/parted.go
@@ -0,0 +1,194 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"clovergap/internal/extras"
+	"clovergap/internal/foyer"
+	"clovergap/internal/history"
+	"clovergap/internal/script"
+	"clovergap/internal/spec"
+)
+
+// A core door is parted from the other doors with a disk, both ways or one way, for some twenty seconds; all other ways are whole. It
+// is poked all the while: orders, reads, a backend's last word, whether it is ready, and what it denies. And an order is sent
+// there, and to those who followed it, as an operator does: to the next door after each answer that is not clear.
+
+const (
+	pokeEach  = 200 * time.Millisecond
+	flightMax = 20 * time.Millisecond // what was on its way when the cut began
+	atOnce    = 50 * time.Millisecond
+	ghostGen  = 1 << 40
+)
+
+// Parted is how long orders took until a clear answer, sent first to the door that is cut off, or to one that followed it.
+type Parted struct{ Core, Follower []time.Duration }
+
+// part brings the cut and lets it end.
+func (w *world) part(f *spec.Fault, m *machine) {
+	c := &cut{group: map[*machine]bool{m: true}, in: f.Way != "out", out: f.Way != "in", cores: true}
+	note := func(k history.Kind) {
+		for _, o := range w.cores() {
+			if o != m && c.out {
+				w.note(history.Event{Who: m.name, At: o.name, Kind: k})
+			}
+			if o != m && c.in {
+				w.note(history.Event{Who: o.name, At: m.name, Kind: k})
+			}
+		}
+	}
+	var fed []*machine
+	for _, o := range w.machines {
+		if o.disk == nil && o.p != nil && o.p.h.Status().Feeder == m.inner {
+			fed = append(fed, o)
+		}
+	}
+	w.say("%s is parted from the core, way %s, fed %d", m.name, f.Way, len(fed))
+	note(extras.Parted)
+	w.cuts = append(w.cuts, c)
+	began, ends, n := w.now, w.now+f.For.D(), 0
+	w.every(pokeEach, func() bool {
+		if w.now >= ends {
+			return false
+		}
+		if n++; w.operator.known > 0 {
+			w.poke(m, began, ends)
+			if n%2 == 0 {
+				w.chase(m, &w.parted.Core)
+			} else if len(fed) > 0 {
+				w.chase(fed[n/2%len(fed)], &w.parted.Follower)
+			}
+		}
+		return true
+	})
+	w.after(f.For.D(), func() {
+		w.cuts = slices.DeleteFunc(w.cuts, func(x *cut) bool { return x == c })
+		note(extras.Joined)
+		w.say("fault %s ends", f.Kind)
+		w.faults--
+	})
+}
+
+// ghost is an order on a version that is long gone: 412 at whoever may tell, and taken by nobody.
+func ghost() []byte {
+	b := extras.First()
+	b.Generation = ghostGen
+	text, err := json.Marshal(b)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// poke holds a parted door to what it may do.
+func (w *world) poke(m *machine, began, ends time.Duration) {
+	p, at := m.p, w.now
+	since := at - began
+	if p == nil || m.stands > 0 || since < flightMax {
+		return
+	}
+	bad := func(format string, args ...any) {
+		w.broken = append(w.broken, history.Broken{Rule: "PARTED", T: w.now, Who: m.name,
+			What: fmt.Sprintf("%.2fs after it was parted it ", since.Seconds()) + fmt.Sprintf(format, args...)})
+	}
+	b := m.sheet.Bounds
+	answered := func(what string, may func(int) bool) func(int, []byte) {
+		return func(status int, text []byte) {
+			if w.now >= ends || m.p != p {
+				return
+			}
+			if !may(status) {
+				bad("answers %s with %d %s", what, status, text)
+			}
+			if took := w.now - at; took > atOnce && min(since, at-p.born) > b.Parted()+atOnce && !p.stood(at) {
+				bad("takes %s to answer %s with %d", took, what, status)
+			}
+		}
+	}
+	unclear := func(status int) bool { return status/100 == 5 }
+	p.turn(func() {
+		p.h.Change(script.Replace, ghost(), answered("an order", unclear))
+		p.h.Newest(answered("a read", unclear))
+		p.h.Leave(fmt.Sprint("ghost-", began), func(ok bool, _ string) {
+			if ok && w.now < ends && m.p == p {
+				bad("acknowledges an end that nobody else has")
+			}
+		})
+		if since > b.Stale() && p.h.Ready() {
+			bad("says that it is ready")
+		}
+		if _, no := p.h.Admit([]byte("nowhere.example"), []byte("/"), nil); since > b.Sure() && no == foyer.NoRoute {
+			bad("denies for sure")
+		}
+	})
+}
+
+// watchContact holds all doors to what they say of their word of a majority, now and then and when one goes on after it stood still.
+func (w *world) watchContact() {
+	w.every(lookEach, func() bool {
+		for _, m := range w.machines {
+			m.holdsWord()
+		}
+		return true
+	})
+}
+
+// holdsWord: whatever was acknowledged so long ago as a door says that its word is old is in force there.
+func (m *machine) holdsWord() {
+	w := m.w
+	if !m.runs() {
+		return
+	}
+	age, generation := m.p.h.Fresh()
+	for n, v := range w.operator.versions {
+		if v.Acked > 0 && v.Acked < w.now-age && n > generation {
+			w.broken = append(w.broken, history.Broken{Rule: "STALE", T: w.now, Who: m.name, What: fmt.Sprintf(
+				"has word of %s ago and goes by %d, while %d was acknowledged %s ago", age, generation, n, w.now-v.Acked)})
+		}
+	}
+}
+
+// stood tells whether a process stood still since then, or does.
+func (p *process) stood(since time.Duration) bool { return p.m.stands > 0 || p.goes >= since }
+
+// chase sends an order to a door, and on to the next ones, until the answer is clear: one at a time, since a refusal takes a place in
+// the log too.
+func (w *world) chase(first *machine, into *[]time.Duration) {
+	if w.chases {
+		return
+	}
+	w.chases = true
+	body, began, wait, n := ghost(), w.now, 30*time.Millisecond, first.nr
+	var next func()
+	next = func() {
+		m := w.machines[n%len(w.machines)]
+		n++
+		w.operator.call(m, extras.ReplacePath, body, func(status int, _ []byte) {
+			switch {
+			case extras.Clear(status) || w.now-began > extras.ClearMost:
+				*into = append(*into, w.now-began)
+				w.chases = false
+			default:
+				w.after(wait, next)
+				wait = min(2*wait, 500*time.Millisecond)
+			}
+		})
+	}
+	next()
+}
+
+// leader is the door that leads the newest view, as far as doors know.
+func (w *world) leader() (found *machine) {
+	var view uint64
+	for _, m := range w.cores() {
+		if m.runs() {
+			if s := m.p.h.Status().Core; s.Role == "leading" && s.View > view {
+				found, view = m, s.View
+			}
+		}
+	}
+	return found
+}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -39,6 +39,12 @@
 		"frozen before it begins": {Site: Site{Doors: 3, Disks: 3, Rate: 72}, Seed: 70010, Early: true, Closing: true, Faults: []spec.Fault{
 			{Kind: "core-stall", At: 1427792977, For: 5773695458, Share: 0.1, Pick: 0x4952d45b103c5989},
 			{Kind: "sync-power", At: 426962490, For: 3359333924, Share: 0.1, Pick: 0x2b3dc7edc3446fc3}}},
+		// A member that was cut off learns of five changes at once, and sends each on for itself, with its word of a majority for all of
+		// them: a follower whose later ones were late on the link had word that was newer than what it went by.
+		"more to come": {Site: Site{Doors: 7, Disks: 3, Rate: 88, Beat: 3 * time.Second}, Seed: 322, Faults: []spec.Fault{
+			{Kind: "zone-cut", At: 1713210009, For: 2640580476, Share: 0.1, By: 0.623, Way: "out", Pick: 8222488716068426561},
+			{Kind: "drain-cut", At: 4037354427, For: 519869252, Share: 0.3, By: 0.594, Way: "in", Pick: 3636719602394286987},
+			{Kind: "loss", At: 4463065611, For: 2187177036, Share: 0.3, By: 0.5408288305328643, Way: "in", Pick: 5724724401740988601}}},
 	} {
 		d.For = 5 * time.Second
 		for _, b := range Play(d).Broken {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -105,6 +105,9 @@
 	over     bool
 	sum      uint64 // of what travelled
 	counted  time.Duration
+	parted   Parted
+	chases   bool             // an order of a parted door's is under way
+	broken   []history.Broken // seen while it was played
 }
 
 // moment is something that faults wait for.
