--- a/internal/house/stage.go
+++ b/internal/house/stage.go
@@ -31,17 +31,26 @@
 	return why
 }
 
-// Change brings a change to whoever leads. What is wrong in itself, or taken already as far as is known here, needs no leader.
+// Version is of the configuration that this door routes by; 0: none yet.
+func (h *House) Version() uint64 { return h.table.Version() }
+
+// InForce and Serves are Version and Ready for who is not in a turn.
+func (h *House) InForce() (v uint64) {
+	h.e.Turn(func() { v = h.Version() })
+	return v
+}
+
+func (h *House) Serves() (is bool) {
+	h.e.Turn(func() { is = h.Ready() })
+	return is
+}
+
+// Change brings a change to whoever leads, unless what is known here settles it for every later state: that it was taken, or that
+// it is wrong in itself. A door that is behind refuses nothing by its own state.
 func (h *House) Change(kind script.Kind, body []byte, then func(status int, body []byte)) {
-	switch v, err := h.script.Decide(kind, body); v {
-	case playbill.Already:
-		then(200, nil)
+	if v, err, final := h.script.Final(kind, body); final && (v != playbill.Invalid || h.may(deny)) {
+		then(answerOf(v, err))
 		return
-	case playbill.Invalid:
-		if h.may(deny) {
-			then(400, []byte(err.Error()))
-			return
-		}
 	}
 	h.ask(kind, body, 0, then)
 }
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -34,6 +34,14 @@
 	contactEarly     // a leader tells it before an entry of its view is committed
 	contactLeads     // a leader is in contact while it leads
 	contactAhead     // a follower takes it though it lacks what the leader has committed
+	addOnly          // a new member never takes the place of a lost one, and no lost one leaves
+	admitEarly       // a learner becomes a member before it has the state
+	hasty            // who restarts counts as lost at once
+	shrinkFar        // lost members leave, however few stay
+	keepDead         // a learner that is gone is waited for
+	leaveEarly       // who leaves does not wait until the others have what it has
+	lateLost         // a member is lost from when the host finds it so
+	leaveFounding    // a disk that has promised a view leaves its founding for another
 )
 
 func (f fault) String() string {
@@ -42,7 +50,10 @@
 		"one majority is enough for a change of members", "a read without a round", "a promise is told before it is on disk",
 		"a view is promised to two", "one promise too few", "not the newest log leads", "lines behind an entry of another view",
 		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry", "contact by an answer's receipt", "contact by the word's receipt",
-		"contact before the view's first entry", "contact while it leads", "contact ahead of the log"}[f]
+		"contact before the view's first entry", "contact while it leads", "contact ahead of the log",
+		"nobody is replaced", "a learner counts before it has the state", "who restarts is replaced",
+		"too few members stay", "a dead learner blocks the next", "a leaver does not wait", "lost from when it is found",
+		"a founding is left after a promise"}[f]
 }
 
 func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -16,24 +16,26 @@
 // walk is a run of doors under chance: delays, losses, doubles, cuts, crashes, power, lost disks, changes
 // of members.
 type walk struct {
-	t      *testing.T
-	rng    *rand.Rand
-	now    time.Duration
-	doors  []*door
-	events []event
-	order  []Entry           // as delivered first, from index 2 on
-	states []string          // the host's state after each of them
-	acked  uint64            // the newest index that was acknowledged
-	reads  map[uint64]uint64 // what was acknowledged when a read came
-	ended  map[uint64]bool   // proposals whose end was told
-	cut    map[[2]int]bool   // one way
-	token  uint64
-	nextID MemberID
-	done   int
-	calm   bool
-	sync   time.Duration // of any disk, on top
-	fault  fault
-	wrong  string
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	doors   []*door
+	events  []event
+	order   []Entry           // as delivered first, from index 2 on
+	states  []string          // the host's state after each of them
+	acked   uint64            // the newest index that was acknowledged
+	reads   map[uint64]uint64 // what was acknowledged when a read came
+	ended   map[uint64]bool   // proposals whose end was told
+	cut     map[[2]int]bool   // one way
+	token   uint64
+	nextID  MemberID
+	done    int
+	calm    bool
+	floor   int           // fewer members than these are too few
+	silence time.Duration // until a host finds a member lost
+	sync    time.Duration // of any disk, on top
+	fault   fault
+	wrong   string
 
 	acks []ack                    // by time
 	led  map[uint64]time.Duration // since when a view was led
@@ -49,6 +51,9 @@
 	state   string
 	written time.Duration // the last write is synced then
 	stands  time.Duration // the process stands still until then
+	leaving bool
+	was     Member        // of a process that has ended
+	ended   time.Duration // when
 }
 
 type event struct {
@@ -230,19 +235,7 @@
 	return true
 }
 
-// hosts do what hosts do: doors that are no members ask to be admitted.
-func (w *walk) hosts() {
-	if l := w.leader(); l >= 0 {
-		for i, d := range w.doors {
-			if d.p != nil && !w.doors[l].p.member(d.disk.Me) && (w.calm || w.rng.Intn(4) > 0) {
-				w.on(l, func(o *door) { o.p.Admit(Member{d.disk.Me, fmt.Sprint("door", i)}, 0) })()
-			}
-		}
-	}
-	w.at(w.ms(400), w.hosts)
-}
-
-func (w *walk) preVote() {
+func (w *walk) proposes() {
 	for range w.rng.Intn(3) {
 		w.token++
 		token, i := w.token, w.rng.Intn(len(w.doors))
@@ -258,7 +251,7 @@
 			}
 		})()
 	}
-	w.at(w.ms(120), w.preVote)
+	w.at(w.ms(120), w.proposes)
 }
 
 func (w *walk) trouble() {
@@ -335,7 +328,9 @@
 }
 
 // found sets up doors, three of which found.
-func found(t *testing.T, doors int, seed int64, f fault) *walk {
+func found(t *testing.T, doors int, seed int64, f fault) *walk { return foundBy(t, doors, 3, seed, f) }
+
+func foundBy(t *testing.T, doors, founders int, seed int64, f fault) *walk {
 	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
 	w.led = map[uint64]time.Duration{}
 	w.cut, w.reads, w.ended = map[[2]int]bool{}, map[uint64]uint64{}, map[uint64]bool{}
@@ -343,7 +338,7 @@
 	for i := range doors {
 		w.doors = append(w.doors, &door{})
 		w.empty(i)
-		if i < 3 {
+		if i < founders {
 			list = append(list, w.doors[i].p.me)
 		}
 	}
@@ -355,8 +350,8 @@
 
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
-	w.hosts()
-	w.preVote()
+	w.tends(1)
+	w.proposes()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
 	w.calm = true
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -145,8 +145,8 @@
 
 func (w *world) cast() *extras.Cast {
 	c := &extras.Cast{Doors: map[string]string{}, Services: w.stage.services, Versions: map[uint64]extras.Version{}}
-	for _, m := range w.machines {
-		c.Doors[m.control] = m.name
+	for at, m := range w.byCall { // those that were replaced too
+		c.Doors[at] = m.name
 	}
 	for _, m := range w.cores() {
 		c.Cores = append(c.Cores, m.name)
