--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -110,6 +110,8 @@
 	over     bool
 	sum      uint64 // of what travelled
 	counted  time.Duration
+	parted   Parted
+	chases   bool     // an order of a parted door's is under way
 	copies   int      // faults under way that let frames come twice
 	replaced int      // machines
 	passer   *machine // who last passed on a call, and to whom
