A descriptor's new life gets no event, end or reset of its former one

Need: the poller pairs its events with connections by descriptor, a batch at a time. A connection closed by another turn while a batch was worked through, and its descriptor opened again, left its end in the batch: the new connection was read from, its request sent on, and then closed. Likewise, what the poller had closed and not told of yet was shut down, reset or copied by a descriptor that could be another's, so that a stream could have read another's bytes.

Change: a descriptor is let go once its link is closed and used again once no batch can hold its events, told from the events themselves without a system call; one that comes too early is plugged. Raw calls go to a copy that is known to be the connection's, or to a connection known to be open in the poller's own turn. An accepted connection is closed only once it is watched.

--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -47,7 +47,7 @@
 	go func() {
 		conn, err := d.DialContext(ctx, "tcp", addr)
 		cancel()
-		e.Turn(func() { e.dialEnded(l, conn, err, dialed) })
+		e.dialEnded(l, conn, err, dialed)
 	}()
 	return l
 }
@@ -55,24 +55,30 @@
 // dialEnded hands a connection that came up to the poller.
 func (e *Engine) dialEnded(l *Link, conn net.Conn, err error, dialed func(ok bool)) {
 	var c *nbio.Conn
+	if err == nil {
+		c, err = e.numbers.adopt(conn)
+	}
+	e.Turn(func() { e.dialed(l, c, err, dialed) })
+}
+
+func (e *Engine) dialed(l *Link, c *nbio.Conn, err error, dialed func(ok bool)) {
 	if e.stopped {
 		l.closed = true
 	}
 	if err == nil && !l.closed {
-		if c, err = nbio.NBConn(conn); err == nil {
-			l.c = c
-			c.SetSession(l)
-			if _, err = e.poll.AddConn(c); err != nil {
-				l.lost() // the poller tells of its end by itself
-				return
-			}
-			dialed(true)
+		l.c, l.seen = c, e.numbers.let.Load()
+		c.SetSession(l)
+		if _, err = e.poll.AddConn(c); err != nil {
+			l.lost() // the poller tells of its end by itself
 			return
 		}
+		dialed(true)
+		return
 	}
 	e.open--
-	if conn != nil {
-		conn.Close()
+	if c != nil {
+		c.Close()
+		e.numbers.letGo(c.Hash(), true) // no batch ever knew it
 	}
 	if !l.closed {
 		l.closed = true
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -45,6 +46,9 @@
 	bound   int
 	spare   int // bytes that all rings of what comes in may still grow by
 	inTurn  bool
+	polled  bool  // the poller's own turn: it closes nothing beside it
+	at      *Link // whose event that is
+	numbers numbers
 	stopped bool
 	stood   time.Duration // how long this front door last stood still
 	stoodAt time.Duration
@@ -58,7 +62,8 @@
 // most bound bytes, and all that hold what comes in no more than spare beyond their least.
 func New(listen string, descriptors, bound, spare int) *Engine {
 	e := &Engine{born: time.Now(), now: before, most: descriptors - ownFiles, bound: bound, spare: spare,
-		Count: &counters.Set{}, settled: func() {}, accept: (*Link).CloseSoon, short: func() {}}
+		Count: &counters.Set{}, settled: func() {}, accept: (*Link).CloseSoon, short: func() {},
+		numbers: numbers{held: map[int]uint64{}}}
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
 	next := 0 // the poller asks for its listeners once, in their order
 	e.poll = nbio.NewEngine(nbio.Config{Name: "clovergap", Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET,
@@ -76,12 +81,16 @@
 	e.poll.OnClose(e.gone)
 	e.poll.OnWrittenSize(written)
 	e.poll.OnAcceptError(func(error) {
+		stopped := false
 		e.Turn(func() {
-			if !e.stopped {
+			if stopped = e.stopped; !stopped {
 				e.Count.Add(counters.AcceptErrors)
 				e.short()
 			}
 		})
+		if stopped {
+			runtime.Goexit() // an acceptor that began after Stop has missed the poller's word, and would try for ever
+		}
 		time.Sleep(10 * time.Millisecond) // the acceptor would spin
 	})
 	return e
@@ -105,20 +114,29 @@
 func (e *Engine) Stop() {
 	e.Turn(func() { e.stopped = true })
 	e.poll.Stop()
+	e.Turn(func() {
+		if e.timer > 0 { // the poller closes connections alone
+			syscall.Close(e.timer)
+		}
+		e.timer = 0
+		e.numbers.stop()
+	})
 }
 
 // Turn runs something as the one owner and pulls decisions after it.
-func (e *Engine) Turn(f func()) {
+func (e *Engine) Turn(f func()) { e.turn(false, f) }
+
+func (e *Engine) turn(polled bool, f func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	check.That(!e.inTurn, "one owner at a time")
-	e.inTurn = true
+	e.inTurn, e.polled = true, polled
 	e.Count.Add(counters.Turns)
 	e.tick()
 	f()
 	e.settled()
 	e.arm()
-	e.inTurn = false
+	e.inTurn, e.polled = false, false
 }
 
 // tick brings the clock up to now. A due time long past says that this front door stood still: it was paused, or
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -52,8 +52,19 @@
 	dropped int                // bytes, while it lingers
 	more    bool               // the ring was full: bytes may wait in the socket
 	cancel  context.CancelFunc // of a dial
+	seen    uint64             // see numbers
+	trailed bool
+	listing atomic.Int32
 }
 
+// Where an accepted connection stands: the poller tells of it before it is among those that it watches. Closed in between it
+// would leave its descriptor there, another's by then.
+const (
+	listed int32 = iota
+	listing
+	closedEarly // to be closed once it is listed
+)
+
 func (e *Engine) newLink() *Link {
 	return &Link{e: e, In: ring.New(leastRing, e.bound, &e.spare), out: ring.New(leastRing, 2*e.bound, nil)}
 }
@@ -74,13 +85,50 @@
 		l.untrail()
 		return !l.ended && !l.closed
 	}
-	if fd, err := unix.FcntlInt(uintptr(l.c.Hash()), unix.F_DUPFD_CLOEXEC, 0); err == nil && !l.closed {
-		l.trail = fd
+	if fd, ok := l.copied(); ok && !l.closed {
+		l.trail, l.trailed = fd, true
 		l.e.open++
 	}
 	return true
 }
 
+// alive tells whether the poller has not closed its own yet. What it closed it tells of in a turn to come, and the descriptor
+// may be another connection's before that.
+func (l *Link) alive() bool {
+	_, err := l.c.Write(nil)
+	return err == nil || bareNumbers
+}
+
+// copied gives a descriptor of its own for the socket. One that was alive after the copy was made was so before it.
+func (l *Link) copied() (fd int, ok bool) {
+	fd, err := unix.FcntlInt(uintptr(l.c.Hash()), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return 0, false
+	}
+	if !l.alive() {
+		syscall.Close(fd)
+		return 0, false
+	}
+	return fd, true
+}
+
+// raw does something with the socket, if it is still this connection's. In a turn of the poller nothing else closes it.
+func (l *Link) raw(do func(fd int)) {
+	if l.e.polled {
+		if l.alive() {
+			do(l.c.Hash())
+		}
+		return
+	}
+	if fd, ok := l.copied(); ok {
+		do(fd)
+		syscall.Close(fd)
+	}
+}
+
+// bareNumbers takes the defence out; only a test sets it.
+var bareNumbers bool
+
 func (l *Link) untrail() {
 	if l.trail > 0 {
 		syscall.Close(l.trail)
@@ -114,7 +162,8 @@
 	}
 	e.Turn(func() {
 		l := e.newLink()
-		l.c = c
+		l.c, l.seen = c, e.numbers.let.Load()
+		l.listing.Store(listing)
 		c.SetSession(l)
 		e.open++
 		e.came(c)(l)
@@ -124,9 +173,40 @@
 func (e *Engine) readable(c *nbio.Conn) {
 	switch s := c.Session().(type) {
 	case *Link:
-		e.Turn(s.read)
+		e.turn(true, s.event)
 	case *watched:
-		e.Turn(func() { s.readable() })
+		e.turn(true, func() {
+			e.numbers.seen(&s.seen)
+			s.readable()
+		})
+	}
+}
+
+// event: something has come, or the end.
+func (l *Link) event() {
+	l.e.numbers.seen(&l.seen)
+	l.e.at = l
+	l.read()
+	l.e.at = nil
+}
+
+// added: the poller watches it.
+func (l *Link) added() {
+	if !l.listing.CompareAndSwap(listing, listed) {
+		l.c.Close()
+		l.e.numbers.letGo(l.c.Hash(), false)
+	}
+}
+
+// shut closes the poller's connection. The link is closed by then, and its trail.
+func (l *Link) shut() {
+	switch {
+	case l.c == nil:
+	case l.listing.CompareAndSwap(listing, closedEarly):
+		l.raw(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_RDWR) })
+	default:
+		l.c.Close()
+		l.e.numbers.letGo(l.c.Hash(), l.e.at == l && !l.trailed)
 	}
 }
 
@@ -282,7 +362,7 @@
 
 // Clean tells whether an idle connection may carry a submission: open, with nothing come unasked.
 func (l *Link) Clean() bool {
-	if l.closed || l.closing || l.c == nil || l.In.Len() > 0 || l.Unwritten() > 0 {
+	if l.closed || l.closing || l.c == nil || l.In.Len() > 0 || l.Unwritten() > 0 || !l.alive() {
 		return false
 	}
 	var b [1]byte
@@ -297,7 +377,9 @@
 // socket wait there, and would arrive long after they were given up. Covers cuts and slow links; it costs nothing else.
 func (l *Link) Reset() {
 	if !l.closed && l.c != nil {
-		l.c.SetLinger(1, 0)
+		l.raw(func(fd int) {
+			syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		})
 	}
 	l.Close()
 }
@@ -314,9 +396,7 @@
 	if l.cancel != nil {
 		l.cancel()
 	}
-	if l.c != nil {
-		l.c.Close()
-	}
+	l.shut()
 }
 
 // CloseSent ends the connection when all that was given to Send is written.
@@ -332,8 +412,8 @@
 	l.e.At(l.e.now+unreadFor, l, 0)
 }
 
-// CloseSoon is for a connection that has just been accepted: the poller still puts it among those it watches, and
-// closed before that it would put another's descriptor there.
+// CloseSoon is for a connection that has just been accepted and is not wanted: whoever dials again at once is held up a
+// moment.
 func (l *Link) CloseSoon() { l.e.At(l.e.now+refuseIn, l, 0) }
 
 const refuseIn = 50 * time.Millisecond
@@ -354,7 +434,7 @@
 		return
 	}
 	l.linger, l.owner, l.more = true, nil, false
-	syscall.Shutdown(l.c.Hash(), syscall.SHUT_WR)
+	l.raw(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_WR) })
 	l.In.Drop(l.In.Len())
 	wait := lingerFor
 	if l.e.Room() < l.e.most/4 {
@@ -376,13 +456,11 @@
 		return
 	}
 	l.closed = true
-	if l.c != nil {
-		l.c.Close()
-	}
+	l.untrail()
+	l.shut()
 	if l.owner != nil {
 		l.owner.Closed()
 	}
-	l.untrail()
 	l.In.Release()
 	l.out.Release()
 }
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -11,6 +11,8 @@
 // would else ask it for connections without end.
 type ear struct {
 	net.Listener
+	e      *Engine
+	last   *nbio.Conn // the last one that was accepted
 	addr   string
 	accept func(*Link)
 	deaf   atomic.Bool
@@ -20,7 +22,7 @@
 
 // hear adds an address; its socket is opened by Listen, or when the engine starts.
 func (e *Engine) hear(addr string, accept func(*Link)) *ear {
-	a := &ear{addr: addr, accept: accept, over: make(chan struct{})}
+	a := &ear{e: e, addr: addr, accept: accept, over: make(chan struct{})}
 	e.ears = append(e.ears, a)
 	e.poll.Addrs = append(e.poll.Addrs, addr)
 	return a
@@ -39,13 +41,27 @@
 	return err
 }
 
-// Accept is the poller's.
+// Accept is the poller's. When it asks for the next one, it has the last one among those that it watches.
 func (a *ear) Accept() (net.Conn, error) {
-	c, err := a.Listener.Accept()
-	if err != nil && a.deaf.Load() {
-		<-a.over
+	if a.last != nil {
+		if l, ok := a.last.Session().(*Link); ok {
+			l.added()
+		}
+		a.last = nil
+	}
+	conn, err := a.Listener.Accept()
+	if err != nil {
+		if a.deaf.Load() {
+			<-a.over
+		}
+		return nil, err
+	}
+	c, err := a.e.numbers.adopt(conn)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	a.last = c
+	return c, nil
 }
 
 // Close is the poller's, at the end.
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -16,6 +16,7 @@
 type watched struct {
 	fd       int
 	readable func() // in a turn; it takes all that has come
+	seen     uint64 // see numbers
 }
 
 // bare lends a descriptor to the poller, which asks for a connection of the standard library, keeps a copy of
@@ -42,7 +43,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c.SetSession(&watched{c.Hash(), readable})
+	c.SetSession(&watched{fd: c.Hash(), readable: readable})
 	e.open++ // as any other that the poller tells of when it ends
 	if _, err := e.poll.AddConn(c); err != nil {
 		return 0, err
