One fence hands a request's bytes to the socket, and says whether it may have run

Need: what may have run was asked in five places, each before the connection was closed: the poller could write the rest between the question and the close, and what was told unsent could run. Two callers of one id on one connection could get each other's second copy. An alarm of a slot's former life could end a submission before its limit.

Change: internal/dispatch/fence.go is the one place that hands bytes over; an attempt has passed it from before its first byte, and only the end of its connection takes that back. The connection is closed before anybody asks. The gate, last of all, sends nothing again that may run once and may have run, and refuses nothing such. A connection doesn't carry the id that it carried last. Alarms look at the time.

--- a/internal/boxoffice/boxoffice.go
+++ b/internal/boxoffice/boxoffice.go
@@ -408,8 +408,8 @@
 // lookAt does what is due for a txn.
 func (o *Office) lookAt(t *txn, what int) {
 	switch what {
-	case lookExpiry:
-		if !t.begun {
+	case lookExpiry: // ids come round: it may be one that is long gone that this was for
+		if !t.begun && o.now >= t.deadline {
 			o.end(t, LackTime, 0)
 		}
 	case lookGiveUp:
--- a/internal/boxoffice/office_test.go
+++ b/internal/boxoffice/office_test.go
@@ -275,3 +275,19 @@
 }
 
 var _ Meter = (*control.Quota)(nil)
+
+// Ids come round: what was asked for at a time for a request that is long gone does nothing to the one that has its id now.
+func TestExpiryOfFormerLife(t *testing.T) {
+	d := newDesk(Call{Effectful: true, Aim: time.Second, MaxTries: 1}, 1)
+	d.take(7) // expires in 10 s
+	d.turn()
+	d.SubmissionEnded(7, 0, 1, control.Settled, true, ms, nil)
+	d.at(d.now + 9*time.Second)
+	d.take(7)
+	d.turn()
+	d.seen = nil
+	d.at(d.now + 5*time.Second)
+	must.SliceEmpty(t, d.seen)
+	d.at(d.now + 6*time.Second)
+	must.Eq(t, control.Void, d.seen[0].Verb)
+}
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -22,25 +22,27 @@
 	r       http1.Reader
 	sub     slots.Ref // 0: idle
 	dialing bool
-	carries bool // the present submission was given to the link
 	idleAt  time.Duration
 	idleFor time.Duration
 	feeding bool
 	passing bool
 	verdict Verdict // of an answer that is passed on in parts
 	flows   bool    // one is
+	last    string  // id of what it carried last
 }
 
 // reuse takes the idle connection used last that has rested, unless any will do, and closes those that are
-// not fit to be used again.
-func (d *Dispatch) reuse(b *backend, any bool) *conn {
+// not fit to be used again. What has the id of the one before on a connection goes on another: a second copy of that
+// answer could not be told from its own, and two clients may have chosen alike.
+func (d *Dispatch) reuse(b *backend, any bool, id string) *conn {
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
 		if d.e.Now()-c.idleAt < d.terms.Rest && !any {
 			continue
 		}
 		b.idle = append(b.idle[:i], b.idle[i+1:]...)
-		if d.e.Now()-c.idleAt < c.idleFor && c.l.Clean() {
+		same := id != "" && id == c.last && !unfenced.sameID
+		if !same && d.e.Now()-c.idleAt < c.idleFor && c.l.Clean() {
 			return c
 		}
 		c.close()
@@ -56,12 +58,12 @@
 // dial opens a connection for a submission, or ends it when none may be opened.
 func (d *Dispatch) dial(b *backend, ref slots.Ref, s *submission) bool {
 	if d.e.Room() <= 0 && !d.Evict(b) && !d.makeRoom() {
-		d.end(ref, s, control.Unreachable)
+		d.tell(ref, s, control.Unreachable)
 		return false
 	}
 	me, c, ok := d.conns.Add()
 	if !ok {
-		d.end(ref, s, control.Unreachable)
+		d.tell(ref, s, control.Unreachable)
 		return false
 	}
 	*c = conn{d: d, me: me, b: b, r: http1.Responses(), sub: ref, dialing: true}
@@ -84,7 +86,7 @@
 		return
 	}
 	if !ok {
-		c.d.end(c.sub, s, control.Unreachable)
+		c.d.giveUp(c.sub, s, control.Broken, control.Unreachable)
 		return
 	}
 	c.carry(c.sub, s)
@@ -97,37 +99,32 @@
 	left := s.until - c.d.e.Now()
 	c.d.scratch = s.message.AppendTo(c.d.scratch[:0], c.b.id, left)
 	if len(c.d.scratch) == 0 || left <= 0 { // its client has gone, or its time, before anything was written
-		c.d.end(ref, s, control.NotSent)
+		c.d.giveUp(ref, s, control.Broken, control.NotSent)
 		return
 	}
-	c.carries = true
 	c.r.Bodiless = bytes.HasPrefix(c.d.scratch, []byte("HEAD "))
-	s.id, s.given, s.flows = s.message.ID(), len(c.d.scratch), s.message.Flows()
-	if c.l.Send(c.d.scratch) && s.flows {
+	s.id, s.flows = s.message.ID(), s.message.Flows()
+	if c.hand(s, c.d.scratch, !s.flows) && s.flows {
 		c.feed()
 	}
 }
 
-// Sent: the last byte is in the socket; mayRun asks for that when it counts.
+// Sent: all that was handed over is in the socket.
 func (c *conn) Sent() {
 	if s := c.d.subs.Get(c.sub); s != nil && s.flows {
 		c.feed()
 	}
 }
 
-// Closed: a connection that ends before a submission's last byte is written never ran it.
+// Closed: the backend ended it, or an error did.
 func (c *conn) Closed() {
 	c.drop()
 	s := c.d.subs.Get(c.sub)
 	if s == nil || s.conn != c {
 		return
 	}
-	e := control.Unreachable
-	if s.mayRun() {
-		e = control.Broken
-	}
 	s.conn = nil
-	c.d.end(c.sub, s, e)
+	c.d.giveUp(c.sub, s, control.Broken, control.Unreachable)
 }
 
 func (c *conn) close() {
@@ -211,8 +208,8 @@
 func (c *conn) over(ref slots.Ref, s *submission, v Verdict, o gate.Outcome, size int) {
 	// else nobody would find it again
 	keep := !c.r.Closes && !v.Closes && c.l.Unwritten() == 0 && !s.flows && c.l.In.Len() == size
-	c.sub, c.carries, s.conn = 0, false, nil
-	c.d.tell(ref, s, o)
+	c.sub, c.last, s.conn = 0, s.id, nil
+	c.d.ended(ref, s, o)
 	if !keep || !c.b.ready || c.l.IsClosed() {
 		c.close()
 		return
@@ -234,7 +231,7 @@
 // spoilt: an answer that can't be read ends as a broken connection does, it may have run.
 func (d *Dispatch) spoilt(ref slots.Ref, s *submission) {
 	d.e.Count.Add(counters.BadAnswer)
-	d.end(ref, s, control.Broken)
+	d.giveUp(ref, s, control.Broken, control.Unreachable)
 }
 
 // Evict closes the connection that has been idle longest, wherever it leads but to one backend.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -59,18 +59,8 @@
 	whole   time.Duration // for an answer, from its first bytes
 	wholeBy time.Duration // some of it has come, the rest must by then; 0: none has
 	id      string
-	given   int  // bytes given to the link
 	flows   bool // more of its body is to come
-}
-
-// mayRun tells whether its last byte is in the socket, or its first where backends begin earlier: from then
-// on it may have run. Only what the poller has written counts, not what it has taken into its queue.
-func (s *submission) mayRun() bool {
-	if s.conn == nil || !s.conn.carries {
-		return false
-	}
-	left := s.conn.l.Unwritten()
-	return left == 0 || s.conn.d.wary && left < s.given
+	fence   fence
 }
 
 // Dispatch carries submissions.
@@ -162,7 +152,7 @@
 	}
 	d.subs.Each(func(ref slots.Ref, s *submission) {
 		if s.backend == b && s.conn != nil && s.conn.dialing {
-			d.end(ref, s, control.NotSent)
+			d.giveUp(ref, s, control.Broken, control.NotSent)
 		}
 	})
 }
@@ -181,7 +171,7 @@
 	now := d.e.Now()
 	*s = submission{txn: txn, nr: nr, backend: b, message: m, began: now, until: now + limit, whole: whole}
 	d.byTxn[txn] = ref
-	if c := d.reuse(b, false); c != nil {
+	if c := d.reuse(b, false, m.ID()); c != nil {
 		d.e.Count.Add(counters.Reused)
 		d.e.At(s.until, &d.limits, uint32(ref))
 		c.carry(ref, s)
@@ -201,9 +191,9 @@
 
 // crowded takes a connection that has not rested where no more may be opened, rather than none at all.
 func (d *Dispatch) crowded(b *backend, ref slots.Ref, s *submission) {
-	c := d.reuse(b, true)
+	c := d.reuse(b, true, s.message.ID())
 	if c == nil {
-		d.end(ref, s, control.NotSent)
+		d.tell(ref, s, control.NotSent)
 		return
 	}
 	d.e.Count.Add(counters.Reused)
@@ -215,33 +205,35 @@
 func (d *Dispatch) Recall(txn slots.Ref, nr int) {
 	ref := d.byTxn[txn]
 	if s := d.subs.Get(ref); s != nil && s.nr == nr {
-		if s.mayRun() {
-			d.end(ref, s, control.CalledOff)
-		} else {
-			d.end(ref, s, control.NotSent)
-		}
+		d.giveUp(ref, s, control.CalledOff, control.NotSent)
 	}
 }
 
 // Probe is not called where probes are not allowed; where they are, no word of how they look has come yet.
 func (d *Dispatch) Probe(at control.BackendID) { d.gate.Probed(at, false, 0, nil) }
 
-// end gives a submission up: its connection is closed before anything else goes out for the txn.
-func (d *Dispatch) end(ref slots.Ref, s *submission, e control.Ending) {
-	if c := s.conn; c != nil {
-		c.sub = 0
-		if d.wary { // what was given up must not arrive later
-			c.l.Reset()
-			c.drop()
-		} else {
-			c.close()
-		}
+// cut closes the connection of a submission that is given up.
+func (d *Dispatch) cut(s *submission) {
+	c := s.conn
+	if c == nil {
+		return
 	}
-	d.tell(ref, s, gate.Outcome{Ending: e})
+	s.conn = nil
+	if c.sub = 0; d.wary { // what was given up must not arrive later
+		c.l.Reset()
+		c.drop()
+	} else {
+		c.close()
+	}
+}
+
+// tell says how a submission ended without an answer that is passed on.
+func (d *Dispatch) tell(ref slots.Ref, s *submission, e control.Ending) {
+	d.ended(ref, s, gate.Outcome{Ending: e})
 }
 
-// tell hands the one outcome of a submission on.
-func (d *Dispatch) tell(ref slots.Ref, s *submission, o gate.Outcome) {
+// ended hands the one outcome of a submission on.
+func (d *Dispatch) ended(ref slots.Ref, s *submission, o gate.Outcome) {
 	x := *s
 	*s = submission{}
 	d.subs.Drop(ref)
@@ -271,14 +263,9 @@
 func (a *limitAlarm) Live(ref uint32) bool { return a.d.subs.Get(slots.Ref(ref)) != nil }
 
 func (a *limitAlarm) Due(ref uint32) {
-	s := a.d.subs.Get(slots.Ref(ref))
-	if s == nil {
-		return
-	}
-	if s.mayRun() {
-		a.d.end(slots.Ref(ref), s, control.TimedOut)
-	} else {
-		a.d.end(slots.Ref(ref), s, control.Unreachable)
+	// A slot's generations come round: an alarm of long ago may name the submission of now.
+	if s := a.d.subs.Get(slots.Ref(ref)); s != nil && a.d.e.Now() >= s.until {
+		a.d.giveUp(slots.Ref(ref), s, control.TimedOut, control.Unreachable)
 	}
 }
 
@@ -288,8 +275,8 @@
 }
 
 func (a *dialAlarm) Due(ref uint32) {
-	if s := a.d.subs.Get(slots.Ref(ref)); a.Live(ref) {
+	if s := a.d.subs.Get(slots.Ref(ref)); a.Live(ref) && a.d.e.Now() >= s.began+a.d.terms.Dial {
 		a.d.e.Count.Add(counters.DialsFailed)
-		a.d.end(slots.Ref(ref), s, control.Unreachable)
+		a.d.giveUp(slots.Ref(ref), s, control.Broken, control.Unreachable)
 	}
 }
--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -12,7 +12,7 @@
 // More: a front has more of a request's body, or is ready for more of the answer.
 func (d *Dispatch) More(txn slots.Ref) {
 	s := d.subs.Get(d.byTxn[txn])
-	if s == nil || s.conn == nil || !s.conn.carries {
+	if s == nil || s.conn == nil || s.fence.conn == 0 {
 		return
 	}
 	c := s.conn
@@ -31,24 +31,19 @@
 	defer func() { c.feeding = false }()
 	for {
 		s := c.d.subs.Get(c.sub)
-		if s == nil || s.conn != c || !s.flows || !c.carries || c.l.IsClosed() || c.l.Unwritten() >= flowMost {
+		if s == nil || s.conn != c || !s.flows || s.fence.conn == 0 || c.l.IsClosed() || c.l.Unwritten() >= flowMost {
 			return
 		}
 		b, whole, ok := s.message.Part(c.d.scratch[:0])
 		c.d.scratch = b[:0]
 		if !ok { // the rest never comes
-			e := control.NotSent
-			if s.mayRun() {
-				e = control.Broken
-			}
-			c.d.end(c.sub, s, e)
+			c.d.giveUp(c.sub, s, control.Broken, control.NotSent)
 			return
 		}
 		if s.flows = !whole; len(b) == 0 {
 			return
 		}
-		s.given += len(b)
-		c.l.Send(b)
+		c.hand(s, b, whole)
 	}
 }
 
@@ -68,11 +63,12 @@
 		c.d.spoilt(ref, s)
 		return true
 	case v.Ending != control.Settled && !v.Final:
-		c.d.end(ref, s, v.Ending)
+		c.d.cut(s)
+		c.d.tell(ref, s, v.Ending)
 		return true
 	}
 	if !c.d.gate.Begun(s.txn, gate.Outcome{Ending: v.Ending, Load: v.Load, Final: v.Final, Answer: &c.r, Bytes: b}) {
-		c.d.end(ref, s, control.Broken)
+		c.d.giveUp(ref, s, control.Broken, control.Unreachable)
 		return true
 	}
 	c.verdict, c.flows, s.wholeBy = v, true, 0
@@ -96,7 +92,7 @@
 	for {
 		room := c.d.gate.Room(s.txn)
 		if room < 0 {
-			c.d.end(ref, s, control.CalledOff)
+			c.d.giveUp(ref, s, control.CalledOff, control.NotSent)
 			return
 		}
 		h := c.l.In.Head()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -156,6 +156,7 @@
 	flows    bool // its body is passed on as it comes
 	nr       int  // submissions so far
 	out      bool
+	ran      bool // one of them may have run
 }
 
 // Log takes the module's notes; *zap.Logger is one.
@@ -304,7 +305,7 @@
 	if t == nil || !t.out || t.nr != nr+1 {
 		return
 	}
-	t.out = false
+	t.out, t.ran = false, t.ran || ran(o.Ending)
 	g.count.Add(counters.EndSettled + counters.ID(o.Ending))
 	if g.watch != nil {
 		g.watch.Ended(ref, nr, at, o.Ending)
@@ -339,6 +340,9 @@
 	g.drop(ref, t)
 }
 
+// unguarded lets through whatever the module decides; only a test sets it.
+var unguarded bool
+
 // ran tells whether a submission that ended so may have run.
 func ran(e control.Ending) bool {
 	return e != control.Full && e != control.Unreachable && e != control.NotSent
@@ -415,6 +419,13 @@
 		}
 		nr := t.nr
 		t.nr, t.out, t.flows = t.nr+1, true, t.message(ref).Flows()
+		// Whatever decides: what may run once and may have run passes no fence again.
+		again := t.ran && t.message(ref).Once() && !unguarded
+		check.That(!again, "what may run once is not sent after it may have run")
+		if again {
+			g.Ended(ref, nr, x.Backend, Outcome{Ending: control.NotSent})
+			return
+		}
 		g.count.Add(counters.Submissions)
 		limit := t.expiry - g.clock.Now()
 		if x.Limit > 0 {
@@ -433,11 +444,16 @@
 			return
 		}
 		t.answered = true
+		refused := x.Verb == control.Decline
+		if refused && (t.ran || t.out) && t.message(ref).Once() && !unguarded {
+			check.That(false, "what is refused has not run, and nothing of it is out")
+			refused = false
+		}
 		switch {
 		case t.begun:
 			g.count.Add(counters.CutShort)
 			t.front.(Streamer).End(t.who, ref, false)
-		case x.Verb == control.Decline:
+		case refused:
 			g.decline(ref, t, x.Limit, x.Why)
 		default:
 			g.void(ref, t, x.Why)
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,104 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"clovergap/control"
+	"clovergap/internal/check"
+	"clovergap/internal/counters"
+	"clovergap/internal/slots"
+)
+
+// careless is a module that sends whatever ended again, to the same, or refuses it, without a look at how it ended.
+type careless struct {
+	todo   []control.Decision
+	refuse bool
+	sends  int
+}
+
+func (m *careless) Now(time.Duration)                                            {}
+func (m *careless) ClientLeft(control.TxnID)                                     {}
+func (m *careless) ListChanged(bool, []control.Listing)                          {}
+func (m *careless) PeerSaid(control.GatewayID, []byte)                           {}
+func (m *careless) ProbeEnded(control.BackendID, bool, time.Duration, []float64) {}
+func (m *careless) Woken(uint64)                                                 {}
+func (m *careless) TxnTaken(x control.Txn)                                       { m.send(x.ID) }
+func (m *careless) send(id control.TxnID) {
+	if m.sends++; m.sends <= 3 {
+		m.todo = append(m.todo, control.Decision{Verb: control.Submit, Txn: id, Backend: 1})
+	}
+}
+func (m *careless) SubmissionEnded(id control.TxnID, _ int, _ control.BackendID, _ control.Ending, over bool, _ time.Duration, _ []float64) {
+	switch {
+	case over:
+	case m.refuse:
+		m.todo = append(m.todo, control.Decision{Verb: control.Decline, Txn: id})
+	default:
+		m.send(id)
+	}
+}
+func (m *careless) Next() (x control.Decision, ok bool) {
+	if len(m.todo) == 0 {
+		return x, false
+	}
+	x, m.todo = m.todo[0], m.todo[1:]
+	return x, true
+}
+
+// wire is a sender that counts, and a front that keeps what was told.
+type wire struct {
+	sent int
+	told string
+}
+
+func (w *wire) Submit(slots.Ref, int, Message, control.BackendID, time.Duration, time.Duration) {
+	w.sent++
+}
+func (w *wire) Recall(slots.Ref, int)                                   {}
+func (w *wire) Probe(control.BackendID)                                 {}
+func (w *wire) Settle(_, _ slots.Ref, _ Outcome)                        { w.told += "settled" }
+func (w *wire) Decline(_, _ slots.Ref, _ time.Duration, _ control.Lack) { w.told += "refused" }
+func (w *wire) Void(_, _ slots.Ref, _ control.Lack)                     { w.told += "void" }
+func (w *wire) Once(_, _ slots.Ref) bool                                { return true }
+func (w *wire) Now() time.Duration                                      { return time.Hour }
+func (w *wire) Wake(time.Duration, uint32)                              {}
+func (w *wire) AppendTo(b []byte, _, _ slots.Ref, _ control.BackendID, _ time.Duration) []byte {
+	return b
+}
+
+// What may run once goes out again, or is refused, only after an end that proves that it never ran; whatever the module
+// wants. A debug build stops there.
+func TestCarelessModule(t *testing.T) {
+	play := func(how control.Ending, refuse bool) (w *wire, stopped bool) {
+		defer func() { stopped = recover() != nil }()
+		w = &wire{}
+		g := New(&careless{refuse: refuse}, w, 10, &counters.Set{}, zap.NewNop())
+		g.Through(w, nil)
+		ref, _ := g.Take(control.Txn{Product: 1, Expiry: 2 * time.Hour}, w, 1)
+		g.Pull()
+		g.Ended(ref, 0, 1, Outcome{Ending: how})
+		g.Pull()
+		return w, false
+	}
+	for how := control.Errored; how <= control.NotSent; how++ {
+		for _, refuse := range []bool{false, true} {
+			unguarded = true
+			bare, _ := play(how, refuse)
+			unguarded = false
+			w, stopped := play(how, refuse)
+			wrong := ran(how)
+			must.Eq(t, wrong && check.Debug, stopped)
+			if refuse {
+				must.Eq(t, "refused", bare.told) // found with the defence taken out
+				must.Eq(t, wrong, w.told != "refused")
+			} else {
+				must.Eq(t, 2, bare.sent)
+				must.Eq(t, wrong, w.sent == 1)
+			}
+		}
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -360,6 +360,9 @@
 // Unwritten counts bytes given to Send that are not yet written to the socket: nought means the last byte is.
 func (l *Link) Unwritten() int { return l.out.Len() + l.unsent + int(l.handed.Load()-l.written.Load()) }
 
+// Written counts bytes that were written to the socket, ever. It stays once the link is closed.
+func (l *Link) Written() int64 { return l.written.Load() }
+
 // Clean tells whether an idle connection may carry a submission: open, with nothing come unasked.
 func (l *Link) Clean() bool {
 	if l.closed || l.closing || l.c == nil || l.In.Len() > 0 || l.Unwritten() > 0 || !l.alive() {
