A link of a door's former life that is read last no longer takes the new one's place

Cause: which of two links of a door is the newer was told by which opening was read first. A reader without processor read the former life's last: its frames were taken, and the present link was closed.

Change: the order in which links were accepted tells.

Result: TestFormerLifeReadLast failed before, and passes; the package also under -race -tags debug.

--- a/internal/wings/wings.go
+++ b/internal/wings/wings.go
@@ -45,9 +45,11 @@
 	ln    net.Listener
 	mu    sync.Mutex
 	links map[string]*link[F]
-	ins   map[net.Conn]bool
+	ins   map[net.Conn]uint64 // by their place among all that were accepted
+	tail  uint64              // the last one's
 	from  map[string]net.Conn // the newest link of each door
 	lives map[string]uint64   // and its life
+	last  map[string]uint64   // and its place
 	life  uint64
 	done  bool
 	all   sync.WaitGroup
@@ -74,8 +76,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "wings")
 	}
-	return &Wings[F]{me: me, host: host, turn: turn, ln: ln, links: map[string]*link[F]{}, ins: map[net.Conn]bool{},
-		from: map[string]net.Conn{}, lives: map[string]uint64{}, life: life}, nil
+	return &Wings[F]{me: me, host: host, turn: turn, ln: ln, links: map[string]*link[F]{}, ins: map[net.Conn]uint64{},
+		from: map[string]net.Conn{}, lives: map[string]uint64{}, last: map[string]uint64{}, life: life}, nil
 }
 
 // Start takes links of others.
@@ -98,7 +100,8 @@
 		if w.done {
 			c.Close()
 		} else {
-			w.ins[c] = true
+			w.tail++
+			w.ins[c] = w.tail
 			w.all.Go(func() { w.read(c) })
 		}
 		w.mu.Unlock()
@@ -137,8 +140,14 @@
 		return
 	}
 	// What a link before this one still holds is of an earlier time, perhaps of an earlier life; and where its machine
-	// lost power, nothing else ever ends it.
+	// lost power, nothing else ever ends it. Which is the earlier one is told by the order in which they came: which is read
+	// first is chance.
 	w.mu.Lock()
+	if w.ins[c] < w.last[o.From] {
+		w.mu.Unlock()
+		return
+	}
+	w.last[o.From] = w.ins[c]
 	if old := w.from[o.From]; old != nil {
 		old.Close()
 	}
--- a/internal/wings/wings_test.go
+++ b/internal/wings/wings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -251,3 +252,35 @@
 	defer e.mu.Unlock()
 	return e.lives[from] == life
 }
+
+// A door that was killed and came back: the link of its former life is read last, as where the reader has no processor. It
+// neither takes the place of the new one nor is any frame of it taken.
+func TestFormerLifeReadLast(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a := begin(t, addr(41))
+	from := addr(42)
+	dial := func() (net.Conn, *gob.Encoder) {
+		c, err := net.Dial("tcp", a.Addr())
+		must.NoError(t, err)
+		return c, gob.NewEncoder(c)
+	}
+	old, oldSays := dial()
+	now, says := dial()
+	must.NoError(t, says.Encode(opening{from, 2}))
+	must.NoError(t, says.Encode(&frame{Nr: 1}))
+	a.hears(from + ": 1")
+	oldSays.Encode(opening{from, 1})
+	oldSays.Encode(&frame{Nr: 9})
+	must.NoError(t, old.SetReadDeadline(time.Now().Add(patience)))
+	_, err := old.Read(make([]byte, 1)) // it is ended
+	must.Error(t, err)
+	must.False(t, errors.Is(err, os.ErrDeadlineExceeded))
+	must.NoError(t, says.Encode(&frame{Nr: 2}))
+	a.hears(from + ": 2")
+	a.mu.Lock()
+	must.Eq(t, 2, a.lives[from])
+	a.mu.Unlock()
+	old.Close()
+	now.Close()
+	a.Stop()
+}
