A late word of a door's former life is no copy of a backend's end

Cause: an end was counted as held by a door as soon as it said so, by its seat alone. A word of the former life, read after the new one was greeted, made a drain acknowledged while the other door had an empty board.

Change: words count once the door has confirmed something that was sent since it was greeted. Confirmations carry the asker's life already.

--- a/internal/callboard/callboard_test.go
+++ b/internal/callboard/callboard_test.go
@@ -670,3 +670,46 @@
 	tr.phases(lives.ID, Ready)
 	tr.phases(died.ID, Gone)
 }
+
+// A door that came back has nothing of what its former life knew: a late word of that one, read after the new one was greeted, is
+// no copy. The end of a backend is acknowledged once the present life confirms it.
+func TestLateWordOfFormerLifeIsNoCopy(t *testing.T) {
+	defer func() { wordIsCopy = false }()
+	for _, fault := range []bool{false, true} {
+		wordIsCopy = fault
+		tr := open(t, 2, 2)
+		s := &backend{Word: Word{ID: "b", Service: "s", Addr: "10.0.0.1:80"}}
+		tr.beat(s, 0)
+		late := s.Word
+		late.Phase, late.Drained, late.Seq, late.Keeper, late.Missed = Draining, true, s.Seq+1, None, None
+		tr.boards[0].Greet(1) // the link to its new life is up, the mail of the former one lies unread
+		sent := tr.held(0)
+		tr.boards[0].Heard(1, Message{Nr: 7, Words: []Word{late}})
+		s.Phase, s.Seq = Draining, s.Seq+1
+		ticket := tr.boards[0].Beat(s.Word)
+		sent = append(sent, tr.held(0)...)
+		_, early := tr.acks[0][ticket]
+		must.Eq(t, fault, early)
+		tr.boards[1] = New(1, Terms{BeatInterval: beat, Enough: 2, Life: 99}, tr.now)
+		tr.boards[1].Doors([]Door{{Seat: 0, Firm: true, Live: true}, {Seat: 1, Firm: true, Live: true}})
+		for _, m := range sent {
+			tr.boards[1].Heard(0, m)
+		}
+		tr.pump()
+		must.True(t, tr.acks[0][ticket].OK)
+		must.Eq(t, Draining, tr.boards[1].all["b"].phase())
+	}
+}
+
+// held gives what a door sends, and carries it nowhere.
+func (tr *troupe) held(s Seat) (sent []Message) {
+	for a, ok := tr.boards[s].Next(); ok; a, ok = tr.boards[s].Next() {
+		switch a := a.(type) {
+		case Send:
+			sent = append(sent, a.Message)
+		case Acknowledge:
+			tr.acks[s][a.Ticket] = a
+		}
+	}
+	return sent
+}
--- a/internal/callboard/spread.go
+++ b/internal/callboard/spread.go
@@ -17,6 +17,7 @@
 	sendAt time.Duration // when they go
 	flight []*parcel     // sent and not confirmed
 	again  []*parcel     // to be sent once more
+	sure   bool          // has confirmed something since it was greeted: what it says is of its present life
 	behind bool          // gave no confirmation: only asked for a sign, and greeted when there is one
 
 	greet  bool // the next message begins to tell all there is
@@ -48,11 +49,14 @@
 	return p
 }
 
+// wordIsCopy takes a defence out; only a test sets it.
+var wordIsCopy bool
+
 // drop forgets what was on its way to a door: it may come back in a new life that has heard nothing.
 func (b *Board) drop(p *peer) {
 	p.lostAt = b.now
 	p.order, p.flight, p.again, p.doubts, p.beats, p.acks = nil, nil, nil, nil, nil, nil
-	p.behind, p.greet = false, false
+	p.behind, p.greet, p.sure = false, false, false
 	clear(p.waits)
 	for _, e := range b.list {
 		delete(e.told, p.door.Seat)
@@ -302,7 +306,8 @@
 	if w.Phase == Gone && p.door.Seat == e.w.Keeper {
 		e.doubt = false
 	}
-	if l := lvl(w); l > noEnd {
+	// It holds the end itself, if it has said so in its present life: a late word of the former one is no copy.
+	if l := lvl(w); l > noEnd && (p.sure || wordIsCopy) {
 		b.tolds(e, p.door.Seat, l)
 	}
 	if w.Missed != None && w.Fence == e.w.Fence && w.Keeper == e.w.Keeper {
@@ -375,6 +380,7 @@
 				b.tolds(e, p.door.Seat, f.levels[j])
 			}
 		}
+		p.sure = true
 		p.flight = slices.Delete(p.flight, i, i+1)
 		p.again = slices.DeleteFunc(p.again, func(x *parcel) bool { return x == f })
 		return
