After a standstill what came meanwhile is read before a timer closes anything

Cause: a door that stood still for longer than a client may take for a head, or a backend for the rest of an answer, closed the connection by its own clock though the rest lay unread in the socket.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -255,7 +255,13 @@
 }
 
 func (a *partAlarm) Due(ref uint32) {
-	if s := a.d.subs.Get(slots.Ref(ref)); a.Live(ref) && a.d.e.Now() >= s.wholeBy {
+	s := a.d.subs.Get(slots.Ref(ref))
+	switch {
+	case !a.Live(ref) || a.d.e.Now() < s.wholeBy:
+	case a.d.e.Waited() > 0 && !unfenced.unread: // this door stood still: the rest may lie unread
+		s.wholeBy = a.d.e.Now() + s.whole
+		a.d.e.At(s.wholeBy, a, ref)
+	default:
 		a.d.spoilt(slots.Ref(ref), s)
 	}
 }
--- a/internal/dispatch/fence.go
+++ b/internal/dispatch/fence.go
@@ -20,7 +20,7 @@
 }
 
 // unfenced takes defences out; only tests set it.
-var unfenced struct{ passed, first, sameID bool }
+var unfenced struct{ passed, first, sameID, unread bool }
 
 // hand gives bytes of a submission to its connection: whole says that no more will follow. An attempt passes on one connection.
 func (c *conn) hand(s *submission, b []byte, whole bool) bool {
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -579,3 +579,38 @@
 	must.Error(t, err)
 	t.Log("ids not looked at: found after", n, err)
 }
+
+// A door that stood still reads what came meanwhile before it holds an answer for cut short.
+func TestStandstillIsNotTheBackends(t *testing.T) {
+	defer func() { unfenced.unread = false }()
+	for _, fault := range []bool{false, true} {
+		unfenced.unread = fault
+		e := link.New("", 1024, 64<<10, 1<<30)
+		must.NoError(t, e.Start())
+		s := newScene(t, e, echoes{}, 0, 1)
+		txn := s.take()
+		s.begins()
+		s.happen('p', txn)
+		e.Turn(func() {
+			e.At(e.Now()-time.Hour, late(func() {
+				ref := s.d.byTxn[txn]
+				x := s.d.subs.Get(ref)
+				x.whole, x.wholeBy = time.Minute, e.Now()
+				id := s.a.ID(0, txn)
+				s.at[s.first].newest().Write([]byte(answerTo(id, id)[30:])) // it can't be read before this turn is over
+				s.d.parts.Due(uint32(ref))
+			}), 0)
+		})
+		for !s.settled() {
+			s.read()
+		}
+		must.Eq(t, fault, s.told(txn)[0] == "void")
+		e.Stop()
+	}
+}
+
+// late is a due time.
+type late func()
+
+func (late) Live(uint32) bool { return true }
+func (l late) Due(uint32)     { l() }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -308,12 +308,20 @@
 // IsClosed tells that its connection is over, or about to be.
 func (c *Client) IsClosed() bool { return c.l.IsClosed() }
 
+// unforgiving takes a defence out; only a test sets it.
+var unforgiving bool
+
 // Live and Due are the engine's: it is time to look at all clients.
 func (in *Intake) Live(uint32) bool { return true }
 
-// Due closes connections that have had their time.
+// Due closes connections that have had their time. What this door stood still is not theirs: what came meanwhile lies
+// unread, and is read before anybody is looked at again.
 func (in *Intake) Due(uint32) {
 	in.e.At(in.e.Now()+sweepEvery, in, 0)
+	if stood := in.e.Waited(); stood > 0 && !unforgiving {
+		in.clients.Each(func(_ slots.Ref, c *Client) { c.since = min(c.since+stood, in.e.Now()) })
+		return
+	}
 	in.clients.Each(func(_ slots.Ref, c *Client) {
 		most := in.bounds.WholeIn
 		switch {
