--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -25,6 +25,12 @@
 	fault  fault
 	wrong  string
 	path   *step
+	list   []Member         // in force
+	bases  map[place]uint64 // what the leader knew to be committed when it made a list
+
+	timed   bool // contact is judged: see contact_test.go
+	now     time.Duration
+	ackedAt []time.Duration // by order
 }
 
 type seat struct {
@@ -32,6 +38,7 @@
 	disk   Kept
 	writes []Write // not synced
 	led    uint64  // the newest view it was seen to lead
+	gone   bool    // for good, or until it is started
 }
 
 type flying struct {
@@ -39,7 +46,7 @@
 	s    Send
 }
 
-type budget struct{ stops, crashes, wipes, changes, beats int }
+type budget struct{ promises, crashes, wipes, changes, beats, ticks, losses, returns, swaps int }
 
 type step struct {
 	before *step
@@ -59,7 +66,7 @@
 
 // newStage has so many members in view 2, and others beside them with empty disks.
 func newStage(members, beside int, f fault, left budget) *stage {
-	w := &stage{left: left, fault: f}
+	w := &stage{left: left, fault: f, bases: map[place]uint64{}}
 	for i := range members + beside {
 		w.seats = append(w.seats, &seat{disk: Kept{Me: MemberID(i + 1)}})
 		w.start(i)
@@ -68,6 +75,7 @@
 	for _, s := range w.seats[:members] {
 		list = append(list, s.p.me)
 	}
+	w.list = list
 	for i := range list {
 		if w.seats[i].p.Found(list) != nil {
 			panic("not founded")
@@ -75,17 +83,17 @@
 		w.pull(i)
 	}
 	w.settle()
-	w.seats[0].p.stop(true)
+	w.seats[0].p.prepare(true)
 	w.pull(0)
 	w.settle()
-	w.beat(0)
+	w.heartbeat(0)
 	w.settle()
 	return w
 }
 
 func (w *stage) start(i int) {
 	s := w.seats[i]
-	s.writes = nil
+	s.writes, s.gone = nil, false
 	s.p = New(Member{s.disk.Me, fmt.Sprint("door", i)}, s.disk, calm, 1, 0)
 	s.p.fault = w.fault
 	w.pull(i)
@@ -100,13 +108,19 @@
 // pull carries out a member's actions and judges them.
 func (w *stage) pull(i int) {
 	s := w.seats[i]
+	if c := s.p.configs[len(s.p.configs)-1]; s.p.role == leading && c.index > s.p.committed {
+		if v, _ := s.p.viewAt(c.index); v == s.p.promise && w.bases[place{v, c.index}] == 0 {
+			w.bases = maps.Clone(w.bases)
+			w.bases[place{v, c.index}] = s.p.committed
+		}
+	}
 	for a, ok := s.p.Next(); ok; a, ok = s.p.Next() {
 		switch a := a.(type) {
 		case Send:
 			w.flight = append(w.flight, flying{s.disk.Me, a})
 		case Write:
 			s.writes = append(s.writes, a)
-		case Deliver:
+		case Commit:
 			w.judge(i, a.Entry)
 		}
 	}
@@ -139,7 +153,10 @@
 		}
 		return
 	}
-	w.order = append(w.order, e)
+	w.order, w.ackedAt = append(w.order, e), append(w.ackedAt, w.now)
+	if e.Kind == ConfigChange {
+		w.judgeList(e)
+	}
 	if !majority(w.seats[i].p.Members(), func(id MemberID) bool {
 		had := func(k Kept) bool { return k.Me == id && holds(k, e) }
 		now := func(s *seat) bool { return had(s.disk) }
@@ -149,11 +166,28 @@
 	}
 }
 
+// judgeList: once a list is in force as many more may go as its size says, whoever they are. So who is new on it has what the leader
+// knew to be committed when it made it, and it is no shorter than what it was founded with.
+func (w *stage) judgeList(e Entry) {
+	was := w.list
+	if w.list = e.Members; len(e.Members) < len(was) {
+		w.fail("list %d has %d members", e.Index, len(e.Members))
+	}
+	for _, s := range w.seats {
+		is := func(m Member) bool { return m.ID == s.disk.Me }
+		have, base := s.disk.Snap.Index+uint64(len(s.disk.Entries)), w.bases[place{e.View, e.Index}]
+		if slices.ContainsFunc(e.Members, is) && !slices.ContainsFunc(was, is) && !s.gone && have < base {
+			w.fail("list %d is in force, and its new member %d has %d of %d", e.Index, s.disk.Me, have, base)
+		}
+	}
+}
+
 func (w *stage) sync(i int) {
 	s := w.seats[i]
 	s.disk.Apply(s.writes[0])
 	nr := s.writes[0].Nr
 	s.writes = s.writes[1:]
+	w.wakes(i)
 	s.p.Synced(nr)
 	w.pull(i)
 }
@@ -162,15 +196,20 @@
 	m := w.flight[n]
 	w.flight = slices.Delete(slices.Clone(w.flight), n, n+1)
 	for i, s := range w.seats {
+		if s.gone {
+			continue
+		}
 		if s.p.me.Addr == m.s.To.Addr || m.s.To.Addr == "" && s.p.me.ID == m.s.To.ID {
+			w.wakes(i)
 			s.p.Heard(m.from, m.s.Message)
 			w.pull(i)
 		}
 	}
 }
 
-func (w *stage) beat(i int) {
-	w.seats[i].p.beat()
+func (w *stage) heartbeat(i int) {
+	w.wakes(i)
+	w.seats[i].p.heartbeat()
 	w.pull(i)
 }
 
@@ -195,15 +234,15 @@
 	w.flight = slices.DeleteFunc(slices.Clone(w.flight), func(f flying) bool {
 		to := slices.IndexFunc(w.seats, func(s *seat) bool { return s.disk.Me == f.s.To.ID })
 		k := f.s.Message.Kind
-		return to < 0 || f.s.Message.View < w.seats[to].disk.Promise && k != Lines && k != Stop
+		return to < 0 || f.s.Message.View < w.seats[to].disk.Promise && k != Append && k != Prepare
 	})
 }
 
 // steps are all that could come next. What is never taken was lost or has yet to come.
 func (w *stage) steps(do func(what string, act func(*stage))) {
 	for n, m := range w.flight {
-		key := string(m.key(nil))
-		if !slices.ContainsFunc(w.flight[:n], func(o flying) bool { return string(o.key(nil)) == key }) {
+		key := string(m.key(nil, w.timed))
+		if !slices.ContainsFunc(w.flight[:n], func(o flying) bool { return string(o.key(nil, w.timed)) == key }) {
 			k := m.s.Message
 			what := fmt.Sprintf("%d>%d kind %d view %d index %d", m.from, m.s.To.ID, k.Kind, k.View, k.Index)
 			do(what, func(w *stage) { w.arrive(n) })
@@ -211,6 +250,18 @@
 	}
 	for i, s := range w.seats {
 		id := s.disk.Me
+		if s.gone {
+			if w.left.returns > 0 {
+				do(fmt.Sprintf("%d is back", id), func(w *stage) { w.left.returns--; w.start(i) })
+			}
+			continue
+		}
+		if w.left.losses > 0 {
+			do(fmt.Sprintf("%d is lost", id), func(w *stage) { w.left.losses--; w.lose(i) })
+		}
+		if w.left.swaps > 0 && s.p.role == leading {
+			w.swaps(i, do)
+		}
 		if len(s.writes) > 0 {
 			do(fmt.Sprintf("%d syncs", id), func(w *stage) { w.sync(i) })
 		}
@@ -220,8 +271,8 @@
 		if w.left.wipes > 0 && s.p.Founded() {
 			do(fmt.Sprintf("%d loses its disk", id), func(w *stage) { w.left.wipes--; w.wipe(i) })
 		}
-		if w.left.stops > 0 && s.p.role != leading && s.p.member(id) {
-			do(fmt.Sprintf("%d asks", id), func(w *stage) { w.left.stops--; w.seats[i].p.stop(true); w.pull(i) })
+		if w.left.promises > 0 && s.p.role != leading && s.p.member(id) {
+			do(fmt.Sprintf("%d asks", id), func(w *stage) { w.left.promises--; w.seats[i].p.prepare(true); w.pull(i) })
 		}
 		if w.left.changes > 0 && s.p.role == leading {
 			do(fmt.Sprintf("%d proposes", id), func(w *stage) {
@@ -231,11 +282,44 @@
 			})
 		}
 		if w.left.beats > 0 && s.p.role == leading {
-			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.beat(i) })
+			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.heartbeat(i) })
+		}
+	}
+	if w.left.ticks > 0 {
+		do("a second passes", func(w *stage) { w.left.ticks--; w.now += time.Second })
+	}
+}
+
+// lose takes a member away with what it has on disk.
+func (w *stage) lose(i int) { w.seats[i].gone, w.seats[i].writes = true, nil }
+
+// swaps are the replacements that a leader could begin: any that is there for any member that is lost.
+func (w *stage) swaps(i int, do func(what string, act func(*stage))) {
+	p := w.seats[i].p
+	for _, in := range w.seats {
+		for _, out := range w.seats {
+			if from, to := in.p.me, out.p.me.ID; !in.gone && out.gone && !p.member(from.ID) && p.member(to) {
+				do(fmt.Sprintf("%d takes %d in for %d", p.me.ID, from.ID, to), func(w *stage) {
+					w.left.swaps--
+					w.seats[i].p.Admit(from, to)
+					w.pull(i)
+				})
+			}
 		}
 	}
 }
 
+// replaced has a member lost and another take its place, as all know that reach each other.
+func (w *stage) replaced(out, in int) *stage {
+	w.lose(out)
+	w.seats[0].p.Admit(w.seats[in].p.me, w.seats[out].disk.Me)
+	w.pull(0)
+	w.settle()
+	w.heartbeat(0)
+	w.settle()
+	return w
+}
+
 func (w *stage) wipe(i int) {
 	s := w.seats[i]
 	w.lost = append(slices.Clone(w.lost), s.disk)
@@ -250,18 +334,18 @@
 	c.seats = nil
 	for _, s := range w.seats {
 		o, p := *s, *s.p
-		p.log, p.casts, p.writes = slices.Clone(p.log), slices.Clone(p.casts), slices.Clone(p.writes)
-		p.waits, p.reads, p.with = slices.Clone(p.waits), slices.Clone(p.reads), maps.Clone(p.with)
-		for id, q := range p.with {
+		p.log, p.configs, p.writes = slices.Clone(p.log), slices.Clone(p.configs), slices.Clone(p.writes)
+		p.waits, p.reads, p.peers = slices.Clone(p.waits), slices.Clone(p.reads), maps.Clone(p.peers)
+		for id, q := range p.peers {
 			q := *q
-			p.with[id] = &q
+			p.peers[id] = &q
 		}
-		p.tokens, p.nods = maps.Clone(p.tokens), maps.Clone(p.nods)
-		p.stops, p.asking = maps.Clone(p.stops), maps.Clone(p.asking)
+		p.tokens, p.preVotes = maps.Clone(p.tokens), maps.Clone(p.preVotes)
+		p.promises, p.prepareSent, p.lost = maps.Clone(p.promises), maps.Clone(p.prepareSent), maps.Clone(p.lost)
 		o.p = &p
 		c.seats = append(c.seats, &o)
 	}
-	c.flight, c.order = slices.Clip(w.flight), slices.Clip(w.order)
+	c.flight, c.order, c.ackedAt = slices.Clip(w.flight), slices.Clip(w.order), slices.Clip(w.ackedAt)
 	for _, s := range c.seats {
 		s.writes = slices.Clip(s.writes)
 	}
@@ -283,12 +367,15 @@
 	return b
 }
 
-func (f flying) key(b []byte) []byte {
+func (f flying) key(b []byte, timed bool) []byte {
 	m := f.s.Message
 	b = ints(b, uint64(f.from), uint64(m.To), uint64(m.Kind), m.View, m.Index, m.At, m.Delivered, m.Round)
 	if m.Snap != nil {
 		b = append(b, 's')
 	}
+	if timed {
+		b = ints(b, uint64(m.Clock), uint64(m.Echo), uint64(m.Contact))
+	}
 	return entries(b, m.Entries)
 }
 
@@ -298,19 +385,29 @@
 	for _, s := range w.seats {
 		p := s.p
 		b = ints(b, uint64(p.me.ID), uint64(p.role), p.promise, uint64(p.promisedTo), uint64(p.leader),
-			p.delivered, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.blank, p.snap.Index, uint64(len(p.writes)))
+			p.committed, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.noOp, p.snap.Index, uint64(len(p.writes)),
+			uint64(p.learner), uint64(len(p.learns.members)))
+		if s.gone {
+			b = append(b, 'g')
+		}
 		b = entries(b, p.log)
 		for _, q := range p.waits {
 			b = ints(b, q.nr-p.done, uint64(q.kind), q.view, uint64(q.to))
 		}
 		for id := range MemberID(20) {
-			if q := p.with[id]; q != nil {
+			if q := p.peers[id]; q != nil {
 				b = ints(b, q.next, q.match, q.round)
+				if w.timed {
+					b = ints(b, uint64(q.clock), uint64(q.contact))
+				}
 			}
-			if q, ok := p.stops[id]; ok && p.role == stopping {
+			if q, ok := p.promises[id]; ok && p.role == preparing {
 				b = ints(b, q.view, q.index)
 			}
 		}
+		if w.timed {
+			b = ints(b, uint64(p.leaderClock), uint64(p.known.at), p.known.view)
+		}
 		b = entries(ints(b, s.disk.Promise, uint64(s.disk.For), s.disk.Delivered), s.disk.Entries)
 		for _, q := range s.writes {
 			b = entries(ints(b, q.Promise, q.From, q.Delivered), q.Entries)
@@ -318,10 +415,10 @@
 	}
 	var flight []string
 	for _, f := range w.flight {
-		flight = append(flight, string(f.key(nil)))
+		flight = append(flight, string(f.key(nil, w.timed)))
 	}
 	slices.Sort(flight)
-	b = append(b, fmt.Sprint(w.left)...)
+	b = append(b, fmt.Sprint(w.left, w.now, w.ackedAt)...)
 	for _, f := range flight {
 		b = append(b, f...)
 	}
@@ -350,6 +447,7 @@
 				}()
 				act(c)
 				c.prune()
+				c.judgeContact()
 			}()
 			if c.wrong != "" {
 				wrong = c.wrong + c.path.String()
@@ -368,13 +466,13 @@
 
 // leads lets a member ask and only some others promise; what else was said is lost.
 func (w *stage) leads(i int, with ...int) {
-	w.seats[i].p.stop(true)
+	w.seats[i].p.prepare(true)
 	w.pull(i)
 	w.sync(i)
 	w.among([]int{i}, with)
 	w.syncs(with...)
 	w.among(with, []int{i})
-	if w.seats[i].p.role == stopping { // another's log is newer
+	if w.seats[i].p.role == preparing { // another's log is newer
 		w.among([]int{i}, with)
 		w.among(with, []int{i})
 	}
@@ -419,7 +517,7 @@
 	faults []fault
 }{
 	{"a change, a new view, a loss of power", func(f fault) *stage {
-		return newStage(3, 0, f, budget{stops: 1, crashes: 1}).propose()
+		return newStage(3, 0, f, budget{promises: 1, crashes: 1}).propose()
 	}, []fault{ackUnsynced, forgetful, tellEarly, fewPromises, notNewest}},
 	{"an old leader's lines come late", func(f fault) *stage {
 		w := newStage(3, 0, f, budget{changes: 1, beats: 1}).propose()
@@ -429,15 +527,15 @@
 		return w
 	}, []fault{takeOld}},
 	{"two views at once", func(f fault) *stage {
-		return newStage(3, 0, f, budget{stops: 2, changes: 1})
+		return newStage(3, 0, f, budget{promises: 2, changes: 1})
 	}, []fault{ackUnsynced}},
 	{"a lost disk", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1, wipes: 1, beats: 1}).propose()
+		w := newStage(3, 0, f, budget{promises: 1, wipes: 1, beats: 1}).propose()
 		w.only(0, 2)
 		return w
 	}, []fault{countWiped}},
 	{"a member for another", func(f fault) *stage {
-		w := newStage(3, 1, f, budget{stops: 1})
+		w := newStage(3, 1, f, budget{promises: 1})
 		w.seats[0].p.Admit(w.seats[3].p.me, 3)
 		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
 			w.arrive(0)
@@ -448,7 +546,7 @@
 		return w
 	}, []fault{oneMajority}},
 	{"a member to be", func(f fault) *stage {
-		w := newStage(3, 1, f, budget{stops: 1})
+		w := newStage(3, 1, f, budget{promises: 1})
 		w.seats[0].p.terms.Batch = 1 << 10 // it is told more at once than was delivered
 		w.seats[0].p.Admit(w.seats[3].p.me, 0)
 		w.pull(0)
@@ -463,27 +561,27 @@
 	{"two ask for one view", func(f fault) *stage {
 		w := newStage(3, 0, f, budget{changes: 1, beats: 1})
 		for _, i := range []int{1, 2} {
-			w.seats[i].p.stop(true)
+			w.seats[i].p.prepare(true)
 			w.pull(i)
 			w.syncs(i)
 		}
 		return w
 	}, []fault{promiseTwo}},
 	{"what only the old leader has", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1, crashes: 1, beats: 1}).propose()
+		w := newStage(3, 0, f, budget{promises: 1, crashes: 1, beats: 1}).propose()
 		w.sync(0)
 		w.leads(1, 2)
 		return w
-	}, []fault{noTrim}},
+	}, []fault{noTruncate}},
 	{"an old view's entry", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1}).propose()
+		w := newStage(3, 0, f, budget{promises: 1}).propose()
 		w.sync(0)
 		w.leads(1, 2)
-		w.beat(0)
+		w.heartbeat(0)
 		w.only(0, 1)
 		w.only(1, 0)
 		w.leads(0, 2)
-		w.seats[1].p.Heard(1, Message{Kind: Stop, House: w.seats[1].p.house, To: 2, View: 4})
+		w.seats[1].p.Heard(1, Message{Kind: Prepare, House: w.seats[1].p.house, To: 2, View: 4})
 		w.pull(1)
 		return w
 	}, []fault{countOld}},
@@ -494,7 +592,7 @@
 		return w
 	}, []fault{unmatched}},
 	{"a confirmation comes two views late", func(f fault) *stage {
-		w := newStage(3, 0, f, budget{stops: 1, crashes: 1, beats: 1}).propose().propose()
+		w := newStage(3, 0, f, budget{promises: 1, crashes: 1, beats: 1}).propose().propose()
 		w.only(0, 1)
 		w.syncs(1)
 		late := w.flight
@@ -513,7 +611,7 @@
 		w.only(0, 1)
 		w.syncs(1)
 		w.only(1, 0) // one more is enough
-		w.seats[3].p.stop(true)
+		w.seats[3].p.prepare(true)
 		w.pull(3)
 		w.syncs(3)
 		w.among([]int{3}, []int{2, 4})
@@ -522,12 +620,12 @@
 		return w
 	}, []fault{forgetful, tellEarly, fewPromises}},
 	{"five: another has the newest log", func(f fault) *stage {
-		w := newStage(5, 0, f, budget{stops: 1}).propose()
+		w := newStage(5, 0, f, budget{promises: 1}).propose()
 		w.syncs(0)
 		w.among([]int{0}, []int{1, 2})
 		w.syncs(1, 2)
 		w.among([]int{1, 2}, []int{0})
-		w.seats[3].p.stop(true)
+		w.seats[3].p.prepare(true)
 		w.pull(3)
 		w.syncs(3)
 		return w
@@ -539,9 +637,9 @@
 		w.sync(1)
 		w.leads(2, 3, 4)
 		return w
-	}, []fault{noTrim, unmatched}},
+	}, []fault{noTruncate, unmatched}},
 	{"five: a lost disk", func(f fault) *stage {
-		w := newStage(5, 0, f, budget{stops: 1, wipes: 1}).propose()
+		w := newStage(5, 0, f, budget{promises: 1, wipes: 1}).propose()
 		w.sync(0)
 		w.among([]int{0}, []int{1, 2})
 		w.sync(1)
@@ -549,6 +647,73 @@
 		w.among([]int{1, 2}, []int{0})
 		return w
 	}, []fault{countWiped}},
+	{"a lost member is replaced, and the leader is lost", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 1, losses: 1, returns: 1, swaps: 1})
+		w.lose(2)
+		return w
+	}, []fault{admitEarly}},
+	{"who was replaced is back and asks", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 2, returns: 1, changes: 1}).replaced(2, 3)
+		w.propose()
+		w.only(0, 3)
+		w.syncs(0, 3)
+		return w
+	}, []fault{ackUnsynced}},
+	{"the members before ask while one takes another's place", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 1, returns: 1})
+		w.lose(2)
+		w.seats[0].p.Admit(w.seats[3].p.me, 3)
+		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
+			w.arrive(0)
+			w.syncs(3)
+		}
+		return w
+	}, []fault{oneMajority}},
+	{"a learner is lost and another comes", func(f fault) *stage {
+		w := newStage(3, 2, f, budget{promises: 1, returns: 2, swaps: 1})
+		w.lose(2)
+		w.seats[0].p.Admit(w.seats[3].p.me, 3)
+		w.pull(0)
+		w.only(0, 3)
+		w.only(3, 0)
+		w.lose(3)
+		w.seats[0].p.dropLearner()
+		return w
+	}, []fault{admitEarly}},
+	{"a lost disk at a member's address while another is away", func(f fault) *stage {
+		w := newStage(3, 1, f, budget{promises: 1, returns: 1, swaps: 1})
+		w.lose(2)
+		w.propose().settle()
+		w.wipe(1)
+		w.seats[0].p.Admit(w.seats[1].p.me, 0)
+		w.pull(0)
+		return w
+	}, []fault{countWiped}},
+	{"five: two are lost, one is replaced, the other in turn", func(f fault) *stage {
+		w := newStage(5, 2, f, budget{promises: 1, losses: 1, swaps: 1}).replaced(4, 5)
+		w.lose(3)
+		return w
+	}, []fault{admitEarly}},
+	{"five: the lost one asks as another takes its place, and one more is lost", func(f fault) *stage {
+		w := newStage(5, 1, f, budget{losses: 1})
+		w.lose(4)
+		w.seats[0].p.Admit(w.seats[5].p.me, 5)
+		for w.pull(0); w.seats[0].p.settled(); w.pull(0) {
+			w.arrive(0)
+			w.syncs(5)
+		}
+		w.syncs(0)
+		w.among([]int{0}, []int{1, 5})
+		w.syncs(1, 5)
+		late := w.flight
+		w.start(4)
+		w.seats[4].p.prepare(true)
+		w.pull(4)
+		w.syncs(4)
+		w.among([]int{4}, []int{2, 3})
+		w.flight = append(w.flight, late...)
+		return w
+	}, []fault{oneMajority}},
 }
 
 // stagesMost is how many stages are looked at from each scene, unless PROMPTER_STAGES says otherwise.
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -11,9 +11,9 @@
 	if m.To != p.me.ID && p.fault != countWiped || from == p.me.ID {
 		return
 	}
-	if p.house == 0 {
-		if m.Kind == Lines || p.fault == countWiped && m.Kind == Stop {
-			p.first(from, m)
+	if p.house == 0 || m.House != p.house && p.lone() {
+		if m.Kind == Append || p.house == 0 && p.fault == countWiped && m.Kind == Prepare {
+			p.onFirst(from, m)
 		}
 		return
 	}
@@ -22,51 +22,79 @@
 	}
 	p.seen = max(p.seen, m.View)
 	switch m.Kind {
-	case Lines:
-		p.lines(from, m)
-	case Have, Miss:
-		p.answered(from, m)
-	case Refuse:
+	case Append:
+		p.onAppend(from, m)
+	case Ack, Reject:
+		p.onAck(from, m)
+	case RefuseView:
 		// One who knows a newer view takes nothing from this one any more.
-		if p.role == leading && m.View > p.promise && p.with[from] != nil && from != p.learner {
+		if p.role == leading && m.View > p.promise && p.peers[from] != nil && from != p.learner {
 			p.stepDown()
 		}
-	case Ask:
+	case PreVote:
 		lost := p.role != leading && p.now-p.heardAt >= p.terms.Patience
-		p.send(from, Message{Kind: Nod, View: p.promise, Round: m.Round, No: !lost})
-	case Nod:
-		if p.role == checking && m.Round == p.try && !m.No {
-			p.nods[from] = true
-			p.stop(false)
+		p.send(from, Message{Kind: PreVoted, View: p.promise, Round: m.Round, No: !lost})
+	case PreVoted:
+		if p.role == preVoting && m.Round == p.try && !m.No {
+			p.preVotes[from] = true
+			p.prepare(false)
 		}
-	case Stop:
-		p.stopFor(from, m)
-	case Stopped:
-		if p.role == stopping && m.View == p.promise {
-			p.stops[from] = place{m.At, m.Index}
-			p.gather()
+	case Prepare:
+		p.onPrepare(from, m)
+	case Promise:
+		if p.role == preparing && m.View == p.promise {
+			p.promises[from] = place{m.At, m.Index}
+			p.tallyPromises()
 		}
-	case Fetch:
-		p.fetched(from, m)
-	case Script:
-		p.script(m)
-	case Take:
+	case FetchLog:
+		p.onFetchLog(from, m)
+	case LogTail:
+		p.onLogTail(m)
+	case TakeOver:
 		if m.View == p.promise && p.leader == from && p.role == following && p.member(p.me.ID) {
-			p.stop(true)
+			p.prepare(true)
 		}
 	}
 }
 
-// first is for an empty disk: it has nothing to say to anyone but a leader that gives it the state.
-func (p *Prompter) first(from MemberID, m Message) {
-	if m.Kind == Lines && m.Snap == nil {
-		p.send(from, Message{Kind: Miss, House: m.House, View: m.View, Round: m.Round})
+// onFirst is for an empty disk, or one that holds a founding alone: it has nothing to say to anyone but a leader that gives it the
+// state. A leader of another founding has the promises of that one's majority.
+func (p *Prompter) onFirst(from MemberID, m Message) {
+	if m.Kind == Append && m.Snap == nil {
+		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round})
 		return
 	}
+	p.forget()
 	p.house = m.House
 	p.Heard(from, m)
 }
 
+// lone tells whether this disk holds the word of a founding and nothing else: it has promised nobody a view, and has never confirmed an
+// entry. So it owes its founding nothing, and is worth no more to it than an empty disk that can be handed the word.
+func (p *Prompter) lone() bool {
+	return p.house != 0 && p.snap.Index == 1 && len(p.log) == 0 && (p.promise == 1 || p.fault == leaveFounding)
+}
+
+// LayAside empties a disk that holds a founding alone, whose other members are gone for good; false: it holds more.
+func (p *Prompter) LayAside() bool {
+	if !p.lone() {
+		return false
+	}
+	p.forget()
+	p.dirtySnap = true
+	p.markDirty(1)
+	return true
+}
+
+// forget makes it as an empty disk: what is written next says what it holds.
+func (p *Prompter) forget() {
+	check.That(len(p.log) == 0 && p.role != leading, "only a founding is laid aside")
+	p.house, p.promise, p.promisedTo, p.seen = 0, 0, 0, 0
+	p.snap, p.configs, p.committed = Snapshot{}, []config{{}}, 0
+	p.unsync(0)
+	p.role, p.leader, p.due = following, 0, never
+}
+
 // beginTimes as soon a member asks for a view that has heard of no leader since its start. Those who have one say no.
 const beginTimes = 3
 
@@ -82,7 +110,7 @@
 		if !p.begun { // nobody has led in this life: after the loss of all there is no leader to be patient with
 			wait, spread = wait/beginTimes, spread/beginTimes
 		}
-		for n := 0; n < p.vain && 2*wait <= vainMost*p.terms.Patience; n++ {
+		for n := 0; n < p.failedViews && 2*wait <= vainMost*p.terms.Patience; n++ {
 			wait, spread = 2*wait, 2*spread
 		}
 		p.due = p.now + wait + p.chance(spread)
@@ -90,7 +118,7 @@
 }
 
 // rise goes on to a newer view, or to another leader than the promised one in the same.
-func (p *Prompter) rise(view uint64, to MemberID) {
+func (p *Prompter) enterView(view uint64, to MemberID) {
 	check.That(view >= p.promise, "views rise")
 	if p.role == leading {
 		p.stepDown()
@@ -98,68 +126,68 @@
 	p.promise, p.promisedTo = view, to
 	p.seen = max(p.seen, view)
 	p.role, p.leader = following, 0
-	p.matched, p.round, p.roundSaid = 0, 0, 0
-	p.touch(0)
+	p.matched, p.round, p.roundSaid, p.leaderClock = 0, 0, 0, 0
+	p.markDirty(0)
 }
 
 // ask asks the others whether they have lost the leader too: one who was cut off alone must not disturb.
-func (p *Prompter) ask() {
+func (p *Prompter) preVote() {
 	if p.setDue(); p.due == never {
 		return
 	}
-	p.role, p.leader = checking, 0
+	p.role, p.leader = preVoting, 0
 	p.try++
-	p.nods = map[MemberID]bool{p.me.ID: true}
+	p.preVotes = map[MemberID]bool{p.me.ID: true}
 	for _, m := range p.others() {
-		p.sendTo(m, Message{Kind: Ask, View: p.promise, Round: p.try})
+		p.sendTo(m, Message{Kind: PreVote, View: p.promise, Round: p.try})
 	}
-	p.stop(false)
+	p.prepare(false)
 }
 
 // stop asks for the promises, first this member's own: one who can't sync had better not ask.
-func (p *Prompter) stop(now bool) {
-	if !now && !p.quorum(func(id MemberID) bool { return p.nods[id] }) {
+func (p *Prompter) prepare(now bool) {
+	if !now && !p.quorum(func(id MemberID) bool { return p.preVotes[id] }) {
 		return
 	}
-	p.rise(max(p.promise, p.seen)+1, p.me.ID)
-	p.role, p.fetch = stopping, 0
-	p.stops, p.asking = map[MemberID]place{}, map[MemberID]Member{}
+	p.enterView(max(p.promise, p.seen)+1, p.me.ID)
+	p.role, p.fetch = preparing, 0
+	p.promises, p.prepareSent = map[MemberID]place{}, map[MemberID]Member{}
 	p.setDue()
-	p.vain++
-	p.when(waiting{kind: Stop, view: p.promise})
+	p.failedViews++
+	p.afterSync(waiting{kind: Prepare, view: p.promise})
 }
 
 // stopFor promises to take nothing from older views.
-func (p *Prompter) stopFor(from MemberID, m Message) {
+func (p *Prompter) onPrepare(from MemberID, m Message) {
 	if m.View < p.promise || m.View == p.promise && p.promisedTo != from && p.fault != promiseTwo {
-		p.send(from, Message{Kind: Refuse, View: p.promise})
+		p.send(from, Message{Kind: RefuseView, View: p.promise})
 		return
 	}
 	if m.View > p.promise || p.fault == promiseTwo {
-		p.rise(m.View, from)
+		p.enterView(m.View, from)
 		p.heardAt, p.begun = p.now, true // whoever asked gets its time
 		p.setDue()
 	}
-	p.when(waiting{kind: Stopped, view: m.View, to: from})
+	p.afterSync(waiting{kind: Promise, view: m.View, to: from})
 }
 
 // gather looks whether the promises suffice and this log is the newest among them.
-func (p *Prompter) gather() {
-	if _, ok := p.stops[p.me.ID]; !ok {
+func (p *Prompter) tallyPromises() {
+	if _, ok := p.promises[p.me.ID]; !ok {
 		return
 	}
 	for _, m := range p.others() {
-		if _, ok := p.asking[m.ID]; !ok {
-			p.asking[m.ID] = m
-			p.sendTo(m, Message{Kind: Stop, View: p.promise})
+		if _, ok := p.prepareSent[m.ID]; !ok {
+			p.prepareSent[m.ID] = m
+			p.sendTo(m, Message{Kind: Prepare, View: p.promise})
 		}
 	}
-	promised := func(id MemberID) bool { _, ok := p.stops[id]; return ok }
-	if !p.quorum(promised) && (p.fault != fewPromises || 2*len(p.stops) < len(p.Members())-1) {
+	promised := func(id MemberID) bool { _, ok := p.promises[id]; return ok }
+	if !p.quorum(promised) && (p.fault != fewPromises || 2*len(p.promises) < len(p.Members())-1) {
 		return
 	}
 	newest, at := p.me.ID, p.end()
-	for id, e := range p.stops {
+	for id, e := range p.promises {
 		if e.newer(at) || e == at && newest != p.me.ID && id < newest {
 			newest, at = id, e
 		}
@@ -167,7 +195,7 @@
 	if newest != p.me.ID && p.fault != notNewest {
 		if p.fetch != newest {
 			p.fetch = newest
-			p.send(newest, Message{Kind: Fetch, View: p.promise, Index: p.delivered})
+			p.send(newest, Message{Kind: FetchLog, View: p.promise, Index: p.committed})
 		}
 		return
 	}
@@ -176,15 +204,15 @@
 		p.setDue()
 		return
 	}
-	p.lead()
+	p.becomeLeader()
 }
 
 // fetched gives the log to the one who was promised the view.
-func (p *Prompter) fetched(from MemberID, m Message) {
+func (p *Prompter) onFetchLog(from MemberID, m Message) {
 	if m.View != p.promise || p.promisedTo != from || p.role != following || p.leader != 0 {
 		return
 	}
-	a := Message{Kind: Script, View: p.promise, Index: m.Index}
+	a := Message{Kind: LogTail, View: p.promise, Index: m.Index}
 	if m.Index < p.snap.Index {
 		s := p.snap
 		a.Snap, a.Index = &s, s.Index
@@ -194,8 +222,8 @@
 }
 
 // script takes a newer log.
-func (p *Prompter) script(m Message) {
-	if p.role != stopping || m.View != p.promise {
+func (p *Prompter) onLogTail(m Message) {
+	if p.role != preparing || m.View != p.promise {
 		return
 	}
 	var at place
@@ -204,56 +232,64 @@
 	} else if m.Snap != nil {
 		at = place{m.Snap.View, m.Snap.Index}
 	}
-	if !at.newer(p.end()) || m.Snap == nil && m.Index > p.delivered {
+	if !at.newer(p.end()) || m.Snap == nil && m.Index > p.committed {
 		return
 	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
-	p.take(m.Index, m.Entries)
-	p.gather()
+	p.merge(m.Index, m.Entries)
+	p.tallyPromises()
 }
 
 // lines takes what a leader says.
-func (p *Prompter) lines(from MemberID, m Message) {
+func (p *Prompter) onAppend(from MemberID, m Message) {
 	if m.View < p.promise && p.fault != takeOld {
-		p.send(from, Message{Kind: Refuse, View: p.promise})
+		p.send(from, Message{Kind: RefuseView, View: p.promise})
 		return
 	}
 	if m.View > p.promise || p.promisedTo != from && p.fault != takeOld {
-		p.rise(m.View, from)
+		p.enterView(m.View, from)
 	}
 	check.That(p.role != leading, "a view has one leader")
-	p.role, p.leader, p.heardAt, p.begun, p.vain = following, from, p.now, true, 0
+	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
+	if len(m.Entries) == 0 && m.Snap == nil {
+		p.elsewhere = m.Elsewhere
+	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
-	if v, ok := p.viewAt(m.Index); m.Index > p.delivered && (!ok || v != m.At && p.fault != unmatched) {
+	if p.leaderClock == 0 || int32(m.Clock-p.leaderClock) > 0 {
+		p.leaderClock = m.Clock
+	}
+	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
-		p.send(from, Message{Kind: Miss, View: m.View, Index: p.delivered, Round: p.round})
+		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round,
+			Clock: p.clock.Tell(p.now), Echo: p.leaderClock})
 		return
 	}
-	p.take(m.Index, m.Entries)
+	p.merge(m.Index, m.Entries)
 	p.setDue() // the list may be another now
 	p.matched = max(p.matched, m.Index+uint64(len(m.Entries)))
-	p.deliver(max(p.delivered, min(m.Delivered, p.matched)))
+	p.commitUpTo(max(p.committed, min(m.Delivered, p.matched)))
+	p.heardContact(m)
 	if p.matched <= p.synced || p.round > p.roundSaid || len(m.Entries) == 0 && m.Snap == nil {
-		p.have()
+		p.ack()
 	}
 	if p.matched > p.synced {
-		p.when(waiting{kind: Have, view: p.promise, to: from})
+		p.afterSync(waiting{kind: Ack, view: p.promise, to: from})
 	}
 }
 
 // have tells the leader what is on disk, and the round: that one needs no disk.
-func (p *Prompter) have() {
+func (p *Prompter) ack() {
 	upto := min(p.matched, p.synced)
 	if p.fault == ackUnsynced {
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Have, View: p.promise, Index: upto, Round: p.round})
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock.Tell(p.now), Echo: p.leaderClock})
 }
 
 // stepDown stops leading.
@@ -261,7 +297,7 @@
 	p.role, p.leader = following, 0
 	p.heardAt = p.now - p.terms.Patience // nothing speaks against a new view
 	p.setDue()
-	p.with, p.learner, p.handing = nil, 0, 0
+	p.peers, p.learner, p.handingOver = nil, 0, 0
 	p.matched, p.round, p.roundSaid = 0, 0, 0
 	indexes := make([]uint64, 0, len(p.tokens))
 	for i := range p.tokens {
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -16,24 +16,29 @@
 // walk is a run of doors under chance: delays, losses, doubles, cuts, crashes, power, lost disks, changes
 // of members.
 type walk struct {
-	t      *testing.T
-	rng    *rand.Rand
-	now    time.Duration
-	doors  []*door
-	events []event
-	order  []Entry           // as delivered first, from index 2 on
-	states []string          // the host's state after each of them
-	acked  uint64            // the newest index that was acknowledged
-	reads  map[uint64]uint64 // what was acknowledged when a read came
-	ended  map[uint64]bool   // proposals whose end was told
-	cut    map[[2]int]bool   // one way
-	token  uint64
-	nextID MemberID
-	done   int
-	calm   bool
-	sync   time.Duration // of any disk, on top
-	fault  fault
-	wrong  string
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	doors   []*door
+	events  []event
+	order   []Entry           // as delivered first, from index 2 on
+	states  []string          // the host's state after each of them
+	acked   uint64            // the newest index that was acknowledged
+	reads   map[uint64]uint64 // what was acknowledged when a read came
+	ended   map[uint64]bool   // proposals whose end was told
+	cut     map[[2]int]bool   // one way
+	token   uint64
+	nextID  MemberID
+	done    int
+	calm    bool
+	floor   int           // fewer members than these are too few
+	silence time.Duration // until a host finds a member lost
+	sync    time.Duration // of any disk, on top
+	fault   fault
+	wrong   string
+
+	acks []ack                    // by time
+	led  map[uint64]time.Duration // since when a view was led
 }
 
 type door struct {
@@ -45,6 +50,10 @@
 	index   uint64
 	state   string
 	written time.Duration // the last write is synced then
+	stands  time.Duration // the process stands still until then
+	leaving bool
+	was     Member        // of a process that has ended
+	ended   time.Duration // when
 }
 
 type event struct {
@@ -86,13 +95,15 @@
 // on does something with a door, if it has not ended since.
 func (w *walk) on(i int, do func(*door)) func() {
 	life := w.doors[i].life
-	return func() {
-		if d := w.doors[i]; d.life == life && d.p != nil {
+	var act func()
+	act = func() {
+		if d := w.doors[i]; d.life == life && d.p != nil && !w.waits(d, act) {
 			d.p.Now(w.now)
 			do(d)
 			w.pull(i)
 		}
 	}
+	return act
 }
 
 func (w *walk) pull(i int) {
@@ -109,8 +120,8 @@
 			if a.Index > 1 && (a.Index-2 >= uint64(len(w.states)) || w.states[a.Index-2] != d.state) {
 				w.fail("door %d restores another state at %d", i, a.Index)
 			}
-		case Deliver:
-			w.deliver(i, d, a.Entry)
+		case Commit:
+			w.commitUpTo(i, d, a.Entry)
 		case Outcome:
 			since, read := w.reads[a.Token]
 			switch {
@@ -123,6 +134,7 @@
 				w.fail("a read told %d, acknowledged was %d", a.Index, since)
 			case !read:
 				w.acked = max(w.acked, a.Index)
+				w.acks = append(w.acks, ack{w.now, a.Index})
 				w.done++
 			}
 			w.ended[a.Token] = true
@@ -135,6 +147,7 @@
 	if d.p.role == leading && d.index < w.acked && d.p.last() < w.acked {
 		w.old(i)
 	}
+	w.judgeContact(i)
 }
 
 // old: a leader that lacks what was acknowledged must be one of an old view.
@@ -144,7 +157,7 @@
 	}
 }
 
-func (w *walk) deliver(i int, d *door, e Entry) {
+func (w *walk) commitUpTo(i int, d *door, e Entry) {
 	if e.Index != max(d.index, 1)+1 {
 		w.fail("door %d is given %d after %d", i, e.Index, d.index)
 		return
@@ -180,15 +193,17 @@
 				late += w.ms(1500)
 			}
 			life := d.life
-			w.at(late, func() {
+			var act func()
+			act = func() {
 				if d.life == life || !w.calm { // a late one may reach who moved in since
-					if d.p != nil {
+					if d.p != nil && !w.waits(d, act) {
 						d.p.Now(w.now)
 						d.p.Heard(id, s.Message)
 						w.pull(i)
 					}
 				}
-			})
+			}
+			w.at(late, act)
 		}
 	}
 }
@@ -206,10 +221,10 @@
 // whole tells whether all members have the newest list on disk: a disk may be lost again.
 func (w *walk) whole() bool {
 	l := w.leader()
-	if l < 0 || !w.doors[l].p.mayCast() {
+	if l < 0 || !w.doors[l].p.mayReconfigure() {
 		return false
 	}
-	list := w.doors[l].p.casts
+	list := w.doors[l].p.configs
 	for _, m := range w.doors[l].p.Members() {
 		if !slices.ContainsFunc(w.doors, func(d *door) bool {
 			return d.p != nil && d.disk.Me == m.ID && d.disk.House != 0 && d.disk.Delivered >= list[len(list)-1].index
@@ -220,19 +235,7 @@
 	return true
 }
 
-// hosts do what hosts do: doors that are no members ask to be admitted.
-func (w *walk) hosts() {
-	if l := w.leader(); l >= 0 {
-		for i, d := range w.doors {
-			if d.p != nil && !w.doors[l].p.member(d.disk.Me) && (w.calm || w.rng.Intn(4) > 0) {
-				w.on(l, func(o *door) { o.p.Admit(Member{d.disk.Me, fmt.Sprint("door", i)}, 0) })()
-			}
-		}
-	}
-	w.at(w.ms(400), w.hosts)
-}
-
-func (w *walk) ask() {
+func (w *walk) proposes() {
 	for range w.rng.Intn(3) {
 		w.token++
 		token, i := w.token, w.rng.Intn(len(w.doors))
@@ -248,7 +251,7 @@
 			}
 		})()
 	}
-	w.at(w.ms(120), w.ask)
+	w.at(w.ms(120), w.proposes)
 }
 
 func (w *walk) trouble() {
@@ -325,14 +328,17 @@
 }
 
 // found sets up doors, three of which found.
-func found(t *testing.T, doors int, seed int64, f fault) *walk {
+func found(t *testing.T, doors int, seed int64, f fault) *walk { return foundBy(t, doors, 3, seed, f) }
+
+func foundBy(t *testing.T, doors, founders int, seed int64, f fault) *walk {
 	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
+	w.led = map[uint64]time.Duration{}
 	w.cut, w.reads, w.ended = map[[2]int]bool{}, map[uint64]uint64{}, map[uint64]bool{}
 	var list []Member
 	for i := range doors {
 		w.doors = append(w.doors, &door{})
 		w.empty(i)
-		if i < 3 {
+		if i < founders {
 			list = append(list, w.doors[i].p.me)
 		}
 	}
@@ -344,8 +350,8 @@
 
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
-	w.hosts()
-	w.ask()
+	w.tends(1)
+	w.proposes()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
 	w.calm = true
