An engine's start ends once its poller is at work

Cause: the poller's loop clears the word to stop when it begins. Stop before that waited for ever, with the loop spinning: seen once on a busy machine in TestListeners.

Change: Start waits for the first due time, which the poller's loop brings.

--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -102,14 +102,29 @@
 func (e *Engine) Settled(f func())       { e.settled = f }
 func (e *Engine) Short(f func())         { e.short = f }
 
-// Start begins to listen.
+// Start begins to listen. It returns once the poller is at work: told to stop before that, it would miss the word.
 func (e *Engine) Start() (err error) {
-	if err = e.poll.Start(); err == nil {
-		e.Turn(func() { err = e.newTimer() })
+	if err = e.poll.Start(); err != nil {
+		return err
+	}
+	at := make(began)
+	e.Turn(func() {
+		if err = e.newTimer(); err == nil {
+			e.At(e.now, at, 0)
+		}
+	})
+	if err == nil {
+		<-at
 	}
 	return err
 }
 
+// began is closed by the first due time.
+type began chan struct{}
+
+func (began) Live(uint32) bool { return true }
+func (b began) Due(uint32)     { close(b) }
+
 // Stop ends listening and all connections. The poller waits for those that it knows, so none may come up later.
 func (e *Engine) Stop() {
 	e.Turn(func() { e.stopped = true })
