--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -23,6 +23,7 @@
 	lost   []Kept  // wiped disks: what they held was acknowledged in good faith
 	left   budget
 	fault  fault
+	terms  Terms
 	wrong  string
 	path   *step
 }
@@ -39,7 +40,7 @@
 	s    Send
 }
 
-type budget struct{ promises, crashes, wipes, changes, beats int }
+type budget struct{ promises, crashes, wipes, changes, beats, doubles, compacts int }
 
 type step struct {
 	before *step
@@ -55,11 +56,11 @@
 
 // calm are terms under which time never matters: steps are taken when the explorer says so.
 var calm = Terms{Patience: 1, Spread: 1, Silence: time.Hour, Learn: time.Hour, Pending: 9, Batch: 1, Tell: time.Hour,
-	Beat: time.Hour}
+	Beat: time.Hour, Resend: 1}
 
 // newStage has so many members in view 2, and others beside them with empty disks.
 func newStage(members, beside int, f fault, left budget) *stage {
-	w := &stage{left: left, fault: f}
+	w := &stage{left: left, fault: f, terms: calm}
 	for i := range members + beside {
 		w.seats = append(w.seats, &seat{disk: Kept{Me: MemberID(i + 1)}})
 		w.start(i)
@@ -86,7 +87,7 @@
 func (w *stage) start(i int) {
 	s := w.seats[i]
 	s.writes = nil
-	s.p = New(Member{s.disk.Me, fmt.Sprint("door", i)}, s.disk, calm, 1, 0)
+	s.p = New(Member{s.disk.Me, fmt.Sprint("door", i)}, s.disk, w.terms, 1, 0)
 	s.p.fault = w.fault
 	w.pull(i)
 }
@@ -108,6 +109,10 @@
 			s.writes = append(s.writes, a)
 		case Commit:
 			w.judge(i, a.Entry)
+		case Restore:
+			if all := w.fold(a.Index); string(a.State) != all {
+				w.fail("member %d restores %q at %d, delivered is %q", s.disk.Me, a.State, a.Index, all)
+			}
 		}
 	}
 	if s.p.role == leading && s.p.promise > s.led {
@@ -149,6 +154,21 @@
 	}
 }
 
+// fold is the host's state: what was delivered up to an index, the newest first, so that two differ in each byte.
+func (w *stage) fold(upto uint64) (all string) {
+	for _, e := range w.order[:min(uint64(len(w.order)), max(upto, 1)-1)] {
+		all = string(e.Data) + all
+	}
+	return all
+}
+
+// compact has a member put all that it delivered into a snapshot.
+func (w *stage) compact(i int) {
+	p := w.seats[i].p
+	p.Compact(p.committed, []byte(w.fold(p.committed)))
+	w.pull(i)
+}
+
 func (w *stage) sync(i int) {
 	s := w.seats[i]
 	s.disk.Apply(s.writes[0])
@@ -170,6 +190,7 @@
 }
 
 func (w *stage) heartbeat(i int) {
+	w.seats[i].p.now++ // what nobody acknowledged goes again
 	w.seats[i].p.heartbeat()
 	w.pull(i)
 }
@@ -207,6 +228,13 @@
 			k := m.s.Message
 			what := fmt.Sprintf("%d>%d kind %d view %d index %d", m.from, m.s.To.ID, k.Kind, k.View, k.Index)
 			do(what, func(w *stage) { w.arrive(n) })
+			if k.Chunk != nil && w.left.doubles > 0 {
+				do(what+" and will again", func(w *stage) {
+					w.left.doubles--
+					w.flight = append(slices.Clone(w.flight), w.flight[n])
+					w.arrive(n)
+				})
+			}
 		}
 	}
 	for i, s := range w.seats {
@@ -230,6 +258,9 @@
 				w.pull(i)
 			})
 		}
+		if w.left.compacts > 0 && s.p.committed > s.p.snap.Index {
+			do(fmt.Sprintf("%d compacts", id), func(w *stage) { w.left.compacts--; w.compact(i) })
+		}
 		if w.left.beats > 0 && s.p.role == leading {
 			do(fmt.Sprintf("%d beats", id), func(w *stage) { w.left.beats--; w.heartbeat(i) })
 		}
@@ -256,6 +287,7 @@
 			q := *q
 			p.peers[id] = &q
 		}
+		p.in.data, p.trail = slices.Clip(p.in.data), slices.Clip(p.trail)
 		p.tokens, p.preVotes = maps.Clone(p.tokens), maps.Clone(p.preVotes)
 		p.promises, p.prepareSent = maps.Clone(p.promises), maps.Clone(p.prepareSent)
 		o.p = &p
@@ -287,11 +319,18 @@
 	m := f.s.Message
 	b = ints(b, uint64(f.from), uint64(m.To), uint64(m.Kind), m.View, m.Index, m.At, m.Delivered, m.Round)
 	if m.Snap != nil {
-		b = append(b, 's')
+		b = append(append(b, 's'), m.Snap.State...)
+	}
+	if m.Chunk != nil {
+		b = m.Chunk.key(b)
 	}
 	return entries(b, m.Entries)
 }
 
+func (c *Chunk) key(b []byte) []byte {
+	return append(ints(b, c.Index, c.View, c.Sum, c.Size, c.Offset), c.Data...)
+}
+
 // key tells stages apart that may go on differently.
 func (w *stage) key() uint64 {
 	var b []byte
@@ -299,13 +338,16 @@
 		p := s.p
 		b = ints(b, uint64(p.me.ID), uint64(p.role), p.promise, uint64(p.promisedTo), uint64(p.leader),
 			p.committed, p.synced, p.nr-p.done, p.matched, p.round, p.roundSaid, p.seen, uint64(p.fetch), p.noOp, p.snap.Index, uint64(len(p.writes)))
-		b = entries(b, p.log)
+		b = entries(append(p.in.id.key(entries(b, p.log)), p.in.data...), p.trail)
 		for _, q := range p.waits {
 			b = ints(b, q.nr-p.done, uint64(q.kind), q.view, uint64(q.to))
 		}
 		for id := range MemberID(20) {
 			if q := p.peers[id]; q != nil {
 				b = ints(b, q.next, q.match, q.round)
+				if o := q.out; o.Blob != nil {
+					b = ints(o.Blob.id.key(b), o.acked, o.sent, o.again, uint64(p.now-o.moved))
+				}
 			}
 			if q, ok := p.promises[id]; ok && p.role == preparing {
 				b = ints(b, q.view, q.index)
@@ -411,6 +453,39 @@
 	return w
 }
 
+// inChunks has all go in chunks of a byte, two in flight.
+func (w *stage) inChunks() *stage {
+	w.terms.Window, w.terms.Chunk = 2, 1
+	for _, s := range w.seats {
+		s.p.terms = w.terms
+	}
+	return w
+}
+
+// changes has so many delivered by the first two, which both compact, while the third hears nothing.
+func (w *stage) changes(all ...string) *stage {
+	for _, data := range all {
+		w.seats[0].p.Propose(1, []byte(data))
+		for range 3 {
+			w.pull(0)
+			w.syncs(0)
+			w.among([]int{0}, []int{1})
+			w.syncs(1)
+			w.among([]int{1}, []int{0})
+		}
+		w.heartbeat(0)
+		w.among([]int{0}, []int{1})
+		w.flight = nil
+	}
+	w.compact(0)
+	w.compact(1)
+	w.syncs(0, 1)
+	for _, s := range w.seats { // as after a restart: what is not in the snapshot alone is not at hand
+		s.p.trail = nil
+	}
+	return w
+}
+
 // The scenes: what has been, before all orders of what may come are tried, and the faults that this must
 // show.
 var scenes = []struct {
@@ -506,6 +581,47 @@
 		w.flight = append(w.flight, late...)
 		return w
 	}, []fault{countLate}},
+	{"a snapshot in chunks", func(f fault) *stage {
+		w := newStage(3, 0, f, budget{crashes: 1, beats: 1, doubles: 1}).inChunks().changes("a", "b", "c")
+		w.heartbeat(0)
+		w.only(0, 2)
+		w.only(2, 0)
+		return w
+	}, []fault{skipChunks, installPart}},
+	{"a newer snapshot midway", func(f fault) *stage {
+		w := newStage(3, 0, f, budget{beats: 1, changes: 1, compacts: 1, crashes: 1}).inChunks().changes("a", "b", "c")
+		w.heartbeat(0)
+		w.only(0, 2)
+		w.only(2, 0)
+		return w
+	}, []fault{installPart}},
+	{"a new leader with a newer snapshot midway", func(f fault) *stage {
+		w := newStage(3, 0, f, budget{beats: 1, crashes: 1, doubles: 1}).inChunks().changes("a", "b", "c")
+		w.heartbeat(0)
+		w.only(0, 2)
+		w.only(2, 0)
+		w.arrive(0) // one chunk is had, another of the old leader's is on its way
+		late := w.flight
+		w.changes("d")
+		w.leads(1, 0)
+		w.flight = append(w.flight, late...)
+		return w
+	}, []fault{mixChunks}},
+	{"a large change in chunks, and another in its place", func(f fault) *stage {
+		w := newStage(3, 0, f, budget{beats: 1, crashes: 1}).inChunks()
+		w.seats[0].p.Propose(1, []byte("xyz"))
+		w.pull(0)
+		late := w.flight
+		w.only(0, 2)
+		w.leads(1, 2)
+		w.among([]int{1}, []int{2})
+		w.syncs(2)
+		w.among([]int{2}, []int{1})
+		w.seats[1].p.Propose(1, []byte("XYZ"))
+		w.pull(1)
+		w.flight = append(w.flight, late...)
+		return w
+	}, []fault{mixChunks}},
 	{"five: a change, a new view, a loss of power", func(f fault) *stage {
 		w := newStage(5, 0, f, budget{crashes: 1}).propose()
 		w.syncs(0)
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -34,7 +34,7 @@
 
 // begin is a progress of which nothing is known yet.
 func (p *Prompter) newProgress(m Member) *progress {
-	return &progress{Member: m, next: p.last() + 1, heard: p.now, snapAt: -never, againAt: -never}
+	return &progress{Member: m, next: p.last() + 1, base: p.last(), heard: p.now, snapAt: -never, againAt: -never}
 }
 
 // forget gives up the learner.
@@ -89,22 +89,39 @@
 
 // push sends a member the next it has not been sent.
 func (p *Prompter) replicate(w *progress) {
+	if p.fault == unpinned && w.snap != nil && w.snap.Index < p.snap.Index {
+		w.out, w.snap, w.next = Outgoing{}, nil, 0
+	}
 	switch {
-	case w.next <= p.snap.Index:
-		if !p.fresh(w) || p.now-p.terms.Resend < w.snapAt {
-			return
-		}
-		s := p.snap
-		w.snapAt, w.next = p.now, s.Index+1
-		p.appendTo(w, Message{Index: s.Index, At: s.View, Snap: &s})
+	case w.out.Blob != nil:
+		p.sendChunks(w)
+	case w.next < p.First():
+		p.sendSnapshot(w)
 	case w.next <= p.last():
 		entries, size := p.from(w.next), 0
+		if p.large(len(entries[0].Data)) && (w.chunks || !w.answered) {
+			if e := entries[0]; w.answered {
+				v, _ := p.viewAt(e.Index - 1)
+				w.entry, w.snap, w.prev, w.out = &e, nil, place{v, e.Index - 1}, Outgoing{Blob: NewBlob(e.Index, e.View, e.Data)}
+				p.sendChunks(w)
+			}
+			return
+		}
+		flying := p.inFlight(w)
 		for i, e := range entries {
-			if size += len(e.Data) + 32; size > p.terms.Batch && i > 0 {
+			size += e.size()
+			if p.terms.Window > 0 && flying > 0 && flying+size > p.terms.Window || p.large(len(e.Data)) && i > 0 && w.chunks {
+				entries = entries[:i]
+				break
+			}
+			if size > p.terms.Batch && i > 0 {
 				entries = entries[:i]
 				break
 			}
 		}
+		if len(entries) == 0 {
+			return
+		}
 		v, _ := p.viewAt(w.next - 1)
 		m := Message{Index: w.next - 1, At: v, Entries: entries}
 		w.next += uint64(len(entries))
@@ -112,8 +129,23 @@
 	}
 }
 
+// inFlight is how many bytes of entries a member has been sent and not acknowledged.
+func (p *Prompter) inFlight(w *progress) (n int) {
+	for i := max(w.match, w.base, p.First()-1) + 1; i < w.next; i++ {
+		if i <= p.snap.Index {
+			n += p.trail[i-p.First()].size()
+		} else {
+			n += p.log[i-p.snap.Index-1].size()
+		}
+	}
+	return n
+}
+
 func (p *Prompter) appendTo(w *progress, m Message) {
-	m.Kind, m.View, m.Delivered, m.Round = Append, p.promise, p.committed, p.round
+	if m.Kind == 0 {
+		m.Kind = Append
+	}
+	m.View, m.Delivered, m.Round = p.promise, p.committed, p.round
 	p.sendTo(w.Member, m)
 }
 
@@ -126,9 +158,18 @@
 }
 
 func (p *Prompter) heartbeatTo(w *progress) {
-	prev := max(w.next-1, p.snap.Index)
-	v, _ := p.viewAt(prev)
+	prev := w.next - 1
+	v, ok := p.viewAt(prev)
+	if w.out.Blob != nil {
+		prev, v, ok = w.prev.index, w.prev.view, true
+	}
+	if !ok {
+		prev, v = p.snap.Index, p.snap.View
+	}
 	p.appendTo(w, Message{Index: prev, At: v})
+	if w.out.Blob != nil {
+		p.sendChunks(w) // what was lost
+	}
 }
 
 // answered takes a member's answer to what the leader sends.
@@ -138,11 +179,27 @@
 		return
 	}
 	w.heard, w.round = p.now, max(w.round, m.Round)
+	w.answered, w.chunks = true, m.Chunks
+	if m.Kind == AckChunk {
+		w.out.Ack(m.Chunk, p.now)
+		p.replicate(w)
+		p.answerReads()
+		return
+	}
+	if w.out.Blob != nil && (m.Index >= w.out.Blob.Index() || m.Kind == Reject && w.snap == nil) {
+		w.out, w.snap, w.entry = Outgoing{}, nil, nil
+	}
+	if m.Kind == Reject && w.out.Blob != nil { // it is being sent what it lacks
+		p.replicate(w)
+		p.answerReads()
+		return
+	}
 	if m.Kind == Reject {
 		// The lines sent since come back as missed too: once is enough.
 		if p.now >= w.againAt {
 			w.againAt = p.now + p.terms.Beat/2
-			w.next = max(m.Index, w.match) + 1
+			w.base = max(m.Index, w.match)
+			w.next = w.base + 1
 			p.replicate(w)
 		}
 		p.answerReads()
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -28,6 +28,10 @@
 	countLate          // what was confirmed to an older view counts in this one
 	keepTokens         // a proposal whose end was told waits on
 	readEarly          // a read is answered before an entry of the present view is committed
+	mixChunks          // chunks of two blobs are put together
+	skipChunks         // a chunk is taken though one before it is missing
+	installPart        // a snapshot is installed before it is whole
+	unpinned           // a newer snapshot takes the place of the one that is being sent
 )
 
 func (f fault) String() string {
@@ -35,7 +39,9 @@
 		"promises are not put on disk", "a trim is missed", "an old view's entry is delivered by counting",
 		"one majority is enough for a change of members", "a read without a round", "a promise is told before it is on disk",
 		"a view is promised to two", "one promise too few", "not the newest log leads", "lines behind an entry of another view",
-		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry"}[f]
+		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry",
+		"chunks of two snapshots mixed", "a missing chunk is passed over", "a snapshot is installed before it is whole",
+		"a newer snapshot in the place of the one under way"}[f]
 }
 
 func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
@@ -50,8 +56,10 @@
 	switch {
 	case index == p.snap.Index:
 		return p.snap.View, true
-	case index < p.snap.Index || index > p.last():
+	case index < p.First() || index > p.last():
 		return 0, false
+	case index < p.snap.Index:
+		return p.trail[index-p.First()].View, true
 	}
 	return p.log[index-p.snap.Index-1].View, true
 }
@@ -61,6 +69,9 @@
 	if index > p.last() {
 		return nil
 	}
+	if index <= p.snap.Index {
+		return slices.Concat(p.trail[index-p.First():], p.log)
+	}
 	return slices.Clone(p.log[index-p.snap.Index-1:])
 }
 
@@ -118,7 +129,7 @@
 
 // install puts a snapshot in the place of everything.
 func (p *Prompter) install(s Snapshot) {
-	p.snap, p.log = s, nil
+	p.snap, p.log, p.trail = s, nil, nil
 	p.configs = []config{{s.Index, s.Members}}
 	p.committed = s.Index
 	p.unsync(0)
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -118,17 +118,20 @@
 	Spread   time.Duration // on top of Patience, by chance
 	Silence  time.Duration // a leader that no majority answered for so long stops leading
 	Tell     time.Duration // others hear at most this late what was committed
-	Resend   time.Duration // a snapshot is not sent again earlier
+	Resend   time.Duration // a window that nobody acknowledged goes again, a whole snapshot wholeAgain times as late
 	Learn    time.Duration // a door to be admitted that says nothing for so long is given up
 	Pending  int           // most proposals, and most reads, that wait
 	Batch    int           // bytes of entries in one message, but always one entry
+	Window   int           // bytes in flight to one member; what is larger goes in chunks. 0: not bounded
+	Chunk    int           // bytes of a chunk
 }
 
-// DefaultTerms are for links of a few ms and disks of some ms a sync.
+// DefaultTerms are for links of a few ms and from 2 Mbit/s on, and disks of some ms a sync: a window to each of a handful of
+// receivers holds up a heartbeat on such a link by less than a member is patient.
 func DefaultTerms() Terms {
 	return Terms{Beat: 150 * time.Millisecond, Patience: 400 * time.Millisecond, Spread: 400 * time.Millisecond,
-		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 1500 * time.Millisecond, Learn: 3 * time.Second,
-		Pending: 1024, Batch: 128 << 10}
+		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 500 * time.Millisecond, Learn: 3 * time.Second,
+		Pending: 1024, Batch: 16 << 10, Window: 16 << 10, Chunk: 8 << 10}
 }
 
 // MessageKind tells what a message is.
@@ -136,17 +139,19 @@
 
 // The kinds of messages; the comments tell what their fields hold.
 const (
-	Append     MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
-	Ack                               // all up to Index is as the leader's, and synced; Round as heard
-	Reject                            // Index is not as told; committed is Index; Round as heard
-	RefuseView                        // promised to a newer View
-	PreVote                           // has the leader been lost? Round tells this asking from others
-	PreVoted                          // No: it has not
-	Prepare                           // stop the views before View and wait for its leader
-	Promise                           // promised, on disk; the last entry is Index of view At
-	FetchLog                          // the log after Index, please
-	LogTail                           // the log after Index, or a Snap and all after it
-	TakeOver                          // the leader leaves: ask for the next view now
+	Append      MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
+	Ack                                // all up to Index is as the leader's, and synced; Round as heard
+	Reject                             // Index is not as told; committed is Index; Round as heard
+	RefuseView                         // promised to a newer View
+	PreVote                            // has the leader been lost? Round tells this asking from others
+	PreVoted                           // No: it has not
+	Prepare                            // stop the views before View and wait for its leader
+	Promise                            // promised, on disk; the last entry is Index of view At
+	FetchLog                           // the log after Index, please
+	LogTail                            // the log after Index, or a Snap and all after it
+	TakeOver                           // the leader leaves: ask for the next view now
+	AppendChunk                        // leader's: as Append, but Chunk is a part of what Snap or the one of Entries lacks
+	AckChunk                           // of the blob that Chunk names all before its Offset is had, in memory; Round as heard
 )
 
 // Message is what members say. One lost, doubled or late does no harm.
@@ -161,6 +166,8 @@
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
+	Chunk     *Chunk
+	Chunks    bool // in acks and rejects: the sender takes chunks
 }
 
 // Action is what the host is to do: Send, Write, Commit, Restore, Outcome or Wake.
@@ -276,6 +283,9 @@
 	promisedTo MemberID
 	snap       Snapshot
 	log        []Entry  // after snap
+	trail      []Entry  // the last that went into snap, in memory only
+	blob       *Blob    // snap's state, once it was sent
+	in         Incoming // from the leader
 	configs    []config // the one that holds at snap, and those in the log
 	committed  uint64
 	synced     uint64 // the log is on disk up to here
@@ -323,10 +333,18 @@
 type progress struct {
 	Member
 	next, match uint64
+	base        uint64 // entries are in flight from here on
 	round       uint64
 	heard       time.Duration
 	snapAt      time.Duration
 	againAt     time.Duration
+
+	answered bool // in this view; and whether it takes chunks
+	chunks   bool
+	out      Outgoing  // what it is being sent: kept until it has it, however many snapshots there are since
+	snap     *Snapshot // whose state out is
+	entry    *Entry    // or whose data
+	prev     place     // what it must have before it takes that
 }
 
 type read struct{ token, round uint64 }
@@ -522,11 +540,13 @@
 		return
 	}
 	view, _ := p.viewAt(index)
+	gone := p.log[:index-p.snap.Index]
 	p.log = slices.Clone(p.log[index-p.snap.Index:])
 	for len(p.configs) > 1 && p.configs[1].index <= index {
 		p.configs = p.configs[1:]
 	}
 	p.snap = Snapshot{Index: index, View: view, Members: p.configs[0].members, State: state}
+	p.keepTrail(gone)
 	p.dirtySnap = true
 	p.markDirty(0)
 }
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -12,7 +12,9 @@
 		return
 	}
 	if p.house == 0 {
-		if m.Kind == Append || p.fault == countWiped && m.Kind == Prepare {
+		if m.Kind == AppendChunk {
+			p.onChunk(from, m)
+		} else if m.Kind == Append || p.fault == countWiped && m.Kind == Prepare {
 			p.onFirst(from, m)
 		}
 		return
@@ -24,7 +26,9 @@
 	switch m.Kind {
 	case Append:
 		p.onAppend(from, m)
-	case Ack, Reject:
+	case AppendChunk:
+		p.onChunk(from, m)
+	case Ack, Reject, AckChunk:
 		p.onAck(from, m)
 	case RefuseView:
 		// One who knows a newer view takes nothing from this one any more.
@@ -60,7 +64,7 @@
 // first is for an empty disk: it has nothing to say to anyone but a leader that gives it the state.
 func (p *Prompter) onFirst(from MemberID, m Message) {
 	if m.Kind == Append && m.Snap == nil {
-		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round})
+		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round, Chunks: true})
 		return
 	}
 	p.house = m.House
@@ -190,6 +194,19 @@
 		a.Snap, a.Index = &s, s.Index
 	}
 	a.Entries = p.from(a.Index + 1)
+	size := 0
+	if a.Snap != nil {
+		size = len(a.Snap.State)
+	}
+	for i := range a.Entries {
+		size += a.Entries[i].size()
+	}
+	if p.large(size) && p.member(p.me.ID) {
+		// It would hold up all else on the link for as long: who has the newest log asks for the next view itself, and
+		// brings the other up to it as its leader, in chunks.
+		p.prepare(true)
+		return
+	}
 	p.send(from, a)
 }
 
@@ -214,11 +231,11 @@
 	p.tallyPromises()
 }
 
-// lines takes what a leader says.
-func (p *Prompter) onAppend(from MemberID, m Message) {
+// hearLeader takes what each of a leader's messages tells. False: it is of an older view.
+func (p *Prompter) hearLeader(from MemberID, m Message) bool {
 	if m.View < p.promise && p.fault != takeOld {
 		p.send(from, Message{Kind: RefuseView, View: p.promise})
-		return
+		return false
 	}
 	if m.View > p.promise || p.promisedTo != from && p.fault != takeOld {
 		p.enterView(m.View, from)
@@ -226,12 +243,20 @@
 	check.That(p.role != leading, "a view has one leader")
 	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
+	return true
+}
+
+// onAppend takes what a leader sends.
+func (p *Prompter) onAppend(from MemberID, m Message) {
+	if !p.hearLeader(from, m) {
+		return
+	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
 	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
-		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round})
+		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round, Chunks: true})
 		return
 	}
 	p.merge(m.Index, m.Entries)
@@ -253,7 +278,7 @@
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round})
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Chunks: true})
 }
 
 // stepDown stops leading.
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -33,6 +33,8 @@
 	calm   bool
 	sync   time.Duration // of any disk, on top
 	fault  fault
+	terms  Terms
+	bytes  map[int]int // of state and data that were sent to a door
 	wrong  string
 }
 
@@ -60,7 +62,7 @@
 	d := w.doors[i]
 	d.life++
 	d.index, d.state, d.written, d.wake = 0, "", 0, never
-	d.p = New(Member{d.disk.Me, fmt.Sprint("door", i)}, d.disk, DefaultTerms(), w.rng.Int63(), w.now)
+	d.p = New(Member{d.disk.Me, fmt.Sprint("door", i)}, d.disk, w.terms, w.rng.Int63(), w.now)
 	d.p.fault = w.fault
 	w.pull(i)
 }
@@ -116,7 +118,7 @@
 			switch {
 			case !read && w.ended[a.Token]:
 				w.fail("door %d tells a second end of proposal %d: %v", i, a.Token, a.Verdict)
-			case a.Verdict == Done && !read && string(w.order[a.Index-2].Data) != strconv.FormatUint(a.Token, 10):
+			case a.Verdict == Done && !read && string(w.order[a.Index-2].Data) != string(changeOf(a.Token)):
 				w.fail("door %d tells that proposal %d is at %d, where another is", i, a.Token, a.Index)
 			case a.Verdict != Done:
 			case read && a.Index < since:
@@ -170,6 +172,7 @@
 		if !there || w.cut[[2]int{from, i}] {
 			continue
 		}
+		w.bytes[i] += carried(s.Message)
 		n := 1
 		if !w.calm {
 			n = [...]int{0, 2, 1, 1, 1, 1, 1, 1, 1, 1}[w.rng.Intn(10)]
@@ -193,6 +196,28 @@
 	}
 }
 
+// changeOf is a change that tells its token; one in eight is long.
+func changeOf(token uint64) []byte {
+	if token%8 == 0 {
+		return fmt.Appendf(nil, "%011d", token)
+	}
+	return strconv.AppendUint(nil, token, 10)
+}
+
+// carried is how many bytes of state and data a message has.
+func carried(m Message) (n int) {
+	if m.Snap != nil {
+		n += len(m.Snap.State)
+	}
+	if m.Chunk != nil {
+		n += len(m.Chunk.Data)
+	}
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
 func (w *walk) leader() (found int) {
 	found = -1
 	for i, d := range w.doors {
@@ -244,7 +269,7 @@
 				w.reads[token] = w.acked
 				d.p.Read(token)
 			} else {
-				d.p.Propose(token, []byte(strconv.FormatUint(token, 10)))
+				d.p.Propose(token, changeOf(token))
 			}
 		})()
 	}
@@ -326,7 +351,10 @@
 
 // found sets up doors, three of which found.
 func found(t *testing.T, doors int, seed int64, f fault) *walk {
-	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f}
+	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f, terms: DefaultTerms(), bytes: map[int]int{}}
+	if seed%2 == 1 { // states and one change in eight go in chunks
+		w.terms.Window, w.terms.Chunk = 4, 2
+	}
 	w.cut, w.reads, w.ended = map[[2]int]bool{}, map[uint64]uint64{}, map[uint64]bool{}
 	var list []Member
 	for i := range doors {
@@ -420,7 +448,7 @@
 		l := w.leader()
 		must.NotEq(t, -1, l, must.Sprintf("seed %d: nobody leads", seed))
 		for i := range 9 {
-			w.on(l, func(d *door) { d.p.Propose(uint64(i+1), []byte(strconv.Itoa(i+1))) })()
+			w.on(l, func(d *door) { d.p.Propose(uint64(i+1), changeOf(uint64(i+1))) })()
 			w.until(w.now + 2*time.Second)
 		}
 		must.Eq(t, "", w.wrong)
