--- a/internal/prompter/chunk.go
+++ b/internal/prompter/chunk.go
@@ -236,7 +236,8 @@
 			p.roundSaid = p.round
 		}
 		if part != nil {
-			p.send(from, Message{Kind: AckChunk, House: m.House, View: m.View, Round: m.Round, Chunk: part, Chunks: true})
+			p.send(from, Message{Kind: AckChunk, House: m.House, View: m.View, Round: m.Round, Chunk: part, Chunks: true,
+				Clock: p.clock(), Echo: p.leaderClock})
 		}
 		return
 	}
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -34,7 +34,7 @@
 
 // begin is a progress of which nothing is known yet.
 func (p *Prompter) newProgress(m Member) *progress {
-	return &progress{Member: m, next: p.last() + 1, base: p.last(), heard: p.now, snapAt: -never, againAt: -never}
+	return &progress{Member: m, next: p.last() + 1, base: p.last(), heard: p.now, snapAt: -never, againAt: -never, contact: noWord}
 }
 
 // forget gives up the learner.
@@ -146,6 +146,7 @@
 		m.Kind = Append
 	}
 	m.View, m.Delivered, m.Round = p.promise, p.committed, p.round
+	p.tellContact(w, &m)
 	p.sendTo(w.Member, m)
 }
 
@@ -179,6 +180,7 @@
 		return
 	}
 	w.heard, w.round = p.now, max(w.round, m.Round)
+	p.answeredClock(w, m)
 	w.answered, w.chunks = true, m.Chunks
 	if m.Kind == AckChunk {
 		w.out.Ack(m.Chunk, p.now)
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -32,6 +32,12 @@
 	skipChunks         // a chunk is taken though one before it is missing
 	installPart        // a snapshot is installed before it is whole
 	unpinned           // a newer snapshot takes the place of the one that is being sent
+
+	contactByReceipt // a leader counts contact from when an answer came
+	followByReceipt  // a follower counts it from when the word came
+	contactEarly     // a leader tells it before an entry of its view is committed
+	contactLeads     // a leader is in contact while it leads
+	contactAhead     // a follower takes it though it lacks what the leader has committed
 )
 
 func (f fault) String() string {
@@ -41,7 +47,8 @@
 		"a view is promised to two", "one promise too few", "not the newest log leads", "lines behind an entry of another view",
 		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry",
 		"chunks of two snapshots mixed", "a missing chunk is passed over", "a snapshot is installed before it is whole",
-		"a newer snapshot in the place of the one under way"}[f]
+		"a newer snapshot in the place of the one under way", "contact by an answer's receipt", "contact by the word's receipt",
+		"contact before the view's first entry", "contact while it leads", "contact ahead of the log"}[f]
 }
 
 func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -102,7 +102,7 @@
 	p.promise, p.promisedTo = view, to
 	p.seen = max(p.seen, view)
 	p.role, p.leader = following, 0
-	p.matched, p.round, p.roundSaid = 0, 0, 0
+	p.matched, p.round, p.roundSaid, p.leaderClock = 0, 0, 0, 0
 	p.markDirty(0)
 }
 
@@ -243,6 +243,7 @@
 	check.That(p.role != leading, "a view has one leader")
 	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
+	p.leaderClock = max(p.leaderClock, m.Clock)
 	return true
 }
 
@@ -256,13 +257,15 @@
 	}
 	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
-		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round, Chunks: true})
+		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round,
+			Clock: p.clock(), Echo: p.leaderClock, Chunks: true})
 		return
 	}
 	p.merge(m.Index, m.Entries)
 	p.setDue() // the list may be another now
 	p.matched = max(p.matched, m.Index+uint64(len(m.Entries)))
 	p.commitUpTo(max(p.committed, min(m.Delivered, p.matched)))
+	p.heardContact(m)
 	if p.matched <= p.synced || p.round > p.roundSaid || len(m.Entries) == 0 && m.Snap == nil {
 		p.ack()
 	}
@@ -278,7 +281,8 @@
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Chunks: true})
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock(), Echo: p.leaderClock,
+		Chunks: true})
 }
 
 // stepDown stops leading.
