--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	tailMost    = 512              // entries that a door with a disk keeps for those who follow
 	compactAt   = 64               // delivered entries after which the log is put into a snapshot
 	dismissFor  = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
 	admitEvery  = 300 * time.Millisecond
--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -23,18 +23,12 @@
 	never       = 24 * time.Hour
 )
 
-// line is an entry that was applied here, kept for those who follow.
-type line struct {
-	index uint64
-	data  []byte
-}
-
 // begin starts from a state.
 func (h *House) begin(index uint64, s *script.Script) {
 	if index < h.applied {
 		return // never back within a life
 	}
-	h.applied, h.script, h.tail = index, s, nil
+	h.applied, h.script = index, s
 	h.company.Seats(s.Seats())
 	h.swap()
 	h.foldRollouts()
@@ -61,9 +55,6 @@
 		h.foldRollouts()
 	}
 	if h.core != nil {
-		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
-			h.tail = append([]line(nil), h.tail[tailMost/2:]...)
-		}
 		for _, addr := range h.following() {
 			h.feed(addr)
 		}
@@ -71,24 +62,6 @@
 	return v, err
 }
 
-// feed sends a follower what it lacks.
-func (h *House) feed(addr string) {
-	after := h.followers[addr]
-	if after >= h.applied {
-		return
-	}
-	f := &Feed{After: after, Stale: h.stale()}
-	if len(h.tail) == 0 || after+1 < h.tail[0].index {
-		f.After, f.State = h.applied, h.script.Snapshot()
-	} else {
-		for _, l := range h.tail[after+1-h.tail[0].index:] {
-			f.Entries = append(f.Entries, l.data)
-		}
-	}
-	h.followers[addr] = h.applied
-	h.wings.Send(addr, &Frame{Feed: f})
-}
-
 // following are those who follow, in order: what is sent must not go by chance.
 func (h *House) following() []string { return slices.Sorted(maps.Keys(h.followers)) }
 
@@ -104,7 +77,10 @@
 		return
 	}
 	had := h.hears(from)
-	h.followers[from] = f.After
+	if !had || f.Anew {
+		h.followers[from] = &follower{}
+	}
+	h.followers[from].asks(f, h)
 	if !had {
 		h.doorsChanged()
 		h.pingedAt = 0 // it waits for the word of who lives
@@ -127,6 +103,12 @@
 	if w := h.words[from]; w.at == 0 || h.e.Now()-w.at > pingEvery {
 		h.words[from] = word{h.fedAt, f.Stale, f.After}
 	}
+	if !h.whole(from, f) {
+		return
+	}
+	if f.Chunk != nil { // so that what follows comes
+		defer func() { h.wings.Send(from, &Frame{Follow: &Follow{After: h.applied, Chunks: true}}) }()
+	}
 	if f.State != nil && f.After > h.applied {
 		s, err := script.Restore(f.State)
 		if err != nil {
@@ -160,7 +142,7 @@
 		}
 	}
 	h.feeder, h.askedAt = addr, h.e.Now()
-	h.wings.Send(addr, &Frame{Follow: &Follow{After: h.applied, Anew: anew}})
+	h.wings.Send(addr, &Frame{Follow: &Follow{After: h.applied, Anew: anew, Had: h.feedIn.Had(), Chunks: true}})
 }
 
 // tendFeed keeps to a feeder with fresh word of the core: the own zone's before others, since bytes between zones are dear. Only
--- /dev/null
+++ b/internal/house/follower.go
@@ -0,0 +1,133 @@
+package house
+
+import (
+	"bytes"
+	"encoding/gob"
+
+	"clovergap/internal/prompter"
+	"clovergap/internal/script"
+)
+
+// follower is a door that this one feeds.
+type follower struct {
+	upto   uint64            // it was sent all up to here
+	chunks bool              // its program takes chunks
+	had    *prompter.Chunk   // what it has of a blob, whoever sent that
+	out    prompter.Outgoing // what it is being sent: kept until it has it
+	log    bool              // out is entries, else a state
+	until  uint64            // who has applied this has all of out
+}
+
+// feedTerms bound what is in flight to a follower, as to a member.
+var feedTerms = prompter.DefaultTerms()
+
+// logMost is how many bytes of entries go in one blob.
+const logMost = 256 << 10
+
+// feed sends a follower what it lacks: entries as long as they are at hand, else the core's snapshot, and what follows it. What is
+// more than a window goes in chunks, acknowledged by Follow.
+func (h *House) feed(addr string) {
+	f, p := h.followers[addr], h.core.p
+	for f.out.Blob == nil && f.upto < h.applied {
+		entries, ok := p.After(f.upto, h.applied)
+		if !ok {
+			b := p.Pinned(f.upto+1, h.statesOut(f))
+			if b == nil {
+				return // it asks again
+			}
+			state := b.Bytes()
+			if len(state) == 0 {
+				state = script.New().Snapshot()
+			}
+			f.upto = b.Index()
+			if f.chunks && len(state) > feedTerms.Window {
+				f.send(b, b.Index(), false)
+			} else {
+				h.wings.Send(addr, &Frame{Feed: &Feed{After: b.Index(), State: state, Stale: h.stale()}})
+			}
+			continue
+		}
+		var data [][]byte
+		size, after := 0, f.upto
+		for _, e := range entries {
+			if size += len(e.Data) + 32; size > logMost && len(data) > 0 && f.chunks {
+				break
+			}
+			data = append(data, dataOf(e))
+		}
+		f.upto += uint64(len(data))
+		if f.chunks && size > feedTerms.Window {
+			var b bytes.Buffer
+			gob.NewEncoder(&b).Encode(data) // of bytes: it can't fail
+			f.send(prompter.NewBlob(after, f.upto, b.Bytes()), f.upto, true)
+		} else {
+			h.wings.Send(addr, &Frame{Feed: &Feed{After: after, Entries: data, Stale: h.stale()}})
+		}
+	}
+	if f.out.Blob == nil {
+		return
+	}
+	now := h.e.Now()
+	for c := f.out.Next(&feedTerms, now); c != nil; c = f.out.Next(&feedTerms, now) {
+		h.wings.Send(addr, &Frame{Feed: &Feed{After: c.Index, Chunk: c, Log: f.log, Stale: h.stale()}})
+	}
+}
+
+// send begins with a blob, from where the follower has it.
+func (f *follower) send(b *prompter.Blob, until uint64, log bool) {
+	f.out, f.until, f.log = prompter.Outgoing{Blob: b}, until, log
+	if f.had != nil && f.had.Offset > 0 {
+		f.out.Ack(f.had, 0)
+	}
+}
+
+// statesOut are the states that others are being sent.
+func (h *House) statesOut(but *follower) (all []*prompter.Blob) {
+	for _, addr := range h.following() {
+		if f := h.followers[addr]; f != but && f.out.Blob != nil && !f.log {
+			all = append(all, f.out.Blob)
+		}
+	}
+	return all
+}
+
+// dataOf is what an entry has for those who follow: nothing, if it is the core's own.
+func dataOf(e prompter.Entry) []byte {
+	if e.Kind == prompter.Change {
+		return e.Data
+	}
+	return nil
+}
+
+// asks takes where a follower stands.
+func (f *follower) asks(w *Follow, h *House) {
+	f.chunks, f.had = w.Chunks, w.Had
+	switch {
+	case f.out.Blob == nil:
+		f.upto = w.After
+	case w.After >= f.until:
+		f.out, f.upto = prompter.Outgoing{}, w.After
+	default:
+		f.out.Ack(w.Had, h.e.Now())
+	}
+}
+
+// whole takes a chunk of what the door that is followed sends, and tells it what is had. The last one makes of it what one message
+// would have brought; until then nothing of it is taken.
+func (h *House) whole(from string, f *Feed) bool {
+	if f.Chunk == nil {
+		return true
+	}
+	all, had := h.feedIn.Take(f.Chunk)
+	if all == nil {
+		h.wings.Send(from, &Frame{Follow: &Follow{After: h.applied, Had: had, Chunks: true}})
+		return false
+	}
+	if !f.Log {
+		f.State = all
+	} else if err := gob.NewDecoder(bytes.NewReader(all)).Decode(&f.Entries); err != nil {
+		h.warn(feedPart, "entries after %d can't be read: %v", f.After, err)
+		return false
+	}
+	return true
+}
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -73,6 +73,9 @@
 	After uint64
 	Anew  bool // the sender did not follow it before
 	Ends  bool // and it does no longer
+
+	Had    *prompter.Chunk // what it has of what was not whole yet
+	Chunks bool            // its program takes chunks
 }
 
 // Feed carries entries in order. With State, they begin after Index, which that state holds all of.
@@ -81,6 +84,9 @@
 	State   []byte
 	Entries [][]byte      // data of changes; empty ones are of the core's own
 	Stale   time.Duration // as in Ping
+
+	Chunk *prompter.Chunk // a part of State, or with Log of Entries by gob, which are too large for one frame
+	Log   bool
 }
 
 // Call is a control call that is passed on to whoever leads.
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -21,6 +21,7 @@
 	"clovergap/internal/gate"
 	"clovergap/internal/link"
 	"clovergap/internal/playbill"
+	"clovergap/internal/prompter"
 	"clovergap/internal/script"
 )
 
@@ -57,7 +58,6 @@
 	core    *core // nil without a disk
 	script  *script.Script
 	applied uint64
-	tail    []line
 
 	board     *callboard.Board // nil until there is a seat
 	boardWake uint32
@@ -82,7 +82,8 @@
 	stoodTo time.Duration // when this door last stood still until
 	ledAt   time.Duration // when a leader was last heard of by this member of the core
 
-	followers map[string]uint64
+	followers map[string]*follower
+	feedIn    prompter.Incoming // from the door that is followed
 	calls     map[uint32]*call
 	callNr    uint32
 	fault     fault // tests put one in
@@ -119,7 +120,7 @@
 	h.seed, h.life = b.Draws()
 	h.inner = net.JoinHostPort(h.sheet.IP, strconv.Itoa(h.sheet.InnerPorts[0]))
 	h.e, h.count = b, b.Counters()
-	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]uint64{}
+	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]*follower{}
 	h.calls, h.beats, h.stock = map[uint32]*call{}, map[callboard.Ticket]func(bool, string){}, newStock()
 	if h.own != nil {
 		h.own.h = h
--- a/internal/prompter/chunk.go
+++ b/internal/prompter/chunk.go
@@ -36,6 +36,9 @@
 // Index is that of the snapshot or the entry.
 func (b *Blob) Index() uint64 { return b.id.Index }
 
+// Bytes are the whole.
+func (b *Blob) Bytes() []byte { return b.bytes }
+
 // Outgoing is a blob on its way to one receiver. The zero value is none.
 type Outgoing struct {
 	Blob        *Blob
@@ -91,6 +94,16 @@
 // wholeAgain: one message takes longer than a window.
 const wholeAgain = 3
 
+// Had is what there is of a blob that is not whole, to be told to whoever may send the rest; nil if there is none.
+func (in *Incoming) Had() *Chunk {
+	if in.id.Size == 0 {
+		return nil
+	}
+	c := in.id
+	c.Offset = uint64(len(in.data))
+	return &c
+}
+
 // blobMost bounds what is put together.
 const blobMost = 64 << 20
 
