The log is compacted by bytes too, and a change too large for the disk is refused first

Cause: the log was compacted each 64 places whatever their size: whole configurations of 1 MB grew the file to 73 MB, of 4 MB to 311 MB, where machines have 64; a disk that hung had the queue of writes grow without bound.

--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"clovergap/internal/company"
+	"clovergap/internal/playbill"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
 )
@@ -60,8 +63,23 @@
 			h.replied(nr, 400, []byte(err.Error()))
 			return
 		}
-		h.core.propose(c.kind, body, func(status int, body []byte) {
-			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
+		propose := func() {
+			h.core.propose(c.kind, body, func(status int, body []byte) {
+				h.replied(nr, status, h.worded(c.kind, c.body, status, body))
+			})
+		}
+		if h.tooLarge(c.kind, body) == nil {
+			propose()
+			return
+		}
+		h.core.propose(Read, nil, func(status int, text []byte) { // for sure: by the newest state, and as the one who leads
+			if err := h.tooLarge(c.kind, body); status == 200 && err != nil {
+				status, text = 413, []byte(err.Error())
+			} else if status == 200 {
+				propose()
+				return
+			}
+			h.replied(nr, status, text)
 		})
 		return
 	}
@@ -174,3 +192,26 @@
 		}
 	})
 }
+
+// diskCopies is how many times the largest state the file holds at the most, and a little: see promptbook.
+const diskCopies = 10
+
+// tooLarge tells whether a configuration that would be taken grows beyond what the disk is for. Whoever leads decides it, before
+// anything is proposed: what is in the log is applied everywhere, whatever a door's disk. An amendment counts in full, whatever it
+// takes away.
+func (h *House) tooLarge(k script.Kind, body []byte) error {
+	size, most := len(body), controlBound
+	if d := h.sheet.Limits.DiskMB; d > 0 {
+		most = min(most, d<<20/diskCopies)
+	}
+	if k == script.Amend {
+		size += len(h.script.Bills.Body())
+	}
+	if k != script.Replace && k != script.Amend || size <= most {
+		return nil
+	}
+	if v, _ := h.script.Decide(k, body); v != playbill.Taken {
+		return nil // its answer is another
+	}
+	return errors.Errorf("configuration of %d bytes, at most %d fit", size, most)
+}
--- /dev/null
+++ b/internal/house/catchup_test.go
@@ -0,0 +1,79 @@
+package house
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/internal/promptbook"
+	"clovergap/internal/stagedoor"
+)
+
+// largeBill is a configuration of about so many bytes: its tenants make it up.
+func largeBill(generation, parent, bytes int) string {
+	b := bill(generation, parent)
+	var t strings.Builder
+	for i := 0; t.Len() < bytes; i++ {
+		fmt.Fprintf(&t, `,{"name":"t%06d","api_keys":["key-of-the-tenant-%06d-%d"],"priority":1,"rate_per_s":5,"burst":5}`, i, i, generation)
+	}
+	return strings.Replace(b, `"services"`, `"tenants":[`+t.String()[1:]+`],"services"`, 1)
+}
+
+func changesOf(usual int) int {
+	if n, err := strconv.Atoi(os.Getenv("HOUSE_CHANGES")); err == nil {
+		return n
+	}
+	return usual
+}
+
+// A member that is away for many whole configurations of 1 MB is level soon after it is back, also the door without a disk; the file
+// of none grows with their number; one that is too large for the disk is refused before it is taken, with the bound.
+func TestAwayForManyLargeConfigurations(t *testing.T) {
+	const replace = "/api/Config.Replace"
+	size, times := 1<<20, changesOf(20)
+	d := open(t, 4)
+	d.all("four seats", func(s stagedoor.HouseStatus) bool { return s.Seat != nil && len(s.Doors) == 4 })
+	d.settles(0, 200, "POST", replace, largeBill(1, 0, size))
+	away := 0
+	for i := range 3 {
+		if d.status(i).Core.Role != "leading" {
+			away = i
+		}
+	}
+	d.kill(away)
+	d.kill(3)
+	left := (away + 1) % 3
+	began := time.Now()
+	for n := range times {
+		d.settles(left, 200, "POST", replace, largeBill(n+2, n+1, size))
+	}
+	took := time.Since(began)
+	level := func(s stagedoor.HouseStatus) bool { return s.Generation == uint64(times+1) }
+	for _, i := range []int{away, 3} {
+		began = time.Now()
+		d.start(i)
+		d.until("to be level", func() bool { return level(d.status(i)) })
+		t.Logf("door %d is level after %v; %d changes took %v", i, time.Since(began), times, took)
+	}
+	d.all("the newest", level)
+	for i := range 3 {
+		info, err := os.Stat(filepath.Join(d.sheets[i].DataDir, promptbook.Name))
+		must.NoError(t, err)
+		t.Logf("door %d: %d KB on disk", i, info.Size()>>10)
+		must.LessEq(t, int64(9<<20), info.Size())
+	}
+	for i := range 3 {
+		d.live[i].e.Turn(func() { d.live[i].sheet.Limits.DiskMB = 10 })
+	}
+	text := d.settles(left, 413, "POST", replace, largeBill(times+2, times+1, size+size/10))
+	must.StrContains(t, text, `"too_large"`)
+	must.StrContains(t, text, "at most 1048576 fit")
+	d.settles(left, 412, "POST", replace, largeBill(times+2, times, size+size/10)) // not its size is what is wrong
+	d.settles(left, 200, "POST", replace, largeBill(times+2, times+1, size-size/10))
+}
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	compactAt   = 64               // delivered entries after which the log is put into a snapshot
+	compactAt   = 64               // committed entries after which the log is put into a snapshot
+	compactSize = 256 << 10        // or so many bytes of them: alike at all members, whose snapshots are the same
 	dismissFor  = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
 	admitEvery  = 300 * time.Millisecond
 	pendingMost = 256
@@ -95,7 +96,11 @@
 				c.h.wings.Send(addr, &Frame{Core: &Line{c.me.ID, a.Message}})
 			}
 		case prompter.Write:
-			c.queue = append(c.queue, a)
+			if n := len(c.queue); n > 0 { // a disk that hangs must not have the queue grow
+				c.queue[n-1] = c.queue[n-1].Then(a)
+			} else {
+				c.queue = append(c.queue, a)
+			}
 		case prompter.Restore:
 			c.restore(a.Index, a.State)
 		case prompter.Commit:
@@ -177,7 +182,7 @@
 	v, err := c.h.apply(e.Index, data)
 	c.verdicts[e.Index] = verdict{v, err}
 	delete(c.verdicts, e.Index-pendingMost)
-	if e.Index%compactAt == 0 {
+	if e.Index%compactAt == 0 || c.p.Uncompacted(e.Index) >= compactSize {
 		c.p.Compact(e.Index, c.h.script.Snapshot())
 	}
 }
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -104,7 +104,7 @@
 	ReadRollouts script.Kind = 'h'
 )
 
-// Reply ends the call of that Asker and Nr. Status is as for the caller: 200, 400, 412 or 503.
+// Reply ends the call of that Asker and Nr. Status is as for the caller: 200, 400, 412, 413 or 503.
 type Reply struct {
 	Asker  uint64
 	Nr     uint32
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -121,6 +121,7 @@
 	Resend   time.Duration // a window that nobody acknowledged goes again, a whole snapshot wholeAgain times as late
 	Learn    time.Duration // a door to be admitted that says nothing for so long is given up
 	Pending  int           // most proposals, and most reads, that wait
+	Held     int           // bytes of entries that are not committed, but always one entry; 0: not bounded
 	Batch    int           // bytes of entries in one message, but always one entry
 	Window   int           // bytes in flight to one member; what is larger goes in chunks. 0: not bounded
 	Chunk    int           // bytes of a chunk
@@ -131,7 +132,7 @@
 func DefaultTerms() Terms {
 	return Terms{Beat: 150 * time.Millisecond, Patience: 400 * time.Millisecond, Spread: 400 * time.Millisecond,
 		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 500 * time.Millisecond, Learn: 3 * time.Second,
-		Pending: 1024, Batch: 16 << 10, Window: 16 << 10, Chunk: 8 << 10}
+		Pending: 1024, Held: 8 << 20, Batch: 16 << 10, Window: 16 << 10, Chunk: 8 << 10}
 }
 
 // MessageKind tells what a message is.
@@ -195,6 +196,25 @@
 	Entries   []Entry
 }
 
+// Then is one write that does what two do, one after the other.
+func (w Write) Then(next Write) Write {
+	if s := next.Snap; s == nil {
+		next.Snap = w.Snap
+	} else if w.From > 0 && w.From <= s.Index {
+		w.Entries = w.Entries[min(uint64(len(w.Entries)), s.Index+1-w.From):]
+		w.From = s.Index + 1
+	}
+	switch {
+	case w.From == 0:
+	case next.From == 0:
+		next.From, next.Entries = w.From, w.Entries
+	case next.From > w.From:
+		keep := min(uint64(len(w.Entries)), next.From-w.From)
+		next.From, next.Entries = w.From, slices.Concat(w.Entries[:keep], next.Entries)
+	}
+	return next
+}
+
 // Commit is the next entry of the order. NoOp and ConfigChange are committed too: Index has no gaps.
 type Commit struct{ Entry Entry }
 
@@ -445,6 +465,10 @@
 		p.outcome(token, 0, v)
 		return
 	}
+	if p.Uncompacted(p.last())-p.Uncompacted(p.committed)+len(data) > p.terms.Held && p.terms.Held > 0 && p.committed < p.last() {
+		p.outcome(token, 0, Busy) // the disks are not for any number of large ones that wait
+		return
+	}
 	p.tokens[p.appendNew(Entry{Kind: Change, Data: data})] = token
 }
 
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -50,6 +50,8 @@
 	index   uint64
 	state   string
 	written time.Duration // the last write is synced then
+	before  Kept          // the disk before the last write of this life, with all before it
+	last    Write
 	stands  time.Duration // the process stands still until then
 }
 
@@ -66,6 +68,7 @@
 	d := w.doors[i]
 	d.life++
 	d.index, d.state, d.written, d.wake = 0, "", 0, never
+	d.before, d.last = d.disk, Write{}
 	d.p = New(Member{d.disk.Me, fmt.Sprint("door", i)}, d.disk, w.terms, w.rng.Int63(), w.now)
 	d.p.fault = w.fault
 	w.pull(i)
@@ -110,6 +113,7 @@
 		case Send:
 			w.carry(i, a)
 		case Write:
+			w.merges(i, a)
 			d.written = max(d.written, d.busy, w.now) + w.ms(5) + w.sync
 			w.at(d.written-w.now, w.on(i, func(d *door) { d.disk.Apply(a); d.p.Synced(a.Nr) }))
 		case Restore:
@@ -206,6 +210,22 @@
 	}
 }
 
+// merges sees that two writes in one do what they do one after the other.
+func (w *walk) merges(i int, a Write) {
+	d := w.doors[i]
+	if d.last.Nr > 0 {
+		one, two := d.before, d.before
+		one.Apply(d.last.Then(a))
+		two.Apply(d.last)
+		d.before = two
+		two.Apply(a)
+		if fmt.Sprint(one) != fmt.Sprint(two) || one.Check() != nil {
+			w.fail("door %d: two writes in one make %v of the disk, apart %v", i, one, two)
+		}
+	}
+	d.last = a
+}
+
 // changeOf is a change that tells its token; one in eight is long.
 func changeOf(token uint64) []byte {
 	if token%8 == 0 {
--- a/internal/stagedoor/stagedoor.go
+++ b/internal/stagedoor/stagedoor.go
@@ -21,7 +21,8 @@
 // House is what stands behind the calls. Every then is called once, in a turn, sooner or later.
 type House interface {
 	Ready() bool
-	// Change brings a change to whoever leads: 200 taken, 400 invalid, 412 another version is current, 503 not now.
+	// Change brings a change to whoever leads: 200 taken, 400 invalid, 412 another version is current, 413 too large,
+	// 503 not now.
 	Change(kind script.Kind, body []byte, then func(status int, body []byte))
 	// Newest reads the newest configuration: 200 with it, 503 if it can't be told for sure now.
 	Newest(then func(status int, body []byte))
@@ -148,6 +149,8 @@
 		return "invalid"
 	case 412:
 		return "conflict"
+	case 413:
+		return "too_large"
 	case 503:
 		return "unavailable"
 	}
