--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -301,7 +301,7 @@
 		}
 		p.in.data, p.trail = slices.Clip(p.in.data), slices.Clip(p.trail)
 		p.tokens, p.preVotes = maps.Clone(p.tokens), maps.Clone(p.preVotes)
-		p.promises, p.prepareSent = maps.Clone(p.promises), maps.Clone(p.prepareSent)
+		p.promises, p.prepareSent, p.lost = maps.Clone(p.promises), maps.Clone(p.prepareSent), maps.Clone(p.lost)
 		o.p = &p
 		c.seats = append(c.seats, &o)
 	}
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -24,6 +24,7 @@
 		if p.peers[m.ID] == nil {
 			p.peers[m.ID] = p.newProgress(m)
 		}
+		p.peers[m.ID].Member = m
 	}
 	for id := range p.peers {
 		if id != p.learner && !slices.ContainsFunc(others, func(m Member) bool { return m.ID == id }) {
@@ -37,12 +38,6 @@
 	return &progress{Member: m, next: p.last() + 1, base: p.last(), heard: p.now, snapAt: -never, againAt: -never, contact: noWord}
 }
 
-// forget gives up the learner.
-func (p *Prompter) dropLearner() {
-	p.learner = 0
-	p.trackMembers()
-}
-
 // add puts a new entry of this view into the log and has it pushed.
 func (p *Prompter) appendNew(e Entry) uint64 {
 	e.Index, e.View = p.last()+1, p.promise
@@ -167,12 +162,37 @@
 	if !ok {
 		prev, v = p.snap.Index, p.snap.View
 	}
-	p.appendTo(w, Message{Index: prev, At: v})
+	p.appendTo(w, Message{Index: prev, At: v, Elsewhere: p.heldWithout(w.ID)})
 	if w.out.Blob != nil {
 		p.sendChunks(w) // what was lost
 	}
 }
 
+// heldWithout is up to which index what is committed is on a majority's disks without a member's.
+func (p *Prompter) heldWithout(id MemberID) uint64 {
+	if p.fault == leaveEarly {
+		return p.committed
+	}
+	on := func(o MemberID) uint64 {
+		switch w := p.peers[o]; {
+		case o == id:
+			return 0
+		case o == p.me.ID:
+			return p.synced
+		case w != nil:
+			return w.match
+		}
+		return 0
+	}
+	var most uint64
+	for _, m := range append(p.others(), p.me) {
+		if n := min(on(m.ID), p.committed); n > most && p.quorum(func(o MemberID) bool { return on(o) >= n }) {
+			most = n
+		}
+	}
+	return most
+}
+
 // answered takes a member's answer to what the leader sends.
 func (p *Prompter) onAck(from MemberID, m Message) {
 	w := p.peers[from]
@@ -208,19 +228,18 @@
 		return
 	}
 	check.That(m.Index <= p.last(), "nobody has more than the leader")
+	was := w.match
 	w.match = max(w.match, m.Index)
 	w.next = max(w.next, w.match+1)
 	p.advanceCommit()
 	if p.role != leading || p.peers[from] == nil {
 		return
 	}
-	if from == p.learner && w.match >= p.committed && w.match > 0 && p.mayReconfigure() {
-		list := p.learns
-		p.learner = 0
-		if list.index == p.configs[len(p.configs)-1].index { // else the list has changed since: to be asked for again
-			p.appendNew(Entry{Kind: ConfigChange, Members: list.members})
+	if from == p.learner {
+		if m.Index > was {
+			p.learnAt = p.now
 		}
-		p.trackMembers()
+		p.admitLearner()
 	}
 	if p.peers[from] != nil && w.next <= p.last() {
 		p.replicate(w)
--- a/internal/prompter/log.go
+++ b/internal/prompter/log.go
@@ -38,6 +38,12 @@
 	contactEarly     // a leader tells it before an entry of its view is committed
 	contactLeads     // a leader is in contact while it leads
 	contactAhead     // a follower takes it though it lacks what the leader has committed
+	addOnly          // a new member never takes the place of a lost one, and no lost one leaves
+	admitEarly       // a learner becomes a member before it has the state
+	hasty            // who restarts counts as lost at once
+	shrinkFar        // lost members leave, however few stay
+	keepDead         // a learner that is gone is waited for
+	leaveEarly       // who leaves does not wait until the others have what it has
 )
 
 func (f fault) String() string {
@@ -48,7 +54,9 @@
 		"a learner counts", "a late confirmation counts", "a proposal ends twice", "a read before the view's first entry",
 		"chunks of two snapshots mixed", "a missing chunk is passed over", "a snapshot is installed before it is whole",
 		"a newer snapshot in the place of the one under way", "contact by an answer's receipt", "contact by the word's receipt",
-		"contact before the view's first entry", "contact while it leads", "contact ahead of the log"}[f]
+		"contact before the view's first entry", "contact while it leads", "contact ahead of the log",
+		"nobody is replaced", "a learner counts before it has the state", "who restarts is replaced",
+		"too few members stay", "a dead learner blocks the next", "a leaver does not wait"}[f]
 }
 
 func (p *Prompter) last() uint64 { return p.snap.Index + uint64(len(p.log)) }
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -252,6 +252,9 @@
 	if !p.hearLeader(from, m) {
 		return
 	}
+	if len(m.Entries) == 0 && m.Snap == nil {
+		p.elsewhere = m.Elsewhere
+	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -31,6 +31,7 @@
 	nextID MemberID
 	done   int
 	calm   bool
+	floor  int           // fewer members than these are too few
 	sync   time.Duration // of any disk, on top
 	fault  fault
 	terms  Terms
@@ -53,6 +54,7 @@
 	before  Kept          // the disk before the last write of this life, with all before it
 	last    Write
 	stands  time.Duration // the process stands still until then
+	leaving bool
 }
 
 type event struct {
@@ -275,18 +277,6 @@
 	return true
 }
 
-// hosts do what hosts do: doors that are no members ask to be admitted.
-func (w *walk) hosts() {
-	if l := w.leader(); l >= 0 {
-		for i, d := range w.doors {
-			if d.p != nil && !w.doors[l].p.member(d.disk.Me) && (w.calm || w.rng.Intn(4) > 0) {
-				w.on(l, func(o *door) { o.p.Admit(Member{d.disk.Me, fmt.Sprint("door", i)}, 0) })()
-			}
-		}
-	}
-	w.at(w.ms(400), w.hosts)
-}
-
 func (w *walk) preVote() {
 	for range w.rng.Intn(3) {
 		w.token++
@@ -380,7 +370,9 @@
 }
 
 // found sets up doors, three of which found.
-func found(t *testing.T, doors int, seed int64, f fault) *walk {
+func found(t *testing.T, doors int, seed int64, f fault) *walk { return foundBy(t, doors, 3, seed, f) }
+
+func foundBy(t *testing.T, doors, founders int, seed int64, f fault) *walk {
 	w := &walk{t: t, rng: rand.New(rand.NewSource(seed)), fault: f, terms: DefaultTerms(), bytes: map[int]int{}}
 	if seed%2 == 1 { // states and one change in eight go in chunks
 		w.terms.Window, w.terms.Chunk = 4, 2
@@ -391,7 +383,7 @@
 	for i := range doors {
 		w.doors = append(w.doors, &door{})
 		w.empty(i)
-		if i < 3 {
+		if i < founders {
 			list = append(list, w.doors[i].p.me)
 		}
 	}
@@ -403,7 +395,7 @@
 
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
-	w.hosts()
+	w.tends(1)
 	w.preVote()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
