--- a/internal/house/follower.go
+++ b/internal/house/follower.go
@@ -43,7 +43,7 @@
 			if f.chunks && len(state) > feedTerms.Window {
 				f.send(b, b.Index(), false)
 			} else {
-				h.wings.Send(addr, &Frame{Feed: &Feed{After: b.Index(), State: state, Stale: h.stale()}})
+				h.wings.Send(addr, &Frame{Feed: h.fresh(addr, &Feed{After: b.Index(), State: state})})
 			}
 			continue
 		}
@@ -61,7 +61,7 @@
 			gob.NewEncoder(&b).Encode(data) // of bytes: it can't fail
 			f.send(prompter.NewBlob(after, f.upto, b.Bytes()), f.upto, true)
 		} else {
-			h.wings.Send(addr, &Frame{Feed: &Feed{After: after, Entries: data, Stale: h.stale()}})
+			h.wings.Send(addr, &Frame{Feed: h.fresh(addr, &Feed{After: after, Entries: data})})
 		}
 	}
 	if f.out.Blob == nil {
@@ -69,7 +69,7 @@
 	}
 	now := h.e.Now()
 	for c := f.out.Next(&feedTerms, now); c != nil; c = f.out.Next(&feedTerms, now) {
-		h.wings.Send(addr, &Frame{Feed: &Feed{After: c.Index, Chunk: c, Log: f.log, Stale: h.stale()}})
+		h.wings.Send(addr, &Frame{Feed: h.fresh(addr, &Feed{After: c.Index, Chunk: c, Log: f.log})})
 	}
 }
 
@@ -120,7 +120,7 @@
 	}
 	all, had := h.feedIn.Take(f.Chunk)
 	if all == nil {
-		h.wings.Send(from, &Frame{Follow: &Follow{After: h.applied, Had: had, Chunks: true}})
+		h.wings.Send(from, &Frame{Follow: &Follow{After: h.applied, Clock: h.clock.Tell(h.e.Now()), Had: had, Chunks: true}})
 		return false
 	}
 	if !f.Log {
--- a/internal/prompter/chunk.go
+++ b/internal/prompter/chunk.go
@@ -227,8 +227,8 @@
 
 // onChunk takes a part of what a leader sends; all of it is as if it had come in one message.
 func (p *Prompter) onChunk(from MemberID, m Message) {
-	c := m.Chunk
-	if c == nil || m.Snap == nil && len(m.Entries) != 1 || p.house != 0 && !p.hearLeader(from, m) {
+	c, first := m.Chunk, p.house == 0 || m.House != p.house && p.lone()
+	if c == nil || m.Snap == nil && len(m.Entries) != 1 || !first && !p.hearLeader(from, m) {
 		return
 	}
 	m.Kind, m.Chunk = Append, nil
@@ -241,7 +241,11 @@
 		}
 		had = had || c.Index <= p.committed || m.Index > p.committed && (!known || prev != m.At)
 	}
-	if had { // or what comes before it is not
+	if first && m.Snap == nil {
+		p.onFirst(from, m) // which asks for the state
+		return
+	}
+	if had && !first { // or what comes before it is not
 		m.Snap, m.Entries = nil, nil
 		p.onAppend(from, m)
 		return
@@ -249,13 +253,13 @@
 	p.in.fault = p.fault
 	whole, part := p.in.Take(c)
 	if whole == nil {
-		if p.house != 0 {
+		if !first {
 			p.setDue()
 			p.roundSaid = p.round
 		}
 		if part != nil {
 			p.send(from, Message{Kind: AckChunk, House: m.House, View: m.View, Round: m.Round, Chunk: part, Chunks: true,
-				Clock: p.clock(), Echo: p.leaderClock})
+				Clock: p.clock.Tell(p.now), Echo: p.leaderClock})
 		}
 		return
 	}
@@ -268,7 +272,7 @@
 		e.Data = whole
 		m.Entries = []Entry{e}
 	}
-	if p.house == 0 {
+	if first {
 		p.onFirst(from, m)
 		return
 	}
--- a/internal/prompter/lead.go
+++ b/internal/prompter/lead.go
@@ -162,7 +162,11 @@
 	if !ok {
 		prev, v = p.snap.Index, p.snap.View
 	}
-	p.appendTo(w, Message{Index: prev, At: v, Elsewhere: p.heldWithout(w.ID)})
+	m := Message{Index: prev, At: v}
+	if p.leaving(w.ID) { // only one that leaves goes by it
+		m.Elsewhere = p.heldWithout(w.ID)
+	}
+	p.appendTo(w, m)
 	if w.out.Blob != nil {
 		p.sendChunks(w) // what was lost
 	}
--- a/internal/prompter/members_test.go
+++ b/internal/prompter/members_test.go
@@ -23,6 +23,9 @@
 
 func (w *walk) reach(from int) (all []Reach) {
 	for i, d := range w.doors {
+		if d.p == nil && d.was.ID != 0 && w.now-d.ended < w.silence { // hosts find it out late
+			all = append(all, Reach{Member: d.was})
+		}
 		if d.p != nil && !w.cut[[2]int{from, i}] && !w.cut[[2]int{i, from}] {
 			all = append(all, Reach{Member{d.disk.Me, fmt.Sprint("door", i)}, d.leaving})
 		}
@@ -39,6 +42,7 @@
 
 // stop ends a door for good, or until it is started.
 func (w *walk) stop(i int) {
+	w.doors[i].was, w.doors[i].ended = Member{w.doors[i].disk.Me, fmt.Sprint("door", i)}, w.now
 	w.doors[i].p, w.doors[i].leaving = nil, false
 	w.doors[i].life++
 }
@@ -87,7 +91,7 @@
 	w.calm, w.floor = true, 2*tolerates+1
 	catchUp := time.Duration(2+2*tolerates) * time.Second
 	w.tends(tolerates)
-	w.preVote()
+	w.proposes()
 	w.until(3 * time.Second)
 	for range 5 {
 		first := w.now
@@ -244,6 +248,9 @@
 		w.until(3 * time.Second)
 		l := w.leader()
 		slow := (l + 1) % 3
+		w.doors[(l+2)%3].leaving = true
+		w.tends(1)
+		w.until(w.now + time.Second)
 		w.doors[slow].busy = w.now + 2*time.Second
 		w.on(l, func(d *door) { d.p.Propose(7, []byte("7")) })()
 		w.until(w.now + 200*time.Millisecond)
@@ -261,6 +268,18 @@
 	must.False(t, first)
 	_, first = early(leaveEarly)
 	must.True(t, first)
+	w := newStage(3, 1, sound, budget{}).replaced(2, 3) // one that is no member goes at once
+	w.start(2)
+	w.heartbeat(0)
+	w.settle()
+	w.seats[0].p.learn(w.seats[2].p.me, nil)
+	w.pull(0)
+	w.settle()
+	w.heartbeat(0)
+	w.settle()
+	out := w.seats[2].p
+	must.Eq(t, w.seats[0].p.committed, out.Committed())
+	must.Eq(t, out.Committed(), out.Elsewhere())
 }
 
 // A disk that was moved to another address keeps its place: the list is told, by both majorities, and it goes on as a member.
@@ -283,3 +302,94 @@
 	must.Len(t, 4, w.doors[w.leader()].p.Members())
 	must.Eq(t, "", w.wrong)
 }
+
+// systems are two foundings that a leader each has: three members, the last of which holds the word of the first founding and maybe more,
+// and two of another.
+func systems(f fault, promised bool) (w *stage, last, other *Prompter) {
+	w = newStage(5, 0, f, budget{})
+	list := []Member{w.seats[3].p.me, w.seats[4].p.me}
+	alone := []Member{{8, "x"}, {9, "y"}, w.seats[2].p.me}
+	for i, l := range [][]Member{2: alone, 3: list, 4: list} {
+		if l == nil {
+			continue
+		}
+		w.seats[i].disk = Kept{Me: w.seats[i].disk.Me}
+		w.start(i)
+		if w.seats[i].p.Found(l) != nil {
+			panic("not founded")
+		}
+		w.pull(i)
+	}
+	w.settle()
+	if last = w.seats[2].p; promised {
+		last.Heard(8, Message{Kind: Prepare, House: last.house, To: last.me.ID, View: 2})
+		w.pull(2)
+		w.settle()
+	}
+	w.seats[3].p.prepare(true)
+	w.pull(3)
+	w.settle()
+	other = w.seats[3].p
+	other.Admit(last.me, 0)
+	w.pull(3)
+	w.settle()
+	w.heartbeat(3)
+	w.settle()
+	return w, last, other
+}
+
+// A disk that holds a founding that nobody joined stayed out for ever. It joins another founding once a leader of that one gives it the
+// state, as an empty disk would; and never if it has promised a view: the founding may have taken orders that rest on it.
+func TestLoneFoundingGivesWay(t *testing.T) {
+	_, last, other := systems(sound, false)
+	must.Eq(t, other.house, last.house)
+	must.Len(t, 3, last.Members())
+	must.True(t, last.settled())
+	_, last, other = systems(sound, true)
+	must.NotEq(t, other.house, last.house)
+	must.Eq(t, 2, last.promise)
+	w, last, other := systems(leaveFounding, true)
+	must.Eq(t, other.house, last.house) // the fault: its promise to the first founding is forgotten
+	must.Eq(t, w.seats[2].disk.House, last.house)
+}
+
+// Where the others of its founding are gone for good it can be laid aside, on disk as well, and be handed another word.
+func TestLoneFoundingIsLaidAside(t *testing.T) {
+	w, _, _ := systems(sound, true)
+	must.False(t, w.seats[2].p.LayAside())
+	w = newStage(3, 1, sound, budget{})
+	must.False(t, w.seats[0].p.LayAside())
+	p := w.seats[3].p
+	must.NoError(t, p.Found([]Member{{8, "x"}, {9, "y"}, p.me}))
+	w.pull(3)
+	w.settle()
+	must.True(t, p.LayAside())
+	w.pull(3)
+	w.settle()
+	must.False(t, p.Founded())
+	must.NoError(t, w.seats[3].disk.Check())
+	must.Eq(t, Kept{Me: p.me.ID}, w.seats[3].disk)
+	must.NoError(t, p.Found([]Member{p.me}))
+}
+
+// A host finds a member lost up to 2.9 s after it was last heard. The successor that was there at once must be on the list within
+// catch_up, 4 s on the small sites, of its own start: right after that another disk may be lost, and changes must go on.
+func TestReplacedWithinCatchUp(t *testing.T) {
+	last := func(f fault) string {
+		w := foundBy(t, 3, 3, 1, f)
+		w.calm, w.floor, w.silence = true, 3, 2900*time.Millisecond
+		w.tends(1)
+		w.proposes()
+		w.until(3 * time.Second)
+		l := w.leader()
+		w.stop((l + 1) % 3)
+		w.until(w.now + 200*time.Millisecond)
+		w.join()
+		w.until(w.now + 4*time.Second)
+		w.stop(l)
+		w.goesOn()
+		return w.wrong
+	}
+	must.Eq(t, "", last(sound))
+	must.StrContains(t, last(lateLost), "no order is taken")
+}
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -165,15 +165,15 @@
 	Index, At uint64
 	Delivered uint64
 	Round     uint64
-	Elsewhere uint64 // of a heartbeat: see Elsewhere
+	Elsewhere uint64 // of a heartbeat to one that leaves: see Elsewhere
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
 	Chunk     *Chunk
 	Chunks    bool // in acks and rejects: the sender takes chunks
 
-	Clock, Echo uint64        // of Append, Ack and Reject: the sender's, and the newest heard from the other in this view
-	Contact     time.Duration // of Append: how old its majority's contact is; below nought while there was none
+	Clock, Echo uint32 // of Append, Ack and Reject: the sender's, and the newest heard from the other in this view
+	Contact     int64  // of Append: how old its majority's contact is, in ms; below nought while there was none
 }
 
 // Action is what the host is to do: Send, Write, Commit, Restore, Outcome or Wake.
@@ -315,6 +315,7 @@
 	configs    []config // the one that holds at snap, and those in the log
 	committed  uint64
 	synced     uint64 // the log is on disk up to here
+	held       bool   // so is the founding
 
 	nr        uint64 // of the write that is put together
 	done      uint64 // synced
@@ -336,9 +337,9 @@
 	roundSaid   uint64
 	elsewhere   uint64
 
-	clocks      uint64 // where those of this life begin
+	clock       Clock
 	known       known
-	leaderClock uint64 // the newest heard in this view
+	leaderClock uint32 // the newest heard in this view
 
 	seen        uint64              // the newest view anyone spoke of
 	try         uint64              // number of an asking
@@ -349,8 +350,9 @@
 
 	peers       map[MemberID]*progress // by the leader
 	learner     MemberID
-	learns      config // its members are the list once the learner has caught up; none: it is held back
-	learnAt     time.Duration
+	learns      config                     // its members are the list once the learner has caught up; none: it is held back
+	learnAt     time.Duration              // it last had something new on disk
+	learnFrom   time.Duration              // it became the learner
 	lost        map[MemberID]time.Duration // since when the host does not reach a member
 	gaveUp      MemberID                   // the last learner that was
 	noOp        uint64
@@ -372,7 +374,7 @@
 	heard       time.Duration
 	snapAt      time.Duration
 	againAt     time.Duration
-	clock       uint64        // its newest
+	clock       uint32        // its newest
 	contact     time.Duration // it followed this view when this one's clock was so
 
 	answered bool // in this view; and whether it takes chunks
@@ -393,12 +395,12 @@
 	p := &Prompter{me: me, terms: terms, now: now, seed: uint64(seed) ^ uint64(me.ID), house: k.House,
 		promise: k.Promise, promisedTo: k.For, snap: k.Snap, nr: 1, heardAt: now - terms.Patience, due: never, seen: k.Promise,
 		tokens: map[uint64]uint64{}, lost: map[MemberID]time.Duration{}, known: known{at: noWord}}
-	p.clocks = (p.seed * 0x9e3779b97f4a7c15) >> 1
+	p.clock = NewClock(p.seed)
 	p.configs = []config{{k.Snap.Index, k.Snap.Members}}
 	for _, e := range k.Entries {
 		p.appendEntry(e)
 	}
-	p.synced, p.committed = p.last(), p.snap.Index
+	p.synced, p.committed, p.held = p.last(), p.snap.Index, k.House != 0
 	if p.snap.Index > 0 {
 		p.out = append(p.out, Restore{p.snap.Index, p.snap.State})
 	}
@@ -437,17 +439,14 @@
 // again does nothing; anything else where something is on disk is refused. All founders must be handed the
 // same list.
 func (p *Prompter) Found(members []Member) error {
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	hash, mine := fnv.New32a(), false
+	members, house := sortedMembers(members), HouseOf(members)
+	mine := false
 	for i, m := range members {
 		if m.ID == 0 || i > 0 && members[i-1].ID == m.ID {
 			return errors.Errorf("a founder's id %d is 0 or twice in the list", m.ID)
 		}
 		mine = mine || m.ID == p.me.ID
-		hash.Write(append(binary.AppendUvarint(nil, uint64(m.ID)), m.Addr...))
 	}
-	house := uint64(hash.Sum32()) | 1
 	switch {
 	case !mine:
 		return errors.New("this member is not among the founders")
@@ -465,6 +464,29 @@
 	return nil
 }
 
+// HouseOf names the founding by these members, in whatever order.
+func HouseOf(members []Member) uint64 {
+	hash := fnv.New32a()
+	for _, m := range sortedMembers(members) {
+		hash.Write(append(binary.AppendUvarint(nil, uint64(m.ID)), m.Addr...))
+	}
+	return uint64(hash.Sum32()) | 1
+}
+
+func sortedMembers(members []Member) []Member {
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members
+}
+
+// House names the founding whose state this disk holds, synced; 0: none.
+func (p *Prompter) House() uint64 {
+	if !p.held {
+		return 0
+	}
+	return p.house
+}
+
 // Propose asks for an entry; its Outcome carries the token, which is the host's and not used twice. The
 // data is kept.
 func (p *Prompter) Propose(token uint64, data []byte) {
@@ -520,10 +542,13 @@
 }
 
 // Elsewhere is up to which index all that is known here to be committed is on the disks of a majority of the members without
-// this one, and Committed what is known to be: who leaves waits until the one has come up to the other.
+// this one, where it leaves, and Committed what is known to be: who leaves waits until the one has come up to the other.
 func (p *Prompter) Elsewhere() uint64 {
-	if p.role == leading {
+	switch {
+	case p.role == leading:
 		return p.heldWithout(p.me.ID)
+	case !p.member(p.me.ID): // nothing rests on it
+		return p.committed
 	}
 	return min(p.elsewhere, p.committed)
 }
@@ -537,6 +562,7 @@
 	p.done = max(p.done, nr)
 	for len(p.writes) > 0 && p.writes[0].nr <= nr {
 		p.synced = max(p.synced, p.writes[0].upto)
+		p.held = p.held || p.house != 0 && p.synced > 0
 		p.writes = p.writes[1:]
 	}
 	n := 0
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -11,10 +11,10 @@
 	if m.To != p.me.ID && p.fault != countWiped || from == p.me.ID {
 		return
 	}
-	if p.house == 0 {
+	if p.house == 0 || m.House != p.house && p.lone() {
 		if m.Kind == AppendChunk {
 			p.onChunk(from, m)
-		} else if m.Kind == Append || p.fault == countWiped && m.Kind == Prepare {
+		} else if m.Kind == Append || p.house == 0 && p.fault == countWiped && m.Kind == Prepare {
 			p.onFirst(from, m)
 		}
 		return
@@ -61,16 +61,44 @@
 	}
 }
 
-// first is for an empty disk: it has nothing to say to anyone but a leader that gives it the state.
+// onFirst is for an empty disk, or one that holds a founding alone: it has nothing to say to anyone but a leader that gives it the
+// state. A leader of another founding has the promises of that one's majority.
 func (p *Prompter) onFirst(from MemberID, m Message) {
 	if m.Kind == Append && m.Snap == nil {
 		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round, Chunks: true})
 		return
 	}
+	p.forget()
 	p.house = m.House
 	p.Heard(from, m)
 }
 
+// lone tells whether this disk holds the word of a founding and nothing else: it has promised nobody a view, and has never confirmed an
+// entry. So it owes its founding nothing, and is worth no more to it than an empty disk that can be handed the word.
+func (p *Prompter) lone() bool {
+	return p.house != 0 && p.snap.Index == 1 && len(p.log) == 0 && (p.promise == 1 || p.fault == leaveFounding)
+}
+
+// LayAside empties a disk that holds a founding alone, whose other members are gone for good; false: it holds more.
+func (p *Prompter) LayAside() bool {
+	if !p.lone() {
+		return false
+	}
+	p.forget()
+	p.dirtySnap = true
+	p.markDirty(1)
+	return true
+}
+
+// forget makes it as an empty disk: what is written next says what it holds.
+func (p *Prompter) forget() {
+	check.That(len(p.log) == 0 && p.role != leading, "only a founding is laid aside")
+	p.house, p.promise, p.promisedTo, p.seen, p.held = 0, 0, 0, 0, false
+	p.snap, p.configs, p.committed = Snapshot{}, []config{{}}, 0
+	p.unsync(0)
+	p.role, p.leader, p.due = following, 0, never
+}
+
 // beginTimes as soon a member asks for a view that has heard of no leader since its start. Those who have one say no.
 const beginTimes = 3
 
@@ -243,7 +271,9 @@
 	check.That(p.role != leading, "a view has one leader")
 	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
-	p.leaderClock = max(p.leaderClock, m.Clock)
+	if p.leaderClock == 0 || int32(m.Clock-p.leaderClock) > 0 {
+		p.leaderClock = m.Clock
+	}
 	return true
 }
 
@@ -261,7 +291,7 @@
 	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
 		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round,
-			Clock: p.clock(), Echo: p.leaderClock, Chunks: true})
+			Clock: p.clock.Tell(p.now), Echo: p.leaderClock, Chunks: true})
 		return
 	}
 	p.merge(m.Index, m.Entries)
@@ -284,7 +314,7 @@
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock(), Echo: p.leaderClock,
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock.Tell(p.now), Echo: p.leaderClock,
 		Chunks: true})
 }
 
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -16,27 +16,28 @@
 // walk is a run of doors under chance: delays, losses, doubles, cuts, crashes, power, lost disks, changes
 // of members.
 type walk struct {
-	t      *testing.T
-	rng    *rand.Rand
-	now    time.Duration
-	doors  []*door
-	events []event
-	order  []Entry           // as delivered first, from index 2 on
-	states []string          // the host's state after each of them
-	acked  uint64            // the newest index that was acknowledged
-	reads  map[uint64]uint64 // what was acknowledged when a read came
-	ended  map[uint64]bool   // proposals whose end was told
-	cut    map[[2]int]bool   // one way
-	token  uint64
-	nextID MemberID
-	done   int
-	calm   bool
-	floor  int           // fewer members than these are too few
-	sync   time.Duration // of any disk, on top
-	fault  fault
-	terms  Terms
-	bytes  map[int]int // of state and data that were sent to a door
-	wrong  string
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	doors   []*door
+	events  []event
+	order   []Entry           // as delivered first, from index 2 on
+	states  []string          // the host's state after each of them
+	acked   uint64            // the newest index that was acknowledged
+	reads   map[uint64]uint64 // what was acknowledged when a read came
+	ended   map[uint64]bool   // proposals whose end was told
+	cut     map[[2]int]bool   // one way
+	token   uint64
+	nextID  MemberID
+	done    int
+	calm    bool
+	floor   int           // fewer members than these are too few
+	silence time.Duration // until a host finds a member lost
+	sync    time.Duration // of any disk, on top
+	fault   fault
+	terms   Terms
+	bytes   map[int]int // of state and data that were sent to a door
+	wrong   string
 
 	acks []ack                    // by time
 	led  map[uint64]time.Duration // since when a view was led
@@ -55,6 +56,8 @@
 	last    Write
 	stands  time.Duration // the process stands still until then
 	leaving bool
+	was     Member        // of a process that has ended
+	ended   time.Duration // when
 }
 
 type event struct {
@@ -277,7 +280,7 @@
 	return true
 }
 
-func (w *walk) preVote() {
+func (w *walk) proposes() {
 	for range w.rng.Intn(3) {
 		w.token++
 		token, i := w.token, w.rng.Intn(len(w.doors))
@@ -293,7 +296,7 @@
 			}
 		})()
 	}
-	w.at(w.ms(120), w.preVote)
+	w.at(w.ms(120), w.proposes)
 }
 
 func (w *walk) trouble() {
@@ -396,7 +399,7 @@
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
 	w.tends(1)
-	w.preVote()
+	w.proposes()
 	w.at(3*time.Second, w.trouble)
 	w.until(40 * time.Second)
 	w.calm = true
