--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"clovergap/internal/company"
+	"clovergap/internal/playbill"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
 	"clovergap/internal/stagedoor"
@@ -86,13 +89,20 @@
 	if c == nil || c.sent != "here" {
 		return
 	}
-	switch body, err := h.counted(c.kind, c.body); {
+	body, err := h.counted(c.kind, c.body)
+	refusal := 400
+	if err == nil {
+		if err = h.tooLarge(c.kind, body); err != nil {
+			refusal = 413
+		}
+	}
+	switch {
 	case err == nil:
 		h.core.propose(c.kind, body, func(status int, body []byte) {
 			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
 		})
 	case confirmed:
-		h.replied(nr, 400, []byte(err.Error()))
+		h.replied(nr, refusal, []byte(err.Error()))
 	default:
 		h.core.propose(Read, nil, func(status int, body []byte) {
 			if status != 200 {
@@ -228,3 +238,26 @@
 		}
 	})
 }
+
+// diskCopies is how many times the largest state the file holds at the most, and a little: see promptbook.
+const diskCopies = 10
+
+// tooLarge tells whether a configuration that would be taken grows beyond what the disk is for. Whoever leads decides it, before
+// anything is proposed: what is in the log is applied everywhere, whatever a door's disk. An amendment counts in full, whatever it
+// takes away.
+func (h *House) tooLarge(k script.Kind, body []byte) error {
+	size, most := len(body), controlBound
+	if d := h.sheet.Limits.DiskMB; d > 0 {
+		most = min(most, d<<20/diskCopies)
+	}
+	if k == script.Amend {
+		size += len(h.script.Bills.Body())
+	}
+	if k != script.Replace && k != script.Amend || size <= most {
+		return nil
+	}
+	if v, _ := h.script.Decide(k, body); v != playbill.Taken {
+		return nil // its answer is another
+	}
+	return errors.Errorf("configuration of %d bytes, at most %d fit", size, most)
+}
--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	tailMost   = 512 // entries that a door with a disk keeps for those who follow
-	compactAt  = 64  // delivered entries after which the log is put into a snapshot
-	admitEvery = 300 * time.Millisecond
-	noteEvery  = 500 * time.Millisecond
+	compactAt   = 64        // committed entries after which the log is put into a snapshot
+	compactSize = 256 << 10 // or so many bytes of them: alike at all members, whose snapshots are the same
+	admitEvery  = 300 * time.Millisecond
+	noteEvery   = 500 * time.Millisecond
 )
 
 // core is this door's part in the ordered log: none without a disk.
@@ -98,7 +98,11 @@
 				c.h.wings.Send(addr, &Frame{Core: &Line{c.me.ID, a.Message}})
 			}
 		case prompter.Write:
-			c.queue = append(c.queue, a)
+			if n := len(c.queue); n > 0 { // a disk that hangs must not have the queue grow
+				c.queue[n-1] = c.queue[n-1].Then(a)
+			} else {
+				c.queue = append(c.queue, a)
+			}
 		case prompter.Restore:
 			c.restore(a.Index, a.State)
 		case prompter.Commit:
@@ -179,7 +183,7 @@
 	}
 	v, err := c.h.apply(e.Index, data)
 	c.last = verdict{e.Index, data, v, err}
-	if e.Index%compactAt == 0 {
+	if e.Index%compactAt == 0 || c.p.Uncompacted(e.Index) >= compactSize {
 		c.p.Compact(e.Index, c.h.script.Snapshot())
 	}
 }
--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -77,6 +77,9 @@
 	Anew  bool // the sender did not follow it before
 	Ends  bool // and it does no longer
 	Clock uint32
+
+	Had    *prompter.Chunk // what it has of what was not whole yet
+	Chunks bool            // its program takes chunks
 }
 
 // Feed carries entries in order. With State, they begin after Index, which that state holds all of.
@@ -88,6 +91,9 @@
 	View    uint64
 	Echo    uint32
 	Index   uint64 // that the word is of: the sender may be about to send more
+
+	Chunk *prompter.Chunk // a part of State, or with Log of Entries by gob, which are too large for one frame
+	Log   bool
 }
 
 // Call is a control call that is passed on to whoever leads.
@@ -105,7 +111,7 @@
 	ReadRollouts script.Kind = 'h'
 )
 
-// Reply ends the call of that Asker and Nr. Status is as for the caller: 200, 400, 412 or 503.
+// Reply ends the call of that Asker and Nr. Status is as for the caller: 200, 400, 412, 413 or 503.
 type Reply struct {
 	Asker  uint64
 	Nr     uint32
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -58,7 +58,6 @@
 	core    *core // nil without a disk
 	script  *script.Script
 	applied uint64
-	tail    []line
 
 	feedLate bool // followers have yet to be told what was applied last: seats
 	seatsNew bool // and the company the order of seats
@@ -90,7 +89,8 @@
 	echoes  map[string]echo
 	beganAt time.Duration
 
-	followers map[string]uint64
+	followers map[string]*follower
+	feedIn    prompter.Incoming // from the door that is followed
 	calls     map[uint32]*call
 	callNr    uint32
 	fault     fault // tests put one in
@@ -127,7 +127,7 @@
 	h.seed, h.life = b.Draws()
 	h.inner = net.JoinHostPort(h.sheet.IP, strconv.Itoa(h.sheet.InnerPorts[0]))
 	h.e, h.count = b, b.Counters()
-	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]uint64{}
+	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]*follower{}
 	h.echoes = map[string]echo{}
 	h.calls, h.beats, h.stock = map[uint32]*call{}, map[callboard.Ticket]heard{}, newStock()
 	h.fault = planted
--- a/internal/house/patience_test.go
+++ b/internal/house/patience_test.go
@@ -78,7 +78,7 @@
 // followerOf is a door without a disk that follows one of these.
 func followerOf(t *testing.T, disks ...string) *House {
 	h := &House{sheet: &callsheet.Sheet{NodeName: "door"}, log: newLog("door"), e: &still{now: time.Minute}, wings: lost{}, words: map[string]word{},
-		followers: map[string]uint64{}}
+		followers: map[string]*follower{}}
 	h.company = company.New(company.Door{Name: "door", Addr: "10.0.0.9:7110"}, company.Terms{}, h.e.Now())
 	for i, a := range disks {
 		h.company.Hello(a, company.Hello{Door: company.Door{Name: a, Addr: a, Disk: company.Disk(i + 1), Life: 1, Founded: true}})
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -118,17 +118,22 @@
 	Spread   time.Duration // on top of Patience, by chance
 	Silence  time.Duration // a leader that no majority answered for so long stops leading
 	Tell     time.Duration // others hear at most this late what was committed
-	Resend   time.Duration // a snapshot is not sent again earlier
+	Resend   time.Duration // a window that nobody acknowledged goes again, a whole snapshot wholeAgain times as late
 	Learn    time.Duration // a door to be admitted that says nothing for so long is given up
 	Pending  int           // most proposals, and most reads, that wait
+	Held     int           // bytes of entries that are not committed, but always one entry; 0: not bounded
 	Batch    int           // bytes of entries in one message, but always one entry
+	Window   int           // bytes in flight to one member; what is larger goes in chunks. 0: not bounded
+	Chunk    int           // bytes of a chunk
+	Trail    int           // bytes of entries that are kept after they went into a snapshot, at the least
 }
 
-// DefaultTerms are for links of a few ms and disks of some ms a sync.
+// DefaultTerms are for links of a few ms and from 2 Mbit/s on, and disks of some ms a sync: a window to each of a handful of
+// receivers holds up a heartbeat on such a link by less than a member is patient.
 func DefaultTerms() Terms {
 	return Terms{Beat: 150 * time.Millisecond, Patience: 400 * time.Millisecond, Spread: 400 * time.Millisecond,
-		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 1500 * time.Millisecond, Learn: 3 * time.Second,
-		Pending: 1024, Batch: 128 << 10}
+		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 500 * time.Millisecond, Learn: 3 * time.Second,
+		Pending: 1024, Held: 8 << 20, Batch: 16 << 10, Window: 16 << 10, Chunk: 8 << 10, Trail: 64 << 10}
 }
 
 // MessageKind tells what a message is.
@@ -136,17 +141,19 @@
 
 // The kinds of messages; the comments tell what their fields hold.
 const (
-	Append     MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
-	Ack                               // all up to Index is as the leader's, and synced; Round as heard
-	Reject                            // Index is not as told; committed is Index; Round as heard
-	RefuseView                        // promised to a newer View
-	PreVote                           // has the leader been lost? Round tells this asking from others
-	PreVoted                          // No: it has not
-	Prepare                           // stop the views before View and wait for its leader
-	Promise                           // promised, on disk; the last entry is Index of view At
-	FetchLog                          // the log after Index, please
-	LogTail                           // the log after Index, or a Snap and all after it
-	TakeOver                          // the leader leaves: ask for the next view now
+	Append      MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
+	Ack                                // all up to Index is as the leader's, and synced; Round as heard
+	Reject                             // Index is not as told; committed is Index; Round as heard
+	RefuseView                         // promised to a newer View
+	PreVote                            // has the leader been lost? Round tells this asking from others
+	PreVoted                           // No: it has not
+	Prepare                            // stop the views before View and wait for its leader
+	Promise                            // promised, on disk; the last entry is Index of view At
+	FetchLog                           // the log after Index, please
+	LogTail                            // the log after Index, or a Snap and all after it
+	TakeOver                           // the leader leaves: ask for the next view now
+	AppendChunk                        // leader's: as Append, but Chunk is a part of what Snap or the one of Entries lacks
+	AckChunk                           // of the blob that Chunk names all before its Offset is had, in memory; Round as heard
 )
 
 // Message is what members say. One lost, doubled or late does no harm.
@@ -162,6 +169,8 @@
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
+	Chunk     *Chunk
+	Chunks    bool // in acks and rejects: the sender takes chunks
 
 	Clock, Echo uint32 // of Append, Ack and Reject: the sender's, and the newest heard from the other in this view
 	Contact     int64  // of Append: how old its majority's contact is, in ms; below nought while there was none
@@ -189,6 +198,25 @@
 	Entries   []Entry
 }
 
+// Then is one write that does what two do, one after the other.
+func (w Write) Then(next Write) Write {
+	if s := next.Snap; s == nil {
+		next.Snap = w.Snap
+	} else if w.From > 0 && w.From <= s.Index {
+		w.Entries = w.Entries[min(uint64(len(w.Entries)), s.Index+1-w.From):]
+		w.From = s.Index + 1
+	}
+	switch {
+	case w.From == 0:
+	case next.From == 0:
+		next.From, next.Entries = w.From, w.Entries
+	case next.From > w.From:
+		keep := min(uint64(len(w.Entries)), next.From-w.From)
+		next.From, next.Entries = w.From, slices.Concat(w.Entries[:keep], next.Entries)
+	}
+	return next
+}
+
 // Commit is the next entry of the order. NoOp and ConfigChange are committed too: Index has no gaps.
 type Commit struct{ Entry Entry }
 
@@ -280,6 +308,10 @@
 	promisedTo MemberID
 	snap       Snapshot
 	log        []Entry  // after snap
+	trail      []Entry  // the last that went into snap, in memory only
+	trailView  uint64   // of the entry before them
+	blob       *Blob    // snap's state, once it was sent
+	in         Incoming // from the leader
 	configs    []config // the one that holds at snap, and those in the log
 	committed  uint64
 	synced     uint64 // the log is on disk up to here
@@ -337,12 +369,20 @@
 type progress struct {
 	Member
 	next, match uint64
+	base        uint64 // entries are in flight from here on
 	round       uint64
 	heard       time.Duration
 	snapAt      time.Duration
 	againAt     time.Duration
 	clock       uint32        // its newest
 	contact     time.Duration // it followed this view when this one's clock was so
+
+	answered bool // in this view; and whether it takes chunks
+	chunks   bool
+	out      Outgoing  // what it is being sent: kept until it has it, however many snapshots there are since
+	snap     *Snapshot // whose state out is
+	entry    *Entry    // or whose data
+	prev     place     // what it must have before it takes that
 }
 
 type read struct{ token, round uint64 }
@@ -454,6 +494,10 @@
 		p.outcome(token, 0, v)
 		return
 	}
+	if p.Uncompacted(p.last())-p.Uncompacted(p.committed)+len(data) > p.terms.Held && p.terms.Held > 0 && p.committed < p.last() {
+		p.outcome(token, 0, Busy) // the disks are not for any number of large ones that wait
+		return
+	}
 	p.tokens[p.appendNew(Entry{Kind: Change, Data: data})] = token
 }
 
@@ -538,11 +582,13 @@
 		return
 	}
 	view, _ := p.viewAt(index)
+	gone, before := p.log[:index-p.snap.Index], p.snap.View
 	p.log = slices.Clone(p.log[index-p.snap.Index:])
 	for len(p.configs) > 1 && p.configs[1].index <= index {
 		p.configs = p.configs[1:]
 	}
 	p.snap = Snapshot{Index: index, View: view, Members: p.configs[0].members, State: state}
+	p.keepTrail(gone, before)
 	p.dirtySnap = true
 	p.markDirty(0)
 }
