--- a/internal/rehearsal/hard_test.go
+++ b/internal/rehearsal/hard_test.go
@@ -78,3 +78,21 @@
 	must.True(t, w.until(w.now+10*time.Second, func() bool { return len(w.broken) > 0 }))
 	must.Eq(t, "AGAIN", w.broken[0].Rule)
 }
+
+// A machine with a disk is replaced, and as soon as the page lets another disk go, that one is lost. A newcomer was added beside the
+// old one while the leader did not know yet that it was lost: of four members two were gone, and there was no majority for ever.
+func TestSecondLossAfterReplacement(t *testing.T) {
+	for _, d := range []*Day{
+		{Seed: 1386, Faults: []spec.Fault{
+			{Kind: "sync-replace", At: 49386858, For: 908511903, Share: 0.01, Pick: 0x706f936c2669c25d},
+			{Kind: "disk-wipe", At: 1701482394, For: 577418279, Share: 0.01, Pick: 0x66b867d38530a035, By: 0.7674336374857961}}},
+		{Seed: 1153, Faults: []spec.Fault{
+			{Kind: "sync-replace", At: 10124212455, For: 868994974, Share: 0.01, Pick: 0x4a6a65acf3008e99},
+			{Kind: "ack-replace", At: 6692844360, For: 83639561, Share: 0.01, Pick: 0x6fffcd40aee14871}}},
+	} {
+		d.Site, d.For, d.Hard = Site{Doors: 5, Disks: 3, Rate: 80, Beat: time.Second}, 12*time.Second, true
+		for _, b := range Play(d).Broken {
+			t.Errorf("seed %d: %s", d.Seed, b)
+		}
+	}
+}
