--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -55,22 +55,29 @@
 			h.say(corePart, "configuration %d is in force", h.script.Bills.Version())
 			h.swap()
 		}
-		if len(h.script.Seats()) != seats {
-			h.company.Seats(h.script.Seats())
-		}
+		h.seatsNew = h.seatsNew || len(h.script.Seats()) != seats
 		h.foldRollouts()
 	}
 	if h.core != nil {
 		if h.tail = append(h.tail, line{index, data}); len(h.tail) > tailMost {
 			h.tail = append([]line(nil), h.tail[tailMost/2:]...)
 		}
-		for _, addr := range h.following() {
-			h.feed(addr)
+		if h.feedLate = len(data) > 0 && script.Kind(data[0]) == script.Seat; !h.feedLate {
+			h.feedAll()
 		}
 	}
 	return v, err
 }
 
+// feedAll sends all followers what they lack. Seats wait for the next tick: at the first start each door asks for one, and each
+// would be told to all by itself.
+func (h *House) feedAll() {
+	h.feedLate = false
+	for _, addr := range h.following() {
+		h.feed(addr)
+	}
+}
+
 // feed sends a follower what it lacks.
 func (h *House) feed(addr string) {
 	after := h.followers[addr]
@@ -134,7 +141,7 @@
 // fresh puts this door's word of the core into what a follower is sent.
 func (h *House) fresh(to string, f *Feed) *Feed {
 	_, view, _ := h.contact()
-	f.Stale, f.View, f.Echo = h.stale(), view, h.echoes[to].clock
+	f.Stale, f.View, f.Echo, f.Index = h.stale(), view, h.echoes[to].clock, h.core.p.Committed()
 	return f
 }
 
@@ -185,7 +192,7 @@
 		h.follow(from)
 		return
 	}
-	h.learn(f.Stale, f.View, f.Echo, f.After+uint64(len(f.Entries)))
+	h.learn(f.Stale, f.View, f.Echo, f.Index)
 }
 
 // follow asks a door with a disk for the entries from here on.
@@ -235,7 +242,9 @@
 	var best company.Door
 	least := time.Duration(1<<63 - 1)
 	disks := h.company.Disks()
-	if len(disks) == 0 { // who lives is told by the door that is followed: without one, nobody seems to
+	// Who lives is told by the door that is followed: without one nobody seems to, and one that is cut off tells that all others
+	// are gone, while they are but a link away.
+	if len(disks) == 0 || h.feeds(h.feeder) >= feedStale && h.fault != feederTells {
 		disks = h.company.Linked()
 	}
 	for _, d := range disks {
@@ -254,8 +263,11 @@
 		if d.Zone != h.sheet.Zone {
 			stale += time.Millisecond
 		}
-		if stale < least || stale == least && d.Addr == h.feeder {
+		switch {
+		case stale < least, stale == least && d.Addr == h.feeder:
 			best, least = d, stale
+		case stale == least && best.Addr != h.feeder && company.Nearer(h.inner, d.Addr, best.Addr):
+			best = d // not all the first by address
 		}
 	}
 	if best.Addr != "" {
