--- a/internal/rehearsal/clients.go
+++ b/internal/rehearsal/clients.go
@@ -61,9 +61,10 @@
 
 // watch asks every door each second whether it is ready, as the platform does.
 func (c *clients) watch() {
-	for i, m := range c.w.machines {
+	for i := range c.w.machines {
 		c.w.after(span(c.rng, 0, time.Second), func() {
 			c.w.every(time.Second, func() bool {
+				m := c.w.machines[i] // another by now, if it was replaced
 				if c.missed[i]++; m.runs() && m.p.h.Ready() {
 					c.missed[i], c.heard[i] = 0, true
 				}
@@ -83,7 +84,7 @@
 		if !c.open {
 			return
 		}
-		c.send(c.known.Draw(c.rng, c.w.zones))
+		c.send(c.draw())
 		c.w.after(c.gap(), next)
 	}
 	c.w.after(c.gap(), next)
@@ -163,7 +164,10 @@
 		came := w.now
 		t.p = p
 		p.hall.tries[t.nr] = t
-		p.turn(func() { p.hall.take(t, left-(came-sent), w.now-came) })
+		p.turn(func() {
+			w.doing = "requests"
+			p.hall.take(t, left-(came-sent), w.now-came)
+		})
 	})
 }
 
