--- a/internal/house/doors.go
+++ b/internal/house/doors.go
@@ -114,7 +114,7 @@
 	}
 	founders := h.core.p.Founders()
 	for _, m := range founders {
-		if m.ID == prompter.MemberID(d.Disk) {
+		if m.ID == prompter.MemberID(d.Disk) && h.company.Spreads(h.core.p.House(), addr) {
 			h.wings.Send(addr, &Frame{Found: founders})
 		}
 	}
@@ -150,6 +150,10 @@
 // pullDoors carries out what the company asks for.
 func (h *House) pullDoors() {
 	h.company.Now(h.e.Now())
+	if h.seatsNew { // once for all that came in this turn
+		h.seatsNew = false
+		h.company.Seats(h.script.Seats())
+	}
 	for {
 		a, ok := h.company.Next()
 		if !ok {
@@ -164,10 +168,7 @@
 			hello := h.company.Say(a.Addr)
 			h.wings.Send(a.Addr, &Frame{Hello: &hello})
 		case company.Found:
-			var members []prompter.Member
-			for _, f := range a.Founders {
-				members = append(members, prompter.Member{ID: prompter.MemberID(f.Disk), Addr: f.Addr})
-			}
+			members := membersOf(a.Founders)
 			if a.Addr == h.inner {
 				h.found(members)
 			} else {
@@ -179,6 +180,13 @@
 	}
 }
 
+func membersOf(founders []company.Founder) (members []prompter.Member) {
+	for _, f := range founders {
+		members = append(members, prompter.Member{ID: prompter.MemberID(f.Disk), Addr: f.Addr})
+	}
+	return members
+}
+
 // seat is this door's, or NoSeat.
 func (h *House) seat() company.Seat { return h.company.Seat(h.inner) }
 
