--- a/internal/house/feed.go
+++ b/internal/house/feed.go
@@ -102,7 +102,13 @@
 // followed takes a wish to follow. It holds until it is taken back or the link ends, however long the other one is silent: one
 // that was frozen does not know that it was missed, and would wait for news that nobody sends it.
 func (h *House) followed(from string, f *Follow) {
-	if h.core == nil || !h.core.p.Founded() {
+	if h.core == nil {
+		return
+	}
+	if !h.core.p.Founded() {
+		if !f.Ends { // it asks another at once; without a word it would stay, since this door says other things
+			h.wings.Send(from, &Frame{Feed: &Feed{Stale: never}})
+		}
 		return
 	}
 	if f.Ends {
@@ -135,7 +141,7 @@
 // fresh puts this door's word of the core into what a follower is sent.
 func (h *House) fresh(to string, f *Feed) *Feed {
 	_, view, _ := h.contact()
-	f.Stale, f.View, f.Echo = h.stale(), view, h.echoes[to].clock
+	f.Stale, f.View, f.Echo, f.Index = h.stale(), view, h.echoes[to].clock, h.core.p.Committed()
 	return f
 }
 
@@ -153,6 +159,10 @@
 		return
 	}
 	h.fedAt, h.askWait = h.e.Now(), followAgain
+	if f.After == 0 && f.State == nil && len(f.Entries) == 0 && h.applied > 0 { // it is back with an empty disk
+		h.words[from] = word{h.fedAt, silent, 0, 0}
+		return
+	}
 	if f.View > 0 && f.View < h.known.view && h.fault != oldViews { // what it has was had before that view began
 		h.words[from] = word{h.fedAt, never, f.After, f.View}
 		return
@@ -182,7 +192,7 @@
 		h.follow(from)
 		return
 	}
-	h.learn(f.Stale, f.View, f.Echo, f.After+uint64(len(f.Entries)))
+	h.learn(f.Stale, f.View, f.Echo, f.Index)
 }
 
 // follow asks a door with a disk for the entries from here on.
@@ -232,7 +242,9 @@
 	var best company.Door
 	least := time.Duration(1<<63 - 1)
 	disks := h.company.Disks()
-	if len(disks) == 0 { // who lives is told by the door that is followed: without one, nobody seems to
+	// Who lives is told by the door that is followed: without one nobody seems to, and one that is cut off tells that all others
+	// are gone, while they are but a link away.
+	if len(disks) == 0 || h.feeds(h.feeder) >= feedStale && h.fault != feederTells {
 		disks = h.company.Linked()
 	}
 	for _, d := range disks {
