Replies in all orders: the door of the test has just begun

It says now that the door has just begun; what it judges is as it was. And a door's standing takes the time before its word's age.

--- a/internal/house/authority.go
+++ b/internal/house/authority.go
@@ -85,8 +85,8 @@
 
 // standing is this door's, for a right that ends at an age.
 func (h *House) standing(within time.Duration) standing {
+	leading := h.leading() // the clock first
 	age, _, ok := h.contact()
-	leading := h.leading()
 	switch {
 	case !ok && h.e.Now()-h.beganAt < within:
 		return starting
--- a/internal/house/replies_test.go
+++ b/internal/house/replies_test.go
@@ -134,6 +134,7 @@
 		return n
 	}
 	d.turn(0, func(h *House) {
+		h.beganAt = h.e.Now() // one that has just begun waits for whoever leads, later it would end calls at once
 		must.Eq(t, 0, misled(sound))
 		must.Positive(t, misled(numberAlone))
 	})
