Quota: what an owner lends counts again after it has started anew

Cause: a peer's grants are taken once by the version of its message, and versions begin anew in each life; the last one of the life before was kept, so that a restarted owner's grants were passed over until it had sent as many messages. Change: a peer's new life forgets the version.

--- a/control/bound_test.go
+++ b/control/bound_test.go
@@ -167,3 +167,21 @@
 	}
 	must.LessEq(s.t, (s.rate*5+s.burst)*1.1+20, float64(most), must.Sprint(what))
 }
+
+// An owner that starts again is believed at once: its versions begin anew, and what it lends must not count as told before.
+// Doors without units of their own refused most of what was owed until it had sent as many messages as in its life before.
+func TestQuotaLentByNextLife(t *testing.T) {
+	c := newCrew(t, 12, 100, 100)
+	c.run(20*time.Second, 5)
+	g := c.owner()
+	c.all[g] = NewQuota(99, g, 12, c.now, gatewayTerms)
+	c.all[g].SetLimit(watched, 100, 100)
+	for i := range c.all {
+		if GatewayID(i) != g { // what they may spend on no word is used up
+			a := c.all[i].accounts[watched]
+			a.bare, a.bareAt = 0, c.now+time.Minute
+		}
+	}
+	c.run(2*time.Second, 5)
+	must.Greater(t, 90, c.run(2*time.Second, 5), must.Sprint("of 120 that are asked for"))
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -206,7 +206,7 @@
 		p.retired = append(p.retired, p.epoch)
 		p.retired = p.retired[max(0, len(p.retired)-8):]
 	}
-	p.epoch, p.high, p.mask = epoch, 0, 0
+	p.epoch, p.high, p.mask, p.granted = epoch, 0, 0, 0 // versions begin anew as well
 }
 
 // first tells whether a sequence comes for the first time, and notes it.
