Quota: an owner keeps the part of the rate of a door that has just fallen silent

Change: the part of a door that reported within a second is kept from 0.25 s of its silence on, and given when it is heard, less what it says it has yet to tell of; such a door has its part from 0.4 s on, as before. Small quotas (under half a unit a second for each door) go on as they were.

--- a/cmd/lab/rehearse.go
+++ b/cmd/lab/rehearse.go
@@ -81,6 +81,7 @@
 	f.Float64Var(&k.site.Rate, "rate", 0, "requests a second (0: by the doors)")
 	f.Float64Var(&k.site.Mbps, "mbps", 0, "of each machine's link (0: not bounded)")
 	f.DurationVar(&k.site.Turn, "turn", 0, "processor time that a turn takes (0: none)")
+	f.BoolVar(&k.site.Hot, "hot", false, "days on which a metered tenant rushes while doors are cut off from each other")
 	f.IntVar(&k.seeds, "seeds", 100, "how many days")
 	f.Uint64Var(&k.first, "first", 1, "first seed")
 	f.IntVar(&k.most, "faults", 6, "faults of a day at most")
--- a/control/books.go
+++ b/control/books.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -117,10 +118,11 @@
 	wanted   float64 // units that a txn waits for
 	bare     float64 // by parts: units that it may spend without the owner's word
 	bareAt   time.Duration
-	bareOut  float64 // spent so, and not known to be covered or lost
-	bareSent float64 // of unsent
-	proving  float64 // acknowledged: the owner's next figures tell whether they were covered
-	lent     float64 // units that the owner holds for this gateway
+	bareOut  float64       // spent so, and not known to be covered or lost
+	bareSent float64       // of unsent
+	toldAt   time.Duration // the owner has heard of it since then at the least
+	proving  float64       // acknowledged: the owner's next figures tell whether they were covered
+	lent     float64       // units that the owner holds for this gateway
 	lentAt   time.Duration
 	lentGone float64 // spent or let go, and not yet told
 }
@@ -134,7 +136,7 @@
 	wanted float64 // units that a txn waits for
 	units  float64 // told that it may spend them, and not yet reported; by parts: lent
 	told   time.Duration
-	every  time.Duration // between its reports, smoothed
+	part   float64 // of the rate: kept for it while it is silent
 }
 
 // peer is another gateway.
@@ -164,6 +166,7 @@
 type parcel struct {
 	seq   uint64
 	at    time.Duration
+	sent  time.Duration // for the first time
 	tries int
 	lines []deltaLine
 	bare  map[CustomerID]float64 // of their units, those spent on no word
@@ -498,6 +501,13 @@
 	a.proving, a.bareOut = 0, a.bareOut-back
 }
 
+// give puts of a reporter's part of the rate into the bucket.
+func (q *Quota) give(a *account, r *report, units float64) {
+	if units = min(units, r.part); units > 0 {
+		a.level, r.part = min(a.limit.burst, a.level+units), r.part-units
+	}
+}
+
 // report finds or makes what a gateway reported of a customer.
 func (a *account) report(from GatewayID) *report {
 	for _, r := range a.reports {
@@ -505,7 +515,7 @@
 			return r
 		}
 	}
-	r := &report{from: from, at: -reporterFor, every: idleAfter}
+	r := &report{from: from, at: -reporterFor}
 	a.reports = append(a.reports, r)
 	return r
 }
@@ -570,6 +580,13 @@
 			}
 		}
 	}
+	for _, a := range q.order {
+		for _, r := range a.reports {
+			if r.from == p.id {
+				r.part = 0 // nobody tells what its former life spent of it
+			}
+		}
+	}
 	p.begin(epoch)
 	return true
 }
@@ -601,9 +618,9 @@
 		}
 		q.refill(a)
 		r := a.report(p.id)
-		r.every += (min(q.now-r.at, idleAfter) - r.every) / 5
 		if r.at = q.now; m.seq == p.high {
 			r.out, r.wanted = l.out, l.wanted
+			q.give(a, r, r.part-float64(l.out)) // what it has yet to tell of may have been spent of its part
 		}
 		if q.terms.Parts && fresh {
 			r.units = max(0, r.units-max(l.part, 0))
@@ -611,6 +628,7 @@
 			r.units = max(0, r.units-l.units)
 		}
 		if fresh {
+			q.give(a, r, l.units-max(l.part, 0))
 			q.draw(a, l.units)
 		}
 		if fresh && m.ackEpoch == q.epoch && a.listened && a.limit.ceilRate > 0 {
@@ -633,6 +651,7 @@
 				a.unacked -= l.units
 				a.level -= l.units
 				a.proving += f.bare[a.id]
+				a.toldAt = max(a.toldAt, f.sent)
 			}
 		}
 	}
@@ -689,7 +708,7 @@
 // refill brings an owned bucket up to now.
 func (q *Quota) refill(a *account) {
 	if q.now >= a.levelAt {
-		a.level = min(a.limit.burst, a.level+q.rate(a)*(q.now-a.levelAt).Seconds())
+		a.level = min(a.limit.burst, a.level+q.filled(a, q.now-a.levelAt))
 		a.levelAt = q.now
 	}
 }
@@ -713,6 +732,17 @@
 	q.mark(a)
 }
 
+// told brings up to date, in lines that go again, what else is to be told of.
+func (q *Quota) told(lines []deltaLine) []deltaLine {
+	for i := range lines {
+		if l := &lines[i]; q.terms.Parts && q.accounts[l.customer] != nil {
+			a := q.accounts[l.customer]
+			l.out = int(math.Ceil(max(0, a.unacked+a.unsent-l.units)))
+		}
+	}
+	return lines
+}
+
 // packDeltas moves unreported use into a new parcel, oldest first, so that none starves.
 func (q *Quota) packDeltas(p *peer, m *message) {
 	p.seq++
@@ -722,7 +752,11 @@
 		a := p.dirty[0]
 		p.dirty = p.dirty[1:]
 		a.dirty = false
-		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, a.out, q.move(a), a.first, a.wanted,
+		out := a.out
+		if q.terms.Parts {
+			out = int(math.Ceil(a.unacked))
+		}
+		m.deltas = append(m.deltas, deltaLine{a.id, a.planID, a.unsent, out, q.move(a), a.first, a.wanted,
 			a.width})
 		if a.bareSent > 0 {
 			bare[a.id] = a.bareSent
@@ -734,7 +768,7 @@
 	if len(p.flight) == 0 {
 		p.since = q.now
 	}
-	p.flight = append(p.flight, &parcel{seq: m.seq, at: q.now, lines: m.deltas, bare: bare})
+	p.flight = append(p.flight, &parcel{seq: m.seq, at: q.now, sent: q.now, lines: m.deltas, bare: bare})
 }
 
 // PeerSaid takes a peer's message and tells whether it may change what is covered. What does not decode is
@@ -822,3 +856,29 @@
 		a.bareOut, a.bareSent = a.bareOut+units, a.bareSent+units
 	}
 }
+
+// early tells whether parts of the rate are kept for gateways that have just fallen silent. Of a small quota they come to
+// nothing in that time, and to keep them would only delay it.
+func (q *Quota) early(a *account) bool { return a.limit.rate >= earlyFrom*float64(q.gateways) }
+
+// aloneFrom is when this gateway's part of the rate is its own, or later than now. The owner is silent, and either lost for
+// so long that it knows that of this gateway too, or it was told of the customer shortly before: then it keeps the part.
+func (q *Quota) aloneFrom(a *account) time.Duration {
+	p, asked := q.peers[a.owner], a.asked
+	for _, f := range p.flight {
+		if asked == 0 || f.sent < asked {
+			asked = f.sent
+		}
+	}
+	if asked == 0 {
+		return q.now
+	}
+	from := max(asked, p.heard, q.stallTo) + askTries*q.answerIn(a)
+	if q.early(a) && a.toldAt > 0 && asked-a.toldAt < activeIn {
+		return from
+	}
+	if p.lostAt == 0 {
+		return q.now
+	}
+	return max(from, p.lostAt+lostLag)
+}
--- a/control/quota.go
+++ b/control/quota.go
@@ -14,8 +14,8 @@
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
-	quietFor    = 1000 * ms // and one that reports of a used-up bucket, for its part of the rate,
-	quietTimes  = 8         // if that is so many times its usual span
+	quietFor    = 250 * ms  // and one that has reported may be, for its part of the rate,
+	quietMost   = 4200 * ms // until the host would have said so: lost 2.9 s after the next report, due in 1 s
 	reporterFor = 2 * time.Second
 	debtMost    = 1 * time.Second // of the rate
 	goneFor     = 1 * time.Minute // a customer no longer metered is remembered
@@ -31,6 +31,8 @@
 	youngMany   = 3               // of these heard, and none older
 	partEven    = 0.5             // of a ceiling: split evenly; the rest is the owner's pool
 	bareStore   = 0.5             // of a gateway's part of what the rule leaves: at once; the rest over its window
+	activeIn    = 1 * time.Second // an owner that had a report so lately keeps the part of the rate,
+	earlyFrom   = 0.5             // where that is so many units a second at the least
 	lostLag     = 1 * time.Second // gateways find each other lost, and back, up to so far apart
 	lentFor     = 1 * time.Second // lent units may be spent for so long; their owner holds them for
 	lentHeld    = 6 * time.Second // a window more: they may have been spent
@@ -193,8 +195,8 @@
 
 // bareNow is what a gateway may spend of a customer's on no word at all, fresh view or none: its part of what the rule
 // leaves beyond rate x window + burst, some at once and the rest over the window. What an owner acknowledges while
-// it has units left comes back. It begins empty in each life, and a silence does not renew it. Once the owner is
-// known to be lost, and must know the same of this gateway, its part of the rate is added, with nothing saved up.
+// it has units left comes back. It begins empty in each life, and a silence does not renew it. Once the owner is silent, and
+// keeps this gateway's part of the rate or must know it as lost, that is added, with nothing saved up.
 func (q *Quota) bareNow(a *account) float64 {
 	n := float64(q.gateways)
 	part := (q.terms.Excess*(a.limit.rate*q.terms.Window.Seconds()+a.limit.burst) + q.terms.Margin) / n
@@ -208,15 +210,6 @@
 	return a.bare
 }
 
-// aloneFrom is when this gateway's part of the rate is its own: the owner was asked, is silent, and lost to it since.
-func (q *Quota) aloneFrom(a *account) time.Duration {
-	p := q.peers[a.owner]
-	if p.lostAt == 0 || a.asked == 0 {
-		return q.now
-	}
-	return max(p.lostAt+lostLag, max(a.asked, p.heard, q.stallTo)+askTries*q.answerIn(a))
-}
-
 // lend sets units aside for a gateway whose txns wait for them: till it tells what became of them, nobody else has them.
 func (q *Quota) lend(a *account, r *report, left float64) (units float64) {
 	if r.wanted > 0 && left >= r.wanted {
@@ -226,23 +219,26 @@
 	return units
 }
 
-// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone. When a bucket is
-// used up, those that have much to report and say nothing for long are taken as out of reach before that is
-// told. Who seldom reports says nothing by it: taken as silent, it would keep a small bucket empty for ever.
-func (q *Quota) rate(a *account) float64 {
+// filled is what an owned bucket gets in a time. By parts: gateways out of reach spend theirs alone. One that reported and
+// is silent for a moment may do so too: its part is kept for it, and comes when it is heard, less what it has spent. Kept
+// until the host must have found it lost; if it was not, it had nothing to report.
+func (q *Quota) filled(a *account, in time.Duration) float64 {
 	if !q.terms.Parts {
-		return a.limit.rate
-	}
-	quiet := 0
-	if a.level < 1 {
-		for _, r := range a.reports {
-			late := max(quietFor, quietTimes*r.every)
-			if q.now-r.at < idleAfter && q.now-max(r.at, q.peers[r.from].heard, q.stallTo) > late {
-				quiet++
+		return a.limit.rate * in.Seconds()
+	}
+	part, reach := a.limit.rate*in.Seconds()/float64(q.gateways), q.reachNow()
+	for _, r := range a.reports {
+		late := q.now - max(r.at, q.stallTo)
+		switch lost := q.peers[r.from].lostAt > 0; {
+		case lost || late > quietFor && late < quietMost && q.early(a):
+			if r.part += part; !lost {
+				reach--
 			}
+		case late >= quietMost:
+			q.give(a, r, r.part)
 		}
 	}
-	return a.limit.rate * float64(max(1, min(q.reachNow(), q.gateways-quiet))) / float64(q.gateways)
+	return part * float64(max(1, reach))
 }
 
 // silent tells that an owner was asked and that nothing was heard of it for as long as a healthy one takes.
@@ -376,7 +372,7 @@
 			f := p.flight[0] // again under its sequence
 			f.at, f.tries = q.now, min(f.tries+1, resendMost)
 			p.flight = append(p.flight[1:], f)
-			m.seq, m.deltas = f.seq, f.lines
+			m.seq, m.deltas = f.seq, q.told(f.lines)
 		} else if len(p.dirty) > 0 {
 			q.packDeltas(p, m)
 		}
--- a/internal/rehearsal/clients.go
+++ b/internal/rehearsal/clients.go
@@ -22,6 +22,7 @@
 	missed []int
 	heard  []bool
 	burst  []float64
+	hot    []*rush
 	next   uint32
 	open   bool
 	counts Counts
@@ -83,7 +84,7 @@
 		if !c.open {
 			return
 		}
-		c.send(c.known.Draw(c.rng, c.w.zones))
+		c.send(c.rushes(c.known.Draw(c.rng, c.w.zones)))
 		c.w.after(c.gap(), next)
 	}
 	c.w.after(c.gap(), next)
@@ -94,6 +95,9 @@
 	for _, by := range c.burst {
 		rate *= by
 	}
+	for _, r := range c.hot {
+		rate *= 1 + r.by
+	}
 	return time.Duration(c.rng.ExpFloat64() / rate * 1e9)
 }
 
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -12,6 +12,9 @@
 // while a view changes, right after a drain was acknowledged. One disk at the most is lost by them, none in days that
 // begin with the first start; the closing fault may take another, after the core has been calm.
 func Draw(site Site, seed uint64, most int, dur time.Duration) *Day {
+	if site.Hot {
+		return drawHot(site, seed, most, dur)
+	}
 	rng := source(seed, 0x5ced)
 	if site.Beat == 0 {
 		site.Beat = []time.Duration{time.Second, time.Second, 3 * time.Second}[rng.IntN(3)]
@@ -219,6 +222,10 @@
 			i := slices.Index(w.clients.burst, by)
 			w.clients.burst = slices.Delete(w.clients.burst, i, i+1)
 		})
+	case "hot":
+		r := w.hot(f)
+		lasts(nil, func() { w.clients.hot = append(w.clients.hot, r) },
+			func() { w.clients.hot = slices.DeleteFunc(w.clients.hot, func(x *rush) bool { return x == r }) })
 	case "resets":
 		backs(func(b *backend, on float64) { b.resets = on * f.By / 2 })
 	case "answers":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -40,6 +40,7 @@
 	Beat                time.Duration
 	Mbps                float64       // of each machine's link; 0: not bounded
 	Turn                time.Duration // of processor time that a turn takes; 0: none
+	Hot                 bool          // days of a tenant that rushes, and of cuts about then
 }
 
 // Usual completes a site.
