--- a/internal/house/core.go
+++ b/internal/house/core.go
@@ -6,19 +6,19 @@
 	"time"
 
 	"clovergap/internal/callboard"
+	"clovergap/internal/check"
 	"clovergap/internal/company"
 	"clovergap/internal/playbill"
 	"clovergap/internal/prompter"
 	"clovergap/internal/script"
+	"clovergap/internal/stagedoor"
 )
 
 const (
-	tailMost    = 512              // entries that a door with a disk keeps for those who follow
-	compactAt   = 64               // delivered entries after which the log is put into a snapshot
-	dismissFor  = 60 * time.Second // a member that is not heard for so long leaves the view, where enough others stay
-	admitEvery  = 300 * time.Millisecond
-	pendingMost = 256
-	noteEvery   = 500 * time.Millisecond
+	tailMost   = 512 // entries that a door with a disk keeps for those who follow
+	compactAt  = 64  // delivered entries after which the log is put into a snapshot
+	admitEvery = 300 * time.Millisecond
+	noteEvery  = 500 * time.Millisecond
 )
 
 // core is this door's part in the ordered log: none without a disk.
@@ -33,20 +33,23 @@
 	writing  bool
 	waits    map[uint64]waiting // by token
 	token    uint64
-	verdicts map[uint64]verdict // of the last entries applied, by index
+	last     verdict // of the last entry applied
 	lookedAt time.Duration
-	lost     map[prompter.MemberID]time.Duration // since when a member is not live
 	wake     uint32
 	view     uint64 // the last one whose leader was known
 }
 
 // waiting is a call that the log settles.
 type waiting struct {
-	kind script.Kind
-	then func(status int, body []byte)
+	kind  script.Kind
+	entry []byte // nil of a read
+	then  func(status int, body []byte)
 }
 
+// verdict is on an entry, and on no other that ever stood at its index.
 type verdict struct {
+	index   uint64
+	entry   []byte
 	verdict playbill.Verdict
 	err     error
 }
@@ -60,8 +63,7 @@
 	if err != nil {
 		return err
 	}
-	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, disk: disk, waits: map[uint64]waiting{},
-		verdicts: map[uint64]verdict{}, lost: map[prompter.MemberID]time.Duration{}}
+	c := &core{h: h, me: prompter.Member{ID: kept.Me, Addr: h.inner}, disk: disk, waits: map[uint64]waiting{}}
 	c.p = prompter.New(c.me, kept, prompter.DefaultTerms(), h.seed, h.e.Now())
 	h.core = c
 	return nil
@@ -99,8 +101,8 @@
 			c.queue = append(c.queue, a)
 		case prompter.Restore:
 			c.restore(a.Index, a.State)
-		case prompter.Deliver:
-			c.deliver(a.Entry)
+		case prompter.Commit:
+			c.commit(a.Entry)
 		case prompter.Outcome:
 			c.settle(a)
 		case prompter.Wake:
@@ -147,7 +149,7 @@
 
 // addr of a member: where its door says that it is, since a view may name an older place.
 func (c *core) addr(m prompter.Member) string {
-	if m.Addr != "" {
+	if d, ok := c.h.company.Door(m.Addr); ok && prompter.MemberID(d.Disk) == m.ID {
 		return m.Addr
 	}
 	for _, d := range c.h.company.Disks() {
@@ -155,7 +157,7 @@
 			return d.Addr
 		}
 	}
-	return ""
+	return m.Addr
 }
 
 func (c *core) restore(index uint64, state []byte) {
@@ -170,62 +172,45 @@
 	c.h.begin(index, s)
 }
 
-func (c *core) deliver(e prompter.Entry) {
+func (c *core) commit(e prompter.Entry) {
 	var data []byte
 	if e.Kind == prompter.Change {
 		data = e.Data
 	}
 	v, err := c.h.apply(e.Index, data)
-	c.verdicts[e.Index] = verdict{v, err}
-	delete(c.verdicts, e.Index-pendingMost)
+	c.last = verdict{e.Index, data, v, err}
 	if e.Index%compactAt == 0 {
 		c.p.Compact(e.Index, c.h.script.Snapshot())
 	}
 }
 
-// tend lets doors with a disk in that are no members, and members out that are long gone.
+// tend tells the log which disks are reached: it lets new ones in, in the place of lost ones (prompter/members.go).
 func (c *core) tend() {
-	if now := c.h.e.Now(); !c.p.Leading() || now-c.lookedAt < admitEvery {
+	now := c.h.e.Now()
+	if now-c.lookedAt < admitEvery {
 		return
 	}
-	c.lookedAt = c.h.e.Now()
-	members := c.p.Members()
-	in := map[prompter.MemberID]bool{}
-	live := 0
-	for _, m := range members {
-		in[m.ID] = true
-		d, ok := c.h.company.Door(m.Addr)
-		if ok && c.h.company.Live(m.Addr) && prompter.MemberID(d.Disk) == m.ID {
-			delete(c.lost, m.ID)
-			live++
-		} else if c.lost[m.ID] == 0 {
-			c.lost[m.ID] = c.lookedAt
-		}
-	}
+	c.lookedAt = now
+	var reach []prompter.Reach
 	for _, d := range c.h.company.Disks() {
-		if id := prompter.MemberID(d.Disk); !in[id] {
-			c.p.Admit(prompter.Member{ID: id, Addr: d.Addr}, 0)
-			return
-		}
-	}
-	for _, m := range members {
-		if at := c.lost[m.ID]; at > 0 && c.lookedAt-at > dismissFor && live > 2*c.h.sheet.Tolerates.Machines {
-			c.p.Dismiss(m.ID)
-			return
-		}
+		reach = append(reach, prompter.Reach{Member: prompter.Member{ID: prompter.MemberID(d.Disk), Addr: d.Addr}, Leaving: d.Leaving})
 	}
+	c.p.Tend(reach, c.h.sheet.Tolerates.Machines)
+	c.layAside()
 }
 
 // propose puts a change into the log, or reads; then is told how it ended.
 func (c *core) propose(kind script.Kind, body []byte, then func(status int, body []byte)) {
 	c.token++
 	c.p.Now(c.h.e.Now())
-	c.waits[c.token] = waiting{kind, then}
 	if kind == Read || kind == ReadRollouts {
+		c.waits[c.token] = waiting{kind, nil, then}
 		c.p.Read(c.token)
 		return
 	}
-	c.p.Propose(c.token, script.Entry(kind, body))
+	entry := script.Entry(kind, body)
+	c.waits[c.token] = waiting{kind, entry, then}
+	c.p.Propose(c.token, entry)
 }
 
 // settle answers a call whose place in the log is known.
@@ -234,6 +219,8 @@
 	delete(c.waits, o.Token)
 	switch {
 	case !ok:
+	case o.Verdict == prompter.Unknown:
+		w.then(stagedoor.Unclear, []byte(o.Verdict.String()))
 	case o.Verdict != prompter.Done:
 		w.then(503, []byte(o.Verdict.String()))
 	case w.kind == Read:
@@ -241,9 +228,12 @@
 	case w.kind == ReadRollouts:
 		w.then(200, c.h.rolloutText())
 	default:
-		v := c.verdicts[o.Index]
-		status, text := answerOf(v.verdict, v.err)
-		w.then(status, text)
+		v := c.last
+		if v.index != o.Index || !bytes.Equal(v.entry, w.entry) {
+			check.That(false, "a proposal ends by its own entry")
+			v = verdict{verdict: playbill.Unclear}
+		}
+		w.then(answerOf(v.verdict, v.err))
 	}
 }
 
@@ -258,6 +248,8 @@
 		return 200, nil
 	case playbill.Conflict:
 		return 412, []byte(text)
+	case playbill.Unclear:
+		return stagedoor.Unclear, []byte(text)
 	}
 	return 400, []byte(text)
 }
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -38,6 +38,8 @@
 	// allNewShare of the burst is in buckets after the loss of all doors: what was spent before it is not known any more,
 	// and half a burst more in five seconds is under what the rule on quotas leaves (rate x 5 + burst, a tenth more).
 	allNewShare = 0.5
+	// newOwner is how long a bucket stays empty at a new owner, where seats are added: the old one goes on until it knows.
+	newOwner = time.Second
 )
 
 // House is one door.
@@ -83,8 +85,9 @@
 	ledAt   time.Duration // when a leader was last heard of by this member of the core
 
 	followers map[string]uint64
-	calls     map[uint64]*call
-	callNr    uint64
+	calls     map[uint32]*call
+	callNr    uint32
+	fault     fault // tests put one in
 	seatAsked time.Duration
 	pingedAt  time.Duration
 	seats     int
@@ -119,7 +122,7 @@
 	h.inner = net.JoinHostPort(h.sheet.IP, strconv.Itoa(h.sheet.InnerPorts[0]))
 	h.e, h.count = b, b.Counters()
 	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]uint64{}
-	h.calls, h.beats, h.stock = map[uint64]*call{}, map[callboard.Ticket]func(bool, string){}, newStock()
+	h.calls, h.beats, h.stock = map[uint32]*call{}, map[callboard.Ticket]func(bool, string){}, newStock()
 	if h.own != nil {
 		h.own.h = h
 	}
@@ -157,7 +160,7 @@
 // buildPath makes the way of requests and of calls.
 func (h *House) buildPath(b Base) error {
 	h.quota = control.NewQuota(h.seed, 0, 1, h.e.Now(), control.QuotaTerms{Gap: 50 * time.Millisecond,
-		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true, Start: allNewShare,
+		ViewLife: time.Second, MailPerS: 400, MostUnits: 1, Parts: true, Start: allNewShare, Fence: newOwner,
 		Window: h.sheet.Bounds.QuotaWindow, Excess: h.sheet.Bounds.QuotaExcess, Margin: float64(h.sheet.Bounds.QuotaMargin)})
 	h.openRollouts()
 	h.office = boxoffice.New(h.seed, boxoffice.Terms{Zone: h.stock.zone(h.sheet.Zone),
