--- a/control/books.go
+++ b/control/books.go
@@ -721,11 +721,20 @@
 func (q *Quota) sinceBirth(a *account) float64 {
 	level := a.limit.rate * max(0, q.now-q.since-q.terms.Fence).Seconds()
 	if q.allNew && q.elders == 0 {
-		level += q.terms.Start * a.limit.burst
+		level += q.startOf(a)
 	}
 	return min(a.limit.burst, level)
 }
 
+// startOf is what a bucket begins with in a fleet that is all new.
+func (q *Quota) startOf(a *account) float64 {
+	start := q.terms.Start * a.limit.burst
+	if q.terms.Parts {
+		start = min(start, a.limit.rate*startMost.Seconds())
+	}
+	return start
+}
+
 // ask makes the account part of the next delta, with nought if need be, unless a question is on its way.
 func (q *Quota) ask(a *account) {
 	if a.asked == 0 {
--- a/control/quota.go
+++ b/control/quota.go
@@ -36,6 +36,7 @@
 	lostLag     = 1 * time.Second // gateways find each other lost, and back, up to so far apart
 	lentFor     = 1 * time.Second // lent units may be spent for so long; their owner holds them for
 	lentHeld    = 6 * time.Second // a window more: they may have been spent
+	startMost   = 500 * ms        // of the rate: buckets begin with no more where all is new, as they were away so long
 	lentPart    = 4.0             // lent at once: what is left, over so many times the gateways
 
 	resendAfter, resendMost = 120 * ms, 3 // an unacknowledged delta goes again, twice as late each time
@@ -74,7 +75,7 @@
 	}
 	for _, a := range q.order {
 		if a.owner == q.me {
-			a.level += q.terms.Start * a.limit.burst // capped at the next refill
+			a.level += q.startOf(a) // capped at the next refill
 		}
 	}
 	q.allNew = true
