--- a/internal/callboard/spread.go
+++ b/internal/callboard/spread.go
@@ -17,9 +17,12 @@
 	sendAt time.Duration // when they go
 	flight []*parcel     // sent and not confirmed
 	again  []*parcel     // to be sent once more
+	sure   bool          // has confirmed something since it was greeted: what it says is of its present life
 	behind bool          // gave no confirmation: only asked for a sign, and greeted when there is one
 
+	busy   bool // its seat is among the board's busy ones
 	greet  bool // the next message begins to tell all there is
+	whole  bool // and it is being told all that
 	doubts []string
 	beats  []Word
 	acks   []uint64
@@ -48,12 +51,16 @@
 	return p
 }
 
+// wordIsCopy takes a defence out; only a test sets it.
+var wordIsCopy bool
+
 // drop forgets what was on its way to a door: it may come back in a new life that has heard nothing.
 func (b *Board) drop(p *peer) {
 	p.lostAt = b.now
 	p.order, p.flight, p.again, p.doubts, p.beats, p.acks = nil, nil, nil, nil, nil, nil
-	p.behind, p.greet = false, false
+	p.behind, p.greet, p.whole, p.sure = false, false, false, false
 	clear(p.waits)
+	b.queued = slices.DeleteFunc(b.queued, func(s Seat) bool { return s == p.door.Seat })
 	for _, e := range b.list {
 		delete(e.told, p.door.Seat)
 	}
@@ -76,13 +83,15 @@
 	if !b.tells(p) {
 		return
 	}
-	p.greet = p.door.Hears
+	if p.door.Hears {
+		b.queued = append(b.queued, s)
+		b.transfer()
+		return
+	}
 	for _, e := range b.list {
 		k, there := e.w.Keeper, e.phase() != Gone
 		var tell bool
 		switch {
-		case p.door.Hears:
-			tell = there
 		case b.firm && !b.self.Firm:
 			tell = there && e.level() > noEnd
 		default:
@@ -94,6 +103,35 @@
 	}
 }
 
+// transfer begins to tell all there is to those who follow and wait for it, a few at a time: after the loss of all doors everybody
+// asks at once, and what all are told together comes so late to each that they give up and ask another door, for all of it again.
+func (b *Board) transfer() {
+	if len(b.queued) == 0 {
+		return
+	}
+	under := 0
+	for _, s := range b.seats {
+		p := b.peers[s]
+		if p.whole && len(p.order)+len(p.flight) == 0 && !p.greet {
+			p.whole = false
+		}
+		if p.whole {
+			under++
+		}
+	}
+	for ; under < transfersMost && len(b.queued) > 0; under++ {
+		p := b.peers[b.queued[0]]
+		b.queued = b.queued[1:]
+		b.work(p)
+		p.greet, p.whole = true, true
+		for _, e := range b.list {
+			if e.phase() != Gone {
+				b.tell(p, e.w.ID, true)
+			}
+		}
+	}
+}
+
 // unnamed tells the door that is followed what it did not name a while after it began to tell all it has: so it learns
 // what it should have had, or this door that it is gone.
 func (b *Board) unnamed() {
@@ -130,6 +168,7 @@
 	if !now {
 		at += packFor
 	}
+	b.work(p)
 	if len(p.order) == 0 || at < p.sendAt {
 		p.sendAt = at
 	}
@@ -142,6 +181,7 @@
 // relay passes a beat on; the next beat makes up for a lost one.
 func (b *Board) relay(e *entry, s Seat) {
 	if p := b.peers[s]; p != nil && p.door.Live && len(p.beats) < wordsMost {
+		b.work(p)
 		p.beats = append(p.beats, b.word(e))
 	}
 }
@@ -200,7 +240,7 @@
 // resend repeats what was not confirmed, and gives up on a door that confirms nothing.
 func (b *Board) resend(p *peer) {
 	for _, f := range p.flight {
-		if b.now-f.at < p.patience() {
+		if b.now-f.at < p.patience(f) {
 			continue
 		}
 		if f.tries++; f.tries > resendMost && !p.behind {
@@ -218,19 +258,20 @@
 	}
 }
 
-// patience is how long a confirmation is waited for.
-func (p *peer) patience() time.Duration {
+// patience is how long a confirmation is waited for: twice as long after each time. Links lose nothing while they are up, so what is not
+// confirmed mostly waits where the door has more to do than it can, and the same again is no help to it.
+func (p *peer) patience(f *parcel) time.Duration {
 	if p.behind {
 		return askAfter
 	}
-	return resendAfter
+	return resendAfter << min(f.tries, resendDoubles)
 }
 
 // due is when the door wants to be looked at again.
 func (p *peer) due() time.Duration {
 	at := never
 	for _, f := range p.flight {
-		at = min(at, f.at+p.patience())
+		at = min(at, f.at+p.patience(f))
 	}
 	if p.door.Live && !p.behind && len(p.order) > 0 && len(p.flight) < flightMost {
 		at = min(at, p.sendAt)
@@ -256,6 +297,9 @@
 	for _, nr := range m.Acks {
 		b.confirmed(p, nr)
 	}
+	if from == b.feeder && len(m.Words) > 0 && b.askAt != never { // it is still telling all it has
+		b.askAt = max(b.askAt, min(b.now+nameFor, b.fedAt+nameMost))
+	}
 	for _, w := range m.Words {
 		b.heard(p, w)
 	}
@@ -268,6 +312,7 @@
 		b.doubted(p, w)
 	}
 	if m.Nr != 0 && len(p.acks) < confirmsMost {
+		b.work(p)
 		p.acks = append(p.acks, m.Nr)
 	}
 	b.settle()
@@ -302,7 +347,8 @@
 	if w.Phase == Gone && p.door.Seat == e.w.Keeper {
 		e.doubt = false
 	}
-	if l := lvl(w); l > noEnd {
+	// It holds the end itself, if it has said so in its present life: a late word of the former one is no copy.
+	if l := lvl(w); l > noEnd && (p.sure || wordIsCopy) {
 		b.tolds(e, p.door.Seat, l)
 	}
 	if w.Missed != None && w.Fence == e.w.Fence && w.Keeper == e.w.Keeper {
@@ -350,6 +396,7 @@
 func (b *Board) ask(e *entry) {
 	e.kept = b.now
 	if p := b.peers[e.w.Keeper]; p != nil && p.door.Live && !slices.Contains(p.doubts, e.w.ID) {
+		b.work(p)
 		p.doubts = append(p.doubts, e.w.ID)
 	}
 }
@@ -375,6 +422,7 @@
 				b.tolds(e, p.door.Seat, f.levels[j])
 			}
 		}
+		p.sure = true
 		p.flight = slices.Delete(p.flight, i, i+1)
 		p.again = slices.DeleteFunc(p.again, func(x *parcel) bool { return x == f })
 		return
--- a/internal/house/calls.go
+++ b/internal/house/calls.go
@@ -4,7 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"clovergap/internal/company"
+	"clovergap/internal/playbill"
+	"clovergap/internal/prompter"
 	"clovergap/internal/script"
 	"clovergap/internal/stagedoor"
 )
@@ -20,9 +24,8 @@
 type fault uint8
 
 const (
-	sound        fault = iota
-	numberAlone        // an answer belongs to whatever call bears its number
-	refuseByHere       // a door refuses by its own state, which may be behind
+	sound       fault = iota
+	numberAlone       // an answer belongs to whatever call bears its number
 )
 
 // call is one that waits for whoever leads.
@@ -55,7 +58,11 @@
 func (h *House) pass(nr uint32) {
 	c := h.calls[nr]
 	c.doubt = c.doubt || c.sent != ""
-	if h.core != nil && h.core.p.Leading() {
+	if !h.may(takeCalls) {
+		h.turnAway(nr)
+		return
+	}
+	if h.leading() {
 		c.next, c.sent = c.until, "here"
 		h.lead(nr, false)
 		return
@@ -81,13 +88,20 @@
 	if c == nil || c.sent != "here" {
 		return
 	}
-	switch body, err := h.counted(c.kind, c.body); {
+	body, err := h.counted(c.kind, c.body)
+	refusal := 400
+	if err == nil {
+		if err = h.tooLarge(c.kind, body); err != nil {
+			refusal = 413
+		}
+	}
+	switch {
 	case err == nil:
 		h.core.propose(c.kind, body, func(status int, body []byte) {
 			h.replied(nr, status, h.worded(c.kind, c.body, status, body))
 		})
 	case confirmed:
-		h.replied(nr, 400, []byte(err.Error()))
+		h.replied(nr, refusal, []byte(err.Error()))
 	default:
 		h.core.propose(Read, nil, func(status int, body []byte) {
 			if status != 200 {
@@ -99,6 +113,18 @@
 	}
 }
 
+// noMajority tells a caller to go elsewhere: nothing was taken at this try.
+const noMajority = "no majority is in contact here, another door may know more"
+
+// turnAway ends a call here: while this door has no word of a majority, waiting is worth nothing.
+func (h *House) turnAway(nr uint32) {
+	text := noMajority
+	if c := h.calls[nr]; c.doubt || c.sent != "" { // who has it may take it yet
+		text = prompter.Unknown.String()
+	}
+	h.end(nr, 503, []byte(text))
+}
+
 // leads is the door to pass a call on to: the leader where it is known, else the door that this one follows.
 func (h *House) leads() string {
 	if h.core != nil {
@@ -115,7 +141,7 @@
 
 // leadsAnew tells whether another leads, as far as is known here, than the door that a call was passed on to.
 func (h *House) leadsAnew(than string) bool {
-	if h.core != nil && h.core.p.Leading() {
+	if h.leading() {
 		return true
 	}
 	to := h.leads()
@@ -150,6 +176,10 @@
 	if c == nil {
 		return
 	}
+	if status == 503 && string(body) == noMajority && c.sent == h.feeder && h.core == nil { // one that has word may be there
+		h.words[h.feeder] = word{h.e.Now(), never, 0, 0}
+		h.tendFeed()
+	}
 	if status == 503 && h.e.Now()+callAgain < c.until {
 		c.sent, c.next = "", h.e.Now()+callAgain
 		h.e.At(c.next, (*callAlarm)(h), nr)
@@ -182,6 +212,8 @@
 	case c == nil:
 	case now >= c.until:
 		h.end(nr, 503, []byte("no clear answer in time"))
+	case !h.may(takeCalls):
+		h.turnAway(nr)
 	case now < c.next:
 	case c.sent != "" && !h.leadsAnew(c.sent): // its answer is still to come
 		c.next = now + callAgain
@@ -193,7 +225,7 @@
 
 // wantSeat asks for a seat while this door has none.
 func (h *House) wantSeat() {
-	if h.seat() != company.NoSeat || h.e.Now()-h.seatAsked < time.Second || h.stale() > readyStale {
+	if h.seat() != company.NoSeat || h.e.Now()-h.seatAsked < time.Second || !h.may(askSeat) {
 		return
 	}
 	h.seatAsked = h.e.Now()
@@ -205,3 +237,26 @@
 		}
 	})
 }
+
+// diskCopies is how many times the largest state the file holds at the most, and a little: see promptbook.
+const diskCopies = 10
+
+// tooLarge tells whether a configuration that would be taken grows beyond what the disk is for. Whoever leads decides it, before
+// anything is proposed: what is in the log is applied everywhere, whatever a door's disk. An amendment counts in full, whatever it
+// takes away.
+func (h *House) tooLarge(k script.Kind, body []byte) error {
+	size, most := len(body), controlBound
+	if d := h.sheet.Limits.DiskMB; d > 0 {
+		most = min(most, d<<20/diskCopies)
+	}
+	if k == script.Amend {
+		size += len(h.script.Bills.Body())
+	}
+	if k != script.Replace && k != script.Amend || size <= most {
+		return nil
+	}
+	if v, _ := h.script.Decide(k, body); v != playbill.Taken {
+		return nil // its answer is another
+	}
+	return errors.Errorf("configuration of %d bytes, at most %d fit", size, most)
+}
--- a/internal/prompter/prompter.go
+++ b/internal/prompter/prompter.go
@@ -118,17 +118,22 @@
 	Spread   time.Duration // on top of Patience, by chance
 	Silence  time.Duration // a leader that no majority answered for so long stops leading
 	Tell     time.Duration // others hear at most this late what was committed
-	Resend   time.Duration // a snapshot is not sent again earlier
+	Resend   time.Duration // a window that nobody acknowledged goes again, a whole snapshot wholeAgain times as late
 	Learn    time.Duration // a door to be admitted that says nothing for so long is given up
 	Pending  int           // most proposals, and most reads, that wait
+	Held     int           // bytes of entries that are not committed, but always one entry; 0: not bounded
 	Batch    int           // bytes of entries in one message, but always one entry
+	Window   int           // bytes in flight to one member; what is larger goes in chunks. 0: not bounded
+	Chunk    int           // bytes of a chunk
+	Trail    int           // bytes of entries that are kept after they went into a snapshot, at the least
 }
 
-// DefaultTerms are for links of a few ms and disks of some ms a sync.
+// DefaultTerms are for links of a few ms and from 2 Mbit/s on, and disks of some ms a sync: a window to each of a handful of
+// receivers holds up a heartbeat on such a link by less than a member is patient.
 func DefaultTerms() Terms {
 	return Terms{Beat: 150 * time.Millisecond, Patience: 400 * time.Millisecond, Spread: 400 * time.Millisecond,
-		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 1500 * time.Millisecond, Learn: 3 * time.Second,
-		Pending: 1024, Batch: 128 << 10}
+		Silence: time.Second, Tell: 20 * time.Millisecond, Resend: 500 * time.Millisecond, Learn: 3 * time.Second,
+		Pending: 1024, Held: 8 << 20, Batch: 16 << 10, Window: 16 << 10, Chunk: 8 << 10, Trail: 64 << 10}
 }
 
 // MessageKind tells what a message is.
@@ -136,17 +141,19 @@
 
 // The kinds of messages; the comments tell what their fields hold.
 const (
-	Append     MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
-	Ack                               // all up to Index is as the leader's, and synced; Round as heard
-	Reject                            // Index is not as told; committed is Index; Round as heard
-	RefuseView                        // promised to a newer View
-	PreVote                           // has the leader been lost? Round tells this asking from others
-	PreVoted                          // No: it has not
-	Prepare                           // stop the views before View and wait for its leader
-	Promise                           // promised, on disk; the last entry is Index of view At
-	FetchLog                          // the log after Index, please
-	LogTail                           // the log after Index, or a Snap and all after it
-	TakeOver                          // the leader leaves: ask for the next view now
+	Append      MessageKind = iota + 1 // leader's: Entries (maybe none) after Index of view At, or a Snap up to there
+	Ack                                // all up to Index is as the leader's, and synced; Round as heard
+	Reject                             // Index is not as told; committed is Index; Round as heard
+	RefuseView                         // promised to a newer View
+	PreVote                            // has the leader been lost? Round tells this asking from others
+	PreVoted                           // No: it has not
+	Prepare                            // stop the views before View and wait for its leader
+	Promise                            // promised, on disk; the last entry is Index of view At
+	FetchLog                           // the log after Index, please
+	LogTail                            // the log after Index, or a Snap and all after it
+	TakeOver                           // the leader leaves: ask for the next view now
+	AppendChunk                        // leader's: as Append, but Chunk is a part of what Snap or the one of Entries lacks
+	AckChunk                           // of the blob that Chunk names all before its Offset is had, in memory; Round as heard
 )
 
 // Message is what members say. One lost, doubled or late does no harm.
@@ -158,13 +165,15 @@
 	Index, At uint64
 	Delivered uint64
 	Round     uint64
-	Elsewhere uint64 // of a heartbeat: see Elsewhere
+	Elsewhere uint64 // of a heartbeat to one that leaves: see Elsewhere
 	No        bool
 	Entries   []Entry
 	Snap      *Snapshot
+	Chunk     *Chunk
+	Chunks    bool // in acks and rejects: the sender takes chunks
 
-	Clock, Echo uint64        // of Append, Ack and Reject: the sender's, and the newest heard from the other in this view
-	Contact     time.Duration // of Append: how old its majority's contact is; below nought while there was none
+	Clock, Echo uint32 // of Append, Ack and Reject: the sender's, and the newest heard from the other in this view
+	Contact     int64  // of Append: how old its majority's contact is, in ms; below nought while there was none
 }
 
 // Action is what the host is to do: Send, Write, Commit, Restore, Outcome or Wake.
@@ -189,6 +198,25 @@
 	Entries   []Entry
 }
 
+// Then is one write that does what two do, one after the other.
+func (w Write) Then(next Write) Write {
+	if s := next.Snap; s == nil {
+		next.Snap = w.Snap
+	} else if w.From > 0 && w.From <= s.Index {
+		w.Entries = w.Entries[min(uint64(len(w.Entries)), s.Index+1-w.From):]
+		w.From = s.Index + 1
+	}
+	switch {
+	case w.From == 0:
+	case next.From == 0:
+		next.From, next.Entries = w.From, w.Entries
+	case next.From > w.From:
+		keep := min(uint64(len(w.Entries)), next.From-w.From)
+		next.From, next.Entries = w.From, slices.Concat(w.Entries[:keep], next.Entries)
+	}
+	return next
+}
+
 // Commit is the next entry of the order. NoOp and ConfigChange are committed too: Index has no gaps.
 type Commit struct{ Entry Entry }
 
@@ -280,9 +308,14 @@
 	promisedTo MemberID
 	snap       Snapshot
 	log        []Entry  // after snap
+	trail      []Entry  // the last that went into snap, in memory only
+	trailView  uint64   // of the entry before them
+	blob       *Blob    // snap's state, once it was sent
+	in         Incoming // from the leader
 	configs    []config // the one that holds at snap, and those in the log
 	committed  uint64
 	synced     uint64 // the log is on disk up to here
+	held       bool   // so is the founding
 
 	nr        uint64 // of the write that is put together
 	done      uint64 // synced
@@ -304,9 +337,9 @@
 	roundSaid   uint64
 	elsewhere   uint64
 
-	clocks      uint64 // where those of this life begin
+	clock       Clock
 	known       known
-	leaderClock uint64 // the newest heard in this view
+	leaderClock uint32 // the newest heard in this view
 
 	seen        uint64              // the newest view anyone spoke of
 	try         uint64              // number of an asking
@@ -317,8 +350,9 @@
 
 	peers       map[MemberID]*progress // by the leader
 	learner     MemberID
-	learns      config // its members are the list once the learner has caught up; none: it is held back
-	learnAt     time.Duration
+	learns      config                     // its members are the list once the learner has caught up; none: it is held back
+	learnAt     time.Duration              // it last had something new on disk
+	learnFrom   time.Duration              // it became the learner
 	lost        map[MemberID]time.Duration // since when the host does not reach a member
 	gaveUp      MemberID                   // the last learner that was
 	noOp        uint64
@@ -335,12 +369,20 @@
 type progress struct {
 	Member
 	next, match uint64
+	base        uint64 // entries are in flight from here on
 	round       uint64
 	heard       time.Duration
 	snapAt      time.Duration
 	againAt     time.Duration
-	clock       uint64        // its newest
+	clock       uint32        // its newest
 	contact     time.Duration // it followed this view when this one's clock was so
+
+	answered bool // in this view; and whether it takes chunks
+	chunks   bool
+	out      Outgoing  // what it is being sent: kept until it has it, however many snapshots there are since
+	snap     *Snapshot // whose state out is
+	entry    *Entry    // or whose data
+	prev     place     // what it must have before it takes that
 }
 
 type read struct{ token, round uint64 }
@@ -353,12 +395,12 @@
 	p := &Prompter{me: me, terms: terms, now: now, seed: uint64(seed) ^ uint64(me.ID), house: k.House,
 		promise: k.Promise, promisedTo: k.For, snap: k.Snap, nr: 1, heardAt: now - terms.Patience, due: never, seen: k.Promise,
 		tokens: map[uint64]uint64{}, lost: map[MemberID]time.Duration{}, known: known{at: noWord}}
-	p.clocks = (p.seed * 0x9e3779b97f4a7c15) >> 1
+	p.clock = NewClock(p.seed)
 	p.configs = []config{{k.Snap.Index, k.Snap.Members}}
 	for _, e := range k.Entries {
 		p.appendEntry(e)
 	}
-	p.synced, p.committed = p.last(), p.snap.Index
+	p.synced, p.committed, p.held = p.last(), p.snap.Index, k.House != 0
 	if p.snap.Index > 0 {
 		p.out = append(p.out, Restore{p.snap.Index, p.snap.State})
 	}
@@ -397,17 +439,14 @@
 // again does nothing; anything else where something is on disk is refused. All founders must be handed the
 // same list.
 func (p *Prompter) Found(members []Member) error {
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	hash, mine := fnv.New32a(), false
+	members, house := sortedMembers(members), HouseOf(members)
+	mine := false
 	for i, m := range members {
 		if m.ID == 0 || i > 0 && members[i-1].ID == m.ID {
 			return errors.Errorf("a founder's id %d is 0 or twice in the list", m.ID)
 		}
 		mine = mine || m.ID == p.me.ID
-		hash.Write(append(binary.AppendUvarint(nil, uint64(m.ID)), m.Addr...))
 	}
-	house := uint64(hash.Sum32()) | 1
 	switch {
 	case !mine:
 		return errors.New("this member is not among the founders")
@@ -425,6 +464,29 @@
 	return nil
 }
 
+// HouseOf names the founding by these members, in whatever order.
+func HouseOf(members []Member) uint64 {
+	hash := fnv.New32a()
+	for _, m := range sortedMembers(members) {
+		hash.Write(append(binary.AppendUvarint(nil, uint64(m.ID)), m.Addr...))
+	}
+	return uint64(hash.Sum32()) | 1
+}
+
+func sortedMembers(members []Member) []Member {
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members
+}
+
+// House names the founding whose state this disk holds, synced; 0: none.
+func (p *Prompter) House() uint64 {
+	if !p.held {
+		return 0
+	}
+	return p.house
+}
+
 // Propose asks for an entry; its Outcome carries the token, which is the host's and not used twice. The
 // data is kept.
 func (p *Prompter) Propose(token uint64, data []byte) {
@@ -432,6 +494,10 @@
 		p.outcome(token, 0, v)
 		return
 	}
+	if p.Uncompacted(p.last())-p.Uncompacted(p.committed)+len(data) > p.terms.Held && p.terms.Held > 0 && p.committed < p.last() {
+		p.outcome(token, 0, Busy) // the disks are not for any number of large ones that wait
+		return
+	}
 	p.tokens[p.appendNew(Entry{Kind: Change, Data: data})] = token
 }
 
@@ -476,10 +542,13 @@
 }
 
 // Elsewhere is up to which index all that is known here to be committed is on the disks of a majority of the members without
-// this one, and Committed what is known to be: who leaves waits until the one has come up to the other.
+// this one, where it leaves, and Committed what is known to be: who leaves waits until the one has come up to the other.
 func (p *Prompter) Elsewhere() uint64 {
-	if p.role == leading {
+	switch {
+	case p.role == leading:
 		return p.heldWithout(p.me.ID)
+	case !p.member(p.me.ID): // nothing rests on it
+		return p.committed
 	}
 	return min(p.elsewhere, p.committed)
 }
@@ -493,6 +562,7 @@
 	p.done = max(p.done, nr)
 	for len(p.writes) > 0 && p.writes[0].nr <= nr {
 		p.synced = max(p.synced, p.writes[0].upto)
+		p.held = p.held || p.house != 0 && p.synced > 0
 		p.writes = p.writes[1:]
 	}
 	n := 0
@@ -512,11 +582,13 @@
 		return
 	}
 	view, _ := p.viewAt(index)
+	gone, before := p.log[:index-p.snap.Index], p.snap.View
 	p.log = slices.Clone(p.log[index-p.snap.Index:])
 	for len(p.configs) > 1 && p.configs[1].index <= index {
 		p.configs = p.configs[1:]
 	}
 	p.snap = Snapshot{Index: index, View: view, Members: p.configs[0].members, State: state}
+	p.keepTrail(gone, before)
 	p.dirtySnap = true
 	p.markDirty(0)
 }
--- a/internal/prompter/view.go
+++ b/internal/prompter/view.go
@@ -12,7 +12,9 @@
 		return
 	}
 	if p.house == 0 || m.House != p.house && p.lone() {
-		if m.Kind == Append || p.house == 0 && p.fault == countWiped && m.Kind == Prepare {
+		if m.Kind == AppendChunk {
+			p.onChunk(from, m)
+		} else if m.Kind == Append || p.house == 0 && p.fault == countWiped && m.Kind == Prepare {
 			p.onFirst(from, m)
 		}
 		return
@@ -24,7 +26,9 @@
 	switch m.Kind {
 	case Append:
 		p.onAppend(from, m)
-	case Ack, Reject:
+	case AppendChunk:
+		p.onChunk(from, m)
+	case Ack, Reject, AckChunk:
 		p.onAck(from, m)
 	case RefuseView:
 		// One who knows a newer view takes nothing from this one any more.
@@ -61,7 +65,7 @@
 // state. A leader of another founding has the promises of that one's majority.
 func (p *Prompter) onFirst(from MemberID, m Message) {
 	if m.Kind == Append && m.Snap == nil {
-		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round})
+		p.send(from, Message{Kind: Reject, House: m.House, View: m.View, Round: m.Round, Chunks: true})
 		return
 	}
 	p.forget()
@@ -89,7 +93,7 @@
 // forget makes it as an empty disk: what is written next says what it holds.
 func (p *Prompter) forget() {
 	check.That(len(p.log) == 0 && p.role != leading, "only a founding is laid aside")
-	p.house, p.promise, p.promisedTo, p.seen = 0, 0, 0, 0
+	p.house, p.promise, p.promisedTo, p.seen, p.held = 0, 0, 0, 0, false
 	p.snap, p.configs, p.committed = Snapshot{}, []config{{}}, 0
 	p.unsync(0)
 	p.role, p.leader, p.due = following, 0, never
@@ -218,6 +222,19 @@
 		a.Snap, a.Index = &s, s.Index
 	}
 	a.Entries = p.from(a.Index + 1)
+	size := 0
+	if a.Snap != nil {
+		size = len(a.Snap.State)
+	}
+	for i := range a.Entries {
+		size += a.Entries[i].size()
+	}
+	if p.large(size) && p.member(p.me.ID) {
+		// It would hold up all else on the link for as long: who has the newest log asks for the next view itself, and
+		// brings the other up to it as its leader, in chunks.
+		p.prepare(true)
+		return
+	}
 	p.send(from, a)
 }
 
@@ -242,11 +259,11 @@
 	p.tallyPromises()
 }
 
-// lines takes what a leader says.
-func (p *Prompter) onAppend(from MemberID, m Message) {
+// hearLeader takes what each of a leader's messages tells. False: it is of an older view.
+func (p *Prompter) hearLeader(from MemberID, m Message) bool {
 	if m.View < p.promise && p.fault != takeOld {
 		p.send(from, Message{Kind: RefuseView, View: p.promise})
-		return
+		return false
 	}
 	if m.View > p.promise || p.promisedTo != from && p.fault != takeOld {
 		p.enterView(m.View, from)
@@ -254,17 +271,27 @@
 	check.That(p.role != leading, "a view has one leader")
 	p.role, p.leader, p.heardAt, p.begun, p.failedViews = following, from, p.now, true, 0
 	p.round = max(p.round, m.Round)
+	if p.leaderClock == 0 || int32(m.Clock-p.leaderClock) > 0 {
+		p.leaderClock = m.Clock
+	}
+	return true
+}
+
+// onAppend takes what a leader sends.
+func (p *Prompter) onAppend(from MemberID, m Message) {
+	if !p.hearLeader(from, m) {
+		return
+	}
 	if len(m.Entries) == 0 && m.Snap == nil {
 		p.elsewhere = m.Elsewhere
 	}
 	if p.mayInstall(m.Snap) {
 		p.install(*m.Snap)
 	}
-	p.leaderClock = max(p.leaderClock, m.Clock)
 	if v, ok := p.viewAt(m.Index); m.Index > p.committed && (!ok || v != m.At && p.fault != unmatched) {
 		p.setDue()
 		p.send(from, Message{Kind: Reject, View: m.View, Index: p.committed, Round: p.round,
-			Clock: p.clock(), Echo: p.leaderClock})
+			Clock: p.clock.Tell(p.now), Echo: p.leaderClock, Chunks: true})
 		return
 	}
 	p.merge(m.Index, m.Entries)
@@ -287,7 +314,8 @@
 		upto = p.matched
 	}
 	p.roundSaid = p.round
-	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock(), Echo: p.leaderClock})
+	p.send(p.leader, Message{Kind: Ack, View: p.promise, Index: upto, Round: p.round, Clock: p.clock.Tell(p.now), Echo: p.leaderClock,
+		Chunks: true})
 }
 
 // stepDown stops leading.
--- a/internal/rehearsal/operator.go
+++ b/internal/rehearsal/operator.go
@@ -22,6 +22,7 @@
 	unsure   bool
 	goes     bool
 	busy     bool
+	taken    []order
 }
 
 func newOperator(w *world) *operator {
@@ -49,6 +50,7 @@
 			return
 		}
 		p.turn(func() {
+			w.doing = "operator"
 			answered := func(status int, text []byte) { w.after(way, func() { end(status, text) }) }
 			switch path {
 			case extras.ReplacePath:
@@ -105,6 +107,7 @@
 		case clear && status == 200:
 			v.Acked = w.now
 			o.known = max(o.known, gen)
+			o.taken = append(o.taken, order{gen, c.Path, text})
 			note(extras.Taken, "")
 			w.happens(acked)
 		case clear:
@@ -120,7 +123,7 @@
 
 // open sends the first configuration until it is taken, then changes it as long as it may.
 func (o *operator) open(then func()) {
-	first := extras.First()
+	first := o.w.day.Wide.first()
 	o.propose(extras.Change{Path: extras.ReplacePath, Body: first, Version: extras.Version{Bill: first}}, func(status int, clear bool) {
 		if status != 200 {
 			o.w.after(100*time.Millisecond, func() { o.open(then) })
@@ -128,6 +131,9 @@
 		}
 		o.goes = true
 		o.audit()
+		if o.w.day.Hard {
+			o.again()
+		}
 		then()
 		o.pause()
 	})
@@ -150,6 +156,10 @@
 	if status != 200 || json.Unmarshal(text, b) != nil {
 		return nil
 	}
+	if v := o.versions[b.Generation]; v != nil && !extras.Same(v.Bill, b) {
+		o.w.broken = append(o.w.broken, history.Broken{Rule: "CONFIG", T: o.w.now,
+			What: fmt.Sprintf("%d was read back otherwise than it was sent", b.Generation)})
+	}
 	o.w.note(history.Event{Who: "operator", Kind: extras.ReadBack, N: float64(b.Generation), Due: began})
 	return b
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,6 +42,9 @@
 	Mbps                float64       // of each machine's link; 0: not bounded
 	Turn                time.Duration // of processor time that a turn takes; 0: none
 	Hot                 bool          // days of a tenant that rushes, and of cuts about then
+	Share               float64       // of a core that a door has, in metered days: what turns took holds up the next; 0: not bounded
+	Regions             int           // zones lie in these in turn; 0 or 1: all in one
+	Wide                Wide          // nought: the small house
 }
 
 // Usual completes a site.
@@ -78,6 +82,7 @@
 	Wipe    bool // and one disk is lost by it
 	Calm    bool // nothing but its time is played: no recovery is waited for
 	Changes bool // while the operator goes on, in a calm day
+	Hard    bool // disks wait their turn to be lost, and the operator sends again what was taken long ago: see DrawHard
 	Log     io.Writer
 }
 
@@ -106,6 +111,16 @@
 	over     bool
 	sum      uint64 // of what travelled
 	counted  time.Duration
+	parted   Parted
+	chases   bool     // an order of a parted door's is under way
+	copies   int      // faults under way that let frames come twice
+	replaced int      // machines
+	passer   *machine // who last passed on a call, and to whom
+	passedTo *machine
+	broken   []history.Broken // seen while the day went on
+	metered  bool             // work and frames are counted, and no history is kept
+	enough   func() string    // why a metered day is to end at once; nil: never
+	doing    string           // what the turn under way is for, where it is metered
 }
 
 // moment is something that faults wait for.
@@ -116,6 +131,7 @@
 	drained moment = "a drain was acknowledged"
 	asks    moment = "a member asks for another view"
 	writes  moment = "a disk has begun to write"
+	passes  moment = "a door passes on a call"
 )
 
 // happens calls those who wait for a moment.
@@ -209,6 +225,11 @@
 		if w.events++; w.events > eventsMost {
 			panic("the day does not end")
 		}
+		if w.enough != nil && w.events%enoughEach == 0 {
+			if why := w.enough(); why != "" {
+				panic(ended(why))
+			}
+		}
 		do()
 		if is != nil && is() {
 			return true
@@ -218,6 +239,9 @@
 
 // note adds to the history.
 func (w *world) note(e history.Event) {
+	if w.metered {
+		return
+	}
 	e.T = w.now
 	w.history = append(w.history, e)
 }
@@ -232,9 +256,18 @@
 	if from == to {
 		return span(w.net, 200*time.Microsecond, 600*time.Microsecond)
 	}
+	if n := w.day.Regions; n > 1 && w.region(from) != w.region(to) {
+		return span(w.net, acrossLeast, acrossMost)
+	}
 	return span(w.net, 800*time.Microsecond, 3*time.Millisecond)
 }
 
+// One way between two regions.
+const acrossLeast, acrossMost = 50 * time.Millisecond, 60 * time.Millisecond
+
+// region is where a zone lies.
+func (w *world) region(zone string) int { return slices.Index(w.zones, zone) % max(w.day.Regions, 1) }
+
 // digest is of all that was seen and of every byte that travelled between doors.
 func (w *world) digest() string {
 	f := fnv.New64a()
