--- /dev/null
+++ b/control/bound_test.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// storm is a cut with all gateways pressed without end: each spends whatever is covered, at once. Gateways [0, k) after the
+// owner are cut off from it and from the others on its side.
+type storm struct {
+	*crew
+	k            int
+	rate, burst  float64
+	split        bool
+	in, out      bool // which way is cut: what the far side hears, and what is heard of it
+	pressed      bool
+	found, healy time.Duration // until the gateways find it, and its end, at the latest
+	step         time.Duration
+}
+
+func newStorm(t *testing.T, n, k int, rate, burst float64) *storm {
+	s := &storm{crew: newCrew(t, n, rate, burst), k: k, rate: rate, burst: burst, in: true, out: true, step: 10 * ms,
+		found: 2900 * ms, healy: 900 * ms}
+	return s
+}
+
+// far tells whether a gateway is on the other side than the owner.
+func (s *storm) far(g GatewayID) bool {
+	n := len(s.all)
+	return (int(g)-int(s.owner())-1+n)%n < s.k
+}
+
+// cutNow parts the sides, or joins them; gateways find it within a span, in an order that chance gives.
+func (s *storm) cutNow(off bool) {
+	s.split = off
+	for i := range s.all {
+		for j := range s.all {
+			if a, b := GatewayID(i), GatewayID(j); s.far(a) != s.far(b) {
+				s.cut[[2]GatewayID{a, b}] = off && (s.far(b) && s.in || s.far(a) && s.out)
+			}
+		}
+	}
+}
+
+// tell tells one gateway who is in reach.
+func (s *storm) tell(g GatewayID, split bool) {
+	live := make([]bool, len(s.all))
+	for i := range live {
+		live[i] = !split || s.far(g) == s.far(GatewayID(i))
+	}
+	if s.all[g] != nil {
+		s.all[g].Reach(live)
+	}
+}
+
+// goes goes on for a while. What was told by the end of findings is told when it is due.
+func (s *storm) goes(d time.Duration, due map[time.Duration][]func()) {
+	for end := s.now + d; s.now < end; {
+		s.now += s.step
+		for at, all := range due {
+			if at <= s.now {
+				for _, do := range all {
+					do()
+				}
+				delete(due, at)
+			}
+		}
+		for _, i := range s.chance.Perm(len(s.all)) {
+			q := s.all[i]
+			if q == nil {
+				continue
+			}
+			q.Now(s.now)
+			for tries := 0.0; s.pressed && tries <= s.rate+s.burst; tries++ { // more at once is over any bound
+				if v, _ := q.Covered(watched, Wish{Units: 1, Arrived: s.now, SLA: 400 * ms}); v != Pass {
+					break
+				}
+				q.Spend(watched, 1)
+				s.spent = append(s.spent, s.now)
+			}
+		}
+		s.carry()
+	}
+}
+
+// plan is when a cut begins and ends, by turns, after the rush has begun or before it.
+var plans = map[string][]time.Duration{
+	"once":      {0, 12 * time.Second},
+	"before":    {-2 * time.Second, 9 * time.Second},
+	"long ago":  {-20 * time.Second, 6 * time.Second},
+	"rush then": {300 * ms, 8 * time.Second},
+	"thrice":    {0, 700 * ms, 1200 * ms, 2200 * ms, 2900 * ms, 9 * time.Second},
+	"by turns":  {0, 4500 * ms, 5 * time.Second, 9500 * ms, 10 * time.Second, 14 * time.Second},
+}
+
+// plays a plan; each gateway finds a change after a while of its own.
+func (s *storm) plays(plan []time.Duration, spread bool) {
+	due := map[time.Duration][]func(){}
+	add := func(at time.Duration, do func()) { due[at] = append(due[at], do) }
+	const rush = 40 * time.Second
+	for i, at := range plan {
+		off, at := i%2 == 0, rush+at
+		add(at, func() { s.cutNow(off) })
+		for g := range s.all {
+			wait := s.found
+			if !off {
+				wait = s.healy
+			}
+			if spread {
+				wait -= time.Duration(s.chance.Int63n(int64(900 * ms)))
+			}
+			add(at+wait+time.Duration(g), func() { // found only if it is still so
+				if s.split == off {
+					s.tell(GatewayID(g), off)
+				}
+			})
+		}
+	}
+	calm := rush + min(plan[0], 0) - 100*ms
+	s.step = 50 * ms
+	s.goes(calm, due) // in the end buckets are full, and each gateway has its part
+	s.step = 10 * ms
+	s.goes(rush-calm, due)
+	s.pressed = true
+	s.goes(plan[len(plan)-1]+4*time.Second, due)
+}
+
+// A cut bears the rule whoever is on which side: all numbers of gateways cut off from the owner, small and large rates and
+// bursts, everybody pressed without end from the worst moment on. With the allowance of before, r/n a second from 0.4 s of
+// silence on and b/2n saved up, beside views that nobody had set units aside for, most of these broke it.
+func TestQuotaAnyCut(t *testing.T) {
+	limits := [][2]float64{{6, 6}, {20, 20}, {200, 200}, {1000, 1000}, {20, 400}, {400, 20}, {10, 300}}
+	for _, n := range []int{2, 3, 5, 12} {
+		for k := 1; k < n; k++ {
+			for i, l := range limits {
+				for name, plan := range plans {
+					nr := k + i + len(name)
+					if n == 12 && nr%6 != 0 { // a part of these, all k and all limits
+						continue
+					}
+					s := newStorm(t, n, k, l[0], l[1])
+					s.in, s.out = nr%3 != 1, nr%3 != 2 // some one way
+					s.plays(plan, (k+i)%2 == 0)
+					s.bounded(fmt.Sprintf("%d of %d, %v, %s", k, n, l, name))
+				}
+			}
+		}
+	}
+}
+
+// Gateways start again while all are pressed without end: the owner, the others, or any. No life brings a fresh share.
+func TestQuotaAnyRestart(t *testing.T) {
+	for _, l := range [][2]float64{{6, 6}, {20, 20}, {200, 200}, {20, 400}, {400, 20}} {
+		for _, n := range []int{2, 3, 5, 12} {
+			for who := range 3 {
+				s := newStorm(t, n, 1, l[0], l[1])
+				s.step = 50 * ms
+				s.goes(40*time.Second, nil)
+				s.step, s.pressed = 10*ms, true
+				for life := range int64(10) {
+					s.goes(300*ms, nil)
+					var gone []GatewayID
+					for i := range s.all {
+						g := GatewayID(i)
+						if who == 2 && s.chance.Intn(2) == 0 || who < 2 && (g == s.owner()) == (who == 0) {
+							gone, s.all[i] = append(gone, g), nil
+						}
+					}
+					s.goes(400*ms, nil)
+					for _, g := range gone {
+						s.all[g] = NewQuota(100*life+int64(g)+50, g, n, s.now, gatewayTerms)
+						s.all[g].SetLimit(watched, l[0], l[1])
+					}
+				}
+				s.bounded(fmt.Sprintf("%d, %v, %d", n, l, who))
+			}
+		}
+	}
+}
+
+// Owners change as gateways are added, and some learn of it a second after others, with all pressed without end.
+func TestQuotaAnyGrowth(t *testing.T) {
+	for _, l := range [][2]float64{{6, 6}, {20, 20}, {200, 200}, {20, 400}, {400, 20}} {
+		for seed := range int64(8) {
+			s := newStorm(t, 2, 1, l[0], l[1])
+			s.chance, s.step = rand.New(rand.NewSource(seed)), 50*ms
+			s.goes(40*time.Second, nil)
+			s.step, s.pressed = 10*ms, true
+			for n := 3; n <= 8; n++ {
+				q := NewQuota(int64(n)+100, 0, 1, s.now, gatewayTerms)
+				q.SetLimit(watched, l[0], l[1])
+				q.Grow(GatewayID(n-1), n)
+				s.all = append(s.all, q)
+				for _, i := range s.chance.Perm(n - 1) {
+					s.goes(time.Duration(s.chance.Int63n(int64(time.Second)/int64(n))), nil)
+					s.all[i].Grow(GatewayID(i), n)
+				}
+			}
+			s.goes(5*time.Second, nil)
+			s.bounded(fmt.Sprintf("%v, %d", l, seed))
+		}
+	}
+}
+
+func (s *storm) bounded(what string) {
+	s.t.Helper()
+	first, most := 0, 0
+	for i, at := range s.spent {
+		for ; s.spent[first] <= at-5*time.Second; first++ {
+		}
+		most = max(most, i-first+1)
+	}
+	must.LessEq(s.t, (s.rate*5+s.burst)*1.1+20, float64(most), must.Sprint(what))
+}
+
+// An owner that starts again is believed at once: its versions begin anew, and what it lends must not count as told before.
+// Doors without units of their own refused most of what was owed until it had sent as many messages as in its life before.
+func TestQuotaLentByNextLife(t *testing.T) {
+	c := newCrew(t, 12, 100, 100)
+	c.run(20*time.Second, 5)
+	g := c.owner()
+	c.all[g] = NewQuota(99, g, 12, c.now, gatewayTerms)
+	c.all[g].SetLimit(watched, 100, 100)
+	for i := range c.all {
+		if GatewayID(i) != g { // what they may spend on no word is used up
+			a := c.all[i].accounts[watched]
+			a.bare, a.bareAt = 0, c.now+time.Minute
+		}
+	}
+	c.run(2*time.Second, 5)
+	must.Greater(t, 90, c.run(2*time.Second, 5), must.Sprint("of 120 that are asked for"))
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -17,8 +17,8 @@
 	customer CustomerID
 	plan     PlanID
 	units    float64
-	out      int
-	part     float64 // of the ceiling: given, or below nought asked for
+	out      int     // submissions; by parts: see outOf
+	part     float64 // of the ceiling: given, or below nought asked for; by parts: lent units that were spent or let go
 	first    GatewayID
 	wanted   float64 // units that wait for an answer
 	width    int     // the customer's set, so that an owner knows it before it sees a txn of its own
@@ -29,7 +29,7 @@
 	left     float64
 	sharers  int
 	outElse  int
-	grant    float64 // of the ceiling
+	grant    float64 // of the ceiling; by parts: units lent
 }
 
 type message struct {
@@ -206,7 +206,7 @@
 		p.retired = append(p.retired, p.epoch)
 		p.retired = p.retired[max(0, len(p.retired)-8):]
 	}
-	p.epoch, p.high, p.mask = epoch, 0, 0
+	p.epoch, p.high, p.mask, p.granted = epoch, 0, 0, 0 // versions begin anew as well
 }
 
 // first tells whether a sequence comes for the first time, and notes it.
--- a/control/quota.go
+++ b/control/quota.go
@@ -14,8 +14,8 @@
 	deltaPart   = 4         // eighths of a message that deltas may fill, the rest is for answers
 	shareOf     = 2.0       // a low bucket is split too: this times what remains, over the recent reporters
 	heardFor    = 1500 * ms // a gateway not heard for longer counts as lost
-	quietFor    = 1000 * ms // and one that reports of a used-up bucket, for its part of the rate,
-	quietTimes  = 8         // if that is so many times its usual span
+	quietFor    = 250 * ms  // and one that has reported may be, for its part of the rate,
+	quietMost   = 4200 * ms // until the host would have said so: lost 2.9 s after the next report, due in 1 s
 	reporterFor = 2 * time.Second
 	debtMost    = 1 * time.Second // of the rate
 	goneFor     = 1 * time.Minute // a customer no longer metered is remembered
@@ -30,6 +30,14 @@
 	youth       = 2 * time.Second // gateways of one age started within this
 	youngMany   = 3               // of these heard, and none older
 	partEven    = 0.5             // of a ceiling: split evenly; the rest is the owner's pool
+	bareStore   = 0.5             // of a gateway's part of what the rule leaves: at once; the rest over its window
+	activeIn    = 1 * time.Second // an owner that had a report so lately keeps the part of the rate,
+	earlyFrom   = 0.5             // where that is so many units a second at the least
+	lostLag     = 1 * time.Second // gateways find each other lost, and back, up to so far apart
+	lentFor     = 1 * time.Second // lent units may be spent for so long; their owner holds them for
+	lentHeld    = 6 * time.Second // a window more: they may have been spent
+	startMost   = 500 * ms        // of the rate: buckets begin with no more where all is new, as they were away so long
+	lentPart    = 4.0             // lent at once: what is left, over so many times the gateways
 
 	resendAfter, resendMost = 120 * ms, 3 // an unacknowledged delta goes again, twice as late each time
 )
@@ -67,7 +75,7 @@
 	}
 	for _, a := range q.order {
 		if a.owner == q.me {
-			a.level += q.terms.Start * a.limit.burst // capped at the next refill
+			a.level += q.startOf(a) // capped at the next refill
 		}
 	}
 	q.allNew = true
@@ -105,10 +113,11 @@
 	}
 	if a.owner == q.me {
 		q.refill(a)
-		if a.level-a.kept >= q.need(a, w) {
+		left := a.level - q.lentOut(a)
+		if left-a.kept >= q.need(a, w) {
 			return Pass, 0, lackUnits
 		}
-		due := time.Duration((q.need(a, w) - a.level) / a.limit.rate * float64(time.Second))
+		due := time.Duration((q.need(a, w) - left) / a.limit.rate * float64(time.Second))
 		if q.now+due < last && !w.Late {
 			return Wait, last, lackUnits
 		}
@@ -129,7 +138,12 @@
 
 // byView decides for a customer that another gateway owns.
 func (q *Quota) byView(a *account, w Wish) (Verdict, time.Duration) {
-	share := a.share(w.Units)
+	share, bare := a.share(w.Units), true
+	if q.terms.Parts && q.lentNow(a)-a.kept >= w.Units {
+		return Pass, 0
+	} else if q.terms.Parts {
+		bare = q.bareNow(a)-a.kept >= w.Units
+	}
 	pending := a.unacked + a.unsent + a.kept
 	age := q.now - a.levelAt
 	until := q.answerBy(a, w)
@@ -144,7 +158,7 @@
 		life = q.answerIn(a)
 	}
 	fresh := a.known && age < life
-	if fresh && a.level-pending >= q.need(a, w) && pending+w.Units <= share {
+	if fresh && bare && a.level-pending >= q.need(a, w) && pending+w.Units <= share {
 		return Pass, 0
 	}
 	if !fresh {
@@ -153,7 +167,7 @@
 		// found lost: the survivors of a lost hall then serve the whole quota between them.
 		silent := q.silent(a)
 		if silent && q.terms.Parts {
-			if q.aloneNow(a)-a.kept >= w.Units {
+			if bare {
 				return Pass, 0
 			}
 			return Beyond, time.Duration(w.Units / a.limit.rate * float64(q.gateways) * float64(time.Second))
@@ -167,12 +181,12 @@
 		enough := !a.known || left >= q.need(a, w)
 		// Asked in good time and not answered: the allowance is there for that.
 		unanswered := q.now >= until && a.asked > 0 && a.asked < until && !w.Late
-		if pending+w.Units <= share && (silent || !tight && enough || unanswered && enough) {
+		if bare && pending+w.Units <= share && (silent || !tight && enough || unanswered && enough) {
 			return Pass, 0
 		}
 	}
 	mayBe := a.level + a.limit.rate*age.Seconds() - pending // if no other spent since
-	if (!fresh || age > q.answerIn(a) && mayBe >= w.Units || pending+w.Units > share) && q.now < until {
+	if (!fresh || (!bare || age > q.answerIn(a)) && mayBe >= w.Units || pending+w.Units > share) && q.now < until {
 		q.ask(a)
 		a.wanted = max(a.wanted, w.Units)
 		return Wait, until
@@ -180,23 +194,54 @@
 	return Beyond, time.Duration((q.need(a, w) - max(0, a.level-pending)) / a.limit.rate * float64(time.Second))
 }
 
-// rate is what an owned bucket fills at. By parts: gateways out of reach spend theirs alone. When a bucket is
-// used up, those that have much to report and say nothing for long are taken as out of reach before that is
-// told. Who seldom reports says nothing by it: taken as silent, it would keep a small bucket empty for ever.
-func (q *Quota) rate(a *account) float64 {
+// bareNow is what a gateway may spend of a customer's on no word at all, fresh view or none: its part of what the rule
+// leaves beyond rate x window + burst, some at once and the rest over the window. What an owner acknowledges while
+// it has units left comes back. It begins empty in each life, and a silence does not renew it. Once the owner is silent, and
+// keeps this gateway's part of the rate or must know it as lost, that is added, with nothing saved up.
+func (q *Quota) bareNow(a *account) float64 {
+	n := float64(q.gateways)
+	part := (q.terms.Excess*(a.limit.rate*q.terms.Window.Seconds()+a.limit.burst) + q.terms.Margin) / n
+	most := min(part, max(1, bareStore*part))
+	fill := (part - most) / max(q.terms.Window, time.Second).Seconds() * (q.now - a.bareAt).Seconds()
+	if alone := q.now - max(q.aloneFrom(a), a.bareAt); alone > 0 {
+		a.bareOut, most = 0, max(most, 1)
+		fill += a.limit.rate / n * alone.Seconds()
+	}
+	a.bare, a.bareAt = max(a.bare, min(most-a.bareOut, a.bare+fill)), q.now
+	return a.bare
+}
+
+// lend sets units aside for a gateway whose txns wait for them: till it tells what became of them, nobody else has them.
+func (q *Quota) lend(a *account, r *report, left float64) (units float64) {
+	if r.wanted > 0 && left >= r.wanted {
+		units = max(r.wanted, math.Floor(left/lentPart/float64(q.gateways)))
+		r.units, r.told = r.units+units, q.now
+	}
+	return units
+}
+
+// filled is what an owned bucket gets in a time. By parts: gateways out of reach spend theirs alone. One that reported and
+// is silent for a moment may do so too: its part is kept for it, and comes when it is heard, less what it has spent. Kept
+// until the host must have found it lost; if it was not, it had nothing to report.
+func (q *Quota) filled(a *account, in time.Duration) float64 {
 	if !q.terms.Parts {
-		return a.limit.rate
+		return a.limit.rate * in.Seconds()
 	}
-	quiet := 0
-	if a.level < 1 {
-		for _, r := range a.reports {
-			late := max(quietFor, quietTimes*r.every)
-			if q.now-r.at < idleAfter && q.now-max(r.at, q.peers[r.from].heard, q.stallTo) > late {
-				quiet++
+	part, reach := a.limit.rate*in.Seconds()/float64(q.gateways), q.reachNow()
+	for _, r := range a.reports {
+		late := q.now - max(r.at, q.stallTo)
+		switch lost := q.peers[r.from].lostAt > 0; {
+		case lost && late <= quietFor && r.out == 0: // its own word goes before the host's
+			reach++
+		case lost || (r.out > 0 || late > quietFor) && late < quietMost && q.early(a):
+			if r.part += part; !lost {
+				reach--
 			}
+		case late >= quietMost:
+			q.give(a, r, r.part)
 		}
 	}
-	return a.limit.rate * float64(max(1, min(q.reach, q.gateways-quiet))) / float64(q.gateways)
+	return part * float64(max(1, reach))
 }
 
 // silent tells that an owner was asked and that nothing was heard of it for as long as a healthy one takes.
@@ -258,8 +303,12 @@
 	return even / width
 }
 
-// move tells the owner what this gateway lacks of a ceiling.
+// move tells the owner what this gateway lacks of a ceiling; by parts, what is gone of what was lent.
 func (q *Quota) move(a *account) (want float64) {
+	if q.terms.Parts {
+		want, a.lentGone = a.lentGone, 0
+		return want
+	}
 	want, a.want = a.want, 0
 	return -want
 }
@@ -326,7 +375,7 @@
 			f := p.flight[0] // again under its sequence
 			f.at, f.tries = q.now, min(f.tries+1, resendMost)
 			p.flight = append(p.flight[1:], f)
-			m.seq, m.deltas = f.seq, f.lines
+			m.seq, m.deltas = f.seq, q.told(f.lines)
 		} else if len(p.dirty) > 0 {
 			q.packDeltas(p, m)
 		}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -41,6 +41,7 @@
 	Beat                time.Duration
 	Mbps                float64       // of each machine's link; 0: not bounded
 	Turn                time.Duration // of processor time that a turn takes; 0: none
+	Hot                 bool          // days of a tenant that rushes, and of cuts about then
 	Share               float64       // of a core that a door has, in metered days: what turns took holds up the next; 0: not bounded
 	Regions             int           // zones lie in these in turn; 0 or 1: all in one
 	Wide                Wide          // nought: the small house
