--- a/internal/house/frame.go
+++ b/internal/house/frame.go
@@ -90,6 +90,7 @@
 	Stale   time.Duration // as in Ping, with View and Echo
 	View    uint64
 	Echo    uint32
+	Index   uint64 // that the word is of: the sender may be about to send more
 
 	Chunk *prompter.Chunk // a part of State, or with Log of Entries by gob, which are too large for one frame
 	Log   bool
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -59,6 +59,9 @@
 	script  *script.Script
 	applied uint64
 
+	feedLate bool // followers have yet to be told what was applied last: seats
+	seatsNew bool // and the company the order of seats
+
 	board     *callboard.Board // nil until there is a seat
 	boardWake uint32
 	boardNews bool // since it was last kept on disk
@@ -127,6 +130,7 @@
 	h.script, h.table, h.words, h.followers = script.New(), playbill.NewTable(nil), map[string]word{}, map[string]*follower{}
 	h.echoes = map[string]echo{}
 	h.calls, h.beats, h.stock = map[uint32]*call{}, map[callboard.Ticket]heard{}, newStock()
+	h.fault = planted
 	if h.own != nil {
 		h.own.h = h
 	}
@@ -244,6 +248,9 @@
 		h.pingedAt = now
 		h.ping(news)
 	}
+	if h.feedLate {
+		h.feedAll()
+	}
 	h.tendFeed()
 	h.wantSeat()
 	h.tendRollouts()
