--- a/control/quota.go
+++ b/control/quota.go
@@ -30,13 +30,13 @@
 	youth       = 2 * time.Second // gateways of one age started within this
 	youngMany   = 3               // of these heard, and none older
 	partEven    = 0.5             // of a ceiling: split evenly; the rest is the owner's pool
-	bareStore   = 0.5             // of a gateway's part of what the rule leaves: at once; the rest over its window
+	bareStore   = 0.5             // of a gateway's part of what the rule leaves: at once; the rest over a window
 	activeIn    = 1 * time.Second // an owner that had a report so lately keeps the part of the rate,
 	earlyFrom   = 0.5             // where that is so many units a second at the least
 	lostLag     = 1 * time.Second // gateways find each other lost, and back, up to so far apart
 	lentFor     = 1 * time.Second // lent units may be spent for so long; their owner holds them for
 	lentHeld    = 6 * time.Second // a window more: they may have been spent
-	startMost   = 500 * ms        // of the rate: buckets begin with no more where all is new, as they were away so long
+	startMost   = 500 * ms        // of the rate: the most in buckets where all is new, away so long
 	lentPart    = 4.0             // lent at once: what is left, over so many times the gateways
 
 	resendAfter, resendMost = 120 * ms, 3 // an unacknowledged delta goes again, twice as late each time
@@ -185,8 +185,8 @@
 			return Pass, 0
 		}
 	}
-	mayBe := a.level + a.limit.rate*age.Seconds() - pending // if no other spent since
-	if (!fresh || (!bare || age > q.answerIn(a)) && mayBe >= w.Units || pending+w.Units > share) && q.now < until {
+	more := (!bare || age > q.answerIn(a)) && a.level+a.limit.rate*age.Seconds()-pending >= w.Units
+	if q.now < until && (!fresh || more || pending+w.Units > share) {
 		q.ask(a)
 		a.wanted = max(a.wanted, w.Units)
 		return Wait, until
@@ -194,10 +194,10 @@
 	return Beyond, time.Duration((q.need(a, w) - max(0, a.level-pending)) / a.limit.rate * float64(time.Second))
 }
 
-// bareNow is what a gateway may spend of a customer's on no word at all, fresh view or none: its part of what the rule
-// leaves beyond rate x window + burst, some at once and the rest over the window. What an owner acknowledges while
-// it has units left comes back. It begins empty in each life, and a silence does not renew it. Once the owner is silent, and
-// keeps this gateway's part of the rate or must know it as lost, that is added, with nothing saved up.
+// bareNow is what a gateway may spend of a customer's on no word, fresh view or none: its part of what the
+// rule leaves beyond rate x window + burst, some at once, the rest over the window. What an owner acknowledges
+// with units left comes back. It begins empty in each life; a silence does not renew it. Once the owner is
+// silent, and keeps this gateway's part of the rate or must know it as lost, that is added, nothing saved up.
 func (q *Quota) bareNow(a *account) float64 {
 	n := float64(q.gateways)
 	part := (q.terms.Excess*(a.limit.rate*q.terms.Window.Seconds()+a.limit.burst) + q.terms.Margin) / n
@@ -211,7 +211,7 @@
 	return a.bare
 }
 
-// lend sets units aside for a gateway whose txns wait for them: till it tells what became of them, nobody else has them.
+// lend sets units aside for a gateway whose txns wait: nobody else has them till it tells what became of it.
 func (q *Quota) lend(a *account, r *report, left float64) (units float64) {
 	if r.wanted > 0 && left >= r.wanted {
 		units = max(r.wanted, math.Floor(left/lentPart/float64(q.gateways)))
@@ -220,9 +220,9 @@
 	return units
 }
 
-// filled is what an owned bucket gets in a time. By parts: gateways out of reach spend theirs alone. One that reported and
-// is silent for a moment may do so too: its part is kept for it, and comes when it is heard, less what it has spent. Kept
-// until the host must have found it lost; if it was not, it had nothing to report.
+// filled is what an owned bucket gets in a time. By parts: gateways out of reach spend theirs alone. One that
+// has reported and is silent may do so too: its part is kept, and comes when it is heard, less its spending.
+// Kept until the host must have found it lost; if it was not, it had nothing to report.
 func (q *Quota) filled(a *account, in time.Duration) float64 {
 	if !q.terms.Parts {
 		return a.limit.rate * in.Seconds()
