--- a/control/quota.go
+++ b/control/quota.go
@@ -195,7 +195,7 @@
 }
 
 // bareNow is what a gateway may spend of a customer's on no word, fresh view or none: its part of what the
-// rule leaves beyond rate x window + burst, some at once, the rest over the window. What an owner acknowledges
+// rule leaves beyond rate x window + burst, some at once, the rest over it. What an owner acknowledges
 // with units left comes back. It begins empty in each life; a silence does not renew it. Once the owner is
 // silent, and keeps this gateway's part of the rate or must know it as lost, that is added, nothing saved up.
 func (q *Quota) bareNow(a *account) float64 {
