Core's tests: scenes, walks and faults are played by one place each; lab prints once

Need: the same loops stood in three test files, and one block twice in cmd/lab/capacity.go. Change: exploreAll, eachWalk, walksFind and troubled; printed. Scenes, seeds, faults, counts of stages and judgements are as they were.

--- a/cmd/lab/capacity.go
+++ b/cmd/lab/capacity.go
@@ -158,6 +158,11 @@
 func (k *capacityRun) real(ctx context.Context) error {
 	s := k.of(k.hollow)
 	r, err := capacity.Hollow{Doors: s.Doors, Members: s.Disks, Zones: s.Zones, Wide: s.Wide, Beat: s.Beat, Over: k.dur, Changes: k.changes}.Play(ctx, os.Stdout)
+	return printed(r, err)
+}
+
+// printed prints what was measured.
+func printed(r any, err error) error {
 	if err != nil {
 		return err
 	}
@@ -172,14 +177,7 @@
 func (k *capacityRun) adds(ctx context.Context) error {
 	wide := k.of(capacity.Target.Doors).Wide
 	r, err := capacity.Added{Program: k.added, Doors: 3, Wide: wide, Rate: k.each, Over: k.dur, Change: k.every, Backends: 8}.Play(ctx)
-	if err != nil {
-		return err
-	}
-	text, err := json.Marshal(r)
-	if err == nil {
-		fmt.Println(string(text))
-	}
-	return err
+	return printed(r, err)
 }
 
 func (k *capacityRun) slopes() error {
--- a/internal/prompter/contact_test.go
+++ b/internal/prompter/contact_test.go
@@ -50,11 +50,7 @@
 	return w
 }
 
-var contactScenes = []struct {
-	name   string
-	make   func(fault) *stage
-	faults []fault
-}{
+var contactScenes = []scene{
 	{"an old leader, and answers that come late", func(f fault) *stage {
 		w := timed(newStage(3, 0, f, budget{changes: 1, beats: 1, ticks: 2}))
 		w.heartbeat(0)
@@ -106,25 +102,7 @@
 	}, nil},
 }
 
-func TestContactInAllOrders(t *testing.T) {
-	for _, s := range contactScenes {
-		t.Run(s.name, func(t *testing.T) {
-			t.Parallel()
-			seen, wrong := explore(s.make(sound), stagesMost(10_000))
-			t.Log(seen, "stages")
-			must.Eq(t, "", wrong)
-		})
-		for _, f := range s.faults {
-			t.Run(fmt.Sprint(s.name, ", fault ", f), func(t *testing.T) {
-				t.Parallel()
-				began := time.Now()
-				seen, wrong := explore(s.make(f), stagesMost(20_000))
-				t.Log(seen, "stages,", time.Since(began), wrong)
-				must.NotEq(t, "", wrong)
-			})
-		}
-	}
-}
+func TestContactInAllOrders(t *testing.T) { exploreAll(t, contactScenes) }
 
 type ack struct {
 	at    time.Duration
@@ -191,15 +169,7 @@
 }
 
 func contactWalk(t *testing.T, seed int64, f fault) *walk {
-	w := found(t, 3+int(seed%3), seed, f)
-	w.tends(1)
-	w.proposes()
-	w.at(3*time.Second, w.chills)
-	w.until(30 * time.Second)
-	w.calm = true
-	clear(w.cut)
-	w.until(40 * time.Second)
-	return w
+	return troubled(t, seed, f, (*walk).chills, 30*time.Second)
 }
 
 // Nobody says that its word is newer than it is, whoever stands still or is not heard; ten calm seconds later all
@@ -219,17 +189,5 @@
 }
 
 func TestContactWalksFindFaults(t *testing.T) {
-	for _, f := range []fault{contactByReceipt, followByReceipt, contactEarly, contactLeads} {
-		t.Run(f.String(), func(t *testing.T) {
-			t.Parallel()
-			began := time.Now()
-			for seed := range int64(200) {
-				if w := contactWalk(t, seed, f); w.wrong != "" {
-					t.Log("seed", seed, time.Since(began), w.wrong)
-					return
-				}
-			}
-			t.Fatal("not found")
-		})
-	}
+	walksFind(t, contactWalk, 200, contactByReceipt, followByReceipt, contactEarly, contactLeads)
 }
--- a/internal/prompter/explore_test.go
+++ b/internal/prompter/explore_test.go
@@ -588,11 +588,13 @@
 
 // The scenes: what has been, before all orders of what may come are tried, and the faults that this must
 // show.
-var scenes = []struct {
+type scene struct {
 	name   string
 	make   func(fault) *stage
 	faults []fault
-}{
+}
+
+var scenes = []scene{
 	{"a change, a new view, a loss of power", func(f fault) *stage {
 		return newStage(3, 0, f, budget{promises: 1, crashes: 1}).propose()
 	}, []fault{ackUnsynced, forgetful, tellEarly, fewPromises, notNewest}},
@@ -842,7 +844,10 @@
 	return usual
 }
 
-func TestAllOrders(t *testing.T) {
+func TestAllOrders(t *testing.T) { exploreAll(t, scenes) }
+
+// exploreAll finds nothing in scenes, and each one's faults.
+func exploreAll(t *testing.T, scenes []scene) {
 	for _, s := range scenes {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
@@ -853,8 +858,9 @@
 		for _, f := range s.faults {
 			t.Run(fmt.Sprint(s.name, ", fault ", f), func(t *testing.T) {
 				t.Parallel()
+				began := time.Now()
 				seen, wrong := explore(s.make(f), stagesMost(20_000))
-				t.Log(seen, "stages:", wrong)
+				t.Log(seen, "stages,", time.Since(began), wrong)
 				must.NotEq(t, "", wrong)
 			})
 		}
--- a/internal/prompter/members_test.go
+++ b/internal/prompter/members_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -212,31 +210,11 @@
 
 // After each replacement, whatever its kind, catch_up later as many more may be lost.
 func TestReplacementWalks(t *testing.T) {
-	walks := 40
-	if n, err := strconv.Atoi(os.Getenv("PROMPTER_WALKS")); err == nil {
-		walks = n
-	}
-	for seed := range int64(walks) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			must.Eq(t, "", replacements(t, seed, sound).wrong)
-		})
-	}
+	eachWalk(t, func(t *testing.T, seed int64) { must.Eq(t, "", replacements(t, seed, sound).wrong) })
 }
 
 func TestReplacementWalksFindFaults(t *testing.T) {
-	for _, f := range []fault{addOnly, hasty, shrinkFar, keepDead} {
-		t.Run(f.String(), func(t *testing.T) {
-			t.Parallel()
-			for seed := range int64(60) {
-				if w := replacements(t, seed, f); w.wrong != "" {
-					t.Log("seed", seed, w.wrong)
-					return
-				}
-			}
-			t.Fatal("not found")
-		})
-	}
+	walksFind(t, replacements, 60, addOnly, hasty, shrinkFar, keepDead)
 }
 
 // A member that leaves may hold one of two copies of what was acknowledged, where the third one's disk hangs: it stays until that one
--- a/internal/prompter/walk_test.go
+++ b/internal/prompter/walk_test.go
@@ -397,20 +397,24 @@
 }
 
 func takeWalk(t *testing.T, seed int64, f fault) *walk {
+	return troubled(t, seed, f, (*walk).trouble, 40*time.Second)
+}
+
+// troubled is a walk on three to five doors with trouble until a time, and ten calm seconds after it.
+func troubled(t *testing.T, seed int64, f fault, trouble func(*walk), until time.Duration) *walk {
 	w := found(t, 3+int(seed%3), seed, f)
 	w.tends(1)
 	w.proposes()
-	w.at(3*time.Second, w.trouble)
-	w.until(40 * time.Second)
+	w.at(3*time.Second, func() { trouble(w) })
+	w.until(until)
 	w.calm = true
 	clear(w.cut)
-	w.until(50 * time.Second)
+	w.until(until + 10*time.Second)
 	return w
 }
 
-// After any walk: one order, nothing acknowledged lost, reads new enough, and ten calm seconds later all go
-// on.
-func TestWalks(t *testing.T) {
+// eachWalk plays so many walks as are asked for.
+func eachWalk(t *testing.T, play func(t *testing.T, seed int64)) {
 	walks := 40
 	if n, err := strconv.Atoi(os.Getenv("PROMPTER_WALKS")); err == nil {
 		walks = n
@@ -418,29 +422,20 @@
 	for seed := range int64(walks) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := takeWalk(t, seed, sound)
-			must.Eq(t, "", w.wrong)
-			done, l := w.done, w.leader()
-			must.NotEq(t, -1, l, must.Sprint("nobody leads"))
-			w.until(52 * time.Second)
-			must.Eq(t, "", w.wrong)
-			must.Greater(t, done, w.done, must.Sprint("nothing goes on"))
-			for i, d := range w.doors {
-				must.True(t, w.doors[l].p.member(d.disk.Me), must.Sprintf("door %d is no member", i))
-				must.Between(t, w.acked-9, d.index, w.acked+9, must.Sprintf("door %d", i))
-			}
+			play(t, seed)
 		})
 	}
 }
 
-// What orders of a few messages don't show: reads and ends of proposals.
-func TestWalksFindFaults(t *testing.T) {
-	for _, f := range []fault{unreadRounds, readEarly, keepTokens} {
+// walksFind wants each fault found within so many walks.
+func walksFind(t *testing.T, play func(*testing.T, int64, fault) *walk, most int64, faults ...fault) {
+	for _, f := range faults {
 		t.Run(f.String(), func(t *testing.T) {
 			t.Parallel()
-			for seed := range int64(200) {
-				if w := takeWalk(t, seed, f); w.wrong != "" {
-					t.Log("seed", seed, w.wrong)
+			began := time.Now()
+			for seed := range most {
+				if w := play(t, seed, f); w.wrong != "" {
+					t.Log("seed", seed, time.Since(began), w.wrong)
 					return
 				}
 			}
@@ -449,6 +444,29 @@
 	}
 }
 
+// After any walk: one order, nothing acknowledged lost, reads new enough, and ten calm seconds later all go
+// on.
+func TestWalks(t *testing.T) {
+	eachWalk(t, func(t *testing.T, seed int64) {
+		w := takeWalk(t, seed, sound)
+		must.Eq(t, "", w.wrong)
+		done, l := w.done, w.leader()
+		must.NotEq(t, -1, l, must.Sprint("nobody leads"))
+		w.until(52 * time.Second)
+		must.Eq(t, "", w.wrong)
+		must.Greater(t, done, w.done, must.Sprint("nothing goes on"))
+		for i, d := range w.doors {
+			must.True(t, w.doors[l].p.member(d.disk.Me), must.Sprintf("door %d is no member", i))
+			must.Between(t, w.acked-9, d.index, w.acked+9, must.Sprintf("door %d", i))
+		}
+	})
+}
+
+// What orders of a few messages don't show: reads and ends of proposals.
+func TestWalksFindFaults(t *testing.T) {
+	walksFind(t, takeWalk, 200, unreadRounds, readEarly, keepTokens)
+}
+
 // A leader that is heard and hears nobody stops within Silence, refuses, and lets another lead.
 func TestLeaderThatHearsNobody(t *testing.T) {
 	w := quiet(t)
