--- a/internal/gateway/transport/back_test.go
+++ b/internal/gateway/transport/back_test.go
@@ -1,9 +1,12 @@
 package transport
 
 import (
+	"encoding/gob"
 	"fmt"
+	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
@@ -153,3 +156,46 @@
 	take(1)
 	must.Positive(t, cap(q.frames))
 }
+
+// Whoever writes to an offered link is told when another takes its place, also where nothing is said over it and nothing else ends it: the
+// machine at its other end lost power, and its next life, or the same one over a new connection, offers again. Guards against members that
+// said no hello to nodes that came back (incident mvk-anadolu 7): such a node followed its only member into a standstill.
+func TestOfferedLinkIsReplaced(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for _, later := range []opening{{Life: 11, Nr: 2}, {Life: 12, Nr: 1}} {
+		for _, spoken := range []bool{false, true} {
+			b, from := begin(t, addr(27)), addr(28)
+			offer := func(life, nr uint64) (net.Conn, *gob.Decoder) {
+				c, err := net.Dial("tcp", b.me)
+				must.NoError(t, err)
+				must.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+				must.NoError(t, gob.NewEncoder(c).Encode(opening{From: from, Life: life, Nr: nr, Both: true}))
+				return c, gob.NewDecoder(c)
+			}
+			reads := func(dec *gob.Decoder, nr int) {
+				var o opening
+				must.NoError(t, dec.Decode(&o))
+				must.Eq(t, b.me, o.From)
+				var f frame
+				must.NoError(t, dec.Decode(&f))
+				must.Eq(t, nr, f.Nr)
+			}
+			former, dec := offer(11, 1)
+			b.isOffered(from)
+			b.Want(from)
+			b.hears("up " + from)
+			if spoken {
+				must.True(t, b.Send(from, &frame{Nr: 1}))
+				reads(dec, 1)
+			}
+			now, dec := offer(later.Life, later.Nr)
+			b.hears("down " + from)
+			b.hears("up " + from)
+			must.True(t, b.Send(from, &frame{Nr: 2}))
+			reads(dec, 2)
+			former.Close()
+			now.Close()
+			b.Stop()
+		}
+	}
+}
