An offered link's writer is told of its connection's end, whatever took its place

When a node whose machine had lost power offered its next link, the entry was replaced, and the signal of the one before was closed by nobody. A member that had nothing to send waited on it for good and said no hello; the node knew one member of three, and stood still with that one.

Change: the signal belongs to the connection and is closed where its reading ends.

--- a/internal/gateway/transport/back.go
+++ b/internal/gateway/transport/back.go
@@ -12,10 +12,10 @@
 // link of its own. Whoever offers links uses none that is offered to it: two such nodes would else give way to each other
 // without end. A node that does not know of offers dials as before.
 
-// back is a link that another node dialed and offers.
+// back is a link that another node dialed and offers. Its end is its connection's: another link may have taken its place by then.
 type back struct {
-	conn  net.Conn
-	ended chan struct{} // closed when nothing more comes on it
+	conn  net.Conn        // nil: it is over, and none has come in its place
+	ended <-chan struct{} // closed when nothing more comes on it
 }
 
 // Offer has others answer on the links that this node dials; it comes before the first Want.
@@ -32,14 +32,16 @@
 			deadPeers("", "", r)
 		}
 	}
-	w.backs[o.From] = &back{c, make(chan struct{})}
+	w.backs[o.From] = &back{c, w.ins[c].ended}
 	return true
 }
 
-// drop notes that nothing more comes on a connection; the mesh is locked. That its node offers links stays known.
+// drop notes that nothing more comes on a connection, and tells whoever writes to it; the mesh is locked. That its node offers
+// links stays known.
 func (w *Mesh[F]) drop(from string, c net.Conn) {
+	close(w.ins[c].ended)
+	delete(w.ins, c)
 	if b := w.backs[from]; b != nil && b.conn == c {
-		close(b.ended)
 		b.conn = nil
 	}
 }
@@ -79,10 +81,10 @@
 
 // watch reads what comes back on a connection that this node dialed: frames where it offers its links, else nothing but the end.
 func (w *Mesh[F]) watch(c net.Conn, to string) <-chan struct{} {
-	ended := make(chan struct{})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.offer {
+		ended := make(chan struct{})
 		go func() {
 			var b [1]byte
 			c.Read(b[:])
@@ -90,15 +92,12 @@
 		}()
 		return ended
 	}
+	in := w.note(c)
 	if w.done {
 		c.Close()
-		close(ended)
-		return ended
+		w.drop("", c)
+	} else {
+		w.all.Go(func() { w.read(c, to) })
 	}
-	w.note(c)
-	w.all.Go(func() {
-		w.read(c, to)
-		close(ended)
-	})
-	return ended
+	return in.ended
 }
--- a/internal/gateway/transport/mesh.go
+++ b/internal/gateway/transport/mesh.go
@@ -46,19 +46,25 @@
 	ln    net.Listener
 	mu    sync.Mutex
 	links map[string]*link[F]
-	ins   map[net.Conn]uint64 // by their place among all that frames come on
-	tail  uint64              // the last one's
-	from  map[string]net.Conn // the newest link of each node
-	lives map[string]uint64   // and its life
-	last  map[string]stream   // and which one it is
-	nr    uint64              // of the last stream that this node began
-	backs map[string]*back    // links of other nodes that may be written to as well
+	ins   map[net.Conn]*incoming // what frames come on
+	tail  uint64                 // place of the last of them
+	from  map[string]net.Conn    // the newest link of each node
+	lives map[string]uint64      // and its life
+	last  map[string]stream      // and which one it is
+	nr    uint64                 // of the last stream that this node began
+	backs map[string]*back       // links of other nodes that may be written to as well
 	life  uint64
 	offer bool
 	done  bool
 	all   sync.WaitGroup
 }
 
+// incoming is a connection that frames come on.
+type incoming struct {
+	place uint64        // among all of them, by their beginning
+	ended chan struct{} // closed when nothing more comes on it
+}
+
 // opening is the first value on a link. Life differs between two starts of a node.
 type opening struct {
 	From string
@@ -93,7 +99,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "transport")
 	}
-	return &Mesh[F]{me: me, host: host, turn: turn, ln: ln, links: map[string]*link[F]{}, ins: map[net.Conn]uint64{},
+	return &Mesh[F]{me: me, host: host, turn: turn, ln: ln, links: map[string]*link[F]{}, ins: map[net.Conn]*incoming{},
 		from: map[string]net.Conn{}, lives: map[string]uint64{}, last: map[string]stream{}, backs: map[string]*back{}, life: life}, nil
 }
 
@@ -140,9 +146,11 @@
 }
 
 // note gives a connection that frames may come on its place; the mesh is locked.
-func (w *Mesh[F]) note(c net.Conn) {
+func (w *Mesh[F]) note(c net.Conn) *incoming {
 	w.tail++
-	w.ins[c] = w.tail
+	in := &incoming{place: w.tail, ended: make(chan struct{})}
+	w.ins[c] = in
+	return in
 }
 
 // read takes what comes on a connection until it ends. One that this node dialed bears the name of whom it leads to.
@@ -151,7 +159,6 @@
 	defer func() {
 		c.Close()
 		w.mu.Lock()
-		delete(w.ins, c)
 		w.drop(o.From, c)
 		if w.from[o.From] == c {
 			delete(w.from, o.From)
@@ -167,7 +174,7 @@
 	// lost power, nothing else ever ends it. Which is the earlier one is told by the order in which they came: which is read
 	// first is chance.
 	w.mu.Lock()
-	this := stream{o.Life, o.Nr, w.ins[c]}
+	this := stream{o.Life, o.Nr, w.ins[c].place}
 	if this.before(w.last[o.From]) {
 		w.mu.Unlock()
 		return
