Hellos between nodes are said again until each knows the other's present life

A node that has had no hello of a member can't turn to it for as long as their links last; one lost hello left the other side with a former life.

Change: a hello says which life of the other its sender knows; a node without one asks each second, and either says it again, a few times, until both know the present life.

--- /dev/null
+++ b/internal/gateway/membership/hello_test.go
@@ -0,0 +1,68 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Whichever hellos are lost, each node knows the other's present life in the end, and says no more: who has had none asks, and is answered. Guards against
+// an exchange that is made once a link: a node that lost power was never told by two of three members that they are there, and followed the
+// third into a standstill (incident mvk-anadolu 7).
+func TestLostHelloIsAskedForAgain(t *testing.T) {
+	const hellos = 5 // so many, of both sides, may be lost, each or not
+	for lost := range 1 << hellos {
+		now := time.Minute
+		node := New(Node{Addr: "node", Life: 2}, Terms{Seeds: []string{"disk"}}, now)
+		disk := New(Node{Addr: "disk", Disk: 7, Founded: true, Life: 9}, Terms{Seeds: []string{"disk"}}, now)
+		disk.Hello("node", Hello{Door: Node{Addr: "node", Life: 1}}) // of its life before
+		drain(disk)
+		node.Up("disk")
+		disk.Up("node")
+		said, last := 0, time.Duration(0)
+		carry := func(from, to *Roster) {
+			for _, a := range drain(from) {
+				if a.Verb != Greet || a.Addr != to.me.Addr {
+					continue
+				}
+				h := from.Say(to.me.Addr)
+				said, last = said+1, now
+				if said > hellos || lost>>(said-1)&1 == 0 {
+					to.Hello(from.me.Addr, h)
+				}
+			}
+		}
+		for end := now + 20*time.Second; now < end; now += lookEvery {
+			for _, c := range []*Roster{node, disk} {
+				c.Now(now)
+				c.Heard(map[*Roster]string{node: "disk", disk: "node"}[c]) // other things come
+			}
+			carry(node, disk)
+			carry(disk, node)
+		}
+		must.True(t, node.Live("disk"), must.Sprintf("lost %05b", lost))
+		must.Eq(t, 2, disk.peers["node"].Life, must.Sprintf("lost %05b", lost))
+		must.LessEq(t, hellos+4, said)
+		must.Less(t, time.Minute+(hellos+3)*helloEvery, last) // and nothing more is said
+	}
+}
+
+// To a program that never says what it knows, as the version before, few are said again; and none to one that knows this life.
+func TestHellosToOthersAreFew(t *testing.T) {
+	for _, knows := range []uint64{0, 7} {
+		now := time.Minute
+		c := New(Node{Addr: "disk", Disk: 7, Life: 7, Founded: true}, Terms{Seeds: []string{"disk"}}, now)
+		c.Hello("node", Hello{Door: Node{Addr: "node", Life: 1}, Knows: knows})
+		c.Up("node")
+		said := count(drain(c), Greet, "node")
+		must.Eq(t, 1, said)
+		for range 100 {
+			now += lookEvery
+			c.Now(now)
+			c.Heard("node")
+			said += count(drain(c), Greet, "node")
+		}
+		must.Eq(t, map[uint64]int{0: 1 + helloMost, 7: 1}[knows], said)
+	}
+}
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -39,6 +39,7 @@
 	Known []string // addresses of nodes that the other one is to keep links to
 	Begun bool     // one that it has met holds a state of the core
 	Parts bool     // its program takes large calls in parts
+	Knows uint64   // the life of whom it is for that its sender had a hello of last; 0: of none
 }
 
 // Founder is a node that begins the core.
@@ -99,6 +100,7 @@
 	heard  time.Duration
 	known  time.Duration
 	asked  time.Duration // when it last said hello
+	hello  hello         // what was said to it
 	live   bool
 }
 
@@ -180,8 +182,8 @@
 
 func (c *Roster) greetAll() {
 	for _, a := range c.Addrs() {
-		if c.peers[a].up {
-			c.do(Action{Verb: Greet, Addr: a})
+		if p := c.peers[a]; p.up {
+			c.greet(a, p)
 		}
 	}
 }
@@ -245,7 +247,7 @@
 func (c *Roster) Up(addr string) {
 	if d := c.peers[addr]; d != nil {
 		d.up = true
-		c.do(Action{Verb: Greet, Addr: addr})
+		c.greet(addr, d)
 		c.look() // its hello may have come before
 	}
 }
@@ -280,6 +282,7 @@
 	again := d.met && d.Life != h.Door.Life
 	found := h.Door.Disk != 0 && (!d.met || d.Disk != h.Door.Disk)
 	begun := c.begun()
+	d.hello.heard(h, d, c.me.Life)
 	d.Node, d.met, d.knows, d.heard, d.asked = h.Door, true, h.Begun, c.now, c.now
 	d.Addr = from
 	c.link(from, d)
@@ -298,7 +301,7 @@
 	if found && c.me.Disk == 0 { // whoever has dialed this node as a seed waits for such a one
 		for _, a := range c.Addrs() {
 			if o := c.peers[a]; o.up && o.Disk == 0 {
-				c.do(Action{Verb: Greet, Addr: a})
+				c.greet(a, o)
 			}
 		}
 	}
@@ -322,7 +325,7 @@
 func (c *Roster) warn() {
 	for _, a := range c.terms.Seeds {
 		if d := c.peers[a]; d != nil && d.up && d.met && d.First && !d.Founded {
-			c.do(Action{Verb: Greet, Addr: a})
+			c.greet(a, d)
 		}
 	}
 }
@@ -412,8 +415,11 @@
 // Say is this node's hello to another one: it names the nodes with a disk, and to one with a disk those without that have no slot yet.
 // Who has a slot is in the core's order, which all are fed: to name them again in each hello would be the square of the deployment.
 func (c *Roster) Say(to string) Hello {
-	h := Hello{Door: c.me, Begun: c.begun()}
 	d := c.peers[to]
+	h := Hello{Door: c.me, Begun: c.begun()}
+	if d != nil && d.met {
+		h.Knows = d.Life
+	}
 	for _, a := range c.Addrs() {
 		if a != to && (c.peers[a].Disk != 0 || d != nil && d.Disk != 0 && c.Slot(a) == NoSlot) {
 			h.Known = append(h.Known, a)
@@ -432,6 +438,7 @@
 			d.live, c.changed = live, true
 		}
 		c.link(a, d)
+		c.helloAgain(a, d)
 		if c.Slot(a) == NoSlot && !slices.Contains(c.seeds, a) && c.now-max(d.heard, d.known) > forgetIn {
 			delete(c.peers, a)
 			if d.linked {
