--- a/internal/lab/faultdays/faultdays.go
+++ b/internal/lab/faultdays/faultdays.go
@@ -145,14 +145,19 @@
 			add("config_change", at)
 		}
 	}
-	day.Closing = Closing{Kind: d.one("power_off_all", "wipe_after_ack", "wipe_after_ack", "kill_all"), How: d.one("", "aimed", "timed", "taken"),
-		Down: round(d.span(0.4, 3))}
-	byTime := func(a, b Trouble) int { return int(1000 * (a.At - b.At)) }
-	slices.SortStableFunc(day.Plan, byTime)
-	slices.SortStableFunc(day.Faults, byTime)
+	day.close(d)
 	return day
 }
 
+// close draws the closing fault, and puts all before it in order.
+func (d *Day) close(with *drawer) {
+	d.Closing = Closing{Kind: with.one("power_off_all", "wipe_after_ack", "wipe_after_ack", "kill_all"), How: with.one("", "aimed", "timed", "taken"),
+		Down: round(with.span(0.4, 3))}
+	byTime := func(a, b Trouble) int { return int(1000 * (a.At - b.At)) }
+	slices.SortStableFunc(d.Plan, byTime)
+	slices.SortStableFunc(d.Faults, byTime)
+}
+
 // Write writes a day as site files have theirs.
 func (d *Day) Write(w io.Writer) error {
 	var b strings.Builder
