--- a/internal/lab/simulation/backends.go
+++ b/internal/lab/simulation/backends.go
@@ -49,6 +49,13 @@
 	slow              float64
 	resets, silent    float64
 	fails             float64
+	unheard           time.Duration // that it waited for machines without power
+}
+
+// Ended is how a backend's word that it leaves was acknowledged.
+type Ended struct {
+	Took    time.Duration // from its first word to the acknowledgement, or until it gave up
+	Unheard time.Duration // of that, what it waited for machines that had no power: nobody else can know of its word by then
 }
 
 func newTimeline(w *world) *timeline {
@@ -161,7 +168,12 @@
 			then(ok, target)
 		}
 	}
-	w.after(gatewaystandin.BeatsMost, func() { end(false, "") })
+	w.after(gatewaystandin.BeatsMost, func() {
+		if !done && m.dark {
+			b.unheard += gatewaystandin.BeatsMost
+		}
+		end(false, "")
+	})
 	b.seq++
 	phase := registry.Ready
 	if b.draining {
@@ -201,7 +213,7 @@
 // drain lets it leave in order: it says so, serves for the drain after the acknowledgement and a little longer, and ends.
 func (b *backend) drain() {
 	w, began := b.w, b.w.now
-	b.draining = true
+	b.draining, b.unheard = true, 0
 	w.say("%s drains", b.id)
 	var ask func()
 	leave := func(acked bool) {
@@ -219,7 +231,7 @@
 			switch {
 			case b.dead:
 			case ok || w.now-began > gatewaystandin.GivesUp:
-				w.ends = append(w.ends, w.now-began)
+				w.ends = append(w.ends, Ended{w.now - began, b.unheard})
 				leave(ok)
 			default:
 				w.after(200*time.Millisecond, ask)
--- a/internal/lab/simulation/day.go
+++ b/internal/lab/simulation/day.go
@@ -30,10 +30,10 @@
 	Most       float64 // the most that any node sends
 	History    []history.Event
 	Parted     Parted
-	Ends       []time.Duration // from a backend's first word that it leaves to its acknowledgement, or until it gave up
-	Calls      int             // of applications
-	ClearCalls int             // answered clearly
-	Undecided  int             // names whose linearizability took too long to decide
+	Ends       []Ended // of backends that said that they leave
+	Calls      int     // of applications
+	ClearCalls int     // answered clearly
+	Undecided  int     // names whose linearizability took too long to decide
 }
 
 const (
--- a/internal/lab/simulation/world.go
+++ b/internal/lab/simulation/world.go
@@ -115,7 +115,7 @@
 	sum          uint64 // of what travelled
 	counted      time.Duration
 	parted       Parted
-	ends         []time.Duration
+	ends         []Ended
 	planted      plant
 	owners       bool
 	chasing      bool     // an order of a parted node's is under way
