--- a/internal/lab/gatewaystandin/loss_rules.go
+++ b/internal/lab/gatewaystandin/loss_rules.go
@@ -155,10 +155,14 @@
 	return 0, false
 }
 
-// workedOn tells whether a backend was still at work on a try in the second half of its node's grace.
+// sentSoon is how long after its node was told to end a try may be sent, to be excused by a backend that is at work to the last.
+const sentSoon = 3 * time.Second
+
+// workedOn tells whether a backend was still at work in the last sixth of its node's grace on a try that was sent soon after the node was
+// told to end.
 func workedOn(r *clientTry, over, told time.Duration) bool {
-	half := told + Bounds().Grace/2
-	return len(r.ran) > 0 && r.end.T >= half && (over == 0 || over >= half)
+	last := told + Bounds().Grace*5/6
+	return len(r.ran) > 0 && r.ask.T <= told+sentSoon && r.end.T >= last && (over == 0 || over >= last)
 }
 
 // reloading tells whether a try was sent up to a while after its node was told to read its settings, and cut after that.
--- a/internal/lab/gatewaystandin/request_rules_test.go
+++ b/internal/lab/gatewaystandin/request_rules_test.go
@@ -47,6 +47,25 @@
 		7: {Config: last, Parent: 4, Sent: 60 * s, Acked: 60 * s}}
 }
 
+// A try is excused that is sent within 3 s of the word to end and has its backend at work in the last sixth of the grace: no other.
+func TestWorkedOn(t *testing.T) {
+	told, last := 10*s, 10*s+Bounds().Grace*5/6
+	for _, c := range []struct {
+		asked, ended, over time.Duration
+		ran, excused       bool
+	}{
+		{told + 3*s, last, 0, true, true}, {told + 3*s, last, last, true, true}, {told - s, last + s, last + s, true, true},
+		{told + 3*s, last - 1, 0, true, false}, {told + 3*s, last, last - 1, true, false}, {told + 3*s + 1, last, 0, true, false},
+		{told + 3*s, last, 0, false, false},
+	} {
+		r := &clientTry{ask: history.Event{T: c.asked}, end: history.Event{T: c.ended}}
+		if c.ran {
+			r.ran = []history.Event{{}}
+		}
+		must.Eq(t, c.excused, workedOn(r, c.over, told), must.Sprintf("%+v", c))
+	}
+}
+
 // Each rule that MORE.md brought finds its planted fault, and only that; beside each stands what is no fault.
 func TestRequestRulesFindWhatIsBroken(t *testing.T) {
 	event := func(at time.Duration, who string, kind history.Kind) []history.Event {
@@ -110,24 +129,24 @@
 		"the lower bound, while it may be": {tries(9, "/late/1", 60*s, "p", "p2"), ""},
 		"the lower bound":                  {tries(9, "/late/1", 70*s, "p", "p2"), "BUDGET"},
 
-		"cut by an end":                              {join(event(29*s, "d0", Terminates), cut), "LOST"},
-		"cut by another node's end":                  {join(event(29*s, "d1", Terminates), cut), ""},
-		"cut long after an end":                      {join(event(20*s, "d0", Terminates), cut), ""},
-		"cut after its end, in other trouble":        {join(event(29*s, "d0", Terminates), event(28*s, "d1", history.Stopped), cut), ""},
-		"in trouble while it ends":                   {join(event(29*s, "d0", Terminates), event(29*s+s/2, "d0", Troubled), event(30*s+s/2, "d0", Eased), cut), ""},
-		"cut after its end, a backend crashed":       {join(event(29*s, "d0", Terminates), event(28*s, "t", Crashed), cut), ""},
-		"cut at once, nothing was passed on":         {join(event(29*s, "d0", Terminates), sent("a", "/browse/1", 30*s, s/10, 0)), ""},
-		"cut later, though nothing was passed on":    {join(event(29*s, "d0", Terminates), sent("a", "/browse/1", 30*s, s/2, 0)), "LOST"},
-		"its backend broke off":                      {join(event(29*s, "d0", Terminates), cut, []history.Event{{T: 30 * s, Who: "p", Kind: "spoil", Txn: "a"}}), ""},
-		"at its route's timeout":                     {join(event(29*s, "d0", Terminates), cutAt(30*s, 1600*time.Millisecond)), ""},
-		"at work in the second half of grace":        {join(event(29*s, "d0", Terminates), cutAt(32*s, s)), ""},
-		"done before the second half, and cut in it": {join(event(29*s, "d0", Terminates), cutAt(31*s+s/2, s), []history.Event{{T: 31*s + 600*time.Millisecond, Who: "p", Kind: history.Over, Txn: "a"}}), "LOST"},
-		"cut by a reload":                            {join(event(29*s, "d0", Reloads), cut), "LOST"},
-		"sent long after a reload":                   {join(event(20*s, "d0", Reloads), cut), ""},
-		"cut in calm":                                {cut, ""},
-		"cut beside a configuration":                 {join(served, cutAt(20*s, s)), "LOST"},
-		"as often at other times":                    {join(several(30, 21*s, browse), cutAt(20*s, s), sent("b", "/browse/1", 30*s, s, 0, "p")), ""},
-		"cut beside one, most of its time used":      {join(served, cutAt(20*s, 1200*time.Millisecond)), ""},
+		"cut by an end":                           {join(event(29*s, "d0", Terminates), cut), "LOST"},
+		"cut by another node's end":               {join(event(29*s, "d1", Terminates), cut), ""},
+		"cut long after an end":                   {join(event(20*s, "d0", Terminates), cut), ""},
+		"cut after its end, in other trouble":     {join(event(29*s, "d0", Terminates), event(28*s, "d1", history.Stopped), cut), ""},
+		"in trouble while it ends":                {join(event(29*s, "d0", Terminates), event(29*s+s/2, "d0", Troubled), event(30*s+s/2, "d0", Eased), cut), ""},
+		"cut after its end, a backend crashed":    {join(event(29*s, "d0", Terminates), event(28*s, "t", Crashed), cut), ""},
+		"cut at once, nothing was passed on":      {join(event(29*s, "d0", Terminates), sent("a", "/browse/1", 30*s, s/10, 0)), ""},
+		"cut later, though nothing was passed on": {join(event(29*s, "d0", Terminates), sent("a", "/browse/1", 30*s, s/2, 0)), "LOST"},
+		"its backend broke off":                   {join(event(29*s, "d0", Terminates), cut, []history.Event{{T: 30 * s, Who: "p", Kind: "spoil", Txn: "a"}}), ""},
+		"at its route's timeout":                  {join(event(29*s, "d0", Terminates), cutAt(30*s, 1600*time.Millisecond)), ""},
+		"at work before the last sixth of grace":  {join(event(29*s, "d0", Terminates), cutAt(32*s, s)), "LOST"},
+		"at work in it, sent late":                {join(event(29*s, "d0", Terminates), cutAt(33*s, s+s/4)), "LOST"},
+		"cut by a reload":                         {join(event(29*s, "d0", Reloads), cut), "LOST"},
+		"sent long after a reload":                {join(event(20*s, "d0", Reloads), cut), ""},
+		"cut in calm":                             {cut, ""},
+		"cut beside a configuration":              {join(served, cutAt(20*s, s)), "LOST"},
+		"as often at other times":                 {join(several(30, 21*s, browse), cutAt(20*s, s), sent("b", "/browse/1", 30*s, s, 0, "p")), ""},
+		"cut beside one, most of its time used":   {join(served, cutAt(20*s, 1200*time.Millisecond)), ""},
 
 		"routes added later are served":   {join(served, late(200)), ""},
 		"they are refused":                {join(served, late(503)), "CONFIG"},
