--- a/internal/gateway/ingress/flow_test.go
+++ b/internal/gateway/ingress/flow_test.go
@@ -246,3 +246,30 @@
 	st.e.Turn(func() { must.Eq(t, 0, st.g.Held()) })
 	must.Eq(t, 1, st.count(counters.CutShort))
 }
+
+// A backend that answers before it has read a long body, keeps the connection and reads on gets nothing there but bytes of that body: the
+// connection carries no other request. Guards against a request that is taken for the rest of another one's body.
+func TestAnsweredBeforeItsBody(t *testing.T) {
+	st := open(t)
+	next := st.stall()
+	body := long(3 << 20)
+	c := st.client()
+	c.send(request("POST", "/once/", "early", fmt.Sprintf("Content-Length: %d\r\n", len(body))))
+	go c.Write(body[:len(body)/3]) // the rest of it is still to come
+	r, conn := next()
+	_, err := http.ReadRequest(r)
+	must.NoError(t, err)
+	io.WriteString(conn, served("early", "", "soon"))
+	must.Eq(t, "soon", c.hears("HTTP/1.1 200 Fine"))
+	other := st.client()
+	other.send(request("GET", "/pure/", "other", ""))
+	fresh, second := next() // on a connection of its own
+	q, err := http.ReadRequest(fresh)
+	must.NoError(t, err)
+	must.Eq(t, "other", q.Header.Get("X-Attempt-Id"))
+	io.WriteString(second, served("other", "Connection: close\r\n", "quick"))
+	must.Eq(t, "quick", other.hears("HTTP/1.1 200 Fine"))
+	rest, _ := io.ReadAll(r) // to the connection's end, be it a reset
+	must.True(t, bytes.HasPrefix(body, rest))
+	must.Less(t, len(body), len(rest))
+}
