Judge: added routes are not owed by nodes that could not be told of them

Change: a route that the first configuration does not have counts for Starved only at nodes in touch. That such routes are served in touch is rule CONFIG, unchanged.

--- a/internal/lab/gatewaystandin/request_rules.go
+++ b/internal/lab/gatewaystandin/request_rules.go
@@ -241,7 +241,7 @@
 func (s share) rate() float64 { return float64(s.served) / float64(max(s.asked, 1)) }
 
 // starved: no kind of request and no tenant is served much seldomer than all. What lies beyond a tenant's limit is not owed, nor
-// what no configuration in force allows.
+// what no configuration in force allows, nor a route that was added later at a node that was out of touch: it can't know of it.
 func (x *requestJudge) starved() (bad []history.Broken) {
 	all, by := share{}, map[string]share{}
 	for _, r := range x.all {
@@ -249,6 +249,9 @@
 		if r.end.N == 429 || r.end.Kind == "" || !x.begun(r) || slices.ContainsFunc(versions, func(v Version) bool { return routeOf(v.Config, r.route) == nil }) {
 			continue
 		}
+		if routeOf(x.force[0].Config, r.route) == nil && !x.calm.touch(r.ask.At, r.ask.T, r.ended()) {
+			continue // it may not have been told of the route
+		}
 		all = all.with(r.end)
 		for _, of := range []string{kindOf(r), "tenant " + r.ask.Key} {
 			by[of] = by[of].with(r.end)
--- a/internal/lab/gatewaystandin/request_rules_test.go
+++ b/internal/lab/gatewaystandin/request_rules_test.go
@@ -167,7 +167,10 @@
 		"run on, as they may run once":        {left(30, "effectful", s), ""},
 		"run on by a node that had been away": {join(event(29*s, "d0", history.Stopped), event(29*s+s/2, "d0", history.Goes), left(10, "pure", s)), ""},
 
-		"a kind that is refused":        {join(many, book), "Starved"},
+		"a kind that is refused": {join(many, book), "Starved"},
+		"added routes, at a node that was away": {join(many, event(41*s, "d0", history.Stopped), several(120, 42*s, func(id string, at time.Duration) []history.Event {
+			return sent(id, "/late/1", at, s/10, 503)
+		}), event(60*s, "d0", history.Goes)), ""},
 		"a kind that is refused seldom": {join(many, book[:3*90]), ""},
 		"a tenant that is refused":      {join(many, of("patrons", 300, 20)), "Starved"},
 		"a tenant far beyond its limit": {join(many, of("touts", 300, 20)), ""},
