--- a/internal/failpoint/debug.go
+++ b/internal/failpoint/debug.go
@@ -73,29 +73,27 @@
 }
 
 // Cut tells whether nothing that is sent from here gets to an address: host, or host and port.
-func Cut(to string) bool {
-	if cuts.Load() == 0 {
-		return false
-	}
-	if host, _, err := net.SplitHostPort(to); err == nil {
-		to = host
-	}
-	mu.Lock()
-	defer mu.Unlock()
-	return parted[to] || dark[to]
-}
+func Cut(to string) bool { return struck(to, parted, dark) }
 
 // Dark tells whether the machine at an address has no power: its connections end without a word.
-func Dark(at string) bool {
+func Dark(at string) bool { return struck(at, dark) }
+
+// struck tells whether an address's host is in one of some lists.
+func struck(address string, lists ...map[string]bool) bool {
 	if cuts.Load() == 0 {
 		return false
 	}
-	if host, _, err := net.SplitHostPort(at); err == nil {
-		at = host
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		address = host
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	return dark[at]
+	for _, list := range lists {
+		if list[address] {
+			return true
+		}
+	}
+	return false
 }
 
 // hosts are the orders that name a host, with what they change and to what.
--- a/internal/gateway/transport/mesh_test.go
+++ b/internal/gateway/transport/mesh_test.go
@@ -291,13 +291,7 @@
 // whose writer is on its way to say so, is none.
 func TestCheckFindsLinkWithoutConnection(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := begin(t, addr(51)), begin(t, addr(52))
-	a.Offer()
-	a.Want(b.me)
-	a.hears("up " + b.me)
-	b.isOffered(a.me)
-	b.Want(a.me)
-	b.hears("up " + a.me)
+	a, b := offeredPair(t, 51)
 	check := func() (broken bool) {
 		defer func() { broken = recover() != nil || broken }()
 		before := invariant.Broken()
@@ -309,15 +303,15 @@
 	}
 	b.mu.Lock()
 	conn := b.links[a.me].conn
-	in := b.ins[conn]
-	delete(b.ins, conn) // as if its reading had ended, and nobody had been told
+	in := b.incoming[conn]
+	delete(b.incoming, conn) // as if its reading had ended, and nobody had been told
 	b.mu.Unlock()
 	for range overMost - 1 {
 		must.False(t, check())
 	}
 	must.True(t, check())
 	b.mu.Lock()
-	b.ins[conn] = in
+	b.incoming[conn] = in
 	b.mu.Unlock()
 	must.False(t, check())
 	a.Stop()
--- a/internal/gateway/transport/back.go
+++ b/internal/gateway/transport/offer.go
@@ -12,8 +12,8 @@
 // link of its own. Whoever offers links uses none that is offered to it: two such nodes would else give way to each other
 // without end. A node that does not know of offers dials as before.
 
-// back is a link that another node dialed and offers. Its end is its connection's: another link may have taken its place by then.
-type back struct {
+// offeredLink is a link that another node dialed and offers. Its end is its connection's: another link may have taken its place by then.
+type offeredLink struct {
 	conn  net.Conn        // nil: it is over, and none has come in its place
 	ended <-chan struct{} // closed when nothing more comes on it
 }
@@ -21,57 +21,57 @@
 // Offer has others answer on the links that this node dials; it comes before the first Want.
 func (w *Mesh[F]) Offer() { w.offer = true }
 
-// offered notes that a node takes frames on a link that it dialed; the mesh is locked.
-func (w *Mesh[F]) offered(o opening, c net.Conn) bool {
+// noteOffer notes that a node takes frames on a link that it dialed; the mesh is locked.
+func (w *Mesh[F]) noteOffer(o opening, c net.Conn) bool {
 	if !o.Both || w.offer {
-		delete(w.backs, o.From)
+		delete(w.offers, o.From)
 		return false
 	}
 	if raw, ok := c.(syscall.Conn); ok {
 		if r, err := raw.SyscallConn(); err == nil {
-			deadPeers("", "", r)
+			setUserTimeout("", "", r)
 		}
 	}
-	w.backs[o.From] = &back{c, w.ins[c].ended}
+	w.offers[o.From] = &offeredLink{c, w.incoming[c].ended}
 	return true
 }
 
-// drop notes that nothing more comes on a connection, and tells whoever writes to it; the mesh is locked. That its node offers
+// endIncoming notes that nothing more comes on a connection, and tells whoever writes to it; the mesh is locked. That its node offers
 // links stays known.
-func (w *Mesh[F]) drop(from string, c net.Conn) {
-	close(w.ins[c].ended)
-	delete(w.ins, c)
-	if b := w.backs[from]; b != nil && b.conn == c {
+func (w *Mesh[F]) endIncoming(from string, c net.Conn) {
+	close(w.incoming[c].ended)
+	delete(w.incoming, c)
+	if b := w.offers[from]; b != nil && b.conn == c {
 		b.conn = nil
 	}
 }
 
-// open finds the link that a node offers. known tells that it offers links, if there is one or not.
-func (w *Mesh[F]) open(to string) (b back, known bool) {
+// offerOf finds the link that a node offers. known tells that it offers links, if there is one or not.
+func (w *Mesh[F]) offerOf(to string) (b offeredLink, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o := w.backs[to]; o != nil {
+	if o := w.offers[to]; o != nil {
 		return *o, true
 	}
-	return back{}, false
+	return offeredLink{}, false
 }
 
 // reach gives a connection to a node, and what tells of its end: the one that it offers, else one that is dialed. A node that has offered
 // links dials this one itself as soon as it can; abort ends the wait for that.
 func (w *Mesh[F]) reach(now context.Context, l *link[F], abort func()) (net.Conn, <-chan struct{}, error) {
-	w.has(l, nil, abort)
-	b, known := w.open(l.to)
+	w.setConnection(l, nil, abort)
+	b, known := w.offerOf(l.to)
 	if known && b.conn == nil {
 		select {
 		case <-now.Done():
 		case <-time.After(giveWay):
 		}
-		b, _ = w.open(l.to)
+		b, _ = w.offerOf(l.to)
 	}
 	if b.conn != nil {
 		return b.conn, b.ended, nil
 	}
-	d := net.Dialer{Timeout: dialLimit, KeepAlive: -1, Control: deadPeers}
+	d := net.Dialer{Timeout: dialLimit, KeepAlive: -1, Control: setUserTimeout}
 	c, err := dial(now, &d, l.to)
 	if err != nil {
 		return nil, nil, err
@@ -93,10 +93,10 @@
 		}()
 		return ended
 	}
-	in := w.note(c)
+	in := w.noteIncoming(c)
 	if w.done {
 		c.Close()
-		w.drop("", c)
+		w.endIncoming("", c)
 	} else {
 		w.all.Go(func() { w.read(c, to) })
 	}
--- a/internal/gateway/transport/back_test.go
+++ b/internal/gateway/transport/offer_test.go
@@ -16,17 +16,29 @@
 func (e *end) conns() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.ins)
+	return len(e.incoming)
 }
 
 // isOffered waits until a node's offer is known here.
 func (e *end) isOffered(from string) {
 	e.t.Helper()
-	for o, _ := e.open(from); o.conn == nil; o, _ = e.open(from) {
+	for o, _ := e.offerOf(from); o.conn == nil; o, _ = e.offerOf(from) {
 		runtime.Gosched()
 	}
 }
 
+// offeredPair is two nodes of which a offers the link that b answers on, up both ways.
+func offeredPair(t *testing.T, nr int) (a, b *end) {
+	a, b = begin(t, addr(nr)), begin(t, addr(nr+1))
+	a.Offer()
+	a.Want(b.me)
+	a.hears("up " + b.me)
+	b.isOffered(a.me)
+	b.Want(a.me)
+	b.hears("up " + a.me)
+	return a, b
+}
+
 // A node that many others dial answers on the links that they offer: one connection serves both ways, whoever dialed first, and frames
 // arrive in order. Guards against a member of the core that runs out of descriptors (two for each of 299 nodes were 598 of its
 // 800), and took no control calls any more.
@@ -68,15 +80,9 @@
 // The end of an offered link is told at both ends, and the next one serves both ways as well.
 func TestOfferedLinkEnds(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := begin(t, addr(23)), begin(t, addr(24))
-	a.Offer()
-	a.Want(b.me)
-	a.hears("up " + b.me)
-	b.isOffered(a.me)
-	b.Want(a.me)
-	b.hears("up " + a.me)
+	a, b := offeredPair(t, 23)
 	b.mu.Lock()
-	b.backs[a.me].conn.Close()
+	b.offers[a.me].conn.Close()
 	b.mu.Unlock()
 	a.hears("down " + b.me)
 	a.hears("up " + b.me)
