Judge: a kill of a node that is ending is unplanned trouble

Change: an end within the grace is the node's own only if its history says "in order", or the grace is over; simulated nodes say so now, as real ones do.

--- a/internal/lab/gatewaystandin/loss_rules.go
+++ b/internal/lab/gatewaystandin/loss_rules.go
@@ -35,7 +35,7 @@
 	downs := slices.DeleteFunc(slices.Clone(h), func(e history.Event) bool { return !isDown(e) })
 	for who, spans := range newOff(downs) {
 		for _, s := range spans {
-			if !between(p.ends[who], s[0]-Bounds().Grace-afterGrace, s[0]) {
+			if !p.endsByItself(downs, who, s[0]) {
 				p.troubles = append(p.troubles, s)
 			}
 		}
@@ -49,6 +49,17 @@
 	return p
 }
 
+// endsByItself tells whether a node that went down then was told to end, and was not killed before its grace was over.
+func (p *planned) endsByItself(downs []history.Event, node string, at time.Duration) bool {
+	if !between(p.ends[node], at-Bounds().Grace-afterGrace, at) {
+		return false
+	}
+	inOrder := slices.ContainsFunc(downs, func(e history.Event) bool {
+		return e.Who == node && e.T == at && e.Kind == history.Down && e.What == history.InOrder
+	})
+	return inOrder || !between(p.ends[node], at-Bounds().Grace+1, at)
+}
+
 // quiet tells whether there was no unplanned trouble anywhere in a time.
 func (p *planned) quiet(from, to time.Duration) bool {
 	return !slices.ContainsFunc(p.troubles, func(s [2]time.Duration) bool { return s[0] <= to && s[1] >= from })
--- a/internal/lab/gatewaystandin/request_rules_test.go
+++ b/internal/lab/gatewaystandin/request_rules_test.go
@@ -130,6 +130,8 @@
 		"the lower bound":                  {tries(9, "/late/1", 70*s, "p", "p2"), "BUDGET"},
 
 		"cut by an end":                           {join(event(29*s, "d0", Terminates), cut), "LOST"},
+		"cut by a kill while it ends":             {join(event(29*s, "d0", Terminates), event(31*s, "d0", history.Down), cut), ""},
+		"cut by its own end":                      {join(event(29*s, "d0", Terminates), []history.Event{{T: 31 * s, Who: "d0", Kind: history.Down, What: history.InOrder}}, cut), "LOST"},
 		"cut by another node's end":               {join(event(29*s, "d1", Terminates), cut), ""},
 		"cut long after an end":                   {join(event(20*s, "d0", Terminates), cut), ""},
 		"cut after its end, in other trouble":     {join(event(29*s, "d0", Terminates), event(28*s, "d1", history.Stopped), cut), ""},
--- a/internal/lab/simulation/machine.go
+++ b/internal/lab/simulation/machine.go
@@ -93,7 +93,10 @@
 }
 
 // kill ends a process at once. Without power nothing tells the others.
-func (m *machine) kill(power bool) {
+func (m *machine) kill(power bool) { m.down(power, "") }
+
+// down ends a process; how is what its history says of that.
+func (m *machine) down(power bool, how string) {
 	m.dark = m.dark || power
 	p := m.p
 	if p == nil {
@@ -105,7 +108,7 @@
 		m.w.note(history.Event{Who: m.name, Kind: history.Goes})
 	}
 	m.stalled = 0
-	m.w.note(history.Event{Who: m.name, Kind: history.Down})
+	m.w.note(history.Event{Who: m.name, Kind: history.Down, What: how})
 	m.w.say("%s is killed, power off %v", m.name, power)
 	if m.disk != nil {
 		m.disk.killed()
@@ -142,7 +145,7 @@
 		if done || w.now-began > grace-400*time.Millisecond {
 			w.after(150*time.Millisecond, func() {
 				if !p.over {
-					m.kill(false)
+					m.down(false, history.InOrder)
 				}
 			})
 			return false
