--- a/internal/lab/gatewaystandin/request_rules_test.go
+++ b/internal/lab/gatewaystandin/request_rules_test.go
@@ -150,10 +150,16 @@
 		"as often at other times":                 {join(several(30, 21*s, browse), cutAt(20*s, s), sent("b", "/browse/1", 30*s, s, 0, "p")), ""},
 		"cut beside one, most of its time used":   {join(served, cutAt(20*s, 1200*time.Millisecond)), ""},
 
-		"routes added later are served":   {join(served, late(200)), ""},
-		"they are refused":                {join(served, late(503)), "CONFIG"},
-		"all are refused":                 {join(several(30, 30*s, func(id string, at time.Duration) []history.Event { return sent(id, "/browse/1", at, s/10, 503) }), late(503)), ""},
-		"too few to tell":                 {join(served, late(503)[:3*19]), ""},
+		"routes added later are served": {join(served, late(200)), ""},
+		"they are refused":              {join(served, late(503)), "CONFIG"},
+		"all are refused":               {join(several(30, 30*s, func(id string, at time.Duration) []history.Event { return sent(id, "/browse/1", at, s/10, 503) }), late(503)), ""},
+		"too few to tell":               {join(served, late(503)[:3*19]), ""},
+		"too few, where few are served": {join(several(120, 30*s, func(id string, at time.Duration) []history.Event {
+			if at%s == 0 {
+				return sent(id, "/browse/1", at, s/10, 200)
+			}
+			return sent(id, "/browse/1", at, s/10, 503)
+		}), late(503)), ""},
 		"beyond the quota":                {join(served, late(429)), ""},
 		"a node that had just been away":  {join(served, late(503), event(39*s, "d0", history.Stopped), event(45*s, "d0", history.Goes)), ""},
 		"a node that was away for longer": {join(served, late(503), event(10*s, "d0", history.Stopped), event(11*s, "d0", history.Goes)), "CONFIG"},
