A node's stamp is computed without allocation

Need: a member asks for the stamp of each of hundreds of peers five times a second; a hash of encoded words cost an allocation each. Four words by FNV-1a now; 256 neighbouring states have 256 stamps (TestStampsTellStatesApart). membership passes.

--- a/internal/gateway/membership/hello.go
+++ b/internal/gateway/membership/hello.go
@@ -1,10 +1,6 @@
 package membership
 
-import (
-	"encoding/binary"
-	"hash/fnv"
-	"time"
-)
+import "time"
 
 // Hellos are said when a link comes up and when something of a node changes. One that is lost is said again: a node that has had none
 // of another one, or only one that is out of date, can't turn to it for as long as the link lasts, whatever else is lost meanwhile.
@@ -21,19 +17,21 @@
 	confirms bool          // it knows us as we are
 }
 
-// stamp tells two states of a node apart. It is never 0.
+// stamp tells two states of a node apart (FNV-1a by words). It is never 0. It is asked for of each peer several times a second.
 func (n *Node) stamp() uint64 {
-	h := fnv.New64a()
-	flags := byte(0)
+	flags := uint64(0)
 	if n.Founded {
 		flags |= 1
 	}
 	if n.Leaving {
 		flags |= 2
 	}
-	binary.Write(h, binary.LittleEndian, []uint64{n.Life, uint64(n.Disk), n.House}) // to a hash: it can't fail
-	h.Write([]byte{flags})
-	return max(h.Sum64(), 1)
+	h := uint64(fnvOffset)
+	for _, word := range [...]uint64{n.Life, uint64(n.Disk), n.House, flags} {
+		h = (h ^ word) * fnvPrime
+		h ^= h >> 32
+	}
+	return max(h, 1)
 }
 
 // heard takes a node's own hello; p is what was known of it before.
--- a/internal/gateway/membership/hello_test.go
+++ b/internal/gateway/membership/hello_test.go
@@ -74,3 +74,21 @@
 		must.Eq(t, map[uint64]int{0: 1 + helloMost, me.stamp(): 1}[knows], said)
 	}
 }
+
+// Whatever of a node others go by changes its stamp.
+func TestStampsTellStatesApart(t *testing.T) {
+	seen := map[uint64]Node{}
+	for life := range uint64(4) {
+		for disk := range Disk(4) {
+			for house := range uint64(4) {
+				for flags := range 4 {
+					n := Node{Life: life, Disk: disk, House: house, Founded: flags&1 > 0, Leaving: flags&2 > 0}
+					other, twice := seen[n.stamp()]
+					must.False(t, twice, must.Sprint(n, other))
+					seen[n.stamp()] = n
+				}
+			}
+		}
+	}
+	must.MapNotContainsKey(t, seen, 0)
+}
--- a/internal/gateway/membership/watch.go
+++ b/internal/gateway/membership/watch.go
@@ -19,11 +19,17 @@
 	at    time.Duration
 }
 
+// The figures of FNV-1a.
+const (
+	fnvOffset = 0xcbf29ce484222325
+	fnvPrime  = 0x100000001b3
+)
+
 // place is where a node stands on the ring (FNV-1a, its bits spread: addresses differ in their last digits alone).
 func place(addr string) uint64 {
-	h := uint64(0xcbf29ce484222325)
+	h := uint64(fnvOffset)
 	for i := range len(addr) {
-		h = (h ^ uint64(addr[i])) * 0x100000001b3
+		h = (h ^ uint64(addr[i])) * fnvPrime
 	}
 	h ^= h >> 32
 	h *= 0x9e3779b97f4a7c15
