--- a/internal/gateway/membership/hello_test.go
+++ b/internal/gateway/membership/hello_test.go
@@ -80,9 +80,9 @@
 	seen := map[uint64]Node{}
 	for life := range uint64(4) {
 		for disk := range Disk(4) {
-			for house := range uint64(4) {
+			for cluster := range uint64(4) {
 				for flags := range 4 {
-					n := Node{Life: life, Disk: disk, House: house, Founded: flags&1 > 0, Leaving: flags&2 > 0}
+					n := Node{Life: life, Disk: disk, House: cluster, Founded: flags&1 > 0, Leaving: flags&2 > 0}
 					other, twice := seen[n.stamp()]
 					must.False(t, twice, must.Sprint(n, other))
 					seen[n.stamp()] = n
