A change that brings a route with a deadline of 0 is refused

Change: whoever leads refuses it before it is proposed, with the place: 400. What the log holds is applied as before, since the version before took such routes.

--- a/internal/gateway/node/calls.go
+++ b/internal/gateway/node/calls.go
@@ -98,6 +98,9 @@
 		body = h.core.founders()
 	}
 	refusal := 400
+	if err == nil {
+		err = h.unserviceable(c.kind, body)
+	}
 	if err == nil {
 		if err = h.tooLarge(c.kind, body); err != nil {
 			refusal = 413
@@ -251,6 +254,22 @@
 // diskCopies is how many times the largest state the file holds at the most, and a little: see logstore.
 const diskCopies = 10
 
+// unserviceable tells whether a configuration that would be taken has a route that can't be served. Whoever leads decides it, as it decides
+// what is too large.
+func (h *Node) unserviceable(k statemachine.Kind, body []byte) error {
+	if k != statemachine.Replace && k != statemachine.Amend {
+		return nil
+	}
+	err := routing.CheckDeadlines(body)
+	if err == nil {
+		return nil
+	}
+	if v, _ := h.machine.Decide(k, body); v != routing.Taken {
+		return nil // its answer is another
+	}
+	return err
+}
+
 // tooLarge tells whether a configuration that would be taken grows beyond what the disk is for. Whoever leads decides it, before
 // anything is proposed: what is in the log is applied everywhere, whatever a node's disk. An amendment counts in full, whatever it
 // takes away.
--- /dev/null
+++ b/internal/gateway/routing/deadlines.go
@@ -0,0 +1,38 @@
+package routing
+
+import (
+	"encoding/json"
+	"strconv"
+)
+
+// changed are the routes that a change brings, whole or by amendment.
+type changed struct {
+	Vhosts  []ConfigHost `json:"vhosts"`
+	Upserts struct {
+		Vhosts []ConfigHost `json:"vhosts"`
+	} `json:"upserts"`
+}
+
+// CheckDeadlines refuses a change that brings a route whose deadline is 0: each of its requests would be over before it began. Whoever leads
+// asks before it proposes the change. What the log holds is applied whatever it says: the version before took such routes.
+func CheckDeadlines(body []byte) error {
+	var c changed
+	if json.Unmarshal(body, &c) != nil {
+		return nil // refused for that
+	}
+	for prefix, hosts := range map[string][]ConfigHost{"": c.Vhosts, "upserts.": c.Upserts.Vhosts} {
+		for i := range hosts {
+			for j := range hosts[i].PathList {
+				r := &hosts[i].PathList[j]
+				if r.Deadline == nil {
+					continue
+				}
+				if d, err := ParseSpan(*r.Deadline); err == nil && d <= 0 {
+					place := prefix + "vhosts[" + strconv.Itoa(i) + "].path_list[" + strconv.Itoa(j) + "].deadline"
+					return fault(place, "must be above 0")
+				}
+			}
+		}
+	}
+	return nil
+}
