--- a/internal/gateway/admission/types.go
+++ b/internal/gateway/admission/types.go
@@ -72,15 +72,15 @@
 	waits    bool          // in the line of its deployment
 	asks     bool          // among those that wait for units
 	giveUp   time.Duration
-	kept     bool // units are kept for it
-	drawn    bool // units are spent
-	ended    bool // answered, or nobody waits
-	left     bool // its client went away while it was at a backend
-	leftAt   time.Duration
-	ran      bool // it may have run
-	nr       int  // submissions so far
-	tries    int  // and those that may have arrived
-	hops     int  // and those that did not
+	kept     bool          // units are kept for it
+	drawn    bool          // units are spent
+	ended    bool          // answered, or nobody waits
+	left     bool          // its client went away
+	leftAt   time.Duration // then, if it was at a backend
+	ran      bool          // it may have run
+	nr       int           // submissions so far
+	tries    int           // and those that may have arrived
+	hops     int           // and those that did not
 	tried    []control.BackendID
 	out      bool
 	at       control.BackendID
--- a/internal/gateway/routing/deadlines.go
+++ b/internal/gateway/routing/deadlines.go
@@ -20,17 +20,22 @@
 	if json.Unmarshal(body, &c) != nil {
 		return nil // refused for that
 	}
-	for prefix, hosts := range map[string][]ConfigHost{"": c.Vhosts, "upserts.": c.Upserts.Vhosts} {
-		for i := range hosts {
-			for j := range hosts[i].PathList {
-				r := &hosts[i].PathList[j]
-				if r.Deadline == nil {
-					continue
-				}
-				if d, err := ParseSpan(*r.Deadline); err == nil && d <= 0 {
-					place := prefix + "vhosts[" + strconv.Itoa(i) + "].path_list[" + strconv.Itoa(j) + "].deadline"
-					return fault(place, "must be above 0")
-				}
+	if err := deadlinesOf(c.Vhosts, ""); err != nil {
+		return err
+	}
+	return deadlinesOf(c.Upserts.Vhosts, "upserts.")
+}
+
+func deadlinesOf(hosts []ConfigHost, prefix string) error {
+	for i := range hosts {
+		for j := range hosts[i].PathList {
+			r := &hosts[i].PathList[j]
+			if r.Deadline == nil {
+				continue
+			}
+			if d, err := ParseSpan(*r.Deadline); err == nil && d <= 0 {
+				place := prefix + "vhosts[" + strconv.Itoa(i) + "].path_list[" + strconv.Itoa(j) + "].deadline"
+				return fault(place, "must be above 0")
 			}
 		}
 	}
--- a/internal/gateway/transport/offer_test.go
+++ b/internal/gateway/transport/offer_test.go
@@ -39,6 +39,16 @@
 	return a, b
 }
 
+// exchange has two nodes say so many frames to each other, which both hear in order.
+func exchange(a, b *end, frames int) {
+	a.say(b, 0, frames)
+	b.say(a, frames, 2*frames)
+	for nr := range frames {
+		b.hears(fmt.Sprintf("%s: %d", a.me, nr))
+		a.hears(fmt.Sprintf("%s: %d", b.me, frames+nr))
+	}
+}
+
 // A node that many others dial answers on the links that they offer: one connection serves both ways, whoever dialed first, and frames
 // arrive in order. Guards against a member of the core that runs out of descriptors (two for each of 299 nodes were 598 of its
 // 800), and took no control calls any more.
@@ -60,12 +70,7 @@
 			b.Want(a.me)
 		}
 		b.hears("up " + a.me)
-		a.say(b, 0, 100)
-		b.say(a, 100, 200)
-		for nr := range 100 {
-			b.hears(fmt.Sprintf("%s: %d", a.me, nr))
-			a.hears(fmt.Sprintf("%s: %d", b.me, 100+nr))
-		}
+		exchange(a, b, 100)
 		must.Eq(t, 1, a.conns()) // the one that it dialed itself
 		must.Eq(t, 1, b.conns())
 		a.turn.Lock()
@@ -113,12 +118,7 @@
 	a.hears("up " + b.me)
 	b.Want(a.me)
 	b.hears("up " + a.me)
-	a.say(b, 0, 50)
-	b.say(a, 50, 100)
-	for nr := range 50 {
-		b.hears(fmt.Sprintf("%s: %d", a.me, nr))
-		a.hears(fmt.Sprintf("%s: %d", b.me, 50+nr))
-	}
+	exchange(a, b, 50)
 	must.Eq(t, 2, a.conns())
 	a.Stop()
 	b.hears("down " + a.me)
--- a/internal/lab/faultrig/gateway_test.go
+++ b/internal/lab/faultrig/gateway_test.go
@@ -56,9 +56,6 @@
 // connection, nothing runs on for a client that has left. Guards against what incident mvk-anadolu 7 found; the short form of "lab
 // gateway chaos --storms".
 func TestStormOnAGateway(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	defer goleak.VerifyNone(t)
 	fault := func(kind string, at, for_, share, by float64) spec.Fault {
 		return spec.Fault{Kind: kind, At: sec(at), For: sec(for_), Share: share, By: by, Pick: 5}
