Review case 2: an acknowledged Backends.Leave is forgotten when all processes are killed

Cause: a departure is acknowledged by copies in memory; the disk has the registry as a hint that is up to 500 ms older. After a kill of all processes the backend is ready again until it is timed out, and one that sent Backends.Leave alone makes no further call that would tell it again.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -11,7 +11,8 @@
 	rule string
 	play func(d *deployment, trouble bool) (broken int, err error)
 }{
-	"slow-reader": {"LOST", slowReader},
+	"slow-reader":     {"LOST", slowReader},
+	"forgotten-leave": {"DRAIN", forgottenLeave},
 }
 
 // main plays the case that the first argument names: 1 means that the rule was broken, 0 that it held, 2 that the case could not run.
