Review case 1: a client that resets its connection as its answer begins crashes the node

Cause: for a request with a streamed body, Gate.Begun may end the attempt while it writes the head of a streamed answer to a client that is gone; conn.beginStreaming then ends it a second time and reads a nil backend.

--- a/review/_rig/backend.go
+++ b/review/_rig/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,7 +44,7 @@
 	for {
 		b.mu.Lock()
 		b.seq++
-		body := fmt.Sprintf(`{"target":%q,"address":%q,"zone":%q,"generation":"v1","capacity":4,"phase":%q,"cold_left":"0ms","call_seq":%d}`,
+		body := fmt.Sprintf(`{"target":%q,"address":%q,"zone":%q,"generation":"v1","capacity":20,"phase":%q,"cold_left":"0ms","call_seq":%d}`,
 			b.service, b.addr, b.zone, b.phase, b.seq)
 		b.mu.Unlock()
 		to := target
@@ -82,7 +83,7 @@
 	b.mu.Lock()
 	b.arrivals[id] = time.Now()
 	b.mu.Unlock()
-	b.d.rec.say("backend %s runs %s %s", b.id, id, r.URL.Path)
+	io.Copy(io.Discard, r.Body)
 	work, _ := strconv.Atoi(r.URL.Query().Get("work"))
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
 	select {
@@ -95,9 +96,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	w.Header().Set("Keep-Alive", "timeout=10")
 	n, err := w.Write(content(id, size))
-	if size > 10_000 || err != nil {
-		b.d.rec.say("backend %s has written the answer of %s: %d of %d bytes, error %v", b.id, id, n, size, err)
-	}
+	b.d.rec.say("backend %s has run %s %s, and has written %d of %d bytes, error %v", b.id, id, r.URL.Path, n, size, err)
 }
 
 // content is the body of an answer.
--- a/review/_rig/deployment.go
+++ b/review/_rig/deployment.go
@@ -173,6 +173,12 @@
 	return nil
 }
 
+// log is what the node's processes wrote.
+func (n *node) log() string {
+	text, _ := os.ReadFile(filepath.Join(n.d.dir, n.name+".log"))
+	return string(text)
+}
+
 func (n *node) signal(s syscall.Signal) {
 	n.d.rec.say("signal %v to node %s (pid %d)", s, n.name, n.cmd.Process.Pid)
 	n.cmd.Process.Signal(s)
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -13,6 +13,7 @@
 }{
 	"slow-reader":     {"LOST", slowReader},
 	"forgotten-leave": {"DRAIN", forgottenLeave},
+	"leaving-clients": {"LOST", leavingClients},
 }
 
 // main plays the case that the first argument names: 1 means that the rule was broken, 0 that it held, 2 that the case could not run.
