--- a/review/_rig/forgottenleave.go
+++ b/review/_rig/forgottenleave.go
@@ -137,7 +137,7 @@
 	if err := d.startAll(); err != nil {
 		return 0, err
 	}
-	if d.configure("/api/Config.Replace", forgottenLeaveConfig, 15*time.Second) != 200 || !d.awaitReady(15*time.Second) {
+	if d.configure("/api/Config.Replace", forgottenLeaveConfig, 10*time.Second) != 200 || !d.awaitReady(10*time.Second) {
 		return 0, fmt.Errorf("the deployment does not come up")
 	}
 	d.rec.say("all nodes are ready")
--- a/review/_rig/leavingclients.go
+++ b/review/_rig/leavingclients.go
@@ -24,7 +24,7 @@
 	leaveAfter   = time.Second // half of the routes' target_latency
 	leaveShare   = 0.5
 	bidders      = 12
-	leaversFor   = 80 * time.Second
+	leaversFor   = 75 * time.Second
 	countAsLost  = 3 // more than so many break the rule
 	bidWork      = 300
 	bidClientFor = 5 * time.Second
@@ -101,7 +101,7 @@
 	if err := d.startAll(); err != nil {
 		return 0, err
 	}
-	if d.configure("/api/Config.Replace", leavingClientsConfig, 15*time.Second) != 200 || !d.awaitReady(15*time.Second) {
+	if d.configure("/api/Config.Replace", leavingClientsConfig, 10*time.Second) != 200 || !d.awaitReady(10*time.Second) {
 		return 0, fmt.Errorf("the deployment does not come up")
 	}
 	d.rec.say("all nodes are ready")
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +40,14 @@
 		return 2
 	}
 	defer d.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		rec.say("can't run: stopped before the verdict")
+		d.close()
+		os.Exit(2)
+	}()
 	broken, err := cases[name].play(d, trouble)
 	if err != nil {
 		rec.say("can't run: %v", err)
