Registry: a departure is confirmed only when enough disks have it

Cause: a copy of a departure counted when it was in the memory of tolerates + 1 nodes with a disk. One kill ends all memories. After the start the nodes had the stored list of backends, written at most each 500 ms and so from before the leave, and the backend makes no further call.

Change: the registry hands departures to the host to be stored (StoreDepartures), in the transaction of the logs, in a bucket of their own. A copy counts when it is synced: the node's own by DeparturesStored, another's by its acknowledgement unless that lists the message in Unstored, then by Stored. A message is acknowledged at once, so a slow or full disk delays no other update. A node of a program before counts by its acknowledgement, as it did. At the start departures are restored before the list of backends. They leave the disk after the registry has forgotten them and the stored list is without them. Draining had the same cause and takes the same way.

--- a/internal/gateway/logstore/buckets.go
+++ b/internal/gateway/logstore/buckets.go
@@ -20,6 +20,9 @@
 	softStateKey = []byte("note") // the soft state; in the head bucket of the configuration's log
 )
 
+// departuresBucket is the name of the bucket that holds the departures of backends. It is created by the first write of a departure.
+var departuresBucket = []byte("departures")
+
 // bucketNames holds the names of the buckets of one log.
 type bucketNames struct{ head, snapshot, entries []byte }
 
--- a/internal/gateway/logstore/doc.go
+++ b/internal/gateway/logstore/doc.go
@@ -6,7 +6,8 @@
 // A log is a replication.PersistentState. It consists of the member ID of the disk, the cluster ID, the term and the vote in the term, the
 // commit index, a snapshot, and the entries after the snapshot. The head of a log is everything except the snapshot and the entries. The head,
 // the snapshot and the entries of a log are stored in bbolt buckets that belong to this log only. A member ID identifies one disk as a member
-// of Raft groups. The soft state is a value beside the logs that the node uses after a start. The soft state may be out of date or lost.
+// of Raft groups. A departure is the fact that a backend is draining or has deregistered (package registry). The departures are stored in a
+// bucket of their own. The soft state is a value beside the logs that the node uses after a start. The soft state may be out of date or lost.
 //
 // # Guarantees
 //
--- a/internal/gateway/logstore/file.go
+++ b/internal/gateway/logstore/file.go
@@ -11,6 +11,7 @@
 	berrors "go.etcd.io/bbolt/errors"
 	"golang.org/x/sys/unix"
 
+	"clovergap/internal/gateway/registry"
 	"clovergap/internal/gateway/replication"
 )
 
@@ -57,6 +58,7 @@
 type contents struct {
 	configuration replication.PersistentState
 	groups        map[replication.LogID]replication.PersistentState
+	departures    []registry.Departure
 }
 
 // isEmpty reports whether there is no state. The file is then missing, or the process that created it ended before the first write. No other
@@ -133,7 +135,8 @@
 				return err
 			}
 		}
-		return nil
+		c.departures, err = readDepartures(tx)
+		return err
 	})
 }
 
--- a/internal/gateway/logstore/store.go
+++ b/internal/gateway/logstore/store.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.etcd.io/bbolt"
 
+	"clovergap/internal/gateway/registry"
 	"clovergap/internal/gateway/replication"
 )
 
@@ -23,6 +24,7 @@
 	memberID     replication.MemberID
 	file         *bbolt.DB // nil until the file exists: see HasFile
 	groupLogs    map[replication.LogID]replication.PersistentState
+	departures   []registry.Departure
 	hasBothNames bool  // Open found one file under both its present and its former name
 	renameErr    error // see RenameError
 }
@@ -51,7 +53,7 @@
 			return nil, replication.PersistentState{}, err
 		}
 	}
-	s.memberID, s.groupLogs = found.configuration.ID, found.groups
+	s.memberID, s.groupLogs, s.departures = found.configuration.ID, found.groups, found.departures
 	if err := s.openForWriting(create); err != nil {
 		if !create || !isDiskFull(err) {
 			return nil, replication.PersistentState{}, err
@@ -97,10 +99,10 @@
 	return s.openForWriting(true)
 }
 
-// Write stores writes to one or several logs in one transaction. When Write returns nil, all writes are synced. When Write returns an error,
-// none of the writes is on disk, and the caller may retry them.
-func (s *Store) Write(writes []replication.LogWrite) error {
-	if len(writes) == 0 {
+// Write stores writes to one or several logs and departures of backends in one transaction. When Write returns nil, all of them are synced.
+// When Write returns an error, none of them is on disk, and the caller may retry them.
+func (s *Store) Write(writes []replication.LogWrite, departures ...registry.Departure) error {
+	if len(writes) == 0 && len(departures) == 0 {
 		return nil
 	}
 	if err := s.ensureFileExists(); err != nil {
@@ -111,16 +113,16 @@
 		heads[writes[i].Log] = newStoredHead(s.memberID, &writes[i].Write)
 	}
 	return wrapFileError("write", s.path, runRecoveringPanics(func() error {
-		if err := s.commitWrites(writes, heads); err != nil {
+		if err := s.commitWrites(writes, heads, departures); err != nil {
 			return err
 		}
-		return s.verifyHeads(heads)
+		return s.verifyHeads(heads, departures)
 	}))
 }
 
-// commitWrites runs the transaction of a Write. commitWrites stores the snapshots and entries in the order of the writes, and then one head
-// for each log.
-func (s *Store) commitWrites(writes []replication.LogWrite, heads map[replication.LogID]storedHead) error {
+// commitWrites runs the transaction of a Write. commitWrites stores the snapshots and entries in the order of the writes, then one head for
+// each log, and then the departures.
+func (s *Store) commitWrites(writes []replication.LogWrite, heads map[replication.LogID]storedHead, departures []registry.Departure) error {
 	return s.file.Update(func(tx *bbolt.Tx) error {
 		for i := range writes {
 			log, err := createBuckets(tx, writes[i].Log)
@@ -136,13 +138,13 @@
 				return err
 			}
 		}
-		return nil
+		return putDepartures(tx, departures)
 	})
 }
 
-// verifyHeads reads the heads back that commitWrites wrote. bbolt writes to the file but reads the file through a memory mapping. If the disk
-// lost the write, the mapping shows other heads, and verifyHeads returns ErrReadBack.
-func (s *Store) verifyHeads(heads map[replication.LogID]storedHead) error {
+// verifyHeads reads the heads and departures back that commitWrites wrote. bbolt writes to the file but reads the file through a memory mapping. If the disk
+// lost the write, the mapping shows other values, and verifyHeads returns ErrReadBack.
+func (s *Store) verifyHeads(heads map[replication.LogID]storedHead, departures []registry.Departure) error {
 	return s.file.View(func(tx *bbolt.Tx) error {
 		for id, want := range heads {
 			log := lookupBuckets(tx, id)
@@ -150,7 +152,7 @@
 				return newLogError("read back head", id, log.names.head, ErrReadBack)
 			}
 		}
-		return nil
+		return verifyDepartures(tx, departures)
 	})
 }
 
--- a/internal/gateway/logstore/stored.go
+++ b/internal/gateway/logstore/stored.go
@@ -43,6 +43,11 @@
 	}
 )
 
+// storedDeparture is the stored form of the departure of a backend. Its key is the id of the backend.
+type storedDeparture struct {
+	Deregistered bool // false: the backend is draining
+}
+
 // newStoredHead returns the head that a write leaves in a log of the disk with the given member ID.
 func newStoredHead(id replication.MemberID, w *replication.Write) storedHead {
 	return storedHead{Me: id, For: w.Vote, House: w.ClusterID, Promise: w.Term, Delivered: w.Commit}
--- a/internal/gateway/node/backend_registry.go
+++ b/internal/gateway/node/backend_registry.go
@@ -10,16 +10,17 @@
 	"clovergap/internal/gateway/registry"
 )
 
-// softStateInterval is the least time between two writes of the registry beside the log. It is a help after the loss of all nodes, and
-// nothing rests on it.
+// softStateInterval is the least time between two writes of the backends beside the log. The stored backends help after the loss of all
+// nodes, and nothing rests on them. Departures are stored at once instead: see registry.StoreDepartures.
 const softStateInterval = 500 * time.Millisecond
 
 // registryHost is what a node keeps for its registry of backends.
 type registryHost struct {
-	timerSeq uint32
-	unsaved  bool // it changed since it was last saved
-	savedAt  time.Duration
-	pending  map[registry.Ticket]pendingHeartbeat
+	timerSeq      uint32
+	unsaved       bool // it changed since it was last saved
+	saveScheduled bool // it is to be saved with the next write
+	savedAt       time.Duration
+	pending       map[registry.Ticket]pendingHeartbeat
 }
 
 // pendingHeartbeat is a backend's call that waits for its acknowledgement.
@@ -63,7 +64,7 @@
 // openRegistry begins the registry, once this node has one of so many slots.
 func (n *Node) openRegistry(self membership.Slot, slots int) {
 	n.registry = registry.New(registry.Slot(self), registry.Config{HeartbeatInterval: n.settings.HeartbeatInterval,
-		MinCopies: n.minDrainCopies(), Incarnation: uint32(n.incarnation)}, n.loop.Now())
+		MinCopies: n.minDrainCopies(), Incarnation: uint32(n.incarnation), HasDisk: n.core != nil}, n.loop.Now())
 	n.logInfo(nodePart).Int("slot", int(self)).Int("slots", slots).Msg("slot assigned")
 	if n.core != nil {
 		n.restoreRegistry()
@@ -103,29 +104,46 @@
 	}
 }
 
-// saveRegistry has the registry stored beside the log, if it changed, each softStateInterval.
-func (n *Node) saveRegistry() {
+// scheduleRegistrySave has the registry stored beside the log with the next write, if it changed, each softStateInterval.
+func (n *Node) scheduleRegistrySave() {
 	now, host := n.loop.Now(), &n.registryHost
 	if !host.unsaved || now-host.savedAt < softStateInterval || n.registry == nil {
 		return
 	}
-	host.unsaved, host.savedAt = false, now
-	n.core.disk.softState = encodeBackends(n.registry.Backends())
+	host.unsaved, host.savedAt, host.saveScheduled = false, now, true
 }
 
-// restoreRegistry gives the registry what was stored of it.
+// takeSoftState returns the state of the registry if it is to be saved, and nil if it is not.
+func (n *Node) takeSoftState() *SoftState {
+	if !n.registryHost.saveScheduled {
+		return nil
+	}
+	n.registryHost.saveScheduled = false
+	return &SoftState{Backends: encodeBackends(n.registry.Backends()), DepartingIDs: n.registry.DepartingIDs()}
+}
+
+// departuresStored notifies the registry that departures are on this node's disk.
+func (n *Node) departuresStored(departures []registry.Departure) {
+	if n.registry != nil && len(departures) > 0 {
+		n.registry.Tick(n.loop.Now())
+		n.registry.DeparturesStored(departures)
+	}
+}
+
+// restoreRegistry gives the registry what the disk stored of it. The departures are certain. The backends may be out of date.
 func (n *Node) restoreRegistry() {
+	departures := n.core.disk.disk.Departures()
+	n.registry.Tick(n.loop.Now())
+	n.registry.RestoreDepartures(departures)
 	stored := n.core.disk.disk.SoftState()
-	if stored == nil {
+	if stored == nil && len(departures) == 0 {
 		return
 	}
 	records, err := decodeBackends(stored)
-	if err != nil {
-		return // it is of another program's form: backends send heartbeats anyway
+	if err == nil { // else it is of another program's form: backends send heartbeats anyway
+		n.registry.Restore(records)
 	}
-	n.registry.Tick(n.loop.Now())
-	n.registry.Restore(records)
-	n.logInfo(registryPart).Int("backends", len(records)).Msg("registry restored")
+	n.logInfo(registryPart).Int("backends", len(records)).Int("departures", len(departures)).Msg("registry restored")
 }
 
 // encodeBackends is the stored form of the backends.
@@ -137,6 +155,9 @@
 
 // decodeBackends reads the stored form.
 func decodeBackends(stored []byte) ([]registry.Record, error) {
+	if len(stored) == 0 {
+		return nil, nil
+	}
 	var records []registry.WireRecord
 	if err := gob.NewDecoder(bytes.NewReader(stored)).Decode(&records); err != nil {
 		return nil, err
@@ -160,6 +181,8 @@
 			if s, ok := n.roster.NodeAtSlot(membership.Slot(a.Target)); ok {
 				n.links.Send(s.Addr, &Frame{Board: a.Message.ToWire()})
 			}
+		case registry.StoreDepartures:
+			n.core.disk.departures = append(n.core.disk.departures, a.Departures...)
 		case registry.Changed:
 			n.registryHost.unsaved = true
 			n.updateListing(a)
--- a/internal/gateway/node/core.go
+++ b/internal/gateway/node/core.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	c := newCore(n, replication.Member{ID: stored.ID, Addr: n.peerAddr})
-	c.disk = &diskQueue{clock: n, disk: disk, onSynced: c.writeSynced}
+	c.disk = &diskQueue{clock: n, disk: disk, softState: n.takeSoftState, onSynced: c.writeSynced, onDeparturesStored: n.departuresStored}
 	c.replica = replication.New(c.self, stored, replication.DefaultConfig(), n.seed, n.now())
 	n.core = c
 	n.groups.open(groupConfig{n.groupApplication(), c.self, c.disk, n.seed, disk.GroupLogs()})
--- a/internal/gateway/node/disk_queue.go
+++ b/internal/gateway/node/disk_queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clovergap/internal/gateway/groups"
+	"clovergap/internal/gateway/registry"
 	"clovergap/internal/gateway/replication"
 )
 
@@ -14,12 +15,16 @@
 // the last one was under way.
 type diskQueue struct {
 	replication.WriteQueue
-	clock          nowClock
-	disk           Disk
-	softState      []byte // to be stored beside the logs; nil: nothing new
-	writing        bool
-	writeStartedAt time.Duration // of the write under way
-	onSynced       func(log replication.LogID, seq uint64)
+	clock      nowClock
+	disk       Disk
+	departures []registry.Departure // of backends, to be stored with the next write
+	// softState returns the state of the registry to be stored beside the logs, or nil if there is nothing new. It is called when a
+	// batch begins, so that it knows all departures of the batch.
+	softState          func() *SoftState
+	writing            bool
+	writeStartedAt     time.Duration // of the write under way
+	onSynced           func(log replication.LogID, seq uint64)
+	onDeparturesStored func(departures []registry.Departure)
 }
 
 // nowClock is the time of the turn.
@@ -30,18 +35,19 @@
 	if d.writing {
 		return
 	}
-	batch := d.Take()
-	if len(batch) == 0 && d.softState == nil {
+	batch := DiskBatch{Logs: d.Take(), Departures: d.departures, SoftState: d.softState()}
+	if len(batch.Logs)+len(batch.Departures) == 0 && batch.SoftState == nil {
 		return
 	}
+	d.departures = nil
 	d.writing, d.writeStartedAt = true, d.clock.now()
-	d.disk.Write(batch, d.softState, func() {
+	d.disk.Write(batch, func() {
 		d.writing = false
-		for _, w := range batch {
+		for _, w := range batch.Logs {
 			d.onSynced(w.Log, w.Write.Seq)
 		}
+		d.onDeparturesStored(batch.Departures)
 	})
-	d.softState = nil
 }
 
 // stalledFor is how long the disk has had a write under way; 0: there is none.
--- a/internal/gateway/node/disk_writer.go
+++ b/internal/gateway/node/disk_writer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clovergap/internal/gateway/logstore"
+	"clovergap/internal/gateway/registry"
 	"clovergap/internal/gateway/replication"
 )
 
@@ -17,20 +18,20 @@
 type diskWriter struct {
 	node   *Node
 	store  *logstore.Store
-	writes chan diskBatch
+	writes chan diskWrite
 }
 
-// diskBatch is what is written at once.
-type diskBatch struct {
-	writes    []replication.LogWrite
-	softState []byte
-	done      func()
+// diskWrite is a batch to be written, and what to call when its logs and departures are synced.
+type diskWrite struct {
+	batch DiskBatch
+	done  func()
 }
 
 // Write hands a batch to the goroutine.
-func (d *diskWriter) Write(writes []replication.LogWrite, softState []byte, done func()) {
-	d.writes <- diskBatch{writes, softState, done}
-}
+func (d *diskWriter) Write(batch DiskBatch, done func()) { d.writes <- diskWrite{batch, done} }
+
+// Departures are those of backends that the store held when it was opened.
+func (d *diskWriter) Departures() []registry.Departure { return d.store.Departures() }
 
 // SoftState is what the store has.
 func (d *diskWriter) SoftState() []byte { return d.store.SoftState() }
@@ -42,21 +43,31 @@
 
 // run writes batches until the channel is closed.
 func (d *diskWriter) run() {
-	for b := range d.writes {
-		d.writeUntilStored(b.writes)
-		if b.softState != nil {
-			if err := d.store.SaveSoftState(b.softState); err != nil {
-				d.node.loop.Turn(func() { d.node.logWarn(registryPart).Err(err).Msg("registry not saved") })
-			}
+	for w := range d.writes {
+		d.writeUntilStored(w.batch)
+		if err := d.saveSoftState(w.batch.SoftState); err != nil {
+			d.node.loop.Turn(func() { d.node.logWarn(registryPart).Err(err).Msg("registry not saved") })
 		}
-		d.node.loop.Turn(b.done)
+		d.node.loop.Turn(w.done)
+	}
+}
+
+// saveSoftState stores the state of the registry, if there is any. Departures that the registry no longer has are removed only after
+// the state is stored. A disk that keeps an old state keeps the departures that belong to it.
+func (d *diskWriter) saveSoftState(state *SoftState) error {
+	if state == nil {
+		return nil
+	}
+	if err := d.store.SaveSoftState(state.Backends); err != nil {
+		return err
 	}
+	return d.store.RetainDepartures(state.DepartingIDs)
 }
 
 // writeUntilStored repeats a write that fails: nothing may be acknowledged without it, and no later one may be stored before it.
-func (d *diskWriter) writeUntilStored(writes []replication.LogWrite) {
+func (d *diskWriter) writeUntilStored(batch DiskBatch) {
 	for delay := minWriteRetry; ; delay = min(2*delay, maxWriteRetry) {
-		err := d.store.Write(writes)
+		err := d.store.Write(batch.Logs, batch.Departures...)
 		if err == nil {
 			return
 		}
--- a/internal/gateway/node/environment.go
+++ b/internal/gateway/node/environment.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"clovergap/control"
+	"clovergap/internal/gateway/registry"
 	"clovergap/internal/gateway/replication"
 	"clovergap/internal/gateway/transport"
 	"clovergap/internal/proxy/counters"
@@ -61,15 +62,31 @@
 
 // Disk keeps what a member must not forget.
 type Disk interface {
-	// Write stores in the background, one call at a time. done is called in a turn, once all writes are synced; a write that fails is
-	// repeated until then. softState is stored after them if it is not nil, and is dropped if that fails.
-	Write(writes []replication.LogWrite, softState []byte, done func())
-	// SoftState is the last one stored, nil if there is none.
+	// Write stores a batch in the background, one call at a time. done is called in a turn, once the logs and departures of the batch are
+	// synced. A write that fails is repeated until then. The soft state is stored after them, and is dropped if that fails.
+	Write(batch DiskBatch, done func())
+	// SoftState returns the encoded backends of the last soft state that was stored, or nil if there is none.
 	SoftState() []byte
+	// Departures returns the departures of backends that the disk held when it was opened.
+	Departures() []registry.Departure
 	// GroupLogs are what the disk held of the coordination groups when it was opened.
 	GroupLogs() map[replication.LogID]replication.PersistentState
 }
 
+// DiskBatch is what a disk stores at once. The logs and the departures are stored in one transaction.
+type DiskBatch struct {
+	Logs       []replication.LogWrite
+	Departures []registry.Departure
+	SoftState  *SoftState // nil: nothing new
+}
+
+// SoftState is the state of the registry that a node uses after a start. It may be out of date or lost.
+type SoftState struct {
+	Backends []byte // encoded: see encodeBackends
+	// Ids of the backends whose departures stay on the disk. The disk removes all other departures once Backends is stored.
+	DepartingIDs []string
+}
+
 // DataPath is what carries requests, and the datagrams of the quota.
 type DataPath struct {
 	Dispatcher Dispatcher
--- a/internal/gateway/node/frame_recorded_test.go
+++ b/internal/gateway/node/frame_recorded_test.go
@@ -286,9 +286,12 @@
 	must.True(t, reflect.DeepEqual(wireGroupLines(), lines))
 	unset := map[string]bool{}
 	unsetFields(wireFrames(), unset)
-	must.MapEmpty(t, unset)
+	must.Eq(t, newerThanDD5A45A, unset)
 }
 
+// newerThanDD5A45A are the fields that the program at commit dd5a45a neither sends nor reads.
+var newerThanDD5A45A = map[string]bool{"Board.Unstored": true, "Board.Stored": true}
+
 // What this program sends is read by a node of commit dd5a45a, by that program's names of fields, with the same values: none is missing.
 func TestFramesForDD5A45A(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/node/frame_versions_test.go
+++ b/internal/gateway/node/frame_versions_test.go
@@ -23,7 +23,7 @@
 // and a frame of each kind in which every field is set.
 
 // Fields that are newer than that: the version before neither sends nor reads them.
-var newer = []string{"Board.Unreached", "Coordination", "Core.Hears", "Groups", "Hello.Knows", "Hello.Parts", "Part", "Ping.Leaders"}
+var newer = []string{"Board.Stored", "Board.Unreached", "Board.Unstored", "Coordination", "Core.Hears", "Groups", "Hello.Knows", "Hello.Parts", "Part", "Ping.Leaders"}
 
 // The types of the version before, as far as gob goes by them: names and kinds of fields.
 type (
--- a/internal/gateway/node/sockets.go
+++ b/internal/gateway/node/sockets.go
@@ -98,7 +98,7 @@
 	if err := store.RenameError(); err != nil {
 		s.node.logWarn(corePart).Err(err).Msg("disk file keeps its former name")
 	}
-	s.disk = &diskWriter{node: s.node, store: store, writes: make(chan diskBatch, 1)}
+	s.disk = &diskWriter{node: s.node, store: store, writes: make(chan diskWrite, 1)}
 	go s.disk.run()
 	return s.disk, kept, nil
 }
--- a/internal/gateway/node/turn.go
+++ b/internal/gateway/node/turn.go
@@ -7,10 +7,12 @@
 		n.groups.handleReady()
 		n.coordination.NotifyWatchers()
 		n.groups.handleReady() // what the watchers that were notified ask for next
-		n.core.disk.flush()
 	}
 	n.handleRosterActions()
 	n.handleRegistryActions()
+	if n.core != nil {
+		n.core.disk.flush() // also the departures that the registry has just received
+	}
 	n.gate.RunDecisions()
 }
 
@@ -41,7 +43,7 @@
 	n.groups.requestFounding()
 	if n.core != nil {
 		n.groups.maintain()
-		n.saveRegistry()
+		n.scheduleRegistrySave()
 	}
 	n.logStateChanges()
 }
--- a/internal/gateway/registry/action.go
+++ b/internal/gateway/registry/action.go
@@ -5,7 +5,7 @@
 // Ticket identifies a call of a backend until the registry answers it with an Acknowledge.
 type Ticket uint64
 
-// Action is what the host must do next. It is a Send, Changed, Acknowledge or Wake.
+// Action is what the host must do next. It is a Send, StoreDepartures, Changed, Acknowledge or Wake.
 type Action interface{ action() }
 
 // Send asks the host to send Message to the node Target. The message may be lost.
@@ -14,6 +14,10 @@
 	Message Message
 }
 
+// StoreDepartures asks the host to store departures on this node's disk. The host repeats a write that fails, and calls
+// DeparturesStored when the departures are durable. Of two departures of one backend, the later one replaces the earlier one.
+type StoreDepartures struct{ Departures []Departure }
+
 // Changed reports a backend that has changed since the last Changed for the backend. Record.Phase is the phase that the host
 // applies to requests. The phase is Gone also if the backend is displaced, which means that another backend with the same
 // address was first seen later.
@@ -35,7 +39,8 @@
 // Wake asks the host to call Tick at Deadline or earlier. A newer Wake replaces an older one.
 type Wake struct{ Deadline time.Duration }
 
-func (Send) action()        {}
-func (Changed) action()     {}
-func (Acknowledge) action() {}
-func (Wake) action()        {}
+func (Send) action()            {}
+func (StoreDepartures) action() {}
+func (Changed) action()         {}
+func (Acknowledge) action()     {}
+func (Wake) action()            {}
--- a/internal/gateway/registry/departure.go
+++ b/internal/gateway/registry/departure.go
@@ -68,7 +68,7 @@
 	if requested != notDeparting {
 		for _, s := range r.peerSlots {
 			p := r.peers[s]
-			if r.sendsUpdatesTo(p) && e.notified[s] < requested && !p.hasDepartureInFlight(e.record.ID, requested) {
+			if r.sendsUpdatesTo(p) && r.lacksCopy(p, e, requested) && !p.hasDepartureInFlight(e.record.ID, requested) {
 				r.enqueueUpdate(p, e.record.ID, true)
 			}
 		}
@@ -104,15 +104,18 @@
 // other node has the departure. If too few nodes with a disk are reachable, the call fails at once, because another node
 // may reach enough nodes with a disk.
 func (r *Registry) decideCall(call pendingCall) (confirmed, decided bool) {
-	if call.requested == notDeparting || r.hasNodes && r.knownCount == 0 {
+	if call.requested == notDeparting {
+		return true, true
+	}
+	if r.hasNodes && r.knownCount == 0 && r.hasCopy(call.entry, call.requested) {
 		return true, true
 	}
 	copies := r.countCopies(call)
-	if !r.hasNodes || r.liveCount == 0 || copies.reachable < copies.required {
+	if !r.hasNodes || r.knownCount > 0 && (r.liveCount == 0 || copies.reachable < copies.required) {
 		return false, true
 	}
 	age := r.now - call.since
-	enough := copies.confirmed >= copies.required
+	enough := copies.confirmed >= copies.required && r.knownCount > 0
 	if enough && (copies.allNotified || age >= allCopiesTimeout && age < callTimeout && copies.notifiedPeers > 0) {
 		return true, true
 	}
@@ -125,7 +128,7 @@
 	required int // number of copies needed to confirm the departure
 	// Number of reachable nodes whose copies count. This node is included if its copy counts.
 	reachable int
-	// Number of the nodes in reachable that have the departure.
+	// Number of the nodes in reachable that have the departure on their disk.
 	confirmed int
 	// Number of other nodes that have the departure. Nodes whose copies do not count are included.
 	notifiedPeers int
@@ -133,34 +136,46 @@
 	allNotified bool
 }
 
+// lacksCopy reports whether a peer does not have a departure yet, or whether its copy may count and is not known to be on
+// its disk.
+func (r *Registry) lacksCopy(p *peer, e *entry, state departureState) bool {
+	return e.notified[p.node.Slot] < state || r.mayCount(p) && e.copies.remote[p.node.Slot] < state
+}
+
+// mayCount reports whether copies of departures at a peer count. Only nodes with a disk count, or all nodes if no node with
+// a disk is known.
+func (r *Registry) mayCount(p *peer) bool { return !r.hasKnownDisk || p.node.HasDisk }
+
 // countCopies counts the nodes that have the departure that a call reports. This node has the departure. Another node has
-// the departure if it has sent or acknowledged the departure (entry.notified). Only nodes with a disk count as copies, or
-// all nodes if no node with a disk is known.
+// the departure if it has sent or acknowledged the departure (entry.notified). A copy counts as confirmed only when it is on
+// the node's disk (durableCopies). Only nodes with a disk count as copies, or all nodes if no node with a disk is known.
 func (r *Registry) countCopies(call pendingCall) copyCounts {
 	c := copyCounts{required: r.config.MinCopies, allNotified: true}
 	if !r.hasKnownDisk {
 		c.required = min(c.required, r.knownCount+1)
 	}
 	if !r.hasKnownDisk || r.local.HasDisk {
-		c.reachable, c.confirmed = 1, 1
+		c.reachable = 1
+		if r.hasCopy(call.entry, call.requested) {
+			c.confirmed = 1
+		}
 	}
 	for _, s := range r.peerSlots {
 		p := r.peers[s]
 		if !r.sendsUpdatesTo(p) {
 			continue
 		}
-		counts := !r.hasKnownDisk || p.node.HasDisk
-		if counts {
+		if r.mayCount(p) {
 			c.reachable++
+			if call.entry.copies.remote[s] >= call.requested {
+				c.confirmed++
+			}
 		}
 		if call.entry.notified[s] < call.requested {
 			c.allNotified = false
 			continue
 		}
 		c.notifiedPeers++
-		if counts {
-			c.confirmed++
-		}
 	}
 	return c
 }
--- a/internal/gateway/registry/dissemination.go
+++ b/internal/gateway/registry/dissemination.go
@@ -74,10 +74,11 @@
 // nextMessage returns the next message for a peer. ok is false if there is nothing to send. A peer that is not live is sent
 // acknowledgements only.
 func (r *Registry) nextMessage(p *peer) (m Message, ok bool) {
-	m.Acks, p.acks = p.acks, nil
+	m.Acks, m.Unstored, p.acks, p.unstoredAcks = p.acks, p.unstoredAcks, nil, nil
 	if !p.node.Live {
 		return m, len(m.Acks) > 0
 	}
+	m.Stored = p.takeStored()
 	m.Heartbeats, p.heartbeats = p.heartbeats, nil
 	if len(p.retransmits) > 0 {
 		f := p.retransmits[0]
@@ -87,7 +88,7 @@
 	}
 	updatesDue := len(p.pendingIDs) > 0 && r.now >= p.sendAt || p.fullSyncNext
 	if !updatesDue && len(p.suspicions) == 0 || p.unresponsive || len(p.inFlight) >= maxInFlight {
-		return m, len(m.Acks)+len(m.Heartbeats) > 0
+		return m, len(m.Acks)+len(m.Stored)+len(m.Heartbeats) > 0
 	}
 	r.fillMessage(&m, r.newInFlightMessage(p, updatesDue))
 	return m, true
--- a/internal/gateway/registry/entry.go
+++ b/internal/gateway/registry/entry.go
@@ -47,6 +47,7 @@
 	suspected bool
 	// For each other node, the highest departure state of the backend that the node is known to have recorded.
 	notified map[Slot]departureState
+	copies   durableCopies // copies of the departure on disks
 
 	changeQueued       bool          // the entry is in Registry.changedEntries
 	published          Record        // record of the last Changed action
--- a/internal/gateway/registry/merge.go
+++ b/internal/gateway/registry/merge.go
@@ -34,6 +34,7 @@
 	e.record.Seq, e.record.FencingToken = seq, token
 	e.record.Draining = e.record.Draining || update.Draining || update.Phase == Draining
 	e.record.Deregistered = e.record.Deregistered || update.Deregistered
+	r.enqueueStore(e)
 	e.firstSeenAt = min(e.firstSeenAt, r.now-update.Age)
 	r.setTimedOut(e, before, timedOut)
 	r.enqueueChangesAtAddr(e)
--- a/internal/gateway/registry/peer.go
+++ b/internal/gateway/registry/peer.go
@@ -49,6 +49,10 @@
 	suspicions   []string // ids of suspected backends to report
 	heartbeats   []Record // heartbeats to relay
 	acks         []uint64 // sequence numbers to acknowledge
+	// Those of acks whose messages carry departures that are not on this node's disk yet.
+	unstoredAcks []uint64
+	// Departures on this node's disk that are to be reported to the peer.
+	stored []Departure
 }
 
 // inFlightMessage is a message that was sent and not acknowledged. A resent message carries the present records of the same
@@ -81,12 +85,15 @@
 // another incarnation that has lost all state.
 func (r *Registry) resetPeer(p *peer) {
 	p.lostAt = r.now
-	p.pendingIDs, p.inFlight, p.retransmits, p.suspicions, p.heartbeats, p.acks = nil, nil, nil, nil, nil, nil
+	p.pendingIDs, p.inFlight, p.retransmits, p.suspicions, p.heartbeats = nil, nil, nil, nil, nil
+	p.acks, p.unstoredAcks, p.stored = nil, nil, nil
 	p.unresponsive, p.fullSyncNext, p.syncing, p.confirmed = false, false, false, false
 	clear(p.pendingSet)
 	r.syncQueue = slices.DeleteFunc(r.syncQueue, func(s syncRequest) bool { return s.target == p.node.Slot })
 	for _, e := range r.sorted {
 		delete(e.notified, p.node.Slot)
+		delete(e.copies.remote, p.node.Slot)
+		delete(e.copies.waiting, p.node.Slot)
 	}
 }
 
@@ -115,7 +122,7 @@
 
 // isIdle reports whether nothing is to be sent to the peer and the peer has acknowledged all messages.
 func (p *peer) isIdle() bool {
-	return !p.fullSyncNext && len(p.pendingIDs)+len(p.inFlight)+len(p.retransmits)+len(p.suspicions)+len(p.heartbeats)+len(p.acks) == 0
+	return !p.fullSyncNext && len(p.pendingIDs)+len(p.inFlight)+len(p.retransmits)+len(p.suspicions)+len(p.heartbeats)+len(p.acks)+len(p.stored) == 0
 }
 
 // nextCheckAt returns the next time at which a message to the peer must be sent or resent, or never.
@@ -164,8 +171,8 @@
 }
 
 // handleAck removes an acknowledged message from the messages in flight. It records that the peer has the departures that
-// the message carried.
-func (r *Registry) handleAck(p *peer, seq uint64) {
+// the message carried. stored is false if the peer has a disk and does not have all of these departures on it yet.
+func (r *Registry) handleAck(p *peer, seq uint64, stored bool) {
 	for i, f := range p.inFlight {
 		if f.seq != seq {
 			continue
@@ -173,6 +180,9 @@
 		for j, id := range f.ids {
 			if e := r.entries[id]; e != nil && f.departures[j] > notDeparting {
 				e.recordNotified(p.node.Slot, f.departures[j])
+				if stored || r.config.TestingKnobs.countUnstoredCopies() {
+					e.copies.recordRemote(p.node.Slot, f.departures[j])
+				}
 			}
 		}
 		p.confirmed = true
--- a/internal/gateway/registry/receive.go
+++ b/internal/gateway/registry/receive.go
@@ -1,6 +1,9 @@
 package registry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Receive processes a message from another node.
 func (r *Registry) Receive(from Slot, m Message) {
@@ -16,8 +19,9 @@
 	}
 	r.trackReceivedFullSync(from, &m)
 	for _, seq := range m.Acks {
-		r.handleAck(p, seq)
+		r.handleAck(p, seq, !slices.Contains(m.Unstored, seq))
 	}
+	r.handleStored(p, m.Stored)
 	for _, update := range m.Updates {
 		r.handleUpdate(p, update)
 	}
@@ -33,6 +37,9 @@
 	if m.Seq != 0 && len(p.acks) < maxPendingAcks {
 		r.addActivePeer(p)
 		p.acks = append(p.acks, m.Seq)
+		if r.awaitsStore(p, m.Updates) {
+			p.unstoredAcks = append(p.unstoredAcks, m.Seq)
+		}
 	}
 	r.answerDecidedCalls()
 }
--- a/internal/gateway/registry/record.go
+++ b/internal/gateway/registry/record.go
@@ -97,6 +97,10 @@
 	Acks       []uint64 // Seq of the received messages
 	// True if the sender starts a full sync with this message.
 	FullSync bool
+	// Those of Acks whose departures are not all on the sender's disk yet. When they are, the sender lists them in Stored.
+	Unstored []uint64
+	// Departures that the receiver has sent to the sender and that are now on the sender's disk.
+	Stored []Departure
 	// Nodes with a disk that the sender does not reach and the receiver may reach. Set only if Updates contains departures.
 	Unreachable []Slot
 }
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -18,7 +18,9 @@
 	MinCopies int
 	// A number that differs between two incarnations of this node. Acknowledgements to a former incarnation then match no
 	// message of the present one.
-	Incarnation  uint32
+	Incarnation uint32
+	// True if this node has a disk. The host then carries out StoreDepartures actions.
+	HasDisk      bool
 	TestingKnobs TestingKnobs // empty in a release build
 }
 
@@ -63,7 +65,8 @@
 
 	lastTicket       Ticket // ticket of the last call
 	pendingCalls     []pendingCall
-	acknowledgements []Action // Acknowledge actions that Next has not returned yet
+	acknowledgements []Action    // Acknowledge actions that Next has not returned yet
+	unstored         []Departure // departures that Next has not returned in a StoreDepartures action yet
 	// Entries that may differ from their last published state.
 	changedEntries []*entry
 }
@@ -76,9 +79,9 @@
 		syncSource: NoSlot, reportMissingAt: never, entries: map[string]*entry{}, byAddr: map[string][]*entry{}, peers: map[Slot]*peer{}}
 }
 
-// SetConfig applies settings that changed at run time. Incarnation and TestingKnobs do not change.
+// SetConfig applies settings that changed at run time. Incarnation, HasDisk and TestingKnobs do not change.
 func (r *Registry) SetConfig(config Config) {
-	config.Incarnation, config.TestingKnobs = r.config.Incarnation, r.config.TestingKnobs
+	config.Incarnation, config.HasDisk, config.TestingKnobs = r.config.Incarnation, r.config.HasDisk, r.config.TestingKnobs
 	r.config = config
 }
 
@@ -147,7 +150,7 @@
 
 // Restore loads the records that this node's disk stored. The records may be outdated. The time-out of each backend is
 // therefore measured from now on, and newer records from other nodes replace the restored ones. After the loss of all nodes,
-// a restore saves the wait for the first heartbeats. A request to a backend with an outdated address fails to connect, or
+// a restore saves the wait for the first heartbeats. A departure that RestoreDepartures loaded before is kept. A request to a backend with an outdated address fails to connect, or
 // another backend answers the request with HTTP 421.
 func (r *Registry) Restore(records []Record) {
 	for _, record := range records {
@@ -184,6 +187,9 @@
 		return a, true
 	}
 	r.acknowledgements = nil
+	if a, ok := r.nextStore(); ok {
+		return a, true
+	}
 	for len(r.changedEntries) > 0 {
 		e := r.changedEntries[0]
 		r.changedEntries = r.changedEntries[1:]
--- a/internal/gateway/registry/registry_test.go
+++ b/internal/gateway/registry/registry_test.go
@@ -26,12 +26,16 @@
 	messages int                             // number of messages sent
 	acks     map[Slot]map[Ticket]Acknowledge // answers to calls, by node and ticket
 	views    map[Slot]map[string]Record      // record of the last Changed action, by node and backend id
+	stored   map[Slot]map[string]Departure   // departures on the disks, by node and backend id
+	failing  map[Slot]bool                   // nodes whose disk refuses writes
+	queued   map[Slot][]Departure            // departures that the disk of a node has refused so far
 }
 
 // newFleet starts nodeCount nodes. The diskCount nodes with the lowest slots have a disk.
 func newFleet(t *testing.T, nodeCount, diskCount int) *fleet {
 	f := &fleet{t: t, registries: map[Slot]*Registry{}, live: map[Slot]bool{}, partitioned: map[[2]Slot]bool{}, disks: diskCount,
-		acks: map[Slot]map[Ticket]Acknowledge{}, views: map[Slot]map[string]Record{}}
+		acks: map[Slot]map[Ticket]Acknowledge{}, views: map[Slot]map[string]Record{}, stored: map[Slot]map[string]Departure{},
+		failing: map[Slot]bool{}, queued: map[Slot][]Departure{}}
 	for s := range Slot(nodeCount) {
 		f.startNode(s)
 	}
@@ -46,7 +50,8 @@
 	if f.disks == 1 {
 		minCopies = 1
 	}
-	f.registries[slot] = New(slot, Config{HeartbeatInterval: heartbeatInterval, MinCopies: minCopies, Incarnation: uint32(f.now)}, f.now)
+	f.registries[slot] = New(slot, Config{HeartbeatInterval: heartbeatInterval, MinCopies: minCopies, Incarnation: uint32(f.now),
+		HasDisk: int(slot) < f.disks}, f.now)
 	f.acks[slot], f.views[slot], f.live[slot] = map[Ticket]Acknowledge{}, map[string]Record{}, true
 }
 
@@ -90,6 +95,9 @@
 					if f.live[a.Target] && !f.partitioned[[2]Slot{s, a.Target}] {
 						f.registries[a.Target].Receive(s, a.Message)
 					}
+				case StoreDepartures:
+					again = true
+					f.storeDepartures(s, a.Departures)
 				case Acknowledge:
 					f.acks[s][a.Ticket] = a
 				case Changed:
@@ -735,7 +743,7 @@
 		// The link to the new incarnation is up. A message of the former incarnation has not been read yet.
 		f.registries[0].SyncPeer(1)
 		sent := f.takeMessages(0)
-		f.registries[0].Receive(1, Message{Seq: 7, Updates: []Record{late}})
+		f.registries[0].Receive(1, Message{Seq: 7, Updates: []Record{late}, Stored: []Departure{{ID: b.ID}}})
 		b.Phase, b.Seq = Draining, b.Seq+1
 		ticket := f.registries[0].Heartbeat(b.Record)
 		sent = append(sent, f.takeMessages(0)...)
@@ -758,6 +766,8 @@
 		switch a := a.(type) {
 		case Send:
 			sent = append(sent, a.Message)
+		case StoreDepartures:
+			f.storeDepartures(sender, a.Departures)
 		case Acknowledge:
 			f.acks[sender][a.Ticket] = a
 		}
--- a/internal/gateway/registry/testingknobs_release.go
+++ b/internal/gateway/registry/testingknobs_release.go
@@ -8,3 +8,6 @@
 
 // trustUnconfirmedPeers returns false, because a release build always has the safeguard.
 func (TestingKnobs) trustUnconfirmedPeers() bool { return false }
+
+// countUnstoredCopies returns false, because a release build always has the safeguard.
+func (TestingKnobs) countUnstoredCopies() bool { return false }
--- a/internal/gateway/registry/wire.go
+++ b/internal/gateway/registry/wire.go
@@ -37,9 +37,35 @@
 	Acks   []uint64     // sequence numbers of the received messages
 	All    bool         // the sender starts a full sync with this message (Message.FullSync)
 
+	// Those of Acks whose departures are not all on the sender's disk yet.
+	Unstored []uint64
+	Stored   []WireDeparture // departures of messages from the receiver that are now on the sender's disk
+
 	Unreached []Slot // nodes with a disk that the sender does not reach and the receiver may reach (Message.Unreachable)
 }
 
+// WireDeparture is the form of a Departure that gob sends.
+type WireDeparture struct {
+	ID           string
+	Deregistered bool
+}
+
+// toWireDepartures converts departures to the form in which they are sent. It returns nil for no departures.
+func toWireDepartures(departures []Departure) (wire []WireDeparture) {
+	for _, d := range departures {
+		wire = append(wire, WireDeparture(d))
+	}
+	return wire
+}
+
+// fromWireDepartures converts sent departures to Departures. It returns nil for no departures.
+func fromWireDepartures(wire []WireDeparture) (departures []Departure) {
+	for _, w := range wire {
+		departures = append(departures, Departure(w))
+	}
+	return departures
+}
+
 // ToWireRecords converts records to the form in which they are sent and stored. It returns nil for no records.
 func ToWireRecords(records []Record) []WireRecord {
 	if len(records) == 0 {
@@ -73,11 +99,11 @@
 // ToWire converts a message to the form in which it is sent.
 func (m *Message) ToWire() *WireMessage {
 	return &WireMessage{Nr: m.Seq, Words: ToWireRecords(m.Updates), Beats: ToWireRecords(m.Heartbeats), Doubts: ToWireRecords(m.Suspicions), Acks: m.Acks,
-		All: m.FullSync, Unreached: m.Unreachable}
+		All: m.FullSync, Unstored: m.Unstored, Stored: toWireDepartures(m.Stored), Unreached: m.Unreachable}
 }
 
 // ToMessage converts a received message to a Message.
 func (w *WireMessage) ToMessage() Message {
 	return Message{Seq: w.Nr, Updates: FromWireRecords(w.Words), Heartbeats: FromWireRecords(w.Beats), Suspicions: FromWireRecords(w.Doubts), Acks: w.Acks,
-		FullSync: w.All, Unreachable: w.Unreached}
+		FullSync: w.All, Unstored: w.Unstored, Stored: fromWireDepartures(w.Stored), Unreachable: w.Unreached}
 }
--- a/internal/gateway/registry/wire_test.go
+++ b/internal/gateway/registry/wire_test.go
@@ -20,8 +20,10 @@
 // of such a field would be lost between two nodes or over a restart.
 func TestWireFormsKeepEveryField(t *testing.T) {
 	m := Message{Seq: 8, Updates: []Record{fullRecord("update")}, Heartbeats: []Record{fullRecord("heartbeat")},
-		Suspicions: []Record{fullRecord("suspicion")}, Acks: []uint64{1, 2}, FullSync: true, Unreachable: []Slot{3, 4}}
-	for _, v := range []reflect.Value{reflect.ValueOf(m), reflect.ValueOf(m.Updates[0]), reflect.ValueOf(*m.ToWire()), reflect.ValueOf(m.ToWire().Words[0])} {
+		Suspicions: []Record{fullRecord("suspicion")}, Acks: []uint64{1, 2}, FullSync: true, Unstored: []uint64{2},
+		Stored: []Departure{{ID: "departure", Deregistered: true}}, Unreachable: []Slot{3, 4}}
+	for _, v := range []reflect.Value{reflect.ValueOf(m), reflect.ValueOf(m.Updates[0]), reflect.ValueOf(*m.ToWire()), reflect.ValueOf(m.ToWire().Words[0]),
+		reflect.ValueOf(m.Stored[0]), reflect.ValueOf(m.ToWire().Stored[0])} {
 		for i := range v.NumField() {
 			must.False(t, v.Field(i).IsZero(), must.Sprintf("the field %s.%s is zero, but the test needs a value in each field", v.Type(), v.Type().Field(i).Name))
 		}
--- a/internal/lab/simulation/machine.go
+++ b/internal/lab/simulation/machine.go
@@ -1,11 +1,14 @@
 package simulation
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"clovergap/internal/gateway/node"
+	"clovergap/internal/gateway/registry"
 	"clovergap/internal/gateway/replication"
 	"clovergap/internal/gateway/settings"
 	"clovergap/internal/gateway/transport"
@@ -330,6 +333,7 @@
 	drawnID    replication.MemberID                              // the id that a process has of an empty disk that was full when it began
 	groups     map[replication.LogID]replication.PersistentState // the coordination groups' logs
 	softState  []byte
+	departures map[string]registry.Departure // of backends, by id
 	writing    *write
 	slowdown   float64 // times as slow as it is
 	fullFaults int     // faults under way
@@ -339,8 +343,7 @@
 
 type write struct {
 	process        *process
-	writes         []replication.LogWrite
-	softState      []byte
+	batch          node.DiskBatch
 	done           func()
 	checkUnchanged func() // see owned
 }
@@ -351,7 +354,7 @@
 
 // wipe takes all that is on it.
 func (s *simulatedDisk) wipe() {
-	s.persisted, s.groups, s.softState, s.writing = replication.PersistentState{}, nil, nil, nil
+	s.persisted, s.groups, s.softState, s.departures, s.writing = replication.PersistentState{}, nil, nil, nil, nil
 }
 
 // read gives what it holds, with an id for an empty one.
@@ -387,7 +390,7 @@
 	if s.persisted.ID == 0 {
 		s.persisted.ID = s.drawnID
 	}
-	for _, a := range x.writes {
+	for _, a := range x.batch.Logs {
 		if a.Log == replication.ConfigurationLog {
 			s.persisted.Apply(a.Write)
 			continue
@@ -400,9 +403,23 @@
 		k.Apply(a.Write)
 		s.groups[a.Log] = k
 	}
-	if x.softState != nil {
-		s.softState = x.softState
+	s.applyDepartures(x.batch)
+}
+
+// applyDepartures stores the departures of a batch, then its soft state, and then removes the departures that the soft state no longer
+// names.
+func (s *simulatedDisk) applyDepartures(batch node.DiskBatch) {
+	if s.departures == nil {
+		s.departures = map[string]registry.Departure{}
+	}
+	for _, d := range batch.Departures {
+		s.departures[d.ID] = d
+	}
+	if batch.SoftState == nil {
+		return
 	}
+	s.softState = batch.SoftState.Backends
+	maps.DeleteFunc(s.departures, func(id string, _ registry.Departure) bool { return !slices.Contains(batch.SoftState.DepartingIDs, id) })
 }
 
 // drive is a disk as a process has it.
@@ -426,11 +443,19 @@
 	return held
 }
 
-func (d *drive) Write(writes []replication.LogWrite, note []byte, done func()) {
-	x := &write{process: d.process, writes: writes, softState: note, done: done}
+// Departures are those of backends, sorted by id.
+func (d *drive) Departures() (departures []registry.Departure) {
+	for _, id := range slices.Sorted(maps.Keys(d.disk.departures)) {
+		departures = append(departures, d.disk.departures[id])
+	}
+	return departures
+}
+
+func (d *drive) Write(batch node.DiskBatch, done func()) {
+	x := &write{process: d.process, batch: batch, done: done}
 	d.disk.writing = x
-	x.checkUnchanged = d.disk.world.watchUnchanged(d.process.machine.name, &writes)
-	d.disk.world.happens(writeMoment(writes))
+	x.checkUnchanged = d.disk.world.watchUnchanged(d.process.machine.name, &batch.Logs)
+	d.disk.world.happens(writeMoment(batch.Logs))
 	d.disk.perform(x, 20*time.Millisecond)
 }
 
