Judge: a node that restarted after an acknowledged departure is no excuse for DRAIN

Cause: the laboratory's rule DRAIN wanted the node that sent a request to have been in touch ever since the departure was acknowledged.

Change: in touch from the time of the request on. Stricter: what was found before is found still.

Measured: the new case of TestCheckFindsWhatIsBroken ("forgotten by a restart") fails with the former rule.

--- a/internal/lab/gatewaystandin/rules.go
+++ b/internal/lab/gatewaystandin/rules.go
@@ -75,7 +75,8 @@
 	return append(bad, routes(h, t, c, slack)...)
 }
 
-// drains: nothing reaches a backend by a node in touch more than the drain after any node, in touch or not, acknowledged that it leaves.
+// drains: nothing reaches a backend by a node in touch more than the drain after any node, in touch or not, acknowledged that it leaves. The
+// node must have been in touch when it took the request. What happened to it between the acknowledgement and then is no excuse.
 func drains(h []history.Event, c *calm, slack time.Duration) (bad []history.Violation) {
 	ask, told := map[string]history.Event{}, map[string]time.Duration{}
 	for _, e := range h {
@@ -89,7 +90,7 @@
 		case history.Arrived:
 			at, ok := told[e.Who]
 			a := ask[e.Txn]
-			if ok && e.Time > at+Bounds().BackendDrain+slack && c.touch(a.Target, min(a.Time, at), e.Time) {
+			if ok && e.Time > at+Bounds().BackendDrain+slack && c.touch(a.Target, a.Time, e.Time) {
 				bad = append(bad, history.Violation{Rule: "DRAIN", Time: e.Time, Who: a.Target, Txn: e.Txn, Timed: true,
 					What: fmt.Sprintf("reached %s %.2fs after its drain was acknowledged", e.Who, (e.Time - at).Seconds())})
 			}
--- a/internal/lab/gatewaystandin/rules_test.go
+++ b/internal/lab/gatewaystandin/rules_test.go
@@ -120,6 +120,12 @@
 		"sent to one that drains": {append([]history.Event{{Time: 5 * s, Who: "d1:1", Kind: history.Notified, Target: "p",
 			What: "Terminating"}},
 			browse(8*s, "p", 200)...), []string{"DRAIN"}},
+		"sent to one that drains, forgotten by a restart": {append([]history.Event{{Time: 5 * s, Who: "d1:1", Kind: history.Notified, Target: "p",
+			What: "Terminating"}, {Time: 5200 * ms, Who: "d1", Kind: history.Down}, {Time: 5500 * ms, Who: "d1", Kind: history.Up}},
+			browse(9*s, "p", 200)...), []string{"DRAIN"}},
+		"sent to one that drains, too soon after a restart": {append([]history.Event{{Time: 5 * s, Who: "d1:1", Kind: history.Notified, Target: "p",
+			What: "Terminating"}, {Time: 5200 * ms, Who: "d1", Kind: history.Down}, {Time: 5500 * ms, Who: "d1", Kind: history.Up}},
+			browse(8*s, "p", 200)...), nil},
 		"an old one read": {[]history.Event{{Time: 50 * s, Who: "operator", Kind: ReadBack, Number: 1, Deadline: 49 * s}},
 			[]string{"CONFIG"}},
 	} {
