Chaos on the gateway: series of signals, restarts and departures that overlap

Change: backends can deregister without draining and serve on (fault "leave"); all processes are killed right after an acknowledged departure ("leave-kill"); clients can stay with a node until it gives no answer.

--- a/cmd/lab/gatewaychaos.go
+++ b/cmd/lab/gatewaychaos.go
@@ -23,7 +23,7 @@
 	rate             float64
 	only             []int
 	shrink, founding bool
-	storms           bool
+	storms, series   bool
 }
 
 func gatewayChaosCommand() *cobra.Command {
@@ -58,6 +58,7 @@
 	c.Flags().IntSliceVar(&k.only, "only", nil, "play these faults of the schedule only, by number from 0")
 	c.Flags().BoolVar(&k.founding, "founding", false, "schedules of the first start of all only: late starts, kills, stalls")
 	c.Flags().BoolVar(&k.storms, "storms", false, "schedules of storms: two or three troubles that overlap, losses of power among them, again and again")
+	c.Flags().BoolVar(&k.series, "series", false, "schedules of signals, restarts and departures of backends that come in series and overlap")
 	c.Flags().BoolVar(&k.shrink, "shrink", false, "find as few of the seed's faults as still fail")
 	return c
 }
@@ -97,6 +98,9 @@
 	if g.storms {
 		s = faultrig.DrawStorms(seed, g.nodes, g.dur)
 	}
+	if g.series {
+		s = faultrig.DrawSeries(seed, g.nodes, g.dur)
+	}
 	if g.founding {
 		s = faultrig.DrawFounding(seed, g.nodes, g.most, g.dur)
 	}
--- a/internal/lab/faultrig/gatewaydraw.go
+++ b/internal/lab/faultrig/gatewaydraw.go
@@ -21,8 +21,11 @@
 	Close       bool    // a closing fault right after an acknowledgement: all are killed
 	Wipe        bool    // and one disk is lost by it
 	CancelShare float64 // share of requests whose client gives up early
-	Faults      []spec.Fault
-	Late        []time.Duration // when each node is started for the first time; none: all at once, and waited for
+	KeepNodes   bool    // clients stay with their node until they get no answer from it
+	// Of backends; 0: one second.
+	HeartbeatInterval time.Duration
+	Faults            []spec.Fault
+	Late              []time.Duration // when each node is started for the first time; none: all at once, and waited for
 }
 
 // wipeCalm is how long the core must have been calm before a closing fault takes a disk: what was lost has
@@ -135,6 +138,59 @@
 	return s
 }
 
+// Series are bursts of faults with calm times between them. A rule that binds nodes in touch can be broken only in a calm time.
+const (
+	seriesInterval               = 10 * time.Second // from the begin of one burst to the begin of the next
+	seriesBurst                  = 3 * time.Second  // from the first fault of a burst to its last
+	repeatMinGap, repeatMaxGap   = 0.005, 0.6       // seconds from a fault to the same fault again
+	seriesHeartbeatInterval      = 1500 * time.Millisecond
+	seriesMinFaults, maxFaultAdd = 2, 3
+)
+
+// seriesKinds are the faults of a series.
+var seriesKinds = []string{"leave", "node-term", "core-term", "lead-term", "node-reload", "node-kill", "core-kill", "lead-kill", "all-kill",
+	"node-stall", "core-stall", "drain", "crash"}
+
+// DrawSeries draws a schedule of signals, restarts and departures that come in bursts and overlap. Clients stay with a node until its process
+// is gone. Each burst ends with backends that deregister without draining. In two of three bursts, all processes are killed right after a
+// departure was acknowledged. A third of the faults come twice in a row.
+func DrawSeries(seed uint64, nodes int, dur time.Duration) *GatewaySchedule {
+	rng := rand.New(rand.NewPCG(seed, 0x5e21))
+	s := &GatewaySchedule{Seed: seed, Nodes: nodes, For: dur, Close: rng.IntN(2) == 0, KeepNodes: true, HeartbeatInterval: seriesHeartbeatInterval}
+	for at := time.Second; at+seriesBurst < dur; at += seriesInterval {
+		for range seriesMinFaults + rng.IntN(maxFaultAdd) {
+			s.addToSeries(rng, seriesKinds[rng.IntN(len(seriesKinds))], at+time.Duration(rng.Int64N(int64(seriesBurst))))
+		}
+		s.addToSeries(rng, "leave", at+seriesBurst)
+		if rng.IntN(3) > 0 {
+			s.addToSeries(rng, "leave-kill", at+seriesBurst)
+		}
+	}
+	return s
+}
+
+// addToSeries adds a fault of a kind, and in a third of the cases the same fault once more a moment later.
+func (g *GatewaySchedule) addToSeries(rng *rand.Rand, kind string, at time.Duration) {
+	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
+	f := spec.Fault{Kind: kind, At: spec.Span(at), Pick: rng.Uint64()>>1 | 1}
+	switch kind {
+	case "leave":
+		f.Share = []float64{0.1, 0.2, 0.3, 1}[rng.IntN(4)]
+	case "leave-kill", "all-kill":
+		f.For = span(0.05, 1)
+	case "drain", "crash":
+		f.Share, f.For = 0.1+0.2*rng.Float64(), span(0.2, 2)
+	default:
+		f.Share, f.For = 0.1+0.4*rng.Float64(), span(0.05, 1.5)
+	}
+	g.Faults = append(g.Faults, f)
+	if rng.IntN(3) == 0 {
+		f.At += span(repeatMinGap, repeatMaxGap)
+		f.Pick = rng.Uint64()>>1 | 1
+		g.Faults = append(g.Faults, f)
+	}
+}
+
 // partitionDirections of a cut: one of them in is of a node that hears nobody, out of one that nobody hears.
 var partitionDirections = []string{"both", "in", "out"}
 
--- a/internal/lab/gatewaystandin/backend.go
+++ b/internal/lab/gatewaystandin/backend.go
@@ -30,6 +30,7 @@
 	deployment    *Deployment
 	deregistered  atomic.Bool
 	draining      atomic.Bool // it drains
+	leaving       atomic.Bool // it has stopped its heartbeats, and deregisters
 	seq           atomic.Uint64
 	cancel        context.CancelFunc
 	mu            sync.Mutex
@@ -46,6 +47,7 @@
 	maxAckBytes      = 4 << 10
 	DrainSlack       = 1500 * time.Millisecond // and a little longer
 	DrainTimeout     = 6 * time.Second         // of a drain that nobody acknowledges
+	leaveServing     = 8 * time.Second         // for which a backend that has deregistered serves on
 )
 
 // Read takes a request by the protocol; health and what can't be one are answered at once.
@@ -167,7 +169,9 @@
 	tick := time.NewTicker(h.deployment.Config.HeartbeatInterval)
 	defer tick.Stop()
 	for {
-		h.say(ctx, "Heartbeat")
+		if !h.leaving.Load() {
+			h.say(ctx, "Heartbeat")
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -244,6 +248,21 @@
 	return acknowledged
 }
 
+// Leave has the backend deregister without draining first. After the acknowledgement the backend serves on for leaveServing and makes no
+// further call. acknowledged is called right after the acknowledgement. Leave returns when the backend has ended.
+func (h *HeartbeatBackend) Leave(ctx context.Context, acknowledged func()) {
+	h.leaving.Store(true)
+	for until := time.Now().Add(DrainTimeout); ctx.Err() == nil && time.Now().Before(until); {
+		if h.say(ctx, "Leave") {
+			acknowledged()
+			break
+		}
+		sleep(ctx, 200*time.Millisecond)
+	}
+	sleep(ctx, leaveServing)
+	h.end(true)
+}
+
 // post makes one control call and follows 307 twice.
 func (d *Deployment) post(ctx context.Context, to, path string, body []byte, most time.Duration) (status int,
 	text []byte, err error) {
