Upstream: an attempt ends by its reference, so a client's reset cannot end it twice

What callers saw: clients upload 400 kB and reset their connection about when the answer begins.

Cause: conn.beginStreaming calls gate.Begun, which writes the head to the client. If that write fails, the client's end comes back within the call and ends the attempt; beginStreaming then ended it again through a pointer to an empty slot. The same in sendBody when a client leaves while a part of its request is read, which was not known.

Change: giveUp, end, ended and badAnswer take the attempt's reference, which names nothing once the attempt has ended. beginStreaming and sendBody look the attempt up anew after the call, gate.Begun its txn.

--- a/internal/proxy/gate/gate.go
+++ b/internal/proxy/gate/gate.go
@@ -188,8 +188,13 @@
 		return false
 	}
 	s, ok := t.front.(Streamer)
-	t.answerBegun = ok && s.Begin(t.who, ref, o)
-	return t.answerBegun
+	begun := ok && s.Begin(t.who, ref, o)
+	// Begin writes to the client. If that write fails, Left has answered the txn by now, and the txn may be gone.
+	if t = g.txns.Get(ref); t == nil || t.answered {
+		return false
+	}
+	t.answerBegun = begun
+	return begun
 }
 
 // Writable is how many bytes of a streamed answer the client takes now; below 0: nobody waits any more.
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -58,12 +58,12 @@
 // dial opens a connection for an attempt; if none may be opened the attempt ends, and the result is false.
 func (d *Dispatch) dial(b *backend, ref slots.Ref, s *submission) bool {
 	if d.engine.FreeConnections() <= 0 && !d.Evict(b) && !d.freeDescriptor() {
-		d.end(ref, s, control.Unreachable)
+		d.end(ref, control.Unreachable)
 		return false
 	}
 	me, c, ok := d.conns.Add()
 	if !ok {
-		d.end(ref, s, control.Unreachable)
+		d.end(ref, control.Unreachable)
 		return false
 	}
 	*c = conn{dispatch: d, ref: me, backend: b, reader: http1.Responses(), sub: ref, dialing: true}
@@ -87,7 +87,7 @@
 		return
 	}
 	if !ok {
-		c.dispatch.giveUp(c.sub, s, control.ConnectionLost, control.Unreachable)
+		c.dispatch.giveUp(c.sub, control.ConnectionLost, control.Unreachable)
 		return
 	}
 	c.carry(c.sub, s)
@@ -100,7 +100,7 @@
 	left := s.deadline - c.dispatch.engine.Now()
 	c.dispatch.scratch = s.message.AppendTo(c.dispatch.scratch[:0], c.backend.id, left)
 	if len(c.dispatch.scratch) == 0 || left <= 0 { // the client has left, or the deadline has passed, before anything was written
-		c.dispatch.giveUp(ref, s, control.ConnectionLost, control.NotSent)
+		c.dispatch.giveUp(ref, control.ConnectionLost, control.NotSent)
 		return
 	}
 	c.reader.Bodiless = bytes.HasPrefix(c.dispatch.scratch, []byte("HEAD "))
@@ -125,7 +125,7 @@
 		return
 	}
 	s.conn = nil
-	c.dispatch.giveUp(c.sub, s, control.ConnectionLost, control.Unreachable)
+	c.dispatch.giveUp(c.sub, control.ConnectionLost, control.Unreachable)
 }
 
 // close closes the connection and forgets it.
@@ -165,7 +165,7 @@
 		b := c.link.Input.Linear()
 		size, complete, err := c.reader.Read(b)
 		if err != nil {
-			c.dispatch.badAnswer(ref, s)
+			c.dispatch.badAnswer(ref)
 			return
 		}
 		if !complete && c.beginStreaming(ref, s, b) {
@@ -173,7 +173,7 @@
 		}
 		if !complete {
 			if c.link.Full() {
-				c.dispatch.badAnswer(ref, s)
+				c.dispatch.badAnswer(ref)
 			} else if len(b) > 0 && s.answerDeadline == 0 && s.answerTimeout > 0 {
 				s.answerDeadline = c.dispatch.engine.Now() + s.answerTimeout
 				c.dispatch.engine.At(s.answerDeadline, &c.dispatch.partAlarms, uint32(ref))
@@ -199,7 +199,7 @@
 // answered ends an attempt by its complete answer.
 func (c *conn) answered(ref slots.Ref, s *submission, v Meaning, b []byte, size int) {
 	if v.Ending == control.ConnectionLost { // well-formed, yet not an answer to the request
-		c.dispatch.badAnswer(ref, s)
+		c.dispatch.badAnswer(ref)
 		return
 	}
 	o := gate.Outcome{Ending: v.Ending, Load: v.Load, Final: v.Final, Answer: &c.reader, Bytes: b, Body: c.reader.Body(b)}
@@ -211,7 +211,7 @@
 	// With bytes left in either direction the next answer's begin would not be known.
 	keep := !c.reader.Closes && !v.Closes && c.link.Unwritten() == 0 && !s.streaming && c.link.Input.Len() == size
 	c.sub, c.last, s.conn = 0, s.id, nil
-	c.dispatch.ended(ref, s, o)
+	c.dispatch.ended(ref, o)
 	if !keep || !c.backend.ready || c.link.IsClosed() {
 		c.close()
 		return
@@ -231,9 +231,9 @@
 }
 
 // badAnswer: an answer that can't be read ends as a broken connection does, it may have run.
-func (d *Dispatch) badAnswer(ref slots.Ref, s *submission) {
+func (d *Dispatch) badAnswer(ref slots.Ref) {
 	d.engine.Count.Add(counters.BadAnswer)
-	d.giveUp(ref, s, control.ConnectionLost, control.Unreachable)
+	d.giveUp(ref, control.ConnectionLost, control.Unreachable)
 }
 
 // Evict closes the connection that has been idle longest, wherever it leads but to one backend.
--- a/internal/proxy/upstream/orders_test.go
+++ b/internal/proxy/upstream/orders_test.go
@@ -366,7 +366,7 @@
 	}
 	if !s.isQuiet() { // its client is told, or has gone: what is out ends by its own limit
 		e.Turn(func() {
-			s.dispatch.submissions.Each(func(ref slots.Ref, x *submission) { s.dispatch.giveUp(ref, x, control.TimedOut, control.Unreachable) })
+			s.dispatch.submissions.Each(func(ref slots.Ref, _ *submission) { s.dispatch.giveUp(ref, control.TimedOut, control.Unreachable) })
 			s.gate.RunDecisions()
 		})
 	}
--- a/internal/proxy/upstream/streaming.go
+++ b/internal/proxy/upstream/streaming.go
@@ -30,14 +30,18 @@
 	c.sending = true
 	defer func() { c.sending = false }()
 	for {
-		s := c.dispatch.submissions.Get(c.sub)
+		ref := c.sub
+		s := c.dispatch.submissions.Get(ref)
 		if s == nil || s.conn != c || !s.streaming || s.transmission.conn == 0 || c.link.IsClosed() || c.link.Unwritten() >= maxUnwritten {
 			return
 		}
 		b, complete, ok := s.message.Part(c.dispatch.scratch[:0])
 		c.dispatch.scratch = b[:0]
 		if !ok { // the rest never comes
-			c.dispatch.giveUp(c.sub, s, control.ConnectionLost, control.NotSent)
+			c.dispatch.giveUp(ref, control.ConnectionLost, control.NotSent)
+			return
+		}
+		if c.dispatch.submissions.Get(ref) != s || s.conn != c { // the attempt has ended while the client's socket was read
 			return
 		}
 		if s.streaming = !complete; len(b) == 0 {
@@ -60,15 +64,18 @@
 	v := c.read(s, b)
 	switch {
 	case v.Other, v.Ending == control.ConnectionLost: // its end is not waited for
-		c.dispatch.badAnswer(ref, s)
+		c.dispatch.badAnswer(ref)
 		return true
 	case v.Ending != control.Succeeded && !v.Final:
 		c.dispatch.disconnect(s)
-		c.dispatch.end(ref, s, v.Ending)
+		c.dispatch.end(ref, v.Ending)
 		return true
 	}
 	if !c.dispatch.gate.Begun(s.txn, gate.Outcome{Ending: v.Ending, Load: v.Load, Final: v.Final, Answer: &c.reader, Bytes: b}) {
-		c.dispatch.giveUp(ref, s, control.ConnectionLost, control.Unreachable)
+		c.dispatch.giveUp(ref, control.ConnectionLost, control.Unreachable)
+		return true
+	}
+	if s = c.dispatch.submissions.Get(ref); s == nil || s.conn != c { // the client left while the head was written
 		return true
 	}
 	c.meaning, c.streaming, s.answerDeadline = v, true, 0
@@ -97,7 +104,7 @@
 func (c *conn) forwardPart(ref slots.Ref, s *submission) (more bool) {
 	writable := c.dispatch.gate.Writable(s.txn)
 	if writable < 0 {
-		c.dispatch.giveUp(ref, s, control.Canceled, control.NotSent)
+		c.dispatch.giveUp(ref, control.Canceled, control.NotSent)
 		return false
 	}
 	head := c.link.Input.Head()
@@ -115,7 +122,7 @@
 		part, used, complete, err = c.reader.Part(c.link.Input.Linear())
 	}
 	if err != nil {
-		c.dispatch.badAnswer(ref, s)
+		c.dispatch.badAnswer(ref)
 		return false
 	}
 	if len(part) > 0 {
@@ -131,7 +138,7 @@
 	}
 	if used == 0 && !c.refill() {
 		if s.conn == c && c.link.InputEnded() { // what is left is not the rest of the answer
-			c.dispatch.badAnswer(ref, s)
+			c.dispatch.badAnswer(ref)
 		}
 		return false
 	}
--- a/internal/proxy/upstream/transmission.go
+++ b/internal/proxy/upstream/transmission.go
@@ -56,11 +56,15 @@
 }
 
 // giveUp ends an attempt without an answer: as ran if it may have had effect, else as unsent. The connection is closed before the outcome
-// is reported, and so before another attempt of the txn.
-func (d *Dispatch) giveUp(ref slots.Ref, s *submission, ran, unsent control.Ending) {
+// is reported, and so before another attempt of the txn. It does nothing if the attempt has ended.
+func (d *Dispatch) giveUp(ref slots.Ref, ran, unsent control.Ending) {
+	s := d.submissions.Get(ref)
+	if s == nil {
+		return
+	}
 	d.disconnect(s)
 	if s.mayRun(d.wary) {
 		unsent = ran
 	}
-	d.end(ref, s, unsent)
+	d.end(ref, unsent)
 }
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -160,7 +160,7 @@
 	}
 	d.submissions.Each(func(ref slots.Ref, s *submission) {
 		if s.backend == b && s.conn != nil && s.conn.dialing {
-			d.giveUp(ref, s, control.ConnectionLost, control.NotSent)
+			d.giveUp(ref, control.ConnectionLost, control.NotSent)
 		}
 	})
 }
@@ -202,7 +202,7 @@
 func (d *Dispatch) reuseAny(b *backend, ref slots.Ref, s *submission) {
 	c := d.reuse(b, true, s.message.ID())
 	if c == nil {
-		d.end(ref, s, control.NotSent)
+		d.end(ref, control.NotSent)
 		return
 	}
 	d.engine.Count.Add(counters.Reused)
@@ -214,7 +214,7 @@
 func (d *Dispatch) Recall(txn slots.Ref, attempt int) {
 	ref := d.byTxn[txn]
 	if s := d.submissions.Get(ref); s != nil && s.attempt == attempt {
-		d.giveUp(ref, s, control.Canceled, control.NotSent)
+		d.giveUp(ref, control.Canceled, control.NotSent)
 	}
 }
 
@@ -237,12 +237,15 @@
 }
 
 // end reports an ending without an answer.
-func (d *Dispatch) end(ref slots.Ref, s *submission, e control.Ending) {
-	d.ended(ref, s, gate.Outcome{Ending: e})
-}
+func (d *Dispatch) end(ref slots.Ref, e control.Ending) { d.ended(ref, gate.Outcome{Ending: e}) }
 
-// ended forgets an attempt and reports its one outcome.
-func (d *Dispatch) ended(ref slots.Ref, s *submission, o gate.Outcome) {
+// ended forgets an attempt and reports its one outcome. It does nothing if the attempt has ended. Every call of the gate may end the very
+// attempt that the caller goes on with: the gate may write to the client, and the client may be gone.
+func (d *Dispatch) ended(ref slots.Ref, o gate.Outcome) {
+	s := d.submissions.Get(ref)
+	if s == nil {
+		return
+	}
 	x := *s
 	*s = submission{}
 	d.submissions.Drop(ref)
@@ -276,7 +279,7 @@
 		s.answerDeadline = p.dispatch.engine.Now() + s.answerTimeout
 		p.dispatch.engine.At(s.answerDeadline, p, ref)
 	default:
-		p.dispatch.badAnswer(slots.Ref(ref), s)
+		p.dispatch.badAnswer(slots.Ref(ref))
 	}
 }
 
@@ -287,7 +290,7 @@
 func (l *limitAlarm) Due(ref uint32) {
 	// A slot's generations wrap around: an old alarm's reference may name a later attempt.
 	if s := l.dispatch.submissions.Get(slots.Ref(ref)); s != nil && l.dispatch.engine.Now() >= s.deadline {
-		l.dispatch.giveUp(slots.Ref(ref), s, control.TimedOut, control.Unreachable)
+		l.dispatch.giveUp(slots.Ref(ref), control.TimedOut, control.Unreachable)
 	}
 }
 
@@ -301,6 +304,6 @@
 func (d *dialAlarm) Due(ref uint32) {
 	if s := d.dispatch.submissions.Get(slots.Ref(ref)); d.Live(ref) && d.dispatch.engine.Now() >= s.started+d.dispatch.config.DialTimeout {
 		d.dispatch.engine.Count.Add(counters.DialsFailed)
-		d.dispatch.giveUp(slots.Ref(ref), s, control.ConnectionLost, control.Unreachable)
+		d.dispatch.giveUp(slots.Ref(ref), control.ConnectionLost, control.Unreachable)
 	}
 }
