Registry: no backend whose departure is on this disk is published as ready

A restored list of backends must never bring back a backend whose departure the same disk holds.

Change: asserted where a backend's state is published (debug builds stop, release builds count).

--- a/internal/gateway/registry/publish.go
+++ b/internal/gateway/registry/publish.go
@@ -1,6 +1,10 @@
 package registry
 
-import "slices"
+import (
+	"slices"
+
+	"clovergap/internal/invariant"
+)
 
 // This file determines which changes of backends are reported to the host (Changed). A new backend may use the address of a
 // former backend, and this node may not know yet that the former backend is gone. If several backends that are not gone have
@@ -75,6 +79,7 @@
 func (r *Registry) publishIfChanged(e *entry) (Action, bool) {
 	record := r.currentRecord(e)
 	record.Phase = r.visiblePhase(e)
+	invariant.Assert(record.Phase != Ready || e.copies.local == notDeparting, "a backend whose departure is on this disk gets no requests")
 	unchanged := record.Service == e.published.Service && record.Addr == e.published.Addr && record.Zone == e.published.Zone &&
 		record.Generation == e.published.Generation && record.Capacity == e.published.Capacity && record.Phase == e.published.Phase &&
 		e.slowStartUntil == e.publishedSlowStart
