Shutdown: a connection counts until its last answer is written

Cause: once connections close between requests, an answer is its connection's last. Its client is dropped from the table as soon as the answer is handed to the link, with most of it unwritten, and the shutdown waits for that table alone.

Bounded by grace as before.

--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -113,8 +113,9 @@
 	})
 }
 
-// Clients counts connections.
-func (s *Server) Clients() int { return s.clients.Len() }
+// Clients counts connections, those included that are closed as soon as their last answer is written. A process that ends before would cut
+// off these answers.
+func (s *Server) Clients() int { return s.clients.Len() + s.engine.ClosingLinks() }
 
 // Count increments a counter, for a handler.
 func (s *Server) Count(id counters.ID) { s.engine.Count.Add(id) }
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -67,3 +69,50 @@
 		e.Stop()
 	}
 }
+
+// largeAnswerBytes is more than the buffers of two sockets hold.
+const largeAnswerBytes = 12 << 20
+
+// largeAnswerer answers all that comes with a body of largeAnswerBytes.
+type largeAnswerer struct{ answered chan bool }
+
+func (l largeAnswerer) Take(c *Client) {
+	c.Answer(func(b []byte, _ bool) []byte {
+		b = append(b, fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", largeAnswerBytes)...)
+		return append(b, make([]byte, largeAnswerBytes)...)
+	})
+	l.answered <- true
+}
+func (largeAnswerer) Left(slots.Ref) {}
+
+// Guards against a process that ends while a slow client still reads its last answer (review/2): a client counts until its answer is written.
+func TestClientCountsUntilItsLastAnswerIsWritten(t *testing.T) {
+	e := eventloop.New("127.0.0.1:0", 256, largeAnswerBytes, 4*largeAnswerBytes)
+	in := New(e, 10, Bounds{Head: 1 << 10, Body: 1 << 10, Raw: largeAnswerBytes}, func() bool { return false })
+	handler := largeAnswerer{make(chan bool, 1)}
+	in.SetHandler(handler)
+	e.OnAccept(in.Accept)
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	e.Turn(in.Drain)
+	clients := func() (n int) {
+		e.Turn(func() { n = in.Clients() })
+		return n
+	}
+	c, err := net.Dial("tcp", e.Addr())
+	must.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"))
+	must.NoError(t, err)
+	<-handler.answered
+	must.Eq(t, 1, clients())
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	read, err := io.Copy(io.Discard, r.Body)
+	must.NoError(t, err)
+	must.Eq(t, largeAnswerBytes, int(read))
+	c.Close()
+	for end := time.Now().Add(time.Minute); clients() > 0; {
+		must.True(t, time.Now().Before(end), must.Sprint("the client counts on"))
+	}
+}
--- a/internal/proxy/eventloop/closing.go
+++ b/internal/proxy/eventloop/closing.go
@@ -25,6 +25,7 @@
 		return
 	}
 	l.closed = true
+	l.endCloseSent()
 	l.closeDuplicate()
 	l.Input.Release()
 	l.output.Release()
@@ -44,9 +45,24 @@
 		l.shutdownWrite()
 		return
 	}
+	if !l.awaitsWrite {
+		l.awaitsWrite = true
+		l.engine.closingLinks++
+	}
 	l.engine.At(l.engine.now+unreadFor, l, 0)
 }
 
+// endCloseSent records that nothing more will be written after CloseSent.
+func (l *Link) endCloseSent() {
+	if l.awaitsWrite {
+		l.awaitsWrite = false
+		l.engine.closingLinks--
+	}
+}
+
+// ClosingLinks returns the number of connections that CloseSent closes as soon as their last bytes are written.
+func (e *Engine) ClosingLinks() int { return e.closingLinks }
+
 // CloseSoon closes a connection that was accepted and is refused, after a delay: it slows down clients that dial again at once.
 func (l *Link) CloseSoon() { l.engine.At(l.engine.now+refuseDelay, l, 0) }
 
@@ -73,6 +89,7 @@
 		return
 	}
 	l.lingering, l.owner, l.inputFull = true, nil, false
+	l.endCloseSent()
 	l.withDescriptor(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_WR) })
 	l.Input.Drop(l.Input.Len())
 	wait := lingerFor
@@ -95,6 +112,7 @@
 		return
 	}
 	l.closed = true
+	l.endCloseSent()
 	l.closeDuplicate()
 	l.closeConn()
 	if l.owner != nil {
--- a/internal/proxy/eventloop/engine.go
+++ b/internal/proxy/eventloop/engine.go
@@ -43,6 +43,7 @@
 	outOfDescriptors func() // called when descriptors have run out
 	userTimeout      time.Duration
 	open             int // number of connections, dials included
+	closingLinks     int // number of connections whose last bytes are not written yet: see Link.CloseSent
 	maxConnections   int
 	maxRing          int
 	spare            int // bytes by which all input rings may still grow
--- a/internal/proxy/eventloop/link.go
+++ b/internal/proxy/eventloop/link.go
@@ -52,6 +52,7 @@
 	unsent        int          // bytes that were not written because of an error
 	closed        bool
 	closing       bool               // to be closed once all is written
+	awaitsWrite   bool               // closing, and not all is written: counted in Engine.closingLinks
 	lingering     bool               // all is written and the sending side shut down; input is dropped
 	dropped       int                // bytes dropped while it lingers
 	inputFull     bool               // Input was full: bytes may wait in the socket
