Laboratory: a kill is recorded before its signal is sent

Cause: the rig recorded that a process is down after it had sent SIGKILL.

Change: recorded first. No bound and no rule changes.

Tests of standin and gatewaystandin: ok.

--- a/internal/lab/standin/process.go
+++ b/internal/lab/standin/process.go
@@ -123,9 +123,12 @@
 
 // signal reaches the process if it runs; the lock is held.
 func (p *Process) signal(s os.Signal) bool {
-	return p.cmd != nil && p.ended == nil && p.cmd.Process.Signal(s) == nil
+	return p.isRunning() && p.cmd.Process.Signal(s) == nil
 }
 
+// isRunning tells whether the process was started and has not been seen to end; the lock is held.
+func (p *Process) isRunning() bool { return p.cmd != nil && p.ended == nil }
+
 // Pid is the process's number; nought if it never ran.
 func (p *Process) Pid() int {
 	p.mu.Lock()
@@ -225,10 +228,12 @@
 	p.mu.Lock()
 	p.meant = true
 	exit := p.exit
-	running := p.signal(s)
-	if running && s == syscall.SIGKILL { // one that waits for its disk is seen to end much later
+	if s == syscall.SIGKILL && p.isRunning() {
+		// Recorded before the signal: a client may see its connection end before the rig goes on, and one that waits for its disk is seen to
+		// end much later.
 		p.record(history.Down, "")
 	}
+	running := p.signal(s)
 	p.mu.Unlock()
 	if !running {
 		return
