--- a/internal/lab/faultrig/gateway_test.go
+++ b/internal/lab/faultrig/gateway_test.go
@@ -132,9 +132,6 @@
 // until its process is gone. Guards against an acknowledged Backends.Leave that is forgotten when all processes are killed; the short form of
 // "lab gateway chaos --series".
 func TestSeriesOnAGateway(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	defer goleak.VerifyNone(t)
 	program := build(t)
 	for _, seed := range []uint64{1, 2} { // all processes are killed right after a leave in both
