--- a/cmd/lab/simulate.go
+++ b/cmd/lab/simulate.go
@@ -35,6 +35,7 @@
 	log, shrink  bool
 	changes      bool
 	hard         bool
+	departures   bool
 	firstBroken  bool
 	days, broken int
 	simulated    time.Duration
@@ -90,6 +91,7 @@
 	f.IntVar(&k.jobs, "jobs", max(1, runtime.NumCPU()/2), "days side by side")
 	f.BoolVar(&k.hard, "hard", false, "days of another draw: machines with a disk replaced, cuts of 20 s, late copies of orders and replies,\n"+
 		"restarts within a call, orders sent again long after")
+	f.BoolVar(&k.departures, "departures", false, "days on which backends deregister without draining, and all processes are lost right after it")
 	f.BoolVar(&k.firstBroken, "first-broken", false, "end when a rule is broken")
 	f.Uint64Var(&k.replay, "replay", 0, "play one seed's day again")
 	f.BoolVar(&k.log, "log", false, "with --replay, write the nodes' log to standard error")
@@ -101,6 +103,9 @@
 }
 
 func (s *simulate) day(seed uint64) *simulation.Day {
+	if s.departures {
+		return simulation.DrawDepartures(s.site, seed, s.dur)
+	}
 	if s.hard {
 		return simulation.DrawHard(s.site, seed, s.most, s.dur)
 	}
--- a/internal/lab/faultrig/gateway.go
+++ b/internal/lab/faultrig/gateway.go
@@ -49,25 +49,25 @@
 
 // gatewayRun is a run under way.
 type gatewayRun struct {
-	schedule   *GatewaySchedule
-	deployment *gatewaystandin.Deployment
-	log        *history.Log
-	load       *gatewaystandin.Clients
-	name       string // of the play, for what is kept
-	tasks      sync.WaitGroup
-	mu         sync.Mutex
-	burst      spec.Factors
-	fault      error
-	acked      broadcast   // of each configuration that was acknowledged
-	departed   broadcast   // of each departure of a backend that was acknowledged
-	steps      atomic.Bool // the operator goes on
-	turn       sync.Mutex  // held while it does
-	calmed     time.Time
-	recoveries []time.Duration
-	says       []string                                  // what the nodes say of themselves, where all is not well at the end
-	act        func(context.Context) []history.Violation // what is played while clients ask
-	odd        bool                                      // it is kept though no rule was broken
-	also       func(h []history.Event, slack time.Duration) []history.Violation
+	schedule     *GatewaySchedule
+	deployment   *gatewaystandin.Deployment
+	log          *history.Log
+	load         *gatewaystandin.Clients
+	name         string // of the play, for what is kept
+	tasks        sync.WaitGroup
+	mu           sync.Mutex
+	burst        spec.Factors
+	fault        error
+	acked        broadcast   // of each configuration that was acknowledged
+	deregistered broadcast   // of each leave of a backend that was acknowledged
+	steps        atomic.Bool // the operator goes on
+	turn         sync.Mutex  // held while it does
+	calmed       time.Time
+	recoveries   []time.Duration
+	says         []string                                  // what the nodes say of themselves, where all is not well at the end
+	act          func(context.Context) []history.Violation // what is played while clients ask
+	odd          bool                                      // it is kept though no rule was broken
+	also         func(h []history.Event, slack time.Duration) []history.Violation
 }
 
 // recoverMost is when all nodes must serve again after the last heal: the rules' bound, and a little for the
--- a/internal/lab/faultrig/gatewayfaults.go
+++ b/internal/lab/faultrig/gatewayfaults.go
@@ -64,8 +64,8 @@
 	switch f.Moment() {
 	case spec.Acknowledged:
 		g.acked.wait(ctx, ackMost)
-	case spec.Drained:
-		g.departed.wait(ctx, ackMost)
+	case spec.Deregistered:
+		g.deregistered.wait(ctx, ackMost)
 	}
 	g.log.Add(history.Event{Who: "rig", Kind: history.FaultBegan, What: f.Kind})
 	defer func() { g.log.Add(history.Event{Who: "rig", Kind: history.FaultEnded, What: f.Kind}) }()
@@ -233,7 +233,7 @@
 	for _, b := range g.serving() {
 		wg.Go(func() {
 			g.add(b)
-			b.Leave(g.ctx, g.departed.notify)
+			b.Leave(g.ctx, g.deregistered.notify)
 		})
 	}
 	wg.Wait()
--- a/internal/lab/gatewaystandin/backend.go
+++ b/internal/lab/gatewaystandin/backend.go
@@ -47,7 +47,7 @@
 	maxAckBytes      = 4 << 10
 	DrainSlack       = 1500 * time.Millisecond // and a little longer
 	DrainTimeout     = 6 * time.Second         // of a drain that nobody acknowledges
-	leaveServing     = 8 * time.Second         // for which a backend that has deregistered serves on
+	LeaveServing     = 8 * time.Second         // for which a backend that has deregistered serves on
 )
 
 // Read takes a request by the protocol; health and what can't be one are answered at once.
@@ -248,7 +248,7 @@
 	return acknowledged
 }
 
-// Leave has the backend deregister without draining first. After the acknowledgement the backend serves on for leaveServing and makes no
+// Leave has the backend deregister without draining first. After the acknowledgement the backend serves on for LeaveServing and makes no
 // further call. acknowledged is called right after the acknowledgement. Leave returns when the backend has ended.
 func (h *HeartbeatBackend) Leave(ctx context.Context, acknowledged func()) {
 	h.leaving.Store(true)
@@ -259,7 +259,7 @@
 		}
 		sleep(ctx, 200*time.Millisecond)
 	}
-	sleep(ctx, leaveServing)
+	sleep(ctx, LeaveServing)
 	h.end(true)
 }
 
--- a/internal/lab/mutants/mutants.go
+++ b/internal/lab/mutants/mutants.go
@@ -49,7 +49,10 @@
 }
 
 // plays are what may find a mutant.
-var plays = []string{"emulator", "processes", "leases", "simulation", "hard"}
+var plays = []string{"emulator", "processes", "leases", "simulation", "hard", "departures"}
+
+// simulatedPlays are the plays of the gateway in simulated time.
+var simulatedPlays = []string{"simulation", "hard", "departures"}
 
 // Load reads a table.
 func Load(file string) (*Table, error) {
@@ -76,7 +79,7 @@
 		}
 		for _, p := range m.Play {
 			if f := strings.Fields(p); len(f) != 2 || !slices.Contains(plays, f[0]) {
-				return nil, wrong(fmt.Sprintf("play: %q is neither \"emulator FILE\", \"processes FILE\", \"leases MODEL\", \"simulation NODESxDISKS\" nor \"hard NODESxDISKS\"", p))
+				return nil, wrong(fmt.Sprintf("play: %q is neither \"emulator FILE\", \"processes FILE\", \"leases MODEL\", \"simulation NODESxDISKS\", \"hard NODESxDISKS\" nor \"departures NODESxDISKS\"", p))
 			}
 		}
 		for _, c := range m.Changes() {
@@ -200,10 +203,10 @@
 		if args = append(args, "--first-broken"); kind == "leases" {
 			find, args = brokeLeases, []string{"leases", "--model", file, "--walks", strconv.Itoa(100 * o.Emulated), "--states", "1"}
 		}
-		if kind == "simulation" || kind == "hard" {
+		if slices.Contains(simulatedPlays, kind) {
 			nodes, disks, _ := strings.Cut(file, "x")
 			args = []string{"simulate", "--nodes", nodes, "--disks", disks, "--seeds", strconv.Itoa(o.Emulated), "--jobs", strconv.Itoa(o.Jobs), "--first-broken",
-				fmt.Sprintf("--hard=%v", kind == "hard")}
+				fmt.Sprintf("--hard=%v", kind == "hard"), fmt.Sprintf("--departures=%v", kind == "departures")}
 		}
 		out, err := run("bin/lab", args...)
 		if ctx.Err() != nil {
--- a/internal/lab/mutants/mutants_test.go
+++ b/internal/lab/mutants/mutants_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -22,7 +23,7 @@
 			t.Error(err)
 		}
 		for _, p := range m.Play {
-			if strings.HasPrefix(p, "leases ") || strings.HasPrefix(p, "simulation ") || strings.HasPrefix(p, "hard ") {
+			if kind, _, _ := strings.Cut(p, " "); kind == "leases" || slices.Contains(simulatedPlays, kind) {
 				continue
 			}
 			if _, err := os.Stat(filepath.Join("../../../lab", strings.Fields(p)[1])); err != nil {
--- a/internal/lab/simulation/backends.go
+++ b/internal/lab/simulation/backends.go
@@ -43,6 +43,7 @@
 	seq                     uint64
 	target                  string // control address for beats
 	draining                bool
+	leaving                 bool // it deregisters without draining first, and sends no more heartbeats
 	dead                    bool
 	running                 int
 	queue                   []*submission
@@ -82,7 +83,7 @@
 	t.live = append(t.live, b)
 	t.services[b.id] = service
 	w.every(w.day.Beat, func() bool {
-		if !b.dead {
+		if !b.dead && !b.leaving {
 			b.notifyNodes(false, func(bool) {})
 		}
 		return !b.dead
@@ -130,10 +131,10 @@
 			todo = append(todo, m)
 		}
 	}
-	drains := b.draining
+	drains, leaving := b.draining, b.leaving
 	var next func()
 	next = func() {
-		if b.dead || len(todo) == 0 || drains != b.draining {
+		if b.dead || len(todo) == 0 || drains != b.draining || leaving != b.leaving {
 			then(false)
 			return
 		}
@@ -153,6 +154,9 @@
 			if drains || leaves {
 				w.record(history.Event{Who: m.controlAddr, Kind: history.Notified, Target: b.id, What: "Terminating"})
 			}
+			if b.leaving {
+				w.happens(spec.Deregistered)
+			}
 			then(true)
 		})
 	}
@@ -215,8 +219,8 @@
 	w, began := b.world, b.world.now
 	b.draining, b.unpoweredTime = true, 0
 	w.logf("%s drains", b.id)
-	var ask func()
-	leave := func(acked bool) {
+	b.notifyUntilAcknowledged(false, func(acked bool) {
+		w.drainResults = append(w.drainResults, DrainResult{w.now - began, b.unpoweredTime})
 		w.after(gatewaystandin.Bounds().BackendDrain+gatewaystandin.DrainSlack, func() {
 			if acked {
 				b.notifyNodes(true, func(bool) {})
@@ -225,20 +229,38 @@
 			}
 			b.end(true)
 		})
-	}
-	ask = func() {
-		b.notifyNodes(false, func(ok bool) {
+	})
+}
+
+// leave has the backend deregister without draining first. It then serves on for a while, makes no further call, and ends.
+func (b *backend) leave() {
+	b.leaving = true
+	b.world.logf("%s leaves", b.id)
+	b.notifyUntilAcknowledged(true, func(bool) {
+		b.world.after(gatewaystandin.LeaveServing, func() { b.end(true) })
+	})
+}
+
+// departs reports whether the backend has begun to drain or to leave.
+func (b *backend) departs() bool { return b.draining || b.leaving }
+
+// notifyUntilAcknowledged reports a departure to nodes until one acknowledges it or the backend gives up. It does not call then if the backend
+// has ended meanwhile.
+func (b *backend) notifyUntilAcknowledged(leaves bool, then func(acked bool)) {
+	w, began := b.world, b.world.now
+	var notify func()
+	notify = func() {
+		b.notifyNodes(leaves, func(ok bool) {
 			switch {
 			case b.dead:
 			case ok || w.now-began > gatewaystandin.DrainTimeout:
-				w.drainResults = append(w.drainResults, DrainResult{w.now - began, b.unpoweredTime})
-				leave(ok)
+				then(ok)
 			default:
-				w.after(200*time.Millisecond, ask)
+				w.after(200*time.Millisecond, notify)
 			}
 		})
 	}
-	ask()
+	notify()
 }
 
 // receive takes a submission that has come.
--- a/internal/lab/simulation/faults.go
+++ b/internal/lab/simulation/faults.go
@@ -40,6 +40,7 @@
 	spec.FillDisks:        (*faultRun).fillDisks,
 	spec.CrashBackends:    (*faultRun).crashBackends,
 	spec.DrainBackends:    (*faultRun).drainBackends,
+	spec.LeaveBackends:    (*faultRun).leaveBackends,
 	spec.RaiseLoad:        (*faultRun).raiseLoad,
 	spec.RushTenant:       (*faultRun).rushTenant,
 	spec.SlowBackends:     backendFault(func(b *backend, on, by float64) { b.slowdown = 1 + on*(1+20*by) }),
@@ -57,15 +58,27 @@
 			w.applyFault(f)
 			return
 		}
-		if moment == spec.Drained && len(w.timeline.live) > 0 { // one drains, so that the moment comes
-			b := w.timeline.live[f.Pick%uint64(len(w.timeline.live))]
-			w.timeline.add(b.service, b.zone, time.Second)
-			b.drain()
-		}
-		w.atNextMoment(moment, maxMomentDelay, func() { w.applyFault(f) })
+		w.departBefore(moment, f.Pick)
+		w.atNextMoment(moment, maxMomentDelay, func() { w.after(f.Delay.D(), func() { w.applyFault(f) }) })
 	})
 }
 
+// departBefore lets a backend drain or leave if the moment is the acknowledgement of that, so that the moment comes. Another backend comes in
+// its place.
+func (w *world) departBefore(moment spec.Moment, pick uint64) {
+	if moment != spec.Drained && moment != spec.Deregistered || len(w.timeline.live) == 0 {
+		return
+	}
+	b := w.timeline.live[pick%uint64(len(w.timeline.live))]
+	if moment == spec.Drained {
+		w.timeline.add(b.service, b.zone, time.Second)
+		b.drain()
+	} else if !b.departs() {
+		w.timeline.add(b.service, b.zone, time.Second)
+		b.leave()
+	}
+}
+
 // cores are the machines with a disk.
 func (w *world) cores() []*machine { return w.machines[:w.day.Disks] }
 
@@ -336,7 +349,7 @@
 // crashBackends ends backends at once; others come in their place when the fault is over.
 func (f *faultRun) crashBackends(fault *spec.Fault) func() {
 	for _, b := range f.targetedBackends() {
-		if !b.draining {
+		if !b.departs() {
 			f.after(0, b.crash)
 			f.after(fault.For.D(), func() { f.timeline.add(b.service, b.zone, time.Second) })
 		}
@@ -347,7 +360,7 @@
 // drainBackends lets backends leave in order, each replaced by another at once.
 func (f *faultRun) drainBackends(*spec.Fault) func() {
 	for _, b := range f.targetedBackends() {
-		if !b.draining {
+		if !b.departs() {
 			f.timeline.add(b.service, b.zone, time.Second)
 			b.drain()
 		}
@@ -355,6 +368,17 @@
 	return func() {}
 }
 
+// leaveBackends lets backends deregister without draining first, each replaced by another at once.
+func (f *faultRun) leaveBackends(*spec.Fault) func() {
+	for _, b := range f.targetedBackends() {
+		if !b.departs() {
+			f.timeline.add(b.service, b.zone, time.Second)
+			b.leave()
+		}
+	}
+	return func() {}
+}
+
 // raiseLoad lets clients ask more often.
 func (f *faultRun) raiseLoad(fault *spec.Fault) func() { return f.clients.burst.Add(2 + 2*fault.By) }
 
--- a/internal/lab/spec/kinds.go
+++ b/internal/lab/spec/kinds.go
@@ -36,7 +36,8 @@
 // The moments. A fault without one comes at its time.
 const (
 	Acknowledged Moment = "a configuration was acknowledged"
-	Drained      Moment = "a drain or a leave was acknowledged"
+	Drained      Moment = "a drain was acknowledged"
+	Deregistered Moment = "a leave was acknowledged"
 	ViewChange   Moment = "a member asks for another view"
 	Writes       Moment = "a disk has begun to write"
 	PassesOn     Moment = "a node passes on a call"
@@ -221,8 +222,9 @@
 	{name: "sync-power", worlds: Simulation, moment: Writes, target: SomeDisks, effect: PowerOffNodes},
 	{name: "sync-replace", worlds: Simulation, moment: Writes, target: SomeDisks, effect: ReplaceNodes},
 	{name: "view-kill", worlds: Simulation, moment: ViewChange, target: SomeDisks, effect: KillNodes},
-	{name: "leave", needs: NeedsShare, worlds: Gateways, effect: LeaveBackends},
-	{name: "leave-kill", worlds: Gateways, moment: Drained, target: AllNodes, effect: KillNodes},
+	{name: "leave", needs: NeedsShare, worlds: gateways, effect: LeaveBackends},
+	{name: "leave-kill", worlds: gateways, moment: Deregistered, target: AllNodes, effect: KillNodes},
+	{name: "leave-power", worlds: Simulation, moment: Deregistered, target: AllNodes, effect: PowerOffNodes},
 	{name: "view-stall", worlds: Simulation, moment: ViewChange, target: SomeDisks, effect: StallNodes},
 }
 
