Chaos on the gateway: disks that refuse writes while backends deregister

Change: the rig makes a node's disk refuse each write, by a limit of 0 bytes on the files that the process writes, also in its next incarnations; the node counts as in trouble meanwhile. In half of the bursts of a series one, two or all of three disks are full until the burst is over. The draw has a source of its own, so the other faults of a seed are what they were. seriesMinFaults and maxFaultAdd have names that say what they bound.

--- a/internal/lab/faultrig/gateway_test.go
+++ b/internal/lab/faultrig/gateway_test.go
@@ -105,10 +105,10 @@
 	must.Greater(t, 150, powerless)
 }
 
-// Schedules of series come again from their seeds. Each has backends that deregister, most have a kill of all right after it, and a calm time
-// follows each burst.
+// Schedules of series come again from their seeds. Each has backends that deregister, most have a kill of all right after it and full disks
+// meanwhile, and a calm time follows each burst.
 func TestDrawSeries(t *testing.T) {
-	kills := 0
+	kills, fullDisks := 0, 0
 	for seed := range uint64(200) {
 		s := DrawSeries(seed, 6, 32*time.Second)
 		must.Eq(t, s, DrawSeries(seed, 6, 32*time.Second))
@@ -119,13 +119,20 @@
 			}
 			sinceBurst := (f.At.D() - time.Second) % seriesInterval
 			must.Less(t, seriesInterval/2, sinceBurst, must.Sprint("a fault in a calm time, seed ", seed))
+			if f.Kind == "disk-full" {
+				must.Less(t, seriesInterval/2, sinceBurst+f.For.D(), must.Sprint("a full disk in a calm time, seed ", seed))
+			}
 		}
 		must.GreaterEq(t, 3, leaves)
 		if slices.ContainsFunc(s.Faults, func(f spec.Fault) bool { return f.Kind == "leave-kill" }) {
 			kills++
 		}
+		if slices.ContainsFunc(s.Faults, func(f spec.Fault) bool { return f.Kind == "disk-full" }) {
+			fullDisks++
+		}
 	}
 	must.Greater(t, 180, kills)
+	must.Greater(t, 150, fullDisks)
 }
 
 // Six nodes, three with disks, under signals, restarts, changes and departures that come in series and overlap, while clients stay with a node
--- a/internal/lab/faultrig/gatewaydraw.go
+++ b/internal/lab/faultrig/gatewaydraw.go
@@ -140,11 +140,13 @@
 
 // Series are bursts of faults with calm times between them. A rule that binds nodes in touch can be broken only in a calm time.
 const (
-	seriesInterval               = 10 * time.Second // from the begin of one burst to the begin of the next
-	seriesBurst                  = 3 * time.Second  // from the first fault of a burst to its last
-	repeatMinGap, repeatMaxGap   = 0.005, 0.6       // seconds from a fault to the same fault again
-	seriesHeartbeatInterval      = 1500 * time.Millisecond
-	seriesMinFaults, maxFaultAdd = 2, 3
+	seriesInterval             = 10 * time.Second // from the begin of one burst to the begin of the next
+	seriesBurst                = 3 * time.Second  // from the first fault of a burst to its last
+	repeatMinGap, repeatMaxGap = 0.005, 0.6       // seconds from a fault to the same fault again
+	fullDiskTail               = 1 * time.Second  // for which disks are full at most when a burst is over
+	seriesHeartbeatInterval    = 1500 * time.Millisecond
+	// A burst has minBurstFaults to maxBurstFaults faults, without the departures at its end.
+	minBurstFaults, maxBurstFaults = 2, 4
 )
 
 // seriesKinds are the faults of a series.
@@ -153,22 +155,34 @@
 
 // DrawSeries draws a schedule of signals, restarts and departures that come in bursts and overlap. Clients stay with a node until its process
 // is gone. Each burst ends with backends that deregister without draining. In two of three bursts, all processes are killed right after a
-// departure was acknowledged. A third of the faults come twice in a row.
+// departure was acknowledged. A third of the faults come twice in a row. In half of the bursts, disks are full when the backends deregister.
 func DrawSeries(seed uint64, nodes int, dur time.Duration) *GatewaySchedule {
-	rng := rand.New(rand.NewPCG(seed, 0x5e21))
+	rng, diskRNG := rand.New(rand.NewPCG(seed, 0x5e21)), rand.New(rand.NewPCG(seed, 0xd15c))
 	s := &GatewaySchedule{Seed: seed, Nodes: nodes, For: dur, Close: rng.IntN(2) == 0, KeepNodes: true, HeartbeatInterval: seriesHeartbeatInterval}
 	for at := time.Second; at+seriesBurst < dur; at += seriesInterval {
-		for range seriesMinFaults + rng.IntN(maxFaultAdd) {
+		for range minBurstFaults + rng.IntN(maxBurstFaults-minBurstFaults+1) {
 			s.addToSeries(rng, seriesKinds[rng.IntN(len(seriesKinds))], at+time.Duration(rng.Int64N(int64(seriesBurst))))
 		}
 		s.addToSeries(rng, "leave", at+seriesBurst)
 		if rng.IntN(3) > 0 {
 			s.addToSeries(rng, "leave-kill", at+seriesBurst)
 		}
+		if diskRNG.IntN(2) == 0 {
+			s.addFullDisks(diskRNG, at)
+		}
 	}
 	return s
 }
 
+// addFullDisks adds disks that are full during a part of a burst: one of three disks, or two, or all. With one full disk, departures must
+// still be acknowledged. With more, none may be acknowledged that a kill of all processes would make the nodes forget.
+func (g *GatewaySchedule) addFullDisks(rng *rand.Rand, burst time.Duration) {
+	begin := time.Duration(rng.Int64N(int64(seriesBurst)))
+	end := seriesBurst + time.Duration(rng.Int64N(int64(fullDiskTail)))
+	g.Faults = append(g.Faults, spec.Fault{Kind: "disk-full", At: spec.Span(burst + begin), For: spec.Span(end - begin),
+		Share: []float64{0.3, 0.3, 0.6, 1}[rng.IntN(4)], Pick: rng.Uint64()>>1 | 1})
+}
+
 // addToSeries adds a fault of a kind, and in a third of the cases the same fault once more a moment later.
 func (g *GatewaySchedule) addToSeries(rng *rand.Rand, kind string, at time.Duration) {
 	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
--- a/internal/lab/faultrig/gatewayfaults.go
+++ b/internal/lab/faultrig/gatewayfaults.go
@@ -44,6 +44,7 @@
 	spec.WipeNodes:        (*gatewayFault).wipe,
 	spec.TerminateNodes:   (*gatewayFault).terminate,
 	spec.ReloadNodes:      (*gatewayFault).reload,
+	spec.FillDisks:        (*gatewayFault).fillDisks,
 	spec.PartitionNodes:   (*gatewayFault).partitionNodes,
 	spec.CrashBackends:    (*gatewayFault).crashBackends,
 	spec.DrainBackends:    (*gatewayFault).drainBackends,
@@ -166,6 +167,15 @@
 	return nil
 }
 
+// fillDisks makes disks refuse all writes.
+func (g *gatewayFault) fillDisks(*spec.Fault) func() {
+	refuse := func(on bool) {
+		g.each(g.hit, func(node *gatewaystandin.Node) error { return node.RefuseWrites(on) })
+	}
+	refuse(true)
+	return func() { refuse(false) }
+}
+
 // partitionNodes parts nodes by the fault's shape, which a debug build plays.
 func (g *gatewayFault) partitionNodes(f *spec.Fault) func() {
 	of := g.among()
--- a/internal/lab/gatewaystandin/deployment.go
+++ b/internal/lab/gatewaystandin/deployment.go
@@ -263,6 +263,19 @@
 	n.Process.Term(patience)
 }
 
+// RefuseWrites makes the node's disk refuse all writes, or accept them again. The node is in trouble while its disk refuses.
+func (n *Node) RefuseWrites(on bool) error {
+	kind := Eased
+	if on {
+		kind = Troubled
+	}
+	changed, err := n.Process.RefuseWrites(on)
+	if changed {
+		n.deployment.Config.History.Add(history.Event{Who: n.Name, Kind: kind})
+	}
+	return err
+}
+
 // Reload tells the node that its settings file may have changed.
 func (n *Node) Reload() {
 	n.deployment.Config.History.Add(history.Event{Who: n.Name, Kind: Reloads})
--- a/internal/lab/simulation/departures.go
+++ b/internal/lab/simulation/departures.go
@@ -14,7 +14,7 @@
 	departuresBurst    = 2 * time.Second  // from the first fault of a burst to its last
 	maxLossDelay       = 300 * time.Millisecond
 	diskFaultTail      = 500 * time.Millisecond // for which disks have a fault at most when a burst is over
-	maxOutage          = 1.2 // seconds for which a loss lasts at most
+	maxOutage          = 1.2                    // seconds for which a loss lasts at most
 )
 
 // departureKinds are the faults that overlap with departures.
--- a/internal/lab/spec/kinds.go
+++ b/internal/lab/spec/kinds.go
@@ -201,7 +201,7 @@
 	{name: "core-reset", worlds: Simulation, target: SomeDisks, effect: ResetNodes},
 	{name: "core-stall", worlds: gateways, target: SomeDisks, effect: StallNodes},
 	{name: "core-term", worlds: gateways, target: SomeDisks, effect: TerminateNodes},
-	{name: "disk-full", worlds: Simulation, target: SomeDisks, effect: FillDisks},
+	{name: "disk-full", worlds: gateways, target: SomeDisks, effect: FillDisks},
 	{name: "disk-hang", worlds: Simulation, target: SomeDisks, effect: HangDisks},
 	{name: "disk-slow", worlds: Simulation, target: SomeDisks, effect: SlowDisks},
 	{name: "disk-wipe", worlds: gateways, target: SomeDisks, effect: WipeNodes},
--- a/internal/lab/standin/process.go
+++ b/internal/lab/standin/process.go
@@ -40,6 +40,7 @@
 	orders          map[failpoint.Name]time.Duration
 	blockedHosts    map[string]int // reasons why nothing said gets to a host; they outlast a life
 	poweredOffHosts map[string]int // reasons to take a host for a machine without power, likewise
+	writeRefusals   int            // reasons why the disk refuses writes, likewise
 	stderrTail      []string       // last lines that are no JSON: what a crash says
 	gone            time.Time
 }
@@ -86,6 +87,9 @@
 		p.say("dark %s\n", host)
 	}
 	go p.read(out, cmd, p.exit)
+	if p.writeRefusals > 0 {
+		return p.applyWriteRefusal()
+	}
 	return nil
 }
 
