Downstream: a client that resets when it is asked to continue no longer ends the process

What callers would see: a client sends a head with "Expect: 100-continue", and resets its connection, while the node has no memory for more input. The process ends: "slice bounds out of range" in Client.Reject. All connections of the node end with it.

The write of "100 Continue" fails, the link closes within it and releases its input. beginStreaming then returned "not to be streamed", so Data went on with the request: with the input ring full it rejected the request, and read the request's method from the released memory.

Change: beginStreaming says that nothing is left to do once the connection is closed.

--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -116,3 +116,44 @@
 		must.True(t, time.Now().Before(end), must.Sprint("the client counts on"))
 	}
 }
+
+// streamTaker is a handler that streams bodies, and answers nothing.
+type streamTaker struct{ taken int }
+
+func (s *streamTaker) Take(c *Client) { s.taken++; c.AwaitAnswer(1, "") }
+func (*streamTaker) Left(slots.Ref)   {}
+func (*streamTaker) More(*Client)     {}
+
+// Guards against the end of the process by a client that resets its connection when it is asked for the body, while no memory is left for more
+// input: what the client sent is released inside the write, and was read after it.
+func TestClientResetsWhenAskedToContinue(t *testing.T) {
+	const ring = 1 << 10 // an input ring's first memory: there is none beyond it
+	e := eventloop.New("127.0.0.1:0", 256, 64<<10, 0)
+	in := New(e, 10, Bounds{Head: 16 << 10, Body: 1 << 20, Buffer: 4 << 10}, func() bool { return false })
+	handler := &streamTaker{}
+	in.SetHandler(handler)
+	e.OnAccept(in.Accept)
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	c, err := net.Dial("tcp", e.Addr())
+	must.NoError(t, err)
+	clients := func(want int) {
+		for end := time.Now().Add(time.Minute); ; {
+			n := 0
+			e.Turn(func() { n = in.Clients() })
+			if n == want {
+				return
+			}
+			must.True(t, time.Now().Before(end), must.Sprint("never: clients ", want))
+		}
+	}
+	clients(1)
+	e.Turn(func() { // the poller finds both at once
+		head := "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4000\r\n\r\n"
+		c.Write(append([]byte(head), make([]byte, ring)...))
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	clients(0)
+	must.Eq(t, 0, handler.taken)
+}
--- a/internal/proxy/downstream/streaming.go
+++ b/internal/proxy/downstream/streaming.go
@@ -5,7 +5,8 @@
 	"clovergap/internal/proxy/slots"
 )
 
-// beginStreaming streams a request that is not to be buffered, once its head is complete.
+// beginStreaming streams a request that is not to be buffered, once its head is complete. It returns false if the request is to be buffered. It
+// returns true also if the client has gone: what the client has sent must not be read any more.
 func (c *Client) beginStreaming() bool {
 	size, headed := c.reader.Headed()
 	if b := &c.server.bounds; !headed || b.Buffer <= 0 || c.server.streams == nil {
@@ -18,8 +19,11 @@
 			c.link.Send([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		}
 	}
+	if c.link.IsClosed() {
+		return true
+	}
 	length, _, chunked := c.reader.Framed()
-	if length <= c.server.bounds.Buffer && (!chunked || c.reader.Buffered() <= c.server.bounds.Buffer && !c.link.Full()) || c.link.IsClosed() {
+	if length <= c.server.bounds.Buffer && (!chunked || c.reader.Buffered() <= c.server.bounds.Buffer && !c.link.Full()) {
 		return false
 	}
 	c.head = append(c.head[:0], b[:size]...)
