Gate: an answer whose head is being written has begun, whatever ends its attempt

What callers would see: a client's chunked upload turns out to be invalid just while the head of the backend's streamed answer is written. Behind that head the client gets a second status line, "400 Bad Request", where the answer's body is due.

Cause: writing the head reports to the connection that all is written, and the connection asks for more of the upload, within gate.Begun. The upload's error ends the attempt there. The gate marked the answer as begun only after the write, so it answered the request as if none had.

Change: the gate marks the answer as begun before it has the head written, and takes that back if the front can't stream the answer. The attempt's end then closes the client's connection, as for every answer that is cut short.

Failed before: upstream.TestRequestFailsWhileItsAnswerBegins (one answer besides the begun one). Tests of proxy, ingress and controlapi ok; upstream and gate also with the race detector in the debug build.

--- a/internal/proxy/gate/gate.go
+++ b/internal/proxy/gate/gate.go
@@ -188,8 +188,12 @@
 		return false
 	}
 	s, ok := t.front.(Streamer)
-	begun := ok && s.Begin(t.who, ref, o)
-	// Begin writes to the client. If that write fails, Left has answered the txn by now, and the txn may be gone.
+	if !ok {
+		return false
+	}
+	// Begin writes to the client, and the write may end the attempt or the txn before Begin returns. The answer has begun by then.
+	t.answerBegun = true
+	begun := s.Begin(t.who, ref, o)
 	if t = g.txns.Get(ref); t == nil || t.answered {
 		return false
 	}
--- a/internal/proxy/upstream/reentry_test.go
+++ b/internal/proxy/upstream/reentry_test.go
@@ -25,6 +25,8 @@
 	writable int
 	passed   int // bytes of the answer
 	ended    []bool
+	// The rest of the request's body turns out to be invalid while the head of the answer is written.
+	failsInBegin, failed bool
 }
 
 func (s *streamingFront) leave(call string, txn slots.Ref) {
@@ -42,10 +44,17 @@
 func (s *streamingFront) BodyConsumed(_, _ slots.Ref) bool { return true }
 func (s *streamingFront) Part(b []byte, _, txn slots.Ref) (out []byte, complete, ok bool) {
 	s.leave("Part", txn)
+	if s.failsInBegin {
+		return b, false, !s.failed
+	}
 	return append(b, s.body...), true, !s.left[txn]
 }
 func (s *streamingFront) Begin(_, txn slots.Ref, _ gate.Outcome) bool {
 	s.leave("Begin", txn)
+	if s.failsInBegin {
+		s.failed = true
+		s.gate.More(txn) // as the connection does when the head is written
+	}
 	return !s.left[txn]
 }
 func (s *streamingFront) Writable(_, txn slots.Ref) int {
@@ -107,3 +116,31 @@
 		e.Stop()
 	}
 }
+
+// Guards against a second answer behind the head of a streamed one. While the head is written, the connection asks for more of the request's
+// body, and that turns out to be invalid: the attempt ended as if no answer had begun, and the client got another status line.
+func TestRequestFailsWhileItsAnswerBegins(t *testing.T) {
+	e := eventloop.New("", 1024, 64<<10, 1<<30)
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	s := newScenario(t, e, idDialect{}, 16, 1)
+	front := &streamingFront{fakeFront: s.front, gate: s.gate, failsInBegin: true}
+	var txn slots.Ref
+	e.Turn(func() {
+		s.dispatch.config.Buffer, s.dispatch.config.Raw = 1<<10, 64<<10
+		txn, _ = s.gate.Take(control.Txn{Product: 1, Units: 1, SetWidth: 1, Expiry: s.clock.now + time.Hour}, front, 1)
+		s.gate.RunDecisions()
+	})
+	backend := s.backends[0]
+	backend.waitUntil(func() bool { return len(backend.received) > 0 && strings.Contains(backend.received[0].String(), "\r\n\r\n") })
+	_, err := fmt.Fprintf(net.Conn(backend.newest()), "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 8000\r\n\r\nbegin", s.front.ID(0, txn))
+	must.NoError(t, err)
+	for s.ends() == 0 || !s.isQuiet() {
+		s.read()
+	}
+	must.SliceEmpty(t, s.answersTo(txn), must.Sprint("what the client got besides"))
+	e.Turn(func() {
+		must.Eq(t, []bool{false}, front.ended)
+		must.Eq(t, 0, s.dispatch.submissions.Len())
+	})
+}
