Downstream: who is cut off because it does not read is counted and named in the log

Change: Link.CloseUnread closes a connection whose other side has not read, for the three cases; counter "answers not read"; a node logs "client cut off, it does not read" with the client's address and the bytes that were not written, at most one line a second with the number of those that have none.

Measured: tests of the three cases (eventloop, downstream, ingress) ok, with the rest of proxy and ingress, and internal/architecture.

--- a/internal/gateway/ingress/streaming_test.go
+++ b/internal/gateway/ingress/streaming_test.go
@@ -17,6 +17,7 @@
 
 	"clovergap/control"
 	"clovergap/internal/proxy/counters"
+	"clovergap/internal/proxy/slots"
 )
 
 // randomBody returns n pseudo-random bytes from a fixed seed, so that misplaced bytes are detected.
@@ -251,6 +252,38 @@
 	must.Eq(t, 1, testNode.counterValue(counters.Truncated))
 }
 
+// A client that does not read a streamed response is cut off at the deadline of its request, and is reported with its address.
+func TestUnreadStreamedResponseIsCutOff(t *testing.T) {
+	testNode := newFixture(t)
+	next := testNode.listenBackend()
+	reported := ""
+	testNode.engine.Turn(func() { testNode.engine.OnUnread(func(peer net.Addr, _ int) { reported = peer.String() }) })
+	c := testNode.dial()
+	c.send(requestText("GET", "/pure/", "u", ""))
+	r, conn := next()
+	http.ReadRequest(r)
+	const size = 24 << 20 // more than all buffers on the way hold
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: u\r\nX-Backend-Seal: s\r\nContent-Length: %d\r\n\r\n", size)
+	go conn.Write(make([]byte, size))
+	for waits, end := false, time.Now().Add(testTimeout); !waits; yieldProcessor() {
+		must.True(t, time.Now().Before(end))
+		testNode.engine.Turn(func() {
+			for id := range testNode.module.expiry {
+				waits = testNode.gate.Writable(slots.Ref(id)) == 0
+			}
+		})
+	}
+	testNode.engine.Turn(func() {
+		for id := range testNode.module.expiry {
+			testNode.module.decisions = append(testNode.module.decisions, control.Decision{Action: control.Fail, Txn: id, Reason: control.ReasonNoTime})
+		}
+	})
+	must.Eq(t, 1, testNode.counterValue(counters.Unread))
+	must.Eq(t, 1, testNode.counterValue(counters.Truncated))
+	must.Eq(t, c.LocalAddr().String(), reported)
+	testNode.engine.Turn(func() { must.Eq(t, 0, testNode.gate.InFlight()) })
+}
+
 // Guards against a request that a backend reads as the rest of another request's body. The failure comes about when a
 // backend answers before it has read a long body, and keeps the connection open. The connection must carry no other request.
 func TestEarlyResponseReservesConnectionForBody(t *testing.T) {
--- a/internal/gateway/node/log.go
+++ b/internal/gateway/node/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"slices"
 	"strings"
@@ -26,6 +27,9 @@
 //	group                 of coordination, from 0
 //	service, rollout      a service's name; the number of its roll-out
 //	status                of a control call, as in HTTP
+//	client                the address of a client
+//	unwritten             bytes that were not written to a connection
+//	not_logged            events of the same kind since the last line, which have no line
 //	reason, reasons       why, in words
 //	error                 what went wrong
 
@@ -93,6 +97,27 @@
 	e.Str("part", string(pollerPart)).Str("detail", strings.TrimSpace(fmt.Sprintf(format, args...))).Msg("poller reported")
 }
 
+// unreadLogInterval is the least time between two lines on clients that do not read.
+const unreadLogInterval = time.Second
+
+// unreadLog is what was logged of clients that do not read.
+type unreadLog struct {
+	nextAt    time.Duration
+	notLogged int
+}
+
+// logUnread logs that a client was cut off because it did not read what it was sent, at most once each unreadLogInterval.
+func (n *Node) logUnread(client net.Addr, unwritten int) {
+	last, now := &n.unreadLog, n.loop.Now()
+	if now < last.nextAt {
+		last.notLogged++
+		return
+	}
+	n.logWarn(nodePart).Stringer("client", client).Int("unwritten", unwritten).Int("not_logged", last.notLogged).
+		Msg("client cut off, it does not read")
+	last.nextAt, last.notLogged = now+unreadLogInterval, 0
+}
+
 // stateLogInterval is how often changes of state are looked for.
 const stateLogInterval = time.Second
 
--- a/internal/gateway/node/log_test.go
+++ b/internal/gateway/node/log_test.go
@@ -20,7 +20,8 @@
 // logFields are the names that fields of log lines may have: one name for a thing in all lines. log.go says what they mean.
 var logFields = strings.Fields(`part term index version member peer slot slots group service rollout status reason reasons error
 	leader members backends departures disk front control settings counters clients in_flight heap_kb memory_kb invariants_broken
-	detail reachable links_up links_wanted links_without_hello verb by phase step steps share`)
+	detail reachable links_up links_wanted links_without_hello verb by phase step steps share
+	client unwritten not_logged`)
 
 // logCalls gives the calls that make a line, from Msg back to the call that begins it.
 func logCalls(end *ast.CallExpr) (calls []*ast.CallExpr) {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -109,6 +109,7 @@
 	frontend   Frontend
 
 	logged       loggedState
+	unreadLog    unreadLog
 	shuttingDown bool
 }
 
--- a/internal/gateway/node/sockets.go
+++ b/internal/gateway/node/sockets.go
@@ -118,6 +118,7 @@
 	if s.peers, err = peers.New(s.Engine, self.String(), []netip.AddrPort{self}, 0, n.ReceiveDatagram); err != nil {
 		return path, err
 	}
+	s.OnUnread(n.logUnread)
 	s.OnOutOfDescriptors(func() {
 		if !s.dispatcher.Evict(nil) {
 			s.frontend.Evict()
--- a/internal/proxy/downstream/client.go
+++ b/internal/proxy/downstream/client.go
@@ -106,6 +106,14 @@
 	c.drop()
 }
 
+// closeUnread closes the connection and forgets the client. If the client has not read all that it was sent, the connection counts as cut off.
+func (c *Client) closeUnread() {
+	if c.link.Unwritten() > 0 {
+		c.link.CloseUnread()
+	}
+	c.close()
+}
+
 // drop forgets the client.
 func (c *Client) drop() {
 	c.release()
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -195,6 +195,6 @@
 		} else {
 			s.engine.Count.Add(counters.ClientsStuck)
 		}
-		c.close()
+		c.closeUnread()
 	})
 }
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"clovergap/internal/proxy/answer"
+	"clovergap/internal/proxy/counters"
 	"clovergap/internal/proxy/eventloop"
 	"clovergap/internal/proxy/slots"
 )
@@ -78,7 +79,7 @@
 
 func (l largeAnswerer) Take(c *Client) {
 	c.Answer(func(b []byte, _ bool) []byte {
-		b = append(b, fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", largeAnswerBytes)...)
+		b = append(b, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", largeAnswerBytes)...)
 		return append(b, make([]byte, largeAnswerBytes)...)
 	})
 	l.answered <- true
@@ -157,3 +158,30 @@
 	clients(0)
 	must.Eq(t, 0, handler.taken)
 }
+
+// A client that does not read its answer within AnswerTimeout is cut off, and counts as one that did not read.
+func TestUnreadAnswerEndsTheConnection(t *testing.T) {
+	e := eventloop.New("127.0.0.1:0", 256, largeAnswerBytes, 4*largeAnswerBytes)
+	in := New(e, 10, Bounds{Head: 1 << 10, Body: 1 << 10, Raw: largeAnswerBytes, AnswerTimeout: time.Minute}, func() bool { return false })
+	handler := largeAnswerer{make(chan bool, 1)}
+	in.SetHandler(handler)
+	e.OnAccept(in.Accept)
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	c, err := net.Dial("tcp", e.Addr())
+	must.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"))
+	must.NoError(t, err)
+	<-handler.answered
+	e.Turn(func() {
+		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Minute - time.Second })
+		in.Due(0)
+		must.Eq(t, 1, in.Clients())
+		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Second })
+		in.Due(0)
+		must.Eq(t, 0, in.Clients())
+		must.Eq(t, 1, e.Count[counters.Unread])
+		must.Eq(t, 1, e.Count[counters.ClientsStuck])
+	})
+}
--- a/internal/proxy/downstream/streaming.go
+++ b/internal/proxy/downstream/streaming.go
@@ -113,7 +113,11 @@
 func (c *Client) End(complete bool, last []byte) {
 	if !complete {
 		c.txn = 0
-		c.close()
+		if c.Writable() <= 0 { // the answer waited for the client
+			c.closeUnread()
+		} else {
+			c.close()
+		}
 		return
 	}
 	c.finish(append(c.server.scratch[:0], last...))
--- a/internal/proxy/eventloop/closing.go
+++ b/internal/proxy/eventloop/closing.go
@@ -1,8 +1,11 @@
 package eventloop
 
 import (
+	"net"
 	"syscall"
 	"time"
+
+	"clovergap/internal/proxy/counters"
 )
 
 // IsClosed tells whether the connection is closed, or about to be.
@@ -35,6 +38,20 @@
 	l.closeConn()
 }
 
+// OnUnread sets what is called, in a turn, when a connection is cut off because the other side does not read. It gets the address of the other
+// side, and the number of bytes that were not written.
+func (e *Engine) OnUnread(f func(peer net.Addr, unwritten int)) { e.unread = f }
+
+// CloseUnread closes the connection at once because the other side has not read in time what it was sent. Its owner is not notified.
+func (l *Link) CloseUnread() {
+	if l.closed || l.conn == nil {
+		return
+	}
+	l.engine.Count.Add(counters.Unread)
+	l.engine.unread(l.conn.RemoteAddr(), l.Unwritten())
+	l.Close()
+}
+
 // CloseSent closes the connection when all that was given to Send is written.
 func (l *Link) CloseSent() {
 	if l.closed {
@@ -104,7 +121,13 @@
 func (l *Link) Live(uint32) bool { return !l.closed }
 
 // Due implements Alarm: the time for closing has passed.
-func (l *Link) Due(uint32) { l.Close() }
+func (l *Link) Due(uint32) {
+	if l.awaitsWrite {
+		l.CloseUnread()
+		return
+	}
+	l.Close()
+}
 
 // closeBroken closes the connection after the other side or an error ended it.
 func (l *Link) closeBroken() {
--- a/internal/proxy/eventloop/closing_test.go
+++ b/internal/proxy/eventloop/closing_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"clovergap/internal/proxy/counters"
 )
 
 // await waits until something holds in a turn.
@@ -63,3 +65,31 @@
 		e.Stop()
 	}
 }
+
+// A connection whose last bytes the other side does not read is cut off in the end, is counted, and is reported with its address.
+func TestUnreadLinkIsClosed(t *testing.T) {
+	const size = 8 << 20 // more than the socket's buffers hold
+	e := New("127.0.0.1:0", 256, 2*size, 4*size)
+	links, reported := make(chan *Link, 1), ""
+	e.OnAccept(func(l *Link) { newRecordingOwner(l); links <- l })
+	e.OnUnread(func(peer net.Addr, unwritten int) {
+		reported = peer.String()
+		must.Between(t, 1, unwritten, size)
+	})
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	peer, err := net.Dial("tcp", e.Addr())
+	must.NoError(t, err)
+	defer peer.Close()
+	link := <-links
+	e.Turn(func() {
+		link.Send(make([]byte, size))
+		link.CloseSent()
+		link.Due(0) // the time is up
+		link.Due(0)
+		must.True(t, link.IsClosed())
+		must.Eq(t, 0, e.ClosingLinks())
+		must.Eq(t, 1, e.Count[counters.Unread])
+		must.Eq(t, peer.LocalAddr().String(), reported)
+	})
+}
--- a/internal/proxy/eventloop/engine.go
+++ b/internal/proxy/eventloop/engine.go
@@ -44,6 +44,7 @@
 	userTimeout      time.Duration
 	open             int // number of connections, dials included
 	closingLinks     int // number of connections whose last bytes are not written yet: see Link.CloseSent
+	unread           func(peer net.Addr, unwritten int)
 	maxConnections   int
 	maxRing          int
 	spare            int // bytes by which all input rings may still grow
@@ -64,7 +65,7 @@
 // most bound bytes, and all input rings together at most spare bytes beyond their minimal sizes.
 func New(listen string, descriptors, bound, spare int) *Engine {
 	e := &Engine{started: time.Now(), now: clockStart, maxConnections: descriptors - ownDescriptors, maxRing: bound, spare: spare,
-		Count: &counters.Set{}, turnEnded: func() {}, accept: (*Link).CloseSoon, outOfDescriptors: func() {},
+		Count: &counters.Set{}, turnEnded: func() {}, accept: (*Link).CloseSoon, outOfDescriptors: func() {}, unread: func(net.Addr, int) {},
 		descriptors: descriptorTable{released: map[int]uint64{}}}
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(descriptors, 1024)+1024)
 	next := 0 // the poller asks for its listeners once each, in order
@@ -243,6 +244,9 @@
 // Open counts connections, dials included.
 func (e *Engine) Open() int { return e.open }
 
+// SpareInput is how many bytes all input rings together may still grow by, beyond their minimal sizes.
+func (e *Engine) SpareInput() int { return e.spare }
+
 // Addr is the first address that is listened on.
 func (e *Engine) Addr() string { return e.AddrOf(0) }
 
--- a/internal/proxy/upstream/reentry_test.go
+++ b/internal/proxy/upstream/reentry_test.go
@@ -132,7 +132,9 @@
 		s.gate.RunDecisions()
 	})
 	backend := s.backends[0]
-	backend.waitUntil(func() bool { return len(backend.received) > 0 && strings.Contains(backend.received[0].String(), "\r\n\r\n") })
+	backend.waitUntil(func() bool {
+		return len(backend.received) > 0 && strings.Contains(backend.received[0].String(), "\r\n\r\n")
+	})
 	_, err := fmt.Fprintf(net.Conn(backend.newest()), "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 8000\r\n\r\nbegin", s.front.ID(0, txn))
 	must.NoError(t, err)
 	for s.ends() == 0 || !s.isQuiet() {
