Shutdown: control calls that were taken are answered before the process ends

A process ended once its clients' requests were done, whatever control calls it had taken: a change ended without a clear answer, a departure without an acknowledgement, a configuration read in its midst.

Change: control connections close between calls when those of clients do, and the process waits for calls in flight and for answers that are not written, within the grace. Watches are not waited for: they last up to 30 s, and their callers resume elsewhere from the last revision.

--- a/internal/gateway/coordination/status.go
+++ b/internal/gateway/coordination/status.go
@@ -32,6 +32,9 @@
 	HistoryBytes int
 }
 
+// Watchers returns the number of callers of this node that wait in watches.
+func (s *Service) Watchers() int { return s.watcherCount }
+
 // Status returns the current load of the service and its counters.
 func (s *Service) Status() ServiceStatus {
 	status := ServiceStatus{
--- a/internal/gateway/node/environment.go
+++ b/internal/gateway/node/environment.go
@@ -116,7 +116,9 @@
 	SetBounds(downstream.Bounds)
 	// Clients is the number of connections.
 	Clients() int
-	// Drain closes connections between requests, StopListening takes none any more.
+	// CallsInFlight is the number of control calls that are not answered, or whose answer is not written.
+	CallsInFlight() int
+	// Drain closes connections between requests or control calls, StopListening takes none any more.
 	Drain()
 	StopListening()
 	// User is who sent a request, and its tenant: see ingress.Handler.
--- a/internal/gateway/node/shutdown.go
+++ b/internal/gateway/node/shutdown.go
@@ -41,7 +41,7 @@
 		return false
 	}
 	n.frontend.StopListening()
-	return replicated && n.gate.InFlight() == 0 && n.frontend.Clients() == 0
+	return replicated && n.gate.InFlight() == 0 && n.frontend.Clients() == 0 && n.frontend.CallsInFlight() <= n.coordination.Watchers()
 }
 
 // replicatedElsewhere reports whether a majority without this member has what it knows as committed. If it leads still, or again, it hands
--- a/internal/gateway/node/sockets.go
+++ b/internal/gateway/node/sockets.go
@@ -124,7 +124,7 @@
 			s.frontend.Evict()
 		}
 	})
-	return DataPath{s.dispatcher, s.peers, frontendServer{s.frontend, handler, s.Engine}}, s.listen(&n.settings.Bind)
+	return DataPath{s.dispatcher, s.peers, frontendServer{s.frontend, s.control, handler, s.Engine}}, s.listen(&n.settings.Bind)
 }
 
 // listen takes connections at the addresses that the settings name.
@@ -146,10 +146,20 @@
 // frontendServer is where clients come in, all of the node's listening with it.
 type frontendServer struct {
 	*downstream.Server
+	control *downstream.Server
 	handler *ingress.Handler
 	loop    *eventloop.Engine
 }
 
+// Drain closes connections between requests or control calls from now on.
+func (f frontendServer) Drain() {
+	f.Server.Drain()
+	f.control.Drain()
+}
+
+// CallsInFlight is the number of control calls that are not answered, or whose answer is not written.
+func (f frontendServer) CallsInFlight() int { return f.control.InFlight() }
+
 // User is who sent a request, and its tenant.
 func (f frontendServer) User(who, txn slots.Ref) ([]byte, string) { return f.handler.User(who, txn) }
 
--- a/internal/lab/simulation/machine.go
+++ b/internal/lab/simulation/machine.go
@@ -322,6 +322,7 @@
 
 func (u *upstreams) SetBounds(downstream.Bounds) {}
 func (u *upstreams) Clients() int                { return len(u.attempts) }
+func (u *upstreams) CallsInFlight() int          { return 0 }
 func (u *upstreams) Drain()                      { u.drained = true }
 func (u *upstreams) StopListening()              { u.stoppedListening = true }
 
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -117,6 +117,16 @@
 // off these answers.
 func (s *Server) Clients() int { return s.clients.Len() + s.engine.ClosingLinks() }
 
+// InFlight counts connections that have a request in flight, or an answer that is not written.
+func (s *Server) InFlight() (n int) {
+	s.clients.Each(func(_ slots.Ref, c *Client) {
+		if c.busy || c.link.Unwritten() > 0 {
+			n++
+		}
+	})
+	return n
+}
+
 // Count increments a counter, for a handler.
 func (s *Server) Count(id counters.ID) { s.engine.Count.Add(id) }
 
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -178,6 +178,7 @@
 		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Minute - time.Second })
 		in.Due(0)
 		must.Eq(t, 1, in.Clients())
+		must.Eq(t, 1, in.InFlight(), must.Sprint("an answer that is not written counts"))
 		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Second })
 		in.Due(0)
 		must.Eq(t, 0, in.Clients())
