Laboratory: long uploads and answers on real nodes, while clients and backends misbehave

Change: "lab gateway exchange": three nodes; clients upload 100 kB to 3 MB and get 300 B to 2 MB back, on both sides of the size from which a node streams; a half resets, closes or stalls, a third of these about when the answer begins; backends answer early, reset and stall; others send small requests on kept connections. Checked: no node ends, no answer is another's, no request on a kept connection is without an answer, and at the end clients, requests, sockets and goroutines are what they were. A node's line "counters" has goroutines.

--- a/cmd/lab/gateway.go
+++ b/cmd/lab/gateway.go
@@ -28,9 +28,9 @@
 			if len(args) > 0 {
 				return usageError{fmt.Errorf("no such command: gateway %s", args[0])}
 			}
-			return usageError{fmt.Errorf("gateway wants demo, chaos, losses or rollout")}
+			return usageError{fmt.Errorf("gateway wants demo, chaos, losses, rollout or exchange")}
 		}, RunE: func(*cobra.Command, []string) error { return nil }}
-	c.AddCommand(gatewayDemoCommand(), gatewayChaosCommand(), gatewayLossesCommand(), gatewayRolloutCommand())
+	c.AddCommand(gatewayDemoCommand(), gatewayChaosCommand(), gatewayLossesCommand(), gatewayRolloutCommand(), gatewayExchangeCommand())
 	return c
 }
 
--- a/internal/gateway/ingress/walk_peer_test.go
+++ b/internal/gateway/ingress/walk_peer_test.go
@@ -48,10 +48,10 @@
 	if err != nil {
 		return socket{}, "", err
 	}
-	if err := unix.Bind(fd, socketAddress("127.0.0.1:0")); err != nil {
+	if err = unix.Bind(fd, socketAddress("127.0.0.1:0")); err != nil {
 		return socket{}, "", err
 	}
-	if err := unix.Listen(fd, 128); err != nil {
+	if err = unix.Listen(fd, 128); err != nil {
 		return socket{}, "", err
 	}
 	at, err := unix.Getsockname(fd)
--- a/internal/gateway/ingress/walk_test.go
+++ b/internal/gateway/ingress/walk_test.go
@@ -502,7 +502,7 @@
 		return
 	}
 	size, chunk := walkSizes[w.rng.IntN(len(walkSizes))], []int{0, 0, 900, 7000}[w.rng.IntN(4)]
-	other := fmt.Sprintf("HTTP/1.1 200 Fine\r\nX-Attempt-Id: other\r\nX-Backend-Seal: s\r\nContent-Length: 5\r\n\r\nother")
+	const other = "HTTP/1.1 200 Fine\r\nX-Attempt-Id: other\r\nX-Backend-Seal: s\r\nContent-Length: 5\r\n\r\nother"
 	switch w.rng.IntN(14) {
 	case 0:
 		w.respond(b, r, 503, 0, 0, "X-Not-Run: 1\r\n")
--- a/internal/gateway/node/status.go
+++ b/internal/gateway/node/status.go
@@ -114,6 +114,6 @@
 	runtime.ReadMemStats(&m)
 	n.loop.Turn(func() {
 		n.logInfo(nodePart).Str("counters", n.counters.Text()).Uint64("heap_kb", m.HeapAlloc>>10).Uint64("memory_kb", m.Sys>>10).
-			Int("in_flight", n.gate.InFlight()).Int("clients", n.frontend.Clients()).Uint64("invariants_broken", invariant.Violations()).Msg("counters")
+			Int("goroutines", runtime.NumGoroutine()).Int("in_flight", n.gate.InFlight()).Int("clients", n.frontend.Clients()).Uint64("invariants_broken", invariant.Violations()).Msg("counters")
 	})
 }
--- a/internal/lab/gatewaystandin/deployment.go
+++ b/internal/lab/gatewaystandin/deployment.go
@@ -285,6 +285,17 @@
 // NodeStatus is what a node says of itself.
 func (d *Deployment) NodeStatus(node *Node) string { return d.status(node, "/api/Node.Status") }
 
+// Configure sends a complete configuration to the first node that accepts it.
+func (d *Deployment) Configure(ctx context.Context, text string) bool {
+	for _, node := range d.Nodes {
+		status, _, err := d.post(ctx, node.Control, "/api/Config.Replace", []byte(text), time.Second)
+		if err == nil && status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 // RolloutStatus is what a node says of roll-outs.
 func (d *Deployment) RolloutStatus(node *Node) string { return d.status(node, "/api/Rollout.Status") }
 
--- a/internal/lab/standin/disk.go
+++ b/internal/lab/standin/disk.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
 
 	"golang.org/x/sys/unix"
@@ -44,7 +45,7 @@
 
 // ignoreEnded returns described, or nil if the call succeeded or if its process no longer exists.
 func ignoreEnded(described, err error) error {
-	if err == nil || err == unix.ESRCH {
+	if err == nil || errors.Is(err, unix.ESRCH) {
 		return nil
 	}
 	return described
