Rig: far more clients leave early in the storm's test than its check asks for

Cause: a client that would give up leaves only if its answer comes later than that, and so does the check's count follow how fast the machine answers.

Change: 60 in 100 clients would give up. The test prints the count.

--- a/internal/lab/faultrig/gateway_test.go
+++ b/internal/lab/faultrig/gateway_test.go
@@ -65,6 +65,10 @@
 	must.Greater(t, 2, r.Taken)
 }
 
+// stormCancelShare is the share of requests whose clients would give up within 0.4 s. Most have their answers by then; how many is a matter of how
+// fast the machine is.
+const stormCancelShare = 0.6
+
 // Six nodes, three with disks: nodes without a disk lose power while one of the core stands still, and when all is well again another one of
 // the core stands still for long; clients leave early all the time. What must hold is asserted in the nodes: a link that is up has a
 // connection, nothing runs on for a client that has left. Guards against what incident mvk-anadolu 7 found; the short form of "lab
@@ -74,7 +78,7 @@
 	fault := func(kind string, at, for_, share, by float64) spec.Fault {
 		return spec.Fault{Kind: kind, At: sec(at), For: sec(for_), Share: share, By: by, Pick: 5}
 	}
-	s := &GatewaySchedule{Seed: 7, Nodes: 6, For: 12 * time.Second, CancelShare: cancelShare, Faults: []spec.Fault{
+	s := &GatewaySchedule{Seed: 7, Nodes: 6, For: 12 * time.Second, CancelShare: stormCancelShare, Faults: []spec.Fault{
 		fault("lost-answers", 0, 12, 0.3, lostBy), fault("node-power", 0.5, 1.5, 0.5, 0), fault("core-stall", 1, 1.5, 0.3, 0),
 		fault("core-power", 3, 1, 0.3, 0), fault("core-stall", 6, 4.5, 0.3, 0)}}
 	r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: build(t), Rate: 60})
@@ -86,6 +90,7 @@
 			left++
 		}
 	}
+	t.Logf("%d clients left early, %d of %d requests were served", left, r.Settled, r.Asked)
 	must.Greater(t, 20, left)
 	must.Len(t, 1, r.Recovered)
 	must.SliceEmpty(t, children(t), must.Sprint("processes left"))
