Transport: a connection to a peer that dials again is replaced, since it may be stalled

Cause: while what the member sends is lost for 15 s, the leader's kernel gets no acknowledgement from it, and repeats its first segment after 204 ms, 408 ms and so on, the seventh time 25.9 s after the cut's begin. Its window fills up, and after the cut nothing new goes out until then, though each write succeeds. Traces of each connection: the leader writes frames 300 to 434 from 24.88 s on, the member reads 310 at 35.06 s and 140 more within half a second; 9.15 + 25.9 = 35.05. The member's own connection had broken after 2 s, and it had dialed again at 24.76 s.

Change: a peer that dials again in the same incarnation had lost its connection; this node's own connection to it is replaced if it is older than 2 s. The one that the peer has just dialed is younger, so the two come to rest.

--- a/internal/gateway/transport/doc.go
+++ b/internal/gateway/transport/doc.go
@@ -15,7 +15,8 @@
 // # Guarantees
 //
 //   - A link that is wanted is dialed until it is up, with a backoff between minRedialBackoff and maxRedialBackoff. A handshake from the
-//     target ends a backoff or a hanging dial at once.
+//     target ends a backoff or a hanging dial at once. If the target has dialed again, it also ends a connection that is older than
+//     writeTimeout: after an interruption in one direction such a connection may deliver nothing for as long as the interruption lasted.
 //   - Frames of one link arrive in the order of the Send calls and at most once. They are accepted only from the newest stream of their
 //     sender. A connection of an earlier incarnation that is read late, or that a power loss left open, delivers nothing any more.
 //   - Delivery is not guaranteed. Frames that were sent before LinkUp, or that are queued when a link ends, are lost. The queue of a
--- a/internal/gateway/transport/inbound.go
+++ b/internal/gateway/transport/inbound.go
@@ -160,12 +160,23 @@
 // ends a connection to an earlier incarnation of the peer, because that connection may look intact as long as nothing is sent.
 // If the peer also accepts frames on the connection that it dialed (an offered link), this node sends on that connection from
 // now on. The caller holds m.mu.
+//
+// A peer that dials again in the same incarnation had lost its connection to this node. If the path was interrupted in the
+// direction from the peer alone, this node's own connection is intact, but its kernel has received no acknowledgement since:
+// its next retransmission may be as far away as the interruption was long, and until then nothing gets through. Such a
+// connection is replaced if it is older than writeTimeout. Two nodes do not replace each other's connections endlessly,
+// because the connection that the peer has just dialed is younger.
 func (m *Mesh[F]) updateOutboundLink(sender handshake, conn net.Conn) {
 	known := m.incarnations[sender.from]
 	restarted := known != 0 && known != sender.incarnation
 	m.incarnations[sender.from] = sender.incarnation
 	offered := m.recordOffer(sender, conn)
-	if l := m.links[sender.from]; l != nil && l.abort != nil && (!l.connected || restarted || offered) {
+	l := m.links[sender.from]
+	if l == nil || l.abort == nil {
+		return
+	}
+	suspect := known == sender.incarnation && time.Since(l.connectedAt) > writeTimeout
+	if !l.connected || restarted || offered || suspect {
 		l.abort()
 	}
 }
--- a/internal/gateway/transport/mesh_test.go
+++ b/internal/gateway/transport/mesh_test.go
@@ -73,6 +73,13 @@
 
 // startNode starts a node with a new incarnation at an address.
 func startNode(t *testing.T, addr string) *testNode {
+	node := newTestNode(t, addr)
+	node.Start()
+	return node
+}
+
+// newTestNode makes a node with a new incarnation at an address, and does not start it.
+func newTestNode(t *testing.T, addr string) *testNode {
 	node := &testNode{t: t, addr: addr, events: make(chan string, 1<<14), connections: map[string]int{}}
 	mesh, err := New[frame](addr, lastIncarnation.Add(1), node, func(f func()) {
 		node.turn.Lock()
@@ -81,7 +88,6 @@
 	})
 	must.NoError(t, err)
 	node.Mesh = mesh
-	mesh.Start()
 	return node
 }
 
--- a/internal/gateway/transport/outbound.go
+++ b/internal/gateway/transport/outbound.go
@@ -36,8 +36,9 @@
 	// Guarded by Mesh.mu.
 	abort       func() // ends the current dial, backoff or connection
 	connected   bool
-	conn        net.Conn // connection of a link that is up, if it also carries inbound frames, else nil
-	endedChecks int      // number of consecutive checks that found the connection ended, see Check
+	connectedAt time.Time // when the connection of a link that is up began
+	conn        net.Conn  // connection of a link that is up, if it also carries inbound frames, else nil
+	endedChecks int       // number of consecutive checks that found the connection ended, see Check
 }
 
 // setConnection sets the connection of a link and the function abort, which ends that connection. A nil conn means that the
@@ -45,7 +46,7 @@
 func (m *Mesh[F]) setConnection(l *link[F], conn net.Conn, abort func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l.connected, l.abort, l.conn, l.endedChecks = conn != nil, abort, nil, 0
+	l.connected, l.connectedAt, l.abort, l.conn, l.endedChecks = conn != nil, time.Now(), abort, nil, 0
 	if _, isIncoming := m.incoming[conn]; isIncoming {
 		l.conn = conn
 	}
