--- a/internal/lab/faultrig/gatewaydraw.go
+++ b/internal/lab/faultrig/gatewaydraw.go
@@ -11,6 +11,20 @@
 	"clovergap/internal/lab/spec"
 )
 
+// draws is the source of a schedule. What it draws, and in which order, decides which schedule a seed gives.
+type draws struct{ *rand.Rand }
+
+// newDraws returns the source of a seed for one use.
+func newDraws(seed, use uint64) draws { return draws{rand.New(rand.NewPCG(seed, use))} }
+
+// span draws a time between two numbers of seconds.
+func (d draws) span(from, to float64) spec.Span {
+	return spec.Span((from + d.Float64()*(to-from)) * 1e9)
+}
+
+// pick draws the seed of what a fault hits.
+func (d draws) pick() uint64 { return d.Uint64()>>1 | 1 }
+
 // GatewaySchedule is random overlapping faults on nodes. The first three have a disk.
 type GatewaySchedule struct {
 	Play        *gatewaystandin.Play // nil: the small deployment
@@ -35,12 +49,11 @@
 // DrawGateway draws a schedule from a seed. Only one disk is lost in it, as many as may be lost at once; the
 // closing fault may take another, after the core has been calm.
 func DrawGateway(seed uint64, nodes int, most int, dur time.Duration) *GatewaySchedule {
-	rng := rand.New(rand.NewPCG(seed, 0x805e))
+	rng := newDraws(seed, 0x805e)
 	s := &GatewaySchedule{Seed: seed, Nodes: nodes, For: dur, Early: rng.IntN(4) == 0}
 	if rng.IntN(3) == 0 {
 		s.Close, s.Wipe = true, rng.IntN(2) == 0
 	}
-	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
 	wiped := false
 	kinds := []string{"node-kill", "node-kill", "core-kill", "core-kill", "all-kill", "node-stall",
 		"core-stall", "core-stall",
@@ -51,46 +64,46 @@
 		"resets", "lost-answers", "garble", "slow"}
 	for range 2 + rng.IntN(max(1, most-1)) {
 		f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: spec.Span(rng.Float64() * 0.75 * float64(dur)),
-			Pick: rng.Uint64()>>1 | 1}
+			Pick: rng.pick()}
 		switch f.Kind {
 		case "node-kill":
-			f.Share, f.For = 0.1+0.5*rng.Float64(), span(0.05, 3)
+			f.Share, f.For = 0.1+0.5*rng.Float64(), rng.span(0.05, 3)
 		case "core-kill":
-			f.Share, f.For = []float64{0.3, 0.6, 1}[rng.IntN(3)], span(0.05, 3)
+			f.Share, f.For = []float64{0.3, 0.6, 1}[rng.IntN(3)], rng.span(0.05, 3)
 		case "all-kill":
-			f.Share, f.For = 1, span(0.05, 1)
+			f.Share, f.For = 1, rng.span(0.05, 1)
 		case "node-stall":
-			f.Share, f.For = 0.1+0.4*rng.Float64(), span(0.2, 5)
+			f.Share, f.For = 0.1+0.4*rng.Float64(), rng.span(0.2, 5)
 		case "core-stall", "ack-stall":
-			f.Share, f.For = []float64{0.3, 0.3, 0.6}[rng.IntN(3)], span(0.2, 5)
+			f.Share, f.For = []float64{0.3, 0.3, 0.6}[rng.IntN(3)], rng.span(0.2, 5)
 		case "disk-wipe", "ack-wipe":
 			if wiped {
 				f.Kind = "core-kill"
 			}
 			wiped = true
-			f.Share, f.For = 0.3, span(0.05, 3)
+			f.Share, f.For = 0.3, rng.span(0.05, 3)
 		case "ack-kill":
-			f.Share, f.For = []float64{0.3, 0.6, 1}[rng.IntN(3)], span(0.05, 2)
+			f.Share, f.For = []float64{0.3, 0.6, 1}[rng.IntN(3)], rng.span(0.05, 2)
 		case "node-term", "core-term":
-			f.Share, f.For = 0.3, span(0.5, 2)
+			f.Share, f.For = 0.3, rng.span(0.5, 2)
 		case "node-cut":
 			f.Shape, f.Share = []string{"isolated", "isolated", "halves", "bridge", "ring"}[rng.IntN(5)], 0.2+0.4*rng.Float64()
-			f.Way, f.For = partitionDirections[rng.IntN(len(partitionDirections))], span(0.3, 6)
+			f.Way, f.For = partitionDirections[rng.IntN(len(partitionDirections))], rng.span(0.3, 6)
 		case "core-cut", "ack-cut":
 			f.Shape, f.Way = []string{"isolated", "isolated", "bridge"}[rng.IntN(3)], partitionDirections[rng.IntN(len(partitionDirections))]
-			f.For = span(0.3, 6)
+			f.For = rng.span(0.3, 6)
 		case "crash", "drain":
-			f.Share, f.For = 0.1+0.3*rng.Float64(), span(0.2, 2)
+			f.Share, f.For = 0.1+0.3*rng.Float64(), rng.span(0.2, 2)
 		case "burst":
-			f.By, f.For = 2+2*rng.Float64(), span(1, 5)
+			f.By, f.For = 2+2*rng.Float64(), rng.span(1, 5)
 		case "resets", "lost-answers", "garble", "slow":
-			f.Share, f.By, f.For = 0.1+0.4*rng.Float64(), 0.05+0.4*rng.Float64(), span(0.5, 4)
+			f.Share, f.By, f.For = 0.1+0.4*rng.Float64(), 0.05+0.4*rng.Float64(), rng.span(0.5, 4)
 		}
 		s.Faults = append(s.Faults, f)
 	}
 	if rng.IntN(2) == 0 { // last, so that a seed's other faults are what they were without it
 		s.Faults = append(s.Faults, spec.Fault{Kind: "node-reload", At: spec.Span(rng.Float64() * 0.75 * float64(dur)), Share: 0.5,
-			Pick: rng.Uint64()>>1 | 1})
+			Pick: rng.pick()})
 	}
 	return s
 }
@@ -109,16 +122,14 @@
 // DrawStorms draws a schedule of storms from a seed: in each two or three troubles strike nodes, the core or backends within a moment,
 // and last into each other. Clients leave early on such days.
 func DrawStorms(seed uint64, nodes int, dur time.Duration) *GatewaySchedule {
-	rng := rand.New(rand.NewPCG(seed, 0x5702))
+	rng := newDraws(seed, 0x5702)
 	s := &GatewaySchedule{Seed: seed, Nodes: nodes, For: dur, Close: rng.IntN(3) == 0, CancelShare: cancelShare}
-	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
-	pick := func() uint64 { return rng.Uint64()>>1 | 1 }
 	kinds := []string{"node-power", "node-power", "node-power", "core-power", "core-stall", "node-stall", "node-kill",
 		"core-kill", "node-cut", "core-cut", "ack-kill", "ack-stall", "ack-power", "resets", "crash", "drain", "slow"}
-	s.Faults = append(s.Faults, spec.Fault{Kind: "lost-answers", For: spec.Span(dur), Share: 0.3, By: lostBy, Pick: pick()})
+	s.Faults = append(s.Faults, spec.Fault{Kind: "lost-answers", For: spec.Span(dur), Share: 0.3, By: lostBy, Pick: rng.pick()})
 	for at := time.Second; at < dur; at += stormEvery {
 		for range stormLeast + rng.IntN(stormMost-stormLeast+1) {
-			f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: spec.Span(at) + span(0, stormWithin), For: span(1, 3.5), Pick: pick()}
+			f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: spec.Span(at) + rng.span(0, stormWithin), For: rng.span(1, 3.5), Pick: rng.pick()}
 			switch f.Kind {
 			case "node-power", "node-stall", "node-kill":
 				f.Share = 0.2 + 0.3*rng.Float64()
@@ -129,11 +140,11 @@
 			case "resets", "slow":
 				f.Share, f.By = 0.1+0.3*rng.Float64(), 0.05+0.3*rng.Float64()
 			case "crash", "drain":
-				f.Share, f.For = 0.1+0.2*rng.Float64(), span(0.2, 2)
+				f.Share, f.For = 0.1+0.2*rng.Float64(), rng.span(0.2, 2)
 			}
 			s.Faults = append(s.Faults, f)
 		}
-		s.Faults = append(s.Faults, spec.Fault{Kind: "core-stall", At: spec.Span(at + stallAfter), For: span(5.5, 7), Share: 0.3, Pick: pick()})
+		s.Faults = append(s.Faults, spec.Fault{Kind: "core-stall", At: spec.Span(at + stallAfter), For: rng.span(5.5, 7), Share: 0.3, Pick: rng.pick()})
 	}
 	return s
 }
@@ -157,7 +168,7 @@
 // is gone. Each burst ends with backends that deregister without draining. In two of three bursts, all processes are killed right after a
 // departure was acknowledged. A third of the faults come twice in a row. In half of the bursts, disks are full when the backends deregister.
 func DrawSeries(seed uint64, nodes int, dur time.Duration) *GatewaySchedule {
-	rng, diskRNG := rand.New(rand.NewPCG(seed, 0x5e21)), rand.New(rand.NewPCG(seed, 0xd15c))
+	rng, diskRNG := newDraws(seed, 0x5e21), newDraws(seed, 0xd15c)
 	s := &GatewaySchedule{Seed: seed, Nodes: nodes, For: dur, Close: rng.IntN(2) == 0, KeepNodes: true, HeartbeatInterval: seriesHeartbeatInterval}
 	for at := time.Second; at+seriesBurst < dur; at += seriesInterval {
 		for range minBurstFaults + rng.IntN(maxBurstFaults-minBurstFaults+1) {
@@ -176,31 +187,30 @@
 
 // addFullDisks adds disks that are full during a part of a burst: one of three disks, or two, or all. With one full disk, departures must
 // still be acknowledged. With more, none may be acknowledged that a kill of all processes would make the nodes forget.
-func (g *GatewaySchedule) addFullDisks(rng *rand.Rand, burst time.Duration) {
+func (g *GatewaySchedule) addFullDisks(rng draws, burst time.Duration) {
 	begin := time.Duration(rng.Int64N(int64(seriesBurst)))
 	end := seriesBurst + time.Duration(rng.Int64N(int64(fullDiskTail)))
 	g.Faults = append(g.Faults, spec.Fault{Kind: "disk-full", At: spec.Span(burst + begin), For: spec.Span(end - begin),
-		Share: []float64{0.3, 0.3, 0.6, 1}[rng.IntN(4)], Pick: rng.Uint64()>>1 | 1})
+		Share: []float64{0.3, 0.3, 0.6, 1}[rng.IntN(4)], Pick: rng.pick()})
 }
 
 // addToSeries adds a fault of a kind, and in a third of the cases the same fault once more a moment later.
-func (g *GatewaySchedule) addToSeries(rng *rand.Rand, kind string, at time.Duration) {
-	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
-	f := spec.Fault{Kind: kind, At: spec.Span(at), Pick: rng.Uint64()>>1 | 1}
+func (g *GatewaySchedule) addToSeries(rng draws, kind string, at time.Duration) {
+	f := spec.Fault{Kind: kind, At: spec.Span(at), Pick: rng.pick()}
 	switch kind {
 	case "leave":
 		f.Share = []float64{0.1, 0.2, 0.3, 1}[rng.IntN(4)]
 	case "leave-kill", "all-kill":
-		f.For = span(0.05, 1)
+		f.For = rng.span(0.05, 1)
 	case "drain", "crash":
-		f.Share, f.For = 0.1+0.2*rng.Float64(), span(0.2, 2)
+		f.Share, f.For = 0.1+0.2*rng.Float64(), rng.span(0.2, 2)
 	default:
-		f.Share, f.For = 0.1+0.4*rng.Float64(), span(0.05, 1.5)
+		f.Share, f.For = 0.1+0.4*rng.Float64(), rng.span(0.05, 1.5)
 	}
 	g.Faults = append(g.Faults, f)
 	if rng.IntN(3) == 0 {
-		f.At += span(repeatMinGap, repeatMaxGap)
-		f.Pick = rng.Uint64()>>1 | 1
+		f.At += rng.span(repeatMinGap, repeatMaxGap)
+		f.Pick = rng.pick()
 		g.Faults = append(g.Faults, f)
 	}
 }
@@ -216,17 +226,16 @@
 // DrawFounding draws a schedule of the first start of all: nodes start up to some seconds apart, and are killed and
 // stand still while the core is founded. No disk is lost.
 func DrawFounding(seed uint64, nodes int, most int, dur time.Duration) *GatewaySchedule {
-	rng := rand.New(rand.NewPCG(seed, 0xf0d))
+	rng := newDraws(seed, 0xf0d)
 	s := &GatewaySchedule{Seed: seed, Nodes: nodes, For: dur, Early: true}
-	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
 	apart := []float64{0, 0.3, 2, 6}[rng.IntN(4)]
 	for range nodes {
-		s.Late = append(s.Late, span(0, apart).D())
+		s.Late = append(s.Late, rng.span(0, apart).D())
 	}
 	kinds := []string{"node-kill", "core-kill", "core-kill", "all-kill", "core-stall", "core-stall", "node-stall"}
 	for range rng.IntN(max(1, most)) {
-		s.Faults = append(s.Faults, spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: span(0, apart+1.5), For: span(0.05, 4),
-			Share: []float64{0.3, 0.6, 1}[rng.IntN(3)], Pick: rng.Uint64()>>1 | 1})
+		s.Faults = append(s.Faults, spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: rng.span(0, apart+1.5), For: rng.span(0.05, 4),
+			Share: []float64{0.3, 0.6, 1}[rng.IntN(3)], Pick: rng.pick()})
 	}
 	return s
 }
--- a/internal/lab/faultrig/rollout.go
+++ b/internal/lab/faultrig/rollout.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -51,11 +50,10 @@
 
 // DrawRollout draws a schedule from a seed.
 func DrawRollout(play string, arm Arm, seed uint64, nodes int, dur time.Duration) *RolloutSchedule {
-	rng := rand.New(rand.NewPCG(seed, 0x9011+uint64(len(play)))) // plays differ in their schedules
-	span := func(from, to float64) spec.Span { return spec.Span((from + rng.Float64()*(to-from)) * 1e9) }
+	rng := newDraws(seed, 0x9011+uint64(len(play))) // plays differ in their schedules
 	s := &RolloutSchedule{GatewaySchedule: GatewaySchedule{Play: gatewaystandin.Plays()[play](), Seed: seed, Nodes: nodes, For: dur},
 		Arm: arm, Steps: [][]int{{500, 2000, 5000, 9000}, {1000, 2500, 5000, 7500}, {1000, 3000, 6000, 9000}}[rng.IntN(3)],
-		Dwell: span(1.5, 2.5).D(), Advance: []string{"time", "word"}[rng.IntN(2)], Step: 2 + rng.IntN(3)}
+		Dwell: rng.span(1.5, 2.5).D(), Advance: []string{"time", "word"}[rng.IntN(2)], Step: 2 + rng.IntN(3)}
 	s.After = time.Duration(rng.Float64() * float64(s.Dwell))
 	s.Flaw = gatewaystandin.Flaw{Cause: gatewaystandin.Causes[rng.IntN(len(gatewaystandin.Causes))],
 		Share: []float64{0.2, 0.5, 1}[rng.IntN(3)], Writes: rng.IntN(3) == 0, SlowFactor: 4}
@@ -66,10 +64,10 @@
 	kinds := []string{"node-kill", "core-kill", "lead-kill", "lead-kill", "node-stall", "core-stall", "lead-stall",
 		"lead-stall", "node-term", "lead-term", "ack-kill", "all-kill"}
 	for range rng.IntN(4) { // none in one of four
-		f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: span(0, 1.2), For: span(0.1, 3), Share: 0.3,
-			Pick: rng.Uint64()>>1 | 1}
+		f := spec.Fault{Kind: kinds[rng.IntN(len(kinds))], At: rng.span(0, 1.2), For: rng.span(0.1, 3), Share: 0.3,
+			Pick: rng.pick()}
 		if f.Kind == "all-kill" {
-			f.Share, f.For = 1, span(0.05, 0.6)
+			f.Share, f.For = 1, rng.span(0.05, 0.6)
 		}
 		s.Faults = append(s.Faults, f)
 	}
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -86,26 +86,39 @@
 }
 func (largeAnswerer) Left(slots.Ref) {}
 
-// Guards against a process that ends while a slow client still reads its last answer (review/2): a client counts until its answer is written.
-func TestClientCountsUntilItsLastAnswerIsWritten(t *testing.T) {
+// startLargeAnswerer starts a server with a largeAnswerer. bounds may set time-outs.
+func startLargeAnswerer(t *testing.T, bounds Bounds) (*eventloop.Engine, *Server, largeAnswerer) {
 	e := eventloop.New("127.0.0.1:0", 256, largeAnswerBytes, 4*largeAnswerBytes)
-	in := New(e, 10, Bounds{Head: 1 << 10, Body: 1 << 10, Raw: largeAnswerBytes}, func() bool { return false })
+	bounds.Head, bounds.Body, bounds.Raw = 1<<10, 1<<10, largeAnswerBytes
+	in := New(e, 10, bounds, func() bool { return false })
 	handler := largeAnswerer{make(chan bool, 1)}
 	in.SetHandler(handler)
 	e.OnAccept(in.Accept)
 	must.NoError(t, e.Start())
-	defer e.Stop()
+	t.Cleanup(e.Stop)
+	return e, in, handler
+}
+
+// request sends a request and waits until it is answered. The answer waits in the server for the most part.
+func (l largeAnswerer) request(t *testing.T, e *eventloop.Engine) net.Conn {
+	c, err := net.Dial("tcp", e.Addr())
+	must.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = c.Write([]byte("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"))
+	must.NoError(t, err)
+	<-l.answered
+	return c
+}
+
+// Guards against a process that ends while a slow client still reads its last answer (review/2): a client counts until its answer is written.
+func TestClientCountsUntilItsLastAnswerIsWritten(t *testing.T) {
+	e, in, handler := startLargeAnswerer(t, Bounds{})
 	e.Turn(in.Drain)
 	clients := func() (n int) {
 		e.Turn(func() { n = in.Clients() })
 		return n
 	}
-	c, err := net.Dial("tcp", e.Addr())
-	must.NoError(t, err)
-	defer c.Close()
-	_, err = c.Write([]byte("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"))
-	must.NoError(t, err)
-	<-handler.answered
+	c := handler.request(t, e)
 	must.Eq(t, 1, clients())
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	must.NoError(t, err)
@@ -161,19 +174,8 @@
 
 // A client that does not read its answer within AnswerTimeout is cut off, and counts as one that did not read.
 func TestUnreadAnswerEndsTheConnection(t *testing.T) {
-	e := eventloop.New("127.0.0.1:0", 256, largeAnswerBytes, 4*largeAnswerBytes)
-	in := New(e, 10, Bounds{Head: 1 << 10, Body: 1 << 10, Raw: largeAnswerBytes, AnswerTimeout: time.Minute}, func() bool { return false })
-	handler := largeAnswerer{make(chan bool, 1)}
-	in.SetHandler(handler)
-	e.OnAccept(in.Accept)
-	must.NoError(t, e.Start())
-	defer e.Stop()
-	c, err := net.Dial("tcp", e.Addr())
-	must.NoError(t, err)
-	defer c.Close()
-	_, err = c.Write([]byte("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"))
-	must.NoError(t, err)
-	<-handler.answered
+	e, in, handler := startLargeAnswerer(t, Bounds{AnswerTimeout: time.Minute})
+	handler.request(t, e)
 	e.Turn(func() {
 		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Minute - time.Second })
 		in.Due(0)
