Rig: processes are restarted, not just "again"

Need: names that say what is done. Change: again is restart, and the comment of each says what it calls.

--- a/internal/lab/faultrig/gateway.go
+++ b/internal/lab/faultrig/gateway.go
@@ -109,7 +109,7 @@
 			go func() {
 				defer h.tasks.Done()
 				sleep(ctx, s.Late[i])
-				h.each([]*gatewaystandin.Node{d}, again)
+				h.each([]*gatewaystandin.Node{d}, restart)
 			}()
 		}
 	} else if err := t.Start(); err != nil {
--- a/internal/lab/faultrig/gatewayfaults.go
+++ b/internal/lab/faultrig/gatewayfaults.go
@@ -15,7 +15,7 @@
 	"clovergap/internal/lab/standin"
 )
 
-// each does something to some nodes at once and waits for all.
+// each calls do for several nodes at once and waits for all calls.
 func (g *gatewayRun) each(which []*gatewaystandin.Node, do func(*gatewaystandin.Node) error) {
 	var wg sync.WaitGroup
 	for _, d := range which {
@@ -25,7 +25,7 @@
 }
 
 func kill(d *gatewaystandin.Node) error  { d.Kill(); return nil }
-func again(d *gatewaystandin.Node) error { return d.Again() }
+func restart(d *gatewaystandin.Node) error { return d.Again() }
 
 // ackMost is how long a fault waits for the next acknowledgement.
 const ackMost = 3 * time.Second
@@ -117,7 +117,7 @@
 func (g *gatewayFault) Kill() { g.each(g.hit, kill) }
 
 // Start starts those that were ended.
-func (g *gatewayFault) Start() { g.each(g.hit, again) }
+func (g *gatewayFault) Start() { g.each(g.hit, restart) }
 
 // Stall lets them stand still, and go on.
 func (g *gatewayFault) Stall(on bool) {
@@ -299,6 +299,6 @@
 		return kill(d)
 	})
 	sleep(ctx, time.Duration(200+rng.IntN(800))*time.Millisecond)
-	g.each(g.deployment.Nodes, again)
+	g.each(g.deployment.Nodes, restart)
 	g.log.Add(history.Event{Who: "rig", Kind: history.FaultEnded, What: "closing"})
 }
--- a/internal/lab/faultrig/spans.go
+++ b/internal/lab/faultrig/spans.go
@@ -169,7 +169,7 @@
 	g.each(g.deployment.Nodes, kill)
 	var side sync.WaitGroup
 	defer side.Wait()
-	side.Go(func() { g.each(g.deployment.Nodes, again) })
+	side.Go(func() { g.each(g.deployment.Nodes, restart) })
 	if bad := g.recovers(ctx, string(s.Loss)); len(bad) > 0 {
 		return fmt.Errorf("%s", bad[0])
 	}
