--- a/internal/lab/faultrig/gatewayfaults.go
+++ b/internal/lab/faultrig/gatewayfaults.go
@@ -24,7 +24,7 @@
 	wg.Wait()
 }
 
-func kill(d *gatewaystandin.Node) error  { d.Kill(); return nil }
+func kill(d *gatewaystandin.Node) error    { d.Kill(); return nil }
 func restart(d *gatewaystandin.Node) error { return d.Again() }
 
 // ackMost is how long a fault waits for the next acknowledgement.
