Walk test: requests of earlier rounds stay known, their connections may come late

Cause: the test. At the end of a round it closed what the node had opened to the backend, and then compared the node's counts. A connection that the node opens and closes between these two steps stays in the listener's queue, and was accepted in the next round, when the round's requests had been forgotten.

The checks become stricter: that a request which was refused has not arrived, and that one of at most one run arrives once, is now compared with what arrives late as well.

--- a/internal/gateway/ingress/walk_test.go
+++ b/internal/gateway/ingress/walk_test.go
@@ -218,9 +218,9 @@
 	address  string // of the backend
 	clients  [walkClients]*walkClient
 	backends []*walkBackend
-	requests map[string]*walkRequest
-	own      int    // descriptors that the engine itself counts as open
-	accepted uint64 // clients that have connected
+	requests map[string]*walkRequest // of all rounds, since a connection that the node has closed may be accepted in a later round
+	own      int                     // descriptors that the engine itself counts as open
+	accepted uint64                  // clients that have connected
 	sweeps   int
 	draining bool
 	barrier  chan bool
@@ -767,7 +767,6 @@
 			return fmt.Errorf("%s was refused and had arrived", r.id)
 		}
 	}
-	clear(w.requests)
 	return nil
 }
 
