Walk test: a client may leave in the turn in which its request was given up

Cause: the test. Its module may give a request up as it arrives, and the gate carries that out at the end of the turn. A reset that the poller reads in the same turn comes before that. The control modules of the product decide within Next alone, where nothing comes between (admission.Controller and loadbalancer.Controller, read).

Change: the module then drops its decision, as it did for a submission that was not carried out yet. A client that leaves after its request's answer was carried out still ends the test.

--- a/internal/gateway/ingress/walk_test.go
+++ b/internal/gateway/ingress/walk_test.go
@@ -138,15 +138,22 @@
 }
 
 func (w *walkModule) ClientLeft(id control.TxnID) {
+	unsent, unanswered := false, false // what was decided in this turn and is not carried out yet
+	w.decisions = slices.DeleteFunc(w.decisions, func(d control.Decision) bool {
+		if d.Txn != id {
+			return false
+		}
+		unsent = unsent || d.Action == control.Submit
+		unanswered = unanswered || d.Action == control.Reject || d.Action == control.Fail
+		return true
+	})
 	t := w.txns[id]
-	if t == nil || t.answered {
+	if (t == nil || t.answered) && !unanswered {
 		panic("the client of a request that is answered leaves")
 	}
-	unsent := false // the submission was decided in this turn and is not carried out yet
-	w.decisions = slices.DeleteFunc(w.decisions, func(d control.Decision) bool {
-		unsent = unsent || d.Txn == id && d.Action == control.Submit
-		return d.Txn == id
-	})
+	if t == nil {
+		return
+	}
 	if t.answered = true; !t.submitted || unsent {
 		delete(w.txns, id)
 		return
