Registry: at the first start one disk among several confirms no departure alone

What callers would see: a backend leaves within the first half second of a new deployment, and is told that all is well. One disk has it. If that machine is lost or cut off before the others hear of it, they go on sending requests to the backend.

Cause: a node that knows no other node confirmed departures by itself. It goes by the nodes that have a slot, and at the first start one node has its slot up to half a second before the others do.

Change: the registry is told of members of the configuration log that have no slot yet, and a node confirms by itself only if there is none. A node without a disk never does: it can't be the only node. A registry test had such a node confirm a departure; in its place a node with a disk confirms it, and one without does not.

Tests of registry and node ok.

--- a/internal/gateway/node/cluster.go
+++ b/internal/gateway/node/cluster.go
@@ -114,6 +114,19 @@
 		nodes = append(nodes, registry.Node{Slot: registry.Slot(i), ControlAddr: s.Control, Zone: s.Zone, Live: live[i],
 			HasDisk: known.Disk != 0, Follows: n.streamSender.isLearner(s.Addr)})
 	}
+	return append(nodes, n.disksWithoutSlot()...)
+}
+
+// disksWithoutSlot are the members of the configuration log that have no slot yet, as the registry knows them.
+func (n *Node) disksWithoutSlot() (nodes []registry.Node) {
+	if n.core == nil {
+		return nil
+	}
+	for _, m := range n.coreMembers() {
+		if n.roster.Slot(n.memberAddr(m)) == membership.NoSlot {
+			nodes = append(nodes, registry.Node{Slot: registry.NoSlot, HasDisk: true})
+		}
+	}
 	return nodes
 }
 
--- a/internal/gateway/registry/departure.go
+++ b/internal/gateway/registry/departure.go
@@ -107,21 +107,28 @@
 	if call.requested == notDeparting {
 		return true, true
 	}
-	if r.hasNodes && r.knownCount == 0 && r.hasCopy(call.entry, call.requested) {
-		return true, true
+	age := r.now - call.since
+	if r.isOnlyNode() {
+		confirmed = r.hasCopy(call.entry, call.requested)
+		return confirmed, confirmed || age >= minCopiesTimeout
 	}
 	copies := r.countCopies(call)
-	if !r.hasNodes || r.knownCount > 0 && (r.liveCount == 0 || copies.reachable < copies.required) {
+	if r.liveCount == 0 || copies.reachable < copies.required {
 		return false, true
 	}
-	age := r.now - call.since
-	enough := copies.confirmed >= copies.required && r.knownCount > 0
+	enough := copies.confirmed >= copies.required
 	if enough && (copies.allNotified || age >= allCopiesTimeout && age < callTimeout && copies.notifiedPeers > 0) {
 		return true, true
 	}
 	return false, age >= minCopiesTimeout
 }
 
+// isOnlyNode reports whether a departure needs no copy but the one on this node's disk, because the deployment has no other
+// node, or none with a disk yet. At the first start, the other nodes may have no slots yet.
+func (r *Registry) isOnlyNode() bool {
+	return r.hasNodes && r.knownCount == 0 && r.config.HasDisk && !r.hasDiskWithoutSlot
+}
+
 // copyCounts holds the numbers that decide whether a departure is confirmed. Only copies at nodes with a disk count. If no
 // node with a disk is known, copies at all nodes count.
 type copyCounts struct {
--- a/internal/gateway/registry/departure_test.go
+++ b/internal/gateway/registry/departure_test.go
@@ -50,6 +50,38 @@
 	}
 }
 
+// TestDepartureNeedsOtherDisksWithoutSlot guards against a departure that rests on one disk alone. At the first start of a
+// deployment one node has a slot before the others, and knows no other node by its slot. If other nodes have a disk too, the
+// departure must not be confirmed. A node without a disk must not confirm a departure by itself either.
+func TestDepartureNeedsOtherDisksWithoutSlot(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		hasDisk       bool
+		others        []Node
+		wantConfirmed bool
+	}{
+		{"only node", true, nil, true},
+		{"only node with a disk", true, []Node{{Slot: NoSlot}}, true},
+		{"one of two nodes with a disk", true, []Node{{Slot: NoSlot, HasDisk: true}}, false},
+		{"node without a disk", false, nil, false},
+	} {
+		r := New(0, Config{HeartbeatInterval: heartbeatInterval, MinCopies: 2, HasDisk: test.hasDisk}, 0)
+		r.SetNodes(append(test.others, Node{Slot: 0, HasDisk: test.hasDisk}))
+		r.Deregister("i-1")
+		answered := false
+		for a, ok := r.Next(); ok; a, ok = r.Next() {
+			switch a := a.(type) {
+			case StoreDepartures:
+				r.DeparturesStored(a.Departures)
+			case Acknowledge:
+				answered = true
+				must.EqOp(t, test.wantConfirmed, a.Confirmed, must.Sprint(test.name))
+			}
+		}
+		must.True(t, answered, must.Sprint(test.name))
+	}
+}
+
 // TestDepartureWaitsForAnotherDisk guards against a departure that is confirmed although the only other reachable node with
 // a disk has not acknowledged the departure. Once that node acknowledges the departure, the departure must be confirmed. The
 // call must not wait for followers that cannot answer.
--- a/internal/gateway/registry/nodes.go
+++ b/internal/gateway/registry/nodes.go
@@ -4,7 +4,7 @@
 
 // Node describes a node that the local node knows, live or not. The description may be that of the local node itself.
 type Node struct {
-	Slot Slot
+	Slot Slot // NoSlot if the node has none yet
 	// Address at which the node receives heartbeats. A node with an empty address cannot own backends.
 	ControlAddr string
 	// Zone of the node. The node is preferred as owner of the backends of this zone.
@@ -17,17 +17,19 @@
 	Follows bool // true if the node receives its updates from the local node
 }
 
-// SetNodes sets all known nodes, including the local node. A peer that is no longer live or no longer listed is lost, and
+// SetNodes sets all known nodes, including the local node. A node without a slot receives no updates yet. A peer that is no longer live or no longer listed is lost, and
 // other nodes take over its backends after a grace period. A peer that becomes live is synced.
 func (r *Registry) SetNodes(nodes []Node) {
 	r.hasNodes = true
 	r.local = Node{Slot: r.localSlot}
-	r.ownerCandidates, r.knownCount, r.liveCount, r.hasLiveDisk, r.hasKnownDisk = r.ownerCandidates[:0], 0, 0, false, false
+	r.ownerCandidates, r.knownCount, r.liveCount = r.ownerCandidates[:0], 0, 0
+	r.hasLiveDisk, r.hasKnownDisk, r.hasDiskWithoutSlot = false, false, false
 	knownSlots := map[Slot]bool{}
 	var toSync []Slot
 	var undelivered []string // ids of the backends whose departure a lost node with a disk may not have received
 	for _, n := range nodes {
 		if n.Slot < 0 {
+			r.hasDiskWithoutSlot = r.hasDiskWithoutSlot || n.HasDisk
 			continue
 		}
 		if n.Slot == r.localSlot {
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -49,6 +49,8 @@
 	liveCount       int    // number of other live nodes
 	hasLiveDisk     bool   // true if a node with a disk is live
 	hasKnownDisk    bool   // true if a node with a disk is known, live or not
+	// True if a node with a disk has no slot yet.
+	hasDiskWithoutSlot bool
 
 	peers     map[Slot]*peer
 	peerSlots []Slot // slots of peers, sorted
--- a/internal/gateway/registry/registry_test.go
+++ b/internal/gateway/registry/registry_test.go
@@ -359,8 +359,8 @@
 	f.deliverAll()
 	must.True(t, f.acks[0][ticket].Confirmed)
 
-	// A node that knows other nodes but reaches none confirms no departure. A node that knows no other node confirms departures
-	// by itself.
+	// A node that knows other nodes but reaches none confirms no departure. A node with a disk that knows no other node confirms
+	// departures by itself, and a node without a disk does not.
 	for o := range Slot(3) {
 		dropMessagesTo(o + 1)
 	}
@@ -369,8 +369,10 @@
 	must.True(t, f.sendHeartbeat(b, 0).Confirmed)
 	b.Phase = Draining
 	must.False(t, f.sendHeartbeat(b, 0).Confirmed)
-	f = newFleet(t, 1, 0)
+	f = newFleet(t, 1, 1)
 	must.True(t, f.sendHeartbeat(b, 0).Confirmed)
+	f = newFleet(t, 1, 0)
+	must.False(t, f.sendHeartbeat(b, 0).Confirmed)
 }
 
 // TestLossOfOwnerKeepsItsBackends guards against backends that are timed out because their owner was lost. The backends of a
