--- a/cmd/lab/simulate.go
+++ b/cmd/lab/simulate.go
@@ -36,6 +36,7 @@
 	changes      bool
 	hard         bool
 	departures   bool
+	cuts         bool
 	firstBroken  bool
 	days, broken int
 	simulated    time.Duration
@@ -92,6 +93,7 @@
 	f.BoolVar(&k.hard, "hard", false, "days of another draw: machines with a disk replaced, cuts of 20 s, late copies of orders and replies,\n"+
 		"restarts within a call, orders sent again long after")
 	f.BoolVar(&k.departures, "departures", false, "days on which backends deregister without draining, and all processes are lost right after it")
+	f.BoolVar(&k.cuts, "overlapping-cuts", false, "days on which nodes with a disk are cut off from each other, mostly in one direction, by cuts that overlap")
 	f.BoolVar(&k.firstBroken, "first-broken", false, "end when a rule is broken")
 	f.Uint64Var(&k.replay, "replay", 0, "play one seed's day again")
 	f.BoolVar(&k.log, "log", false, "with --replay, write the nodes' log to standard error")
@@ -106,6 +108,9 @@
 	if s.departures {
 		return simulation.DrawDepartures(s.site, seed, s.dur)
 	}
+	if s.cuts {
+		return simulation.DrawOverlappingCuts(s.site, seed, s.dur)
+	}
 	if s.hard {
 		return simulation.DrawHard(s.site, seed, s.most, s.dur)
 	}
--- a/internal/lab/simulation/net.go
+++ b/internal/lab/simulation/net.go
@@ -128,6 +128,8 @@
 	watched      bool
 	closed       bool
 	senderLost   bool // what was sent last was lost with its sender
+	connectedAt  time.Duration
+	retransmits  retransmission
 }
 
 // Connect, Leave and Send are the links of a deployment.
@@ -206,7 +208,7 @@
 }
 
 func (p *peerLink) connected(peer *process) {
-	c := &conn{link: p, peer: peer, lastDelivery: p.process.world.now}
+	c := &conn{link: p, peer: peer, lastDelivery: p.process.world.now, connectedAt: p.process.world.now}
 	c.encoder, c.decoder = gob.NewEncoder(&c.outbound), gob.NewDecoder(&c.inbound)
 	p.conn, p.redialDelay = c, minRedialDelay
 	from, life := p.process.machine.peerAddr, p.process.id
@@ -214,14 +216,9 @@
 	p.process.world.at(c.lastDelivery, func() {
 		peer.turn(func() {
 			peer.inbound[from] = c
-			anew := peer.incarnations[from] != 0 && peer.incarnations[from] != life
+			known := peer.incarnations[from]
 			peer.incarnations[from] = life
-			if back := peer.links[from]; back != nil && back.conn == nil { // it can be reached
-				back.redialDelay = minRedialDelay
-				back.redial(0)
-			} else if back != nil && anew && back.conn.peer.ended {
-				back.conn.end()
-			}
+			peer.updateLinkTo(from, known)
 			peer.node.PeerConnected(from)
 		})
 	})
@@ -232,6 +229,26 @@
 	})
 }
 
+// updateLinkTo restarts this process's link to a peer that has just dialed, if that is necessary: as updateOutboundLink of
+// internal/gateway/transport. known is the incarnation of the peer that dialed before, 0 if none did.
+func (p *process) updateLinkTo(peer string, known uint64) {
+	back := p.links[peer]
+	if back == nil {
+		return
+	}
+	if back.conn == nil { // the peer can be reached
+		back.redialDelay = minRedialDelay
+		back.redial(0)
+		return
+	}
+	sameIncarnation := known == p.incarnations[peer]
+	restarted := known != 0 && !sameIncarnation && back.conn.peer.ended
+	suspect := sameIncarnation && p.world.now-back.conn.connectedAt > unackedTimeout && p.world.planted != keepsStalledLinks
+	if restarted || suspect {
+		back.conn.end()
+	}
+}
+
 // send writes a frame: gob as on a real link, whose types travel once.
 func (c *conn) send(f *node.Frame) {
 	p := c.link.process
@@ -254,6 +271,11 @@
 	if p.world.losesPacket() {
 		at += retransmitDelay
 	}
+	if p.world.partitioned(c.link.target, p.machine) {
+		c.retransmits.unacknowledged(p.world.now)
+	} else {
+		at = max(at, c.retransmits.resumesAt(p.world.now))
+	}
 	c.deliver(at, p.world.now+span(p.world.netRand, 0, writeDelay), b)
 }
 
--- a/internal/lab/simulation/planted.go
+++ b/internal/lab/simulation/planted.go
@@ -16,6 +16,7 @@
 	rejectsNewRoutes                // routes that the first configuration did not have are answered 503
 	rejectsOneKind                  // one kind of request is
 	reportsRunAsUnsent              // what a backend ran and failed is told as not sent, where it may run twice
+	keepsStalledLinks               // a link to a peer that dials again is kept, however old it is
 )
 
 // plantedReject tells whether a planted fault refuses a request out of hand.
