--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -176,15 +176,32 @@
 func TestUnreadAnswerEndsTheConnection(t *testing.T) {
 	e, in, handler := startLargeAnswerer(t, Bounds{AnswerTimeout: time.Minute})
 	handler.request(t, e)
-	e.Turn(func() {
-		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Minute - time.Second })
+	turnWithoutStall(t, e, func() {
+		unreadFor(in, time.Minute-time.Second)
 		in.Due(0)
 		must.Eq(t, 1, in.Clients())
 		must.Eq(t, 1, in.InFlight(), must.Sprint("an answer that is not written counts"))
-		in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Second })
+		unreadFor(in, time.Minute)
 		in.Due(0)
 		must.Eq(t, 0, in.Clients())
 		must.Eq(t, 1, e.Count[counters.Unread])
 		must.Eq(t, 1, e.Count[counters.ClientsStuck])
 	})
 }
+
+// unreadFor sets how long each client has left its answer unread.
+func unreadFor(in *Server, unread time.Duration) {
+	in.clients.Each(func(_ slots.Ref, c *Client) { c.since = in.engine.Now() - unread })
+}
+
+// turnWithoutStall runs f in the first turn that begins neither in nor soon after a stall of this process: Server.Due closes nothing then.
+func turnWithoutStall(t *testing.T, e *eventloop.Engine, f func()) {
+	for end, done := time.Now().Add(time.Minute), false; !done; {
+		must.True(t, time.Now().Before(end), must.Sprint("this process stalls all the time"))
+		e.Turn(func() {
+			if done = e.InputDelay() == 0; done {
+				f()
+			}
+		})
+	}
+}
