Transport: a stalled connection is replaced also when its peer dials for the first time

Cause: node-0 was killed and started again within the cut of node-1. What node-1 sends was lost, so node-0's new process had never heard of it. When the cut was over node-1 dialed; node-0 took that for a first contact and kept its own connection, which was 13 s old and got no acknowledgement since its begin. Its next retransmission was due 25.4 s after that. From the nodes' logs: node-1 applies nothing from 29.97 to 45.15 s; 19.2 + 25.4 = 44.6. Change: the connection to a peer that dials is replaced if it is older than 2 s, whether or not the peer has dialed before. The simulation likewise. The test that kept an old connection at a first dial was wrong: that is this fault. In its place, a young connection is kept at a first dial as well as at a later one, and the new test wants the old one replaced.

--- a/internal/gateway/transport/inbound.go
+++ b/internal/gateway/transport/inbound.go
@@ -161,11 +161,12 @@
 // If the peer also accepts frames on the connection that it dialed (an offered link), this node sends on that connection from
 // now on. The caller holds m.mu.
 //
-// A peer that dials again in the same incarnation had lost its connection to this node. If the path was interrupted in the
-// direction from the peer alone, this node's own connection is intact, but its kernel has received no acknowledgement since:
-// its next retransmission may be as far away as the interruption was long, and until then nothing gets through. Such a
-// connection is replaced if it is older than writeTimeout. Two nodes do not replace each other's connections endlessly,
-// because the connection that the peer has just dialed is younger.
+// A peer that dials while this node's own connection to it is up may have lost its connection to this node. If the path was
+// interrupted in the direction from the peer alone, this node's own connection is intact, but its kernel has received no
+// acknowledgement since: its next retransmission may be as far away as the interruption was long, and until then nothing gets
+// through. Such a connection is replaced if it is older than writeTimeout, also if the peer dials for the first time: this node
+// may have started during the interruption. Two nodes do not replace each other's connections endlessly, because the connection
+// that the peer has just dialed is younger.
 func (m *Mesh[F]) updateOutboundLink(sender handshake, conn net.Conn) {
 	known := m.incarnations[sender.from]
 	restarted := known != 0 && known != sender.incarnation
@@ -175,7 +176,7 @@
 	if l == nil || l.abort == nil {
 		return
 	}
-	suspect := known == sender.incarnation && time.Since(l.connectedAt) > writeTimeout
+	suspect := time.Since(l.connectedAt) > writeTimeout
 	if !l.connected || restarted || offered || suspect {
 		l.abort()
 	}
--- a/internal/gateway/transport/stalled_test.go
+++ b/internal/gateway/transport/stalled_test.go
@@ -133,7 +133,33 @@
 	}
 }
 
-// A connection that has just begun is not replaced when the peer dials again, and neither is one to a peer that dials for the first time.
+// Guards against the same fault of a node that starts during the interruption: it has never heard of the peer that dials when the interruption is over, and
+// its own connection to the peer is the only one so far.
+func TestStalledConnectionIsReplacedWhenThePeerDialsForTheFirstTime(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := startNode(t, testAddr(1)), newTestNode(t, testAddr(2))
+	stalling := &stallingListener{Listener: b.listener}
+	b.listener = stalling
+	b.Start()
+	defer a.Stop()
+	defer b.Stop()
+	a.Connect(b.addr)
+	a.expectEvent("up " + b.addr)
+	a.sendFrames(b, 0, 1)
+	b.expectEvent(a.addr + ": 0")
+
+	stalling.stall()
+	a.sendFrames(b, 1, 2)
+	a.ageLink(b.addr)
+	b.Connect(a.addr)
+	b.expectEvent("up " + a.addr)
+	b.sendFrames(a, 0, 1)
+	a.expectEvents("down "+b.addr, "up "+b.addr, b.addr+": 0") // the frame carries the handshake and may be reported first
+	a.sendFrames(b, 2, 3)
+	b.expectEvent(a.addr + ": 2") // frame 1 is lost with its connection
+}
+
+// A connection that has just begun is not replaced when the peer dials, neither for the first time nor again.
 func TestYoungConnectionIsKeptWhenThePeerDialsAgain(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a, b := startNode(t, testAddr(1)), startNode(t, testAddr(2))
@@ -141,7 +167,6 @@
 	defer b.Stop()
 	a.Connect(b.addr)
 	a.expectEvent("up " + b.addr)
-	a.ageLink(b.addr)
 	b.Connect(a.addr) // for the first time
 	b.expectEvent("up " + a.addr)
 	b.sendFrames(a, 0, 1)
--- a/internal/lab/simulation/net.go
+++ b/internal/lab/simulation/net.go
@@ -242,9 +242,8 @@
 		back.redial(0)
 		return
 	}
-	sameIncarnation := known == p.incarnations[peer]
-	restarted := known != 0 && !sameIncarnation && back.conn.peer.ended
-	suspect := sameIncarnation && p.world.now-back.conn.connectedAt > unackedTimeout && p.world.planted != keepsStalledLinks
+	restarted := known != 0 && known != p.incarnations[peer] && back.conn.peer.ended
+	suspect := p.world.now-back.conn.connectedAt > unackedTimeout && p.world.planted != keepsStalledLinks
 	if restarted || suspect {
 		back.conn.end()
 	}
