Members count when they are stale although their links to a majority are up

Change: quorumcontact.StalenessWatch, free of I/O: a member whose links to a majority of the members have been up for in_touch has a contact age below apply_within. What violates it is counted (counter "stale in contact") and logged. The simulation adds the counters up, lab simulate prints them. Failed before: TestKeptStalledLinksAreFound wants the nodes to count stalled links that are kept, and none could be counted; TestStalledLinksAreReplaced wants 0 where they are replaced.

--- a/cmd/lab/simulate.go
+++ b/cmd/lab/simulate.go
@@ -24,26 +24,27 @@
 
 // simulate are the flags of days of the whole gateway in simulated time.
 type simulate struct {
-	site         simulation.Site
-	seeds, most  int
-	first        uint64
-	dur          time.Duration
-	jobs         int
-	only         []int
-	bytes        []int
-	replay       uint64
-	log, shrink  bool
-	changes      bool
-	hard         bool
-	departures   bool
-	cuts         bool
-	firstBroken  bool
-	days, broken int
-	simulated    time.Duration
-	counts       simulation.Counts
-	taken        int
-	slowest      time.Duration
-	rules        map[string]int
+	site           simulation.Site
+	seeds, most    int
+	first          uint64
+	dur            time.Duration
+	jobs           int
+	only           []int
+	bytes          []int
+	replay         uint64
+	log, shrink    bool
+	changes        bool
+	hard           bool
+	departures     bool
+	cuts           bool
+	firstBroken    bool
+	days, broken   int
+	simulated      time.Duration
+	counts         simulation.Counts
+	taken          int
+	staleInContact uint64
+	slowest        time.Duration
+	rules          map[string]int
 }
 
 func simulateCommand() *cobra.Command {
@@ -147,6 +148,7 @@
 		"all served again %.1f s after the faults at the latest\n", float64(s.counts.Requested)/n,
 		100*float64(s.counts.Served)/float64(max(1, s.counts.Requested)), 100*float64(s.counts.InTime)/float64(max(1, s.counts.Requested)),
 		float64(s.counts.Rejected)/n, float64(s.counts.Aborted)/n, float64(s.counts.Failed)/n, float64(s.taken)/n, s.slowest.Seconds())
+	fmt.Printf("%d times a member was stale in contact with a majority\n", s.staleInContact)
 	if n := invariant.Violations(); n > 0 {
 		fmt.Printf("%d must holds did not hold\n", n)
 	}
@@ -170,6 +172,7 @@
 	s.days++
 	s.simulated += r.SimulatedTime
 	s.taken += r.AcceptedConfigs
+	s.staleInContact += r.StaleInContact
 	s.counts.Add(r.Counts)
 	for _, x := range r.Recovered {
 		s.slowest = max(s.slowest, x)
--- a/internal/gateway/membership/links.go
+++ b/internal/gateway/membership/links.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// IsLinkUp reports whether the link to a node is up. Its connection was established by packets in both directions.
+func (r *Roster) IsLinkUp(addr string) bool {
+	p := r.peers[addr]
+	return p != nil && p.linkUp
+}
+
 // LinkReport describes this node's links. Operators use it to find out why a node reaches fewer nodes than other nodes do.
 type LinkReport struct {
 	// Wanted is the number of links that this node wants to keep. Connected is the number of wanted links that are up.
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -75,6 +75,7 @@
 	// The configuration log, and what is applied of it.
 	core           *core // nil without a disk
 	contact        *quorumcontact.Tracker
+	staleness      quorumcontact.StalenessWatch
 	streamSender   *streamSender
 	streamReceiver *streamReceiver
 	machine        *statemachine.Machine
--- a/internal/gateway/node/turn.go
+++ b/internal/gateway/node/turn.go
@@ -44,6 +44,7 @@
 	if n.core != nil {
 		n.groups.maintain()
 		n.scheduleRegistrySave()
+		n.checkStaleness()
 	}
 	n.logStateChanges()
 }
--- a/internal/lab/simulation/day.go
+++ b/internal/lab/simulation/day.go
@@ -12,6 +12,7 @@
 	"clovergap/internal/history"
 	"clovergap/internal/lab/gatewaystandin"
 	"clovergap/internal/lab/spec"
+	"clovergap/internal/proxy/counters"
 )
 
 // Result is what came of a day.
@@ -34,6 +35,7 @@
 	Calls           int           // of applications
 	ClearCalls      int           // answered clearly
 	Undecided       int           // names whose linearizability took too long to decide
+	StaleInContact  uint64        // counters.StaleInContact of all processes
 }
 
 const (
@@ -171,6 +173,9 @@
 	r.Broken = append(r.Broken, gatewaystandin.Kept(final, backends.Versions, w.now)...)
 	r.Broken = append(r.Broken, gatewaystandin.Check(w.history, backends, timingSlack)...)
 	r.Broken = append(r.Broken, w.broken...)
+	for _, c := range w.counters {
+		r.StaleInContact += c[counters.StaleInContact]
+	}
 	slices.SortStableFunc(r.Broken, func(a, b history.Violation) int {
 		return cmp.Or(cmp.Compare(a.Time, b.Time), strings.Compare(a.Rule, b.Rule), strings.Compare(a.What, b.What))
 	})
--- a/internal/lab/simulation/machine.go
+++ b/internal/lab/simulation/machine.go
@@ -82,6 +82,7 @@
 	p := &process{machine: m, world: w, born: w.now, seed: int64(r.Uint64() >> 1), id: r.Uint64(), counters: &counters.Set{}, endOfTurn: func() {},
 		links: map[string]*peerLink{}, inbound: map[string]*conn{}, incarnations: map[string]uint64{}}
 	m.process = p
+	w.counters = append(w.counters, p.counters)
 	if m.settings.FirstBoot = m.incarnation == 1; w.replaced > 0 {
 		m.settings.SeedAddrs = w.seeds()
 	}
--- a/internal/lab/simulation/stalled_links_test.go
+++ b/internal/lab/simulation/stalled_links_test.go
@@ -21,9 +21,11 @@
 // carry nothing. A peer that dials again shows that its connection was broken, and the link to it is replaced.
 func TestStalledLinksAreReplaced(t *testing.T) {
 	for seed := range uint64(4) {
-		for _, b := range Play(stalledLinkDay(seed + 1)).Broken {
+		r := Play(stalledLinkDay(seed + 1))
+		for _, b := range r.Broken {
 			t.Errorf("seed %d: %s", seed+1, b)
 		}
+		must.EqOp(t, 0, r.StaleInContact, must.Sprint("seed ", seed+1))
 	}
 }
 
@@ -42,9 +44,9 @@
 	}
 }
 
-// The same day breaks CONFIG if such links are kept.
+// The same day breaks CONFIG if such links are kept, and the nodes count it themselves.
 func TestKeptStalledLinksAreFound(t *testing.T) {
-	found := map[string]int{}
+	found, staleInContact := map[string]int{}, uint64(0)
 	for seed := range uint64(4) {
 		day := stalledLinkDay(seed + 1)
 		day.Site = day.Site.Usual()
@@ -55,8 +57,10 @@
 		for _, b := range result.Broken {
 			found[b.Rule]++
 		}
+		staleInContact += result.StaleInContact
 	}
 	must.MapContainsKey(t, found, "CONFIG")
+	must.Positive(t, staleInContact)
 }
 
 func TestRetransmission(t *testing.T) {
--- a/internal/lab/simulation/world.go
+++ b/internal/lab/simulation/world.go
@@ -21,6 +21,7 @@
 	"clovergap/internal/history"
 	"clovergap/internal/lab/gatewaystandin"
 	"clovergap/internal/lab/spec"
+	"clovergap/internal/proxy/counters"
 	"clovergap/internal/timerqueue"
 )
 
@@ -124,6 +125,7 @@
 	caller         *machine // who last passed on a call, and to whom
 	callee         *machine
 	broken         []history.Violation // seen while the day went on
+	counters       []*counters.Set     // of all processes, also of those that have ended
 	metered        bool                // work and frames are counted, and no history is kept
 	enough         func() string       // why a metered day is to end at once; nil: never
 	turnKind       string              // what the turn under way is for, where it is metered
