Rig: conditions of hosts in a file of their own; three lists and loops become one

Change: hostCondition with one table of commands and one count of callers; PowerOffHost, setHostCondition, sendCommand. Commands on the wire to debug builds are the same.

--- a/internal/lab/faultrig/gatewayfaults.go
+++ b/internal/lab/faultrig/gatewayfaults.go
@@ -124,27 +124,27 @@
 	g.each(g.hit, func(d *gatewaystandin.Node) error { d.Suspend(on, g.fault.Kind); return nil })
 }
 
-// darkFirst is how long the other nodes have to take a machine for one without power, before its process ends.
-const darkFirst = 50 * time.Millisecond
+// powerOffLead is how long the other nodes have to take a machine for one without power, before its process ends.
+const powerOffLead = 50 * time.Millisecond
 
 // powerOff ends processes so that no other node is told, which a debug build plays. What was not synced is kept all the same: the
 // machine that all run on goes on.
 func (g *gatewayFault) powerOff(*spec.Fault) func() {
 	hit := g.hit
-	dark := func(on bool) {
+	hide := func(on bool) {
 		for _, node := range g.deployment.Nodes {
 			for _, off := range hit {
 				if node != off {
-					node.Dark(off.Host, on)
+					node.PowerOffHost(off.Host, on)
 				}
 			}
 		}
 	}
-	dark(true)
-	sleep(g.ctx, darkFirst)
+	hide(true)
+	sleep(g.ctx, powerOffLead)
 	g.Kill()
 	return func() {
-		dark(false)
+		hide(false)
 		g.Start()
 	}
 }
--- a/internal/lab/standin/disk_test.go
+++ b/internal/lab/standin/disk_test.go
@@ -43,7 +43,7 @@
 	write := func() string {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.say("a line\n")
+		p.sendCommand("a line\n")
 		return next()
 	}
 	refuse := func(on, changed bool) {
--- a/internal/lab/standin/process.go
+++ b/internal/lab/standin/process.go
@@ -28,22 +28,20 @@
 	parseLog func(text []byte) bool            // takes a line of its log; false: words beside the log
 	serves   func(ctx context.Context) bool    // asks it
 
-	start           sync.Mutex
-	mu              sync.Mutex
-	cmd             *exec.Cmd
-	stdin           io.WriteCloser
-	meant           bool // its end is ours
-	exit            chan struct{}
-	ended           error
-	incarnation     int
-	suspensions     int // reasons to stand still
-	orders          map[failpoint.Name]time.Duration
-	blockedHosts    map[string]int // reasons why nothing said gets to a host; they outlast a life
-	poweredOffHosts map[string]int // reasons to take a host for a machine without power, likewise
-	unackedHosts    map[string]int // reasons why a host's acknowledgements do not come, likewise
-	writeRefusals   int            // reasons why the disk refuses writes, likewise
-	stderrTail      []string       // last lines that are no JSON: what a crash says
-	gone            time.Time
+	start         sync.Mutex
+	mu            sync.Mutex
+	cmd           *exec.Cmd
+	stdin         io.WriteCloser
+	meant         bool // its end is ours
+	exit          chan struct{}
+	ended         error
+	incarnation   int
+	suspensions   int // reasons to stand still
+	orders        map[failpoint.Name]time.Duration
+	conditions    [hostConditions]map[string]int // callers that want a condition, by host; they outlast an incarnation
+	writeRefusals int                            // reasons why the disk refuses writes, likewise
+	stderrTail    []string                       // last lines that are no JSON: what a crash says
+	gone          time.Time
 }
 
 // NewProcess makes one that Again starts. prepare lays what the next life reads; line takes a line of its
@@ -81,15 +79,7 @@
 	}
 	p.cmd, p.stdin, p.exit, p.meant, p.suspensions, p.gone = cmd, in, make(chan struct{}), false, 0, time.Time{}
 	p.ended, p.orders, p.stderrTail = nil, map[failpoint.Name]time.Duration{}, nil
-	for host := range p.blockedHosts {
-		p.say("cut %s\n", host)
-	}
-	for host := range p.poweredOffHosts {
-		p.say("dark %s\n", host)
-	}
-	for host := range p.unackedHosts {
-		p.say("unacked %s\n", host)
-	}
+	p.sendHostConditions()
 	go p.read(out, cmd, p.exit)
 	if p.writeRefusals > 0 {
 		return p.applyWriteRefusal()
@@ -331,49 +321,6 @@
 	return err
 }
 
-// BlockHost lets nothing that a debug build says get to a host, or lets it again; while any reason cuts it off, it is.
-func (p *Process) BlockHost(host string, off bool) {
-	p.order(&p.blockedHosts, host, off, "cut", "mend")
-}
-
-// Dark has a debug build take a host for a machine without power, or no longer: nothing gets there, and no end of its connections is
-// told.
-func (p *Process) Dark(host string, off bool) {
-	p.order(&p.poweredOffHosts, host, off, "dark", "light")
-}
-
-// LoseAcknowledgements has a debug build get no acknowledgements of a host, or get them again. Connections to the host then deliver nothing until
-// their next retransmission.
-func (p *Process) LoseAcknowledgements(host string, off bool) {
-	p.order(&p.unackedHosts, host, off, "unacked", "acked")
-}
-
-// order counts the reasons for something about a host, and gives the order for the first one, and another when none is left.
-func (p *Process) order(reasons *map[string]int, host string, on bool, begin, end string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if *reasons == nil {
-		*reasons = map[string]int{}
-	}
-	if on {
-		if (*reasons)[host]++; (*reasons)[host] == 1 {
-			p.say("%s %s\n", begin, host)
-		}
-		return
-	}
-	if (*reasons)[host]--; (*reasons)[host] <= 0 {
-		delete(*reasons, host)
-		p.say("%s %s\n", end, host)
-	}
-}
-
-// say gives an order to the process if it runs; the lock is held.
-func (p *Process) say(format string, args ...any) {
-	if p.stdin != nil && p.ended == nil {
-		fmt.Fprintf(p.stdin, format, args...) // one that ends now needs none
-	}
-}
-
 // reached: the process stands still at a point, by its own doing. It goes on after the time that was
 // ordered.
 func (p *Process) reached(cmd *exec.Cmd, at failpoint.Name) {
