--- a/internal/gateway/transport/stalled_test.go
+++ b/internal/gateway/transport/stalled_test.go
@@ -94,23 +94,29 @@
 	must.SliceContainsAll(n.t, want, got)
 }
 
+// startStallingPair starts two nodes. The connection from the first to the second has carried frame 0, and can be stalled.
+func startStallingPair(t *testing.T) (a, b *testNode, stalling *stallingListener) {
+	a, b = startNode(t, testAddr(1)), newTestNode(t, testAddr(2))
+	stalling = &stallingListener{Listener: b.listener}
+	b.listener = stalling
+	b.Start()
+	a.Connect(b.addr)
+	a.expectEvent("up " + b.addr)
+	a.sendFrames(b, 0, 1)
+	b.expectEvent(a.addr + ": 0")
+	return a, b, stalling
+}
+
 // Guards against a member that stays behind for ten seconds after an interruption in one direction has ended: the leader's connection to it looked
 // intact, and delivered nothing until its kernel's next retransmission. When the peer dials again, the connection is replaced. The connection that the
 // peer has just dialed is not: the links come to rest.
 func TestStalledConnectionIsReplacedWhenThePeerDialsAgain(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(1)), newTestNode(t, testAddr(2))
-	stalling := &stallingListener{Listener: b.listener}
-	b.listener = stalling
-	b.Start()
+	a, b, stalling := startStallingPair(t)
 	defer a.Stop()
 	defer b.Stop()
-	a.Connect(b.addr)
-	a.expectEvent("up " + b.addr)
 	b.Connect(a.addr)
 	b.expectEvent("up " + a.addr)
-	a.sendFrames(b, 0, 1)
-	b.expectEvent(a.addr + ": 0")
 	b.sendFrames(a, 0, 1)
 	a.expectEvent(b.addr + ": 0")
 
@@ -137,16 +143,9 @@
 // its own connection to the peer is the only one so far.
 func TestStalledConnectionIsReplacedWhenThePeerDialsForTheFirstTime(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(1)), newTestNode(t, testAddr(2))
-	stalling := &stallingListener{Listener: b.listener}
-	b.listener = stalling
-	b.Start()
+	a, b, stalling := startStallingPair(t)
 	defer a.Stop()
 	defer b.Stop()
-	a.Connect(b.addr)
-	a.expectEvent("up " + b.addr)
-	a.sendFrames(b, 0, 1)
-	b.expectEvent(a.addr + ": 0")
 
 	stalling.stall()
 	a.sendFrames(b, 1, 2)
