--- a/internal/gateway/node/log.go
+++ b/internal/gateway/node/log.go
@@ -29,6 +29,7 @@
 //	status                of a control call, as in HTTP
 //	client                the address of a client
 //	unwritten             bytes that were not written to a connection
+//	stale_ms              how old contact with a majority is
 //	not_logged            events of the same kind since the last line, which have no line
 //	reason, reasons       why, in words
 //	error                 what went wrong
--- a/internal/gateway/node/log_test.go
+++ b/internal/gateway/node/log_test.go
@@ -21,7 +21,7 @@
 var logFields = strings.Fields(`part term index version member peer slot slots group service rollout status reason reasons error
 	leader members backends departures disk front control settings counters clients in_flight heap_kb memory_kb invariants_broken
 	detail reachable links_up links_wanted links_without_hello verb by phase step steps share
-	client unwritten not_logged goroutines`)
+	client unwritten not_logged goroutines stale_ms`)
 
 // logCalls gives the calls that make a line, from Msg back to the call that begins it.
 func logCalls(end *ast.CallExpr) (calls []*ast.CallExpr) {
