--- a/internal/gateway/quorumcontact/staleness.go
+++ b/internal/gateway/quorumcontact/staleness.go
@@ -13,8 +13,8 @@
 
 // StalenessWatch checks the invariant that connects links with contact: a member whose links to a majority of the members have been up for InTouch has a
 // contact age below ApplyWithin. A member for which this does not hold routes by an old configuration although the network carries packets in both
-// directions, for example because a connection to it delivers nothing. While the network carries packets in one direction only, the invariant may also be
-// violated until the kernel ends the member's connections.
+// directions, for example because a connection to it delivers nothing. Two other faults violate the invariant as well: a network that carries packets in one
+// direction only, until the kernel ends the member's connections, and disks of a majority that hang.
 type StalenessWatch struct {
 	observedAt     time.Duration // time of the last observation
 	connectedSince time.Duration // since when links to a majority have been up without a break; only valid if connected
