--- a/cmd/lab/days.go
+++ b/cmd/lab/days.go
@@ -24,6 +24,7 @@
 	var count int
 	var length float64
 	var others []string
+	var overlappingCuts bool
 	c := &cobra.Command{Use: "draw", Short: "Draw harsh days from the kinds of trouble that a site lists", Args: exactly(0, "no arguments"),
 		Long: "Writes one file a day, named by site and seed, each of which the bench plays: fleetbench run SITE FILE --why \"...\".\n" +
 			"The same site file and seed give the same day. Days that broke a rule are kept in lab/days.",
@@ -47,6 +48,9 @@
 					return err
 				}
 				day := faultdays.Draw(s, seed+n)
+				if overlappingCuts {
+					day = faultdays.DrawOverlappingCuts(s, seed+n)
+				}
 				if length > 0 {
 					if day, err = faultdays.DrawLong(s, seed+n, length, others); err != nil {
 						return usageError{err}
@@ -65,6 +69,7 @@
 	f.IntVar(&count, "count", 1, "how many days, one for each seed from the first on")
 	f.Float64Var(&length, "long", 0, "long days, of so many seconds: hundreds of changes, troubles at any hour")
 	f.StringSliceVar(&others, "kind", nil, "kinds of trouble that long days have beside those that the site lists")
+	f.BoolVar(&overlappingCuts, "overlapping-cuts", false, "days on which members of the core are cut off one after the other, mostly in one direction")
 	f.StringVar(&out, "out", "", "folder that the files go to; made if it is missing")
 	return c
 }
--- a/cmd/lab/gatewaychaos.go
+++ b/cmd/lab/gatewaychaos.go
@@ -24,6 +24,7 @@
 	only             []int
 	shrink, founding bool
 	storms, series   bool
+	overlappingCuts  bool
 }
 
 func gatewayChaosCommand() *cobra.Command {
@@ -59,6 +60,8 @@
 	c.Flags().BoolVar(&k.founding, "founding", false, "schedules of the first start of all only: late starts, kills, stalls")
 	c.Flags().BoolVar(&k.storms, "storms", false, "schedules of storms: two or three troubles that overlap, losses of power among them, again and again")
 	c.Flags().BoolVar(&k.series, "series", false, "schedules of signals, restarts and departures of backends that come in series and overlap")
+	c.Flags().BoolVar(&k.overlappingCuts, "overlapping-cuts", false,
+		"schedules of cuts between nodes with a disk, mostly in one direction, that follow each other or overlap; connections stall after them")
 	c.Flags().BoolVar(&k.shrink, "shrink", false, "find as few of the seed's faults as still fail")
 	return c
 }
@@ -101,6 +104,9 @@
 	if g.series {
 		s = faultrig.DrawSeries(seed, g.nodes, g.dur)
 	}
+	if g.overlappingCuts {
+		s = faultrig.DrawOverlappingCuts(seed, g.nodes, g.dur)
+	}
 	if g.founding {
 		s = faultrig.DrawFounding(seed, g.nodes, g.most, g.dur)
 	}
--- a/internal/failpoint/points_test.go
+++ b/internal/failpoint/points_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 )
 
 // An order hits its place at its count, once; orders that are wrong are told and change nothing.
@@ -49,3 +50,45 @@
 		}
 	}
 }
+
+// A connection that was open in an interruption resumes at the first repetition after it, a new one at once. An interruption that begins before the
+// repetition of the one before goes on with it.
+func TestInterruptions(t *testing.T) {
+	const host = "127.1.2.5"
+	t.Cleanup(func() { delete(unacknowledged, host) })
+	begun := time.Now()
+	if at := ResumesAt(host+":70", begun); !at.IsZero() {
+		t.Errorf("without an interruption: %s", at)
+	}
+	order := func(line string) {
+		if err := apply(line + " " + host); err != nil {
+			t.Fatal(err)
+		}
+	}
+	order("unacked")
+	first := unacknowledged[host].begin
+	if at := ResumesAt(host+":70", begun); !at.IsZero() {
+		t.Errorf("in an interruption: %s", at)
+	}
+	order("acked")
+	if at, want := ResumesAt(host+":70", begun), first.Add(RetransmitDelay); !at.Equal(want) {
+		t.Errorf("resumes at %s, want %s", at, want)
+	}
+	if at := ResumesAt(host, time.Now()); !at.IsZero() {
+		t.Errorf("a new connection: %s", at)
+	}
+	order("unacked")
+	if last := unacknowledged[host]; !last.begin.Equal(first) || !last.end.IsZero() {
+		t.Errorf("the second interruption is %v, want one since %s", last, first)
+	}
+	order("acked")
+}
+
+// A segment is repeated after 200 ms, and each further time after twice as long.
+func TestNextRetransmission(t *testing.T) {
+	for after, want := range map[time.Duration]time.Duration{0: 200, 199: 200, 200: 600, 600: 1400, 15_000: 25_400} {
+		if got := NextRetransmission(0, after*time.Millisecond); got != want*time.Millisecond {
+			t.Errorf("after %d ms: %s, want %d ms", after, got, want)
+		}
+	}
+}
--- a/internal/gateway/transport/faults.go
+++ b/internal/gateway/transport/faults.go
@@ -25,7 +25,11 @@
 	if failpoint.Partitioned(to) && !awaitHeal(ctx, to, dialTimeout) {
 		return nil, errPartitioned
 	}
-	return dialer.DialContext(ctx, "tcp", to)
+	conn, err := dialer.DialContext(ctx, "tcp", to)
+	if err != nil {
+		return nil, err
+	}
+	return withRetransmissions(conn, to), nil
 }
 
 // awaitHeal blocks while a test has partitioned this node from another one. It returns false if the partition lasts longer than
--- a/internal/gateway/transport/partition_test.go
+++ b/internal/gateway/transport/partition_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
@@ -52,3 +53,39 @@
 		node.Stop()
 	}
 }
+
+// Checks that a connection which got no acknowledgements for a while delivers nothing until its next retransmission, and then all of it in order, and
+// that a new connection delivers at once.
+func TestRetransmissionAfterLostAcknowledgements(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := startNode(t, testAddr(8)), startNode(t, testAddr(9))
+	in, commands := io.Pipe()
+	failpoint.Listen(in)
+	defer commands.Close()
+	host, _, _ := net.SplitHostPort(b.addr)
+	a.Connect(b.addr)
+	a.expectEvent("up " + b.addr)
+	a.sendFrames(b, 0, 1)
+	b.expectEvent(a.addr + ": 0")
+	opened := time.Now()
+	io.WriteString(commands, "unacked "+host+"\nacked "+host+"\n")
+	for failpoint.ResumesAt(b.addr, opened).IsZero() {
+	}
+	a.sendFrames(b, 1, 4)
+	for _, event := range []string{": 1", ": 2", ": 3"} {
+		b.expectEvent(a.addr + event)
+	}
+	must.GreaterEq(t, failpoint.RetransmitDelay, time.Since(opened))
+
+	io.WriteString(commands, "unacked "+host+"\n")
+	a.sendFrames(b, 4, 5)
+	b.expectEvent(a.addr + ": 4") // what is sent arrives; only the acknowledgement is lost
+	io.WriteString(commands, "acked "+host+"\n")
+	a.breakLink(b.addr)
+	a.expectEvent("down " + b.addr)
+	a.expectEvent("up " + b.addr)
+	a.sendFrames(b, 5, 6)
+	b.expectEvent(a.addr + ": 5")
+	a.Stop()
+	b.Stop()
+}
--- a/internal/lab/faultdays/faultdays_test.go
+++ b/internal/lab/faultdays/faultdays_test.go
@@ -102,3 +102,32 @@
 	_, err := Load(file)
 	must.ErrorContains(t, err, "no troubles")
 }
+
+// Days of overlapping cuts have several cuts of the core, the next about when one ends, most of them in one direction, and changes all the while.
+func TestDrawOverlappingCuts(t *testing.T) {
+	s := site(t)
+	oneWay := 0
+	for seed := range uint64(100) {
+		d := DrawOverlappingCuts(s, seed)
+		must.Eq(t, d, DrawOverlappingCuts(s, seed))
+		var cuts []Fault
+		for _, f := range d.Faults {
+			if f.Kind == "core_cut" && f.For >= minCutSeconds {
+				cuts = append(cuts, f)
+			}
+			if strings.Contains(f.How, "one_way") {
+				oneWay++
+			}
+		}
+		must.GreaterEq(t, minOverlappingCuts, len(cuts))
+		changes := 0
+		for _, p := range d.Plan {
+			if p.Kind == "config_change" {
+				changes++
+			}
+			must.True(t, p.Start > 0 && p.Start <= d.Length)
+		}
+		must.Greater(t, 15, changes)
+	}
+	must.Greater(t, 100, oneWay)
+}
--- a/internal/lab/faultrig/gateway_test.go
+++ b/internal/lab/faultrig/gateway_test.go
@@ -226,3 +226,27 @@
 		must.LessEq(t, 1, wipes)
 	}
 }
+
+// Each schedule of overlapping cuts is its seed's, has several cuts, each beginning about when the one before ends and on another node, and most schedules cut in one direction.
+func TestDrawOverlappingCuts(t *testing.T) {
+	oneWay := 0
+	for seed := range uint64(200) {
+		s := DrawOverlappingCuts(seed, 6, 44*time.Second)
+		must.Eq(t, s, DrawOverlappingCuts(seed, 6, 44*time.Second))
+		var cuts []spec.Fault
+		for _, f := range s.Faults {
+			if f.Kind == "core-cut" {
+				cuts = append(cuts, f)
+			}
+		}
+		must.Between(t, minOverlappingCuts, len(cuts), maxOverlappingCuts)
+		for i, cut := range cuts[1:] {
+			must.Between(t, -sec(maxCutShiftSeconds), cut.At-cuts[i].At-cuts[i].For, sec(maxCutShiftSeconds))
+			must.NotEq(t, isolatedNode(&cuts[i]), isolatedNode(&cut))
+		}
+		if slices.ContainsFunc(cuts, func(cut spec.Fault) bool { return cut.Way == "out" }) {
+			oneWay++
+		}
+	}
+	must.Greater(t, 150, oneWay)
+}
--- a/internal/lab/gatewaystandin/cuts.go
+++ b/internal/lab/gatewaystandin/cuts.go
@@ -12,7 +12,8 @@
 	LinkUp   history.Kind = "joined"
 )
 
-// SetLinkDown lets nothing that the node says get to another, or lets it again. The nodes must be debug builds.
+// SetLinkDown lets nothing that the node sends get to another, or lets it again. That includes acknowledgements: connections that the other node has
+// opened stall, and go on with their next retransmission. The nodes must be debug builds.
 func (n *Node) SetLinkDown(to *Node, off bool) {
 	note := func(k history.Kind) {
 		n.deployment.Config.History.Add(history.Event{Who: n.Name, Target: to.Name, Kind: k})
@@ -21,6 +22,7 @@
 		note(LinkDown)
 	}
 	n.BlockHost(to.Host, off)
+	to.LoseAcknowledgements(n.Host, off)
 	if !off {
 		note(LinkUp)
 	}
--- a/internal/lab/standin/process.go
+++ b/internal/lab/standin/process.go
@@ -40,6 +40,7 @@
 	orders          map[failpoint.Name]time.Duration
 	blockedHosts    map[string]int // reasons why nothing said gets to a host; they outlast a life
 	poweredOffHosts map[string]int // reasons to take a host for a machine without power, likewise
+	unackedHosts    map[string]int // reasons why a host's acknowledgements do not come, likewise
 	writeRefusals   int            // reasons why the disk refuses writes, likewise
 	stderrTail      []string       // last lines that are no JSON: what a crash says
 	gone            time.Time
@@ -86,6 +87,9 @@
 	for host := range p.poweredOffHosts {
 		p.say("dark %s\n", host)
 	}
+	for host := range p.unackedHosts {
+		p.say("unacked %s\n", host)
+	}
 	go p.read(out, cmd, p.exit)
 	if p.writeRefusals > 0 {
 		return p.applyWriteRefusal()
@@ -338,6 +342,12 @@
 	p.order(&p.poweredOffHosts, host, off, "dark", "light")
 }
 
+// LoseAcknowledgements has a debug build get no acknowledgements of a host, or get them again. Connections to the host then deliver nothing until
+// their next retransmission.
+func (p *Process) LoseAcknowledgements(host string, off bool) {
+	p.order(&p.unackedHosts, host, off, "unacked", "acked")
+}
+
 // order counts the reasons for something about a host, and gives the order for the first one, and another when none is left.
 func (p *Process) order(reasons *map[string]int, host string, on bool, begin, end string) {
 	p.mu.Lock()
