Admission: a request waits by its client's time and the work that is left

What callers saw: when all backends were in use, a request was rejected after 0.22 of its route's latency target less 10 ms, and one that a backend had rejected after 0.3 of the time left to the target, whatever time the client had and however long the work takes. With targets of 400, 800 and 1,200 ms that was 79, 167 and 255 ms for a client with 3 s.

There was no estimate of the queue, so who could not be served also heard so only at the end of the share.

Fix: a request stays in the queue until its deadline less the typical latency of its kind. Who is behind more work than the time allows is answered when that is known: on arrival against the latency target while the target can be met (else all later answers would miss it, too), and at any later time against the deadline, with a Retry-After time from the same estimate. The estimate is the work ahead divided by the requests that responding backends process now; it follows backends that leave, fall silent or join. A kind of request without any answer yet is assumed to take no time, because nothing shows that it cannot be served. A typical latency without a response for 5 s no longer keeps a request from its backend. A request that a canary cannot take at once goes to the baseline version, whether or not it was sent before. Half of the usual time and a quarter of the deadline are gone from canMeetDeadline. A request that may use all backends is no longer skipped behind eight that may not.

--- a/internal/gateway/admission/canary.go
+++ b/internal/gateway/admission/canary.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"clovergap/control"
@@ -117,18 +116,16 @@
 	}
 }
 
-// fallBackToBaseline moves a request from a canary's queue to the queue of the baseline version. It is called when the time for which the request may
-// wait in the canary's queue has ended. The canary may lack capacity, but the baseline version is expected to have enough capacity. At the baseline
-// version the request is sent at once or rejected. fallBackToBaseline returns false if the request was sent before or if the baseline version has no
-// ready backend.
+// fallBackToBaseline moves a request that left a canary's queue to the queue of the baseline version. The canary may lack capacity, but the baseline version
+// is expected to have enough. fallBackToBaseline returns false if the service is no canary or if the baseline version has no backend for the request.
 func (c *Controller) fallBackToBaseline(t *txn) bool {
 	baseline := t.service.baseline
-	if baseline == nil || t.submissions > 0 || baseline.balancer.ReadyCount() == 0 {
+	if baseline == nil || !baseline.balancer.HasBackend(t.balancerRequest()) {
 		return false
 	}
-	t.service.queue = slices.DeleteFunc(t.service.queue, func(other *txn) bool { return other == t })
-	t.queued, t.assignment = false, Assignment{}
+	t.assignment = Assignment{}
 	c.moveToVersion(t, baseline)
+	c.setAnswerBy(t)
 	c.enqueue(t)
 	return true
 }
--- a/internal/gateway/admission/queue.go
+++ b/internal/gateway/admission/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"clovergap/control"
 	"clovergap/internal/gateway/balancer"
@@ -13,7 +12,7 @@
 func (c *Controller) enqueue(t *txn) {
 	s := t.service
 	if len(s.queue) >= maxQueueLength {
-		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(s))
+		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 		return
 	}
 	if t.Customer != 0 && !t.unitsConsumed && !t.unitsReserved {
@@ -23,24 +22,12 @@
 	}
 	at, _ := slices.BinarySearchFunc(s.queue, t, compareQueued)
 	s.queue = slices.Insert(s.queue, at, t)
-	t.queued, s.recheck = true, true
-	c.setGiveUpTime(t, max(c.queueDeadline(t), c.now+minWakeDelay))
+	t.queued, t.admitted, s.recheck = true, false, true
+	c.setGiveUpTime(t, max(c.latestStart(t), c.now+minWakeDelay))
 }
 
-// queueDeadline returns the time until which a request may wait for a backend.
-func (c *Controller) queueDeadline(t *txn) time.Duration {
-	if t.submissions == 0 {
-		return t.arrivedAt + time.Duration(queueTimeShare*float64(t.targetAt-t.arrivedAt)) - clientNetworkTime
-	}
-	timeLeft := t.targetAt - c.now
-	if timeLeft <= 0 {
-		timeLeft = t.deadline - c.now
-	}
-	return c.now + time.Duration(retryQueueTimeShare*float64(timeLeft))
-}
-
-// compareQueued compares two requests by their order in a queue: by priority, then retries before requests that were never sent, then by arrival. It
-// returns -1 if both are equal, so that enqueue inserts a new request after equal requests.
+// compareQueued compares two requests by their order in a queue: by priority, then retries before requests that were never sent, then by arrival. It returns -1 if both are equal, so that enqueue
+// inserts a new request after equal requests.
 func compareQueued(a, b *txn) int {
 	switch {
 	case a.rank != b.rank:
@@ -53,7 +40,7 @@
 	return -1
 }
 
-// sendQueued removes one request from a queue, and sends the request or, if no backend is left for it, answers it. It returns false if no request can
+// sendQueued removes a request from a queue that can be sent, for which no backend is left, or which waits in vain. It returns false if no request can
 // leave a queue now.
 func (c *Controller) sendQueued() bool {
 	for _, s := range c.services {
@@ -64,33 +51,41 @@
 			return true
 		}
 		s.recheck = false
+		if c.endHopelessWaits(s) {
+			return true
+		}
 	}
 	return false
 }
 
 // sendFirstPossible removes one request from the queue of a service: the first request for which the balancer chooses a backend or for which no
-// backend is left. It sends the request or, if no backend is left, answers it. If the balancer has no backend for an idempotent request that was
-// never sent, the balancer has none for the later requests in the queue either. An effectful request or a retry may use fewer backends, so later
-// requests in the queue may still be sent. sendFirstPossible returns false if it removes no request.
+// backend is left. It sends the request or, if no backend is left, answers it. If the balancer has no backend for an idempotent request that was sent
+// to no backend yet, it has none for the later requests in the queue either. An effectful request, or a request that was sent before, may use fewer
+// backends, so later requests in the queue may still be sent. sendFirstPossible returns false if it removes no request.
 func (c *Controller) sendFirstPossible(s *service) bool {
-	blocked, effectfulBlocked := 0, false
+	restrictedBlocked, effectfulBlocked := 0, false
 	for i, t := range s.queue {
-		firstSubmission := len(t.attempted) == 0
-		if t.route.Effectful && effectfulBlocked && firstSubmission || blocked >= maxBlockedInQueue {
+		mayUseAllBackends := len(t.attempted) == 0
+		if mayUseAllBackends && t.route.Effectful && effectfulBlocked || !mayUseAllBackends && restrictedBlocked >= maxBlockedInQueue {
 			continue
 		}
 		backend, result := s.balancer.Pick(c.now, t.balancerRequest())
-		if result == balancer.Saturated || result == balancer.NoBackend && firstSubmission {
-			if !t.route.Effectful && firstSubmission {
+		noneLeft := result == balancer.NoBackend && s.balancer.ReadyCount() > 0
+		if result != balancer.Chosen && !noneLeft {
+			switch {
+			case !mayUseAllBackends:
+				restrictedBlocked++
+			case t.route.Effectful:
+				effectfulBlocked = true
+			default:
 				return false
 			}
-			blocked, effectfulBlocked = blocked+1, effectfulBlocked || t.route.Effectful && firstSubmission
 			continue
 		}
 		s.queue = slices.Delete(s.queue, i, i+1)
 		t.queued = false
-		if result == balancer.NoBackend {
-			c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(s))
+		if noneLeft {
+			c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 		} else {
 			c.submit(t, backend)
 		}
--- a/internal/gateway/admission/service.go
+++ b/internal/gateway/admission/service.go
@@ -110,20 +110,6 @@
 	return s.budget.availableTokens()
 }
 
-// retryAfterTime returns the time after which a rejected client should retry. The time is an estimate of how long this node needs to empty the
-// service's queue. The estimate is computed from the queue's length, this node's capacity and the typical latency. The service may be nil.
-func (c *Controller) retryAfterTime(s *service) time.Duration {
-	if s == nil || s.balancer.ReadyCount() == 0 {
-		return time.Duration(float64(noBackendRetryAfter) * (retryAfterJitterBase + retryAfterJitter*c.rng.Float64()))
-	}
-	typical := emptyQueueLatency
-	if len(s.queue) > 0 {
-		typical = c.typicalLatency(s.queue[0])
-	}
-	queueTime := float64(typical) * float64(len(s.queue)+1) / max(s.balancer.Capacity(), 1)
-	return min(maxRetryAfter, time.Duration(queueTime*(retryAfterJitterBase+retryAfterJitter*c.rng.Float64()))+minRetryAfter)
-}
-
 const (
 	// concurrencySpan is the time over which the number of requests in flight is averaged.
 	concurrencySpan = 10 * time.Second
--- a/internal/gateway/admission/timer.go
+++ b/internal/gateway/admission/timer.go
@@ -36,13 +36,17 @@
 	if t.route.Effectful || t.attempts+1 >= t.route.MaxAttempts {
 		return
 	}
-	checkAt := max(c.now+max(minDeadTime, time.Duration(deadLatencyFactor*float64(c.typicalLatency(t)))),
-		t.arrivedAt+time.Duration(deadTargetShare*float64(t.targetAt-t.arrivedAt)))
-	if checkAt < t.deadline {
+	if checkAt := c.deadCheckTime(t); checkAt < t.deadline {
 		c.timers.Add(checkAt, timer{t.ID, timerDeadBackend})
 	}
 }
 
+// deadCheckTime returns the earliest time at which the backend of the submission in flight may count as dead.
+func (c *Controller) deadCheckTime(t *txn) time.Duration {
+	return max(t.sentAt+max(minDeadTime, time.Duration(deadLatencyFactor*float64(c.typicalLatency(t)))),
+		t.arrivedAt+time.Duration(deadTargetShare*float64(t.targetAt-t.arrivedAt)))
+}
+
 // fireTimer performs the check of a timer that is due.
 func (c *Controller) fireTimer(t *txn, kind timerKind) {
 	switch kind {
@@ -58,13 +62,14 @@
 }
 
 // handleGiveUpTime ends the wait of a request. If the request waits for units, the node that owns the quota has not answered in time, so this node decides on
-// the request again. A request in the queue of a canary moves to the baseline version if possible. Any other request in a queue is answered.
+// the request again. The wait of a request in a queue ends at its latest start.
 func (c *Controller) handleGiveUpTime(t *txn) {
 	switch {
 	case t.ended || t.inFlight || c.now < t.giveUpAt:
-	case t.queued && c.fallBackToBaseline(t):
+	case t.queued && c.now < c.latestStart(t): // the typical latency has become shorter
+		c.setGiveUpTime(t, c.latestStart(t))
 	case t.queued:
-		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t.service))
+		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 	case t.awaitsUnits:
 		c.awaitingUnits = slices.DeleteFunc(c.awaitingUnits, func(other *txn) bool { return other == t })
 		t.awaitsUnits = false
@@ -78,8 +83,9 @@
 	if t.ended || !t.inFlight || t.cancelRequested || t.answerStarted || c.now < t.sentAt+minDeadTime {
 		return
 	}
+	known := c.typicalLatency(t) > 0 // while it is unknown, nothing shows that the answer is late
 	mayRetry := t.attempts+1 < t.route.MaxAttempts && c.canMeetDeadline(t) && c.availableRetryTokens(t.service) >= 1
-	if mayRetry && t.service.balancer.IsDead(c.now, t.lastBackend) {
+	if known && c.now >= c.deadCheckTime(t) && mayRetry && t.service.balancer.IsDead(c.now, t.lastBackend) {
 		t.cancelRequested = true
 		c.cancelSubmission(t)
 		return
--- a/internal/gateway/admission/txn.go
+++ b/internal/gateway/admission/txn.go
@@ -15,8 +15,9 @@
 	control.Txn
 	route     *Route
 	arrivedAt time.Duration
-	targetAt  time.Duration // time until which an answer has its full value
+	targetAt  time.Duration // end of the operator's latency target
 	deadline  time.Duration // time by which the request must be answered
+	answerBy  time.Duration // time until which an answer is wanted, see setAnswerBy; 0 if it is to be determined
 	rank      [2]int        // priority of the tenant, then of the route; 0 is the highest
 
 	service       *service   // version of a service to which the request goes; nil until chosen
@@ -25,6 +26,7 @@
 
 	// Waiting.
 	queued      bool          // the request is in the queue of its service
+	admitted    bool          // the request stays in the queue until its latest start or until it is sent, see wait.go
 	awaitsUnits bool          // the request is in Controller.awaitingUnits
 	giveUpAt    time.Duration // when the request's wait for units or in the queue ends, see setGiveUpTime
 
@@ -105,11 +107,14 @@
 	if t.service.canary != nil || t.service.baseline != nil {
 		c.chooseVersion(t)
 	}
+	if t.answerBy == 0 {
+		c.setAnswerBy(t)
+	}
 	switch {
 	case !c.canMeetDeadline(t):
-		c.answerRequest(t, control.ReasonNoTime, c.retryAfterTime(t.service))
+		c.answerRequest(t, control.ReasonNoTime, c.retryAfterTime(t))
 	case t.submissions > 0 && !c.mayRetry(t):
-		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t.service))
+		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 	case c.checkQuota(t):
 		c.enqueue(t)
 	}
@@ -140,23 +145,6 @@
 	return true
 }
 
-// typicalLatency returns the typical latency of requests of the same kind. While none is known, it returns a part of the request's latency target.
-func (c *Controller) typicalLatency(t *txn) time.Duration {
-	if t.service != nil {
-		if typical, ok := t.service.balancer.TypicalLatency(t.Product); ok {
-			return typical
-		}
-	}
-	return t.route.LatencyTarget / unknownLatencyDivisor
-}
-
-// canMeetDeadline reports whether an answer may still come by the deadline. An answer after the latency target still has some value, so the latency
-// target does not matter.
-func (c *Controller) canMeetDeadline(t *txn) bool {
-	typical := min(c.typicalLatency(t), max(t.route.Deadline, t.deadline-t.arrivedAt)/4)
-	return c.now+typical/2 < t.deadline
-}
-
 // mayRetry reports whether a request that was sent before may go to another backend. It only checks whether the retry budget has a token. submit
 // withdraws the token.
 func (c *Controller) mayRetry(t *txn) bool {
@@ -171,21 +159,21 @@
 	s := t.service
 	c.advanceBudget(s)
 	if t.attempts > 0 && t.attempts >= t.route.MaxAttempts { // LowerMaxAttempts was called while the request was queued
-		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(s))
+		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 		return
 	}
 	allowed := !t.ended && !t.inFlight && t.mayRunAgain() && t.attempts < t.route.MaxAttempts &&
 		!slices.Contains(t.attempted, backend) && t.mayUseVersion()
 	invariant.Assert(allowed, "a request is submitted only to a backend to which it may be sent")
 	if !allowed || !c.canMeetDeadline(t) {
-		c.answerRequest(t, control.ReasonNoTime, c.retryAfterTime(s))
+		c.answerRequest(t, control.ReasonNoTime, c.retryAfterTime(t))
 		return
 	}
 	switch {
 	case t.submissions == 0:
 		s.budget.depositTokens(depositShare * c.config.RetryRatio)
 	case t.attempts > 0 && !s.budget.withdrawToken():
-		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(s))
+		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 		return
 	}
 	c.consumeUnits(t)
@@ -194,7 +182,7 @@
 		c.counts.retried++
 	}
 	t.submissions++
-	t.inFlight, t.lastBackend, t.sentAt, t.cancelRequested = true, backend, c.now, false
+	t.inFlight, t.lastBackend, t.sentAt, t.cancelRequested, t.answerBy = true, backend, c.now, false, 0
 	t.attempted = append(t.attempted, backend)
 	timeLeft := t.deadline - c.now
 	c.decisions = append(c.decisions, control.Decision{
--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -66,10 +66,10 @@
 	virtualTime [2]float64
 	subset      subset
 
-	latency        map[control.ProductID]float64 // typical latency by kind of request, in seconds
-	rejectionShare float64                       // smoothed share of requests that were rejected
-	failureShare   float64                       // smoothed share of requests that failed
-	lastResponseAt time.Duration                 // time of the last response of any backend
+	latency        map[control.ProductID]latencyEstimate // by kind of request
+	rejectionShare float64                               // smoothed share of requests that were rejected
+	failureShare   float64                               // smoothed share of requests that failed
+	lastResponseAt time.Duration                         // time of the last response of any backend
 
 	inFlight    int           // requests of this node in flight at all backends
 	capacity    float64       // number of requests that this node may have in flight at all backends of the service
@@ -86,7 +86,7 @@
 	return &Balancer{
 		rng: rng, zone: zone, nodes: max(nodes, 1), saturatedAt: -time.Minute,
 		known:     map[control.BackendID]*backendState{},
-		latency:   map[control.ProductID]float64{},
+		latency:   map[control.ProductID]latencyEstimate{},
 		valueLoss: [2]float64{initialValueLoss, initialValueLoss},
 	}
 }
@@ -191,12 +191,6 @@
 // Capacity returns the number of requests that this node may have in flight at the service now.
 func (b *Balancer) Capacity() float64 { return b.capacity }
 
-// TypicalLatency returns the typical latency of a kind of request. It returns false while no such request has been answered.
-func (b *Balancer) TypicalLatency(kind control.ProductID) (time.Duration, bool) {
-	seconds, ok := b.latency[kind]
-	return time.Duration(seconds * float64(time.Second)), ok
-}
-
 // RecordResume records that a pause of this process ended now. Responses that are missing because of the pause do not count against the backends.
 func (b *Balancer) RecordResume(now time.Duration) {
 	for _, backend := range b.ordered {
--- a/internal/gateway/balancer/outcome.go
+++ b/internal/gateway/balancer/outcome.go
@@ -21,9 +21,8 @@
 	if backend.unanswered == 0 {
 		backend.unansweredSince, backend.expectedLatency = now, 0
 	}
-	if typical, ok := b.TypicalLatency(r.Kind); ok {
-		backend.expectedLatency = max(backend.expectedLatency, typical)
-	}
+	typical, _ := b.TypicalLatency(now, r.Kind)
+	backend.expectedLatency = max(backend.expectedLatency, typical)
 	if backend.unanswered == 1 {
 		backend.secondUnansweredAt = now
 	}
@@ -121,13 +120,7 @@
 	if o.ProcessPaused {
 		return
 	}
-	took := max(o.Took.Seconds(), minLatencySeconds)
-	typical, ok := b.latency[o.Kind]
-	if !ok {
-		typical = took
-	}
-	took = min(took, maxLatencyFactor*typical)
-	b.latency[o.Kind] = typical + latencySmoothing*(took-typical)
+	took, typical := b.recordLatency(now, o.Kind, o.Took)
 	backend.responses++
 	backend.slowdown += max(slowdownSmoothing, 1/float64(backend.responses+initialResponses)) * (took/typical - backend.slowdown)
 	late := o.LatencyTarget > 0 && float64(o.Took) > lateTargetShare*float64(o.LatencyTarget)
--- a/internal/gateway/balancer/silence.go
+++ b/internal/gateway/balancer/silence.go
@@ -9,17 +9,19 @@
 // isUnresponsive reports whether a backend has left requests unanswered for much longer than such requests usually take. If no request was sent to
 // the backend for trialInterval, isUnresponsive returns false for an idempotent request, so that this request probes the backend.
 func (b *Balancer) isUnresponsive(now time.Duration, backend *backendState, r Request) bool {
-	if backend.unanswered == 0 {
+	return backend.isSilent(now) && (r.Effectful || now-backend.sentAt < trialInterval)
+}
+
+// isSilent reports whether the backend has left requests unanswered for much longer than such requests usually take.
+func (b *backendState) isSilent(now time.Duration) bool {
+	if b.unanswered == 0 {
 		return false
 	}
 	factor := unresponsiveFactor
-	if backend.unanswered == 1 {
+	if b.unanswered == 1 {
 		factor = singleUnresponsiveFactor
 	}
-	if now-backend.unansweredSince <= max(minUnresponsiveTime, backend.expectedResponseTime(factor)) {
-		return false
-	}
-	return r.Effectful || now-backend.sentAt < trialInterval
+	return now-b.unansweredSince > max(minUnresponsiveTime, b.expectedResponseTime(factor))
 }
 
 // unresponsiveTimeout returns the time after which a backend with several unanswered requests is unresponsive.
--- a/internal/gateway/balancer/tuning.go
+++ b/internal/gateway/balancer/tuning.go
@@ -14,6 +14,9 @@
 	latencySmoothing  = 0.03
 	failureSmoothing  = 0.2
 	serviceSmoothing  = 0.03
+	// latencyTTL is the time without a response after which a typical latency is no longer current. It then says little about the present load, and
+	// the next response replaces it.
+	latencyTTL = 5 * time.Second
 	// A new backend starts with a slowdown of 1. In the smoothed slowdown, this initial value counts like initialResponses responses.
 	initialResponses = 4
 	// maxLatencyFactor is the largest response time that the statistics use, as a multiple of the typical latency.
