Admission: requests that were sent before no longer overtake earlier requests

What callers saw: a request that a backend had rejected or failed went ahead of every request of the same priority that had waited for longer. Fix: the queue is ordered by the tenant's priority, the route's priority and the arrival. Test: TestQueueOrderDependsOnPriorityAndArrivalOnly failed on the code before: the later request that was sent before came first.

--- a/internal/gateway/admission/queue.go
+++ b/internal/gateway/admission/queue.go
@@ -26,14 +26,12 @@
 	c.setGiveUpTime(t, max(c.latestStart(t), c.now+minWakeDelay))
 }
 
-// compareQueued compares two requests by their order in a queue: by priority, then retries before requests that were never sent, then by arrival. It returns -1 if both are equal, so that enqueue
+// compareQueued compares two requests by their order in a queue: by priority, then by arrival. It returns -1 if both are equal, so that enqueue
 // inserts a new request after equal requests.
 func compareQueued(a, b *txn) int {
 	switch {
 	case a.rank != b.rank:
 		return slices.Compare(a.rank[:], b.rank[:])
-	case (a.submissions > 0) != (b.submissions > 0):
-		return b.submissions - a.submissions
 	case a.arrivedAt != b.arrivedAt:
 		return int(min(max(a.arrivedAt-b.arrivedAt, -1), 1))
 	}
--- a/internal/gateway/admission/wait_test.go
+++ b/internal/gateway/admission/wait_test.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// Guards against a queue in which a request that was sent before overtakes an earlier request of the same priority.
+func TestQueueOrderDependsOnPriorityAndArrivalOnly(t *testing.T) {
+	earlier := &txn{arrivedAt: time.Second}
+	later := &txn{arrivedAt: 2 * time.Second, submissions: 1, attempted: []control.BackendID{1}}
+	urgent := &txn{arrivedAt: 3 * time.Second, rank: [2]int{0, -1}}
+	must.Eq(t, -1, compareQueued(earlier, later))
+	must.Eq(t, 1, compareQueued(later, earlier))
+	must.Eq(t, -1, compareQueued(urgent, earlier))
+}
+
 // Guards against a long queue in which every request waits in vain, or is answered after its target. Who finds so much work ahead that an answer by the
 // target cannot be expected is rejected on arrival, and the Retry-After time grows with the queue. More work for each request makes the queue shorter.
 func TestRequestBehindTooMuchWorkIsRejectedOnArrival(t *testing.T) {
