Front door: waits, time-outs and order follow the client's time and the work left

What callers saw: a txn waited for a backend for 0.35 of its SLA time, whatever time its client had; a submission timed out 4 ms before the end of the SLA time although its client waited until the expiry; a client's retry was rejected when a first attempt might have used its place or its units; and under pressure the txn with the highest value per second of work went first.

Fix: a txn waits until the end of its SLA time less the work that is left or, when that is out of reach, until its expiry less the work. Who is behind more work than that is rejected at once with the expected wait as advice. Waiting txns are ordered by arrival. A submission times out at the expiry, or earlier if a retry can still bring a response within the SLA time. A response is late after the SLA time. A retry is a request of its own. The settings keep all their names; value, late_value and price are read and checked, and no decision depends on them. What a plan says of use beyond the quota stays.

Tests: wait_test.go failed before (175 ms in place of 310 to 360 ms; the txn with the higher value first).

Tried and dropped: late after 2 to 10 usual response times, or after the SLA time with the wait included: the capacity collapses at full load.

--- a/control/loadbalancer/capacity.go
+++ b/control/loadbalancer/capacity.go
@@ -1,8 +1,6 @@
 package loadbalancer
 
 import (
-	"time"
-
 	"clovergap/control"
 	"clovergap/control/quota"
 )
@@ -13,9 +11,7 @@
 	if t.currentBackend == nil || ending != control.Succeeded && ending != control.TimedOut {
 		return quota.CongestionUnknown
 	}
-	sla := float64(c.products[t.Product].slaTime)
-	late := time.Duration(min(lateSLAShare*sla+float64(c.usualLatency(t)), maxLateSLAShare*sla))
-	if ending == control.Succeeded && c.now-t.sentAt < late {
+	if ending == control.Succeeded && c.now-t.sentAt <= c.products[t.Product].slaTime {
 		return quota.NotCongested
 	}
 	// A fault of one backend is no congestion of the fleet. If a submission timed out at a backend that has not responded since the
--- a/control/loadbalancer/controller.go
+++ b/control/loadbalancer/controller.go
@@ -1,8 +1,9 @@
 package loadbalancer
 
 import (
+	"cmp"
 	"math/rand"
-	"sort"
+	"slices"
 	"time"
 
 	"clovergap/control"
@@ -47,6 +48,7 @@
 	timers         timerqueue.Queue[control.TxnID] // expiries of txns and ends of their waiting times
 	undecided      []*txn                          // txns to decide next
 	waiting        []*txn                          // txns that wait for units, a snapshot, a slot or a backend
+	waitingWork    time.Duration                   // sum of the expected work of the txns that wait for a backend
 	recheckWaiting bool                            // the waiting txns must be decided again
 	decisions      []control.Decision              // decisions that Next has not returned yet
 	retryBudget    float64                         // number of retries that are allowed now
@@ -200,8 +202,7 @@
 	}
 }
 
-// requeueWaiting moves the waiting txns to the front of the undecided txns. Under pressure, it sorts all undecided txns by their
-// value rate, highest first. Txns with the same value rate keep their order, so the older txn is decided first.
+// requeueWaiting moves the waiting txns to the undecided txns, in the order of their arrival.
 func (c *Controller) requeueWaiting() {
 	if len(c.waiting) == 0 {
 		return
@@ -209,10 +210,8 @@
 	for _, t := range c.waiting {
 		t.queued = false
 	}
-	c.undecided, c.waiting = append(c.waiting, c.undecided...), nil
-	if c.isUnderPressure() {
-		sort.SliceStable(c.undecided, func(i, j int) bool { return c.valueRate(c.undecided[i]) > c.valueRate(c.undecided[j]) })
-	}
+	c.undecided, c.waiting, c.waitingWork = append(c.waiting, c.undecided...), nil, 0
+	slices.SortStableFunc(c.undecided, func(a, b *txn) int { return cmp.Compare(a.arrived, b.arrived) })
 }
 
 // sweepInterval returns the time from one sweep to the next.
--- a/control/loadbalancer/doc.go
+++ b/control/loadbalancer/doc.go
@@ -18,11 +18,10 @@
 //   - Fleet: all backends together.
 //   - Submission: one transmission of a txn to a backend. A retry is another submission.
 //   - Product: the kind of a txn. It determines the SLA time and the effect.
-//   - SLA time: the time from the arrival of a txn within which a response has its full value.
+//   - SLA time: the time from the arrival of a txn within which the operator wants a response.
 //   - Expiry: the time by which the client must have an answer. The end of the SLA time is never after the expiry.
 //   - Effect: the consequence of running a txn twice. An inquiry-like txn may run any number of times. Backends drop a repeat of a
 //     referenced txn within a time window and within a zone, a pod or the fleet. A once-only txn takes effect each time that it runs.
-//   - Late retry: a client's retry of a txn whose SLA time is over or may be over.
 //   - Kind of work: the txns of one product with the same number of units. The usual response time is learned for each kind of work.
 //   - Slowdown: the smoothed ratio of a backend's response times to the usual response times. A usual backend has a slowdown of 1. The
 //     slowdown is compared with the median of all backends.
--- a/control/loadbalancer/settings.go
+++ b/control/loadbalancer/settings.go
@@ -33,19 +33,16 @@
 	effect        effect
 	repeatScope   scope         // for referenced products: backends that drop repeats
 	repeatWindow  time.Duration // for referenced products: time after the first submission that may have run; backends drop repeats in it
-	slaTime       time.Duration // time within which a response has its full value
-	value         float64       // value of a response within the SLA time, per unit
-	lateValue     float64       // value of a response after the SLA time
-	clientTimeout time.Duration // time-out of a client over all its attempts
-	// attemptTimeout is a client's time-out for one attempt. The value is learned from first attempts. It is 0 while the time-out is
-	// unknown.
-	attemptTimeout time.Duration
+	slaTime       time.Duration // time within which the operator wants a response
+	value         float64       // value of a response within the SLA time, per unit; no decision depends on it
+	lateValue     float64       // value of a response after the SLA time; no decision depends on it
+	clientTimeout time.Duration // time-out of a client over all its attempts; each request has its own expiry
 }
 
 // plan holds the limits, the price and the charges of a customer.
 type plan struct {
 	quota.Limit
-	price          float64 // price of the plan
+	price          float64 // price of the plan; no decision depends on it
 	overQuotaValue float64 // value of a response beyond the quota
 	overQuotaCost  float64 // charge to the customer for a response beyond the quota
 }
--- a/control/loadbalancer/tuning.go
+++ b/control/loadbalancer/tuning.go
@@ -35,18 +35,11 @@
 const (
 	// expiryMargin is the time before the expiry of a txn at which the front door rejects or fails a txn without an answer.
 	expiryMargin = 2 * time.Millisecond
-	// slaMargin is the time before the end of the SLA time at which a submission times out. A later response has too little value for
-	// the work that it takes.
-	slaMargin = 4 * time.Millisecond
 	// networkMargin is the allowance for the network delay to a backend.
 	networkMargin = 40 * time.Millisecond
 	// responseTimeout is the longest time from the first byte of a response to its last.
 	responseTimeout = 100 * time.Millisecond
-	// backendQueueTimeShare is the maximum share of the SLA time for which a txn waits for a backend.
-	backendQueueTimeShare = 0.35
-	// A first submission times out after firstAttemptShare of the remaining time, so that there is time for a retry. The time-out
-	// is shortened only if the shortened time-out is more than firstAttemptFactor times the usual response time.
-	firstAttemptShare  = 0.9
+	// A submission that may be retried times out early only after more than firstAttemptFactor times the usual response time.
 	firstAttemptFactor = 4
 	// Each txn adds retryBudgetPerTxn retries to the retry budget, which holds at most maxRetryBudget.
 	retryBudgetPerTxn = 0.2
@@ -142,10 +135,6 @@
 	initialCapacityGain = 0.01
 	// minUtilization is the share of the capacity that must be in use for a late response to lower it.
 	minUtilization = 0.6
-	// A response is late after lateSLAShare of the SLA time plus the usual response time, but at the latest after maxLateSLAShare of the
-	// SLA time.
-	lateSLAShare    = 0.4
-	maxLateSLAShare = 0.9
 	// If the slowdown of a backend is above slowOutlierRatio times the median, its late responses are attributed to the backend and
 	// not to congestion of the fleet.
 	slowOutlierRatio = 1.7
--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -12,7 +12,7 @@
 	control.Txn
 	arrived     time.Duration // time at which the txn arrived
 	slaDeadline time.Duration // end of the SLA time
-	lateRetry   bool          // the txn is a client's retry whose SLA time is over or may be over
+	answerBy    time.Duration // time until which an answer is wanted, see setAnswerBy
 	ended       bool          // the txn is answered, or its client has left
 
 	// Waiting.
@@ -49,45 +49,25 @@
 	request.Units = max(request.Units, 0)
 	t := &txn{Txn: request, arrived: c.now}
 	if request.Product < 0 || int(request.Product) >= len(c.products) || request.Plan < 0 || int(request.Plan) >= len(c.plans) {
-		t.Product, t.Plan, t.slaDeadline = 0, 0, c.now // an unknown product or plan is rejected with ReasonNoTime
+		t.Product, t.Plan, t.Expiry, t.slaDeadline = 0, 0, c.now, c.now // an unknown product or plan is rejected with ReasonNoTime
 	} else {
-		c.setDeadlines(t)
+		t.slaDeadline = min(c.now+c.products[t.Product].slaTime, t.Expiry)
+		c.setAnswerBy(t)
 	}
 	c.txns[request.ID] = t
 	c.timers.Add(request.Expiry-expiryMargin, request.ID) // rule 1: every txn is answered by its expiry
 	c.undecided = append(c.undecided, t)
 }
 
-// setDeadlines sets the end of a txn's SLA time and determines whether the txn is a late retry. A client counts the SLA time and its own
-// time-out from its first attempt. So the expiry of a retry is the end of the client's time-out and shows how long ago the first attempt
-// was. A client may also have a shorter time-out for each attempt. This shorter time-out is learned from the expiries of first attempts.
-// A retry with SLA time left is treated as a first attempt with a shorter SLA time. A retry is a late retry in two cases. In the first
-// case, its remaining SLA time is unknown. In the second case, its SLA time is over, but a late response still has some value. A late
-// retry leaves low quota buckets and scarce capacity to other txns.
-func (c *Controller) setDeadlines(t *txn) {
-	p := &c.products[t.Product]
-	remaining := t.Expiry - c.now
-	t.slaDeadline = min(c.now+p.slaTime, t.Expiry)
-	if !t.Retry {
-		p.attemptTimeout = min(max(p.attemptTimeout, remaining), p.clientTimeout)
-		return
-	}
-	elapsed := p.clientTimeout - remaining
-	unknown := p.attemptTimeout <= 0 || remaining >= p.attemptTimeout-networkMargin && elapsed > networkMargin
-	t.lateRetry = unknown || elapsed >= p.slaTime && p.lateValue > 0
-	if !t.lateRetry && elapsed > 0 {
-		t.slaDeadline = min(t.slaDeadline, c.now+p.slaTime-elapsed)
-	}
-}
-
 // backdateArrivals moves the SLA deadlines of the txns that arrived during a stall of this process. It assumes that the arrivals were
-// spread evenly over the stall. Txns whose SLA time is over by now are then rejected at once and consume no units.
+// spread evenly over the stall.
 func (c *Controller) backdateArrivals() {
 	n := len(c.undecided)
 	for i, t := range c.undecided {
 		if t.arrived == c.now && t.submissions == 0 {
 			waited := time.Duration(float64(c.stallEnd-c.stallStart) * (float64(n-i) - 0.5) / float64(n))
 			t.slaDeadline = min(t.slaDeadline, c.now-waited+c.products[t.Product].slaTime)
+			c.setAnswerBy(t)
 		}
 	}
 	c.stallStart = c.stallEnd
@@ -116,30 +96,30 @@
 	if !c.saturated || t.mayHaveRun {
 		b = c.pickBackend(t)
 	}
-	switch {
-	case t.lateRetry && t.submissions == 0 && (b == nil || c.isUnderPressure()):
-		c.rejectOrFail(t, c.maxRetryAfter) // the remaining capacity is reserved for first attempts
-	case b == nil:
+	if b == nil {
 		c.awaitBackend(t, account)
-	default:
-		c.submit(t, account, b)
+		return
 	}
+	c.submit(t, account, b)
 }
 
-// canSubmitInTime reports whether a response to a submission may still come within the SLA time. For a txn that was submitted before, the
-// result is false if the retry budget or the maximum number of submissions is used up. It is also false if the txn may have run and this
-// front door is under pressure.
+// canSubmitInTime reports whether a response to a submission may be expected by the expiry. A txn that has just arrived may always be
+// submitted, because otherwise no response would correct a usual response time that is longer than all clients wait. For a txn that was
+// submitted before, the result is false if the retry budget or the maximum number of submissions is used up.
 func (c *Controller) canSubmitInTime(t *txn) bool {
-	if t.submissions > 0 && (t.submissions >= c.maxSubmissions || c.retryBudget < 1 || c.isUnderPressure() && t.mayHaveRun) {
+	if t.submissions > 0 && (t.submissions >= c.maxSubmissions || c.retryBudget < 1) {
 		return false
 	}
-	return c.now+min(c.usualLatency(t), c.products[t.Product].slaTime/4)/2 < t.slaDeadline
+	if t.submissions == 0 && c.now == t.arrived {
+		return c.now < t.Expiry-expiryMargin
+	}
+	return c.now+c.expectedWork(t) <= t.Expiry-expiryMargin
 }
 
 // checkQuota reports whether the quota covers a txn or the txn may exceed the quota. If the result is false, checkQuota has queued or
 // answered the txn.
 func (c *Controller) checkQuota(t *txn, account *quota.Account) bool {
-	request := quota.Request{Units: t.Units, Arrived: t.arrived, SLA: c.products[t.Product].slaTime, LateRetry: t.lateRetry}
+	request := quota.Request{Units: t.Units, Arrived: t.arrived, SLA: c.products[t.Product].slaTime}
 	outcome, at, reason := c.quota.CheckAccount(account, request)
 	t.reason = reason
 	switch outcome {
@@ -157,28 +137,29 @@
 }
 
 // awaitBackend adds a txn to the waiting txns until a backend has capacity. It reserves the units of the txn, because the quota
-// snapshot that covers the txn may become too old while the txn waits.
+// snapshot that covers the txn may become too old while the txn waits. A txn that is behind more work than the time allows is rejected or
+// failed at once.
 func (c *Controller) awaitBackend(t *txn, account *quota.Account) {
 	c.saturatedAt = c.now
+	wait := c.expectedWait(t)
+	if c.now+wait+c.expectedWork(t) > t.answerBy {
+		c.rejectOrFail(t, wait)
+		return
+	}
 	if t.needsQuotaCheck() {
 		t.reserved = true
 		c.quota.ReserveAccount(account, t.Units)
 	}
-	c.queueUntil(t, t.arrived+time.Duration(backendQueueTimeShare*float64(c.products[t.Product].slaTime)))
-}
-
-// valueRate returns the value of a txn per second of its usual response time. The value is independent of the plan, so that the price
-// of a plan gives a txn no priority.
-func (c *Controller) valueRate(t *txn) float64 {
-	return c.products[t.Product].value * max(t.Units, 1) / max(c.usualLatency(t).Seconds(), 0.001)
+	c.waitingWork += c.expectedWork(t)
+	c.queueUntil(t, t.answerBy-c.expectedWork(t))
 }
 
 // mayExceedQuota reports whether a txn that exceeds its quota is admitted. Responses beyond the quota must have a value and no
-// charge in the plan. The plan must have no hard limit and no limit on submissions in flight. The txn must not be a late retry. In
-// addition, the backends must have spare capacity, and no txn may have lacked capacity within overQuotaCooldown.
+// charge in the plan. The plan must have no hard limit and no limit on submissions in flight. In addition, the
+// backends must have spare capacity, and no txn may have lacked capacity within overQuotaCooldown.
 func (c *Controller) mayExceedQuota(account *quota.Account, t *txn) bool {
 	p := &c.plans[account.PlanID()]
-	return p.overQuotaValue > 0 && p.overQuotaCost <= 0 && p.MaxInFlight == 0 && p.HardRate <= 0 && !t.lateRetry &&
+	return p.overQuotaValue > 0 && p.overQuotaCost <= 0 && p.MaxInFlight == 0 && p.HardRate <= 0 &&
 		c.utilization < maxOverQuotaUtilization && c.now-c.saturatedAt > overQuotaCooldown
 }
 
@@ -301,20 +282,21 @@
 	b.inFlight++
 }
 
-// submissionTimeout returns the time after which a submission times out. The time-out is slaMargin before the end of the SLA time. For
-// a first submission, the time-out is earlier if there is time for a retry. For a once-only txn, the result is 0, so that the
-// submission times out at the expiry of the txn. A once-only txn is not retried after a time-out, so a late response is better than
-// none.
+// submissionTimeout returns the time after which a submission times out. A once-only txn is not retried after a time-out, so the result is
+// 0 and the submission times out at the expiry of the txn. Any other submission times out in time for a response of another backend within
+// the SLA time, if it may be retried and has had several times the usual response time by then. Otherwise the client gets the response if it
+// comes by the expiry.
 func (c *Controller) submissionTimeout(t *txn) time.Duration {
 	if c.products[t.Product].effect == onceOnly {
 		return 0
 	}
-	timeout := t.slaDeadline - c.now - slaMargin
-	first := time.Duration(firstAttemptShare * float64(timeout))
-	if t.submissions == 1 && !c.isUnderPressure() && firstAttemptFactor*c.usualLatency(t) < first {
-		return first
+	retryAt := t.slaDeadline - c.now - c.expectedWork(t)
+	mayRetry := t.submissions < c.maxSubmissions && c.retryBudget >= 1 && !c.isUnderPressure()
+	end := t.Expiry - expiryMargin - c.now
+	if mayRetry && retryAt > firstAttemptFactor*c.expectedWork(t) {
+		return min(retryAt, end)
 	}
-	return timeout
+	return end
 }
 
 // SubmissionEnded records the outcome of a submission. The host calls it once for each submission. attempt counts from 0. answered is
@@ -342,6 +324,7 @@
 		c.endTxn(t)
 		return
 	}
+	c.setAnswerBy(t)
 	c.undecided = append(c.undecided, t)
 }
 
--- /dev/null
+++ b/control/loadbalancer/wait_test.go
@@ -0,0 +1,86 @@
+package loadbalancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"clovergap/control"
+)
+
+// waitOf returns how long a txn waits for a backend until it is rejected, while all capacity is used. work is the usual response time, timeLeft the
+// time until the expiry of the txn. slaTime is the SLA time of its product.
+func waitOf(t *testing.T, slaTime, work, timeLeft time.Duration, retry bool) time.Duration {
+	t.Helper()
+	s := newWarmScenario()
+	s.controller.capacity, s.controller.products[0].slaTime = 0.4, slaTime
+	next := func() (submitted, rejected bool) {
+		for d, ok := s.controller.Next(); ok; d, ok = s.controller.Next() {
+			submitted = submitted || d.Action == control.Submit && d.Txn == 9
+			rejected = rejected || d.Action == control.Reject && d.Txn == 9
+		}
+		return submitted, rejected
+	}
+	for id := control.TxnID(1); id <= 2; id++ {
+		s.controller.TxnArrived(control.Txn{ID: id, Customer: customerOwnedBy(0), Units: 1, SetWidth: 1, Expiry: s.controller.now + time.Minute})
+	}
+	next()
+	arrival := control.Txn{ID: 9, Customer: customerOwnedBy(0), Units: 1, SetWidth: 1, Retry: retry, Expiry: s.controller.now + timeLeft}
+	s.controller.usualLatencies[s.controller.workKind(&txn{Txn: arrival})] = work.Seconds()
+	s.controller.TxnArrived(arrival)
+	for start := s.controller.now; ; s.controller.Now(s.controller.now + time.Millisecond) {
+		submitted, rejected := next()
+		must.False(t, submitted)
+		must.Less(t, time.Minute, s.controller.now-start)
+		if rejected {
+			return s.controller.now - start
+		}
+	}
+}
+
+// Guards against a wait that is a share of the SLA time, whatever time the client has and however long the work takes. The wait ends when the work
+// that is left, and at most as much again for the work ahead, no longer fits into the time. A client's retry waits like a first attempt.
+func TestWaitFollowsFromClientTimeAndWork(t *testing.T) {
+	for _, slaTime := range []time.Duration{500 * time.Millisecond, 800 * time.Millisecond} {
+		for _, work := range []time.Duration{40 * time.Millisecond, 120 * time.Millisecond} {
+			for _, timeLeft := range []time.Duration{400 * time.Millisecond, 2 * time.Second} {
+				end := min(slaTime, timeLeft)
+				wait := waitOf(t, slaTime, work, timeLeft, false)
+				must.Between(t, end-2*work-10*time.Millisecond, wait, end-work)
+				must.Eq(t, wait, waitOf(t, slaTime, work, timeLeft, true))
+			}
+		}
+	}
+	// An SLA time that is out of reach is no reason to reject a txn whose client waits for longer.
+	wait := waitOf(t, 100*time.Millisecond, 300*time.Millisecond, 2*time.Second, false)
+	must.Between(t, 1390*time.Millisecond, wait, 1700*time.Millisecond)
+}
+
+// Guards against an order of the waiting txns that depends on the value of their products.
+func TestValueDoesNotChangeOrder(t *testing.T) {
+	for _, value := range []float64{0.1, 1, 50} {
+		s := newWarmScenario()
+		s.controller.capacity, s.controller.products[2].value = 0.4, value
+		var submitted []control.TxnID
+		next := func() {
+			for d, ok := s.controller.Next(); ok; d, ok = s.controller.Next() {
+				if d.Action == control.Submit {
+					submitted = append(submitted, d.Txn)
+				}
+			}
+		}
+		for id, product := range []control.ProductID{0, 0, 0, 2} {
+			s.controller.TxnArrived(control.Txn{ID: control.TxnID(id), Customer: control.CustomerID(id + 1), Product: product, Units: 1, SetWidth: 1,
+				Expiry: s.controller.now + 2*time.Second})
+			next()
+			s.controller.Now(s.controller.now + time.Millisecond)
+		}
+		must.Eq(t, []control.TxnID{0, 1}, submitted)
+		for _, id := range []control.TxnID{0, 1} {
+			s.controller.SubmissionEnded(id, 0, s.controller.txns[id].currentBackend.ID, control.Succeeded, true, 20*time.Millisecond, nil)
+			next()
+		}
+		must.Eq(t, []control.TxnID{0, 1, 2, 3}, submitted)
+	}
+}
