Quota: a request waits for units by its client's time, in the order of arrival

What callers saw: at the gateway a request of a tenant beyond its rate waited for units for 0.18 of its route's latency target and for the owner's answer for 0.24 of it, at the front door for 0.3 and 0.4 of the SLA time, whatever time was left. Requests that waited for units of one tenant all counted on the same next unit, so all but the first waited in vain. A client's retry at the front door needed half of the burst in the bucket.

Cause: unitTimeoutShare, snapshotTimeoutShare, quotaTargetShare and retryReserveShare, shares of a target; Request had no units ahead.

Fix: Request.WaitUntil is the time by which an answer is wanted less the work that is left. A request waits for the owner's answer until then, or for two answer time-outs. The gateway passes the units for which the tenant's earlier requests wait; a request whose units come too late after them is rejected at once, with the time until they would come. LateRetry is gone.

--- a/control/loadbalancer/controller_test.go
+++ b/control/loadbalancer/controller_test.go
@@ -329,19 +329,19 @@
 	// 10050 ms: datagram to gateway 1: delta seq=2 units=5
 	// # no acknowledgement arrives: each delta is sent again with its former sequence number
 	// 10150 ms: datagram to gateway 1: delta seq=1 units=1
-	// 10200 ms: reject txn 7, Decision.After=100 ms
-	// 10200 ms: reject txn 8, Decision.After=100 ms
 	// 10200 ms: datagram to gateway 1: delta seq=2 units=5
 	// # a snapshot of level 4 arrives with the acknowledgement of the first two deltas: txn 11 is submitted
-	// 10200 ms: submit txn 11 to backend 2, Decision.After=500 ms
+	// 10200 ms: submit txn 7 to backend 2, Decision.After=300 ms
+	// 10200 ms: submit txn 8 to backend 3, Decision.After=300 ms
+	// 10200 ms: submit txn 11 to backend 3, Decision.After=500 ms
 	// # an older snapshot that arrives late restores no units
 	// 10200 ms: submit txn 12 to backend 3, Decision.After=500 ms
-	// 10200 ms: submit txn 13 to backend 3, Decision.After=500 ms
-	// 10250 ms: datagram to gateway 1: delta seq=3 units=3
-	// 10400 ms: datagram to gateway 1: delta seq=3 units=3
+	// 10200 ms: reject txn 13, Decision.After=100 ms
+	// 10250 ms: datagram to gateway 1: delta seq=3 units=4
+	// 10400 ms: datagram to gateway 1: delta seq=3 units=4
 	// # the snapshot has expired: a txn is submitted against the burst share, and a delta requests a new snapshot
-	// 10650 ms: datagram to gateway 1: delta seq=3 units=3
-	// 11150 ms: datagram to gateway 1: delta seq=3 units=3
+	// 10650 ms: datagram to gateway 1: delta seq=3 units=4
+	// 11150 ms: datagram to gateway 1: delta seq=3 units=4
 	// 11900 ms: submit txn 14 to backend 1, Decision.After=500 ms
 	// 11900 ms: datagram to gateway 1: delta seq=4 units=1
 }
--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -119,7 +119,7 @@
 // checkQuota reports whether the quota covers a txn or the txn may exceed the quota. If the result is false, checkQuota has queued or
 // answered the txn.
 func (c *Controller) checkQuota(t *txn, account *quota.Account) bool {
-	request := quota.Request{Units: t.Units, Arrived: t.arrived, SLA: c.products[t.Product].slaTime}
+	request := quota.Request{Units: t.Units, Arrived: t.arrived, WaitUntil: t.answerBy - c.expectedWork(t)}
 	outcome, at, reason := c.quota.CheckAccount(account, request)
 	t.reason = reason
 	switch outcome {
--- a/control/quota/check.go
+++ b/control/quota/check.go
@@ -26,12 +26,11 @@
 	Units float64 // units that the request consumes if it is allowed
 	// Arrived is the clock time at which the request arrived. Every check of the request must pass the same value.
 	Arrived time.Duration
-	// SLA is the time from the arrival within which an answer has its full value. The request waits for units or for
-	// the owner's answer during a fraction of this time (unitTimeoutShare, snapshotTimeoutShare).
-	SLA time.Duration
-	// LateRetry is true for a client's retry of a request whose SLA time is over or may be over. Such a retry is allowed only if the
-	// bucket keeps retryReserveShare of the burst for first attempts.
-	LateRetry bool
+	// WaitUntil is the latest clock time at which the caller can still make use of the units: the time by which an answer is wanted, less the
+	// work that is left. The request waits for units or for the owner's answer no longer than that.
+	WaitUntil time.Duration
+	// UnitsAhead is the number of units for which other requests of the customer wait at this gateway. They come before this request.
+	UnitsAhead float64
 }
 
 // Check reports whether a customer's quota covers a request. It returns an Outcome and a duration whose meaning depends on the Outcome. A
@@ -57,21 +56,20 @@
 
 // checkWithReason does the work of Check for an account. For a request that is not allowed, checkWithReason also returns the reason.
 func (l *Limiter) checkWithReason(a *Account, r Request) (Outcome, time.Duration, control.Reason) {
-	latest := r.Arrived + time.Duration(unitTimeoutShare*float64(r.SLA))
 	if allowed, at := l.checkHardLimit(a, r); !allowed {
-		if at < latest {
-			return Pending, latest, control.ReasonHardLimit
+		if at < r.WaitUntil {
+			return Pending, r.WaitUntil, control.ReasonHardLimit
 		}
 		return Exceeded, at - l.now, control.ReasonHardLimit
 	}
 	if a.limit.MaxInFlight > 0 && a.inFlight+a.reservations+l.inFlightElsewhere(a) >= a.limit.MaxInFlight {
-		return l.checkWithoutFreeSlot(a, latest)
+		return l.checkWithoutFreeSlot(a, r.WaitUntil)
 	}
 	if a.limit.Rate <= 0 {
 		return Allowed, 0, control.ReasonNoUnits
 	}
 	if a.owner == l.self {
-		outcome, at := l.checkAgainstBucket(a, r, latest)
+		outcome, at := l.checkAgainstBucket(a, r)
 		return outcome, at, control.ReasonNoUnits
 	}
 	outcome, at := l.checkAgainstSnapshot(a, r)
@@ -92,29 +90,21 @@
 	return Exceeded, 0, control.ReasonNoSlot
 }
 
-// checkAgainstBucket decides on a request of a customer whose bucket this gateway owns. The request may wait until waitUntil.
-func (l *Limiter) checkAgainstBucket(a *Account, r Request, waitUntil time.Duration) (Outcome, time.Duration) {
+// checkAgainstBucket decides on a request of a customer whose bucket this gateway owns. A request for which the refill comes too late, after the
+// requests ahead of it, is rejected at once.
+func (l *Limiter) checkAgainstBucket(a *Account, r Request) (Outcome, time.Duration) {
 	l.refillBucket(a)
-	left := a.level - l.outstandingGrants(a)
-	if left-a.reserved >= l.requiredLevel(a, r) {
+	left := a.level - l.outstandingGrants(a) - a.reserved - r.UnitsAhead
+	if left >= r.Units {
 		return Allowed, 0
 	}
-	after := time.Duration((l.requiredLevel(a, r) - left) / a.limit.Rate * float64(time.Second))
-	if l.now+after < waitUntil && !r.LateRetry {
-		return Pending, waitUntil
+	after := time.Duration((r.Units - left) / a.limit.Rate * float64(time.Second))
+	if l.now+after < r.WaitUntil {
+		return Pending, r.WaitUntil
 	}
 	return Exceeded, after
 }
 
-// requiredLevel returns the level of the bucket that a request needs. A late retry needs a higher level than a first attempt, because
-// it must leave retryReserveShare of the burst for first attempts. The response to a late retry usually comes too late.
-func (l *Limiter) requiredLevel(a *Account, r Request) float64 {
-	if r.LateRetry {
-		return r.Units + retryReserveShare*a.limit.Burst
-	}
-	return r.Units
-}
-
 // remoteView holds the values with which this gateway checks one request of a customer whose bucket another gateway owns.
 type remoteView struct {
 	age             time.Duration // time since the arrival of the owner's last snapshot
@@ -154,7 +144,7 @@
 		return Allowed, 0
 	}
 	v := l.remoteViewFor(a, r)
-	if v.fresh && v.allowanceCovers && a.level-v.notInSnapshot >= l.requiredLevel(a, r) && v.notInSnapshot+r.Units <= v.burstShare {
+	if v.fresh && v.allowanceCovers && a.level-v.notInSnapshot >= r.Units && v.notInSnapshot+r.Units <= v.burstShare {
 		return Allowed, 0
 	}
 	if !v.fresh {
@@ -169,7 +159,7 @@
 		a.unitsWanted = max(a.unitsWanted, r.Units)
 		return Pending, v.deadline
 	}
-	return Exceeded, time.Duration((l.requiredLevel(a, r) - max(0, a.level-v.notInSnapshot)) / a.limit.Rate * float64(time.Second))
+	return Exceeded, time.Duration((r.Units - max(0, a.level-v.notInSnapshot)) / a.limit.Rate * float64(time.Second))
 }
 
 // checkWithStaleSnapshot handles a request for which this gateway has no fresh snapshot. It requests a new snapshot from the owner. If
@@ -203,10 +193,10 @@
 // snapshot yet, only the condition for a scarce snapshot applies.
 func (l *Limiter) staleSnapshotCovers(a *Account, r Request, v remoteView) bool {
 	left := a.level + a.limit.Rate*v.age.Seconds()/float64(max(a.reporterCount, 1)) - v.notInSnapshot
-	if a.hasSnapshot && left < l.requiredLevel(a, r) {
+	if a.hasSnapshot && left < r.Units {
 		return false
 	}
-	unanswered := l.now >= v.deadline && a.snapshotRequestedAt > 0 && a.snapshotRequestedAt < v.deadline && !r.LateRetry
+	unanswered := l.now >= v.deadline && a.snapshotRequestedAt > 0 && a.snapshotRequestedAt < v.deadline
 	return !v.scarce || unanswered
 }
 
@@ -229,7 +219,7 @@
 
 // answerDeadline returns the clock time until which a request waits for the owner's answer.
 func (l *Limiter) answerDeadline(a *Account, r Request) time.Duration {
-	return r.Arrived + min(ownerAttempts*l.answerTimeout(a), time.Duration(snapshotTimeoutShare*float64(r.SLA)))
+	return min(r.Arrived+ownerAttempts*l.answerTimeout(a), r.WaitUntil)
 }
 
 // ownerUnresponsive reports whether the owner has sent nothing for more than ownerAttempts answer time-outs (answerTimeout) while a
--- a/control/quota/doc.go
+++ b/control/quota/doc.go
@@ -38,8 +38,6 @@
 //   - hard limit: a second rate and burst, which are split over the gateways. The sum of the shares never exceeds the rate and the burst,
 //     whatever messages are lost and whichever gateways restart. The owner's share includes a pool, from which it grants units to others.
 //   - epoch: the number of one run of a gateway's process. Acknowledgements and grants for another epoch are void.
-//   - SLA time: the time within which an answer to a request has its full value.
-//   - late retry: a client's retry of a request whose SLA time is over or may be over.
 //
 // # Guarantees
 //
--- a/control/quota/tuning.go
+++ b/control/quota/tuning.go
@@ -28,12 +28,6 @@
 	// ownerAttempts is the number of answer time-outs (snapshotTimeout plus both intervals) after which an owner counts as
 	// unresponsive. One time-out is not enough, because a report or its answer may get lost.
 	ownerAttempts = 2
-	// snapshotTimeoutShare is the maximum share of a request's SLA time for which the request waits for an owner's answer.
-	snapshotTimeoutShare = 0.4
-	// unitTimeoutShare is the maximum share of a request's SLA time for which the request waits for units or for a free slot.
-	unitTimeoutShare = 0.3
-	// retryReserveShare is the share of the burst that a late retry must leave in the bucket.
-	retryReserveShare = 0.5
 	// lowLevelFactor times the level of a snapshot, divided by the number of recent reporters, is the burst share if the level is low.
 	lowLevelFactor = 2.0
 
--- a/internal/gateway/admission/controller.go
+++ b/internal/gateway/admission/controller.go
@@ -63,10 +63,11 @@
 
 	txns          map[control.TxnID]*txn
 	timers        timerqueue.Queue[timer]
-	undecided     []*txn             // requests to pass to decideNextStep, in order
-	awaitingUnits []*txn             // requests that wait for units of their tenant's quota
-	recheckUnits  bool               // the requests in awaitingUnits are to be decided again
-	decisions     []control.Decision // made, but not yet returned by Next
+	undecided     []*txn                         // requests to pass to decideNextStep, in order
+	awaitingUnits []*txn                         // requests that wait for units of their tenant's quota
+	unitsAwaited  map[control.CustomerID]float64 // units for which these requests wait, by tenant
+	recheckUnits  bool                           // the requests in awaitingUnits are to be decided again
+	decisions     []control.Decision             // made, but not yet returned by Next
 
 	counts   counts // events since the last summary
 	loggedAt time.Duration
@@ -84,6 +85,8 @@
 		routes:    map[control.ProductID]*Route{},
 		serviceOf: map[control.BackendID]*service{},
 		txns:      map[control.TxnID]*txn{},
+
+		unitsAwaited: map[control.CustomerID]float64{},
 	}
 }
 
@@ -173,15 +176,6 @@
 	}
 }
 
-// requeueAwaitingUnits moves the requests that wait for units to the front of the undecided requests.
-func (c *Controller) requeueAwaitingUnits() {
-	c.undecided = append(c.awaitingUnits, c.undecided...)
-	for _, t := range c.awaitingUnits {
-		t.awaitsUnits = false
-	}
-	c.awaitingUnits = nil
-}
-
 // periodicWorkInterval returns the time between two rounds of periodic work.
 func (c *Controller) periodicWorkInterval() time.Duration {
 	if len(c.awaitingUnits) > 0 || slices.ContainsFunc(c.services, func(s *service) bool { return len(s.queue) > 0 }) {
--- a/internal/gateway/admission/timer.go
+++ b/internal/gateway/admission/timer.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"clovergap/control"
@@ -70,8 +69,7 @@
 	case t.queued:
 		c.answerRequest(t, control.ReasonNoBackend, c.retryAfterTime(t))
 	case t.awaitsUnits:
-		c.awaitingUnits = slices.DeleteFunc(c.awaitingUnits, func(other *txn) bool { return other == t })
-		t.awaitsUnits = false
+		c.stopAwaitingUnits(t)
 		c.undecided = append(c.undecided, t)
 	}
 }
--- a/internal/gateway/admission/tuning.go
+++ b/internal/gateway/admission/tuning.go
@@ -25,9 +25,6 @@
 const (
 	// A request is answered no later than deadlineMargin before its expiry and before the end of Route.Deadline.
 	deadlineMargin = 5 * time.Millisecond
-	// quotaTargetShare is the share of the latency target that is passed to the quota as quota.Request.SLA. The quota lets a request wait for units
-	// for a part of that time.
-	quotaTargetShare = 0.6
 	// maxRunAfterClientLeft is the longest time that an idempotent request may stay at a backend after its client has left.
 	maxRunAfterClientLeft = 500 * time.Millisecond
 )
--- a/internal/gateway/admission/txn.go
+++ b/internal/gateway/admission/txn.go
@@ -126,20 +126,13 @@
 	if t.Customer == 0 || t.unitsConsumed || t.unitsReserved {
 		return true
 	}
-	request := quota.Request{Units: t.Units, Arrived: t.arrivedAt, LateRetry: t.Retry,
-		SLA: time.Duration(quotaTargetShare * float64(t.targetAt-t.arrivedAt))}
-	switch outcome, retryAt := c.limiter.Check(t.Customer, request); outcome {
+	request := quota.Request{Units: t.Units, Arrived: t.arrivedAt, WaitUntil: t.answerBy - c.typicalLatency(t), UnitsAhead: c.unitsAwaited[t.Customer]}
+	switch outcome, at := c.limiter.Check(t.Customer, request); outcome {
 	case quota.Exceeded:
-		c.answerRequest(t, control.ReasonNoUnits, retryAt)
+		c.answerRequest(t, control.ReasonNoUnits, at)
 		return false
 	case quota.Pending:
-		if retryAt = min(retryAt, t.targetAt); retryAt <= c.now {
-			c.answerRequest(t, control.ReasonNoUnits, waitingInterval)
-			return false
-		}
-		t.awaitsUnits = true
-		c.awaitingUnits = append(c.awaitingUnits, t)
-		c.setGiveUpTime(t, retryAt)
+		c.awaitUnits(t, at)
 		return false
 	}
 	return true
@@ -305,14 +298,12 @@
 func (c *Controller) removeRequest(t *txn) {
 	t.ended = true
 	c.releaseUnits(t)
-	same := func(other *txn) bool { return other == t }
 	if t.queued {
 		t.queued = false
-		t.service.queue = slices.DeleteFunc(t.service.queue, same)
+		t.service.queue = slices.DeleteFunc(t.service.queue, func(other *txn) bool { return other == t })
 	}
 	if t.awaitsUnits {
-		t.awaitsUnits = false
-		c.awaitingUnits = slices.DeleteFunc(c.awaitingUnits, same)
+		c.stopAwaitingUnits(t)
 	}
 	if t.inFlight || c.txns[t.ID] != t {
 		return
