Balancer: late means after the latency target, zones are compared by missed targets

What callers saw: a response after 0.9 of the target counted as late, so with responses after 390 of 400 ms a node sent 473 of 600 requests to another zone and lowered its capacity, although every client got its answer in time.

Fix: a response is late after the operator's target. A zone is compared by its share of misses, the requests that it rejects or does not answer within the target. Requests leave a zone if its share is higher than that of the other zones by 0.1, three standard errors of the smoothed share; while the others are unknown they are assumed to miss none. The last choice among failing backends has no preference by zone any more. Comments give the reasons of slow start, of unproven backends and of the size of a subset.

Test: TestRequestsStayInZoneThatMeetsTheTarget; before, 473 of 600 requests left the zone.

--- a/internal/gateway/admission/doc.go
+++ b/internal/gateway/admission/doc.go
@@ -18,7 +18,7 @@
 //   - unit: the unit in which quotas are measured. Each request consumes a number of units of its tenant's quota. Package quota calls the tenant
 //     a customer.
 //   - effectful request: a request that may run only once. Other requests are idempotent.
-//   - latency target, or target: the time within which an answer has its full value. The type Target has another meaning: a service of a route.
+//   - latency target, or target: the time within which the operator wants an answer. The type Target has another meaning: a service of a route.
 //   - deadline: the time by which a request is answered.
 //   - typical latency: the smoothed response time of a service for one kind of request.
 //   - dead backend: a backend that has left requests unanswered for so long that a submission there is canceled in favour of another backend.
--- a/internal/gateway/admission/route.go
+++ b/internal/gateway/admission/route.go
@@ -18,7 +18,7 @@
 type Route struct {
 	// Effectful means that a request may run only once. If Effectful is false, the requests are idempotent and may run several times.
 	Effectful bool
-	// LatencyTarget is the time from a request's arrival within which an answer has its full value. 0 means until the deadline.
+	// LatencyTarget is the time from a request's arrival within which the operator wants an answer. 0 means until the deadline.
 	LatencyTarget time.Duration
 	// Deadline is the time from a request's arrival within which the request is answered. 0 means that only the request's Expiry counts.
 	Deadline time.Duration
--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -75,7 +75,7 @@
 	capacity    float64       // number of requests that this node may have in flight at all backends of the service
 	saturatedAt time.Duration // when a request last found no capacity, or was rejected by a backend
 
-	valueLoss            [2]float64    // mean value loss by ownZone and otherZones, see recordValueLoss
+	missShare            [2]float64    // smoothed share of misses by ownZone and otherZones, see recordMiss
 	lastRemoteResponseAt time.Duration // time of the last response from another zone
 	crossZoneShare       float64       // share of requests sent to other zones although this zone has capacity
 	crossZoneUpdatedAt   time.Duration // last time that crossZoneShare was updated
@@ -85,9 +85,8 @@
 func New(rng *rand.Rand, zone control.ZoneID, nodes int) *Balancer {
 	return &Balancer{
 		rng: rng, zone: zone, nodes: max(nodes, 1), saturatedAt: -time.Minute,
-		known:     map[control.BackendID]*backendState{},
-		latency:   map[control.ProductID]latencyEstimate{},
-		valueLoss: [2]float64{initialValueLoss, initialValueLoss},
+		known:   map[control.BackendID]*backendState{},
+		latency: map[control.ProductID]latencyEstimate{},
 	}
 }
 
--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// Guards against requests that leave their zone although its responses come within the latency target. Responses after nine tenths of the target counted
+// as late, and so did a response that another zone would bring slightly earlier. A zone also keeps its requests if it misses about as many targets as
+// the other zones, so that requests do not depend on the links between zones without a benefit to their clients.
+func TestRequestsStayInZoneThatMeetsTheTarget(t *testing.T) {
+	f := newFixture(1)
+	for i := range 3 {
+		f.responseTimes[control.BackendID(i+1)] = 390 * time.Millisecond
+	}
+	f.sendRequests(600, Request{})
+	must.Zero(t, f.otherZoneRequestCount())
+	must.Zero(t, f.missShare[ownZone])
+
+	f.missShare = [2]float64{0.3, 0.25}
+	f.lastRemoteResponseAt = f.now
+	must.Zero(t, f.updateCrossZoneShare(f.now))
+	f.missShare = [2]float64{0.5, 0.25}
+	must.Positive(t, f.updateCrossZoneShare(f.now+crossZoneInterval))
+	must.False(t, (&Balancer{missShare: [2]float64{0.3, 0.25}}).mayUseOtherZones())
+	must.True(t, (&Balancer{missShare: [2]float64{0.5, 0.25}}).mayUseOtherZones())
+}
+
 // Guards against late responses of slow backends and against nodes with the same observations that all choose the same backend. A backend's share of
 // the requests must grow with a power of its speed.
 func TestSharesFollowPowerOfSpeed(t *testing.T) {
--- a/internal/gateway/balancer/doc.go
+++ b/internal/gateway/balancer/doc.go
@@ -24,7 +24,7 @@
 //   - dead backend: a backend that has left requests unanswered for so long that a request there should be sent to another backend.
 //   - unproven backend: a backend that has not answered any request successfully yet.
 //   - slow start: the time after an ejection or a warm-up in which a backend's share grows to its full size.
-//   - value loss: the fraction of a response's value that is lost because the response is late.
+//   - miss: a request that a backend rejected or did not answer within its latency target.
 //
 // # Guarantees
 //
--- a/internal/gateway/balancer/outcome.go
+++ b/internal/gateway/balancer/outcome.go
@@ -38,7 +38,7 @@
 	Ending        control.Ending
 	Kind          control.ProductID // kind of the request; requests of the same kind have similar latencies
 	Took          time.Duration     // time from sending the request to its end
-	LatencyTarget time.Duration     // a response is late after lateTargetShare of this time; 0 means that no response is late
+	LatencyTarget time.Duration     // a response is late after this time; 0 means that no response is late
 	ProcessPaused bool              // this process was paused during the request, so Took says nothing about the backend
 	ClientLeft    bool              // the client has left; if Ending is Canceled, this is the reason
 }
@@ -68,7 +68,7 @@
 		b.recordResult(now, backend, 0, outcome.Ending)
 	case control.TimedOut:
 		if !outcome.ProcessPaused {
-			b.recordValueLoss(now, backend, lateValueLoss)
+			b.recordMiss(now, backend, true)
 			b.recordResult(now, backend, 1, outcome.Ending)
 		}
 	default:
@@ -112,7 +112,7 @@
 		b.boundCapacity()
 	}
 	b.saturatedAt = now
-	b.recordValueLoss(now, backend, lateValueLoss/2)
+	b.recordMiss(now, backend, true)
 }
 
 // recordResponse updates the typical latency, the backend's slowdown and the capacity from the time of a response.
@@ -123,12 +123,8 @@
 	took, typical := b.recordLatency(now, o.Kind, o.Took)
 	backend.responses++
 	backend.slowdown += max(slowdownSmoothing, 1/float64(backend.responses+initialResponses)) * (took/typical - backend.slowdown)
-	late := o.LatencyTarget > 0 && float64(o.Took) > lateTargetShare*float64(o.LatencyTarget)
-	loss := 0.0
-	if late {
-		loss = lateValueLoss
-	}
-	b.recordValueLoss(now, backend, loss)
+	late := o.LatencyTarget > 0 && o.Took > o.LatencyTarget
+	b.recordMiss(now, backend, late)
 	b.adjustCapacity(now, backend, late)
 }
 
--- a/internal/gateway/balancer/pick.go
+++ b/internal/gateway/balancer/pick.go
@@ -163,8 +163,8 @@
 	return math.Pow(min(max(backend.slowdown, minSlowdown), maxSlowdown), slowdownExponent) / (backend.slots() * share)
 }
 
-// pickLeastFailing chooses the backend with the lowest penalty. The penalty is the sum of the backend's share of failures, its requests in flight, a
-// random number below 0.5 and, in another zone, crossZoneCost. pickLeastFailing is called if all backends are unhealthy, so that requests are still
+// pickLeastFailing chooses the backend with the lowest penalty. The penalty is the sum of the backend's share of failures, its requests in flight and a
+// random number below 0.5. pickLeastFailing is called if all backends are unhealthy, so that requests are still
 // sent. It returns Saturated if all backends have their maximum number of requests in flight.
 func (b *Balancer) pickLeastFailing(now time.Duration, r Request) (control.BackendID, Result) {
 	var best *backendState
@@ -174,9 +174,6 @@
 			continue
 		}
 		penalty := backend.failureShare + float64(backend.inFlight) + b.rng.Float64()/2
-		if b.locality(backend.Zone) == otherZones {
-			penalty += crossZoneCost
-		}
 		if best == nil || penalty < lowestPenalty {
 			best, lowestPenalty = backend, penalty
 		}
--- a/internal/gateway/balancer/tuning.go
+++ b/internal/gateway/balancer/tuning.go
@@ -36,12 +36,12 @@
 	// overloadSlowdown gets one request at a time from this node. Its late responses do not lower this node's capacity for the service, which is the
 	// number of requests that the node may have in flight at all backends of the service.
 	overloadSlowdown = 2.5
-	// warmUpShare is the factor on the share of a backend that is warming up. After the warm-up or an ejection the share grows to its full size
-	// over slowStartTime.
+	// warmUpShare is the factor on the share of a backend that is warming up, because such a backend answers slowly. After the warm-up or an ejection
+	// the share grows to its full size over slowStartTime.
 	warmUpShare   = 0.25
 	slowStartTime = 2 * time.Second
 	// unprovenShare is the factor on the share of an unproven backend for idempotent requests. unprovenEffectfulShare is the factor for effectful
-	// requests.
+	// requests, which may not be sent again if the backend fails them.
 	unprovenShare          = 0.5
 	unprovenEffectfulShare = 0.3
 	// maxUnprovenInFlight is the maximum number of this node's requests in flight at an unproven backend.
@@ -115,41 +115,36 @@
 	// backendSlotFactor times the backend's slots, plus one.
 	backendCapacityFactor = 2.0
 	backendSlotFactor     = 1.5
-	// lateTargetShare is the share of the latency target after which a response is late.
-	lateTargetShare = 0.9
-	// lateValueLoss is the share of its value that a late response loses.
-	lateValueLoss = 0.5
 )
 
 // Zones.
 const (
-	// crossZoneCost is the cost of the traffic for a request to another zone, as a fraction of a response's value.
-	crossZoneCost = 0.06
-	// The share of requests that leave the zone is updated once per crossZoneInterval. The excess loss is the value loss of this zone's responses
-	// minus the value loss of the other zones' responses minus crossZoneCost. If the excess loss is above 0, the share grows by crossZoneGain times
-	// the excess loss, up to maxCrossZoneShare. If the excess loss is 0 or less, the share is multiplied by crossZoneDecay, and a share below
-	// minCrossZoneShare becomes 0.
+	// The share of requests that leave the zone is updated once per crossZoneInterval. It grows if the zone's share of misses (see recordMiss) exceeds
+	// that of the other zones by more than missMargin: by crossZoneGain times the excess, up to maxCrossZoneShare. Otherwise the share is multiplied
+	// by crossZoneDecay, and a share below minCrossZoneShare becomes 0.
 	crossZoneInterval = 100 * time.Millisecond
-	crossZoneGain     = 0.3
+	crossZoneGain     = 0.15
 	crossZoneDecay    = 0.93
 	maxCrossZoneShare = 0.85
 	minCrossZoneShare = 0.01
-	// valueLossSmoothing is the weight of a new response in a zone's value loss.
-	valueLossSmoothing = 0.05
-	// overloadValueLoss is the value loss above which a zone is overloaded.
-	overloadValueLoss = 0.1
-	// initialValueLoss is the assumed value loss of the other zones while no value is known. No value is known at the start, and after valueLossTTL
-	// without a response from the other zones.
-	initialValueLoss = 0.04
-	valueLossTTL     = 4 * time.Second
+	// missSmoothing is the weight of the end of a request in a zone's share of misses.
+	missSmoothing = 0.05
+	// missMargin is the smallest difference between two shares of misses that counts. It is three times the standard error of a smoothed share of
+	// one miss in twenty. A smaller difference may be chance, and a request that stays in its zone does not depend on the link to another zone.
+	missMargin = 0.1
+	// overloadedMissShare is the share of misses above which a zone is overloaded.
+	overloadedMissShare = 0.2
+	// missTTL is the time without a response from the other zones after which their share of misses is unknown. The other zones are then assumed to
+	// miss no target, because only a request that is sent there shows whether they do.
+	missTTL = 4 * time.Second
 )
 
 // The subset.
 const (
 	// minSubset is the minimum number of backends in a node's subset, if the zone has that many.
 	minSubset = 4
-	// subsetSendInterval is the intended mean interval between two requests to a backend of the subset. It determines the size of the subset.
-	// Most backends close connections that were idle for ten seconds.
+	// subsetSendInterval is the intended mean interval between two requests to a backend of the subset. It determines the size of the subset. With a
+	// longer interval, requests would go on to a backend that has become slow some seconds ago, and would have to wait for new connections.
 	subsetSendInterval = 2 * time.Second
 	// maxSubsetByRate is the largest subset size that follows from the request rate.
 	maxSubsetByRate = 12
--- a/internal/gateway/balancer/zones.go
+++ b/internal/gateway/balancer/zones.go
@@ -3,19 +3,18 @@
 import "time"
 
 // updateCrossZoneShare returns the share of requests that are sent to other zones although this zone has capacity. It updates the share at most once
-// per crossZoneInterval. The share grows while the value loss of this zone's responses exceeds that of the other zones' responses by more than
-// crossZoneCost. If the difference is smaller, the share shrinks. The share changes slowly, so that not all nodes send to a zone with little load at
-// once.
+// per crossZoneInterval. The share grows while this zone's share of misses exceeds that of the other zones by more than missMargin. If the difference
+// is smaller, the share shrinks. The share changes slowly, so that not all nodes send to a zone with little load at once.
 func (b *Balancer) updateCrossZoneShare(now time.Duration) float64 {
 	if now-b.crossZoneUpdatedAt < crossZoneInterval {
 		return b.crossZoneShare
 	}
 	b.crossZoneUpdatedAt = now
-	if now-b.lastRemoteResponseAt > valueLossTTL {
-		b.valueLoss[otherZones] = initialValueLoss
+	if now-b.lastRemoteResponseAt > missTTL {
+		b.missShare[otherZones] = 0
 	}
-	if gain := b.valueLoss[ownZone] - b.valueLoss[otherZones] - crossZoneCost; gain > 0 {
-		b.crossZoneShare = min(maxCrossZoneShare, b.crossZoneShare+crossZoneGain*gain)
+	if excess := b.missShare[ownZone] - b.missShare[otherZones] - missMargin; excess > 0 {
+		b.crossZoneShare = min(maxCrossZoneShare, b.crossZoneShare+crossZoneGain*excess)
 	} else if b.crossZoneShare *= crossZoneDecay; b.crossZoneShare < minCrossZoneShare {
 		b.crossZoneShare = 0
 	}
@@ -25,16 +24,19 @@
 // mayUseOtherZones reports whether a request may be sent to another zone when this zone has no capacity. If the other zones are as overloaded as this
 // zone, the request would only displace another request there.
 func (b *Balancer) mayUseOtherZones() bool {
-	return b.valueLoss[otherZones] < overloadValueLoss || b.valueLoss[otherZones]+crossZoneCost < b.valueLoss[ownZone]
+	return b.missShare[otherZones] < overloadedMissShare || b.missShare[otherZones]+missMargin < b.missShare[ownZone]
 }
 
-// recordValueLoss updates the mean value loss of a zone with the value loss of one request. The value of a request is its worth to the client: 1 for a
-// prompt response. loss is the share of this value that was lost, from 0 for a prompt response to lateValueLoss for a late response or a timeout. There
-// is one mean for this zone and one for all other zones.
-func (b *Balancer) recordValueLoss(now time.Duration, backend *backendState, loss float64) {
+// recordMiss updates a zone's share of misses with the end of one request. A request is missed if the backend did not answer it within its latency
+// target or rejected it. There is one share for this zone and one for all other zones.
+func (b *Balancer) recordMiss(now time.Duration, backend *backendState, missed bool) {
 	locality := b.locality(backend.Zone)
 	if locality == otherZones {
 		b.lastRemoteResponseAt = now
 	}
-	b.valueLoss[locality] += valueLossSmoothing * (loss - b.valueLoss[locality])
+	value := 0.0
+	if missed {
+		value = 1
+	}
+	b.missShare[locality] += missSmoothing * (value - b.missShare[locality])
 }
