Comments: reasons of eviction, idle connections and memory say what a client needs

Need: three comments spoke of worth and prices; one gave the price of memory as the reason of the garbage collector's setting. Change: eviction closes the connection whose client loses least; a connection rests after an answer because late bytes would be taken for the next one; a process over its memory limit is killed with its clients' requests. No code changed. Measured: nothing to measure.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(50) // memory at its peak is priced, and a node allocates little
+	debug.SetGCPercent(50) // a process over its memory limit is killed with the requests of its clients, and a node allocates little
 	if loaded.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(loaded.Limits.MemoryMB<<20) * memoryShare))
 	}
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -79,8 +79,8 @@
 // request and stay would else use up the connections of all others.
 func (s *Server) crowded() bool { return 2*s.clients.Len() > s.maxClients }
 
-// Evict closes the connection that is worth least: one that had firstBytesTimeout and sent no complete request, before the
-// one that is idle longest. A connection that has a request, or may have one unread, stays.
+// Evict closes the connection whose client loses least: one that sent no complete request within firstBytesTimeout, or else the one that has been idle
+// longest. A connection that has a request, or may have one unread, stays open.
 func (s *Server) Evict() bool {
 	var least *Client
 	strange := func(c *Client) bool { return c.sequence == 0 && s.engine.Now()-c.since > firstBytesTimeout }
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -51,8 +51,8 @@
 }
 
 // defaultMinIdle is how long a connection stays idle after an answer. What a backend sends after one, a duplicate or
-// garbage, usually arrives within that time; later it would be taken for the next answer. The price is an additional
-// connection now and then.
+// garbage, usually arrives within that time; later it would be taken for the next answer. An additional
+// connection is needed now and then.
 const defaultMinIdle = 10 * time.Millisecond
 
 // dial opens a connection for an attempt; if none may be opened the attempt ends, and the result is false.
