--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -119,7 +119,7 @@
 // checkQuota reports whether the quota covers a txn or the txn may exceed the quota. If the result is false, checkQuota has queued or
 // answered the txn.
 func (c *Controller) checkQuota(t *txn, account *quota.Account) bool {
-	request := quota.Request{Units: t.Units, Arrived: t.arrived, WaitUntil: t.answerBy - c.expectedWork(t)}
+	request := quota.Request{Units: t.Units, Arrived: t.arrived, PendingUntil: t.answerBy - c.expectedWork(t)}
 	outcome, at, reason := c.quota.CheckAccount(account, request)
 	t.reason = reason
 	switch outcome {
@@ -141,7 +141,7 @@
 // failed at once.
 func (c *Controller) awaitBackend(t *txn, account *quota.Account) {
 	c.saturatedAt = c.now
-	wait := c.expectedWait(t)
+	wait := c.expectedDelay(t)
 	if c.now+wait+c.expectedWork(t) > t.answerBy {
 		c.rejectOrFail(t, wait)
 		return
--- a/control/loadbalancer/wait.go
+++ b/control/loadbalancer/wait.go
@@ -17,9 +17,9 @@
 	}
 }
 
-// expectedWait returns the expected time until a txn gets a backend, given the txns that wait before it and the submissions of this front
-// door that the backends process now. Submissions at a backend that is ejected do not count.
-func (c *Controller) expectedWait(t *txn) time.Duration {
+// expectedDelay returns the expected time until a txn gets a backend, given the txns that wait before it and the submissions of this
+// controller that the backends process now. Submissions at a backend that is ejected do not count.
+func (c *Controller) expectedDelay(t *txn) time.Duration {
 	processed := 0
 	for _, b := range c.readyBackends {
 		if !b.ejected {
--- a/control/quota/bench_test.go
+++ b/control/quota/bench_test.go
@@ -65,7 +65,7 @@
 		reporter.SetNow(now)
 		owner.SetNow(now)
 		for _, c := range owned {
-			if v, _ := reporter.Check(c, Request{Units: 1, Arrived: now, WaitUntil: now + 160*time.Millisecond}); v == Allowed {
+			if v, _ := reporter.Check(c, Request{Units: 1, Arrived: now, PendingUntil: now + 160*time.Millisecond}); v == Allowed {
 				reporter.Consume(c, 1)
 			}
 		}
--- a/control/quota/bound_test.go
+++ b/control/quota/bound_test.go
@@ -84,7 +84,7 @@
 			}
 			limiter.SetNow(p.now)
 			for attempts := 0.0; p.underPressure && attempts <= p.rate+p.burst; attempts++ { // the limit on attempts ends the loop if a fault allows every request
-				if v, _ := limiter.Check(watchedCustomer, Request{Units: 1, Arrived: p.now, WaitUntil: p.now + 160*time.Millisecond}); v != Allowed {
+				if v, _ := limiter.Check(watchedCustomer, Request{Units: 1, Arrived: p.now, PendingUntil: p.now + 160*time.Millisecond}); v != Allowed {
 					break
 				}
 				limiter.Consume(watchedCustomer, 1)
--- a/control/quota/check.go
+++ b/control/quota/check.go
@@ -26,9 +26,9 @@
 	Units float64 // units that the request consumes if it is allowed
 	// Arrived is the clock time at which the request arrived. Every check of the request must pass the same value.
 	Arrived time.Duration
-	// WaitUntil is the latest clock time at which the caller can still make use of the units: the time by which an answer is wanted, less the
+	// PendingUntil is the latest clock time at which the caller can still make use of the units: the time by which an answer is wanted, less the
 	// work that is left. The request waits for units or for the owner's answer no longer than that.
-	WaitUntil time.Duration
+	PendingUntil time.Duration
 	// UnitsAhead is the number of units for which other requests of the customer wait at this gateway. They come before this request.
 	UnitsAhead float64
 }
@@ -57,13 +57,13 @@
 // checkWithReason does the work of Check for an account. For a request that is not allowed, checkWithReason also returns the reason.
 func (l *Limiter) checkWithReason(a *Account, r Request) (Outcome, time.Duration, control.Reason) {
 	if allowed, at := l.checkHardLimit(a, r); !allowed {
-		if at < r.WaitUntil {
-			return Pending, r.WaitUntil, control.ReasonHardLimit
+		if at < r.PendingUntil {
+			return Pending, r.PendingUntil, control.ReasonHardLimit
 		}
 		return Exceeded, at - l.now, control.ReasonHardLimit
 	}
 	if a.limit.MaxInFlight > 0 && a.inFlight+a.reservations+l.inFlightElsewhere(a) >= a.limit.MaxInFlight {
-		return l.checkWithoutFreeSlot(a, r.WaitUntil)
+		return l.checkWithoutFreeSlot(a, r.PendingUntil)
 	}
 	if a.limit.Rate <= 0 {
 		return Allowed, 0, control.ReasonNoUnits
@@ -99,8 +99,8 @@
 		return Allowed, 0
 	}
 	after := time.Duration((r.Units - left) / a.limit.Rate * float64(time.Second))
-	if l.now+after < r.WaitUntil {
-		return Pending, r.WaitUntil
+	if l.now+after < r.PendingUntil {
+		return Pending, r.PendingUntil
 	}
 	return Exceeded, after
 }
@@ -219,7 +219,7 @@
 
 // answerDeadline returns the clock time until which a request waits for the owner's answer.
 func (l *Limiter) answerDeadline(a *Account, r Request) time.Duration {
-	return min(r.Arrived+ownerAttempts*l.answerTimeout(a), r.WaitUntil)
+	return min(r.Arrived+ownerAttempts*l.answerTimeout(a), r.PendingUntil)
 }
 
 // ownerUnresponsive reports whether the owner has sent nothing for more than ownerAttempts answer time-outs (answerTimeout) while a
--- a/control/quota/plans_test.go
+++ b/control/quota/plans_test.go
@@ -49,7 +49,7 @@
 
 // checkAndConsume checks a request for one unit and consumes the unit if it is allowed.
 func (p *planScenario) checkAndConsume(a *Account) Outcome {
-	outcome, _, _ := p.CheckAccount(a, Request{Units: 1, Arrived: p.now, WaitUntil: p.now + 200*time.Millisecond})
+	outcome, _, _ := p.CheckAccount(a, Request{Units: 1, Arrived: p.now, PendingUntil: p.now + 200*time.Millisecond})
 	if outcome == Allowed {
 		p.ConsumeAccount(a, 1)
 	}
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -90,7 +90,7 @@
 			if len(onlyGateway) > 0 && control.GatewayID(i) != onlyGateway[0] || c.rng.Float64() > unitsPerSecond*step.Seconds() {
 				continue
 			}
-			if v, _ := l.Check(watchedCustomer, Request{Units: 1, Arrived: c.now, WaitUntil: c.now + 160*time.Millisecond}); v == Allowed {
+			if v, _ := l.Check(watchedCustomer, Request{Units: 1, Arrived: c.now, PendingUntil: c.now + 160*time.Millisecond}); v == Allowed {
 				l.Consume(watchedCustomer, 1)
 				c.consumed = append(c.consumed, c.now)
 				allowed++
@@ -240,7 +240,7 @@
 	for lateCustomer = 1; OwnerOf(lateCustomer, 0, 2, 2) != c.ownerID() || lateCustomer == watchedCustomer; lateCustomer++ {
 	}
 	other.SetLimit(lateCustomer, 10, 10)
-	other.Check(lateCustomer, Request{Units: 1, Arrived: c.now, WaitUntil: c.now + 400*time.Millisecond})
+	other.Check(lateCustomer, Request{Units: 1, Arrived: c.now, PendingUntil: c.now + 400*time.Millisecond})
 	other.Consume(lateCustomer, 3)
 	c.runWithRandomRequests(time.Second, 0)
 	must.Positive(t, own.BadDatagramCount())
@@ -330,7 +330,7 @@
 			l.SetNow(c.now)
 		}
 		if c.rng.Float64() < requestsPerSecond*step.Seconds() {
-			waiting = append(waiting, waitingRequest{control.GatewayID(c.rng.Intn(len(c.limiters))), Request{Units: 1, Arrived: c.now, WaitUntil: c.now + longestWait}})
+			waiting = append(waiting, waitingRequest{control.GatewayID(c.rng.Intn(len(c.limiters))), Request{Units: 1, Arrived: c.now, PendingUntil: c.now + longestWait}})
 		}
 		rest := waiting[:0]
 		for _, w := range waiting {
--- a/control/quota/recorded_test.go
+++ b/control/quota/recorded_test.go
@@ -105,7 +105,7 @@
 			c := control.CustomerID(1 + rng.Intn(customers))
 			units := float64(1 + rng.Intn(4))
 			outcome, at := limiter.Check(c, Request{Units: units, Arrived: now - time.Duration(rng.Intn(300))*time.Millisecond,
-				WaitUntil: now + time.Duration(rng.Intn(300)-100)*time.Millisecond, UnitsAhead: float64(rng.Intn(2))})
+				PendingUntil: now + time.Duration(rng.Intn(300)-100)*time.Millisecond, UnitsAhead: float64(rng.Intn(2))})
 			rec.addValues(int64(i), int64(outcome), int64(at))
 			if outcome == Allowed {
 				if rng.Intn(4) == 0 {
--- a/internal/gateway/admission/queue.go
+++ b/internal/gateway/admission/queue.go
@@ -49,7 +49,7 @@
 			return true
 		}
 		s.recheck = false
-		if c.endHopelessWaits(s) {
+		if c.rejectUnservable(s) {
 			return true
 		}
 	}
--- a/internal/gateway/admission/txn.go
+++ b/internal/gateway/admission/txn.go
@@ -126,7 +126,7 @@
 	if t.Customer == 0 || t.unitsConsumed || t.unitsReserved {
 		return true
 	}
-	request := quota.Request{Units: t.Units, Arrived: t.arrivedAt, WaitUntil: t.answerBy - c.typicalLatency(t), UnitsAhead: c.unitsAwaited[t.Customer]}
+	request := quota.Request{Units: t.Units, Arrived: t.arrivedAt, PendingUntil: t.answerBy - c.typicalLatency(t), UnitsAhead: c.unitsAwaited[t.Customer]}
 	switch outcome, at := c.limiter.Check(t.Customer, request); outcome {
 	case quota.Exceeded:
 		c.answerRequest(t, control.ReasonNoUnits, at)
--- a/internal/gateway/admission/wait.go
+++ b/internal/gateway/admission/wait.go
@@ -49,19 +49,19 @@
 	}
 }
 
-// expectedWait returns the time until requests with the given sum of typical latencies have been processed, if concurrency of them are processed at a
-// time. Without a ready backend the concurrency is 0, nothing is known of the time, and expectedWait returns 0.
-func expectedWait(work time.Duration, concurrency float64) time.Duration {
+// expectedDelay returns the time until requests with the given sum of typical latencies have been processed, if concurrency of them are processed at a
+// time. Without a ready backend the concurrency is 0, nothing is known of the time, and expectedDelay returns 0.
+func expectedDelay(work time.Duration, concurrency float64) time.Duration {
 	if concurrency == 0 {
 		return 0
 	}
 	return time.Duration(float64(work) / concurrency)
 }
 
-// endHopelessWaits ends the wait of each request in a queue that is not expected to be answered in time, given the requests ahead of it. It checks the
+// rejectUnservable ends the wait of each request in a queue that is not expected to be answered in time, given the requests ahead of it. It checks the
 // whole queue, because backends may have left or become slower, and reports whether it ended a wait. A request that a canary cannot take at once goes
 // to the baseline version, because the roll-out must not cost the client a wait.
-func (c *Controller) endHopelessWaits(s *service) (ended bool) {
+func (c *Controller) rejectUnservable(s *service) (ended bool) {
 	if len(s.queue) == 0 {
 		return false
 	}
@@ -77,8 +77,8 @@
 		if !t.admitted {
 			answerBy = t.answerBy
 		}
-		if wait := expectedWait(workAhead+work, concurrency); c.now+wait+work > answerBy {
-			c.answerRequest(t, control.ReasonNoBackend, c.spreadRetryAfter(wait+minRetryAfter))
+		if wait := expectedDelay(workAhead+work, concurrency); c.now+wait+work > answerBy {
+			c.answerRequest(t, control.ReasonNoBackend, c.jitterRetryAfter(wait+minRetryAfter))
 			ended = true
 			continue
 		}
@@ -94,14 +94,14 @@
 // the request have been sent, or noBackendRetryAfter if the service has no ready backend.
 func (c *Controller) retryAfterTime(t *txn) time.Duration {
 	if t.service == nil || t.service.balancer.ReadyCount() == 0 {
-		return c.spreadRetryAfter(noBackendRetryAfter)
+		return c.jitterRetryAfter(noBackendRetryAfter)
 	}
 	work := c.queuedWork(t.service) + c.typicalLatency(t)
-	return c.spreadRetryAfter(expectedWait(work, t.service.balancer.Concurrency(c.now)) + minRetryAfter)
+	return c.jitterRetryAfter(expectedDelay(work, t.service.balancer.Concurrency(c.now)) + minRetryAfter)
 }
 
-// spreadRetryAfter varies a Retry-After time at random, so that the clients that are rejected together do not return together.
-func (c *Controller) spreadRetryAfter(wait time.Duration) time.Duration {
+// jitterRetryAfter varies a Retry-After time at random, so that the clients that are rejected together do not return together.
+func (c *Controller) jitterRetryAfter(wait time.Duration) time.Duration {
 	return min(maxRetryAfter, time.Duration(float64(wait)*(retryAfterJitterBase+retryAfterJitter*c.rng.Float64())))
 }
 
--- a/internal/gateway/admission/wait_test.go
+++ b/internal/gateway/admission/wait_test.go
@@ -117,11 +117,11 @@
 		queueLength, concurrency := len(h.services[0].queue), h.services[0].balancer.Concurrency(h.now)
 		must.Eq(t, control.Reject, h.lastDecision().Action)
 		must.Eq(t, id-1, h.lastDecision().Txn)
-		expectedWait := time.Duration(float64(queueLength+1) * float64(work) / concurrency) // of the rejected request
-		lastWait := time.Duration(float64(queueLength) * float64(work) / concurrency)       // of the last request in the queue
+		expectedDelay := time.Duration(float64(queueLength+1) * float64(work) / concurrency) // of the rejected request
+		lastWait := time.Duration(float64(queueLength) * float64(work) / concurrency)        // of the last request in the queue
 		must.LessEq(t, 400*time.Millisecond, lastWait+work)
-		must.Greater(t, 400*time.Millisecond, expectedWait+work)
-		must.Between(t, expectedWait/2, h.lastDecision().After, 2*expectedWait)
+		must.Greater(t, 400*time.Millisecond, expectedDelay+work)
+		must.Between(t, expectedDelay/2, h.lastDecision().After, 2*expectedDelay)
 		must.Greater(t, longestQueue, queueLength)
 		longestQueue = queueLength
 	}
@@ -146,7 +146,7 @@
 	waiting := 0
 	concurrency := h.services[0].balancer.Concurrency(h.now)
 	for position, t := range h.services[0].queue {
-		wait := expectedWait(time.Duration(position+1)*300*time.Millisecond, concurrency)
+		wait := expectedDelay(time.Duration(position+1)*300*time.Millisecond, concurrency)
 		if wait+300*time.Millisecond > t.deadline-h.now+waitingInterval {
 			waiting++
 		}
--- a/internal/gateway/balancer/latency.go
+++ b/internal/gateway/balancer/latency.go
@@ -44,7 +44,7 @@
 }
 
 // Concurrency returns the number of this node's requests that the ready backends process at a time now. It follows backends that leave, stop
-// responding or join. A request in flight at a silent backend does not count. A backend that would accept a request counts as at least one. The result
+// responding or join. A request in flight at a backend that has timed out does not count. A backend that would accept a request counts as at least one. The result
 // is at least 1, or 0 if there is no ready backend.
 func (b *Balancer) Concurrency(now time.Duration) float64 {
 	if b.ReadyCount() == 0 {
@@ -52,7 +52,7 @@
 	}
 	sum, mayUseOtherZones := 0, b.mayUseOtherZones()
 	for _, backend := range b.ordered {
-		if backend.ejectedUntil > now || backend.isSilent(now) {
+		if backend.ejectedUntil > now || backend.hasTimedOut(now) {
 			continue
 		}
 		requests := backend.inFlight
--- a/internal/gateway/balancer/silence.go
+++ b/internal/gateway/balancer/silence.go
@@ -9,11 +9,11 @@
 // isUnresponsive reports whether a backend has left requests unanswered for much longer than such requests usually take. If no request was sent to
 // the backend for trialInterval, isUnresponsive returns false for an idempotent request, so that this request probes the backend.
 func (b *Balancer) isUnresponsive(now time.Duration, backend *backendState, r Request) bool {
-	return backend.isSilent(now) && (r.Effectful || now-backend.sentAt < trialInterval)
+	return backend.hasTimedOut(now) && (r.Effectful || now-backend.sentAt < trialInterval)
 }
 
-// isSilent reports whether the backend has left requests unanswered for much longer than such requests usually take.
-func (b *backendState) isSilent(now time.Duration) bool {
+// hasTimedOut reports whether the backend has left requests unanswered for much longer than such requests usually take.
+func (b *backendState) hasTimedOut(now time.Duration) bool {
 	if b.unanswered == 0 {
 		return false
 	}
