Front door: without a ready backend, the expected delay is unknown

Cause: expectedDelay divided the waiting work by max(processed, 1). With nothing processed, the result was the txn's own work, which says nothing about the time at which a backend is ready.

Change: with nothing processed the delay is 0, as in admission: the txn waits until its latest start and gets no advice.

--- a/control/loadbalancer/wait.go
+++ b/control/loadbalancer/wait.go
@@ -18,7 +18,8 @@
 }
 
 // expectedDelay returns the expected time until a txn gets a backend, given the txns that wait before it and the submissions of this
-// controller that the backends process now. Submissions at a backend that is ejected do not count.
+// controller that the backends process now. Submissions at a backend that is ejected do not count. If nothing is processed, nothing is
+// known of the time, and the result is 0.
 func (c *Controller) expectedDelay(t *txn) time.Duration {
 	processed := 0
 	for _, b := range c.readyBackends {
@@ -26,5 +27,8 @@
 			processed += b.inFlight
 		}
 	}
-	return (c.waitingWork + c.expectedWork(t)) / time.Duration(max(processed, 1))
+	if processed == 0 {
+		return 0
+	}
+	return (c.waitingWork + c.expectedWork(t)) / time.Duration(processed)
 }
--- a/control/loadbalancer/wait_test.go
+++ b/control/loadbalancer/wait_test.go
@@ -84,3 +84,25 @@
 		must.Eq(t, []control.TxnID{0, 1, 2, 3}, submitted)
 	}
 }
+
+// Guards against a delay that is estimated although no backend processes anything. A txn without a ready backend must wait until its latest start, and
+// the rejection must not advise a retry after its own work, because nothing is known of the time at which a backend is ready.
+func TestWithoutReadyBackendDelayIsUnknown(t *testing.T) {
+	const work = 120 * time.Millisecond
+	s := newWarmScenario()
+	slaTime := s.controller.products[0].slaTime
+	s.changeEndpoints(true)
+	arrival := control.Txn{ID: 9, Customer: customerOwnedBy(0), Units: 1, SetWidth: 1, Expiry: s.controller.now + 2*time.Second}
+	s.controller.usualLatencies[s.controller.workKind(&txn{Txn: arrival})] = work.Seconds()
+	s.controller.TxnArrived(arrival)
+	for start := s.controller.now; ; s.controller.Now(s.controller.now + time.Millisecond) {
+		for d, ok := s.controller.Next(); ok; d, ok = s.controller.Next() {
+			if d.Action == control.Reject {
+				must.Eq(t, slaTime-work, s.controller.now-start)
+				must.Eq(t, 0, d.After)
+				return
+			}
+		}
+		must.Less(t, slaTime, s.controller.now-start)
+	}
+}
