Front door: waits follow the response time under pressure as well

What callers saw: in an overload they were let wait and then answered after the SLA time.

Cause: the end of a wait, the rejection on arrival and the time left for a retry used the usual response time. Under pressure that takes only the samples below it, so it falls while the backends become slower: an estimate of a calm minute.

Change: a second estimate, the current response time, takes every response; waits and retries follow it. The usual response time stays for outliers and warm-up.

--- a/control/loadbalancer/controller.go
+++ b/control/loadbalancer/controller.go
@@ -68,7 +68,8 @@
 	medianSlowdown float64             // median slowdown of the ready backends that are not ejected
 
 	// Statistics over all backends.
-	usualLatencies   map[int]float64     // usual response time for each kind of work, in seconds
+	usualLatencies   map[int]float64     // usual response time for each kind of work, in seconds, without queueing at the backends
+	currentLatencies map[int]float64     // smoothed response time for each kind of work, in seconds, with queueing at the backends
 	meanUsualLatency float64             // mean usual response time of the submitted txns, in seconds
 	fleetFailures    []productFailures   // failures over all backends, indexed by control.ProductID
 	fleetLossShare   float64             // smoothed share of submissions that were lost
@@ -115,6 +116,7 @@
 		backends:           map[control.BackendID]*backend{},
 		backendsByHash:     map[uint64]*backend{},
 		usualLatencies:     map[int]float64{},
+		currentLatencies:   map[int]float64{},
 		retryBudget:        maxRetryBudget / 3,
 		probeBudget:        maxProbeBudget,
 		capacityGain:       initialCapacityGain,
--- a/control/loadbalancer/outcome.go
+++ b/control/loadbalancer/outcome.go
@@ -55,9 +55,15 @@
 	b.consecutiveRejections++
 }
 
-// recordLatency updates the usual response time of a txn's kind of work and returns the ratio of the new response time to the usual one.
+// recordLatency updates the current and the usual response time of a txn's kind of work and returns the ratio of the new response time to
+// the usual one.
 func (c *Controller) recordLatency(t *txn, took time.Duration) float64 {
 	kind := c.workKind(t)
+	current, ok := c.currentLatencies[kind]
+	if !ok {
+		current = took.Seconds()
+	}
+	c.currentLatencies[kind] = current + latencySmoothing*(took.Seconds()-current)
 	usual, ok := c.usualLatencies[kind]
 	if !ok {
 		usual = took.Seconds()
--- a/control/loadbalancer/tuning.go
+++ b/control/loadbalancer/tuning.go
@@ -39,7 +39,7 @@
 	networkMargin = 40 * time.Millisecond
 	// responseTimeout is the longest time from the first byte of a response to its last.
 	responseTimeout = 100 * time.Millisecond
-	// A submission that may be retried times out early only after more than firstAttemptFactor times the usual response time.
+	// A submission that may be retried times out early only after more than firstAttemptFactor times the current response time.
 	firstAttemptFactor = 4
 	// Each txn adds retryBudgetPerTxn retries to the retry budget, which holds at most maxRetryBudget.
 	retryBudgetPerTxn = 0.2
@@ -51,7 +51,7 @@
 	// smoothing is the weight of a new sample in the moving averages of a backend.
 	smoothing = 0.1
 	// fleetSmoothing is the weight of a new sample in the moving averages over all backends. latencySmoothing is the weight of a new
-	// sample in the usual response time of a kind of work.
+	// sample in the usual and the current response time of a kind of work.
 	fleetSmoothing   = smoothing / 5
 	latencySmoothing = smoothing / 2
 	// loadSmoothing is the weight of a load report in the load of a backend.
--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -104,7 +104,7 @@
 }
 
 // canSubmitInTime reports whether a response to a submission may be expected by the expiry. A txn that has just arrived may always be
-// submitted, because otherwise no response would correct a usual response time that is longer than all clients wait. For a txn that was
+// submitted, because otherwise no response would correct a response time that is longer than all clients wait. For a txn that was
 // submitted before, the result is false if the retry budget or the maximum number of submissions is used up.
 func (c *Controller) canSubmitInTime(t *txn) bool {
 	if t.submissions > 0 && (t.submissions >= c.maxSubmissions || c.retryBudget < 1) {
@@ -284,7 +284,7 @@
 
 // submissionTimeout returns the time after which a submission times out. A once-only txn is not retried after a time-out, so the result is
 // 0 and the submission times out at the expiry of the txn. Any other submission times out in time for a response of another backend within
-// the SLA time, if it may be retried and has had several times the usual response time by then. Otherwise the client gets the response if it
+// the SLA time, if it may be retried and has had several times the current response time by then. Otherwise the client gets the response if it
 // comes by the expiry.
 func (c *Controller) submissionTimeout(t *txn) time.Duration {
 	if c.products[t.Product].effect == onceOnly {
--- a/control/loadbalancer/wait.go
+++ b/control/loadbalancer/wait.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// expectedWork returns the usual response time of a txn. While it is unknown, the result is 0: nothing then shows that the txn cannot be
-// answered in time.
+// expectedWork returns the time that a response to a txn takes at present, which grows with the queues of the backends. While it is unknown,
+// the result is 0: nothing then shows that the txn cannot be answered in time.
 func (c *Controller) expectedWork(t *txn) time.Duration {
-	return time.Duration(c.usualLatencies[c.workKind(t)] * float64(time.Second))
+	return time.Duration(c.currentLatencies[c.workKind(t)] * float64(time.Second))
 }
 
 // setAnswerBy determines until when an answer is wanted, when a txn arrives or is to be submitted again: until the end of its SLA time or, if
