Admission: a test that a dead backend is found after the same time for any target

The test measures after which time an idempotent request leaves a backend that does not respond, for targets of 400 ms and 3 s, and expects the same time.

--- a/internal/gateway/admission/controller_test.go
+++ b/internal/gateway/admission/controller_test.go
@@ -306,6 +306,32 @@
 	must.Greater(t, 0, cancellations)
 }
 
+// Guards against a check for a dead backend that waits for a share of the latency target. Whether a backend is dead follows from the time that its
+// responses usually take, so a request must leave the backend after the same time, whatever the target of its route is.
+func TestDeadBackendIsFoundRegardlessOfLatencyTarget(t *testing.T) {
+	cancellationTime := func(target time.Duration) time.Duration {
+		h := newHarness(Route{LatencyTarget: target, Deadline: 5 * time.Second, MaxAttempts: 2}, 2)
+		for id := control.TxnID(1); id <= 200; id++ { // backend 1 does not respond
+			h.sendRequest(id)
+			if h.lastDecision().Action == control.Submit && h.lastDecision().Txn == id && h.lastDecision().Backend == 2 {
+				h.advanceTo(h.now + 20*time.Millisecond)
+				h.SubmissionEnded(id, 0, 2, control.Succeeded, true, 20*time.Millisecond, nil)
+				h.collectDecisions()
+			}
+			for _, decision := range h.decided {
+				if decision.Action == control.Cancel {
+					return h.now - h.txns[decision.Txn].sentAt
+				}
+			}
+		}
+		t.Fatal("no request left the dead backend")
+		return 0
+	}
+	short := cancellationTime(400 * time.Millisecond)
+	must.Between(t, minDeadTime, short, 2*minDeadTime)
+	must.Eq(t, short, cancellationTime(3*time.Second))
+}
+
 var _ Limiter = (*quota.Limiter)(nil)
 
 // Guards against a timer of an earlier request that ends a later request with the same ID. Request IDs are reused.
