Balancer: a request leaves its zone for lack of capacity only where targets are met

What callers saw: a node whose own zone had no free slot sent requests to other zones while those missed the target of up to one request in five, although the own zone missed none.

Change: the figure is gone. A request without a place in its zone goes to the others if they miss no more than by chance (missMargin, three standard errors), or fewer than its own zone by that margin.

--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -107,6 +107,8 @@
 	must.Positive(t, f.updateCrossZoneShare(f.now+crossZoneInterval))
 	must.False(t, (&Balancer{missShare: [2]float64{0.3, 0.25}}).mayUseOtherZones())
 	must.True(t, (&Balancer{missShare: [2]float64{0.5, 0.25}}).mayUseOtherZones())
+	must.True(t, (&Balancer{missShare: [2]float64{0, missMargin / 2}}).mayUseOtherZones())
+	must.False(t, (&Balancer{missShare: [2]float64{0, 0.15}}).mayUseOtherZones())
 }
 
 // Guards against late responses of slow backends and against nodes with the same observations that all choose the same backend. A backend's share of
--- a/internal/gateway/balancer/tuning.go
+++ b/internal/gateway/balancer/tuning.go
@@ -132,8 +132,6 @@
 	// missMargin is the smallest difference between two shares of misses that counts. It is three times the standard error of a smoothed share of
 	// one miss in twenty. A smaller difference may be chance, and a request that stays in its zone does not depend on the link to another zone.
 	missMargin = 0.1
-	// overloadedMissShare is the share of misses above which a zone is overloaded.
-	overloadedMissShare = 0.2
 	// missTTL is the time without a response from the other zones after which their share of misses is unknown. The other zones are then assumed to
 	// miss no target, because only a request that is sent there shows whether they do.
 	missTTL = 4 * time.Second
--- a/internal/gateway/balancer/zones.go
+++ b/internal/gateway/balancer/zones.go
@@ -21,10 +21,11 @@
 	return b.crossZoneShare
 }
 
-// mayUseOtherZones reports whether a request may be sent to another zone when this zone has no capacity. If the other zones are as overloaded as this
-// zone, the request would only displace another request there.
+// mayUseOtherZones reports whether a request may be sent to another zone when this zone has no capacity. It may if the other zones miss no more
+// targets than by chance, or fewer than this zone. Otherwise the request would probably miss its target there, or displace a request that then misses
+// its own.
 func (b *Balancer) mayUseOtherZones() bool {
-	return b.missShare[otherZones] < overloadedMissShare || b.missShare[otherZones]+missMargin < b.missShare[ownZone]
+	return b.missShare[otherZones] < max(missMargin, b.missShare[ownZone]-missMargin)
 }
 
 // recordMiss updates a zone's share of misses with the end of one request. A request is missed if the backend did not answer it within its latency
