Front door: values, prices and client time-outs are checked and no longer kept

What was seen: product and plan kept a value, a late value, a price and a client time-out that no decision reads. A reader of the code had to find that out, and the next change could have used them.

Change: the four settings are still read and checked, so that each bad setting is refused as before; the fields are gone. TestValueDoesNotChangeOrder now sets the value in the settings, where an operator sets it. TestNewReportsFirstInvalidSetting checks two of the four.

--- a/control/loadbalancer/controller_test.go
+++ b/control/loadbalancer/controller_test.go
@@ -530,7 +530,7 @@
 // Guards against a txn that still waits although the end of a submission has freed capacity.
 func Example_waitingTxnIsSubmittedUnderPressure() {
 	s := newWarmScenario()
-	s.controller.capacity, s.controller.products[2].value = 0.4, 5
+	s.controller.capacity = 0.4
 	c := customerOwnedBy(0)
 	fmt.Println("# txns 0 and 1 use all capacity: txn 2 waits and is submitted when the submission of txn 0 ends")
 	for id, p := range []control.ProductID{0, 0, 2} {
--- a/control/loadbalancer/scenario_test.go
+++ b/control/loadbalancer/scenario_test.go
@@ -54,8 +54,11 @@
 }
 
 // newWarmScenario returns a scenario at 10 s with three warm backends. Backends 1 and 2 are in pod 0, and backend 3 is in pod 1.
-func newWarmScenario() *scenario {
-	s := newScenario(defaultTestSettings(0), 0)
+func newWarmScenario() *scenario { return newWarmScenarioWithSettings(defaultTestSettings(0)) }
+
+// newWarmScenarioWithSettings returns the scenario of newWarmScenario with other settings.
+func newWarmScenarioWithSettings(settings control.Settings) *scenario {
+	s := newScenario(settings, 0)
 	s.changeEndpoints(true, control.Endpoint{ID: 1, State: control.Ready}, control.Endpoint{ID: 2, State: control.Ready}, control.Endpoint{ID: 3, Pod: 1, State: control.Ready})
 	s.hideDatagrams, s.controller.capacity = true, 3
 	s.advanceTo(10000)
--- a/control/loadbalancer/settings.go
+++ b/control/loadbalancer/settings.go
@@ -30,19 +30,15 @@
 
 // product is a kind of txn.
 type product struct {
-	effect        effect
-	repeatScope   scope         // for referenced products: backends that drop repeats
-	repeatWindow  time.Duration // for referenced products: time after the first submission that may have run; backends drop repeats in it
-	slaTime       time.Duration // time within which the operator wants a response
-	value         float64       // value of a response within the SLA time, per unit; no decision depends on it
-	lateValue     float64       // value of a response after the SLA time; no decision depends on it
-	clientTimeout time.Duration // time-out of a client over all its attempts; each request has its own expiry
+	effect       effect
+	repeatScope  scope         // for referenced products: backends that drop repeats
+	repeatWindow time.Duration // for referenced products: time after the first submission that may have run; backends drop repeats in it
+	slaTime      time.Duration // time within which the operator wants a response
 }
 
-// plan holds the limits, the price and the charges of a customer.
+// plan holds the limits of a customer and the terms of use beyond the quota.
 type plan struct {
 	quota.Limit
-	price          float64 // price of the plan; no decision depends on it
 	overQuotaValue float64 // value of a response beyond the quota
 	overQuotaCost  float64 // charge to the customer for a response beyond the quota
 }
@@ -84,6 +80,13 @@
 	return v
 }
 
+// checkNumbers checks settings that must be numbers but on which no decision depends.
+func (s *settingsReader) checkNumbers(names ...string) {
+	for _, name := range names {
+		s.readNumber(name)
+	}
+}
+
 func (s *settingsReader) readCount(name string, maxValue int) int {
 	v, err := strconv.Atoi(s.readText(name))
 	if err != nil || v < 0 || v > maxValue {
@@ -111,14 +114,12 @@
 func (s *settingsReader) readProducts() (all []product) {
 	for i := range s.readCount("products.count", 255) {
 		at := fmt.Sprintf("products.%d.", i)
+		s.checkNumbers(at+"value", at+"late_value", at+"expiry")
 		all = append(all, product{
-			slaTime:       s.readDuration(at + "sla_time"),
-			effect:        effect(s.readText(at + "effect")),
-			repeatScope:   scope(s.readText(at + "repeat_scope")),
-			repeatWindow:  s.readDuration(at + "repeat_window"),
-			value:         s.readNumber(at + "value"),
-			lateValue:     s.readNumber(at + "late_value"),
-			clientTimeout: s.readDuration(at + "expiry"),
+			slaTime:      s.readDuration(at + "sla_time"),
+			effect:       effect(s.readText(at + "effect")),
+			repeatScope:  scope(s.readText(at + "repeat_scope")),
+			repeatWindow: s.readDuration(at + "repeat_window"),
 		})
 	}
 	return all
@@ -127,6 +128,7 @@
 func (s *settingsReader) readPlans() (all []plan) {
 	for i := range s.readCount("plans.count", 1<<16) {
 		at := fmt.Sprintf("plans.%d.", i)
+		s.checkNumbers(at + "price")
 		all = append(all, plan{
 			Limit: quota.Limit{
 				Rate:        s.readNumber(at + "rate"),
@@ -135,7 +137,6 @@
 				HardRate:    s.readNumber(at + "ceiling_rate"),
 				HardBurst:   s.readNumber(at + "ceiling_burst"),
 			},
-			price:          s.readNumber(at + "price"),
 			overQuotaValue: s.readNumber(at + "over_value"),
 			overQuotaCost:  s.readNumber(at + "over_cost"),
 		})
--- a/control/loadbalancer/settings_test.go
+++ b/control/loadbalancer/settings_test.go
@@ -17,6 +17,8 @@
 		{"zone", "-1", "not an integer in the allowed range"},
 		{"rules.cold_from", "much", "not a number"},
 		{"products.1.sla_time", "", "missing"},
+		{"products.1.late_value", "", "missing"},
+		{"plans.1.price", "x", "not a number"},
 		{"quota.mail_per_s", "x", "not a number"},
 	} {
 		s := defaultTestSettings(0)
--- a/control/loadbalancer/wait_test.go
+++ b/control/loadbalancer/wait_test.go
@@ -61,9 +61,11 @@
 
 // Guards against an order of the waiting txns that depends on the value of their products.
 func TestValueDoesNotChangeOrder(t *testing.T) {
-	for _, value := range []float64{0.1, 1, 50} {
-		s := newWarmScenario()
-		s.controller.capacity, s.controller.products[2].value = 0.4, value
+	for _, value := range []string{"0.1", "1", "50"} {
+		settings := defaultTestSettings(0)
+		settings["products.2.value"] = value
+		s := newWarmScenarioWithSettings(settings)
+		s.controller.capacity = 0.4
 		var submitted []control.TxnID
 		next := func() {
 			for d, ok := s.controller.Next(); ok; d, ok = s.controller.Next() {
--- a/control/types.go
+++ b/control/types.go
@@ -19,8 +19,7 @@
 // ProductID identifies a kind of request. The kind is a product in the front door and a route in the gateway.
 type ProductID int
 
-// PlanID identifies the contract terms of a customer, such as the limits and the price. In the gateway, a PlanID is the priority of a
-// tenant.
+// PlanID identifies the contract terms of a customer, such as the limits. In the gateway, a PlanID is the priority of a tenant.
 type PlanID int
 
 // ZoneID identifies the availability zone in which a backend or a gateway runs.
