Laboratory: tests reserve the loopback network of their nodes

Cause: networks followed from the process ID: two processes whose IDs differ by a multiple of 4,000 (deployments), 32,768 (nodes and links in tests) or 10,000 (recorded disks) had the same network. Ports were only looked at before the nodes started, or fixed.

Change: package loopback reserves a network by a listening socket until the deployment is closed or the process ends. Deployments, front doors and the tests of nodes and links use it; the figures by process ID are gone.

--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -18,6 +18,7 @@
 	"clovergap/internal/gateway/controlapi"
 	"clovergap/internal/gateway/logstore"
 	"clovergap/internal/gateway/settings"
+	"clovergap/internal/lab/loopback"
 )
 
 // testTimeout bounds every wait of these tests; none of them depends on how long anything takes within it.
@@ -29,6 +30,7 @@
 	http     *http.Client
 	running  map[int]*Node
 	settings []*settings.Settings
+	network  *loopback.Network
 }
 
 // startCluster starts so many nodes, the first three with a disk.
@@ -44,9 +46,13 @@
 func newCluster(t *testing.T, n int) *testCluster {
 	d := &testCluster{t: t, running: map[int]*Node{}, http: &http.Client{Timeout: testTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true}}}
+	network, err := loopback.Reserve()
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, network.Release()) })
+	d.network = network
 	var seeds []string
 	for i := range n {
-		ip := fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()>>8&127, os.Getpid()&255, 11+i)
+		ip := network.Host(11 + i)
 		s := &settings.Settings{NodeName: fmt.Sprint("node-", i), IPAddress: ip, Zone: "z", InnerPorts: [2]int{17560, 17575},
 			Bind: settings.Bind{Front: ip + ":18388", Readiness: ip + ":18384", Control: ip + ":18381"}, FirstBoot: true,
 			HeartbeatInterval: time.Hour, Tolerance: settings.Tolerance{Machines: 1}, Bounds: settings.DefaultBounds()}
--- a/internal/gateway/node/recorded_disks_test.go
+++ b/internal/gateway/node/recorded_disks_test.go
@@ -44,15 +44,14 @@
 // newRecordedCluster is three nodes with the recorded disks, and one without a disk; none is started.
 func newRecordedCluster(t *testing.T) *testCluster {
 	c := newCluster(t, 4)
-	network := fmt.Sprintf("127.%d.%d.", 100+os.Getpid()/100%100, 100+os.Getpid()%100)
 	var seeds []string
 	for i, s := range c.settings {
 		host := 14
 		if i < len(recordedDisks) {
 			host = recordedDisks[i].host
-			putRecordedDisk(t, recordedDisks[i].name, network, s.DataDir)
+			putRecordedDisk(t, recordedDisks[i].name, c.network.Prefix(), s.DataDir)
 		}
-		s.IPAddress = fmt.Sprint(network, host)
+		s.IPAddress = c.network.Host(host)
 		s.Bind = settings.Bind{Front: s.IPAddress + ":18388", Readiness: s.IPAddress + ":18384", Control: s.IPAddress + ":18381"}
 		s.Contracts, s.FirstBoot = []string{coordinationContract}, false
 		seeds = append(seeds, s.Bind.Control)
--- a/internal/gateway/transport/mesh_test.go
+++ b/internal/gateway/transport/mesh_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/goleak"
 
 	"clovergap/internal/invariant"
+	"clovergap/internal/lab/loopback"
 )
 
 // testTimeout limits each wait of these tests. No test depends on how long an operation takes within it.
@@ -66,9 +67,15 @@
 	}
 }
 
+// testNetwork returns the network of the tests' nodes, which stays reserved until this process ends.
+var testNetwork = sync.OnceValues(loopback.Reserve)
+
 // testAddr returns a loopback address that only this process uses, so that its port stays free for a node that restarts.
-func testAddr(lastOctet int) string {
-	return fmt.Sprintf("127.%d.%d.%d:17560", 2+os.Getpid()>>8&127, os.Getpid()&255, lastOctet)
+func testAddr(t *testing.T, lastOctet int) string {
+	t.Helper()
+	network, err := testNetwork()
+	must.NoError(t, err)
+	return network.Host(lastOctet) + ":17560"
 }
 
 // startNode starts a node with a new incarnation at an address.
@@ -102,7 +109,7 @@
 // again and delivers no frame that was sent before, and a node has no event after it was stopped.
 func TestLinksDeliverInOrderAndReconnect(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b, c := startNode(t, testAddr(1)), startNode(t, testAddr(2)), startNode(t, testAddr(3))
+	a, b, c := startNode(t, testAddr(t, 1)), startNode(t, testAddr(t, 2)), startNode(t, testAddr(t, 3))
 	must.Eq(t, a.addr, a.Addr())
 	must.False(t, a.Send(b.addr, &frame{})) // the link is not wanted
 	for _, to := range []*testNode{a, b, c} {
@@ -149,15 +156,15 @@
 	restarted.turn.Unlock()
 	for _, node := range []*testNode{a, restarted, c} {
 		node.Stop()
-		node.Connect(testAddr(4)) // has no effect after Stop
+		node.Connect(testAddr(t, 4)) // has no effect after Stop
 	}
-	must.False(t, a.Send(testAddr(4), &frame{}))
+	must.False(t, a.Send(testAddr(t, 4), &frame{}))
 }
 
 // Checks that a stream with a frame that is too long or cannot be decoded ends, and that other streams continue.
 func TestInvalidFrameEndsOnlyItsStream(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(1)), startNode(t, testAddr(2))
+	a, b := startNode(t, testAddr(t, 1)), startNode(t, testAddr(t, 2))
 	defer a.Stop()
 	defer b.Stop()
 	b.Connect(a.addr)
@@ -207,13 +214,13 @@
 // read are dropped, and its link ends.
 func TestPeerThatDoesNotReadLosesItsLink(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(1)), startNode(t, testAddr(2))
+	a, b := startNode(t, testAddr(t, 1)), startNode(t, testAddr(t, 2))
 	defer a.Stop()
 	defer b.Stop()
-	ln, err := net.Listen("tcp", testAddr(3))
+	ln, err := net.Listen("tcp", testAddr(t, 3))
 	must.NoError(t, err)
 	defer ln.Close()
-	blocked := &testNode{addr: testAddr(3)}
+	blocked := &testNode{addr: testAddr(t, 3)}
 	a.Connect(blocked.addr)
 	a.expectEvent("up " + blocked.addr)
 	a.Connect(b.addr)
@@ -235,7 +242,7 @@
 // once. If the machine of the node lost power, the link looks intact, and nothing else ends it as long as nothing is sent.
 func TestNewIncarnationIsRedialed(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(1)), startNode(t, testAddr(2))
+	a, b := startNode(t, testAddr(t, 1)), startNode(t, testAddr(t, 2))
 	a.Connect(b.addr)
 	a.expectEvent("up " + b.addr)
 	beginStream := func(incarnation uint64) net.Conn {
@@ -269,8 +276,8 @@
 // the new stream nor deliver a frame.
 func TestStreamOfPreviousIncarnationIsRejected(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a := startNode(t, testAddr(41))
-	from := testAddr(42)
+	a := startNode(t, testAddr(t, 41))
+	from := testAddr(t, 42)
 	dial := func() (net.Conn, *gob.Encoder) {
 		c, err := net.Dial("tcp", a.Addr())
 		must.NoError(t, err)
--- a/internal/gateway/transport/offer_test.go
+++ b/internal/gateway/transport/offer_test.go
@@ -39,7 +39,7 @@
 
 // startOfferedPair starts two nodes with links in both directions. Node a offers its link, and b sends on it.
 func startOfferedPair(t *testing.T, lastOctet int) (a, b *testNode) {
-	a, b = startNode(t, testAddr(lastOctet)), startNode(t, testAddr(lastOctet+1))
+	a, b = startNode(t, testAddr(t, lastOctet)), startNode(t, testAddr(t, lastOctet+1))
 	a.OfferLinks()
 	a.Connect(b.addr)
 	a.expectEvent("up " + b.addr)
@@ -66,7 +66,7 @@
 func TestOfferedLinkServesBothWays(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	for _, first := range []string{"node a", "node b"} {
-		a, b := startNode(t, testAddr(21)), startNode(t, testAddr(22))
+		a, b := startNode(t, testAddr(t, 21)), startNode(t, testAddr(t, 22))
 		a.OfferLinks()
 		if first == "node b" {
 			b.Connect(a.addr)
@@ -124,7 +124,7 @@
 // node dialed, each node would close the connection that it dialed itself, and dial again. This would repeat forever.
 func TestTwoOfferingNodesKeepSeparateLinks(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(25)), startNode(t, testAddr(26))
+	a, b := startNode(t, testAddr(t, 25)), startNode(t, testAddr(t, 26))
 	a.OfferLinks()
 	b.OfferLinks()
 	a.Connect(b.addr)
@@ -185,7 +185,7 @@
 	defer goleak.VerifyNone(t)
 	for _, later := range []wireHandshake{{Life: 11, Nr: 2}, {Life: 12, Nr: 1}} {
 		for _, hasSent := range []bool{false, true} {
-			b, from := startNode(t, testAddr(27)), testAddr(28)
+			b, from := startNode(t, testAddr(t, 27)), testAddr(t, 28)
 			dialWithOffer := func(incarnation, seq uint64) (net.Conn, *gob.Decoder) {
 				c, err := net.Dial("tcp", b.addr)
 				must.NoError(t, err)
--- a/internal/gateway/transport/partition_test.go
+++ b/internal/gateway/transport/partition_test.go
@@ -18,7 +18,7 @@
 // the partition ends. A dial that the partition blocks succeeds when the partition ends.
 func TestOneWayPartition(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b, c := startNode(t, testAddr(5)), startNode(t, testAddr(6)), startNode(t, testAddr(7))
+	a, b, c := startNode(t, testAddr(t, 5)), startNode(t, testAddr(t, 6)), startNode(t, testAddr(t, 7))
 	in, commands := io.Pipe()
 	failpoint.Listen(in)
 	defer commands.Close()
@@ -58,7 +58,7 @@
 // that a new connection delivers at once.
 func TestRetransmissionAfterLostAcknowledgements(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(8)), startNode(t, testAddr(9))
+	a, b := startNode(t, testAddr(t, 8)), startNode(t, testAddr(t, 9))
 	in, commands := io.Pipe()
 	failpoint.Listen(in)
 	defer commands.Close()
--- a/internal/gateway/transport/stalled_test.go
+++ b/internal/gateway/transport/stalled_test.go
@@ -96,7 +96,7 @@
 
 // startStallingPair starts two nodes. The connection from the first to the second has carried frame 0, and can be stalled.
 func startStallingPair(t *testing.T) (a, b *testNode, stalling *stallingListener) {
-	a, b = startNode(t, testAddr(1)), newTestNode(t, testAddr(2))
+	a, b = startNode(t, testAddr(t, 1)), newTestNode(t, testAddr(t, 2))
 	stalling = &stallingListener{Listener: b.listener}
 	b.listener = stalling
 	b.Start()
@@ -161,7 +161,7 @@
 // A connection that has just begun is not replaced when the peer dials, neither for the first time nor again.
 func TestYoungConnectionIsKeptWhenThePeerDialsAgain(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, b := startNode(t, testAddr(1)), startNode(t, testAddr(2))
+	a, b := startNode(t, testAddr(t, 1)), startNode(t, testAddr(t, 2))
 	defer a.Stop()
 	defer b.Stop()
 	a.Connect(b.addr)
--- a/internal/lab/gatewaystandin/deployment.go
+++ b/internal/lab/gatewaystandin/deployment.go
@@ -15,13 +15,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"clovergap/internal/gateway/settings"
 	"clovergap/internal/history"
+	"clovergap/internal/lab/loopback"
 	"clovergap/internal/lab/standin"
 )
 
@@ -30,7 +30,7 @@
 	Program           string // of gateway
 	Nodes             int
 	Disks             int    // the first so many nodes have one
-	Base              string // first three bytes of the nodes' addresses, with a dot; empty: the deployment's own
+	Base              string // first three octets of the nodes' addresses, with a dot; if empty, the deployment reserves a network
 	Zones             []string
 	BackendsPerZone   int // backends of each service in each zone
 	Rate              float64
@@ -53,6 +53,7 @@
 	Nodes    []*Node
 	Operator *Operator
 	dir      string
+	network  *loopback.Network // nil if Config.Base was given
 	ports    ports
 	seeds    []string
 	control  *http.Client
@@ -79,14 +80,6 @@
 	deployment      *Deployment
 }
 
-var deployments atomic.Uint32
-
-// base is a network of this deployment's own on loopback: nobody else's ports are in it.
-func base() string {
-	n := uint32(os.Getpid())*16 + deployments.Add(1)
-	return fmt.Sprintf("127.%d.%d.", 1+n>>8%250, n%256)
-}
-
 // free finds ports that are free at all addresses.
 func free(base string, nodes int) (ports, error) {
 	for first := 7100; first < 30000; first += 50 {
@@ -127,7 +120,10 @@
 		}
 	}()
 	if t.Config.Base == "" {
-		t.Config.Base = base()
+		if t.network, err = loopback.Reserve(); err != nil {
+			return t, err
+		}
+		t.Config.Base = t.network.Prefix()
 	}
 	if t.ports, err = free(t.Config.Base, o.Nodes); err != nil {
 		return t, err
@@ -350,6 +346,9 @@
 		l.Close()
 	}
 	d.control.CloseIdleConnections()
+	if d.network != nil {
+		d.network.Release()
+	}
 	os.RemoveAll(d.dir)
 }
 
--- a/internal/lab/standin/fleet.go
+++ b/internal/lab/standin/fleet.go
@@ -8,10 +8,10 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"clovergap/internal/history"
+	"clovergap/internal/lab/loopback"
 	"clovergap/internal/lab/spec"
 )
 
@@ -50,6 +50,7 @@
 	Relay    *Relay // between the front doors
 	opt      Options
 	dir      string
+	network  *loopback.Network // of the front doors
 	traces   *traces
 	once     map[string]bool
 	work     func(string) time.Duration
@@ -73,15 +74,6 @@
 	Operator string       // operator file's text, with {name} for the front door's and {dir} for the fleet's folder
 }
 
-var fleets atomic.Uint32
-
-// home is a loopback address of this fleet's own: nobody else's connection can take a port there while a front door
-// that listens on it is down.
-func home() string {
-	n := uint32(os.Getpid())*64 + fleets.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 1+n>>16%250, n>>8%256, 1+n%254)
-}
-
 // free finds ports that are free now.
 func free(at string, n int, network string) ([]string, error) {
 	var out []string
@@ -159,7 +151,10 @@
 
 // layNodes makes the front doors, without starting any, and what stands between them and the rest.
 func (f *Fleet) layNodes() (err error) {
-	s, at := f.Spec, home()
+	if f.network, err = loopback.Reserve(); err != nil {
+		return err
+	}
+	s, at := f.Spec, f.network.Host(1) // no other run takes a port there while a front door is down
 	listen, err := free(at, s.Nodes.Count, "tcp")
 	if err != nil {
 		return err
@@ -405,6 +400,9 @@
 	if f.Relay != nil {
 		f.Relay.Close()
 	}
+	if f.network != nil {
+		f.network.Release()
+	}
 	os.RemoveAll(f.dir)
 }
 
