Front door: a customer's txns wait for units in order, and only if the refill suffices

What callers saw: 20 txns of a customer with an empty bucket all waited until the end of their time for five units; 15 were rejected then. Each counted only itself.

Change: the front door counts, for each customer, the txns that wait for the quota and their units. A new txn comes after them and is rejected on arrival, with the time of its units as advice, if the refill comes too late. At the end of a wait all waiting txns are decided again in the order of arrival.

--- a/control/loadbalancer/controller.go
+++ b/control/loadbalancer/controller.go
@@ -49,11 +49,12 @@
 	undecided      []*txn                          // txns to decide next
 	waiting        []*txn                          // txns that wait for units, a snapshot, a slot or a backend
 	waitingWork    time.Duration                   // sum of the expected work of the txns that wait for a backend
-	recheckWaiting bool                            // the waiting txns must be decided again
-	decisions      []control.Decision              // decisions that Next has not returned yet
-	retryBudget    float64                         // number of retries that are allowed now
-	giveUpCounts   reasonCounts                    // txns rejected or failed since the last summary
-	loggedAt       time.Duration                   // time of the last summary in the log
+	quotaQueues    map[control.CustomerID]quotaQueue
+	recheckWaiting bool               // the waiting txns must be decided again
+	decisions      []control.Decision // decisions that Next has not returned yet
+	retryBudget    float64            // number of retries that are allowed now
+	giveUpCounts   reasonCounts       // txns rejected or failed since the last summary
+	loggedAt       time.Duration      // time of the last summary in the log
 
 	// Backends.
 	backends       map[control.BackendID]*backend
@@ -113,6 +114,7 @@
 		products:           r.readProducts(),
 		plans:              r.readPlans(),
 		txns:               map[control.TxnID]*txn{},
+		quotaQueues:        map[control.CustomerID]quotaQueue{},
 		backends:           map[control.BackendID]*backend{},
 		backendsByHash:     map[uint64]*backend{},
 		usualLatencies:     map[int]float64{},
@@ -211,6 +213,7 @@
 	}
 	for _, t := range c.waiting {
 		t.queued = false
+		c.stopAwaitingQuota(t)
 	}
 	c.undecided, c.waiting, c.waitingWork = append(c.waiting, c.undecided...), nil, 0
 	slices.SortStableFunc(c.undecided, func(a, b *txn) int { return cmp.Compare(a.arrived, b.arrived) })
--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -19,6 +19,8 @@
 	queued   bool           // the txn is in Controller.waiting
 	giveUpAt time.Duration  // time until which the txn may wait
 	reason   control.Reason // what the txn lacked at the last decision
+	// awaitsQuota means that the txn is counted in Controller.quotaQueues.
+	awaitsQuota bool
 
 	// Quota. At most one of reserved, consumed and overQuota is true.
 	reserved  bool // the units are reserved while the txn waits for a backend
@@ -119,11 +121,14 @@
 // checkQuota reports whether the quota covers a txn or the txn may exceed the quota. If the result is false, checkQuota has queued or
 // answered the txn.
 func (c *Controller) checkQuota(t *txn, account *quota.Account) bool {
-	request := quota.Request{Units: t.Units, Arrived: t.arrived, PendingUntil: t.answerBy - c.expectedWork(t)}
+	request := quota.Request{
+		Units: t.Units, Arrived: t.arrived, PendingUntil: t.answerBy - c.expectedWork(t), UnitsAhead: c.quotaQueues[t.Customer].units,
+	}
 	outcome, at, reason := c.quota.CheckAccount(account, request)
 	t.reason = reason
 	switch outcome {
 	case quota.Pending:
+		c.awaitQuota(t)
 		c.queueUntil(t, at)
 		return false
 	case quota.Exceeded:
@@ -184,8 +189,7 @@
 func (c *Controller) handleTxnTimer(t *txn) {
 	expired := c.now >= t.Expiry-expiryMargin
 	if t.queued && !expired && c.now >= t.giveUpAt && (t.reason == control.ReasonNoUnits || t.reason == control.ReasonNoSnapshot) {
-		t.queued = false
-		c.undecided = append(c.undecided, t)
+		c.recheckWaiting = true // all waiting txns, so that they get units in the order of their arrival
 		return
 	}
 	if !expired && (t.currentBackend != nil || !t.queued || c.now < t.giveUpAt) {
@@ -339,6 +343,7 @@
 // outcome of the submission still counts in the statistics of the backend.
 func (c *Controller) endTxn(t *txn) {
 	t.ended = true
+	c.stopAwaitingQuota(t)
 	c.releaseReservation(t)
 	if t.currentBackend == nil {
 		delete(c.txns, t.ID)
--- a/control/loadbalancer/wait_test.go
+++ b/control/loadbalancer/wait_test.go
@@ -1,6 +1,7 @@
 package loadbalancer
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -127,3 +128,38 @@
 	must.Between(t, slow-5*time.Millisecond, s.controller.expectedWork(waiting), slow)
 	must.Between(t, calm-time.Millisecond, s.controller.usualLatency(waiting), calm+time.Millisecond)
 }
+
+// actionsOf returns the actions of the pending decisions for each txn.
+func (s *scenario) actionsOf() map[control.TxnID]control.Action {
+	actions := map[control.TxnID]control.Action{}
+	for d, ok := s.controller.Next(); ok; d, ok = s.controller.Next() {
+		if d.Action == control.Submit || d.Action == control.Reject {
+			actions[d.Txn] = d.Action
+		}
+	}
+	return actions
+}
+
+// Guards against txns that all wait for the same units. The refill brings five units within the SLA time of 500 ms, so only the first txns of the
+// customer may wait for units. All others must be rejected on arrival, and the txns that waited must be submitted in the order of their arrival.
+func TestUnitsAreAwaitedInOrder(t *testing.T) {
+	s := newWarmScenario()
+	customer := customerOwnedBy(0)
+	s.drainBucket(customer, 0)
+	const count = 20
+	for id := range control.TxnID(count) {
+		s.controller.TxnArrived(control.Txn{ID: id, Customer: customer, Units: 1, SetWidth: 3, Expiry: s.controller.now + 2*time.Second})
+	}
+	rejected := s.actionsOf()
+	must.Between(t, count-5, len(rejected), count-4)
+	submitted := map[control.TxnID]control.Action{}
+	for range 600 {
+		s.controller.Now(s.controller.now + time.Millisecond)
+		maps.Copy(submitted, s.actionsOf())
+	}
+	must.Eq(t, count, len(submitted)+len(rejected))
+	for id, action := range submitted {
+		must.Eq(t, control.Submit, action)
+		must.Less(t, control.TxnID(len(submitted)), id)
+	}
+}
