Front door: a txn waits for a slot of its plan only if its turn comes in time

What callers saw: with a plan of two submissions in flight and responses after 150 ms, 18 of 20 txns waited until the end of their time, and 14 were rejected then.

Cause: checkWithoutFreeSlot let each request wait until its latest start, without an estimate of the requests ahead.

Change: the expected wait is the work of the requests ahead and of the request, divided by the plan's limit. Who comes too late is rejected on arrival, with that time as advice; before, without any.

--- a/control/loadbalancer/recorded_test.go
+++ b/control/loadbalancer/recorded_test.go
@@ -194,11 +194,11 @@
 		want   string
 	}{
 		{"low load, default settings", 0.2, func(control.Settings) {}, 1, "23330 51b16de738c9610a"},
-		{"high load, default settings", 0.7, func(control.Settings) {}, 2, "101281 8da3611975a5100a"},
+		{"high load, default settings", 0.7, func(control.Settings) {}, 2, "96901 524489553e54290d"},
 		{"probes, retry delays and cancellation are disabled", 0.5, func(s control.Settings) {
 			s["limits.probes"], s["limits.cancel"], s["limits.advice"] = "false", "false", "false"
-		}, 3, "63618 7220fac732331095"},
-		{"load reports come with probe responses", 0.5, func(s control.Settings) { s["report.how"], s["report.fields"] = "probe", "queue,per_s,service_ms" }, 4, "63407 154e402dbf3265d9"},
+		}, 3, "63941 f3499fabe382897d"},
+		{"load reports come with probe responses", 0.5, func(s control.Settings) { s["report.how"], s["report.fields"] = "probe", "queue,per_s,service_ms" }, 4, "64610 3f24d0cbe516ac73"},
 	} {
 		t.Run(tc.name, func(t *testing.T) { must.Eq(t, tc.want, simulationDigest(tc.seed, tc.load, tc.change)) })
 	}
--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -121,8 +121,9 @@
 // checkQuota reports whether the quota covers a txn or the txn may exceed the quota. If the result is false, checkQuota has queued or
 // answered the txn.
 func (c *Controller) checkQuota(t *txn, account *quota.Account) bool {
+	work, queue := c.expectedWork(t), c.quotaQueues[t.Customer]
 	request := quota.Request{
-		Units: t.Units, Arrived: t.arrived, PendingUntil: t.answerBy - c.expectedWork(t), UnitsAhead: c.quotaQueues[t.Customer].units,
+		Units: t.Units, Arrived: t.arrived, PendingUntil: t.answerBy - work, UnitsAhead: queue.units, RequestsAhead: queue.txns, Work: work,
 	}
 	outcome, at, reason := c.quota.CheckAccount(account, request)
 	t.reason = reason
--- a/control/loadbalancer/wait_test.go
+++ b/control/loadbalancer/wait_test.go
@@ -163,3 +163,27 @@
 		must.Less(t, control.TxnID(len(submitted)), id)
 	}
 }
+
+// Guards against txns that wait in vain because their plan limits the submissions in flight. With two submissions in flight and responses after 150 ms,
+// the SLA time of 500 ms leaves 350 ms, in which four more submissions can begin. All others must be rejected on arrival.
+func TestSlotsOfPlanAreAwaitedInOrder(t *testing.T) {
+	settings := defaultTestSettings(0)
+	settings["plans.0.open_cap"] = "2"
+	s := newWarmScenarioWithSettings(settings)
+	arrival := control.Txn{Customer: customerOwnedBy(0), Units: 1, SetWidth: 3, Expiry: s.controller.now + 2*time.Second}
+	s.controller.currentLatencies[s.controller.workKind(&txn{Txn: arrival})] = 0.15
+	for arrival.ID = range control.TxnID(20) {
+		s.controller.TxnArrived(arrival)
+	}
+	actions := s.actionsOf()
+	for id := range control.TxnID(20) {
+		switch {
+		case id < 2:
+			must.Eq(t, control.Submit, actions[id])
+		case id < 6:
+			must.MapNotContainsKey(t, actions, id)
+		default:
+			must.Eq(t, control.Reject, actions[id])
+		}
+	}
+}
--- a/control/quota/check.go
+++ b/control/quota/check.go
@@ -31,6 +31,10 @@
 	PendingUntil time.Duration
 	// UnitsAhead is the number of units for which other requests of the customer wait at this gateway. They come before this request.
 	UnitsAhead float64
+	// RequestsAhead is the number of these requests.
+	RequestsAhead int
+	// Work is the expected time from the submission of the request to its response. 0 means that the time is unknown.
+	Work time.Duration
 }
 
 // Check reports whether a customer's quota covers a request. It returns an Outcome and a duration whose meaning depends on the Outcome. A
@@ -63,7 +67,7 @@
 		return Exceeded, at - l.now, control.ReasonHardLimit
 	}
 	if a.limit.MaxInFlight > 0 && a.inFlight+a.reservations+l.inFlightElsewhere(a) >= a.limit.MaxInFlight {
-		return l.checkWithoutFreeSlot(a, r.PendingUntil)
+		return l.checkWithoutFreeSlot(a, r)
 	}
 	if a.limit.Rate <= 0 {
 		return Allowed, 0, control.ReasonNoUnits
@@ -76,18 +80,19 @@
 	return outcome, at, control.ReasonNoSnapshot
 }
 
-// checkWithoutFreeSlot decides on a request of a customer that has reached the maximum number of submissions in flight. The request may
-// wait until waitUntil.
-func (l *Limiter) checkWithoutFreeSlot(a *Account, waitUntil time.Duration) (Outcome, time.Duration, control.Reason) {
+// checkWithoutFreeSlot decides on a request of a customer that has reached the maximum number of submissions in flight. A request whose turn
+// is expected too late, after the requests ahead of it, is rejected at once.
+func (l *Limiter) checkWithoutFreeSlot(a *Account, r Request) (Outcome, time.Duration, control.Reason) {
 	if a.owner != l.self && l.now-a.levelAt > l.answerTimeout(a) {
 		// The submissions at other gateways may have ended since the last snapshot. The owner sends the new number of submissions in
 		// flight only in answer to a report.
 		l.requestSnapshot(a)
 	}
-	if l.now < waitUntil {
-		return Pending, waitUntil, control.ReasonNoSlot
+	expectedWait := r.Work * time.Duration(r.RequestsAhead+1) / time.Duration(a.limit.MaxInFlight)
+	if l.now+expectedWait < r.PendingUntil {
+		return Pending, r.PendingUntil, control.ReasonNoSlot
 	}
-	return Exceeded, 0, control.ReasonNoSlot
+	return Exceeded, expectedWait, control.ReasonNoSlot
 }
 
 // checkAgainstBucket decides on a request of a customer whose bucket this gateway owns. A request for which the refill comes too late, after the
