Quota: a request waits for units of a hard limit only if they can come in time

What callers saw: with a hard limit far below the demand, a request at a gateway that does not own the quota waited until its latest start, however many waited before it.

Cause: checkHardLimit gave no estimate for such a gateway, and none of it counted the requests ahead. Formerly a share of the SLA time hid that.

Change: the units of the requests ahead and of the request, at the rate that this gateway may expect (its share, or an equal part of the limit among the recent reporters), decide whether it waits. While the owner's answer can still bring them, it waits for that answer. A gateway that is not in the customer's set answers at once. Amounts and bounds of the limit are unchanged.

--- a/control/loadbalancer/wait_test.go
+++ b/control/loadbalancer/wait_test.go
@@ -187,3 +187,22 @@
 		}
 	}
 }
+
+// Guards against txns that all wait for units of a hard limit. Units come at 20 per second for three front doors, so the first three txns of a customer
+// can get them within the SLA time of 500 ms. All others must be rejected on arrival. This holds for the owner of the quota, whose rate is higher, and
+// for the other front doors.
+func TestUnitsOfHardLimitAreAwaitedInOrder(t *testing.T) {
+	for owner, waiting := range map[control.GatewayID]int{0: 6, 1: 3} {
+		s := newScenario(defaultTestSettings(0), 10000) // the shares of the hard limit are empty at the start
+		s.changeEndpoints(true, control.Endpoint{ID: 1, State: control.Ready})
+		for id := range control.TxnID(20) {
+			s.controller.TxnArrived(control.Txn{ID: id, Customer: customerOwnedBy(owner), Plan: 1, Units: 1, SetWidth: 3,
+				Expiry: s.controller.now + 2*time.Second})
+		}
+		actions := s.actionsOf()
+		must.MapLen(t, 20-waiting, actions)
+		for id := range control.TxnID(waiting) {
+			must.MapNotContainsKey(t, actions, id)
+		}
+	}
+}
--- a/control/quota/check.go
+++ b/control/quota/check.go
@@ -60,11 +60,8 @@
 
 // checkWithReason does the work of Check for an account. For a request that is not allowed, checkWithReason also returns the reason.
 func (l *Limiter) checkWithReason(a *Account, r Request) (Outcome, time.Duration, control.Reason) {
-	if allowed, at := l.checkHardLimit(a, r); !allowed {
-		if at < r.PendingUntil {
-			return Pending, r.PendingUntil, control.ReasonHardLimit
-		}
-		return Exceeded, at - l.now, control.ReasonHardLimit
+	if outcome, at := l.checkHardLimit(a, r); outcome != Allowed {
+		return outcome, at, control.ReasonHardLimit
 	}
 	if a.limit.MaxInFlight > 0 && a.inFlight+a.reservations+l.inFlightElsewhere(a) >= a.limit.MaxInFlight {
 		return l.checkWithoutFreeSlot(a, r)
--- a/control/quota/hardlimit.go
+++ b/control/quota/hardlimit.go
@@ -5,30 +5,46 @@
 	"time"
 )
 
-// checkHardLimit reports whether this gateway's share of the hard limit covers a request. If the share does not cover the request, at
-// is the clock time at which to check again.
+// checkHardLimit decides whether this gateway's share of the hard limit covers a request and the requests ahead of it. The results are those of
+// Check. A request waits if the refill, or the owner's answer with units of the pool, can come in time.
 //
 // A part of the hard limit (hardEvenShare) is split evenly over the set, so that each gateway has some units during a partition. The
 // rest is the owner's pool. A gateway whose share is too small for a request requests units from the pool. Shares and pool are empty at
 // the start of each epoch, which is one run of a gateway's process. The rates and bursts of the shares and the pool add up to the whole
 // limit, whichever gateways restart.
-func (l *Limiter) checkHardLimit(a *Account, r Request) (allowed bool, at time.Duration) {
+func (l *Limiter) checkHardLimit(a *Account, r Request) (Outcome, time.Duration) {
 	if a.limit.HardRate <= 0 {
-		return true, 0
+		return Allowed, 0
 	}
 	if !a.inSet {
-		return false, l.now + time.Second
+		return Exceeded, time.Second
 	}
-	lacking := r.Units + a.reserved - l.refillHardShare(a)
+	lacking := r.Units + r.UnitsAhead + a.reserved - l.refillHardShare(a)
 	if lacking <= 0 {
-		return true, 0
+		return Allowed, 0
 	}
 	if a.owner != l.self {
 		a.hardUnitsWanted = min(max(a.hardUnitsWanted, lacking), l.hardShareCap(a))
 		l.requestSnapshot(a)
-		return false, l.now
 	}
-	return false, l.now + time.Duration(lacking/(a.limit.HardRate*l.hardLimitFraction(a))*float64(time.Second))
+	after := time.Duration(lacking / l.expectedHardRate(a) * float64(time.Second))
+	if l.now+after < r.PendingUntil {
+		return Pending, r.PendingUntil
+	}
+	if deadline := l.answerDeadline(a, r); a.owner != l.self && lacking <= l.hardShareCap(a) && l.now < deadline {
+		return Pending, deadline
+	}
+	return Exceeded, after
+}
+
+// expectedHardRate returns the rate in units per second at which this gateway is expected to get units of the hard limit. The owner has its share
+// and the pool. Another gateway has its share and, from the pool, as much as the other recent reporters.
+func (l *Limiter) expectedHardRate(a *Account) float64 {
+	rate := a.limit.HardRate * l.hardLimitFraction(a)
+	if a.owner == l.self {
+		return rate
+	}
+	return max(rate, a.limit.HardRate/float64(max(a.reporterCount, 1)))
 }
 
 // hardLimitFraction returns the fraction of the hard limit that belongs to this gateway. The owner's fraction includes the pool.
