Simulation: the long tests run beside each other

It kept one core busy while the others were idle.

Change: the 19 longest tests, and the four cases of the longest, are parallel. No bound, seed or check has changed.

--- a/internal/lab/simulation/applications_test.go
+++ b/internal/lab/simulation/applications_test.go
@@ -23,6 +23,7 @@
 // Days on which applications call for locks, numbers, keys and watches, over real groups: no rule on these is broken, whatever befalls the
 // nodes. APPLICATION_DAYS plays so many, from APPLICATION_SEED on.
 func TestApplicationDays(t *testing.T) {
+	t.Parallel()
 	days, first := 8, 0
 	if n, err := strconv.Atoi(os.Getenv("APPLICATION_DAYS")); err == nil {
 		days = n
--- a/internal/lab/simulation/catchup_test.go
+++ b/internal/lab/simulation/catchup_test.go
@@ -161,6 +161,7 @@
 // changes going on: four times what their bytes take on the link, for both come from one node, and three seconds. CATCHUP_SIZE and
 // CATCHUP_TIMES play it larger.
 func TestAwayOnThinLinks(t *testing.T) {
+	t.Parallel()
 	const mbps = 2
 	number := func(name string, usual int) int {
 		if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
--- a/internal/lab/simulation/departures_test.go
+++ b/internal/lab/simulation/departures_test.go
@@ -13,6 +13,7 @@
 // seeds that happens if nodes do not store departures. On the days of the others it happens if a node counts a copy of a departure before the
 // copy is on the disk, while disks hang, are slow or full.
 func TestDepartures(t *testing.T) {
+	t.Parallel()
 	site := Site{Nodes: 6, Disks: 3}
 	for _, seed := range []uint64{1, 6, 104, 184} {
 		day := DrawDepartures(site, seed, 22*time.Second)
--- a/internal/lab/simulation/feed_test.go
+++ b/internal/lab/simulation/feed_test.go
@@ -13,6 +13,7 @@
 // over by it without a word, and as it said other things the follower stayed with it for 5 s: it went by a configuration for longer than
 // a change may take to be in force (lab/days/mvk-anadolu-36.toml).
 func TestFollowsOneThatComesBackEmpty(t *testing.T) {
+	t.Parallel()
 	for lost := range 3 {
 		for _, away := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
 			w := newWorld(&Day{Site: Site{Nodes: 12, Disks: 3}.Usual(), Seed: 5, For: time.Second})
--- a/internal/lab/simulation/groups_test.go
+++ b/internal/lab/simulation/groups_test.go
@@ -112,6 +112,7 @@
 // A group whose leader is lost, whichever way, goes on under another one: within 1.1 s at the worst, and again afterwards. GROUP_TIMES
 // plays so many of each.
 func TestGroupsGoOnAfterTheirLeaderIsLost(t *testing.T) {
+	t.Parallel()
 	times := 3
 	if n, err := strconv.Atoi(os.Getenv("GROUP_TIMES")); err == nil {
 		times = n
@@ -306,6 +307,7 @@
 
 // What a call costs, in syncs, frames, bytes and processor of all nodes together: no more than so much.
 func TestCostOfACall(t *testing.T) {
+	t.Parallel()
 	for _, at := range []struct{ disks, rate int }{{8, 120}, {8, 240}, {8, 480}, {3, 240}, {5, 240}} {
 		idle := costAt(t, at.disks, 0)
 		c := costAt(t, at.disks, at.rate)
@@ -322,6 +324,7 @@
 // Configurations and calls share disks and links, and neither waits long for the other: 480 calls a second with puts of 4 KB beside an operator
 // who changes the configuration all the time.
 func TestConfigurationsAndCallsShareTheDisk(t *testing.T) {
+	t.Parallel()
 	const over = 10 * time.Second
 	play := func(perSecond int, changes bool) (acks, calls []time.Duration) {
 		w := groupWorld(t, 9)
--- a/internal/lab/simulation/hard_test.go
+++ b/internal/lab/simulation/hard_test.go
@@ -13,6 +13,7 @@
 
 // Hard days are days as well: the same seed gives the same bytes.
 func TestHardDaysAreDeterministic(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		day := func() string { return Play(DrawHard(Site{Nodes: 5, Disks: 3}, seed+1, 5, 6*time.Second)).Digest }
 		must.Eq(t, day(), day())
@@ -50,6 +51,7 @@
 // 150 such days broke CONFIG, five of these among them; the other nine are of the 12 that do so since nodes without a majority
 // turn calls away at once.
 func TestRestartWithinACall(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{6, 22, 46, 61, 64, 79, 89, 95, 97, 107, 112, 113, 117, 118} {
 		d := &Day{Site: Site{Nodes: 5, Disks: 3}, Seed: seed, For: 10 * time.Second, Hard: true, Faults: []spec.Fault{
 			{Kind: "copies", For: spec.Span(10 * time.Second), Pick: 1},
--- a/internal/lab/simulation/members_test.go
+++ b/internal/lab/simulation/members_test.go
@@ -101,6 +101,7 @@
 
 // A machine with a disk is replaced, and catch_up later another is lost: an order is taken all the same, and no rule is broken.
 func TestReplacementDays(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		took := replacementDay(t, seed, seed&1 > 0, seed&2 > 0)
 		t.Logf("seed %d: replaced %v after both", seed, took)
--- a/internal/lab/simulation/owned_test.go
+++ b/internal/lab/simulation/owned_test.go
@@ -13,6 +13,7 @@
 // What a node hands to its links and to its disk it changes no more: these have goroutines of their own, and write it when they
 // come to it. Days with leaders that change, members that are replaced, and whole states that travel.
 func TestWhatIsHandedOverIsLeftAlone(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(1) {
 		d := DrawHard(Site{Nodes: 5, Disks: 3}, 500+seed, 5, 4*time.Second)
 		d.checkOwnership = true
--- a/internal/lab/simulation/parted_test.go
+++ b/internal/lab/simulation/parted_test.go
@@ -14,6 +14,7 @@
 // refuses and tells nothing, acknowledges no end, is not ready, and sends callers on at once; all rules hold, and orders find their
 // answer at the next node.
 func TestPartedForTwentySeconds(t *testing.T) {
+	t.Parallel()
 	var all PartitionTimes
 	for n, way := range []string{"both", "in", "out", "mute"} {
 		for who, by := range map[string]float64{"who leads": 0, "another": 1} {
@@ -40,6 +41,7 @@
 // seeds each, as the share of those that are asked late changes much from seed to seed. What a backend waits for a machine that has no power is
 // taken off: one in seven asks that machine first, and waits its own second before it asks the next node.
 func TestEndsAreAcknowledgedSoon(t *testing.T) {
+	t.Parallel()
 	span := func(s float64) spec.Span { return spec.Span(s * float64(time.Second)) }
 	drains := func(with ...spec.Fault) (ends []time.Duration, atDark int) {
 		for seed := range uint64(10) {
@@ -66,15 +68,18 @@
 		"cut":          {{Kind: "core-part", At: span(1), For: span(9), Share: 0.1, By: 0, Way: "both"}},
 		"a power loss": {{Kind: "core-power", At: span(1), For: span(3), Share: 0.1}},
 	} {
-		ends, atDark := drains(with...)
-		at := func(share float64) time.Duration { return ends[int(share*float64(len(ends)-1))] }
-		t.Logf("%s: %d ends, %d at a machine without power; acknowledged after %v in the median, %v of 9 in 10, %v at worst", name, len(ends),
-			atDark, at(0.5), at(0.9), at(1))
-		must.Greater(t, 60, len(ends), must.Sprint(name))
-		must.LessEq(t, len(ends)/5, atDark, must.Sprint(name))
-		if with == nil {
-			must.Less(t, 50*time.Millisecond, at(1))
-		}
-		must.Less(t, 900*time.Millisecond, at(0.9), must.Sprint(name))
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ends, atDark := drains(with...)
+			at := func(share float64) time.Duration { return ends[int(share*float64(len(ends)-1))] }
+			t.Logf("%s: %d ends, %d at a machine without power; acknowledged after %v in the median, %v of 9 in 10, %v at worst", name, len(ends),
+				atDark, at(0.5), at(0.9), at(1))
+			must.Greater(t, 60, len(ends), must.Sprint(name))
+			must.LessEq(t, len(ends)/5, atDark, must.Sprint(name))
+			if with == nil {
+				must.Less(t, 50*time.Millisecond, at(1))
+			}
+			must.Less(t, 900*time.Millisecond, at(0.9), must.Sprint(name))
+		})
 	}
 }
--- a/internal/lab/simulation/planted_test.go
+++ b/internal/lab/simulation/planted_test.go
@@ -13,6 +13,7 @@
 
 // A calm simulated day with a planted fault breaks the rule that is there for it, and no other; without one it breaks none.
 func TestPlantedFaultsAreFound(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		planted plantedFault
 		rules   []string
--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -11,6 +11,7 @@
 
 // Days of all shapes keep the rules, and the same day gives the same bytes: no map and no clock has a say.
 func TestDays(t *testing.T) {
+	t.Parallel()
 	served := 0
 	for seed, site := range []Site{{Nodes: 5, Disks: 3}, {Nodes: 3, Disks: 3}, {Nodes: 7, Disks: 5, Mbps: 2}, {Nodes: 1, Disks: 1},
 		{Nodes: 6, Disks: 3, Turn: 100 * time.Microsecond}, {Nodes: 12, Disks: 3}} {
@@ -56,6 +57,7 @@
 // What nodes say in calm does not grow with their square: a node without a disk stays under its budget whatever their number,
 // one with a disk grows with it. See docs/simulation.md.
 func TestControlBytes(t *testing.T) {
+	t.Parallel()
 	all := map[int]*Result{}
 	for _, n := range []int{12, 24, 48} {
 		r := Play(&Day{Site: Site{Nodes: n, Disks: 3, Rate: 200}, Seed: 1, For: 5 * time.Second, Calm: true})
--- a/internal/lab/simulation/stalled_links_test.go
+++ b/internal/lab/simulation/stalled_links_test.go
@@ -20,6 +20,7 @@
 // Guards against a core node that stays behind after a cut in one direction, because its peers go on writing to connections that
 // carry nothing. A peer that dials again shows that its connection was broken, and the link to it is replaced.
 func TestStalledLinksAreReplaced(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		r := Play(stalledLinkDay(seed + 1))
 		for _, b := range r.Broken {
@@ -32,6 +33,7 @@
 // Days of overlapping cuts keep all rules. Those of the first two seeds break CONFIG if stalled links are kept. On the day of the third a node
 // with a disk is cut off at the first start, when it alone has a slot: it breaks PARTED if that node acknowledges a departure by itself.
 func TestOverlappingCuts(t *testing.T) {
+	t.Parallel()
 	site := Site{Nodes: 6, Disks: 3}
 	for _, seed := range []uint64{16, 57, 333, 1} {
 		day := DrawOverlappingCuts(site, seed, 30*time.Second)
@@ -46,6 +48,7 @@
 
 // The same day breaks CONFIG if such links are kept, and the nodes count it themselves.
 func TestKeptStalledLinksAreFound(t *testing.T) {
+	t.Parallel()
 	found, staleInContact := map[string]int{}, uint64(0)
 	for seed := range uint64(4) {
 		day := stalledLinkDay(seed + 1)
