--- /dev/null
+++ b/review/_rig2/latefinish.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Figures of the case. The hold and the freeze are within what the pages name: callers hold "for many seconds", and a machine stands still
+// for up to 4 s.
+const (
+	lockHold     = 10 * time.Second
+	freezeLength = 3500 * time.Millisecond
+	finishAfter  = 300 * time.Millisecond // into the freeze
+	restartAfter = 500 * time.Millisecond // into the freeze
+	lockRounds   = 4
+	frontClients = 131
+)
+
+// lateFinish: a caller sends Locks.Finish to a machine that stands still, ends, starts again under its own name and takes the lock through
+// another machine. The machine wakes. Nobody else may get the lock while the caller's hold runs.
+func lateFinish(folder, program string, trouble bool) (broken bool) {
+	c := newCluster(folder, program, 3, 3)
+	onExitStop(c)
+	c.startAll()
+	services := []string{"catalogo"}
+	routes := []route{{"views", "views.example", "/lots/", "pure", "catalogo", 2}, {"bids", "bids.example", "/bids/", "effectful", "catalogo", 2}}
+	c.replaceConfiguration(configuration(1, 0, services, routes), 20*time.Second)
+	for i := range 6 {
+		startBackend(fmt.Sprintf("i-%d", i), "catalogo", c.machines[i%3].ip, zones[i%3], 20*time.Millisecond, controls(c))
+	}
+	c.awaitReady(20 * time.Second)
+	sleepy := c.machines[3] // without a disk
+	var served atomic.Int64
+	for i := range frontClients {
+		go frontClient(i, sleepy, &served)
+	}
+	time.Sleep(2 * time.Second)
+	note("machines are up, %d requests served at %s", served.Load(), sleepy.name)
+	for round := 1; round <= lockRounds && !broken; round++ {
+		broken = lockRound(c, sleepy, round, trouble)
+	}
+	return broken
+}
+
+// lockRound plays one lock; true: two callers counted themselves its holder.
+func lockRound(c *cluster, sleepy *machine, round int, trouble bool) bool {
+	lock := fmt.Sprintf("l%d", round)
+	first := begin(c.machines[0], lock, "x", 5*time.Second)
+	if first.fence == 0 {
+		giveUp("round %d: x did not get its lock", round)
+	}
+	if trouble {
+		sleepy.signal(syscall.SIGSTOP)
+		note("%s: %s stands still", lock, sleepy.name)
+	}
+	time.Sleep(finishAfter)
+	finishAndEnd(sleepy, lock, "x", first.fence)
+	time.Sleep(restartAfter - finishAfter)
+	second := begin(c.machines[1], lock, "x", time.Second)
+	if second.fence == 0 {
+		giveUp("round %d: x did not get its lock again", round)
+	}
+	time.Sleep(freezeLength - restartAfter)
+	if trouble {
+		sleepy.signal(syscall.SIGCONT)
+		note("%s: %s goes on", lock, sleepy.name)
+	}
+	for time.Now().Before(second.sent.Add(lockHold - 2*time.Second)) {
+		other := begin(c.machines[2], lock, "y", 0)
+		if other.fence != 0 && other.answered.Before(second.sent.Add(lockHold)) {
+			note("%s: y holds with fence %d, while x (fence %d) counts itself holder for another %.1f s", lock, other.fence, second.fence,
+				time.Until(second.sent.Add(lockHold)).Seconds())
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// held is what a Locks.Begin brought.
+type held struct {
+	fence          int
+	sent, answered time.Time
+}
+
+// begin asks for a lock, again for as long as the limit says; the fence is 0 if it was not given.
+func begin(m *machine, lock, holder string, limit time.Duration) (h held) {
+	for until := time.Now().Add(limit); ; time.Sleep(100 * time.Millisecond) {
+		h = held{sent: time.Now()}
+		a, err := call(m.control(), "POST", "/api/Locks.Begin/"+lock, fmt.Sprintf(`{"holder":%q,"hold":"%dms"}`, holder, lockHold.Milliseconds()), time.Second)
+		h.answered = time.Now()
+		if err == nil && a.status == 200 {
+			var body struct{ Fence int }
+			must(json.Unmarshal([]byte(a.body), &body))
+			h.fence = body.Fence
+			note("%s: Begin by %s at %s: 200, fence %d", lock, holder, m.name, h.fence)
+			return h
+		}
+		if limit > 0 {
+			note("%s: Begin by %s at %s: %d %v", lock, holder, m.name, a.status, err)
+		}
+		if time.Now().After(until) {
+			return h
+		}
+	}
+}
+
+// finishAndEnd sends Locks.Finish, and ends as a caller whose process ends: the connection closes, whether or not an answer came.
+func finishAndEnd(m *machine, lock, holder string, fence int) {
+	conn, err := net.DialTimeout("tcp", m.control(), time.Second)
+	must(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, requestText("POST", "/api/Locks.Finish/"+lock, fmt.Sprintf(`{"holder":%q,"fence":%d}`, holder, fence)))
+	must(err)
+	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	a, err := readAnswer(bufio.NewReader(conn), "POST")
+	note("%s: Finish by %s at %s with fence %d: %d %v; %s ends", lock, holder, m.name, fence, a.status, err, holder)
+}
+
+// frontClient sends requests over a kept connection, about two a second: of ten clients six look at lots, two bid and two pull appraisals, with the
+// deadlines of those kinds. A request that may be repeated is given up after a second without an answer, and the next goes over a new
+// connection; a bid is waited for until its deadline.
+func frontClient(number int, m *machine, served *atomic.Int64) {
+	time.Sleep(time.Duration(number) * time.Second / frontClients)
+	request, limit := "GET /lots/%d HTTP/1.1\r\nHost: views.example\r\nX-Attempt-Id: c%d-%d\r\nX-Deadline-Ms: 4000\r\n\r\n", time.Second
+	switch number % 10 {
+	case 0, 5:
+		request = strings.Replace(request, "4000", "10000", 1)
+	case 3, 8:
+		request = "POST /bids/%d HTTP/1.1\r\nHost: bids.example\r\nX-Attempt-Id: c%d-%d\r\nX-Deadline-Ms: 5000\r\nContent-Length: 1200\r\n\r\n" +
+			strings.Repeat("b", 1200)
+		limit = 5 * time.Second
+	}
+	for n := 0; ; n++ {
+		conn, err := net.DialTimeout("tcp", m.front(), time.Second)
+		if err != nil {
+			time.Sleep(time.Second)
+			continue
+		}
+		from := bufio.NewReader(conn)
+		for ; ; n++ {
+			conn.SetDeadline(time.Now().Add(limit))
+			fmt.Fprintf(conn, request, n, number, n)
+			a, err := readAnswer(from, "")
+			if err != nil {
+				break
+			}
+			if a.status == 200 {
+				served.Add(1)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		conn.Close()
+	}
+}
+
+func controls(c *cluster) (list []string) {
+	for _, m := range c.machines {
+		list = append(list, m.control())
+	}
+	return list
+}
+
+func onExitStop(c *cluster) {
+	before := onExit
+	onExit = func() { c.stopAll(); before() }
+}
