--- a/review/_rig2/latefinish.go
+++ b/review/_rig2/latefinish.go
@@ -8,19 +8,20 @@
 	"net"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
-// Figures of the case. The hold and the freeze are within what the pages name: callers hold "for many seconds", and a machine stands still
-// for up to 4 s.
+// Figures of the case, those of rau-subastas-locks: its machines without a disk, the traffic of one of them (patio-mosquera: 524 requests a second at 22
+// machines) and its shorter freeze. Callers hold "for many seconds".
 const (
-	lockHold     = 10 * time.Second
-	freezeLength = 3500 * time.Millisecond
-	finishAfter  = 300 * time.Millisecond // into the freeze
-	restartAfter = 500 * time.Millisecond // into the freeze
-	lockRounds   = 4
-	frontClients = 131
+	machineShare = 0.16
+	frontClients = 24
+	clientPause  = time.Second
+	freezeLength = 2300 * time.Millisecond
+	lockHold     = 8 * time.Second
+	finishAfter  = 100 * time.Millisecond // into the freeze
+	restartAfter = 300 * time.Millisecond // into the freeze
+	lockRounds   = 5
 )
 
 // lateFinish: a caller sends Locks.Finish to a machine that stands still, ends, starts again under its own name and takes the lock through
@@ -37,6 +38,7 @@
 	}
 	c.awaitReady(20 * time.Second)
 	sleepy := c.machines[3] // without a disk
+	share := keepShare(sleepy, machineShare)
 	var served atomic.Int64
 	for i := range frontClients {
 		go frontClient(i, sleepy, &served)
@@ -44,20 +46,20 @@
 	time.Sleep(2 * time.Second)
 	note("machines are up, %d requests served at %s", served.Load(), sleepy.name)
 	for round := 1; round <= lockRounds && !broken; round++ {
-		broken = lockRound(c, sleepy, round, trouble)
+		broken = lockRound(c, sleepy, share, round, trouble)
 	}
 	return broken
 }
 
 // lockRound plays one lock; true: two callers counted themselves its holder.
-func lockRound(c *cluster, sleepy *machine, round int, trouble bool) bool {
+func lockRound(c *cluster, sleepy *machine, share *cpuShare, round int, trouble bool) bool {
 	lock := fmt.Sprintf("l%d", round)
 	first := begin(c.machines[0], lock, "x", 5*time.Second)
 	if first.fence == 0 {
 		giveUp("round %d: x did not get its lock", round)
 	}
 	if trouble {
-		sleepy.signal(syscall.SIGSTOP)
+		share.freeze()
 		note("%s: %s stands still", lock, sleepy.name)
 	}
 	time.Sleep(finishAfter)
@@ -69,7 +71,7 @@
 	}
 	time.Sleep(freezeLength - restartAfter)
 	if trouble {
-		sleepy.signal(syscall.SIGCONT)
+		share.thaw()
 		note("%s: %s goes on", lock, sleepy.name)
 	}
 	for time.Now().Before(second.sent.Add(lockHold - 2*time.Second)) {
@@ -124,7 +126,7 @@
 	note("%s: Finish by %s at %s with fence %d: %d %v; %s ends", lock, holder, m.name, fence, a.status, err, holder)
 }
 
-// frontClient sends requests over a kept connection, about two a second: of ten clients six look at lots, two bid and two pull appraisals, with the
+// frontClient sends requests over a kept connection, about one a second: of ten clients six look at lots, two bid and two pull appraisals, with the
 // deadlines of those kinds. A request that may be repeated is given up after a second without an answer, and the next goes over a new
 // connection; a bid is waited for until its deadline.
 func frontClient(number int, m *machine, served *atomic.Int64) {
@@ -155,7 +157,7 @@
 			if a.status == 200 {
 				served.Add(1)
 			}
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(clientPause)
 		}
 		conn.Close()
 	}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -11,16 +11,20 @@
 	"time"
 )
 
-// cases are the scripts, by name. Each returns whether its rule was broken.
-var cases = map[string]func(folder, program string, trouble bool) bool{
-	"late-finish": lateFinish,
+// scripts are the cases, by name: the rule that each judges, and what plays it and reports whether the rule was broken.
+var scripts = map[string]struct {
+	rule string
+	play func(folder, program string, trouble bool) (broken bool)
+}{
+	"late-finish": {"ONE", lateFinish},
 }
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 4 || scripts[os.Args[1]].play == nil {
 		fmt.Println("usage: rig CASE FOLDER GATEWAY")
 		os.Exit(2)
 	}
+	script := scripts[os.Args[1]]
 	openRecord(os.Args[2])
 	temporary, err := os.MkdirTemp("", "review-")
 	must(err)
@@ -40,10 +44,10 @@
 	time.AfterFunc(115*time.Second, func() { giveUp("not over after 115 s") })
 	trouble := os.Getenv("TROUBLE") != "0"
 	note("case %s, trouble %v", os.Args[1], trouble)
-	if cases[os.Args[1]](temporary, program, trouble) {
-		note("BROKEN")
+	if script.play(temporary, program, trouble) {
+		note("%s is broken", script.rule)
 		finish(1)
 	}
-	note("HELD")
+	note("%s held", script.rule)
 	finish(0)
 }
