--- a/review/_rig2/cluster.go
+++ b/review/_rig2/cluster.go
@@ -92,7 +92,11 @@
 		line("  - %q", c.machines[i].control())
 	}
 	line("first_boot: %v\ncounts_as_loss: %v", first, m.disk)
-	line("limits:\n  cpu_share: 0.56\n  cores: 1\n  memory_mb: 284\n  max_fds: 3000\n  link_mbps: 1000.0")
+	share, mbps := machineShare, 2.0
+	if m.disk {
+		share, mbps = diskMachineShare, 100.0
+	}
+	line("limits:\n  cpu_share: %v\n  cores: 1\n  memory_mb: 184\n  max_fds: 920\n  link_mbps: %.1f", share, mbps)
 	if m.disk {
 		data := filepath.Join(c.folder, "data", m.name)
 		must(os.MkdirAll(data, 0o755))
--- a/review/_rig2/latefinish.go
+++ b/review/_rig2/latefinish.go
@@ -11,17 +11,19 @@
 	"time"
 )
 
-// Figures of the case, those of rau-subastas-locks: its machines without a disk, the traffic of one of them (patio-mosquera: 524 requests a second at 22
+// Figures of the case, those of rau-subastas-locks: its machines, the traffic of one of them (patio-mosquera: 524 requests a second at 22
 // machines) and its shorter freeze. Callers hold "for many seconds".
 const (
-	machineShare = 0.16
-	frontClients = 24
-	clientPause  = time.Second
-	freezeLength = 2300 * time.Millisecond
-	lockHold     = 8 * time.Second
-	finishAfter  = 100 * time.Millisecond // into the freeze
-	restartAfter = 300 * time.Millisecond // into the freeze
-	lockRounds   = 5
+	machineShare          = 0.16 // of a core, without a disk
+	diskMachineShare      = 0.4
+	frontClients          = 24
+	clientPause           = time.Second
+	requestsPerConnection = 5
+	freezeLength          = 2300 * time.Millisecond
+	lockHold              = 8 * time.Second
+	finishAfter           = 100 * time.Millisecond // into the freeze
+	restartAfter          = 300 * time.Millisecond // into the freeze
+	lockRounds            = 12
 )
 
 // lateFinish: a caller sends Locks.Finish to a machine that stands still, ends, starts again under its own name and takes the lock through
@@ -40,11 +42,12 @@
 	sleepy := c.machines[3] // without a disk
 	share := keepShare(sleepy, machineShare)
 	var served atomic.Int64
+	zone := startPlatform(c.machines[0], sleepy) // the machines of a zone
 	for i := range frontClients {
-		go frontClient(i, sleepy, &served)
+		go frontClient(i, zone, 1, &served)
 	}
 	time.Sleep(2 * time.Second)
-	note("machines are up, %d requests served at %s", served.Load(), sleepy.name)
+	note("machines are up, %d requests served to the clients of %s", served.Load(), sleepy.name)
 	for round := 1; round <= lockRounds && !broken; round++ {
 		broken = lockRound(c, sleepy, share, round, trouble)
 	}
@@ -126,40 +129,48 @@
 	note("%s: Finish by %s at %s with fence %d: %d %v; %s ends", lock, holder, m.name, fence, a.status, err, holder)
 }
 
-// frontClient sends requests over a kept connection, about one a second: of ten clients six look at lots, two bid and two pull appraisals, with the
-// deadlines of those kinds. A request that may be repeated is given up after a second without an answer, and the next goes over a new
-// connection; a bid is waited for until its deadline.
-func frontClient(number int, m *machine, served *atomic.Int64) {
+// frontClient is a client whose hash names one machine. It sends requests over a kept connection, about one a second, and takes a new connection after
+// some: of ten clients six look at lots, two bid and two pull appraisals, with the deadlines of those kinds. A request that may be repeated is given up
+// after a second without an answer, and tried once more over a connection to another machine; a bid is waited for until its deadline.
+func frontClient(number int, p *platform, home int, served *atomic.Int64) {
 	time.Sleep(time.Duration(number) * time.Second / frontClients)
 	request, limit := "GET /lots/%d HTTP/1.1\r\nHost: views.example\r\nX-Attempt-Id: c%d-%d\r\nX-Deadline-Ms: 4000\r\n\r\n", time.Second
+	repeatable := true
 	switch number % 10 {
 	case 0, 5:
 		request = strings.Replace(request, "4000", "10000", 1)
 	case 3, 8:
 		request = "POST /bids/%d HTTP/1.1\r\nHost: bids.example\r\nX-Attempt-Id: c%d-%d\r\nX-Deadline-Ms: 5000\r\nContent-Length: 1200\r\n\r\n" +
 			strings.Repeat("b", 1200)
-		limit = 5 * time.Second
+		limit, repeatable = 5*time.Second, false
 	}
-	for n := 0; ; n++ {
+	tries := 0
+	send := func(m *machine, most int) (answered bool) {
 		conn, err := net.DialTimeout("tcp", m.front(), time.Second)
 		if err != nil {
-			time.Sleep(time.Second)
-			continue
+			return false
 		}
+		defer conn.Close()
 		from := bufio.NewReader(conn)
-		for ; ; n++ {
+		for range most {
+			tries++
 			conn.SetDeadline(time.Now().Add(limit))
-			fmt.Fprintf(conn, request, n, number, n)
+			fmt.Fprintf(conn, request, tries, number, tries)
 			a, err := readAnswer(from, "")
 			if err != nil {
-				break
+				return false
 			}
 			if a.status == 200 {
 				served.Add(1)
 			}
 			time.Sleep(clientPause)
 		}
-		conn.Close()
+		return true
+	}
+	for {
+		if !send(p.choose(home, false), requestsPerConnection) && repeatable {
+			send(p.choose(home, true), 1)
+		}
 	}
 }
 
