Proxy: a peer whose input lies unread is not ended for silence

What callers saw: a client in the middle of its request was closed, and a backend's answer that had come was rejected as cut short, if this process read slowly after a pause. Cause: downstream.Server.Due and the alarm for incomplete answers asked Engine.InputDelay whether input may lie unread. That is known only for 20 ms after an overdue alarm, and a process with a small share of a core reads its backlog for longer. Change: both ask the socket of the very peer (Link.HasUnreadInput).

--- a/internal/proxy/downstream/client.go
+++ b/internal/proxy/downstream/client.go
@@ -100,6 +100,18 @@
 // the socket as well: a request that waits there unread would be lost with it.
 func (c *Client) idle() bool { return !c.busy && c.link.Input.Len() == 0 && c.link.Unwritten() == 0 }
 
+// mayClose reports whether the connection of a client whose time-out has passed may be closed. If the client is to send, nothing may lie
+// unread in the socket.
+func (c *Client) mayClose() bool {
+	switch {
+	case c.link.Unwritten() > 0:
+		return true
+	case !c.begun:
+		return c.link.Clean()
+	}
+	return ignoreUnread || !c.link.HasUnreadInput()
+}
+
 // close closes the connection and forgets the client.
 func (c *Client) close() {
 	c.link.Close()
--- a/internal/proxy/downstream/server.go
+++ b/internal/proxy/downstream/server.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"time"
+
 	"clovergap/internal/proxy/counters"
 	"clovergap/internal/proxy/eventloop"
 	"clovergap/internal/proxy/http1"
@@ -35,6 +37,7 @@
 	freeDescriptor func() bool
 	draining       bool
 	scratch        []byte
+	sweepAt        time.Duration // when the next sweep is due
 }
 
 // New makes a server for at most so many clients. freeDescriptor closes a connection that another stage does not
@@ -42,7 +45,8 @@
 func New(e *eventloop.Engine, most int, b Bounds, makeRoom func() bool) *Server {
 	in := &Server{engine: e, clients: slots.New[Client](most), claimedIDs: map[string]slots.Ref{}, bounds: b.withDefaults(), maxClients: most,
 		freeDescriptor: makeRoom}
-	e.At(e.Now()+sweepInterval, in, 0)
+	in.sweepAt = e.Now() + sweepInterval
+	e.At(in.sweepAt, in, 0)
 	return in
 }
 
@@ -171,33 +175,22 @@
 	return ""
 }
 
-// ignoreStall disables the allowance for a stall of this process; only a test sets it.
-var ignoreStall bool
+// ignoreUnread has Due close connections although input of their clients lies unread; only a test sets it.
+var ignoreUnread bool
 
 // Live and Due implement eventloop.Alarm: all clients are compared with their bounds.
 func (s *Server) Live(uint32) bool { return true }
 
-// Due closes connections whose time-outs have passed. A stall of this process does not count: what came meanwhile is still
-// unread, and is read before anybody is compared again.
+// Due closes connections whose time-outs have passed. The time by which a sweep is late does not count: this process did not run, or was
+// slow. A client whose input lies unread is not silent, however long the input has waited.
 func (s *Server) Due(uint32) {
-	s.engine.At(s.engine.Now()+sweepInterval, s, 0)
-	if stood := s.engine.InputDelay(); stood > 0 && !ignoreStall {
-		s.clients.Each(func(_ slots.Ref, c *Client) { c.since = min(c.since+stood, s.engine.Now()) })
-		return
-	}
+	now := s.engine.Now()
+	late := max(now-s.sweepAt, 0)
+	s.sweepAt = now + sweepInterval
+	s.engine.At(s.sweepAt, s, 0)
 	s.clients.Each(func(_ slots.Ref, c *Client) {
-		most := s.bounds.MessageTimeout
-		switch {
-		case c.busy:
-			return
-		case c.link.Unwritten() > 0:
-			most = s.bounds.AnswerTimeout
-		case !c.begun && c.sequence > 0:
-			most = s.bounds.IdleTimeout
-		case !c.headed():
-			most = s.bounds.HeadTimeout
-		}
-		if s.engine.Now()-c.since < most || !c.begun && c.link.Unwritten() == 0 && !c.link.Clean() {
+		c.since = min(c.since+late, now)
+		if c.busy || now-c.since < s.timeoutOf(c) || !c.mayClose() {
 			return
 		}
 		if c.idle() {
@@ -208,3 +201,16 @@
 		c.closeUnread()
 	})
 }
+
+// timeoutOf returns the time-out that holds for a client that has no request in flight.
+func (s *Server) timeoutOf(c *Client) time.Duration {
+	switch {
+	case c.link.Unwritten() > 0:
+		return s.bounds.AnswerTimeout
+	case !c.begun && c.sequence > 0:
+		return s.bounds.IdleTimeout
+	case !c.headed():
+		return s.bounds.HeadTimeout
+	}
+	return s.bounds.MessageTimeout
+}
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -29,12 +29,12 @@
 func (alarmFunc) Live(uint32) bool { return true }
 func (a alarmFunc) Due(uint32)     { a() }
 
-// A node that stood still looks at its clients only after it has read what came meanwhile: half a request whose rest lies
-// unread is no client that keeps silent. Nobody waits: a due time of an hour ago is what a standstill leaves.
-func TestStandstillIsNotTheClients(t *testing.T) {
-	defer func() { ignoreStall = false }()
-	for _, fault := range []bool{false, true} {
-		ignoreStall = fault
+// A client whose input lies unread is not silent. A paused process looks at its clients before it has read what came meanwhile, at once (an alarm
+// is overdue) or later, since a slow process reads for longer than its alarms were late. Nobody waits: a due time of an hour ago is what a pause leaves.
+func TestClientWithUnreadInputIsNotSilent(t *testing.T) {
+	defer func() { ignoreUnread = false }()
+	for _, play := range []struct{ fault, overdue bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
+		ignoreUnread = play.fault
 		e := eventloop.New("127.0.0.1:0", 256, 64<<10, 1<<20)
 		in := New(e, 10, Bounds{}, func() bool { return false })
 		in.SetHandler(greeter{})
@@ -52,15 +52,21 @@
 		must.NoError(t, err)
 		c.Write([]byte("GET /up HTTP/1.1\r\nHo"))
 		<-begun
+		sweep := func() {
+			in.sweepAt = e.Now()
+			in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Hour })
+			c.Write([]byte("st: a\r\n\r\n")) // it can't be read before this turn is over
+			in.Due(0)
+		}
 		e.Turn(func() {
-			e.At(e.Now()-time.Hour, alarmFunc(func() {
-				in.clients.Each(func(_ slots.Ref, c *Client) { c.since -= time.Hour })
-				c.Write([]byte("st: a\r\n\r\n")) // it can't be read before this turn is over
-				in.Due(0)
-			}), 0)
+			if play.overdue {
+				e.At(e.Now()-time.Hour, alarmFunc(sweep), 0)
+			} else {
+				sweep()
+			}
 		})
 		r, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if fault {
+		if play.fault {
 			must.Error(t, err)
 		} else {
 			must.NoError(t, err)
@@ -176,7 +182,7 @@
 func TestUnreadAnswerEndsTheConnection(t *testing.T) {
 	e, in, handler := startLargeAnswerer(t, Bounds{AnswerTimeout: time.Minute})
 	handler.request(t, e)
-	turnWithoutStall(t, e, func() {
+	punctualTurn(e, in, func() {
 		unreadFor(in, time.Minute-time.Second)
 		in.Due(0)
 		must.Eq(t, 1, in.Clients())
@@ -194,14 +200,10 @@
 	in.clients.Each(func(_ slots.Ref, c *Client) { c.since = in.engine.Now() - unread })
 }
 
-// turnWithoutStall runs f in the first turn that begins neither in nor soon after a stall of this process: Server.Due closes nothing then.
-func turnWithoutStall(t *testing.T, e *eventloop.Engine, f func()) {
-	for end, done := time.Now().Add(time.Minute), false; !done; {
-		must.True(t, time.Now().Before(end), must.Sprint("this process stalls all the time"))
-		e.Turn(func() {
-			if done = e.InputDelay() == 0; done {
-				f()
-			}
-		})
-	}
+// punctualTurn runs f in a turn in which no sweep is overdue. Server.Due does not count the time by which a sweep is late.
+func punctualTurn(e *eventloop.Engine, in *Server, f func()) {
+	e.Turn(func() {
+		in.sweepAt = e.Now() + sweepInterval
+		f()
+	})
 }
--- a/internal/proxy/eventloop/link.go
+++ b/internal/proxy/eventloop/link.go
@@ -360,6 +360,23 @@
 // Written counts bytes that were written to the socket, ever. It remains valid after the link is closed.
 func (l *Link) Written() int64 { return l.written.Load() }
 
+// HasUnreadInput reports whether bytes lie unread in the socket. Who is silent for too long must not be blamed for input that came in time.
+func (l *Link) HasUnreadInput() bool {
+	if l.closed || l.conn == nil {
+		return false
+	}
+	fd := l.duplicate
+	if !l.pollerClosed && l.alive() {
+		fd = l.conn.Hash()
+	}
+	if fd == 0 {
+		return false
+	}
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // Clean tells whether an idle connection may be used or closed without loss: it is open, and nothing waits on it or in its socket.
 func (l *Link) Clean() bool {
 	if l.closed || l.closing || l.conn == nil || l.Input.Len() > 0 || l.Unwritten() > 0 || !l.alive() {
--- a/internal/proxy/upstream/orders_test.go
+++ b/internal/proxy/upstream/orders_test.go
@@ -583,31 +583,37 @@
 	t.Log("ids not looked at: found after", n, err)
 }
 
-// A node that stood still reads what came meanwhile before it holds an answer for cut short.
-func TestStandstillIsNotTheBackends(t *testing.T) {
+// An answer whose rest lies unread is not cut short. A paused process finds that an answer is late before it has read what came meanwhile, at once
+// (an alarm is overdue) or later, since a slow process reads for longer than its alarms were late.
+func TestBackendWithUnreadAnswerIsNotSilent(t *testing.T) {
 	defer func() { disabledChecks.unread = false }()
-	for _, fault := range []bool{false, true} {
-		disabledChecks.unread = fault
+	for _, play := range []struct{ fault, overdue bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
+		disabledChecks.unread = play.fault
 		e := eventloop.New("", 1024, 64<<10, 1<<30)
 		must.NoError(t, e.Start())
 		s := newScenario(t, e, idDialect{}, 0, 1)
 		txn := s.take()
 		s.begins()
 		s.apply('p', txn)
+		alarm := func() {
+			ref := s.dispatch.byTxn[txn]
+			x := s.dispatch.submissions.Get(ref)
+			x.answerTimeout, x.answerDeadline = time.Minute, e.Now()
+			id := s.front.ID(0, txn)
+			s.backends[s.first].newest().Write([]byte(answerTo(id, id)[30:])) // it can't be read before this turn is over
+			s.dispatch.partAlarms.Due(uint32(ref))
+		}
 		e.Turn(func() {
-			e.At(e.Now()-time.Hour, alarmFunc(func() {
-				ref := s.dispatch.byTxn[txn]
-				x := s.dispatch.submissions.Get(ref)
-				x.answerTimeout, x.answerDeadline = time.Minute, e.Now()
-				id := s.front.ID(0, txn)
-				s.backends[s.first].newest().Write([]byte(answerTo(id, id)[30:])) // it can't be read before this turn is over
-				s.dispatch.partAlarms.Due(uint32(ref))
-			}), 0)
+			if play.overdue {
+				e.At(e.Now()-time.Hour, alarmFunc(alarm), 0)
+			} else {
+				alarm()
+			}
 		})
 		for !s.isQuiet() {
 			s.read()
 		}
-		must.Eq(t, fault, s.answersTo(txn)[0] == "void")
+		must.Eq(t, play.fault, s.answersTo(txn)[0] == "void")
 		e.Stop()
 	}
 }
--- a/internal/proxy/upstream/transmission.go
+++ b/internal/proxy/upstream/transmission.go
@@ -24,7 +24,7 @@
 	passed bool // nothing counts as handed over
 	first  bool // the first byte doesn't count for a wary dialect
 	sameID bool // a request may follow one with the same ID on a connection
-	unread bool // a stall of this process doesn't prolong an answer's deadline
+	unread bool // unread input doesn't prolong an answer's deadline
 }
 
 // send hands bytes of an attempt to its connection; complete: no more will follow. An attempt goes over one connection.
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -275,7 +275,7 @@
 	s := p.dispatch.submissions.Get(slots.Ref(ref))
 	switch {
 	case !p.Live(ref) || p.dispatch.engine.Now() < s.answerDeadline:
-	case p.dispatch.engine.InputDelay() > 0 && !disabledChecks.unread: // this process stalled: the rest may be unread in the socket
+	case s.conn != nil && s.conn.link.HasUnreadInput() && !disabledChecks.unread: // the rest may have come in time
 		s.answerDeadline = p.dispatch.engine.Now() + s.answerTimeout
 		p.dispatch.engine.At(s.answerDeadline, p, ref)
 	default:
