Event loop: an account of unread input bounds how old a call is

What callers saw: caller x sent Locks.Finish to a paused node and ended, started again and held its lock again with the same fence. Cause: Engine.InputDelay told the delay of old input for 20 ms after the turn that saw an overdue alarm. A node with 0.16 of a core reads its backlog for longer, so the rest counted as fresh. staleReleaseWindow and the deadline of a call rest on that. Change: an epoll instance of its own lists the sockets and listeners that have unread input, each 0.1 s and after a pause. A source stays in the account until it was found empty; Link.InputDelay is too small by MaxUnknownDelay (0.12 s) at most. A connection gets the bound of the queue that it was accepted from. A call ends 0.8 s after it came, not after it was read, and staleReleaseWindow is the sum of what can pass: the same 1.2 s as before. The simulated processes read their backlog one turn each 2 ms and are told as little of the delay as a node may be.

--- a/internal/gateway/controlapi/coordination.go
+++ b/internal/gateway/controlapi/coordination.go
@@ -18,9 +18,9 @@
 
 // Coordination is the part of a node that the applications' calls need.
 type Coordination interface {
-	// Coordinate brings a call to the leader of its group. then is called once: within a second, or within a watch's timeout
-	// and a second.
-	Coordinate(c coordination.Call, then func(coordination.Result))
+	// Coordinate brings a call to the leader of its group. inputDelay is how long the call may have waited unread. then is called once:
+	// within a second, or within a watch's timeout and a second.
+	Coordinate(c coordination.Call, inputDelay time.Duration, then func(coordination.Result))
 	// GroupList is the status of the groups, as this node knows it.
 	GroupList() GroupList
 	// TransferGroup has the node at an inner address lead a group; false: this node does not lead it, or that one could not at once.
@@ -58,13 +58,14 @@
 			c.Reject(405, counters.NoSuchMethod, known.method+" only")
 			return true
 		}
+		inputDelay := c.InputDelay()
 		operation, err := parseCall(known.operation, name, request.query, request.body)
 		ticket := deferAnswer(c)
 		if err != nil {
 			h.respondInvalid(ticket, err)
 			return true
 		}
-		h.node.Coordinate(operation, func(r coordination.Result) { h.respondCoordination(ticket, known.operation, &r) })
+		h.node.Coordinate(operation, inputDelay, func(r coordination.Result) { h.respondCoordination(ticket, known.operation, &r) })
 		return true
 	}
 	return false
--- a/internal/gateway/controlapi/handler_test.go
+++ b/internal/gateway/controlapi/handler_test.go
@@ -84,7 +84,7 @@
 	return RolloutHistory{Service: service, Rollouts: []RolloutPast{}}
 }
 
-func (f *fakeNode) Coordinate(c coordination.Call, then func(coordination.Result)) {
+func (f *fakeNode) Coordinate(c coordination.Call, _ time.Duration, then func(coordination.Result)) {
 	a := f.answer
 	f.do(fmt.Sprintf("%v %q %q %d %v %q %v %d %d %v", c.Operation, c.Name, c.Holder, c.FencingToken, c.TTL, c.Value, c.Conditional, c.ExpectedRevision, c.AfterRevision, c.Timeout),
 		func() { then(a) })
--- a/internal/gateway/coordination/cluster_test.go
+++ b/internal/gateway/coordination/cluster_test.go
@@ -83,21 +83,22 @@
 
 // node is a node with its service. node implements groups.Host and coordination.Env for the service.
 type node struct {
-	cluster      *cluster
-	index        int
-	incarnation  uint64
-	startedAt    time.Duration // time of the simulation at which the node's clock shows 0; up to an hour before the incarnation started
-	service      *coordination.Service
-	states       [groups.Count]groups.StateMachine
-	applied      [groups.Count]int
-	leaderTerm   [groups.Count]uint64        // term in which the node believes that it leads the group, or 0
-	leaderSince  [groups.Count]time.Duration // time of the node's clock at which the node became leader of the group
-	knownLeader  [groups.Count]string        // address of the leader that the node knows, or empty
-	proposals    [groups.Count][]*proposal
-	committed    map[*byte]*proposal // committed proposals that this node has not applied yet, by the first byte of their entry
-	suspended    bool
-	inputDelay   time.Duration            // result of InputDelay: the length of a suspension that has just ended, or 0
-	queuedTurns  []func()                 // turns that wait while the node is suspended
+	cluster     *cluster
+	index       int
+	incarnation uint64
+	startedAt   time.Duration // time of the simulation at which the node's clock shows 0; up to an hour before the incarnation started
+	service     *coordination.Service
+	states      [groups.Count]groups.StateMachine
+	applied     [groups.Count]int
+	leaderTerm  [groups.Count]uint64        // term in which the node believes that it leads the group, or 0
+	leaderSince [groups.Count]time.Duration // time of the node's clock at which the node became leader of the group
+	knownLeader [groups.Count]string        // address of the leader that the node knows, or empty
+	proposals   [groups.Count][]*proposal
+	committed   map[*byte]*proposal // committed proposals that this node has not applied yet, by the first byte of their entry
+	suspended   bool
+	// inputDelay is how long the input of the current turn waited unread, as the node knows it: see observedDelay.
+	inputDelay   time.Duration
+	backlog      []queuedTurn             // turns that wait while the node is suspended, or until the node has read what came before
 	isolated     bool                     // the node has no quorum contact
 	delayedUntil map[string]time.Duration // earliest time at which messages arrive, by receiver
 	brokenLinks  map[string]bool
@@ -105,6 +106,12 @@
 	lastArrival map[string]time.Duration
 }
 
+// queuedTurn is a turn that waits, and the time at which its input arrived.
+type queuedTurn struct {
+	arrivedAt time.Duration
+	run       func()
+}
+
 type proposal struct {
 	entry    []byte // nil for a read
 	term     uint64
@@ -139,7 +146,7 @@
 		TestingKnobs:     n.cluster.knobs,
 	})
 	n.service.SetHost(n)
-	n.suspended, n.queuedTurns, n.isolated, n.committed = false, nil, false, map[*byte]*proposal{}
+	n.suspended, n.backlog, n.isolated, n.committed = false, nil, false, map[*byte]*proposal{}
 	for id := range groups.ID(groups.Count) {
 		n.states[id] = n.service.StateMachine(id)
 		n.applied[id], n.leaderTerm[id], n.proposals[id], n.knownLeader[id] = 0, 0, nil, ""
@@ -164,16 +171,41 @@
 	}
 }
 
-// runTurn runs a turn of the node, or queues it while the node is suspended.
+// runTurn runs a turn of the node. It queues the turn while the node is suspended, or reads input that came before.
 func (n *node) runTurn(turn func()) {
-	if n.suspended {
-		n.queuedTurns = append(n.queuedTurns, turn)
+	if n.suspended || len(n.backlog) > 0 {
+		n.backlog = append(n.backlog, queuedTurn{n.cluster.now, turn})
 		return
 	}
-	turn()
+	n.execute(queuedTurn{n.cluster.now, turn})
+}
+
+// execute runs a turn.
+func (n *node) execute(turn queuedTurn) {
+	n.inputDelay = observedDelay(n.cluster.now - turn.arrivedAt)
+	turn.run()
 	n.service.NotifyWatchers()
 }
 
+// observedDelay returns the least delay that a node may observe for input that waited unread for a time. The node's account of unread input
+// may be wrong by coordination.MaxUnknownInputDelay.
+func observedDelay(waited time.Duration) time.Duration {
+	return max(0, waited-coordination.MaxUnknownInputDelay)
+}
+
+// readBacklog runs the queued turns in their order, one each pace. Turns that come meanwhile wait behind them.
+func (n *node) readBacklog(incarnation uint64, pace time.Duration) {
+	if n.incarnation != incarnation || n.suspended || len(n.backlog) == 0 {
+		return
+	}
+	n.execute(n.backlog[0])
+	if n.incarnation != incarnation {
+		return
+	}
+	n.backlog = n.backlog[1:]
+	n.cluster.scheduleEvent(pace, func() { n.readBacklog(incarnation, pace) })
+}
+
 // scheduleTurn schedules a turn of the node after a delay. The turn is skipped if the node has restarted by then.
 func (n *node) scheduleTurn(delay time.Duration, turn func()) {
 	incarnation := n.incarnation
@@ -184,7 +216,8 @@
 	})
 }
 
-// suspend suspends the node's process for a duration. Turns are queued meanwhile and run afterwards.
+// suspend suspends the node's process for a duration. Turns are queued meanwhile. Afterwards the node reads them at a random pace, often for longer
+// than any alarm of the node was late.
 func (n *node) suspend(duration time.Duration) {
 	incarnation := n.incarnation
 	n.suspended = true
@@ -192,13 +225,8 @@
 		if n.incarnation != incarnation {
 			return
 		}
-		n.suspended, n.inputDelay = false, duration
-		n.cluster.scheduleEvent(20*ms, func() { n.inputDelay = 0 })
-		backlog := n.queuedTurns
-		n.queuedTurns = nil
-		for _, turn := range backlog {
-			n.runTurn(turn)
-		}
+		n.suspended = false
+		n.readBacklog(incarnation, n.cluster.randomDuration(0, 4*ms))
 	})
 }
 
@@ -389,5 +417,4 @@
 	})
 }
 
-func (n *node) InputDelay() time.Duration { return n.inputDelay }
-func (n *node) HasQuorumContact() bool    { return !n.isolated }
+func (n *node) HasQuorumContact() bool { return !n.isolated }
--- a/internal/gateway/coordination/days_test.go
+++ b/internal/gateway/coordination/days_test.go
@@ -108,7 +108,7 @@
 			return
 		}
 		n.runTurn(func() {
-			n.service.Submit(c, func(result coordination.Result) {
+			n.service.Submit(c, n.inputDelay, func(result coordination.Result) {
 				s.scheduleEvent(s.randomDuration(ms/2, 2*ms), func() {
 					if isDone || n.incarnation != incarnation || s.rng.IntN(50) == 0 && !s.faultsEnded { // the connection is reset
 						finish()
--- a/internal/gateway/coordination/explore_test.go
+++ b/internal/gateway/coordination/explore_test.go
@@ -85,7 +85,6 @@
 func (e *explorer) Now() time.Duration                                 { return e.now }
 func (e *explorer) ScheduleAt(time.Duration, uint32)                   {}
 func (e *explorer) HasQuorumContact() bool                             { return true }
-func (e *explorer) InputDelay() time.Duration                          { return 0 }
 func (e *explorer) Send(_ string, m *coordination.Message) bool        { e.response = m.Response; return true }
 
 func (e *explorer) newService() *coordination.Service {
--- a/internal/gateway/coordination/limits.go
+++ b/internal/gateway/coordination/limits.go
@@ -47,9 +47,11 @@
 	// maxAttempts limits the attempts of one call. maxAttempts may not exceed 32, because pendingCall.openAttempts has one bit for each
 	// attempt.
 	maxAttempts = 30
-	// maxInputDelay is the longest time that a call may have waited unread in a socket. After a longer delay the caller may have abandoned
-	// the call and continued.
+	// maxInputDelay is the longest time for which a call may have waited unread in a socket, as Submit is told. After a longer delay the caller
+	// may have abandoned the call and continued.
 	maxInputDelay = 200 * time.Millisecond
+	// MaxUnknownInputDelay is how much longer than Submit is told a call may have waited unread.
+	MaxUnknownInputDelay = 120 * time.Millisecond
 	// watchPollTimeout is how long the call of a shared watch waits at the leader before the node sends the call again. The leader confirms
 	// its leadership at the end of each wait, so a leader that lost its leadership without knowing is detected after this time.
 	watchPollTimeout = 600 * time.Millisecond
@@ -59,11 +61,16 @@
 const (
 	// leaseRoundingMargin is added to each lease, because entries store times in whole microseconds, rounded down.
 	leaseRoundingMargin = time.Millisecond
-	// retiredCallRetention is longer than any duplicate of a call can be in transit, which is at most maxInputDelay plus callTimeout.
+	// maxCallAge is the longest time from the arrival of a call at a node's socket to the entry that the call appends. The time for which the
+	// call waits unread counts towards callTimeout, but for MaxUnknownInputDelay.
+	maxCallAge = callTimeout + MaxUnknownInputDelay
+	// maxNetworkTime is the longest time from the sending of a call to its arrival at a node's socket.
+	maxNetworkTime = 280 * time.Millisecond
+	// retiredCallRetention is longer than any duplicate of a call can be in transit, which is at most maxCallAge.
 	retiredCallRetention = 4 * time.Second
 	// staleReleaseWindow is longer than a call can be in transit. A release that arrives within this time after the holder acquired the
 	// lock again may have been sent before that acquire. Releases sent before and after the acquire look the same, because the holder keeps
 	// its fencing token. A release within the window therefore has no effect, and the lock becomes free when its lease expires.
 	// Freeing a lock on which the holder still relies would be worse.
-	staleReleaseWindow = 1200 * time.Millisecond
+	staleReleaseWindow = maxNetworkTime + maxCallAge
 )
--- a/internal/gateway/coordination/service.go
+++ b/internal/gateway/coordination/service.go
@@ -14,8 +14,6 @@
 	// ScheduleAt sets a timer for a sequence number. The timer expires at the time at, by the clock of groups.Host.Now. When the timer
 	// expires, the node calls Service.Due if Service.Live returns true for the sequence number.
 	ScheduleAt(at time.Duration, sequence uint32)
-	// InputDelay returns how long the input of the current turn may have waited unread because the process was suspended.
-	InputDelay() time.Duration
 	// HasQuorumContact reports whether this node recently had contact with a majority. Without quorum contact, calls end at once, so that
 	// callers switch to another node.
 	HasQuorumContact() bool
@@ -64,15 +62,18 @@
 // SetHost sets the host of the replicated groups. SetHost is separate from New because creating the host requires the service.
 func (s *Service) SetHost(host groups.Host) { s.host = host }
 
-// Submit handles an application's call. Submit calls done exactly once, within callTimeout, or for a watch within the watch's timeout plus
-// callTimeout.
-func (s *Service) Submit(c Call, done func(Result)) {
+// Submit handles an application's call that may have waited unread for inputDelay. Submit calls done exactly once, within callTimeout, or for a
+// watch within the watch's timeout plus callTimeout.
+func (s *Service) Submit(c Call, inputDelay time.Duration, done func(Result)) {
 	s.counters.Calls[c.Operation]++
 	countAndReply := func(r Result) {
 		s.counters.Results[r.Status]++
 		done(r)
 	}
-	if s.env.InputDelay() > maxInputDelay && !s.config.TestingKnobs.IgnoreDeadlines {
+	if s.config.TestingKnobs.IgnoreDeadlines {
+		inputDelay = 0
+	}
+	if inputDelay > maxInputDelay {
 		countAndReply(Result{Status: StatusUnavailable}) // the caller may have abandoned the call: see maxInputDelay
 		return
 	}
@@ -80,7 +81,8 @@
 		s.startWatch(&c, countAndReply)
 		return
 	}
-	s.startCall(&c, callTimeout, countAndReply)
+	// The call must have ended callTimeout after it came, however long it waited unread: see staleReleaseWindow.
+	s.startCall(&c, callTimeout-inputDelay, countAndReply)
 }
 
 // Receive handles a message from another node's service.
--- a/internal/gateway/ingress/handler.go
+++ b/internal/gateway/ingress/handler.go
@@ -48,12 +48,7 @@
 }
 
 // Clock gives the time of the event loop. Now returns the time of the present turn, which is one iteration of the loop.
-// InputDelay returns the longest time that the bytes read in the present turn may have waited in a socket because the
-// process was paused.
-type Clock interface {
-	Now() time.Duration
-	InputDelay() time.Duration
-}
+type Clock interface{ Now() time.Duration }
 
 // Gate accepts requests. The gate is notified of clients that disconnect and of the progress of streamed bodies.
 type Gate interface {
@@ -129,9 +124,10 @@
 		state = &requestState{}
 		c.UserData = state
 	}
-	// The client's deadline starts when the client sends the request. After a process pause, the request may have waited
-	// in the socket for the whole pause, so InputDelay is subtracted.
-	expiry := h.clock.Now() + max(deadline-h.clock.InputDelay(), 0)
+	// The client's deadline starts when the client sends the request, so the time for which the request may have waited
+	// unread is subtracted. InputDelay comes first, because it advances the clock.
+	inputDelay := c.InputDelay()
+	expiry := h.clock.Now() + max(deadline-inputDelay, 0)
 	*state = requestState{Admission: a, expiry: expiry}
 	txn := control.Txn{Customer: a.Customer, Product: a.Product, Plan: control.PlanID(a.Priority), Expiry: expiry, SetWidth: 1}
 	if a.Metered {
--- a/internal/gateway/logstore/recorded_test.go
+++ b/internal/gateway/logstore/recorded_test.go
@@ -77,7 +77,6 @@
 // noPeers is a coordination.Env of a node without peers.
 type noPeers struct{ coordination.Env }
 
-func (noPeers) InputDelay() time.Duration        { return 0 }
 func (noPeers) HasQuorumContact() bool           { return true }
 func (noPeers) ScheduleAt(time.Duration, uint32) {}
 
@@ -103,7 +102,7 @@
 
 // submitCall submits a call to a service and returns the call's result.
 func submitCall(s *coordination.Service, c coordination.Call) (result coordination.Result) {
-	s.Submit(c, func(r coordination.Result) { result = r })
+	s.Submit(c, 0, func(r coordination.Result) { result = r })
 	return result
 }
 
--- a/internal/gateway/node/coordination.go
+++ b/internal/gateway/node/coordination.go
@@ -6,13 +6,18 @@
 	"clovergap/internal/gateway/controlapi"
 	"clovergap/internal/gateway/coordination"
 	"clovergap/internal/gateway/groups"
+	"clovergap/internal/proxy/eventloop"
 )
 
-// Coordinate takes an application's call. The clock is read first: what lies unread in a socket may have been sent after this turn
-// began, if the process stood still, and a lock's time must not count from before its request.
-func (n *Node) Coordinate(c coordination.Call, then func(coordination.Result)) {
+// A call may not have waited unread for longer than the coordination service counts with. The constant overflows if the event loop's account is
+// less exact.
+const _ = uint(coordination.MaxUnknownInputDelay - eventloop.MaxUnknownDelay)
+
+// Coordinate takes an application's call that may have waited unread for inputDelay. The clock is read first: what lies unread in a socket may
+// have been sent after this turn began, if the process stood still, and a lock's time must not count from before its request.
+func (n *Node) Coordinate(c coordination.Call, inputDelay time.Duration, then func(coordination.Result)) {
 	n.loop.Refresh()
-	n.coordination.Submit(c, then)
+	n.coordination.Submit(c, inputDelay, then)
 }
 
 // receiveCoordination takes a message of another node's coordination service.
@@ -39,9 +44,6 @@
 	c.loop.At(at, c.coordination, number)
 }
 
-// InputDelay is how long what is read now may have lain unread.
-func (c *coordinationEnv) InputDelay() time.Duration { return c.loop.InputDelay() }
-
 // HasQuorumContact reports whether this node can take calls.
 func (c *coordinationEnv) HasQuorumContact() bool { return (*Node)(c).mayTakeCalls() }
 
--- a/internal/gateway/node/environment.go
+++ b/internal/gateway/node/environment.go
@@ -38,8 +38,6 @@
 	Now() time.Duration
 	// Refresh brings Now up to the time within a turn.
 	Refresh()
-	// InputDelay is how long the input that is read in this turn may have lain unread, because the process was paused.
-	InputDelay() time.Duration
 	// At has an alarm called in a turn of its own, at a time or soon after, if the alarm still wants it by then.
 	At(at time.Duration, to eventloop.Alarm, ref uint32)
 	// Turn runs something in a turn, for callers that are in none.
--- a/internal/gateway/node/shutdown_test.go
+++ b/internal/gateway/node/shutdown_test.go
@@ -33,7 +33,7 @@
 	must.True(t, shutDown(0))
 	n.loop.Turn(func() {
 		n.coordination.Submit(coordination.Call{Operation: coordination.KeyWatch, Name: "stock.", AfterRevision: 1, Timeout: coordination.MaxWatchTimeout},
-			func(coordination.Result) {})
+			0, func(coordination.Result) {})
 	})
 	must.True(t, shutDown(1))
 	must.False(t, shutDown(2))
--- a/internal/lab/simulation/applications.go
+++ b/internal/lab/simulation/applications.go
@@ -93,7 +93,7 @@
 		}
 		p.turn(func() {
 			w.turnKind = "applications"
-			p.node.Coordinate(c, func(answer coordination.Result) {
+			p.node.Coordinate(c, p.InputDelay(), func(answer coordination.Result) {
 				w.after(way, func() {
 					if told || p.ended {
 						tell()
--- a/internal/lab/simulation/groups_test.go
+++ b/internal/lab/simulation/groups_test.go
@@ -75,7 +75,7 @@
 			return done == 0
 		}
 		m.process.turn(func() {
-			m.process.node.Coordinate(coordination.Call{Operation: coordination.NumberNext, Name: name}, func(a coordination.Result) {
+			m.process.node.Coordinate(coordination.Call{Operation: coordination.NumberNext, Name: name}, 0, func(a coordination.Result) {
 				if a.Status == coordination.StatusOK && done == 0 {
 					done = w.now
 				}
@@ -159,7 +159,7 @@
 			m := w.machines[n%len(w.machines)]
 			if n++; m.runs() {
 				m.process.turn(func() {
-					m.process.node.Coordinate(coordination.Call{Operation: coordination.NumberNext, Name: nameIn(id)}, func(a coordination.Result) {
+					m.process.node.Coordinate(coordination.Call{Operation: coordination.NumberNext, Name: nameIn(id)}, 0, func(a coordination.Result) {
 						given = max(given, a.Number)
 					})
 				})
@@ -281,7 +281,7 @@
 			m := w.machines[n%len(w.machines)]
 			n++
 			m.process.turn(func() {
-				m.process.node.Coordinate(callMix(n), func(a coordination.Result) {
+				m.process.node.Coordinate(callMix(n), 0, func(a coordination.Result) {
 					if a.Status != coordination.StatusAmbiguous && a.Status != coordination.StatusUnavailable {
 						c.answered += 1 / over.Seconds()
 					}
@@ -337,7 +337,7 @@
 					c.Value = fmt.Sprintf("%04096d", n)
 				}
 				m.process.turn(func() {
-					m.process.node.Coordinate(c, func(a coordination.Result) {
+					m.process.node.Coordinate(c, 0, func(a coordination.Result) {
 						must.NotEq(t, coordination.StatusUnavailable, a.Status)
 						calls = append(calls, w.now-asked)
 					})
--- a/internal/lab/simulation/machine.go
+++ b/internal/lab/simulation/machine.go
@@ -57,9 +57,9 @@
 	endOfTurn    func()
 	ended        bool
 	died         time.Duration
-	resumedAt    time.Duration // on, after it last stood still
-	stalledAt    time.Duration // when that began
-	backlog      []func()
+	resumedAt    time.Duration // when it went on after its last pause
+	backlog      []queuedTurn  // turns that wait while the process is paused, or until it has read what came before
+	inputDelay   time.Duration // how long the input of the present turn waited: see InputDelay
 	inbox        []func()      // turns that wait for its processor, in a metered day
 	busyUntil    time.Duration // until then its processor has no time
 	links        map[string]*peerLink
@@ -167,18 +167,13 @@
 		if m.stalls++; m.stalls == 1 {
 			m.world.record(history.Event{Who: m.name, Kind: history.Paused})
 			m.world.logf("%s stands still", m.name)
-			p.stalledAt = m.world.now
 		}
 	case m.stalls > 0:
 		if m.stalls--; m.stalls == 0 {
 			m.world.record(history.Event{Who: m.name, Kind: history.Resumed})
 			m.world.logf("%s goes on", m.name)
 			p.resumedAt = m.world.now
-			all := p.backlog
-			p.backlog = nil
-			for _, do := range all {
-				p.turn(do)
-			}
+			p.readBacklog()
 			m.checkContact()
 		}
 	}
@@ -223,21 +218,57 @@
 func (p *process) turn(do func()) {
 	switch {
 	case p.ended:
-	case p.machine.stalls > 0:
-		p.backlog = append(p.backlog, do)
+	case p.machine.stalls > 0 || len(p.backlog) > 0:
+		p.backlog = append(p.backlog, queuedTurn{p.world.now, do})
 	case p.world.day.Share > 0 && (p.busyUntil > p.world.now || len(p.inbox) > 0):
 		p.queue(do)
 	case p.busyUntil > p.world.now:
 		p.world.at(p.busyUntil, func() { p.turn(do) })
 	default:
 		p.busyUntil = p.world.now + p.world.day.Turn
-		if p.world.metered {
-			p.metered(do)
-			return
-		}
-		do()
-		p.endOfTurn()
+		p.inputDelay = 0
+		p.execute(do)
+	}
+}
+
+// execute does a turn's work, and measures it on a metered day.
+func (p *process) execute(do func()) {
+	if p.world.metered {
+		p.metered(do)
+		return
 	}
+	do()
+	p.endOfTurn()
+}
+
+// queuedTurn is a turn that waits, and the time at which its input came.
+type queuedTurn struct {
+	arrivedAt time.Duration
+	run       func()
+}
+
+const (
+	// backlogTurnTime is how long a process takes for a turn that came while it was paused: as long as a process with a small share of a
+	// core takes for a request. So the backlog is read for longer than any alarm was late.
+	backlogTurnTime = 2 * time.Millisecond
+	// turnTimeBehindBacklog is how long a process takes for a turn that came while it read a backlog.
+	turnTimeBehindBacklog = 100 * time.Microsecond
+)
+
+// readBacklog takes the waiting turns one after the other. What comes meanwhile waits behind them.
+func (p *process) readBacklog() {
+	if p.ended || p.machine.stalls > 0 || len(p.backlog) == 0 {
+		return
+	}
+	first := p.backlog[0]
+	p.inputDelay = max(0, p.world.now-first.arrivedAt-eventloop.MaxUnknownDelay)
+	p.execute(first.run)
+	p.backlog = p.backlog[1:]
+	took := turnTimeBehindBacklog
+	if first.arrivedAt < p.resumedAt {
+		took = backlogTurnTime
+	}
+	p.world.at(max(p.world.now+took, p.busyUntil), p.readBacklog)
 }
 
 // Now and the others are what the deployment stands on.
@@ -258,16 +289,8 @@
 	})
 }
 
-// InputDelay is how long the process stood still, where it goes on now.
-func (p *process) InputDelay() time.Duration {
-	if p.resumedAt > 0 && p.world.now-p.resumedAt <= minInputDelay {
-		return p.resumedAt - p.stalledAt
-	}
-	return 0
-}
-
-// minInputDelay is how long after a standstill what is read may have waited: as in a real node.
-const minInputDelay = 20 * time.Millisecond
+// InputDelay is how long the input of the present turn waited unread: as little as eventloop.Link.InputDelay may return.
+func (p *process) InputDelay() time.Duration { return p.inputDelay }
 
 // Refresh does nothing: no time passes within a simulated turn.
 func (p *process) Refresh() {}
--- a/internal/lab/simulation/meter.go
+++ b/internal/lab/simulation/meter.go
@@ -137,7 +137,7 @@
 		do := p.inbox[0]
 		p.inbox = p.inbox[1:]
 		if p.machine.stalls > 0 {
-			p.backlog = append(p.backlog, do)
+			p.backlog = append(p.backlog, queuedTurn{p.world.now, do})
 		} else {
 			p.metered(do)
 		}
--- a/internal/proxy/downstream/client.go
+++ b/internal/proxy/downstream/client.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// InputDelay returns how long the present request may have waited unread in the socket: see eventloop.Link.InputDelay.
+func (c *Client) InputDelay() time.Duration { return c.link.InputDelay() }
+
 // Who is the reference to this connection, for a handler.
 func (c *Client) Who() slots.Ref { return c.ref }
 
--- a/internal/proxy/downstream/txn.go
+++ b/internal/proxy/downstream/txn.go
@@ -90,7 +90,7 @@
 		c.RejectUnreadable(http1.ErrFraming)
 		return
 	}
-	x, why, line := t.parseTxn(r, b)
+	x, why, line := t.parseTxn(c, r, b)
 	if line != "" {
 		c.Reject(400, why, line)
 		return
@@ -131,7 +131,7 @@
 }
 
 // parseTxn makes a txn of a request's headers, or returns a line that says what is wrong with them and the counter of that.
-func (t *Txns) parseTxn(r *http1.Reader, b []byte) (x control.Txn, why counters.ID, line string) {
+func (t *Txns) parseTxn(c *Client, r *http1.Reader, b []byte) (x control.Txn, why counters.ID, line string) {
 	one := func(name string) []byte {
 		v, many := r.Get(b, name)
 		if (many || len(v) == 0) && line == "" {
@@ -152,9 +152,10 @@
 	if !ok {
 		return x, why, "req-deadline: a number and m or u"
 	}
-	// The client counts from when it sent. After a stall of this process the request may have been unread for all of it: taken
-	// as new, it would be answered past its expiry.
-	x.Expiry = t.engine.Now() + max(timeout-t.engine.InputDelay(), 0)
+	// The client counts from when it sent. A request that lay unread while this process was paused or slow, taken as new, would be
+	// answered past its expiry.
+	inputDelay := c.InputDelay()
+	x.Expiry = t.engine.Now() + max(timeout-inputDelay, 0)
 	if x.Customer, ok = parseCustomer(cookie); !ok {
 		return x, why, "cookie: key is 16 hexadecimal digits below 2^33"
 	}
--- a/internal/proxy/eventloop/closing.go
+++ b/internal/proxy/eventloop/closing.go
@@ -147,6 +147,7 @@
 
 // closeConn closes the poller's connection; the link and its second descriptor are closed before.
 func (l *Link) closeConn() {
+	l.engine.backlog.remove(&l.source)
 	switch {
 	case l.conn == nil:
 	case l.registration.CompareAndSwap(registering, closedEarly):
--- a/internal/proxy/eventloop/dial.go
+++ b/internal/proxy/eventloop/dial.go
@@ -68,6 +68,7 @@
 	if err == nil && !l.closed {
 		l.conn, l.seen = c, e.descriptors.releases.Load()
 		c.SetSession(l)
+		l.watchInput()
 		if _, err = e.poll.AddConn(c); err != nil {
 			l.closeBroken() // the poller reports its end
 			return
--- a/internal/proxy/eventloop/engine.go
+++ b/internal/proxy/eventloop/engine.go
@@ -35,6 +35,7 @@
 	listeners        []*listener // in the order of listening
 	started          time.Time
 	now              time.Duration
+	turnBegan        time.Duration // the clock at the start of the present turn
 	alarms           timerqueue.Queue[alarm]
 	timer            int           // descriptor of the one timer; 0: none
 	armed            time.Duration // when the timer expires; 0: not armed
@@ -53,8 +54,7 @@
 	eventLink        *Link // the connection whose event is processed
 	descriptors      descriptorTable
 	stopped          bool
-	stallLength      time.Duration // of the last stall of this process
-	stallEnd         time.Duration
+	backlog          backlog
 	Count            *counters.Set
 }
 
@@ -110,6 +110,17 @@
 
 // Start begins to listen. It returns once the poller runs: it would not notice a Stop before that.
 func (e *Engine) Start() (err error) {
+	if err = e.backlog.open(); err != nil {
+		return err
+	}
+	for _, l := range e.listeners {
+		if err = l.open(); err != nil {
+			return err
+		}
+		if err = l.watchQueue(); err != nil {
+			return err
+		}
+	}
 	if err = e.poll.Start(); err != nil {
 		return err
 	}
@@ -117,6 +128,7 @@
 	e.Turn(func() {
 		if err = e.newTimer(); err == nil {
 			e.At(e.now, at, 0)
+			e.At(e.now+checkInterval, (*checkAlarm)(e), 0)
 		}
 	})
 	if err == nil {
@@ -145,9 +157,22 @@
 		}
 		e.timer = 0
 		e.descriptors.stop()
+		e.backlog.close()
 	})
 }
 
+// checkAlarm makes a turn at least each checkInterval, so that a pause of this process is noticed and unread input is found.
+type checkAlarm Engine
+
+// Live implements Alarm.
+func (*checkAlarm) Live(uint32) bool { return true }
+
+// Due implements Alarm. The next time counts from the start of the turn: the clock may have advanced since.
+func (c *checkAlarm) Due(uint32) {
+	e := (*Engine)(c)
+	e.At(e.turnBegan+checkInterval, c, 0)
+}
+
 // Turn runs f under the lock, and what OnTurnEnd set after it. It is called outside of turns.
 func (e *Engine) Turn(f func()) { e.turn(false, f) }
 
@@ -165,24 +190,12 @@
 	e.inTurn, e.polled = false, false
 }
 
-// tick advances the clock. An alarm that is long overdue shows a stall: this process was paused or got no CPU.
+// tick advances the clock at the start of a turn. An alarm that is long overdue shows that this process was paused, or got no CPU.
 func (e *Engine) tick() {
-	e.now = max(e.now, clockStart+time.Since(e.started))
-	if at, ok := e.alarms.NextDeadline(); ok && e.now-at > minStall {
-		e.stallLength, e.stallEnd = e.now-at, e.now
-	}
-}
-
-// minStall is how late an alarm must be to count as a stall: more than the system's usual lateness. What is read within the
-// same time after a stall may have waited.
-const minStall = 20 * time.Millisecond
-
-// InputDelay is how long bytes that are read now may have waited in the socket because of a stall, at the most.
-func (e *Engine) InputDelay() time.Duration {
-	if e.stallLength > 0 && e.now-e.stallEnd <= minStall {
-		return e.stallLength
-	}
-	return 0
+	e.Refresh()
+	e.turnBegan = e.now
+	at, ok := e.alarms.NextDeadline()
+	e.backlog.beginTurn(e.now, ok && e.now-at > minPause)
 }
 
 // Now is the clock of this turn.
@@ -190,7 +203,10 @@
 
 // Refresh advances the clock within a turn. What is read from a socket in a turn may have been sent after the turn began, if the
 // process stalled between.
-func (e *Engine) Refresh() { e.now = max(e.now, clockStart+time.Since(e.started)) }
+func (e *Engine) Refresh() { e.now = max(e.now, e.clock()) }
+
+// clock reads the clock; it may be called outside of turns.
+func (e *Engine) clock() time.Duration { return clockStart + time.Since(e.started) }
 
 // AtUnix converts a wall-clock time to this clock; it is 0 for times before the clock's 0.
 func (e *Engine) AtUnix(at time.Time) time.Duration {
--- a/internal/proxy/eventloop/link.go
+++ b/internal/proxy/eventloop/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
@@ -18,7 +19,7 @@
 
 const (
 	// ownDescriptors is how many descriptors the program needs for itself: listeners, pollers, datagrams, standard files and a few to spare.
-	ownDescriptors = 24
+	ownDescriptors = 32
 	// minRing is the size of a ring's first memory, in bytes.
 	minRing = 1 << 10
 	// writeChunk is how many bytes are given to the poller at a time.
@@ -60,6 +61,7 @@
 	seen          uint64             // see descriptorTable.seen
 	wasDuplicated bool               // ReadToEnd was used
 	registration  atomic.Int32
+	source        inputSource // in the account of unread input
 }
 
 // States of an accepted connection: the poller reports it before it watches it. If it were closed in between, the poller would
@@ -172,7 +174,10 @@
 		l.registration.Store(registering)
 		c.SetSession(l)
 		e.open++
-		e.acceptorOf(c)(l)
+		l.watchInput()
+		a := e.acceptorOf(c)
+		e.backlog.markUnread(&l.source, a.lastAcceptedSince)
+		a.accept(l)
 	})
 }
 
@@ -239,6 +244,8 @@
 		l.notifyData(got)
 		if n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) {
 			l.endInput()
+		} else if !l.closed {
+			l.engine.backlog.foundEmpty(&l.source)
 		}
 		return
 	}
@@ -360,6 +367,19 @@
 // Written counts bytes that were written to the socket, ever. It remains valid after the link is closed.
 func (l *Link) Written() int64 { return l.written.Load() }
 
+// watchInput adds the socket to the account of unread input. The connection's descriptor must be open.
+func (l *Link) watchInput() {
+	err := l.engine.backlog.add(l.conn.Hash(), &l.source)
+	invariant.Assert(err == nil, "a socket can be watched for unread input")
+}
+
+// InputDelay returns how long the input that the owner is notified of may have waited unread in the socket, because this process was paused or
+// is slower than its input. The true delay is greater by MaxUnknownDelay at most. InputDelay advances the clock.
+func (l *Link) InputDelay() time.Duration {
+	l.engine.Refresh()
+	return l.engine.backlog.delay(&l.source, l.engine.now)
+}
+
 // HasUnreadInput reports whether bytes lie unread in the socket. Who is silent for too long must not be blamed for input that came in time.
 func (l *Link) HasUnreadInput() bool {
 	if l.closed || l.conn == nil {
--- a/internal/proxy/eventloop/listen.go
+++ b/internal/proxy/eventloop/listen.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"os"
 	"sync/atomic"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/lesismal/nbio"
 )
 
@@ -11,13 +14,18 @@
 // otherwise.
 type listener struct {
 	net.Listener
-	engine  *Engine
-	last    *nbio.Conn // that was accepted
-	addr    string
-	accept  func(*Link)
-	stopped atomic.Bool
-	over    chan struct{}
-	closed  atomic.Bool
+	engine *Engine
+	// queue is a second descriptor of the socket, by which the acceptor waits for the next connection; nil before the start.
+	queue  *os.File
+	source inputSource // the queue of connections in the account of unread input
+	// lastAcceptedSince is the time after which the connection that was accepted last came into the queue, but for MaxUnknownDelay.
+	lastAcceptedSince time.Duration
+	last              *nbio.Conn // that was accepted
+	addr              string
+	accept            func(*Link)
+	stopped           atomic.Bool
+	over              chan struct{}
+	closed            atomic.Bool
 }
 
 // addListener adds an address; its socket is opened by Listen, or when the engine starts.
@@ -50,7 +58,7 @@
 		}
 		l.last = nil
 	}
-	conn, err := l.Listener.Accept()
+	conn, err := l.acceptNext()
 	if err != nil {
 		if l.stopped.Load() {
 			<-l.over
@@ -65,13 +73,59 @@
 	return c, nil
 }
 
+// watchQueue adds the queue of connections to the account of unread input.
+func (l *listener) watchQueue() (err error) {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok {
+		return errors.Errorf("listen on %s: not a TCP listener", l.addr)
+	}
+	if l.queue, err = tcp.File(); err != nil {
+		return errors.Wrapf(err, "duplicate the listener of %s", l.addr)
+	}
+	raw, err := l.queue.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if controlErr := raw.Control(func(fd uintptr) { err = l.engine.backlog.add(int(fd), &l.source) }); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// acceptNext accepts the next connection. Before, it records since when the connection may have been in the queue: its first input may have waited for
+// as long.
+func (l *listener) acceptNext() (net.Conn, error) {
+	raw, err := l.queue.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	err = raw.Read(func(fd uintptr) (ok bool) {
+		l.lastAcceptedSince, ok = l.engine.backlog.headOfQueue(int(fd), &l.source, l.engine.clock)
+		return ok
+	})
+	if err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
 // Close implements net.Listener for the poller, which calls it at the end.
 func (l *listener) Close() error {
 	if l.closed.Swap(true) {
 		return nil
 	}
 	close(l.over)
-	return l.Listener.Close()
+	return l.closeSocket()
+}
+
+// closeSocket closes both descriptors of the socket. It ends a wait of acceptNext.
+func (l *listener) closeSocket() error {
+	l.engine.backlog.remove(&l.source)
+	err := l.Listener.Close()
+	if l.queue != nil {
+		l.queue.Close() // it is closed already at the end of a process that stopped listening before
+	}
+	return err
 }
 
 // StopListening refuses new connections at all addresses from now on.
@@ -84,14 +138,14 @@
 // StopListeningAt refuses new connections at listener i, in the order of listening.
 func (e *Engine) StopListeningAt(i int) {
 	if a := e.listeners[i]; !a.stopped.Swap(true) {
-		a.Listener.Close()
+		a.closeSocket() // the caller can't do anything about an error
 	}
 }
 
 // acceptorOf finds what takes a new connection: by its port, and by its address if two listeners have the same port.
-func (e *Engine) acceptorOf(c *nbio.Conn) func(*Link) {
+func (e *Engine) acceptorOf(c *nbio.Conn) *listener {
 	if len(e.listeners) == 1 {
-		return e.listeners[0].accept
+		return e.listeners[0]
 	}
 	at, _ := c.LocalAddr().(*net.TCPAddr)
 	var found *listener
@@ -102,7 +156,7 @@
 		}
 	}
 	if found == nil {
-		return (*Link).CloseSoon
+		return &listener{accept: (*Link).CloseSoon}
 	}
-	return found.accept
+	return found
 }
