Registry: a heartbeat that lay unread revives no backend and takes no address back

What callers saw: after a pause of a node a backend that had ended got requests again for some seconds, or its successor at the same address got none: the node read an old heartbeat as if it had just been sent. Cause: Registry.Heartbeat set the age of each call to 0. A heartbeat with a new call_seq revived a backend that had timed out, and the first heartbeat of an unknown backend made it the youngest one at its address. Change: the control API passes how long the call may have waited unread. A backend counts as seen since then. A call that waited for over a second has no effect and gets 503, since its backend has called another node by then; a drain or a leave still counts, since neither is taken back. The simulated nodes pass the delay too.

--- a/internal/gateway/controlapi/backends.go
+++ b/internal/gateway/controlapi/backends.go
@@ -35,6 +35,7 @@
 		c.Reject(400, counters.BadRequest, err.Error())
 		return
 	}
+	record.Age = c.InputDelay()
 	ticket := deferAnswer(c)
 	h.node.Heartbeat(record, func(ok bool, target string) { h.respondAcknowledged(ticket, ok, target) })
 }
--- a/internal/gateway/registry/record.go
+++ b/internal/gateway/registry/record.go
@@ -31,7 +31,7 @@
 }
 
 // Record is what a node knows about a backend. In a call of Registry.Heartbeat, the host sets the fields up to and including
-// Seq.
+// Seq, and Age.
 type Record struct {
 	ID string
 	// Service is empty if the node has received a deregistration of the backend but no heartbeat yet.
@@ -48,7 +48,8 @@
 	Draining bool
 	// True once the backend has deregistered. Nothing revives it afterwards.
 	Deregistered bool
-	// Time from the first sighting of the backend by any node to the making of the record.
+	// Time from the first sighting of the backend by any node to the making of the record. In a call of Registry.Heartbeat it is the time for
+	// which the call may have waited unread.
 	Age   time.Duration
 	Owner Slot // node that watches the backend for missed heartbeats
 	// Number of changes of owner. 0 means that there has been no owner.
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -10,6 +10,10 @@
 // host calls Tick at least once in each scanInterval.
 const stallThreshold = time.Second
 
+// maxHeartbeatDelay is the longest time for which a heartbeat may have waited unread. A backend that has no answer after that time calls
+// another node. What the old call reports may no longer hold: the backend may have ended, and a successor may have its address.
+const maxHeartbeatDelay = time.Second
+
 // Config holds the settings of a registry.
 type Config struct {
 	HeartbeatInterval time.Duration // interval between two heartbeats of a backend
@@ -115,14 +119,18 @@
 }
 
 // Heartbeat processes a backend's call that reports its phase, Ready or Draining. The host answers the call when Next
-// returns an Acknowledge with the ticket that Heartbeat returned.
+// returns an Acknowledge with the ticket that Heartbeat returned. record.Age is how long the call may have waited unread. A call
+// that is older than maxHeartbeatDelay has no effect unless the backend is draining, which it stays.
 func (r *Registry) Heartbeat(record Record) Ticket {
 	r.lastTicket++
+	if record.Age > maxHeartbeatDelay && record.Phase != Draining {
+		return r.rejectLastCall()
+	}
 	e := r.findOrCreateEntry(record.ID)
 	if e == nil {
 		return r.rejectLastCall()
 	}
-	record.Deregistered, record.FencingToken, record.Owner, record.LostOwner, record.Age = false, 0, NoSlot, NoSlot, 0
+	record.Deregistered, record.FencingToken, record.Owner, record.LostOwner = false, 0, NoSlot, NoSlot
 	record.Draining = record.Phase == Draining
 	requested := notDeparting
 	if record.Draining {
--- a/internal/lab/simulation/backends.go
+++ b/internal/lab/simulation/backends.go
@@ -208,6 +208,7 @@
 			if leaves {
 				p.node.Deregister(b.id, answered)
 			} else {
+				word.Age = p.InputDelay()
 				p.node.Heartbeat(word, answered)
 			}
 		})
