Event loop: a request that waited behind another one is as old as its arrival

What callers saw: nothing was reported. Cause: the age of input was asked of the socket. What had been read into the ring buffer and waited there counted as fresh. Change: a link remembers when the bytes of its ring buffer came, read by read, and Link.InputDelay asks for a message's last byte.

--- a/internal/proxy/downstream/client.go
+++ b/internal/proxy/downstream/client.go
@@ -72,8 +72,9 @@
 	}
 }
 
-// InputDelay returns how long the present request may have waited unread in the socket: see eventloop.Link.InputDelay.
-func (c *Client) InputDelay() time.Duration { return c.link.InputDelay() }
+// InputDelay returns how long the present request may have waited, unread or behind the request before it: see eventloop.Link.InputDelay. A handler
+// calls it in Take.
+func (c *Client) InputDelay() time.Duration { return c.link.InputDelay(max(c.size, 1)) }
 
 // Who is the reference to this connection, for a handler.
 func (c *Client) Who() slots.Ref { return c.ref }
--- a/internal/proxy/downstream/server_test.go
+++ b/internal/proxy/downstream/server_test.go
@@ -207,3 +207,53 @@
 		f()
 	})
 }
+
+// delayRecorder is a handler that keeps the first request waiting, and records how long each request waited before.
+type delayRecorder struct {
+	first  Ticket
+	delays []time.Duration
+}
+
+func (d *delayRecorder) Take(c *Client) {
+	if d.delays = append(d.delays, c.InputDelay()); len(d.delays) == 1 {
+		d.first = c.Ticket()
+		c.AwaitAnswer(1, "")
+		return
+	}
+	c.Answer(answer.Up)
+}
+func (*delayRecorder) Left(slots.Ref) {}
+
+// Guards against a request that counts as fresh although it waited behind the request before it: a caller that sent both has given up the second by the
+// time at which the first is answered.
+func TestInputDelayCountsTheWaitBehindAnotherRequest(t *testing.T) {
+	const wait = 500 * time.Millisecond
+	e := eventloop.New("127.0.0.1:0", 256, 64<<10, 1<<20)
+	in := New(e, 10, Bounds{}, func() bool { return false })
+	handler := &delayRecorder{}
+	in.SetHandler(handler)
+	e.OnAccept(in.Accept)
+	came := make(chan bool, 1)
+	e.OnTurnEnd(func() {
+		if len(handler.delays) == 1 && len(came) == 0 {
+			came <- true
+		}
+	})
+	must.NoError(t, e.Start())
+	defer e.Stop()
+	c, err := net.Dial("tcp", e.Addr())
+	must.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n"))
+	must.NoError(t, err)
+	<-came
+	e.Turn(func() {
+		for began := time.Now(); time.Since(began) < wait; {
+		}
+	})
+	e.Turn(func() {
+		must.True(t, in.Answer(handler.first, answer.Up))
+		must.Len(t, 2, handler.delays)
+		must.GreaterEq(t, wait-eventloop.MaxUnknownDelay, handler.delays[1])
+	})
+}
--- a/internal/proxy/eventloop/backlog.go
+++ b/internal/proxy/eventloop/backlog.go
@@ -13,12 +13,12 @@
 const (
 	// checkInterval is the longest time between two checks of all sockets for unread input.
 	checkInterval = 100 * time.Millisecond
-	// minPause is how late an alarm must be to show that this process was paused or is slower than its input: more than the usual
+	// minLateness is how late an alarm must be to show that this process was paused or is slower than its input: more than the usual
 	// lateness of the system.
-	minPause = 20 * time.Millisecond
+	minLateness = 20 * time.Millisecond
 	// MaxUnknownDelay is how much longer than Link.InputDelay input may have waited unread. A pause that delays no alarm by
-	// minPause is not noticed, and input may have come just after a check.
-	MaxUnknownDelay = checkInterval + minPause
+	// minLateness is not noticed, and input may have come just after a check.
+	MaxUnknownDelay = checkInterval + minLateness
 )
 
 // backlog is an account of the sockets and listeners that have unread input, and of how long the input may have waited. An epoll instance
@@ -88,13 +88,13 @@
 }
 
 // beginTurn records the start of a turn at the time now, and checks the sources if it is time to. overdue tells that an alarm is late by more
-// than minPause.
+// than minLateness.
 func (b *backlog) beginTurn(now time.Duration, overdue bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sinceCheck := now - b.checkedAt
 	switch {
-	case overdue && sinceCheck > minPause:
+	case overdue && sinceCheck > minLateness:
 		b.check(b.aliveAt, now)
 	case sinceCheck >= checkInterval:
 		b.check(now, now)
@@ -128,8 +128,8 @@
 	b.unread, b.checkedAt = ready, now
 }
 
-// markUnread adds a source to the account whose input may have come since a time.
-func (b *backlog) markUnread(s *inputSource, since time.Duration) {
+// addUnread adds a source to the account whose input may have come since a time.
+func (b *backlog) addUnread(s *inputSource, since time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.epoll > 0 {
@@ -145,18 +145,14 @@
 	delete(b.unread, s)
 }
 
-// delay returns how long the input of a source that is read at the time now may have waited. It is 0 up to minPause.
-func (b *backlog) delay(s *inputSource, now time.Duration) time.Duration {
+// since returns the time after which the input of a source that is read in the present turn came, but for MaxUnknownDelay.
+func (b *backlog) since(s *inputSource) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	since := b.aliveAt
 	if _, unread := b.unread[s]; unread {
-		since = s.unreadSince
+		return s.unreadSince
 	}
-	if now-since <= minPause {
-		return 0
-	}
-	return now - since
+	return b.aliveAt
 }
 
 // headOfQueue returns whether a listener has a connection in its queue, and the time after which the connection came, but for
--- a/internal/proxy/eventloop/backlog_test.go
+++ b/internal/proxy/eventloop/backlog_test.go
@@ -27,7 +27,7 @@
 
 func (d *delayRecorder) Data() {
 	atLeast := time.Since(*d.writtenAt)
-	d.recorded <- recordedDelay{d.link.InputDelay(), atLeast}
+	d.recorded <- recordedDelay{d.link.InputDelay(1), atLeast}
 	d.link.Input.Drop(d.link.Input.Len())
 	spin(testReadTime)
 }
--- a/internal/proxy/eventloop/engine.go
+++ b/internal/proxy/eventloop/engine.go
@@ -195,7 +195,7 @@
 	e.Refresh()
 	e.turnBegan = e.now
 	at, ok := e.alarms.NextDeadline()
-	e.backlog.beginTurn(e.now, ok && e.now-at > minPause)
+	e.backlog.beginTurn(e.now, ok && e.now-at > minLateness)
 }
 
 // Now is the clock of this turn.
--- a/internal/proxy/eventloop/link.go
+++ b/internal/proxy/eventloop/link.go
@@ -62,6 +62,7 @@
 	wasDuplicated bool               // ReadToEnd was used
 	registration  atomic.Int32
 	source        inputSource // in the account of unread input
+	arrivals      arrivals    // of what is in Input
 }
 
 // States of an accepted connection: the poller reports it before it watches it. If it were closed in between, the poller would
@@ -176,7 +177,7 @@
 		e.open++
 		l.watchInput()
 		a := e.acceptorOf(c)
-		e.backlog.markUnread(&l.source, a.lastAcceptedSince)
+		e.backlog.addUnread(&l.source, a.lastAcceptedSince)
 		a.accept(l)
 	})
 }
@@ -229,6 +230,7 @@
 				continue
 			}
 			l.Input.Filled(n)
+			l.arrivals.add(n, l.Input.Len(), l.engine.backlog.since(&l.source))
 			if got = true; l.Input.Len()-shown >= notifyEvery {
 				l.notifyData(true) // an invalid message is detected before it has filled the ring
 				shown = l.Input.Len()
@@ -373,11 +375,16 @@
 	invariant.Assert(err == nil, "a socket can be watched for unread input")
 }
 
-// InputDelay returns how long the input that the owner is notified of may have waited unread in the socket, because this process was paused or
-// is slower than its input. The true delay is greater by MaxUnknownDelay at most. InputDelay advances the clock.
-func (l *Link) InputDelay() time.Duration {
+// InputDelay returns how long ago the last of the first size bytes of Input may have come. They waited in the socket, because this process was
+// paused or is slower than its input, or in Input, behind other messages. The true delay is greater by MaxUnknownDelay at most. A delay up to
+// minLateness counts as 0. InputDelay advances the clock.
+func (l *Link) InputDelay(size int) time.Duration {
 	l.engine.Refresh()
-	return l.engine.backlog.delay(&l.source, l.engine.now)
+	since, ok := l.arrivals.since(size, l.Input.Len())
+	if !ok || l.engine.now-since <= minLateness {
+		return 0
+	}
+	return l.engine.now - since
 }
 
 // HasUnreadInput reports whether bytes lie unread in the socket. Who is silent for too long must not be blamed for input that came in time.
