Datagrams: what lay unread for over 0.25 s counts as lost

What callers saw: nothing was reported; found by reading. A paused node that reads an old grant of the quota may use units that their owner has given to others again (QUOTA), and an old report makes its sender count as one that can be reached. Cause: the quota ignored grants for one answer time-out after a pause of its clock, 0.1 s and two intervals. Change: the socket of datagrams is in the account of unread input, and a datagram that may have waited for over 0.25 s is dropped, as the network may do with any. An owner keeps granted units set aside 0.4 s longer (grantMaxAge), which is the longest way of a datagram. The counter "datagrams late" shows them.

--- a/control/quota/tuning.go
+++ b/control/quota/tuning.go
@@ -53,6 +53,9 @@
 	hardEvenShare = 0.5
 )
 
+// MaxDatagramDelay is the longest time from the sending of a datagram to the call of DatagramReceived. The host drops older datagrams.
+const MaxDatagramDelay = 400 * time.Millisecond
+
 // Constants of strict mode. The bound in the package comment is proved for these values. TestBoundHoldsInAnyPartition fails for
 // looser values.
 const (
@@ -68,8 +71,9 @@
 	// grantTTL is the time for which granted units may be consumed.
 	grantTTL = 1 * time.Second
 	// grantMaxAge is the time for which the owner keeps granted units set aside. It is longer than grantTTL by the 5 s of Config.Window,
-	// because the units may have been consumed at any time within the last window.
-	grantMaxAge = 6 * time.Second
+	// because the units may have been consumed at any time within the last window, and by MaxDatagramDelay, because grantTTL begins when
+	// the grant is read.
+	grantMaxAge = 6*time.Second + MaxDatagramDelay
 	// grantDivisor limits a grant. A grant has the larger of two numbers of units: the requested units, and the units left divided by
 	// grantDivisor and by the number of gateways.
 	grantDivisor = 4.0
--- a/internal/gateway/node/coordination.go
+++ b/internal/gateway/node/coordination.go
@@ -3,12 +3,17 @@
 import (
 	"time"
 
+	"clovergap/control/quota"
 	"clovergap/internal/gateway/controlapi"
 	"clovergap/internal/gateway/coordination"
 	"clovergap/internal/gateway/groups"
 	"clovergap/internal/proxy/eventloop"
+	"clovergap/internal/proxy/peers"
 )
 
+// A datagram may not have waited unread for longer than the quota counts with. The constant overflows if it may.
+const _ = uint(quota.MaxDatagramDelay - peers.MaxDelay)
+
 // A call may not have waited unread for longer than the coordination service counts with. The constant overflows if the event loop's account is
 // less exact.
 const _ = uint(coordination.MaxUnknownInputDelay - eventloop.MaxUnknownDelay)
--- a/internal/proxy/counters/counters.go
+++ b/internal/proxy/counters/counters.go
@@ -82,6 +82,7 @@
 	Truncated
 	Unread         // connections that were cut off because the other side did not read
 	StaleInContact // times at which a member was not up to date, though its links to a majority were up
+	DatagramsLate  // dropped, since they had waited unread for too long
 	count          // number of counters
 )
 
@@ -99,7 +100,7 @@
 	"configurations bad", "lists taken", "lists bad", "watches lost",
 	"datagrams sent", "datagrams taken", "datagrams bad", "datagrams unsent", "accept errors", "turns",
 	"lease frames sent", "lease frames taken", "lease frames unsent", "leases granted", "leases over", "steps under leases", "stale steps refused",
-	"unknown keys", "not known yet", "answers cut short", "answers not read", "stale in contact"}
+	"unknown keys", "not known yet", "answers cut short", "answers not read", "stale in contact", "datagrams late"}
 
 // Set is the counters of a process. It is used in turns alone.
 type Set [count]uint64
--- a/internal/proxy/eventloop/link.go
+++ b/internal/proxy/eventloop/link.go
@@ -188,10 +188,7 @@
 	case *Link:
 		e.turn(true, s.event)
 	case *watched:
-		e.turn(true, func() {
-			e.descriptors.seen(&s.seen)
-			s.readable()
-		})
+		e.turn(true, func() { s.event(e) })
 	}
 }
 
--- a/internal/proxy/eventloop/watch.go
+++ b/internal/proxy/eventloop/watch.go
@@ -15,8 +15,20 @@
 // cost more CPU than all reads and writes of requests together.
 type watched struct {
 	descriptor int
-	readable   func() // called in a turn; it reads all that has come (edge-triggered)
-	seen       uint64 // see descriptorTable.seen
+	readable   ReadableFunc
+	source     inputSource // in the account of unread input
+	seen       uint64      // see descriptorTable.seen
+}
+
+// ReadableFunc reads all that has come on a descriptor (edge-triggered). It is called in a turn. The input came after the time since, but for
+// MaxUnknownDelay.
+type ReadableFunc func(since time.Duration)
+
+// event reads what has come.
+func (w *watched) event(e *Engine) {
+	e.descriptors.seen(&w.seen)
+	w.readable(e.backlog.since(&w.source))
+	e.backlog.foundEmpty(&w.source)
 }
 
 // descriptorConn is a descriptor as a net.Conn, as nbio.NBConn wants it: it duplicates the descriptor and closes this one.
@@ -53,12 +65,16 @@
 
 // Watch gives a descriptor to the poller and returns the one to use instead from now on. readable is called in a turn whenever there
 // is something to read.
-func (e *Engine) Watch(fd int, readable func()) (int, error) {
+func (e *Engine) Watch(fd int, readable ReadableFunc) (int, error) {
 	c, err := nbio.NBConn(descriptorConn{descriptor: fd})
 	if err != nil {
 		return 0, err
 	}
-	c.SetSession(&watched{descriptor: c.Hash(), readable: readable})
+	w := &watched{descriptor: c.Hash(), readable: readable}
+	c.SetSession(w)
+	if err := e.backlog.add(c.Hash(), &w.source); err != nil {
+		return 0, err
+	}
 	e.open++ // counted down when the poller reports its end
 	if _, err := e.poll.AddConn(c); err != nil {
 		return 0, err
@@ -72,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	e.timer, err = e.Watch(fd, e.runAlarms)
+	e.timer, err = e.Watch(fd, func(time.Duration) { e.runAlarms() })
 	return err
 }
 
--- a/internal/proxy/peers/peers.go
+++ b/internal/proxy/peers/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"clovergap/control"
 	"clovergap/internal/failpoint"
@@ -16,6 +17,13 @@
 // maxDatagram bounds a datagram's payload, in bytes.
 const maxDatagram = 256
 
+// MaxUnread is how long a datagram may have waited unread. An older one is dropped, as if the network had lost it: what it grants may have
+// expired, and it does not show that its sender can be reached now.
+const MaxUnread = 250 * time.Millisecond
+
+// MaxDelay is the longest time from the arrival of a datagram at the socket until it is taken.
+const MaxDelay = MaxUnread + eventloop.MaxUnknownDelay
+
 // Peers is the socket of this process, with the addresses of its peers. It is used in turns alone.
 type Peers struct {
 	engine      *eventloop.Engine
@@ -82,8 +90,8 @@
 	return err
 }
 
-// read takes all datagrams that have come.
-func (p *Peers) read() {
+// read takes all datagrams that have come, which was after the time since.
+func (p *Peers) read(since time.Duration) {
 	for {
 		n, from, err := syscall.Recvfrom(p.descriptor, p.buf[:], syscall.MSG_DONTWAIT)
 		if err == syscall.ECONNREFUSED || err == syscall.EINTR {
@@ -92,6 +100,10 @@
 		if err != nil {
 			return
 		}
+		if p.engine.Refresh(); p.engine.Now()-since > MaxUnread {
+			p.engine.Count.Add(counters.DatagramsLate)
+			continue
+		}
 		p.take(addrPort(from), p.buf[:n])
 	}
 }
