Fault rig: applications call while real processes are paused, throttled and restarted

Need: no test played locks, numbers, keys and watches on real processes, and none played a caller that ends while it releases a lock. Restarters end while they release a lock, at a paused node if there is one.

--- a/cmd/lab/gatewaychaos.go
+++ b/cmd/lab/gatewaychaos.go
@@ -25,6 +25,7 @@
 	shrink, founding bool
 	storms, series   bool
 	overlappingCuts  bool
+	lateInput        bool
 }
 
 func gatewayChaosCommand() *cobra.Command {
@@ -62,6 +63,8 @@
 	c.Flags().BoolVar(&k.series, "series", false, "schedules of signals, restarts and departures of backends that come in series and overlap")
 	c.Flags().BoolVar(&k.overlappingCuts, "overlapping-cuts", false,
 		"schedules of cuts between nodes with a disk, mostly in one direction, that follow each other or overlap; connections stall after them")
+	c.Flags().BoolVar(&k.lateInput, "late-input", false,
+		"schedules of pauses that overlap with other faults, while applications call for locks, numbers, keys and watches; most have nodes with a small share of a core")
 	c.Flags().BoolVar(&k.shrink, "shrink", false, "find as few of the seed's faults as still fail")
 	return c
 }
@@ -107,6 +110,9 @@
 	if g.overlappingCuts {
 		s = faultrig.DrawOverlappingCuts(seed, g.nodes, g.dur)
 	}
+	if g.lateInput {
+		s = faultrig.DrawLateInput(seed, g.nodes, g.dur)
+	}
 	if g.founding {
 		s = faultrig.DrawFounding(seed, g.nodes, g.most, g.dur)
 	}
--- a/internal/lab/callers/callers.go
+++ b/internal/lab/callers/callers.go
@@ -29,6 +29,8 @@
 	MaxWatcherPause time.Duration
 	// LongTTLs makes the duration of some leases up to ten seconds. Other leases last at most 2.5 seconds.
 	LongTTLs bool
+	// Restarters is the number of callers that end while they release a lock and acquire it again at once. Each has a lock of its own and a rival.
+	Restarters int
 }
 
 const (
@@ -71,6 +73,9 @@
 	for i := range config.Lockers {
 		(&locker{callers: c, name: fmt.Sprintf("a%d", i)}).acquireLock()
 	}
+	for i := range config.Restarters {
+		c.startRestarter(i)
+	}
 	for i := range numberCallers {
 		c.requestNumbers(fmt.Sprintf("c%d", i), counterName(i%counterCount))
 	}
--- a/internal/lab/faultrig/faults.go
+++ b/internal/lab/faultrig/faults.go
@@ -197,7 +197,7 @@
 func (f *faultRun) slowNodes(fault *spec.Fault) func() {
 	var wg sync.WaitGroup
 	for _, number := range f.hit {
-		wg.Go(func() { f.fleet.Nodes[number].Slow(f.ctx, fault.By) })
+		wg.Go(func() { f.fleet.Nodes[number].Slow(f.ctx, fault.By, standin.SlowPeriod) })
 	}
 	return wg.Wait
 }
--- a/internal/lab/faultrig/gateway.go
+++ b/internal/lab/faultrig/gateway.go
@@ -42,8 +42,10 @@
 	Refused   int64               `json:"refused"`
 	Voided    int64               `json:"voided"`
 	Failed    int64               `json:"failed"`
-	Taken     int                 `json:"taken"`   // configurations acknowledged
-	Unclear   int                 `json:"unclear"` // without a clear answer
+	Taken     int                 `json:"taken"`                    // configurations acknowledged
+	Unclear   int                 `json:"unclear"`                  // without a clear answer
+	Calls     int                 `json:"calls,omitempty"`          // of applications
+	Definite  int                 `json:"definite_calls,omitempty"` // of these answered clearly
 	History   []history.Event     `json:"-"`
 }
 
@@ -71,7 +73,9 @@
 	says         []string                                  // what the nodes say of themselves, where all is not well at the end
 	act          func(context.Context) []history.Violation // what is played while clients ask
 	odd          bool                                      // it is kept though no rule was broken
-	also         func(h []history.Event, slack time.Duration) []history.Violation
+	// Calls of applications, and how many of them were answered clearly.
+	calls, definiteCalls int
+	also                 func(h []history.Event, slack time.Duration) []history.Violation
 }
 
 // TimesTrusted reports whether the machine was fast enough for rules that rest on times.
@@ -85,7 +89,11 @@
 
 // PlayGateway plays a schedule on real nodes. Whatever happens, no process is left when it returns.
 func PlayGateway(ctx context.Context, s *GatewaySchedule, o GatewayOptions) (*GatewayResult, error) {
-	return playGateway(ctx, s, o, func(h *gatewayRun) { h.act = h.faults })
+	return playGateway(ctx, s, o, func(h *gatewayRun) {
+		if h.act = h.faults; s.Lockers > 0 {
+			h.act = h.faultsWithApplications
+		}
+	})
 }
 
 func playGateway(ctx context.Context, s *GatewaySchedule, o GatewayOptions, prepare func(*gatewayRun)) (*GatewayResult, error) {
@@ -128,6 +136,7 @@
 	h.machine.close()
 	res.Slow, res.SlowDisk = h.machine.longestStall(), h.machine.longestSync()
 	res.Seconds, res.Recovered = time.Since(began).Seconds(), h.recoveries
+	res.Calls, res.Definite = h.calls, h.definiteCalls
 	if ctx.Err() != nil {
 		return res, ctx.Err()
 	}
@@ -151,8 +160,8 @@
 		each = 2
 	}
 	t, err := gatewaystandin.New(gatewaystandin.Config{Program: o.Program, Nodes: s.Nodes, Disks: Disks,
-		Zones:           []string{"zone-a", "zone-b", "zone-c"},
-		BackendsPerZone: each, Rate: o.Rate, Seed: s.Seed, HeartbeatInterval: cmp.Or(s.HeartbeatInterval, time.Second), MaxLostDisks: 1, History: log, Play: s.Play})
+		Zones:        []string{"zone-a", "zone-b", "zone-c"},
+		Coordination: s.Lockers > 0, BackendsPerZone: each, Rate: o.Rate, Seed: s.Seed, HeartbeatInterval: cmp.Or(s.HeartbeatInterval, time.Second), MaxLostDisks: 1, History: log, Play: s.Play})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/faultrig/gatewaydraw.go
+++ b/internal/lab/faultrig/gatewaydraw.go
@@ -38,6 +38,10 @@
 	KeepNodes   bool    // clients stay with their node until they get no answer from it
 	// Of backends; 0: one second.
 	HeartbeatInterval time.Duration
+	Lockers           int     // lockers and as many restarters, beside callers of other kinds; 0: no applications call
+	ThrottledShare    float64 // share of nodes that have ThrottledCPU
+	ThrottledCPU      float64 // of a core, as a quota of each ThrottlePeriod; 0: all nodes have whole cores
+	ThrottlePeriod    time.Duration
 	Faults            []spec.Fault
 	Late              []time.Duration // when each node is started for the first time; none: all at once, and waited for
 }
--- a/internal/lab/gatewaystandin/deployment.go
+++ b/internal/lab/gatewaystandin/deployment.go
@@ -37,6 +37,7 @@
 	Seed              uint64
 	HeartbeatInterval time.Duration
 	MaxLostDisks      int          // disks that may be lost at once
+	Coordination      bool         // applications call for locks, numbers, keys and watches
 	History           *history.Log // nil: none is kept
 	Play              *Play        // nil: the small deployment
 }
@@ -192,6 +193,9 @@
 	if n.Disk != "" {
 		line("data_dir: %q", n.Disk)
 	}
+	if t.Config.Coordination {
+		line("contracts: [\"coord\"]")
+	}
 	line("beat_interval: \"%dms\"\ntolerates: {machines: %d, zones: 0, regions: 0}",
 		t.Config.HeartbeatInterval.Milliseconds(), t.Config.MaxLostDisks)
 	line("bounds: [\"drain=%dms\", \"apply_within=%dms\", \"in_touch=%dms\", \"grace=%dms\"]",
--- a/internal/lab/standin/process.go
+++ b/internal/lab/standin/process.go
@@ -276,16 +276,23 @@
 	}
 }
 
-// slowPeriod is how finely a slowed process's time is cut up.
-const slowPeriod = 20 * time.Millisecond
+// Suspended reports whether a reason holds the process.
+func (p *Process) Suspended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspensions > 0
+}
+
+// SlowPeriod is how finely a slowed process's time is cut up, unless a fault says otherwise.
+const SlowPeriod = 20 * time.Millisecond
 
 // Slow gives the process a share of a core until the context ends: it stands still for the rest of each
-// short period.
-func (p *Process) Slow(ctx context.Context, share float64) {
-	run := time.Duration(share * float64(slowPeriod))
+// period.
+func (p *Process) Slow(ctx context.Context, share float64, period time.Duration) {
+	run := time.Duration(share * float64(period))
 	for ctx.Err() == nil {
 		p.pulse(true)
-		time.Sleep(slowPeriod - run)
+		time.Sleep(period - run)
 		p.pulse(false)
 		time.Sleep(run)
 	}
