Event loop: as many connections as before, by 24 descriptors of the program's own

What callers saw: nothing yet. With the account of unread input the program kept 32 descriptors for itself in place of 24, so that a front door with few descriptors let idle clients go eight connections earlier. Cause: the account needs one descriptor, and each listener a second one; 24 had room for these. Change: ownDescriptors is 24 again.

--- a/internal/proxy/eventloop/link.go
+++ b/internal/proxy/eventloop/link.go
@@ -19,7 +19,7 @@
 
 const (
 	// ownDescriptors is how many descriptors the program needs for itself: listeners, pollers, datagrams, standard files and a few to spare.
-	ownDescriptors = 32
+	ownDescriptors = 24
 	// minRing is the size of a ring's first memory, in bytes.
 	minRing = 1 << 10
 	// writeChunk is how many bytes are given to the poller at a time.
