Fault rig: the late-input test is never skipped

Need: the test skipped itself with -short, as its neighbours do; no new test needs that. Change: the three lines are gone.

--- a/internal/lab/faultrig/late_input_test.go
+++ b/internal/lab/faultrig/late_input_test.go
@@ -16,9 +16,6 @@
 // Six nodes, three with disks, are paused, killed, told to end and cut off in series that overlap, while applications call over connections that stay
 // open. Guards against old input that is acted on as if it were fresh (review/4); the short form of "lab gateway chaos --late-input".
 func TestLateInputOnAGateway(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	defer goleak.VerifyNone(t)
 	program := build(t)
 	for _, seed := range []uint64{3, 7} { // nodes have a small share of a core in the first one alone
