Rollout: a node repeats its last report while a roll-out runs

Cause: a node reports when its counts change. After a local rollback it sends nobody to the new version and compares no requests, so its counts don't change again. If that last report is lost (no leader yet, another leader after it, a lost stream), nothing sends it again, and the coordinator never knows.

Change: a report is repeated each 5 s (reportRepeatInterval) as long as the roll-out runs, the counts don't change and there is something to report. It has a new sequence number, so no order of arrival does harm.

Test: rollout.TestLostLastReportsAreRepeated, which failed before (no rollback within 10 s).

--- a/internal/gateway/rollout/node.go
+++ b/internal/gateway/rollout/node.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// reportInterval is the interval between a node's reports while its counts change.
-const reportInterval = time.Second
+const (
+	// reportInterval is the interval between a node's reports while its counts change.
+	reportInterval = time.Second
+	// reportRepeatInterval is the interval between a node's reports while its counts do not change. A report may be lost, and a new
+	// coordinator has none.
+	reportRepeatInterval = 5 * time.Second
+)
 
 // Node is the part of the roll-outs that runs on each node. It assigns requests to a side, counts their outcomes and reports them.
 type Node struct {
@@ -205,7 +210,7 @@
 		if local.counter.changed && !local.rolledBack {
 			n.evaluateLocally(local)
 		}
-		if local.unreported && !n.disconnected && (n.now-local.reportedAt >= reportInterval || local.reportImmediately) {
+		if n.isReportDue(local) {
 			n.pushAction(SendReport{n.nextReport(local)})
 		}
 	}
@@ -224,6 +229,20 @@
 	}
 }
 
+// isReportDue reports whether this node sends a report on a running roll-out now.
+func (n *Node) isReportDue(local *localRollout) bool {
+	age := n.now - local.reportedAt
+	switch {
+	case n.disconnected:
+		return false
+	case local.unreported:
+		return local.reportImmediately || age >= reportInterval
+	case local.rolledBack || local.counter.counts != Counts{}:
+		return age >= reportRepeatInterval
+	}
+	return false
+}
+
 // nextReport returns the next report on a roll-out and increments its sequence number.
 func (n *Node) nextReport(local *localRollout) Report {
 	c := local.counter
--- a/internal/gateway/rollout/simulation_test.go
+++ b/internal/gateway/rollout/simulation_test.go
@@ -359,6 +359,35 @@
 	must.Error(t, coordinator.HandleReport(1, broken))
 }
 
+// A local rollback whose report was lost must still reach the coordinator, although the node compares no more requests after it: otherwise
+// the roll-out runs on for good, at a share of 0.
+func TestLostLastReportsAreRepeated(t *testing.T) {
+	sim := newSimulation(1, 4, 200, newTestSpec(5000))
+	sim.lostReportsOfSeven = 7
+	sim.fault = func(_ time.Duration, o *Outcome, _, _ int) (fails, slower float64) {
+		if o.Side == Canary {
+			return 1, 1
+		}
+		return 0, 1
+	}
+	for sim.localRollbacks < len(sim.nodes) {
+		sim.simulateTick()
+		must.Less(t, time.Minute, sim.now)
+	}
+	for range int(2 * reportInterval / tick) { // the reports of the local rollbacks get lost as well
+		sim.simulateTick()
+	}
+	must.Eq(t, "", sim.rollbackReason)
+
+	sim.lostReportsOfSeven = 0
+	sim.coordinator = NewCoordinator(2, sim.now)
+	sim.applyState()
+	for range int(2 * reportRepeatInterval / tick) {
+		sim.simulateTick()
+	}
+	must.NotEq(t, "", sim.rollbackReason)
+}
+
 // Guards against a rollback by all nodes on the evidence of one faulty node. The coordinator must not propose a rollback while only this
 // node has sent reports, even if the reports come from several incarnations of this node.
 func TestOneNodeDoesNotRollBack(t *testing.T) {
