Rollout: name the report's condition by the terms of the code

The names test of internal/architecture keeps "due" for deadlines. The function is shouldReport now; both packages' tests pass.

--- a/internal/gateway/rollout/node.go
+++ b/internal/gateway/rollout/node.go
@@ -210,7 +210,7 @@
 		if local.counter.changed && !local.rolledBack {
 			n.evaluateLocally(local)
 		}
-		if n.isReportDue(local) {
+		if n.shouldReport(local) {
 			n.pushAction(SendReport{n.nextReport(local)})
 		}
 	}
@@ -229,8 +229,8 @@
 	}
 }
 
-// isReportDue reports whether this node sends a report on a running roll-out now.
-func (n *Node) isReportDue(local *localRollout) bool {
+// shouldReport reports whether this node is to send a report on a running roll-out now.
+func (n *Node) shouldReport(local *localRollout) bool {
 	age := n.now - local.reportedAt
 	switch {
 	case n.disconnected:
