Front door: a repeat is not sent after its window, however long it is held up

Cause: the window was checked when the repeat was decided on. A pause of the process, or a connection that has to be opened first, lies between that and the sending.

Change: control.Decision has a SendDeadline, the gate passes it on (gate.Limits in place of two durations), and upstream brings its clock up to the time just before the first byte. A submission that is too late ends as not sent, and the controller fails the request. The attempt's own deadline is looked at by the same clock now.

--- a/control/decision.go
+++ b/control/decision.go
@@ -39,6 +39,7 @@
 	Backend         BackendID
 	After           time.Duration // time-out (Submit), retry delay (Reject) or delay (Wake)
 	ResponseTimeout time.Duration // for Submit: the longest time from the first byte of a response to its last
+	SendDeadline    time.Duration // for Submit: the time from which the submission must not be sent any more; 0: none
 	Peer            GatewayID     // for SendDatagram: the receiver of the datagram
 	Payload         []byte        // for SendDatagram
 	Entry           *LogEntry     // for Log
--- a/control/loadbalancer/txn.go
+++ b/control/loadbalancer/txn.go
@@ -233,11 +233,26 @@
 	case inquiryLike:
 		return true
 	case referenced:
-		return c.now+networkMargin < t.firstRanAt+p.repeatWindow
+		return c.now < c.repeatDeadline(t)
 	}
 	return false
 }
 
+// repeatDeadline returns the time from which a referenced txn that may have run must not be sent again, because the backends may no longer
+// drop the repeat.
+func (c *Controller) repeatDeadline(t *txn) time.Duration {
+	return t.firstRanAt + c.products[t.Product].repeatWindow - networkMargin
+}
+
+// sendDeadline returns the time from which the next submission of a txn must not be sent any more, or 0 if there is no such time. The
+// host may have to open a connection first.
+func (c *Controller) sendDeadline(t *txn) time.Duration {
+	if t.mayHaveRun && c.products[t.Product].effect == referenced {
+		return c.repeatDeadline(t)
+	}
+	return 0
+}
+
 // submit sends a txn to a backend. All submissions are made by this function. It checks rules 1 to 4 of the package comment again. If a
 // rule forbids the submission, the txn is rejected or failed.
 func (c *Controller) submit(t *txn, account *quota.Account, b *backend) {
@@ -255,7 +270,7 @@
 	t.submissions++
 	t.currentBackend, t.previousBackend, t.sentAt = b, b, c.now
 	c.decisions = append(c.decisions, control.Decision{
-		Action: control.Submit, Txn: t.ID, Backend: b.ID, After: c.submissionTimeout(t), ResponseTimeout: responseTimeout,
+		Action: control.Submit, Txn: t.ID, Backend: b.ID, After: c.submissionTimeout(t), ResponseTimeout: responseTimeout, SendDeadline: c.sendDeadline(t),
 	})
 }
 
--- a/internal/lab/emulator/frontdoor.go
+++ b/internal/lab/emulator/frontdoor.go
@@ -234,8 +234,9 @@
 }
 
 // Submit sends a txn to a backend, over a connection that rests or a new one.
-func (n *node) Submit(ref slots.Ref, nr int, m gate.Message, at control.BackendID, limit, _ time.Duration) {
-	n.submit(ref, nr, n.world.clients.attempts[binary.LittleEndian.Uint32(m.AppendTo(nil, at, limit))], n.world.byID[at], limit)
+func (n *node) Submit(ref slots.Ref, nr int, m gate.Message, at control.BackendID, limits gate.Limits) {
+	number := binary.LittleEndian.Uint32(m.AppendTo(nil, at, limits.Attempt))
+	n.submit(ref, nr, n.world.clients.attempts[number], n.world.byID[at], limits.Attempt)
 }
 
 func (n *node) submit(ref slots.Ref, nr int, t *attempt, b *backend, limit time.Duration) {
--- a/internal/lab/simulation/ways.go
+++ b/internal/lab/simulation/ways.go
@@ -101,15 +101,15 @@
 }
 
 // Submit sends on. However it ends, the gate hears of it once.
-func (b *backendLinks) Submit(ref slots.Ref, nr int, m gate.Message, to control.BackendID, limit, _ time.Duration) {
+func (b *backendLinks) Submit(ref slots.Ref, nr int, m gate.Message, to control.BackendID, limits gate.Limits) {
 	world, endpoint := b.process.world, b.endpoints[to]
 	if endpoint == nil || !endpoint.ready {
 		b.process.gate.Ended(ref, nr, to, gate.Outcome{Ending: control.NotSent})
 		return
 	}
-	s := &submission{links: b, ref: ref, attempt: nr, target: to, endpoint: endpoint, began: world.now, deadline: world.now + limit, name: b.process.node.BackendName(to)}
+	s := &submission{links: b, ref: ref, attempt: nr, target: to, endpoint: endpoint, began: world.now, deadline: world.now + limits.Attempt, name: b.process.node.BackendName(to)}
 	b.submissions[ref] = s
-	if number := m.AppendTo(nil, to, limit); len(number) > 0 && s.name != "" {
+	if number := m.AppendTo(nil, to, limits.Attempt); len(number) > 0 && s.name != "" {
 		s.request = b.process.upstreams.attempts[numberOf(number)]
 	}
 	world.at(s.deadline, func() {
--- a/internal/proxy/gate/gate.go
+++ b/internal/proxy/gate/gate.go
@@ -32,11 +32,20 @@
 	Next() (control.Decision, bool)
 }
 
+// Limits bound an attempt.
+type Limits struct {
+	// Attempt is the longest time for the whole attempt.
+	Attempt time.Duration
+	// Answer is the longest time from the first byte of the answer to its last; 0: no limit.
+	Answer time.Duration
+	// SendDeadline is the time of the clock from which no byte of the attempt may be sent if none was sent before; 0: no limit.
+	SendDeadline time.Duration
+}
+
 // Sender carries attempts to backends, and reports the outcome of each to Gate.Ended exactly once.
 type Sender interface {
-	// Submit sends an attempt of a txn. limit bounds it, answerTimeout its answer from the first
-	// byte on (0: not).
-	Submit(txn slots.Ref, attempt int, m Message, to control.BackendID, limit, answerTimeout time.Duration)
+	// Submit sends an attempt of a txn, within limits.
+	Submit(txn slots.Ref, attempt int, m Message, to control.BackendID, limits Limits)
 	// Recall cancels an attempt if it is in flight.
 	Recall(txn slots.Ref, attempt int)
 	Probe(at control.BackendID)
@@ -388,7 +397,7 @@
 	if g.watcher != nil {
 		g.watcher.Sent(ref, t.message(ref).ID(), attempt, d.Backend)
 	}
-	g.sender.Submit(ref, attempt, t.message(ref), d.Backend, limit, d.ResponseTimeout)
+	g.sender.Submit(ref, attempt, t.message(ref), d.Backend, Limits{limit, d.ResponseTimeout, d.SendDeadline})
 	failpoint.At(failpoint.AfterSubmit)
 }
 
--- a/internal/proxy/gate/gate_test.go
+++ b/internal/proxy/gate/gate_test.go
@@ -55,7 +55,7 @@
 	answers string
 }
 
-func (f *fakeSender) Submit(slots.Ref, int, Message, control.BackendID, time.Duration, time.Duration) {
+func (f *fakeSender) Submit(slots.Ref, int, Message, control.BackendID, Limits) {
 	f.sent++
 }
 func (f *fakeSender) Recall(slots.Ref, int)              {}
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -93,10 +93,16 @@
 	c.carry(c.sub, s)
 }
 
-// carry writes an attempt's request.
+// carry writes an attempt's request. It brings the clock up to the time first: the attempt was decided on earlier, and the process may have
+// been paused since.
 func (c *conn) carry(ref slots.Ref, s *submission) {
 	c.sub, s.conn = ref, c
 	invariant.Assert(s.backend.ready, "nothing is sent to one that drains or is gone")
+	c.dispatch.engine.Refresh()
+	if s.sendDeadline > 0 && c.dispatch.engine.Now() >= s.sendDeadline {
+		c.dispatch.giveUp(ref, control.ConnectionLost, control.NotSent)
+		return
+	}
 	left := s.deadline - c.dispatch.engine.Now()
 	c.dispatch.scratch = s.message.AppendTo(c.dispatch.scratch[:0], c.backend.id, left)
 	if len(c.dispatch.scratch) == 0 || left <= 0 { // the client has left, or the deadline has passed, before anything was written
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -64,6 +64,7 @@
 	conn           *conn
 	started        time.Duration
 	deadline       time.Duration
+	sendDeadline   time.Duration // from which the request must not be sent any more; 0: none
 	answerTimeout  time.Duration // of an answer, from its first bytes; 0: none
 	answerDeadline time.Duration // when an answer that has begun must be complete; 0: none has begun
 	id             string
@@ -165,9 +166,8 @@
 	})
 }
 
-// Submit sends an attempt of a txn. However it ends, Gate.Ended is called once. limit bounds the attempt, answerTimeout its
-// answer from the first byte on (0: not).
-func (d *Dispatch) Submit(txn slots.Ref, attempt int, m gate.Message, to control.BackendID, limit, answerTimeout time.Duration) {
+// Submit sends an attempt of a txn. However it ends, Gate.Ended is called once.
+func (d *Dispatch) Submit(txn slots.Ref, attempt int, m gate.Message, to control.BackendID, limits gate.Limits) {
 	b := d.backends[to]
 	ref, s, ok := d.submissions.Add()
 	if b == nil || !b.ready || !ok { // nothing goes to a backend that drains, whatever the module decided
@@ -178,7 +178,8 @@
 		return
 	}
 	now := d.engine.Now()
-	*s = submission{txn: txn, attempt: attempt, backend: b, message: m, started: now, deadline: now + limit, answerTimeout: answerTimeout}
+	*s = submission{txn: txn, attempt: attempt, backend: b, message: m, started: now, deadline: now + limits.Attempt,
+		sendDeadline: limits.SendDeadline, answerTimeout: limits.Answer}
 	d.byTxn[txn] = ref
 	if c := d.reuse(b, false, m.ID()); c != nil {
 		d.engine.Count.Add(counters.Reused)
