--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -20,7 +20,7 @@
 	backend    *backend
 	link       *eventloop.Link
 	reader     http1.Reader
-	sub        slots.Ref // 0: idle
+	submission slots.Ref // that it carries; 0: idle
 	dialing    bool
 	idleAt     time.Duration
 	idleFor    time.Duration
@@ -31,13 +31,13 @@
 	last       string  // ID of the request that it carried last
 }
 
-// reuse takes the most recently used connection that has been idle for Config.MinIdle (any: or for less), and closes those that
+// reuse takes the most recently used connection that has been idle for Config.MinIdle, or for less if ignoreMinIdle, and closes those that
 // can't be used again. A request with the ID of the one before on a connection goes over another: a duplicate of the former
 // answer could not be told from its own, and two clients may have chosen the same ID.
-func (d *Dispatch) reuse(b *backend, any bool, id string) *conn {
+func (d *Dispatch) reuse(b *backend, ignoreMinIdle bool, id string) *conn {
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
-		if d.engine.Now()-c.idleAt < d.config.MinIdle && !any {
+		if d.engine.Now()-c.idleAt < d.config.MinIdle && !ignoreMinIdle {
 			continue
 		}
 		b.idle = append(b.idle[:i], b.idle[i+1:]...)
@@ -66,10 +66,10 @@
 		d.end(ref, control.Unreachable)
 		return false
 	}
-	*c = conn{dispatch: d, ref: me, backend: b, reader: http1.Responses(), sub: ref, dialing: true}
+	*c = conn{dispatch: d, ref: me, backend: b, reader: http1.Responses(), submission: ref, dialing: true}
 	c.reader.Bound(d.config.Head, d.config.Body)
 	b.open++
-	c.link = d.engine.Dial(b.addr, d.config.DialTimeout, c.up)
+	c.link = d.engine.Dial(b.addr, d.config.DialTimeout, c.dialEnded)
 	if d.config.Raw > 0 {
 		c.link.Bound(d.config.Raw)
 	}
@@ -78,25 +78,25 @@
 	return true
 }
 
-// up is called when the dial has ended.
-func (c *conn) up(ok bool) {
+// dialEnded is called when the dial has ended.
+func (c *conn) dialEnded(ok bool) {
 	c.dialing = false
-	s := c.dispatch.submissions.Get(c.sub)
+	s := c.dispatch.submissions.Get(c.submission)
 	if s == nil {
 		c.close()
 		return
 	}
 	if !ok {
-		c.dispatch.giveUp(c.sub, control.ConnectionLost, control.Unreachable)
+		c.dispatch.giveUp(c.submission, control.ConnectionLost, control.Unreachable)
 		return
 	}
-	c.carry(c.sub, s)
+	c.carry(c.submission, s)
 }
 
 // carry writes an attempt's request. It brings the clock up to the time first: the attempt was decided on earlier, and the process may have
 // been paused since.
 func (c *conn) carry(ref slots.Ref, s *submission) {
-	c.sub, s.conn = ref, c
+	c.submission, s.conn = ref, c
 	invariant.Assert(s.backend.ready, "nothing is sent to one that drains or is gone")
 	c.dispatch.engine.Refresh()
 	if s.sendDeadline > 0 && c.dispatch.engine.Now() >= s.sendDeadline {
@@ -118,7 +118,7 @@
 
 // Sent implements eventloop.Owner: all that was sent is in the socket.
 func (c *conn) Sent() {
-	if s := c.dispatch.submissions.Get(c.sub); s != nil && s.streaming {
+	if s := c.dispatch.submissions.Get(c.submission); s != nil && s.streaming {
 		c.sendBody()
 	}
 }
@@ -126,12 +126,12 @@
 // Closed implements eventloop.Owner: the backend or an error ended the connection.
 func (c *conn) Closed() {
 	c.drop()
-	s := c.dispatch.submissions.Get(c.sub)
+	s := c.dispatch.submissions.Get(c.submission)
 	if s == nil || s.conn != c {
 		return
 	}
 	s.conn = nil
-	c.dispatch.giveUp(c.sub, control.ConnectionLost, control.Unreachable)
+	c.dispatch.giveUp(c.submission, control.ConnectionLost, control.Unreachable)
 }
 
 // close closes the connection and forgets it.
@@ -155,11 +155,11 @@
 
 // Data implements eventloop.Owner: it reads answers.
 func (c *conn) Data() {
-	ref := c.sub
+	ref := c.submission
 	s := c.dispatch.submissions.Get(ref)
 	if s == nil || s.conn != c { // bytes without a request
 		c.dispatch.engine.Count.Add(counters.BadAnswer)
-		c.sub = 0
+		c.submission = 0
 		c.close()
 		return
 	}
@@ -178,12 +178,7 @@
 			return
 		}
 		if !complete {
-			if c.link.Full() {
-				c.dispatch.badAnswer(ref)
-			} else if len(b) > 0 && s.answerDeadline == 0 && s.answerTimeout > 0 {
-				s.answerDeadline = c.dispatch.engine.Now() + s.answerTimeout
-				c.dispatch.engine.At(s.answerDeadline, &c.dispatch.partAlarms, uint32(ref))
-			}
+			c.awaitRest(ref, s, len(b))
 			return
 		}
 		if c.reader.Status() >= 200 {
@@ -202,6 +197,17 @@
 	}
 }
 
+// awaitRest waits for the rest of an answer of which so many bytes are there.
+func (c *conn) awaitRest(ref slots.Ref, s *submission, received int) {
+	switch {
+	case c.link.Full():
+		c.dispatch.badAnswer(ref)
+	case received > 0 && s.answerDeadline == 0 && s.answerTimeout > 0:
+		s.answerDeadline = c.dispatch.engine.Now() + s.answerTimeout
+		c.dispatch.engine.At(s.answerDeadline, &c.dispatch.partAlarms, uint32(ref))
+	}
+}
+
 // answered ends an attempt by its complete answer.
 func (c *conn) answered(ref slots.Ref, s *submission, v Meaning, b []byte, size int) {
 	if v.Ending == control.ConnectionLost { // well-formed, yet not an answer to the request
@@ -216,7 +222,7 @@
 func (c *conn) finish(ref slots.Ref, s *submission, v Meaning, o gate.Outcome, size int) {
 	// With bytes left in either direction the next answer's begin would not be known.
 	keep := !c.reader.Closes && !v.Closes && c.link.Unwritten() == 0 && !s.streaming && c.link.Input.Len() == size
-	c.sub, c.last, s.conn = 0, s.id, nil
+	c.submission, c.last, s.conn = 0, s.id, nil
 	c.dispatch.ended(ref, o)
 	if !keep || !c.backend.ready || c.link.IsClosed() {
 		c.close()
--- a/internal/proxy/upstream/streaming.go
+++ b/internal/proxy/upstream/streaming.go
@@ -17,8 +17,8 @@
 	}
 	c := s.conn
 	c.sendBody()
-	if s := d.submissions.Get(c.sub); s != nil && s.conn == c && c.streaming {
-		c.forwardAnswer(c.sub, s)
+	if s := d.submissions.Get(c.submission); s != nil && s.conn == c && c.streaming {
+		c.forwardAnswer(c.submission, s)
 	}
 }
 
@@ -30,7 +30,7 @@
 	c.sending = true
 	defer func() { c.sending = false }()
 	for {
-		ref := c.sub
+		ref := c.submission
 		s := c.dispatch.submissions.Get(ref)
 		if s == nil || s.conn != c || !s.streaming || s.transmission.conn == 0 || c.link.IsClosed() || c.link.Unwritten() >= maxUnwritten {
 			return
