Fault rig: a CONFIG finding names the answers, a failing test keeps its history

Change: the finding lists the answers by status. Tests on real processes keep histories and nodes' logs of what failed, and log the folder.

The check and its bound stay as they are.

--- a/internal/lab/faultrig/gateway_test.go
+++ b/internal/lab/faultrig/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -35,13 +36,27 @@
 			1), fault("ack-kill", 5, 0.3, 0.6), fault("ack-cut", 3, 0.8, 0), fault("node-cut", 1, 2, 0.4),
 		fault("node-reload", 2.5, 0, 0.6)}}
 	s.Faults[8].Shape, s.Faults[8].Way, s.Faults[9].Shape = "isolated", "out", "halves"
-	r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: program, Rate: 60})
+	r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: program, Rate: 60, Keep: keepFolder(t)})
 	must.NoError(t, err)
 	checkGatewayRun(t, r)
 	must.Len(t, 2, r.Recovered)
 	must.SliceEmpty(t, children(t), must.Sprint("processes left"))
 }
 
+// keepFolder is a folder for the histories and nodes' logs of a test. It stays if the test fails, and its name is logged.
+func keepFolder(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "clovergap-found-")
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("histories and logs are in %s", dir)
+			return
+		}
+		must.NoError(t, os.RemoveAll(dir))
+	})
+	return dir
+}
+
 // checkGatewayRun fails the test for each rule that was broken and rests on no time, and for those of timed, which rest on times, unless the
 // machine was too slow for them. On a machine that is fast enough, enough must have been asked, served and changed.
 func checkGatewayRun(t *testing.T, r *GatewayResult, timed ...string) {
@@ -81,7 +96,7 @@
 	s := &GatewaySchedule{Seed: 7, Nodes: 6, For: 12 * time.Second, CancelShare: stormCancelShare, Faults: []spec.Fault{
 		fault("lost-answers", 0, 12, 0.3, lostBy), fault("node-power", 0.5, 1.5, 0.5, 0), fault("core-stall", 1, 1.5, 0.3, 0),
 		fault("core-power", 3, 1, 0.3, 0), fault("core-stall", 6, 4.5, 0.3, 0)}}
-	r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: build(t), Rate: 60})
+	r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: build(t), Rate: 60, Keep: keepFolder(t)})
 	must.NoError(t, err)
 	checkGatewayRun(t, r)
 	left := 0
@@ -154,7 +169,7 @@
 	program := build(t)
 	for _, seed := range []uint64{1, 2} { // all processes are killed right after a leave in both
 		s := DrawSeries(seed, 6, 14*time.Second)
-		r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: program, Rate: 60})
+		r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: program, Rate: 60, Keep: keepFolder(t)})
 		must.NoError(t, err)
 		departures := 0
 		for _, e := range r.History {
--- a/internal/lab/faultrig/late_input_test.go
+++ b/internal/lab/faultrig/late_input_test.go
@@ -20,7 +20,7 @@
 	program := build(t)
 	for _, seed := range []uint64{3, 7} { // nodes have a small share of a core in the first one alone
 		s := DrawLateInput(seed, 6, 12*time.Second)
-		r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: program, Rate: 60})
+		r, err := PlayGateway(context.Background(), s, GatewayOptions{Program: program, Rate: 60, Keep: keepFolder(t)})
 		must.NoError(t, err)
 		checkGatewayRun(t, r)
 		t.Logf("seed %d: %d calls, %d answered clearly", seed, r.Calls, r.Definite)
--- a/internal/lab/gatewaystandin/request_rules.go
+++ b/internal/lab/gatewaystandin/request_rules.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -223,7 +224,7 @@
 		least := starvedShare * f.rate() // where few of the first are served, more are asked for to tell it from chance
 		if a.requested >= minAddedRequests && f.requested > 0 && a.rate() < least && least*float64(a.requested) >= minExpectedServed {
 			bad = append(bad, history.Violation{Rule: "CONFIG", Time: r.all[len(r.all)-1].ask.Time, Who: of, What: fmt.Sprintf(
-				"served %d of %d on routes added later, %d of %d on the first", a.served, a.requested, f.served, f.requested)})
+				"served %d of %d on routes added later%s, %d of %d on the first", a.served, a.requested, a.describeOthers(), f.served, f.requested)})
 		}
 	}
 	slices.SortFunc(bad, func(a, b history.Violation) int { return cmp.Compare(a.Who, b.Who) })
@@ -231,15 +232,45 @@
 }
 
 // share counts requests and those of them that were served.
-type share struct{ requested, served int }
+type share struct {
+	requested, served int
+	others            map[int]int // requests that were not served, by the status of their answer; 0: they got none
+}
 
 func (s share) with(end history.Event) share {
-	if s.requested++; end.Kind == history.Answered && int(end.Number)/100 == 2 {
+	s.requested++
+	if end.Kind == history.Answered && int(end.Number)/100 == 2 {
 		s.served++
+		return s
+	}
+	if s.others == nil {
+		s.others = map[int]int{}
+	}
+	if end.Kind == history.Answered {
+		s.others[int(end.Number)]++
+	} else {
+		s.others[0]++
 	}
 	return s
 }
 
+// describeOthers tells what became of the requests that were not served: 404 shows an old configuration, 503 a node that knows that it
+// may have one.
+func (s share) describeOthers() string {
+	if len(s.others) == 0 {
+		return ""
+	}
+	var all []string
+	for _, status := range slices.Sorted(maps.Keys(s.others)) {
+		name := fmt.Sprint(status)
+		if status == 0 {
+			name = "no answer"
+		}
+		all = append(all, fmt.Sprintf("%s: %d", name, s.others[status]))
+	}
+	return " (" + strings.Join(all, ", ") + ")"
+}
+
 func (s share) rate() float64 { return float64(s.served) / float64(max(s.requested, 1)) }
 
 // starved: no kind of request and no tenant is served much seldomer than all. What lies beyond a tenant's limit is not owed, nor
@@ -261,7 +292,7 @@
 	}
 	for name, most := range r.limits() {
 		of := "tenant " + name
-		by[of] = share{min(by[of].requested, most), by[of].served}
+		by[of] = share{requested: min(by[of].requested, most), served: by[of].served}
 	}
 	for of, s := range by {
 		least := starvedShare * all.rate() // fewer are expected than can be told from chance on days that serve next to nothing
--- a/internal/lab/gatewaystandin/request_rules_test.go
+++ b/internal/lab/gatewaystandin/request_rules_test.go
@@ -201,3 +201,17 @@
 		must.Eq(t, []string{c.rule}, rules, must.Sprint(name))
 	}
 }
+
+// A violation says what became of the requests that were not served, by status: 404 shows an old configuration, 503 a node that knows that
+// it may have one.
+func TestShareDescribesOtherAnswers(t *testing.T) {
+	s := share{}
+	for _, end := range []history.Event{{Kind: history.Answered, Number: 200}, {Kind: history.Answered, Number: 503},
+		{Kind: history.Answered, Number: 404}, {Kind: history.Answered, Number: 503}, {Kind: history.ClientLeft}} {
+		s = s.with(end)
+	}
+	must.Eq(t, 5, s.requested)
+	must.Eq(t, 1, s.served)
+	must.Eq(t, " (no answer: 1, 404: 1, 503: 2)", s.describeOthers())
+	must.Eq(t, "", share{}.describeOthers())
+}
