Ingress tests: a dial may take as long as any other wait of the tests

Cause: the fixture gave a dial 1 s, though the tests state that nothing in them depends on a time below 20 s. Each of the 132 requests of this test opens a connection of its own (they have one ID). If the process gets no processor for over 1 s meanwhile, the dial ends, the module rejects the request, and the test waits in vain for it at the backend.

The fixture's dial is bounded by testTimeout now.

--- a/internal/gateway/ingress/handler_test.go
+++ b/internal/gateway/ingress/handler_test.go
@@ -114,14 +114,15 @@
 	backend  *standin.Script
 }
 
-// newFixture starts a data path whose only backend has the ID 7. The end of the test stops the data path.
+// newFixture starts a data path whose only backend has the ID 7. The end of the test stops the data path. A dial may take as long as any
+// other wait of these tests: a machine under load may hold up the test's process for longer than a node waits for a backend.
 func newFixture(t *testing.T) *fixture {
 	testNode := &fixture{t: t, engine: eventloop.New("", 1024, 512<<10, 64<<20), catalog: &fakeCatalog{},
 		module: &fakeModule{expiry: map[control.TxnID]time.Duration{}}}
 	gateClock := &clock{Engine: testNode.engine}
 	testNode.gate = gate.New(testNode.module, gateClock, 1000, testNode.engine.Count, zap.NewNop())
 	gateClock.wakeTarget = testNode.gate
-	testNode.dispatch = upstream.New(testNode.engine, testNode.gate, UpstreamConfig(testNode.catalog, time.Second), func() bool { return false })
+	testNode.dispatch = upstream.New(testNode.engine, testNode.gate, UpstreamConfig(testNode.catalog, testTimeout), func() bool { return false })
 	testNode.server = downstream.New(testNode.engine, 500, DownstreamBounds(Limits{16 << 10, 4 << 20, 5 * time.Second, 15 * time.Second}),
 		func() bool { return false })
 	handler := New(testNode.server, testNode.engine, testNode.gate, testNode.catalog)
