--- a/control/quota/bound_test.go
+++ b/control/quota/bound_test.go
@@ -224,6 +224,24 @@
 	}
 }
 
+// TestBoundHoldsAfterSilence guards against refill that is withheld for gateways without requests and then consumed in addition to a full
+// bucket. After light use all gateways are silent for some time, and then they are under pressure.
+func TestBoundHoldsAfterSilence(t *testing.T) {
+	for _, limit := range [][2]float64{{20, 20}, {100, 100}, {80, 200}, {400, 20}} {
+		for _, n := range []int{5, 12} {
+			for silence := 200 * time.Millisecond; silence <= 5*time.Second; silence += 600 * time.Millisecond {
+				s := newPartitionScenario(t, n, 1, limit[0], limit[1])
+				s.runWithRandomRequests(20*time.Second, 0.5*limit[0]/float64(n))
+				s.step = 10 * time.Millisecond
+				s.advanceBy(silence, nil)
+				s.underPressure = true
+				s.advanceBy(8*time.Second, nil)
+				s.requireWithinBound(fmt.Sprintf("rate and burst=%v gateways=%d silent for %s: most units consumed in a 5 s window", limit, n, silence))
+			}
+		}
+	}
+}
+
 // requireWithinBound asserts that the units consumed in every 5 s window stay within the bound of strict mode. scenario describes the case
 // and is the message of a failed assertion.
 func (p *partitionScenario) requireWithinBound(scenario string) {
