Quota: a lower limit cuts what was saved up under the higher one

What callers saw: 2 s after all nodes have a lower limit, a tenant still gets more than its bound in 5 s (rate and burst 20 and 400, before 20 times that, 5 nodes, light use before: 882 units where 570 are allowed; from 4 times 100 and 100 after heavy use: 683 where 680 are).

Cause: SetLimit cut the level of the bucket to the new burst, but neither the allowances that the nodes had saved up under the higher limit nor the parts of the refill that the owner withheld under it.

Change: SetLimit cuts both. A raise changes nothing at once, as before.

Test that failed before: quota.TestBoundHoldsAfterLimitIsLowered; it fails without either of the two parts of the change (882, 683).

--- a/control/quota/allowance.go
+++ b/control/quota/allowance.go
@@ -15,18 +15,29 @@
 // is isolated (isolationStart), the allowance also gets the gateway's part of the rate, but the maximum that can be saved up stays the
 // same (at least one unit).
 func (l *Limiter) refillAllowance(a *Account) float64 {
-	n := float64(l.gatewayCount)
-	part := (l.config.Excess*(a.limit.Rate*l.config.Window.Seconds()+a.limit.Burst) + l.config.Margin) / n
-	maxSaved := min(part, max(1, allowanceBurstShare*part))
+	part, maxSaved := l.allowancePart(a)
 	fill := (part - maxSaved) / max(l.config.Window, time.Second).Seconds() * (l.now - a.allowanceAt).Seconds()
 	if isolated := l.now - max(l.isolationStart(a), a.allowanceAt); isolated > 0 {
 		a.allowanceUsed, maxSaved = 0, max(maxSaved, 1)
-		fill += a.limit.Rate / n * isolated.Seconds()
+		fill += a.limit.Rate / float64(l.gatewayCount) * isolated.Seconds()
 	}
 	a.allowance, a.allowanceAt = max(a.allowance, min(maxSaved-a.allowanceUsed, a.allowance+fill)), l.now
 	return a.allowance
 }
 
+// allowancePart returns this gateway's equal part of the allowances of all gateways, and the part of it that can be saved up.
+func (l *Limiter) allowancePart(a *Account) (part, maxSaved float64) {
+	part = (l.config.Excess*(a.limit.Rate*l.config.Window.Seconds()+a.limit.Burst) + l.config.Margin) / float64(l.gatewayCount)
+	return part, min(part, max(1, allowanceBurstShare*part))
+}
+
+// limitSavedAllowance reduces the allowance to what can be saved up under the present limits. What was saved up under higher limits, and
+// what the owner will return of it (confirmAllowance), would exceed the bound.
+func (l *Limiter) limitSavedAllowance(a *Account) {
+	_, maxSaved := l.allowancePart(a)
+	a.allowance = min(a.allowance, maxSaved-a.allowanceUsed)
+}
+
 // isolationStart returns the time from which this gateway may consume its part of the rate without the owner. If the gateway may not
 // consume its part yet, the result is the present or later.
 //
--- a/control/quota/bound_test.go
+++ b/control/quota/bound_test.go
@@ -228,7 +228,7 @@
 // bucket. After light use all gateways are silent for some time, and then they are under pressure.
 func TestBoundHoldsAfterSilence(t *testing.T) {
 	for _, limit := range [][2]float64{{20, 20}, {100, 100}, {80, 200}, {400, 20}} {
-		for _, n := range []int{5, 12} {
+		for _, n := range []int{2, 5, 12, 60} {
 			for silence := 200 * time.Millisecond; silence <= 5*time.Second; silence += 600 * time.Millisecond {
 				s := newPartitionScenario(t, n, 1, limit[0], limit[1])
 				s.runWithRandomRequests(20*time.Second, 0.5*limit[0]/float64(n))
@@ -242,6 +242,42 @@
 	}
 }
 
+// TestBoundHoldsAfterLimitIsLowered guards against units that are saved up under a higher limit and consumed under the lower one: in the
+// allowances after light use, in the withheld parts after heavy use. The gateways apply the lower limit one after another, within 2 s.
+func TestBoundHoldsAfterLimitIsLowered(t *testing.T) {
+	const loweredAt = 20 * time.Second
+	for _, limit := range [][2]float64{{20, 20}, {100, 100}, {20, 400}} {
+		for _, n := range []int{5, 12} {
+			for _, factor := range []float64{1.5, 4, 20} {
+				for _, heavyUse := range []bool{false, true} {
+					for _, pressureAfter := range []time.Duration{2100 * time.Millisecond, 4 * time.Second} {
+						s := newPartitionScenario(t, n, 1, factor*limit[0], factor*limit[1])
+						s.step = 50 * time.Millisecond
+						if s.underPressure = heavyUse; heavyUse {
+							s.advanceBy(loweredAt-time.Second, nil)
+							s.underPressure = false
+							s.advanceBy(time.Second, nil)
+						} else {
+							s.runWithRandomRequests(loweredAt, 0.5)
+						}
+						due := map[time.Duration][]func(){}
+						for _, i := range s.rng.Perm(n) {
+							at := loweredAt + time.Duration(s.rng.Int63n(int64(2*time.Second)))
+							due[at] = append(due[at], func() { s.limiters[i].SetLimit(watchedCustomer, limit[0], limit[1]) })
+						}
+						s.step = 10 * time.Millisecond
+						s.advanceBy(pressureAfter, due)
+						s.rate, s.burst, s.consumed, s.underPressure = limit[0], limit[1], nil, true
+						s.advanceBy(8*time.Second, nil)
+						s.requireWithinBound(fmt.Sprintf("rate and burst=%v before %g times, gateways=%d, heavy use before %v, pressure after %s: most units consumed in a 5 s window",
+							limit, factor, n, heavyUse, pressureAfter))
+					}
+				}
+			}
+		}
+	}
+}
+
 // requireWithinBound asserts that the units consumed in every 5 s window stay within the bound of strict mode. scenario describes the case
 // and is the message of a failed assertion.
 func (p *partitionScenario) requireWithinBound(scenario string) {
--- a/control/quota/limiter.go
+++ b/control/quota/limiter.go
@@ -141,7 +141,8 @@
 	l.now = max(l.now, now)
 }
 
-// SetLimit sets a customer's rate in units a second and its burst in units. A lower burst reduces the level at once. After a higher
+// SetLimit sets a customer's rate in units a second and its burst in units. A lower burst reduces the level at once. Lower limits
+// also reduce what was saved up under the higher ones: the withheld parts and the allowance (strict mode). After a higher
 // burst, the bucket fills at the rate. A rate of 0 or below stops the metering of the customer. A customer ID above 1<<34 is not allowed.
 func (l *Limiter) SetLimit(customer control.CustomerID, rate, burst float64) {
 	invariant.Assert(l.options.PlanLimit == nil && customer <= 1<<34, "SetLimit is called only on a limiter without plans, and the customer ID is at most 1<<34")
@@ -161,6 +162,8 @@
 		}
 		a.limit.Rate, a.limit.Burst = rate, burst
 		a.level = min(a.level, burst)
+		a.limitWithheld(burst - a.level)
+		l.limitSavedAllowance(a)
 	}
 }
 
--- a/control/quota/refill.go
+++ b/control/quota/refill.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// limitWithheld reduces the withheld parts to the room that they have in the bucket.
+func (a *Account) limitWithheld(room float64) {
+	for _, r := range a.reporterStates {
+		r.withheld = min(r.withheld, max(0, room))
+		room -= r.withheld
+	}
+}
+
 // contact is the owner's view of a reporter's connection.
 type contact int
 
