Event loop: Stop does not wait for a connection that nobody closes

Cause: the poller counts a connection when it is opened, and finds it by its descriptor a step later, in the acceptor's goroutine. If Stop looks for connections between the two, it closes all but this one, and waits for it without end.

Change: Stop ends listening first, and waits until each acceptor has handed over what it accepted. Then the poller stops, as before.

--- a/internal/proxy/eventloop/engine.go
+++ b/internal/proxy/eventloop/engine.go
@@ -53,6 +53,7 @@
 	polled           bool  // the turn is the poller's, which closes no connection meanwhile
 	eventLink        *Link // the connection whose event is processed
 	descriptors      descriptorTable
+	polling          bool // the poller and the acceptors run
 	stopped          bool
 	backlog          backlog
 	Count            *counters.Set
@@ -124,6 +125,7 @@
 	if err = e.poll.Start(); err != nil {
 		return err
 	}
+	e.polling = true
 	at := make(began)
 	e.Turn(func() {
 		if err = e.newTimer(); err == nil {
@@ -146,9 +148,12 @@
 // Due implements Alarm.
 func (b began) Due(uint32) { close(b) }
 
-// Stop ends listening and all connections. It is called outside of turns. The poller waits for the connections that it knows, so
-// no dial may complete later.
+// Stop ends listening and all connections. It is called outside of turns. The poller closes the connections that it knows, and waits for
+// all that were ever opened. So no connection may be accepted while the poller stops, and no dial may complete.
 func (e *Engine) Stop() {
+	if e.polling {
+		e.drainListeners()
+	}
 	e.Turn(func() { e.stopped = true })
 	e.poll.Stop()
 	e.Turn(func() {
@@ -161,6 +166,14 @@
 	})
 }
 
+// drainListeners ends listening, and waits until the poller knows all connections that were accepted.
+func (e *Engine) drainListeners() {
+	e.StopListening()
+	for _, l := range e.listeners {
+		<-l.drained
+	}
+}
+
 // checkAlarm makes a turn at least each checkInterval, so that a pause of this process is noticed and unread input is found.
 type checkAlarm Engine
 
--- a/internal/proxy/eventloop/listen.go
+++ b/internal/proxy/eventloop/listen.go
@@ -24,13 +24,14 @@
 	addr              string
 	accept            func(*Link)
 	stopped           atomic.Bool
+	drained           chan struct{} // closed when the poller knows all connections that were accepted before stopped
 	over              chan struct{}
 	closed            atomic.Bool
 }
 
 // addListener adds an address; its socket is opened by Listen, or when the engine starts.
 func (e *Engine) addListener(addr string, accept func(*Link)) *listener {
-	a := &listener{engine: e, addr: addr, accept: accept, over: make(chan struct{})}
+	a := &listener{engine: e, addr: addr, accept: accept, drained: make(chan struct{}), over: make(chan struct{})}
 	e.listeners = append(e.listeners, a)
 	e.poll.Addrs = append(e.poll.Addrs, addr)
 	return a
@@ -61,6 +62,7 @@
 	conn, err := l.acceptNext()
 	if err != nil {
 		if l.stopped.Load() {
+			close(l.drained)
 			<-l.over
 		}
 		return nil, err
