Coordination: a test breaks if the window for late releases is wrong

What was missing: staleReleaseWindow is the sum of the ways that a release can take (280 ms to a socket, 120 ms unread and unnoticed, 800 ms until its call ends).

Change: TestReleaseFreesReacquiredLockOnlyAfterLongestTransit holds a release to both sides of 1.2 s. The product code is unchanged.

--- a/internal/gateway/coordination/state_test.go
+++ b/internal/gateway/coordination/state_test.go
@@ -107,3 +107,29 @@
 	must.Eq(t, Result{Revision: 3}, s.putKey(&Call{Operation: KeyPut, Name: "g.k", Value: "c"}))
 	must.Eq(t, Result{Status: StatusConflict}, s.putKey(&Call{Operation: KeyPut, Name: "g.new", Value: "x", Conditional: true, ExpectedRevision: 7}))
 }
+
+// Guards against two holders of one lock: a release may be in transit for 280 ms to a node's socket, lie unread there for 120 ms that the node
+// does not notice, and then have 800 ms until its call ends. A release that was sent just before the holder acquired the lock again may be
+// applied that much later, and must not free the lock. One that is applied later still was sent after the acquire and must free it.
+func TestReleaseFreesReacquiredLockOnlyAfterLongestTransit(t *testing.T) {
+	const longestTransit = 280*time.Millisecond + 120*time.Millisecond + 800*time.Millisecond
+	for _, test := range []struct {
+		name         string
+		sinceAcquire time.Duration
+		freed        bool
+	}{
+		{"at the end of the longest transit", longestTransit - time.Millisecond, false},
+		{"after the longest transit", longestTransit, true},
+	} {
+		s := NewState(time.Second)
+		for i, at := range []time.Duration{time.Second, 2 * time.Second} {
+			s.logTime = at
+			got := s.acquireLock(&entry{call: Call{Operation: LockAcquire, Name: "l", Holder: "x", TTL: 10 * time.Second}, logTime: at,
+				callID: CallID{Incarnation: 1, Sequence: uint32(i + 1)}})
+			must.Eq(t, Result{FencingToken: 1}, got, must.Sprint(test.name))
+		}
+		s.logTime += test.sinceAcquire
+		must.Eq(t, Result{}, s.releaseLock(&Call{Operation: LockRelease, Name: "l", Holder: "x", FencingToken: 1}), must.Sprint(test.name))
+		must.Eq(t, test.freed, s.locks["l"] == nil, must.Sprint(test.name))
+	}
+}
